Settle the headers between the packages

The parts are to be written side by side, so what they say to one another is fixed first: ids, clock, errors, log lines, the replicated log's face, the commands and tables, the inner messages, the policy's inputs and outputs, the HTTP server and client, and the outward protocols.

--- /dev/null
+++ b/core/ids.h
@@ -0,0 +1,104 @@
+// Typed names and numbers, so that a term is never passed for an index nor a
+// model's name for an endpoint's.
+//
+//   auto term = Term { 3 };
+//   auto model = ModelId { "plaques" };
+//
+// Both kinds compare, hash, print by value() and serialize by cereal.
+
+#ifndef FIGRACK_CORE_IDS_H
+#define FIGRACK_CORE_IDS_H
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace figrack {
+
+/// A number that only mixes with its own kind.
+template<typename Tag>
+class NumberId
+{
+public:
+    constexpr NumberId() = default;
+    constexpr explicit NumberId(std::uint64_t value)
+        : value_(value)
+    { }
+    constexpr auto value() const -> std::uint64_t { return value_; }
+    /// @return the number after this one
+    constexpr auto next() const -> NumberId { return NumberId { value_ + 1 }; }
+    constexpr auto operator<=>(const NumberId &) const = default;
+
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(value_);
+    }
+
+private:
+    std::uint64_t value_ = 0;
+};
+
+/// A name that only mixes with its own kind.
+template<typename Tag>
+class NameId
+{
+public:
+    NameId() = default;
+    explicit NameId(std::string value)
+        : value_(std::move(value))
+    { }
+    auto value() const -> const std::string & { return value_; }
+    auto empty() const -> bool { return value_.empty(); }
+    auto operator<=>(const NameId &) const = default;
+
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(value_);
+    }
+
+private:
+    std::string value_;
+};
+
+using Term = NumberId<struct TermTag>;         ///< Leadership term; also the high part of a fence.
+using LogIndex = NumberId<struct LogIndexTag>; ///< Position in the replicated log, from 1.
+using Revision = NumberId<struct RevisionTag>; ///< Configuration revision; 0 is "none yet".
+using Incarnation = NumberId<struct IncarnationTag>; ///< One life of a process or a disk.
+using OrderId = NumberId<struct OrderIdTag>;         ///< The log index of the order's intent.
+using Fence = NumberId<struct FenceTag>;             ///< Fencing number carried by every order.
+
+using NodeId = NameId<struct NodeIdTag>; ///< A router or control process.
+using EndpointId = NameId<struct EndpointIdTag>;
+using ModelId = NameId<struct ModelIdTag>;     ///< A base model or an adapter.
+using ClassId = NameId<struct ClassIdTag>;     ///< An operator's class of work.
+using ServiceId = NameId<struct ServiceIdTag>; ///< A plain service.
+using DomainId = NameId<struct DomainIdTag>;   ///< A failure domain.
+using RequestId = NameId<struct RequestIdTag>;
+using ChangeId = NameId<struct ChangeIdTag>; ///< An operator's own id of one change.
+using IdempotencyKey = NameId<struct IdempotencyKeyTag>;
+
+} // namespace figrack
+
+template<typename Tag>
+struct std::hash<figrack::NumberId<Tag>>
+{
+    auto operator()(const figrack::NumberId<Tag> &id) const noexcept -> std::size_t
+    {
+        return std::hash<std::uint64_t> {}(id.value());
+    }
+};
+
+template<typename Tag>
+struct std::hash<figrack::NameId<Tag>>
+{
+    auto operator()(const figrack::NameId<Tag> &id) const noexcept -> std::size_t
+    {
+        return std::hash<std::string> {}(id.value());
+    }
+};
+
+#endif // FIGRACK_CORE_IDS_H
--- /dev/null
+++ b/http/client.h
@@ -0,0 +1,99 @@
+// An HTTP/1.1 client with kept connections, over Boost.Beast.
+//
+//   auto client = Client { context, options };
+//   auto reply = co_await client.fetch(request, timeout);       // whole answer
+//   auto stream = co_await client.open(request, timeout);       // head, then chunks
+//   while (auto chunk = co_await stream->read(timeout)) { ... }
+//
+// Guarantees: an error says whether any byte of the request may have left this
+// process (ClientError::sent): only then may the work have run. A kept
+// connection that turns out closed before a byte of the answer counts as sent;
+// requests that may not be repeated therefore ask for a fresh connection.
+// Answers are bounded by maxBodyBytes. Destroying a stream before its end aborts its connection.
+
+#ifndef FIGRACK_HTTP_CLIENT_H
+#define FIGRACK_HTTP_CLIENT_H
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "core/clock.h"
+#include "core/settings.h"
+#include "http/message.h"
+
+namespace figrack::http {
+
+struct ClientOptions
+{
+    std::size_t maxIdlePerPeer = 64; ///< Kept connections to one address.
+    Duration idleTimeout = std::chrono::seconds { 20 };
+    Duration connectTimeout = std::chrono::milliseconds { 500 };
+    std::size_t maxBodyBytes = 16U << 20;
+    Duration userTimeout = std::chrono::seconds { 5 }; ///< TCP_USER_TIMEOUT: unacknowledged data.
+};
+
+struct ClientRequest
+{
+    Address address;
+    std::string method = "POST";
+    std::string target = "/";
+    Headers headers;
+    std::string body;
+    bool freshConnection = false; ///< Never on a kept connection.
+};
+
+/// Whether bytes of the request may have left.
+enum class Sent : std::uint8_t { Nothing, MaybeSome };
+
+struct ClientError
+{
+    absl::Status status; ///< EndpointFailed, Timeout, TooLarge or Malformed.
+    Sent sent = Sent::MaybeSome;
+};
+
+template<typename T>
+using ClientResult = std::variant<T, ClientError>;
+
+/// An answer whose body is read in pieces.
+class ClientStream
+{
+public:
+    virtual ~ClientStream() = default;
+    virtual auto status() const -> std::uint32_t = 0;
+    virtual auto headers() const -> const Headers & = 0;
+    /// @return the next bytes; an empty string at the true end of the body; an error when cut short
+    virtual auto read(Duration timeout) -> boost::asio::awaitable<absl::StatusOr<std::string>> = 0;
+    /// Aborts the connection (RST), from the strand that reads or any other thread.
+    virtual auto abort() -> void = 0;
+};
+
+class Client
+{
+public:
+    Client(boost::asio::io_context &context, ClientOptions options);
+    ~Client();
+    auto fetch(ClientRequest request, Duration timeout)
+            -> boost::asio::awaitable<ClientResult<Response>>;
+    /// @param headTimeout until the head of the answer has come
+    auto open(ClientRequest request, Duration headTimeout)
+            -> boost::asio::awaitable<ClientResult<std::unique_ptr<ClientStream>>>;
+    /// Aborts every connection to an address, in use or kept.
+    auto abortAll(const Address &address) -> void;
+    /// Aborts every connection.
+    auto abortAll() -> void;
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> impl_;
+};
+
+} // namespace figrack::http
+
+#endif // FIGRACK_HTTP_CLIENT_H
--- /dev/null
+++ b/policy/choice.h
@@ -0,0 +1,80 @@
+// Chooses the replica for one dispatch.
+//
+//   auto chooser = ReplicaChooser { options, seed };
+//   chooser.onReport(endpoint, ..., now); chooser.onDispatch(endpoint, model, now); ...
+//   auto endpoint = chooser.choose(request, candidates, now);
+//
+// Load reports lag, so each is corrected by the dispatches made since it was
+// taken; two candidates drawn at random are compared, so that many routers with
+// the same view do not herd; prefix-cache affinity is worth the prefill time it
+// saves, weighed against the longer queue; an endpoint that is slow or fails is
+// put aside and tried again with single requests. Not thread-safe.
+
+#ifndef FIGRACK_POLICY_CHOICE_H
+#define FIGRACK_POLICY_CHOICE_H
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "policy/tables.h"
+
+namespace figrack::policy {
+
+struct ChoiceOptions
+{
+    Millis breakAfterFailures = 3;
+    Millis breakTime = 2000;    ///< First time aside; doubles to 60 s.
+    Millis prefillPerBlock = 4; ///< Prefill time that one cached prefix block saves.
+};
+
+/// A batch of an endpoint's prefix-cache events.
+struct CacheEvents
+{
+    EndpointId endpoint;
+    std::uint64_t firstSequence = 0;  ///< Of the first event; a gap makes the view distrusted.
+    bool snapshot = false;            ///< The added blocks are the whole cache.
+    std::vector<std::uint64_t> added; ///< Hashes of prefix blocks.
+    std::vector<std::uint64_t> removed;
+};
+
+struct ChoiceRequest
+{
+    ModelId model;
+    std::vector<std::uint64_t> prefix; ///< Chained block hashes of the prompt, in order.
+};
+
+enum class DispatchResult : std::uint8_t { Finished, Refused, Failed, Cancelled };
+
+class ReplicaChooser
+{
+public:
+    ReplicaChooser(ChoiceOptions options, std::uint64_t seed);
+    ~ReplicaChooser();
+    /// A load report taken at a time on the router's own scale (arrival less its age).
+    auto onReport(const EndpointId &endpoint, const ModelId &model, std::uint32_t running,
+                  std::uint32_t waiting, Millis takenAt) -> void;
+    auto onDispatch(const EndpointId &endpoint, const ModelId &model, Millis now) -> void;
+    auto onFirstToken(const EndpointId &endpoint, Millis took, Millis now) -> void;
+    auto onEnd(const EndpointId &endpoint, const ModelId &model, DispatchResult result, Millis now)
+            -> void;
+    auto onCacheEvents(const CacheEvents &events, Millis now) -> void;
+    /// @return true when the endpoint's cache events have a gap: ask it for a snapshot
+    auto wantsCacheSnapshot(const EndpointId &endpoint) const -> bool;
+    auto forget(const EndpointId &endpoint) -> void;
+    /// @param candidates replicas that are Ready on usable endpoints
+    /// @return index into candidates, or nullopt when all are aside or full
+    auto choose(const ChoiceRequest &request, const std::vector<ReplicaInfo> &candidates,
+                std::uint32_t slots, Millis now) -> std::optional<std::size_t>;
+    /// @return streams estimated on a replica: report corrected by own dispatches
+    auto estimatedLoad(const EndpointId &endpoint, const ModelId &model) const -> std::uint32_t;
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+} // namespace figrack::policy
+
+#endif // FIGRACK_POLICY_CHOICE_H
--- /dev/null
+++ b/proto/channel.h
@@ -0,0 +1,134 @@
+// Authenticated, framed TCP connections between figrack's processes.
+//
+//   auto server = PeerServer { context, options, handler };
+//   server.start();
+//   auto client = PeerClient { context, options, address, handler };
+//   client.call(ClaimRequest { ... }, timeout, [](absl::StatusOr<Payload> reply) { ... });
+//   client.push(DemandReport { ... });
+//
+// Handshake: both sides send version, name and a nonce, then prove the shared
+// key by an HMAC over both nonces; each later frame carries an HMAC over its
+// sequence number and body under a key derived for that connection. Another
+// version, a wrong key, a replayed or altered frame ends the connection with a
+// logged error that names the remedy.
+//
+// Guarantees: a connection's send queue is bounded by maxQueuedBytes; past it
+// call() fails with Overloaded and push() drops and counts. A call ends exactly
+// once: with its reply, Timeout, or EndpointFailed when the connection breaks.
+// Handlers run on the channel's strand; hand long work to the pool.
+
+#ifndef FIGRACK_PROTO_CHANNEL_H
+#define FIGRACK_PROTO_CHANNEL_H
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include "core/clock.h"
+#include "core/ids.h"
+#include "core/settings.h"
+#include "proto/messages.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace figrack::proto {
+
+/// Keys that authenticate peers; the first signs, all verify, so that keys rotate.
+/// Reloaded from the file when it changes, without a restart.
+class PeerKeys
+{
+public:
+    /// @param path a file with one hexadecimal key of 32 bytes or more a line
+    /// @return the keys, or BadSettings
+    static auto fromFile(const std::string &path) -> absl::StatusOr<std::shared_ptr<PeerKeys>>;
+    static auto fromText(std::string_view text) -> absl::StatusOr<std::shared_ptr<PeerKeys>>;
+    virtual ~PeerKeys() = default;
+    /// @return the keys in force, the signing one first
+    virtual auto current() const -> std::vector<std::string> = 0;
+};
+
+struct ChannelOptions
+{
+    NodeId self;
+    std::shared_ptr<PeerKeys> keys;
+    std::uint32_t version = protocolVersion; ///< Other values only in tests.
+    std::size_t maxQueuedBytes = 32U << 20;
+    std::size_t maxConnections = 4096; ///< Server only.
+    Duration handshakeTimeout = std::chrono::seconds { 2 };
+    Duration idleTimeout = std::chrono::seconds { 10 };          ///< Pings go at a third of it.
+    Duration reconnectDelay = std::chrono::milliseconds { 100 }; ///< Doubles with jitter to 2 s.
+};
+
+/// One accepted or dialled connection, as handlers see it.
+class PeerConnection
+{
+public:
+    virtual ~PeerConnection() = default;
+    virtual auto peer() const -> const NodeId & = 0;
+    /// Sends a push, or the reply to a request. Never blocks.
+    /// @return false when the queue is full or the connection gone
+    virtual auto send(Envelope envelope) -> bool = 0;
+    virtual auto close() -> void = 0;
+    virtual auto isOpen() const -> bool = 0;
+};
+
+using PeerPointer = std::shared_ptr<PeerConnection>;
+
+/// What a process does with what its peers send.
+struct PeerHandler
+{
+    std::function<void(const PeerPointer &)> onOpen;              ///< May be empty.
+    std::function<void(const PeerPointer &, Envelope)> onMessage; ///< Requests and pushes.
+    std::function<void(const PeerPointer &, const absl::Status &)> onClose; ///< May be empty.
+};
+
+class PeerServer
+{
+public:
+    PeerServer(boost::asio::io_context &context, ChannelOptions options, PeerHandler handler);
+    ~PeerServer();
+    /// Binds and listens. @return BadSettings when the address cannot be bound
+    auto start(const Address &listen) -> absl::Status;
+    /// @return the port bound, for tests that listen on port 0
+    auto port() const -> std::uint16_t;
+    /// Stops accepting and closes every connection.
+    auto stop() -> void;
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> impl_;
+};
+
+/// Keeps one connection to a peer, dialling again when it breaks.
+class PeerClient
+{
+public:
+    using ReplyHandler = std::function<void(absl::StatusOr<Payload>)>;
+    PeerClient(boost::asio::io_context &context, ChannelOptions options, Address address,
+               PeerHandler handler);
+    ~PeerClient();
+    auto start() -> void;
+    auto stop() -> void;
+    auto isOpen() const -> bool;
+    /// @param payload the request
+    /// @param timeout after which done gets Timeout
+    /// @param done called once, on the channel's strand; a Failure payload arrives as its error
+    auto call(Payload payload, Duration timeout, ReplyHandler done) -> void;
+    /// @return false when the queue is full or no connection is open
+    auto push(Payload payload) -> bool;
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> impl_;
+};
+
+} // namespace figrack::proto
+
+#endif // FIGRACK_PROTO_CHANNEL_H
