--- a/http/client.h
+++ b/http/client.h
@@ -9,12 +9,16 @@
 // process (ClientError::sent): only then may the work have run. A kept
 // connection that turns out closed before a byte of the answer counts as sent;
 // requests that may not be repeated therefore ask for a fresh connection.
-// Answers are bounded by maxBodyBytes. Destroying a stream before its end aborts its connection.
+// A whole answer is bounded by maxBodyBytes, one read of a stream by 64 KiB; a
+// stream's length is not bounded. Destroying a stream before its end aborts its
+// connection. After abortAll() has returned no byte of a request begun before
+// it leaves this process, also none that waited in the kernel's send queue.
 
 #ifndef FIGRACK_HTTP_CLIENT_H
 #define FIGRACK_HTTP_CLIENT_H
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <variant>
@@ -46,7 +50,10 @@
     std::string target = "/";
     Headers headers;
     std::string body;
-    bool freshConnection = false; ///< Never on a kept connection.
+    bool freshConnection = false; ///< Never on a kept connection, and not kept afterwards.
+    /// Asked once the connection stands, right before the first byte is written; false ends the
+    /// request with Cancelled and Sent::Nothing. May be empty.
+    std::function<bool()> mayStart = {};
 };
 
 /// Whether bytes of the request may have left.
@@ -54,7 +61,7 @@
 
 struct ClientError
 {
-    absl::Status status; ///< EndpointFailed, Timeout, TooLarge or Malformed.
+    absl::Status status; ///< EndpointFailed, Timeout, TooLarge, Malformed or Cancelled.
     Sent sent = Sent::MaybeSome;
 };
 
