--- a/core/ids.h
+++ b/core/ids.h
@@ -29,6 +29,7 @@
     constexpr auto value() const -> std::uint64_t { return value_; }
     /// @return the number after this one
     constexpr auto next() const -> NumberId { return NumberId { value_ + 1 }; }
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the comparison with 0 for one.
     constexpr auto operator<=>(const NumberId &) const = default;
 
     template<typename Archive>
@@ -52,6 +53,7 @@
     { }
     auto value() const -> const std::string & { return value_; }
     auto empty() const -> bool { return value_.empty(); }
+    // NOLINTNEXTLINE(modernize-use-nullptr): as above.
     auto operator<=>(const NameId &) const = default;
 
     template<typename Archive>
