--- a/core/error.cpp
+++ b/core/error.cpp
@@ -100,6 +100,8 @@
           "ask again; the outcome is unknown" },
         { ErrorKind::Cancelled, StatusCode::kCancelled, "cancelled", "the caller went away",
           "nothing to do" },
+        { ErrorKind::InUse, StatusCode::kFailedPrecondition, "in_use",
+          "something still refers to it", "remove what refers to it first" },
 } };
 
 constexpr auto tableIsOrdered() -> bool
--- a/core/error.h
+++ b/core/error.h
@@ -60,10 +60,11 @@
     MembershipBusy, ///< Another membership change is under way.
     Timeout,
     Cancelled,
+    InUse, ///< Something else still refers to what is to be removed or replaced.
 };
 
 /// Number of kinds, for tables indexed by kind.
-constexpr auto errorKindCount = std::size_t { static_cast<std::size_t>(ErrorKind::Cancelled) + 1 };
+constexpr auto errorKindCount = std::size_t { static_cast<std::size_t>(ErrorKind::InUse) + 1 };
 
 /// The wire and log name of a kind, snake_case.
 /// @param kind any ErrorKind value
