policy: admission queue and choice of replica

The router needs both. Admission keeps one order-statistic tree a model and class, so that a newcomer's place and predicted start cost O(classes x log n); what cannot start in time is refused at once with the time when it could. Choice compares two random candidates and one that holds the prompt's prefix, by load corrected for the report's lag. Lag correction, circuit breaker and prefix index are headers of their own, so that each can be tested alone.

--- /dev/null
+++ b/policy/admission.cpp
@@ -0,0 +1,590 @@
+// Each model has one lane a class, an order-statistic tree by start deadline. The place
+// of a newcomer is the sum of its ranks in the lanes, so that its start is predicted in
+// O(classes x log n) without walking the queue. Earliest deadline first alone serves
+// everyone just before the deadline once arrivals exceed capacity, and lets work with
+// close deadlines pass patient work until that is late; so (1) what cannot be served in
+// time is not taken in, (2) a newcomer that would fit if less urgent work gave way
+// displaces it, newest first, since that has waited least, and (3) a lane that was passed
+// over patientShare times is served next and is never shed below that share.
+//
+// Dropping as few as possible in recheck() is Moore and Hodgson's rule for equal service
+// times: walk in deadline order and, where one would be late, drop one of those kept so
+// far; which one is free to choose, so the least urgent goes.
+
+#include "policy/admission.h"
+
+#include <algorithm>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+#include <ext/pb_ds/assoc_container.hpp>
+#include <ext/pb_ds/tree_policy.hpp>
+
+#include "core/check.h"
+#include "policy/waiting.h"
+
+namespace figrack::policy {
+namespace {
+
+using ClassIndex = std::size_t;
+
+/// Order of dispatch: by deadline, then by ticket.
+struct Key
+{
+    Millis deadline = 0;
+    std::uint64_t ticket = 0;
+    auto operator<=>(const Key &) const = default;
+};
+
+using RankedKeys
+        = __gnu_pbds::tree<Key, __gnu_pbds::null_type, std::less<>, __gnu_pbds::rb_tree_tag,
+                           __gnu_pbds::tree_order_statistics_node_update>;
+
+/// The requests of one class for one model.
+struct Lane
+{
+    ClassIndex classIndex = 0;
+    RankedKeys keys;
+    std::uint32_t passedOver = 0; ///< Dispatches of other lanes since the last of this one.
+};
+
+struct ModelQueue
+{
+    std::vector<Lane> lanes;
+    std::size_t size = 0;
+    Millis promisedUntil = 0; ///< Times to come back were given out up to here.
+};
+
+struct ClassQueue
+{
+    ClassId id;
+    Millis patience = 0; ///< Start target of its last request: the larger, the less urgent.
+    std::set<Key> keys;  ///< Over all models.
+};
+
+struct Entry
+{
+    QueuedRequest request;
+    ClassIndex classIndex = 0;
+};
+
+auto deadlineOf(const QueuedRequest &request) -> Millis
+{
+    return std::min(request.startBy, request.finishBy);
+}
+
+auto keyOf(const QueuedRequest &request) -> Key
+{
+    return { deadlineOf(request), request.ticket };
+}
+
+auto rankIn(const RankedKeys &keys, const Key &key) -> std::size_t
+{
+    return keys.order_of_key(key);
+}
+
+/// How far past its deadlines a request would be if it started then; 0 or less fits.
+auto lateness(const QueuedRequest &request, Millis start, Millis service) -> Millis
+{
+    if (start == never)
+        return never;
+    return std::max(start - request.startBy, start + service - request.finishBy);
+}
+
+/// Spreads times that were capped over a further tenth, by ticket or time.
+auto spread(Millis retry, std::uint64_t seed) -> Millis
+{
+    constexpr auto goldenRatio = std::uint64_t { 0x9E3779B97F4A7C15 };
+    const auto part = static_cast<Millis>(((seed + 1) * goldenRatio) >> 54); // 0..1023
+    return retry + retry * part / 10240;
+}
+
+} // namespace
+
+class RequestQueue::Impl
+{
+public:
+    explicit Impl(QueueOptions options)
+        : options_(options)
+    {
+        FIGRACK_CHECK(options_.patientShare > 0, "the share of patient work is bounded");
+    }
+
+    auto admit(const QueuedRequest &request, const ModelView &view, Millis now) -> Verdict;
+    auto pop(const ModelId &model, Millis now) -> std::optional<QueuedRequest>;
+    auto insert(const QueuedRequest &request) -> void;
+    auto cancel(std::uint64_t ticket) -> bool;
+    auto expire(Millis now) -> std::vector<QueuedRequest>;
+    auto nextExpiry() const -> Millis;
+    auto recheck(const ModelId &model, const ModelView &view, Millis now)
+            -> std::vector<QueuedRequest>;
+    auto retryAfter(const ModelId &model, const ModelView &view, Millis earliest, Millis now)
+            -> Millis;
+    auto size() const -> std::size_t { return entries_.size(); }
+    auto queuedFor(const ModelId &model) const -> std::size_t;
+    auto demand() const -> std::vector<DemandInfo>;
+
+private:
+    auto classIndexOf(const ClassId &id) -> ClassIndex;
+    auto laneOf(ModelQueue &model, ClassIndex classIndex) -> Lane &;
+    auto boundReached(const QueuedRequest &request) -> bool;
+    auto placeOf(const ModelQueue &model, ClassIndex classIndex, const Key &key) const
+            -> std::size_t;
+    auto isSheddable(const ModelQueue &model, const Lane &lane, Millis patience) const -> bool;
+    auto victimsAhead(const ModelQueue &model, Millis patience, const Key &key,
+                      std::size_t count) const -> std::vector<std::uint64_t>;
+    auto makePlace(const QueuedRequest &request, ClassIndex classIndex, const ModelView &view,
+                   Millis now, std::vector<std::uint64_t> &victims) -> Millis;
+    auto globalVictim(Millis patience) const -> std::optional<std::uint64_t>;
+    auto pushedOut(const ModelId &model, const Key &newcomer, Millis patience,
+                   const ModelView &view, Millis now) const -> std::optional<std::uint64_t>;
+    auto remove(std::uint64_t ticket) -> QueuedRequest;
+    auto refuse(const QueuedRequest &request, const ModelView &view, ErrorKind kind,
+                Millis earliest, Millis now) -> Verdict;
+    auto dropExpiredPromises(Millis now) -> void;
+
+    QueueOptions options_;
+    std::unordered_map<std::uint64_t, Entry> entries_;
+    std::unordered_map<ModelId, ModelQueue> models_;
+    std::unordered_map<ClassId, ClassIndex> classIndexes_;
+    std::vector<ClassQueue> classes_;
+    std::unordered_map<std::string, std::size_t> callers_;
+    std::set<Key> deadlines_;
+    std::size_t prunedAt_ = 0;
+};
+
+auto RequestQueue::Impl::classIndexOf(const ClassId &id) -> ClassIndex
+{
+    const auto [found, added] = classIndexes_.try_emplace(id, classes_.size());
+    if (added)
+        classes_.push_back(ClassQueue { id, 0, {} });
+    return found->second;
+}
+
+auto RequestQueue::Impl::laneOf(ModelQueue &model, ClassIndex classIndex) -> Lane &
+{
+    for (auto &lane : model.lanes) {
+        if (lane.classIndex == classIndex)
+            return lane;
+    }
+    model.lanes.push_back(Lane { classIndex, {}, 0 });
+    return model.lanes.back();
+}
+
+auto RequestQueue::Impl::insert(const QueuedRequest &request) -> void
+{
+    const auto classIndex = classIndexOf(request.classId);
+    const auto key = keyOf(request);
+    const auto added = entries_.try_emplace(request.ticket, Entry { request, classIndex }).second;
+    FIGRACK_CHECK(added, "a request is queued once");
+    auto &model = models_[request.model];
+    laneOf(model, classIndex).keys.insert(key);
+    ++model.size;
+    auto &ofClass = classes_[classIndex];
+    ofClass.patience = request.startBy - request.arrived;
+    ofClass.keys.insert(key);
+    ++callers_[request.caller];
+    deadlines_.insert(key);
+}
+
+auto RequestQueue::Impl::remove(std::uint64_t ticket) -> QueuedRequest
+{
+    auto node = entries_.extract(ticket);
+    FIGRACK_CHECK(!node.empty(), "only queued requests are removed");
+    const auto &entry = node.mapped();
+    const auto key = keyOf(entry.request);
+    auto &model = models_.at(entry.request.model);
+    laneOf(model, entry.classIndex).keys.erase(key);
+    --model.size;
+    classes_[entry.classIndex].keys.erase(key);
+    const auto caller = callers_.find(entry.request.caller);
+    if (--caller->second == 0)
+        callers_.erase(caller);
+    deadlines_.erase(key);
+    return std::move(node.mapped().request);
+}
+
+auto RequestQueue::Impl::boundReached(const QueuedRequest &request) -> bool
+{
+    const auto caller = callers_.find(request.caller);
+    if (caller != callers_.end() && caller->second >= options_.maxPerCaller)
+        return true;
+    return classes_[classIndexOf(request.classId)].keys.size() >= options_.maxPerClass;
+}
+
+/// How many requests are dispatched before this one: those with earlier deadlines and what the
+/// share of other lanes takes in between; but no more than its own lane's share makes it wait.
+auto RequestQueue::Impl::placeOf(const ModelQueue &model, ClassIndex classIndex,
+                                 const Key &key) const -> std::size_t
+{
+    auto ahead = std::size_t { 0 };
+    auto behindInOthers = std::size_t { 0 };
+    auto aheadInOwn = std::size_t { 0 };
+    auto others = std::size_t { 0 };
+    for (const auto &lane : model.lanes) {
+        const auto rank = rankIn(lane.keys, key);
+        ahead += rank;
+        if (lane.classIndex == classIndex) {
+            aheadInOwn = rank;
+            continue;
+        }
+        behindInOthers += lane.keys.size() - rank;
+        others += lane.keys.empty() ? 0 : 1;
+    }
+    const auto taken = std::min(behindInOthers, ahead / options_.patientShare);
+    if (others == 0)
+        return ahead;
+    const auto byShare = (aheadInOwn + 1) * (options_.patientShare + others) - 1;
+    return std::min(ahead + taken, byShare);
+}
+
+/// A lane gives way to more urgent work as long as it keeps its share of the queue.
+auto RequestQueue::Impl::isSheddable(const ModelQueue &model, const Lane &lane,
+                                     Millis patience) const -> bool
+{
+    const auto kept = std::max<std::size_t>(1, model.size / options_.patientShare);
+    return classes_[lane.classIndex].patience > patience && lane.keys.size() > kept;
+}
+
+/// @return up to count tickets that are less urgent and ahead of the key; the least urgent
+///         class's newest first
+auto RequestQueue::Impl::victimsAhead(const ModelQueue &model, Millis patience, const Key &key,
+                                      std::size_t count) const -> std::vector<std::uint64_t>
+{
+    auto lanes = std::vector<const Lane *> {};
+    for (const auto &lane : model.lanes) {
+        if (isSheddable(model, lane, patience))
+            lanes.push_back(&lane);
+    }
+    std::ranges::sort(lanes, std::ranges::greater {},
+                      [this](const Lane *lane) { return classes_[lane->classIndex].patience; });
+    const auto kept = std::max<std::size_t>(1, model.size / options_.patientShare);
+    auto victims = std::vector<std::uint64_t> {};
+    for (const auto *lane : lanes) {
+        const auto spare = std::min(lane->keys.size() - kept, rankIn(lane->keys, key));
+        auto next = lane->keys.lower_bound(key);
+        for (auto i = std::size_t { 0 }; i < spare && victims.size() < count; ++i)
+            victims.push_back((--next)->ticket);
+    }
+    return victims;
+}
+
+/// Finds which requests must give way for a newcomer to be served in time, as few as do.
+/// @return its lateness when it does not fit all the same, else 0 or less
+auto RequestQueue::Impl::makePlace(const QueuedRequest &request, ClassIndex classIndex,
+                                   const ModelView &view, Millis now,
+                                   std::vector<std::uint64_t> &victims) -> Millis
+{
+    const auto &model = models_[request.model];
+    const auto service = serviceTimeOf(view, options_.assumedServiceTime);
+    const auto place = placeOf(model, classIndex, keyOf(request));
+    const auto lateAt = [&](std::size_t ahead) {
+        return lateness(request, predictStart(view, ahead, options_.assumedServiceTime, now),
+                        service);
+    };
+    const auto late = lateAt(place);
+    const auto most = std::min(options_.maxShedPerAdmit, place);
+    if (late <= 0 || lateAt(place - most) > 0)
+        return late;
+    const auto patience = request.startBy - request.arrived;
+    auto candidates = victimsAhead(model, patience, keyOf(request), most);
+    for (auto count = std::size_t { 1 }; count <= candidates.size(); ++count) {
+        if (lateAt(place - count) > 0)
+            continue;
+        candidates.resize(count);
+        victims = std::move(candidates);
+        return 0;
+    }
+    return late;
+}
+
+/// @return the newest request of the least urgent class that holds more than its share of the
+///         whole queue and is less urgent than the newcomer
+auto RequestQueue::Impl::globalVictim(Millis patience) const -> std::optional<std::uint64_t>
+{
+    const auto kept = std::max<std::size_t>(1, entries_.size() / options_.patientShare);
+    const ClassQueue *victim = nullptr;
+    for (const auto &candidate : classes_) {
+        if (candidate.patience <= patience || candidate.keys.size() <= kept)
+            continue;
+        if (victim == nullptr || candidate.patience > victim->patience)
+            victim = &candidate;
+    }
+    if (victim == nullptr)
+        return std::nullopt;
+    return victim->keys.rbegin()->ticket;
+}
+
+/// A newcomer moved all behind it back by one place: the last of a less urgent lane may now be
+/// late. recheck() finds the rarer cases in the middle of a lane.
+auto RequestQueue::Impl::pushedOut(const ModelId &modelId, const Key &newcomer, Millis patience,
+                                   const ModelView &view, Millis now) const
+        -> std::optional<std::uint64_t>
+{
+    const auto &model = models_.at(modelId);
+    const auto service = serviceTimeOf(view, options_.assumedServiceTime);
+    for (const auto &lane : model.lanes) {
+        if (!isSheddable(model, lane, patience))
+            continue;
+        const auto last = *lane.keys.rbegin();
+        if (last < newcomer)
+            continue;
+        const auto place = placeOf(model, lane.classIndex, last);
+        const auto start = predictStart(view, place, options_.assumedServiceTime, now);
+        if (lateness(entries_.at(last.ticket).request, start, service) > 0)
+            return last.ticket;
+    }
+    return std::nullopt;
+}
+
+auto RequestQueue::Impl::refuse(const QueuedRequest &request, const ModelView &view, ErrorKind kind,
+                                Millis earliest, Millis now) -> Verdict
+{
+    auto verdict = Verdict {};
+    verdict.refusal = Refusal { kind, retryAfter(request.model, view, earliest, now) };
+    return verdict;
+}
+
+auto RequestQueue::Impl::admit(const QueuedRequest &request, const ModelView &view, Millis now)
+        -> Verdict
+{
+    if (deadlineOf(request) < now)
+        return refuse(request, view, ErrorKind::DeadlineExceeded, now, now);
+    if (!view.canEverLoad && view.ready == 0 && view.loading == 0)
+        return refuse(request, view, ErrorKind::NoCapacity, now + options_.noCapacityRetry, now);
+    if (boundReached(request))
+        return refuse(request, view, ErrorKind::QueueFull, now, now);
+    const auto patience = request.startBy - request.arrived;
+    auto verdict = Verdict {};
+    const auto late = makePlace(request, classIndexOf(request.classId), view, now, verdict.shed);
+    if (late > 0) {
+        const auto hopeless = late == never || late >= options_.maxRetry;
+        const auto earliest = now + (hopeless ? options_.maxRetry : late);
+        return refuse(request, view, ErrorKind::TargetUnreachable, earliest, now);
+    }
+    if (entries_.size() >= options_.maxTotal && verdict.shed.empty()) {
+        const auto victim = globalVictim(patience);
+        if (!victim)
+            return refuse(request, view, ErrorKind::QueueFull, now, now);
+        verdict.shed.push_back(*victim);
+    }
+    for (const auto ticket : verdict.shed)
+        remove(ticket);
+    insert(request);
+    if (const auto late = pushedOut(request.model, keyOf(request), patience, view, now)) {
+        remove(*late);
+        verdict.shed.push_back(*late);
+    }
+    if (!verdict.shed.empty())
+        verdict.shedRetryAfter = retryAfter(request.model, view, now, now);
+    return verdict;
+}
+
+auto RequestQueue::Impl::pop(const ModelId &modelId, Millis now) -> std::optional<QueuedRequest>
+{
+    const auto found = models_.find(modelId);
+    if (found == models_.end())
+        return std::nullopt;
+    Lane *chosen = nullptr;
+    auto chosenKey = Key {};
+    auto chosenStarves = false;
+    for (auto &lane : found->second.lanes) {
+        const auto head = lane.keys.lower_bound(Key { now, 0 });
+        if (head == lane.keys.end())
+            continue;
+        const auto starves = lane.passedOver >= options_.patientShare;
+        const auto better = chosen == nullptr || (starves && !chosenStarves)
+                || (starves == chosenStarves && *head < chosenKey);
+        if (!better)
+            continue;
+        chosen = &lane;
+        chosenKey = *head;
+        chosenStarves = starves;
+    }
+    if (chosen == nullptr)
+        return std::nullopt;
+    for (auto &lane : found->second.lanes)
+        lane.passedOver = lane.keys.empty() ? 0 : lane.passedOver + 1;
+    chosen->passedOver = 0;
+    auto request = remove(chosenKey.ticket);
+    FIGRACK_CHECK(request.startBy >= now && request.finishBy >= now, "nothing waits past its time");
+    return request;
+}
+
+auto RequestQueue::Impl::cancel(std::uint64_t ticket) -> bool
+{
+    if (!entries_.contains(ticket))
+        return false;
+    remove(ticket);
+    return true;
+}
+
+auto RequestQueue::Impl::expire(Millis now) -> std::vector<QueuedRequest>
+{
+    auto expired = std::vector<QueuedRequest> {};
+    while (!deadlines_.empty() && deadlines_.begin()->deadline < now)
+        expired.push_back(remove(deadlines_.begin()->ticket));
+    dropExpiredPromises(now);
+    return expired;
+}
+
+/// Forgets models without requests whose promised times have passed, once they are as many as
+/// were kept last time, so that the cost is constant a call on average.
+auto RequestQueue::Impl::dropExpiredPromises(Millis now) -> void
+{
+    constexpr auto leastModels = std::size_t { 64 };
+    if (models_.size() < std::max(leastModels, 2 * prunedAt_))
+        return;
+    std::erase_if(models_, [now](const auto &item) {
+        return item.second.size == 0 && item.second.promisedUntil <= now;
+    });
+    prunedAt_ = models_.size();
+}
+
+auto RequestQueue::Impl::nextExpiry() const -> Millis
+{
+    return deadlines_.empty() ? 0 : deadlines_.begin()->deadline + 1;
+}
+
+auto RequestQueue::Impl::recheck(const ModelId &modelId, const ModelView &view, Millis now)
+        -> std::vector<QueuedRequest>
+{
+    const auto found = models_.find(modelId);
+    if (found == models_.end() || found->second.size == 0)
+        return {};
+    const auto service = serviceTimeOf(view, options_.assumedServiceTime);
+    auto inOrder = std::vector<std::pair<Key, std::size_t>> {};
+    const auto &lanes = found->second.lanes;
+    for (auto i = std::size_t { 0 }; i < lanes.size(); ++i) {
+        for (const auto &key : lanes[i].keys)
+            inOrder.emplace_back(key, i);
+    }
+    std::ranges::sort(inOrder);
+    auto keptByLane = std::vector<std::vector<std::uint64_t>>(lanes.size());
+    auto kept = std::size_t { 0 };
+    auto dropped = std::vector<std::uint64_t> {};
+    for (const auto &[key, own] : inOrder) {
+        keptByLane[own].push_back(key.ticket);
+        ++kept;
+        const auto start = predictStart(view, kept - 1, options_.assumedServiceTime, now);
+        if (lateness(entries_.at(key.ticket).request, start, service) <= 0)
+            continue;
+        auto victim = own;
+        const auto share = std::max<std::size_t>(1, kept / options_.patientShare);
+        for (auto i = std::size_t { 0 }; i < lanes.size(); ++i) {
+            const auto lessUrgent = classes_[lanes[i].classIndex].patience
+                    > classes_[lanes[victim].classIndex].patience;
+            if (lessUrgent && keptByLane[i].size() > share)
+                victim = i;
+        }
+        dropped.push_back(keptByLane[victim].back());
+        keptByLane[victim].pop_back();
+        --kept;
+    }
+    auto removed = std::vector<QueuedRequest> {};
+    for (const auto ticket : dropped)
+        removed.push_back(remove(ticket));
+    return removed;
+}
+
+auto RequestQueue::Impl::retryAfter(const ModelId &modelId, const ModelView &view, Millis earliest,
+                                    Millis now) -> Millis
+{
+    auto &model = models_[modelId];
+    const auto interval = slotInterval(view, options_.assumedServiceTime);
+    const auto limit = now + options_.maxRetry;
+    const auto promised = std::max(model.promisedUntil, earliest) + interval;
+    model.promisedUntil = std::min(promised, limit);
+    const auto retry = std::max(model.promisedUntil - now, options_.minRetry);
+    if (promised <= limit)
+        return retry;
+    return spread(retry, static_cast<std::uint64_t>(promised));
+}
+
+auto RequestQueue::Impl::queuedFor(const ModelId &model) const -> std::size_t
+{
+    const auto found = models_.find(model);
+    return found == models_.end() ? 0 : found->second.size;
+}
+
+auto RequestQueue::Impl::demand() const -> std::vector<DemandInfo>
+{
+    auto rows = std::vector<DemandInfo> {};
+    for (const auto &[id, model] : models_) {
+        for (const auto &lane : model.lanes) {
+            if (lane.keys.empty())
+                continue;
+            rows.push_back({ id, classes_[lane.classIndex].id,
+                             static_cast<std::uint32_t>(lane.keys.size()), 0,
+                             lane.keys.begin()->deadline });
+        }
+    }
+    return rows;
+}
+
+RequestQueue::RequestQueue(QueueOptions options)
+    : impl_(std::make_unique<Impl>(options))
+{ }
+
+RequestQueue::~RequestQueue() = default;
+RequestQueue::RequestQueue(RequestQueue &&) noexcept = default;
+auto RequestQueue::operator=(RequestQueue &&) noexcept -> RequestQueue & = default;
+
+auto RequestQueue::admit(const QueuedRequest &request, const ModelView &view, Millis now) -> Verdict
+{
+    return impl_->admit(request, view, now);
+}
+
+auto RequestQueue::pop(const ModelId &model, Millis now) -> std::optional<QueuedRequest>
+{
+    return impl_->pop(model, now);
+}
+
+auto RequestQueue::putBack(const QueuedRequest &request) -> void
+{
+    impl_->insert(request);
+}
+
+auto RequestQueue::cancel(std::uint64_t ticket) -> bool
+{
+    return impl_->cancel(ticket);
+}
+
+auto RequestQueue::expire(Millis now) -> std::vector<QueuedRequest>
+{
+    return impl_->expire(now);
+}
+
+auto RequestQueue::nextExpiry() const -> Millis
+{
+    return impl_->nextExpiry();
+}
+
+auto RequestQueue::recheck(const ModelId &model, const ModelView &view, Millis now)
+        -> std::vector<QueuedRequest>
+{
+    return impl_->recheck(model, view, now);
+}
+
+auto RequestQueue::retryAfter(const ModelId &model, const ModelView &view, Millis now) -> Millis
+{
+    return impl_->retryAfter(model, view, now, now);
+}
+
+auto RequestQueue::size() const -> std::size_t
+{
+    return impl_->size();
+}
+
+auto RequestQueue::queuedFor(const ModelId &model) const -> std::size_t
+{
+    return impl_->queuedFor(model);
+}
+
+auto RequestQueue::demand() const -> std::vector<DemandInfo>
+{
+    return impl_->demand();
+}
+
+} // namespace figrack::policy
--- /dev/null
+++ b/policy/choice.cpp
@@ -0,0 +1,499 @@
+// Two candidates drawn at random and, when the prompt's prefix is cached somewhere, one
+// endpoint that holds it are scored by the first-token delay they would give; the least
+// wins. So a choice costs a few look-ups at any number of runners, and routers that share
+// one stale view still spread, since each compares another pair. Only when the draws find
+// nothing that can take work is the list walked once, from a random place.
+//
+// Score, ms: streams estimated there x costPerStream + how much slower its first tokens
+// lately were than the model's median + prefill of the blocks it does not have cached.
+
+#include "policy/choice.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <unordered_map>
+
+#include "core/random.h"
+#include "policy/circuit.h"
+#include "policy/loadestimate.h"
+#include "policy/prefixindex.h"
+
+namespace figrack::policy {
+namespace {
+
+using Slot = PrefixIndex::Slot;
+
+constexpr auto draws = 2;
+constexpr auto maxTries = 8;
+constexpr auto maxHoldersTried = std::size_t { 2 };
+constexpr auto maxIdleModels = std::size_t { 32 }; ///< Remembered on one endpoint.
+constexpr auto smoothing = 0.25;
+constexpr auto slownessHalfLife = 10000.0; ///< ms until half of a measured slowness is forgotten.
+constexpr auto leastSamples = std::uint32_t { 5 };
+
+/// A running median of positive values: a step up or down a sample, in proportion.
+class RunningMedian
+{
+public:
+    auto add(double value) -> void
+    {
+        constexpr auto step = 1.05;
+        if (samples_++ == 0)
+            median_ = std::max(value, 1.0);
+        else
+            median_ = value > median_ ? median_ * step : std::max(median_ / step, 1.0);
+    }
+    auto value() const -> double { return median_; }
+    auto samples() const -> std::uint32_t { return samples_; }
+
+private:
+    double median_ = 0;
+    std::uint32_t samples_ = 0;
+};
+
+struct ReplicaState
+{
+    ModelId model;
+    LoadEstimate load;
+    double firstToken = 0; ///< Smoothed, ms.
+    std::uint32_t samples = 0;
+    Millis sampledAt = 0;
+    Millis touched = 0;
+};
+
+struct EndpointState
+{
+    EndpointId id;
+    Circuit circuit;
+    Millis refusedUntil = 0;
+    std::vector<ReplicaState> replicas;
+};
+
+enum class Standing : std::uint8_t { Open, Trial, Slow, Unusable };
+
+struct Scored
+{
+    std::size_t index = 0;
+    Standing standing = Standing::Unusable;
+    double score = 0;
+};
+
+} // namespace
+
+class ReplicaChooser::Impl
+{
+public:
+    Impl(ChoiceOptions options, std::uint64_t seed)
+        : options_(options)
+        , random_(seed)
+        , prefixes_(PrefixBounds {})
+    { }
+
+    auto choose(const ChoiceRequest &request, const std::vector<ReplicaInfo> &candidates,
+                std::uint32_t slots, Millis now) -> std::optional<std::size_t>;
+    auto replicaOf(const EndpointId &endpoint, const ModelId &model, Millis now) -> ReplicaState &;
+    auto find(const EndpointId &endpoint) -> EndpointState *;
+    auto findReplica(const EndpointId &endpoint, const ModelId &model) const
+            -> const ReplicaState *;
+    auto onDispatch(const EndpointId &endpoint, const ModelId &model, Millis now) -> void;
+    auto onEnd(const EndpointId &endpoint, const ModelId &model, DispatchResult result, Millis now)
+            -> void;
+    auto onFirstToken(const EndpointId &endpoint, const ModelId &model, Millis took, Millis now)
+            -> void;
+    auto onFirstToken(const EndpointId &endpoint, Millis took, Millis now) -> void;
+    auto onCacheEvents(const CacheEvents &events) -> void;
+    auto wantsCacheSnapshot(const EndpointId &endpoint) const -> bool;
+    auto forget(const EndpointId &endpoint) -> void;
+
+private:
+    auto slotOf(const EndpointId &endpoint) -> Slot;
+    auto stateOf(const EndpointId &endpoint) -> EndpointState &;
+    auto prune(EndpointState &endpoint) -> void;
+    auto standingOf(const EndpointState *endpoint, std::uint32_t load, std::uint32_t slots,
+                    Millis now) const -> Standing;
+    auto slowness(const ReplicaState &replica, Millis now) const -> double;
+    auto score(const ChoiceRequest &request, const ReplicaInfo &candidate, std::size_t cachedBlocks,
+               std::uint32_t slots, Millis now) const -> Scored;
+    auto scoreHolders(const ChoiceRequest &request, const std::vector<ReplicaInfo> &candidates,
+                      std::uint32_t slots, Millis now) -> Scored;
+    auto scan(const ChoiceRequest &request, const std::vector<ReplicaInfo> &candidates,
+              std::uint32_t slots, Millis now) -> Scored;
+
+    ChoiceOptions options_;
+    Random random_;
+    PrefixIndex prefixes_;
+    std::unordered_map<EndpointId, Slot> slots_;
+    std::vector<EndpointState> endpoints_;
+    std::vector<Slot> freeSlots_;
+    std::unordered_map<ModelId, RunningMedian> medians_;
+};
+
+auto ReplicaChooser::Impl::slotOf(const EndpointId &endpoint) -> Slot
+{
+    const auto [found, added] = slots_.try_emplace(endpoint, 0);
+    if (!added)
+        return found->second;
+    const auto circuit
+            = Circuit { { static_cast<std::uint32_t>(options_.breakAfterFailures),
+                          options_.breakTime, std::max<Millis>(60000, options_.breakTime) } };
+    auto state = EndpointState { endpoint, circuit, 0, {} };
+    if (freeSlots_.empty()) {
+        found->second = static_cast<Slot>(endpoints_.size());
+        endpoints_.push_back(std::move(state));
+    } else {
+        found->second = freeSlots_.back();
+        freeSlots_.pop_back();
+        endpoints_[found->second] = std::move(state);
+    }
+    return found->second;
+}
+
+auto ReplicaChooser::Impl::stateOf(const EndpointId &endpoint) -> EndpointState &
+{
+    return endpoints_[slotOf(endpoint)];
+}
+
+auto ReplicaChooser::Impl::find(const EndpointId &endpoint) -> EndpointState *
+{
+    const auto found = slots_.find(endpoint);
+    return found == slots_.end() ? nullptr : &endpoints_[found->second];
+}
+
+auto ReplicaChooser::Impl::findReplica(const EndpointId &endpoint, const ModelId &model) const
+        -> const ReplicaState *
+{
+    const auto found = slots_.find(endpoint);
+    if (found == slots_.end())
+        return nullptr;
+    for (const auto &replica : endpoints_[found->second].replicas) {
+        if (replica.model == model)
+            return &replica;
+    }
+    return nullptr;
+}
+
+auto ReplicaChooser::Impl::replicaOf(const EndpointId &endpoint, const ModelId &model, Millis now)
+        -> ReplicaState &
+{
+    auto &state = stateOf(endpoint);
+    for (auto &replica : state.replicas) {
+        if (replica.model != model)
+            continue;
+        replica.touched = now;
+        return replica;
+    }
+    prune(state);
+    auto &replica = state.replicas.emplace_back();
+    replica.model = model;
+    replica.touched = now;
+    return replica;
+}
+
+/// Keeps the models remembered on an endpoint few: the one not touched for longest goes, unless
+/// streams of it are in flight.
+auto ReplicaChooser::Impl::prune(EndpointState &endpoint) -> void
+{
+    if (endpoint.replicas.size() < maxIdleModels)
+        return;
+    const auto oldest = std::ranges::min_element(
+            endpoint.replicas, std::ranges::less {}, [](const ReplicaState &replica) {
+                return std::pair { replica.load.inFlight() > 0, replica.touched };
+            });
+    if (oldest->load.inFlight() == 0)
+        endpoint.replicas.erase(oldest);
+}
+
+auto ReplicaChooser::Impl::onDispatch(const EndpointId &endpoint, const ModelId &model, Millis now)
+        -> void
+{
+    replicaOf(endpoint, model, now).load.onDispatch(now);
+    stateOf(endpoint).circuit.onDispatch(now);
+}
+
+auto ReplicaChooser::Impl::onEnd(const EndpointId &endpoint, const ModelId &model,
+                                 DispatchResult result, Millis now) -> void
+{
+    auto *state = find(endpoint);
+    if (state == nullptr)
+        return;
+    auto &load = replicaOf(endpoint, model, now).load;
+    if (load.inFlight() > 0)
+        load.onEnd(now);
+    switch (result) {
+    case DispatchResult::Finished:
+        return state->circuit.onSuccess(now);
+    case DispatchResult::Failed:
+        return state->circuit.onFailure(now, random_.unit());
+    case DispatchResult::Refused:
+        state->refusedUntil = now + options_.refusedTime;
+        return state->circuit.onNeutral();
+    case DispatchResult::Cancelled:
+        return state->circuit.onNeutral();
+    }
+}
+
+auto ReplicaChooser::Impl::onFirstToken(const EndpointId &endpoint, const ModelId &model,
+                                        Millis took, Millis now) -> void
+{
+    if (find(endpoint) == nullptr)
+        return;
+    auto &replica = replicaOf(endpoint, model, now);
+    const auto value = static_cast<double>(std::max<Millis>(took, 0));
+    if (replica.samples == 0)
+        replica.firstToken = value;
+    replica.firstToken += smoothing * (value - replica.firstToken);
+    replica.sampledAt = now;
+    ++replica.samples;
+    auto &median = medians_[model];
+    median.add(value);
+    const auto isSlow = replica.samples >= leastSamples
+            && replica.firstToken > static_cast<double>(options_.slowFloor)
+            && replica.firstToken > options_.slowFactor * median.value();
+    if (!isSlow)
+        return;
+    find(endpoint)->circuit.trip(now, random_.unit());
+    replica.samples = 0; // Judged anew from what it does after its time aside.
+}
+
+auto ReplicaChooser::Impl::onFirstToken(const EndpointId &endpoint, Millis took, Millis now) -> void
+{
+    const auto *state = find(endpoint);
+    if (state == nullptr)
+        return;
+    const ReplicaState *only = nullptr;
+    for (const auto &replica : state->replicas) {
+        if (replica.load.inFlight() == 0)
+            continue;
+        if (only != nullptr)
+            return;
+        only = &replica;
+    }
+    if (only != nullptr)
+        onFirstToken(endpoint, ModelId { only->model }, took, now);
+}
+
+auto ReplicaChooser::Impl::onCacheEvents(const CacheEvents &events) -> void
+{
+    const auto batch
+            = PrefixBatch { events.firstSequence, events.snapshot, events.added, events.removed };
+    prefixes_.apply(slotOf(events.endpoint), batch);
+}
+
+auto ReplicaChooser::Impl::wantsCacheSnapshot(const EndpointId &endpoint) const -> bool
+{
+    const auto found = slots_.find(endpoint);
+    return found != slots_.end() && prefixes_.isDistrusted(found->second);
+}
+
+auto ReplicaChooser::Impl::forget(const EndpointId &endpoint) -> void
+{
+    const auto found = slots_.find(endpoint);
+    if (found == slots_.end())
+        return;
+    const auto slot = found->second;
+    prefixes_.forget(slot);
+    endpoints_[slot].replicas.clear();
+    freeSlots_.push_back(slot);
+    slots_.erase(found);
+}
+
+auto ReplicaChooser::Impl::standingOf(const EndpointState *endpoint, std::uint32_t load,
+                                      std::uint32_t slots, Millis now) const -> Standing
+{
+    if (slots != 0 && load >= slots)
+        return Standing::Unusable;
+    if (endpoint == nullptr)
+        return Standing::Open;
+    if (now < endpoint->refusedUntil)
+        return Standing::Unusable;
+    if (endpoint->circuit.isClosed())
+        return Standing::Open;
+    if (endpoint->circuit.allows(now))
+        return Standing::Trial;
+    return endpoint->circuit.isTripped() ? Standing::Slow : Standing::Unusable;
+}
+
+/// How much longer than the model's median its first tokens took lately, fading with time so that
+/// a replica is not shunned for ever for what it once was.
+auto ReplicaChooser::Impl::slowness(const ReplicaState &replica, Millis now) const -> double
+{
+    if (replica.sampledAt == 0)
+        return 0;
+    const auto median = medians_.find(replica.model);
+    if (median == medians_.end())
+        return 0;
+    const auto excess = replica.firstToken - median->second.value();
+    if (excess <= 0)
+        return 0;
+    return excess * std::exp2(-static_cast<double>(now - replica.sampledAt) / slownessHalfLife);
+}
+
+auto ReplicaChooser::Impl::score(const ChoiceRequest &request, const ReplicaInfo &candidate,
+                                 std::size_t cachedBlocks, std::uint32_t slots, Millis now) const
+        -> Scored
+{
+    const EndpointState *endpoint = nullptr;
+    const ReplicaState *replica = nullptr;
+    if (const auto found = slots_.find(candidate.endpoint); found != slots_.end()) {
+        endpoint = &endpoints_[found->second];
+        replica = findReplica(candidate.endpoint, request.model);
+    }
+    const auto known
+            = replica != nullptr && (replica->load.hasReport() || replica->load.inFlight() > 0);
+    const auto load = known ? replica->load.value() : candidate.running + candidate.waiting;
+    auto scored = Scored {};
+    scored.standing = standingOf(endpoint, load, slots, now);
+    scored.score = static_cast<double>(load) * static_cast<double>(options_.costPerStream);
+    scored.score
+            -= static_cast<double>(cachedBlocks) * static_cast<double>(options_.prefillPerBlock);
+    if (replica != nullptr)
+        scored.score += slowness(*replica, now);
+    return scored;
+}
+
+/// The best of a few endpoints that hold the prompt's prefix.
+auto ReplicaChooser::Impl::scoreHolders(const ChoiceRequest &request,
+                                        const std::vector<ReplicaInfo> &candidates,
+                                        std::uint32_t slots, Millis now) -> Scored
+{
+    auto best = Scored {};
+    if (request.prefix.empty())
+        return best;
+    const auto match = prefixes_.deepest(request.prefix);
+    if (match.holders.empty())
+        return best;
+    const auto first = random_.below(match.holders.size());
+    for (auto i = std::size_t { 0 }; i < std::min(maxHoldersTried, match.holders.size()); ++i) {
+        const auto holder = match.holders[(first + i) % match.holders.size()];
+        const auto &id = endpoints_[holder].id;
+        const auto found = std::ranges::lower_bound(
+                candidates, id, std::ranges::less {},
+                [](const ReplicaInfo &info) -> const EndpointId & { return info.endpoint; });
+        if (found == candidates.end() || found->endpoint != id)
+            continue;
+        auto scored = score(request, *found, match.depth, slots, now);
+        scored.index = static_cast<std::size_t>(found - candidates.begin());
+        if (scored.standing == Standing::Open
+            && (best.standing == Standing::Unusable || scored.score < best.score))
+            best = scored;
+    }
+    return best;
+}
+
+/// The first candidate with the best standing, from a random place on.
+auto ReplicaChooser::Impl::scan(const ChoiceRequest &request,
+                                const std::vector<ReplicaInfo> &candidates, std::uint32_t slots,
+                                Millis now) -> Scored
+{
+    const auto first = random_.below(candidates.size());
+    auto best = Scored {};
+    for (auto i = std::size_t { 0 }; i < candidates.size(); ++i) {
+        const auto index = (first + i) % candidates.size();
+        auto scored = score(request, candidates[index], 0, slots, now);
+        if (scored.standing >= best.standing)
+            continue;
+        best = scored;
+        best.index = index;
+        if (best.standing == Standing::Open)
+            break;
+    }
+    return best;
+}
+
+auto ReplicaChooser::Impl::choose(const ChoiceRequest &request,
+                                  const std::vector<ReplicaInfo> &candidates, std::uint32_t slots,
+                                  Millis now) -> std::optional<std::size_t>
+{
+    if (candidates.empty())
+        return std::nullopt;
+    auto best = scoreHolders(request, candidates, slots, now);
+    auto drawn = 0;
+    for (auto tries = 0; tries < maxTries && drawn < draws; ++tries) {
+        const auto index = random_.below(candidates.size());
+        auto scored = score(request, candidates[index], 0, slots, now);
+        scored.index = index;
+        if (scored.standing == Standing::Trial && request.repeatable)
+            return index; // A trial that is due is made, or its endpoint would stay aside.
+        if (scored.standing != Standing::Open)
+            continue;
+        if (drawn > 0 && index == best.index)
+            continue;
+        ++drawn;
+        if (best.standing != Standing::Open || scored.score < best.score)
+            best = scored;
+    }
+    if (best.standing != Standing::Open)
+        best = scan(request, candidates, slots, now);
+    if (best.standing == Standing::Unusable)
+        return std::nullopt;
+    return best.index;
+}
+
+ReplicaChooser::ReplicaChooser(ChoiceOptions options, std::uint64_t seed)
+    : impl_(std::make_unique<Impl>(options, seed))
+{ }
+
+ReplicaChooser::~ReplicaChooser() = default;
+ReplicaChooser::ReplicaChooser(ReplicaChooser &&) noexcept = default;
+auto ReplicaChooser::operator=(ReplicaChooser &&) noexcept -> ReplicaChooser & = default;
+
+auto ReplicaChooser::onReport(const EndpointId &endpoint, const ModelId &model,
+                              std::uint32_t running, std::uint32_t waiting, Millis takenAt) -> void
+{
+    impl_->replicaOf(endpoint, model, takenAt).load.onReport(running + waiting, takenAt);
+}
+
+auto ReplicaChooser::onDispatch(const EndpointId &endpoint, const ModelId &model, Millis now)
+        -> void
+{
+    impl_->onDispatch(endpoint, model, now);
+}
+
+auto ReplicaChooser::onFirstToken(const EndpointId &endpoint, const ModelId &model, Millis took,
+                                  Millis now) -> void
+{
+    impl_->onFirstToken(endpoint, model, took, now);
+}
+
+auto ReplicaChooser::onFirstToken(const EndpointId &endpoint, Millis took, Millis now) -> void
+{
+    impl_->onFirstToken(endpoint, took, now);
+}
+
+auto ReplicaChooser::onEnd(const EndpointId &endpoint, const ModelId &model, DispatchResult result,
+                           Millis now) -> void
+{
+    impl_->onEnd(endpoint, model, result, now);
+}
+
+auto ReplicaChooser::onCacheEvents(const CacheEvents &events, Millis /*now*/) -> void
+{
+    impl_->onCacheEvents(events);
+}
+
+auto ReplicaChooser::wantsCacheSnapshot(const EndpointId &endpoint) const -> bool
+{
+    return impl_->wantsCacheSnapshot(endpoint);
+}
+
+auto ReplicaChooser::forget(const EndpointId &endpoint) -> void
+{
+    impl_->forget(endpoint);
+}
+
+auto ReplicaChooser::choose(const ChoiceRequest &request,
+                            const std::vector<ReplicaInfo> &candidates, std::uint32_t slots,
+                            Millis now) -> std::optional<std::size_t>
+{
+    return impl_->choose(request, candidates, slots, now);
+}
+
+auto ReplicaChooser::estimatedLoad(const EndpointId &endpoint, const ModelId &model) const
+        -> std::uint32_t
+{
+    const auto *replica = impl_->findReplica(endpoint, model);
+    return replica == nullptr ? 0 : replica->load.value();
+}
+
+} // namespace figrack::policy
--- a/policy/choice.h
+++ b/policy/choice.h
@@ -27,6 +27,10 @@
     Millis breakAfterFailures = 3;
     Millis breakTime = 2000;    ///< First time aside; doubles to 60 s.
     Millis prefillPerBlock = 4; ///< Prefill time that one cached prefix block saves.
+    Millis costPerStream = 20;  ///< How much one more stream on a replica delays a first token.
+    Millis refusedTime = 100;   ///< An endpoint that refused gets nothing for so long.
+    double slowFactor = 4.0;    ///< Aside when its first tokens take so many times the median.
+    Millis slowFloor = 500;     ///< Never aside for first tokens below this.
 };
 
 /// A batch of an endpoint's prefix-cache events.
@@ -34,6 +38,8 @@
 {
     EndpointId endpoint;
     std::uint64_t firstSequence = 0;  ///< Of the first event; a gap makes the view distrusted.
+                                      ///< Of a snapshot: of the next event to come. Each added
+                                      ///< and each removed block is one event.
     bool snapshot = false;            ///< The added blocks are the whole cache.
     std::vector<std::uint64_t> added; ///< Hashes of prefix blocks.
     std::vector<std::uint64_t> removed;
@@ -43,6 +49,7 @@
 {
     ModelId model;
     std::vector<std::uint64_t> prefix; ///< Chained block hashes of the prompt, in order.
+    bool repeatable = true; ///< False: kept from endpoints on trial while any other can take it.
 };
 
 enum class DispatchResult : std::uint8_t { Finished, Refused, Failed, Cancelled };
@@ -52,18 +59,28 @@
 public:
     ReplicaChooser(ChoiceOptions options, std::uint64_t seed);
     ~ReplicaChooser();
+    ReplicaChooser(ReplicaChooser &&) noexcept;
+    auto operator=(ReplicaChooser &&) noexcept -> ReplicaChooser &;
     /// A load report taken at a time on the router's own scale (arrival less its age).
     auto onReport(const EndpointId &endpoint, const ModelId &model, std::uint32_t running,
                   std::uint32_t waiting, Millis takenAt) -> void;
     auto onDispatch(const EndpointId &endpoint, const ModelId &model, Millis now) -> void;
+    /// @param took from dispatch to first token, ms
+    auto onFirstToken(const EndpointId &endpoint, const ModelId &model, Millis took, Millis now)
+            -> void;
+    /// The same without the model: counted only when one model alone is in flight there.
     auto onFirstToken(const EndpointId &endpoint, Millis took, Millis now) -> void;
     auto onEnd(const EndpointId &endpoint, const ModelId &model, DispatchResult result, Millis now)
             -> void;
     auto onCacheEvents(const CacheEvents &events, Millis now) -> void;
     /// @return true when the endpoint's cache events have a gap: ask it for a snapshot
     auto wantsCacheSnapshot(const EndpointId &endpoint) const -> bool;
+    /// Drops all that is known of an endpoint: it left or came back as another incarnation.
+    /// Streams still in flight there may end afterwards; those ends count for nothing.
     auto forget(const EndpointId &endpoint) -> void;
-    /// @param candidates replicas that are Ready on usable endpoints
+    /// @param candidates replicas that are Ready on usable endpoints, in order of endpoint id
+    ///        as the tables keep them; in another order only cache affinity is lost
+    /// @param slots streams a replica runs at once; 0 when there is no such bound
     /// @return index into candidates, or nullopt when all are aside or full
     auto choose(const ChoiceRequest &request, const std::vector<ReplicaInfo> &candidates,
                 std::uint32_t slots, Millis now) -> std::optional<std::size_t>;
