--- a/policy/planner.h
+++ b/policy/planner.h
@@ -5,15 +5,25 @@
 //   planner.setReplica(...); planner.setDemand(...); planner.onArrivals(model, classId, n, now);
 //   auto decisions = planner.plan(now);
 //
-// Its caller carries each decision out or not, and tells the planner what came
-// of it by setReplica(): the planner holds tables, not beliefs. Setters cost
+// Its caller carries each decision out or not, and tells the planner by setReplica()
+// before the next plan(): the planner holds tables, not beliefs, and decides anew
+// what it was not told of. Setters cost
 // what changed; plan() follows the models and endpoints touched since the last
 // call, not the size of the fleet. Deterministic: equal calls, equal decisions.
 //
+// An adapter (ModelInfo::base names a model that was set) is loaded only onto an
+// endpoint where a replica of its base is Ready, its memoryMb counts itself only,
+// and the base stays while an adapter stands on it. An adapter whose base was
+// never set is a model on its own.
+//
+// The caller reports an endpoint anew when heldMb changes: the planner counts
+// the larger of heldMb and the replicas it was told of.
+//
 // Guarantees: a decision never makes an endpoint hold more memory than it has,
 // counting loads in flight and orders in doubt; no model is loaded twice on one
 // endpoint; no more replicas are decided than the demand at its targets needs;
-// loads in flight never pass the store's known concurrency.
+// loads in flight from the store, those in doubt until their predicted end included,
+// never pass the store's known concurrency by the planner's decisions.
 
 #ifndef FIGRACK_POLICY_PLANNER_H
 #define FIGRACK_POLICY_PLANNER_H
@@ -22,6 +32,7 @@
 #include <memory>
 #include <vector>
 
+#include "policy/keepwarm.h"
 #include "policy/tables.h"
 
 namespace figrack::policy {
@@ -31,6 +42,7 @@
     std::uint32_t storeConcurrency = 4; ///< Loads at once at the store's full speed.
     double storeLoadsPerSecond = 3.0;
     std::uint32_t maxDecisions = 64; ///< A call of plan().
+    KeepRule keep = KeepByTarget {}; ///< Others are the benchmark's baselines.
 };
 
 class Planner
