--- /dev/null
+++ b/coord/testing/main.cpp
@@ -0,0 +1,4 @@
+// The test program of coord/.
+
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
