--- a/coord/viewlease.h
+++ b/coord/viewlease.h
@@ -7,26 +7,37 @@
 // is committed once a majority has stored it, and any two majorities share a
 // voter, so from then on no observer renews without it: L (stretched by the
 // clock-rate bound) after commit, every observer has applied it or has stopped
-// taking work. The leader accepts sooner when every registered observer has
-// acknowledged the change. Since any majority renews, an election alone stops
-// nobody.
+// taking work. The leader accepts sooner when every observer that may hold a
+// lease has acknowledged the change. Since any majority renews, an election
+// alone stops nobody. docs/design/configuration.md has the argument.
 //
-//   grantor (each voter):   onStored / onTruncated, then grant(request) -> reply
+//   grantor (each voter):   onStored / onTruncated / onApplied; grant(request) -> reply
 //   holder (each observer): request() -> send to all voters; onReply(); isCurrent()
-//   accept gate (leader):   onCommitted, onAck; accepted(revision)
+//   accept gate (leader):   setObservers, onCommitted, onAck; accepted(revision)
+//
+// Wiring that the guarantee rests on:
+//  - a voter tells its grantor of an entry before it tells the leader that it
+//    has stored it; after a restart it passes the recovered snapshot and entries
+//    and only then calls onRecovered();
+//  - the grantor is given the membership that the replica counts by: the latest
+//    in its log, committed or not;
+//  - an observer's incarnation is random, a new one each life of its process;
+//  - the gate hears of entries in log order, as they are applied.
 //
 // Guarantees: no I/O, no clock of their own beyond the one given; memory is a
-// few words an observer.
+// few words an observer and a word an unapplied entry. Not thread-safe.
 
 #ifndef FIGRACK_COORD_VIEWLEASE_H
 #define FIGRACK_COORD_VIEWLEASE_H
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <set>
 #include <vector>
 
+#include <absl/status/status.h>
+
+#include "coord/messages.h"
 #include "core/clock.h"
 #include "core/ids.h"
 
@@ -50,36 +61,79 @@
 struct RenewReply
 {
     NodeId voter;
+    Incarnation incarnation; ///< Of the observer, as in the request.
     std::uint64_t round = 0;
     bool granted = false;
-    Revision required;        ///< What the observer must apply to be renewed.
-    std::uint32_t voters = 0; ///< Size of the voter set, as this voter knows it.
+    Revision required;          ///< What the observer must apply to be renewed.
+    std::uint32_t voters = 0;   ///< Size of the voter set, as this voter knows it.
+    std::uint64_t voterSet = 0; ///< Fingerprint of that set: only equal ones count together.
 
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(voter, round, granted, required, voters);
+        archive(voter, incarnation, round, granted, required, voters, voterSet);
     }
 };
 
+/// The voters that a grant is counted among.
+struct VoterSet
+{
+    std::uint32_t size = 0; ///< 0: this replica is no voter and grants nothing.
+    std::uint64_t fingerprint = 0;
+    auto operator==(const VoterSet &) const -> bool = default;
+};
+
+/// @param membership the latest in the replica's log, committed or not
+/// @param self the replica that would grant
+auto voterSetOf(const Membership &membership, const NodeId &self) -> VoterSet;
+
 /// Beside each voter.
 class ViewGrantor
 {
 public:
     explicit ViewGrantor(NodeId self);
-    /// A configuration entry was stored in this voter's log.
+
+    /// A configuration change was stored in this voter's log.
+    /// @param revision what the configuration will have if the change wins: expected + 1
     auto onStored(LogIndex index, Revision revision) -> void;
+    /// The registration of an observer was stored: from here on its other lives get no grant.
+    auto onRegistrationStored(LogIndex index, const NodeId &observer, Incarnation incarnation)
+            -> void;
+    /// The removal of an observer was stored: from here on that life gets no grant.
+    auto onRemovalStored(LogIndex index, const NodeId &observer, Incarnation incarnation) -> void;
     /// Entries from an index on were cut.
     auto onTruncated(LogIndex from) -> void;
+    /// Entries up to an index were applied, or a snapshot that covers them was restored.
+    /// @param revision of the configuration there
+    auto onApplied(LogIndex index, Revision revision) -> void;
     /// Registered observers, from the applied state. A grant to others is refused.
     auto onRegistered(const NodeId &observer, Incarnation incarnation) -> void;
     auto onDeregistered(const NodeId &observer) -> void;
-    /// @param voters size of the voter set; 0 while this replica is no voter
-    auto grant(const RenewRequest &request, std::uint32_t voters) const -> RenewReply;
+    /// All that this voter had stored before it started has been passed in: it may grant.
+    auto onRecovered() -> void { recovered_ = true; }
+
+    /// @param voters from voterSetOf()
+    auto grant(const RenewRequest &request, const VoterSet &voters) const -> RenewReply;
+    /// @return what an observer must have applied to be renewed here
+    auto required() const -> Revision;
 
 private:
+    /// A stored entry, not yet applied, after which some lives of an observer get no grant.
+    struct Barrier
+    {
+        NodeId observer;
+        Incarnation incarnation;
+        bool removal = false; ///< Bars this life; else bars all others.
+        auto bars(const RenewRequest &request) const -> bool;
+    };
+    auto isRegistered(const RenewRequest &request) const -> bool;
+    auto isBarred(const RenewRequest &request) const -> bool;
+
     NodeId self_;
-    std::map<LogIndex, Revision> stored_;
+    bool recovered_ = false;
+    Revision applied_;
+    std::map<LogIndex, Revision> stored_; ///< Not yet applied.
+    std::map<LogIndex, Barrier> barriers_;
     std::map<NodeId, Incarnation> observers_;
 };
 
@@ -87,7 +141,10 @@
 {
     Duration length = std::chrono::milliseconds { 1500 };
     Duration renewEvery = std::chrono::milliseconds { 300 };
-    double maxClockDrift = 0.01;
+    double maxClockDrift = 0.01; ///< No clock runs faster than (1 + this) times another.
+
+    /// @return BadSettings naming the option that cannot be used
+    auto check() const -> absl::Status;
 };
 
 /// Beside each observer.
@@ -95,7 +152,8 @@
 {
 public:
     ViewHolder(ViewLeaseOptions options, const Clock &clock, NodeId self, Incarnation incarnation);
-    /// Starts a round. @return what to send to every voter
+    /// Starts a round. @param applied the revision in force here, never falling
+    /// @return what to send to every voter
     auto request(Revision applied) -> RenewRequest;
     auto onReply(const RenewReply &reply) -> void;
     /// @return true while the lease holds: the configuration applied is current
@@ -106,7 +164,7 @@
     struct Round
     {
         Instant sentAt;
-        std::set<NodeId> grants;
+        std::map<std::uint64_t, std::set<NodeId>> grants; ///< By fingerprint of the voter set.
     };
     ViewLeaseOptions options_;
     const Clock &clock_;
@@ -117,26 +175,40 @@
     Instant leaseEnd_;
 };
 
-/// Beside the leader. A new leader starts with an empty gate and waits out the full length.
+/// Beside the leader, or beside every replica, so that a new leader has a warm one. A new gate
+/// knows nothing of observers removed before: for one full length it accepts by time alone.
 class AcceptGate
 {
 public:
     AcceptGate(ViewLeaseOptions options, const Clock &clock);
-    /// The registered observers, from the applied state.
-    auto setObservers(std::set<NodeId> observers) -> void;
+    /// The registered observers, from the applied state, whenever they change. One that is
+    /// gone, or has another incarnation, may hold a lease for one more full length.
+    auto setObservers(std::map<NodeId, Incarnation> observers) -> void;
+    /// A change was applied here. A new gate is told the present revision first.
     auto onCommitted(Revision revision) -> void;
-    auto onAck(const NodeId &observer, Revision applied) -> void;
+    auto onAck(const NodeId &observer, Incarnation incarnation, Revision applied) -> void;
     /// @return true once the revision is in force everywhere
     auto accepted(Revision revision) const -> bool;
-    /// @return the highest accepted revision
+    /// @return the highest accepted revision; never falls
     auto acceptedUpTo() const -> Revision;
+    /// @return when, at the latest, a revision committed now is accepted
+    auto latestAcceptance() const -> Instant { return clock_.now() + wait_; }
 
 private:
-    ViewLeaseOptions options_;
+    struct Observer
+    {
+        Incarnation incarnation;
+        Revision acked;
+    };
+    auto acceptByAcks() -> void;
+    auto lowestAck() const -> Revision;
+
     const Clock &clock_;
-    std::set<NodeId> observers_;
-    std::map<NodeId, Revision> acks_;
-    std::map<Revision, Instant> committed_;
+    Duration wait_;        ///< After commit no observer can be current without the change.
+    Instant unknownUntil_; ///< Till then an observer not listed may hold a lease.
+    std::map<NodeId, Observer> observers_;
+    std::map<Revision, Instant> committed_; ///< Not accepted by acks; the newest is kept.
+    Revision acceptedByAcks_;
 };
 
 } // namespace figrack::coord
