report: recorder, mergeable histograms and the pyramid of time slots

A request stands in one slot only: slots of 25 s, 5 min, 30 min and 6 h, each level taking over what left the window of the one before, so that windows cost no copies. Saving a recorder as text is dropped from the header: routers have no disk, and counts restored beside those that a collector already holds would be counted twice.

--- a/policy/admission.cpp
+++ b/policy/admission.cpp
@@ -34,6 +34,7 @@
 {
     Millis deadline = 0;
     std::uint64_t ticket = 0;
+    // NOLINTNEXTLINE(modernize-use-nullptr): version 14 mistakes a defaulted <=>.
     auto operator<=>(const Key &) const = default;
 };
 
--- /dev/null
+++ b/report/counts.cpp
@@ -0,0 +1,128 @@
+// Which requests count towards a target: those that the system was to serve. A caller
+// that went away, or that sent what cannot be served, misses no target of ours; every
+// other refusal is a miss of both, however soon it came.
+
+#include "report/counts.h"
+
+#include <algorithm>
+
+namespace figrack::report {
+namespace {
+
+const auto otherName = std::string { "(other)" };
+
+auto isCallersFault(ErrorKind kind) -> bool
+{
+    switch (kind) {
+    case ErrorKind::BadRequest:
+    case ErrorKind::BadToken:
+    case ErrorKind::UnknownClass:
+    case ErrorKind::UnknownModel:
+    case ErrorKind::UnknownService:
+    case ErrorKind::TooLarge:
+    case ErrorKind::InProgress:
+    case ErrorKind::KeyReused:
+        return true;
+    default:
+        return false;
+    }
+}
+
+auto endCounter(RequestEnd end) -> Counter
+{
+    switch (end) {
+    case RequestEnd::Answered:
+        return Counter::Answered;
+    case RequestEnd::Refused:
+        return Counter::Refused;
+    case RequestEnd::Failed:
+        return Counter::Failed;
+    case RequestEnd::Cancelled:
+        return Counter::Cancelled;
+    }
+    return Counter::Failed;
+}
+
+auto positive(std::int64_t value) -> std::uint64_t
+{
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(value, 0));
+}
+
+} // namespace
+
+auto coldPartName(ColdPart part) -> const char *
+{
+    constexpr auto names = std::array<const char *, coldPartCount> { "queue", "decision", "store",
+                                                                     "load", "first_token" };
+    return names[static_cast<std::size_t>(part)];
+}
+
+auto Row::add(const RequestRecord &record) -> void
+{
+    const auto count = [this](Counter counter, bool is = true) {
+        counters[static_cast<std::size_t>(counter)] += is ? 1 : 0;
+    };
+    if (record.end == RequestEnd::Refused && isCallersFault(record.refusal)) {
+        count(Counter::CallerFault);
+        ++reasons[record.refusal];
+        return;
+    }
+    count(endCounter(record.end));
+    if (record.end == RequestEnd::Cancelled)
+        return;
+    count(Counter::Eligible);
+    if (record.end != RequestEnd::Answered)
+        ++reasons[record.refusal];
+    count(Counter::MetStart, record.metStart);
+    count(Counter::MetFinish, record.metFinish);
+    if (record.end != RequestEnd::Answered)
+        return;
+    start.add(record.startMs);
+    finish.add(record.finishMs);
+    if (!record.cold)
+        return;
+    count(Counter::Cold);
+    coldStart.add(record.startMs);
+    const auto &parts = record.parts;
+    const auto times
+            = std::array { parts.queue, parts.decision, parts.store, parts.load, parts.firstToken };
+    for (auto i = std::size_t { 0 }; i < coldPartCount; ++i)
+        coldMs[i] += positive(times[i]);
+}
+
+auto Row::merge(const Row &other) -> void
+{
+    for (auto i = std::size_t { 0 }; i < counterCount; ++i)
+        counters[i] += other.counters[i];
+    for (const auto &[kind, count] : other.reasons)
+        reasons[kind] += count;
+    start.merge(other.start);
+    finish.merge(other.finish);
+    coldStart.merge(other.coldStart);
+    for (auto i = std::size_t { 0 }; i < coldPartCount; ++i)
+        coldMs[i] += other.coldMs[i];
+}
+
+auto CountSlot::rowOf(RowKey key) -> Row &
+{
+    key.classId.resize(std::min(key.classId.size(), bounds_.maxName));
+    key.target.resize(std::min(key.target.size(), bounds_.maxName));
+    if (rows_.size() >= bounds_.maxRows && !rows_.contains(key))
+        key.target = otherName;
+    if (rows_.size() >= bounds_.maxRows + bounds_.maxOthers && !rows_.contains(key))
+        key.classId = otherName;
+    return rows_[std::move(key)];
+}
+
+auto CountSlot::add(const RequestRecord &record) -> void
+{
+    rowOf({ record.classId.value(), record.target }).add(record);
+}
+
+auto CountSlot::merge(const CountSlot &other) -> void
+{
+    for (const auto &[key, row] : other.rows_)
+        rowOf(key).merge(row);
+}
+
+} // namespace figrack::report
--- a/report/recorder.h
+++ b/report/recorder.h
@@ -2,10 +2,12 @@
 //
 //   auto recorder = Recorder { clock };
 //   recorder.record(RequestRecord { ... });      // exactly once a request
-//   auto bytes = recorder.encode(window);        // merged with other routers' by merge()
+//   auto bytes = recorder.encode(window);        // merged with other routers' by Collector
 //
 // Guarantees: thread-safe; memory is bounded by classes times models seen and by
 // the windows' slots, not by requests. Percentiles come from merged histograms.
+// A router has no disk, so a recorder lives as long as its process: what survives
+// is what a Collector absorbed, and a router that dies loses what it counted since.
 
 #ifndef FIGRACK_REPORT_RECORDER_H
 #define FIGRACK_REPORT_RECORDER_H
@@ -13,9 +15,6 @@
 #include <cstdint>
 #include <memory>
 #include <string>
-#include <string_view>
-
-#include <absl/status/status.h>
 
 #include "core/clock.h"
 #include "core/error.h"
@@ -46,7 +45,7 @@
     bool metStart = false;
     bool metFinish = false;
     bool cold = false; ///< No replica was ready when it arrived.
-    ColdParts parts;
+    ColdParts parts {};
 };
 
 class Recorder
@@ -54,13 +53,14 @@
 public:
     explicit Recorder(const Clock &clock);
     ~Recorder();
+    Recorder(const Recorder &) = delete;
+    auto operator=(const Recorder &) -> Recorder & = delete;
+    /// Counts one request; call it exactly once for each.
     auto record(const RequestRecord &record) -> void;
     /// @param window how far back, up to 3 days
-    /// @return bytes for merge(); bounded by what was seen
+    /// @return bytes for Collector::absorb(): every slot of time that reaches into the window,
+    ///         whole, so that absorbing it twice counts nothing twice
     auto encode(Duration window) const -> std::string;
-    /// Saves and restores the counts across a restart of the process.
-    auto saveText() const -> std::string;
-    auto restoreText(std::string_view text) -> absl::Status;
 
 private:
     class Impl;
