policy: tell patient work at once that urgent work will take its place

Cause: a place in the queue was counted among those queued only. Change: a place also counts the more urgent requests expected by their rate of late, and counts the share of a lane only where nothing of it stands before; up to 16 requests give way to one newcomer instead of 8, since the share stretched places past what 8 could mend. Random use is held against a plain list, dropping against Moore and Hodgson's count.

--- a/policy/admission.cpp
+++ b/policy/admission.cpp
@@ -5,7 +5,10 @@
 // close deadlines pass patient work until that is late; so (1) what cannot be served in
 // time is not taken in, (2) a newcomer that would fit if less urgent work gave way
 // displaces it, newest first, since that has waited least, and (3) a lane that was passed
-// over patientShare times is served next and is never shed below that share.
+// over patientShare times is served next and is never shed below that share. Patient work
+// is told at once, not after a long wait, that urgent work will take its place: a place
+// counts the more urgent requests that are expected, at the rate of late, to come in time
+// to go first.
 //
 // Dropping as few as possible in recheck() is Moore and Hodgson's rule for equal service
 // times: walk in deadline order and, where one would be late, drop one of those kept so
@@ -14,6 +17,7 @@
 #include "policy/admission.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -42,12 +46,37 @@
         = __gnu_pbds::tree<Key, __gnu_pbds::null_type, std::less<>, __gnu_pbds::rb_tree_tag,
                            __gnu_pbds::tree_order_statistics_node_update>;
 
+/// The rate of late of something that happens at times, by a sum that decays.
+class RecentRate
+{
+public:
+    auto add(Millis now) -> void
+    {
+        sum_ = 1 + sum_ * decay(now);
+        at_ = now;
+    }
+    /// @return events a millisecond
+    auto perMilli(Millis now) const -> double { return sum_ * decay(now) / memory; }
+
+private:
+    static constexpr auto memory = 10000.0; ///< ms
+
+    auto decay(Millis now) const -> double
+    {
+        return std::exp(-static_cast<double>(std::max<Millis>(now - at_, 0)) / memory);
+    }
+
+    double sum_ = 0;
+    Millis at_ = 0;
+};
+
 /// The requests of one class for one model.
 struct Lane
 {
     ClassIndex classIndex = 0;
     RankedKeys keys;
     std::uint32_t passedOver = 0; ///< Dispatches of other lanes since the last of this one.
+    RecentRate admitted;
 };
 
 struct ModelQueue
@@ -130,7 +159,7 @@
     auto classIndexOf(const ClassId &id) -> ClassIndex;
     auto laneOf(ModelQueue &model, ClassIndex classIndex) -> Lane &;
     auto boundReached(const QueuedRequest &request) -> bool;
-    auto placeOf(const ModelQueue &model, ClassIndex classIndex, const Key &key) const
+    auto placeOf(const ModelQueue &model, ClassIndex classIndex, const Key &key, Millis now) const
             -> std::size_t;
     auto isSheddable(const ModelQueue &model, const Lane &lane, Millis patience) const -> bool;
     auto victimsAhead(const ModelQueue &model, Millis patience, const Key &key,
@@ -169,7 +198,7 @@
         if (lane.classIndex == classIndex)
             return lane;
     }
-    model.lanes.push_back(Lane { classIndex, {}, 0 });
+    model.lanes.push_back(Lane { classIndex, {}, 0, {} });
     return model.lanes.back();
 }
 
@@ -214,15 +243,16 @@
     return classes_[classIndexOf(request.classId)].keys.size() >= options_.maxPerClass;
 }
 
-/// How many requests are dispatched before this one: those with earlier deadlines and what the
-/// share of other lanes takes in between; but no more than its own lane's share makes it wait.
-auto RequestQueue::Impl::placeOf(const ModelQueue &model, ClassIndex classIndex,
-                                 const Key &key) const -> std::size_t
+/// How many requests are dispatched before this one: those with earlier deadlines, those expected
+/// that will have earlier ones, and what the share of lanes wholly behind it takes in between; but
+/// no more than its own lane's share makes it wait.
+auto RequestQueue::Impl::placeOf(const ModelQueue &model, ClassIndex classIndex, const Key &key,
+                                 Millis now) const -> std::size_t
 {
     auto ahead = std::size_t { 0 };
-    auto behindInOthers = std::size_t { 0 };
     auto aheadInOwn = std::size_t { 0 };
     auto others = std::size_t { 0 };
+    auto expected = 0.0;
     for (const auto &lane : model.lanes) {
         const auto rank = rankIn(lane.keys, key);
         ahead += rank;
@@ -230,13 +260,21 @@
             aheadInOwn = rank;
             continue;
         }
-        behindInOthers += lane.keys.size() - rank;
         others += lane.keys.empty() ? 0 : 1;
+        const auto window = key.deadline - classes_[lane.classIndex].patience - now;
+        if (window > 0)
+            expected += lane.admitted.perMilli(now) * static_cast<double>(window);
+    }
+    ahead += static_cast<std::size_t>(expected);
+    auto taken = std::size_t { 0 };
+    for (const auto &lane : model.lanes) {
+        if (lane.classIndex != classIndex && rankIn(lane.keys, key) == 0)
+            taken += std::min(lane.keys.size(), ahead / options_.patientShare);
     }
-    const auto taken = std::min(behindInOthers, ahead / options_.patientShare);
-    if (others == 0)
+    if (others == 0 && expected < 1)
         return ahead;
-    const auto byShare = (aheadInOwn + 1) * (options_.patientShare + others) - 1;
+    const auto byShare
+            = (aheadInOwn + 1) * (options_.patientShare + std::max(others, std::size_t { 1 })) - 1;
     return std::min(ahead + taken, byShare);
 }
 
@@ -279,7 +317,7 @@
 {
     const auto &model = models_[request.model];
     const auto service = serviceTimeOf(view, options_.assumedServiceTime);
-    const auto place = placeOf(model, classIndex, keyOf(request));
+    const auto place = placeOf(model, classIndex, keyOf(request), now);
     const auto lateAt = [&](std::size_t ahead) {
         return lateness(request, predictStart(view, ahead, options_.assumedServiceTime, now),
                         service);
@@ -331,7 +369,7 @@
         const auto last = *lane.keys.rbegin();
         if (last < newcomer)
             continue;
-        const auto place = placeOf(model, lane.classIndex, last);
+        const auto place = placeOf(model, lane.classIndex, last, now);
         const auto start = predictStart(view, place, options_.assumedServiceTime, now);
         if (lateness(entries_.at(last.ticket).request, start, service) > 0)
             return last.ticket;
@@ -373,6 +411,7 @@
     for (const auto ticket : verdict.shed)
         remove(ticket);
     insert(request);
+    laneOf(models_.at(request.model), classIndexOf(request.classId)).admitted.add(now);
     if (const auto late = pushedOut(request.model, keyOf(request), patience, view, now)) {
         remove(*late);
         verdict.shed.push_back(*late);
--- a/policy/admission.h
+++ b/policy/admission.h
@@ -38,7 +38,7 @@
     std::size_t maxPerCaller = 256;
     std::size_t maxTotal = 8192;
     std::uint32_t patientShare = 8;   ///< A class passed over this often is served next.
-    std::size_t maxShedPerAdmit = 8;  ///< Less urgent requests that one newcomer may displace.
+    std::size_t maxShedPerAdmit = 16; ///< Less urgent requests that one newcomer may displace.
     Millis assumedServiceTime = 1000; ///< For a ModelView that does not know it.
     Millis minRetry = 50;             ///< Least retry time given.
     Millis maxRetry = 60000;          ///< Most, but for a spread of a tenth.
--- a/policy/testing/tst_admission.cpp
+++ b/policy/testing/tst_admission.cpp
@@ -3,6 +3,8 @@
 #include "policy/admission.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdlib>
 #include <map>
 #include <set>
 
@@ -10,6 +12,8 @@
 
 #include "core/check.h"
 #include "core/random.h"
+#include "policy/testing/overload.h"
+#include "policy/waiting.h"
 
 namespace figrack::policy {
 namespace {
@@ -32,6 +36,115 @@
              now,    now + target.start, now + target.finish };
 }
 
+/// The plain reference: one list, walked for everything.
+class PlainQueue
+{
+public:
+    auto add(const QueuedRequest &request) -> void { requests_.push_back(request); }
+
+    auto remove(std::uint64_t ticket) -> bool
+    {
+        const auto same = [&](const QueuedRequest &request) { return request.ticket == ticket; };
+        return std::erase_if(requests_, same) > 0;
+    }
+
+    auto pop(const ModelId &model, Millis now, std::uint32_t share) -> std::optional<QueuedRequest>
+    {
+        const QueuedRequest *best = nullptr;
+        auto bestStarves = false;
+        for (const auto &request : requests_) {
+            if (request.model != model || request.startBy < now)
+                continue;
+            const auto starves = passedOver_[{ model, request.classId }] >= share;
+            const auto earlier = best == nullptr
+                    || std::pair { request.startBy, request.ticket }
+                            < std::pair { best->startBy, best->ticket };
+            if (best == nullptr || (starves && !bestStarves)
+                || (starves == bestStarves && earlier)) {
+                best = &request;
+                bestStarves = starves;
+            }
+        }
+        if (best == nullptr)
+            return std::nullopt;
+        for (auto &[key, passed] : passedOver_) {
+            if (key.first == model)
+                passed = count(model, key.second) == 0 ? 0 : passed + 1;
+        }
+        auto request = *best;
+        passedOver_[{ model, request.classId }] = 0;
+        remove(request.ticket);
+        return request;
+    }
+
+    auto expired(Millis now) const -> std::set<std::uint64_t>
+    {
+        auto tickets = std::set<std::uint64_t> {};
+        for (const auto &request : requests_) {
+            if (request.startBy < now)
+                tickets.insert(request.ticket);
+        }
+        return tickets;
+    }
+
+    auto count(const ModelId &model, const ClassId &classId) const -> std::size_t
+    {
+        return static_cast<std::size_t>(
+                std::ranges::count_if(requests_, [&](const QueuedRequest &request) {
+                    return request.model == model && request.classId == classId;
+                }));
+    }
+
+    auto requests() const -> const std::vector<QueuedRequest> & { return requests_; }
+    auto find(std::uint64_t ticket) const -> const QueuedRequest *
+    {
+        const auto found = std::ranges::find(requests_, ticket, &QueuedRequest::ticket);
+        return found == requests_.end() ? nullptr : &*found;
+    }
+
+private:
+    std::vector<QueuedRequest> requests_;
+    std::map<std::pair<ModelId, ClassId>, std::uint32_t> passedOver_;
+};
+
+auto tickets(const std::vector<QueuedRequest> &requests) -> std::set<std::uint64_t>
+{
+    auto all = std::set<std::uint64_t> {};
+    for (const auto &request : requests)
+        all.insert(request.ticket);
+    return all;
+}
+
+/// The least number of requests that must go for the others to be in time: Moore and Hodgson's
+/// rule over equal service times.
+auto leastDropped(std::vector<QueuedRequest> requests, const ModelView &view, Millis now)
+        -> std::size_t
+{
+    std::ranges::sort(requests, {}, [](const QueuedRequest &request) {
+        return std::pair { request.startBy, request.ticket };
+    });
+    auto kept = std::size_t { 0 };
+    for (const auto &request : requests) {
+        const auto start = predictStart(view, kept, 1000, now);
+        kept += start <= request.startBy && start + view.serviceTime <= request.finishBy ? 1 : 0;
+    }
+    return requests.size() - kept;
+}
+
+auto randomView(Random &random, Millis now) -> ModelView
+{
+    auto view = ModelView {};
+    view.ready = static_cast<std::uint32_t>(random.below(4));
+    view.totalSlots = view.ready * 8;
+    view.freeSlots = static_cast<std::uint32_t>(random.below(view.totalSlots / 4 + 1));
+    view.loading = static_cast<std::uint32_t>(random.below(3));
+    view.nextReady = view.loading > 0 ? now + static_cast<Millis>(random.below(5000)) : 0;
+    view.predictedLoad = static_cast<Millis>(random.below(8000));
+    view.serviceTime = static_cast<Millis>(100 + random.below(2000));
+    view.mayAdd = static_cast<std::uint32_t>(random.below(2));
+    return view;
+}
+
 /// One replica of eight slots, all busy, a slot coming free every 125 ms.
 auto busyView() -> ModelView
 {
@@ -124,4 +237,227 @@
     CHECK(queue.admit(makeRequest(5, patient, 0, "c"), busyView(), 0).refusal);
 }
 
+TEST_CASE("random use equals the plain reference, and each request leaves exactly once")
+{
+    constexpr auto targets = std::array { urgent, routine, patient };
+    const auto models = std::array { ModelId { "a" }, ModelId { "b" }, ModelId { "c" } };
+    auto options = QueueOptions {};
+    options.maxPerCaller = 20;
+    options.maxPerClass = 60;
+    options.maxTotal = 100;
+    auto sheds = 0;
+    auto refusals = 0;
+    for (auto seed = std::uint64_t { 1 }; seed <= 30; ++seed) {
+        auto random = Random { seed };
+        auto queue = RequestQueue { options };
+        auto plain = PlainQueue {};
+        auto taken = std::optional<QueuedRequest> {};
+        auto now = Millis { 0 };
+        auto ticket = std::uint64_t { 0 };
+        for (auto step = 0; step < 3000; ++step) {
+            now += static_cast<Millis>(random.below(60));
+            const auto &model = models[random.below(models.size())];
+            const auto action = random.below(100);
+            if (action < 55) {
+                const auto &target = targets[random.below(targets.size())];
+                auto request
+                        = makeRequest(++ticket, target, now, "c" + std::to_string(random.below(8)));
+                request.model = model;
+                const auto verdict = queue.admit(request, randomView(random, now), now);
+                for (const auto shed : verdict.shed) {
+                    const auto *victim = plain.find(shed);
+                    REQUIRE(victim != nullptr);
+                    CHECK(victim->startBy - victim->arrived > target.start);
+                    CHECK(plain.remove(shed));
+                    ++sheds;
+                }
+                if (!verdict.refusal) {
+                    plain.add(request);
+                } else {
+                    ++refusals;
+                    CHECK(verdict.shed.empty());
+                    CHECK(verdict.refusal->retryAfter >= options.minRetry);
+                    CHECK(verdict.refusal->retryAfter <= options.maxRetry * 11 / 10);
+                }
+            } else if (action < 85) {
+                const auto popped = queue.pop(model, now);
+                const auto expected = plain.pop(model, now, options.patientShare);
+                REQUIRE(popped.has_value() == expected.has_value());
+                if (popped) {
+                    CHECK(popped->ticket == expected->ticket);
+                    CHECK(popped->startBy >= now);
+                    taken = popped;
+                }
+            } else if (action < 88 && taken) {
+                queue.putBack(*taken);
+                plain.add(*taken);
+                taken.reset();
+            } else if (action < 91) {
+                const auto which = random.below(ticket + 1);
+                CHECK(queue.cancel(which) == plain.remove(which));
+            } else if (action < 95) {
+                const auto expected = plain.expired(now);
+                CHECK(tickets(queue.expire(now)) == expected);
+                for (const auto one : expected)
+                    plain.remove(one);
+            } else {
+                const auto view = randomView(random, now);
+                auto ofModel = plain.requests();
+                std::erase_if(ofModel,
+                              [&](const QueuedRequest &request) { return request.model != model; });
+                const auto dropped = queue.recheck(model, view, now);
+                CHECK(dropped.size() == leastDropped(ofModel, view, now));
+                for (const auto &request : dropped)
+                    CHECK(plain.remove(request.ticket));
+                CHECK(queue.recheck(model, view, now).empty());
+            }
+            REQUIRE(queue.size() == plain.requests().size());
+            CHECK(queue.size() <= options.maxTotal + 1);
+            auto inRows = std::size_t { 0 };
+            for (const auto &row : queue.demand()) {
+                CHECK(row.queued == plain.count(row.model, row.classId));
+                inRows += row.queued;
+            }
+            CHECK(inRows == queue.size());
+        }
+    }
+    CHECK(sheds > 100);
+    CHECK(refusals > 1000);
+}
+
+TEST_CASE("a predicted start is that of slots that come free one by one")
+{
+    auto random = Random { 5 };
+    for (auto round = 0; round < 3000; ++round) {
+        auto view = ModelView {};
+        view.ready = 1 + static_cast<std::uint32_t>(random.below(4));
+        view.totalSlots = view.ready * 8;
+        view.freeSlots = static_cast<std::uint32_t>(random.below(view.totalSlots));
+        view.loading = static_cast<std::uint32_t>(random.below(3));
+        view.nextReady = 1000 + static_cast<Millis>(random.below(5000));
+        view.serviceTime = static_cast<Millis>(view.totalSlots * (1 + random.below(50)));
+        const auto ahead = random.below(200);
+        // The reference serves them one by one.
+        auto left = static_cast<double>(ahead + 1) - view.freeSlots;
+        auto time = Millis { 1000 };
+        auto slots = static_cast<double>(view.totalSlots);
+        auto loading = view.loading > 0;
+        while (left > 1e-9) {
+            if (loading && time >= view.nextReady) {
+                left -= view.loading * 8.0;
+                slots += view.loading * 8.0;
+                loading = false;
+                continue;
+            }
+            left -= slots / static_cast<double>(view.serviceTime);
+            ++time;
+        }
+        const auto predicted = predictStart(view, ahead, 1000, 1000);
+        CHECK(std::abs(predicted - time) <= 1);
+    }
+}
+
+TEST_CASE("patient work keeps its share of dispatches while urgent work never ends")
+{
+    auto queue = RequestQueue { {} };
+    auto view = busyView();
+    view.totalSlots = 800; // All are predicted to start in time.
+    for (auto i = std::uint64_t { 0 }; i < 40; ++i)
+        queue.admit(makeRequest(1000 + i, patient, 0), view, 0);
+    auto patientServed = 0;
+    for (auto i = std::uint64_t { 0 }; i < 200; ++i) {
+        queue.admit(makeRequest(i, urgent, 1, std::to_string(i)), view, 1);
+        queue.admit(makeRequest(500 + i, urgent, 1, std::to_string(i)), view, 1);
+        patientServed += queue.pop(ModelId { "m" }, 1)->ticket >= 1000 ? 1 : 0;
+    }
+    CHECK(patientServed >= 200 / 9 - 1);
+    CHECK(patientServed <= 200 / 9 + 1);
+}
+
+TEST_CASE(
+        "an urgent newcomer displaces patient work that stands before it, and no more than needed")
+{
+    auto queue = RequestQueue { {} };
+    auto view = busyView(); // 8 a second: 16 starts fit in two seconds.
+    for (auto i = std::uint64_t { 0 }; i < 40; ++i)
+        queue.admit(makeRequest(1000 + i, routine, 0, std::to_string(i)), view, 0);
+    const auto now = Millis { 8500 }; // All of them due in 1500 ms, before the newcomer.
+    // The share of its class carries the first; the second would come too late by it.
+    CHECK(queue.admit(makeRequest(1, urgent, now), view, now).shed.empty());
+    const auto verdict = queue.admit(makeRequest(2, urgent, now), view, now);
+    CHECK_FALSE(verdict.refusal);
+    CHECK(verdict.shed.size() > 0);
+    CHECK(verdict.shed.size() <= QueueOptions {}.maxShedPerAdmit);
+    CHECK(verdict.shedRetryAfter > 0);
+    CHECK(queue.queuedFor(ModelId { "m" }) + verdict.shed.size() == 42);
+}
+
+TEST_CASE("callers refused together are told to come back one after another")
+{
+    auto queue = RequestQueue { {} };
+    auto view = busyView();
+    auto last = Millis { 0 };
+    auto told = std::set<Millis> {};
+    for (auto i = std::uint64_t { 0 }; i < 200; ++i) {
+        const auto verdict = queue.admit(makeRequest(i, urgent, 0, std::to_string(i)), view, 0);
+        if (!verdict.refusal)
+            continue;
+        CHECK(verdict.refusal->retryAfter > last);
+        last = verdict.refusal->retryAfter;
+        told.insert(last);
+    }
+    CHECK(told.size() > 150);
+}
+
+TEST_CASE("a full queue takes urgent work in place of the least urgent")
+{
+    auto options = QueueOptions {};
+    options.maxTotal = 20;
+    auto queue = RequestQueue { options };
+    auto view = busyView();
+    view.totalSlots = 800;
+    for (auto i = std::uint64_t { 0 }; i < 10; ++i) {
+        queue.admit(makeRequest(i, patient, 0), view, 0);
+        queue.admit(makeRequest(100 + i, routine, 0), view, 0);
+    }
+    const auto verdict = queue.admit(makeRequest(200, urgent, 0), view, 0);
+    CHECK_FALSE(verdict.refusal);
+    CHECK(verdict.shed == std::vector<std::uint64_t> { 9 }); // The newest patient one.
+    CHECK(queue.admit(makeRequest(201, patient, 0), view, 0).refusal);
+    CHECK(queue.size() == 20);
+}
+
+TEST_CASE("goodput stays flat beyond saturation, and what is given up is told soon")
+{
+    auto options = testing::OverloadOptions {};
+    options.duration = 120000;
+    for (const auto load : { 0.5, 1.0, 2.0, 4.0 }) {
+        options.load = load;
+        const auto result = testing::runOverload(options, 3);
+        CHECK(result.goodput() > 0.95 * std::min(load, 1.0));
+        const auto &[mostUrgent, middle, leastUrgent] = result.classes;
+        CHECK(mostUrgent.late + middle.late + leastUrgent.late == 0);
+        if (load <= 2.0)
+            CHECK(mostUrgent.served * 100 > mostUrgent.offered * 98);
+        CHECK(leastUrgent.served > 0);
+        // Held until the deadline it would be a minute.
+        if (leastUrgent.refusals > 0)
+            CHECK(leastUrgent.heldMs / leastUrgent.refusals < 3000);
+    }
+    options.load = 4.0;
+    options.kind = testing::QueueKind::Deadline;
+    CHECK(testing::runOverload(options, 3).goodput() < 0.5); // What it is measured against.
+}
+
+TEST_CASE("a request queued twice is a fault that the queue notices")
+{
+    struct CheckBit
+    { };
+    const auto before = setCheckHandler([](const char *, const char *) { throw CheckBit {}; });
+    auto queue = RequestQueue { {} };
+    queue.admit(makeRequest(1, urgent, 0), busyView(), 0);
+    CHECK_THROWS_AS(queue.putBack(makeRequest(1, urgent, 0)), CheckBit);
+    setCheckHandler(before);
+}
+
 } // namespace figrack::policy
