Adapters stand on their base; a router's life has no order

An adapter's replica needs a ready replica of its base, which cannot be unloaded under it: the planner counts an adapter's own memory alone. Routers' incarnations are random, so a life is refused only when it is the one before the present. A re-registration of the same life leaves a suspicion standing. apply() names the replica that an order's command changed.

--- a/state/tables.cpp
+++ b/state/tables.cpp
@@ -45,7 +45,7 @@
 
 auto refused(ErrorKind kind, const std::string &argument) -> Applied
 {
-    return Applied { makeError(kind, argument), std::nullopt, std::nullopt };
+    return Applied { makeError(kind, argument), std::nullopt, std::nullopt, std::nullopt };
 }
 
 } // namespace
@@ -76,20 +76,22 @@
         return refused(ErrorKind::BadRequest, "a router without a name");
     const auto found = routers_.find(command.node);
     if (found == routers_.end()) {
-        routers_.emplace(command.node, RouterRow { command, false });
+        routers_.emplace(command.node, RouterRow { command, {}, false });
         return {};
     }
-    const auto before = found->second.registered.incarnation;
-    if (command.incarnation < before) {
+    auto &row = found->second;
+    const auto before = row.registered.incarnation;
+    if (command.incarnation != before && command.incarnation == row.former) {
         return refused(ErrorKind::Conflict,
-                       fmt::format("router={} is registered with incarnation={}",
+                       fmt::format("router={} is registered with a later incarnation={}",
                                    command.node.value(), before.value()));
     }
-    if (command.incarnation > before) {
+    if (command.incarnation != before) {
         loseClaims(command.node, command.at);
-        found->second.draining = false;
+        row.former = before;
+        row.draining = false;
     }
-    found->second.registered = command;
+    row.registered = command;
     return {};
 }
 
@@ -116,16 +118,16 @@
 {
     const auto &spec = command.spec;
     if (auto status = checkRegistration(spec); !status.ok())
-        return Applied { std::move(status), std::nullopt, std::nullopt };
+        return Applied { std::move(status), std::nullopt, std::nullopt, std::nullopt };
     auto &row = endpoints_[spec.id];
     if (spec.incarnation != row.spec.incarnation) {
         startNewLife(spec.id);
         row.draining = false;
+        row.suspected = false;
     }
     addresses_.erase(row.spec.address);
     addresses_[spec.address] = spec.id;
     row.spec = spec;
-    row.suspected = false;
     row.changedAt = command.at;
     checkMemory(spec.id);
     return {};
@@ -154,12 +156,13 @@
 {
     const auto &id = spec.id.value();
     const auto sameAddress = row.spec.address == spec.address;
+    const auto sameLife = spec.incarnation == row.spec.incarnation;
     if (spec.incarnation < row.spec.incarnation) {
         return makeError(ErrorKind::Conflict,
                          fmt::format("endpoint={} is registered with a later incarnation={}", id,
                                      row.spec.incarnation.value()));
     }
-    if (spec.incarnation == row.spec.incarnation && !sameAddress)
+    if (sameLife && !sameAddress)
         return makeError(ErrorKind::Conflict, fmt::format("endpoint={} has moved", id));
     if (!sameAddress && !row.suspected)
         return makeError(ErrorKind::Conflict, fmt::format("endpoint={} is live elsewhere", id));
--- a/state/tables.h
+++ b/state/tables.h
@@ -47,11 +47,12 @@
 struct RouterRow
 {
     RegisterRouter registered;
+    Incarnation former; ///< The life before, which cannot come back.
     bool draining = false;
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(registered, draining);
+        archive(registered, former, draining);
     }
 };
 
@@ -149,7 +150,8 @@
 {
     absl::Status status; ///< Conflict, KeyReused, InProgress, NoCapacity, Unknown* and others.
     std::optional<ChangeResult> change;
-    std::optional<ClaimRow> claim; ///< The claim that stands, whoever holds it.
+    std::optional<ClaimRow> claim;     ///< The claim that stands, whoever holds it.
+    std::optional<ReplicaKey> replica; ///< That an order's intent or outcome changed.
 };
 
 class Tables
@@ -172,10 +174,12 @@
     /// @return the highest fence of any order's intent so far
     auto highestFence() const -> Fence { return highestFence_; }
 
+    /// @return the models that hold memory on an endpoint, with the MiB of each
+    auto modelsOn(const EndpointId &endpoint) const -> const std::map<ModelId, std::uint64_t> &;
     /// @return MiB of an endpoint's memory that replicas and orders hold
     auto memoryHeldMb(const EndpointId &endpoint) const -> std::uint64_t;
-    /// @return MiB that a replica of the model takes: weights and KV room; for an adapter the
-    /// base's weights too, since no other replica on the endpoint is sure to outlive it
+    /// @return MiB that a replica of the model takes: weights and KV room. An adapter stands on a
+    /// replica of its base, which holds its own and cannot be unloaded before it
     auto replicaMemoryMb(const ModelId &model) const -> std::uint64_t;
 
     /// Moves the index on past entries that this reader was not sent.
@@ -208,6 +212,7 @@
     auto checkOperation(const DeleteModel &operation) const -> absl::Status;
     auto checkOperation(const PutService &operation) const -> absl::Status;
     auto checkOperation(const DeleteService &operation) const -> absl::Status;
+    auto checkNotLoaded(const ModelId &model) const -> absl::Status;
     auto carryOut(const PutClass &operation) -> void;
     auto carryOut(const DeleteClass &operation) -> void;
     auto carryOut(const PutModel &operation) -> void;
@@ -227,7 +232,8 @@
 
     auto checkOrder(const OrderIntent &intent) const -> absl::Status;
     auto checkLoad(const OrderIntent &intent, const EndpointRow &endpoint) const -> absl::Status;
-    auto checkUnload(const OrderIntent &intent, const EndpointRow &endpoint) const -> absl::Status;
+    auto checkUnload(const OrderIntent &intent) const -> absl::Status;
+    auto checkBase(const OrderIntent &intent, const ModelSpec &model) const -> absl::Status;
     auto raiseFence(Fence fence) -> void;
     auto setOrder(ReplicaRow &row, const OrderIntent &intent, LogIndex index) -> void;
     auto settleLoading(ReplicaRow &row, const OrderOutcome &outcome) -> void;
--- a/state/tablesclaims.cpp
+++ b/state/tablesclaims.cpp
@@ -20,7 +20,7 @@
 auto withClaim(ErrorKind kind, const ClaimRow &row) -> Applied
 {
     return Applied { makeError(kind, "key is claimed by router=" + row.taken.router.value()),
-                     std::nullopt, row };
+                     std::nullopt, row, std::nullopt };
 }
 
 auto isHolder(const ClaimRow &row, const EndClaim &command) -> bool
@@ -35,7 +35,7 @@
     const auto router = routers_.find(command.router);
     if (router == routers_.end() || router->second.registered.incarnation != command.incarnation) {
         return Applied { makeError(ErrorKind::UnknownNode, "router=" + command.router.value()),
-                         std::nullopt, std::nullopt };
+                         std::nullopt, std::nullopt, std::nullopt };
     }
     const auto found = claims_.find(command.key);
     if (found == claims_.end())
@@ -51,7 +51,7 @@
     case ClaimState::Unknown:
         return withClaim(ErrorKind::OutcomeUnknown, row);
     case ClaimState::Done:
-        return Applied { absl::OkStatus(), std::nullopt, row };
+        return Applied { absl::OkStatus(), std::nullopt, row, std::nullopt };
     case ClaimState::NotRun:
         eraseClaim(command.key);
         return takeAnew(command);
@@ -63,13 +63,13 @@
 {
     if (claims_.size() >= maxClaims) {
         return Applied { makeError(ErrorKind::Overloaded, fmt::format("claims={}", maxClaims)),
-                         std::nullopt, std::nullopt };
+                         std::nullopt, std::nullopt, std::nullopt };
     }
     auto row = ClaimRow {};
     row.taken = command;
     takenByDeadline_.emplace(command.deadline, command.key);
     claims_.emplace(command.key, row);
-    return Applied { absl::OkStatus(), std::nullopt, std::move(row) };
+    return Applied { absl::OkStatus(), std::nullopt, std::move(row), std::nullopt };
 }
 
 auto Tables::applyCommand(const EndClaim &command, LogIndex /*index*/) -> Applied
@@ -77,12 +77,12 @@
     const auto found = claims_.find(command.key);
     if (found == claims_.end() || !isHolder(found->second, command)) {
         return Applied { makeError(ErrorKind::Conflict, "the claim is not this router's"),
-                         std::nullopt, std::nullopt };
+                         std::nullopt, std::nullopt, std::nullopt };
     }
     auto &row = found->second;
     const auto before = row.state;
     if (before == command.state)
-        return Applied { absl::OkStatus(), std::nullopt, row };
+        return Applied { absl::OkStatus(), std::nullopt, row, std::nullopt };
     const auto allowed = before == ClaimState::Taken
             || (before == ClaimState::Unknown && command.state == ClaimState::Done);
     if (!allowed || command.state == ClaimState::Taken)
@@ -91,7 +91,7 @@
     storeAnswer(row, command);
     FIGRACK_CHECK(before != ClaimState::Done && before != ClaimState::NotRun,
                   "a claim that has ended stays as it ended");
-    return Applied { absl::OkStatus(), std::nullopt, row };
+    return Applied { absl::OkStatus(), std::nullopt, row, std::nullopt };
 }
 
 auto Tables::storeAnswer(ClaimRow &row, const EndClaim &command) -> void
--- a/state/tablesconfig.cpp
+++ b/state/tablesconfig.cpp
@@ -59,23 +59,20 @@
     const auto found = configuration_.models.find(model);
     if (found == configuration_.models.end())
         return 0;
-    const auto &spec = found->second;
-    const auto base = configuration_.models.find(spec.base);
-    const auto baseMb = base == configuration_.models.end() ? 0 : base->second.weightMb;
-    return spec.weightMb + spec.kvMb + baseMb;
+    return found->second.weightMb + found->second.kvMb;
 }
 
 auto Tables::applyCommand(const ConfigChange &command, LogIndex /*index*/) -> Applied
 {
     if (auto status = checkName("change", command.change.value()); !status.ok())
-        return Applied { std::move(status), std::nullopt, std::nullopt };
+        return Applied { std::move(status), std::nullopt, std::nullopt, std::nullopt };
     const auto hash = hashOperation(command.operation);
     if (const auto *first = findChange(command.change)) {
         if (first->operationHash != hash) {
             return Applied { makeError(ErrorKind::KeyReused, "change=" + command.change.value()),
-                             *first, std::nullopt };
+                             *first, std::nullopt, std::nullopt };
         }
-        return Applied { first->status(), *first, std::nullopt };
+        return Applied { first->status(), *first, std::nullopt, std::nullopt };
     }
     const auto before = configuration_.revision;
     const auto status = decideChange(command);
@@ -97,7 +94,7 @@
     FIGRACK_CHECK(configuration_.revision.value() == before.value() + (status.ok() ? 1 : 0),
                   "the revision rises by one with each change that wins");
     rememberChange(result);
-    return Applied { status, std::move(result), std::nullopt };
+    return Applied { status, std::move(result), std::nullopt, std::nullopt };
 }
 
 auto Tables::decideChange(const ConfigChange &command) const -> absl::Status
@@ -186,6 +183,11 @@
         return makeError(ErrorKind::BadRequest, "weight_mb or kv_mb is out of range");
     if (spec.slots == 0)
         return makeError(ErrorKind::BadRequest, "slots must be 1 or more");
+    const auto before = configuration_.models.find(spec.id);
+    if (before != configuration_.models.end() && before->second.base != spec.base) {
+        if (auto status = checkNotLoaded(spec.id); !status.ok())
+            return status;
+    }
     if (spec.base.empty())
         return absl::OkStatus();
     const auto base = configuration_.models.find(spec.base);
@@ -215,12 +217,15 @@
         if (other.base == operation.id)
             return makeError(ErrorKind::InUse, "it is the base of model=" + id.value());
     }
-    const auto replica = replicas_.lower_bound(ReplicaKey { operation.id, EndpointId {} });
-    if (replica != replicas_.end() && replica->first.first == operation.id) {
-        return makeError(ErrorKind::InUse,
-                         "it is loaded on endpoint=" + replica->first.second.value());
-    }
-    return absl::OkStatus();
+    return checkNotLoaded(operation.id);
+}
+
+auto Tables::checkNotLoaded(const ModelId &model) const -> absl::Status
+{
+    const auto replica = replicas_.lower_bound(ReplicaKey { model, EndpointId {} });
+    if (replica == replicas_.end() || replica->first.first != model)
+        return absl::OkStatus();
+    return makeError(ErrorKind::InUse, "it is loaded on endpoint=" + replica->first.second.value());
 }
 
 auto Tables::carryOut(const DeleteModel &operation) -> void
--- a/state/tablesorders.cpp
+++ b/state/tablesorders.cpp
@@ -28,13 +28,17 @@
     return found == orders_.end() ? nullptr : &replicas_.at(found->second);
 }
 
-auto Tables::memoryHeldMb(const EndpointId &endpoint) const -> std::uint64_t
+auto Tables::modelsOn(const EndpointId &endpoint) const -> const std::map<ModelId, std::uint64_t> &
 {
+    static const auto none = std::map<ModelId, std::uint64_t> {};
     const auto found = heldMb_.find(endpoint);
-    if (found == heldMb_.end())
-        return 0;
+    return found == heldMb_.end() ? none : found->second;
+}
+
+auto Tables::memoryHeldMb(const EndpointId &endpoint) const -> std::uint64_t
+{
     auto sum = std::uint64_t { 0 };
-    for (const auto &[model, memory] : found->second)
+    for (const auto &[model, memory] : modelsOn(endpoint))
         sum += memory;
     return sum;
 }
@@ -42,7 +46,7 @@
 auto Tables::applyCommand(const OrderIntent &command, LogIndex index) -> Applied
 {
     if (auto status = checkOrder(command); !status.ok())
-        return Applied { std::move(status), std::nullopt, std::nullopt };
+        return Applied { std::move(status), std::nullopt, std::nullopt, std::nullopt };
     raiseFence(command.fence);
     const auto key = ReplicaKey { command.model, command.endpoint };
     const auto [position, added] = replicas_.try_emplace(key);
@@ -56,7 +60,7 @@
     }
     setOrder(row, command, index);
     checkMemory(command.endpoint);
-    return {};
+    return Applied { absl::OkStatus(), std::nullopt, std::nullopt, key };
 }
 
 auto Tables::checkOrder(const OrderIntent &intent) const -> absl::Status
@@ -79,7 +83,7 @@
         return makeError(ErrorKind::NoCapacity,
                          fmt::format("endpoint={} is suspected", intent.endpoint.value()));
     }
-    return intent.action == OrderAction::Load ? checkLoad(intent, row) : checkUnload(intent, row);
+    return intent.action == OrderAction::Load ? checkLoad(intent, row) : checkUnload(intent);
 }
 
 auto Tables::checkLoad(const OrderIntent &intent, const EndpointRow &endpoint) const -> absl::Status
@@ -105,6 +109,10 @@
         return makeError(ErrorKind::Conflict,
                          describe(intent.model, intent.endpoint) + " is loaded already");
     }
+    if (!model->second.base.empty()) {
+        if (auto status = checkBase(intent, model->second); !status.ok())
+            return status;
+    }
     const auto need = replicaMemoryMb(intent.model);
     const auto used = memoryHeldMb(intent.endpoint);
     if (used + need > endpoint.spec.memoryMb) {
@@ -115,8 +123,18 @@
     return absl::OkStatus();
 }
 
-auto Tables::checkUnload(const OrderIntent &intent, const EndpointRow & /*endpoint*/) const
-        -> absl::Status
+auto Tables::checkBase(const OrderIntent &intent, const ModelSpec &model) const -> absl::Status
+{
+    const auto base = replicas_.find(ReplicaKey { model.base, intent.endpoint });
+    if (base == replicas_.end() || base->second.state != ReplicaState::Ready) {
+        return makeError(
+                ErrorKind::Conflict,
+                fmt::format("base {} is not ready", describe(model.base, intent.endpoint)));
+    }
+    return absl::OkStatus();
+}
+
+auto Tables::checkUnload(const OrderIntent &intent) const -> absl::Status
 {
     const auto held = replicas_.find(ReplicaKey { intent.model, intent.endpoint });
     if (held == replicas_.end() || held->second.version != intent.version) {
@@ -129,6 +147,12 @@
         return makeError(ErrorKind::Conflict,
                          describe(intent.model, intent.endpoint) + " has an order under way");
     }
+    const auto &models = configuration_.models;
+    for (const auto &[other, memory] : heldMb_.at(intent.endpoint)) {
+        const auto spec = models.find(other);
+        if (spec != models.end() && spec->second.base == intent.model)
+            return makeError(ErrorKind::InUse, "adapter " + describe(other, intent.endpoint));
+    }
     return absl::OkStatus();
 }
 
@@ -164,25 +188,20 @@
     if (found == orders_.end()) {
         return Applied { makeError(ErrorKind::Conflict,
                                    fmt::format("order={} is settled", command.order.value())),
-                         std::nullopt, std::nullopt };
+                         std::nullopt, std::nullopt, std::nullopt };
     }
     const auto key = found->second;
     auto &row = replicas_.at(key);
-    if (command.result == OrderResult::Unloaded) {
+    auto applied = Applied { absl::OkStatus(), std::nullopt, std::nullopt, key };
+    if (command.result == OrderResult::Unloaded)
         eraseReplica(key);
-        return {};
-    }
-    switch (row.state) {
-    case ReplicaState::Loading:
+    else if (row.state == ReplicaState::Loading)
         settleLoading(row, command);
-        return {};
-    case ReplicaState::Ready:
-        return Applied { settleReady(row, command), std::nullopt, std::nullopt };
-    case ReplicaState::Unloading:
+    else if (row.state == ReplicaState::Unloading)
         settleUnloading(row, command);
-        return {};
-    }
-    return {};
+    else
+        applied.status = settleReady(row, command);
+    return applied;
 }
 
 auto Tables::settleLoading(ReplicaRow &row, const OrderOutcome &outcome) -> void
