--- /dev/null
+++ b/control/node.cpp
@@ -0,0 +1,240 @@
+// The replica calls apply() from within tick(), receive() and flush(). What it applied
+// is queued and passed on by settle() once the replica has returned, so that a
+// listener may call the node again.
+//
+// View leases: a voter must hold back a router that has not applied a change which the
+// voter has stored. At storing, a change's revision is taken to be the one after what
+// it expects; at applying, the requirement becomes the revision that stands, so that a
+// change that lost holds nobody back. The wiring is that of coord/viewlease.h.
+
+#include "control/node.h"
+
+#include <utility>
+
+#include "core/check.h"
+#include "core/log.h"
+
+namespace figrack::control {
+
+Node::Node(NodeOptions options, const Clock &clock, coord::Transport &transport,
+           coord::LogStore &store, Random &random, Defer defer)
+    : options_(std::move(options))
+    , defer_(std::move(defer))
+    , grantor_(options_.replica.self.node)
+    , lease_(options_.leaseMargin)
+    , replica_(options_.replica, clock, transport, store, *this, random)
+{
+    replica_.setStoredHook(
+            [this](const coord::Entry &entry, bool stored) { onStored(entry, stored); });
+}
+
+Node::~Node() = default;
+
+auto Node::start() -> absl::Status
+{
+    auto status = replica_.start();
+    if (status.ok())
+        grantor_.onRecovered();
+    settle();
+    return status;
+}
+
+auto Node::tick() -> void
+{
+    replica_.tick();
+    settle();
+}
+
+auto Node::receive(const coord::Message &message) -> void
+{
+    replica_.receive(message);
+    settle();
+}
+
+auto Node::propose(const state::Command &command, Done done) -> void
+{
+    const auto term = replica_.status().term;
+    const auto index = replica_.propose(state::encodeCommand(command));
+    if (!index.ok()) {
+        done(index.status());
+        return;
+    }
+    proposals_[*index] = Proposal { term, std::move(done) };
+    scheduleFlush();
+}
+
+auto Node::scheduleFlush() -> void
+{
+    if (flushScheduled_)
+        return;
+    flushScheduled_ = true;
+    defer_([this, alive = std::weak_ptr<int> { alive_ }] {
+        if (alive.expired())
+            return;
+        flushScheduled_ = false;
+        replica_.flush();
+        settle();
+    });
+}
+
+auto Node::grant(const coord::RenewRequest &request) const -> coord::RenewReply
+{
+    return grantor_.grant(request, coord::voterSetOf(replica_.status().membership, self()));
+}
+
+auto Node::addLearner(const coord::Member &member) -> absl::StatusOr<LogIndex>
+{
+    auto result = replica_.addLearner(member);
+    scheduleFlush();
+    return result;
+}
+
+auto Node::promote(const NodeId &node) -> absl::StatusOr<LogIndex>
+{
+    auto result = replica_.promote(node);
+    scheduleFlush();
+    return result;
+}
+
+auto Node::remove(const NodeId &node) -> absl::StatusOr<LogIndex>
+{
+    auto result = replica_.remove(node);
+    scheduleFlush();
+    return result;
+}
+
+auto Node::transferLeadership() -> absl::Status
+{
+    auto status = replica_.transferLeadership();
+    settle();
+    return status;
+}
+
+auto Node::setOnApplied(std::function<void(const AppliedCommand &)> listener) -> void
+{
+    onApplied_ = std::move(listener);
+}
+
+auto Node::setOnRestored(std::function<void()> listener) -> void
+{
+    onRestored_ = std::move(listener);
+}
+
+auto Node::apply(const coord::Entry &entry) -> void
+{
+    auto command = state::decodeCommand(entry.data);
+    FIGRACK_CHECK(command.ok(), "a committed command can be decoded");
+    auto applied = tables_.apply(*command, entry.index);
+    noteRouters(*command);
+    grantor_.onApplied(entry.index, tables_.configuration().revision);
+    applied_.push_back({ entry.index, entry.term, std::move(*command), std::move(applied) });
+}
+
+auto Node::snapshot() const -> std::string
+{
+    return tables_.snapshot(true);
+}
+
+auto Node::restore(std::string_view state, LogIndex lastIndex) -> absl::Status
+{
+    const auto before = tables_.routers();
+    auto status = tables_.restore(state);
+    if (!status.ok())
+        return status;
+    for (const auto &[node, row] : before)
+        grantor_.onDeregistered(node);
+    noteAllRouters();
+    grantor_.onApplied(lastIndex, tables_.configuration().revision);
+    applied_.clear();
+    restored_ = true;
+    return absl::OkStatus();
+}
+
+auto Node::onStored(const coord::Entry &entry, bool stored) -> void
+{
+    if (!stored) {
+        grantor_.onTruncated(entry.index);
+        return;
+    }
+    if (entry.kind != coord::EntryKind::Command)
+        return;
+    const auto command = state::decodeCommand(entry.data);
+    if (!command.ok())
+        return;
+    if (const auto *change = std::get_if<state::ConfigChange>(&*command))
+        grantor_.onStored(entry.index, change->expected.next());
+    if (const auto *joined = std::get_if<state::RegisterRouter>(&*command))
+        grantor_.onRegistrationStored(entry.index, joined->node, joined->incarnation);
+    if (const auto *removed = std::get_if<state::RemoveRouter>(&*command))
+        grantor_.onRemovalStored(entry.index, removed->node, removed->incarnation);
+}
+
+auto Node::noteRouters(const state::Command &command) -> void
+{
+    if (const auto *joined = std::get_if<state::RegisterRouter>(&command)) {
+        const auto row = tables_.routers().find(joined->node);
+        if (row != tables_.routers().end())
+            grantor_.onRegistered(joined->node, row->second.registered.incarnation);
+    }
+    if (const auto *removed = std::get_if<state::RemoveRouter>(&command)) {
+        if (!tables_.routers().contains(removed->node))
+            grantor_.onDeregistered(removed->node);
+    }
+}
+
+auto Node::noteAllRouters() -> void
+{
+    for (const auto &[node, row] : tables_.routers())
+        grantor_.onRegistered(node, row.registered.incarnation);
+}
+
+auto Node::settle() -> void
+{
+    const auto status = replica_.status();
+    const auto leads = status.role == coord::Role::Leader && replica_.holdsLease();
+    lease_.publish(leads ? status.term : Term {}, replica_.leaseEnd());
+    if (settling_)
+        return;
+    settling_ = true;
+    if (std::exchange(restored_, false) && onRestored_)
+        onRestored_();
+    while (!applied_.empty()) {
+        const auto applied = std::move(applied_.front());
+        applied_.pop_front();
+        if (onApplied_)
+            onApplied_(applied);
+        finish(applied);
+    }
+    failLost(status);
+    settling_ = false;
+}
+
+auto Node::finish(const AppliedCommand &applied) -> void
+{
+    const auto found = proposals_.find(applied.index);
+    if (found == proposals_.end())
+        return;
+    const auto proposal = std::move(found->second);
+    proposals_.erase(found);
+    if (proposal.term == applied.term)
+        proposal.done(applied);
+    else
+        proposal.done(makeError(ErrorKind::NotLeader, "another leader's entry took the place"));
+}
+
+// A proposal of a term that is over may yet be committed by the next leader.
+auto Node::failLost(const coord::ReplicaStatus &status) -> void
+{
+    const auto leads = status.role == coord::Role::Leader;
+    for (auto item = proposals_.begin(); item != proposals_.end();) {
+        if (leads && item->second.term == status.term) {
+            ++item;
+            continue;
+        }
+        const auto proposal = std::move(item->second);
+        item = proposals_.erase(item);
+        proposal.done(makeError(ErrorKind::OutcomeUnknown, "leadership was lost"));
+    }
+}
+
+} // namespace figrack::control
--- /dev/null
+++ b/control/node.h
@@ -0,0 +1,134 @@
+// This control's replica of the log, the tables it applies to, and its grants of view leases.
+//
+//   auto node = Node { options, clock, transport, store, random, defer };
+//   node.setOnApplied([](const AppliedCommand &applied) { ... });
+//   if (auto status = node.start(); !status.ok()) return status;
+//   node.propose(command, [](const absl::StatusOr<AppliedCommand> &result) { ... });
+//
+// Commands proposed within one turn of the event loop are written, synced and
+// sent as one batch: propose() asks the loop, by `defer`, for one flush after
+// everything that is queued now.
+//
+// Guarantees: a proposal's callback runs once, after the listeners heard of the
+// command. NotLeader and Overloaded mean that the command was not taken;
+// OutcomeUnknown, that leadership was lost first and it may still be applied.
+// Callbacks never run inside the replica, so they may propose.
+//
+// Everything runs on one strand. Only lease() may be read from other threads.
+
+#ifndef FIGRACK_CONTROL_NODE_H
+#define FIGRACK_CONTROL_NODE_H
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string_view>
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include "control/leaseview.h"
+#include "coord/replica.h"
+#include "coord/viewlease.h"
+#include "state/commands.h"
+#include "state/tables.h"
+
+namespace figrack::control {
+
+/// One committed command and what it came to in the tables.
+struct AppliedCommand
+{
+    LogIndex index;
+    Term term;
+    state::Command command;
+    state::Applied applied;
+};
+
+/// Runs a function later on the strand, after all that is queued there now.
+using Defer = std::function<void(std::function<void()>)>;
+
+struct NodeOptions
+{
+    coord::ReplicaOptions replica;
+    Duration leaseMargin = std::chrono::milliseconds { 20 }; ///< See LeaseView.
+};
+
+class Node final : private coord::StateMachine
+{
+public:
+    using Done = std::function<void(const absl::StatusOr<AppliedCommand> &)>;
+
+    /// @param clock,transport,store,random outlive the node
+    Node(NodeOptions options, const Clock &clock, coord::Transport &transport,
+         coord::LogStore &store, Random &random, Defer defer);
+    ~Node() override;
+
+    /// @return why the replica cannot start
+    auto start() -> absl::Status;
+    auto tick() -> void;
+    auto receive(const coord::Message &message) -> void;
+    /// @param command applied on every control once committed
+    /// @param done called once
+    auto propose(const state::Command &command, Done done) -> void;
+    /// @return this voter's answer to a router's renewal
+    auto grant(const coord::RenewRequest &request) const -> coord::RenewReply;
+
+    /// Membership and leadership, as in coord::Replica.
+    auto addLearner(const coord::Member &member) -> absl::StatusOr<LogIndex>;
+    auto promote(const NodeId &node) -> absl::StatusOr<LogIndex>;
+    auto remove(const NodeId &node) -> absl::StatusOr<LogIndex>;
+    auto transferLeadership() -> absl::Status;
+
+    auto self() const -> const NodeId & { return options_.replica.self.node; }
+    auto tables() const -> const state::Tables & { return tables_; }
+    auto replica() const -> const coord::Replica & { return replica_; }
+    auto status() const -> coord::ReplicaStatus { return replica_.status(); }
+    /// @return true while this control leads and what it reads is the latest accepted state
+    auto holdsLease() const -> bool { return replica_.holdsLease(); }
+    auto lease() const -> const LeaseView & { return lease_; }
+
+    /// Called for each command after it was applied, in order.
+    auto setOnApplied(std::function<void(const AppliedCommand &)> listener) -> void;
+    /// Called after a snapshot replaced the tables.
+    auto setOnRestored(std::function<void()> listener) -> void;
+
+private:
+    struct Proposal
+    {
+        Term term;
+        Done done;
+    };
+
+    auto apply(const coord::Entry &entry) -> void override;
+    auto snapshot() const -> std::string override;
+    auto restore(std::string_view state, LogIndex lastIndex) -> absl::Status override;
+
+    auto onStored(const coord::Entry &entry, bool stored) -> void;
+    auto noteRouters(const state::Command &command) -> void;
+    auto noteAllRouters() -> void;
+    auto scheduleFlush() -> void;
+    /// Publishes the lease and runs what the last call into the replica brought about.
+    auto settle() -> void;
+    auto finish(const AppliedCommand &applied) -> void;
+    auto failLost(const coord::ReplicaStatus &status) -> void;
+
+    NodeOptions options_;
+    Defer defer_;
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0); ///< Guards what was deferred.
+    state::Tables tables_;
+    coord::ViewGrantor grantor_;
+    LeaseView lease_;
+    coord::Replica replica_;
+    std::function<void(const AppliedCommand &)> onApplied_;
+    std::function<void()> onRestored_;
+    std::map<LogIndex, Proposal> proposals_;
+    std::deque<AppliedCommand> applied_; ///< Not yet passed on.
+    bool restored_ = false;
+    bool flushScheduled_ = false;
+    bool settling_ = false;
+};
+
+} // namespace figrack::control
+
+#endif // FIGRACK_CONTROL_NODE_H
