Authenticated channels between processes

Send queues, pending calls, connections and handshake time are bounded; each call ends once; the client dials again with jitter.

--- a/proto/channel.h
+++ b/proto/channel.h
@@ -15,7 +15,13 @@
 // Guarantees: a connection's send queue is bounded by maxQueuedBytes; past it
 // call() fails with Overloaded and push() drops and counts. A call ends exactly
 // once: with its reply, Timeout, or EndpointFailed when the connection breaks.
-// Handlers run on the channel's strand; hand long work to the pool.
+// Handlers run on the channel's strand; hand long work to the pool. All functions
+// are safe from any thread. Requests go from the client to the server; either
+// side pushes. A connection on which nothing came for idleTimeout is closed.
+//
+// Handlers often refer to their owner: stop() lets no further handler begin, but
+// one may be running on another thread. Stop the io_context's threads before what
+// the handlers refer to goes away.
 
 #ifndef FIGRACK_PROTO_CHANNEL_H
 #define FIGRACK_PROTO_CHANNEL_H
@@ -60,7 +66,8 @@
     std::shared_ptr<PeerKeys> keys;
     std::uint32_t version = protocolVersion; ///< Other values only in tests.
     std::size_t maxQueuedBytes = 32U << 20;
-    std::size_t maxConnections = 4096; ///< Server only.
+    std::size_t maxConnections = 4096;   ///< Server only.
+    std::size_t maxPendingCalls = 65536; ///< Client only; past it call() fails with Overloaded.
     Duration handshakeTimeout = std::chrono::seconds { 2 };
     Duration idleTimeout = std::chrono::seconds { 10 };          ///< Pings go at a third of it.
     Duration reconnectDelay = std::chrono::milliseconds { 100 }; ///< Doubles with jitter to 2 s.
@@ -89,6 +96,7 @@
     std::function<void(const PeerPointer &, const absl::Status &)> onClose; ///< May be empty.
 };
 
+/// Accepts connections from peers.
 class PeerServer
 {
 public:
@@ -115,6 +123,7 @@
                PeerHandler handler);
     ~PeerClient();
     auto start() -> void;
+    /// Closes the connection; calls that wait end with EndpointFailed.
     auto stop() -> void;
     auto isOpen() const -> bool;
     /// @param payload the request
