--- a/control/node.cpp
+++ b/control/node.cpp
@@ -19,6 +19,7 @@
 Node::Node(NodeOptions options, const Clock &clock, coord::Transport &transport,
            coord::LogStore &store, Random &random, Defer defer)
     : options_(std::move(options))
+    , clock_(clock)
     , defer_(std::move(defer))
     , grantor_(options_.replica.self.node)
     , lease_(options_.leaseMargin)
@@ -59,7 +60,8 @@
         done(index.status());
         return;
     }
-    proposals_[*index] = Proposal { term, std::move(done) };
+    const auto deadline = clock_.now() + options_.proposalTimeout;
+    proposals_[*index] = Proposal { term, deadline, std::move(done) };
     scheduleFlush();
 }
 
@@ -226,15 +228,25 @@
 auto Node::failLost(const coord::ReplicaStatus &status) -> void
 {
     const auto leads = status.role == coord::Role::Leader;
+    const auto now = clock_.now();
     for (auto item = proposals_.begin(); item != proposals_.end();) {
-        if (leads && item->second.term == status.term) {
+        const auto &proposal = item->second;
+        if (!leads || proposal.term != status.term)
+            item = endProposal(item, makeError(ErrorKind::OutcomeUnknown, "leadership was lost"));
+        else if (now >= proposal.deadline)
+            item = endProposal(item, makeError(ErrorKind::OutcomeUnknown, "no majority in time"));
+        else
             ++item;
-            continue;
-        }
-        const auto proposal = std::move(item->second);
-        item = proposals_.erase(item);
-        proposal.done(makeError(ErrorKind::OutcomeUnknown, "leadership was lost"));
     }
 }
 
+auto Node::endProposal(std::map<LogIndex, Proposal>::iterator item, const absl::Status &status)
+        -> std::map<LogIndex, Proposal>::iterator
+{
+    const auto done = std::move(item->second.done);
+    const auto next = proposals_.erase(item);
+    done(status);
+    return next;
+}
+
 } // namespace figrack::control
--- a/control/node.h
+++ b/control/node.h
@@ -11,7 +11,8 @@
 //
 // Guarantees: a proposal's callback runs once, after the listeners heard of the
 // command. NotLeader and Overloaded mean that the command was not taken;
-// OutcomeUnknown, that leadership was lost first and it may still be applied.
+// OutcomeUnknown, that leadership was lost first, or no majority answered in
+// time, and it may still be applied.
 // Callbacks never run inside the replica, so they may propose.
 //
 // Everything runs on one strand. Only lease() may be read from other threads.
@@ -52,6 +53,7 @@
 {
     coord::ReplicaOptions replica;
     Duration leaseMargin = std::chrono::milliseconds { 20 }; ///< See LeaseView.
+    Duration proposalTimeout = std::chrono::seconds { 5 };   ///< Then its outcome is unknown.
 };
 
 class Node final : private coord::StateMachine
@@ -97,6 +99,7 @@
     struct Proposal
     {
         Term term;
+        Instant deadline;
         Done done;
     };
 
@@ -112,8 +115,11 @@
     auto settle() -> void;
     auto finish(const AppliedCommand &applied) -> void;
     auto failLost(const coord::ReplicaStatus &status) -> void;
+    auto endProposal(std::map<LogIndex, Proposal>::iterator item, const absl::Status &status)
+            -> std::map<LogIndex, Proposal>::iterator;
 
     NodeOptions options_;
+    const Clock &clock_;
     Defer defer_;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0); ///< Guards what was deferred.
     state::Tables tables_;
--- /dev/null
+++ b/control/operatorapi.h
@@ -0,0 +1,76 @@
+// What operators call: HTTP with JSON, as docs/API.md lists it.
+//
+//   auto api = OperatorApi { control, strand, options, tokens };
+//   auto server = http::Server { context, options, [&api](const auto &request, auto &responder) {
+//       return api.handle(request, responder);
+//   } };
+//
+// Every call but /healthz, /readyz and /metrics wants a token. Calls that only the
+// leader can answer are redirected to it with 307.
+//
+// Guarantees: a change is answered with 200 only once it is in force everywhere;
+// an answer that says ran=not_run means that nothing was changed.
+
+#ifndef FIGRACK_CONTROL_OPERATORAPI_H
+#define FIGRACK_CONTROL_OPERATORAPI_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/strand.hpp>
+
+#include "control/control.h"
+#include "core/secretfile.h"
+#include "http/server.h"
+
+namespace figrack::control {
+
+using Strand = boost::asio::strand<boost::asio::io_context::executor_type>;
+
+class OperatorApi
+{
+public:
+    /// @param control only touched on the strand; outlives this
+    /// @param addresses where operators reach each control
+    OperatorApi(Control &control, Strand strand, std::map<NodeId, Address> addresses,
+                std::shared_ptr<SecretFile> tokens);
+
+    auto handle(const http::Request &request, http::Responder &responder)
+            -> boost::asio::awaitable<void>;
+
+private:
+    /// Gives the one response to a request. May be called later, from the strand.
+    using Answer = std::function<void(http::Response)>;
+    struct Route;
+
+    auto respond(const http::Request &request) -> boost::asio::awaitable<http::Response>;
+    auto isAuthorized(const http::Request &request) const -> bool;
+    static auto findRoute(const http::Request &request) -> const Route *;
+
+    // On the strand.
+    auto getConfig(const http::Request &request, const Answer &answer) -> void;
+    auto postConfig(const http::Request &request, const Answer &answer) -> void;
+    auto getStatus(const http::Request &request, const Answer &answer) -> void;
+    auto postDrain(const http::Request &request, const Answer &answer) -> void;
+    auto postMembers(const http::Request &request, const Answer &answer) -> void;
+    auto postTransfer(const http::Request &request, const Answer &answer) -> void;
+    auto getHealth(const http::Request &request, const Answer &answer) -> void;
+    auto getReady(const http::Request &request, const Answer &answer) -> void;
+    auto getMetrics(const http::Request &request, const Answer &answer) -> void;
+    auto redirect(const http::Request &request) const -> http::Response;
+    auto answerStatus(const http::Request &request, const absl::Status &status,
+                      const Answer &answer) const -> void;
+
+    Control &control_;
+    Strand strand_;
+    std::map<NodeId, Address> addresses_;
+    std::shared_ptr<SecretFile> tokens_;
+};
+
+} // namespace figrack::control
+
+#endif // FIGRACK_CONTROL_OPERATORAPI_H
--- /dev/null
+++ b/control/peertransport.cpp
@@ -0,0 +1,43 @@
+#include "control/peertransport.h"
+
+#include <utility>
+
+namespace figrack::control {
+
+PeerTransport::PeerTransport(boost::asio::io_context &context, proto::ChannelOptions options)
+    : context_(context)
+    , options_(std::move(options))
+{ }
+
+auto PeerTransport::setPeers(const std::vector<coord::Member> &members) -> void
+{
+    for (const auto &member : members) {
+        auto address = parseAddress(member.address);
+        if (member.node == options_.self || !address.ok())
+            continue;
+        auto &peer = peers_[member.node];
+        if (peer.client && peer.address == *address)
+            continue;
+        if (peer.client)
+            peer.client->stop();
+        peer.address = *address;
+        peer.client = std::make_unique<proto::PeerClient>(context_, options_, *address,
+                                                          proto::PeerHandler {});
+        peer.client->start();
+    }
+}
+
+auto PeerTransport::send(const NodeId &to, coord::Message message) -> void
+{
+    const auto found = peers_.find(to);
+    if (found != peers_.end())
+        (void)found->second.client->push(std::move(message));
+}
+
+auto PeerTransport::stop() -> void
+{
+    for (auto &[node, peer] : peers_)
+        peer.client->stop();
+}
+
+} // namespace figrack::control
--- /dev/null
+++ b/control/settings.h
@@ -0,0 +1,46 @@
+// The settings of figrack-control: their schema and what they make of a control.
+
+#ifndef FIGRACK_CONTROL_SETTINGS_H
+#define FIGRACK_CONTROL_SETTINGS_H
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include <absl/status/statusor.h>
+
+#include "control/control.h"
+#include "core/log.h"
+#include "core/settings.h"
+#include "endpoint/orders.h"
+
+namespace figrack::control {
+
+/// Everything the process is started with.
+struct ProcessOptions
+{
+    ControlOptions control;
+    endpoint::OrderOptions orders;
+    std::vector<coord::Member> peers; ///< The other controls, as the settings list them.
+    std::map<NodeId, Address> operatorAddresses;
+    Address listen;         ///< Where controls and routers connect.
+    Address operatorListen; ///< Where operators connect.
+    std::string dataFolder;
+    std::string keyFile;
+    std::string tokenFile;
+    std::string certificateFile;
+    std::string keyPemFile;
+    std::uint32_t threads = 4;
+    LogOptions log;
+};
+
+/// @return every key of a figrack-control settings file
+auto controlSchema() -> std::vector<SettingRule>;
+
+/// @param settings read with controlSchema()
+/// @return the options, or BadSettings naming the key
+auto processOptions(const Settings &settings) -> absl::StatusOr<ProcessOptions>;
+
+} // namespace figrack::control
+
+#endif // FIGRACK_CONTROL_SETTINGS_H
