--- a/coord/replica.h
+++ b/coord/replica.h
@@ -34,17 +34,13 @@
 
 #include "coord/logstore.h"
 #include "coord/messages.h"
+#include "coord/rolemachine.h"
 #include "coord/transport.h"
 #include "core/clock.h"
 #include "core/random.h"
 
 namespace figrack::coord {
 
-enum class Role : std::uint8_t { Learner, Follower, PreCandidate, Candidate, Leader, Stopped };
-
-/// @return "learner", "follower", "pre_candidate", "candidate", "leader" or "stopped"
-auto roleName(Role role) -> std::string_view;
-
 /// The embedder's deterministic state. Called on the replica's strand.
 class StateMachine
 {
