--- a/report/counts.cpp
+++ b/report/counts.cpp
@@ -5,6 +5,8 @@
 #include "report/counts.h"
 
 #include <algorithm>
+#include <string_view>
+#include <utility>
 
 namespace figrack::report {
 namespace {
@@ -43,6 +45,46 @@
     return Counter::Failed;
 }
 
+/// @return bytes of the UTF-8 sequence that a byte begins; 0 when it begins none
+auto sequenceLength(unsigned char first) -> std::size_t
+{
+    if (first < 0x80)
+        return 1;
+    if (first >= 0xC2 && first < 0xE0)
+        return 2;
+    if (first >= 0xE0 && first < 0xF0)
+        return 3;
+    return first >= 0xF0 && first < 0xF5 ? 4 : 0;
+}
+
+auto isUtf8(std::string_view text) -> bool
+{
+    while (!text.empty()) {
+        const auto length = sequenceLength(static_cast<unsigned char>(text.front()));
+        if (length == 0 || length > text.size())
+            return false;
+        for (const auto byte : text.substr(1, length - 1)) {
+            if ((static_cast<unsigned char>(byte) & 0xC0) != 0x80)
+                return false;
+        }
+        text.remove_prefix(length);
+    }
+    return true;
+}
+
+/// Cuts a name and makes it printable: callers choose the names of what is refused.
+auto cleanName(std::string name, std::size_t most) -> std::string
+{
+    name.resize(std::min(name.size(), most));
+    const auto valid = isUtf8(name);
+    for (auto &character : name) {
+        const auto byte = static_cast<unsigned char>(character);
+        if (byte < ' ' || byte == 0x7F || (byte >= 0x80 && !valid))
+            character = '?';
+    }
+    return name;
+}
+
 auto positive(std::int64_t value) -> std::uint64_t
 {
     return static_cast<std::uint64_t>(std::max<std::int64_t>(value, 0));
@@ -105,8 +147,8 @@
 
 auto CountSlot::rowOf(RowKey key) -> Row &
 {
-    key.classId.resize(std::min(key.classId.size(), bounds_.maxName));
-    key.target.resize(std::min(key.target.size(), bounds_.maxName));
+    key.classId = cleanName(std::move(key.classId), bounds_.maxName);
+    key.target = cleanName(std::move(key.target), bounds_.maxName);
     if (rows_.size() >= bounds_.maxRows && !rows_.contains(key))
         key.target = otherName;
     if (rows_.size() >= bounds_.maxRows + bounds_.maxOthers && !rows_.contains(key))
--- a/report/pyramid.h
+++ b/report/pyramid.h
@@ -124,11 +124,17 @@
     /// Calls visitor(SlotTime, const Slot &, SlotId) for each slot that reaches into the window.
     template<typename Visitor>
     auto forEach(Millis window, Visitor &&visitor) const -> void
+    {
+        forEachAfter(now_ - window, std::forward<Visitor>(visitor));
+    }
+
+    /// The same for the slots that end after a time.
+    template<typename Visitor>
+    auto forEachAfter(Millis time, Visitor &&visitor) const -> void
     {
         for (const auto &[id, slot] : slots_) {
-            const auto time = slotTime(id);
-            if (time.end > now_ - window)
-                visitor(time, slot, id);
+            if (slotTime(id).end > time)
+                visitor(slotTime(id), slot, id);
         }
     }
 
