Serve and call HTTP/1.1 over Beast, with bounds on all a peer controls

The server parses by put() rather than by a composed read, so that one read can stay outstanding while a handler runs: pipelined bytes are kept and a peer that goes away is noticed at once. The client aborts by connect() to AF_UNSPEC, which drops the kernel's send queue and resets the peer before it returns, from any thread; a close with SO_LINGER 0 would wait for the owner's thread.

--- /dev/null
+++ b/http/client.cpp
@@ -0,0 +1,638 @@
+// A connection belongs to one request at a time, whose coroutine is alone in
+// using its socket. What comes from other threads (abortAll(), a watchdog)
+// never touches the socket object but acts on its descriptor in the kernel:
+// connect() to AF_UNSPEC drops the send queue, resets the peer and wakes every
+// wait, all before it returns. That is stronger than a close with SO_LINGER 0,
+// which would have to wait for the owner's thread, and it is what lets a leader
+// say at the end of its lease that no order of its own can leave any more. The
+// descriptor cannot be reused meanwhile, since closing takes the same lock.
+//
+// Sent is Nothing only where it is certain: no connection stood, mayStart said
+// no, or the write ended with no byte accepted by the kernel.
+
+#include "http/client.h"
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "core/error.h"
+#include "http/watchdog.h"
+
+namespace figrack::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+using Socket = asio::basic_stream_socket<tcp, asio::io_context::executor_type>;
+using ResponseParser = beast::http::response_parser<beast::http::string_body>;
+
+constexpr auto readBytes = std::size_t { 16 } << 10;
+constexpr auto maxHeaderBytes = std::size_t { 32 } << 10;
+
+auto addressText(const Address &address) -> std::string
+{
+    return address.ip + ":" + std::to_string(address.port);
+}
+
+/// One connection: the socket, what was read of the next answer, and the way to abort it.
+class Link
+{
+public:
+    explicit Link(asio::io_context &context)
+        : socket_(context)
+    { }
+    ~Link() { close(); }
+    Link(const Link &) = delete;
+    auto operator=(const Link &) -> Link & = delete;
+
+    auto socket() -> Socket & { return socket_; }
+    auto buffer() -> beast::flat_buffer & { return buffer_; }
+
+    auto open(const tcp::endpoint &endpoint, Duration userTimeout) -> error_code
+    {
+        const auto lock = std::lock_guard { mutex_ };
+        auto code = error_code {};
+        socket_.open(endpoint.protocol(), code);
+        if (code)
+            return code;
+        socket_.set_option(tcp::no_delay { true }, code);
+        const auto millis = static_cast<unsigned int>(
+                std::chrono::duration_cast<std::chrono::milliseconds>(userTimeout).count());
+        setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &millis, sizeof millis);
+        return code;
+    }
+
+    /// Ends the connection at once, from any thread.
+    auto abort() -> void
+    {
+        const auto lock = std::lock_guard { mutex_ };
+        aborted_ = true;
+        if (!socket_.is_open())
+            return;
+        auto nowhere = sockaddr {};
+        nowhere.sa_family = AF_UNSPEC;
+        ::connect(socket_.native_handle(), &nowhere, sizeof nowhere);
+    }
+
+    auto aborted() const -> bool { return aborted_; }
+
+    /// @return true while a kept connection has neither ended nor got bytes out of turn
+    auto isQuiet() -> bool
+    {
+        auto byte = char {};
+        const auto got = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return !aborted_ && buffer_.size() == 0 && got < 0
+                && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
+
+private:
+    auto close() -> void
+    {
+        const auto lock = std::lock_guard { mutex_ };
+        auto code = error_code {};
+        socket_.close(code);
+    }
+
+    std::mutex mutex_; ///< Guards opening, closing and aborting; a leaf in the lock order.
+    Socket socket_;
+    std::atomic<bool> aborted_ { false };
+    beast::flat_buffer buffer_;
+};
+
+using LinkPointer = std::shared_ptr<Link>;
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+struct KeptLink
+{
+    LinkPointer link;
+    SteadyTime since;
+};
+
+/// The kept connections, and the list of all for abortAll().
+class Pool
+{
+public:
+    Pool(asio::io_context &context, const ClientOptions &options)
+        : context_(context)
+        , options_(options)
+    { }
+
+    auto context() -> asio::io_context & { return context_; }
+    auto options() const -> const ClientOptions & { return options_; }
+
+    auto takeKept(const Address &address) -> LinkPointer
+    {
+        const auto now = std::chrono::steady_clock::now();
+        while (true) {
+            auto kept = KeptLink {};
+            {
+                const auto lock = std::lock_guard { mutex_ };
+                const auto found = kept_.find(address);
+                if (found == kept_.end() || found->second.empty())
+                    return nullptr;
+                kept = std::move(found->second.back());
+                found->second.pop_back();
+            }
+            if (now - kept.since < options_.idleTimeout && kept.link->isQuiet())
+                return kept.link;
+            forget(address, kept.link);
+        }
+    }
+
+    auto make(const Address &address) -> LinkPointer
+    {
+        auto link = std::make_shared<Link>(context_);
+        const auto lock = std::lock_guard { mutex_ };
+        all_[address].insert(link);
+        return link;
+    }
+
+    auto keep(const Address &address, LinkPointer link) -> void
+    {
+        const auto now = std::chrono::steady_clock::now();
+        auto dropped = std::vector<LinkPointer> {}; // Closed outside the lock.
+        const auto lock = std::lock_guard { mutex_ };
+        auto &list = kept_[address];
+        list.push_back({ std::move(link), now });
+        while (list.size() > options_.maxIdlePerPeer)
+            dropFront(address, list, dropped);
+        if (now < nextSweep_)
+            return;
+        nextSweep_ = now + options_.idleTimeout / 4;
+        sweep(now, dropped);
+    }
+
+    auto forget(const Address &address, const LinkPointer &link) -> void
+    {
+        const auto lock = std::lock_guard { mutex_ };
+        eraseFromAll(address, link);
+    }
+
+    auto abortAll(const Address &address) -> void
+    {
+        for (const auto &link : linksOf(&address))
+            link->abort();
+    }
+
+    auto abortAll() -> void
+    {
+        for (const auto &link : linksOf(nullptr))
+            link->abort();
+    }
+
+private:
+    auto sweep(SteadyTime now, std::vector<LinkPointer> &dropped) -> void
+    {
+        for (auto entry = kept_.begin(); entry != kept_.end();) {
+            auto &list = entry->second;
+            while (!list.empty() && now - list.front().since >= options_.idleTimeout)
+                dropFront(entry->first, list, dropped);
+            entry = list.empty() ? kept_.erase(entry) : std::next(entry);
+        }
+    }
+
+    auto dropFront(const Address &address, std::deque<KeptLink> &list,
+                   std::vector<LinkPointer> &dropped) -> void
+    {
+        eraseFromAll(address, list.front().link);
+        dropped.push_back(std::move(list.front().link));
+        list.pop_front();
+    }
+
+    auto eraseFromAll(const Address &address, const LinkPointer &link) -> void
+    {
+        const auto found = all_.find(address);
+        if (found == all_.end())
+            return;
+        found->second.erase(link);
+        if (found->second.empty())
+            all_.erase(found);
+    }
+
+    auto linksOf(const Address *address) -> std::vector<LinkPointer>
+    {
+        const auto lock = std::lock_guard { mutex_ };
+        auto links = std::vector<LinkPointer> {};
+        for (const auto &[peer, set] : all_) {
+            if (address == nullptr || peer == *address)
+                links.insert(links.end(), set.begin(), set.end());
+        }
+        return links;
+    }
+
+    asio::io_context &context_;
+    ClientOptions options_;
+    std::mutex mutex_; ///< Guards the tables; taken before a Link's and never with it held.
+    std::map<Address, std::deque<KeptLink>> kept_; ///< Oldest first.
+    std::map<Address, std::set<LinkPointer>> all_; ///< Kept and in use.
+    SteadyTime nextSweep_ = SteadyTime::min();
+};
+
+using PoolPointer = std::shared_ptr<Pool>;
+
+/// A connection while one request uses it. Gone without release(), the connection is aborted.
+class Lease
+{
+public:
+    Lease(PoolPointer pool, Address address, LinkPointer link)
+        : pool_(std::move(pool))
+        , address_(std::move(address))
+        , link_(std::move(link))
+        , watchdog_(Watchdog::make(pool_->context(), [link = link_] { link->abort(); }))
+    { }
+    ~Lease()
+    {
+        watchdog_->stop();
+        if (link_ == nullptr)
+            return;
+        link_->abort();
+        pool_->forget(address_, link_);
+    }
+    Lease(const Lease &) = delete;
+    auto operator=(const Lease &) -> Lease & = delete;
+
+    auto link() -> Link & { return *link_; }
+    auto watchdog() -> Watchdog & { return *watchdog_; }
+    auto address() const -> const Address & { return address_; }
+
+    /// Gives the connection back after a whole answer.
+    auto release(bool keep) -> void
+    {
+        watchdog_->stop();
+        const auto link = std::exchange(link_, nullptr);
+        if (keep && !link->aborted() && link->buffer().size() == 0)
+            pool_->keep(address_, link);
+        else
+            pool_->forget(address_, link);
+    }
+
+private:
+    PoolPointer pool_;
+    Address address_;
+    LinkPointer link_;
+    std::shared_ptr<Watchdog> watchdog_;
+};
+
+auto failure(ErrorKind kind, const Address &address, std::string_view step,
+             const error_code &code = {}) -> absl::Status
+{
+    auto argument = "address=" + addressText(address) + " step=" + std::string { step };
+    if (code)
+        argument += " reason=" + code.message();
+    return makeError(kind, argument);
+}
+
+/// A fault of the transport: a fired watchdog shows as one and is told apart here.
+auto transportFailure(Lease &lease, std::string_view step, const error_code &code) -> absl::Status
+{
+    const auto inTime = lease.watchdog().disarm();
+    return failure(inTime ? ErrorKind::EndpointFailed : ErrorKind::Timeout, lease.address(), step,
+                   code);
+}
+
+auto parseFailure(Lease &lease, const error_code &code) -> absl::Status
+{
+    if (code == beast::http::error::body_limit || code == beast::http::error::header_limit)
+        return failure(ErrorKind::TooLarge, lease.address(), "answer", code);
+    if (code == beast::http::error::partial_message || code == beast::http::error::end_of_stream)
+        return failure(ErrorKind::EndpointFailed, lease.address(), "answer", code);
+    return failure(ErrorKind::Malformed, lease.address(), "answer", code);
+}
+
+auto headOf(const ClientRequest &request) -> std::string
+{
+    auto message = beast::http::request<beast::http::string_body> {};
+    message.version(11);
+    message.method_string(request.method);
+    message.target(request.target);
+    message.set(beast::http::field::host, addressText(request.address));
+    for (const auto &header : request.headers)
+        message.insert(header.name, header.value);
+    if (request.freshConnection)
+        message.set(beast::http::field::connection, "close");
+    if (!request.body.empty() || request.method == "POST")
+        message.content_length(request.body.size());
+    auto serializer = beast::http::request_serializer<beast::http::string_body> { message };
+    serializer.split(true);
+    auto head = std::string {};
+    auto code = error_code {};
+    serializer.next(code, [&head](error_code &, const auto &buffers) {
+        for (const auto part : beast::buffers_range_ref(buffers))
+            head.append(static_cast<const char *>(part.data()), part.size());
+    });
+    return head;
+}
+
+/// @return true when a header would break the message
+auto hasControlCharacter(const ClientRequest &request) -> bool
+{
+    const auto isBad = [](const std::string &text) {
+        return text.find_first_of(std::string_view { "\r\n\0", 3 }) != std::string::npos;
+    };
+    for (const auto &header : request.headers) {
+        if (isBad(header.name) || isBad(header.value))
+            return true;
+    }
+    return isBad(request.target) || isBad(request.method);
+}
+
+/// One request under way on one connection: writes it, then parses the answer piece by piece.
+class Exchange
+{
+public:
+    Exchange(PoolPointer pool, Address address, LinkPointer link)
+        : lease_(std::move(pool), std::move(address), std::move(link))
+    {
+        parser_.eager(true);
+        parser_.header_limit(maxHeaderBytes);
+    }
+
+    auto lease() -> Lease & { return lease_; }
+    auto parser() -> ResponseParser & { return parser_; }
+
+    auto connect(const ClientOptions &options, Duration timeout) -> asio::awaitable<absl::Status>
+    {
+        auto code = error_code {};
+        const auto &address = lease_.address();
+        const auto ip = asio::ip::make_address(address.ip, code);
+        const auto endpoint = tcp::endpoint { ip, address.port };
+        if (!code)
+            code = lease_.link().open(endpoint, options.userTimeout);
+        if (code)
+            co_return failure(ErrorKind::EndpointFailed, address, "connect", code);
+        lease_.watchdog().arm(std::min(options.connectTimeout, timeout));
+        co_await lease_.link().socket().async_connect(
+                endpoint, asio::redirect_error(asio::use_awaitable, code));
+        if (!code && lease_.link().aborted())
+            code = asio::error::operation_aborted;
+        if (code)
+            co_return transportFailure(lease_, "connect", code);
+        co_return absl::OkStatus();
+    }
+
+    /// Writes the request. @param timeout until the head of the answer has come
+    auto write(const ClientRequest &request, Duration timeout)
+            -> asio::awaitable<std::optional<ClientError>>
+    {
+        if (request.mayStart && !request.mayStart())
+            co_return ClientError { failure(ErrorKind::Cancelled, lease_.address(), "start"),
+                                    Sent::Nothing };
+        const auto head = headOf(request);
+        const auto buffers = std::array<asio::const_buffer, 2> { asio::buffer(head),
+                                                                 asio::buffer(request.body) };
+        auto code = error_code {};
+        lease_.watchdog().arm(timeout);
+        const auto written = co_await asio::async_write(
+                lease_.link().socket(), buffers, asio::redirect_error(asio::use_awaitable, code));
+        if (!code)
+            co_return std::nullopt;
+        co_return ClientError { transportFailure(lease_, "write", code),
+                                written == 0 ? Sent::Nothing : Sent::MaybeSome };
+    }
+
+    /// Parses what is there, reading once more if that brings nothing new.
+    auto advance() -> asio::awaitable<absl::Status>
+    {
+        while (true) {
+            const auto hadHeader = parser_.is_header_done();
+            if (auto status = parseBuffered(); !status.ok())
+                co_return status;
+            if (parser_.is_done() || !parser_.get().body().empty()
+                || (!hadHeader && parser_.is_header_done()))
+                co_return absl::OkStatus();
+            if (auto status = co_await readMore(); !status.ok())
+                co_return status;
+            if (parser_.is_done())
+                co_return absl::OkStatus();
+        }
+    }
+
+private:
+    auto parseBuffered() -> absl::Status
+    {
+        auto &buffer = lease_.link().buffer();
+        while (buffer.size() > 0 && !parser_.is_done()) {
+            auto code = error_code {};
+            const auto used = parser_.put(buffer.data(), code);
+            buffer.consume(used);
+            if (code == beast::http::error::need_more || (!code && used == 0))
+                break;
+            if (code)
+                return parseFailure(lease_, code);
+        }
+        if (!parser_.is_done() && buffer.size() > maxHeaderBytes)
+            return failure(ErrorKind::TooLarge, lease_.address(), "answer");
+        return absl::OkStatus();
+    }
+
+    auto readMore() -> asio::awaitable<absl::Status>
+    {
+        auto code = error_code {};
+        auto &buffer = lease_.link().buffer();
+        const auto bytes = co_await lease_.link().socket().async_read_some(
+                buffer.prepare(readBytes), asio::redirect_error(asio::use_awaitable, code));
+        buffer.commit(bytes);
+        if (!code)
+            co_return absl::OkStatus();
+        if (code != asio::error::eof || lease_.link().aborted())
+            co_return transportFailure(lease_, "read", code);
+        if (!parser_.is_header_done())
+            co_return failure(ErrorKind::EndpointFailed, lease_.address(), "read", code);
+        parser_.put_eof(code); // Ends a body without a length; an error for any other.
+        if (code)
+            co_return failure(ErrorKind::EndpointFailed, lease_.address(), "read", code);
+        co_return absl::OkStatus();
+    }
+
+    Lease lease_;
+    ResponseParser parser_;
+};
+
+using ExchangePointer = std::unique_ptr<Exchange>;
+
+auto headersOf(const ResponseParser &parser) -> Headers
+{
+    auto headers = Headers {};
+    for (const auto &field : parser.get()) {
+        const auto name = field.name_string();
+        const auto value = field.value();
+        headers.push_back({ std::string { name.data(), name.size() },
+                            std::string { value.data(), value.size() } });
+    }
+    return headers;
+}
+
+/// Connects, writes and reads the head of the answer.
+auto begin(PoolPointer pool, const ClientRequest &request, Duration timeout,
+           std::optional<std::size_t> bodyLimit) -> asio::awaitable<ClientResult<ExchangePointer>>
+{
+    if (hasControlCharacter(request)) {
+        co_return ClientError { failure(ErrorKind::Malformed, request.address, "headers"),
+                                Sent::Nothing };
+    }
+    auto link = request.freshConnection ? nullptr : pool->takeKept(request.address);
+    const auto kept = link != nullptr;
+    if (!kept)
+        link = pool->make(request.address);
+    auto exchange = std::make_unique<Exchange>(pool, request.address, std::move(link));
+    if (bodyLimit)
+        exchange->parser().body_limit(*bodyLimit);
+    else
+        exchange->parser().body_limit(boost::none);
+    if (request.method == "HEAD")
+        exchange->parser().skip(true);
+    if (!kept) {
+        if (auto status = co_await exchange->connect(pool->options(), timeout); !status.ok())
+            co_return ClientError { std::move(status), Sent::Nothing };
+    }
+    if (auto error = co_await exchange->write(request, timeout))
+        co_return std::move(*error);
+    while (!exchange->parser().is_header_done()) {
+        if (auto status = co_await exchange->advance(); !status.ok())
+            co_return ClientError { std::move(status), Sent::MaybeSome };
+    }
+    co_return exchange;
+}
+
+class StreamImpl final : public ClientStream
+{
+public:
+    StreamImpl(ExchangePointer exchange, bool keep)
+        : exchange_(std::move(exchange))
+        , keep_(keep)
+        , status_(exchange_->parser().get().result_int())
+        , headers_(headersOf(exchange_->parser()))
+    { }
+
+    auto status() const -> std::uint32_t override { return status_; }
+    auto headers() const -> const Headers & override { return headers_; }
+
+    auto read(Duration timeout) -> asio::awaitable<absl::StatusOr<std::string>> override
+    {
+        auto &body = exchange_->parser().get().body();
+        if (!ended_ && body.empty() && !exchange_->parser().is_done()) {
+            exchange_->lease().watchdog().arm(timeout);
+            if (auto status = co_await exchange_->advance(); !status.ok())
+                co_return status;
+            exchange_->lease().watchdog().disarm();
+        }
+        auto chunk = std::exchange(body, {});
+        if (chunk.empty() && !ended_)
+            end();
+        co_return chunk;
+    }
+
+    auto abort() -> void override
+    {
+        const auto lock = std::lock_guard { mutex_ };
+        if (!ended_)
+            exchange_->lease().link().abort();
+    }
+
+private:
+    auto end() -> void
+    {
+        const auto lock = std::lock_guard { mutex_ };
+        ended_ = true;
+        exchange_->lease().release(keep_ && exchange_->parser().keep_alive());
+    }
+
+    std::mutex mutex_; ///< Keeps abort() off a connection given back; taken before the pool's.
+    ExchangePointer exchange_;
+    bool keep_;
+    bool ended_ = false;
+    std::uint32_t status_;
+    Headers headers_;
+};
+
+} // namespace
+
+class Client::Impl
+{
+public:
+    Impl(asio::io_context &context, const ClientOptions &options)
+        : pool_(std::make_shared<Pool>(context, options))
+    { }
+    auto pool() const -> const PoolPointer & { return pool_; }
+
+private:
+    PoolPointer pool_;
+};
+
+Client::Client(asio::io_context &context, ClientOptions options)
+    : impl_(std::make_shared<Impl>(context, options))
+{ }
+
+Client::~Client()
+{
+    abortAll();
+}
+
+auto Client::fetch(ClientRequest request, Duration timeout)
+        -> asio::awaitable<ClientResult<Response>>
+{
+    const auto pool = impl_->pool();
+    auto begun = co_await begin(pool, request, timeout, pool->options().maxBodyBytes);
+    if (auto *error = std::get_if<ClientError>(&begun))
+        co_return std::move(*error);
+    auto exchange = std::move(std::get<ExchangePointer>(begun));
+    auto response = Response {};
+    while (true) {
+        response.body += std::exchange(exchange->parser().get().body(), {});
+        if (exchange->parser().is_done())
+            break;
+        if (auto status = co_await exchange->advance(); !status.ok())
+            co_return ClientError { std::move(status), Sent::MaybeSome };
+    }
+    response.status = exchange->parser().get().result_int();
+    response.headers = headersOf(exchange->parser());
+    exchange->lease().release(!request.freshConnection && exchange->parser().keep_alive());
+    co_return response;
+}
+
+auto Client::open(ClientRequest request, Duration headTimeout)
+        -> asio::awaitable<ClientResult<std::unique_ptr<ClientStream>>>
+{
+    auto begun = co_await begin(impl_->pool(), request, headTimeout, std::nullopt);
+    if (auto *error = std::get_if<ClientError>(&begun))
+        co_return std::move(*error);
+    auto exchange = std::move(std::get<ExchangePointer>(begun));
+    exchange->lease().watchdog().disarm();
+    co_return std::unique_ptr<ClientStream>(
+            std::make_unique<StreamImpl>(std::move(exchange), !request.freshConnection));
+}
+
+auto Client::abortAll(const Address &address) -> void
+{
+    impl_->pool()->abortAll(address);
+}
+
+auto Client::abortAll() -> void
+{
+    impl_->pool()->abortAll();
+}
+
+} // namespace figrack::http
--- /dev/null
+++ b/http/server.cpp
@@ -0,0 +1,706 @@
+// One coroutine a connection reads a request, runs the handler, and goes round.
+// While a handler runs, one read stays outstanding into a buffer of its own:
+// pipelined bytes are kept for the next round and the end of the stream tells
+// that the peer has gone. The same outstanding read is then the next request's
+// first read, so watching costs nothing. A watchdog holds the one deadline that
+// applies at any time; a fired watchdog always ends the connection.
+//
+// A refused request is answered before the close, and the close lingers: bytes
+// the peer still sends are read and dropped for a moment, since closing over
+// unread bytes would reset the connection and take the answer with it.
+
+#include "http/server.h"
+
+#include <array>
+#include <atomic>
+#include <optional>
+#include <unordered_map>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/ssl/context.hpp>
+#include <boost/asio/ssl/stream.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "core/log.h"
+#include "http/requestparser.h"
+#include "http/watchdog.h"
+
+namespace figrack::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+using Strand = asio::strand<asio::io_context::executor_type>;
+using Socket = asio::basic_stream_socket<tcp, Strand>;
+using TlsStream = asio::ssl::stream<Socket>;
+using Acceptor = asio::basic_socket_acceptor<tcp, Strand>;
+using Timer = asio::basic_waitable_timer<std::chrono::steady_clock,
+                                         asio::wait_traits<std::chrono::steady_clock>, Strand>;
+
+constexpr auto readChunkBytes = std::size_t { 8 } << 10;
+constexpr auto lingerTime = std::chrono::seconds { 1 };
+constexpr auto lingerBytes = std::size_t { 256 } << 10;
+constexpr auto acceptRetryDelay = std::chrono::milliseconds { 20 };
+/// Connections over the bound that may be told so at once; more are closed without a word.
+constexpr auto maxRejecting = std::size_t { 64 };
+
+/// What connections share with their server and keep alive.
+struct Shared
+{
+    ServerOptions options;
+    Handler handler;
+    std::atomic<std::size_t> connections { 0 };
+    std::atomic<std::size_t> inProgress { 0 };
+    std::atomic<bool> closing { false };
+};
+
+/// A connection as the server lists it. Both calls come from any thread.
+class ConnectionBase
+{
+public:
+    virtual ~ConnectionBase() = default;
+    virtual auto closeIfIdle() -> void = 0;
+    virtual auto close() -> void = 0;
+};
+
+auto gone(const error_code &code) -> absl::Status
+{
+    return makeError(ErrorKind::EndpointFailed, "peer gone reason=" + code.message());
+}
+
+/// Header values may hold text from outside: a line break in one would start another header.
+auto cleanValue(std::string_view value) -> std::string
+{
+    auto clean = std::string { value };
+    for (auto &letter : clean) {
+        if (static_cast<unsigned char>(letter) < ' ' && letter != '\t')
+            letter = ' ';
+    }
+    return clean;
+}
+
+auto wantsClose(const Headers &headers) -> bool
+{
+    return beast::iequals(std::string { findHeader(headers, "Connection") }, "close");
+}
+
+template<typename Message>
+auto setHeaders(Message &message, const Headers &headers) -> void
+{
+    for (const auto &header : headers) {
+        if (!beast::iequals(header.name, "Connection"))
+            message.insert(header.name, cleanValue(header.value));
+    }
+}
+
+template<typename Stream>
+class Connection final
+    : public ConnectionBase
+    , public Responder
+    , public std::enable_shared_from_this<Connection<Stream>>
+{
+public:
+    Connection(asio::io_context &context, Stream stream, std::shared_ptr<Shared> shared,
+               std::string remoteIp)
+        : context_(context)
+        , stream_(std::move(stream))
+        , wake_(socket().get_executor())
+        , shared_(std::move(shared))
+        , remoteIp_(std::move(remoteIp))
+    { }
+
+    auto run(bool reject) -> asio::awaitable<void>
+    {
+        watchdog_ = Watchdog::make(context_, [weak = this->weak_from_this()] {
+            if (const auto self = weak.lock())
+                asio::post(self->socket().get_executor(), [self] { self->onTimeout(); });
+        });
+        if (co_await handshake()) {
+            if (reject)
+                co_await refuse(makeError(ErrorKind::Overloaded, "connections"), 503);
+            else
+                co_await serve();
+            co_await linger();
+        }
+        closeNow();
+        watchdog_->stop();
+    }
+
+    auto closeIfIdle() -> void override
+    {
+        asio::post(socket().get_executor(), [self = this->shared_from_this()] {
+            if (self->idle_)
+                self->closeNow();
+        });
+    }
+
+    auto close() -> void override
+    {
+        asio::post(socket().get_executor(),
+                   [self = this->shared_from_this()] { self->closeNow(); });
+    }
+
+    auto send(Response response) -> asio::awaitable<absl::Status> override
+    {
+        started_ = true;
+        keepAlive_ = keepAlive_ && !wantsClose(response.headers) && !shared_->closing;
+        auto message = beast::http::response<beast::http::string_body> {};
+        message.version(11);
+        message.result(response.status);
+        setHeaders(message, response.headers);
+        message.keep_alive(keepAlive_);
+        message.content_length(response.body.size());
+        if (!headOnly_)
+            message.body() = std::move(response.body);
+        auto code = error_code {};
+        watchdog_->arm(shared_->options.writeTimeout);
+        writing_ = true;
+        co_await beast::http::async_write(stream_, message,
+                                          asio::redirect_error(asio::use_awaitable, code));
+        finished_ = !code;
+        co_return endWrite(code);
+    }
+
+    auto startStream(std::uint32_t status, Headers headers)
+            -> asio::awaitable<absl::Status> override
+    {
+        started_ = true;
+        keepAlive_ = keepAlive_ && !http10_ && !wantsClose(headers) && !shared_->closing;
+        auto message = beast::http::response<beast::http::empty_body> {};
+        message.version(11);
+        message.result(status);
+        setHeaders(message, headers);
+        message.keep_alive(keepAlive_);
+        if (!http10_)
+            message.chunked(true);
+        auto serializer = beast::http::response_serializer<beast::http::empty_body> { message };
+        auto code = error_code {};
+        watchdog_->arm(shared_->options.writeTimeout);
+        writing_ = true;
+        co_await beast::http::async_write_header(stream_, serializer,
+                                                 asio::redirect_error(asio::use_awaitable, code));
+        co_return endWrite(code);
+    }
+
+    auto write(std::string chunk) -> asio::awaitable<absl::Status> override
+    {
+        if (chunk.empty() || headOnly_)
+            co_return absl::OkStatus(); // An empty chunk would end the body.
+        const auto bytes = asio::buffer(chunk);
+        if (http10_)
+            co_return co_await writeBuffers(bytes);
+        co_return co_await writeBuffers(beast::http::make_chunk(bytes));
+    }
+
+    auto finish() -> asio::awaitable<absl::Status> override
+    {
+        auto status = absl::OkStatus();
+        if (!http10_ && !headOnly_)
+            status = co_await writeBuffers(beast::http::make_chunk_last());
+        finished_ = status.ok();
+        co_return status;
+    }
+
+    auto peerGone() const -> bool override { return peerGone_; }
+
+    auto onPeerGone(std::function<void()> callback) -> void override
+    {
+        onGone_ = std::move(callback);
+        if (peerGone_)
+            tellGone();
+    }
+
+    auto started() const -> bool override { return started_; }
+
+private:
+    auto socket() -> Socket &
+    {
+        if constexpr (std::is_same_v<Stream, TlsStream>)
+            return stream_.next_layer();
+        else
+            return stream_;
+    }
+
+    auto handshake() -> asio::awaitable<bool>
+    {
+        if constexpr (std::is_same_v<Stream, TlsStream>) {
+            auto code = error_code {};
+            watchdog_->arm(shared_->options.headerTimeout);
+            writing_ = true;
+            co_await stream_.async_handshake(asio::ssl::stream_base::server,
+                                             asio::redirect_error(asio::use_awaitable, code));
+            writing_ = false;
+            co_return watchdog_->disarm() && !code;
+        } else {
+            co_return true;
+        }
+    }
+
+    auto serve() -> asio::awaitable<void>
+    {
+        while (keepAlive_ && open_) {
+            auto request = co_await readRequest();
+            if (!request)
+                co_return;
+            co_await answer(*request);
+            if (shared_->closing)
+                keepAlive_ = false;
+        }
+    }
+
+    /// @return the next request; nullopt when the connection is to end, any refusal sent
+    auto readRequest() -> asio::awaitable<std::optional<Request>>
+    {
+        const auto &options = shared_->options;
+        auto parser = RequestParser { { options.maxHeaderBytes, options.maxBodyBytes } };
+        auto began = false;
+        auto inBody = false;
+        keepAlive_ = false; // Until a whole request says otherwise.
+        watchdog_->arm(options.idleTimeout);
+        while (true) {
+            if (!began && !input_.empty()) {
+                began = true;
+                watchdog_->arm(options.headerTimeout);
+            }
+            input_.erase(0, parser.put(input_));
+            if (parser.state() != ParseState::NeedsMore)
+                break;
+            if (parser.hasHeader() && !inBody) {
+                inBody = true;
+                watchdog_->arm(options.bodyTimeout);
+                if (parser.expectsContinue() && !co_await sendContinue())
+                    co_return std::nullopt;
+            }
+            idle_ = !began;
+            const auto more = co_await fill();
+            idle_ = false;
+            if (!more) {
+                if (timedOut_ && began)
+                    co_await refuse(makeError(ErrorKind::Timeout, "part=request"), 408);
+                co_return std::nullopt;
+            }
+        }
+        if (!watchdog_->disarm())
+            timedOut_ = true;
+        if (parser.state() == ParseState::Failed) {
+            co_await refuse(parser.error(), httpStatus(errorKind(parser.error())));
+            co_return std::nullopt;
+        }
+        auto request = parser.take();
+        request.remoteIp = remoteIp_;
+        keepAlive_ = parser.keepAlive() && !timedOut_;
+        http10_ = parser.isHttp10();
+        headOnly_ = request.method == "HEAD";
+        co_return request;
+    }
+
+    auto sendContinue() -> asio::awaitable<bool>
+    {
+        auto code = error_code {};
+        co_await asio::async_write(stream_, asio::buffer("HTTP/1.1 100 Continue\r\n\r\n", 25),
+                                   asio::redirect_error(asio::use_awaitable, code));
+        co_return !code;
+    }
+
+    auto answer(const Request &request) -> asio::awaitable<void>
+    {
+        started_ = false;
+        finished_ = false;
+        onGone_ = nullptr;
+        inHandler_ = true;
+        startRead();
+        ++shared_->inProgress;
+        auto failure = std::string {};
+        try {
+            co_await shared_->handler(request, *this);
+        } catch (const std::exception &error) {
+            failure = error.what();
+        }
+        --shared_->inProgress;
+        inHandler_ = false;
+        onGone_ = nullptr;
+        if (!failure.empty())
+            LogEvent(LogLevel::Error, "http_handler_failed").with("reason", failure);
+        if (!started_)
+            co_await send(errorResponse(makeError(ErrorKind::Internal, "no answer"), "unknown"));
+        if (!finished_)
+            keepAlive_ = false;
+        if (!finished_ && http10_)
+            resetNow(); // Without chunks only a reset tells a broken stream from its end.
+    }
+
+    auto refuse(absl::Status error, std::uint32_t status) -> asio::awaitable<void>
+    {
+        keepAlive_ = false;
+        timedOut_ = false;
+        auto response = errorResponse(error, "not_run");
+        response.status = status;
+        co_await send(std::move(response));
+    }
+
+    template<typename Buffers>
+    auto writeBuffers(const Buffers &buffers) -> asio::awaitable<absl::Status>
+    {
+        auto code = error_code {};
+        watchdog_->arm(shared_->options.writeTimeout);
+        writing_ = true;
+        co_await asio::async_write(stream_, buffers,
+                                   asio::redirect_error(asio::use_awaitable, code));
+        co_return endWrite(code);
+    }
+
+    auto endWrite(const error_code &code) -> absl::Status
+    {
+        writing_ = false;
+        const auto inTime = watchdog_->disarm();
+        if (!code && inTime)
+            return absl::OkStatus();
+        keepAlive_ = false;
+        if (!peerGone_) {
+            peerGone_ = true;
+            tellGone();
+        }
+        return gone(code);
+    }
+
+    /// Waits until bytes have come. @return false at the end of the stream or of the time
+    auto fill() -> asio::awaitable<bool>
+    {
+        const auto before = input_.size();
+        startRead();
+        while (input_.size() == before && !peerGone_ && !timedOut_ && open_) {
+            auto code = error_code {};
+            waiting_ = true;
+            wake_.expires_at(Timer::time_point::max());
+            co_await wake_.async_wait(asio::redirect_error(asio::use_awaitable, code));
+            waiting_ = false;
+        }
+        co_return input_.size() > before && !timedOut_;
+    }
+
+    auto startRead() -> void
+    {
+        if (reading_ || peerGone_ || !open_ || input_.size() > shared_->options.maxHeaderBytes)
+            return;
+        reading_ = true;
+        stream_.async_read_some(
+                asio::buffer(chunk_),
+                [self = this->shared_from_this()](const error_code &code, std::size_t bytes) {
+                    self->onRead(code, bytes);
+                });
+    }
+
+    auto onRead(const error_code &code, std::size_t bytes) -> void
+    {
+        reading_ = false;
+        input_.append(chunk_.data(), bytes);
+        if (code)
+            peerGone_ = true;
+        else if (inHandler_)
+            startRead();
+        if (waiting_)
+            wake_.cancel();
+        if (code && inHandler_)
+            tellGone();
+    }
+
+    auto tellGone() -> void
+    {
+        if (const auto callback = std::exchange(onGone_, nullptr))
+            callback();
+    }
+
+    auto onTimeout() -> void
+    {
+        timedOut_ = true;
+        if (writing_)
+            resetNow();
+        else if (waiting_)
+            wake_.cancel();
+    }
+
+    /// Says that no more comes, then reads away what the peer still sends, within bounds.
+    auto linger() -> asio::awaitable<void>
+    {
+        if (!open_ || peerGone_)
+            co_return;
+        auto code = error_code {};
+        watchdog_->arm(lingerTime);
+        if constexpr (std::is_same_v<Stream, TlsStream>) {
+            writing_ = true;
+            co_await stream_.async_shutdown(asio::redirect_error(asio::use_awaitable, code));
+            writing_ = false;
+        } else {
+            socket().shutdown(tcp::socket::shutdown_send, code);
+            timedOut_ = false;
+            auto dropped = std::size_t { 0 };
+            do {
+                dropped += input_.size();
+                input_.clear();
+            } while (dropped < lingerBytes && co_await fill());
+        }
+    }
+
+    auto resetNow() -> void
+    {
+        auto code = error_code {};
+        socket().set_option(asio::socket_base::linger { true, 0 }, code);
+        closeNow();
+    }
+
+    auto closeNow() -> void
+    {
+        open_ = false;
+        auto code = error_code {};
+        socket().close(code);
+        if (waiting_)
+            wake_.cancel();
+    }
+
+    asio::io_context &context_;
+    Stream stream_;
+    Timer wake_;
+    std::shared_ptr<Shared> shared_;
+    std::shared_ptr<Watchdog> watchdog_;
+    std::string remoteIp_;
+    std::array<char, readChunkBytes> chunk_; ///< Written by the outstanding read alone.
+    std::string input_;                      ///< Read and not parsed yet.
+    std::function<void()> onGone_;
+    bool open_ = true;
+    bool keepAlive_ = true;
+    bool idle_ = false;      ///< Waits for the first byte of a request.
+    bool reading_ = false;   ///< A read is outstanding.
+    bool waiting_ = false;   ///< fill() waits for it.
+    bool writing_ = false;   ///< A write is outstanding.
+    bool inHandler_ = false; ///< A request is being answered.
+    bool started_ = false;
+    bool finished_ = false;
+    bool peerGone_ = false;
+    bool timedOut_ = false;
+    bool http10_ = false;
+    bool headOnly_ = false;
+};
+
+} // namespace
+
+class Server::Impl : public std::enable_shared_from_this<Server::Impl>
+{
+public:
+    Impl(asio::io_context &context, ServerOptions options, Handler handler)
+        : context_(context)
+        , shared_(std::make_shared<Shared>())
+        , acceptor_(asio::make_strand(context))
+    {
+        shared_->options = std::move(options);
+        shared_->handler = std::move(handler);
+    }
+
+    auto start(const Address &listen) -> absl::Status
+    {
+        if (auto status = loadCertificate(); !status.ok())
+            return status;
+        auto code = error_code {};
+        const auto ip = asio::ip::make_address(listen.ip, code);
+        const auto endpoint = tcp::endpoint { ip, listen.port };
+        if (!code)
+            acceptor_.open(endpoint.protocol(), code);
+        if (!code)
+            acceptor_.set_option(asio::socket_base::reuse_address { true }, code);
+        if (!code)
+            acceptor_.bind(endpoint, code);
+        if (!code)
+            acceptor_.listen(asio::socket_base::max_listen_connections, code);
+        if (code) {
+            return makeError(ErrorKind::BadSettings,
+                             "listen=" + listen.ip + ":" + std::to_string(listen.port)
+                                     + " reason=" + code.message());
+        }
+        port_ = acceptor_.local_endpoint(code).port();
+        asio::co_spawn(acceptor_.get_executor(), acceptLoop(shared_from_this()), asio::detached);
+        return absl::OkStatus();
+    }
+
+    auto port() const -> std::uint16_t { return port_; }
+    auto inProgress() const -> std::size_t { return shared_->inProgress; }
+
+    auto stopAccepting() -> void
+    {
+        shared_->closing = true;
+        closeAcceptor();
+        for (const auto &connection : listed())
+            connection->closeIfIdle();
+    }
+
+    auto stop() -> void
+    {
+        shared_->closing = true;
+        closeAcceptor();
+        for (const auto &connection : listed())
+            connection->close();
+    }
+
+private:
+    auto loadCertificate() -> absl::Status
+    {
+        const auto &options = shared_->options;
+        if (options.certificateFile.empty() && options.keyFile.empty())
+            return absl::OkStatus();
+        tls_.emplace(asio::ssl::context::tls_server);
+        auto code = error_code {};
+        tls_->set_options(asio::ssl::context::default_workarounds | asio::ssl::context::no_tlsv1
+                                  | asio::ssl::context::no_tlsv1_1,
+                          code);
+        tls_->use_certificate_chain_file(options.certificateFile, code);
+        if (!code)
+            tls_->use_private_key_file(options.keyFile, asio::ssl::context::pem, code);
+        if (!code)
+            return absl::OkStatus();
+        return makeError(ErrorKind::BadSettings,
+                         "certificate=" + options.certificateFile + " key=" + options.keyFile
+                                 + " reason=" + code.message());
+    }
+
+    static auto acceptLoop(std::shared_ptr<Impl> self) -> asio::awaitable<void>
+    {
+        while (!self->shared_->closing) {
+            auto code = error_code {};
+            auto socket = co_await self->acceptor_.async_accept(
+                    asio::make_strand(self->context_),
+                    asio::redirect_error(asio::use_awaitable, code));
+            if (!code) {
+                self->admit(std::move(socket));
+                continue;
+            }
+            if (!self->acceptor_.is_open())
+                co_return;
+            // Out of descriptors, most likely: a pause rather than a spin.
+            auto timer = Timer { self->acceptor_.get_executor() };
+            timer.expires_after(acceptRetryDelay);
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, code));
+        }
+    }
+
+    auto admit(Socket socket) -> void
+    {
+        auto code = error_code {};
+        const auto remote = socket.remote_endpoint(code);
+        socket.set_option(tcp::no_delay { true }, code);
+        const auto remoteIp = remote.address().to_string();
+        const auto count = ++shared_->connections;
+        const auto limit = shared_->options.maxConnections;
+        if (count > limit + maxRejecting) {
+            --shared_->connections;
+            return;
+        }
+        if (tls_)
+            launch(TlsStream { std::move(socket), *tls_ }, remoteIp, count > limit);
+        else
+            launch(std::move(socket), remoteIp, count > limit);
+    }
+
+    template<typename Stream>
+    auto launch(Stream stream, const std::string &remoteIp, bool reject) -> void
+    {
+        const auto executor = stream.get_executor();
+        auto connection = std::make_shared<Connection<Stream>>(context_, std::move(stream), shared_,
+                                                               remoteIp);
+        const auto number = list(connection);
+        asio::co_spawn(executor, connection->run(reject),
+                       [self = shared_from_this(), connection, number](std::exception_ptr) {
+                           self->unlist(number);
+                       });
+    }
+
+    auto list(const std::shared_ptr<ConnectionBase> &connection) -> std::uint64_t
+    {
+        const auto lock = std::lock_guard { mutex_ };
+        connections_.emplace(++lastNumber_, connection);
+        return lastNumber_;
+    }
+
+    auto unlist(std::uint64_t number) -> void
+    {
+        const auto lock = std::lock_guard { mutex_ };
+        connections_.erase(number);
+        --shared_->connections;
+    }
+
+    auto listed() -> std::vector<std::shared_ptr<ConnectionBase>>
+    {
+        const auto lock = std::lock_guard { mutex_ };
+        auto all = std::vector<std::shared_ptr<ConnectionBase>> {};
+        for (const auto &[number, weak] : connections_) {
+            if (auto connection = weak.lock())
+                all.push_back(std::move(connection));
+        }
+        return all;
+    }
+
+    auto closeAcceptor() -> void
+    {
+        asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
+            auto code = error_code {};
+            self->acceptor_.close(code);
+        });
+    }
+
+    asio::io_context &context_;
+    std::shared_ptr<Shared> shared_;
+    Acceptor acceptor_;
+    std::optional<asio::ssl::context> tls_;
+    std::uint16_t port_ = 0;
+    std::mutex mutex_; ///< Guards the list below; a leaf in the lock order.
+    std::unordered_map<std::uint64_t, std::weak_ptr<ConnectionBase>> connections_;
+    std::uint64_t lastNumber_ = 0;
+};
+
+Server::Server(asio::io_context &context, ServerOptions options, Handler handler)
+    : impl_(std::make_shared<Impl>(context, std::move(options), std::move(handler)))
+{ }
+
+Server::~Server()
+{
+    impl_->stop();
+}
+
+auto Server::start(const Address &listen) -> absl::Status
+{
+    return impl_->start(listen);
+}
+
+auto Server::port() const -> std::uint16_t
+{
+    return impl_->port();
+}
+
+auto Server::stopAccepting() -> void
+{
+    impl_->stopAccepting();
+}
+
+auto Server::inProgress() const -> std::size_t
+{
+    return impl_->inProgress();
+}
+
+auto Server::stop() -> void
+{
+    impl_->stop();
+}
+
+} // namespace figrack::http
--- a/http/server.h
+++ b/http/server.h
@@ -14,7 +14,11 @@
 // bytes are bounded by the options; a request over a bound gets 400, 408, 413
 // or 503 with figrack's error JSON and the connection is closed. Pipelined
 // requests are answered in order. write() suspends while the peer reads slowly
-// and fails after writeTimeout.
+// and fails after writeTimeout. A response header "Connection: close" ends the
+// connection after that answer. An exception out of a handler is logged and answered by 500.
+//
+// The handler may still be running when the Server is destroyed: run the context
+// to its end, or stop its threads, before what the handler refers to goes away.
 
 #ifndef FIGRACK_HTTP_SERVER_H
 #define FIGRACK_HTTP_SERVER_H
