Take in what the kernel has accepted when a server stops accepting

A request that had reached the machine but not the process was cut off by stopAccepting(): the connection still counted as idle, or sat in the backlog.

--- a/http/client.cpp
+++ b/http/client.cpp
@@ -94,7 +94,7 @@
             return;
         auto nowhere = sockaddr {};
         nowhere.sa_family = AF_UNSPEC;
-        ::connect(socket_.native_handle(), &nowhere, sizeof nowhere);
+        static_cast<void>(::connect(socket_.native_handle(), &nowhere, sizeof nowhere));
     }
 
     auto aborted() const -> bool { return aborted_; }
--- a/http/errorresponse.cpp
+++ b/http/errorresponse.cpp
@@ -54,6 +54,7 @@
         { ErrorKind::Corrupt, 500 },
         { ErrorKind::Timeout, 504 },
         { ErrorKind::Cancelled, 499 },
+        { ErrorKind::InUse, 409 },
 } };
 
 constexpr auto tableNamesEveryKind() -> bool
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -144,7 +144,7 @@
     auto closeIfIdle() -> void override
     {
         asio::post(socket().get_executor(), [self = this->shared_from_this()] {
-            if (self->idle_)
+            if (self->idle_ && !self->hasUnread())
                 self->closeNow();
         });
     }
@@ -287,6 +287,8 @@
                     co_return std::nullopt;
             }
             idle_ = !began;
+            if (idle_ && shared_->closing && !hasUnread())
+                co_return std::nullopt;
             const auto more = co_await fill();
             idle_ = false;
             if (!more) {
@@ -419,6 +421,13 @@
             tellGone();
     }
 
+    /// @return true when bytes of a request have reached this machine
+    auto hasUnread() -> bool
+    {
+        auto code = error_code {};
+        return !input_.empty() || socket().available(code) > 0;
+    }
+
     auto tellGone() -> void
     {
         if (const auto callback = std::exchange(onGone_, nullptr))
@@ -541,7 +550,7 @@
     auto stopAccepting() -> void
     {
         shared_->closing = true;
-        closeAcceptor();
+        closeAcceptor(true);
         for (const auto &connection : listed())
             connection->closeIfIdle();
     }
@@ -549,7 +558,7 @@
     auto stop() -> void
     {
         shared_->closing = true;
-        closeAcceptor();
+        closeAcceptor(false);
         for (const auto &connection : listed())
             connection->close();
     }
@@ -575,6 +584,7 @@
                                  + " reason=" + code.message());
     }
 
+    // NOLINTNEXTLINE(performance-unnecessary-value-param): a coroutine owns what it uses.
     static auto acceptLoop(std::shared_ptr<Impl> self) -> asio::awaitable<void>
     {
         while (!self->shared_->closing) {
@@ -651,14 +661,29 @@
         return all;
     }
 
-    auto closeAcceptor() -> void
+    auto closeAcceptor(bool withBacklog) -> void
     {
-        asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
+        asio::post(acceptor_.get_executor(), [self = shared_from_this(), withBacklog] {
+            if (withBacklog)
+                self->admitBacklog();
             auto code = error_code {};
             self->acceptor_.close(code);
         });
     }
 
+    /// Takes in the connections that the kernel has made already: closing the listener would
+    /// reset them, perhaps with a request on the way.
+    auto admitBacklog() -> void
+    {
+        auto code = error_code {};
+        acceptor_.non_blocking(true, code);
+        while (!code) {
+            auto socket = acceptor_.accept(asio::make_strand(context_), code);
+            if (!code)
+                admit(std::move(socket));
+        }
+    }
+
     asio::io_context &context_;
     std::shared_ptr<Shared> shared_;
     Acceptor acceptor_;
--- a/http/testing/tst_client.cpp
+++ b/http/testing/tst_client.cpp
@@ -29,7 +29,8 @@
         made.body = body;
         return made;
     }
-    auto fetchLater(ClientRequest made, Duration timeout = testLimit) -> std::future<FetchResult>
+    auto fetchLater(const ClientRequest &made, Duration timeout = testLimit)
+            -> std::future<FetchResult>
     {
         return std::async(std::launch::async, [this, made, timeout] {
             return threads.wait(client.fetch(made, timeout));
--- a/http/testing/tst_server.cpp
+++ b/http/testing/tst_server.cpp
@@ -85,9 +85,10 @@
 {
 public:
     explicit Fixture(ServerOptions options = {})
-        : server(threads.context(), options, [this](const Request &request, Responder &responder) {
-            return handle(request, responder, notes);
-        })
+        : server(threads.context(), std::move(options),
+                 [this](const Request &request, Responder &responder) {
+                     return handle(request, responder, notes);
+                 })
     {
         REQUIRE(server.start({ "127.0.0.1", 0 }).ok());
     }
