--- a/http/client.cpp
+++ b/http/client.cpp
@@ -52,11 +52,6 @@
 constexpr auto readBytes = std::size_t { 16 } << 10;
 constexpr auto maxHeaderBytes = std::size_t { 32 } << 10;
 
-auto addressText(const Address &address) -> std::string
-{
-    return address.ip + ":" + std::to_string(address.port);
-}
-
 /// One connection: the socket, what was read of the next answer, and the way to abort it.
 class Link
 {
@@ -299,7 +294,7 @@
 auto failure(ErrorKind kind, const Address &address, std::string_view step,
              const error_code &code = {}) -> absl::Status
 {
-    auto argument = "address=" + addressText(address) + " step=" + std::string { step };
+    auto argument = "address=" + address.text() + " step=" + std::string { step };
     if (code)
         argument += " reason=" + code.message();
     return makeError(kind, argument);
@@ -328,7 +323,7 @@
     message.version(11);
     message.method_string(request.method);
     message.target(request.target);
-    message.set(beast::http::field::host, addressText(request.address));
+    message.set(beast::http::field::host, request.address.text());
     for (const auto &header : request.headers)
         message.insert(header.name, header.value);
     if (request.freshConnection)
