report: plots keep their labels on narrow pages, wider target names

Seen in a browser at 1120 and 500 pixels, light and dark: a long note was cut at the plot's edge and the bars' labels shrank out of reading on a phone. Wide plots now scroll sideways; the text table has a column for model and class together. Damaged saved counts are now tested too: 20,000 inputs leave the collector as it was or are taken whole.

--- a/report/burnhtml.cpp
+++ b/report/burnhtml.cpp
@@ -36,7 +36,7 @@
 .grid{display:grid;grid-template-columns:repeat(auto-fill,minmax(320px,1fr));gap:20px}
 .legend{margin:0 0 4px;color:var(--muted);font-size:13px}.legend span{margin-right:14px}
 .legend i{display:inline-block;width:10px;height:10px;border-radius:2px;margin-right:5px}
-svg{width:100%;height:auto;display:block}
+svg{width:100%;height:auto;display:block}svg.wide{min-width:620px}
 svg text{fill:var(--ink);font:12px system-ui,sans-serif}svg .label{text-anchor:end}
 svg .value,svg .tick{fill:var(--muted)}svg .tick{text-anchor:middle}
 )css";
--- a/report/burntext.cpp
+++ b/report/burntext.cpp
@@ -13,16 +13,17 @@
 constexpr auto maxTargetLines = std::size_t { 20 };
 constexpr auto maxIdleLines = std::size_t { 20 };
 constexpr auto nameWidth = std::size_t { 24 };
+constexpr auto targetWidth = std::size_t { 44 }; ///< A model's and a class's name.
 
 /// @return the name without control characters, cut to the column
-auto cell(std::string name) -> std::string
+auto cell(std::string name, std::size_t width = nameWidth) -> std::string
 {
     for (auto &character : name) {
         if (static_cast<unsigned char>(character) < ' ' || character == '\x7f')
             character = '?';
     }
-    if (name.size() > nameWidth)
-        name = name.substr(0, nameWidth - 1) + "~";
+    if (name.size() > width)
+        name = name.substr(0, width - 1) + "~";
     return name;
 }
 
@@ -46,16 +47,17 @@
                        percent(burn.budgetLeft));
 }
 
-auto appendHead(std::string &text, std::string_view first) -> void
+auto appendHead(std::string &text, std::string_view first, std::size_t width = nameWidth) -> void
 {
     text += fmt::format("{:<{}} {:>9} {:>8} {:>7} {:>8} {:>8} {:>7} {:>8} {:>7} {:>7} {:>7}\n",
-                        first, nameWidth, "requests", "start%", "burn", "left%", "finish%", "burn",
+                        first, width, "requests", "start%", "burn", "left%", "finish%", "burn",
                         "left%", "p50 s", "p99 s", "p99.9 s");
 }
 
-auto appendLine(std::string &text, const std::string &name, const BurnLine &line) -> void
+auto appendLine(std::string &text, const std::string &name, const BurnLine &line,
+                std::size_t width = nameWidth) -> void
 {
-    text += fmt::format("{:<{}} {:>9} {} {} {:>7} {:>7} {:>7}\n", cell(name), nameWidth,
+    text += fmt::format("{:<{}} {:>9} {} {} {:>7} {:>7} {:>7}\n", cell(name, width), width,
                         line.eligible, burnColumns(line, line.start),
                         burnColumns(line, line.finish), seconds(line.startMs.p50),
                         seconds(line.startMs.p99), seconds(line.startMs.p999));
@@ -126,10 +128,10 @@
 auto appendTargets(std::string &text, const BurnReport &report) -> void
 {
     text += "\n";
-    appendHead(text, "most missed");
+    appendHead(text, "most missed", targetWidth);
     for (auto i = std::size_t { 0 }; i < std::min(maxTargetLines, report.targets.size()); ++i) {
         const auto &line = report.targets[i];
-        appendLine(text, line.target + " " + line.classId, line);
+        appendLine(text, line.target + " " + line.classId, line, targetWidth);
     }
     if (report.targets.size() > maxTargetLines)
         text += fmt::format("({} more: see the JSON)\n", report.targets.size() - maxTargetLines);
--- a/report/chart.cpp
+++ b/report/chart.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 constexpr auto labelWidth = 190.0;
-constexpr auto plotWidth = 380.0;
-constexpr auto noteWidth = 190.0;
+constexpr auto plotWidth = 320.0;
+constexpr auto noteWidth = 250.0;
 constexpr auto rowHeight = 24.0;
 constexpr auto seriesCount = std::size_t { 5 };
 constexpr auto maxLabel = std::size_t { 26 };
@@ -24,6 +24,14 @@
     return escapeHtml(label.substr(0, maxLabel - 1)) + "&#8230;";
 }
 
+/// A plot that a narrow page scrolls sideways, since its labels would become too small.
+auto openWide(double height, std::string_view name) -> std::string
+{
+    return fmt::format("<div class=\"scroll\"><svg class=\"wide\" viewBox=\"0 0 {:.0f} {:.0f}\" "
+                       "role=\"img\" aria-label=\"{}\">",
+                       labelWidth + plotWidth + noteWidth, height, name);
+}
+
 auto openSvg(double width, double height, std::string_view name) -> std::string
 {
     return fmt::format("<svg viewBox=\"0 0 {:.0f} {:.0f}\" role=\"img\" aria-label=\"{}\">", width,
@@ -113,7 +121,7 @@
     for (const auto &bar : bars)
         most = std::max(most, sumOf(bar));
     const auto height = rowHeight * static_cast<double>(bars.size()) + 4;
-    auto svg = legend(series) + openSvg(labelWidth + plotWidth + noteWidth, height, "bars");
+    auto svg = legend(series) + openWide(height, "bars");
     for (auto i = std::size_t { 0 }; i < bars.size(); ++i) {
         const auto top = rowHeight * static_cast<double>(i) + 4;
         svg += text(labelWidth - 8, top + 13, "label", shortLabel(bars[i].label));
@@ -130,13 +138,13 @@
         svg += text(x + 6, top + 13, "value",
                     fmt::format("{} {}{}", number(sumOf(bars[i])), escapeHtml(unit), note));
     }
-    return svg + "</svg>";
+    return svg + "</svg></div>";
 }
 
 auto rangeChart(const std::vector<Range> &ranges) -> std::string
 {
     const auto height = rowHeight * static_cast<double>(ranges.size()) + 28;
-    auto svg = openSvg(labelWidth + plotWidth + noteWidth, height, "ranges");
+    auto svg = openWide(height, "ranges");
     for (const auto mark : { 0.01, 0.1, 1.0, 10.0, 100.0, 1000.0 }) {
         const auto x = logPosition(mark);
         svg += fmt::format("<line x1=\"{0:.1f}\" x2=\"{0:.1f}\" y1=\"0\" y2=\"{1:.1f}\" "
@@ -164,7 +172,7 @@
                                "<title>{:.3f} s</title></circle>",
                                logPosition(value), y, value);
     }
-    return svg + "</svg>";
+    return svg + "</svg></div>";
 }
 
 auto lineChart(const std::vector<Line> &lines, double threshold, std::string_view left)
--- a/report/testing/tst_collector.cpp
+++ b/report/testing/tst_collector.cpp
@@ -211,6 +211,33 @@
     CHECK(eligible(restored.merged(threeDays)) == 81);
 }
 
+TEST_CASE("damaged saved counts are an error and leave the collector as it was")
+{
+    auto clock = ManualClock {};
+    auto collector = Collector { clock, {} };
+    auto recorder = Recorder { clock };
+    for (auto i = 0; i < 20; ++i) {
+        recorder.record(answered(i * 100));
+        clock.advance(minutes { 9 });
+    }
+    CHECK(collector.absorb(NodeId { "r" }, Incarnation { 1 }, recorder.encode(threeDays)).ok());
+    const auto good = collector.save();
+    auto random = Random { 23 };
+    auto victim = Collector { clock, {} };
+    for (auto i = 0; i < 20000; ++i) {
+        auto bytes = good;
+        if (random.chance(0.2))
+            bytes.resize(random.below(bytes.size()));
+        for (auto flips = random.below(8) + 1; flips > 0 && !bytes.empty(); --flips)
+            bytes[random.below(bytes.size())] = static_cast<char>(random.bits());
+        const auto before = eligible(victim.merged(threeDays));
+        if (!victim.restore(bytes).ok())
+            REQUIRE(eligible(victim.merged(threeDays)) == before);
+    }
+    CHECK(victim.restore(good).ok());
+    CHECK(eligible(victim.merged(threeDays)) == 20);
+}
+
 TEST_CASE("a router that falls silent keeps its counts in the report")
 {
     auto clock = ManualClock {};
