coord: the replicated log

The group is founded once all founders have answered from empty disks.

Messages gain toIncarnation and seenTerm, entries gain knownMatch: they let a replica notice that its own disk is an old copy.

--- a/coord/messages.h
+++ b/coord/messages.h
@@ -1,8 +1,10 @@
 // What replicas of the log say to one another, as plain values.
 //
 // Every message carries the sender's term, the sender's disk incarnation and
-// the group's id: a replica drops what comes from another group or from an
-// incarnation that the membership no longer lists.
+// the group's id. A replica drops what comes from another group or is meant for
+// another disk of its name, and counts votes and acknowledgements only from the
+// disks that the membership lists. Requests are judged by term and log, since a
+// replica that lags cannot know the newest members.
 
 #ifndef FIGRACK_COORD_MESSAGES_H
 #define FIGRACK_COORD_MESSAGES_H
@@ -110,11 +112,15 @@
     LogIndex commitIndex;
     std::uint64_t round = 0; ///< Echoed, so that the leader knows when the round was sent.
     std::vector<Entry> entries;
+    /// The highest entry that the receiver acknowledged in this term, with its term: a disk that
+    /// no longer holds it is an old copy. 0 when it has acknowledged none.
+    LogIndex knownMatch;
+    Term knownTerm;
 
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(previousIndex, previousTerm, commitIndex, round, entries);
+        archive(previousIndex, previousTerm, commitIndex, round, entries, knownMatch, knownTerm);
     }
 };
 
@@ -181,11 +187,16 @@
     Incarnation fromIncarnation;
     Term term;
     Body body;
+    Incarnation
+            toIncarnation {}; ///< The receiver's disk as the sender knows it; 0 when it does not.
+    /// The highest term that the sender has had from that disk: one that remembers a lower term
+    /// is an old copy.
+    Term seenTerm {};
 
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(group, from, fromIncarnation, term, body);
+        archive(group, from, fromIncarnation, term, body, toIncarnation, seenTerm);
     }
 };
 
--- a/coord/replica.h
+++ b/coord/replica.h
@@ -13,8 +13,26 @@
 // majority of voters keeps its disks; entries reach the state machine once a
 // life, in order. The leader's lease ends on its own clock before another
 // replica can be elected, as long as no two clocks' rates differ by more than
-// options.maxClockDrift. Memory is bounded by options.maxLogEntries between
-// snapshots and by options.maxProposalBytes of proposals not yet flushed.
+// options.maxClockDrift. Memory is bounded by options.maxLogBytes and
+// options.maxUncommitted of log, options.maxProposalBytes of proposals not yet
+// flushed and options.maxSnapshotBytes of a snapshot on its way.
+//
+// Founding: the founder with the lowest name asks every founder for its disk's
+// incarnation and founds the group once all have answered from empty disks. So
+// a founder whose disk was wiped later founds nothing as long as one founder
+// keeps its disk; it has another incarnation, and must be removed and added
+// anew as a learner.
+//
+// An old copy of a data folder that was put back has the same incarnation, and
+// what it has forgotten can be detected only by a peer that remembers it: every
+// message names the highest term had from that disk, and a leader names what it
+// acknowledged in this term. A replica that knows less stops with Corrupt, and
+// since it neither votes nor stands for one election timeout after a start, a
+// live leader's heartbeat reaches it first. It is NOT detected when no peer
+// that is running and reachable remembers the newer state (all restarted since,
+// or the leader changed and the copy misses entries but no term). The
+// operator's rule is therefore: never put a replica's folder back from a copy
+// or a VM snapshot; remove the member, delete the folder, add it as a learner.
 //
 // Not thread-safe: the embedder runs it on one strand.
 
@@ -67,6 +85,10 @@
     double maxClockDrift = 0.01; ///< Bound on how far two clocks' rates differ.
     std::size_t maxBatchEntries = 512;
     std::size_t maxProposalBytes = 8U << 20;
+    std::size_t maxMessageBytes = 1U << 20; ///< Of entries in one message; also bounds a command.
+    std::size_t maxUncommitted = 16384;     ///< Entries; beyond it propose() is Overloaded.
+    std::size_t maxLogBytes = 64U << 20;    ///< Applied entries past it are compacted away.
+    std::size_t maxSnapshotBytes = 512U << 20;
     std::size_t snapshotEvery = 10000; ///< Applied entries between snapshots.
     std::size_t snapshotPartBytes = 256U << 10;
     std::size_t keepEntries = 2000; ///< Kept behind a snapshot for slow followers.
@@ -85,6 +107,7 @@
     LogIndex commitIndex;
     LogIndex appliedIndex;
     Membership membership;
+    Incarnation incarnation; ///< Of this replica's disk: what a leader's addLearner() must name.
     bool leaseHeld = false;
     bool membershipChanging = false;
     absl::Status failure; ///< Why it stopped, when Role::Stopped.
@@ -94,7 +117,7 @@
 struct MemberProgress
 {
     NodeId node;
-    LogIndex matchIndex;
+    LogIndex matchIndex; ///< Durable there up to here, as far as this leader knows.
     bool caughtUp = false;
     bool recentlyHeard = false;
 };
@@ -137,8 +160,9 @@
     auto remove(const NodeId &node) -> absl::StatusOr<LogIndex>;
     /// Hands leadership to the most caught-up voter; the lease is given up first.
     auto transferLeadership() -> absl::Status;
-    /// True when the loss of any one more voter loses no committed entry: every voter but at
-    /// most none lags, and each has synced up to the commit index.
+    /// True when the loss of any one more voter loses no committed entry: on a leader with a
+    /// lease, when no change is pending, no learner lags, and every voter has been heard of late
+    /// and has synced up to the commit index.
     auto repairComplete() const -> bool;
 
     auto status() const -> ReplicaStatus;
