coord: the accept gate hears each registration and removal in log order

Cause: control passed the gate the whole set of routers and the present revision when it worked off a batch of applied entries. A router that was registered and removed within one batch was then never listed, and a revision could be told before a router that registered ahead of it; either can hold a lease without the change while the others' acknowledgements accept it. Change: onRegistered(), onDeregistered() and onRestored() in place of setObservers(); control passes each change's own revision.

--- a/control/routers.cpp
+++ b/control/routers.cpp
@@ -135,12 +135,12 @@
         return;
     if (const auto *joined = std::get_if<state::RegisterRouter>(&applied.command)) {
         detector_->expect(peerOf(joined->node), joined->incarnation, joined->domain);
-        setObservers();
+        gate_.onRegistered(joined->node, joined->incarnation);
     } else if (const auto *removed = std::get_if<state::RemoveRouter>(&applied.command)) {
         detector_->remove(peerOf(removed->node));
-        setObservers();
-    } else if (std::holds_alternative<state::ConfigChange>(applied.command)) {
-        gate_.onCommitted(node_.tables().configuration().revision);
+        gate_.onDeregistered(removed->node);
+    } else if (applied.applied.change && applied.applied.change->won) {
+        gate_.onCommitted(applied.applied.change->revision);
         tellWaiters();
     }
 }
@@ -148,16 +148,10 @@
 auto Routers::onRestored() -> void
 {
     expectAll();
-    setObservers();
-    gate_.onCommitted(node_.tables().configuration().revision);
-}
-
-auto Routers::setObservers() -> void
-{
     auto observers = std::map<NodeId, Incarnation> {};
     for (const auto &[node, row] : node_.tables().routers())
         observers.emplace(node, row.registered.incarnation);
-    gate_.setObservers(std::move(observers));
+    gate_.onRestored(observers, node_.tables().configuration().revision);
 }
 
 auto Routers::isAlive(const NodeId &router) const -> bool
--- a/control/routers.h
+++ b/control/routers.h
@@ -61,7 +61,6 @@
         std::function<void(const absl::Status &)> done;
     };
 
-    auto setObservers() -> void;
     auto expectAll() -> void;
     auto removeSilent(const coord::PeerSuspected &event) -> void;
     auto tellWaiters() -> void;
--- a/coord/viewlease.cpp
+++ b/coord/viewlease.cpp
@@ -208,21 +208,29 @@
     , unknownUntil_(clock.now() + wait_)
 { }
 
-auto AcceptGate::setObservers(std::map<NodeId, Incarnation> observers) -> void
+auto AcceptGate::onRestored(const std::map<NodeId, Incarnation> &observers, Revision revision)
+        -> void
 {
-    for (const auto &[node, known] : observers_) {
-        const auto found = observers.find(node);
-        if (found == observers.end() || found->second != known.incarnation)
-            unknownUntil_ = clock_.now() + wait_;
-    }
-    auto next = std::map<NodeId, Observer> {};
-    for (const auto &[node, incarnation] : observers) {
-        const auto known = observers_.find(node);
-        const auto same = known != observers_.end() && known->second.incarnation == incarnation;
-        next[node] = same ? known->second : Observer { incarnation, {} };
-    }
-    observers_ = std::move(next);
-    acceptByAcks();
+    unknownUntil_ = clock_.now() + wait_;
+    observers_.clear();
+    for (const auto &[node, incarnation] : observers)
+        observers_[node] = Observer { incarnation, {} };
+    onCommitted(revision);
+}
+
+auto AcceptGate::onRegistered(const NodeId &observer, Incarnation incarnation) -> void
+{
+    const auto known = observers_.find(observer);
+    if (known != observers_.end() && known->second.incarnation == incarnation)
+        return;
+    onDeregistered(observer);
+    observers_[observer] = Observer { incarnation, {} };
+}
+
+auto AcceptGate::onDeregistered(const NodeId &observer) -> void
+{
+    if (observers_.erase(observer) > 0)
+        unknownUntil_ = clock_.now() + wait_;
 }
 
 auto AcceptGate::onCommitted(Revision revision) -> void
--- a/coord/viewlease.h
+++ b/coord/viewlease.h
@@ -13,7 +13,7 @@
 //
 //   grantor (each voter):   onStored / onTruncated / onApplied; grant(request) -> reply
 //   holder (each observer): request() -> send to all voters; onReply(); isCurrent()
-//   accept gate (leader):   setObservers, onCommitted, onAck; accepted(revision)
+//   accept gate (leader):   onRegistered, onCommitted, onAck; accepted(revision)
 //
 // Wiring that the guarantee rests on:
 //  - a voter tells its grantor of an entry before it tells the leader that it
@@ -22,7 +22,8 @@
 //  - the grantor is given the membership that the replica counts by: the latest
 //    in its log, committed or not;
 //  - an observer's incarnation is random, a new one each life of its process;
-//  - the gate hears of entries in log order, as they are applied.
+//  - the gate hears of every entry that concerns it, in log order and none left
+//    out, also when several are applied at once.
 //
 // Guarantees: no I/O, no clock of their own beyond the one given; memory is a
 // few words an observer and a word an unapplied entry. Not thread-safe.
@@ -181,10 +182,13 @@
 {
 public:
     AcceptGate(ViewLeaseOptions options, const Clock &clock);
-    /// The registered observers, from the applied state, whenever they change. One that is
-    /// gone, or has another incarnation, may hold a lease for one more full length.
-    auto setObservers(std::map<NodeId, Incarnation> observers) -> void;
-    /// A change was applied here. A new gate is told the present revision first.
+    /// The whole state was read back from a snapshot: who came and went before is not known.
+    auto onRestored(const std::map<NodeId, Incarnation> &observers, Revision revision) -> void;
+    /// A registration was applied. A former life may hold a lease for one more full length.
+    auto onRegistered(const NodeId &observer, Incarnation incarnation) -> void;
+    /// A removal was applied. The observer may hold a lease for one more full length.
+    auto onDeregistered(const NodeId &observer) -> void;
+    /// A change was applied that won. @param revision the change's own, not a later one
     auto onCommitted(Revision revision) -> void;
     auto onAck(const NodeId &observer, Incarnation incarnation, Revision applied) -> void;
     /// @return true once the revision is in force everywhere
