--- /dev/null
+++ b/control/testing/tst_ordermachine.cpp
@@ -0,0 +1,133 @@
+// What settles an order, and what does not.
+
+#include <doctest/doctest.h>
+
+#include "control/ordermachine.h"
+
+namespace figrack::control {
+namespace {
+
+using endpoint::OrderReply;
+using state::OrderAction;
+using state::OrderResult;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr auto options = OrderMachineOptions { seconds { 10 }, seconds { 30 } };
+
+auto at(double time) -> Instant
+{
+    const auto nanos = static_cast<std::int64_t>(time * 1e9);
+    return Instant { Duration { nanos } };
+}
+
+TEST_CASE("a load that was taken is settled by an observation asked for after the answer")
+{
+    auto machine = OrderMachine { OrderAction::Load, options };
+    machine.onObservation(Observed::Ready, at(0.5));
+    CHECK(machine.phase() == OrderPhase::Sending);
+    machine.onAnswer(OrderReply::Taken, at(1));
+    CHECK(machine.phase() == OrderPhase::Working);
+    machine.onObservation(Observed::Absent, at(0.9));
+    machine.onObservation(Observed::Loading, at(2));
+    CHECK_FALSE(machine.result().has_value());
+    machine.onObservation(Observed::Ready, at(3));
+    CHECK(machine.result() == OrderResult::Loaded);
+    CHECK(machine.phase() == OrderPhase::Settled);
+}
+
+TEST_CASE("a load that was taken and is gone has failed")
+{
+    auto machine = OrderMachine { OrderAction::Load, options };
+    machine.onAnswer(OrderReply::Taken, at(1));
+    machine.onObservation(Observed::Absent, at(1.1));
+    CHECK(machine.result() == OrderResult::Failed);
+}
+
+TEST_CASE("an order that was declined or never left is settled by the answer")
+{
+    const auto resultOf = [](OrderAction action, OrderReply reply) {
+        auto machine = OrderMachine { action, options };
+        machine.onAnswer(reply, at(1));
+        return machine.result();
+    };
+    CHECK(resultOf(OrderAction::Load, OrderReply::Refused) == OrderResult::Refused);
+    CHECK(resultOf(OrderAction::Load, OrderReply::StaleFence) == OrderResult::Refused);
+    CHECK(resultOf(OrderAction::Load, OrderReply::NotSent) == OrderResult::Failed);
+    CHECK(resultOf(OrderAction::Unload, OrderReply::NotSent) == OrderResult::Refused);
+    CHECK_FALSE(resultOf(OrderAction::Load, OrderReply::Unknown).has_value());
+}
+
+TEST_CASE("with an earlier order under way no answer but arrival ends the doubt")
+{
+    for (const auto reply : { OrderReply::Refused, OrderReply::StaleFence, OrderReply::NotSent,
+                              OrderReply::Unknown }) {
+        auto machine = OrderMachine { OrderAction::Load, options, true };
+        machine.onAnswer(reply, at(1));
+        CHECK(machine.phase() == OrderPhase::Doubtful);
+        CHECK_FALSE(machine.result().has_value());
+    }
+}
+
+TEST_CASE("in doubt, presence settles a load at once")
+{
+    auto machine = OrderMachine { OrderAction::Load, options };
+    machine.onAnswer(OrderReply::Unknown, at(1));
+    machine.onObservation(Observed::Ready, at(0.5));
+    CHECK_FALSE(machine.result().has_value());
+    machine.onObservation(Observed::Loading, at(2));
+    CHECK(machine.phase() == OrderPhase::Working);
+    machine.onObservation(Observed::Ready, at(3));
+    CHECK(machine.result() == OrderResult::Loaded);
+}
+
+TEST_CASE("in doubt, absence settles a load only after the doubt time")
+{
+    auto machine = OrderMachine { OrderAction::Load, options };
+    machine.onAnswer(OrderReply::Unknown, at(1));
+    machine.onObservation(Observed::Absent, at(8));
+    machine.onObservation(Observed::Absent, at(17.9));
+    CHECK_FALSE(machine.result().has_value());
+    machine.onObservation(Observed::Absent, at(18));
+    CHECK(machine.result() == OrderResult::Failed);
+}
+
+TEST_CASE("in doubt, an order that arrives late ends an absence")
+{
+    auto machine = OrderMachine { OrderAction::Load, options };
+    machine.onAnswer(OrderReply::Unknown, at(1));
+    machine.onObservation(Observed::Absent, at(2));
+    machine.onObservation(Observed::Loading, at(11.9));
+    machine.onObservation(Observed::Absent, at(12.5));
+    CHECK(machine.result() == OrderResult::Failed); // It arrived, so it cannot arrive later.
+}
+
+TEST_CASE("a doubt begun anew waits anew")
+{
+    auto machine = OrderMachine { OrderAction::Load, options };
+    machine.onDoubt(at(0));
+    machine.onObservation(Observed::Absent, at(1));
+    machine.onDoubt(at(5));
+    machine.onObservation(Observed::Absent, at(12));
+    CHECK_FALSE(machine.result().has_value());
+    machine.onObservation(Observed::Absent, at(22));
+    CHECK(machine.result() == OrderResult::Failed);
+}
+
+TEST_CASE("an unload ends when the model is gone, or counts as refused when it stays")
+{
+    auto gone = OrderMachine { OrderAction::Unload, options };
+    gone.onAnswer(OrderReply::Taken, at(1));
+    gone.onObservation(Observed::Unloading, at(2));
+    gone.onObservation(Observed::Absent, at(3));
+    CHECK(gone.result() == OrderResult::Unloaded);
+    auto stays = OrderMachine { OrderAction::Unload, options };
+    stays.onAnswer(OrderReply::Taken, at(1));
+    stays.onObservation(Observed::Ready, at(30));
+    CHECK_FALSE(stays.result().has_value());
+    stays.onObservation(Observed::Ready, at(31));
+    CHECK(stays.result() == OrderResult::Refused);
+}
+
+} // namespace
+} // namespace figrack::control
