--- a/control/process.cpp
+++ b/control/process.cpp
@@ -57,6 +57,7 @@
 
     std::unique_ptr<proto::PeerServer> peerServer_;
     std::unique_ptr<http::Server> httpServer_;
+    absl::Status failure_; ///< Read once the context has stopped.
 
 private:
     auto makeControl(proto::ChannelOptions channel) -> void;
@@ -182,6 +183,7 @@
     const auto status = control_->node().status();
     if (status.role == coord::Role::Stopped) {
         LogEvent(LogLevel::Error, "replica_stopped").with(status.failure);
+        failure_ = status.failure;
         closeAll();
         context_.stop();
         return;
@@ -268,6 +270,11 @@
     impl_->stop(std::move(done));
 }
 
+auto Process::failure() const -> absl::Status
+{
+    return impl_->failure_;
+}
+
 auto Process::operatorPort() const -> std::uint16_t
 {
     return impl_->httpServer_->port();
--- a/control/process.h
+++ b/control/process.h
@@ -35,6 +35,8 @@
     /// @param done called once all is closed, on a worker
     auto stop(std::function<void()> done) -> void;
 
+    /// @return why the process ended by itself; OK when it was told to
+    auto failure() const -> absl::Status;
     /// @return the port operators connect to
     auto operatorPort() const -> std::uint16_t;
     /// @return the port controls and routers connect to
--- a/control/settings.cpp
+++ b/control/settings.cpp
@@ -4,7 +4,6 @@
 
 #include "control/settings.h"
 
-#include <array>
 #include <utility>
 
 #include <fmt/format.h>
@@ -38,17 +37,6 @@
     return member;
 }
 
-auto logLevelOf(const std::string &name) -> absl::StatusOr<LogLevel>
-{
-    constexpr auto levels
-            = std::array { LogLevel::Debug, LogLevel::Info, LogLevel::Warning, LogLevel::Error };
-    for (const auto level : levels) {
-        if (logLevelName(level) == name)
-            return level;
-    }
-    return badKey("log.level", "wants debug, info, warning or error");
-}
-
 auto readMembers(const Settings &settings, ProcessOptions &options) -> absl::Status
 {
     auto &replica = options.control.node.replica;
@@ -188,8 +176,6 @@
                    4),
         numberRule("store.loads_per_minute", "loads that the weight store allows", 1, 1'000'000,
                    180),
-        textRule("log.level", "debug, info, warning or error", "info"),
-        textRule("log.file", "path of the log; empty: standard error", ""),
     };
 }
 
@@ -210,12 +196,6 @@
         return status;
     readTimes(settings, options);
     readOrders(settings, options);
-    auto level = logLevelOf(settings.text("log.level"));
-    if (!level.ok())
-        return level.status();
-    options.log.level = *level;
-    options.log.file = settings.text("log.file");
-    options.log.process = settings.text("control.name");
     if (auto status = checkTogether(options); !status.ok())
         return status;
     return options;
--- a/control/settings.h
+++ b/control/settings.h
@@ -10,7 +10,6 @@
 #include <absl/status/statusor.h>
 
 #include "control/control.h"
-#include "core/log.h"
 #include "core/settings.h"
 #include "endpoint/orders.h"
 
@@ -31,7 +30,6 @@
     std::string certificateFile;
     std::string keyPemFile;
     std::uint32_t threads = 4;
-    LogOptions log;
 };
 
 /// @return every key of a figrack-control settings file
--- a/control/testing/simulation.cpp
+++ b/control/testing/simulation.cpp
@@ -201,44 +201,66 @@
     });
 }
 
-// Connect, ask mayStart, then the bytes are on the wire and arrive whatever becomes of us.
+// Connect, ask mayStart, then the bytes lie in the kernel, where an abort still catches them,
+// until the network takes them; from then on they arrive whatever becomes of us.
 auto SimControl::send(const Address &endpoint, const endpoint::Order &order,
                       std::function<bool()> mayStart, OrderDone done) -> void
 {
-    const auto answer = [this, born = life, done](endpoint::OrderReply reply) {
+    auto flight = std::make_shared<Flight>();
+    flight->endpoint = endpoint;
+    flight->order = order;
+    flight->begun = aborts;
+    flight->answer = [this, born = life, done = std::move(done)](endpoint::OrderReply reply) {
         if (born == life)
             enter([done, reply] { done({ reply, {} }); });
     };
-    const auto begun = aborts;
-    simulation.later(milliseconds { 1 },
-                     [this, born = life, begun, endpoint, order, mayStart, answer] {
-                         if (born != life)
-                             return;
-                         enter([this, born, begun, endpoint, order, mayStart, answer] {
-                             if (beforeSend)
-                                 beforeSend();
-                             if (born != life || paused)
-                                 return;
-                             if (begun != aborts || !mayStart()) {
-                                 answer(endpoint::OrderReply::NotSent);
-                                 return;
-                             }
-                             const auto transit = Duration { static_cast<std::int64_t>(
-                                     simulation.random.below(static_cast<std::uint64_t>(
-                                             simulation.options.longestTransit.count()))) };
-                             simulation.later(transit, [this, begun, endpoint, order, answer] {
-                                 auto *engine = simulation.engineAt(endpoint);
-                                 if (!engine || !engine->up)
-                                     return answer(endpoint::OrderReply::Unknown);
-                                 const auto reply = simulation.deliverOrder(*engine, order);
-                                 simulation.later(milliseconds { 1 }, [this, begun, answer, reply] {
-                                     const auto lost = begun != aborts
-                                             || simulation.isolated.contains(self.node);
-                                     answer(lost ? endpoint::OrderReply::Unknown : reply);
-                                 });
-                             });
-                         });
-                     });
+    simulation.later(milliseconds { 1 }, [this, born = life, flight, mayStart] {
+        if (born != life)
+            return;
+        enter([this, born, flight, mayStart] {
+            if (beforeSend)
+                beforeSend();
+            if (born != life || paused)
+                return;
+            const auto *engine = simulation.engineAt(flight->endpoint);
+            if (flight->begun != aborts || !engine || !mayStart()) {
+                flight->answer(endpoint::OrderReply::NotSent);
+                return;
+            }
+            flight->incarnation = engine->spec.incarnation;
+            leaveKernel(flight);
+        });
+    });
+}
+
+auto SimControl::leaveKernel(const std::shared_ptr<Flight> &flight) -> void
+{
+    if (flight->begun != aborts) {
+        flight->answer(endpoint::OrderReply::Unknown);
+        return;
+    }
+    if (simulation.isolated.contains(self.node)) {
+        simulation.later(milliseconds { 10 }, [this, flight] { leaveKernel(flight); });
+        return;
+    }
+    const auto longest = static_cast<std::uint64_t>(simulation.options.longestTransit.count());
+    const auto transit = Duration { static_cast<std::int64_t>(simulation.random.below(longest)) };
+    simulation.later(transit, [this, flight] { arrive(flight); });
+}
+
+// A connection dies with the life of the engine that it was made to.
+auto SimControl::arrive(const std::shared_ptr<Flight> &flight) -> void
+{
+    auto *engine = simulation.engineAt(flight->endpoint);
+    if (!engine->up || engine->spec.incarnation != flight->incarnation) {
+        flight->answer(endpoint::OrderReply::Unknown);
+        return;
+    }
+    const auto reply = simulation.deliverOrder(*engine, flight->order);
+    simulation.later(milliseconds { 1 }, [this, flight, reply] {
+        const auto lost = flight->begun != aborts || simulation.isolated.contains(self.node);
+        flight->answer(lost ? endpoint::OrderReply::Unknown : reply);
+    });
 }
 
 auto SimControl::fetchStatus(const Address &endpoint, StatusDone done) -> void
@@ -376,6 +398,7 @@
 auto Simulation::setDemand(const std::string &model, std::uint32_t queued) -> void
 {
     demand_[model] = queued;
+    arrived_.insert(model);
 }
 
 // Each router renews at every control, and the leader gets joins and demand.
@@ -407,7 +430,7 @@
                 for (const auto &[model, queued] : demand_) {
                     auto row = proto::DemandRow { ModelId { model }, ClassId { "urgent" } };
                     row.queued = queued;
-                    row.arrived = queued;
+                    row.arrived = i == 0 && arrived_.contains(model) ? queued : 0;
                     row.tightestSlackMs = 1000;
                     report.rows.push_back(row);
                 }
@@ -415,6 +438,7 @@
             });
         }
     }
+    arrived_.clear();
     later(routerEvery, [this] { tickRouters(); });
 }
 
@@ -450,12 +474,13 @@
 
 auto Simulation::committed() -> const state::Tables &
 {
-    const state::Tables *best = nullptr;
+    static const auto none = state::Tables {};
+    const auto *best = &none;
     for (auto &control : controls) {
         if (!control->control)
             continue;
         const auto &tables = control->control->node().tables();
-        if (!best || tables.appliedIndex() > best->appliedIndex())
+        if (tables.appliedIndex() >= best->appliedIndex())
             best = &tables;
     }
     return *best;
@@ -476,7 +501,10 @@
     }
     if (loaded)
         return endpoint::OrderReply::Already;
-    if (!committed().replicas().contains({ order.model, engine.spec.id }))
+    // A control that has not learnt of the order's intent yet says nothing against it.
+    const auto &tables = committed();
+    const auto learnt = tables.appliedIndex().value() >= order.id.value();
+    if (learnt && !tables.replicas().contains({ order.model, engine.spec.id }))
         ++undecidedLoads;
     if (engine.usedMb() + order.memoryMb > engine.spec.memoryMb)
         ++overcommitments;
@@ -489,13 +517,22 @@
 auto Simulation::unload(FakeEngine &engine, const ModelId &model) -> void
 {
     engine.models.at(model).state = proto::ObservedState::Unloading;
-    later(milliseconds { 50 }, [&engine, model] {
+    later(milliseconds { 50 }, [&engine, model, life = engine.spec.incarnation] {
         const auto found = engine.models.find(model);
-        if (found != engine.models.end() && found->second.state == proto::ObservedState::Unloading)
+        if (found != engine.models.end() && engine.spec.incarnation == life
+            && found->second.state == proto::ObservedState::Unloading)
             engine.models.erase(found);
     });
 }
 
+auto Simulation::restart(FakeEngine &engine) -> void
+{
+    engine.models.clear();
+    engine.highestFence = 0;
+    engine.sequence = 0;
+    engine.spec.incarnation = engine.spec.incarnation.next();
+}
+
 auto Simulation::replicasLoaded(const std::string &model) const -> std::size_t
 {
     return static_cast<std::size_t>(
--- a/control/testing/simulation.h
+++ b/control/testing/simulation.h
@@ -125,6 +125,18 @@
     auto fetchStatus(const Address &endpoint, StatusDone done) -> void override;
     auto abortAll() -> void override;
 
+    /// An order on its way to an engine.
+    struct Flight
+    {
+        Address endpoint;
+        endpoint::Order order;
+        std::uint64_t begun = 0; ///< Aborts before it.
+        Incarnation incarnation; ///< Of the engine at the other end of the connection.
+        std::function<void(endpoint::OrderReply)> answer;
+    };
+    auto leaveKernel(const std::shared_ptr<Flight> &flight) -> void;
+    auto arrive(const std::shared_ptr<Flight> &flight) -> void;
+
     /// Runs on this control now, or when it is resumed; never after a crash.
     auto enter(std::function<void()> work) -> void;
     auto tickLater() -> void;
@@ -178,6 +190,8 @@
     /// What the routers say waits for a model from now on, in sum.
     auto setDemand(const std::string &model, std::uint32_t queued) -> void;
     auto engineAt(const Address &address) -> FakeEngine *;
+    /// The engine's process dies and comes back empty.
+    auto restart(FakeEngine &engine) -> void;
     auto deliverOrder(FakeEngine &engine, const endpoint::Order &order) -> endpoint::OrderReply;
     /// @return the tables of the control that has applied most
     auto committed() -> const state::Tables &;
@@ -203,6 +217,7 @@
     std::map<std::pair<Instant, std::uint64_t>, std::function<void()>> events_;
     std::uint64_t nextEvent_ = 0;
     std::map<std::string, std::uint32_t> demand_;
+    std::set<std::string> arrived_; ///< Models whose wish is new and not yet reported.
     std::uint64_t demandSequence_ = 0;
     std::uint64_t routerRound_ = 0;
 };
