--- a/coord/election.cpp
+++ b/coord/election.cpp
@@ -178,7 +178,8 @@
     auto request = VoteRequest {};
     request.preVote = true;
     askForVotes(request);
-    countVote(options_.self.node);
+    if (isVoter())
+        countVote(options_.self.node);
 }
 
 auto Replica::Impl::startElection(RoleEvent event, bool transfer) -> void
@@ -192,7 +193,8 @@
     auto request = VoteRequest {};
     request.transfer = transfer;
     askForVotes(request);
-    countVote(options_.self.node);
+    if (isVoter())
+        countVote(options_.self.node);
 }
 
 auto Replica::Impl::askForVotes(const VoteRequest &request) -> void
--- a/coord/memberchange.cpp
+++ b/coord/memberchange.cpp
@@ -100,13 +100,22 @@
     return changeMembership(rest);
 }
 
+/// A voter may stand for election, and so may one whose removal is stored here but not known to
+/// be committed: it may be the only one with a log that the others need.
+auto Replica::Impl::mayStand() const -> bool
+{
+    if (isVoter())
+        return true;
+    return listsVoter(log_.membershipAt(commit_), options_.self.node, identity_.incarnation);
+}
+
 /// Brings the role, and a leader's records, in line with the membership in effect.
 auto Replica::Impl::followMembership() -> void
 {
-    const auto votes = isVoter();
-    if (is(Role::Learner) && votes)
+    const auto stands = mayStand();
+    if (is(Role::Learner) && stands)
         roles_.handle(RoleEvent::Enfranchised);
-    else if (!is(Role::Learner) && !is(Role::Leader) && !votes)
+    else if (!is(Role::Learner) && !is(Role::Leader) && !stands)
         roles_.handle(RoleEvent::Disenfranchised);
     if (is(Role::Leader))
         leading_->peers.follow(log_.membership(), options_.self.node, log_.lastIndex());
--- a/coord/replicaimpl.h
+++ b/coord/replicaimpl.h
@@ -139,6 +139,7 @@
     // memberchange.cpp
     auto readyForChange() const -> absl::Status;
     auto changeMembership(const Membership &membership) -> absl::StatusOr<LogIndex>;
+    auto mayStand() const -> bool;
     auto followMembership() -> void;
     auto leaveIfRemoved() -> void;
     auto isCaughtUp(const NodeId &node) const -> bool;
--- a/coord/replication.cpp
+++ b/coord/replication.cpp
@@ -164,6 +164,8 @@
     applyCommitted();
     if (is(Role::Leader))
         leaveIfRemoved();
+    else
+        followMembership();
 }
 
 auto Replica::Impl::applyCommitted() -> void
