Common command line, settings start and stop signals of the daemons

A signal whose handler is queued while StopSignals goes away used to wait again and keep the context running for ever (found by its test, which hung): the cancelling now runs on the strand of the handlers and ends all waits.

--- /dev/null
+++ b/cmd/daemon.cpp
@@ -0,0 +1,219 @@
+// The order matters: command line, settings, logging, run. Until logging has
+// started, errors go to standard error as plain lines for the person at the shell.
+
+#include "cmd/daemon.h"
+
+#include <csignal>
+#include <iostream>
+#include <thread>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/strand.hpp>
+
+#include "cmd/commandline.h"
+#include "core/error.h"
+#include "core/log.h"
+#include "core/version.h"
+
+namespace figrack::cmd {
+namespace {
+
+constexpr auto nodeKey = std::string_view { "node.id" };
+
+auto parseLevel(const std::string &name) -> absl::StatusOr<LogLevel>
+{
+    for (const auto level :
+         { LogLevel::Debug, LogLevel::Info, LogLevel::Warning, LogLevel::Error }) {
+        if (logLevelName(level) == name)
+            return level;
+    }
+    return makeError(ErrorKind::BadSettings,
+                     "key=log.level value=" + name + " wanted=\"debug, info, warning or error\"");
+}
+
+/// The name on every log line: the node's, where the daemon has one.
+auto processName(const DaemonProgram &program, const Settings &settings) -> std::string
+{
+    for (const auto &rule : program.rules) {
+        if (rule.key == nodeKey)
+            return settings.text(nodeKey);
+    }
+    return program.name;
+}
+
+auto setUpLogging(const DaemonProgram &program, const Settings &settings) -> absl::Status
+{
+    const auto level = parseLevel(settings.text("log.level"));
+    if (!level.ok())
+        return level.status();
+    auto options = LogOptions {};
+    options.level = *level;
+    options.file = settings.text("log.file");
+    options.maxFileBytes = static_cast<std::uint64_t>(settings.number("log.max_bytes"));
+    options.process = processName(program, settings);
+    return startLogging(options);
+}
+
+auto report(const DaemonProgram &program, const absl::Status &status) -> ExitCode
+{
+    std::cerr << program.name << ": " << status.message() << '\n';
+    return ExitCode::Usage;
+}
+
+auto allRules(const DaemonProgram &program) -> std::vector<SettingRule>
+{
+    auto rules = program.rules;
+    for (auto &rule : logRules())
+        rules.push_back(std::move(rule));
+    return rules;
+}
+
+auto runChecked(const DaemonProgram &program, const Settings &settings) -> ExitCode
+{
+    // A closed standard error must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    LogEvent(LogLevel::Info, "started")
+            .with("program", program.name)
+            .with("version", releaseVersion);
+    const auto status = program.run(settings);
+    if (status.ok()) {
+        LogEvent(LogLevel::Info, "stopped").with("program", program.name);
+        return ExitCode::Ok;
+    }
+    LogEvent(LogLevel::Error, "failed").with("program", program.name).with(status);
+    return errorKind(status) == ErrorKind::BadSettings ? ExitCode::Usage : ExitCode::Failed;
+}
+
+auto runWithFile(const DaemonProgram &program, const std::string &path, bool checkOnly) -> ExitCode
+{
+    const auto settings = Settings::read(path, allRules(program));
+    if (!settings.ok())
+        return report(program, settings.status());
+    auto status = program.check ? program.check(*settings) : absl::OkStatus();
+    if (status.ok())
+        status = setUpLogging(program, *settings);
+    if (!status.ok())
+        return report(program, status);
+    if (!checkOnly)
+        return runChecked(program, *settings);
+    std::cout << program.name << ": " << path << " is good\n";
+    return ExitCode::Ok;
+}
+
+auto runWithArguments(const DaemonProgram &program, const std::vector<std::string> &arguments)
+        -> ExitCode
+{
+    auto line = CommandLine {
+        program.name, program.purpose,
+        "Exit codes: 0 ended as asked, 1 failed at run time, 2 wrong command line or settings.\n"
+    };
+    auto config = TCLAP::ValueArg<std::string> { "c", "config", "the settings file", false,
+                                                 "",  "FILE",   line.tclap() };
+    auto check
+            = TCLAP::SwitchArg { "", "check-settings", "check the settings and end", line.tclap() };
+    auto help = TCLAP::SwitchArg { "", "help-settings", "print every setting with its default",
+                                   line.tclap() };
+    if (const auto code = line.parse(arguments))
+        return *code;
+    if (help.getValue()) {
+        std::cout << describeSettings(allRules(program));
+        return ExitCode::Ok;
+    }
+    if (!config.isSet())
+        return line.complain("--config FILE is missing");
+    return runWithFile(program, config.getValue(), check.getValue());
+}
+
+} // namespace
+
+auto logRules() -> std::vector<SettingRule>
+{
+    constexpr auto defaultBytes = std::int64_t { 64 } << 20;
+    constexpr auto maxBytes = std::int64_t { 16 } << 30;
+    return {
+        textRule("log.level", "lines below it are dropped: debug, info, warning or error", "info"),
+        textRule("log.file", "path of the log file; empty writes to standard error", ""),
+        numberRule("log.max_bytes", "size in bytes at which the file is rotated; one old is kept",
+                   1 << 16, maxBytes, defaultBytes),
+    };
+}
+
+auto runDaemon(const DaemonProgram &program, const std::vector<std::string> &arguments) -> int
+{
+    return static_cast<int>(runWithArguments(program, arguments));
+}
+
+class StopSignals::Impl : public std::enable_shared_from_this<Impl>
+{
+public:
+    Impl(boost::asio::io_context &context, std::function<void()> onStop)
+        : strand_(boost::asio::make_strand(context))
+        , signals_(strand_, SIGTERM, SIGINT)
+        , onStop_(std::move(onStop))
+    { }
+
+    auto wait() -> void
+    {
+        signals_.async_wait(
+                [self = shared_from_this()](boost::system::error_code error, int number) {
+                    if (!error)
+                        self->onSignal(number);
+                });
+    }
+
+    auto cancel() -> void
+    {
+        // On the strand: a signal whose handler is already queued may wait once more, and that
+        // wait must be cancelled too, or it would keep the context running.
+        boost::asio::post(strand_, [self = shared_from_this()] {
+            auto ignored = boost::system::error_code {};
+            self->signals_.cancel(ignored);
+            self->cancelled_ = true;
+        });
+    }
+
+private:
+    auto onSignal(int number) -> void
+    {
+        LogEvent(LogLevel::Info, stopping_ ? "stop_already_under_way" : "stop_asked")
+                .with("signal", number);
+        // Going on to wait also keeps a second signal from ending the process.
+        if (!cancelled_)
+            wait();
+        if (!std::exchange(stopping_, true))
+            onStop_();
+    }
+
+    boost::asio::strand<boost::asio::io_context::executor_type> strand_;
+    // What follows is used on the strand only.
+    boost::asio::signal_set signals_;
+    std::function<void()> onStop_;
+    bool stopping_ = false;
+    bool cancelled_ = false;
+};
+
+StopSignals::StopSignals(boost::asio::io_context &context, std::function<void()> onStop)
+    : impl_(std::make_shared<Impl>(context, std::move(onStop)))
+{
+    impl_->wait();
+}
+
+StopSignals::~StopSignals()
+{
+    impl_->cancel();
+}
+
+auto runThreads(boost::asio::io_context &context, std::size_t threads) -> void
+{
+    auto others = std::vector<std::thread> {};
+    for (auto i = std::size_t { 1 }; i < threads; ++i)
+        others.emplace_back([&context] { context.run(); });
+    context.run();
+    for (auto &thread : others)
+        thread.join();
+}
+
+} // namespace figrack::cmd
