coord: decode memberships and stored records with bounded lengths

Cause: a test of decoding damaged memberships ran for over a minute and held 1.5 GB: the stock archive resizes a string to the length it reads before it looks at the bytes left. Ruled out: the log store, whose records have passed a checksum; the loop itself, at 2,000 rounds. Both decoders now use core/serial.h, which checks the length first; one encoder less stands twice.

Before: the new test fails (4 GiB asked for, bad_alloc under a 2 GiB limit). After: the decoding tests take 0.02 s.

--- a/coord/filelogstore.cpp
+++ b/coord/filelogstore.cpp
@@ -18,16 +18,13 @@
 #include <algorithm>
 #include <exception>
 #include <iterator>
-#include <sstream>
 
-#include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/vector.hpp>
 #include <fmt/format.h>
 
 #include "core/check.h"
 #include "core/error.h"
 #include "core/log.h"
+#include "core/serial.h"
 
 namespace figrack::coord {
 
@@ -79,29 +76,15 @@
     }
 };
 
-template<typename T>
-auto encode(T value) -> std::string
-{
-    auto out = std::ostringstream {};
-    {
-        auto archive = cereal::PortableBinaryOutputArchive { out };
-        archive(value);
-    }
-    return std::move(out).str();
-}
-
 /// The bytes have passed their checksum; a failure is one of this program.
 template<typename T>
 auto decode(std::string_view bytes, std::string_view file) -> absl::StatusOr<T>
 {
     auto value = T {};
-    try {
-        auto in = std::istringstream { std::string { bytes } };
-        auto archive = cereal::PortableBinaryInputArchive { in };
-        archive(value);
-    } catch (const std::exception &error) {
-        return makeError(ErrorKind::Corrupt,
-                         fmt::format("file={} reason=encoding detail=\"{}\"", file, error.what()));
+    if (auto status = deserialize(bytes, value); !status.ok()) {
+        return makeError(
+                ErrorKind::Corrupt,
+                fmt::format("file={} reason=encoding detail=\"{}\"", file, errorArgument(status)));
     }
     return value;
 }
@@ -441,9 +424,9 @@
     firstIndex_ = LogIndex { 1 };
     if (auto status = startSegment(1); !status.ok())
         return remember(status);
-    if (auto status = writeSealed(SealKind::Vote, encode(StoredVote {})); !status.ok())
+    if (auto status = writeSealed(SealKind::Vote, serialize(StoredVote {})); !status.ok())
         return remember(status);
-    const auto payload = encode(StoredIdentity { identity });
+    const auto payload = serialize(StoredIdentity { identity });
     if (auto status = writeSealed(SealKind::Identity, payload); !status.ok())
         return remember(status);
     identity_ = identity;
@@ -455,7 +438,7 @@
     if (auto status = ready(); !status.ok())
         return status;
     FIGRACK_CHECK(identity_.has_value(), "a vote is saved under an identity");
-    return remember(writeSealed(SealKind::Vote, encode(StoredVote { vote })));
+    return remember(writeSealed(SealKind::Vote, serialize(StoredVote { vote })));
 }
 
 auto FileLogStore::append(const std::vector<Entry> &entries) -> absl::Status
@@ -495,7 +478,7 @@
     FIGRACK_CHECK(identity_.has_value(), "a snapshot is stored under an identity");
     FIGRACK_CHECK(!snapshot_ || snapshot.lastIndex >= snapshot_->index,
                   "a snapshot never goes back");
-    const auto payload = encode(StoredSnapshot { snapshot });
+    const auto payload = serialize(StoredSnapshot { snapshot });
     if (auto status = writeSealed(SealKind::Snapshot, payload); !status.ok())
         return remember(status);
     const auto end = snapshot.lastIndex;
@@ -546,7 +529,7 @@
         if (auto status = startSegment(segments_.rbegin()->first + 1); !status.ok())
             return status;
     }
-    const auto frame = encodeFrame(folder_, nextFrame_, encode(Batch { cutFrom, entries }));
+    const auto frame = encodeFrame(folder_, nextFrame_, serialize(Batch { cutFrom, entries }));
     if (auto status = active_->append(frame); !status.ok())
         return status;
     if (auto status = active_->sync(); !status.ok())
--- a/coord/membership.cpp
+++ b/coord/membership.cpp
@@ -1,17 +1,13 @@
-// Members are few, so every look-up is a walk over a sorted vector. The count
-// is read by hand before the members: a forged one must not reserve memory.
+// Members are few, so every look-up is a walk over a sorted vector.
 
 #include "coord/membership.h"
 
 #include <algorithm>
-#include <sstream>
 
-#include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/vector.hpp>
 #include <fmt/format.h>
 
 #include "core/error.h"
+#include "core/serial.h"
 
 namespace figrack::coord {
 
@@ -19,19 +15,6 @@
 
 constexpr auto maxMembershipBytes = std::size_t { 64U << 10 };
 
-auto readMembers(cereal::PortableBinaryInputArchive &archive) -> absl::StatusOr<Membership>
-{
-    auto count = cereal::size_type { 0 };
-    archive(cereal::make_size_tag(count));
-    if (count > maxMembers)
-        return makeError(ErrorKind::Malformed, fmt::format("members={}", count));
-    auto membership = Membership {};
-    membership.members.resize(count);
-    for (auto &member : membership.members)
-        archive(member);
-    return membership;
-}
-
 } // namespace
 
 auto Membership::find(const NodeId &node) const -> const Member *
@@ -49,23 +32,20 @@
 
 auto encodeMembership(const Membership &membership) -> std::string
 {
-    auto stream = std::ostringstream {};
-    auto archive = cereal::PortableBinaryOutputArchive { stream };
-    archive(membership);
-    return stream.str();
+    return serialize(membership);
 }
 
 auto decodeMembership(std::string_view bytes) -> absl::StatusOr<Membership>
 {
     if (bytes.size() > maxMembershipBytes)
         return makeError(ErrorKind::Malformed, fmt::format("membership_bytes={}", bytes.size()));
-    auto stream = std::istringstream { std::string { bytes } };
-    try {
-        auto archive = cereal::PortableBinaryInputArchive { stream };
-        return readMembers(archive);
-    } catch (const std::exception &error) {
-        return makeError(ErrorKind::Malformed, fmt::format("membership: {}", error.what()));
-    }
+    auto membership = Membership {};
+    if (auto status = deserialize(bytes, membership); !status.ok())
+        return status;
+    if (membership.members.size() > maxMembers)
+        return makeError(ErrorKind::Malformed,
+                         fmt::format("members={}", membership.members.size()));
+    return membership;
 }
 
 auto listsDisk(const Membership &membership, const NodeId &node, Incarnation incarnation) -> bool
--- a/coord/testing/tst_membership.cpp
+++ b/coord/testing/tst_membership.cpp
@@ -1,4 +1,5 @@
 #include <doctest/doctest.h>
+#include <sys/resource.h>
 
 #include "coord/membership.h"
 #include "coord/rolemachine.h"
@@ -55,6 +56,22 @@
     }
 }
 
+TEST_CASE("a forged length in a membership asks for no memory")
+{
+    // 8 bytes of count, then the first name's length, forged to 4 GiB.
+    auto bytes = encodeMembership(withMember(Membership {}, member("a", 1, MemberKind::Voter)));
+    bytes[8 + 4] = 1;
+    auto limit = rlimit {};
+    REQUIRE(getrlimit(RLIMIT_AS, &limit) == 0);
+    auto tight = limit;
+    tight.rlim_cur = rlim_t { 2 } << 30;
+    REQUIRE(setrlimit(RLIMIT_AS, &tight) == 0);
+    auto decoded = decodeMembership(bytes);
+    REQUIRE(setrlimit(RLIMIT_AS, &limit) == 0);
+    CHECK(errorKind(decoded.status()) == ErrorKind::Malformed);
+    CHECK(decoded.status().message().find("bad_alloc") == absl::string_view::npos);
+}
+
 TEST_CASE("an event that a role may not take fails a check")
 {
     auto before = setCheckHandler([](const char *, const char *) { throw CheckFailed {}; });
