coord: the stored hook hears of the entries that a restart reads back

Cause: the hook was told of the entries present when it is set; control sets it before start(), when there are none, so after a restart its lease grantor knew of no entry stored and not yet applied and would have renewed routers without a change that it had helped to commit. Change: load() tells the hook. The new test fails without it (0 of 4 entries).

--- a/coord/replicalog.cpp
+++ b/coord/replicalog.cpp
@@ -33,6 +33,7 @@
                                          entry.index.value(), entry.term.value()));
         if (auto status = add(entry); !status.ok())
             return status;
+        tell(entry, true);
     }
     return absl::OkStatus();
 }
