--- a/policy/planner.cpp
+++ b/policy/planner.cpp
@@ -342,6 +342,10 @@
         Millis now;
         auto operator()(const KeepByTarget &) const -> double
         {
+            // An adapter alone is quick; what is worth prefetching is its base.
+            const auto *base = impl.fleet_.baseOf(model);
+            if (base != nullptr && impl.fleet_.counts(*base).ready == 0)
+                return 0;
             const auto load = static_cast<double>(impl.value_.coldStart(model, now));
             const auto ratio = impl.value_.keepRatio(model, load, now);
             return ratio > 1.5 ? ratio : 0.0;
@@ -637,6 +641,21 @@
     return impl_->plan(now);
 }
 
+auto Planner::wakeUp(const ModelId &model, Millis now) const -> WakeUp
+{
+    auto result = WakeUp {};
+    const auto *row = impl_->fleet_.findModel(model);
+    if (row == nullptr)
+        return result;
+    const auto counts = impl_->fleet_.counts(*row);
+    result.ready = counts.ready;
+    result.loading = counts.loading;
+    result.load = impl_->value_.coldStart(*row, now);
+    if (counts.loading > 0)
+        result.nextReady = now + result.load;
+    return result;
+}
+
 auto Planner::predictedLoad(const ModelId &model, Tier from, Millis now) const -> Millis
 {
     const auto *row = impl_->fleet_.findModel(model);
--- a/policy/planner.h
+++ b/policy/planner.h
@@ -45,6 +45,15 @@
     KeepRule keep = KeepByTarget {}; ///< Others are the benchmark's baselines.
 };
 
+/// When a model could take a request, as far as the planner knows.
+struct WakeUp
+{
+    std::uint32_t ready = 0;   ///< Replicas on usable endpoints.
+    std::uint32_t loading = 0; ///< The same, on the way.
+    Millis nextReady = 0;      ///< Predicted end of the earliest load, absolute; 0 when none.
+    Millis load = 0;           ///< One more load now, that of its base included if it has none.
+};
+
 class Planner
 {
 public:
@@ -71,6 +80,8 @@
     auto onLoadDone(const ModelId &model, Tier from, Millis took, Millis now) -> void;
     /// @return what to change now, most urgent first
     auto plan(Millis now) -> std::vector<Decision>;
+    /// @return when the model could take a request; what a router's ModelView needs
+    auto wakeUp(const ModelId &model, Millis now) const -> WakeUp;
     /// @return how long a load of the model from a tier would take now, ms
     auto predictedLoad(const ModelId &model, Tier from, Millis now) const -> Millis;
 
