policy: a queue's need is worked out by each class's own deadline

Cause: the whole queue of a model was measured against its tightest deadline, so one urgent request in a burst of patient ones had four and more replicas loaded, which held the store for 20 s and more. Change: for each class the requests due by its deadline are counted against what can start by then.

--- a/bench/policysimreport.h
+++ b/bench/policysimreport.h
@@ -24,7 +24,9 @@
     std::uint64_t metStart = 0;
     std::uint64_t metFinish = 0;
     std::uint64_t refused = 0; ///< Gave up after its returns.
+    std::uint64_t coldMissed = 0; ///< Cold and past the start target, refused ones included.
     std::vector<Millis> coldStarts;
+    std::vector<Millis> starts; ///< Time to first token of all that got one.
 };
 
 struct SimReport
@@ -48,6 +50,8 @@
 auto percentile(std::vector<Millis> values, double share) -> Millis;
 /// @return cold starts of all classes
 auto allColdStarts(const SimReport &report) -> std::vector<Millis>;
+/// @return times to first token of all classes, warm and cold
+auto allStarts(const SimReport &report) -> std::vector<Millis>;
 /// @return one line of key=value pairs
 auto toLine(const SimReport &report) -> std::string;
 
--- a/policy/demand.cpp
+++ b/policy/demand.cpp
@@ -1,7 +1,8 @@
-// Count the requests that the replicas there are, and those on the way, can
-// start by a horizon; a new replica is for the rest. The horizon is the earliest
-// start deadline, or the end of the load if that is later: what would have been
-// started anyway by the time a load ends is no reason for it.
+// Classes are served in order of their deadlines, so for each class the requests
+// up to and including it must start by its deadline. Count what the replicas there
+// are, and those on the way, can start by then; a new replica is for the rest.
+// Where the end of a load is later than the deadline it takes its place: what would
+// have been started anyway by the time a load ends is no reason for it.
 
 #include "policy/demand.h"
 
@@ -25,20 +26,24 @@
 
 auto replicasMissing(const QueueState &queue) -> std::uint32_t
 {
-    if (queue.queued == 0)
-        return 0;
     const auto load = static_cast<double>(std::max<Millis>(queue.loadTime, 1));
-    const auto horizon = std::max(static_cast<double>(queue.slack), load);
     const auto capacity = static_cast<double>(queue.slots) * queue.ready;
-    auto supply = std::max(capacity - queue.running, 0.0)
-            + capacity * horizon / static_cast<double>(queue.serviceTime);
-    for (const auto readyAfter : queue.loadingFor)
-        supply += startsBy(std::max(horizon, static_cast<double>(readyAfter)),
-                           static_cast<double>(std::max<Millis>(readyAfter, 0)), queue);
-    const auto rest = static_cast<double>(queue.queued) - supply;
-    if (rest <= 0)
-        return 0;
-    return static_cast<std::uint32_t>(std::ceil(rest / startsBy(horizon, load, queue)));
+    auto due = 0.0;
+    auto missing = 0.0;
+    for (const auto &waiting : queue.waiting) {
+        due += waiting.queued;
+        const auto horizon = std::max(static_cast<double>(waiting.slack), load);
+        auto supply = std::max(capacity - queue.running, 0.0)
+                + capacity * horizon / static_cast<double>(queue.serviceTime);
+        for (const auto readyAfter : queue.loadingFor) {
+            const auto after = static_cast<double>(std::max<Millis>(readyAfter, 0));
+            supply += startsBy(std::max(horizon, after), after, queue);
+        }
+        const auto rest = due - supply;
+        if (rest > 0)
+            missing = std::max(missing, std::ceil(rest / startsBy(horizon, load, queue)));
+    }
+    return static_cast<std::uint32_t>(missing);
 }
 
 } // namespace figrack::policy
--- a/policy/placement.cpp
+++ b/policy/placement.cpp
@@ -18,6 +18,7 @@
 constexpr auto cachedLooked = std::size_t { 24 };
 constexpr auto fitsLooked = std::size_t { 24 };
 constexpr auto idleLooked = std::size_t { 64 };
+constexpr auto evictsNothing = 1e-200;
 constexpr auto sameDomainPenalty = Millis { 1000 };
 
 auto usable(const EndpointRow *row) -> bool
@@ -235,6 +236,8 @@
             && freeSoonMb(*row) >= static_cast<std::int64_t>(model.info.memoryMb))
             return AwaitMemory { id };
     }
+    if (maxWorth <= evictsNothing)
+        return NoPlace {};
     return evict(model, evictable, maxWorth);
 }
 
--- a/policy/planner.cpp
+++ b/policy/planner.cpp
@@ -34,6 +34,7 @@
 constexpr auto reviewWarmMax = Millis { 60000 };
 constexpr auto reviewColdMin = Millis { 5000 };
 constexpr auto reviewColdMax = Millis { 120000 };
+constexpr auto fitsOnly = 1e-300; ///< Worth loading, worth evicting nothing for.
 constexpr auto evictAnything = std::numeric_limits<double>::infinity();
 
 enum class NeedKind : std::uint8_t { Demand, Predicted };
@@ -170,14 +171,14 @@
 auto Planner::Impl::queueState(const ModelRow &model, Millis now) const -> QueueState
 {
     auto queue = QueueState {};
-    auto tightest = std::numeric_limits<Millis>::max();
     for (const auto &[id, demand] : model.demand) {
-        queue.queued += demand.queued;
         queue.running += demand.running;
         if (demand.queued > 0)
-            tightest = std::min(tightest, demand.tightestStart);
+            queue.waiting.push_back(
+                    { std::max<Millis>(demand.tightestStart - now, 0), demand.queued });
     }
-    queue.slack = queue.queued > 0 ? std::max<Millis>(tightest - now, 0) : 0;
+    std::sort(queue.waiting.begin(), queue.waiting.end(),
+              [](const Waiting &a, const Waiting &b) { return a.slack < b.slack; });
     queue.slots = std::max<std::uint32_t>(model.info.slots, 1);
     queue.loadTime = value_.coldStart(model, now);
     queue.serviceTime = std::max<Millis>(
@@ -203,14 +204,15 @@
     if (queue.ready + queue.loadingFor.size() > 0
         || (model.coldArrival >= 0 && now - model.coldArrival > coldWindow + queue.loadTime))
         model.coldArrival = -1;
-    if (queue.queued == 0 && model.coldArrival >= 0)
-        queue.queued = 1; // It was refused, since a load takes longer than its target.
-    if (queue.queued == 0)
+    if (queue.waiting.empty() && model.coldArrival >= 0)
+        queue.waiting.push_back({ 0, 1 }); // Refused: a load takes longer than its target.
+    if (queue.waiting.empty())
         return false;
     const auto missing = replicasMissing(queue);
     if (missing > 0)
-        needs_.push_back({ id, NeedKind::Demand, missing, now + queue.slack - queue.loadTime,
-                           queue.loadTime, evictAnything });
+        needs_.push_back({ id, NeedKind::Demand, missing,
+                           now + queue.waiting.front().slack - queue.loadTime, queue.loadTime,
+                           evictAnything });
     return true;
 }
 
@@ -285,9 +287,9 @@
         auto operator()(const KeepEverything &) const -> bool { return false; }
         auto operator()(const KeepForeseen &rule) const -> bool
         {
-            // Idle for longer than the load takes: cheaper to load again in time.
+            // Idle for much longer than a load takes: cheaper to load again in time.
             const auto next = rule.nextUse(id, now);
-            return next < 0 || next - now > 2 * impl.value_.coldStart(model, now);
+            return next < 0 || next - now > 4 * impl.value_.coldStart(model, now) + 10000;
         }
     };
     return std::visit(LetsGo { *this, id, model, replica, now }, options_.keep);
@@ -352,12 +354,12 @@
         }
         auto operator()(const KeepFixed &) const -> double { return 0; }
         auto operator()(const KeepUntilNeeded &) const -> double { return 0; }
-        auto operator()(const KeepEverything &) const -> double { return 1e-300; }
+        auto operator()(const KeepEverything &) const -> double { return fitsOnly; }
         auto operator()(const KeepForeseen &rule) const -> double
         {
             const auto next = rule.nextUse(id, now);
             const auto load = impl.value_.coldStart(model, now);
-            if (next < 0 || next - now > load + load / 4 + 1000)
+            if (next < 0 || next - now > 3 * load + 5000)
                 return 0;
             return 1.0 / static_cast<double>(std::max<Millis>(next - now, 1));
         }
@@ -378,7 +380,9 @@
     if (!model.history.seen() && !unasked)
         return;
     const auto age = unasked ? 0 : (now - model.history.lastAt()) / 4;
-    const auto wait = unasked ? reviewWarmMin : std::clamp(age, reviewColdMin, reviewColdMax);
+    const auto wait = std::holds_alternative<KeepForeseen>(options_.keep)
+            ? reviewWarmMin
+            : std::clamp(age, reviewColdMin, reviewColdMax);
     setReview(id, model, now + wait);
 }
 
