Add the router: from a caller's request to its whole answer

A pool of workers over two shared tables with a stated lock order: the scheduler (policy's deadline queue and replica chooser) and the view (this router's copy of the replicated tables). The modules: controllink (feed, join, lease, demand, leader), callers (HTTP), dispatch (rounds, retries, resuming), claims, announce, drain (a Boost.MSM machine), cachepoll, metrics.

Decided on the way: - The caller of a claimed request is answered before the outcome is in the log. The claim stands before the dispatch, so a resend in between is told in_progress and never runs; waiting would add a round trip and nothing else. - A claimed request goes on when its caller is gone: the answer is kept for the resend, where an abort would leave the outcome unknown. - A key whose claim's fate is in doubt stays closed at this router: a late EndClaim(NotRun) of the old attempt would free a new claim of the same life. - A request refused while its model was cold counts as demand until the time it was told to come back, or the model would be as cold on its return. - Pushes of the feed that come before the answer to a subscription are dropped: they belong to an older one and would leave a gap.

--- /dev/null
+++ b/router/scheduler.cpp
@@ -0,0 +1,502 @@
+// One state a target holds its cached view and its counts, so that the work for one request
+// follows its own target's replicas. A request that was refused while its model was cold has been
+// told when to come back; until then it counts as demand, or the model would be as cold on its
+// return.
+
+#include "router/scheduler.h"
+
+#include <algorithm>
+
+#include "core/check.h"
+
+namespace figrack::router {
+namespace {
+
+constexpr auto serviceMeanWeight = 0.1;
+/// Added to the time at which a refused request is expected back.
+constexpr auto comingBackGrace = Millis { 500 };
+/// Bounds what one class of one target keeps of requests refused while cold.
+constexpr auto maxComingBack = std::size_t { 64 };
+constexpr auto maxIdleStates = std::size_t { 4096 };
+constexpr auto shortestRetry = Millis { 50 };
+
+auto remaining(const std::vector<Millis> &times, Millis now) -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(
+            std::count_if(times.begin(), times.end(), [now](Millis until) { return until > now; }));
+}
+
+} // namespace
+
+Scheduler::Scheduler(SchedulerOptions options, const Clock &clock, const View &view,
+                     SchedulerHooks hooks)
+    : options_(options)
+    , clock_(clock)
+    , view_(view)
+    , hooks_(std::move(hooks))
+    , queue_(options.queue)
+    , chooser_(options.choice, options.seed)
+{ }
+
+auto Scheduler::now() const -> Millis
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now().time_since_epoch())
+            .count();
+}
+
+auto Scheduler::deliver(Calls &calls) -> void
+{
+    for (auto &call : calls)
+        call.done(std::move(call.placement));
+    calls.clear();
+}
+
+auto Scheduler::state(const Target &target) -> TargetState &
+{
+    auto &state = states_[target.queueKey()];
+    state.target = target;
+    return state;
+}
+
+auto Scheduler::refresh(TargetState &state) -> const TargetView &
+{
+    const auto version = view_.version();
+    if (state.cached.version != version) {
+        state.cached.view = view_.target(state.target);
+        state.cached.version = version;
+    }
+    return state.cached.view;
+}
+
+auto Scheduler::modelView(TargetState &state) -> policy::ModelView
+{
+    const auto &target = refresh(state);
+    auto view = policy::ModelView {};
+    view.ready = static_cast<std::uint32_t>(target.replicas.size());
+    view.totalSlots = view.ready * target.slots;
+    for (const auto &replica : target.replicas) {
+        const auto load = chooser_.estimatedLoad(replica.endpoint, replica.model);
+        view.freeSlots += target.slots - std::min(load, target.slots);
+    }
+    view.loading = target.loading;
+    if (target.loading > 0) {
+        // The tables hold the leader's wall time; the queue counts on this router's own scale.
+        const auto wall = clock_.wallNow().time_since_epoch().count();
+        view.nextReady = now() + std::max<Millis>(target.nextReadyWall - wall, 0);
+    }
+    const auto seen = view_.meanLoadMs();
+    view.predictedLoad = seen > 0 ? seen : options_.expectedLoad;
+    view.serviceTime = static_cast<Millis>(state.serviceMs);
+    view.canEverLoad = target.canEverLoad;
+    return view;
+}
+
+auto Scheduler::submit(const Waiting &waiting, Done done) -> Ticket
+{
+    const auto current = hooks_.isCurrent();
+    auto calls = Calls {};
+    auto wantedCold = false;
+    auto ticket = Ticket {};
+    {
+        const auto lock = std::scoped_lock { mutex_ };
+        ticket = nextTicket_++;
+        auto &target = state(waiting.target);
+        noteArrival(target, waiting.classId);
+        auto entry = Entry {};
+        entry.waiting = waiting;
+        entry.done = std::move(done);
+        const auto at = now();
+        entry.queued
+                = { ticket, waiting.target.queueKey(), waiting.classId,          waiting.caller,
+                    at,     at + waiting.startTarget,  at + waiting.finishTarget };
+        const auto view = modelView(target);
+        entry.cold = view.ready == 0;
+        wantedCold = entry.cold && !waiting.target.isService();
+        if (!current) {
+            calls.push_back({ std::move(entry.done), Refused { ErrorKind::NotCurrent, 0 } });
+        } else {
+            const auto queued = entry.queued;
+            entries_.emplace(ticket, std::move(entry));
+            ++target.waiting;
+            const auto verdict = queue_.admit(queued, view, at);
+            for (const auto shed : verdict.shed)
+                refuse(shed, { ErrorKind::Overloaded, retryAfter(target) }, calls);
+            if (verdict.refusal)
+                refuse(ticket, { verdict.refusal->kind, verdict.refusal->retryAfter }, calls);
+            else
+                pump(target, calls);
+        }
+    }
+    deliver(calls);
+    if (wantedCold)
+        hooks_.onWantedCold();
+    return ticket;
+}
+
+auto Scheduler::requeue(Ticket ticket, policy::DispatchResult result, Millis startBy, Done done)
+        -> void
+{
+    const auto current = hooks_.isCurrent();
+    auto calls = Calls {};
+    auto wantedCold = false;
+    {
+        const auto lock = std::scoped_lock { mutex_ };
+        const auto found = entries_.find(ticket);
+        FIGRACK_CHECK(found != entries_.end() && found->second.isRunning,
+                      "only a dispatched request is put back");
+        auto &entry = found->second;
+        entry.avoid.insert(entry.replica.id);
+        release(entry, result);
+        entry.done = std::move(done);
+        entry.queued.startBy = now() + startBy;
+        entry.queued.finishBy = std::max(entry.queued.finishBy, entry.queued.startBy);
+        auto &target = state(entry.waiting.target);
+        ++target.waiting;
+        if (current) {
+            queue_.putBack(entry.queued);
+            pump(target, calls);
+            wantedCold = refresh(target).replicas.empty() && !entry.waiting.target.isService();
+        } else {
+            refuse(ticket, { ErrorKind::NotCurrent, 0 }, calls);
+        }
+    }
+    deliver(calls);
+    if (wantedCold)
+        hooks_.onWantedCold();
+}
+
+auto Scheduler::cancel(Ticket ticket) -> void
+{
+    auto calls = Calls {};
+    {
+        const auto lock = std::scoped_lock { mutex_ };
+        const auto found = entries_.find(ticket);
+        if (found == entries_.end() || found->second.isRunning)
+            return;
+        queue_.cancel(ticket);
+        refuse(ticket, { ErrorKind::Cancelled, -1 }, calls);
+    }
+    deliver(calls);
+}
+
+auto Scheduler::onFirstToken(Ticket ticket) -> void
+{
+    const auto lock = std::scoped_lock { mutex_ };
+    const auto found = entries_.find(ticket);
+    if (found == entries_.end() || !found->second.isRunning)
+        return;
+    const auto at = now();
+    chooser_.onFirstToken(found->second.replica.id, at - found->second.dispatchedAt, at);
+}
+
+auto Scheduler::end(Ticket ticket, policy::DispatchResult result) -> void
+{
+    auto calls = Calls {};
+    {
+        const auto lock = std::scoped_lock { mutex_ };
+        const auto found = entries_.find(ticket);
+        if (found == entries_.end())
+            return;
+        FIGRACK_CHECK(found->second.isRunning, "a waiting request ends by its placement");
+        release(found->second, result);
+        auto &target = state(found->second.waiting.target);
+        entries_.erase(found);
+        pump(target, calls);
+    }
+    deliver(calls);
+}
+
+auto Scheduler::release(Entry &entry, policy::DispatchResult result) -> void
+{
+    const auto at = now();
+    auto &target = state(entry.waiting.target);
+    chooser_.onEnd(entry.replica.id, entry.queued.model, result, at);
+    if (result == policy::DispatchResult::Finished) {
+        const auto held = static_cast<double>(at - entry.dispatchedAt);
+        target.serviceMs = target.serviceMs == 0
+                ? held
+                : target.serviceMs * (1 - serviceMeanWeight) + held * serviceMeanWeight;
+    }
+    entry.isRunning = false;
+    --target.running;
+    --running_;
+}
+
+auto Scheduler::refuse(Ticket ticket, Refused refused, Calls &calls) -> void
+{
+    const auto found = entries_.find(ticket);
+    if (found == entries_.end())
+        return;
+    auto &entry = found->second;
+    auto &target = state(entry.waiting.target);
+    --target.waiting;
+    const auto comesBack = refused.retryAfter >= 0 && refused.kind != ErrorKind::NotCurrent;
+    if (comesBack && refresh(target).replicas.empty())
+        noteComingBack(target, entry.waiting.classId, refused.retryAfter);
+    calls.push_back({ std::move(entry.done), refused });
+    entries_.erase(found);
+}
+
+auto Scheduler::refuseAll(ErrorKind kind, Calls &calls) -> void
+{
+    auto tickets = std::vector<Ticket> {};
+    for (const auto &[ticket, entry] : entries_) {
+        if (!entry.isRunning)
+            tickets.push_back(ticket);
+    }
+    for (const auto ticket : tickets) {
+        queue_.cancel(ticket);
+        refuse(ticket, { kind, 0 }, calls);
+    }
+}
+
+auto Scheduler::pump(TargetState &state, Calls &calls) -> void
+{
+    while (state.waiting > 0 && grantOne(state, calls)) {
+    }
+}
+
+auto Scheduler::grantOne(TargetState &state, Calls &calls) -> bool
+{
+    if (refresh(state).replicas.empty())
+        return false;
+    const auto at = now();
+    const auto next = queue_.pop(state.target.queueKey(), at);
+    if (!next)
+        return false;
+    const auto found = entries_.find(next->ticket);
+    FIGRACK_CHECK(found != entries_.end() && !found->second.isRunning,
+                  "the queue holds only requests that wait");
+    auto &entry = found->second;
+    const auto index = chooseFor(entry, state);
+    if (!index) {
+        queue_.putBack(*next);
+        return false;
+    }
+    entry.replica = state.cached.view.candidates[*index];
+    entry.isRunning = true;
+    entry.dispatchedAt = at;
+    --state.waiting;
+    ++state.running;
+    ++running_;
+    chooser_.onDispatch(entry.replica.id, entry.queued.model, at);
+    if (!entry.waiting.target.isService())
+        usedEngines_[entry.replica.id] = entry.replica.address;
+    calls.push_back({ std::move(entry.done),
+                      Granted { entry.replica, entry.cold, at - entry.queued.arrived } });
+    return true;
+}
+
+auto Scheduler::chooseFor(const Entry &entry, TargetState &state) -> std::optional<std::size_t>
+{
+    const auto &view = state.cached.view;
+    auto request = policy::ChoiceRequest {};
+    request.model = entry.queued.model;
+    request.prefix = entry.waiting.prefix;
+    if (entry.avoid.empty())
+        return chooser_.choose(request, view.replicas, view.slots, now());
+    // A replica that failed this very request is asked again only when there is no other.
+    auto others = std::vector<policy::ReplicaInfo> {};
+    auto indexes = std::vector<std::size_t> {};
+    for (auto i = std::size_t { 0 }; i < view.replicas.size(); ++i) {
+        if (entry.avoid.count(view.replicas[i].endpoint) > 0)
+            continue;
+        others.push_back(view.replicas[i]);
+        indexes.push_back(i);
+    }
+    if (others.empty())
+        return chooser_.choose(request, view.replicas, view.slots, now());
+    const auto chosen = chooser_.choose(request, others, view.slots, now());
+    return chosen ? std::optional { indexes[*chosen] } : std::nullopt;
+}
+
+auto Scheduler::tick() -> void
+{
+    const auto current = hooks_.isCurrent();
+    auto calls = Calls {};
+    {
+        const auto lock = std::scoped_lock { mutex_ };
+        if (!current) {
+            refuseAll(ErrorKind::NotCurrent, calls);
+        } else {
+            expire(calls);
+            recheckAll(calls);
+        }
+        if (states_.size() > maxIdleStates)
+            dropIdleStates();
+    }
+    deliver(calls);
+}
+
+auto Scheduler::expire(Calls &calls) -> void
+{
+    for (const auto &request : queue_.expire(now())) {
+        const auto found = entries_.find(request.ticket);
+        if (found == entries_.end())
+            continue;
+        auto &target = state(found->second.waiting.target);
+        refuse(request.ticket, { ErrorKind::DeadlineExceeded, retryAfter(target) }, calls);
+    }
+}
+
+auto Scheduler::recheckAll(Calls &calls) -> void
+{
+    for (auto &[key, target] : states_) {
+        if (target.waiting == 0)
+            continue;
+        pump(target, calls);
+        if (target.waiting == 0)
+            continue;
+        const auto view = modelView(target);
+        const auto after = retryAfter(target);
+        for (const auto &request : queue_.recheck(key, view, now()))
+            refuse(request.ticket, { ErrorKind::TargetUnreachable, after }, calls);
+    }
+}
+
+auto Scheduler::onViewChanged() -> void
+{
+    const auto current = hooks_.isCurrent();
+    if (!current)
+        return;
+    auto calls = Calls {};
+    {
+        const auto lock = std::scoped_lock { mutex_ };
+        for (auto &[key, target] : states_)
+            pump(target, calls);
+    }
+    deliver(calls);
+}
+
+auto Scheduler::onLoad(const proto::LoadDigest &digest) -> void
+{
+    auto calls = Calls {};
+    const auto current = hooks_.isCurrent();
+    {
+        const auto lock = std::scoped_lock { mutex_ };
+        const auto at = now();
+        for (const auto &row : digest.rows) {
+            for (const auto &replica : row.replicas) {
+                chooser_.onReport(row.endpoint, replica.model, replica.running, replica.waiting,
+                                  at - row.ageMs);
+            }
+        }
+        if (current) {
+            for (auto &[key, target] : states_)
+                pump(target, calls);
+        }
+    }
+    deliver(calls);
+}
+
+auto Scheduler::onCacheEvents(const policy::CacheEvents &events) -> void
+{
+    const auto lock = std::scoped_lock { mutex_ };
+    chooser_.onCacheEvents(events, now());
+}
+
+auto Scheduler::wantsCacheSnapshot(const EndpointId &endpoint) const -> bool
+{
+    const auto lock = std::scoped_lock { mutex_ };
+    return chooser_.wantsCacheSnapshot(endpoint);
+}
+
+auto Scheduler::retryAfter(TargetState &state) -> Millis
+{
+    const auto view = modelView(state);
+    if (view.loading > 0)
+        return std::max(view.nextReady - now(), shortestRetry);
+    if (view.ready == 0)
+        return std::max(view.predictedLoad, shortestRetry);
+    const auto queued = static_cast<Millis>(queue_.queuedFor(state.target.queueKey()));
+    const auto slots = std::max<Millis>(view.totalSlots, 1);
+    return std::max(view.serviceTime * (queued + 1) / slots, shortestRetry);
+}
+
+auto Scheduler::noteArrival(TargetState &state, const ClassId &classId) -> void
+{
+    ++state.demand[classId].arrived;
+}
+
+auto Scheduler::noteComingBack(TargetState &state, const ClassId &classId, Millis after) -> void
+{
+    auto &times = state.demand[classId].comingBack;
+    const auto at = now();
+    std::erase_if(times, [at](Millis until) { return until <= at; });
+    if (times.size() < maxComingBack)
+        times.push_back(at + after + comingBackGrace);
+}
+
+auto Scheduler::takeDemand() -> std::vector<proto::DemandRow>
+{
+    const auto lock = std::scoped_lock { mutex_ };
+    const auto at = now();
+    auto rows = std::map<std::pair<ModelId, ClassId>, proto::DemandRow> {};
+    const auto row = [&rows](const ModelId &model, const ClassId &classId) -> proto::DemandRow & {
+        auto &found = rows[{ model, classId }];
+        found.model = model;
+        found.classId = classId;
+        return found;
+    };
+    for (const auto &[ticket, entry] : entries_) {
+        if (entry.waiting.target.isService())
+            continue;
+        auto &out = row(entry.waiting.target.model, entry.waiting.classId);
+        if (entry.isRunning) {
+            ++out.running;
+            continue;
+        }
+        const auto slack = entry.queued.startBy - at;
+        out.tightestSlackMs = out.queued == 0 ? slack : std::min(out.tightestSlackMs, slack);
+        out.oldestWaitMs = std::max(out.oldestWaitMs, at - entry.queued.arrived);
+        ++out.queued;
+    }
+    for (auto &[key, target] : states_) {
+        if (target.target.isService())
+            continue;
+        for (auto &[classId, count] : target.demand) {
+            std::erase_if(count.comingBack, [at](Millis until) { return until <= at; });
+            const auto returning = remaining(count.comingBack, at);
+            if (count.arrived == 0 && returning == 0)
+                continue;
+            auto &out = row(target.target.model, classId);
+            out.arrived = std::exchange(count.arrived, 0);
+            out.queued += returning;
+        }
+    }
+    auto list = std::vector<proto::DemandRow> {};
+    for (auto &[key, value] : rows)
+        list.push_back(std::move(value));
+    return list;
+}
+
+auto Scheduler::dropIdleStates() -> void
+{
+    std::erase_if(states_, [](const auto &entry) {
+        const auto &state = entry.second;
+        return state.waiting == 0 && state.running == 0
+                && std::all_of(state.demand.begin(), state.demand.end(), [](const auto &demand) {
+                       return demand.second.arrived == 0 && demand.second.comingBack.empty();
+                   });
+    });
+}
+
+auto Scheduler::waiting() const -> std::size_t
+{
+    const auto lock = std::scoped_lock { mutex_ };
+    return entries_.size() - running_;
+}
+
+auto Scheduler::running() const -> std::size_t
+{
+    const auto lock = std::scoped_lock { mutex_ };
+    return running_;
+}
+
+auto Scheduler::takeUsedEngines() -> std::map<EndpointId, Address>
+{
+    const auto lock = std::scoped_lock { mutex_ };
+    return std::exchange(usedEngines_, {});
+}
+
+} // namespace figrack::router
--- /dev/null
+++ b/router/testing/tst_dispatch.cpp
@@ -0,0 +1,520 @@
+// The dispatcher against scripted engines: what runs again, what is resumed, what is given up,
+// and what it says of it.
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <deque>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "fakes.h"
+#include "fleet.h"
+#include "router/dispatch.h"
+
+namespace figrack::router {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct DispatchFixture
+{
+    DispatchFixture()
+    {
+        fleet.addClass("draft", 10000, 60000);
+        fleet.addModel("plaques");
+        fleet.addService("orders", false);
+        fleet.addEngine("e1", 9001);
+        fleet.addEngine("e2", 9002);
+        fleet.addServiceEndpoint("s1", 9003, "orders");
+        fleet.addServiceEndpoint("s2", 9004, "orders");
+        fleet.load("plaques", "e1");
+        fleet.load("plaques", "e2");
+        work.id = RequestId { "q1" };
+        work.target.model = ModelId { "plaques" };
+        work.classId = ClassId { "draft" };
+        work.caller = "caller";
+        work.enginePath = "/v1/completions";
+        work.contentType = "application/json";
+        work.startTarget = 10000;
+        work.finishTarget = 60000;
+    }
+
+    static auto retryOptions() -> policy::RetryOptions
+    {
+        auto retry = policy::RetryOptions {};
+        retry.capacity = 5;
+        retry.firstDelay = 0;
+        return retry;
+    }
+
+    auto passTime() -> void
+    {
+        clock.advance(milliseconds { 20 });
+        scheduler.tick();
+    }
+    /// Runs the work to its end.
+    auto run() -> Outcome
+    {
+        auto outcome = Outcome {};
+        auto ended = 0;
+        asio::co_spawn(
+                context,
+                [&]() -> asio::awaitable<void> {
+                    responder.onPeerGone([this] { caller.onGone(); });
+                    outcome = co_await dispatcher.run(work, caller, responder);
+                    ++ended;
+                },
+                asio::detached);
+        REQUIRE(runUntil(
+                context, [&ended] { return ended > 0; }, [this] { passTime(); }));
+        CHECK(scheduler.running() == 0);
+        CHECK(scheduler.waiting() == 0);
+        return outcome;
+    }
+    auto asService() -> void
+    {
+        work.target = { {}, ServiceId { "orders" } };
+        work.enginePath = "/";
+        work.repeatable = false;
+    }
+
+    ManualClock clock;
+    Fleet fleet { clock };
+    asio::io_context context;
+    bool current = true;
+    Scheduler scheduler { SchedulerOptions { {}, {}, 500, 7 }, clock, fleet.view,
+                          SchedulerHooks { [this] { return current; }, [] {} } };
+    RetryBudget budget { retryOptions(), 3 };
+    FakeEngines engines;
+    DispatchOptions options { std::chrono::seconds { 30 }, 4096 };
+    Dispatcher dispatcher { options,
+                            clock,
+                            scheduler,
+                            budget,
+                            fleet.view,
+                            [this](http::ClientRequest request, Duration timeout) {
+                                return engines.open(std::move(request), timeout);
+                            } };
+    FakeResponder responder;
+    CallerState caller { false };
+    Work work;
+};
+
+TEST_CASE_FIXTURE(DispatchFixture, "a whole answer is handed back as it came")
+{
+    engines.push(answerWith(200, R"({"text":"here lies"})"));
+    const auto outcome = run();
+    CHECK(outcome.status.ok());
+    CHECK(outcome.end == report::RequestEnd::Answered);
+    CHECK(outcome.answer == R"({"text":"here lies"})");
+    CHECK(outcome.contentType == "application/json");
+    REQUIRE(engines.requests.size() == 1);
+    const auto &sent = engines.requests[0];
+    CHECK(http::findHeader(sent.headers, "X-Request-Id") == "q1");
+    CHECK(http::findHeader(sent.headers, "X-Figrack-Priority") == "10000");
+    CHECK(http::findHeader(sent.headers, "X-Figrack-Resume-From").empty());
+}
+
+TEST_CASE_FIXTURE(DispatchFixture, "a stream passes byte for byte, however it is cut into chunks")
+{
+    work.stream = true;
+    const auto whole = tokens(0, 5) + ": note\n\n" + tokens(5, 9) + "data: [DONE]\n\n";
+    for (auto size = std::size_t { 1 }; size < whole.size(); size += 3) {
+        auto chunks = std::vector<std::string> {};
+        for (auto at = std::size_t { 0 }; at < whole.size(); at += size)
+            chunks.push_back(whole.substr(at, size));
+        engines.push(streamOf(std::move(chunks)));
+        responder = FakeResponder {};
+        const auto outcome = run();
+        CHECK(outcome.status.ok());
+        CHECK(responder.body == whole);
+        CHECK(responder.finished);
+    }
+}
+
+// --- the truth of not_run ---
+
+struct TruthRow
+{
+    const char *name;
+    bool service;
+    std::vector<Script> scripts;
+    int ran; ///< Dispatches of which a byte left.
+    Ran said;
+    bool answered;
+    ErrorKind kind;
+};
+
+TEST_CASE_FIXTURE(DispatchFixture, "not_run is said exactly when nothing ran")
+{
+    const auto notTaken = [] {
+        auto script = answerWith(503, "{}");
+        script.headers.push_back({ "X-Figrack-Ran", "not_run" });
+        return script;
+    };
+    const auto brokenBody = [] {
+        auto script = answerWith(200, "{\"te");
+        script.cut = true;
+        return script;
+    };
+    const auto rows = std::vector<TruthRow> {
+        { "engine: refused everywhere",
+          false,
+          { refuse(), refuse(), refuse() },
+          0,
+          Ran::NotRun,
+          false,
+          ErrorKind::EndpointFailed },
+        { "engine: refused, then answered",
+          false,
+          { refuse(), answerWith(200, "a") },
+          1,
+          Ran::Unknown,
+          true,
+          ErrorKind::Ok },
+        { "engine: its own refusal, then answered",
+          false,
+          { answerWith(429, "{}"), answerWith(200, "a") },
+          2,
+          Ran::Unknown,
+          true,
+          ErrorKind::Ok },
+        { "engine: broken without a head, repeated",
+          false,
+          { breakOff(), answerWith(200, "a") },
+          2,
+          Ran::Unknown,
+          true,
+          ErrorKind::Ok },
+        { "engine: broken, then refused everywhere",
+          false,
+          { breakOff(), refuse(), refuse() },
+          1,
+          Ran::Unknown,
+          false,
+          ErrorKind::EndpointFailed },
+        { "engine: fault, repeated",
+          false,
+          { answerWith(500, "{}"), answerWith(200, "a") },
+          2,
+          Ran::Unknown,
+          true,
+          ErrorKind::Ok },
+        { "engine: body cut, repeated",
+          false,
+          { brokenBody(), answerWith(200, "a") },
+          2,
+          Ran::Unknown,
+          true,
+          ErrorKind::Ok },
+        { "service: refused everywhere",
+          true,
+          { refuse(), refuse(), refuse() },
+          0,
+          Ran::NotRun,
+          false,
+          ErrorKind::EndpointFailed },
+        { "service: refused, then answered",
+          true,
+          { refuse(), answerWith(200, "a") },
+          1,
+          Ran::Unknown,
+          true,
+          ErrorKind::Ok },
+        { "service: says not_run, then answered",
+          true,
+          { notTaken(), answerWith(200, "a") },
+          2,
+          Ran::Unknown,
+          true,
+          ErrorKind::Ok },
+        { "service: broken without a head",
+          true,
+          { breakOff(), answerWith(200, "a") },
+          1,
+          Ran::Unknown,
+          false,
+          ErrorKind::OutcomeUnknown },
+        { "service: body cut",
+          true,
+          { brokenBody(), answerWith(200, "a") },
+          1,
+          Ran::Unknown,
+          false,
+          ErrorKind::OutcomeUnknown },
+        { "service: its fault is its answer",
+          true,
+          { answerWith(503, "busy") },
+          1,
+          Ran::Unknown,
+          true,
+          ErrorKind::Ok },
+    };
+    const auto engineWork = work;
+    for (const auto &row : rows) {
+        CAPTURE(row.name);
+        work = engineWork;
+        if (row.service)
+            asService();
+        engines = FakeEngines {};
+        for (const auto &script : row.scripts)
+            engines.push(script);
+        responder = FakeResponder {};
+        const auto outcome = run();
+        CHECK(engines.ran == row.ran);
+        CHECK(ranName(outcome.ran) == ranName(row.said));
+        CHECK((outcome.end == report::RequestEnd::Answered) == row.answered);
+        CHECK(errorName(errorKind(outcome.status)) == errorName(row.kind));
+        // Endpoints put aside by the failures of one row are back for the next.
+        for (auto i = 0; i < 40; ++i)
+            budget.onRequest();
+        clock.advance(std::chrono::minutes { 3 });
+    }
+}
+
+TEST_CASE_FIXTURE(DispatchFixture, "what may not be repeated goes out on a fresh connection")
+{
+    asService();
+    engines.push(answerWith(200, "a"));
+    run();
+    CHECK(engines.requests.at(0).freshConnection);
+}
+
+TEST_CASE_FIXTURE(DispatchFixture, "retries stop when the shared budget is spent")
+{
+    const auto failed = policy::FailedAttempt { 1, true, true, 1000 };
+    while (budget.next(failed, 0))
+        continue;
+    CHECK(budget.left() == 0);
+    engines.push(refuse());
+    engines.push(answerWith(200, "a"));
+    const auto outcome = run();
+    CHECK(outcome.ran == Ran::NotRun);
+    CHECK(errorKind(outcome.status) == ErrorKind::EndpointFailed);
+    CHECK(engines.requests.size() == 1);
+}
+
+// --- resuming ---
+
+TEST_CASE_FIXTURE(DispatchFixture,
+                  "a stream cut by an engine's death goes on elsewhere, no token twice")
+{
+    work.stream = true;
+    // The cut falls inside token 4, which the caller must not see half.
+    engines.push(cutAfter({ tokens(0, 3), tokens(3, 4) + "data: t4" }));
+    engines.push(streamOf({ tokens(4, 6), tokens(6, 7) + "data: [DONE]\n\n" }));
+    const auto outcome = run();
+    CHECK(outcome.status.ok());
+    REQUIRE(engines.requests.size() == 2);
+    CHECK(http::findHeader(engines.requests[1].headers, "X-Figrack-Resume-From") == "4");
+    CHECK(engines.requests[0].address != engines.requests[1].address);
+    CHECK(responder.body == tokens(0, 7) + "data: [DONE]\n\n");
+    CHECK(responder.answers == 1);
+    CHECK(responder.finished);
+}
+
+TEST_CASE_FIXTURE(DispatchFixture, "a stream that ends without [DONE] was cut")
+{
+    work.stream = true;
+    engines.push(streamOf({ tokens(0, 2) }));
+    engines.push(streamOf({ tokens(2, 3) + "data: [DONE]\n\n" }));
+    const auto outcome = run();
+    CHECK(outcome.status.ok());
+    CHECK(http::findHeader(engines.requests.at(1).headers, "X-Figrack-Resume-From") == "2");
+    CHECK(responder.body == tokens(0, 3) + "data: [DONE]\n\n");
+}
+
+TEST_CASE_FIXTURE(DispatchFixture, "comments and keep-alives are no tokens")
+{
+    work.stream = true;
+    engines.push(cutAfter({ ": hello\n\n" + tokens(0, 1) + ": still here\n\nid: 4\n\n" }));
+    engines.push(streamOf({ tokens(1, 2) + "data: [DONE]\n\n" }));
+    run();
+    CHECK(http::findHeader(engines.requests.at(1).headers, "X-Figrack-Resume-From") == "1");
+}
+
+TEST_CASE_FIXTURE(DispatchFixture, "a cut stream that may not be repeated ends in an error event")
+{
+    work.stream = true;
+    work.repeatable = false;
+    engines.push(cutAfter({ tokens(0, 3) }));
+    engines.push(streamOf({ tokens(3, 4) + "data: [DONE]\n\n" }));
+    const auto outcome = run();
+    CHECK(engines.requests.size() == 1);
+    CHECK(errorKind(outcome.status) == ErrorKind::OutcomeUnknown);
+    CHECK(outcome.headSent);
+    CHECK(responder.body.find(tokens(0, 3) + "event: error\ndata: {") == 0);
+    CHECK(responder.body.find("outcome_unknown") != std::string::npos);
+    CHECK(responder.body.find("[DONE]") == std::string::npos);
+    CHECK(responder.finished);
+}
+
+TEST_CASE_FIXTURE(DispatchFixture, "a stream whose resumes all fail ends in an error event")
+{
+    work.stream = true;
+    engines.push(cutAfter({ tokens(0, 1) }));
+    engines.push(cutAfter({ tokens(1, 2) }));
+    engines.push(cutAfter({ tokens(2, 3) }));
+    engines.push(streamOf({ tokens(3, 4) + "data: [DONE]\n\n" }));
+    const auto outcome = run();
+    CHECK(engines.requests.size() == 3);
+    CHECK(outcome.end == report::RequestEnd::Failed);
+    CHECK(outcome.ran == Ran::Unknown);
+    CHECK(responder.body.find(tokens(0, 3) + "event: error\n") == 0);
+    CHECK(responder.body.find("[DONE]") == std::string::npos);
+}
+
+TEST_CASE_FIXTURE(DispatchFixture,
+                  "an engine's error event is not passed on while there is a way on")
+{
+    work.stream = true;
+    engines.push(streamOf({ tokens(0, 2) + "event: error\ndata: {}\n\n" }));
+    engines.push(streamOf({ tokens(2, 3) + "data: [DONE]\n\n" }));
+    run();
+    CHECK(responder.body == tokens(0, 3) + "data: [DONE]\n\n");
+}
+
+TEST_CASE_FIXTURE(DispatchFixture, "what an engine says after [DONE] reaches nobody")
+{
+    work.stream = true;
+    engines.push(streamOf({ tokens(0, 1) + "data: [DONE]\n\n" + tokens(1, 4), tokens(4, 5) }));
+    const auto outcome = run();
+    CHECK(outcome.status.ok());
+    CHECK(responder.body == tokens(0, 1) + "data: [DONE]\n\n");
+}
+
+// --- the caller goes ---
+
+TEST_CASE_FIXTURE(DispatchFixture, "a caller that goes while it waits leaves the queue")
+{
+    fleet.addModel("letters");
+    work.target.model = ModelId { "letters" };
+    asio::post(context, [this] { asio::post(context, [this] { responder.leave(); }); });
+    const auto outcome = run();
+    CHECK(outcome.end == report::RequestEnd::Cancelled);
+    CHECK(outcome.ran == Ran::NotRun);
+    CHECK(engines.requests.empty());
+}
+
+TEST_CASE_FIXTURE(DispatchFixture,
+                  "a caller that goes while it streams has the engine's stream aborted")
+{
+    work.stream = true;
+    auto script = streamOf({ tokens(0, 1) });
+    script.hang = true;
+    engines.push(script);
+    responder.onWrite = [this] { asio::post(context, [this] { responder.leave(); }); };
+    const auto outcome = run();
+    CHECK(outcome.end == report::RequestEnd::Cancelled);
+    CHECK(*engines.aborts == 1);
+    CHECK(engines.requests.size() == 1);
+}
+
+TEST_CASE_FIXTURE(DispatchFixture, "claimed work goes on without its caller, for the resend")
+{
+    auto kept = CallerState { true };
+    asService();
+    work.key = IdempotencyKey { "k" };
+    auto script = answerWith(200, "ordered");
+    script.beforeChunk = [&kept](int) { kept.onGone(); };
+    engines.push(script);
+    auto outcome = Outcome {};
+    asio::co_spawn(
+            context,
+            [&]() -> asio::awaitable<void> {
+                outcome = co_await dispatcher.run(work, kept, responder);
+            },
+            asio::detached);
+    REQUIRE(runUntil(
+            context, [&outcome] { return outcome.whole; }, [this] { passTime(); }));
+    CHECK(outcome.answer == "ordered");
+    CHECK(*engines.aborts == 0);
+}
+
+// --- deadlines, leaving endpoints ---
+
+TEST_CASE_FIXTURE(DispatchFixture, "a dispatch held back at its last moment did not run")
+{
+    asService();
+    auto mayStart = true;
+    work.mayStart = [&mayStart] { return mayStart; };
+    mayStart = false;
+    engines.push(answerWith(200, "a"));
+    const auto outcome = run();
+    CHECK(engines.ran == 0);
+    CHECK(engines.heldBack == 1);
+    CHECK(outcome.ran == Ran::NotRun);
+    CHECK(errorKind(outcome.status) == ErrorKind::DeadlineExceeded);
+}
+
+TEST_CASE_FIXTURE(DispatchFixture, "an endpoint that begins to drain after the choice gets nothing")
+{
+    engines.push(answerWith(200, "a"));
+    engines.push(answerWith(200, "b"));
+    // The choice is made on submit; the drain comes before the connection stands.
+    asio::post(context, [this] {
+        fleet.view.setAnnouncedDraining(EndpointId { "e1" }, Incarnation { 1 }, true);
+    });
+    for (auto i = 0; i < 8; ++i) {
+        engines = FakeEngines {};
+        engines.push(answerWith(200, "a"));
+        engines.push(answerWith(200, "b"));
+        const auto outcome = run();
+        CHECK(outcome.status.ok());
+        CHECK(engines.ran == 1);
+        CHECK(engines.requests.back().address.port == 9002);
+    }
+}
+
+TEST_CASE_FIXTURE(DispatchFixture, "an answer past the bound is refused, not cut")
+{
+    work.repeatable = false;
+    engines.push(answerWith(200, std::string(5000, 'x')));
+    const auto outcome = run();
+    CHECK_FALSE(outcome.whole);
+    CHECK(outcome.answer.empty());
+    CHECK(outcome.ran == Ran::Unknown);
+}
+
+TEST_CASE_FIXTURE(DispatchFixture, "requests with one id each get their own answer, in any order")
+{
+    constexpr auto count = std::size_t { 6 };
+    auto works = std::vector<Work>(count, work);
+    auto callers = std::vector<CallerState>(count, CallerState { false });
+    auto responders = std::vector<FakeResponder>(count);
+    auto answers = std::vector<std::string> {};
+    auto bodies = std::deque<std::string> {};
+    auto endings = std::vector<std::size_t> {};
+    for (auto i = std::size_t { 0 }; i < count; ++i) {
+        const auto first = static_cast<int>(i) * 100;
+        answers.push_back(tokens(first, first + 3) + "data: [DONE]\n\n");
+        bodies.push_back(std::to_string(i));
+        works[i].stream = true;
+        works[i].body = bodies[i];
+        auto script = streamOf({ answers[i].substr(0, 12), answers[i].substr(12) });
+        script.turns = static_cast<int>(count - i) * 40; // The first answer comes last.
+        engines.pushFor(bodies[i], script);
+    }
+    for (auto i = std::size_t { 0 }; i < count; ++i) {
+        asio::co_spawn(
+                context,
+                [&, i]() -> asio::awaitable<void> {
+                    (void)co_await dispatcher.run(works[i], callers[i], responders[i]);
+                    endings.push_back(i);
+                },
+                asio::detached);
+    }
+    REQUIRE(runUntil(
+            context, [&endings] { return endings.size() == count; }, [this] { passTime(); }));
+    CHECK(endings == std::vector<std::size_t> { 5, 4, 3, 2, 1, 0 });
+    for (auto i = std::size_t { 0 }; i < count; ++i) {
+        CHECK(responders[i].body == answers[i]);
+        CHECK(responders[i].finished);
+    }
+}
+
+} // namespace
+} // namespace figrack::router
