router: tests whose lease does not lapse when the machine stalls

Cause: a planned-stop test failed once at a load of 72: its 400 ms lease lapsed before the request came, which was then honestly refused. The lease of the whole-router tests is now 8 s; how long the notice of a stop takes to spread is an option of its own, so that the test needn't wait for it.

--- a/router/router.cpp
+++ b/router/router.cpp
@@ -92,7 +92,7 @@
 {
     auto out = DrainOptions {};
     out.addressLifetime = options.addressLifetime;
-    out.spread = options.viewLease.length;
+    out.spread = options.drainSpread;
     return out;
 }
 
--- a/router/settings.cpp
+++ b/router/settings.cpp
@@ -172,6 +172,8 @@
     options.announceProxies = splitList(settings.text("announce.proxies"));
     readBounds(settings, options);
     readTimes(settings, options);
+    // Past a lease's length a router has applied the notice or serves nobody.
+    options.drainSpread = options.viewLease.length;
     if (options.viewLease.renewEvery * 2 > options.viewLease.length)
         return makeError(ErrorKind::BadSettings,
                          "lease.renew_every must be at most half of lease.length");
--- a/router/settings.h
+++ b/router/settings.h
@@ -45,6 +45,7 @@
     std::uint32_t serviceSlots = 64; ///< Calls at once to one endpoint of a plain service.
 
     Duration addressLifetime = std::chrono::seconds { 10 };
+    Duration drainSpread = std::chrono::milliseconds { 1500 }; ///< Till all know that it leaves.
     Duration demandEvery = std::chrono::milliseconds { 100 };
     Duration demandIdleEvery = std::chrono::seconds { 1 };
     Duration expectedLoad = std::chrono::seconds { 1 }; ///< Until loads have been seen.
--- a/router/testing/tst_router.cpp
+++ b/router/testing/tst_router.cpp
@@ -83,7 +83,9 @@
         options.callerAddress = Address { "127.0.0.1", 1 };
         options.controls = { control.named() };
         options.addressLifetime = milliseconds { 100 };
-        options.viewLease.length = milliseconds { 400 };
+        options.drainSpread = milliseconds { 100 };
+        // Long enough not to lapse on a machine that stalls for seconds.
+        options.viewLease.length = seconds { 8 };
         options.viewLease.renewEvery = milliseconds { 50 };
         putClass();
         putModel();
