figrackctl: the operator's program

Commands over the operator API: classes, models, services, status, drain, members with a guided replacement, transfer and report. It follows redirects, tries all controls, and resends a change under its id; what may not be repeated is sent again only when the answer says that it did not run.

--- /dev/null
+++ b/cmd/ctl.cpp
@@ -0,0 +1,570 @@
+// Each command is a short function over Session, which holds the options and the
+// client. A change is a compare-and-set: the configuration is read first, the row of
+// the change is built on what is there, and its revision is what the change expects.
+
+#include "cmd/ctl.h"
+
+#include <array>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <thread>
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+#include "cmd/ctlclient.h"
+#include "cmd/ctloptions.h"
+#include "cmd/ctltable.h"
+#include "core/crypto.h"
+#include "core/error.h"
+
+namespace figrack::cmd {
+namespace {
+
+namespace json = boost::json;
+
+constexpr auto pollDelay = std::chrono::milliseconds { 500 };
+constexpr auto defaultWait = Duration { std::chrono::minutes { 10 } };
+
+/// How an option becomes a field of a row.
+enum class FieldType : std::uint8_t { Text, Number, Millis, Flag };
+
+struct FieldRow
+{
+    std::string_view option;
+    const char *field;
+    FieldType type;
+};
+
+/// One kind of row of the configuration.
+struct KindRow
+{
+    std::string_view command; ///< First word: "classes".
+    const char *list;         ///< Field of the configuration.
+    const char *put;
+    const char *remove;
+    std::vector<FieldRow> fields;
+    std::vector<Column> columns;
+};
+
+auto kindRows() -> const std::vector<KindRow> &
+{
+    static const auto rows = std::vector<KindRow> {
+        { "classes",
+          "classes",
+          "put_class",
+          "delete_class",
+          { { "start", "start_ms", FieldType::Millis },
+            { "finish", "finish_ms", FieldType::Millis },
+            { "share", "share_percent", FieldType::Number },
+            { "default", "default", FieldType::Flag } },
+          { { "id", "CLASS" },
+            { "start_ms", "START_MS" },
+            { "finish_ms", "FINISH_MS" },
+            { "share_percent", "SHARE_%" },
+            { "default", "DEFAULT" } } },
+        { "models",
+          "models",
+          "put_model",
+          "delete_model",
+          { { "model-version", "version", FieldType::Text },
+            { "base", "base", FieldType::Text },
+            { "weight-mb", "weight_mb", FieldType::Number },
+            { "kv-mb", "kv_mb", FieldType::Number },
+            { "slots", "slots", FieldType::Number } },
+          { { "id", "MODEL" },
+            { "version", "VERSION" },
+            { "base", "BASE" },
+            { "weight_mb", "WEIGHT_MB" },
+            { "kv_mb", "KV_MB" },
+            { "slots", "SLOTS" } } },
+        { "services",
+          "services",
+          "put_service",
+          "delete_service",
+          { { "repeatable", "repeatable", FieldType::Flag },
+            { "call-timeout", "timeout_ms", FieldType::Millis } },
+          { { "id", "SERVICE" }, { "repeatable", "REPEATABLE" }, { "timeout_ms", "TIMEOUT_MS" } } },
+    };
+    return rows;
+}
+
+const auto memberColumns = std::vector<Column> {
+    { "node", "MEMBER" },    { "domain", "DOMAIN" },           { "address", "ADDRESS" },
+    { "voter", "VOTER" },    { "caught_up", "CAUGHT_UP" },     { "heard", "HEARD" },
+    { "match_index", "AT" }, { "incarnation", "INCARNATION" },
+};
+const auto routerColumns = std::vector<Column> { { "node", "ROUTER" },
+                                                 { "domain", "DOMAIN" },
+                                                 { "address", "ADDRESS" },
+                                                 { "alive", "ALIVE" },
+                                                 { "draining", "DRAINING" } };
+const auto endpointColumns = std::vector<Column> {
+    { "id", "ENDPOINT" },         { "kind", "KIND" },         { "service", "SERVICE" },
+    { "domain", "DOMAIN" },       { "address", "ADDRESS" },   { "memory_mb", "MEMORY_MB" },
+    { "held_mb", "HELD_MB" },     { "draining", "DRAINING" }, { "suspected", "SUSPECTED" },
+    { "checks_fence", "FENCED" },
+};
+const auto replicaColumns = std::vector<Column> {
+    { "model", "MODEL" },   { "version", "VERSION" },   { "endpoint", "ENDPOINT" },
+    { "state", "STATE" },   { "in_doubt", "IN_DOUBT" }, { "memory_mb", "MEMORY_MB" },
+    { "reason", "REASON" },
+};
+
+auto progress(const std::string &line) -> void
+{
+    std::cerr << line << '\n';
+}
+
+auto fail(const absl::Status &status) -> ExitCode
+{
+    std::cerr << "figrackctl: " << status.message() << '\n';
+    return ExitCode::Usage;
+}
+
+auto parseObject(const std::string &text) -> json::object
+{
+    auto error = json::error_code {};
+    const auto value = json::parse(text, error);
+    return !error && value.is_object() ? value.get_object() : json::object {};
+}
+
+auto arrayOf(const json::object &object, std::string_view field) -> json::array
+{
+    const auto *value = object.if_contains(json::string_view { field.data(), field.size() });
+    return value != nullptr && value->is_array() ? value->get_array() : json::array {};
+}
+
+auto textOf(const json::object &object, const char *field) -> std::string
+{
+    const auto *value = object.if_contains(field);
+    if (value == nullptr)
+        return "-";
+    return value->is_string() ? std::string { value->get_string() } : json::serialize(*value);
+}
+
+auto isTrue(const json::object &object, const char *field) -> bool
+{
+    const auto *value = object.if_contains(field);
+    return value != nullptr && value->is_bool() && value->get_bool();
+}
+
+auto findRow(const json::array &rows, const char *field, const std::string &id) -> json::object
+{
+    for (const auto &row : rows) {
+        if (row.is_object() && textOf(row.get_object(), field) == id)
+            return row.get_object();
+    }
+    return {};
+}
+
+auto hexId() -> std::string
+{
+    auto id = std::string { "ctl-" };
+    for (const auto c : secureRandom(8))
+        id += fmt::format("{:02x}", static_cast<unsigned char>(c));
+    return id;
+}
+
+/// Explains an answer that is no success. @return its exit code
+auto explain(const ControlReply &reply) -> ExitCode
+{
+    if (reply.outcome == Outcome::Unreachable) {
+        std::cerr << "figrackctl: no control could be reached, nothing was done: " << reply.detail
+                  << "; check --control and try again\n";
+        return ExitCode::Unknown;
+    }
+    if (reply.outcome == Outcome::Unknown) {
+        std::cerr << "figrackctl: the outcome is unknown: " << reply.detail
+                  << "; look at the status, or resend a change with the same --change-id\n";
+        return ExitCode::Unknown;
+    }
+    const auto body = parseObject(reply.body);
+    const auto *error = body.if_contains("error");
+    if (error == nullptr || !error->is_object()) {
+        std::cerr << "figrackctl: the control answered " << reply.status << '\n';
+        return ExitCode::Failed;
+    }
+    const auto &object = error->get_object();
+    std::cerr << fmt::format("figrackctl: {}: {}", textOf(object, "code"),
+                             textOf(object, "message"));
+    if (object.contains("revision"))
+        std::cerr << "; revision in force: " << textOf(object, "revision");
+    std::cerr << "; " << textOf(object, "remedy") << '\n';
+    return ExitCode::Failed;
+}
+
+/// One run of figrackctl.
+class Session
+{
+public:
+    Session(const CtlOptions &options, ControlClientOptions clientOptions, const Clock &clock)
+        : options_(options)
+        , clock_(clock)
+        , client_(std::move(clientOptions), clock)
+    { }
+
+    auto run() -> ExitCode;
+
+private:
+    auto get(const std::string &target) -> ControlReply
+    {
+        return client_.call({ "GET", target, {} });
+    }
+    auto showStatus() -> ExitCode;
+    auto showConfig() -> ExitCode;
+    auto listRows(const KindRow &kind) -> ExitCode;
+    auto putRow(const KindRow &kind) -> ExitCode;
+    auto deleteRow(const KindRow &kind) -> ExitCode;
+    auto sendChange(const json::object &config, const char *operation, json::value what)
+            -> ExitCode;
+    auto drain(std::string_view what) -> ExitCode;
+    auto listMembers() -> ExitCode;
+    auto addMember(const std::string &node) -> ExitCode;
+    auto changeMember(const char *action, const std::string &node) -> ExitCode;
+    auto postMember(const json::object &body) -> ExitCode;
+    auto replaceMember() -> ExitCode;
+    auto transfer() -> ExitCode;
+    auto report() -> ExitCode;
+    auto finish(const ControlReply &reply, const std::string &forPeople) -> ExitCode;
+    auto setField(json::object &row, const FieldRow &field) const -> absl::Status;
+
+    /// Waits until the status fulfils a condition. @return Ok, or why not
+    template<typename Condition>
+    auto waitFor(const std::string &what, Condition condition) -> ExitCode;
+
+    const CtlOptions &options_;
+    const Clock &clock_;
+    ControlClient client_;
+};
+
+auto Session::run() -> ExitCode
+{
+    const auto command = options_.command();
+    for (const auto &kind : kindRows()) {
+        if (command == fmt::format("{} list", kind.command))
+            return listRows(kind);
+        if (command == fmt::format("{} put", kind.command))
+            return putRow(kind);
+        if (command == fmt::format("{} delete", kind.command))
+            return deleteRow(kind);
+    }
+    if (command == "status")
+        return showStatus();
+    if (command == "config show")
+        return showConfig();
+    if (command == "drain endpoint")
+        return drain("endpoints");
+    if (command == "drain router")
+        return drain("routers");
+    if (command == "members list")
+        return listMembers();
+    if (command == "members add")
+        return addMember(options_.names()[0]);
+    if (command == "members promote")
+        return changeMember("promote", options_.names()[0]);
+    if (command == "members remove")
+        return changeMember("remove", options_.names()[0]);
+    if (command == "members replace")
+        return replaceMember();
+    if (command == "transfer")
+        return transfer();
+    return report();
+}
+
+auto Session::finish(const ControlReply &reply, const std::string &forPeople) -> ExitCode
+{
+    if (!reply.isOk())
+        return explain(reply);
+    std::cout << (options_.flag("json") ? reply.body + "\n" : forPeople);
+    return ExitCode::Ok;
+}
+
+auto Session::showStatus() -> ExitCode
+{
+    const auto reply = get(options_.flag("local") ? "/v1/status?local=1" : "/v1/status");
+    const auto status = parseObject(reply.body);
+    auto text = std::string {};
+    for (const auto *field :
+         { "node", "role", "leader", "term", "lease_held", "revision", "accepted_revision",
+           "repair_complete", "membership_changing", "open_orders", "claims" })
+        text += fmt::format("{:<20}  {}\n", field, textOf(status, field));
+    text += '\n' + renderTable(memberColumns, arrayOf(status, "members"));
+    text += '\n' + renderTable(routerColumns, arrayOf(status, "routers"));
+    text += '\n' + renderTable(endpointColumns, arrayOf(status, "endpoints"));
+    text += '\n' + renderTable(replicaColumns, arrayOf(status, "replicas"));
+    return finish(reply, text);
+}
+
+auto Session::showConfig() -> ExitCode
+{
+    const auto reply = get("/v1/config");
+    const auto config = parseObject(reply.body);
+    auto text = fmt::format("revision {}\n", textOf(config, "revision"));
+    for (const auto &kind : kindRows())
+        text += '\n' + renderTable(kind.columns, arrayOf(config, kind.list));
+    return finish(reply, text);
+}
+
+auto Session::listRows(const KindRow &kind) -> ExitCode
+{
+    auto reply = get("/v1/config");
+    const auto rows = arrayOf(parseObject(reply.body), kind.list);
+    if (reply.isOk())
+        reply.body = json::serialize(rows);
+    return finish(reply, renderTable(kind.columns, rows));
+}
+
+auto Session::setField(json::object &row, const FieldRow &field) const -> absl::Status
+{
+    const auto text = options_.text(field.option);
+    switch (field.type) {
+    case FieldType::Text:
+        row[field.field] = text;
+        return absl::OkStatus();
+    case FieldType::Number: {
+        const auto number = options_.number(field.option);
+        if (number.ok())
+            row[field.field] = *number;
+        return number.status();
+    }
+    case FieldType::Millis: {
+        const auto duration = options_.duration(field.option);
+        if (duration.ok())
+            row[field.field] = *duration / std::chrono::milliseconds { 1 };
+        return duration.status();
+    }
+    case FieldType::Flag:
+        if (text != "true" && text != "false")
+            return makeError(ErrorKind::BadSettings,
+                             fmt::format("--{} {} wanted=\"true or false\"", field.option, text));
+        row[field.field] = text == "true";
+        return absl::OkStatus();
+    }
+    return absl::OkStatus();
+}
+
+auto Session::putRow(const KindRow &kind) -> ExitCode
+{
+    auto given = json::object {};
+    for (const auto &field : kind.fields) {
+        if (!options_.isSet(field.option))
+            continue;
+        if (const auto status = setField(given, field); !status.ok())
+            return fail(status);
+    }
+    const auto reply = get("/v1/config");
+    if (!reply.isOk())
+        return explain(reply);
+    const auto config = parseObject(reply.body);
+    auto row = findRow(arrayOf(config, kind.list), "id", options_.names()[0]);
+    row["id"] = options_.names()[0];
+    for (const auto &field : given)
+        row[field.key()] = field.value();
+    return sendChange(config, kind.put, row);
+}
+
+auto Session::deleteRow(const KindRow &kind) -> ExitCode
+{
+    const auto reply = get("/v1/config");
+    if (!reply.isOk())
+        return explain(reply);
+    return sendChange(parseObject(reply.body), kind.remove, json::string { options_.names()[0] });
+}
+
+auto Session::sendChange(const json::object &config, const char *operation, json::value what)
+        -> ExitCode
+{
+    auto body = json::object {};
+    const auto change = options_.isSet("change-id") ? options_.text("change-id") : hexId();
+    body["change"] = change;
+    const auto *user = std::getenv("USER");
+    const auto login = std::string { user == nullptr ? "figrackctl" : user };
+    body["author"] = options_.isSet("author") ? options_.text("author") : login;
+    const auto *revision = config.if_contains("revision");
+    body["expected"] = revision != nullptr ? *revision : json::value { 0 };
+    if (options_.isSet("expected")) {
+        const auto expected = options_.number("expected");
+        if (!expected.ok())
+            return fail(expected.status());
+        body["expected"] = *expected;
+    }
+    body[operation] = std::move(what);
+    progress("change " + change + " sent; waiting until it is in force everywhere");
+    const auto reply = client_.call({ "POST", "/v1/config", json::serialize(body), Resend::Yes });
+    const auto answered = parseObject(reply.body);
+    return finish(reply, fmt::format("revision {} in force\n", textOf(answered, "revision")));
+}
+
+auto Session::drain(std::string_view what) -> ExitCode
+{
+    const auto draining = !options_.flag("undo");
+    const auto &id = options_.names()[0];
+    const auto body = json::serialize(json::object { { "draining", draining } });
+    const auto reply
+            = client_.call({ "POST", fmt::format("/v1/{}/{}/drain", what, id), body, Resend::Yes });
+    return finish(reply, fmt::format("{} {}\n", id, draining ? "is draining" : "takes work"));
+}
+
+auto Session::listMembers() -> ExitCode
+{
+    auto reply = get("/v1/status");
+    const auto members = arrayOf(parseObject(reply.body), "members");
+    if (reply.isOk())
+        reply.body = json::serialize(members);
+    return finish(reply, renderTable(memberColumns, members));
+}
+
+auto Session::postMember(const json::object &body) -> ExitCode
+{
+    const auto reply = client_.call({ "POST", "/v1/members", json::serialize(body), Resend::No });
+    return reply.isOk() ? ExitCode::Ok : explain(reply);
+}
+
+auto Session::addMember(const std::string &node) -> ExitCode
+{
+    for (const auto *option : { "domain", "address", "incarnation" }) {
+        if (!options_.isSet(option))
+            return options_.complain(fmt::format("--{} is missing", option));
+    }
+    const auto address = parseAddress(options_.text("address"));
+    if (!address.ok())
+        return fail(address.status());
+    const auto incarnation = options_.number("incarnation");
+    if (!incarnation.ok())
+        return fail(incarnation.status());
+    progress("adding " + node + " as a learner");
+    return postMember({ { "action", "add" },
+                        { "node", node },
+                        { "domain", options_.text("domain") },
+                        { "address", address->text() },
+                        { "incarnation", *incarnation } });
+}
+
+auto Session::changeMember(const char *action, const std::string &node) -> ExitCode
+{
+    progress(fmt::format("{} {}", action, node));
+    return postMember({ { "action", action }, { "node", node } });
+}
+
+template<typename Condition>
+auto Session::waitFor(const std::string &what, Condition condition) -> ExitCode
+{
+    auto wait = defaultWait;
+    if (options_.isSet("wait")) {
+        const auto given = options_.duration("wait");
+        if (!given.ok())
+            return fail(given.status());
+        wait = *given;
+    }
+    progress("waiting until " + what);
+    const auto end = clock_.now() + wait;
+    auto shown = std::string {};
+    while (true) {
+        const auto reply = get("/v1/status");
+        // An election in between is no reason to give up before the time is over.
+        const auto status = parseObject(reply.body);
+        auto detail = std::string {};
+        if (reply.isOk() && condition(status, detail))
+            return ExitCode::Ok;
+        if (reply.outcome == Outcome::Answered && !reply.isOk())
+            return explain(reply);
+        if (clock_.now() >= end) {
+            std::cerr << "figrackctl: gave up waiting until " << what
+                      << "; run the same command again to go on\n";
+            return ExitCode::Unknown;
+        }
+        if (detail != shown && !detail.empty())
+            progress("  " + detail);
+        shown = detail;
+        std::this_thread::sleep_for(pollDelay);
+    }
+}
+
+auto Session::replaceMember() -> ExitCode
+{
+    // Each step is left out when the status says it is done, so that a second run goes on.
+    const auto &gone = options_.names()[0];
+    const auto &fresh = options_.names()[1];
+    const auto first = get("/v1/status");
+    if (!first.isOk())
+        return explain(first);
+    const auto members = arrayOf(parseObject(first.body), "members");
+    const auto present = findRow(members, "node", fresh);
+    auto code = present.empty() ? addMember(fresh) : ExitCode::Ok;
+    if (code == ExitCode::Ok)
+        code = waitFor(fresh + " has caught up",
+                       [&](const json::object &status, std::string &detail) {
+                           const auto row = findRow(arrayOf(status, "members"), "node", fresh);
+                           detail = fresh + " is at index " + textOf(row, "match_index") + " of "
+                                   + textOf(status, "commit_index");
+                           return isTrue(row, "voter") || isTrue(row, "caught_up");
+                       });
+    if (code == ExitCode::Ok && !isTrue(present, "voter"))
+        code = changeMember("promote", fresh);
+    if (code == ExitCode::Ok)
+        code = waitFor(fresh + " is a voter", [&](const json::object &status, std::string &) {
+            return isTrue(findRow(arrayOf(status, "members"), "node", fresh), "voter")
+                    && !isTrue(status, "membership_changing");
+        });
+    if (code == ExitCode::Ok && !findRow(members, "node", gone).empty())
+        code = changeMember("remove", gone);
+    if (code == ExitCode::Ok)
+        code = waitFor("the loss of any one more loses nothing",
+                       [&](const json::object &status, std::string &) {
+                           return findRow(arrayOf(status, "members"), "node", gone).empty()
+                                   && isTrue(status, "repair_complete")
+                                   && !isTrue(status, "membership_changing");
+                       });
+    if (code == ExitCode::Ok)
+        std::cout << gone << " is replaced by " << fresh << '\n';
+    return code;
+}
+
+auto Session::transfer() -> ExitCode
+{
+    const auto reply = client_.call({ "POST", "/v1/transfer", "{}", Resend::No });
+    return finish(reply, "leadership is being handed over\n");
+}
+
+auto Session::report() -> ExitCode
+{
+    const auto window = options_.isSet("window") ? options_.text("window") : "1h";
+    auto format = options_.isSet("format") ? options_.text("format") : "table";
+    if (options_.flag("json"))
+        format = "json";
+    if (format != "table" && format != "json" && format != "html")
+        return options_.complain("--format is table, json or html");
+    if (window != "5m" && window != "1h" && window != "6h" && window != "3d")
+        return options_.complain("--window is 5m, 1h, 6h or 3d");
+    const auto reply = get(fmt::format("/v1/report?window={}&format={}", window, format));
+    if (!reply.isOk())
+        return explain(reply);
+    if (!options_.isSet("out")) {
+        std::cout << reply.body;
+        return ExitCode::Ok;
+    }
+    auto file = std::ofstream { options_.text("out"), std::ios::binary };
+    file << reply.body;
+    file.close();
+    if (!file)
+        return fail(makeError(ErrorKind::BadSettings, "--out " + options_.text("out")));
+    progress("wrote " + options_.text("out"));
+    return ExitCode::Ok;
+}
+
+} // namespace
+
+auto runCtl(const std::vector<std::string> &arguments, const Clock &clock) -> int
+{
+    const auto options = CtlOptions { arguments };
+    if (const auto code = options.failure())
+        return static_cast<int>(*code);
+    auto clientOptions = options.clientOptions();
+    if (!clientOptions.ok())
+        return static_cast<int>(fail(clientOptions.status()));
+    return static_cast<int>(Session { options, *std::move(clientOptions), clock }.run());
+}
+
+} // namespace figrack::cmd
--- /dev/null
+++ b/cmd/figrackctl.cpp
@@ -0,0 +1,10 @@
+// The operator's program; everything is in cmd/ctl.h.
+
+#include "cmd/commandline.h"
+#include "cmd/ctl.h"
+
+auto main(int argc, char **argv) -> int
+{
+    const auto clock = figrack::SystemClock {};
+    return figrack::cmd::runCtl(figrack::cmd::argumentsOf(argc, argv), clock);
+}
--- /dev/null
+++ b/cmd/testing/tst_ctl.cpp
@@ -0,0 +1,350 @@
+// figrackctl against stand-in controls on loopback sockets.
+
+#include <doctest/doctest.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <mutex>
+#include <sstream>
+#include <thread>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+#include <unistd.h>
+
+#include "cmd/ctl.h"
+#include "core/error.h"
+#include "http/server.h"
+
+using namespace figrack;
+using namespace figrack::cmd;
+using namespace std::chrono_literals;
+
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+constexpr auto token = "0123456789abcdef";
+const auto config = std::string {
+    R"({"revision":7,"classes":[{"id":"urgent","start_ms":2000,"finish_ms":30000,"share_percent":95,)"
+    R"("default":true}],"models":[],"services":[]})"
+};
+
+/// A control that answers as a function says and keeps what it was sent.
+class FakeControl
+{
+public:
+    using Answer = std::function<http::Response(const http::Request &)>;
+    static constexpr auto silence = std::uint32_t { 0 }; ///< A status that stands for no answer.
+
+    explicit FakeControl(Answer answer)
+        : answer_(std::move(answer))
+        , server_(context_, {},
+                  [this](const http::Request &request,
+                         http::Responder &responder) -> asio::awaitable<void> {
+                      auto response = record(request);
+                      if (response.status == silence)
+                          co_await asio::steady_timer { context_, 1h }.async_wait(
+                                  asio::use_awaitable);
+                      (void)co_await responder.send(std::move(response));
+                  })
+    {
+        REQUIRE(server_.start({ "127.0.0.1", 0 }).ok());
+        thread_ = std::thread { [this] { context_.run(); } };
+    }
+    ~FakeControl()
+    {
+        context_.stop();
+        thread_.join();
+    }
+    FakeControl(const FakeControl &) = delete;
+    auto operator=(const FakeControl &) -> FakeControl & = delete;
+
+    auto address() const -> std::string { return "127.0.0.1:" + std::to_string(server_.port()); }
+    /// "METHOD target body" of every request.
+    auto requests() -> std::vector<std::string>
+    {
+        const auto lock = std::lock_guard { mutex_ };
+        return requests_;
+    }
+
+private:
+    auto record(const http::Request &request) -> http::Response
+    {
+        const auto lock = std::lock_guard { mutex_ };
+        const auto query = request.query.empty() ? "" : "?" + request.query;
+        requests_.push_back(request.method + " " + request.path + query + " " + request.body);
+        if (request.header("Authorization") != std::string { "Bearer " } + token)
+            return http::errorResponse(makeError(ErrorKind::BadToken, ""), "not_run");
+        return answer_(request);
+    }
+
+    asio::io_context context_;
+    Answer answer_;
+    std::mutex mutex_; ///< A leaf. Guards requests_ and the calls of answer_.
+    std::vector<std::string> requests_;
+    http::Server server_;
+    std::thread thread_;
+};
+
+struct Outcome
+{
+    int code = 0;
+    std::string out;
+    std::string error;
+};
+
+/// Runs figrackctl with a token and its streams caught.
+auto ctl(std::vector<std::string> arguments, const std::string &tokenText = token) -> Outcome
+{
+    auto path = std::string { "/tmp/tst_ctl.XXXXXX" };
+    close(mkstemp(path.data()));
+    std::ofstream { path } << tokenText << '\n';
+    arguments.insert(arguments.begin(), { "figrackctl", "--token-file", path });
+    auto out = std::ostringstream {};
+    auto error = std::ostringstream {};
+    auto *oldOut = std::cout.rdbuf(out.rdbuf());
+    auto *oldError = std::cerr.rdbuf(error.rdbuf());
+    const auto code = runCtl(arguments, SystemClock {});
+    std::cout.rdbuf(oldOut);
+    std::cerr.rdbuf(oldError);
+    std::remove(path.c_str());
+    return { code, out.str(), error.str() };
+}
+
+auto contains(const std::string &text, std::string_view part) -> bool
+{
+    return text.find(part) != std::string::npos;
+}
+
+/// A control that holds the configuration above and accepts every change.
+auto accepting(const http::Request &request) -> http::Response
+{
+    if (request.method == "GET")
+        return { 200, {}, config };
+    return { 200, {}, R"({"revision":8})" };
+}
+
+auto conflicting(const http::Request &request) -> http::Response
+{
+    if (request.method == "GET")
+        return { 200, {}, config };
+    return { 409,
+             {},
+             R"({"error":{"code":"conflict","message":"author=ann put_class=urgent",)"
+             R"("ran":"not_run","revision":9,"remedy":"read and decide again"}})" };
+}
+
+} // namespace
+
+TEST_CASE("wrong use ends with 2 and sends nothing")
+{
+    auto control = FakeControl { accepting };
+    const auto at = control.address();
+    for (const auto &arguments : std::vector<std::vector<std::string>> {
+                 { "--control", at },
+                 { "--control", at, "frobnicate" },
+                 { "--control", at, "classes" },
+                 { "--control", at, "classes", "put" },
+                 { "--control", at, "status", "extra" },
+                 { "--control", at, "status", "--start", "1s" },
+                 { "--control", at, "classes", "put", "a", "--start", "1" },
+                 { "--control", at, "classes", "put", "a", "--share", "many" },
+                 { "--control", at, "classes", "put", "a", "--default", "yes" },
+                 { "--control", at, "members", "add", "c4", "--domain", "d" },
+                 { "--control", at, "report", "--window", "2h" },
+                 { "--control", at, "--nonsense" },
+                 { "--control", "localhost:1", "status" },
+                 { "--control", at, "--timeout", "soon", "status" },
+                 { "--control", at, "--config", "/nonexistent", "status" },
+                 { "status" } }) {
+        const auto outcome = ctl(arguments);
+        CAPTURE(outcome.error);
+        CHECK(outcome.code == 2);
+        CHECK(outcome.out.empty());
+    }
+    CHECK(ctl({ "--control", at, "status" }, "short").code == 2);
+    CHECK(control.requests().empty());
+}
+
+TEST_CASE("the help lists commands and exit codes")
+{
+    const auto outcome = ctl({ "--help" });
+    CHECK(outcome.code == 0);
+    CHECK(contains(outcome.out, "members replace OLD NEW"));
+    CHECK(contains(outcome.out, "3  no control could be reached"));
+    CHECK(contains(ctl({ "--version" }).out, "figrackctl "));
+}
+
+TEST_CASE("lists are tables for people and JSON for scripts")
+{
+    auto control = FakeControl { accepting };
+    const auto table = ctl({ "--control", control.address(), "classes", "list" });
+    CHECK(table.code == 0);
+    CHECK(table.out
+          == "CLASS   START_MS  FINISH_MS  SHARE_%  DEFAULT\n"
+             "urgent      2000      30000       95  yes\n");
+    const auto text = ctl({ "--control", control.address(), "--json", "classes", "list" });
+    CHECK(json::parse(text.out).as_array().size() == 1);
+    const auto all = ctl({ "--control", control.address(), "config", "show", "--json" });
+    CHECK(all.out == config + "\n");
+}
+
+TEST_CASE("a put changes what is given and builds on the revision read")
+{
+    auto control = FakeControl { accepting };
+    const auto outcome = ctl({ "--control", control.address(), "classes", "put", "urgent",
+                               "--start", "1500ms", "--author", "ann" });
+    CHECK(outcome.code == 0);
+    CHECK(outcome.out == "revision 8 in force\n");
+    const auto requests = control.requests();
+    REQUIRE(requests.size() == 2);
+    const auto body = json::parse(requests[1].substr(requests[1].find('{'))).as_object();
+    CHECK(body.at("expected") == 7);
+    CHECK(body.at("author") == "ann");
+    CHECK(body.at("put_class")
+          == json::parse(R"({"id":"urgent","start_ms":1500,"finish_ms":30000,"share_percent":95,)"
+                         R"("default":true})"));
+    const auto change = std::string { body.at("change").as_string() };
+    CHECK(contains(outcome.error, "change " + change + " sent"));
+}
+
+TEST_CASE("a lost race shows the winner and ends with 1")
+{
+    auto control = FakeControl { conflicting };
+    const auto outcome = ctl(
+            { "--control", control.address(), "classes", "delete", "urgent", "--expected", "7" });
+    CHECK(outcome.code == 1);
+    CHECK(contains(outcome.error, "conflict: author=ann put_class=urgent; revision in force: 9"));
+}
+
+TEST_CASE("a wrong token is refused with 1")
+{
+    auto control = FakeControl { accepting };
+    const auto outcome = ctl({ "--control", control.address(), "status" }, "fedcba9876543210");
+    CHECK(outcome.code == 1);
+    CHECK(contains(outcome.error, "bad_token"));
+    CHECK_FALSE(contains(outcome.error, "fedcba9876543210"));
+}
+
+TEST_CASE("a redirect leads to the leader")
+{
+    auto leader = FakeControl { accepting };
+    auto follower = FakeControl { [&](const http::Request &request) -> http::Response {
+        return { 307, { { "Location", "http://" + leader.address() + request.path } }, "{}" };
+    } };
+    const auto outcome = ctl({ "--control", follower.address(), "models", "put", "m", "--weight-mb",
+                               "100", "--change-id", "x1" });
+    CHECK(outcome.code == 0);
+    CHECK(leader.requests().size() == 2);
+    CHECK(contains(leader.requests()[1], R"("change":"x1")"));
+}
+
+TEST_CASE("a change whose answer is lost is sent again under its id, to the next control")
+{
+    auto lost = FakeControl { [](const http::Request &request) -> http::Response {
+        return request.method == "GET" ? accepting(request)
+                                       : http::Response { FakeControl::silence, {}, {} };
+    } };
+    auto other = FakeControl { accepting };
+    const auto outcome
+            = ctl({ "--control", lost.address(), "--control", other.address(), "--timeout", "20s",
+                    "services", "put", "dispatch", "--repeatable", "false" });
+    CHECK(outcome.code == 0);
+    REQUIRE(lost.requests().size() == 2);
+    REQUIRE(other.requests().size() == 1);
+    CHECK(lost.requests()[1] == other.requests()[0]);
+}
+
+TEST_CASE("a membership change whose outcome is unknown is not sent again")
+{
+    auto unknown = FakeControl { [](const http::Request &) {
+        return http::errorResponse(makeError(ErrorKind::OutcomeUnknown, ""), "unknown");
+    } };
+    auto other = FakeControl { accepting };
+    const auto outcome = ctl({ "--control", unknown.address(), "--control", other.address(),
+                               "members", "remove", "c1" });
+    CHECK(outcome.code == 3);
+    CHECK(contains(outcome.error, "outcome is unknown"));
+    CHECK(unknown.requests().size() == 1);
+    CHECK(other.requests().empty());
+}
+
+TEST_CASE("what did not run goes to the next control")
+{
+    auto electing = FakeControl { [](const http::Request &) {
+        return http::errorResponse(makeError(ErrorKind::NoQuorum, ""), "not_run", 10);
+    } };
+    auto other = FakeControl { accepting };
+    const auto outcome = ctl({ "--control", electing.address(), "--control", other.address(),
+                               "members", "remove", "c1" });
+    CHECK(outcome.code == 0);
+    CHECK(other.requests().size() == 1);
+}
+
+TEST_CASE("no control at all ends with 3")
+{
+    const auto outcome = ctl({ "--control", "127.0.0.1:1", "--timeout", "500ms", "status" });
+    CHECK(outcome.code == 3);
+    CHECK(contains(outcome.error, "no control could be reached, nothing was done"));
+}
+
+TEST_CASE("replacing a member goes step by step and a second run goes on")
+{
+    // The stand-in's membership: what was posted changes it at once.
+    auto members = json::array { { { "node", "c1" }, { "voter", true }, { "caught_up", true } } };
+    auto posts = std::vector<std::string> {};
+    auto control = FakeControl { [&](const http::Request &request) -> http::Response {
+        if (request.method == "POST") {
+            const auto body = json::parse(request.body).as_object();
+            const auto action = std::string { body.at("action").as_string() };
+            posts.push_back(action + " " + std::string { body.at("node").as_string() });
+            if (action == "add")
+                members.push_back({ { "node", "c4" }, { "voter", false }, { "caught_up", true } });
+            if (action == "promote")
+                members.back().as_object()["voter"] = true;
+            if (action == "remove")
+                members.erase(members.begin());
+            return { 200, {}, "{}" };
+        }
+        return { 200,
+                 {},
+                 json::serialize(json::object { { "members", members },
+                                                { "membership_changing", false },
+                                                { "commit_index", 5 },
+                                                { "repair_complete", true } }) };
+    } };
+    const auto run = [&] {
+        return ctl({ "--control", control.address(), "members", "replace", "c1", "c4", "--domain",
+                     "quimper", "--address", "10.0.0.4:7000", "--incarnation", "9" });
+    };
+    const auto outcome = run();
+    CHECK(outcome.code == 0);
+    CHECK(posts == std::vector<std::string> { "add c4", "promote c4", "remove c1" });
+    CHECK(outcome.out == "c1 is replaced by c4\n");
+    CHECK(contains(outcome.error, "waiting until the loss of any one more loses nothing"));
+    CHECK(run().code == 0);
+    CHECK(posts.size() == 3);
+}
+
+TEST_CASE("the report is written to a file")
+{
+    auto control = FakeControl { [](const http::Request &request) -> http::Response {
+        return { 200, {}, "<html>" + request.query };
+    } };
+    const auto path = std::string { "/tmp/tst_ctl_report." } + std::to_string(getpid());
+    const auto outcome = ctl({ "--control", control.address(), "report", "--window", "6h",
+                               "--format", "html", "--out", path });
+    CHECK(outcome.code == 0);
+    auto text = std::string {};
+    std::getline(std::ifstream { path } >> std::ws, text);
+    CHECK(text == "<html>window=6h&format=html");
+    std::remove(path.c_str());
+    CHECK(ctl({ "--control", control.address(), "report", "--out", "/nonexistent/x" }).code == 2);
+}
