policy: routers with one old report do not herd

Cause: full-looking replicas were passed over and up to eight draws made, so all routers that held one report went to the few replicas that looked free. Change: own streams are taken exactly; what others have there drifts from the report to the mean over the model's replicas at the rate streams end (measured by Little's law); a random part of what others may have sent since is taken off, so that differences which that could hide hardly count; two draws, and two more only when neither can take work. Lag correction, prefix index and circuit are held against plain references.

--- a/policy/choice.cpp
+++ b/policy/choice.cpp
@@ -1,10 +1,13 @@
 // Two candidates drawn at random and, when the prompt's prefix is cached somewhere, one
 // endpoint that holds it are scored by the first-token delay they would give; the least
 // wins. So a choice costs a few look-ups at any number of runners, and routers that share
-// one stale view still spread, since each compares another pair. Only when the draws find
-// nothing that can take work is the list walked once, from a random place.
+// one stale view still spread, since each compares another pair. Two things herd all the
+// same and are kept small: a report is believed the less the older it is (loadestimate.h),
+// and a second pair is drawn only when the first holds none that can take work, since
+// passing over what looks full sends all routers to the few that do not. Only when several
+// pairs hold none is the list walked once, from a random place.
 //
-// Score, ms: streams estimated there x costPerStream + how much slower its first tokens
+// Score, ms: streams expected there x costPerStream + how much slower its first tokens
 // lately were than the model's median + prefill of the blocks it does not have cached.
 
 #include "policy/choice.h"
@@ -24,8 +27,7 @@
 
 using Slot = PrefixIndex::Slot;
 
-constexpr auto draws = 2;
-constexpr auto maxTries = 8;
+constexpr auto maxPairs = 4;
 constexpr auto maxHoldersTried = std::size_t { 2 };
 constexpr auto maxIdleModels = std::size_t { 32 }; ///< Remembered on one endpoint.
 constexpr auto smoothing = 0.25;
@@ -52,6 +54,66 @@
     std::uint32_t samples_ = 0;
 };
 
+/// What is known of a model over all its replicas.
+class ModelState
+{
+public:
+    RunningMedian firstToken; ///< ms
+
+    auto onReport(std::int64_t othersBefore, bool hadReport, std::int64_t others) -> void
+    {
+        others_ += others - othersBefore;
+        reports_ += hadReport ? 0 : 1;
+    }
+    auto onForget(std::int64_t others) -> void
+    {
+        others_ -= others;
+        --reports_;
+    }
+    auto onDispatch(Millis now) -> void
+    {
+        advance(now);
+        ++inFlight_;
+    }
+    /// Little's law: the time a stream takes is streams in flight over time, by ends.
+    auto onEnd(Millis now) -> void
+    {
+        advance(now);
+        inFlight_ -= inFlight_ > 0 ? 1 : 0;
+        ends_ += 1;
+        constexpr auto memory = 64.0;
+        if (ends_ < memory)
+            return;
+        ends_ /= 2;
+        streamTime_ /= 2;
+    }
+    auto others() const -> OthersLoad
+    {
+        constexpr auto leastEnds = 4.0;
+        auto load = OthersLoad {};
+        if (reports_ > 0)
+            load.mean = static_cast<double>(others_) / static_cast<double>(reports_);
+        if (ends_ >= leastEnds)
+            load.serviceTime = std::max(streamTime_ / ends_, 1.0);
+        return load;
+    }
+
+private:
+    auto advance(Millis now) -> void
+    {
+        if (now > changedAt_)
+            streamTime_ += inFlight_ * static_cast<double>(now - changedAt_);
+        changedAt_ = std::max(changedAt_, now);
+    }
+
+    std::int64_t others_ = 0;  ///< Summed over the replicas with a report.
+    std::int64_t reports_ = 0; ///< Replicas with a report.
+    double inFlight_ = 0;      ///< Own streams.
+    double streamTime_ = 0;
+    double ends_ = 0;
+    Millis changedAt_ = 0;
+};
+
 struct ReplicaState
 {
     ModelId model;
@@ -70,6 +132,12 @@
     std::vector<ReplicaState> replicas;
 };
 
+auto findReplica(const EndpointState &endpoint, const ModelId &model) -> const ReplicaState *
+{
+    const auto found = std::ranges::find(endpoint.replicas, model, &ReplicaState::model);
+    return found == endpoint.replicas.end() ? nullptr : &*found;
+}
+
 enum class Standing : std::uint8_t { Open, Trial, Slow, Unusable };
 
 struct Scored
@@ -94,8 +162,9 @@
                 std::uint32_t slots, Millis now) -> std::optional<std::size_t>;
     auto replicaOf(const EndpointId &endpoint, const ModelId &model, Millis now) -> ReplicaState &;
     auto find(const EndpointId &endpoint) -> EndpointState *;
-    auto findReplica(const EndpointId &endpoint, const ModelId &model) const
-            -> const ReplicaState *;
+    auto replicaAt(const EndpointId &endpoint, const ModelId &model) const -> const ReplicaState *;
+    auto onReport(const EndpointId &endpoint, const ModelId &model, std::uint32_t load,
+                  Millis takenAt) -> void;
     auto onDispatch(const EndpointId &endpoint, const ModelId &model, Millis now) -> void;
     auto onEnd(const EndpointId &endpoint, const ModelId &model, DispatchResult result, Millis now)
             -> void;
@@ -110,11 +179,14 @@
     auto slotOf(const EndpointId &endpoint) -> Slot;
     auto stateOf(const EndpointId &endpoint) -> EndpointState &;
     auto prune(EndpointState &endpoint) -> void;
-    auto standingOf(const EndpointState *endpoint, std::uint32_t load, std::uint32_t slots,
+    auto dropReplica(const ReplicaState &replica) -> void;
+    auto expectedLoad(const ReplicaState *replica, const ReplicaInfo &candidate, Millis now)
+            -> double;
+    auto standingOf(const EndpointState *endpoint, double load, std::uint32_t slots,
                     Millis now) const -> Standing;
     auto slowness(const ReplicaState &replica, Millis now) const -> double;
     auto score(const ChoiceRequest &request, const ReplicaInfo &candidate, std::size_t cachedBlocks,
-               std::uint32_t slots, Millis now) const -> Scored;
+               std::uint32_t slots, Millis now) -> Scored;
     auto scoreHolders(const ChoiceRequest &request, const std::vector<ReplicaInfo> &candidates,
                       std::uint32_t slots, Millis now) -> Scored;
     auto scan(const ChoiceRequest &request, const std::vector<ReplicaInfo> &candidates,
@@ -126,7 +198,7 @@
     std::unordered_map<EndpointId, Slot> slots_;
     std::vector<EndpointState> endpoints_;
     std::vector<Slot> freeSlots_;
-    std::unordered_map<ModelId, RunningMedian> medians_;
+    std::unordered_map<ModelId, ModelState> models_;
 };
 
 auto ReplicaChooser::Impl::slotOf(const EndpointId &endpoint) -> Slot
@@ -160,17 +232,11 @@
     return found == slots_.end() ? nullptr : &endpoints_[found->second];
 }
 
-auto ReplicaChooser::Impl::findReplica(const EndpointId &endpoint, const ModelId &model) const
+auto ReplicaChooser::Impl::replicaAt(const EndpointId &endpoint, const ModelId &model) const
         -> const ReplicaState *
 {
     const auto found = slots_.find(endpoint);
-    if (found == slots_.end())
-        return nullptr;
-    for (const auto &replica : endpoints_[found->second].replicas) {
-        if (replica.model == model)
-            return &replica;
-    }
-    return nullptr;
+    return found == slots_.end() ? nullptr : findReplica(endpoints_[found->second], model);
 }
 
 auto ReplicaChooser::Impl::replicaOf(const EndpointId &endpoint, const ModelId &model, Millis now)
@@ -200,14 +266,34 @@
             endpoint.replicas, std::ranges::less {}, [](const ReplicaState &replica) {
                 return std::pair { replica.load.inFlight() > 0, replica.touched };
             });
-    if (oldest->load.inFlight() == 0)
-        endpoint.replicas.erase(oldest);
+    if (oldest->load.inFlight() > 0)
+        return;
+    dropReplica(*oldest);
+    endpoint.replicas.erase(oldest);
+}
+
+auto ReplicaChooser::Impl::dropReplica(const ReplicaState &replica) -> void
+{
+    const auto model = models_.find(replica.model);
+    if (model != models_.end() && replica.load.hasReport())
+        model->second.onForget(replica.load.othersReported());
+}
+
+auto ReplicaChooser::Impl::onReport(const EndpointId &endpoint, const ModelId &model,
+                                    std::uint32_t load, Millis takenAt) -> void
+{
+    auto &estimate = replicaOf(endpoint, model, takenAt).load;
+    const auto hadReport = estimate.hasReport();
+    const auto before = hadReport ? estimate.othersReported() : 0;
+    estimate.onReport(load, takenAt);
+    models_[model].onReport(before, hadReport, estimate.othersReported());
 }
 
 auto ReplicaChooser::Impl::onDispatch(const EndpointId &endpoint, const ModelId &model, Millis now)
         -> void
 {
     replicaOf(endpoint, model, now).load.onDispatch(now);
+    models_[model].onDispatch(now);
     stateOf(endpoint).circuit.onDispatch(now);
 }
 
@@ -218,8 +304,10 @@
     if (state == nullptr)
         return;
     auto &load = replicaOf(endpoint, model, now).load;
-    if (load.inFlight() > 0)
+    if (load.inFlight() > 0) {
         load.onEnd(now);
+        models_[model].onEnd(now);
+    }
     switch (result) {
     case DispatchResult::Finished:
         return state->circuit.onSuccess(now);
@@ -245,7 +333,7 @@
     replica.firstToken += smoothing * (value - replica.firstToken);
     replica.sampledAt = now;
     ++replica.samples;
-    auto &median = medians_[model];
+    auto &median = models_[model].firstToken;
     median.add(value);
     const auto isSlow = replica.samples >= leastSamples
             && replica.firstToken > static_cast<double>(options_.slowFloor)
@@ -293,15 +381,33 @@
         return;
     const auto slot = found->second;
     prefixes_.forget(slot);
+    for (const auto &replica : endpoints_[slot].replicas)
+        dropReplica(replica);
     endpoints_[slot].replicas.clear();
     freeSlots_.push_back(slot);
     slots_.erase(found);
 }
 
-auto ReplicaChooser::Impl::standingOf(const EndpointState *endpoint, std::uint32_t load,
+/// The streams expected on a replica, less a random part of what other routers may have sent since
+/// its report: two replicas whose difference that could hide are then drawn nearly alike, and
+/// routers with one old report do not all follow it.
+auto ReplicaChooser::Impl::expectedLoad(const ReplicaState *replica, const ReplicaInfo &candidate,
+                                        Millis now) -> double
+{
+    const auto own = replica == nullptr ? 0 : replica->load.inFlight();
+    const auto model = models_.find(candidate.model);
+    if (replica == nullptr || !replica->load.hasReport() || model == models_.end())
+        return std::max(own, candidate.running + candidate.waiting);
+    const auto others = model->second.others();
+    const auto expected = replica->load.expected(others, now)
+            - random_.unit() * replica->load.unseen(others, now);
+    return std::max<double>(expected, own);
+}
+
+auto ReplicaChooser::Impl::standingOf(const EndpointState *endpoint, double load,
                                       std::uint32_t slots, Millis now) const -> Standing
 {
-    if (slots != 0 && load >= slots)
+    if (slots != 0 && load > slots - 0.5)
         return Standing::Unusable;
     if (endpoint == nullptr)
         return Standing::Open;
@@ -320,31 +426,29 @@
 {
     if (replica.sampledAt == 0)
         return 0;
-    const auto median = medians_.find(replica.model);
-    if (median == medians_.end())
+    const auto model = models_.find(replica.model);
+    if (model == models_.end())
         return 0;
-    const auto excess = replica.firstToken - median->second.value();
+    const auto excess = replica.firstToken - model->second.firstToken.value();
     if (excess <= 0)
         return 0;
     return excess * std::exp2(-static_cast<double>(now - replica.sampledAt) / slownessHalfLife);
 }
 
 auto ReplicaChooser::Impl::score(const ChoiceRequest &request, const ReplicaInfo &candidate,
-                                 std::size_t cachedBlocks, std::uint32_t slots, Millis now) const
+                                 std::size_t cachedBlocks, std::uint32_t slots, Millis now)
         -> Scored
 {
     const EndpointState *endpoint = nullptr;
     const ReplicaState *replica = nullptr;
     if (const auto found = slots_.find(candidate.endpoint); found != slots_.end()) {
         endpoint = &endpoints_[found->second];
-        replica = findReplica(candidate.endpoint, request.model);
+        replica = findReplica(*endpoint, request.model);
     }
-    const auto known
-            = replica != nullptr && (replica->load.hasReport() || replica->load.inFlight() > 0);
-    const auto load = known ? replica->load.value() : candidate.running + candidate.waiting;
+    const auto load = expectedLoad(replica, candidate, now);
     auto scored = Scored {};
     scored.standing = standingOf(endpoint, load, slots, now);
-    scored.score = static_cast<double>(load) * static_cast<double>(options_.costPerStream);
+    scored.score = load * static_cast<double>(options_.costPerStream);
     scored.score
             -= static_cast<double>(cachedBlocks) * static_cast<double>(options_.prefillPerBlock);
     if (replica != nullptr)
@@ -408,23 +512,23 @@
     if (candidates.empty())
         return std::nullopt;
     auto best = scoreHolders(request, candidates, slots, now);
-    auto drawn = 0;
-    for (auto tries = 0; tries < maxTries && drawn < draws; ++tries) {
-        const auto index = random_.below(candidates.size());
-        auto scored = score(request, candidates[index], 0, slots, now);
-        scored.index = index;
-        if (scored.standing == Standing::Trial && request.repeatable)
-            return index; // A trial that is due is made, or its endpoint would stay aside.
-        if (scored.standing != Standing::Open)
-            continue;
-        if (drawn > 0 && index == best.index)
-            continue;
-        ++drawn;
-        if (best.standing != Standing::Open || scored.score < best.score)
-            best = scored;
+    for (auto pair = 0; pair < maxPairs; ++pair) {
+        const auto first = random_.below(candidates.size());
+        const auto second = (first + 1 + random_.below(candidates.size() - 1)) % candidates.size();
+        for (const auto index : { first, second }) {
+            auto scored = score(request, candidates[index], 0, slots, now);
+            scored.index = index;
+            if (scored.standing == Standing::Trial && request.repeatable)
+                return index; // A trial that is due is made, or its endpoint would stay aside.
+            if (scored.standing != Standing::Open)
+                continue;
+            if (best.standing != Standing::Open || scored.score < best.score)
+                best = scored;
+        }
+        if (best.standing == Standing::Open)
+            return best.index;
     }
-    if (best.standing != Standing::Open)
-        best = scan(request, candidates, slots, now);
+    best = scan(request, candidates, slots, now);
     if (best.standing == Standing::Unusable)
         return std::nullopt;
     return best.index;
@@ -441,7 +545,7 @@
 auto ReplicaChooser::onReport(const EndpointId &endpoint, const ModelId &model,
                               std::uint32_t running, std::uint32_t waiting, Millis takenAt) -> void
 {
-    impl_->replicaOf(endpoint, model, takenAt).load.onReport(running + waiting, takenAt);
+    impl_->onReport(endpoint, model, running + waiting, takenAt);
 }
 
 auto ReplicaChooser::onDispatch(const EndpointId &endpoint, const ModelId &model, Millis now)
@@ -492,8 +596,8 @@
 auto ReplicaChooser::estimatedLoad(const EndpointId &endpoint, const ModelId &model) const
         -> std::uint32_t
 {
-    const auto *replica = impl_->findReplica(endpoint, model);
-    return replica == nullptr ? 0 : replica->load.value();
+    const auto *replica = impl_->replicaAt(endpoint, model);
+    return replica == nullptr ? 0 : replica->load.corrected();
 }
 
 } // namespace figrack::policy
--- a/policy/loadestimate.cpp
+++ b/policy/loadestimate.cpp
@@ -5,6 +5,7 @@
 #include "policy/loadestimate.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "core/check.h"
 
@@ -41,11 +42,31 @@
     add(now, -1);
 }
 
-auto LoadEstimate::value() const -> std::uint32_t
+auto LoadEstimate::corrected() const -> std::uint32_t
 {
     return static_cast<std::uint32_t>(std::max<std::int64_t>(reported_ + since_, inFlight_));
 }
 
+auto LoadEstimate::othersReported() const -> std::int64_t
+{
+    const auto ownReported = inFlight_ - since_;
+    return std::max<std::int64_t>(reported_ - ownReported, 0);
+}
+
+auto LoadEstimate::expected(const OthersLoad &others, Millis now) const -> double
+{
+    const auto age = static_cast<double>(std::max<Millis>(now - takenAt_, 0));
+    const auto kept = std::exp(-age / std::max(others.serviceTime, 1.0));
+    const auto reported = static_cast<double>(othersReported());
+    return inFlight_ + others.mean + (reported - others.mean) * kept;
+}
+
+auto LoadEstimate::unseen(const OthersLoad &others, Millis now) const -> double
+{
+    const auto age = static_cast<double>(std::max<Millis>(now - takenAt_, 0));
+    return others.mean * age / std::max(others.serviceTime, 1.0);
+}
+
 auto LoadEstimate::add(Millis at, std::int8_t by) -> void
 {
     changes_.push_back({ at, by });
--- a/policy/testing/tst_choice.cpp
+++ b/policy/testing/tst_choice.cpp
@@ -3,10 +3,18 @@
 #include "policy/choice.h"
 
 #include <algorithm>
+#include <map>
+#include <set>
 #include <string>
 
 #include <doctest/doctest.h>
 
+#include "core/random.h"
+#include "policy/circuit.h"
+#include "policy/loadestimate.h"
+#include "policy/prefixindex.h"
+#include "policy/testing/herding.h"
+
 namespace figrack::policy {
 namespace {
 
@@ -122,4 +130,294 @@
     CHECK(timesChosen() < 20);
 }
 
+TEST_CASE("the estimate equals a plain ledger of every stream's times")
+{
+    struct Stream
+    {
+        Millis from = 0;
+        Millis to = -1; ///< -1: runs.
+    };
+    for (auto seed = std::uint64_t { 1 }; seed <= 60; ++seed) {
+        auto random = Random { seed };
+        auto estimate = LoadEstimate {};
+        auto streams = std::vector<Stream> {};
+        auto reported = std::int64_t { 0 };
+        auto takenAt = Millis { -1000 }; // Before any report.
+        auto now = Millis { 0 };
+        for (auto step = 0; step < 500; ++step) {
+            now += 1 + static_cast<Millis>(random.below(20));
+            const auto action = random.below(10);
+            if (action < 5) {
+                estimate.onDispatch(now);
+                streams.push_back({ now, -1 });
+            } else if (action < 9) {
+                const auto running = std::ranges::find(streams, -1, &Stream::to);
+                if (running == streams.end())
+                    continue;
+                running->to = now;
+                estimate.onEnd(now);
+            } else {
+                const auto at = now - static_cast<Millis>(random.below(200));
+                const auto count = static_cast<std::uint32_t>(random.below(40));
+                estimate.onReport(count, at);
+                if (at >= takenAt) {
+                    takenAt = at;
+                    reported = count;
+                }
+            }
+            auto own = std::int64_t { 0 };
+            auto ownReported = std::int64_t { 0 };
+            auto since = std::int64_t { 0 };
+            for (const auto &stream : streams) {
+                own += stream.to < 0 ? 1 : 0;
+                ownReported += stream.from <= takenAt && (stream.to < 0 || stream.to > takenAt);
+                since += stream.from > takenAt ? 1 : 0;
+                since -= stream.to >= 0 && stream.to > takenAt ? 1 : 0;
+            }
+            CHECK(estimate.inFlight() == own);
+            CHECK(estimate.corrected() == std::max(reported + since, own));
+            CHECK(estimate.othersReported() == std::max<std::int64_t>(reported - ownReported, 0));
+        }
+    }
+}
+
+TEST_CASE("an old report counts for less, own streams always in full")
+{
+    auto estimate = LoadEstimate {};
+    estimate.onReport(10, 0);
+    estimate.onDispatch(5);
+    const auto others = OthersLoad { 4, 1000 };
+    CHECK(estimate.expected(others, 0) == doctest::Approx(11));
+    CHECK(estimate.expected(others, 100000) == doctest::Approx(5));
+    CHECK(estimate.expected(others, 1000) < 8);
+    CHECK(estimate.unseen(others, 500) == doctest::Approx(2));
+}
+
+TEST_CASE("the prefix index equals a plain copy of each cache, through loss and repeats")
+{
+    for (auto seed = std::uint64_t { 1 }; seed <= 20; ++seed) {
+        auto random = Random { seed };
+        auto index = PrefixIndex { {} };
+        constexpr auto slots = 6;
+        struct Plain
+        {
+            std::set<std::uint64_t> blocks;
+            std::uint64_t next = 0;
+            bool trusted = true;
+        };
+        auto plain = std::array<Plain, slots> {};
+        for (auto step = 0; step < 1500; ++step) {
+            const auto slot = static_cast<PrefixIndex::Slot>(random.below(slots));
+            auto &cache = plain[slot];
+            auto added = std::vector<std::uint64_t> {};
+            auto removed = std::vector<std::uint64_t> {};
+            for (auto i = random.below(4); i > 0; --i)
+                added.push_back(100 + random.below(40));
+            for (auto i = random.below(3); i > 0; --i)
+                removed.push_back(200 + random.below(40));
+            if (random.chance(0.02)) {
+                cache.blocks = { added.begin(), added.end() };
+                cache.trusted = true;
+                CHECK(index.apply(slot, { cache.next, true, added, {} }));
+                continue;
+            }
+            const auto lost = random.chance(0.01) && added.size() + removed.size() > 0;
+            const auto first = cache.next;
+            cache.next += added.size() + removed.size();
+            if (lost) {
+                // The batch is never seen; the next one shows the gap.
+                const auto more = std::vector<std::uint64_t> { 100 };
+                CHECK_FALSE(index.apply(slot, { cache.next, false, more, {} }));
+                ++cache.next;
+                cache.trusted = false;
+                cache.blocks.clear();
+                continue;
+            }
+            // Blocks 200.. are added first so that removing them means something.
+            if (cache.trusted) {
+                cache.blocks.insert(added.begin(), added.end());
+                for (const auto block : removed)
+                    cache.blocks.erase(block);
+            }
+            CHECK(index.apply(slot, { first, false, added, removed }) == cache.trusted);
+            CHECK(index.isDistrusted(slot) == !cache.trusted);
+            auto prefix = std::vector<std::uint64_t> {};
+            for (auto i = 0; i < 6; ++i)
+                prefix.push_back(100 + random.below(40));
+            auto depth = std::size_t { 0 };
+            auto holders = std::set<PrefixIndex::Slot> {};
+            for (auto i = prefix.size(); i > 0 && holders.empty(); --i) {
+                for (auto one = PrefixIndex::Slot { 0 }; one < slots; ++one) {
+                    if (plain[one].blocks.contains(prefix[i - 1]))
+                        holders.insert(one);
+                }
+                depth = holders.empty() ? 0 : i;
+            }
+            const auto match = index.deepest(prefix);
+            CHECK(match.depth == depth);
+            CHECK(std::set<PrefixIndex::Slot> { match.holders.begin(), match.holders.end() }
+                  == holders);
+            auto total = std::size_t { 0 };
+            for (const auto &one : plain)
+                total += one.blocks.size();
+            CHECK(index.size() == total);
+        }
+    }
+}
+
+TEST_CASE("an endpoint that counts its events anew is noticed, repeats are not minded")
+{
+    auto index = PrefixIndex { {} };
+    const auto blocks = std::vector<std::uint64_t> { 1, 2, 3 };
+    CHECK(index.apply(0, { 0, false, blocks, {} }));
+    CHECK(index.apply(0, { 0, false, blocks, {} })); // A repeat.
+    CHECK(index.apply(0, { 3, false, blocks, {} }));
+    CHECK(index.apply(0, { 0, false, blocks, {} }));
+    CHECK(index.apply(0, { 3, false, blocks, {} }));
+    CHECK_FALSE(index.apply(0, { 0, false, blocks, {} })); // Again and again: it began anew.
+    CHECK(index.isDistrusted(0));
+    CHECK(index.deepest(blocks).depth == 0);
+}
+
+TEST_CASE("the prefix index is bounded")
+{
+    auto index = PrefixIndex { { 100, 250, 2 } };
+    for (auto slot = PrefixIndex::Slot { 0 }; slot < 10; ++slot) {
+        auto blocks = std::vector<std::uint64_t> {};
+        for (auto i = std::uint64_t { 0 }; i < 1000; ++i)
+            blocks.push_back(slot * 50 + i);
+        index.apply(slot, { 0, false, blocks, {} });
+        CHECK(index.size() <= 250);
+    }
+    for (auto slot = PrefixIndex::Slot { 0 }; slot < 10; ++slot)
+        index.forget(slot);
+    CHECK(index.size() == 0);
+}
+
+TEST_CASE("a circuit lets one trial through at a time, later each time it fails")
+{
+    auto random = Random { 3 };
+    auto circuit = Circuit { { 3, 1000, 8000 } };
+    auto now = Millis { 0 };
+    for (auto i = 0; i < 3; ++i)
+        circuit.onFailure(now, random.unit());
+    for (const auto openTime : { 1000, 2000, 4000, 8000, 8000 }) {
+        CHECK_FALSE(circuit.allows(now + openTime - 1));
+        now += openTime * 5 / 4; // With the longest spread.
+        CHECK(circuit.allows(now));
+        circuit.onDispatch(now);
+        CHECK_FALSE(circuit.allows(now + 100000));
+        circuit.onNeutral(); // The caller cancelled: another trial may be made.
+        CHECK(circuit.allows(now));
+        circuit.onDispatch(now);
+        circuit.onFailure(now, random.unit());
+    }
+    circuit.onSuccess(now); // Of work sent long before: says nothing.
+    CHECK_FALSE(circuit.allows(now));
+    now += 10000;
+    circuit.onDispatch(now);
+    circuit.onSuccess(now);
+    CHECK(circuit.isClosed());
+}
+
+TEST_CASE("a slow replica is put aside, and used all the same when nothing else is there")
+{
+    auto chooser = ReplicaChooser { {}, 1 };
+    auto candidates = makeCandidates(10);
+    for (auto i = std::size_t { 0 }; i < 10; ++i)
+        chooser.onReport(endpointName(i), model, 0, 0, 0);
+    for (auto round = 0; round < 20; ++round) {
+        for (auto i = std::size_t { 0 }; i < 10; ++i)
+            chooser.onFirstToken(endpointName(i), model, i == 4 ? 3000 : 200, round);
+    }
+    for (auto i = 0; i < 300; ++i)
+        CHECK(chooser.choose({ model, {} }, candidates, 8, 20) != std::size_t { 4 });
+    candidates = { candidates[4] };
+    CHECK(chooser.choose({ model, {} }, candidates, 8, 20) == std::size_t { 0 });
+}
+
+TEST_CASE("a request that may not be repeated is no trial while another replica can take it")
+{
+    auto chooser = ReplicaChooser { {}, 1 };
+    const auto candidates = makeCandidates(4);
+    for (auto i = 0; i < 3; ++i) {
+        chooser.onDispatch(endpointName(2), model, 0);
+        chooser.onEnd(endpointName(2), model, DispatchResult::Failed, 0);
+    }
+    auto request = ChoiceRequest { model, {} };
+    request.repeatable = false;
+    for (auto i = 0; i < 200; ++i)
+        CHECK(chooser.choose(request, candidates, 8, 5000) != std::size_t { 2 });
+    request.repeatable = true;
+    auto tried = false;
+    for (auto i = 0; i < 50 && !tried; ++i)
+        tried = chooser.choose(request, candidates, 8, 5000) == std::size_t { 2 };
+    CHECK(tried);
+}
+
+TEST_CASE("random use never picks a replica that is full of own streams or aside")
+{
+    for (auto seed = std::uint64_t { 1 }; seed <= 20; ++seed) {
+        auto random = Random { seed };
+        auto chooser = ReplicaChooser { {}, seed };
+        const auto candidates = makeCandidates(1 + random.below(12));
+        auto own = std::map<std::size_t, std::uint32_t> {};
+        auto failures = std::map<std::size_t, int> {};
+        auto openedAt = std::map<std::size_t, Millis> {};
+        auto now = Millis { 0 };
+        for (auto step = 0; step < 2000; ++step) {
+            now += static_cast<Millis>(random.below(30));
+            const auto chosen = chooser.choose({ model, {} }, candidates, 4, now);
+            if (chosen) {
+                REQUIRE(*chosen < candidates.size());
+                CHECK(own[*chosen] < 4);
+                if (openedAt.contains(*chosen))
+                    CHECK(now >= openedAt[*chosen] + 2000);
+                chooser.onDispatch(candidates[*chosen].endpoint, model, now);
+                ++own[*chosen];
+            } else {
+                for (auto i = std::size_t { 0 }; i < candidates.size(); ++i)
+                    CHECK((own[i] >= 4 || openedAt.contains(i)));
+            }
+            const auto i = random.below(candidates.size());
+            if (own[i] == 0 || random.chance(0.3))
+                continue;
+            --own[i];
+            const auto failed = random.chance(0.1);
+            chooser.onEnd(candidates[i].endpoint, model,
+                          failed ? DispatchResult::Failed : DispatchResult::Finished, now);
+            const auto isAside = openedAt.contains(i) && now < openedAt[i] + 2000;
+            if (isAside)
+                continue;
+            if (!failed) {
+                failures[i] = 0;
+                // It may still be within the spread of its time aside.
+                if (openedAt.contains(i) && now >= openedAt[i] + 75000)
+                    openedAt.erase(i);
+            } else if (++failures[i] >= 3 || openedAt.contains(i)) {
+                if (!openedAt.contains(i))
+                    openedAt[i] = now;
+            }
+        }
+    }
+}
+
+TEST_CASE("fifty routers with one stale view do not herd")
+{
+    using testing::ChoiceKind;
+    auto options = testing::HerdingOptions {};
+    options.duration = 20000;
+    for (const auto lag : { 100, 1000, 5000 }) {
+        options.lag = lag;
+        const auto chooser = testing::runHerding(options, ChoiceKind::Chooser, 5);
+        const auto atRandom = testing::runHerding(options, ChoiceKind::Random, 5);
+        const auto least = testing::runHerding(options, ChoiceKind::LeastStale, 5);
+        const auto two = testing::runHerding(options, ChoiceKind::TwoStale, 5);
+        CHECK(chooser.waitP99 * 3 < least.waitP99);
+        CHECK(chooser.waitP99 <= atRandom.waitP99);
+        CHECK(chooser.waitP99 * 10 <= two.waitP99 * 11);
+        CHECK(chooser.longestQueue * 2 < least.longestQueue);
+    }
+}
+
 } // namespace figrack::policy
