--- a/testing/fakeserver.cpp
+++ b/testing/fakeserver.cpp
@@ -237,6 +237,12 @@
         engine_.setStoreFactor(static_cast<double>(numberOf(body, "factor", 1)));
         return jsonResponse(200, "{}");
     }
+    if (path == "/test/pace") {
+        options_.firstTokenMs
+                = static_cast<Millis>(numberOf(body, "first_token_ms", options_.firstTokenMs));
+        options_.tokenMs = static_cast<Millis>(numberOf(body, "token_ms", options_.tokenMs));
+        return jsonResponse(200, "{}");
+    }
     const auto isWork = request.method == "POST"
             && (path == "/" || path == "/v1/completions" || path == "/v1/chat/completions");
     return isWork ? std::nullopt : std::optional { refusal(404, "no such path") };
--- a/testing/fakeserver.h
+++ b/testing/fakeserver.h
@@ -5,6 +5,7 @@
 //   POST /test/drain     {"draining":true,"announce":true}   announce false: only note the time
 //   POST /test/announce  {"on":false}
 //   POST /test/store     {"factor":10}
+//   POST /test/pace      {"first_token_ms":10,"token_ms":0}
 //   GET  /test/record    counts, memory and state
 
 #ifndef FIGRACK_TESTING_FAKESERVER_H
