--- a/testing/demo.cpp
+++ b/testing/demo.cpp
@@ -208,10 +208,17 @@
     /// Warm answers through a router against straight from the engine, in turns.
     auto overhead() -> bool
     {
-        const auto status = driver_.ask("GET", "/v1/status");
-        auto *engine = engineOf(status, "model-0");
-        if (engine == nullptr)
-            return fail("model-0 is loaded nowhere") == 0;
+        // One long stream keeps the model in use, and so loaded, for as long as the measurement.
+        auto hold = makeCall("model-0", 6000);
+        hold.classId = "patient";
+        driver_.submit(std::move(hold), 0);
+        Node *engine = nullptr;
+        const auto isLoaded = waitUntil(readyLimit, [&] {
+            engine = engineOf(driver_.ask("GET", "/v1/status"), "model-0");
+            return engine != nullptr;
+        });
+        if (!isLoaded)
+            return false;
         for (auto &node : driver_.cluster().engines())
             driver_.tell(*node, "/test/pace", R"({"first_token_ms":10,"token_ms":0})");
         auto options = CallerOptions {};
@@ -227,7 +234,7 @@
         overheadRatio_ = std::max(first, whole);
         say(fmt::format("event=overhead first_token_p50_ratio={:.3f} answer_4k_p50_ratio={:.3f}",
                         first, whole));
-        return true;
+        return driver_.waitCalls(callsLimit);
     }
 
     auto engineOf(const OperatorReply &status, const std::string &model) -> Node *
--- a/testing/fakeserver.cpp
+++ b/testing/fakeserver.cpp
@@ -131,6 +131,7 @@
     std::uint64_t given = 0;
     std::uint64_t priority = 0;
     Millis firstTokenMs = 0;
+    Millis tokenMs = 0; ///< As it was when the call began.
     asio::steady_timer timer;
     std::shared_ptr<bool> cancelled = std::make_shared<bool>(false);
 
@@ -311,6 +312,7 @@
     const auto body = parseObject(request.body);
     auto call = Call { context_ };
     call.id = request.header("X-Request-Id");
+    call.tokenMs = options_.tokenMs;
     call.model = textOf(body, "model");
     call.prompt = promptOf(body);
     call.chat = request.path == "/v1/chat/completions";
@@ -358,7 +360,7 @@
         co_return false;
     auto status = co_await responder.startStream(200, streamHeaders());
     for (auto i = call.resumeFrom; i < call.tokens && status.ok(); ++i) {
-        if (i > call.resumeFrom && !co_await wait(call, options_.tokenMs))
+        if (i > call.resumeFrom && !co_await wait(call, call.tokenMs))
             co_return false;
         status = co_await responder.write(call.event(i));
         ++call.given;
@@ -374,7 +376,7 @@
 
 auto FakeEndpoint::whole(Call &call, http::Responder &responder) -> asio::awaitable<bool>
 {
-    const auto time = call.firstTokenMs + static_cast<Millis>(call.tokens) * options_.tokenMs;
+    const auto time = call.firstTokenMs + static_cast<Millis>(call.tokens) * call.tokenMs;
     if (!co_await wait(call, time))
         co_return false;
     call.given = call.tokens;
