policy: a replica is not let go while requests for its model wait or run

The routers' demand is newer and counts now.

A new test fails without the change and passes with it.

--- a/policy/planner.cpp
+++ b/policy/planner.cpp
@@ -56,6 +56,15 @@
     return std::tuple { need.kind, late, late ? need.load : need.latestStart, need.model };
 }
 
+/// @return true while requests for the model wait or run at some router. An endpoint's own report
+/// comes later, so a replica that looks idle may have a dispatch on its way.
+auto isInUse(const ModelRow &model) -> bool
+{
+    return std::any_of(model.demand.begin(), model.demand.end(), [](const auto &entry) {
+        return entry.second.queued + entry.second.running > 0;
+    });
+}
+
 } // namespace
 
 class Planner::Impl
@@ -302,6 +311,7 @@
             std::ceil(model.peak / std::max<std::uint32_t>(model.info.slots, 1) - 0.01));
     auto kept = fleet_.counts(model).ready;
     const auto waitedFor = adapterDemand(model);
+    const auto inUse = isInUse(model);
     auto idleLeft = false;
     auto nextReview = reviewWarmMax;
     for (auto &[endpoint, replica] : model.replicas) {
@@ -320,7 +330,8 @@
             continue;
         const auto surplus = kept > std::max(wanted, 1U);
         const auto byTarget = std::holds_alternative<KeepByTarget>(options_.keep);
-        const auto goes = !model.known || (surplus && byTarget) || letsGo(id, model, replica, now);
+        const auto goes = !model.known || (surplus && byTarget)
+                || (!inUse && letsGo(id, model, replica, now));
         if (goes && !full()) {
             decideUnload(id, endpoint, "idle");
             --kept;
--- a/policy/testing/tst_planner.cpp
+++ b/policy/testing/tst_planner.cpp
@@ -247,6 +247,26 @@
     CHECK(countOf(decisions, DecisionKind::Unload, "slow") == 1);
 }
 
+TEST_CASE("a replica is not let go while its model is asked for, though it is reported idle")
+{
+    auto planner = threeEndpoints();
+    planner.setModel(model("m", 50));
+    planner.setReplica(replica("m", "e1", ReplicaPhase::Ready));
+    for (const auto &[queued, running] : { std::pair { 1U, 0U }, std::pair { 0U, 1U } }) {
+        auto wanted = demand("m", queued, 20000);
+        wanted.classId = patient;
+        wanted.running = running;
+        planner.setDemand(wanted);
+        for (auto now = Millis { 0 }; now < 3000; now += 100)
+            CHECK(countOf(planner.plan(now), DecisionKind::Unload, "m") == 0);
+    }
+    planner.setDemand(DemandInfo { ModelId { "m" }, patient, 0, 0, 0 });
+    auto unloads = 0L;
+    for (auto now = Millis { 3000 }; now < 120000; now += 1000)
+        unloads += countOf(planner.plan(now), DecisionKind::Unload, "m");
+    CHECK(unloads == 1);
+}
+
 TEST_CASE("a removed model is unloaded and not loaded again")
 {
     auto planner = threeEndpoints();
