--- a/cmd/ctloptions.cpp
+++ b/cmd/ctloptions.cpp
@@ -132,15 +132,6 @@
     return text + std::string { exitCodes };
 }
 
-auto ctlRules() -> std::vector<SettingRule>
-{
-    return {
-        textRule("ctl.control", "operator addresses of the controls, as ip:port, ip:port", ""),
-        textRule("ctl.token_file", "file whose first line is the token", ""),
-        textRule("ctl.timeout", "of one call with its repeats", ""),
-    };
-}
-
 auto environment(const char *name) -> std::string
 {
     const auto *value = std::getenv(name);
@@ -164,6 +155,15 @@
 
 } // namespace
 
+auto ctlRules() -> std::vector<SettingRule>
+{
+    return {
+        textRule("ctl.control", "operator addresses of the controls, as ip:port, ip:port", ""),
+        textRule("ctl.token_file", "file whose first line is the token", ""),
+        textRule("ctl.timeout", "of one call with its repeats", ""),
+    };
+}
+
 CtlOptions::CtlOptions(const std::vector<std::string> &arguments)
     : line_("figrackctl",
             "Looks at figrack and changes it: classes, targets, models, services, "
@@ -331,8 +331,9 @@
     const auto timeout = parseDuration(*written);
     if (!timeout.ok())
         return timeout.status();
+    // Each of three controls gets its try.
     options.timeout = *timeout;
-    options.tryTimeout = std::min(options.tryTimeout, *timeout);
+    options.tryTimeout = std::min(options.tryTimeout, *timeout / 3);
     return options;
 }
 
--- a/cmd/ctloptions.h
+++ b/cmd/ctloptions.h
@@ -24,6 +24,9 @@
 
 namespace figrack::cmd {
 
+/// The rules of figrackctl's settings file.
+auto ctlRules() -> std::vector<SettingRule>;
+
 /// One command of figrackctl, for the help and for checking.
 struct CommandRow
 {
--- a/cmd/daemon.cpp
+++ b/cmd/daemon.cpp
@@ -21,8 +21,6 @@
 namespace figrack::cmd {
 namespace {
 
-constexpr auto nodeKey = std::string_view { "node.id" };
-
 auto parseLevel(const std::string &name) -> absl::StatusOr<LogLevel>
 {
     for (const auto level :
@@ -34,16 +32,6 @@
                      "key=log.level value=" + name + " wanted=\"debug, info, warning or error\"");
 }
 
-/// The name on every log line: the node's, where the daemon has one.
-auto processName(const DaemonProgram &program, const Settings &settings) -> std::string
-{
-    for (const auto &rule : program.rules) {
-        if (rule.key == nodeKey)
-            return settings.text(nodeKey);
-    }
-    return program.name;
-}
-
 auto setUpLogging(const DaemonProgram &program, const Settings &settings) -> absl::Status
 {
     const auto level = parseLevel(settings.text("log.level"));
@@ -53,7 +41,7 @@
     options.level = *level;
     options.file = settings.text("log.file");
     options.maxFileBytes = static_cast<std::uint64_t>(settings.number("log.max_bytes"));
-    options.process = processName(program, settings);
+    options.process = program.nameKey.empty() ? program.name : settings.text(program.nameKey);
     return startLogging(options);
 }
 
@@ -71,6 +59,22 @@
     return rules;
 }
 
+auto exitCodeOf(const absl::Status &status) -> ExitCode
+{
+    switch (errorKind(status)) {
+    case ErrorKind::Ok:
+        return ExitCode::Ok;
+    case ErrorKind::BadSettings:
+        return ExitCode::Usage;
+    case ErrorKind::DiskFull:
+    case ErrorKind::DiskFailed:
+    case ErrorKind::Corrupt:
+        return ExitCode::Disk;
+    default:
+        return ExitCode::Failed;
+    }
+}
+
 auto runChecked(const DaemonProgram &program, const Settings &settings) -> ExitCode
 {
     // A closed standard error must not end the process.
@@ -79,12 +83,11 @@
             .with("program", program.name)
             .with("version", releaseVersion);
     const auto status = program.run(settings);
-    if (status.ok()) {
+    if (status.ok())
         LogEvent(LogLevel::Info, "stopped").with("program", program.name);
-        return ExitCode::Ok;
-    }
-    LogEvent(LogLevel::Error, "failed").with("program", program.name).with(status);
-    return errorKind(status) == ErrorKind::BadSettings ? ExitCode::Usage : ExitCode::Failed;
+    else
+        LogEvent(LogLevel::Error, "failed").with("program", program.name).with(status);
+    return exitCodeOf(status);
 }
 
 auto runWithFile(const DaemonProgram &program, const std::string &path, bool checkOnly) -> ExitCode
@@ -108,7 +111,8 @@
 {
     auto line = CommandLine {
         program.name, program.purpose,
-        "Exit codes: 0 ended as asked, 1 failed at run time, 2 wrong command line or settings.\n"
+        "Exit codes: 0 ended as asked, 1 failed at run time, 2 wrong command line or settings,\n"
+        "4 the data folder is full, broken or corrupt.\n"
     };
     auto config = TCLAP::ValueArg<std::string> { "c", "config", "the settings file", false,
                                                  "",  "FILE",   line.tclap() };
--- a/cmd/daemon.h
+++ b/cmd/daemon.h
@@ -37,8 +37,9 @@
     std::string name;
     std::string purpose; ///< For --help.
     std::vector<SettingRule> rules;
-    /// Runs the daemon to its end. An error is logged and ends with ExitCode::Failed, or Usage when
-    /// it is BadSettings.
+    std::string nameKey; ///< The key whose text is put on every log line; empty: the name above.
+    /// Runs the daemon to its end. An error is logged and ends with ExitCode::Failed, with Usage
+    /// when it is BadSettings, or with Disk when it is DiskFull, DiskFailed or Corrupt.
     std::function<absl::Status(const Settings &)> run;
     /// Checks what the rules cannot, as whether a key file can be read; may be empty. Its errors
     /// end with ExitCode::Usage. Also run by --check-settings; it changes nothing.
--- /dev/null
+++ b/cmd/figrackrouter.cpp
@@ -0,0 +1,64 @@
+// The router daemon: settings, a pool of threads, and the stop by a signal.
+
+#include <cstring>
+
+#include <boost/asio/io_context.hpp>
+
+#include "cmd/commandline.h"
+#include "cmd/daemon.h"
+#include "core/crypto.h"
+#include "router/router.h"
+
+namespace figrack::cmd {
+namespace {
+
+auto randomSeed() -> std::uint64_t
+{
+    auto seed = std::uint64_t { 0 };
+    std::memcpy(&seed, secureRandom(sizeof(seed)).data(), sizeof(seed));
+    return seed;
+}
+
+auto runRouter(const Settings &settings) -> absl::Status
+{
+    const auto options = router::routerOptions(settings);
+    if (!options.ok())
+        return options.status();
+    auto keys = proto::PeerKeys::fromFile(options->keyFile);
+    if (!keys.ok())
+        return keys.status();
+    const auto clock = SystemClock {};
+    auto context = boost::asio::io_context { static_cast<int>(options->threads) };
+    auto router = router::Router { context,          *options,     clock,
+                                   *std::move(keys), randomSeed(), [&context] { context.stop(); } };
+    if (auto status = router.start(); !status.ok())
+        return status;
+    const auto signals = StopSignals { context, [&router] { router.requestStop(); } };
+    runThreads(context, options->threads);
+    return absl::OkStatus();
+}
+
+auto checkRouter(const Settings &settings) -> absl::Status
+{
+    const auto options = router::routerOptions(settings);
+    if (!options.ok())
+        return options.status();
+    return proto::PeerKeys::fromFile(options->keyFile).status();
+}
+
+} // namespace
+} // namespace figrack::cmd
+
+auto main(int argc, char **argv) -> int
+{
+    using namespace figrack::cmd;
+    const auto program = DaemonProgram {
+        "figrack-router",
+        "Tells callers which address to use, takes their requests and streams the answers back.",
+        figrack::router::routerSchema(),
+        "router.name",
+        runRouter,
+        checkRouter,
+    };
+    return runDaemon(program, argumentsOf(argc, argv));
+}
--- a/cmd/testing/tst_ctl.cpp
+++ b/cmd/testing/tst_ctl.cpp
@@ -254,7 +254,7 @@
     } };
     auto other = FakeControl { accepting };
     const auto outcome
-            = ctl({ "--control", lost.address(), "--control", other.address(), "--timeout", "20s",
+            = ctl({ "--control", lost.address(), "--control", other.address(), "--timeout", "9s",
                     "services", "put", "dispatch", "--repeatable", "false" });
     CHECK(outcome.code == 0);
     REQUIRE(lost.requests().size() == 2);
--- a/proto/channel.cpp
+++ b/proto/channel.cpp
@@ -132,7 +132,7 @@
             auto socket = co_await acceptor_.async_accept(
                     strand, asio::redirect_error(asio::use_awaitable, error));
             if (!error)
-                admit(std::move(socket), std::move(strand));
+                admit(std::move(socket), strand);
             else if (acceptor_.is_open())
                 co_await waitForDescriptors(error);
         }
@@ -147,7 +147,7 @@
         co_await retryTimer_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
 
-    auto admit(tcp::socket socket, Strand strand) -> void
+    auto admit(tcp::socket socket, const Strand &strand) -> void
     {
         auto error = error_code {};
         const auto remote = textOf(socket.remote_endpoint(error));
