--- a/control/demand.h
+++ b/control/demand.h
@@ -15,9 +15,9 @@
 #ifndef FIGRACK_CONTROL_DEMAND_H
 #define FIGRACK_CONTROL_DEMAND_H
 
-#include <compare>
 #include <map>
 #include <set>
+#include <tuple>
 #include <vector>
 
 #include "core/clock.h"
@@ -37,7 +37,10 @@
 {
     ModelId model;
     ClassId classId;
-    auto operator<=>(const DemandCell &) const = default;
+    auto operator<(const DemandCell &other) const -> bool
+    {
+        return std::tie(model, classId) < std::tie(other.model, other.classId);
+    }
 };
 
 /// New arrivals that a report told of.
--- a/control/endpoints.cpp
+++ b/control/endpoints.cpp
@@ -24,7 +24,7 @@
 } // namespace
 
 Endpoints::Endpoints(EndpointsOptions options, const Clock &clock, Node &node)
-    : options_(std::move(options))
+    : options_(options)
     , clock_(clock)
     , node_(node)
     , detector_(std::in_place, options_.detector, clock)
--- a/control/routers.cpp
+++ b/control/routers.cpp
@@ -48,7 +48,7 @@
 } // namespace
 
 Routers::Routers(RoutersOptions options, const Clock &clock, Node &node)
-    : options_(std::move(options))
+    : options_(options)
     , clock_(clock)
     , node_(node)
     , gate_(options_.viewLease, clock)
--- a/control/testing/simulation.cpp
+++ b/control/testing/simulation.cpp
@@ -24,7 +24,8 @@
     options.endpoints.detector.maxTimeout = seconds { 2 };
     options.endpoints.forgetAfter = seconds { 120 };
     options.orders.machine.doubt = seconds { 2 };
-    options.orders.holdOff = seconds { 2 };
+    options.orders.holdOff = Duration {}; // The doubt time alone has to do.
+
     options.scheduler.planner.storeLoadsPerSecond = 100;
     return options;
 }
