A paused control goes on from where it was paused

The simulation dropped the order of a control that was paused before its first byte, so the test of a stale leader never asked the lease: with the question answered 'yes' always it passed.

--- a/control/testing/simulation.cpp
+++ b/control/testing/simulation.cpp
@@ -221,19 +221,24 @@
         enter([this, born, flight, mayStart] {
             if (beforeSend)
                 beforeSend();
-            if (born != life || paused)
-                return;
-            const auto *engine = simulation.engineAt(flight->endpoint);
-            if (flight->begun != aborts || !engine || !mayStart()) {
-                flight->answer(endpoint::OrderReply::NotSent);
-                return;
-            }
-            flight->incarnation = engine->spec.incarnation;
-            leaveKernel(flight);
+            if (born == life)
+                enter([this, flight, mayStart] { start(flight, mayStart); });
         });
     });
 }
 
+auto SimControl::start(const std::shared_ptr<Flight> &flight, const std::function<bool()> &mayStart)
+        -> void
+{
+    const auto *engine = simulation.engineAt(flight->endpoint);
+    if (flight->begun != aborts || !engine || !mayStart()) {
+        flight->answer(endpoint::OrderReply::NotSent);
+        return;
+    }
+    flight->incarnation = engine->spec.incarnation;
+    leaveKernel(flight);
+}
+
 auto SimControl::leaveKernel(const std::shared_ptr<Flight> &flight) -> void
 {
     if (flight->begun != aborts) {
--- a/control/testing/simulation.h
+++ b/control/testing/simulation.h
@@ -134,6 +134,8 @@
         Incarnation incarnation; ///< Of the engine at the other end of the connection.
         std::function<void(endpoint::OrderReply)> answer;
     };
+    auto start(const std::shared_ptr<Flight> &flight, const std::function<bool()> &mayStart)
+            -> void;
     auto leaveKernel(const std::shared_ptr<Flight> &flight) -> void;
     auto arrive(const std::shared_ptr<Flight> &flight) -> void;
 
