--- a/report/testing/tst_recorder.cpp
+++ b/report/testing/tst_recorder.cpp
@@ -178,6 +178,32 @@
     CHECK(eligible == 20000);
 }
 
+TEST_CASE("encoded counts are bounded, and the newest are kept")
+{
+    auto counts = Pyramid<CountSlot> {};
+    auto random = Random { 19 };
+    for (auto now = Millis { 0 }; now < longestWindow / 4; now += 60000) {
+        counts.advance(now);
+        for (auto i = 0; i < 20; ++i) {
+            auto record = RequestRecord {};
+            record.target = "model-" + std::to_string(random.below(100));
+            record.startMs = static_cast<std::int64_t>(random.below(100000));
+            counts.at(now)->add(record);
+        }
+    }
+    const auto whole = encodeCounts(1, longestWindow, counts);
+    constexpr auto bound = std::size_t { 100000 };
+    REQUIRE(whole.size() > 2 * bound);
+    const auto bounded = encodeCounts(1, longestWindow, counts, bound);
+    CHECK(bounded.size() <= bound);
+    const auto decoded = decodeCounts(bounded, {});
+    REQUIRE(decoded.ok());
+    REQUIRE_FALSE(decoded->slots.empty());
+    CHECK(decoded->slots.front().first.level == 0);
+    CHECK(std::ranges::none_of(decoded->slots,
+                               [](const auto &slot) { return slot.first.level == 3; }));
+}
+
 TEST_CASE("malformed counts are an error and nothing worse")
 {
     auto clock = ManualClock {};
--- a/report/wire.cpp
+++ b/report/wire.cpp
@@ -135,6 +135,16 @@
     return wire;
 }
 
+/// @return the row's encoded length, its names counted as if they stood nowhere else
+auto aboutBytes(const RowKey &key, const WireRow &row) -> std::size_t
+{
+    constexpr auto fixed = std::size_t { 40 };
+    constexpr auto number = std::size_t { 9 };
+    constexpr auto bin = std::size_t { 7 };
+    return fixed + key.classId.size() + key.target.size() + row.numbers.size() * number
+            + row.bins.size() * bin;
+}
+
 auto malformed(std::string_view what) -> absl::Status
 {
     return makeError(ErrorKind::Malformed, what);
@@ -198,15 +208,21 @@
 
 } // namespace
 
-auto encodeCounts(std::uint64_t life, Millis window, const Pyramid<CountSlot> &counts)
-        -> std::string
+auto encodeCounts(std::uint64_t life, Millis window, const Pyramid<CountSlot> &counts,
+                  std::size_t maxBytes) -> std::string
 {
     auto wire = WireCounts { formatNumber, life, counts.now(), window, {}, {} };
     auto names = NameTable {};
+    auto bytes = std::size_t { 0 };
     counts.forEach(window, [&](SlotTime, const CountSlot &slot, SlotId id) {
-        auto &to = wire.slots.emplace_back(WireSlot { id.level, id.number, {} });
-        for (const auto &[key, row] : slot.rows())
+        auto to = WireSlot { id.level, id.number, {} };
+        for (const auto &[key, row] : slot.rows()) {
             to.rows.push_back(toWire(key, row, names));
+            bytes += aboutBytes(key, to.rows.back());
+        }
+        // Slots come from the finest level on, so the oldest are last.
+        if (bytes <= maxBytes)
+            wire.slots.push_back(std::move(to));
     });
     wire.names = names.take();
     return serialize(wire);
--- a/report/wire.h
+++ b/report/wire.h
@@ -29,11 +29,15 @@
     std::vector<std::pair<SlotId, CountSlot>> slots;
 };
 
+/// Encoded counts stay below it, well within a frame of the inner protocol.
+constexpr auto maxEncodedBytes = std::size_t { 8 } << 20;
+
 /// @param life the recorder's
 /// @param window how far back, ms
+/// @param maxBytes about how long the result may be; the oldest slots are left out past it
 /// @return bytes for decodeCounts()
-auto encodeCounts(std::uint64_t life, Millis window, const Pyramid<CountSlot> &counts)
-        -> std::string;
+auto encodeCounts(std::uint64_t life, Millis window, const Pyramid<CountSlot> &counts,
+                  std::size_t maxBytes = maxEncodedBytes) -> std::string;
 
 /// @param bounds of the slots made
 /// @return Malformed when the bytes are no counts
