Show a control's incarnation in its log and status

A trial of members replace failed: adding a member wants the incarnation of its disk, and nothing showed it. With a wrong one the learner stays at index 0.

--- a/control/process.cpp
+++ b/control/process.cpp
@@ -104,12 +104,14 @@
     makeControl(channel);
     if (auto status = control_->start(); !status.ok())
         return status;
+    const auto incarnation = control_->node().status().incarnation;
     transport_->setPeers(options_.peers);
     if (auto status = startServers(channel, *tokens); !status.ok())
         return status;
     scheduleTick();
     scheduleWatch();
     LogEvent(LogLevel::Info, "control_started")
+            .with("incarnation", incarnation)
             .with("listen", options_.listen.text())
             .with("operators", options_.operatorListen.text());
     return absl::OkStatus();
--- a/control/statusjson.cpp
+++ b/control/statusjson.cpp
@@ -91,6 +91,7 @@
     const auto &tables = control.node().tables();
     return json::serialize(json::object {
             { "node", control.node().self().value() },
+            { "incarnation", status.incarnation.value() },
             { "role", json::string_view { role.data(), role.size() } },
             { "leader", status.leader.value() },
             { "term", status.term.value() },
