figrackctl: one remedy an error, and no replacement of what is no member

Errors of the control already end with the remedy and had it twice. A replacement of a mistyped member would have added the new one before it failed.

--- a/cmd/ctl.cpp
+++ b/cmd/ctl.cpp
@@ -187,11 +187,14 @@
         return ExitCode::Failed;
     }
     const auto &object = error->get_object();
-    std::cerr << fmt::format("figrackctl: {}: {}", textOf(object, "code"),
-                             textOf(object, "message"));
+    const auto code = textOf(object, "code");
+    const auto message = textOf(object, "message");
+    // A message of core/error.h begins with the code and ends with the remedy.
+    const auto isWhole = message.starts_with(code + ": ");
+    std::cerr << "figrackctl: " << (isWhole ? "" : code + ": ") << message;
     if (object.contains("revision"))
         std::cerr << "; revision in force: " << textOf(object, "revision");
-    std::cerr << "; " << textOf(object, "remedy") << '\n';
+    std::cerr << (isWhole ? "" : "; " + textOf(object, "remedy")) << '\n';
     return ExitCode::Failed;
 }
 
@@ -287,8 +290,8 @@
     const auto status = parseObject(reply.body);
     auto text = std::string {};
     for (const auto *field :
-         { "node", "role", "leader", "term", "lease_held", "revision", "accepted_revision",
-           "repair_complete", "membership_changing", "open_orders", "claims" })
+         { "node", "incarnation", "role", "leader", "term", "lease_held", "revision",
+           "accepted_revision", "repair_complete", "membership_changing", "open_orders", "claims" })
         text += fmt::format("{:<20}  {}\n", field, textOf(status, field));
     text += '\n' + renderTable(memberColumns, arrayOf(status, "members"));
     text += '\n' + renderTable(routerColumns, arrayOf(status, "routers"));
@@ -492,6 +495,10 @@
         return explain(first);
     const auto members = arrayOf(parseObject(first.body), "members");
     const auto present = findRow(members, "node", fresh);
+    if (present.empty() && findRow(members, "node", gone).empty()) {
+        std::cerr << "figrackctl: " << gone << " is no member; `members list` names them\n";
+        return ExitCode::Failed;
+    }
     auto code = present.empty() ? addMember(fresh) : ExitCode::Ok;
     if (code == ExitCode::Ok)
         code = waitFor(fresh + " has caught up",
--- a/cmd/ctloptions.cpp
+++ b/cmd/ctloptions.cpp
@@ -81,7 +81,7 @@
     OptionRow { "undo", "", "end the drain" },
     OptionRow { "domain", "DOMAIN", "failure domain of the member" },
     OptionRow { "address", "IP:PORT", "peer address of the member" },
-    OptionRow { "incarnation", "N", "of the member's disk, as its log says at start" },
+    OptionRow { "incarnation", "N", "of the member's disk, as `status --local` at it says" },
     OptionRow { "wait", "DURATION", "for each step of a replacement; 10m" },
     OptionRow { "window", "5m|1h|6h|3d", "of the report; 1h" },
     OptionRow { "format", "table|json|html", "of the report; table" },
--- a/cmd/testing/tst_ctl.cpp
+++ b/cmd/testing/tst_ctl.cpp
@@ -229,7 +229,8 @@
     auto control = FakeControl { accepting };
     const auto outcome = ctl({ "--control", control.address(), "status" }, "fedcba9876543210");
     CHECK(outcome.code == 1);
-    CHECK(contains(outcome.error, "bad_token"));
+    CHECK(outcome.error
+          == "figrackctl: bad_token: the token is missing or wrong: ; send a current token\n");
     CHECK_FALSE(contains(outcome.error, "fedcba9876543210"));
 }
 
@@ -331,6 +332,9 @@
     CHECK(contains(outcome.error, "waiting until the loss of any one more loses nothing"));
     CHECK(run().code == 0);
     CHECK(posts.size() == 3);
+    const auto mistyped = ctl({ "--control", control.address(), "members", "replace", "c9", "c5" });
+    CHECK(mistyped.code == 1);
+    CHECK(posts.size() == 3);
 }
 
 TEST_CASE("the report is written to a file")
