--- a/coord/testing/simnet.cpp
+++ b/coord/testing/simnet.cpp
@@ -351,7 +351,7 @@
     const auto membership = leader.replica->status().membership;
     for (const auto &member : membership.members) {
         const auto &node = *nodes_.at(member.node);
-        if (node.incarnation != member.incarnation)
+        if (node.incarnation != member.incarnation || node.mayStop)
             continue; // Lost since it was heard last: the one loss that must be survived.
         requireHolds(node, committed(),
                      "a complete repair has every committed entry on every disk");
