router: the link goes back to its nearest control after a time that is an option

Cause: under load the second control of a test may connect first; the link then kept it for 30 s, as long as the test waits for the first.

--- a/router/controllink.cpp
+++ b/router/controllink.cpp
@@ -25,7 +25,6 @@
 constexpr auto tickEvery = std::chrono::milliseconds { 20 };
 constexpr auto leaderRetry = std::chrono::milliseconds { 50 };
 constexpr auto joinTimeout = std::chrono::seconds { 3 };
-constexpr auto preferNearestEvery = std::chrono::seconds { 30 };
 constexpr auto noPeer = SIZE_MAX;
 
 /// @param status a NotLeader error; the channel puts the leader's name at the argument's end
@@ -245,7 +244,7 @@
     feedProgress_ = now;
     behind_ = true;
     feeding_ = false;
-    preferNearestAt_ = now + preferNearestEvery;
+    preferNearestAt_ = now + options_.preferNearestEvery;
     LogEvent(LogLevel::Info, "feed_source")
             .with("control", peers_[index].name)
             .with("from", view_.appliedIndex().next());
--- a/router/controllink.h
+++ b/router/controllink.h
@@ -45,7 +45,8 @@
     coord::ViewLeaseOptions viewLease;
     Duration demandEvery = std::chrono::milliseconds { 100 };
     Duration demandIdleEvery = std::chrono::seconds { 1 };
-    Duration feedTimeout = std::chrono::seconds { 2 }; ///< Without progress while behind.
+    Duration feedTimeout = std::chrono::seconds { 2 };         ///< Without progress while behind.
+    Duration preferNearestEvery = std::chrono::seconds { 30 }; ///< Back to the first of the list.
 };
 
 /// Called on the link's strand.
--- a/router/testing/tst_controllink.cpp
+++ b/router/testing/tst_controllink.cpp
@@ -52,6 +52,7 @@
         options.demandEvery = milliseconds { 20 };
         options.demandIdleEvery = seconds { 3600 };
         options.feedTimeout = milliseconds { 300 };
+        options.preferNearestEvery = milliseconds { 50 };
         auto hooks = ControlLinkHooks {};
         hooks.onViewChanged = [this] { ++viewChanges; };
         hooks.onLoad = [this](const proto::LoadDigest &) { ++digests; };
@@ -198,7 +199,7 @@
 {
     // c1 serves, falls silent and is left; back at c1, its old pushes come before its answer.
     start({ &c1, &c2 });
-    REQUIRE(eventually([this] { return link->isCurrent(); }));
+    REQUIRE(eventually([this] { return link->isCurrent() && c1.subscribers() == 1; }));
     c1.answersFeed = false;
     c1.required = 1;
     c2.required = 1;
