router: a replica that just failed a request is left alone for a time

Change: a request avoids a replica for 1 s after a break, 100 ms after a refusal; requests behind it go on; a connection that was never made is no attempt, it is bounded by the time to wait and the retry budget.

--- a/router/dispatch.cpp
+++ b/router/dispatch.cpp
@@ -128,7 +128,7 @@
     http::Responder &responder_;
     Instant arrived_;
     Ticket ticket_ = 0;
-    std::uint32_t attempts_ = 0;
+    std::uint32_t attempts_ = 0; ///< Rounds in which the endpoint was reached.
     std::uint64_t tokensGiven_ = 0;
     bool anyMayHaveRun_ = false;
     Outcome outcome_;
@@ -200,6 +200,7 @@
 {
     owner_.budget_.onRequest();
     auto placement = co_await firstPlacement();
+    auto isFirst = true;
     while (true) {
         if (const auto *refusal = std::get_if<Refused>(&placement)) {
             refused(*refusal);
@@ -208,12 +209,16 @@
             break;
         }
         const auto &granted = std::get<Granted>(placement);
-        if (attempts_ == 0) {
+        if (isFirst) {
             outcome_.cold = granted.cold;
             outcome_.waited = granted.waited;
         }
-        ++attempts_;
+        isFirst = false;
         const auto round = co_await this->round(granted);
+        // A connection that was never made is no attempt: it is bounded by the time to wait and the
+        // budget. Else a replica that died would use up the attempts before the tables know of it.
+        if (round.end != RoundEnd::NotRun || round.result == policy::DispatchResult::Refused)
+            ++attempts_;
         if (round.end == RoundEnd::MayHaveRun || round.end == RoundEnd::CallerGone)
             anyMayHaveRun_ = true;
         if (round.end == RoundEnd::Answered || round.end == RoundEnd::Final) {
--- a/router/scheduler.cpp
+++ b/router/scheduler.cpp
@@ -19,6 +19,13 @@
 constexpr auto maxComingBack = std::size_t { 64 };
 constexpr auto maxIdleStates = std::size_t { 4096 };
 constexpr auto shortestRetry = Millis { 50 };
+/// How long a request does not go to a replica again that refused it, or broke off.
+constexpr auto avoidRefused = Millis { 100 };
+constexpr auto avoidFailed = Millis { 1000 };
+/// Requests passed over in one go because they avoid what is free.
+constexpr auto maxSkipped = std::size_t { 16 };
+
+using policy::DispatchResult;
 
 auto remaining(const std::vector<Millis> &times, Millis now) -> std::uint32_t
 {
@@ -145,7 +152,8 @@
         FIGRACK_CHECK(found != entries_.end() && found->second.isRunning,
                       "only a dispatched request is put back");
         auto &entry = found->second;
-        entry.avoid.insert(entry.replica.id);
+        const auto aside = result == DispatchResult::Refused ? avoidRefused : avoidFailed;
+        entry.avoidUntil[entry.replica.id] = now() + aside;
         release(entry, result);
         entry.done = std::move(done);
         entry.queued.startBy = now() + startBy;
@@ -252,26 +260,33 @@
 
 auto Scheduler::pump(TargetState &state, Calls &calls) -> void
 {
-    while (state.waiting > 0 && grantOne(state, calls)) {
+    auto skipped = std::vector<policy::QueuedRequest> {};
+    while (state.waiting > skipped.size() && skipped.size() < maxSkipped) {
+        if (grantOne(state, skipped, calls) == Step::Nothing)
+            break;
     }
+    for (const auto &request : skipped)
+        queue_.putBack(request);
 }
 
-auto Scheduler::grantOne(TargetState &state, Calls &calls) -> bool
+auto Scheduler::grantOne(TargetState &state, std::vector<policy::QueuedRequest> &skipped,
+                         Calls &calls) -> Step
 {
     if (refresh(state).replicas.empty())
-        return false;
+        return Step::Nothing;
     const auto at = now();
     const auto next = queue_.pop(state.target.queueKey(), at);
     if (!next)
-        return false;
+        return Step::Nothing;
     const auto found = entries_.find(next->ticket);
     FIGRACK_CHECK(found != entries_.end() && !found->second.isRunning,
                   "the queue holds only requests that wait");
     auto &entry = found->second;
     const auto index = chooseFor(entry, state);
     if (!index) {
-        queue_.putBack(*next);
-        return false;
+        skipped.push_back(*next);
+        // One that avoids a replica does not stand in the way of those behind it.
+        return avoidsSome(entry) ? Step::Skipped : Step::Nothing;
     }
     entry.replica = state.cached.view.candidates[*index];
     entry.isRunning = true;
@@ -284,7 +299,14 @@
         usedEngines_[entry.replica.id] = entry.replica.address;
     calls.push_back({ std::move(entry.done),
                       Granted { entry.replica, entry.cold, at - entry.queued.arrived } });
-    return true;
+    return Step::Granted;
+}
+
+auto Scheduler::avoidsSome(const Entry &entry) const -> bool
+{
+    const auto at = now();
+    return std::any_of(entry.avoidUntil.begin(), entry.avoidUntil.end(),
+                       [at](const auto &avoided) { return avoided.second > at; });
 }
 
 auto Scheduler::chooseFor(const Entry &entry, TargetState &state) -> std::optional<std::size_t>
@@ -293,19 +315,20 @@
     auto request = policy::ChoiceRequest {};
     request.model = entry.queued.model;
     request.prefix = entry.waiting.prefix;
-    if (entry.avoid.empty())
+    if (!avoidsSome(entry))
         return chooser_.choose(request, view.replicas, view.slots, now());
-    // A replica that failed this very request is asked again only when there is no other.
+    // To ask at once again where it just failed would only spend the request's attempts.
     auto others = std::vector<policy::ReplicaInfo> {};
     auto indexes = std::vector<std::size_t> {};
     for (auto i = std::size_t { 0 }; i < view.replicas.size(); ++i) {
-        if (entry.avoid.count(view.replicas[i].endpoint) > 0)
+        const auto avoided = entry.avoidUntil.find(view.replicas[i].endpoint);
+        if (avoided != entry.avoidUntil.end() && avoided->second > now())
             continue;
         others.push_back(view.replicas[i]);
         indexes.push_back(i);
     }
     if (others.empty())
-        return chooser_.choose(request, view.replicas, view.slots, now());
+        return std::nullopt;
     const auto chosen = chooser_.choose(request, others, view.slots, now());
     return chosen ? std::optional { indexes[*chosen] } : std::nullopt;
 }
--- a/router/scheduler.h
+++ b/router/scheduler.h
@@ -20,7 +20,6 @@
 #include <functional>
 #include <map>
 #include <mutex>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -115,9 +114,9 @@
     {
         Waiting waiting;
         policy::QueuedRequest queued;
-        Done done;         ///< Set while it waits.
-        Candidate replica; ///< While it runs.
-        std::set<EndpointId> avoid;
+        Done done;                               ///< Set while it waits.
+        Candidate replica;                       ///< While it runs.
+        std::map<EndpointId, Millis> avoidUntil; ///< Replicas that failed this very request.
         Millis dispatchedAt = 0;
         bool isRunning = false;
         bool cold = false;
@@ -153,8 +152,11 @@
     auto refresh(TargetState &state) -> const TargetView &;
     auto modelView(TargetState &state) -> policy::ModelView;
     auto pump(TargetState &state, Calls &calls) -> void;
-    auto grantOne(TargetState &state, Calls &calls) -> bool;
+    enum class Step : std::uint8_t { Granted, Skipped, Nothing };
+    auto grantOne(TargetState &state, std::vector<policy::QueuedRequest> &skipped, Calls &calls)
+            -> Step;
     auto chooseFor(const Entry &entry, TargetState &state) -> std::optional<std::size_t>;
+    auto avoidsSome(const Entry &entry) const -> bool;
     auto release(Entry &entry, policy::DispatchResult result) -> void;
     auto refuse(Ticket ticket, Refused refused, Calls &calls) -> void;
     auto refuseAll(ErrorKind kind, Calls &calls) -> void;
--- a/router/testing/tst_dispatch.cpp
+++ b/router/testing/tst_dispatch.cpp
@@ -275,6 +275,20 @@
     }
 }
 
+TEST_CASE_FIXTURE(DispatchFixture,
+                  "a dead endpoint does not use up the attempts before it is known dead")
+{
+    fleet.drainEndpoint("e2");
+    work.stream = true;
+    engines.push(cutAfter({ tokens(0, 2) }));
+    for (auto i = 0; i < 4; ++i)
+        engines.push(refuse());
+    engines.push(streamOf({ tokens(2, 3) + "data: [DONE]\n\n" }));
+    const auto outcome = run();
+    CHECK(outcome.status.ok());
+    CHECK(responder.body == tokens(0, 3) + "data: [DONE]\n\n");
+}
+
 TEST_CASE_FIXTURE(DispatchFixture, "what may not be repeated goes out on a fresh connection")
 {
     asService();
--- a/router/testing/tst_scheduler.cpp
+++ b/router/testing/tst_scheduler.cpp
@@ -215,6 +215,27 @@
     }
 }
 
+TEST_CASE_FIXTURE(SchedulerFixture,
+                  "a request waits for its only replica to be tried again, others go on")
+{
+    fleet.load("plaques", "e1");
+    auto answer = Answer {};
+    const auto ticket = submit(answer);
+    REQUIRE(answer.granted());
+    auto again = Answer {};
+    scheduler.requeue(ticket, DispatchResult::Failed, 5000, answerTo(again));
+    CHECK(again.count == 0);
+    auto other = Answer {};
+    submit(other);
+    CHECK(other.granted());
+    clock.advance(milliseconds { 999 });
+    scheduler.tick();
+    CHECK(again.count == 0);
+    clock.advance(milliseconds { 1 });
+    scheduler.tick();
+    CHECK(again.granted());
+}
+
 TEST_CASE_FIXTURE(SchedulerFixture, "a cancelled request leaves the queue and is answered once")
 {
     auto answer = Answer {};
