policy: a request tried and put back counts for nothing

Cause: a router pops a request, finds all replicas full and puts it back, at each change of its view. Each such pop counted as drained, so a queue learned that all slots were its own again, and as a dispatch of its lane, so classes were passed over by attempts. Change: putBack() undoes what its pop() counted. retryAfter() of a model that loads is now the predicted end of the load, spread by one slot a caller.

--- a/policy/admission.cpp
+++ b/policy/admission.cpp
@@ -18,6 +18,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <deque>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -33,6 +34,8 @@
 
 using ClassIndex = std::size_t;
 
+constexpr auto maxPopsRemembered = std::size_t { 64 };
+
 /// Order of dispatch: by deadline, then by ticket.
 struct Key
 {
@@ -79,12 +82,21 @@
     RecentRate admitted;
 };
 
+/// What a pop() changed besides the queue, so that it can be undone.
+struct PopRecord
+{
+    std::uint64_t ticket = 0;
+    std::uint32_t passedOver = 0; ///< Of its lane, before.
+    bool counted = false;         ///< As drained.
+};
+
 struct ModelQueue
 {
     std::vector<Lane> lanes;
     std::size_t size = 0;
     DrainShare drain;
-    Millis promisedUntil = 0; ///< Times to come back were given out up to here.
+    std::deque<PopRecord> lastPops; ///< The newest last; bounded.
+    Millis promisedUntil = 0;       ///< Times to come back were given out up to here.
 };
 
 struct ClassQueue
@@ -145,6 +157,7 @@
     auto admit(const QueuedRequest &request, const ModelView &view, Millis now) -> Verdict;
     auto pop(const ModelId &model, Millis now) -> std::optional<QueuedRequest>;
     auto insert(const QueuedRequest &request) -> void;
+    auto putBack(const QueuedRequest &request) -> void;
     auto cancel(std::uint64_t ticket) -> bool;
     auto expire(Millis now) -> std::vector<QueuedRequest>;
     auto nextExpiry() const -> Millis;
@@ -152,6 +165,7 @@
             -> std::vector<QueuedRequest>;
     auto retryAfter(const ModelId &model, const ModelView &view, Millis earliest, Millis now)
             -> Millis;
+    auto nextPlace(const ModelId &model, const ModelView &view, Millis now) -> Millis;
     auto size() const -> std::size_t { return entries_.size(); }
     auto queuedFor(const ModelId &model) const -> std::size_t;
     auto demand() const -> std::vector<DemandInfo>;
@@ -470,17 +484,40 @@
     if (chosen == nullptr)
         return std::nullopt;
     found->second.drain.advance(true, now);
+    auto record = PopRecord { chosenKey.ticket, chosen->passedOver, false };
     for (auto &lane : found->second.lanes)
         lane.passedOver = lane.keys.empty() ? 0 : lane.passedOver + 1;
     chosen->passedOver = 0;
     auto request = remove(chosenKey.ticket);
     FIGRACK_CHECK(request.startBy >= now && request.finishBy >= now, "nothing waits past its time");
     found->second.drain.advance(found->second.size > 0, now);
-    if (request.arrived < now)
+    record.counted = request.arrived < now;
+    if (record.counted)
         found->second.drain.onPop();
+    auto &lastPops = found->second.lastPops;
+    lastPops.push_back(record);
+    if (lastPops.size() > maxPopsRemembered)
+        lastPops.pop_front();
     return request;
 }
 
+/// Nothing was dispatched: the shares must not count it, or a queue that only tries would seem to
+/// drain, and a lane that only was tried would seem to have been served.
+auto RequestQueue::Impl::putBack(const QueuedRequest &request) -> void
+{
+    insert(request);
+    auto &model = models_.at(request.model);
+    const auto record = std::ranges::find(model.lastPops, request.ticket, &PopRecord::ticket);
+    if (record == model.lastPops.end())
+        return;
+    for (auto &lane : model.lanes)
+        lane.passedOver -= lane.passedOver > 0 ? 1 : 0;
+    laneOf(model, classIndexOf(request.classId)).passedOver = record->passedOver;
+    if (record->counted)
+        model.drain.onPutBack();
+    model.lastPops.erase(record);
+}
+
 auto RequestQueue::Impl::cancel(std::uint64_t ticket) -> bool
 {
     if (!entries_.contains(ticket))
@@ -573,6 +610,16 @@
     return spread(retry, static_cast<std::uint64_t>(promised));
 }
 
+/// @return when a model with no replica ready is predicted to have one; else now
+auto RequestQueue::Impl::nextPlace(const ModelId &model, const ModelView &view, Millis now)
+        -> Millis
+{
+    if (view.ready > 0)
+        return now;
+    const auto start = startAt(models_[model], view, 0, now);
+    return start == never ? now + options_.noCapacityRetry : start;
+}
+
 auto RequestQueue::Impl::queuedFor(const ModelId &model) const -> std::size_t
 {
     const auto found = models_.find(model);
@@ -614,7 +661,7 @@
 
 auto RequestQueue::putBack(const QueuedRequest &request) -> void
 {
-    impl_->insert(request);
+    impl_->putBack(request);
 }
 
 auto RequestQueue::cancel(std::uint64_t ticket) -> bool
@@ -640,7 +687,7 @@
 
 auto RequestQueue::retryAfter(const ModelId &model, const ModelView &view, Millis now) -> Millis
 {
-    return impl_->retryAfter(model, view, now, now);
+    return impl_->retryAfter(model, view, impl_->nextPlace(model, view, now), now);
 }
 
 auto RequestQueue::size() const -> std::size_t
--- a/policy/admission.h
+++ b/policy/admission.h
@@ -102,7 +102,8 @@
     auto admit(const QueuedRequest &request, const ModelView &view, Millis now) -> Verdict;
     /// @return the request to dispatch next for a model; never one past its time
     auto pop(const ModelId &model, Millis now) -> std::optional<QueuedRequest>;
-    /// Puts back a request whose dispatch certainly did not run. It was admitted: no bound is
+    /// Puts back a request whose dispatch certainly did not run, or that found no replica to take
+    /// it: its pop() then counts for nothing. It was admitted: no bound is
     /// tested again. Past its time it comes out of the next expire().
     auto putBack(const QueuedRequest &request) -> void;
     /// Removes one request: the caller went away. @return false when it was not queued
--- a/policy/prefixindex.cpp
+++ b/policy/prefixindex.cpp
@@ -10,6 +10,7 @@
 namespace figrack::policy {
 namespace {
 
+constexpr auto firstEvent = std::uint64_t { 1 }; ///< Engines count from 0 or from 1.
 constexpr auto maxStaleBatches = std::uint32_t { 3 };
 constexpr auto maxProbes = std::size_t { 256 };
 
@@ -28,13 +29,16 @@
             add(slot, cache, block);
         return true;
     }
-    if (cache.distrusted)
-        return false;
+    if (cache.distrusted) {
+        if (batch.first > firstEvent)
+            return false;
+        cache = Cache {}; // All events from the first on: as good as a snapshot.
+    }
     const auto end = batch.first + batch.added.size() + batch.removed.size();
     if (!cache.started) {
         cache.started = true;
         cache.next = batch.first;
-        if (batch.first > 1) // Events before it were missed.
+        if (batch.first > firstEvent) // Events before it were missed.
             return distrust(slot, cache);
     }
     if (end <= cache.next && batch.first < cache.next)
--- a/policy/testing/tst_admission.cpp
+++ b/policy/testing/tst_admission.cpp
@@ -72,11 +72,23 @@
                 passed = count(model, key.second) == 0 ? 0 : passed + 1;
         }
         auto request = *best;
+        poppedFrom_ = passedOver_[{ model, request.classId }] - 1;
         passedOver_[{ model, request.classId }] = 0;
         remove(request.ticket);
         return request;
     }
 
+    /// Undoes the last pop().
+    auto putBack(const QueuedRequest &request) -> void
+    {
+        add(request);
+        for (auto &[key, passed] : passedOver_) {
+            if (key.first == request.model && passed > 0)
+                --passed;
+        }
+        passedOver_[{ request.model, request.classId }] = poppedFrom_;
+    }
+
     auto expired(Millis now) const -> std::set<std::uint64_t>
     {
         auto tickets = std::set<std::uint64_t> {};
@@ -105,6 +117,7 @@
 private:
     std::vector<QueuedRequest> requests_;
     std::map<std::pair<ModelId, ClassId>, std::uint32_t> passedOver_;
+    std::uint32_t poppedFrom_ = 0; ///< Of the lane of the last pop(), before it.
 };
 
 auto tickets(const std::vector<QueuedRequest> &requests) -> std::set<std::uint64_t>
@@ -252,6 +265,7 @@
         auto queue = RequestQueue { options };
         auto plain = PlainQueue {};
         auto taken = std::optional<QueuedRequest> {};
+        auto takenCounted = false;
         auto drains = std::map<ModelId, DrainShare> {}; // Told what the queue is told.
         const auto waits = [&](const ModelId &of) {
             const auto isOf = [&](const QueuedRequest &request) { return request.model == of; };
@@ -298,7 +312,8 @@
                 if (popped) {
                     drains[model].advance(true, now);
                     drains[model].advance(waits(model), now);
-                    if (popped->arrived < now)
+                    takenCounted = popped->arrived < now;
+                    if (takenCounted)
                         drains[model].onPop();
                     CHECK(popped->ticket == expected->ticket);
                     CHECK(popped->startBy >= now);
@@ -306,7 +321,9 @@
                 }
             } else if (action < 88 && taken) {
                 queue.putBack(*taken);
-                plain.add(*taken);
+                plain.putBack(*taken);
+                if (takenCounted)
+                    drains[taken->model].onPutBack();
                 taken.reset();
             } else if (action < 91) {
                 const auto which = random.below(ticket + 1);
@@ -501,6 +518,39 @@
     }
 }
 
+TEST_CASE("a request that is only tried and put back teaches nothing")
+{
+    auto queue = RequestQueue { {} };
+    const auto view = busyView();
+    for (auto i = std::uint64_t { 0 }; i < 40; ++i) {
+        queue.admit(makeRequest(i, routine, 0, std::to_string(i)), view, 0);
+        queue.admit(makeRequest(100 + i, patient, 0, std::to_string(i)), view, 0);
+    }
+    const auto first = queue.pop(ModelId { "m" }, 1);
+    queue.putBack(*first);
+    for (auto now = Millis { 1 }; now < 5000; now += 10) {
+        const auto tried = queue.pop(ModelId { "m" }, now); // All replicas are full.
+        REQUIRE(tried);
+        CHECK(tried->ticket == first->ticket); // Trying is not being passed over.
+        queue.putBack(*tried);
+    }
+    // Nothing drained for five seconds: another ten cannot be served within ten.
+    const auto verdict = queue.admit(makeRequest(999, routine, 5000), view, 5000);
+    CHECK(verdict.refusal);
+}
+
+TEST_CASE("while a model loads, callers are told to come back when it is ready")
+{
+    auto queue = RequestQueue { {} };
+    auto view = ModelView {};
+    view.loading = 1;
+    view.nextReady = 30000;
+    const auto first = queue.retryAfter(ModelId { "m" }, view, 0);
+    CHECK(first >= 30000);
+    CHECK(first < 31000);
+    CHECK(queue.retryAfter(ModelId { "m" }, view, 0) > first);
+}
+
 TEST_CASE("the measured share follows how fast the queue drains")
 {
     auto drain = DrainShare {};
--- a/policy/testing/tst_choice.cpp
+++ b/policy/testing/tst_choice.cpp
@@ -279,6 +279,18 @@
     CHECK(index.deepest(blocks).depth == 0);
 }
 
+TEST_CASE("all events from the first on are as good as a snapshot")
+{
+    auto index = PrefixIndex { {} };
+    const auto blocks = std::vector<std::uint64_t> { 1, 2, 3 };
+    CHECK_FALSE(index.apply(0, { 7, false, blocks, {} })); // Its beginning was missed.
+    CHECK_FALSE(index.apply(0, { 10, false, blocks, {} }));
+    CHECK(index.apply(0, { 0, false, blocks, {} }));
+    CHECK(index.deepest(blocks).depth == 3);
+    CHECK(index.apply(0, { 3, false, {}, blocks }));
+    CHECK(index.size() == 0);
+}
+
 TEST_CASE("the prefix index is bounded")
 {
     auto index = PrefixIndex { { 100, 250, 2 } };
--- a/policy/waiting.cpp
+++ b/policy/waiting.cpp
@@ -103,6 +103,11 @@
     pops_ += 1;
 }
 
+auto DrainShare::onPutBack() -> void
+{
+    pops_ = std::max(pops_ - 1, 0.0);
+}
+
 auto DrainShare::value(double nominal) const -> double
 {
     constexpr auto assumedPops = 4.0; // At the nominal rate, until there are measured ones.
--- a/policy/waiting.h
+++ b/policy/waiting.h
@@ -46,6 +46,8 @@
     auto discard(Millis now) -> void;
     /// A request that had waited was dispatched.
     auto onPop() -> void;
+    /// It was not dispatched after all.
+    auto onPutBack() -> void;
     /// @param nominal time between two slots coming free, ms
     /// @return in (0, 1]
     auto value(double nominal) const -> double;
