--- a/coord/viewlease.cpp
+++ b/coord/viewlease.cpp
@@ -213,24 +213,42 @@
 {
     unknownUntil_ = clock_.now() + wait_;
     observers_.clear();
+    ackCounts_.clear();
     for (const auto &[node, incarnation] : observers)
-        observers_[node] = Observer { incarnation, {} };
+        add(node, incarnation);
     onCommitted(revision);
 }
 
+auto AcceptGate::add(const NodeId &observer, Incarnation incarnation) -> void
+{
+    observers_[observer] = Observer { incarnation, {} };
+    ++ackCounts_[Revision {}];
+}
+
+auto AcceptGate::countOut(Revision acked) -> void
+{
+    const auto count = ackCounts_.find(acked);
+    if (--count->second == 0)
+        ackCounts_.erase(count);
+}
+
 auto AcceptGate::onRegistered(const NodeId &observer, Incarnation incarnation) -> void
 {
     const auto known = observers_.find(observer);
     if (known != observers_.end() && known->second.incarnation == incarnation)
         return;
     onDeregistered(observer);
-    observers_[observer] = Observer { incarnation, {} };
+    add(observer, incarnation);
 }
 
 auto AcceptGate::onDeregistered(const NodeId &observer) -> void
 {
-    if (observers_.erase(observer) > 0)
-        unknownUntil_ = clock_.now() + wait_;
+    const auto known = observers_.find(observer);
+    if (known == observers_.end())
+        return;
+    countOut(known->second.acked);
+    observers_.erase(known);
+    unknownUntil_ = clock_.now() + wait_;
 }
 
 auto AcceptGate::onCommitted(Revision revision) -> void
@@ -247,16 +265,18 @@
     const auto found = observers_.find(observer);
     if (found == observers_.end() || found->second.incarnation != incarnation)
         return;
-    found->second.acked = std::max(found->second.acked, applied);
+    auto &acked = found->second.acked;
+    if (applied > acked) {
+        countOut(std::exchange(acked, applied));
+        ++ackCounts_[applied];
+    }
     acceptByAcks();
 }
 
 auto AcceptGate::lowestAck() const -> Revision
 {
-    auto lowest = committed_.empty() ? Revision {} : committed_.rbegin()->first;
-    for (const auto &[node, observer] : observers_)
-        lowest = std::min(lowest, observer.acked);
-    return lowest;
+    const auto newest = committed_.empty() ? Revision {} : committed_.rbegin()->first;
+    return ackCounts_.empty() ? newest : std::min(newest, ackCounts_.begin()->first);
 }
 
 auto AcceptGate::acceptByAcks() -> void
--- a/coord/viewlease.h
+++ b/coord/viewlease.h
@@ -204,6 +204,8 @@
         Incarnation incarnation;
         Revision acked;
     };
+    auto add(const NodeId &observer, Incarnation incarnation) -> void;
+    auto countOut(Revision acked) -> void;
     auto acceptByAcks() -> void;
     auto lowestAck() const -> Revision;
 
@@ -211,6 +213,9 @@
     Duration wait_;        ///< After commit no observer can be current without the change.
     Instant unknownUntil_; ///< Till then an observer not listed may hold a lease.
     std::map<NodeId, Observer> observers_;
+    /// How many observers have acknowledged just so much: an acknowledgement then costs the
+    /// same however many observers there are.
+    std::map<Revision, std::size_t> ackCounts_;
     std::map<Revision, Instant> committed_; ///< Not accepted by acks; the newest is kept.
     Revision acceptedByAcks_;
 };
