coord: tests of damage within one segment, and of a missing segment

Three breaks of the store passed all tests: a segment cut wherever it is bad, no search for a good batch behind a bad one, and segments that need not follow one another. The script's last segment held one batch, so that earlier damage always showed in a later segment; and no missing segment held truncations alone. Two tests added; without the checks they fail. bench: the loopback transport connects ahead and notices closed connections; before, the survivors' first votes were lost to a connection not yet made.

--- a/bench/coordnode.cpp
+++ b/bench/coordnode.cpp
@@ -1,5 +1,5 @@
 // Frames are a length and an encoded envelope. A message to a peer that is not
-// connected is dropped and the connection tried. What is sent while a write is
+// connected is dropped; each tick tries to connect. What is sent while a write is
 // under way goes out with the next one.
 
 #include "bench/coordnode.h"
@@ -108,6 +108,10 @@
 
 auto CoordNode::tick() -> void
 {
+    for (const auto &[node, link] : links_) {
+        if (!link->connected)
+            connect(link);
+    }
     replica_->tick();
     if (onTick)
         onTick();
@@ -198,10 +202,8 @@
     if (found == links_.end())
         return;
     const auto &link = found->second;
-    if (!link->connected) {
-        connect(link);
+    if (!link->connected)
         return;
-    }
     if (link->queued.size() > maxQueuedBytes)
         return;
     const auto body = proto::encode({ 0, std::move(message) });
@@ -220,11 +222,20 @@
     link->socket.async_connect(loopback(link->port), [link](error_code error) {
         link->connecting = false;
         link->connected = !error;
-        if (!error)
-            link->socket.set_option(tcp::no_delay(true));
+        if (error)
+            return;
+        link->socket.set_option(tcp::no_delay(true));
+        watch(link);
     });
 }
 
+/// Nothing is ever sent back: reading only tells that the peer has gone.
+auto CoordNode::watch(const std::shared_ptr<Link> &link) -> void
+{
+    link->socket.async_wait(tcp::socket::wait_read,
+                            [link](error_code) { link->connected = false; });
+}
+
 auto CoordNode::write(const std::shared_ptr<Link> &link) -> void
 {
     if (link->writing || link->queued.empty())
--- a/bench/coordnode.h
+++ b/bench/coordnode.h
@@ -86,6 +86,7 @@
     auto read(const std::shared_ptr<Session> &session) -> void;
     auto receive(std::string_view frame) -> void;
     auto connect(const std::shared_ptr<Link> &link) -> void;
+    static auto watch(const std::shared_ptr<Link> &link) -> void;
     auto write(const std::shared_ptr<Link> &link) -> void;
 
     CoordNodeOptions options_;
--- a/coord/testing/tst_filelogstore.cpp
+++ b/coord/testing/tst_filelogstore.cpp
@@ -334,6 +334,52 @@
     CHECK(cut < 140);
 }
 
+TEST_CASE("damage before the last batch of one segment is refused, never cut")
+{
+    const auto options = FileLogStoreOptions { "data", 1U << 20, 2 };
+    auto disk = FakeDisk {};
+    auto store = FileLogStore { options, disk };
+    REQUIRE(store.recover().ok());
+    REQUIRE(store.saveIdentity({ "group", NodeId { "a" }, Incarnation { 5 } }).ok());
+    auto sizes = std::vector<std::size_t> {};
+    const auto segment = std::string { "data/log-00000000000000000001" };
+    for (auto index = std::uint64_t { 1 }; index <= 4; ++index) {
+        disk.damage(segment, [&](std::string &bytes) { sizes.push_back(bytes.size()); });
+        REQUIRE(store.append(entries(1, index, index)).ok());
+    }
+    for (auto offset = std::size_t { 0 }; offset < sizes.back(); ++offset) {
+        auto copy = disk.afterProcessDeath();
+        copy.damage(segment, [&](std::string &bytes) { bytes[offset] ^= 0x01; });
+        auto damaged = FileLogStore { options, copy };
+        CAPTURE(offset);
+        CHECK(errorKind(damaged.recover().status()) == ErrorKind::Corrupt);
+    }
+}
+
+TEST_CASE("a missing segment is refused, also when it held nothing but truncations")
+{
+    const auto options = FileLogStoreOptions { "data", 1, 2 }; // One batch a segment.
+    auto disk = FakeDisk {};
+    auto store = FileLogStore { options, disk };
+    REQUIRE(store.recover().ok());
+    REQUIRE(store.saveIdentity({ "group", NodeId { "a" }, Incarnation { 5 } }).ok());
+    REQUIRE(store.append(entries(1, 1, 4)).ok());
+    REQUIRE(store.truncate(LogIndex { 4 }).ok());
+    REQUIRE(store.append(entries(2, 4, 5)).ok());
+    REQUIRE(store.truncate(LogIndex { 5 }).ok());
+    REQUIRE(store.truncate(LogIndex { 4 }).ok());
+    for (const auto &path : disk.files()) {
+        const auto isLast = path.ends_with("6");
+        if (!path.starts_with("data/log-") || isLast || path.ends_with("1"))
+            continue;
+        auto copy = disk.afterProcessDeath();
+        REQUIRE(copy.remove(path).ok());
+        auto damaged = FileLogStore { options, copy };
+        CAPTURE(path);
+        CHECK(errorKind(damaged.recover().status()) == ErrorKind::Corrupt);
+    }
+}
+
 TEST_CASE("a file that is missing, short or of another folder is refused")
 {
     const auto steps = script();
