--- a/bench/coordbench.cpp
+++ b/bench/coord_bench.cpp
@@ -1,10 +1,10 @@
 // Benchmarks of coordination: prints one line of key=value pairs a measurement.
 //
-//   coordbench commit <data folder> [seconds]    rate and latency by voters and outstanding
-//   coordbench catchup <data folder>             1,000 changes by log and by snapshot
-//   coordbench node                              bytes and CPU of leases, heartbeats and feed
-//   coordbench inforce <data folder> [changes]   a change until every stand-in router has it
-//   coordbench failover <data folder> [rounds]   time without a leader, real processes
+//   coord_bench commit <data folder> [seconds]    rate and latency by voters and outstanding
+//   coord_bench catchup <data folder>             1,000 changes by log and by snapshot
+//   coord_bench node                              bytes and CPU of leases, heartbeats and feed
+//   coord_bench inforce <data folder> [changes]   a change until every stand-in router has it
+//   coord_bench failover <data folder> [rounds]   time without a leader, real processes
 //
 // Voters are threads (failover: processes) with files in the data folder and TCP
 // on the loopback. The load average is printed with each figure, since a busy
@@ -574,7 +574,7 @@
 auto run(const std::vector<std::string> &arguments) -> int
 {
     const auto mode = arguments.empty() ? std::string {} : arguments[0];
-    const auto folder = arguments.size() > 1 ? arguments[1] + "/coordbench" : std::string {};
+    const auto folder = arguments.size() > 1 ? arguments[1] + "/coord_bench" : std::string {};
     const auto number = arguments.size() > 2 ? std::stoul(arguments[2]) : 0;
     if (mode == "node") {
         for (const auto count : { 7, 200, 1700 })
@@ -584,7 +584,7 @@
         return 0;
     }
     if (folder.empty()) {
-        fmt::print(stderr, "usage: coordbench commit|catchup|node|inforce|failover folder [n]\n");
+        fmt::print(stderr, "usage: coord_bench commit|catchup|node|inforce|failover folder [n]\n");
         return 2;
     }
     if (mode == "commit")
