The burn report at /v1/report

The leader pulls the routers' counts, meters idle accelerator time and renders both as JSON, table or page. Pulls are pushes, since a channel numbers only the calls of the side that dialled.

--- a/control/control.cpp
+++ b/control/control.cpp
@@ -22,6 +22,7 @@
     , claims_(options_.claims, clock, node_)
     , orders_(options_.orders, clock, node_, port)
     , scheduler_(options_.scheduler, clock, node_, endpoints_, orders_)
+    , reports_(options_.reports, clock, node_, scheduler_)
 {
     node_.setOnApplied([this](const AppliedCommand &applied) { onApplied(applied); });
     node_.setOnRestored([this] {
@@ -50,6 +51,9 @@
         claims_.tick();
         orders_.tick();
         scheduler_.tick();
+        if (reports_.isPullDue())
+            reports_.pull(routerPeers());
+        reports_.tick();
         pushDigest();
     }
     feed_.pump();
@@ -79,6 +83,7 @@
     leading_ = term;
     orders_.onLeading(term);
     scheduler_.onLeading(term);
+    reports_.onLeading();
     routers_.onLeading();
     endpoints_.onLeading();
     digestAt_ = clock_.now();
@@ -92,6 +97,7 @@
     leading_.reset();
     orders_.onNotLeading();
     scheduler_.onNotLeading();
+    reports_.onNotLeading();
     routers_.onNotLeading();
     endpoints_.onNotLeading();
 }
@@ -161,6 +167,10 @@
     {
         control.claims_.onRequest(caller, request);
     }
+    auto operator()(const proto::ReportReply &reply) const -> void
+    {
+        control.reports_.onReply(caller.peer->peer(), reply);
+    }
     auto operator()(const proto::ClaimEnd &end) const -> void
     {
         control.claims_.onEnd(caller, end);
@@ -186,9 +196,10 @@
 
 auto Control::routerPeers() const -> std::vector<proto::PeerPointer>
 {
+    const auto membership = node_.status().membership;
     auto result = std::vector<proto::PeerPointer> {};
     for (const auto &[key, peer] : peers_) {
-        if (!isControl(peer->peer()))
+        if (membership.find(peer->peer()) == nullptr)
             result.push_back(peer);
     }
     return result;
@@ -263,6 +274,14 @@
                 done);
 }
 
+auto Control::makeReport(Duration window, report::ReportFormat format,
+                         std::function<void(std::string)> done) -> void
+{
+    reports_.whenFresh(routerPeers(), [this, window, format, done = std::move(done)] {
+        done(reports_.render(window, format));
+    });
+}
+
 auto Control::addMember(const coord::Member &member, const Done &done) -> void
 {
     done(node_.addLearner(member).status());
--- a/control/control.h
+++ b/control/control.h
@@ -26,6 +26,7 @@
 #include "control/node.h"
 #include "control/orders.h"
 #include "control/replies.h"
+#include "control/reports.h"
 #include "control/routers.h"
 #include "control/scheduler.h"
 
@@ -40,6 +41,7 @@
     ClaimsOptions claims;
     OrdersOptions orders;
     SchedulerOptions scheduler;
+    ReportsOptions reports;
     Duration digestEvery = std::chrono::milliseconds { 200 };
 };
 
@@ -71,6 +73,10 @@
     auto removeMember(const NodeId &node, const Done &done) -> void;
     auto transfer() -> absl::Status { return node_.transferLeadership(); }
 
+    /// Calls back with the burn report over a window, after asking the routers.
+    auto makeReport(Duration window, report::ReportFormat format,
+                    std::function<void(std::string)> done) -> void;
+
     auto node() const -> const Node & { return node_; }
     auto routers() const -> const Routers & { return routers_; }
     auto endpoints() const -> const Endpoints & { return endpoints_; }
@@ -101,6 +107,7 @@
     Claims claims_;
     Orders orders_;
     Scheduler scheduler_;
+    Reports reports_;
     std::map<const proto::PeerConnection *, proto::PeerPointer> peers_;
     std::optional<Term> leading_;
     bool leaseHeld_ = false; ///< At the last look, while leading.
--- a/control/operatorapi.cpp
+++ b/control/operatorapi.cpp
@@ -4,6 +4,7 @@
 
 #include "control/operatorapi.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -49,6 +50,35 @@
     return rest.substr(end) == after ? std::string { rest.substr(0, end) } : std::string {};
 }
 
+/// @return the value of a field of a query such as "window=5m&format=json", or the fallback
+auto queryField(std::string_view query, std::string_view name, std::string_view fallback)
+        -> std::string_view
+{
+    while (!query.empty()) {
+        const auto end = std::min(query.find('&'), query.size());
+        const auto field = query.substr(0, end);
+        query.remove_prefix(std::min(end + 1, query.size()));
+        const auto equals = field.find('=');
+        if (equals != std::string_view::npos && field.substr(0, equals) == name)
+            return field.substr(equals + 1);
+    }
+    return fallback;
+}
+
+/// One form in which the burn report is given.
+struct ReportForm
+{
+    std::string_view name;
+    report::ReportFormat format;
+    std::string_view contentType;
+};
+
+constexpr auto reportForms = std::array {
+    ReportForm { "json", report::ReportFormat::Json, "application/json" },
+    ReportForm { "table", report::ReportFormat::Text, "text/plain; charset=utf-8" },
+    ReportForm { "html", report::ReportFormat::Html, "text/html; charset=utf-8" },
+};
+
 } // namespace
 
 struct OperatorApi::Route
@@ -86,6 +116,7 @@
         Route { "POST", "/v1/routers/", "/drain", false, &OperatorApi::postDrain },
         Route { "POST", "/v1/members", "", false, &OperatorApi::postMembers },
         Route { "POST", "/v1/transfer", "", false, &OperatorApi::postTransfer },
+        Route { "GET", "/v1/report", "", false, &OperatorApi::getReport },
         Route { "GET", "/healthz", "", true, &OperatorApi::getHealth },
         Route { "GET", "/readyz", "", true, &OperatorApi::getReady },
         Route { "GET", "/metrics", "", true, &OperatorApi::getMetrics },
@@ -249,6 +280,28 @@
     answerStatus(request, control_.transfer(), answer);
 }
 
+auto OperatorApi::getReport(const http::Request &request, const Answer &answer) -> void
+{
+    constexpr auto longest = std::chrono::hours { 72 };
+    const auto window = parseDuration(queryField(request.query, "window", "1h"));
+    const auto name = queryField(request.query, "format", "json");
+    const auto form = std::find_if(reportForms.begin(), reportForms.end(),
+                                   [name](const auto &one) { return one.name == name; });
+    if (!window.ok() || *window <= Duration::zero() || *window > longest
+        || form == reportForms.end()) {
+        const auto fault = "window=up to 72h format=json, table or html";
+        answer(http::errorResponse(makeError(ErrorKind::BadRequest, fault)));
+        return;
+    }
+    if (!control_.node().holdsLease()) {
+        answer(redirect(request));
+        return;
+    }
+    control_.makeReport(*window, form->format, [answer, form](std::string body) {
+        answer({ 200, { { "Content-Type", std::string { form->contentType } } }, std::move(body) });
+    });
+}
+
 auto OperatorApi::getHealth(const http::Request & /*request*/, const Answer &answer) -> void
 {
     answer(textResponse(200, "ok\n"));
--- a/control/operatorapi.h
+++ b/control/operatorapi.h
@@ -57,6 +57,7 @@
     auto getStatus(const http::Request &request, const Answer &answer) -> void;
     auto postDrain(const http::Request &request, const Answer &answer) -> void;
     auto postMembers(const http::Request &request, const Answer &answer) -> void;
+    auto getReport(const http::Request &request, const Answer &answer) -> void;
     auto postTransfer(const http::Request &request, const Answer &answer) -> void;
     auto getHealth(const http::Request &request, const Answer &answer) -> void;
     auto getReady(const http::Request &request, const Answer &answer) -> void;
--- a/control/scheduler.cpp
+++ b/control/scheduler.cpp
@@ -254,6 +254,12 @@
     mirrorEndpoint(endpoint);
 }
 
+auto Scheduler::isIdle(const state::ReplicaKey &key) const -> bool
+{
+    const auto use = uses_.find(key);
+    return use != uses_.end() && use->second.running + use->second.waiting == 0;
+}
+
 auto Scheduler::onFailure(const LoadFailure &failure) -> void
 {
     if (!planner_)
--- a/control/scheduler.h
+++ b/control/scheduler.h
@@ -52,6 +52,8 @@
     auto onFailure(const LoadFailure &failure) -> void;
     auto tick() -> void;
 
+    /// @return true when nothing ran or waited on a replica at its last report
+    auto isIdle(const state::ReplicaKey &key) const -> bool;
     /// @return requests that wait at routers
     auto queued() const -> std::uint64_t { return demand_.queued(); }
 
--- a/control/testing/tst_control.cpp
+++ b/control/testing/tst_control.cpp
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 
 #include "control/testing/simulation.h"
+#include "report/recorder.h"
 
 namespace figrack::control {
 namespace {
@@ -429,6 +430,33 @@
     CHECK(leader.store.syncs() - before <= 2);
 }
 
+TEST_CASE("the burn report is made of what the routers counted")
+{
+    auto sim = Simulation { 16, 1 };
+    sim.start();
+    prepare(sim);
+    auto &leader = *sim.leader();
+    auto recorder = report::Recorder { sim.clock };
+    auto record = report::RequestRecord {};
+    record.classId = ClassId { "urgent" };
+    record.target = "m";
+    record.metStart = true;
+    record.metFinish = true;
+    recorder.record(record);
+    auto page = std::string {};
+    leader.control->makeReport(std::chrono::minutes { 5 }, report::ReportFormat::Json,
+                               [&page](std::string body) { page = std::move(body); });
+    CHECK(page.empty());
+    for (std::size_t i = 0; i < sim.options.routers; ++i) {
+        const auto peer = leader.peers.at(NodeId { routerName(i) });
+        REQUIRE_FALSE(peer->take<proto::ReportRequest>().empty());
+        const auto counts = i == 0 ? recorder.encode(std::chrono::minutes { 5 }) : std::string {};
+        auto reply = proto::ReportReply { peer->peer(), counts };
+        leader.control->onMessage(peer, { 0, reply });
+    }
+    CHECK(page.find("urgent") != std::string::npos);
+}
+
 TEST_CASE("a control that does not lead says so and names who does")
 {
     auto sim = Simulation { 15, 3 };
