--- a/control/testing/tst_control.cpp
+++ b/control/testing/tst_control.cpp
@@ -248,6 +248,56 @@
     checkPromises(sim);
 }
 
+TEST_CASE(
+        "an order in the kernel of a leader that is cut off does not leave when the network heals")
+{
+    auto sim = Simulation { 17, 3 };
+    sim.start();
+    prepare(sim);
+    auto *stale = sim.leader();
+    auto cut = false;
+    stale->beforeSend = [&] {
+        if (!cut)
+            sim.isolate(stale->self.node);
+        cut = true;
+    };
+    sim.setDemand("m", 1);
+    REQUIRE(sim.runUntil([&] { return cut; }, seconds { 10 }));
+    sim.setDemand("m", 0);
+    const auto settled = [&] {
+        return sim.leader() && sim.leader() != stale
+                && sim.leader()->control->node().tables().replicas().empty();
+    };
+    REQUIRE(sim.runUntil(settled, seconds { 60 }));
+    sim.heal();
+    sim.run(seconds { 5 });
+    CHECK(sim.ordersDelivered == 0);
+    checkPromises(sim);
+}
+
+TEST_CASE("an order that reaches an engine's next life finds its memory still held")
+{
+    auto options = SimulationOptions {};
+    options.engines = 1;
+    options.longestTransit = milliseconds { 1900 };
+    for (auto seed = std::uint64_t { 1 }; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        auto sim = Simulation { seed, 3, options };
+        sim.start();
+        prepare(sim);
+        auto restarted = false;
+        sim.leader()->beforeSend = [&] {
+            if (!restarted)
+                sim.restart(sim.engines[0]);
+            restarted = true;
+        };
+        sim.setDemand("m", 1);
+        REQUIRE(sim.runUntil([&] { return isReady(sim, "m"); }, seconds { 60 }));
+        CHECK(restarted);
+        checkPromises(sim);
+    }
+}
+
 TEST_CASE("an order cut off on the wire that arrives late takes no memory that was given away")
 {
     auto options = SimulationOptions {};
