--- a/policy/choice.cpp
+++ b/policy/choice.cpp
@@ -70,6 +70,11 @@
         others_ -= others;
         --reports_;
     }
+    /// Own streams whose ends will not be counted: their endpoint is forgotten.
+    auto onLost(std::uint32_t streams) -> void
+    {
+        inFlight_ = std::max(inFlight_ - static_cast<double>(streams), 0.0);
+    }
     auto onDispatch(Millis now) -> void
     {
         advance(now);
@@ -87,6 +92,10 @@
         ends_ /= 2;
         streamTime_ /= 2;
     }
+    auto streams() const -> std::uint32_t
+    {
+        return static_cast<std::uint32_t>(std::max(static_cast<double>(others_) + inFlight_, 0.0));
+    }
     auto others() const -> OthersLoad
     {
         constexpr auto leastEnds = 4.0;
@@ -174,6 +183,11 @@
     auto onCacheEvents(const CacheEvents &events) -> void;
     auto wantsCacheSnapshot(const EndpointId &endpoint) const -> bool;
     auto forget(const EndpointId &endpoint) -> void;
+    auto streamsOf(const ModelId &model) const -> std::uint32_t
+    {
+        const auto found = models_.find(model);
+        return found == models_.end() ? 0 : found->second.streams();
+    }
 
 private:
     auto slotOf(const EndpointId &endpoint) -> Slot;
@@ -275,7 +289,10 @@
 auto ReplicaChooser::Impl::dropReplica(const ReplicaState &replica) -> void
 {
     const auto model = models_.find(replica.model);
-    if (model != models_.end() && replica.load.hasReport())
+    if (model == models_.end())
+        return;
+    model->second.onLost(replica.load.inFlight());
+    if (replica.load.hasReport())
         model->second.onForget(replica.load.othersReported());
 }
 
@@ -600,4 +617,9 @@
     return replica == nullptr ? 0 : replica->load.corrected();
 }
 
+auto ReplicaChooser::estimatedLoad(const ModelId &model) const -> std::uint32_t
+{
+    return impl_->streamsOf(model);
+}
+
 } // namespace figrack::policy
--- a/policy/choice.h
+++ b/policy/choice.h
@@ -86,6 +86,8 @@
                 std::uint32_t slots, Millis now) -> std::optional<std::size_t>;
     /// @return streams estimated on a replica: report corrected by own dispatches
     auto estimatedLoad(const EndpointId &endpoint, const ModelId &model) const -> std::uint32_t;
+    /// @return streams estimated over all replicas of a model together, in constant time
+    auto estimatedLoad(const ModelId &model) const -> std::uint32_t;
 
 private:
     class Impl;
--- a/policy/testing/tst_choice.cpp
+++ b/policy/testing/tst_choice.cpp
@@ -181,6 +181,35 @@
     }
 }
 
+TEST_CASE("the load of a model is the sum over its replicas")
+{
+    auto random = Random { 8 };
+    auto chooser = ReplicaChooser { {}, 1 };
+    auto own = std::map<std::size_t, int> {};
+    for (auto step = Millis { 1 }; step < 5000; ++step) {
+        const auto i = random.below(20);
+        const auto action = random.below(10);
+        if (action < 4) {
+            chooser.onDispatch(endpointName(i), model, step);
+            ++own[i];
+        } else if (action < 8 && own[i] > 0) {
+            chooser.onEnd(endpointName(i), model, DispatchResult::Cancelled, step);
+            --own[i];
+        } else if (action == 8) {
+            const auto others = static_cast<std::uint32_t>(random.below(9));
+            chooser.onReport(endpointName(i), model, static_cast<std::uint32_t>(own[i]) + others, 0,
+                             step);
+        } else if (random.chance(0.02)) {
+            chooser.forget(endpointName(i));
+            own[i] = 0;
+        }
+        auto sum = std::uint32_t { 0 };
+        for (auto one = std::size_t { 0 }; one < 20; ++one)
+            sum += chooser.estimatedLoad(endpointName(one), model);
+        CHECK(chooser.estimatedLoad(model) == sum);
+    }
+}
+
 TEST_CASE("an old report counts for less, own streams always in full")
 {
     auto estimate = LoadEstimate {};
