router: predictions count with the model's own slots, retry times are spread

Replicas that load were counted with 8 slots whatever the model has; every request walked all replicas for their load; callers refused together were told one and the same time. Slots come from the model, past 64 replicas the load is taken as a sum, and retry times from the queue, which gives each caller a later one.

--- a/router/scheduler.cpp
+++ b/router/scheduler.cpp
@@ -18,7 +18,6 @@
 /// Bounds what one class of one target keeps of requests refused while cold.
 constexpr auto maxComingBack = std::size_t { 64 };
 constexpr auto maxIdleStates = std::size_t { 4096 };
-constexpr auto shortestRetry = Millis { 50 };
 /// How long a request does not go to a replica again that refused it, or broke off.
 constexpr auto avoidRefused = Millis { 100 };
 constexpr auto avoidFailed = Millis { 1000 };
@@ -75,16 +74,31 @@
     return state.cached.view;
 }
 
+/// Slots that are free over the replicas. Past a size the sum is taken at once: it does not see
+/// that one replica has more waiting than another has free, but does not cost a walk a request.
+auto Scheduler::freeSlots(const TargetView &target) const -> std::uint32_t
+{
+    constexpr auto walked = std::size_t { 64 };
+    auto free = std::uint32_t { 0 };
+    if (target.replicas.size() > walked) {
+        const auto all = static_cast<std::uint32_t>(target.replicas.size()) * target.slots;
+        return all - std::min(all, chooser_.estimatedLoad(target.replicas.front().model));
+    }
+    for (const auto &replica : target.replicas) {
+        const auto load = chooser_.estimatedLoad(replica.endpoint, replica.model);
+        free += target.slots - std::min(load, target.slots);
+    }
+    return free;
+}
+
 auto Scheduler::modelView(TargetState &state) -> policy::ModelView
 {
     const auto &target = refresh(state);
     auto view = policy::ModelView {};
     view.ready = static_cast<std::uint32_t>(target.replicas.size());
     view.totalSlots = view.ready * target.slots;
-    for (const auto &replica : target.replicas) {
-        const auto load = chooser_.estimatedLoad(replica.endpoint, replica.model);
-        view.freeSlots += target.slots - std::min(load, target.slots);
-    }
+    view.slotsPerReplica = target.slots;
+    view.freeSlots = freeSlots(target);
     view.loading = target.loading;
     if (target.loading > 0) {
         // The tables hold the leader's wall time; the queue counts on this router's own scale.
@@ -127,7 +141,7 @@
             ++target.waiting;
             const auto verdict = queue_.admit(queued, view, at);
             for (const auto shed : verdict.shed)
-                refuse(shed, { ErrorKind::Overloaded, retryAfter(target) }, calls);
+                refuse(shed, { ErrorKind::Overloaded, verdict.shedRetryAfter }, calls);
             if (verdict.refusal)
                 refuse(ticket, { verdict.refusal->kind, verdict.refusal->retryAfter }, calls);
             else
@@ -371,9 +385,8 @@
         if (target.waiting == 0)
             continue;
         const auto view = modelView(target);
-        const auto after = retryAfter(target);
         for (const auto &request : queue_.recheck(key, view, now()))
-            refuse(request.ticket, { ErrorKind::TargetUnreachable, after }, calls);
+            refuse(request.ticket, { ErrorKind::TargetUnreachable, retryAfter(target) }, calls);
     }
 }
 
@@ -426,14 +439,8 @@
 
 auto Scheduler::retryAfter(TargetState &state) -> Millis
 {
-    const auto view = modelView(state);
-    if (view.loading > 0)
-        return std::max(view.nextReady - now(), shortestRetry);
-    if (view.ready == 0)
-        return std::max(view.predictedLoad, shortestRetry);
-    const auto queued = static_cast<Millis>(queue_.queuedFor(state.target.queueKey()));
-    const auto slots = std::max<Millis>(view.totalSlots, 1);
-    return std::max(view.serviceTime * (queued + 1) / slots, shortestRetry);
+    // Each caller a later time, so that they do not come back together.
+    return queue_.retryAfter(state.target.queueKey(), modelView(state), now());
 }
 
 auto Scheduler::noteArrival(TargetState &state, const ClassId &classId) -> void
--- a/router/scheduler.h
+++ b/router/scheduler.h
@@ -150,6 +150,7 @@
     auto now() const -> Millis;
     auto state(const Target &target) -> TargetState &;
     auto refresh(TargetState &state) -> const TargetView &;
+    auto freeSlots(const TargetView &target) const -> std::uint32_t;
     auto modelView(TargetState &state) -> policy::ModelView;
     auto pump(TargetState &state, Calls &calls) -> void;
     enum class Step : std::uint8_t { Granted, Skipped, Nothing };
