figrackctl: replace a lost disk under its node's own name

Cause: 'members replace c2 c2', for a control whose disk was lost, took the member listed under that name for the new one, skipped the adding and only removed it: three voters became two, and it said 'c2 is replaced by c2'. Ruled out: the control, which did each step as asked. Now the incarnations are compared first: the lost disk is removed, the new one added, caught up and promoted, and the repair awaited; a second run changes nothing.

--- a/cmd/ctl.cpp
+++ b/cmd/ctl.cpp
@@ -228,6 +228,10 @@
     auto changeMember(const char *action, const std::string &node) -> ExitCode;
     auto postMember(const json::object &body) -> ExitCode;
     auto replaceMember() -> ExitCode;
+    auto removeOtherDisk(const std::string &node) -> ExitCode;
+    auto waitUntilCaughtUp(const std::string &node) -> ExitCode;
+    auto waitUntilVoter(const std::string &node) -> ExitCode;
+    auto waitUntilRepaired() -> ExitCode;
     auto transfer() -> ExitCode;
     auto report() -> ExitCode;
     auto finish(const ControlReply &reply, const std::string &forPeople) -> ExitCode;
@@ -485,45 +489,81 @@
     }
 }
 
+// A disk that was lost comes back under its node's old name: what is listed of it goes first,
+// since a node is listed once. Between the two steps the group has one voter less.
+auto Session::removeOtherDisk(const std::string &node) -> ExitCode
+{
+    const auto status = get("/v1/status");
+    if (!status.isOk())
+        return explain(status);
+    const auto row = findRow(arrayOf(parseObject(status.body), "members"), "node", node);
+    if (row.empty() || textOf(row, "incarnation") == options_.text("incarnation"))
+        return ExitCode::Ok;
+    if (const auto code = changeMember("remove", node); code != ExitCode::Ok)
+        return code;
+    return waitFor(node + "'s lost disk is no member", [&](const json::object &now, std::string &) {
+        return findRow(arrayOf(now, "members"), "node", node).empty()
+                && !isTrue(now, "membership_changing");
+    });
+}
+
+auto Session::waitUntilCaughtUp(const std::string &node) -> ExitCode
+{
+    return waitFor(node + " has caught up", [&](const json::object &status, std::string &detail) {
+        const auto row = findRow(arrayOf(status, "members"), "node", node);
+        detail = node + " is at index " + textOf(row, "match_index") + " of "
+                + textOf(status, "commit_index");
+        return isTrue(row, "voter") || isTrue(row, "caught_up");
+    });
+}
+
+auto Session::waitUntilVoter(const std::string &node) -> ExitCode
+{
+    return waitFor(node + " is a voter", [&](const json::object &status, std::string &) {
+        return isTrue(findRow(arrayOf(status, "members"), "node", node), "voter")
+                && !isTrue(status, "membership_changing");
+    });
+}
+
+auto Session::waitUntilRepaired() -> ExitCode
+{
+    return waitFor("the loss of any one more loses nothing",
+                   [](const json::object &status, std::string &) {
+                       return isTrue(status, "repair_complete")
+                               && !isTrue(status, "membership_changing");
+                   });
+}
+
 auto Session::replaceMember() -> ExitCode
 {
     // Each step is left out when the status says it is done, so that a second run goes on.
     const auto &gone = options_.names()[0];
     const auto &fresh = options_.names()[1];
+    auto code = gone == fresh ? removeOtherDisk(fresh) : ExitCode::Ok;
+    if (code != ExitCode::Ok)
+        return code;
     const auto first = get("/v1/status");
     if (!first.isOk())
         return explain(first);
     const auto members = arrayOf(parseObject(first.body), "members");
     const auto present = findRow(members, "node", fresh);
-    if (present.empty() && findRow(members, "node", gone).empty()) {
+    const auto goneListed = gone != fresh && !findRow(members, "node", gone).empty();
+    if (gone != fresh && present.empty() && !goneListed) {
         std::cerr << "figrackctl: " << gone << " is no member; `members list` names them\n";
         return ExitCode::Failed;
     }
-    auto code = present.empty() ? addMember(fresh) : ExitCode::Ok;
+    if (present.empty())
+        code = addMember(fresh);
     if (code == ExitCode::Ok)
-        code = waitFor(fresh + " has caught up",
-                       [&](const json::object &status, std::string &detail) {
-                           const auto row = findRow(arrayOf(status, "members"), "node", fresh);
-                           detail = fresh + " is at index " + textOf(row, "match_index") + " of "
-                                   + textOf(status, "commit_index");
-                           return isTrue(row, "voter") || isTrue(row, "caught_up");
-                       });
+        code = waitUntilCaughtUp(fresh);
     if (code == ExitCode::Ok && !isTrue(present, "voter"))
         code = changeMember("promote", fresh);
     if (code == ExitCode::Ok)
-        code = waitFor(fresh + " is a voter", [&](const json::object &status, std::string &) {
-            return isTrue(findRow(arrayOf(status, "members"), "node", fresh), "voter")
-                    && !isTrue(status, "membership_changing");
-        });
-    if (code == ExitCode::Ok && !findRow(members, "node", gone).empty())
+        code = waitUntilVoter(fresh);
+    if (code == ExitCode::Ok && goneListed)
         code = changeMember("remove", gone);
     if (code == ExitCode::Ok)
-        code = waitFor("the loss of any one more loses nothing",
-                       [&](const json::object &status, std::string &) {
-                           return findRow(arrayOf(status, "members"), "node", gone).empty()
-                                   && isTrue(status, "repair_complete")
-                                   && !isTrue(status, "membership_changing");
-                       });
+        code = waitUntilRepaired();
     if (code == ExitCode::Ok)
         std::cout << gone << " is replaced by " << fresh << '\n';
     return code;
--- a/cmd/testing/tst_ctl.cpp
+++ b/cmd/testing/tst_ctl.cpp
@@ -296,45 +296,101 @@
     CHECK(contains(outcome.error, "no control could be reached, nothing was done"));
 }
 
-TEST_CASE("replacing a member goes step by step and a second run goes on")
+namespace {
+
+/// A control's membership that a post changes at once.
+class MembershipStandIn
 {
-    // The stand-in's membership: what was posted changes it at once.
-    auto members = json::array { { { "node", "c1" }, { "voter", true }, { "caught_up", true } } };
-    auto posts = std::vector<std::string> {};
-    auto control = FakeControl { [&](const http::Request &request) -> http::Response {
-        if (request.method == "POST") {
-            const auto body = json::parse(request.body).as_object();
-            const auto action = std::string { body.at("action").as_string() };
-            posts.push_back(action + " " + std::string { body.at("node").as_string() });
-            if (action == "add")
-                members.push_back({ { "node", "c4" }, { "voter", false }, { "caught_up", true } });
-            if (action == "promote")
-                members.back().as_object()["voter"] = true;
-            if (action == "remove")
-                members.erase(members.begin());
-            return { 200, {}, "{}" };
-        }
+public:
+    explicit MembershipStandIn(json::array members)
+        : members_(std::move(members))
+    { }
+
+    auto handle(const http::Request &request) -> http::Response
+    {
+        if (request.method == "POST")
+            return change(json::parse(request.body).as_object());
         return { 200,
                  {},
-                 json::serialize(json::object { { "members", members },
+                 json::serialize(json::object { { "members", members_ },
                                                 { "membership_changing", false },
                                                 { "commit_index", 5 },
                                                 { "repair_complete", true } }) };
-    } };
+    }
+    auto posts() const -> const std::vector<std::string> & { return posts_; }
+
+private:
+    auto change(const json::object &body) -> http::Response
+    {
+        const auto action = std::string { body.at("action").as_string() };
+        const auto &node = body.at("node").as_string();
+        posts_.push_back(action + " " + std::string { node });
+        const auto named = [&](const json::value &row) {
+            return row.as_object().at("node").as_string() == node;
+        };
+        const auto found = std::find_if(members_.begin(), members_.end(), named);
+        if (action == "add")
+            members_.push_back({ { "node", node },
+                                 { "voter", false },
+                                 { "caught_up", true },
+                                 { "incarnation", body.at("incarnation") } });
+        if (action == "promote")
+            found->as_object()["voter"] = true;
+        if (action == "remove")
+            members_.erase(found);
+        return { 200, {}, "{}" };
+    }
+
+    json::array members_;
+    std::vector<std::string> posts_;
+};
+
+auto listedVoter(const char *node, std::uint64_t incarnation) -> json::value
+{
+    return {
+        { "node", node }, { "voter", true }, { "caught_up", true }, { "incarnation", incarnation }
+    };
+}
+
+} // namespace
+
+TEST_CASE("replacing a member goes step by step and a second run goes on")
+{
+    auto standIn = MembershipStandIn { json::array { listedVoter("c1", 1) } };
+    auto control
+            = FakeControl { [&](const http::Request &request) { return standIn.handle(request); } };
     const auto run = [&] {
         return ctl({ "--control", control.address(), "members", "replace", "c1", "c4", "--domain",
                      "quimper", "--address", "10.0.0.4:7000", "--incarnation", "9" });
     };
     const auto outcome = run();
     CHECK(outcome.code == 0);
-    CHECK(posts == std::vector<std::string> { "add c4", "promote c4", "remove c1" });
+    CHECK(standIn.posts() == std::vector<std::string> { "add c4", "promote c4", "remove c1" });
     CHECK(outcome.out == "c1 is replaced by c4\n");
     CHECK(contains(outcome.error, "waiting until the loss of any one more loses nothing"));
     CHECK(run().code == 0);
-    CHECK(posts.size() == 3);
+    CHECK(standIn.posts().size() == 3);
     const auto mistyped = ctl({ "--control", control.address(), "members", "replace", "c9", "c5" });
     CHECK(mistyped.code == 1);
-    CHECK(posts.size() == 3);
+    CHECK(standIn.posts().size() == 3);
+}
+
+TEST_CASE("a lost disk is replaced under its node's own name")
+{
+    auto standIn = MembershipStandIn { json::array { listedVoter("c1", 1), listedVoter("c2", 2) } };
+    auto control
+            = FakeControl { [&](const http::Request &request) { return standIn.handle(request); } };
+    // An incarnation takes all 64 bits.
+    const auto run = [&] {
+        return ctl({ "--control", control.address(), "members", "replace", "c2", "c2", "--domain",
+                     "quimper", "--address", "10.0.0.4:7000", "--incarnation",
+                     "18202816085285415664" });
+    };
+    CHECK(run().code == 0);
+    const auto steps = std::vector<std::string> { "remove c2", "add c2", "promote c2" };
+    CHECK(standIn.posts() == steps);
+    CHECK(run().code == 0);
+    CHECK(standIn.posts() == steps);
 }
 
 TEST_CASE("the report is written to a file")
--- a/coord/testing/tst_membership.cpp
+++ b/coord/testing/tst_membership.cpp
@@ -58,7 +58,7 @@
 
 TEST_CASE("a forged length in a membership asks for no memory")
 {
-    // 8 bytes of count, then the first name's length, forged to 4 GiB.
+    // 8 bytes of count, then the length of the first name: its fifth byte adds 4 GiB.
     auto bytes = encodeMembership(withMember(Membership {}, member("a", 1, MemberKind::Voter)));
     bytes[8 + 4] = 1;
     auto limit = rlimit {};
