Fault run: an engine that was told to die later is let off when it is healed

It died after the end of the faults otherwise, and the last check, that all models answer again, waited for it. Refusals are listed by code.

--- a/testing/fakeserver.cpp
+++ b/testing/fakeserver.cpp
@@ -106,6 +106,8 @@
 
 auto dieAtOf(std::string_view name) -> DieAt
 {
+    if (name == "never")
+        return DieAt::Never;
     if (name == "load")
         return DieAt::Load;
     if (name == "stream")
--- a/testing/fakeserver.h
+++ b/testing/fakeserver.h
@@ -1,7 +1,7 @@
 // The HTTP face of a fake endpoint: what docs/API.md says an engine and a plain
 // service answer, and the calls by which a test breaks it.
 //
-//   POST /test/die       {"at":"now"|"load"|"stream"|"service"}
+//   POST /test/die       {"at":"now"|"load"|"stream"|"service"|"never"}
 //   POST /test/drain     {"draining":true,"announce":true}   announce false: only note the time
 //   POST /test/announce  {"on":false}
 //   POST /test/store     {"factor":10}
--- a/testing/faultrun.cpp
+++ b/testing/faultrun.cpp
@@ -263,6 +263,8 @@
             std::cout << "event=promise_broken planned_stop " << stop << '\n';
         for (const auto &[name, count] : faults_.begun())
             std::cout << "event=faults name=" << name << " count=" << count << '\n';
+        for (const auto &[code, count] : verdict.refusals)
+            std::cout << "event=refusals code=" << code << " count=" << count << '\n';
         const auto facts = readFakeFacts(driver_.cluster());
         for (const auto &[name, count] : facts.counts)
             std::cout << "event=fakes_saw name=" << name << " count=" << count << '\n';
--- a/testing/faults.cpp
+++ b/testing/faults.cpp
@@ -212,9 +212,11 @@
     if (node == nullptr
         || !driver_.tell(*node, "/test/die", fmt::format(R"({{"at":"{}"}})", place)))
         return false;
-    add(later(seconds { 3 }, seconds { 6 }), node->name(), [node] {
-        // It may not have come to that place; then it goes on, still waiting to die there.
-        return node->isRunning() || node->start();
+    add(later(seconds { 3 }, seconds { 6 }), node->name(), [this, node] {
+        // It may not have come to that place, and must not do so once all is healed.
+        const auto isAlive
+                = node->isRunning() && driver_.tell(*node, "/test/die", R"({"at":"never"})");
+        return isAlive || (!node->isRunning() && node->start());
     });
     return true;
 }
--- a/testing/verdict.cpp
+++ b/testing/verdict.cpp
@@ -108,6 +108,7 @@
     auto takeRefusal(const CallResult &result) -> void
     {
         ++verdict_.refused;
+        ++verdict_.refusals[result.code + " ran=" + result.ran];
         if (result.ran == "not_run" && facts_.runs.count(result.call.id) != 0)
             count(verdict_.falseNotRun, describe(result));
     }
--- a/testing/verdict.h
+++ b/testing/verdict.h
@@ -63,7 +63,8 @@
     std::uint64_t requests = 0;
     std::uint64_t answered = 0;
     std::uint64_t refused = 0;
-    std::uint64_t left = 0;        ///< The caller went away on purpose.
+    std::map<std::string, std::uint64_t> refusals; ///< By code and whether it ran.
+    std::uint64_t left = 0;                        ///< The caller went away on purpose.
     std::uint64_t lostToFault = 0; ///< Cut by the SIGKILL or SIGSTOP of the router that held it.
     std::uint64_t dropped = 0;     ///< No whole right answer and no typed refusal in time.
     std::uint64_t duplicated = 0;  ///< Runs too many of a key, and answers with a token twice.
