--- a/core/testing/tst_serial.cpp
+++ b/core/testing/tst_serial.cpp
@@ -146,7 +146,7 @@
     auto random = Random { 20 };
     const auto valid = serialize(sample());
     auto accepted = 0;
-    for (auto i = 0; i < 20000; ++i) {
+    for (auto i = 0; i < 100'000; ++i) {
         auto bytes = valid;
         for (auto n = random.below(4) + 1; n > 0; --n)
             bytes[random.below(bytes.size())] = static_cast<char>(random.below(256));
@@ -156,5 +156,5 @@
         accepted += kind == ErrorKind::Ok ? 1 : 0;
     }
     CHECK(accepted > 0);
-    CHECK(accepted < 20000);
+    CHECK(accepted < 100'000);
 }
--- a/core/testing/tst_settings.cpp
+++ b/core/testing/tst_settings.cpp
@@ -181,7 +181,7 @@
             = std::array<std::string_view, 14> { "[node]",      "[net]", "id", "queue", "=",
                                                  "\n",          "7",     "[",  "]",     ";",
                                                  "a@1.2.3.4:5", "peers", " ",  "." };
-    for (auto i = 0; i < 20000; ++i) {
+    for (auto i = 0; i < 100'000; ++i) {
         auto text = std::string {};
         for (auto n = random.below(30); n > 0; --n) {
             if (random.chance(0.1))
--- a/proto/testing/tst_codec.cpp
+++ b/proto/testing/tst_codec.cpp
@@ -3,6 +3,9 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include <array>
+#include <cstdlib>
+
 #include "core/random.h"
 #include "core/serial.h"
 #include "proto/codec.h"
@@ -71,6 +74,12 @@
     return bounded && answered;
 }
 
+auto numberFrom(const char *variable, std::uint64_t otherwise) -> std::uint64_t
+{
+    const auto *text = std::getenv(variable);
+    return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
+}
+
 auto mutate(std::string bytes, Random &random) -> std::string
 {
     constexpr auto hostile = std::array<std::uint64_t, 6> { UINT64_MAX, std::uint64_t { 1 } << 63,
@@ -124,13 +133,18 @@
     }
 }
 
+// For a longer run: FIGRACK_FUZZ_INPUTS=10000000 FIGRACK_FUZZ_SEED=2 figrack_proto_test
+// -tc="*hostile inputs*"
 TEST_CASE("100,000 hostile inputs give a value or Malformed, in bounded memory")
 {
-    auto random = Random { 1 };
+    const auto inputs = numberFrom("FIGRACK_FUZZ_INPUTS", 100'000);
+    const auto seed = numberFrom("FIGRACK_FUZZ_SEED", 1);
+    MESSAGE("seed=" << seed << " inputs=" << inputs);
+    auto random = Random { seed };
     auto valid = std::vector<std::string> {};
     for (const auto &payload : samples())
         valid.push_back(encode({ random.bits(), payload }));
-    for (auto i = 0; i < 100'000; ++i) {
+    for (auto i = std::uint64_t { 0 }; i < inputs; ++i) {
         auto bytes = std::string {};
         if (i % 10 == 0) {
             bytes.resize(random.below(300));
--- a/proto/testing/tst_handshake.cpp
+++ b/proto/testing/tst_handshake.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include "core/error.h"
+#include "core/random.h"
 #include "proto/channel.h"
 #include "proto/handshake.h"
 
@@ -113,3 +114,25 @@
     }
     CHECK_FALSE(PeerKeys::fromFile("/nonexistent/keys").ok());
 }
+
+TEST_CASE("100,000 hostile hellos and frames are refused, and none is taken for a good one")
+{
+    auto random = Random { 3 };
+    const auto hello = encodeHello(makeHello(1, NodeId { "r1" }));
+    const auto frame = unframed(FrameSealer { key, Role::Client, "t" }.seal("body"));
+    for (auto i = 0; i < 100'000; ++i) {
+        auto bytes = i % 2 == 0 ? hello : frame;
+        const auto good = bytes;
+        if (random.chance(0.3))
+            bytes.resize(random.below(bytes.size() + 20));
+        for (auto n = random.below(4); n > 0 && !bytes.empty(); --n)
+            bytes[random.below(bytes.size())] = static_cast<char>(random.below(256));
+        if (bytes == good)
+            continue;
+        CAPTURE(i);
+        const auto decoded = decodeHello(bytes, 1);
+        REQUIRE((decoded.ok() || errorKind(decoded.status()) == ErrorKind::Malformed
+                 || errorKind(decoded.status()) == ErrorKind::VersionMismatch));
+        REQUIRE_FALSE(FrameOpener { key, Role::Client, "t" }.open(bytes).ok());
+    }
+}
