Channel tests: handlers share what they write to

The thread sanitizer found that a test's events could go away while a handler was still running on another thread, which channel.h says may happen.

--- a/proto/testing/tst_channel.cpp
+++ b/proto/testing/tst_channel.cpp
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <memory>
 #include <mutex>
 #include <thread>
 
@@ -96,14 +97,15 @@
     return result;
 }
 
+/// Handlers share what they write to: one may still run when the face that it serves is destroyed.
 /// Answers ReportRequest by a name, and a JoinRequest by a failure; never answers others.
-auto serving(Events &events) -> PeerHandler
+auto serving(const std::shared_ptr<Events> &events) -> PeerHandler
 {
     auto handler = PeerHandler {};
     handler.onOpen
-            = [&events](const PeerPointer &peer) { events.add("open " + peer->peer().value()); };
-    handler.onMessage = [&events](const PeerPointer &peer, Envelope envelope) {
-        events.add("message");
+            = [events](const PeerPointer &peer) { events->add("open " + peer->peer().value()); };
+    handler.onMessage = [events](const PeerPointer &peer, Envelope envelope) {
+        events->add("message");
         if (const auto *request = std::get_if<ReportRequest>(&envelope.payload))
             peer->send({ envelope.correlation,
                          ReportReply { peer->peer(), std::to_string(request->windowMs) } });
@@ -111,9 +113,9 @@
             peer->send({ envelope.correlation,
                          Failure { ErrorKind::NotLeader, "term=3", NodeId { "c2" } } });
     };
-    handler.onClose = [&events](const PeerPointer &peer, const absl::Status &status) {
-        events.add("close " + peer->peer().value());
-        events.add(std::string { errorName(errorKind(status)) });
+    handler.onClose = [events](const PeerPointer &peer, const absl::Status &status) {
+        events->add("close " + peer->peer().value());
+        events->add(std::string { errorName(errorKind(status)) });
     };
     return handler;
 }
@@ -190,11 +192,12 @@
 struct TestServer
 {
     explicit TestServer(ChannelOptions settings = options("server"))
-        : server(threads.context, std::move(settings), serving(events))
+        : server(threads.context, std::move(settings), serving(shared))
     {
         REQUIRE(server.start(listening(0)).ok());
     }
-    Events events;
+    std::shared_ptr<Events> shared = std::make_shared<Events>();
+    Events &events = *shared;
     Threads threads;
     PeerServer server;
 };
@@ -204,11 +207,12 @@
 {
     TestClient(asio::io_context &context, std::uint16_t port,
                ChannelOptions settings = options("client"))
-        : client(context, std::move(settings), listening(port), serving(events))
+        : client(context, std::move(settings), listening(port), serving(shared))
     {
         client.start();
     }
-    Events events;
+    std::shared_ptr<Events> shared = std::make_shared<Events>();
+    Events &events = *shared;
     PeerClient client;
 };
 
@@ -258,8 +262,8 @@
 
 TEST_CASE("pushes go both ways and large messages pass")
 {
-    auto server = TestServer {};
     auto received = Events {};
+    auto server = TestServer {};
     auto handler = PeerHandler {};
     handler.onOpen = [&](const PeerPointer &) { received.add("open"); };
     handler.onMessage = [&](const PeerPointer &peer, const Envelope &envelope) {
@@ -301,8 +305,9 @@
 TEST_CASE("a call without a connection fails at once")
 {
     auto threads = Threads {};
-    auto events = Events {};
-    auto client = PeerClient { threads.context, options("client"), listening(1), serving(events) };
+    const auto shared = std::make_shared<Events>();
+    auto &events = *shared;
+    auto client = PeerClient { threads.context, options("client"), listening(1), serving(shared) };
     CHECK_FALSE(client.isOpen());
     CHECK_FALSE(client.push(DrainNotice {}));
     CHECK(errorKind(callAndWait(client, ReportRequest {}).status()) == ErrorKind::EndpointFailed);
@@ -489,8 +494,9 @@
     CHECK(client.events.waitFor("close server"));
 
     auto second = Threads {};
-    auto events = Events {};
-    auto server = PeerServer { second.context, options("second"), serving(events) };
+    const auto shared = std::make_shared<Events>();
+    auto &events = *shared;
+    auto server = PeerServer { second.context, options("second"), serving(shared) };
     REQUIRE(server.start(listening(port)).ok());
     CHECK(client.events.waitFor("open second"));
     CHECK(callAndWait(client.client, ReportRequest { 5 }).ok());
@@ -514,8 +520,9 @@
 TEST_CASE("an address in use is refused")
 {
     auto server = TestServer {};
-    auto events = Events {};
-    auto second = PeerServer { server.threads.context, options("b"), serving(events) };
+    const auto shared = std::make_shared<Events>();
+    auto &events = *shared;
+    auto second = PeerServer { server.threads.context, options("b"), serving(shared) };
     const auto status = second.start(listening(server.server.port()));
     CHECK(errorKind(status) == ErrorKind::BadSettings);
     CHECK(errorKind(second.start({ "localhost", 1 })) == ErrorKind::BadSettings);
@@ -527,7 +534,6 @@
     auto ended = Events {};
     constexpr auto rounds = 60;
     for (auto i = 0; i < rounds; ++i) {
-        auto events = Events {};
         auto handler = PeerHandler {};
         handler.onMessage = [](const PeerPointer &, const Envelope &) {};
         auto client = PeerClient { server.threads.context, options("client"),
--- a/proto/testing/tst_handshake.cpp
+++ b/proto/testing/tst_handshake.cpp
@@ -118,7 +118,7 @@
 TEST_CASE("100,000 hostile hellos and frames are refused, and none is taken for a good one")
 {
     auto random = Random { 3 };
-    const auto hello = encodeHello(makeHello(1, NodeId { "r1" }));
+    const auto hello = encodeHello({ 1, NodeId { "r1" }, std::string(32, 'n') });
     const auto frame = unframed(FrameSealer { key, Role::Client, "t" }.seal("body"));
     for (auto i = 0; i < 100'000; ++i) {
         auto bytes = i % 2 == 0 ? hello : frame;
