policy: a load from the store goes where the caches are least crowded

Cause: by tightest fit, loads from the store fell on few endpoints, whose caches then pushed out what was cached nowhere else. Change: of endpoints that would read from the store, the one with the least cached.

--- a/policy/fleet.cpp
+++ b/policy/fleet.cpp
@@ -71,7 +71,8 @@
         return;
     row->known = false;
     row->demand.clear();
-    row->cached.clear();
+    while (!row->cached.empty())
+        uncache(*row, EndpointId { row->cached.begin()->first });
     const auto base = row->info.base;
     if (auto *baseRow = findModel(base); baseRow != nullptr)
         baseRow->adapters.erase(id);
@@ -95,6 +96,9 @@
     const auto models = found->second.models;
     for (const auto &model : models)
         removeReplica(model, id);
+    // Its caches went with it. Endpoints leave seldom: a walk over the models will do.
+    for (auto &[model, row] : models_)
+        uncache(row, id);
     unindex(id, endpoints_[id]);
     releasing_.erase(id);
     endpoints_.erase(id);
@@ -105,10 +109,22 @@
     auto *row = findModel(model);
     if (row == nullptr)
         return;
-    if (tier == Tier::Remote)
-        row->cached.erase(endpoint);
-    else
-        row->cached[endpoint] = tier;
+    uncache(*row, endpoint);
+    const auto holder = endpoints_.find(endpoint);
+    if (tier == Tier::Remote || holder == endpoints_.end())
+        return;
+    row->cached[endpoint] = { tier, row->info.memoryMb };
+    holder->second.cachedMb += row->info.memoryMb;
+}
+
+auto Fleet::uncache(ModelRow &model, const EndpointId &endpoint) -> void
+{
+    const auto found = model.cached.find(endpoint);
+    if (found == model.cached.end())
+        return;
+    if (const auto holder = endpoints_.find(endpoint); holder != endpoints_.end())
+        holder->second.cachedMb -= found->second.memoryMb;
+    model.cached.erase(found);
 }
 
 auto Fleet::setReplica(const ReplicaInfo &replica) -> void
@@ -253,7 +269,7 @@
 auto Fleet::tierAt(const ModelRow &model, const EndpointId &endpoint) const -> Tier
 {
     const auto found = model.cached.find(endpoint);
-    return found == model.cached.end() ? Tier::Remote : found->second;
+    return found == model.cached.end() ? Tier::Remote : found->second.tier;
 }
 
 auto Fleet::baseOf(const ModelRow &model) const -> const ModelRow *
--- a/policy/fleet.h
+++ b/policy/fleet.h
@@ -28,11 +28,19 @@
     double keepWorth = -1; ///< Worth of keeping it while idle, per MiB; negative: not idle.
 };
 
+/// A checkpoint cached on an endpoint.
+struct CachedRow
+{
+    Tier tier = Tier::Remote;
+    std::uint64_t memoryMb = 0;
+};
+
 struct EndpointRow
 {
     EndpointInfo info;
     std::uint64_t replicasMb = 0;
     std::uint64_t releasingMb = 0; ///< Of replicas being unloaded.
+    std::uint64_t cachedMb = 0;    ///< Sizes of the checkpoints cached here.
     std::uint64_t reservedMb = 0;  ///< By decisions of the present plan().
     std::set<ModelId> models;      ///< With a replica here.
     auto heldMb() const -> std::uint64_t;
@@ -50,7 +58,7 @@
 {
     ModelInfo info;
     bool known = false; ///< In the configuration.
-    std::map<EndpointId, Tier> cached;
+    std::map<EndpointId, CachedRow> cached;
     std::map<EndpointId, ReplicaRow> replicas;
     std::map<ClassId, DemandInfo> demand;
     std::set<ModelId> adapters;           ///< That name this one as their base.
@@ -114,6 +122,7 @@
 private:
     auto unindex(const EndpointId &id, const EndpointRow &row) -> void;
     auto index(const EndpointId &id, const EndpointRow &row) -> void;
+    auto uncache(ModelRow &model, const EndpointId &endpoint) -> void;
     auto eraseIfUnused(const ModelId &id) -> void;
 
     std::map<ModelId, ModelRow> models_;
--- a/policy/placement.cpp
+++ b/policy/placement.cpp
@@ -1,7 +1,8 @@
 // Candidates are the endpoints where the checkpoint is cached, then the tightest
 // fits from the index of free memory, a bounded number of each. Their cost in ms
 // is the predicted load, plus a penalty for a failure domain that already holds
-// the model; equal costs go to the tightest fit, which keeps large holes whole.
+// the model; a load from the store goes where the fewest checkpoints are cached,
+// so that all caches together hold more; then to the tightest fit.
 // Eviction looks at the endpoints of the least worthy idle replicas, and takes
 // the one where making room costs least.
 
@@ -109,7 +110,7 @@
 auto Placer::candidates(const ModelRow &model) const -> std::vector<EndpointId>
 {
     auto result = std::vector<EndpointId> {};
-    for (const auto &[endpoint, tier] : model.cached) {
+    for (const auto &[endpoint, cached] : model.cached) {
         if (fits(model, endpoint))
             result.push_back(endpoint);
         if (result.size() >= cachedLooked)
@@ -142,8 +143,8 @@
     for (const auto &[id, endpoint] : fleet_.reserved())
         if (id == model.info.id)
             domains.insert(fleet_.findEndpoint(endpoint)->info.domain);
-    using Cost = std::tuple<Millis, std::uint64_t, EndpointId>;
-    auto best = Cost { std::numeric_limits<Millis>::max(), 0, EndpointId {} };
+    using Cost = std::tuple<Millis, std::uint64_t, std::uint64_t, EndpointId>;
+    auto best = Cost { std::numeric_limits<Millis>::max(), 0, 0, EndpointId {} };
     auto choice = PlaceChoice { NoPlace {} };
     for (const auto &endpoint : endpoints) {
         if (!fits(model, endpoint))
@@ -154,7 +155,9 @@
             continue;
         const auto load = times_.predict(tier, model.info.memoryMb, now);
         const auto penalty = domains.count(row.info.domain) > 0 ? sameDomainPenalty : 0;
-        const auto cost = Cost { load + penalty, row.freeMb(), endpoint };
+        // A load from the store pushes another checkpoint out of the caches there.
+        const auto crowding = tier == Tier::Remote ? row.cachedMb : 0;
+        const auto cost = Cost { load + penalty, crowding, row.freeMb(), endpoint };
         if (cost < best) {
             best = cost;
             choice = PlaceHere { endpoint, tier, load };
--- a/policy/valuation.cpp
+++ b/policy/valuation.cpp
@@ -27,7 +27,7 @@
         return soonest;
     auto tier = Tier::Remote;
     for (const auto &[endpoint, cached] : model.cached)
-        tier = std::max(tier, cached);
+        tier = std::max(tier, cached.tier);
     return times_.predict(tier, model.info.memoryMb, now);
 }
 
