policy: spare the only cached copies when a load from the store is placed

Cause: the sum of what is cached is soon alike on all endpoints and says nothing; what hurts is pushing out a checkpoint that is cached nowhere else.

--- a/policy/fleet.cpp
+++ b/policy/fleet.cpp
@@ -113,8 +113,24 @@
     const auto holder = endpoints_.find(endpoint);
     if (tier == Tier::Remote || holder == endpoints_.end())
         return;
+    countSole(*row, false);
     row->cached[endpoint] = { tier, row->info.memoryMb };
-    holder->second.cachedMb += row->info.memoryMb;
+    countSole(*row, true);
+}
+
+/// Adds or takes away a model's only cached copy, if there is just one.
+auto Fleet::countSole(const ModelRow &model, bool add) -> void
+{
+    if (model.cached.size() != 1)
+        return;
+    const auto &[endpoint, cached] = *model.cached.begin();
+    const auto holder = endpoints_.find(endpoint);
+    if (holder == endpoints_.end())
+        return;
+    if (add)
+        holder->second.soleMb += cached.memoryMb;
+    else
+        holder->second.soleMb -= cached.memoryMb;
 }
 
 auto Fleet::uncache(ModelRow &model, const EndpointId &endpoint) -> void
@@ -122,9 +138,9 @@
     const auto found = model.cached.find(endpoint);
     if (found == model.cached.end())
         return;
-    if (const auto holder = endpoints_.find(endpoint); holder != endpoints_.end())
-        holder->second.cachedMb -= found->second.memoryMb;
+    countSole(model, false);
     model.cached.erase(found);
+    countSole(model, true);
 }
 
 auto Fleet::setReplica(const ReplicaInfo &replica) -> void
--- a/policy/fleet.h
+++ b/policy/fleet.h
@@ -40,7 +40,7 @@
     EndpointInfo info;
     std::uint64_t replicasMb = 0;
     std::uint64_t releasingMb = 0; ///< Of replicas being unloaded.
-    std::uint64_t cachedMb = 0;    ///< Sizes of the checkpoints cached here.
+    std::uint64_t soleMb = 0;      ///< Sizes of the checkpoints cached here and nowhere else.
     std::uint64_t reservedMb = 0;  ///< By decisions of the present plan().
     std::set<ModelId> models;      ///< With a replica here.
     auto heldMb() const -> std::uint64_t;
@@ -122,6 +122,7 @@
 private:
     auto unindex(const EndpointId &id, const EndpointRow &row) -> void;
     auto index(const EndpointId &id, const EndpointRow &row) -> void;
+    auto countSole(const ModelRow &model, bool add) -> void;
     auto uncache(ModelRow &model, const EndpointId &endpoint) -> void;
     auto eraseIfUnused(const ModelId &id) -> void;
 
--- a/policy/placement.cpp
+++ b/policy/placement.cpp
@@ -1,7 +1,7 @@
 // Candidates are the endpoints where the checkpoint is cached, then the tightest
 // fits from the index of free memory, a bounded number of each. Their cost in ms
 // is the predicted load, plus a penalty for a failure domain that already holds
-// the model; a load from the store goes where the fewest checkpoints are cached,
+// the model; a load from the store goes where the fewest only copies are cached,
 // so that all caches together hold more; then to the tightest fit.
 // Eviction looks at the endpoints of the least worthy idle replicas, and takes
 // the one where making room costs least.
@@ -156,7 +156,7 @@
         const auto load = times_.predict(tier, model.info.memoryMb, now);
         const auto penalty = domains.count(row.info.domain) > 0 ? sameDomainPenalty : 0;
         // A load from the store pushes another checkpoint out of the caches there.
-        const auto crowding = tier == Tier::Remote ? row.cachedMb : 0;
+        const auto crowding = tier == Tier::Remote ? row.soleMb : 0;
         const auto cost = Cost { load + penalty, crowding, row.freeMb(), endpoint };
         if (cost < best) {
             best = cost;
