policy: an overdue load counts for as long as it has run, and a miss has a ceiling price

Cause 1: the store's slowness was raised by what a load was overdue on top of the prediction that already held the slowness, so a single late load drove it up without bound within seconds; every class then seemed to miss and everything was kept. Now the time since the load was first seen is what counts; tested. Ceiling: one hour.

--- a/policy/fleet.cpp
+++ b/policy/fleet.cpp
@@ -143,7 +143,7 @@
     countSole(model, true);
 }
 
-auto Fleet::setReplica(const ReplicaInfo &replica) -> void
+auto Fleet::setReplica(const ReplicaInfo &replica, Millis now) -> void
 {
     auto &model = models_[replica.model];
     auto &holder = endpoints_[replica.endpoint];
@@ -158,6 +158,7 @@
     if (inserted.second) {
         row.from = tierAt(model, replica.endpoint);
         row.memoryMb = model.info.memoryMb;
+        row.since = now;
         holder.replicasMb += row.memoryMb;
         holder.models.insert(replica.model);
     } else if (row.info.phase == ReplicaPhase::Unloading) {
--- a/policy/fleet.h
+++ b/policy/fleet.h
@@ -25,6 +25,7 @@
     ReplicaInfo info;
     Tier from = Tier::Remote; ///< Where a load in flight reads; set when it was first seen.
     std::uint64_t memoryMb = 0;
+    Millis since = 0;      ///< When it was first seen, by the clock of plan().
     double keepWorth = -1; ///< Worth of keeping it while idle, per MiB; negative: not idle.
 };
 
@@ -88,7 +89,8 @@
     auto setEndpoint(const EndpointInfo &endpoint) -> void;
     auto removeEndpoint(const EndpointId &id) -> void;
     auto setCached(const EndpointId &endpoint, const ModelId &model, Tier tier) -> void;
-    auto setReplica(const ReplicaInfo &replica) -> void;
+    /// @param now of the last plan(): when a new replica was first seen
+    auto setReplica(const ReplicaInfo &replica, Millis now) -> void;
     auto removeReplica(const ModelId &model, const EndpointId &endpoint) -> void;
     /// Marks a Ready replica as idle, with what keeping it is worth.
     auto setIdle(const ReplicaKey &key, double worth) -> void;
--- a/policy/keepwarm.cpp
+++ b/policy/keepwarm.cpp
@@ -14,7 +14,7 @@
 
 constexpr auto startPrice = 600000.0; ///< Ten accelerator-minutes a miss.
 constexpr auto lowestPrice = 1000.0;
-constexpr auto highestPrice = 24.0 * 3600000.0;
+constexpr auto highestPrice = 3600000.0;
 constexpr auto aimOfAllowed = 0.5; ///< Part of the allowed misses that cold starts may use.
 constexpr auto step = 0.4;
 constexpr auto shareStep = 0.01;
--- a/policy/planner.cpp
+++ b/policy/planner.cpp
@@ -84,6 +84,7 @@
     Fleet fleet_;
     LoadTimes times_;
     Valuation value_;
+    Millis lastPlan_ = 0;
 
 private:
     auto takeDue(Millis now) -> std::set<ModelId>;
@@ -531,11 +532,9 @@
 {
     for (const auto &[model, endpoint] : fleet_.storeLoads()) {
         const auto &row = *fleet_.findModel(model);
-        const auto &info = row.replicas.at(endpoint).info;
-        if (info.phase != ReplicaPhase::Loading || info.readyAt >= now)
-            continue;
-        const auto usual = times_.predict(Tier::Remote, row.info.memoryMb, now);
-        times_.noticeOverdue(row.info.memoryMb, usual + now - info.readyAt, now);
+        const auto &replica = row.replicas.at(endpoint);
+        if (replica.info.phase == ReplicaPhase::Loading && replica.info.readyAt < now)
+            times_.noticeOverdue(row.info.memoryMb, now - replica.since, now);
     }
 }
 
@@ -545,6 +544,7 @@
     decisions_.clear();
     decided_.clear();
     storeDecided_ = 0;
+    lastPlan_ = now;
     noticeOverdue(now);
     for (const auto &id : takeDue(now))
         review(id, now);
@@ -609,7 +609,7 @@
 
 auto Planner::setReplica(const ReplicaInfo &replica) -> void
 {
-    impl_->fleet_.setReplica(replica);
+    impl_->fleet_.setReplica(replica, impl_->lastPlan_);
     impl_->touch(replica.model);
 }
 
--- a/policy/testing/tst_planner.cpp
+++ b/policy/testing/tst_planner.cpp
@@ -293,3 +293,20 @@
     CHECK(planner.predictedLoad(ModelId { "m" }, Tier::Remote, 24000) > 6 * usual);
     CHECK(planner.predictedLoad(ModelId { "m" }, Tier::Remote, 3600000) < 2 * usual);
 }
+
+TEST_CASE("one overdue load shows as slow as it is, however often it is looked at")
+{
+    auto planner = threeEndpoints();
+    planner.setModel(model("m", 50));
+    for (auto i = 0; i < 20; ++i)
+        planner.onLoadDone(ModelId { "m" }, Tier::Remote, 2000, 0);
+    planner.plan(0);
+    auto loading = replica("m", "e1", ReplicaPhase::Loading);
+    loading.readyAt = 2000;
+    planner.setReplica(loading);
+    for (auto now = Millis { 100 }; now <= 6000; now += 100)
+        planner.plan(now);
+    const auto predicted = planner.predictedLoad(ModelId { "m" }, Tier::Remote, 6000);
+    CHECK(predicted > 5500);
+    CHECK(predicted < 6500);
+}
