policy: a predicted load does not read from the store what is cached somewhere

Cause: of the loads from the store, three in four were guesses, for models cached on an endpoint without room at that moment; they held the store and pushed other checkpoints out of the caches.

--- a/policy/planner.cpp
+++ b/policy/planner.cpp
@@ -484,6 +484,10 @@
         Millis now;
         auto operator()(const PlaceHere &here) const -> bool
         {
+            // The store is for those who wait; a guess reads what is cached or first known.
+            if (need.kind == NeedKind::Predicted && here.from == Tier::Remote
+                && !impl.fleet_.findModel(id)->cached.empty())
+                return false;
             impl.decideLoad(id, here, need, now);
             return true;
         }
