--- a/bench/policysimworkload.cpp
+++ b/bench/policysimworkload.cpp
@@ -17,6 +17,7 @@
 
 namespace {
 
+constexpr auto overloadSpan = Millis { 120000 };
 constexpr auto catalogueSeed = std::uint64_t { 20241101 };
 
 auto exponential(Random &random, double mean) -> double
@@ -81,6 +82,8 @@
     {
         for (auto i = std::uint32_t { 0 }; i < scenario_.models.size(); ++i)
             addModel(i);
+        if (scenario_.fault == Fault::Overload)
+            addOverload();
         std::stable_sort(arrivals_.begin(), arrivals_.end(),
                          [](const Arrival &a, const Arrival &b) { return a.at < b.at; });
         return std::move(arrivals_);
@@ -133,6 +136,27 @@
         }
     }
 
+    /// Two minutes of twice what the fleet can run with its memory full, over all bases.
+    auto addOverload() -> void
+    {
+        auto bases = std::uint32_t { 0 };
+        auto memory = 0.0;
+        for (const auto &model : scenario_.models) {
+            bases += model.info.base.empty() ? 1 : 0;
+            memory += model.info.base.empty() ? static_cast<double>(model.info.memoryMb) : 0.0;
+        }
+        const auto replicas
+                = static_cast<double>(scenario_.memoryMb) * scenario_.runners / (memory / bases);
+        const auto capacity = replicas * scenario_.models[0].info.slots
+                / static_cast<double>(scenario_.service);
+        const auto from = static_cast<double>(scenario_.duration) / 2;
+        auto at = from;
+        while (at < from + static_cast<double>(overloadSpan)) {
+            addBurst(static_cast<std::uint32_t>(random_.below(bases)), at, 1);
+            at += exponential(random_, 0.5 / capacity);
+        }
+    }
+
     auto addBurst(std::uint32_t model, double from, std::uint32_t count) -> void
     {
         for (auto i = std::uint32_t { 0 }; i < count; ++i) {
--- a/bench/policysimworkload.h
+++ b/bench/policysimworkload.h
@@ -42,7 +42,7 @@
     DomainLost,    ///< A failure domain is gone for half an hour.
     ReportsLate,   ///< Load and demand reports arrive 5 s late.
     EventsDropped, ///< Half of the events on cached checkpoints are lost.
-    Overload,      ///< Arrivals at twice the fleet's capacity in the middle third.
+    Overload,      ///< Arrivals at twice the fleet's capacity for two minutes.
 };
 
 struct Scenario
