--- a/policy/placement.cpp
+++ b/policy/placement.cpp
@@ -73,7 +73,7 @@
 }
 
 /// Adds to the victims the adapters on the endpoint of every base among them.
-auto withAdapters(const Fleet &fleet, const EndpointId &endpoint, std::vector<Victim> chosen,
+auto withAdapters(const Fleet &fleet, const std::vector<Victim> &chosen,
                   const std::vector<Victim> &idle) -> std::vector<Victim>
 {
     auto result = std::vector<Victim> {};
@@ -94,7 +94,6 @@
     // Adapters first: a base leaves after what stands on it.
     std::stable_sort(result.begin(), result.end(),
                      [](const Victim &a, const Victim &b) { return a.isBase < b.isBase; });
-    (void)endpoint;
     return result;
 }
 
@@ -207,7 +206,7 @@
         }
         if (room < need || chosen.empty())
             continue;
-        chosen = withAdapters(fleet_, id, std::move(chosen), idle);
+        chosen = withAdapters(fleet_, chosen, idle);
         auto worth = 0.0;
         auto keys = std::vector<ReplicaKey> {};
         for (const auto &victim : chosen) {
