policy: load times are learned by size, and no load is ignored

Cause: one slope a tier through the origin. Adapters, whose load is nearly all fixed cost, made a base in memory look like 1.5 s per 10 GB where it takes 0.12; and the true loads were then thrown away as odd, for being four times off, so it never recovered. Change: a mean for each power of two of the size, scaled from the nearest; the store's present factor divided out; an odd load moves the mean by a bounded step.

--- a/policy/loadtime.cpp
+++ b/policy/loadtime.cpp
@@ -1,12 +1,15 @@
-// ms = fixed part + slope * MiB, with a fixed part small enough to leave to a
-// floor. The slope is a quotient of decayed sums, so that one odd load does not
-// upset it and a change of hardware is learned within some tens of loads. The
-// store's factor is kept apart: mixing a ten-fold slow-down into the slope would
-// make predictions wrong for long after the store has recovered.
+// A mean for each power of two of the size; a size not seen yet is scaled from the
+// nearest one seen. One straight line through the origin will not do: loads of small
+// adapters, nearly all fixed cost, would make those of large bases look ten times as
+// long. The store's factor is kept apart and divided out of what is learned: mixing a
+// ten-fold slow-down into the means would make predictions wrong for long after the
+// store has recovered. An odd load moves its mean by a bounded step, but is never
+// ignored, so that a wrong mean cannot keep out the loads that would correct it.
 
 #include "policy/loadtime.h"
 
 #include <algorithm>
+#include <bit>
 #include <cmath>
 
 #include "core/check.h"
@@ -15,14 +18,14 @@
 
 namespace {
 
-constexpr auto slopeKeep = 0.95;      ///< Decay of the slope's sums a load.
+constexpr auto meanStep = 0.1;        ///< Weight of the newest load in its mean.
 constexpr auto factorStep = 0.4;      ///< Weight of the newest load in the store's factor.
 constexpr auto factorFade = 120000.0; ///< ms in which an unconfirmed factor falls to 1/e.
 constexpr auto factorMin = 0.25;
 constexpr auto factorMax = 100.0;
 constexpr auto diskShare = 0.4;    ///< Prior of a load from disk against one from the store.
 constexpr auto memoryShare = 0.12; ///< The same from memory.
-constexpr auto odd = 4.0;          ///< A load this many times off says nothing of the slope.
+constexpr auto mostStep = 4.0;     ///< A load counts as at most so many times its mean.
 
 auto tierIndex(Tier tier) -> std::size_t
 {
@@ -51,36 +54,56 @@
     FIGRACK_CHECK(options.storeConcurrency > 0, "the store takes at least one load");
 }
 
+auto LoadTimes::sizeIndex(std::uint64_t memoryMb) -> std::size_t
+{
+    return std::min<std::size_t>(std::bit_width(memoryMb), sizes - 1);
+}
+
+/// @return ms scaled by size from the nearest size seen; 0 when none was
+auto LoadTimes::fromNearest(const Means &means, std::uint64_t memoryMb) -> double
+{
+    const auto own = sizeIndex(memoryMb);
+    for (auto away = std::size_t { 0 }; away < sizes; ++away) {
+        for (const auto index : { own - away, own + away }) {
+            if (index >= sizes || means[index].loads == 0)
+                continue;
+            return means[index].millis * static_cast<double>(memoryMb) / means[index].sizeMb;
+        }
+    }
+    return 0;
+}
+
 auto LoadTimes::usual(Tier tier, std::uint64_t memoryMb) const -> double
 {
-    const auto &own = slopes_[tierIndex(tier)];
-    if (own.loads > 0)
-        return std::max(1.0, own.millis / own.sizeMb * static_cast<double>(memoryMb));
-    const auto &remote = slopes_[tierIndex(Tier::Remote)];
-    if (remote.loads > 0)
-        return std::max(1.0,
-                        priorShare(tier) * remote.millis / remote.sizeMb
-                                * static_cast<double>(memoryMb));
-    return std::max(1.0, priorShare(tier) * prior_);
+    auto millis = fromNearest(means_[tierIndex(tier)], memoryMb);
+    if (millis == 0)
+        millis = priorShare(tier) * fromNearest(means_[tierIndex(Tier::Remote)], memoryMb);
+    if (millis == 0)
+        millis = priorShare(tier) * prior_;
+    return std::max(1.0, millis);
 }
 
 auto LoadTimes::learn(Tier tier, std::uint64_t memoryMb, Millis took, Millis now) -> void
 {
-    const auto millis = static_cast<double>(std::max<Millis>(took, 1));
-    auto &slope = slopes_[tierIndex(tier)];
-    const auto ratio = millis / usual(tier, memoryMb);
-    const auto known = slope.loads >= 1;
-    if (tier == Tier::Remote && known) {
+    const auto size = static_cast<double>(std::max<std::uint64_t>(memoryMb, 1));
+    auto millis = static_cast<double>(std::max<Millis>(took, 1));
+    auto &mean = means_[tierIndex(tier)][sizeIndex(memoryMb)];
+    const auto expected = usual(tier, memoryMb);
+    if (tier == Tier::Remote && mean.loads > 0) {
         const auto before = storeFactor(now);
+        const auto ratio = millis / expected;
         factor_ = std::clamp(before + factorStep * (ratio - before), factorMin, factorMax);
         factorAt_ = now;
+        millis /= factor_;
     }
-    if (known && (ratio > odd || ratio < 1.0 / odd))
+    if (mean.loads == 0) {
+        mean = { millis, size, 1 };
         return;
-    slope.millis = slope.millis * slopeKeep + millis;
-    slope.sizeMb
-            = slope.sizeMb * slopeKeep + static_cast<double>(std::max<std::uint64_t>(memoryMb, 1));
-    slope.loads += 1;
+    }
+    millis = std::clamp(millis, expected / mostStep, expected * mostStep);
+    mean.millis += meanStep * (millis - mean.millis);
+    mean.sizeMb += meanStep * (size - mean.sizeMb);
+    mean.loads += 1;
 }
 
 auto LoadTimes::noticeOverdue(std::uint64_t memoryMb, Millis runningFor, Millis now) -> void
--- a/policy/loadtime.h
+++ b/policy/loadtime.h
@@ -6,7 +6,8 @@
 //   times.noticeOverdue(memoryMb, runningFor, now);  // a load in flight is late
 //   auto ms = times.predict(Tier::Remote, memoryMb, now);
 //
-// Two time scales: a slow mean of ms per MiB for each tier, and for the store a
+// Two time scales: a slow mean for each tier and size (by powers of two, since a load
+// has a fixed part that small models feel and large ones do not), and for the store a
 // fast factor on top of it that follows a slow-down within a few loads and
 // fades back to one when no load says otherwise. Not thread-safe.
 
@@ -40,16 +41,20 @@
     auto storeFactor(Millis now) const -> double;
 
 private:
-    /// Running mean over loads of ms and of MiB, whose quotient is the slope.
-    struct Slope
+    static constexpr auto sizes = std::size_t { 24 };
+    /// Decayed means over the loads of one size.
+    struct Mean
     {
         double millis = 0;
         double sizeMb = 0;
         double loads = 0;
     };
+    using Means = std::array<Mean, sizes>;
+    static auto sizeIndex(std::uint64_t memoryMb) -> std::size_t;
+    static auto fromNearest(const Means &means, std::uint64_t memoryMb) -> double;
     auto usual(Tier tier, std::uint64_t memoryMb) const -> double;
 
-    std::array<Slope, 3> slopes_ {};
+    std::array<Means, 3> means_ {};
     double prior_; ///< ms of a load from the store before any was seen.
     double factor_ = 1.0;
     Millis factorAt_ = 0;
--- a/policy/testing/tst_planner.cpp
+++ b/policy/testing/tst_planner.cpp
@@ -310,3 +310,18 @@
     CHECK(predicted > 5500);
     CHECK(predicted < 6500);
 }
+
+TEST_CASE("loads of small adapters do not make those of large bases look long")
+{
+    auto planner = threeEndpoints();
+    planner.setModel(model("adapter", 1000));
+    planner.setModel(model("base", 40000));
+    for (auto i = 0; i < 50; ++i)
+        planner.onLoadDone(ModelId { "adapter" }, Tier::Memory, 150, i);
+    CHECK(planner.predictedLoad(ModelId { "base" }, Tier::Memory, 100) > 4000);
+    planner.onLoadDone(ModelId { "base" }, Tier::Memory, 500, 100);
+    const auto base = planner.predictedLoad(ModelId { "base" }, Tier::Memory, 100);
+    CHECK(base == doctest::Approx(500).epsilon(0.05));
+    const auto adapter = planner.predictedLoad(ModelId { "adapter" }, Tier::Memory, 100);
+    CHECK(adapter == doctest::Approx(150).epsilon(0.05));
+}
