control: a change mirrors only what it names into the planner

Cause: each configuration change walked all classes and models into the planner, so that the time to 'in force everywhere' grew with the catalogue. Ruled out: the tables (a change is one look-up), the feed (a delta) and the operators' API (the answer holds the revision alone), by reading each.

--- a/control/scheduler.cpp
+++ b/control/scheduler.cpp
@@ -72,8 +72,6 @@
     term_.reset();
     planner_.reset();
     demand_.clear();
-    classes_.clear();
-    models_.clear();
     replicas_.clear();
     uses_.clear();
     tiers_.clear();
@@ -85,34 +83,55 @@
 
 auto Scheduler::mirrorAll() -> void
 {
-    mirrorConfiguration();
+    const auto &configuration = node_.tables().configuration();
+    for (const auto &[id, spec] : configuration.classes)
+        mirrorClass(id);
+    for (const auto &[id, spec] : configuration.models)
+        mirrorModel(id);
     for (const auto &[id, row] : node_.tables().endpoints()) {
         mirrorEndpoint(id);
         mirrorCaches(row.spec);
     }
 }
 
-auto Scheduler::mirrorConfiguration() -> void
+auto Scheduler::mirrorClass(const ClassId &id) -> void
 {
-    const auto &configuration = node_.tables().configuration();
-    auto gone = std::exchange(classes_, {});
-    for (const auto &[id, spec] : configuration.classes) {
-        const auto share = static_cast<double>(spec.sharePercent) / 100.0;
-        planner_->setClass({ id, spec.startTarget, spec.finishTarget, share });
-        classes_.insert(id);
-        gone.erase(id);
-    }
-    for (const auto &id : gone)
+    const auto &classes = node_.tables().configuration().classes;
+    const auto found = classes.find(id);
+    if (found == classes.end()) {
         planner_->removeClass(id);
-    auto goneModels = std::exchange(models_, {});
-    for (const auto &[id, spec] : configuration.models) {
-        const auto memory = node_.tables().replicaMemoryMb(id);
-        planner_->setModel({ id, spec.version, spec.base, memory, spec.slots });
-        models_.insert(id);
-        goneModels.erase(id);
+        return;
     }
-    for (const auto &id : goneModels)
+    const auto &spec = found->second;
+    const auto share = static_cast<double>(spec.sharePercent) / 100.0;
+    planner_->setClass({ id, spec.startTarget, spec.finishTarget, share });
+}
+
+auto Scheduler::mirrorModel(const ModelId &id) -> void
+{
+    const auto &models = node_.tables().configuration().models;
+    const auto found = models.find(id);
+    if (found == models.end()) {
         planner_->removeModel(id);
+        return;
+    }
+    const auto &spec = found->second;
+    const auto memory = node_.tables().replicaMemoryMb(id);
+    planner_->setModel({ id, spec.version, spec.base, memory, spec.slots });
+}
+
+// Only what the change names: a walk over the whole configuration would make each change
+// cost more the larger the catalogue is. The tables may be further on than the change.
+auto Scheduler::mirrorChange(const state::ConfigOperation &operation) -> void
+{
+    if (const auto *putClass = std::get_if<state::PutClass>(&operation))
+        mirrorClass(putClass->spec.id);
+    else if (const auto *goneClass = std::get_if<state::DeleteClass>(&operation))
+        mirrorClass(goneClass->id);
+    else if (const auto *putModel = std::get_if<state::PutModel>(&operation))
+        mirrorModel(putModel->spec.id);
+    else if (const auto *goneModel = std::get_if<state::DeleteModel>(&operation))
+        mirrorModel(goneModel->id);
 }
 
 auto Scheduler::mirrorEndpoint(const EndpointId &endpoint) -> void
@@ -213,8 +232,8 @@
         return;
     wanted_ = true;
     const auto &command = applied.command;
-    if (std::holds_alternative<state::ConfigChange>(command)) {
-        mirrorConfiguration();
+    if (const auto *change = std::get_if<state::ConfigChange>(&command)) {
+        mirrorChange(change->operation);
     } else if (const auto *joined = std::get_if<state::RegisterEndpoint>(&command)) {
         mirrorEndpoint(joined->spec.id);
         mirrorCaches(joined->spec);
--- a/control/scheduler.h
+++ b/control/scheduler.h
@@ -81,7 +81,9 @@
     };
 
     auto mirrorAll() -> void;
-    auto mirrorConfiguration() -> void;
+    auto mirrorClass(const ClassId &id) -> void;
+    auto mirrorModel(const ModelId &id) -> void;
+    auto mirrorChange(const state::ConfigOperation &operation) -> void;
     auto mirrorEndpoint(const EndpointId &endpoint) -> void;
     auto mirrorCaches(const state::EndpointSpec &spec) -> void;
     auto mirrorReplica(const state::ReplicaRow &row) -> void;
@@ -103,8 +105,6 @@
     Demand demand_;
     std::optional<Term> term_;
     std::optional<policy::Planner> planner_; ///< While leading.
-    std::set<ClassId> classes_;              ///< As the planner has them.
-    std::set<ModelId> models_;
     std::map<EndpointId, std::set<ModelId>> replicas_;
     std::map<state::ReplicaKey, Use> uses_;
     std::map<state::ReplicaKey, policy::Tier> tiers_; ///< Of loads decided, till they apply.
