router: two tests that bite where they did not

Cause: breaking the check for draining right before the first byte, and the check for currency before a claim, failed no test: the first test announced the drain before the choice was made, and the scheduler refuses behind the second. Now the drain comes while the connection is made, and a router that is not current takes no claim.

--- a/router/testing/tst_callers.cpp
+++ b/router/testing/tst_callers.cpp
@@ -214,8 +214,10 @@
     CHECK(code(response) == "not_current");
     CHECK(ran(response) == "not_run");
     CHECK(boost::json::serialize(errorOf(response).at("retry_at")) == R"(["127.0.0.1:2"])");
+    CHECK(code(order()) == "not_current");
+    CHECK(claimsAsked == 0);
     CHECK(engines.requests.empty());
-    CHECK(recorded("refused") == 1);
+    CHECK(recorded("refused") == 2);
 }
 
 TEST_CASE_FIXTURE(CallersFixture, "a lease that lapses while a request waits refuses it as not_run")
--- a/router/testing/tst_dispatch.cpp
+++ b/router/testing/tst_dispatch.cpp
@@ -468,19 +468,18 @@
 {
     engines.push(answerWith(200, "a"));
     engines.push(answerWith(200, "b"));
-    // The choice is made on submit; the drain comes before the connection stands.
-    asio::post(context, [this] {
-        fleet.view.setAnnouncedDraining(EndpointId { "e1" }, Incarnation { 1 }, true);
-    });
-    for (auto i = 0; i < 8; ++i) {
-        engines = FakeEngines {};
-        engines.push(answerWith(200, "a"));
-        engines.push(answerWith(200, "b"));
-        const auto outcome = run();
-        CHECK(outcome.status.ok());
-        CHECK(engines.ran == 1);
-        CHECK(engines.requests.back().address.port == 9002);
-    }
+    // The announcement comes while the connection is made.
+    engines.beforeMayStart = [this] {
+        if (engines.requests.size() > 1)
+            return;
+        const auto chosen = engines.requests[0].address.port == 9001 ? "e1" : "e2";
+        fleet.view.setAnnouncedDraining(EndpointId { chosen }, Incarnation { 1 }, true);
+    };
+    const auto outcome = run();
+    CHECK(outcome.status.ok());
+    CHECK(engines.heldBack == 1);
+    CHECK(engines.ran == 1);
+    CHECK(engines.requests.at(1).address != engines.requests.at(0).address);
 }
 
 TEST_CASE_FIXTURE(DispatchFixture, "an answer past the bound is refused, not cut")
