--- a/bench/choice_bench.cpp
+++ b/bench/choice_bench.cpp
@@ -3,13 +3,12 @@
 // to the reference, so they hold on any machine; the program fails when one is passed.
 
 #include <array>
-#include <cstdio>
-#include <map>
 #include <string>
 #include <vector>
 
 #include <benchmark/benchmark.h>
 
+#include "bench/ratiobounds.h"
 #include "core/random.h"
 #include "policy/admission.h"
 #include "policy/choice.h"
@@ -161,51 +160,12 @@
 }
 BENCHMARK(admitAndPopByWalk);
 
-/// Prints as usual and keeps the times.
-class KeepingReporter : public benchmark::ConsoleReporter
-{
-public:
-    auto ReportRuns(const std::vector<Run> &runs) -> void override // NOLINT: the library's name
-    {
-        for (const auto &run : runs)
-            times[run.benchmark_name()] = run.GetAdjustedCPUTime();
-        ConsoleReporter::ReportRuns(runs);
-    }
-    std::map<std::string, double> times;
-};
-
-struct Bound
-{
-    const char *name;
-    const char *reference;
-    double ratio; ///< At most.
-};
-
-constexpr auto bounds = std::array<Bound, 3> { {
-        { "choose", "chooseByWalk", 0.006 },
-        { "chooseWithPrompt", "chooseByWalk", 0.01 },
-        { "admitAndPop", "admitAndPopByWalk", 0.25 },
-} };
-
 } // namespace
 
 auto main(int argc, char **argv) -> int
 {
-    benchmark::Initialize(&argc, argv);
-    auto reporter = KeepingReporter {};
-    benchmark::RunSpecifiedBenchmarks(&reporter);
-    auto failed = 0;
-    for (const auto &bound : bounds) {
-        const auto time = reporter.times.find(bound.name);
-        const auto reference = reporter.times.find(bound.reference);
-        if (time == reporter.times.end() || reference == reporter.times.end())
-            continue;
-        const auto ratio = time->second / reference->second;
-        const auto held = ratio <= bound.ratio;
-        failed += held ? 0 : 1;
-        std::printf("bench=%s ns=%.0f reference_ns=%.0f ratio=%.5f bound=%.5f held=%s\n",
-                    bound.name, time->second, reference->second, ratio, bound.ratio,
-                    held ? "yes" : "no");
-    }
-    return failed == 0 ? 0 : 1;
+    return figrack::bench::runWithBounds(argc, argv,
+                                         { { "choose", "chooseByWalk", 0.006 },
+                                           { "chooseWithPrompt", "chooseByWalk", 0.01 },
+                                           { "admitAndPop", "admitAndPopByWalk", 0.25 } });
 }
