--- a/bench/policysimworkload.h
+++ b/bench/policysimworkload.h
@@ -88,7 +88,8 @@
 auto granits() -> Scenario;
 /// Socorro Norte: urgent work, floods that wake most of the catalogue at once.
 auto socorro() -> Scenario;
-/// A twentieth of the target: fleet, catalogue, arrivals and store are divided alike.
+/// A sixtieth of the target, for ten minutes: fleet, catalogue and arrivals are divided alike;
+/// the store's speed at the target is not given and is taken as ten loads a second here.
 auto target() -> Scenario;
 
 /// @return arrivals in order of time
