--- a/control/ordermachine.cpp
+++ b/control/ordermachine.cpp
@@ -191,6 +191,7 @@
 
     // Of rows for one state and event, the last whose guard holds is taken.
     // clang-format off
+    // NOLINTNEXTLINE(readability-identifier-naming): the name that Boost.MSM looks for.
     struct transition_table : boost::mpl::vector<
         //  from      event     to        action       guard
         Row<Sending,  Answered, Doubtful, Restart,     None>,
