--- a/bench/policysimreport.h
+++ b/bench/policysimreport.h
@@ -23,7 +23,7 @@
     std::uint64_t requests = 0;
     std::uint64_t metStart = 0;
     std::uint64_t metFinish = 0;
-    std::uint64_t refused = 0; ///< Gave up after its returns.
+    std::uint64_t refused = 0;    ///< Gave up after its returns.
     std::uint64_t coldMissed = 0; ///< Cold and past the start target, refused ones included.
     std::vector<Millis> coldStarts;
     std::vector<Millis> starts; ///< Time to first token of all that got one.
