router: two races in tests over sockets

(2) The feed's test stopped the first control before the join was known to be in its log; a join that came to the second control instead made its log shorter again and the test waited 30 s for an entry that never came. Change: wait for the record, and for the join. No check is weaker.

--- a/router/testing/tst_controllink.cpp
+++ b/router/testing/tst_controllink.cpp
@@ -171,12 +171,12 @@
     c2.copyLog(c1);
     c2.leads = false;
     start({ &c1, &c2 });
-    REQUIRE(eventually(
-            [this] { return c1.subscribers() == 1 && view.appliedIndex().value() >= 1; }));
+    // Current: the join is in c1's log, and not still on its way to whoever leads.
+    REQUIRE(eventually([this] { return link->isCurrent() && c1.subscribers() == 1; }));
     c1.stop();
     REQUIRE(eventually([this] { return c2.subscribers() == 1; }));
-    c2.leads = true;
     c2.copyLog(c1);
+    c2.leads = true;
     c2.commit(putModel("letters", 1));
     CHECK(eventually([this] { return view.model(ModelId { "letters" }).has_value(); }));
     CHECK(view.revision() == Revision { 2 });
--- a/router/testing/tst_router.cpp
+++ b/router/testing/tst_router.cpp
@@ -206,9 +206,12 @@
     for (auto &answer : answers)
         CHECK(bodyOf(std::move(answer)) == wholeAnswer(3));
     CHECK(engine.requests == 12);
-    const auto page = bodyOf(send("GET", "/metrics"));
-    CHECK(page.find(R"(figrack_router_requests_total{class="draft",end="answered"} 12)")
-          != std::string::npos);
+    // The record is written once the answer is out.
+    CHECK(eventually([this] {
+        const auto page = bodyOf(send("GET", "/metrics"));
+        return page.find(R"(figrack_router_requests_total{class="draft",end="answered"} 12)")
+                != std::string::npos;
+    }));
 }
 
 TEST_CASE_FIXTURE(RouterFixture, "an announcement reaches the controls")
