router: a cut stream that finds no new place no longer crashes the router

The core showed errorKind() reading a status already freed, in record(), after a stream's last chunk: run() made a Round, an aggregate with a status, inside a co_await expression, and g++ 12 destroys such a temporary twice. It is a named value now. No other place in router, control, endpoint, http or cmd builds an aggregate inside co_await (by grep).

The new test crashes without the change and passes with it.

--- a/router/dispatch.cpp
+++ b/router/dispatch.cpp
@@ -204,8 +204,11 @@
     while (true) {
         if (const auto *refusal = std::get_if<Refused>(&placement)) {
             refused(*refusal);
-            if (outcome_.headSent)
-                co_await giveUp({ RoundEnd::MayHaveRun, outcome_.status });
+            if (outcome_.headSent) {
+                // Named: g++ 12 destroys an aggregate made inside a co_await expression twice.
+                const auto last = Round { RoundEnd::MayHaveRun, outcome_.status };
+                co_await giveUp(last);
+            }
             break;
         }
         const auto &granted = std::get<Granted>(placement);
--- a/router/testing/tst_dispatch.cpp
+++ b/router/testing/tst_dispatch.cpp
@@ -74,6 +74,10 @@
         CHECK(scheduler.waiting() == 0);
         return outcome;
     }
+    auto isCurrent() const -> bool
+    {
+        return current && (!lapsesInStream || responder.body.empty());
+    }
     auto asService() -> void
     {
         work.target = { {}, ServiceId { "orders" } };
@@ -85,8 +89,9 @@
     Fleet fleet { clock };
     asio::io_context context;
     bool current = true;
+    bool lapsesInStream = false; ///< The lease ends once the caller has got something.
     Scheduler scheduler { SchedulerOptions { {}, {}, 500, 7 }, clock, fleet.view,
-                          SchedulerHooks { [this] { return current; }, [] {} } };
+                          SchedulerHooks { [this] { return isCurrent(); }, [] {} } };
     RetryBudget budget { retryOptions(), 3 };
     FakeEngines engines;
     DispatchOptions options { std::chrono::seconds { 30 }, 4096 };
@@ -381,6 +386,20 @@
     CHECK(responder.body.find("[DONE]") == std::string::npos);
 }
 
+TEST_CASE_FIXTURE(DispatchFixture, "a cut stream that finds no new place says why and ends")
+{
+    work.stream = true;
+    lapsesInStream = true;
+    engines.push(cutAfter({ tokens(0, 3) }));
+    const auto outcome = run();
+    CHECK(engines.requests.size() == 1);
+    CHECK(errorKind(outcome.status) == ErrorKind::NotCurrent);
+    CHECK(outcome.ran == Ran::Unknown);
+    CHECK(responder.body.find(tokens(0, 3) + "event: error\n") == 0);
+    CHECK(responder.body.find("not_current") != std::string::npos);
+    CHECK(responder.finished);
+}
+
 TEST_CASE_FIXTURE(DispatchFixture,
                   "an engine's error event is not passed on while there is a way on")
 {
