--- a/testing/demo.cpp
+++ b/testing/demo.cpp
@@ -286,6 +286,8 @@
             if (++shown <= maxShown)
                 say("event=promise_broken " + violation);
         }
+        for (const auto &[code, count] : verdict.refusals)
+            say(fmt::format("event=refusals code={} count={}", code, count));
         const auto isGood = verdict.isGood() && raceIsGood_ && stopIsGood_ && failedMeasures_ == 0;
         say(fmt::format("event=demo_checked false_not_run={} late_work={} revision_falls={} "
                         "failed_checks={} race_good={} planned_stop_exit_good={} "
