Cancel the idle read rather than close when a server stops accepting

stopAccepting() could still close over a request whose first bytes the reactor had read and not yet reported: the socket showed none, the buffer none. The read is cancelled now; it ends with its bytes or without, and only without is the connection closed.

--- a/http/server.cpp
+++ b/http/server.cpp
@@ -144,8 +144,11 @@
     auto closeIfIdle() -> void override
     {
         asio::post(socket().get_executor(), [self = this->shared_from_this()] {
-            if (self->idle_ && !self->hasUnread())
-                self->closeNow();
+            // Cancelled rather than closed: the read may have its bytes already, unreported.
+            auto code = error_code {};
+            self->stopsIdle_ = self->idle_ && self->reading_;
+            if (self->stopsIdle_)
+                self->socket().cancel(code);
         });
     }
 
@@ -291,6 +294,8 @@
                 co_return std::nullopt;
             const auto more = co_await fill();
             idle_ = false;
+            if (!more && stopsIdle_ && hasUnread())
+                continue;
             if (!more) {
                 if (timedOut_ && began)
                     co_await refuse(makeError(ErrorKind::Timeout, "part=request"), 408);
@@ -385,7 +390,7 @@
     {
         const auto before = input_.size();
         startRead();
-        while (input_.size() == before && !peerGone_ && !timedOut_ && open_) {
+        while (input_.size() == before && !peerGone_ && !timedOut_ && open_ && reading_) {
             auto code = error_code {};
             waiting_ = true;
             wake_.expires_at(Timer::time_point::max());
@@ -411,13 +416,14 @@
     {
         reading_ = false;
         input_.append(chunk_.data(), bytes);
-        if (code)
+        const auto isOnlyCancelled = stopsIdle_ && code == asio::error::operation_aborted;
+        if (code && !isOnlyCancelled)
             peerGone_ = true;
         else if (inHandler_)
             startRead();
         if (waiting_)
             wake_.cancel();
-        if (code && inHandler_)
+        if (peerGone_ && inHandler_)
             tellGone();
     }
 
@@ -492,6 +498,7 @@
     std::function<void()> onGone_;
     bool open_ = true;
     bool keepAlive_ = true;
+    bool stopsIdle_ = false; ///< The idle read was cancelled, since the server stops accepting.
     bool idle_ = false;      ///< Waits for the first byte of a request.
     bool reading_ = false;   ///< A read is outstanding.
     bool waiting_ = false;   ///< fill() waits for it.
