--- a/testing/outside/main.cpp
+++ b/testing/outside/main.cpp
@@ -6,7 +6,8 @@
 auto main() -> int
 {
     auto clock = figrack::ManualClock {};
-    auto holder = figrack::coord::ViewHolder { {}, clock, figrack::NodeId { "observer" },
-                                               figrack::Incarnation { 1 } };
+    auto holder = figrack::coord::ViewHolder {
+        {}, clock, figrack::NodeId { "observer" }, figrack::Incarnation { 1 }
+    };
     return holder.isCurrent() ? 1 : 0;
 }
