--- a/endpoint/testing/tst_orders.cpp
+++ b/endpoint/testing/tst_orders.cpp
@@ -10,7 +10,6 @@
 
 using namespace figrack;
 using namespace figrack::endpoint;
-using http::RawSocket;
 
 namespace {
 
@@ -27,7 +26,7 @@
         options.statusTimeout = http::testLimit;
         return options;
     }
-    auto sendLater(std::function<bool()> mayStart = {}) -> std::future<OrderAnswer>
+    auto sendLater(const std::function<bool()> &mayStart = {}) -> std::future<OrderAnswer>
     {
         auto order = Order {};
         order.id = OrderId { 12 };
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -638,7 +638,7 @@
                                                                remoteIp);
         const auto number = list(connection);
         asio::co_spawn(executor, connection->run(reject),
-                       [self = shared_from_this(), connection, number](std::exception_ptr) {
+                       [self = shared_from_this(), connection, number](const std::exception_ptr &) {
                            self->unlist(number);
                        });
     }
--- a/testing/fakeendpoint.cpp
+++ b/testing/fakeendpoint.cpp
@@ -96,7 +96,7 @@
     template<typename T>
     using Value = TCLAP::ValueArg<T>;
     using List = TCLAP::MultiArg<std::string>;
-    const FakeOptions defaults_;
+    const FakeOptions defaults_ {};
     TCLAP::CmdLine line_ { "A stand-in for an engine or a plain service.", ' ', FIGRACK_VERSION };
     Value<std::string> id_ { "", "id", "name, unique", true, "", "name", line_ };
     Value<std::string> kind_ { "", "kind", "engine or service", false, "engine", "kind", line_ };
