router: count retries on the metrics page

Cause: nothing called the function that counts them, so the counter stayed at 0. The budget that allows a retry counts it now and the page shows that; the function is gone. The new test and a check in the budget's fail on the code before, where neither count exists.

--- a/router/callers.cpp
+++ b/router/callers.cpp
@@ -194,6 +194,7 @@
     auto gauges = Gauges {};
     gauges.waiting = parts_.scheduler.waiting();
     gauges.running = parts_.scheduler.running();
+    gauges.retries = parts_.dispatcher.retries();
     gauges.openKeys = parts_.claims.openKeys();
     gauges.current = parts_.isCurrent();
     gauges.revision = parts_.view.revision().value();
--- a/router/dispatch.h
+++ b/router/dispatch.h
@@ -58,6 +58,8 @@
     /// @param responder used only to stream; refusals and whole answers are the caller's to send
     auto run(const Work &work, CallerState &caller, http::Responder &responder)
             -> boost::asio::awaitable<Outcome>;
+    /// @return dispatches after the first of their request, since the start
+    auto retries() const -> std::uint64_t { return budget_.granted(); }
 
 private:
     class Run;
--- a/router/metrics.cpp
+++ b/router/metrics.cpp
@@ -44,7 +44,7 @@
     prometheus::Family<prometheus::Histogram> &firstToken;
     prometheus::Family<prometheus::Gauge> &gauges;
     prometheus::Counter &retries;
-    std::mutex mutex; ///< Lock order: a leaf; nothing is called under it.
+    std::mutex mutex; ///< Lock order: a leaf; only the metrics library is called under it.
     std::set<std::string> classes;
 };
 
@@ -106,11 +106,6 @@
     }
 }
 
-auto Metrics::onRetry() -> void
-{
-    impl_->retries.Increment();
-}
-
 auto Metrics::onAnnouncement(bool taken) -> void
 {
     impl_->announcements.Add({ { "verdict", taken ? "taken" : "refused" } }).Increment();
@@ -118,6 +113,12 @@
 
 auto Metrics::text(const Gauges &gauges) -> std::string
 {
+    {
+        // Two readers of the page must not both add the same difference.
+        const auto lock = std::scoped_lock { impl_->mutex };
+        const auto shown = impl_->retries.Value();
+        impl_->retries.Increment(static_cast<double>(gauges.retries) - shown);
+    }
     const auto set = [this](const char *name, double value) {
         impl_->gauges.Add({ { "what", name } }).Set(value);
     };
--- a/router/metrics.h
+++ b/router/metrics.h
@@ -21,6 +21,7 @@
     std::size_t waiting = 0;
     std::size_t running = 0;
     std::size_t openKeys = 0;
+    std::uint64_t retries = 0; ///< Since the start; never falls.
     bool current = false;
     std::uint64_t revision = 0;
     std::uint64_t appliedIndex = 0;
@@ -32,7 +33,6 @@
     Metrics();
     ~Metrics();
     auto onRequest(const report::RequestRecord &record) -> void;
-    auto onRetry() -> void;
     auto onAnnouncement(bool taken) -> void;
     /// @return the page
     auto text(const Gauges &gauges) -> std::string;
--- a/router/retrybudget.h
+++ b/router/retrybudget.h
@@ -5,6 +5,7 @@
 #ifndef FIGRACK_ROUTER_RETRYBUDGET_H
 #define FIGRACK_ROUTER_RETRYBUDGET_H
 
+#include <cstdint>
 #include <mutex>
 #include <optional>
 
@@ -27,7 +28,15 @@
             -> std::optional<policy::Millis>
     {
         const auto lock = std::scoped_lock { mutex_ };
-        return budget_.next(attempt, now);
+        const auto wait = budget_.next(attempt, now);
+        granted_ += wait ? 1 : 0;
+        return wait;
+    }
+    /// @return retries allowed since the start
+    auto granted() const -> std::uint64_t
+    {
+        const auto lock = std::scoped_lock { mutex_ };
+        return granted_;
     }
     auto left() const -> std::uint32_t
     {
@@ -38,6 +47,7 @@
 private:
     mutable std::mutex mutex_; ///< Lock order: a leaf; nothing is called under it.
     policy::RetryBudget budget_;
+    std::uint64_t granted_ = 0;
 };
 
 } // namespace figrack::router
--- a/router/testing/tst_dispatch.cpp
+++ b/router/testing/tst_dispatch.cpp
@@ -13,6 +13,7 @@
 #include "fakes.h"
 #include "fleet.h"
 #include "router/dispatch.h"
+#include "router/metrics.h"
 
 namespace figrack::router {
 namespace {
@@ -308,12 +309,25 @@
     while (budget.next(failed, 0))
         continue;
     CHECK(budget.left() == 0);
+    const auto spent = budget.granted();
+    CHECK(spent == 5);
     engines.push(refuse());
     engines.push(answerWith(200, "a"));
     const auto outcome = run();
     CHECK(outcome.ran == Ran::NotRun);
     CHECK(errorKind(outcome.status) == ErrorKind::EndpointFailed);
     CHECK(engines.requests.size() == 1);
+    CHECK(budget.granted() == spent);
+}
+
+TEST_CASE("the metrics page counts retries")
+{
+    auto metrics = Metrics {};
+    auto gauges = Gauges {};
+    gauges.retries = 2;
+    metrics.text(gauges);
+    gauges.retries = 3;
+    CHECK(metrics.text(gauges).find("figrack_router_retries_total 3\n") != std::string::npos);
 }
 
 // --- resuming ---
