router: tell where a cold start's wait went

Cause: the report put the whole wait of a cold start under 'queue', because the router filled only that part and the first token. The tables a router holds name when the load was ordered and when the replica was ready, in the leader's wall time, so the wait is split there; skewed clocks move time between parts and never make one negative. Waiting for the store is not told apart from the load, and the page says so.

--- a/report/recorder.h
+++ b/report/recorder.h
@@ -27,9 +27,9 @@
 /// Where the time of a cold start went, ms. Zero for parts that did not happen.
 struct ColdParts
 {
-    std::int64_t queue = 0;      ///< Arrival till the wish reached the leader.
-    std::int64_t decision = 0;   ///< Till the order's intent was committed.
-    std::int64_t store = 0;      ///< Waiting for the weight store.
+    std::int64_t queue = 0;      ///< Waiting for a slot, once the replica was ready.
+    std::int64_t decision = 0;   ///< Arrival till the order to load was decided.
+    std::int64_t store = 0;      ///< Waiting for the weight store, where load does not hold it.
     std::int64_t load = 0;       ///< Till the replica was ready.
     std::int64_t firstToken = 0; ///< Till the first token.
 };
--- a/router/callers.cpp
+++ b/router/callers.cpp
@@ -351,7 +351,7 @@
     record.metFinish = answered && record.finishMs <= work.finishTarget;
     record.cold = outcome.cold;
     if (outcome.cold) {
-        record.parts.queue = outcome.waited;
+        record.parts = outcome.parts;
         record.parts.firstToken = std::max<Millis>(outcome.firstByteAfter - outcome.waited, 0);
     }
     parts_.recorder.record(record);
--- a/router/dispatch.cpp
+++ b/router/dispatch.cpp
@@ -21,6 +21,7 @@
 #include "core/error.h"
 #include "core/log.h"
 #include "endpoint/ssestream.h"
+#include "router/coldwait.h"
 #include "state/commands.h"
 
 namespace figrack::router {
@@ -94,6 +95,7 @@
         , caller_(caller)
         , responder_(responder)
         , arrived_(owner.clock_.now())
+        , arrivedWall_(owner.clock_.wallNow().time_since_epoch().count())
     { }
 
     auto run() -> asio::awaitable<Outcome>;
@@ -127,6 +129,7 @@
     CallerState &caller_;
     http::Responder &responder_;
     Instant arrived_;
+    Millis arrivedWall_;
     Ticket ticket_ = 0;
     std::uint32_t attempts_ = 0; ///< Rounds in which the endpoint was reached.
     std::uint64_t tokensGiven_ = 0;
@@ -215,6 +218,9 @@
         if (isFirst) {
             outcome_.cold = granted.cold;
             outcome_.waited = granted.waited;
+            const auto wait = ColdWait { granted.waited, arrivedWall_, granted.replica.orderedAt,
+                                         granted.replica.readyAt };
+            outcome_.parts = splitColdWait(wait);
         }
         isFirst = false;
         const auto round = co_await this->round(granted);
--- a/router/view.cpp
+++ b/router/view.cpp
@@ -208,7 +208,8 @@
             continue;
         out.replicas.push_back(
                 { model, replica.endpoint, policy::ReplicaPhase::Ready, replica.readyAt, 0, 0, 0 });
-        out.candidates.push_back({ replica.endpoint, endpoint->second.spec.incarnation, *address });
+        out.candidates.push_back({ replica.endpoint, endpoint->second.spec.incarnation, *address,
+                                   replica.orderedAt, replica.readyAt });
     }
     if (out.replicas.empty() && out.loading == 0)
         out.canEverLoad = largeEnough(tables_, model);
--- a/router/view.h
+++ b/router/view.h
@@ -47,6 +47,8 @@
     EndpointId id;
     Incarnation incarnation;
     Address address;
+    state::Millis orderedAt = 0; ///< When its load was ordered, leader's wall time; 0: a service.
+    state::Millis readyAt = 0;   ///< When it was ready, leader's wall time.
 };
 
 /// Who can serve a target, as the tables say.
--- a/router/work.h
+++ b/router/work.h
@@ -53,6 +53,7 @@
     bool headSent = false;  ///< A stream was begun towards the caller.
     bool cold = false;
     Millis waited = 0;
+    report::ColdParts parts;   ///< Of a cold start, its first token left out.
     Millis firstByteAfter = 0; ///< ms from arrival; 0 when there was none.
 
     bool whole = false; ///< The endpoint's answer came to its end.
