--- a/cmake/FigrackInstall.cmake
+++ b/cmake/FigrackInstall.cmake
@@ -1,14 +1,10 @@
-# What `cmake --install` puts in place: the binaries, their units and samples, and the
-# coordination library as figrack::coord for others to embed.
+# What `cmake --install` puts in place beside the binaries (cmd/CMakeLists.txt): units, pages,
+# samples, and the coordination library as figrack::coord for others to embed.
 include(CMakePackageConfigHelpers)
 
-foreach(program figrack-router figrack-control figrackctl)
-  if(TARGET ${program})
-    install(TARGETS ${program} RUNTIME DESTINATION ${CMAKE_INSTALL_BINDIR})
-  endif()
-endforeach()
 install(FILES packaging/figrack-router.service packaging/figrack-control.service
   DESTINATION lib/systemd/system)
+install(DIRECTORY docs/ DESTINATION ${CMAKE_INSTALL_DOCDIR})
 install(DIRECTORY conf/ DESTINATION ${CMAKE_INSTALL_DOCDIR}/samples)
 
 install(TARGETS figrack_easylogging figrack_core figrack_coord EXPORT figrackTargets
