--- a/coord/testing/chaos.h
+++ b/coord/testing/chaos.h
@@ -31,7 +31,6 @@
     std::string violation; ///< Empty when every invariant held.
     std::uint64_t steps = 0;
     std::uint64_t committed = 0;
-    std::uint64_t leaders = 0; ///< Terms that had a leader.
     std::uint64_t wipes = 0;
     std::uint64_t oldCopies = 0;
     std::uint64_t noticed = 0; ///< Old copies that made their replica stop.
