--- /dev/null
+++ b/catalogue/catalogue.cpp
@@ -0,0 +1,126 @@
+// Routes are few (thousands at most), so each host keeps its prefixes in a list
+// sorted by length: the first that fits is the longest.
+
+#include "catalogue/catalogue.h"
+
+#include <algorithm>
+#include <cctype>
+#include <set>
+#include <utility>
+
+#include "core/error.h"
+
+namespace figrack::catalogue {
+namespace {
+
+auto hostKey(std::string_view host) -> std::string
+{
+    auto key = std::string { host.substr(0, host.find(':')) };
+    std::transform(key.begin(), key.end(), key.begin(),
+                   [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+    return key;
+}
+
+auto badRoute(const Route &route, std::string_view reason) -> absl::Status
+{
+    return makeError(ErrorKind::BadRequest,
+                     "route=" + route.name + " reason=" + std::string { reason });
+}
+
+auto checkRoute(const Catalogue &catalogue, const Route &route) -> absl::Status
+{
+    if (route.host.empty())
+        return badRoute(route, "no host");
+    if (route.pathPrefix.empty() || route.pathPrefix.front() != '/'
+        || route.pathPrefix.back() != '/')
+        return badRoute(route, "the prefix must begin and end with a slash");
+    if (route.finishLimit <= Duration::zero())
+        return badRoute(route, "the finish limit must be positive");
+    auto sum = std::uint64_t { 0 };
+    for (const auto &part : route.split) {
+        if (catalogue.find(part.service) == nullptr)
+            return badRoute(route, "unknown service " + part.service.value());
+        sum += part.weight;
+    }
+    if (sum == 0)
+        return badRoute(route, "the weights add up to 0");
+    return absl::OkStatus();
+}
+
+} // namespace
+
+auto EngineSpec::find(const ModelId &id) const -> const ModelSpec *
+{
+    const auto found = std::find_if(models.begin(), models.end(),
+                                    [&](const ModelSpec &model) { return model.id == id; });
+    return found == models.end() ? nullptr : &*found;
+}
+
+auto Catalogue::find(const ServiceId &id) const -> const Service *
+{
+    const auto found = std::find_if(services.begin(), services.end(),
+                                    [&](const Service &service) { return service.id == id; });
+    return found == services.end() ? nullptr : &*found;
+}
+
+auto check(const Catalogue &catalogue) -> absl::Status
+{
+    auto places = std::set<std::pair<std::string, std::string>> {};
+    for (const auto &route : catalogue.routes) {
+        if (auto status = checkRoute(catalogue, route); !status.ok())
+            return status;
+        if (!places.emplace(hostKey(route.host), route.pathPrefix).second)
+            return badRoute(route, "another route has the same host and prefix");
+    }
+    auto names = std::set<ServiceId> {};
+    for (const auto &service : catalogue.services) {
+        if (service.id.empty() || !names.insert(service.id).second)
+            return makeError(ErrorKind::BadRequest, "service=" + service.id.value()
+                                     + " reason=a name is missing or given twice");
+    }
+    return absl::OkStatus();
+}
+
+RouteTable::RouteTable(std::shared_ptr<const Catalogue> catalogue)
+    : catalogue_(std::move(catalogue))
+{
+    for (const auto &route : catalogue_->routes)
+        byHost_[hostKey(route.host)].push_back(&route);
+    for (auto &[host, routes] : byHost_) {
+        std::sort(routes.begin(), routes.end(), [](const Route *one, const Route *other) {
+            return one->pathPrefix.size() > other->pathPrefix.size();
+        });
+    }
+}
+
+auto RouteTable::find(std::string_view host, std::string_view path) const -> const Route *
+{
+    const auto found = byHost_.find(hostKey(host));
+    if (found == byHost_.end())
+        return nullptr;
+    for (const auto *route : found->second) {
+        if (path.substr(0, route->pathPrefix.size()) == route->pathPrefix)
+            return route;
+    }
+    return nullptr;
+}
+
+auto pickService(const Route &route, double draw) -> ServiceId
+{
+    auto sum = std::uint64_t { 0 };
+    for (const auto &part : route.split)
+        sum += part.weight;
+    auto left = draw * static_cast<double>(sum);
+    auto last = ServiceId {};
+    for (const auto &part : route.split) {
+        if (part.weight == 0)
+            continue;
+        last = part.service;
+        left -= part.weight;
+        if (left < 0)
+            break;
+    }
+    return last;
+}
+
+} // namespace figrack::catalogue
--- /dev/null
+++ b/catalogue/endpointrow.cpp
@@ -0,0 +1,33 @@
+#include "catalogue/endpointrow.h"
+
+#include <algorithm>
+#include <array>
+
+namespace figrack::catalogue {
+
+auto endpointStateName(EndpointState state) -> std::string_view
+{
+    constexpr auto names = std::array<std::string_view, 3> { "ready", "draining", "gone" };
+    return names[static_cast<std::size_t>(state) % names.size()];
+}
+
+auto HeldModel::hasAdapter(std::string_view name) const -> bool
+{
+    return std::find(adapters.begin(), adapters.end(), name) != adapters.end();
+}
+
+auto EndpointRow::find(const ModelId &model) const -> const HeldModel *
+{
+    const auto found = std::find_if(models.begin(), models.end(),
+                                    [&](const HeldModel &held) { return held.model == model; });
+    return found == models.end() ? nullptr : &*found;
+}
+
+auto EndpointRow::sameAs(const EndpointRow &other) const -> bool
+{
+    return service == other.service && address == other.address && slots == other.slots
+            && state == other.state && models == other.models && inMemory == other.inMemory
+            && onDisk == other.onDisk;
+}
+
+} // namespace figrack::catalogue
--- /dev/null
+++ b/catalogue/endpointrow.h
@@ -0,0 +1,79 @@
+// What is known of one endpoint, as controls pass it to one another and to gateways.
+
+#ifndef FIGRACK_CATALOGUE_ENDPOINTROW_H
+#define FIGRACK_CATALOGUE_ENDPOINTROW_H
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/ids.h"
+#include "core/settings.h"
+
+namespace figrack::catalogue {
+
+/// Where an endpoint stands in its life.
+enum class EndpointState : std::uint8_t { Ready, Draining, Gone };
+
+/// @return "ready", "draining" or "gone"
+auto endpointStateName(EndpointState state) -> std::string_view;
+
+/// A model that an endpoint holds, with the adapters of it that are loaded.
+struct HeldModel
+{
+    ModelId model;
+    std::vector<std::string> adapters;
+    auto operator==(const HeldModel &) const -> bool = default;
+    auto hasAdapter(std::string_view name) const -> bool;
+
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(model, adapters);
+    }
+};
+
+struct EndpointRow
+{
+    EndpointId id; ///< Of one life: a restarted endpoint has another.
+    ServiceId service;
+    Address address;
+    DomainId domain;
+    std::uint32_t slots = 0;
+    EndpointState state = EndpointState::Ready;
+    std::uint64_t sequence = 0; ///< Of the endpoint's announcements; the higher one is newer.
+    /// Of changes that a leader's orders brought about since that announcement.
+    std::uint64_t orderVersion = 0;
+    std::vector<HeldModel> models;
+    std::vector<ModelId> inMemory; ///< Copies of weights that load fast.
+    std::vector<ModelId> onDisk;   ///< Copies of weights that load nearly as fast.
+    /// @return the model as held, or nullptr
+    auto find(const ModelId &model) const -> const HeldModel *;
+    /// @return true when nothing but the age of the announcement differs
+    auto sameAs(const EndpointRow &other) const -> bool;
+
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(id, service, address, domain, slots, state, sequence, orderVersion, models,
+                inMemory, onDisk);
+    }
+};
+
+/// The newest announcement that was heard of an endpoint, without what it says.
+struct EndpointBeat
+{
+    EndpointId id;
+    std::uint64_t sequence = 0;
+
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(id, sequence);
+    }
+};
+
+} // namespace figrack::catalogue
+
+#endif // FIGRACK_CATALOGUE_ENDPOINTROW_H
--- a/cmd/daemon.cpp
+++ b/cmd/daemon.cpp
@@ -4,6 +4,7 @@
 #include "cmd/daemon.h"
 
 #include <csignal>
+#include <cstring>
 #include <iostream>
 #include <thread>
 #include <utility>
@@ -14,6 +15,7 @@
 #include <boost/asio/strand.hpp>
 
 #include "cmd/commandline.h"
+#include "core/crypto.h"
 #include "core/error.h"
 #include "core/log.h"
 #include "core/version.h"
@@ -77,7 +79,7 @@
 
 auto runChecked(const DaemonProgram &program, const Settings &settings) -> ExitCode
 {
-    // A closed standard error must not end the process.
+    // A closed standard output must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
     LogEvent(LogLevel::Info, "started")
             .with("program", program.name)
@@ -139,7 +141,7 @@
     constexpr auto maxBytes = std::int64_t { 16 } << 30;
     return {
         textRule("log.level", "lines below it are dropped: debug, info, warning or error", "info"),
-        textRule("log.file", "path of the log file; empty writes to standard error", ""),
+        textRule("log.file", "path of the log file; empty writes to standard output", ""),
         numberRule("log.max_bytes", "size in bytes at which the file is rotated; one old is kept",
                    1 << 16, maxBytes, defaultBytes),
     };
@@ -150,6 +152,13 @@
     return static_cast<int>(runWithArguments(program, arguments));
 }
 
+auto randomSeed() -> std::uint64_t
+{
+    auto seed = std::uint64_t { 0 };
+    std::memcpy(&seed, secureRandom(sizeof(seed)).data(), sizeof(seed));
+    return seed;
+}
+
 class StopSignals::Impl : public std::enable_shared_from_this<Impl>
 {
 public:
--- a/cmd/daemon.h
+++ b/cmd/daemon.h
@@ -15,6 +15,7 @@
 #ifndef FIGRACK_CMD_DAEMON_H
 #define FIGRACK_CMD_DAEMON_H
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -54,6 +55,9 @@
 /// The rules of section [log], which runDaemon() adds to every daemon's.
 auto logRules() -> std::vector<SettingRule>;
 
+/// @return a seed from the system's random source
+auto randomSeed() -> std::uint64_t;
+
 /// Calls a function at the first SIGTERM or SIGINT; later ones are logged and change nothing.
 /// It keeps the context running; destroy it, before the context, once the stop is through.
 class StopSignals
--- a/cmd/figrackrouter.cpp
+++ b/cmd/figrackrouter.cpp
@@ -1,24 +1,14 @@
 // The router daemon: settings, a pool of threads, and the stop by a signal.
 
-#include <cstring>
-
 #include <boost/asio/io_context.hpp>
 
 #include "cmd/commandline.h"
 #include "cmd/daemon.h"
-#include "core/crypto.h"
 #include "router/router.h"
 
 namespace figrack::cmd {
 namespace {
 
-auto randomSeed() -> std::uint64_t
-{
-    auto seed = std::uint64_t { 0 };
-    std::memcpy(&seed, secureRandom(sizeof(seed)).data(), sizeof(seed));
-    return seed;
-}
-
 auto runRouter(const Settings &settings) -> absl::Status
 {
     const auto options = router::routerOptions(settings);
--- /dev/null
+++ b/cmd/settingswatch.cpp
@@ -0,0 +1,114 @@
+#include "cmd/settingswatch.h"
+
+#include <csignal>
+#include <fstream>
+#include <iterator>
+#include <utility>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "cmd/daemon.h"
+#include "core/log.h"
+
+namespace figrack::cmd {
+namespace {
+
+/// A few system calls each time; changes without a signal are rare and none is urgent.
+constexpr auto lookEvery = std::chrono::seconds { 2 };
+
+auto contentOf(const std::string &path) -> std::string
+{
+    auto file = std::ifstream { path, std::ios::binary };
+    return { std::istreambuf_iterator<char> { file }, std::istreambuf_iterator<char> {} };
+}
+
+} // namespace
+
+class SettingsWatch::Impl : public std::enable_shared_from_this<Impl>
+{
+public:
+    Impl(boost::asio::io_context &context, std::string path, std::vector<SettingRule> schema,
+         std::function<void(const Settings &)> onChanged)
+        : signals_(context, SIGHUP)
+        , timer_(context)
+        , path_(std::move(path))
+        , schema_(std::move(schema))
+        , onChanged_(std::move(onChanged))
+        , content_(contentOf(path_))
+    {
+        for (auto &rule : logRules())
+            schema_.push_back(std::move(rule));
+    }
+
+    auto waitForSignal() -> void
+    {
+        signals_.async_wait([weak = weak_from_this()](boost::system::error_code error, int) {
+            const auto self = weak.lock();
+            if (!self || error)
+                return;
+            self->look(true);
+            self->waitForSignal();
+        });
+    }
+
+    auto waitForTime() -> void
+    {
+        timer_.expires_after(lookEvery);
+        timer_.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+            const auto self = weak.lock();
+            if (!self || error)
+                return;
+            self->look(false);
+            self->waitForTime();
+        });
+    }
+
+    auto cancel() -> void
+    {
+        auto ignored = boost::system::error_code {};
+        signals_.cancel(ignored);
+        timer_.cancel();
+    }
+
+private:
+    auto look(bool signalled) -> void
+    {
+        auto content = contentOf(path_);
+        const auto changed = content != content_;
+        if (!changed && !signalled)
+            return;
+        content_ = std::move(content);
+        const auto settings = Settings::parse(content_, path_, schema_);
+        auto line = LogEvent { LogLevel::Info, "settings_read" };
+        line.with("signal", signalled).with("changed", changed).with("used", settings.ok());
+        if (settings.ok())
+            onChanged_(*settings);
+        else
+            line.with(settings.status());
+    }
+
+    boost::asio::signal_set signals_;
+    boost::asio::steady_timer timer_;
+    std::string path_;
+    std::vector<SettingRule> schema_;
+    std::function<void(const Settings &)> onChanged_;
+    std::string content_; ///< As last read.
+};
+
+SettingsWatch::SettingsWatch(boost::asio::io_context &context, std::string path,
+                             std::vector<SettingRule> schema,
+                             std::function<void(const Settings &)> onChanged)
+    : impl_(std::make_shared<Impl>(context, std::move(path), std::move(schema),
+                                   std::move(onChanged)))
+{
+    impl_->waitForSignal();
+    impl_->waitForTime();
+}
+
+SettingsWatch::~SettingsWatch()
+{
+    impl_->cancel();
+}
+
+} // namespace figrack::cmd
--- a/control/peertransport.cpp
+++ b/control/peertransport.cpp
@@ -4,9 +4,11 @@
 
 namespace figrack::control {
 
-PeerTransport::PeerTransport(boost::asio::io_context &context, proto::ChannelOptions options)
+PeerTransport::PeerTransport(boost::asio::io_context &context, proto::ChannelOptions options,
+                             proto::PeerHandler handler)
     : context_(context)
     , options_(std::move(options))
+    , handler_(std::move(handler))
 { }
 
 auto PeerTransport::setPeers(const std::vector<coord::Member> &members) -> void
@@ -22,7 +24,7 @@
             peer.client->stop();
         peer.address = *address;
         peer.client = std::make_unique<proto::PeerClient>(context_, options_, *address,
-                                                          proto::PeerHandler {});
+                                                          handler_);
         peer.client->start();
     }
 }
@@ -34,6 +36,14 @@
         (void)found->second.client->push(std::move(message));
 }
 
+auto PeerTransport::pushToAll(const proto::Payload &payload) -> void
+{
+    for (auto &[node, peer] : peers_) {
+        if (peer.client->isOpen())
+            static_cast<void>(peer.client->push(payload));
+    }
+}
+
 auto PeerTransport::stop() -> void
 {
     for (auto &[node, peer] : peers_)
--- a/control/peertransport.h
+++ b/control/peertransport.h
@@ -24,12 +24,16 @@
 class PeerTransport final : public coord::Transport
 {
 public:
-    PeerTransport(boost::asio::io_context &context, proto::ChannelOptions options);
+    /// @param handler of what the others push on these connections; may be empty
+    PeerTransport(boost::asio::io_context &context, proto::ChannelOptions options,
+                  proto::PeerHandler handler = {});
 
     /// Dials those that are new or have moved. Peers not listed are kept: a removed control
     /// may still have to hear of it.
     auto setPeers(const std::vector<coord::Member> &members) -> void;
     auto send(const NodeId &to, coord::Message message) -> void override;
+    /// Pushes a copy to every control that is connected.
+    auto pushToAll(const proto::Payload &payload) -> void;
     auto stop() -> void;
 
 private:
@@ -41,6 +45,7 @@
 
     boost::asio::io_context &context_;
     proto::ChannelOptions options_;
+    proto::PeerHandler handler_;
     std::map<NodeId, Peer> peers_;
 };
 
--- a/core/log.cpp
+++ b/core/log.cpp
@@ -3,9 +3,15 @@
 
 #include "core/log.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <cstdio>
+#include <mutex>
+
+#include <poll.h>
+#include <unistd.h>
 
 #include <easylogging++.h>
 #include <fmt/format.h>
@@ -20,7 +26,7 @@
 constexpr auto levelNames = std::array<std::string_view, 4> { "debug", "info", "warning", "error" };
 
 std::atomic<LogLevel> lowestLevel { LogLevel::Info };
-// The library's own default is a file; ours, also before startLogging(), is standard error.
+// The library's own default is a file; ours, also before startLogging(), is standard output.
 std::atomic<bool> writesToFile { false };
 
 auto processName() -> std::string &
@@ -75,6 +81,52 @@
     return fmt::format("{}.{:03}Z", std::string_view { text.data(), size }, millis);
 }
 
+/// Standard output, with a bound on lines and without ever waiting.
+class OutputGate
+{
+public:
+    auto write(std::string &line) -> void
+    {
+        const auto lock = std::lock_guard { mutex_ };
+        refill();
+        if (tokens_ < 1) {
+            ++dropped_;
+            return;
+        }
+        if (dropped_ > 0)
+            line += fmt::format(" dropped={}", dropped_);
+        line += '\n';
+        auto ready = pollfd { STDOUT_FILENO, POLLOUT, 0 };
+        const auto canTake = ::poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT) != 0;
+        if (!canTake || ::write(STDOUT_FILENO, line.data(), line.size()) < 0) {
+            ++dropped_;
+            return;
+        }
+        tokens_ -= 1;
+        dropped_ = 0;
+    }
+
+private:
+    auto refill() -> void
+    {
+        const auto now = std::chrono::steady_clock::now();
+        const auto passed = std::chrono::duration<double> { now - refilledAt_ }.count();
+        refilledAt_ = now;
+        tokens_ = std::min<double>(maxLinesPerSecond, tokens_ + passed * maxLinesPerSecond);
+    }
+
+    std::mutex mutex_; ///< Guards all below; a leaf in the lock order.
+    double tokens_ = maxLinesPerSecond;
+    std::chrono::steady_clock::time_point refilledAt_ = std::chrono::steady_clock::now();
+    std::uint64_t dropped_ = 0; ///< Since the last line that went out.
+};
+
+auto outputGate() -> OutputGate &
+{
+    static auto gate = OutputGate {};
+    return gate;
+}
+
 } // namespace
 
 auto logLevelName(LogLevel level) -> std::string_view
@@ -133,8 +185,7 @@
         LOG(INFO) << line_;
         return;
     }
-    line_ += '\n';
-    std::fwrite(line_.data(), 1, line_.size(), stderr);
+    outputGate().write(line_);
 }
 
 auto LogEvent::with(std::string_view key, std::string_view value) -> LogEvent &
--- a/core/log.h
+++ b/core/log.h
@@ -2,6 +2,9 @@
 //
 //   LogEvent(LogLevel::Info, "order_sent").with("endpoint", id).with("term", term);
 //
+// Standard output is never waited for: a line that it cannot take at once is dropped, and so
+// are lines beyond maxLinesPerSecond; the next line that goes out says how many, as dropped=.
+//
 // The line is written when the LogEvent goes out of scope. Values with spaces,
 // quotes or control characters are quoted and escaped, so a line never splits.
 // The logging library is behind log.cpp: its macros clash with doctest's.
@@ -25,10 +28,13 @@
 /// The name of a level: "debug", "info", "warning", "error".
 auto logLevelName(LogLevel level) -> std::string_view;
 
+/// Of standard output, averaged; bursts of as many lines go out at once. A line costs some 10 us.
+constexpr auto maxLinesPerSecond = 200;
+
 struct LogOptions
 {
     LogLevel level = LogLevel::Info; ///< Lines below it are dropped.
-    std::string file;                ///< Path of the log file; empty writes to standard error.
+    std::string file;                ///< Path of the log file; empty writes to standard output.
     std::uint64_t maxFileBytes = 64ULL << 20; ///< At this size the file is rotated.
     std::string process;                      ///< Put on every line as process=.
 };
--- a/core/settings.cpp
+++ b/core/settings.cpp
@@ -383,6 +383,7 @@
     if (auto status = rejectUnknown(*keys, schema, text, name); !status.ok())
         return status;
     auto settings = Settings {};
+    settings.source_ = name;
     for (const auto &rule : schema) {
         const auto found = keys->find(rule.key);
         if (found == keys->end() && rule.required)
--- a/core/settings.h
+++ b/core/settings.h
@@ -127,6 +127,9 @@
     auto flag(std::string_view key) const -> bool;
     /// @}
 
+    /// @return the file that was read, or the name given to parse()
+    auto source() const -> const std::string & { return source_; }
+
 private:
     using Value = std::variant<std::string, std::int64_t, Duration, Address,
                                std::vector<NamedAddress>, bool>;
@@ -134,6 +137,7 @@
     auto get(std::string_view key) const -> const T &;
     static auto parseValue(const SettingRule &rule, std::string_view text) -> absl::StatusOr<Value>;
 
+    std::string source_;
     std::unordered_map<std::string, Value> values_;
 };
 
--- /dev/null
+++ b/fleet/configlog.h
@@ -0,0 +1,58 @@
+// The replicated configuration document: the state machine of a control group.
+//
+//   auto log = ConfigLog {};
+//   auto replica = coord::Replica { options, clock, transport, store, log, random };
+//   replica.propose(ConfigLog::encode({ version, text }));
+//
+// Guarantees: the version never falls; a document under a version that is not
+// higher than the held one changes nothing. The text is kept byte for byte.
+
+#ifndef FIGRACK_FLEET_CONFIGLOG_H
+#define FIGRACK_FLEET_CONFIGLOG_H
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include <absl/status/status.h>
+
+#include "coord/replica.h"
+#include "core/ids.h"
+
+namespace figrack::fleet {
+
+/// A configuration as its operator sent it.
+struct Document
+{
+    Revision version; ///< 0: none.
+    std::string text;
+
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(version, text);
+    }
+};
+
+class ConfigLog final : public coord::StateMachine
+{
+public:
+    /// @return the command that proposes a document
+    static auto encode(const Document &document) -> std::string;
+
+    auto apply(const coord::Entry &entry) -> void override;
+    auto snapshot() const -> std::string override;
+    auto restore(std::string_view state, LogIndex lastIndex) -> absl::Status override;
+
+    auto document() const -> const Document & { return document_; }
+    /// Called for each applied command; must not call the replica.
+    auto setOnApplied(std::function<void(LogIndex, Term)> listener) -> void;
+
+private:
+    Document document_;
+    std::function<void(LogIndex, Term)> onApplied_;
+};
+
+} // namespace figrack::fleet
+
+#endif // FIGRACK_FLEET_CONFIGLOG_H
--- /dev/null
+++ b/fleet/core.cpp
@@ -0,0 +1,585 @@
+#include "fleet/core.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "control/peertransport.h"
+#include "coord/disk.h"
+#include "coord/filelogstore.h"
+#include "core/error.h"
+#include "core/log.h"
+#include "fleet/demandtable.h"
+#include "fleet/proposals.h"
+
+namespace figrack::fleet {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto keeperEvery = std::chrono::milliseconds { 200 };
+constexpr auto joinEvery = std::chrono::milliseconds { 500 };
+constexpr auto stopLookEvery = std::chrono::milliseconds { 50 };
+/// For leadership to pass on before the process ends.
+constexpr auto handoverPatience = std::chrono::seconds { 2 };
+/// Gateways and endpoints that speak to this control may finish in it.
+constexpr auto lingerAfterHandover = std::chrono::milliseconds { 300 };
+
+} // namespace
+
+class Core::Impl : public std::enable_shared_from_this<Impl>
+{
+public:
+    Impl(asio::io_context &context, CoreOptions options, const Clock &clock, const OrderPort &port,
+         ReadDocument readDocument, std::uint64_t seed)
+        : context_(context)
+        , options_(std::move(options))
+        , clock_(clock)
+        , readDocument_(std::move(readDocument))
+        , random_(seed)
+        , registry_(options_.registry, clock)
+        , keeper_(options_.group, clock)
+        , demand_(options_.demandWindow, clock)
+        , orders_(context, options_.orders, clock, registry_, port, authority())
+        , tickTimer_(context)
+        , stopTimer_(context)
+    { }
+
+    auto start() -> absl::Status
+    {
+        auto channel = proto::ChannelOptions {};
+        channel.self = options_.name;
+        channel.keys = options_.keys;
+        channel.idleTimeout = std::chrono::seconds { 3 };
+        channel.handshakeTimeout = std::chrono::seconds { 1 };
+        transport_ = std::make_unique<control::PeerTransport>(context_, channel, linkHandler());
+        server_ = std::make_unique<proto::PeerServer>(context_, channel, serverHandler());
+        if (auto status = server_->start(options_.peers); !status.ok())
+            return status;
+        log_.setOnApplied([this](LogIndex index, Term term) { proposals_.onApplied(index, term); });
+        registry_.setOnChanged([this](const catalogue::EndpointRow &row) {
+            orders_.onRowChanged(row.id);
+            planSoon();
+        });
+        reload(options_.seeds);
+        startReplica();
+        schedule();
+        LogEvent(LogLevel::Info, "core_started")
+                .with("peers", options_.peers.text())
+                .with("bootstrap", options_.bootstrap);
+        return absl::OkStatus();
+    }
+
+    auto requestStop(std::function<void()> onStopped) -> void
+    {
+        stopping_ = true;
+        stopAskedAt_ = clock_.now();
+        onStopped_ = std::move(onStopped);
+        if (replica_)
+            static_cast<void>(replica_->transferLeadership());
+        settle();
+        lookAtStop();
+    }
+
+    auto reload(const std::vector<Address> &seeds) -> void
+    {
+        auto members = std::vector<coord::Member> {};
+        for (const auto &seed : seeds)
+            members.push_back(memberAt(seed));
+        transport_->setPeers(members);
+    }
+
+    auto propose(Document document, Done done) -> void
+    {
+        if (!replica_ || read().document == nullptr) {
+            done(makeError(ErrorKind::NotLeader, "control"));
+            return;
+        }
+        if (document.version <= log_.document().version) {
+            done(absl::OkStatus());
+            return;
+        }
+        const auto term = replica_->status().term;
+        const auto index = replica_->propose(ConfigLog::encode(document));
+        if (!index.ok()) {
+            done(index.status());
+            return;
+        }
+        const auto deadline = clock_.now() + options_.proposalTimeout;
+        proposals_.add(*index, term, deadline, std::move(done));
+        replica_->flush();
+        settle();
+    }
+
+    auto read() const -> ReadResult
+    {
+        if (!replica_ || stopping_)
+            return {};
+        if (replica_->holdsLease())
+            return { &log_.document(), std::nullopt };
+        const auto status = replica_->status();
+        const auto *leader = status.membership.find(status.leader);
+        if (leader == nullptr || status.leader == options_.name)
+            return {};
+        const auto address = parseAddress(leader->address);
+        return { nullptr, address.ok() ? std::optional { *address } : std::nullopt };
+    }
+
+    auto status() const -> coord::ReplicaStatus
+    {
+        return replica_ ? replica_->status() : coord::ReplicaStatus {};
+    }
+
+    auto inGroup() const -> bool
+    {
+        const auto now = status();
+        const auto *self = now.membership.find(options_.name);
+        return self != nullptr && self->incarnation == now.incarnation;
+    }
+
+    auto mayOrder() const -> bool
+    {
+        return replica_ && !stopping_ && leads_ && replica_->holdsLease()
+                && clock_.now() - leadingSince_ >= options_.orderQuarantine;
+    }
+
+    auto close() -> void
+    {
+        tickTimer_.cancel();
+        stopTimer_.cancel();
+        if (server_)
+            server_->stop();
+        if (transport_)
+            transport_->stop();
+    }
+
+    auto registry() -> Registry & { return registry_; }
+
+private:
+    // ---- wiring
+
+    auto authority() -> Authority
+    {
+        auto authority = Authority {};
+        authority.mayOrder = [this] { return mayOrder(); };
+        authority.fence = [this] { return Fence { status().term.value() }; };
+        authority.onPlanEnded = [this] { planSoon(); };
+        return authority;
+    }
+
+    auto memberAt(const Address &address) const -> coord::Member
+    {
+        auto member = coord::Member {};
+        member.node = nodeAt(address);
+        member.address = address.text();
+        member.kind = coord::MemberKind::Voter;
+        return member;
+    }
+
+    /// A control is named by its address, so that seeds can be named before they have spoken.
+    static auto nodeAt(const Address &address) -> NodeId { return NodeId { "n" + address.text() }; }
+
+    /// For connections that this control dials: what the others push comes in by them.
+    auto linkHandler() -> proto::PeerHandler
+    {
+        auto handler = proto::PeerHandler {};
+        handler.onOpen = [weak = weak_from_this()](const proto::PeerPointer &peer) {
+            auto subscribe = proto::Subscribe {};
+            subscribe.kind = proto::SubscriberKind::Control;
+            peer->send({ 0, subscribe });
+            LogEvent(LogLevel::Info, "control_regained").with("control", peer->peer());
+        };
+        handler.onMessage = [weak = weak_from_this()](const proto::PeerPointer &,
+                                                      const proto::Envelope &envelope) {
+            const auto self = weak.lock();
+            const auto *update = std::get_if<proto::ServingUpdate>(&envelope.payload);
+            if (self && update != nullptr)
+                self->onUpdate(*update);
+        };
+        handler.onClose = [](const proto::PeerPointer &peer, const absl::Status &status) {
+            LogEvent(LogLevel::Warning, "control_lost").with("control", peer->peer()).with(status);
+        };
+        return handler;
+    }
+
+    auto serverHandler() -> proto::PeerHandler
+    {
+        auto handler = proto::PeerHandler {};
+        handler.onMessage = [weak = weak_from_this()](const proto::PeerPointer &peer,
+                                                      proto::Envelope envelope) {
+            if (const auto self = weak.lock())
+                self->onMessage(peer, std::move(envelope));
+        };
+        handler.onClose = [weak = weak_from_this()](const proto::PeerPointer &peer,
+                                                    const absl::Status &) {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            self->registry_.onClose(peer);
+            self->demand_.onGatewayLost(peer->peer());
+        };
+        return handler;
+    }
+
+    auto onMessage(const proto::PeerPointer &peer, proto::Envelope envelope) -> void
+    {
+        if (auto *message = std::get_if<coord::Message>(&envelope.payload)) {
+            if (replica_)
+                replica_->receive(*message);
+            settle();
+        } else if (const auto *subscribe = std::get_if<proto::Subscribe>(&envelope.payload)) {
+            registry_.onSubscribe(peer, *subscribe);
+        } else if (const auto *ack = std::get_if<proto::ServingAck>(&envelope.payload)) {
+            registry_.onAck(peer, *ack);
+        } else if (const auto *wanted = std::get_if<proto::ModelWanted>(&envelope.payload)) {
+            if (demand_.onReport(peer->peer(), *wanted))
+                planSoon();
+        } else if (const auto *join = std::get_if<proto::JoinGroup>(&envelope.payload)) {
+            onJoin(join->member);
+        } else if (std::holds_alternative<proto::DocumentRequest>(envelope.payload)) {
+            const auto &held = log_.document();
+            peer->send({ envelope.correlation, proto::DocumentReply { held.version, held.text } });
+        } else {
+            LogEvent(LogLevel::Warning, "message_not_expected").with("peer", peer->peer());
+        }
+    }
+
+    auto onUpdate(const proto::ServingUpdate &update) -> void
+    {
+        registry_.onUpdate(update);
+        if (!update.controls.empty() && !inGroup())
+            transport_->setPeers(update.controls);
+    }
+
+    auto onJoin(const coord::Member &member) -> void
+    {
+        // Its address is known before it is listed, so that it can be answered.
+        transport_->setPeers({ member });
+        if (replica_)
+            keeper_.onJoin(*replica_, member);
+        settle();
+    }
+
+    // ---- the replica
+
+    auto startReplica() -> void
+    {
+        auto options = options_.replica;
+        options.self = memberAt(options_.peers);
+        options.self.node = options_.name;
+        options.self.domain = options_.domain;
+        const auto isSeed = std::find(options_.seeds.begin(), options_.seeds.end(), options_.peers)
+                != options_.seeds.end();
+        if (options_.bootstrap && isSeed) {
+            for (const auto &seed : options_.seeds)
+                options.founders.push_back(memberAt(seed));
+        }
+        store_ = std::make_unique<coord::FileLogStore>(
+                coord::FileLogStoreOptions { .folder = options_.dataFolder }, disk_);
+        replica_ = std::make_unique<coord::Replica>(options, clock_, *transport_, *store_, log_,
+                                                    random_);
+        const auto status = replica_->start();
+        LogEvent(status.ok() ? LogLevel::Info : LogLevel::Error, "replica_started")
+                .with("incarnation", replica_->status().incarnation)
+                .with("document", log_.document().version)
+                .with(status);
+        settle();
+    }
+
+    /// A replica that has stopped by a fault of its disk is made anew from what the disk holds.
+    auto restartIfStopped() -> void
+    {
+        const auto now = clock_.now();
+        if (!replica_ || replica_->status().role != coord::Role::Stopped || stopping_)
+            return;
+        if (!stoppedAt_) {
+            stoppedAt_ = now;
+            LogEvent(LogLevel::Error, "replica_lost").with(replica_->status().failure);
+        }
+        if (now - *stoppedAt_ < options_.restartEvery)
+            return;
+        stoppedAt_.reset();
+        replica_.reset();
+        store_.reset();
+        proposals_.settle({}, now);
+        startReplica();
+    }
+
+    auto schedule() -> void
+    {
+        tickTimer_.expires_after(options_.replica.tick);
+        tickTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+            const auto self = weak.lock();
+            if (!self || error)
+                return;
+            self->tick();
+            self->schedule();
+        });
+    }
+
+    auto tick() -> void
+    {
+        if (replica_)
+            replica_->tick();
+        settle();
+        restartIfStopped();
+        registry_.tick();
+        const auto now = clock_.now();
+        if (now >= nextKeep_ && replica_) {
+            nextKeep_ = now + keeperEvery;
+            keeper_.tick(*replica_);
+            settle();
+        }
+        if (now >= nextJoin_) {
+            nextJoin_ = now + joinEvery;
+            askToJoin();
+        }
+        if (now >= nextPlan_)
+            planNow();
+    }
+
+    /// After each call into the replica: ends proposals and tells what has changed.
+    auto settle() -> void
+    {
+        if (!replica_ || std::exchange(settling_, true))
+            return;
+        const auto now = replica_->status();
+        proposals_.settle(now, clock_.now());
+        noteLeading(now);
+        if (now.membership.members != members_) {
+            members_ = now.membership.members;
+            transport_->setPeers(members_);
+        }
+        auto group = GroupView {};
+        group.document = log_.document().version;
+        group.leader = now.leader;
+        group.term = now.term;
+        group.controls = members_;
+        registry_.setGroup(group);
+        settling_ = false;
+    }
+
+    auto noteLeading(const coord::ReplicaStatus &now) -> void
+    {
+        const auto leads = now.role == coord::Role::Leader;
+        if (leads == leads_ && (!leads || now.term == leadTerm_))
+            return;
+        leads_ = leads;
+        leadTerm_ = now.term;
+        leadingSince_ = clock_.now();
+        LogEvent(LogLevel::Info, leads ? "leading" : "not_leading").with("term", now.term);
+        if (!leads)
+            return;
+        orders_.onLeading();
+        demand_.clear();
+    }
+
+    auto askToJoin() -> void
+    {
+        if (!replica_ || stopping_ || inGroup())
+            return;
+        const auto now = replica_->status();
+        if (now.role == coord::Role::Stopped || now.incarnation == Incarnation {})
+            return;
+        // A founder waits for the others: it is listed once the group is founded.
+        const auto mayFound = options_.bootstrap && now.lastIndex == LogIndex {}
+                && std::find(options_.seeds.begin(), options_.seeds.end(), options_.peers)
+                        != options_.seeds.end();
+        if (mayFound)
+            return;
+        auto member = memberAt(options_.peers);
+        member.node = options_.name;
+        member.domain = options_.domain;
+        member.incarnation = now.incarnation;
+        member.kind = coord::MemberKind::Learner;
+        transport_->pushToAll(proto::JoinGroup { std::move(member) });
+    }
+
+    // ---- placement
+
+    auto planSoon() -> void
+    {
+        if (!leads_ || std::exchange(planPending_, true))
+            return;
+        asio::post(context_, [weak = weak_from_this()] {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            self->planPending_ = false;
+            self->planNow();
+        });
+    }
+
+    auto planNow() -> void
+    {
+        nextPlan_ = clock_.now() + options_.planEvery;
+        if (!mayOrder())
+            return;
+        const auto *catalogue = currentCatalogue();
+        if (catalogue == nullptr)
+            return;
+        for (const auto &service : catalogue->services) {
+            if (service.engine)
+                planService(service);
+        }
+    }
+
+    auto planService(const catalogue::Service &service) -> void
+    {
+        const auto &engine = *service.engine;
+        auto input = PlacementInput { engine, {}, {}, {}, {}, {}, 0 };
+        for (const auto *row : registry_.rows()) {
+            if (row->service != service.id || row->state != catalogue::EndpointState::Ready)
+                continue;
+            input.hosts.push_back({ row->id, row->models, row->inMemory, row->onDisk,
+                                    !orders_.isBusy(row->id) });
+        }
+        auto asked = demand_.of(service.id);
+        input.models = std::move(asked.models);
+        input.adapters = std::move(asked.adapters);
+        input.loading = orders_.loading();
+        input.loadingAdapters = orders_.loadingAdapters();
+        input.storeLoads = orders_.storeLoadsAllowed(engine);
+        for (const auto &next : plan(input)) {
+            LogEvent(LogLevel::Info, "plan")
+                    .with("endpoint", next.endpoint)
+                    .with("model", next.steps.back().model)
+                    .with("adapter", next.steps.back().adapter)
+                    .with("unloads", static_cast<std::uint64_t>(next.steps.size() - 1))
+                    .with("source", loadSourceName(next.source))
+                    .with("config", catalogue_->version)
+                    .with("term", leadTerm_);
+            orders_.start(next, engine);
+        }
+    }
+
+    auto currentCatalogue() -> const catalogue::Catalogue *
+    {
+        const auto &held = log_.document();
+        if (held.version == Revision {})
+            return nullptr;
+        if (catalogue_ && catalogue_->version == held.version)
+            return catalogue_.get();
+        auto read = readDocument_(held.text);
+        if (!read.ok()) {
+            LogEvent(LogLevel::Error, "document_not_read").with(read.status());
+            return nullptr;
+        }
+        catalogue_ = std::make_shared<const catalogue::Catalogue>(*std::move(read));
+        return catalogue_.get();
+    }
+
+    // ---- the end
+
+    auto lookAtStop() -> void
+    {
+        const auto passed = clock_.now() - stopAskedAt_;
+        const auto leads = replica_ && replica_->status().role == coord::Role::Leader;
+        if ((!leads && passed >= lingerAfterHandover) || passed >= handoverPatience) {
+            LogEvent(LogLevel::Info, "core_stopped").with("leads", leads);
+            close();
+            onStopped_();
+            return;
+        }
+        stopTimer_.expires_after(stopLookEvery);
+        stopTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+            const auto self = weak.lock();
+            if (self && !error)
+                self->lookAtStop();
+        });
+    }
+
+    asio::io_context &context_;
+    CoreOptions options_;
+    const Clock &clock_;
+    ReadDocument readDocument_;
+    Random random_;
+    coord::PosixDisk disk_;
+    ConfigLog log_;
+    Registry registry_;
+    GroupKeeper keeper_;
+    DemandTable demand_;
+    Proposals proposals_;
+    std::unique_ptr<control::PeerTransport> transport_;
+    std::unique_ptr<proto::PeerServer> server_;
+    std::unique_ptr<coord::FileLogStore> store_;
+    std::unique_ptr<coord::Replica> replica_;
+    std::vector<coord::Member> members_;
+    std::shared_ptr<const catalogue::Catalogue> catalogue_; ///< Of the held document.
+    OrderRunner orders_;
+    asio::steady_timer tickTimer_;
+    asio::steady_timer stopTimer_;
+    std::function<void()> onStopped_;
+    std::optional<Instant> stoppedAt_; ///< Since when the replica is stopped.
+    Instant stopAskedAt_ {};
+    Instant leadingSince_ {};
+    Instant nextKeep_ {};
+    Instant nextJoin_ {};
+    Instant nextPlan_ {};
+    Term leadTerm_;
+    bool leads_ = false;
+    bool settling_ = false;
+    bool planPending_ = false;
+    bool stopping_ = false;
+};
+
+Core::Core(asio::io_context &context, CoreOptions options, const Clock &clock,
+           const OrderPort &port, ReadDocument readDocument, std::uint64_t seed)
+    : impl_(std::make_shared<Impl>(context, std::move(options), clock, port,
+                                   std::move(readDocument), seed))
+{ }
+
+Core::~Core()
+{
+    impl_->close();
+}
+
+auto Core::start() -> absl::Status
+{
+    return impl_->start();
+}
+
+auto Core::requestStop(std::function<void()> onStopped) -> void
+{
+    impl_->requestStop(std::move(onStopped));
+}
+
+auto Core::reload(const std::vector<Address> &seeds) -> void
+{
+    impl_->reload(seeds);
+}
+
+auto Core::propose(Document document, Done done) -> void
+{
+    impl_->propose(std::move(document), std::move(done));
+}
+
+auto Core::read() const -> ReadResult
+{
+    return impl_->read();
+}
+
+auto Core::registry() -> Registry &
+{
+    return impl_->registry();
+}
+
+auto Core::status() const -> coord::ReplicaStatus
+{
+    return impl_->status();
+}
+
+auto Core::mayOrder() const -> bool
+{
+    return impl_->mayOrder();
+}
+
+auto Core::inGroup() const -> bool
+{
+    return impl_->inGroup();
+}
+
+} // namespace figrack::fleet
--- /dev/null
+++ b/fleet/demandtable.cpp
@@ -0,0 +1,79 @@
+#include "fleet/demandtable.h"
+
+#include <cmath>
+
+namespace figrack::fleet {
+namespace {
+
+/// Below it a rate is forgotten: one arrival in a few minutes.
+constexpr auto negligible = 0.003;
+
+} // namespace
+
+DemandTable::DemandTable(Duration window, const Clock &clock)
+    : window_(window)
+    , clock_(clock)
+{ }
+
+auto DemandTable::onReport(const NodeId &gateway, const proto::ModelWanted &report) -> bool
+{
+    const auto now = clock_.now();
+    const auto windowSeconds = std::chrono::duration<double> { window_ }.count();
+    auto waits = false;
+    for (const auto &row : report.rows) {
+        waits = waits || row.waiting > 0;
+        if (row.arrived == 0)
+            continue;
+        auto &rate = rates_[{ row.service, row.model, row.adapter }];
+        rate.perSecond = decayed(rate) + row.arrived / windowSeconds;
+        rate.at = now;
+    }
+    latest_[gateway] = report.rows;
+    std::erase_if(rates_, [&](const auto &item) { return decayed(item.second) < negligible; });
+    return waits;
+}
+
+auto DemandTable::onGatewayLost(const NodeId &gateway) -> void
+{
+    latest_.erase(gateway);
+}
+
+auto DemandTable::of(const ServiceId &service) const -> ServiceDemand
+{
+    auto result = ServiceDemand {};
+    for (const auto &[target, rate] : rates_) {
+        if (target.service != service)
+            continue;
+        const auto perSecond = decayed(rate);
+        result.models[target.model].perSecond += perSecond;
+        if (!target.adapter.empty())
+            result.adapters[{ target.model, target.adapter }].perSecond += perSecond;
+    }
+    for (const auto &[gateway, rows] : latest_) {
+        for (const auto &row : rows) {
+            if (row.service != service)
+                continue;
+            result.models[row.model].running += row.running;
+            result.models[row.model].waiting += row.waiting;
+            if (row.adapter.empty())
+                continue;
+            auto &adapter = result.adapters[{ row.model, row.adapter }];
+            adapter.running += row.running;
+            adapter.waiting += row.waiting;
+        }
+    }
+    return result;
+}
+
+auto DemandTable::clear() -> void
+{
+    rates_.clear();
+    latest_.clear();
+}
+
+auto DemandTable::decayed(const Rate &rate) const -> double
+{
+    return rate.perSecond * std::exp(-(clock_.now() - rate.at) / std::chrono::duration<double> { window_ });
+}
+
+} // namespace figrack::fleet
--- /dev/null
+++ b/fleet/placement.cpp
@@ -0,0 +1,317 @@
+// Greedy, one wanted model after another: fleets are small, demand changes
+// within seconds, and a better assignment of today's loads is worth less than
+// the time in which an order leaves at once.
+//
+// Costs are in seconds. Evicting a model costs what its next requests wait for
+// it to come back, weighed by how soon they are expected, and the wait for its
+// requests in progress to end.
+
+#include "fleet/placement.h"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+#include <optional>
+
+namespace figrack::fleet {
+namespace {
+
+/// Requests in progress per endpoint beyond which a model gets another replica. Batches of this
+/// size lengthen a step by a few per cent only; queues form at several times it.
+constexpr auto crowded = 14.0;
+/// Requests that wait for an unload last about so long.
+constexpr auto runSeconds = 1.0;
+/// What losing the only replica of a model costs at one request a second: a load from disk and
+/// the swap around it.
+constexpr auto reloadSeconds = 1.2;
+/// A load from the store holds one of few places and is priced.
+constexpr auto storePenalty = 2.0;
+constexpr auto never = std::numeric_limits<double>::infinity();
+
+auto seconds(Duration duration) -> double
+{
+    return std::chrono::duration<double> { duration }.count();
+}
+
+auto contains(const std::vector<ModelId> &models, const ModelId &model) -> bool
+{
+    return std::find(models.begin(), models.end(), model) != models.end();
+}
+
+/// Mutable account of one planning pass.
+class Planner
+{
+public:
+    explicit Planner(const PlacementInput &input)
+        : input_(input)
+        , hosts_(input.hosts)
+        , storeLoads_(input.storeLoads)
+    {
+        for (const auto &host : hosts_) {
+            for (const auto &held : host.models)
+                ++holders_[held.model];
+        }
+    }
+
+    auto run() -> std::vector<Plan>
+    {
+        for (const auto &[key, asked] : wantedAdapters())
+            placeAdapter(key);
+        for (const auto &model : wantedModels())
+            placeModel(model);
+        return std::move(plans_);
+    }
+
+private:
+    struct Candidate
+    {
+        Host *host = nullptr;
+        double cost = never;
+        std::vector<ModelId> victims;
+        LoadSource source = LoadSource::Store;
+    };
+
+    auto asked(const ModelId &model) const -> Asked
+    {
+        const auto found = input_.models.find(model);
+        return found == input_.models.end() ? Asked {} : found->second;
+    }
+
+    /// Models that lack a replica, most wanted first, then those with crowded replicas.
+    auto wantedModels() const -> std::vector<ModelId>
+    {
+        auto wanted = std::vector<std::pair<double, ModelId>> {};
+        for (const auto &[model, want] : input_.models) {
+            if (input_.loading.contains(model) || input_.engine.find(model) == nullptr)
+                continue;
+            const auto found = holders_.find(model);
+            const auto count = found == holders_.end() ? 0U : found->second;
+            if (count == 0 && want.waiting > 0)
+                wanted.emplace_back(1e6 + want.waiting, model);
+            else if (count > 0 && want.running > crowded * count)
+                wanted.emplace_back(want.running / static_cast<double>(count), model);
+        }
+        std::sort(wanted.begin(), wanted.end(),
+                  [](const auto &one, const auto &other) { return one.first > other.first; });
+        auto result = std::vector<ModelId> {};
+        for (auto &[score, model] : wanted)
+            result.push_back(std::move(model));
+        return result;
+    }
+
+    auto wantedAdapters() const -> std::map<AdapterKey, Asked>
+    {
+        auto wanted = std::map<AdapterKey, Asked> {};
+        for (const auto &[key, want] : input_.adapters) {
+            if (want.waiting > 0 && !key.second.empty() && !input_.loadingAdapters.contains(key))
+                wanted.emplace(key, want);
+        }
+        return wanted;
+    }
+
+    auto placeModel(const ModelId &model) -> void
+    {
+        const auto &spec = *input_.engine.find(model);
+        auto best = Candidate {};
+        for (auto &host : hosts_) {
+            if (!host.takesOrders || holds(host, model))
+                continue;
+            auto candidate = weigh(host, spec);
+            if (candidate.cost < best.cost)
+                best = std::move(candidate);
+        }
+        if (best.host == nullptr)
+            return;
+        if (best.source == LoadSource::Store)
+            --storeLoads_;
+        auto plan = Plan { best.host->id, {}, best.source };
+        for (const auto &victim : best.victims) {
+            plan.steps.push_back({ StepKind::Unload, victim, {} });
+            --holders_[victim];
+        }
+        plan.steps.push_back({ StepKind::Load, model, {} });
+        ++holders_[model];
+        best.host->takesOrders = false;
+        plans_.push_back(std::move(plan));
+    }
+
+    auto weigh(Host &host, const catalogue::ModelSpec &spec) const -> Candidate
+    {
+        auto candidate = Candidate { &host, 0, {}, LoadSource::Store };
+        if (contains(host.inMemory, spec.id)) {
+            candidate.source = LoadSource::Memory;
+            candidate.cost = seconds(spec.loadFromMemory);
+        } else if (contains(host.onDisk, spec.id)) {
+            candidate.source = LoadSource::Disk;
+            candidate.cost = seconds(spec.loadFromDisk);
+        } else {
+            candidate.cost = storeLoads_ == 0 ? never : seconds(spec.loadFromStore) + storePenalty;
+        }
+        auto room = input_.engine.weightsMb - usedMb(host);
+        auto victims = evictable(host);
+        while (room < spec.weightsMb) {
+            if (victims.empty()) {
+                candidate.cost = never;
+                return candidate;
+            }
+            const auto &[cost, victim] = victims.back();
+            candidate.cost += cost;
+            room += heldMb(*victim);
+            candidate.victims.push_back(victim->model);
+            victims.pop_back();
+        }
+        return candidate;
+    }
+
+    /// @return what the host holds, with the cost of its loss; the cheapest last
+    auto evictable(const Host &host) const
+            -> std::vector<std::pair<double, const catalogue::HeldModel *>>
+    {
+        auto result = std::vector<std::pair<double, const catalogue::HeldModel *>> {};
+        for (const auto &held : host.models) {
+            const auto want = asked(held.model);
+            const auto found = holders_.find(held.model);
+            const auto count = found == holders_.end() ? 1U : std::max(found->second, 1U);
+            if (want.waiting > 0 || (count == 1 && want.running > crowded / 2))
+                continue;
+            auto cost = want.running / static_cast<double>(count) * runSeconds;
+            cost += want.perSecond / count * reloadSeconds;
+            if (count > 1 && want.running > crowded * (count - 1) / 2)
+                cost += want.running;
+            result.emplace_back(cost, &held);
+        }
+        std::sort(result.begin(), result.end(),
+                  [](const auto &one, const auto &other) { return one.first > other.first; });
+        return result;
+    }
+
+    auto placeAdapter(const AdapterKey &key) -> void
+    {
+        const auto *spec = input_.engine.find(key.first);
+        if (spec == nullptr)
+            return;
+        Host *best = nullptr;
+        auto bestScore = never;
+        for (auto &host : hosts_) {
+            if (!host.takesOrders || !holds(host, key.first))
+                continue;
+            const auto count = adapterCount(host);
+            const auto isFull = count >= input_.engine.maxAdapters
+                    || usedMb(host) + spec->adapterMb > input_.engine.weightsMb;
+            const auto victim = isFull ? adapterVictim(host) : std::nullopt;
+            if (isFull && !victim)
+                continue;
+            const auto score = static_cast<double>(count)
+                    + (victim ? 10.0 + askedAdapter(*victim).perSecond : 0.0);
+            if (score < bestScore) {
+                bestScore = score;
+                best = &host;
+            }
+        }
+        if (best != nullptr)
+            planAdapter(*best, key, *spec);
+    }
+
+    auto planAdapter(Host &host, const AdapterKey &key, const catalogue::ModelSpec &spec) -> void
+    {
+        auto plan = Plan { host.id, {}, LoadSource::Memory };
+        const auto isFull = adapterCount(host) >= input_.engine.maxAdapters
+                || usedMb(host) + spec.adapterMb > input_.engine.weightsMb;
+        if (isFull) {
+            const auto victim = adapterVictim(host);
+            plan.steps.push_back({ StepKind::Unload, victim->first, victim->second });
+        }
+        plan.steps.push_back({ StepKind::Load, key.first, key.second });
+        host.takesOrders = false;
+        plans_.push_back(std::move(plan));
+    }
+
+    auto askedAdapter(const AdapterKey &key) const -> Asked
+    {
+        const auto found = input_.adapters.find(key);
+        return found == input_.adapters.end() ? Asked {} : found->second;
+    }
+
+    /// @return the adapter of the host that is asked for least and has nothing running
+    auto adapterVictim(const Host &host) const -> std::optional<AdapterKey>
+    {
+        auto best = std::optional<AdapterKey> {};
+        auto bestRate = never;
+        for (const auto &held : host.models) {
+            for (const auto &adapter : held.adapters) {
+                auto key = AdapterKey { held.model, adapter };
+                const auto want = askedAdapter(key);
+                if (want.waiting > 0)
+                    continue;
+                const auto rate = want.perSecond + want.running;
+                if (rate < bestRate) {
+                    bestRate = rate;
+                    best = std::move(key);
+                }
+            }
+        }
+        return best;
+    }
+
+    static auto holds(const Host &host, const ModelId &model) -> bool
+    {
+        return std::any_of(host.models.begin(), host.models.end(),
+                           [&](const auto &held) { return held.model == model; });
+    }
+
+    static auto adapterCount(const Host &host) -> std::size_t
+    {
+        auto count = std::size_t { 0 };
+        for (const auto &held : host.models)
+            count += held.adapters.size();
+        return count;
+    }
+
+    auto heldMb(const catalogue::HeldModel &held) const -> double
+    {
+        const auto *spec = input_.engine.find(held.model);
+        // A model that the configuration does not name any more: it may be of any size.
+        if (spec == nullptr)
+            return 0;
+        return spec->weightsMb + spec->adapterMb * static_cast<double>(held.adapters.size());
+    }
+
+    auto usedMb(const Host &host) const -> double
+    {
+        auto used = 0.0;
+        for (const auto &held : host.models) {
+            // As above: then nothing more fits.
+            if (input_.engine.find(held.model) == nullptr)
+                return input_.engine.weightsMb;
+            used += heldMb(held);
+        }
+        return used;
+    }
+
+    const PlacementInput &input_;
+    std::vector<Host> hosts_;
+    std::map<ModelId, std::uint32_t> holders_;
+    std::uint32_t storeLoads_;
+    std::vector<Plan> plans_;
+};
+
+} // namespace
+
+auto stepKindName(StepKind kind) -> std::string_view
+{
+    constexpr auto names = std::array<std::string_view, 2> { "load", "unload" };
+    return names[static_cast<std::size_t>(kind) % names.size()];
+}
+
+auto loadSourceName(LoadSource source) -> std::string_view
+{
+    constexpr auto names = std::array<std::string_view, 3> { "memory", "disk", "store" };
+    return names[static_cast<std::size_t>(source) % names.size()];
+}
+
+auto plan(const PlacementInput &input) -> std::vector<Plan>
+{
+    return Planner { input }.run();
+}
+
+} // namespace figrack::fleet
--- /dev/null
+++ b/fleet/placement.h
@@ -0,0 +1,91 @@
+// Which models and adapters are loaded and unloaded next, and where.
+//
+//   const auto plans = plan(input);
+//
+// A model that requests wait for goes where it loads fastest: to an endpoint
+// with a copy of its weights in memory or on disk, and there in the place of
+// what is needed least. Pure: the input is a plain account of the fleet.
+//
+// Guarantees: no plan loads more than an endpoint has room for, counting what
+// is unloaded before; an endpoint gets one plan at a time; no more loads from
+// the weight store are planned than the input allows.
+
+#ifndef FIGRACK_FLEET_PLACEMENT_H
+#define FIGRACK_FLEET_PLACEMENT_H
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "catalogue/catalogue.h"
+#include "catalogue/endpointrow.h"
+
+namespace figrack::fleet {
+
+/// An endpoint as placement sees it.
+struct Host
+{
+    EndpointId id;
+    std::vector<catalogue::HeldModel> models;
+    std::vector<ModelId> inMemory;
+    std::vector<ModelId> onDisk;
+    bool takesOrders = true; ///< Ready, none of its orders under way or in doubt.
+};
+
+/// How much a model or an adapter is asked for, over all gateways.
+struct Asked
+{
+    double perSecond = 0;      ///< Arrivals, averaged over some seconds.
+    std::uint32_t waiting = 0; ///< Requests that wait for a load.
+    std::uint32_t running = 0;
+};
+
+using AdapterKey = std::pair<ModelId, std::string>;
+
+struct PlacementInput
+{
+    const catalogue::EngineSpec &engine;
+    std::vector<Host> hosts;
+    std::map<ModelId, Asked> models;
+    std::map<AdapterKey, Asked> adapters;
+    std::set<ModelId> loading;         ///< Loads under way.
+    std::set<AdapterKey> loadingAdapters;
+    std::uint32_t storeLoads = 0;      ///< That may begin now.
+};
+
+enum class StepKind : std::uint8_t { Load, Unload };
+
+/// @return "load" or "unload"
+auto stepKindName(StepKind kind) -> std::string_view;
+
+/// Where the weights of a load come from.
+enum class LoadSource : std::uint8_t { Memory, Disk, Store };
+
+/// @return "memory", "disk" or "store"
+auto loadSourceName(LoadSource source) -> std::string_view;
+
+struct PlanStep
+{
+    StepKind kind = StepKind::Load;
+    ModelId model;
+    std::string adapter; ///< Empty: the model itself.
+    auto operator==(const PlanStep &) const -> bool = default;
+};
+
+/// Steps for one endpoint, each begun when the one before is complete.
+struct Plan
+{
+    EndpointId endpoint;
+    std::vector<PlanStep> steps;
+    LoadSource source = LoadSource::Store; ///< Of the last step, a load.
+};
+
+auto plan(const PlacementInput &input) -> std::vector<Plan>;
+
+} // namespace figrack::fleet
+
+#endif // FIGRACK_FLEET_PLACEMENT_H
--- /dev/null
+++ b/fleet/registry.cpp
@@ -0,0 +1,298 @@
+#include "fleet/registry.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/error.h"
+#include "core/log.h"
+
+namespace figrack::fleet {
+
+using catalogue::EndpointRow;
+using catalogue::EndpointState;
+
+Registry::Registry(RegistryOptions options, const Clock &clock)
+    : options_(options)
+    , clock_(clock)
+    , startedAt_(clock.now())
+{ }
+
+auto Registry::onSubscribe(const proto::PeerPointer &peer, const proto::Subscribe &subscribe)
+        -> void
+{
+    auto &subscriber = subscribers_[peer.get()];
+    const auto isNew = subscriber.peer == nullptr;
+    subscriber.peer = peer;
+    subscriber.subscribe = subscribe;
+    LogEvent(LogLevel::Info, "subscriber")
+            .with("peer", peer->peer())
+            .with("gateway", subscribe.kind == proto::SubscriberKind::Gateway)
+            .with("ready", subscribe.ready)
+            .with("new", isNew);
+    if (!isNew)
+        return;
+    auto update = baseUpdate();
+    update.controls = group_.controls;
+    for (const auto &[id, known] : known_)
+        update.endpoints.push_back(known.row);
+    send(subscriber, std::move(update));
+}
+
+auto Registry::onAck(const proto::PeerPointer &peer, const proto::ServingAck &ack) -> void
+{
+    const auto found = subscribers_.find(peer.get());
+    if (found == subscribers_.end())
+        return;
+    found->second.acked = std::max(found->second.acked, ack.number);
+    for (auto &leaving : leaving_) {
+        const auto waits = leaving.unconfirmed.find(peer.get());
+        if (waits != leaving.unconfirmed.end() && waits->second <= ack.number)
+            leaving.unconfirmed.erase(waits);
+    }
+    settleLeaving();
+}
+
+auto Registry::onClose(const proto::PeerPointer &peer) -> void
+{
+    const auto found = subscribers_.find(peer.get());
+    if (found == subscribers_.end())
+        return;
+    LogEvent(LogLevel::Warning, "subscriber_lost").with("peer", peer->peer());
+    subscribers_.erase(found);
+    // It gets the whole list before it may send again; until then this control cannot tell.
+    for (auto &leaving : leaving_) {
+        if (leaving.unconfirmed.contains(peer.get()))
+            leaving.deadline = clock_.now();
+    }
+}
+
+auto Registry::onUpdate(const proto::ServingUpdate &update) -> void
+{
+    auto changed = std::vector<EndpointRow> {};
+    for (const auto &row : update.endpoints) {
+        if (take(row))
+            changed.push_back(row);
+    }
+    const auto now = clock_.now();
+    for (const auto &beat : update.beats) {
+        const auto found = known_.find(beat.id);
+        if (found != known_.end() && beat.sequence >= found->second.row.sequence)
+            found->second.heardAt = now;
+    }
+    if (!changed.empty())
+        tell(changed);
+}
+
+auto Registry::hear(const EndpointRow &row) -> void
+{
+    const auto changed = take(row);
+    auto &known = known_[row.id];
+    known.heardAt = clock_.now();
+    known.beaten = true;
+    if (changed)
+        tell({ row });
+}
+
+auto Registry::hearLeaving(const EndpointRow &row, Done done) -> void
+{
+    hear(row);
+    auto leaving = Leaving { row.id, {}, clock_.now() + options_.confirmWithin, std::move(done) };
+    for (const auto &[key, subscriber] : subscribers_) {
+        const auto isGateway = subscriber.subscribe.kind == proto::SubscriberKind::Gateway;
+        if (isGateway && subscriber.acked < subscriber.sent)
+            leaving.unconfirmed.emplace(key, subscriber.sent);
+    }
+    const auto settled = clock_.now() >= startedAt_ + options_.settleAfterStart;
+    if (gatewayCount() == 0 || !settled)
+        leaving.deadline = Instant {}; // Nobody here who could confirm it.
+    leaving_.push_back(std::move(leaving));
+    settleLeaving();
+}
+
+auto Registry::amend(const EndpointId &id, const std::function<void(EndpointRow &)> &change) -> void
+{
+    const auto found = known_.find(id);
+    if (found == known_.end())
+        return;
+    auto row = found->second.row;
+    change(row);
+    ++row.orderVersion;
+    if (take(row))
+        tell({ row });
+}
+
+auto Registry::setGroup(const GroupView &group) -> void
+{
+    const auto controlsChanged = group.controls != group_.controls;
+    const auto changed = controlsChanged || group.document != group_.document
+            || group.leader != group_.leader || group.term != group_.term;
+    if (!changed)
+        return;
+    group_ = group;
+    for (auto &[key, subscriber] : subscribers_) {
+        auto update = baseUpdate();
+        if (controlsChanged)
+            update.controls = group_.controls;
+        send(subscriber, std::move(update));
+    }
+}
+
+auto Registry::tick() -> void
+{
+    const auto now = clock_.now();
+    settleLeaving();
+    if (now < nextBeat_)
+        return;
+    nextBeat_ = now + options_.beatEvery;
+    sendBeats();
+    forgetOld();
+}
+
+auto Registry::find(const EndpointId &id) const -> const EndpointRow *
+{
+    const auto found = known_.find(id);
+    return found == known_.end() ? nullptr : &found->second.row;
+}
+
+auto Registry::rows() const -> std::vector<const EndpointRow *>
+{
+    auto result = std::vector<const EndpointRow *> {};
+    for (const auto &[id, known] : known_)
+        result.push_back(&known.row);
+    return result;
+}
+
+auto Registry::gateways() const -> std::vector<GatewayInfo>
+{
+    auto result = std::vector<GatewayInfo> {};
+    for (const auto &[key, subscriber] : subscribers_) {
+        const auto &subscribe = subscriber.subscribe;
+        if (subscribe.kind == proto::SubscriberKind::Gateway && subscribe.ready)
+            result.push_back({ subscribe.callers, subscribe.domain });
+    }
+    return result;
+}
+
+auto Registry::setOnChanged(std::function<void(const EndpointRow &)> listener) -> void
+{
+    onChanged_ = std::move(listener);
+}
+
+/// @return true when the row says something new
+auto Registry::take(const EndpointRow &row) -> bool
+{
+    auto [item, isNew] = known_.try_emplace(row.id);
+    auto &known = item->second;
+    if (isNew) {
+        known.heardAt = clock_.now();
+    } else {
+        if (known.row.state == EndpointState::Gone)
+            return false;
+        const auto newer = std::pair { row.sequence, row.orderVersion }
+        > std::pair { known.row.sequence, known.row.orderVersion };
+        if (!newer && row.state != EndpointState::Gone)
+            return false;
+    }
+    const auto changed = isNew || !row.sameAs(known.row);
+    known.row = row;
+    if (!changed)
+        return false;
+    LogEvent(LogLevel::Info, "endpoint_changed")
+            .with("endpoint", row.id)
+            .with("service", row.service)
+            .with("address", row.address.text())
+            .with("state", catalogue::endpointStateName(row.state))
+            .with("sequence", row.sequence)
+            .with("models", static_cast<std::uint64_t>(row.models.size()));
+    if (onChanged_)
+        onChanged_(known.row);
+    return true;
+}
+
+auto Registry::tell(const std::vector<EndpointRow> &rows) -> void
+{
+    for (auto &[key, subscriber] : subscribers_) {
+        auto update = baseUpdate();
+        update.endpoints = rows;
+        send(subscriber, std::move(update));
+    }
+}
+
+auto Registry::send(Subscriber &subscriber, proto::ServingUpdate update) -> void
+{
+    update.number = ++subscriber.sent;
+    if (!subscriber.peer->send({ 0, std::move(update) }))
+        LogEvent(LogLevel::Warning, "update_not_sent").with("peer", subscriber.peer->peer());
+}
+
+auto Registry::baseUpdate() const -> proto::ServingUpdate
+{
+    auto update = proto::ServingUpdate {};
+    update.document = group_.document;
+    update.leader = group_.leader;
+    update.term = group_.term;
+    update.gateways = gatewayCount();
+    return update;
+}
+
+auto Registry::sendBeats() -> void
+{
+    auto beats = std::vector<catalogue::EndpointBeat> {};
+    for (auto &[id, known] : known_) {
+        if (std::exchange(known.beaten, false))
+            beats.push_back({ id, known.row.sequence });
+    }
+    if (beats.empty())
+        return;
+    for (auto &[key, subscriber] : subscribers_) {
+        auto update = baseUpdate();
+        update.beats = beats;
+        send(subscriber, std::move(update));
+    }
+}
+
+auto Registry::forgetOld() -> void
+{
+    const auto now = clock_.now();
+    std::erase_if(known_, [&](const auto &item) {
+        const auto isGone = item.second.row.state == EndpointState::Gone;
+        const auto limit = isGone ? options_.forgetGoneAfter : options_.forgetSilentAfter;
+        return now - item.second.heardAt >= limit;
+    });
+}
+
+auto Registry::settleLeaving() -> void
+{
+    const auto now = clock_.now();
+    auto ended = std::vector<std::pair<Leaving, absl::Status>> {};
+    for (auto item = leaving_.begin(); item != leaving_.end();) {
+        const auto isLate = now >= item->deadline;
+        if (!isLate && !item->unconfirmed.empty()) {
+            ++item;
+            continue;
+        }
+        auto status = isLate ? makeError(ErrorKind::NoQuorum,
+                                         "endpoint=" + item->id.value() + " gateways="
+                                                 + std::to_string(item->unconfirmed.size()))
+                             : absl::OkStatus();
+        ended.emplace_back(std::move(*item), std::move(status));
+        item = leaving_.erase(item);
+    }
+    for (auto &[leaving, status] : ended) {
+        auto line = LogEvent { LogLevel::Info, "endpoint_leaving" };
+        line.with("endpoint", leaving.id).with("confirmed", status.ok());
+        if (!status.ok())
+            line.with(status);
+        leaving.done(status);
+    }
+}
+
+auto Registry::gatewayCount() const -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(
+            std::count_if(subscribers_.begin(), subscribers_.end(), [](const auto &item) {
+                return item.second.subscribe.kind == proto::SubscriberKind::Gateway;
+            }));
+}
+
+} // namespace figrack::fleet
--- /dev/null
+++ b/fleet/registry.h
@@ -0,0 +1,140 @@
+// The endpoints that have announced themselves, and who is told of them.
+//
+//   registry.onSubscribe(peer, subscribe);           // gateways and other controls
+//   registry.hear(row);                              // an announcement
+//   registry.hearLeaving(id, done);                  // done(OK): no gateway sends there any more
+//   registry.tick();
+//
+// News of an endpoint leaves at once to every subscriber; of the others' age,
+// all that was heard is told every beatEvery. An endpoint's leaving is
+// acknowledged only after each subscribed gateway has said that it acts on it:
+// a gateway that is not subscribed learns of it before it sends anything, by
+// the whole list that it gets when it subscribes.
+//
+// Soft state: a control that restarts learns all endpoints anew from their
+// announcements and from the other controls. Not thread-safe.
+
+#ifndef FIGRACK_FLEET_REGISTRY_H
+#define FIGRACK_FLEET_REGISTRY_H
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <vector>
+
+#include <absl/status/status.h>
+
+#include "catalogue/endpointrow.h"
+#include "core/clock.h"
+#include "proto/channel.h"
+#include "proto/servingmessages.h"
+
+namespace figrack::fleet {
+
+struct RegistryOptions
+{
+    /// How often the age of announcements is told; somewhat finer than endpoints announce.
+    Duration beatEvery = std::chrono::milliseconds { 1000 };
+    /// Gateways must confirm an endpoint's leaving within it; below the second after which the
+    /// endpoint asks another control.
+    Duration confirmWithin = std::chrono::milliseconds { 700 };
+    /// A control that has just started does not yet know all gateways.
+    Duration settleAfterStart = std::chrono::milliseconds { 1500 };
+    Duration forgetGoneAfter = std::chrono::seconds { 60 };
+    /// An endpoint of which nobody heard for so long is taken for lost.
+    Duration forgetSilentAfter = std::chrono::seconds { 30 };
+};
+
+/// A gateway to which callers may be sent.
+struct GatewayInfo
+{
+    Address callers;
+    DomainId domain;
+};
+
+/// What the registry tells beside the endpoints.
+struct GroupView
+{
+    Revision document;
+    NodeId leader;
+    Term term;
+    std::vector<coord::Member> controls;
+};
+
+class Registry
+{
+public:
+    using Done = std::function<void(absl::Status)>;
+    Registry(RegistryOptions options, const Clock &clock);
+
+    auto onSubscribe(const proto::PeerPointer &peer, const proto::Subscribe &subscribe) -> void;
+    auto onAck(const proto::PeerPointer &peer, const proto::ServingAck &ack) -> void;
+    auto onClose(const proto::PeerPointer &peer) -> void;
+    /// What another control tells; passed on to this control's subscribers that lack it.
+    auto onUpdate(const proto::ServingUpdate &update) -> void;
+
+    /// An announcement. A draining one is also told by hearLeaving().
+    auto hear(const catalogue::EndpointRow &row) -> void;
+    /// @param row the announcement that says so, or what is known with the state changed
+    /// @param done called once: OK when no gateway sends new work there any more, else NoQuorum
+    auto hearLeaving(const catalogue::EndpointRow &row, Done done) -> void;
+    /// Changes what is known of an endpoint after an order, until its next announcement.
+    auto amend(const EndpointId &id, const std::function<void(catalogue::EndpointRow &)> &change)
+            -> void;
+    /// Tells all subscribers when document, leader or controls have changed.
+    auto setGroup(const GroupView &group) -> void;
+    auto tick() -> void;
+
+    auto find(const EndpointId &id) const -> const catalogue::EndpointRow *;
+    auto rows() const -> std::vector<const catalogue::EndpointRow *>;
+    /// @return gateways that are ready
+    auto gateways() const -> std::vector<GatewayInfo>;
+    /// Called when a row has changed.
+    auto setOnChanged(std::function<void(const catalogue::EndpointRow &)> listener) -> void;
+
+private:
+    struct Known
+    {
+        catalogue::EndpointRow row;
+        Instant heardAt {};
+        bool beaten = false; ///< Heard here since the last beat.
+    };
+    struct Subscriber
+    {
+        proto::PeerPointer peer;
+        proto::Subscribe subscribe;
+        std::uint64_t sent = 0;
+        std::uint64_t acked = 0;
+    };
+    struct Leaving
+    {
+        EndpointId id;
+        std::map<const proto::PeerConnection *, std::uint64_t> unconfirmed;
+        Instant deadline {};
+        Done done;
+    };
+
+    auto take(const catalogue::EndpointRow &row) -> bool;
+    auto tell(const std::vector<catalogue::EndpointRow> &rows) -> void;
+    auto send(Subscriber &subscriber, proto::ServingUpdate update) -> void;
+    auto baseUpdate() const -> proto::ServingUpdate;
+    auto sendBeats() -> void;
+    auto forgetOld() -> void;
+    auto settleLeaving() -> void;
+    auto gatewayCount() const -> std::uint32_t;
+
+    RegistryOptions options_;
+    const Clock &clock_;
+    Instant startedAt_;
+    Instant nextBeat_ {};
+    GroupView group_;
+    std::map<EndpointId, Known> known_;
+    std::map<const proto::PeerConnection *, Subscriber> subscribers_;
+    std::vector<Leaving> leaving_;
+    std::function<void(const catalogue::EndpointRow &)> onChanged_;
+};
+
+} // namespace figrack::fleet
+
+#endif // FIGRACK_FLEET_REGISTRY_H
--- /dev/null
+++ b/gateway/controlfeed.cpp
@@ -0,0 +1,258 @@
+#include "gateway/controlfeed.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/log.h"
+
+namespace figrack::gateway {
+
+namespace asio = boost::asio;
+
+class ControlFeed::Impl : public std::enable_shared_from_this<Impl>
+{
+public:
+    Impl(asio::io_context &context, ControlFeedOptions options, ControlFeedHooks hooks)
+        : context_(context)
+        , options_(std::move(options))
+        , hooks_(std::move(hooks))
+    { }
+
+    auto dial(const Address &address) -> void
+    {
+        if (stopped_ || controls_.contains(address))
+            return;
+        auto &control = controls_[address];
+        auto handler = proto::PeerHandler {};
+        handler.onOpen = [weak = weak_from_this(), address](const proto::PeerPointer &peer) {
+            if (const auto self = weak.lock())
+                self->onOpen(address, peer);
+        };
+        handler.onMessage = [weak = weak_from_this(), address](const proto::PeerPointer &peer,
+                                                               const proto::Envelope &envelope) {
+            if (const auto self = weak.lock())
+                self->onMessage(address, peer, envelope);
+        };
+        handler.onClose = [weak = weak_from_this(), address](const proto::PeerPointer &,
+                                                             const absl::Status &status) {
+            if (const auto self = weak.lock())
+                self->onClose(address, status);
+        };
+        control.client = std::make_unique<proto::PeerClient>(context_, options_.channel, address,
+                                                             std::move(handler));
+        control.client->start();
+    }
+
+    auto onOpen(const Address &address, const proto::PeerPointer &peer) -> void
+    {
+        auto &control = controls_[address];
+        control.node = peer->peer();
+        control.open = true;
+        LogEvent(LogLevel::Info, "control_regained").with("control", control.node);
+        peer->send({ 0, subscription() });
+    }
+
+    auto onClose(const Address &address, const absl::Status &status) -> void
+    {
+        auto &control = controls_[address];
+        control.open = false;
+        control.announced = Revision {};
+        LogEvent(LogLevel::Warning, "control_lost").with("control", control.node).with(status);
+    }
+
+    auto onMessage(const Address &address, const proto::PeerPointer &peer,
+                   const proto::Envelope &envelope) -> void
+    {
+        const auto *update = std::get_if<proto::ServingUpdate>(&envelope.payload);
+        if (update == nullptr || stopped_)
+            return;
+        if (!update->leader.empty() && update->term >= leaderTerm_) {
+            leaderTerm_ = update->term;
+            leader_ = update->leader;
+        }
+        for (const auto &member : update->controls) {
+            if (const auto other = parseAddress(member.address); other.ok())
+                dial(*other);
+        }
+        if (!update->controls.empty())
+            dropGone(update->controls);
+        controls_[address].announced = update->document;
+        hooks_.onUpdate(*update);
+        peer->send({ 0, proto::ServingAck { update->number } });
+        fetchDocument();
+    }
+
+    /// Lets go of controls that are listed no more and do not answer.
+    auto dropGone(const std::vector<coord::Member> &members) -> void
+    {
+        const auto isListed = [&](const Address &address) {
+            return std::any_of(members.begin(), members.end(), [&](const coord::Member &member) {
+                return member.address == address.text();
+            });
+        };
+        for (auto item = controls_.begin(); item != controls_.end();) {
+            const auto drop = !item->second.open && !isListed(item->first)
+                    && item->second.node != NodeId {};
+            if (drop)
+                item->second.client->stop();
+            item = drop ? controls_.erase(item) : std::next(item);
+        }
+    }
+
+    auto fetchDocument() -> void
+    {
+        if (fetching_ || stopped_)
+            return;
+        Control *best = nullptr;
+        for (auto &[address, control] : controls_) {
+            if (!control.open || control.announced <= version_)
+                continue;
+            if (best == nullptr || control.announced > best->announced
+                || (control.announced == best->announced && control.failures < best->failures))
+                best = &control;
+        }
+        if (best == nullptr)
+            return;
+        fetching_ = true;
+        auto done = [weak = weak_from_this(), node = best->node](const auto &reply) {
+            if (const auto self = weak.lock())
+                self->onDocument(node, reply);
+        };
+        best->client->call(proto::DocumentRequest { version_.next() }, options_.documentTimeout,
+                           std::move(done));
+    }
+
+    auto onDocument(const NodeId &node, const absl::StatusOr<proto::Payload> &reply) -> void
+    {
+        fetching_ = false;
+        const auto *document
+                = reply.ok() ? std::get_if<proto::DocumentReply>(&*reply) : nullptr;
+        if (document != nullptr && document->version > version_
+            && hooks_.onDocument(document->version, document->text)) {
+            version_ = document->version;
+            fetchDocument();
+            return;
+        }
+        for (auto &[address, control] : controls_) {
+            if (control.node == node)
+                ++control.failures;
+        }
+        LogEvent(LogLevel::Warning, "document_not_had").with("control", node).with(reply.status());
+        retryLater();
+    }
+
+    auto retryLater() -> void
+    {
+        constexpr auto pause = std::chrono::milliseconds { 50 };
+        auto timer = std::make_shared<asio::steady_timer>(context_, pause);
+        timer->async_wait([weak = weak_from_this(), timer](const boost::system::error_code &) {
+            if (const auto self = weak.lock())
+                self->fetchDocument();
+        });
+    }
+
+    auto subscription() const -> proto::Subscribe
+    {
+        return { proto::SubscriberKind::Gateway, options_.callers, options_.domain, ready_ };
+    }
+
+    auto setReady(bool ready) -> void
+    {
+        if (std::exchange(ready_, ready) == ready)
+            return;
+        for (auto &[address, control] : controls_) {
+            if (control.open)
+                static_cast<void>(control.client->push(subscription()));
+        }
+    }
+
+    auto sendWanted(proto::ModelWanted wanted) -> bool
+    {
+        for (auto &[address, control] : controls_) {
+            if (control.open && control.node == leader_)
+                return control.client->push(std::move(wanted));
+        }
+        return false;
+    }
+
+    auto connected() const -> std::size_t
+    {
+        return static_cast<std::size_t>(std::count_if(
+                controls_.begin(), controls_.end(), [](const auto &item) {
+                    return item.second.open;
+                }));
+    }
+
+    auto stop() -> void
+    {
+        stopped_ = true;
+        for (auto &[address, control] : controls_)
+            control.client->stop();
+    }
+
+    auto seeds() const -> const std::vector<Address> & { return options_.seeds; }
+
+private:
+    struct Control
+    {
+        std::unique_ptr<proto::PeerClient> client;
+        NodeId node; ///< Empty until it has answered once.
+        Revision announced;
+        std::uint32_t failures = 0; ///< Documents that it did not give.
+        bool open = false;
+    };
+
+    asio::io_context &context_;
+    ControlFeedOptions options_;
+    ControlFeedHooks hooks_;
+    std::map<Address, Control> controls_;
+    NodeId leader_;
+    Term leaderTerm_;
+    Revision version_; ///< Of the document in force here.
+    bool ready_ = false;
+    bool fetching_ = false;
+    bool stopped_ = false;
+};
+
+ControlFeed::ControlFeed(asio::io_context &context, ControlFeedOptions options,
+                         ControlFeedHooks hooks)
+    : impl_(std::make_shared<Impl>(context, std::move(options), std::move(hooks)))
+{ }
+
+ControlFeed::~ControlFeed()
+{
+    impl_->stop();
+}
+
+auto ControlFeed::start() -> void
+{
+    addSeeds(impl_->seeds());
+}
+
+auto ControlFeed::stop() -> void
+{
+    impl_->stop();
+}
+
+auto ControlFeed::setReady(bool ready) -> void
+{
+    impl_->setReady(ready);
+}
+
+auto ControlFeed::addSeeds(const std::vector<Address> &seeds) -> void
+{
+    for (const auto &seed : seeds)
+        impl_->dial(seed);
+}
+
+auto ControlFeed::sendWanted(proto::ModelWanted wanted) -> bool
+{
+    return impl_->sendWanted(std::move(wanted));
+}
+
+auto ControlFeed::connected() const -> std::size_t
+{
+    return impl_->connected();
+}
+
+} // namespace figrack::gateway
--- /dev/null
+++ b/gateway/controlfeed.h
@@ -0,0 +1,74 @@
+// A gateway's connections to all controls: what they know comes in, demand goes out.
+//
+//   auto feed = ControlFeed { context, options, hooks };
+//   feed.start();
+//   feed.setReady(true);                 // callers may be sent here
+//   feed.sendWanted(demand.take());      // to the leader, as far as known
+//
+// The first controls come from the settings, later ones from the controls'
+// own updates; both lists may lag, so an address that answered once is kept
+// until the controls name others. Every control is listened to: news of an
+// endpoint reaches the gateway by whichever control hears it first, and the
+// loss of any control costs nothing. Documents are fetched from one control at
+// a time and only when a newer version was announced. Not thread-safe.
+
+#ifndef FIGRACK_GATEWAY_CONTROLFEED_H
+#define FIGRACK_GATEWAY_CONTROLFEED_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "core/clock.h"
+#include "core/settings.h"
+#include "proto/channel.h"
+
+namespace figrack::gateway {
+
+struct ControlFeedOptions
+{
+    proto::ChannelOptions channel;
+    Address callers; ///< Where callers connect to this gateway.
+    DomainId domain;
+    std::vector<Address> seeds; ///< Controls' addresses for peers.
+    /// After so long without an answer another control is asked for a document.
+    Duration documentTimeout = std::chrono::milliseconds { 400 };
+};
+
+struct ControlFeedHooks
+{
+    std::function<void(const proto::ServingUpdate &)> onUpdate;
+    /// @return true when the document was put into force, or is none that ever can be
+    std::function<bool(Revision version, const std::string &text)> onDocument;
+};
+
+class ControlFeed
+{
+public:
+    ControlFeed(boost::asio::io_context &context, ControlFeedOptions options,
+                ControlFeedHooks hooks);
+    ~ControlFeed();
+    auto start() -> void;
+    auto stop() -> void;
+    /// Tells all controls whether callers may be sent to this gateway.
+    auto setReady(bool ready) -> void;
+    /// Dials these controls too. @param seeds their addresses for peers
+    auto addSeeds(const std::vector<Address> &seeds) -> void;
+    /// @return false when no leader is known or connected
+    auto sendWanted(proto::ModelWanted wanted) -> bool;
+    /// @return controls to which a connection stands
+    auto connected() const -> std::size_t;
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> impl_;
+};
+
+} // namespace figrack::gateway
+
+#endif // FIGRACK_GATEWAY_CONTROLFEED_H
--- /dev/null
+++ b/gateway/demand.cpp
@@ -0,0 +1,72 @@
+#include "gateway/demand.h"
+
+#include <utility>
+
+namespace figrack::gateway {
+
+Demand::Demand(const Clock &clock)
+    : clock_(clock)
+    , takenAt_(clock.now())
+{ }
+
+auto Demand::setOnUrgent(std::function<void()> onUrgent) -> void
+{
+    onUrgent_ = std::move(onUrgent);
+}
+
+auto Demand::onArrival(const DemandTarget &target) -> void
+{
+    ++counts_[target].arrived;
+}
+
+auto Demand::onStart(const DemandTarget &target) -> void
+{
+    ++counts_[target].running;
+}
+
+auto Demand::onEnd(const DemandTarget &target) -> void
+{
+    --counts_[target].running;
+}
+
+auto Demand::onLack(const DemandTarget &target) -> void
+{
+    auto &counts = counts_[target];
+    if (counts.waiting++ == 0)
+        counts.lackingSince = clock_.now();
+    if (onUrgent_)
+        onUrgent_();
+}
+
+auto Demand::onLackEnd(const DemandTarget &target) -> void
+{
+    --counts_[target].waiting;
+}
+
+auto Demand::lackingSince(const DemandTarget &target) const -> Instant
+{
+    const auto found = counts_.find(target);
+    const auto waits = found != counts_.end() && found->second.waiting > 0;
+    return waits ? found->second.lackingSince : clock_.now();
+}
+
+auto Demand::take() -> proto::ModelWanted
+{
+    auto report = proto::ModelWanted {};
+    const auto now = clock_.now();
+    const auto span = std::chrono::duration_cast<std::chrono::milliseconds>(now - takenAt_);
+    report.spanMs = static_cast<std::uint64_t>(span.count());
+    takenAt_ = now;
+    for (auto item = counts_.begin(); item != counts_.end();) {
+        auto &[target, counts] = *item;
+        auto row = proto::WantedRow { target.service, target.model,   target.adapter,
+                                      counts.arrived, counts.waiting, counts.running };
+        report.rows.push_back(std::move(row));
+        counts.arrived = 0;
+        const auto idle = counts.waiting == 0 && counts.running == 0;
+        item = idle ? counts_.erase(item) : std::next(item);
+    }
+    return report;
+}
+
+} // namespace figrack::gateway
--- /dev/null
+++ b/gateway/forwarder.cpp
@@ -0,0 +1,650 @@
+// One Run a request, alive in the server's coroutine for as long as the request.
+// It goes round place, dispatch, relay until one of them settles the request.
+//
+// A stream's head goes out with its first whole event and not before: until then
+// nothing has been given to the caller, and a dispatch that breaks can still be
+// followed by another where the route allows it.
+
+#include "gateway/forwarder.h"
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <utility>
+
+#include <boost/beast/core/string.hpp>
+
+#include "core/error.h"
+#include "core/log.h"
+#include "endpoint/ssestream.h"
+#include "gateway/chooser.h"
+
+namespace figrack::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Dispatches of one request whose connection could not be made; each costs a round trip or the
+/// connect timeout, and after so many the fault is rarely the endpoints'.
+constexpr auto maxUnsent = 4;
+/// What a load takes beyond its own time: demand to the leader, the order, the news of its end,
+/// and the unload before it.
+constexpr auto swapOverhead = std::chrono::milliseconds { 700 };
+/// As above when the weights come from the store, whose loads may queue.
+constexpr auto storeOverhead = std::chrono::milliseconds { 1500 };
+/// An adapter takes some milliseconds and an order.
+constexpr auto adapterLoad = std::chrono::milliseconds { 150 };
+/// A waiting request looks again after so long, also when nobody woke it.
+constexpr auto lookAgain = std::chrono::milliseconds { 250 };
+/// Longest wait for the rest of an answer that is thrown away, to keep its connection.
+constexpr auto discardTime = std::chrono::milliseconds { 200 };
+
+auto isEventStream(const http::Headers &headers) -> bool
+{
+    return http::findHeader(headers, "Content-Type").substr(0, 17) == "text/event-stream";
+}
+
+auto isSuccess(std::uint32_t status) -> bool
+{
+    return status >= 200 && status < 300;
+}
+
+/// @return the endpoint's headers less those that concern one connection or the body's framing
+auto endToEnd(const http::Headers &headers) -> http::Headers
+{
+    constexpr auto dropped
+            = std::array<std::string_view, 6> { "Connection",        "Keep-Alive", "Content-Length",
+                                                "Transfer-Encoding", "Trailer",    "Upgrade" };
+    auto result = http::Headers {};
+    for (const auto &header : headers) {
+        const auto isDropped = std::any_of(dropped.begin(), dropped.end(), [&](auto name) {
+            return boost::beast::iequals(header.name, std::string { name });
+        });
+        if (!isDropped)
+            result.push_back(header);
+    }
+    return result;
+}
+
+/// @return the value of the event's "id:" line; empty when it has none
+auto eventId(std::string_view raw) -> std::string
+{
+    constexpr auto field = std::string_view { "id:" };
+    while (!raw.empty()) {
+        const auto end = raw.find_first_of("\r\n");
+        auto line = raw.substr(0, end);
+        if (line.substr(0, field.size()) == field) {
+            line.remove_prefix(field.size());
+            if (!line.empty() && line.front() == ' ')
+                line.remove_prefix(1);
+            return std::string { line };
+        }
+        if (end == std::string_view::npos)
+            break;
+        raw.remove_prefix(end + 1);
+    }
+    return {};
+}
+
+/// @return true when the id is not after the one that was given last
+auto isOldEvent(const std::string &id, const std::string &given) -> bool
+{
+    if (id.empty() || given.empty())
+        return false;
+    return id.size() != given.size() ? id.size() < given.size() : id <= given;
+}
+
+auto millis(Duration duration) -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+/// How one dispatch, or the wait for one, came out.
+enum class Step : std::uint8_t {
+    Settled, ///< The request has its end.
+    NotRun,  ///< Certainly not run there.
+    Broken,  ///< It may have run there.
+};
+
+} // namespace
+
+class Forwarder::Run
+{
+public:
+    Run(Forwarder &owner, const http::Request &request, http::Responder &responder)
+        : owner_(owner)
+        , parts_(owner.parts_)
+        , request_(request)
+        , responder_(responder)
+        , arrived_(owner.parts_.clock.now())
+        , deadline_(arrived_)
+        , routes_(owner.routes_)
+    { }
+    ~Run() { finishWaiting(); }
+    Run(const Run &) = delete;
+    auto operator=(const Run &) -> Run & = delete;
+
+    auto execute() -> asio::awaitable<void>
+    {
+        if (auto refusal = prepare()) {
+            co_await refuse(std::move(*refusal));
+        } else {
+            responder_.onPeerGone([this] { onCallerGone(); });
+            parts_.retries.onRequest(service_);
+            if (!target_.model.empty())
+                parts_.demand.onArrival(target_);
+            co_await carry();
+        }
+        report();
+    }
+
+private:
+    // ---- reading the request
+
+    /// @return the refusal of a request that cannot be carried at all
+    auto prepare() -> std::optional<Refusal>
+    {
+        if (!routes_ || owner_.refusing_) {
+            const auto kind = routes_ ? ErrorKind::Draining : ErrorKind::NotCurrent;
+            return Refusal { makeError(kind, "gateway"), true, owner_.options_.comeBack };
+        }
+        auto read = parts_.dialect.readRequest(request_);
+        if (!read.ok())
+            return Refusal { read.status(), true, std::nullopt };
+        caller_ = std::move(*read);
+        route_ = routes_->find(caller_.host, caller_.path);
+        if (route_ == nullptr) {
+            ending_ = Ending::NoRoute;
+            return Refusal { makeError(ErrorKind::UnknownService,
+                                       "host=" + caller_.host + " path=" + caller_.path),
+                             true, std::nullopt };
+        }
+        service_ = catalogue::pickService(*route_, parts_.random.unit());
+        const auto limit = std::min(caller_.deadline.value_or(route_->finishLimit),
+                                    route_->finishLimit);
+        deadline_ = arrived_ + limit - owner_.options_.answerMargin;
+        const auto *service = routes_->catalogue().find(service_);
+        engine_ = service != nullptr && service->engine ? &*service->engine : nullptr;
+        lastEvent_ = caller_.resumeAfter;
+        if (engine_ != nullptr && !caller_.model.empty())
+            makeWish();
+        return std::nullopt;
+    }
+
+    auto makeWish() -> void
+    {
+        target_ = DemandTarget { service_, caller_.model, caller_.adapter };
+        wish_.model = caller_.model;
+        wish_.adapter = caller_.adapter;
+        // The last part is the request's own; the one before it is what others share most of.
+        const auto parts = caller_.prompt.size();
+        const auto shared = parts >= 2 ? caller_.prompt[parts - 2].id : 0;
+        wish_.affinity = mixHash(std::hash<std::string> {}(caller_.model.value()), shared);
+        if (!caller_.adapter.empty())
+            wish_.affinity = std::hash<std::string> {}(caller_.model.value() + caller_.adapter);
+    }
+
+    // ---- carrying it
+
+    auto carry() -> asio::awaitable<void>
+    {
+        while (true) {
+            auto *entry = co_await place();
+            if (entry == nullptr)
+                co_return;
+            const auto step = co_await dispatch(*entry);
+            if (step == Step::Settled || !co_await mayGoOn(step))
+                co_return;
+        }
+    }
+
+    /// Waits for an endpoint that can take the request.
+    /// @return nullptr when the request has been settled instead
+    auto place() -> asio::awaitable<EndpointEntry *>
+    {
+        while (true) {
+            if (callerGone_) {
+                ending_ = Ending::CallerGone;
+                co_return nullptr;
+            }
+            const auto isHealthy
+                    = [&](const EndpointEntry &entry) { return parts_.view.isHealthy(entry); };
+            const auto choice
+                    = choose(parts_.view.of(service_), wish_, isHealthy, parts_.random);
+            if (choice.entry != nullptr) {
+                finishWaiting();
+                co_return choice.entry;
+            }
+            lack_ = choice.lack;
+            const auto patience = patienceFor(choice.lack);
+            if (!patience) {
+                co_await giveUp(makeError(ErrorKind::NoCapacity,
+                                          "lack=" + std::string { lackName(choice.lack) }));
+                co_return nullptr;
+            }
+            beginWaiting();
+            co_await parts_.waiters.wait(*patience);
+        }
+    }
+
+    /// @return how long to wait before looking again; empty when waiting is of no use
+    auto patienceFor(Lack lack) -> std::optional<Duration>
+    {
+        const auto now = parts_.clock.now();
+        const auto load = expectedLoad(lack);
+        if (!load)
+            return std::nullopt;
+        const auto since = waiting_ ? parts_.demand.lackingSince(target_) : now;
+        const auto ready = std::max(since + *load, now);
+        comeBack_ = std::max<Duration>(ready - now, owner_.options_.comeBack);
+        if (ready >= deadline_ || now >= deadline_)
+            return std::nullopt;
+        return std::min<Duration>(lookAgain, deadline_ - now);
+    }
+
+    /// @return how long a load of what is lacking takes; empty when no load would help
+    auto expectedLoad(Lack lack) -> std::optional<Duration>
+    {
+        if (lack == Lack::Adapter)
+            return adapterLoad;
+        const auto *model = engine_ == nullptr ? nullptr : engine_->find(wish_.model);
+        if (lack != Lack::Model || model == nullptr)
+            return std::nullopt;
+        for (const auto *entry : parts_.view.of(service_)) {
+            const auto has = [&](const std::vector<ModelId> &copies) {
+                return std::find(copies.begin(), copies.end(), model->id) != copies.end();
+            };
+            if (has(entry->row.inMemory) || has(entry->row.onDisk))
+                return std::max(model->loadFromDisk, model->loadFromMemory) + swapOverhead;
+        }
+        return model->loadFromStore + storeOverhead;
+    }
+
+    auto beginWaiting() -> void
+    {
+        if (waiting_)
+            return;
+        waiting_ = true;
+        parts_.demand.onLack(target_);
+    }
+
+    auto finishWaiting() -> void
+    {
+        if (std::exchange(waiting_, false))
+            parts_.demand.onLackEnd(target_);
+    }
+
+    /// After a dispatch that brought no end. @return true when another may follow
+    auto mayGoOn(Step step) -> asio::awaitable<bool>
+    {
+        if (callerGone_) {
+            ending_ = Ending::CallerGone;
+            co_return false;
+        }
+        if (step == Step::Broken)
+            mayHaveRun_ = true;
+        const auto mayRepeat = !mayHaveRun_ || route_->mayRepeat();
+        const auto mayResume = !responder_.started() || route_->resumable;
+        const auto inTime = parts_.clock.now() < deadline_;
+        const auto inCount = ran_ < route_->maxAttempts && unsent_ < maxUnsent;
+        if (mayRepeat && mayResume && inTime && inCount && (sent_ == 0 || takeRepeat()))
+            co_return true;
+        co_await giveUp(lastError_);
+        co_return false;
+    }
+
+    auto takeRepeat() -> bool
+    {
+        const auto allowed = parts_.retries.take(service_);
+        if (!allowed)
+            budgetSpent_ = true;
+        return allowed;
+    }
+
+    auto dispatch(EndpointEntry &entry) -> asio::awaitable<Step>
+    {
+        const auto id = entry.row.id;
+        endpoint_ = id;
+        auto out = makeDispatch(entry);
+        const auto tokens = caller_.promptTokens + caller_.outputTokens;
+        entry.running += 1;
+        entry.runningTokens += tokens;
+        if (!target_.model.empty())
+            parts_.demand.onStart(target_);
+        parts_.metrics.onDispatch(sent_ > 0);
+        const auto left = std::max<Duration>(deadline_ - parts_.clock.now(),
+                                             std::chrono::milliseconds { 1 });
+        const auto step = co_await exchange(std::move(out), left, id);
+        if (!target_.model.empty())
+            parts_.demand.onEnd(target_);
+        if (auto *now = parts_.view.find(id)) {
+            now->running -= 1;
+            now->runningTokens -= tokens;
+        }
+        if (step != Step::Settled)
+            wish_.avoided.insert(id);
+        co_return step;
+    }
+
+    auto makeDispatch(const EndpointEntry &entry) -> http::ClientRequest
+    {
+        auto terms = DispatchTerms {};
+        terms.endpoint = entry.row.id;
+        terms.left = deadline_ - parts_.clock.now();
+        terms.rank = route_->rank;
+        terms.resumeAfter = lastEvent_;
+        canceller_ = std::make_shared<http::Canceller>();
+        auto out = http::ClientRequest {};
+        out.address = entry.row.address;
+        out.method = request_.method;
+        out.target = request_.target;
+        out.headers = parts_.dialect.writeDispatch(caller_, terms);
+        out.body = request_.body;
+        if (!route_->mayRepeat())
+            out.maxIdleAge = owner_.options_.freshEnough;
+        out.match = { parts_.dialect.answerIdHeader, caller_.id.value() };
+        out.canceller = canceller_;
+        return out;
+    }
+
+    auto exchange(http::ClientRequest out, Duration left, const EndpointId &id)
+            -> asio::awaitable<Step>
+    {
+        auto opened = co_await parts_.client.open(std::move(out), left);
+        if (const auto *error = std::get_if<http::ClientError>(&opened)) {
+            lastError_ = error->status;
+            noteFailure(id, error->status);
+            if (error->sent == http::Sent::Nothing) {
+                ++unsent_;
+                co_return Step::NotRun;
+            }
+            ++sent_;
+            ++ran_;
+            co_return Step::Broken;
+        }
+        auto stream = std::move(std::get<std::unique_ptr<http::ClientStream>>(opened));
+        ++sent_;
+        status_ = stream->status();
+        if (parts_.dialect.saysNotRun(status_, stream->headers())) {
+            lastError_ = makeError(ErrorKind::NoCapacity,
+                                   "endpoint=" + id.value() + " status=" + std::to_string(status_));
+            parts_.view.onMisdirected(id);
+            co_await discard(*stream);
+            co_return Step::NotRun;
+        }
+        ++ran_;
+        const auto isStream = isSuccess(status_) && isEventStream(stream->headers());
+        const auto step = isStream ? co_await relayStream(*stream) : co_await relayWhole(*stream);
+        if (step == Step::Settled)
+            parts_.view.onSuccess(id);
+        else if (!callerGone_ && status_ < 500)
+            noteFailure(id, lastError_);
+        co_return step;
+    }
+
+    auto noteFailure(const EndpointId &id, const absl::Status &status) -> void
+    {
+        // Running out of this request's own time says little about the endpoint.
+        if (callerGone_ || errorKind(status) == ErrorKind::Timeout)
+            return;
+        parts_.view.onFailure(id);
+        parts_.metrics.onEndpointFailure();
+    }
+
+    /// Reads a small answer to its end, so that its connection can be kept.
+    auto discard(http::ClientStream &stream) -> asio::awaitable<void>
+    {
+        while (true) {
+            auto chunk = co_await stream.read(discardTime);
+            if (!chunk.ok() || chunk->empty())
+                co_return;
+        }
+    }
+
+    auto relayWhole(http::ClientStream &stream) -> asio::awaitable<Step>
+    {
+        auto body = std::string {};
+        while (true) {
+            auto chunk = co_await stream.read(timeLeft());
+            if (!chunk.ok()) {
+                lastError_ = chunk.status();
+                co_return Step::Broken;
+            }
+            if (chunk->empty())
+                break;
+            body += *chunk;
+            if (body.size() > owner_.options_.maxAnswerBytes) {
+                lastError_ = makeError(ErrorKind::TooLarge, "answer");
+                co_return Step::Broken;
+            }
+        }
+        // The endpoint failed and said so. Where the route allows it, another may do better.
+        const auto isFault = status_ >= 500 && status_ != 504;
+        auto answer = http::Response { status_, endToEnd(stream.headers()), std::move(body) };
+        const auto mayTryAnother = route_->mayRepeat() && ran_ < route_->maxAttempts
+                && parts_.clock.now() < deadline_;
+        if (isFault && mayTryAnother && takeRepeat())
+            co_return co_await repeatFault(std::move(answer));
+        co_return co_await sendWhole(std::move(answer));
+    }
+
+    /// One more dispatch after an endpoint's own failure; that failure is the answer when the
+    /// repeat brings none.
+    auto repeatFault(http::Response failure) -> asio::awaitable<Step>
+    {
+        wish_.avoided.insert(endpoint_);
+        const auto isHealthy
+                = [&](const EndpointEntry &entry) { return parts_.view.isHealthy(entry); };
+        const auto choice = choose(parts_.view.of(service_), wish_, isHealthy, parts_.random);
+        if (choice.entry != nullptr && co_await dispatch(*choice.entry) == Step::Settled)
+            co_return Step::Settled;
+        if (callerGone_)
+            co_return Step::Broken;
+        co_return co_await sendWhole(std::move(failure));
+    }
+
+    auto sendWhole(http::Response answer) -> asio::awaitable<Step>
+    {
+        firstByteAt_ = parts_.clock.now();
+        finalStatus_ = answer.status;
+        const auto sent = co_await responder_.send(std::move(answer));
+        ending_ = sent.ok() ? Ending::Answered : Ending::CallerGone;
+        co_return Step::Settled;
+    }
+
+    auto relayStream(http::ClientStream &stream) -> asio::awaitable<Step>
+    {
+        auto splitter = endpoint::SseSplitter {};
+        while (true) {
+            auto chunk = co_await stream.read(timeLeft());
+            if (!chunk.ok()) {
+                lastError_ = chunk.status();
+                co_return Step::Broken;
+            }
+            if (chunk->empty())
+                break;
+            auto events = splitter.feed(*chunk);
+            if (!events.ok()) {
+                lastError_ = events.status();
+                co_return Step::Broken;
+            }
+            if (auto step = co_await giveEvents(*events, stream))
+                co_return *step;
+        }
+        if (splitter.pending() > 0) {
+            lastError_ = makeError(ErrorKind::EndpointFailed, "stream ends within an event");
+            co_return Step::Broken;
+        }
+        if (!co_await begin(stream) || !(co_await responder_.finish()).ok())
+            ending_ = Ending::CallerGone;
+        else
+            ending_ = Ending::Answered;
+        co_return Step::Settled;
+    }
+
+    /// @return a step when the request has come to its end
+    auto giveEvents(const std::vector<endpoint::SseEvent> &events, http::ClientStream &stream)
+            -> asio::awaitable<std::optional<Step>>
+    {
+        auto bytes = std::string {};
+        for (const auto &event : events) {
+            const auto id = eventId(event.raw);
+            if (isOldEvent(id, lastEvent_))
+                continue;
+            if (!id.empty())
+                lastEvent_ = id;
+            bytes += event.raw;
+        }
+        if (bytes.empty())
+            co_return std::nullopt;
+        if (!co_await begin(stream) || !(co_await responder_.write(std::move(bytes))).ok()) {
+            ending_ = Ending::CallerGone;
+            co_return Step::Settled;
+        }
+        co_return std::nullopt;
+    }
+
+    /// Sends the head of a stream, once. @return false when the caller is gone
+    auto begin(http::ClientStream &stream) -> asio::awaitable<bool>
+    {
+        if (responder_.started())
+            co_return true;
+        firstByteAt_ = parts_.clock.now();
+        finalStatus_ = status_;
+        auto headers = endToEnd(stream.headers());
+        const auto begun = co_await responder_.startStream(status_, std::move(headers));
+        co_return begun.ok();
+    }
+
+    auto timeLeft() const -> Duration
+    {
+        return std::max<Duration>(deadline_ - parts_.clock.now(), std::chrono::milliseconds { 1 });
+    }
+
+    // ---- ending it
+
+    auto onCallerGone() -> void
+    {
+        callerGone_ = true;
+        if (canceller_)
+            canceller_->cancel();
+        parts_.waiters.wakeAll();
+    }
+
+    /// Nothing more is tried: says so at once, or cuts a stream that has begun.
+    auto giveUp(absl::Status status) -> asio::awaitable<void>
+    {
+        lastError_ = status;
+        if (responder_.started()) {
+            ending_ = Ending::BrokenOff;
+            co_return; // The server cuts a stream that was not finished.
+        }
+        auto refusal = Refusal {};
+        refusal.status = std::move(status);
+        refusal.notRun = !mayHaveRun_;
+        if (refusal.notRun)
+            refusal.retryAfter = comeBack_.value_or(owner_.options_.comeBack);
+        co_await refuse(std::move(refusal));
+    }
+
+    auto refuse(Refusal refusal) -> asio::awaitable<void>
+    {
+        if (ending_ != Ending::NoRoute)
+            ending_ = refusal.notRun ? Ending::Refused : Ending::Failed;
+        lastError_ = refusal.status;
+        firstByteAt_ = parts_.clock.now();
+        auto response = parts_.dialect.writeRefusal(refusal);
+        finalStatus_ = response.status;
+        const auto sent = co_await responder_.send(std::move(response));
+        if (!sent.ok())
+            ending_ = Ending::CallerGone;
+    }
+
+    auto report() -> void
+    {
+        const auto now = parts_.clock.now();
+        const auto firstByte = firstByteAt_ ? *firstByteAt_ - arrived_ : now - arrived_;
+        parts_.metrics.onRequest(ending_, firstByte, now - arrived_);
+        auto line = LogEvent { LogLevel::Info, "request" };
+        line.with("id", caller_.id).with("end", endingName(ending_)).with("status", static_cast<std::int64_t>(finalStatus_));
+        if (route_ != nullptr)
+            line.with("route", route_->name).with("service", service_);
+        if (!target_.model.empty())
+            line.with("model", target_.model).with("adapter", target_.adapter);
+        line.with("endpoint", endpoint_)
+                .with("sent", static_cast<std::int64_t>(sent_))
+                .with("unsent", static_cast<std::int64_t>(unsent_))
+                .with("first_ms", millis(firstByte))
+                .with("total_ms", millis(now - arrived_))
+                .with("left_ms", millis(deadline_ - now))
+                .with("config", owner_.version());
+        if (lack_ != Lack::Nothing)
+            line.with("lacked", lackName(lack_));
+        if (budgetSpent_)
+            line.with("retries", "spent");
+        if (ending_ != Ending::Answered && !lastError_.ok())
+            line.with(lastError_);
+    }
+
+    Forwarder &owner_;
+    ForwarderParts &parts_;
+    const http::Request &request_;
+    http::Responder &responder_;
+    const Instant arrived_;
+    Instant deadline_; ///< Nothing is waited for beyond it.
+    std::shared_ptr<const catalogue::RouteTable> routes_; ///< In force when the request came.
+    CallerRequest caller_;
+    const catalogue::Route *route_ = nullptr;
+    const catalogue::EngineSpec *engine_ = nullptr; ///< Null for a plain service.
+    ServiceId service_;
+    DemandTarget target_; ///< Empty model: none.
+    Wish wish_;
+    std::shared_ptr<http::Canceller> canceller_; ///< Of the dispatch under way.
+    std::string lastEvent_;
+    EndpointId endpoint_; ///< Of the latest dispatch.
+    std::uint32_t status_ = 0;
+    std::uint32_t finalStatus_ = 0;
+    std::uint32_t sent_ = 0;   ///< Dispatches of which bytes left.
+    std::uint32_t ran_ = 0;    ///< Those that may have run.
+    std::uint32_t unsent_ = 0; ///< Those of which none left.
+    std::optional<Duration> comeBack_;
+    std::optional<Instant> firstByteAt_;
+    absl::Status lastError_ = makeError(ErrorKind::NoCapacity, "endpoint");
+    Lack lack_ = Lack::Nothing;
+    Ending ending_ = Ending::Refused;
+    bool waiting_ = false;
+    bool callerGone_ = false;
+    bool mayHaveRun_ = false;
+    bool budgetSpent_ = false;
+};
+
+Forwarder::Forwarder(ForwarderOptions options, ForwarderParts parts)
+    : options_(options)
+    , parts_(parts)
+{ }
+
+auto Forwarder::setCatalogue(std::shared_ptr<const catalogue::Catalogue> catalogue) -> void
+{
+    routes_ = std::make_shared<const catalogue::RouteTable>(std::move(catalogue));
+    parts_.waiters.wakeAll();
+}
+
+auto Forwarder::version() const -> Revision
+{
+    return routes_ ? routes_->catalogue().version : Revision {};
+}
+
+auto Forwarder::catalogue() const -> const catalogue::Catalogue *
+{
+    return routes_ ? &routes_->catalogue() : nullptr;
+}
+
+auto Forwarder::handle(const http::Request &request, http::Responder &responder)
+        -> asio::awaitable<void>
+{
+    auto run = Run { *this, request, responder };
+    co_await run.execute();
+}
+
+} // namespace figrack::gateway
--- /dev/null
+++ b/gateway/forwarder.h
@@ -0,0 +1,95 @@
+// Carries a caller's request to an endpoint and the answer back.
+//
+//   auto forwarder = Forwarder { parts };
+//   co_await forwarder.handle(request, responder);
+//
+// What may follow a dispatch that brought no answer:
+//
+//   no byte left, or the endpoint states that it did not run it   another endpoint
+//   it may have run, nothing was given back, it may be repeated   another endpoint
+//   part of a stream was given back, the stream may be resumed    goes on elsewhere
+//   anything else                                                 given up
+//
+// Guarantees: each request ends in one final answer or, once a stream has begun,
+// in its whole end or a cut connection; only whole events of a stream are passed
+// on, none twice; a refusal that says not run is true; what is given up is
+// answered at once; repeats are bounded by the shared RetryWindow and by the
+// route's attempts. When the caller goes, the endpoint's connection is closed.
+// Not thread-safe: runs on one thread.
+
+#ifndef FIGRACK_GATEWAY_FORWARDER_H
+#define FIGRACK_GATEWAY_FORWARDER_H
+
+#include <functional>
+#include <memory>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "core/clock.h"
+#include "core/random.h"
+#include "gateway/demand.h"
+#include "gateway/dialect.h"
+#include "gateway/fleetview.h"
+#include "gateway/metrics.h"
+#include "gateway/retrywindow.h"
+#include "gateway/waiters.h"
+#include "http/client.h"
+#include "http/server.h"
+
+namespace figrack::gateway {
+
+struct ForwarderOptions
+{
+    std::size_t maxAnswerBytes = 16U << 20; ///< Of an answer that is no stream.
+    /// Kept back of a request's time for its final answer to reach the caller.
+    Duration answerMargin = std::chrono::milliseconds { 20 };
+    /// A connection idle for longer is not used for what must not run twice: its peer may be
+    /// about to close it.
+    Duration freshEnough = std::chrono::seconds { 2 };
+    /// Retry-After when nothing better is known.
+    Duration comeBack = std::chrono::milliseconds { 300 };
+};
+
+/// What the forwarder works with. All of it outlives the Forwarder.
+struct ForwarderParts
+{
+    boost::asio::io_context &context;
+    const Clock &clock;
+    const Dialect &dialect;
+    FleetView &view;
+    RetryWindow &retries;
+    Demand &demand;
+    Waiters &waiters;
+    Metrics &metrics;
+    http::Client &client;
+    Random &random;
+};
+
+class Forwarder
+{
+public:
+    Forwarder(ForwarderOptions options, ForwarderParts parts);
+    /// Puts a configuration into force for the requests that come from now on.
+    auto setCatalogue(std::shared_ptr<const catalogue::Catalogue> catalogue) -> void;
+    /// @return the version in force; 0 before the first
+    auto version() const -> Revision;
+    /// From now on new requests are refused as not run.
+    auto refuseNew() -> void { refusing_ = true; }
+    auto handle(const http::Request &request, http::Responder &responder)
+            -> boost::asio::awaitable<void>;
+    /// @return the catalogue in force, or nullptr
+    auto catalogue() const -> const catalogue::Catalogue *;
+
+private:
+    class Run;
+    friend class Run;
+    ForwarderOptions options_;
+    ForwarderParts parts_;
+    std::shared_ptr<const catalogue::RouteTable> routes_;
+    bool refusing_ = false;
+};
+
+} // namespace figrack::gateway
+
+#endif // FIGRACK_GATEWAY_FORWARDER_H
--- /dev/null
+++ b/gateway/gateway.cpp
@@ -0,0 +1,264 @@
+#include "gateway/gateway.h"
+
+#include <utility>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "core/log.h"
+#include "gateway/controlfeed.h"
+
+namespace figrack::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto stopLookEvery = std::chrono::milliseconds { 50 };
+/// After a first report of a lacking model, others are bundled for so long.
+constexpr auto urgentEvery = std::chrono::milliseconds { 5 };
+
+} // namespace
+
+class Gateway::Impl : public std::enable_shared_from_this<Impl>
+{
+public:
+    Impl(asio::io_context &context, GatewayOptions options, const Clock &clock,
+         const Dialect &dialect, std::uint64_t seed, std::function<void()> onStopped)
+        : context_(context)
+        , options_(std::move(options))
+        , clock_(clock)
+        , dialect_(dialect)
+        , onStopped_(std::move(onStopped))
+        , random_(seed)
+        , view_(options_.view, clock)
+        , retries_(options_.retries, clock)
+        , demand_(clock)
+        , waiters_(context)
+        , client_(context, options_.client)
+        , forwarder_(options_.forwarder,
+                     { context, clock, dialect, view_, retries_, demand_, waiters_, metrics_,
+                       client_, random_ })
+        , server_(context, options_.server,
+                  [this](const http::Request &request, http::Responder &responder) {
+                      return forwarder_.handle(request, responder);
+                  })
+        , demandTimer_(context)
+        , urgentTimer_(context)
+        , stopTimer_(context)
+    { }
+
+    auto start() -> absl::Status
+    {
+        demand_.setOnUrgent([this] { reportSoon(); });
+        auto feedOptions = ControlFeedOptions {};
+        feedOptions.channel.self = options_.name;
+        feedOptions.channel.keys = options_.keys;
+        feedOptions.channel.idleTimeout = std::chrono::seconds { 3 };
+        feedOptions.channel.handshakeTimeout = std::chrono::seconds { 1 };
+        feedOptions.callers = options_.callers;
+        feedOptions.domain = options_.domain;
+        feedOptions.seeds = options_.seeds;
+        auto hooks = ControlFeedHooks {};
+        hooks.onUpdate = [this](const proto::ServingUpdate &update) { onUpdate(update); };
+        hooks.onDocument = [this](Revision version, const std::string &text) {
+            return onDocument(version, text);
+        };
+        feed_ = std::make_unique<ControlFeed>(context_, feedOptions, std::move(hooks));
+        if (auto status = server_.start(options_.callers); !status.ok())
+            return status;
+        feed_->start();
+        scheduleDemand();
+        LogEvent(LogLevel::Info, "gateway_started").with("callers", options_.callers.text());
+        return absl::OkStatus();
+    }
+
+    auto requestStop() -> void
+    {
+        stopping_ = true;
+        stopAskedAt_ = clock_.now();
+        feed_->setReady(false);
+        LogEvent(LogLevel::Info, "gateway_leaving")
+                .with("in_progress", static_cast<std::uint64_t>(server_.inProgress()));
+        lookAtStop();
+    }
+
+    auto reload(const std::vector<Address> &seeds) -> void
+    {
+        LogEvent(LogLevel::Info, "gateway_reloaded")
+                .with("seeds", static_cast<std::uint64_t>(seeds.size()));
+        feed_->addSeeds(seeds);
+    }
+
+    auto ready() const -> bool { return !stopping_ && forwarder_.catalogue() != nullptr; }
+
+    auto metricsPage() -> std::string
+    {
+        auto gauges = GatewayGauges {};
+        gauges.version = forwarder_.version().value();
+        gauges.endpoints = view_.size();
+        gauges.waiting = waiters_.size();
+        gauges.inProgress = server_.inProgress();
+        gauges.ready = ready();
+        return metrics_.text(gauges);
+    }
+
+    auto stop() -> void
+    {
+        server_.stop();
+        if (feed_)
+            feed_->stop();
+        demandTimer_.cancel();
+        urgentTimer_.cancel();
+        stopTimer_.cancel();
+    }
+
+private:
+    auto onUpdate(const proto::ServingUpdate &update) -> void
+    {
+        if (update.gateways > 0)
+            retries_.setGateways(update.gateways);
+        if (view_.apply(update))
+            waiters_.wakeAll();
+    }
+
+    auto onDocument(Revision version, const std::string &text) -> bool
+    {
+        auto catalogue = dialect_.readDocument(text);
+        if (!catalogue.ok()) {
+            // The controls took it, so a newer program wrote it: nothing here can read it.
+            LogEvent(LogLevel::Error, "document_not_read")
+                    .with("version", version)
+                    .with(catalogue.status());
+            return true;
+        }
+        LogEvent(LogLevel::Info, "config_in_force")
+                .with("version", version)
+                .with("before", forwarder_.version())
+                .with("routes", static_cast<std::uint64_t>(catalogue->routes.size()));
+        forwarder_.setCatalogue(
+                std::make_shared<const catalogue::Catalogue>(*std::move(catalogue)));
+        feed_->setReady(ready());
+        return true;
+    }
+
+    auto scheduleDemand() -> void
+    {
+        demandTimer_.expires_after(options_.demandEvery);
+        demandTimer_.async_wait(
+                [weak = weak_from_this()](const boost::system::error_code &error) {
+                    const auto self = weak.lock();
+                    if (!self || error)
+                        return;
+                    self->reportDemand();
+                    self->scheduleDemand();
+                });
+    }
+
+    auto reportDemand() -> void
+    {
+        auto report = demand_.take();
+        if (!report.rows.empty())
+            static_cast<void>(feed_->sendWanted(std::move(report)));
+    }
+
+    auto reportSoon() -> void
+    {
+        if (std::exchange(urgentPending_, true))
+            return;
+        urgentTimer_.expires_after(urgentEvery);
+        urgentTimer_.async_wait(
+                [weak = weak_from_this()](const boost::system::error_code &error) {
+                    const auto self = weak.lock();
+                    if (!self || error)
+                        return;
+                    self->urgentPending_ = false;
+                    self->reportDemand();
+                });
+    }
+
+    auto lookAtStop() -> void
+    {
+        const auto passed = clock_.now() - stopAskedAt_;
+        if (passed >= options_.stopServing && !refusing_) {
+            refusing_ = true;
+            forwarder_.refuseNew();
+            server_.stopAccepting();
+        }
+        const auto idle = refusing_ && server_.inProgress() == 0
+                && passed >= options_.stopServing + std::chrono::milliseconds { 500 };
+        if (idle || passed >= options_.stopBy) {
+            LogEvent(LogLevel::Info, "gateway_stopped")
+                    .with("in_progress", static_cast<std::uint64_t>(server_.inProgress()));
+            stop();
+            onStopped_();
+            return;
+        }
+        stopTimer_.expires_after(stopLookEvery);
+        stopTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+            const auto self = weak.lock();
+            if (self && !error)
+                self->lookAtStop();
+        });
+    }
+
+    asio::io_context &context_;
+    GatewayOptions options_;
+    const Clock &clock_;
+    const Dialect &dialect_;
+    std::function<void()> onStopped_;
+    Random random_;
+    FleetView view_;
+    RetryWindow retries_;
+    Demand demand_;
+    Waiters waiters_;
+    Metrics metrics_;
+    http::Client client_;
+    Forwarder forwarder_;
+    http::Server server_;
+    std::unique_ptr<ControlFeed> feed_;
+    asio::steady_timer demandTimer_;
+    asio::steady_timer urgentTimer_;
+    asio::steady_timer stopTimer_;
+    Instant stopAskedAt_ {};
+    bool stopping_ = false;
+    bool refusing_ = false;
+    bool urgentPending_ = false;
+};
+
+Gateway::Gateway(asio::io_context &context, GatewayOptions options, const Clock &clock,
+                 const Dialect &dialect, std::uint64_t seed, std::function<void()> onStopped)
+    : impl_(std::make_shared<Impl>(context, std::move(options), clock, dialect, seed,
+                                   std::move(onStopped)))
+{ }
+
+Gateway::~Gateway()
+{
+    impl_->stop();
+}
+
+auto Gateway::start() -> absl::Status
+{
+    return impl_->start();
+}
+
+auto Gateway::requestStop() -> void
+{
+    impl_->requestStop();
+}
+
+auto Gateway::reload(const std::vector<Address> &seeds) -> void
+{
+    impl_->reload(seeds);
+}
+
+auto Gateway::ready() const -> bool
+{
+    return impl_->ready();
+}
+
+auto Gateway::metricsPage() -> std::string
+{
+    return impl_->metricsPage();
+}
+
+} // namespace figrack::gateway
--- /dev/null
+++ b/gateway/metrics.cpp
@@ -0,0 +1,103 @@
+#include "gateway/metrics.h"
+
+#include <array>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace figrack::gateway {
+namespace {
+
+const auto secondBuckets = prometheus::Histogram::BucketBoundaries { 0.01, 0.03, 0.1, 0.2, 0.3, 0.5,
+                                                                     0.8,  1,    2,   5,   10,  20 };
+constexpr auto endingNames = std::array<std::string_view, 6> { "answered", "no_route",
+                                                               "refused",  "failed",
+                                                               "broken_off", "caller_gone" };
+
+auto seconds(Duration duration) -> double
+{
+    return std::chrono::duration<double> { duration }.count();
+}
+
+} // namespace
+
+auto endingName(Ending ending) -> std::string_view
+{
+    return endingNames[static_cast<std::size_t>(ending) % endingNames.size()];
+}
+
+class Metrics::Impl
+{
+public:
+    Impl()
+        : requests(prometheus::BuildCounter()
+                           .Name("figrack_gateway_requests_total")
+                           .Help("Requests by how they ended")
+                           .Register(registry))
+        , dispatches(prometheus::BuildCounter()
+                             .Name("figrack_gateway_dispatches_total")
+                             .Help("Sends to endpoints, first ones and repeats")
+                             .Register(registry))
+        , failures(prometheus::BuildCounter()
+                           .Name("figrack_gateway_endpoint_failures_total")
+                           .Help("Dispatches that an endpoint did not answer")
+                           .Register(registry)
+                           .Add({}))
+        , latency(prometheus::BuildHistogram()
+                          .Name("figrack_gateway_request_seconds")
+                          .Help("Arrival to first byte and to the end")
+                          .Register(registry))
+        , gauges(prometheus::BuildGauge()
+                         .Name("figrack_gateway_now")
+                         .Help("The present moment, by what")
+                         .Register(registry))
+    { }
+
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter> &requests;
+    prometheus::Family<prometheus::Counter> &dispatches;
+    prometheus::Counter &failures;
+    prometheus::Family<prometheus::Histogram> &latency;
+    prometheus::Family<prometheus::Gauge> &gauges;
+};
+
+Metrics::Metrics()
+    : impl_(std::make_unique<Impl>())
+{ }
+
+Metrics::~Metrics() = default;
+
+auto Metrics::onRequest(Ending ending, Duration firstByte, Duration total) -> void
+{
+    impl_->requests.Add({ { "end", std::string { endingName(ending) } } }).Increment();
+    impl_->latency.Add({ { "until", "first_byte" } }, secondBuckets).Observe(seconds(firstByte));
+    impl_->latency.Add({ { "until", "end" } }, secondBuckets).Observe(seconds(total));
+}
+
+auto Metrics::onDispatch(bool isRepeat) -> void
+{
+    impl_->dispatches.Add({ { "kind", isRepeat ? "repeat" : "first" } }).Increment();
+}
+
+auto Metrics::onEndpointFailure() -> void
+{
+    impl_->failures.Increment();
+}
+
+auto Metrics::text(const GatewayGauges &gauges) -> std::string
+{
+    const auto set = [&](const char *what, double value) {
+        impl_->gauges.Add({ { "what", what } }).Set(value);
+    };
+    set("config_version", static_cast<double>(gauges.version));
+    set("endpoints", static_cast<double>(gauges.endpoints));
+    set("waiting", static_cast<double>(gauges.waiting));
+    set("in_progress", static_cast<double>(gauges.inProgress));
+    set("ready", gauges.ready ? 1 : 0);
+    return prometheus::TextSerializer {}.Serialize(impl_->registry.Collect());
+}
+
+} // namespace figrack::gateway
--- /dev/null
+++ b/gateway/metrics.h
@@ -0,0 +1,60 @@
+// The gateway's metrics, as the Prometheus text page.
+//
+// Guarantee: labels are bounded: outcomes by their table, nothing by caller or request.
+
+#ifndef FIGRACK_GATEWAY_METRICS_H
+#define FIGRACK_GATEWAY_METRICS_H
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "core/clock.h"
+
+namespace figrack::gateway {
+
+/// How a request ended.
+enum class Ending : std::uint8_t {
+    Answered,  ///< The endpoint's answer went out whole.
+    NoRoute,   ///< No route, or the request could not be read.
+    Refused,   ///< It has not run and will not.
+    Failed,    ///< It may have run; a failure was answered.
+    BrokenOff, ///< A stream that had begun was cut.
+    CallerGone,
+};
+
+/// @return "answered", "no_route", ...
+auto endingName(Ending ending) -> std::string_view;
+
+/// What the page shows of the present moment.
+struct GatewayGauges
+{
+    std::uint64_t version = 0; ///< Of the configuration in force.
+    std::uint64_t endpoints = 0;
+    std::uint64_t waiting = 0;
+    std::uint64_t inProgress = 0;
+    bool ready = false;
+};
+
+class Metrics
+{
+public:
+    Metrics();
+    ~Metrics();
+    /// @param firstByte from arrival to the first byte of the answer
+    /// @param total from arrival to the end
+    auto onRequest(Ending ending, Duration firstByte, Duration total) -> void;
+    auto onDispatch(bool isRepeat) -> void;
+    auto onEndpointFailure() -> void;
+    /// @return the page
+    auto text(const GatewayGauges &gauges) -> std::string;
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+} // namespace figrack::gateway
+
+#endif // FIGRACK_GATEWAY_METRICS_H
--- /dev/null
+++ b/gateway/waiters.cpp
@@ -0,0 +1,23 @@
+#include "gateway/waiters.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace figrack::gateway {
+
+auto Waiters::wait(Duration patience) -> boost::asio::awaitable<void>
+{
+    auto timer = boost::asio::steady_timer { context_, patience };
+    timers_.insert(&timer);
+    auto code = boost::system::error_code {};
+    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, code));
+    timers_.erase(&timer);
+}
+
+auto Waiters::wakeAll() -> void
+{
+    for (auto *timer : timers_)
+        timer->cancel();
+}
+
+} // namespace figrack::gateway
--- /dev/null
+++ b/gateway/waiters.h
@@ -0,0 +1,39 @@
+// Requests that wait until an endpoint can take them.
+//
+//   const auto woken = co_await waiters.wait(until);   // in a request's coroutine
+//   waiters.wakeAll();                                  // when the view changes
+//
+// Each waiter looks again for itself when woken. Not thread-safe.
+
+#ifndef FIGRACK_GATEWAY_WAITERS_H
+#define FIGRACK_GATEWAY_WAITERS_H
+
+#include <set>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "core/clock.h"
+
+namespace figrack::gateway {
+
+class Waiters
+{
+public:
+    explicit Waiters(boost::asio::io_context &context)
+        : context_(context)
+    { }
+    /// Waits until wakeAll() or the end of the time. @param patience zero or more
+    auto wait(Duration patience) -> boost::asio::awaitable<void>;
+    auto wakeAll() -> void;
+    auto size() const -> std::size_t { return timers_.size(); }
+
+private:
+    boost::asio::io_context &context_;
+    std::set<boost::asio::steady_timer *> timers_;
+};
+
+} // namespace figrack::gateway
+
+#endif // FIGRACK_GATEWAY_WAITERS_H
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -15,6 +15,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <charconv>
 #include <deque>
 #include <map>
 #include <mutex>
@@ -51,6 +52,7 @@
 
 constexpr auto readBytes = std::size_t { 16 } << 10;
 constexpr auto maxHeaderBytes = std::size_t { 32 } << 10;
+constexpr auto maxPromisedSeconds = std::int64_t { 86'400 }; ///< Longer promises count as none.
 
 /// One connection: the socket, what was read of the next answer, and the way to abort it.
 class Link
@@ -124,6 +126,7 @@
 {
     LinkPointer link;
     SteadyTime since;
+    SteadyTime until; ///< Not used any more from then on.
 };
 
 /// The kept connections, and the list of all for abortAll().
@@ -138,7 +141,8 @@
     auto context() -> asio::io_context & { return context_; }
     auto options() const -> const ClientOptions & { return options_; }
 
-    auto takeKept(const Address &address) -> LinkPointer
+    /// @param maxIdleAge a connection that has been idle for longer is not taken
+    auto takeKept(const Address &address, Duration maxIdleAge) -> LinkPointer
     {
         const auto now = std::chrono::steady_clock::now();
         while (true) {
@@ -151,7 +155,8 @@
                 kept = std::move(found->second.back());
                 found->second.pop_back();
             }
-            if (now - kept.since < options_.idleTimeout && kept.link->isQuiet())
+            const auto isYoung = now - kept.since < maxIdleAge;
+            if (isYoung && now < kept.until && kept.link->isQuiet())
                 return kept.link;
             forget(address, kept.link);
         }
@@ -165,13 +170,15 @@
         return link;
     }
 
-    auto keep(const Address &address, LinkPointer link) -> void
+    /// @param promised how long the peer keeps it; the own limit holds besides
+    auto keep(const Address &address, LinkPointer link, Duration promised) -> void
     {
         const auto now = std::chrono::steady_clock::now();
+        const auto until = now + std::min(promised, options_.idleTimeout);
         auto dropped = std::vector<LinkPointer> {}; // Closed outside the lock.
         const auto lock = std::lock_guard { mutex_ };
         auto &list = kept_[address];
-        list.push_back({ std::move(link), now });
+        list.push_back({ std::move(link), now, until });
         while (list.size() > options_.maxIdlePerPeer)
             dropFront(address, list, dropped);
         if (now < nextSweep_)
@@ -203,7 +210,7 @@
     {
         for (auto entry = kept_.begin(); entry != kept_.end();) {
             auto &list = entry->second;
-            while (!list.empty() && now - list.front().since >= options_.idleTimeout)
+            while (!list.empty() && now >= list.front().until)
                 dropFront(entry->first, list, dropped);
             entry = list.empty() ? kept_.erase(entry) : std::next(entry);
         }
@@ -274,12 +281,13 @@
     auto address() const -> const Address & { return address_; }
 
     /// Gives the connection back after a whole answer.
-    auto release(bool keep) -> void
+    /// @param promised how long the peer keeps it open when idle
+    auto release(bool keep, Duration promised) -> void
     {
         watchdog_->stop();
         const auto link = std::exchange(link_, nullptr);
         if (keep && !link->aborted() && link->buffer().size() == 0)
-            pool_->keep(address_, link);
+            pool_->keep(address_, link, promised);
         else
             pool_->forget(address_, link);
     }
@@ -323,9 +331,10 @@
     message.version(11);
     message.method_string(request.method);
     message.target(request.target);
-    message.set(beast::http::field::host, request.address.text());
     for (const auto &header : request.headers)
         message.insert(header.name, header.value);
+    if (message.find(beast::http::field::host) == message.end())
+        message.set(beast::http::field::host, request.address.text());
     if (request.freshConnection)
         message.set(beast::http::field::connection, "close");
     if (!request.body.empty() || request.method == "POST")
@@ -361,12 +370,42 @@
     Exchange(PoolPointer pool, Address address, LinkPointer link)
         : lease_(std::move(pool), std::move(address), std::move(link))
     {
-        parser_.eager(true);
-        parser_.header_limit(maxHeaderBytes);
+        makeParser();
     }
 
     auto lease() -> Lease & { return lease_; }
-    auto parser() -> ResponseParser & { return parser_; }
+    auto parser() -> ResponseParser & { return *parser_; }
+
+    /// Sets how the next answer is read. @param bodyLimit bytes; empty: without a bound
+    auto expect(std::optional<std::size_t> bodyLimit, bool isHead) -> void
+    {
+        bodyLimit_ = bodyLimit;
+        isHead_ = isHead;
+        makeParser();
+    }
+
+    /// Reads away the answer whose header has come and waits for the header of the next one.
+    auto skipAnswer() -> asio::awaitable<absl::Status>
+    {
+        while (!parser_->is_done()) {
+            parser_->get().body().clear();
+            if (auto status = co_await advance(); !status.ok())
+                co_return status;
+        }
+        if (!parser_->keep_alive())
+            co_return failure(ErrorKind::EndpointFailed, lease_.address(), "another answer");
+        makeParser();
+        co_return co_await readHeader();
+    }
+
+    auto readHeader() -> asio::awaitable<absl::Status>
+    {
+        while (!parser_->is_header_done()) {
+            if (auto status = co_await advance(); !status.ok())
+                co_return status;
+        }
+        co_return absl::OkStatus();
+    }
 
     auto connect(const ClientOptions &options, Duration timeout) -> asio::awaitable<absl::Status>
     {
@@ -412,33 +451,46 @@
     auto advance() -> asio::awaitable<absl::Status>
     {
         while (true) {
-            const auto hadHeader = parser_.is_header_done();
+            const auto hadHeader = parser_->is_header_done();
             if (auto status = parseBuffered(); !status.ok())
                 co_return status;
-            if (parser_.is_done() || !parser_.get().body().empty()
-                || (!hadHeader && parser_.is_header_done()))
+            if (parser_->is_done() || !parser_->get().body().empty()
+                || (!hadHeader && parser_->is_header_done()))
                 co_return absl::OkStatus();
             if (auto status = co_await readMore(); !status.ok())
                 co_return status;
-            if (parser_.is_done())
+            if (parser_->is_done())
                 co_return absl::OkStatus();
         }
     }
 
 private:
+    auto makeParser() -> void
+    {
+        parser_.emplace();
+        parser_->eager(true);
+        parser_->header_limit(maxHeaderBytes);
+        if (bodyLimit_)
+            parser_->body_limit(*bodyLimit_);
+        else
+            parser_->body_limit(boost::none);
+        if (isHead_)
+            parser_->skip(true);
+    }
+
     auto parseBuffered() -> absl::Status
     {
         auto &buffer = lease_.link().buffer();
-        while (buffer.size() > 0 && !parser_.is_done()) {
+        while (buffer.size() > 0 && !parser_->is_done()) {
             auto code = error_code {};
-            const auto used = parser_.put(buffer.data(), code);
+            const auto used = parser_->put(buffer.data(), code);
             buffer.consume(used);
             if (code == beast::http::error::need_more || (!code && used == 0))
                 break;
             if (code)
                 return parseFailure(lease_, code);
         }
-        if (!parser_.is_done() && buffer.size() > maxHeaderBytes)
+        if (!parser_->is_done() && buffer.size() > maxHeaderBytes)
             return failure(ErrorKind::TooLarge, lease_.address(), "answer");
         return absl::OkStatus();
     }
@@ -454,16 +506,18 @@
             co_return absl::OkStatus();
         if (code != asio::error::eof || lease_.link().aborted())
             co_return transportFailure(lease_, "read", code);
-        if (!parser_.is_header_done())
+        if (!parser_->is_header_done())
             co_return failure(ErrorKind::EndpointFailed, lease_.address(), "read", code);
-        parser_.put_eof(code); // Ends a body without a length; an error for any other.
+        parser_->put_eof(code); // Ends a body without a length; an error for any other.
         if (code)
             co_return failure(ErrorKind::EndpointFailed, lease_.address(), "read", code);
         co_return absl::OkStatus();
     }
 
     Lease lease_;
-    ResponseParser parser_;
+    std::optional<ResponseParser> parser_;
+    std::optional<std::size_t> bodyLimit_;
+    bool isHead_ = false;
 };
 
 using ExchangePointer = std::unique_ptr<Exchange>;
@@ -480,6 +534,35 @@
     return headers;
 }
 
+/// @return how long the peer keeps an idle connection, by its Keep-Alive header; less a margin for
+/// what is on the way when it closes
+auto promisedIdle(const ResponseParser &parser) -> Duration
+{
+    constexpr auto margin = std::chrono::milliseconds { 500 };
+    const auto field = parser.get().find("Keep-Alive");
+    if (field == parser.get().end())
+        return Duration::max();
+    const auto value = std::string_view { field->value().data(), field->value().size() };
+    const auto at = value.find("timeout=");
+    if (at == std::string_view::npos)
+        return Duration::max();
+    auto seconds = std::int64_t { 0 };
+    const auto digits = value.substr(at + std::string_view { "timeout=" }.size());
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    if (parsed.ec != std::errc {} || seconds < 0 || seconds > maxPromisedSeconds)
+        return Duration::max();
+    return std::chrono::seconds { seconds } - margin;
+}
+
+/// @return true when the answer names another request: a late one to an earlier request
+auto isOfAnother(const AnswerMatch &match, const ResponseParser &parser) -> bool
+{
+    if (match.header.empty())
+        return false;
+    const auto field = parser.get().find(match.header);
+    return field != parser.get().end() && field->value() != match.value;
+}
+
 /// Connects, writes and reads the head of the answer.
 auto begin(PoolPointer pool, const ClientRequest &request, Duration timeout,
            std::optional<std::size_t> bodyLimit) -> asio::awaitable<ClientResult<ExchangePointer>>
@@ -488,27 +571,33 @@
         co_return ClientError { failure(ErrorKind::Malformed, request.address, "headers"),
                                 Sent::Nothing };
     }
-    auto link = request.freshConnection ? nullptr : pool->takeKept(request.address);
+    if (request.canceller && request.canceller->isCancelled())
+        co_return ClientError { failure(ErrorKind::Cancelled, request.address, "start"),
+                                Sent::Nothing };
+    auto link = request.freshConnection ? nullptr
+                                        : pool->takeKept(request.address, request.maxIdleAge);
     const auto kept = link != nullptr;
     if (!kept)
         link = pool->make(request.address);
+    if (request.canceller) {
+        request.canceller->setAbort([weak = std::weak_ptr<Link> { link }] {
+            if (const auto open = weak.lock())
+                open->abort();
+        });
+    }
     auto exchange = std::make_unique<Exchange>(pool, request.address, std::move(link));
-    if (bodyLimit)
-        exchange->parser().body_limit(*bodyLimit);
-    else
-        exchange->parser().body_limit(boost::none);
-    if (request.method == "HEAD")
-        exchange->parser().skip(true);
+    exchange->expect(bodyLimit, request.method == "HEAD");
     if (!kept) {
         if (auto status = co_await exchange->connect(pool->options(), timeout); !status.ok())
             co_return ClientError { std::move(status), Sent::Nothing };
     }
     if (auto error = co_await exchange->write(request, timeout))
         co_return std::move(*error);
-    while (!exchange->parser().is_header_done()) {
-        if (auto status = co_await exchange->advance(); !status.ok())
-            co_return ClientError { std::move(status), Sent::MaybeSome };
-    }
+    auto status = co_await exchange->readHeader();
+    while (status.ok() && isOfAnother(request.match, exchange->parser()))
+        status = co_await exchange->skipAnswer();
+    if (!status.ok())
+        co_return ClientError { std::move(status), Sent::MaybeSome };
     co_return exchange;
 }
 
@@ -552,7 +641,8 @@
     {
         const auto lock = std::lock_guard { mutex_ };
         ended_ = true;
-        exchange_->lease().release(keep_ && exchange_->parser().keep_alive());
+        exchange_->lease().release(keep_ && exchange_->parser().keep_alive(),
+                                   promisedIdle(exchange_->parser()));
     }
 
     std::mutex mutex_; ///< Keeps abort() off a connection given back; taken before the pool's.
@@ -565,6 +655,30 @@
 
 } // namespace
 
+auto Canceller::cancel() -> void
+{
+    auto abort = std::function<void()> {};
+    {
+        const auto lock = std::lock_guard { mutex_ };
+        cancelled_ = true;
+        abort = abort_;
+    }
+    if (abort)
+        abort();
+}
+
+auto Canceller::isCancelled() const -> bool
+{
+    const auto lock = std::lock_guard { mutex_ };
+    return cancelled_;
+}
+
+auto Canceller::setAbort(std::function<void()> abort) -> void
+{
+    const auto lock = std::lock_guard { mutex_ };
+    abort_ = std::move(abort);
+}
+
 class Client::Impl
 {
 public:
@@ -604,7 +718,8 @@
     }
     response.status = exchange->parser().get().result_int();
     response.headers = headersOf(exchange->parser());
-    exchange->lease().release(!request.freshConnection && exchange->parser().keep_alive());
+    exchange->lease().release(!request.freshConnection && exchange->parser().keep_alive(),
+                              promisedIdle(exchange->parser()));
     co_return response;
 }
 
--- a/http/client.h
+++ b/http/client.h
@@ -9,6 +9,8 @@
 // process (ClientError::sent): only then may the work have run. A kept
 // connection that turns out closed before a byte of the answer counts as sent;
 // requests that may not be repeated therefore ask for a fresh connection.
+// A connection is kept no longer than its peer promises by a Keep-Alive header.
+// A Host header of the request goes before the address.
 // A whole answer is bounded by maxBodyBytes, one read of a stream by 64 KiB; a
 // stream's length is not bounded. Destroying a stream before its end aborts its
 // connection. After abortAll() has returned no byte of a request begun before
@@ -20,6 +22,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <variant>
 
@@ -43,6 +46,30 @@
     Duration userTimeout = std::chrono::seconds { 5 }; ///< TCP_USER_TIMEOUT: unacknowledged data.
 };
 
+/// Ends a request from outside, also before its answer has begun. Thread-safe.
+class Canceller
+{
+public:
+    /// Aborts the connection of the request, or of the next one that is given this object.
+    auto cancel() -> void;
+    auto isCancelled() const -> bool;
+    /// For the client: what cancel() is to do from now on.
+    auto setAbort(std::function<void()> abort) -> void;
+
+private:
+    mutable std::mutex mutex_; ///< Guards all below; a leaf in the lock order.
+    std::function<void()> abort_;
+    bool cancelled_ = false;
+};
+
+/// A header by which an answer names its request. An answer that names another one is dropped and
+/// the next one on the connection is waited for.
+struct AnswerMatch
+{
+    std::string header; ///< Empty: every answer is taken.
+    std::string value;
+};
+
 struct ClientRequest
 {
     Address address;
@@ -51,6 +78,10 @@
     Headers headers;
     std::string body;
     bool freshConnection = false; ///< Never on a kept connection, and not kept afterwards.
+    /// A kept connection is used only when it has been idle for less.
+    Duration maxIdleAge = Duration::max();
+    AnswerMatch match = {};
+    std::shared_ptr<Canceller> canceller = {}; ///< May be empty.
     /// Asked once the connection stands, right before the first byte is written; false ends the
     /// request with Cancelled and Sent::Nothing. May be empty.
     std::function<bool()> mayStart = {};
--- a/http/message.h
+++ b/http/message.h
@@ -26,6 +26,7 @@
 struct Request
 {
     std::string method; ///< "GET", "POST", ...
+    std::string target; ///< As sent: path and query, nothing decoded.
     std::string path;   ///< Without the query, percent-decoded.
     std::string query;  ///< After '?', as sent.
     Headers headers;
--- a/http/requestparser.cpp
+++ b/http/requestparser.cpp
@@ -119,6 +119,7 @@
         return fail(makeError(ErrorKind::BadRequest, "part=target reason=bad percent escape"));
     if (mark != std::string_view::npos)
         request_.query = target.substr(mark + 1);
+    request_.target = target;
     request_.method = toView(message.method_string());
     for (const auto &field : message) {
         request_.headers.push_back({ std::string { toView(field.name_string()) },
--- a/proto/messages.h
+++ b/proto/messages.h
@@ -9,6 +9,7 @@
 //                       EndpointReport, ClaimRequest, ClaimEnd, DrainNotice
 //   control -> router   FeedReply, FeedPush, LoadDigest, and the replies
 //   control <-> control coord::Message
+//   what gateways and controls say besides stands in proto/servingmessages.h
 //
 // Bounds: no frame is longer than maxFrameBytes; every container length is
 // checked against the bytes left before memory is asked for (proto/codec.h).
@@ -25,6 +26,7 @@
 #include "coord/viewlease.h"
 #include "core/error.h"
 #include "core/ids.h"
+#include "proto/servingmessages.h"
 #include "state/commands.h"
 
 namespace figrack::proto {
@@ -282,7 +284,8 @@
 using Payload = std::variant<Failure, JoinRequest, JoinReply, DrainNotice, FeedRequest, FeedBatch,
                              coord::RenewRequest, coord::RenewReply, DemandReport, EndpointReport,
                              LoadDigest, ClaimRequest, ClaimReply, ClaimEnd, Done, ReportRequest,
-                             ReportReply, coord::Message>;
+                             ReportReply, coord::Message, Subscribe, ServingUpdate, ServingAck,
+                             DocumentRequest, DocumentReply, ModelWanted, JoinGroup>;
 
 struct Envelope
 {
--- /dev/null
+++ b/proto/servingmessages.h
@@ -0,0 +1,128 @@
+// What controls and gateways say to one another about documents, endpoints and
+// demand; part of the inner protocol (proto/messages.h).
+//
+//   gateway, control -> control   Subscribe, DocumentRequest, ServingAck, ModelWanted
+//   joining control  -> control   JoinGroup
+//   control -> subscriber         ServingUpdate, DocumentReply
+
+#ifndef FIGRACK_PROTO_SERVINGMESSAGES_H
+#define FIGRACK_PROTO_SERVINGMESSAGES_H
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "catalogue/endpointrow.h"
+#include "coord/messages.h"
+#include "core/ids.h"
+#include "core/settings.h"
+
+namespace figrack::proto {
+
+enum class SubscriberKind : std::uint8_t { Gateway, Control };
+
+/// Asks for updates on this connection; sent again when the gateway's readiness changes.
+struct Subscribe
+{
+    SubscriberKind kind = SubscriberKind::Gateway;
+    Address callers; ///< Where callers connect; of a gateway only.
+    DomainId domain;
+    bool ready = false; ///< Whether callers may be sent there.
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(kind, callers, domain, ready);
+    }
+};
+
+/// Where the controls are and what they hold, to each subscriber.
+struct ServingUpdate
+{
+    std::uint64_t number = 0;   ///< Rises on one connection; acknowledged by ServingAck.
+    Revision document;          ///< The newest document that the sender has applied; 0: none.
+    NodeId leader;              ///< As the sender knows it; may be empty.
+    Term term;                  ///< Of that leader.
+    std::uint32_t gateways = 0; ///< Subscribed to the sender.
+    std::vector<coord::Member> controls; ///< Only when they have changed.
+    std::vector<catalogue::EndpointRow> endpoints; ///< Those that changed since the last update.
+    std::vector<catalogue::EndpointBeat> beats;    ///< Announcements heard since the last update.
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(number, document, leader, term, gateways, controls, endpoints, beats);
+    }
+};
+
+/// The subscriber acts on an update from now on.
+struct ServingAck
+{
+    std::uint64_t number = 0;
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(number);
+    }
+};
+
+struct DocumentRequest
+{
+    Revision atLeast;
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(atLeast);
+    }
+};
+struct DocumentReply
+{
+    Revision version;
+    std::string text;
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(version, text);
+    }
+};
+
+/// Requests of one model at one gateway since its last report.
+struct WantedRow
+{
+    ServiceId service;
+    ModelId model;
+    std::string adapter; ///< Empty: the model itself.
+    std::uint32_t arrived = 0;
+    std::uint32_t waiting = 0; ///< Requests that no endpoint can take.
+    std::uint32_t running = 0;
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(service, model, adapter, arrived, waiting, running);
+    }
+};
+
+/// Sent to the leader at each interval, and at once when a model is wanted that no endpoint holds.
+struct ModelWanted
+{
+    std::uint64_t spanMs = 0; ///< Time that the arrivals cover.
+    std::vector<WantedRow> rows;
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(spanMs, rows);
+    }
+};
+
+/// A control with an empty or a removed disk asks to become a member.
+struct JoinGroup
+{
+    coord::Member member;
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(member);
+    }
+};
+
+} // namespace figrack::proto
+
+#endif // FIGRACK_PROTO_SERVINGMESSAGES_H
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -2,7 +2,7 @@
 # Formatter and linter over the tree; both must be clean. Needs a configured build/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-packages=(core http proto coord state policy endpoint control router report cmd testing bench)
+packages=(core catalogue http proto coord state policy endpoint control router report gateway fleet cmd platform testing bench)
 
 mapfile -t files < <(git ls-files -- "${packages[@]}" | grep -E '\.(h|cpp)$')
 clang-format --dry-run -Werror "${files[@]}"
