placement: load an adapter once, not on every endpoint of its model

Cause: gateways tell what waits every 5 ms to 500 ms, so an adapter that had just been loaded was still told as waited for, and the planner loaded it on the next endpoint, and again by orders that already held.

--- a/fleet/placement.cpp
+++ b/fleet/placement.cpp
@@ -103,12 +103,23 @@
     {
         auto wanted = std::map<AdapterKey, Asked> {};
         for (const auto &[key, want] : input_.adapters) {
-            if (want.waiting > 0 && !key.second.empty() && !input_.loadingAdapters.contains(key))
+            // Where one holds it already, the requests that are told to wait have not heard yet.
+            if (want.waiting > 0 && !key.second.empty() && !input_.loadingAdapters.contains(key)
+                && !isHeldSomewhere(key))
                 wanted.emplace(key, want);
         }
         return wanted;
     }
 
+    auto isHeldSomewhere(const AdapterKey &key) const -> bool
+    {
+        return std::any_of(hosts_.begin(), hosts_.end(), [&](const Host &host) {
+            return std::any_of(host.models.begin(), host.models.end(), [&](const auto &held) {
+                return held.model == key.first && held.hasAdapter(key.second);
+            });
+        });
+    }
+
     auto placeModel(const ModelId &model) -> void
     {
         const auto &spec = *input_.engine.find(model);
