orders: keep an account of what an endpoint holds and check room before each load

Cause: a plan's room was worked out from the newest announcement known, which may have been made before loads that another leader had ordered; the report read right before the order was used for its count alone.

--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -434,8 +434,9 @@
         for (const auto *row : registry_.rows()) {
             if (row->service != service.id || row->state != catalogue::EndpointState::Ready)
                 continue;
-            input.hosts.push_back({ row->id, row->models, row->inMemory, row->onDisk,
-                                    !orders_.isBusy(row->id) });
+            const auto *held = orders_.held(row->id);
+            input.hosts.push_back({ row->id, held != nullptr ? *held : row->models, row->inMemory,
+                                    row->onDisk, !orders_.isBusy(row->id) });
         }
         auto asked = demand_.of(service.id);
         input.models = std::move(asked.models);
@@ -452,7 +453,7 @@
                     .with("source", loadSourceName(next.source))
                     .with("config", catalogue_->version)
                     .with("term", leadTerm_);
-            orders_.start(next, engine);
+            orders_.start(next, std::shared_ptr<const catalogue::EngineSpec> { catalogue_, &engine });
         }
     }
 
--- a/fleet/orders.cpp
+++ b/fleet/orders.cpp
@@ -22,6 +22,8 @@
 /// about: announcements of a completed order take some hundred milliseconds at most.
 constexpr auto announceDelay = std::chrono::milliseconds { 600 };
 
+using HeldModels = std::vector<catalogue::HeldModel>;
+
 auto showsEffect(const EndpointRow &row, const PlanStep &step) -> bool
 {
     const auto *held = row.find(step.model);
@@ -30,24 +32,39 @@
     return isHeld == (step.kind == StepKind::Load);
 }
 
-auto applyStep(EndpointRow &row, const PlanStep &step) -> void
+auto applyStep(HeldModels &models, const PlanStep &step) -> void
 {
     const auto sameModel = [&](const auto &held) { return held.model == step.model; };
-    const auto held = std::find_if(row.models.begin(), row.models.end(), sameModel);
+    const auto held = std::find_if(models.begin(), models.end(), sameModel);
     if (step.adapter.empty()) {
         if (step.kind == StepKind::Unload)
-            std::erase_if(row.models, sameModel);
-        else if (held == row.models.end())
-            row.models.push_back({ step.model, {} });
+            std::erase_if(models, sameModel);
+        else if (held == models.end())
+            models.push_back({ step.model, {} });
         return;
     }
-    if (held == row.models.end())
+    if (held == models.end())
         return;
     std::erase(held->adapters, step.adapter);
     if (step.kind == StepKind::Load)
         held->adapters.push_back(step.adapter);
 }
 
+/// @return true when the engine has room for all of it
+auto fits(const HeldModels &models, const catalogue::EngineSpec &engine) -> bool
+{
+    auto weights = 0.0;
+    auto adapters = std::size_t { 0 };
+    for (const auto &held : models) {
+        const auto *spec = engine.find(held.model);
+        if (spec == nullptr)
+            return false; // Of a model that the configuration does not name the size is unknown.
+        weights += spec->weightsMb + spec->adapterMb * static_cast<double>(held.adapters.size());
+        adapters += held.adapters.size();
+    }
+    return weights <= engine.weightsMb && adapters <= engine.maxAdapters;
+}
+
 } // namespace
 
 auto orderReplyName(OrderReply reply) -> std::string_view
@@ -76,11 +93,11 @@
     auto onLeading() -> void
     {
         leadingSince_ = clock_.now();
-        counts_.clear();
+        accounts_.clear();
         storeLoads_.clear();
     }
 
-    auto start(const Plan &plan, const catalogue::EngineSpec &engine) -> void
+    auto start(const Plan &plan, std::shared_ptr<const catalogue::EngineSpec> engine) -> void
     {
         auto &job = jobs_[plan.endpoint];
         if (job.active)
@@ -88,8 +105,9 @@
         job.active = true;
         job.plan = plan;
         const auto &last = plan.steps.back();
-        if (const auto *spec = engine.find(last.model))
+        if (const auto *spec = engine->find(last.model))
             job.loadTime = loadTime(*spec, plan.source);
+        job.engine = std::move(engine);
         if (plan.source == LoadSource::Store)
             storeLoads_.push_back(clock_.now());
         asio::co_spawn(context_, run(shared_from_this(), plan), asio::detached);
@@ -103,6 +121,12 @@
         return found->second.active || clock_.now() < found->second.pausedUntil;
     }
 
+    auto held(const EndpointId &endpoint) const -> const HeldModels *
+    {
+        const auto found = accounts_.find(endpoint);
+        return found == accounts_.end() ? nullptr : &found->second.models;
+    }
+
     template<typename Visit>
     auto forEachLoad(const Visit &visit) const -> void
     {
@@ -139,10 +163,17 @@
     }
 
 private:
+    /// What an endpoint holds after so many orders.
+    struct Account
+    {
+        std::uint64_t count = 0;
+        HeldModels models;
+    };
     struct Job
     {
         bool active = false;
         Plan plan;
+        std::shared_ptr<const catalogue::EngineSpec> engine;
         Duration loadTime {};
         Instant pausedUntil {};
         asio::steady_timer *timer = nullptr; ///< Set while the job waits for a row.
@@ -192,14 +223,16 @@
                     = row != nullptr && row->state == catalogue::EndpointState::Ready;
             if (!isReady || !authority_.mayOrder())
                 co_return false;
-            if (!counts_.contains(id) && !co_await learnCount(id)) {
+            if (!accounts_.contains(id) && !co_await learnAccount(id)) {
                 co_await pause(options_.retryPause);
                 continue;
             }
+            if (!hasRoom(id, step))
+                co_return false;
             const auto reply = co_await send(id, step);
             switch (reply) {
             case OrderReply::Holds:
-                amend(id, step);
+                complete(id, step);
                 co_return true;
             case OrderReply::Accepted:
                 if (co_await awaitEffect(id, step))
@@ -207,13 +240,13 @@
                 break;
             case OrderReply::Conflict:
             case OrderReply::NoAnswer:
-                counts_.erase(id);
+                accounts_.erase(id);
                 co_await pause(options_.retryPause);
                 break;
             case OrderReply::StaleFence:
             case OrderReply::Invalid:
             case OrderReply::OtherEndpoint:
-                counts_.erase(id);
+                accounts_.erase(id);
                 co_return false;
             }
         }
@@ -222,11 +255,11 @@
 
     auto send(const EndpointId &id, const PlanStep &step) -> asio::awaitable<OrderReply>
     {
-        auto order = ModelOrder { step, counts_[id], options_.self, authority_.fence() };
+        auto order = ModelOrder { step, accounts_[id].count, options_.self, authority_.fence() };
         const auto row = *registry_.find(id);
         const auto reply = co_await port_.send(row, order);
-        if (reply == OrderReply::Accepted && counts_.contains(id))
-            ++counts_[id];
+        if (reply == OrderReply::Accepted)
+            noteAccepted(id, step);
         LogEvent(LogLevel::Info, "order")
                 .with("endpoint", id)
                 .with("op", stepKindName(step.kind))
@@ -238,8 +271,37 @@
         co_return reply;
     }
 
-    /// Reads how many orders the endpoint has accepted. @return false when it cannot take one now
-    auto learnCount(const EndpointId &id) -> asio::awaitable<bool>
+    /// A load takes its room from its acceptance on; an unload gives it back when complete.
+    auto noteAccepted(const EndpointId &id, const PlanStep &step) -> void
+    {
+        const auto found = accounts_.find(id);
+        if (found == accounts_.end())
+            return;
+        ++found->second.count;
+        if (step.kind == StepKind::Load)
+            applyStep(found->second.models, step);
+    }
+
+    auto hasRoom(const EndpointId &id, const PlanStep &step) -> bool
+    {
+        if (step.kind == StepKind::Unload)
+            return true;
+        auto models = accounts_[id].models;
+        applyStep(models, step);
+        if (fits(models, *jobs_[id].engine))
+            return true;
+        LogEvent(LogLevel::Warning, "load_has_no_room")
+                .with("endpoint", id)
+                .with("model", step.model)
+                .with("adapter", step.adapter)
+                .with("held", static_cast<std::uint64_t>(models.size()))
+                .with("count", accounts_[id].count);
+        return false;
+    }
+
+    /// Reads how many orders the endpoint has accepted and what it holds.
+    /// @return false when it cannot take an order now
+    auto learnAccount(const EndpointId &id) -> asio::awaitable<bool>
     {
         const auto row = *registry_.find(id);
         const auto report = co_await port_.readReport(row);
@@ -254,7 +316,7 @@
         });
         if (report->busy)
             co_return false;
-        counts_[id] = report->count;
+        accounts_[id] = Account { report->count, report->models };
         co_return true;
     }
 
@@ -264,7 +326,7 @@
         if (!step.adapter.empty()) {
             if (step.kind == StepKind::Load)
                 co_await pause(options_.adapterLoad);
-            amend(id, step);
+            complete(id, step);
             co_return true;
         }
         const auto expected
@@ -274,12 +336,14 @@
             const auto *row = registry_.find(id);
             if (row == nullptr || row->state == catalogue::EndpointState::Gone)
                 co_return false;
-            if (showsEffect(*row, step))
+            if (showsEffect(*row, step)) {
+                complete(id, step);
                 co_return true;
+            }
             co_await awaitRow(id, deadline - clock_.now());
         }
-        counts_.erase(id);
-        if (!co_await learnCount(id))
+        accounts_.erase(id);
+        if (!co_await learnAccount(id))
             co_return false;
         const auto *row = registry_.find(id);
         co_return row != nullptr && showsEffect(*row, step);
@@ -301,9 +365,11 @@
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, code));
     }
 
-    auto amend(const EndpointId &id, const PlanStep &step) -> void
+    auto complete(const EndpointId &id, const PlanStep &step) -> void
     {
-        registry_.amend(id, [&](EndpointRow &row) { applyStep(row, step); });
+        if (const auto found = accounts_.find(id); found != accounts_.end())
+            applyStep(found->second.models, step);
+        registry_.amend(id, [&](EndpointRow &row) { applyStep(row.models, step); });
     }
 
     asio::io_context &context_;
@@ -314,7 +380,7 @@
     Authority authority_;
     Instant leadingSince_;
     std::map<EndpointId, Job> jobs_;
-    std::map<EndpointId, std::uint64_t> counts_; ///< Orders accepted, as far as known.
+    std::map<EndpointId, Account> accounts_; ///< Those that are known.
     std::deque<Instant> storeLoads_;             ///< Begun by this leader.
 };
 
@@ -331,9 +397,16 @@
     impl_->onLeading();
 }
 
-auto OrderRunner::start(const Plan &plan, const catalogue::EngineSpec &engine) -> void
+auto OrderRunner::start(const Plan &plan, std::shared_ptr<const catalogue::EngineSpec> engine)
+        -> void
+{
+    impl_->start(plan, std::move(engine));
+}
+
+auto OrderRunner::held(const EndpointId &endpoint) const
+        -> const std::vector<catalogue::HeldModel> *
 {
-    impl_->start(plan, engine);
+    return impl_->held(endpoint);
 }
 
 auto OrderRunner::isBusy(const EndpointId &endpoint) const -> bool
--- a/fleet/orders.h
+++ b/fleet/orders.h
@@ -1,7 +1,7 @@
 // Gives orders to endpoints and sees them through; on the leader only.
 //
 //   auto runner = OrderRunner { context, options, clock, registry, port, mayOrder };
-//   runner.start(plan, service, engine);
+//   runner.start(plan, engine);
 //   runner.isBusy(endpoint);
 //
 // An endpoint carries out one order at a time and counts those it accepts. Each
@@ -9,6 +9,10 @@
 // carried out late, after a newer one, has no effect. After an order without a
 // clear answer the count is read again before the next.
 //
+// Beside the count the runner keeps what the endpoint holds at that count. Where
+// the endpoint accepts an order under it, that account is exact, whatever late
+// announcements say: only accepted orders change what an endpoint holds.
+//
 // Guarantees: an endpoint has one plan at a time; no order leaves while mayOrder()
 // is false; a step begins only when the endpoint itself, or its answer, says that
 // the step before is complete; no more loads from the store begin in a window
@@ -108,7 +112,9 @@
     ~OrderRunner();
     /// This process begins to lead: what other leaders did is unknown.
     auto onLeading() -> void;
-    auto start(const Plan &plan, const catalogue::EngineSpec &engine) -> void;
+    auto start(const Plan &plan, std::shared_ptr<const catalogue::EngineSpec> engine) -> void;
+    /// @return what the endpoint holds by the runner's account, or nullptr when it has none
+    auto held(const EndpointId &endpoint) const -> const std::vector<catalogue::HeldModel> *;
     /// @return true while an order is under way there, in doubt, or paused after a failure
     auto isBusy(const EndpointId &endpoint) const -> bool;
     /// @return models and adapters whose loads are under way
