--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -238,9 +238,10 @@
         const auto since = waiting_ ? parts_.demand.lackingSince(target_) : now;
         const auto ready = std::max(since + *load, now);
         comeBack_ = std::max<Duration>(ready - now, owner_.options_.comeBack);
-        if (ready >= deadline_ || now >= deadline_)
+        const auto limit = std::min(deadline_, owner_.placeBy_);
+        if (ready >= limit || now >= limit)
             return std::nullopt;
-        return std::min<Duration>(lookAgain, deadline_ - now);
+        return std::min<Duration>(lookAgain, limit - now);
     }
 
     /// @return how long a load of what is lacking takes; empty when no load would help
@@ -630,6 +631,12 @@
     parts_.waiters.wakeAll();
 }
 
+auto Forwarder::setPlaceBy(Instant placeBy) -> void
+{
+    placeBy_ = placeBy;
+    parts_.waiters.wakeAll();
+}
+
 auto Forwarder::version() const -> Revision
 {
     return routes_ ? routes_->catalogue().version : Revision {};
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -76,6 +76,8 @@
     auto version() const -> Revision;
     /// From now on new requests are refused as not run.
     auto refuseNew() -> void { refusing_ = true; }
+    /// The process ends soon: a request that no endpoint can take by then is refused at once.
+    auto setPlaceBy(Instant placeBy) -> void;
     auto handle(const http::Request &request, http::Responder &responder)
             -> boost::asio::awaitable<void>;
     /// @return the catalogue in force, or nullptr
@@ -87,6 +89,7 @@
     ForwarderOptions options_;
     ForwarderParts parts_;
     std::shared_ptr<const catalogue::RouteTable> routes_;
+    Instant placeBy_ = Instant::max(); ///< Nothing waits for an endpoint beyond it.
     bool refusing_ = false;
 };
 
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr auto stopLookEvery = std::chrono::milliseconds { 50 };
+/// Requests are placed until so long before the end of a planned stop: most run for less.
+constexpr auto stopPlacing = std::chrono::milliseconds { 2500 };
 /// After a first report of a lacking model, others are bundled for so long.
 constexpr auto urgentEvery = std::chrono::milliseconds { 5 };
 
@@ -77,6 +79,7 @@
         stopping_ = true;
         stopAskedAt_ = clock_.now();
         feed_->setReady(false);
+        forwarder_.setPlaceBy(stopAskedAt_ + options_.stopBy - stopPlacing);
         LogEvent(LogLevel::Info, "gateway_leaving")
                 .with("in_progress", static_cast<std::uint64_t>(server_.inProgress()));
         lookAtStop();
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -6,8 +6,8 @@
 //
 // A planned stop: ready() turns false and the controls are told at once; new
 // requests are still served for stopServing, since callers keep an address for
-// a while; then they are refused as not run; what runs is finished; at stopBy
-// the process ends.
+// a while; then they are refused as not run, and so is what still waits for an
+// endpoint shortly before the end; what runs is finished; at stopBy the process ends.
 //
 // Without a control in reach it goes on with what it last knew: a request that
 // every configuration in force allows must not wait for the controls' return.
--- /dev/null
+++ b/gateway/testing/rig.cpp
@@ -0,0 +1,265 @@
+#include "gateway/testing/rig.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "core/error.h"
+
+namespace figrack::gateway::testing {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto patience = std::chrono::seconds { 20 };
+
+auto testDialect() -> Dialect
+{
+    auto dialect = Dialect {};
+    dialect.readRequest = [](const http::Request &request) -> absl::StatusOr<CallerRequest> {
+        auto result = CallerRequest {};
+        result.id = RequestId { std::string { request.header("X-Id") } };
+        if (result.id.empty())
+            return makeError(ErrorKind::BadRequest, "header=X-Id");
+        result.host = request.header("Host");
+        result.path = request.path;
+        result.model = ModelId { std::string { request.header("X-Model") } };
+        result.resumeAfter = request.header("X-After");
+        result.headers = { { "Host", result.host }, { "X-Id", result.id.value() } };
+        const auto deadline = std::string { request.header("X-Deadline") };
+        if (!deadline.empty())
+            result.deadline = std::chrono::milliseconds { std::stoi(deadline) };
+        return result;
+    };
+    dialect.writeDispatch = [](const CallerRequest &request, const DispatchTerms &terms) {
+        auto headers = request.headers;
+        headers.push_back({ "X-Endpoint", terms.endpoint.value() });
+        if (!terms.resumeAfter.empty())
+            headers.push_back({ "X-After", terms.resumeAfter });
+        return headers;
+    };
+    dialect.saysNotRun = [](std::uint32_t, const http::Headers &headers) {
+        return !http::findHeader(headers, "X-Not-Run").empty();
+    };
+    dialect.writeRefusal = [](const Refusal &refusal) {
+        auto response = http::Response {};
+        response.status = refusal.notRun ? 503 : 502;
+        if (refusal.retryAfter)
+            response.headers.push_back({ "X-Come-Back", "1" });
+        return response;
+    };
+    dialect.answerIdHeader = "X-Id";
+    return dialect;
+}
+
+auto testRoute(const std::string &name, catalogue::Repeat repeat) -> catalogue::Route
+{
+    auto route = catalogue::Route {};
+    route.name = name;
+    route.host = "t";
+    route.pathPrefix = "/" + name + "/";
+    route.repeat = repeat;
+    route.finishLimit = std::chrono::seconds { 10 };
+    route.startTarget = std::chrono::seconds { 1 };
+    route.maxAttempts = 2;
+    route.split = { { ServiceId { "s" }, 1 } };
+    return route;
+}
+
+auto event(int number) -> std::string
+{
+    return "id: " + std::to_string(number) + "\ndata: e" + std::to_string(number) + "\n\n";
+}
+
+} // namespace
+
+auto testCatalogue(bool engine) -> std::shared_ptr<const catalogue::Catalogue>
+{
+    auto catalogue = catalogue::Catalogue {};
+    catalogue.version = Revision { 1 };
+    catalogue.routes = { testRoute("once", catalogue::Repeat::Once),
+                         testRoute("idem", catalogue::Repeat::Idempotent),
+                         testRoute("stream", catalogue::Repeat::Stream),
+                         testRoute("resume", catalogue::Repeat::Stream) };
+    catalogue.routes.back().resumable = true;
+    auto service = catalogue::Service { ServiceId { "s" }, 100, std::nullopt };
+    if (engine) {
+        auto spec = catalogue::EngineSpec {};
+        auto model = catalogue::ModelSpec {};
+        model.id = ModelId { "m0" };
+        model.loadFromStore = std::chrono::seconds { 5 };
+        spec.models.push_back(model);
+        service.engine = spec;
+    }
+    catalogue.services.push_back(service);
+    return std::make_shared<const catalogue::Catalogue>(std::move(catalogue));
+}
+
+Rig::Rig(ForwarderOptions options)
+    : dialect(testDialect())
+    , view({}, clock)
+    , retries({}, clock)
+    , demand(clock)
+    , waiters(context)
+    , client(context, {})
+    , forwarder(options, { context, clock, dialect, view, retries, demand, waiters, metrics, client,
+                           random })
+    , caller(context, {})
+    , server_(context, {},
+              [this](const http::Request &request, http::Responder &responder) {
+                  return forwarder.handle(request, responder);
+              })
+{
+    retries.setGateways(1);
+    forwarder.setCatalogue(testCatalogue(false));
+    static_cast<void>(server_.start({ "127.0.0.1", 0 }));
+}
+
+Rig::~Rig()
+{
+    server_.stop();
+    for (auto &endpoint : endpoints_)
+        endpoint->server->stop();
+    context.restart();
+    context.run_for(std::chrono::milliseconds { 20 });
+}
+
+auto Rig::addEndpoint(const std::string &id, const std::vector<std::string> &models)
+        -> FakeEndpoint &
+{
+    auto endpoint = std::make_unique<FakeEndpoint>();
+    endpoint->id = EndpointId { id };
+    auto *raw = endpoint.get();
+    endpoint->server = std::make_unique<http::Server>(
+            context, http::ServerOptions {},
+            [raw](const http::Request &request, http::Responder &responder) {
+                raw->seen.push_back(request);
+                return raw->handler(request, responder);
+            });
+    static_cast<void>(endpoint->server->start({ "127.0.0.1", 0 }));
+    endpoint->port = endpoint->server->port();
+    endpoints_.push_back(std::move(endpoint));
+    tell(id, raw->port, 1, catalogue::EndpointState::Ready, models);
+    return *raw;
+}
+
+auto Rig::tell(const std::string &id, std::uint16_t port, std::uint64_t sequence,
+               catalogue::EndpointState state, const std::vector<std::string> &models) -> void
+{
+    auto row = catalogue::EndpointRow {};
+    row.id = EndpointId { id };
+    row.service = ServiceId { "s" };
+    row.address = { "127.0.0.1", port };
+    row.state = state;
+    row.sequence = sequence;
+    for (const auto &model : models)
+        row.models.push_back({ ModelId { model }, {} });
+    auto update = proto::ServingUpdate {};
+    update.endpoints.push_back(row);
+    if (view.apply(update))
+        waiters.wakeAll();
+}
+
+auto Rig::request(const std::string &path, const std::string &id) -> http::ClientRequest
+{
+    auto request = http::ClientRequest {};
+    request.target = path;
+    request.headers = { { "Host", "t" }, { "X-Id", id } };
+    return request;
+}
+
+auto Rig::begin(http::ClientRequest request) -> std::shared_ptr<std::optional<Got>>
+{
+    auto got = std::make_shared<std::optional<Got>>();
+    request.address = { "127.0.0.1", server_.port() };
+    auto work = [](http::Client &caller, http::ClientRequest out,
+                   std::shared_ptr<std::optional<Got>> result) -> asio::awaitable<void> {
+        auto opened = co_await caller.open(std::move(out), patience);
+        auto answer = Got {};
+        if (auto *stream = std::get_if<std::unique_ptr<http::ClientStream>>(&opened)) {
+            answer.status = (*stream)->status();
+            answer.headers = (*stream)->headers();
+            while (true) {
+                auto chunk = co_await (*stream)->read(patience);
+                if (!chunk.ok())
+                    break;
+                answer.whole = chunk->empty();
+                if (answer.whole)
+                    break;
+                answer.body += *chunk;
+            }
+        }
+        *result = std::move(answer);
+    };
+    asio::co_spawn(context, work(caller, std::move(request), got), asio::detached);
+    return got;
+}
+
+auto Rig::call(http::ClientRequest request) -> Got
+{
+    const auto got = begin(std::move(request));
+    return runUntil([&] { return got->has_value(); }) ? **got : Got {};
+}
+
+auto Rig::runUntil(const std::function<bool()> &condition) -> bool
+{
+    context.restart();
+    const auto limit = clock.now() + patience;
+    while (!condition() && clock.now() < limit)
+        context.run_one_for(std::chrono::milliseconds { 20 });
+    return condition();
+}
+
+auto answering(std::string body) -> http::Handler
+{
+    return [body = std::move(body)](const http::Request &request,
+                                    http::Responder &responder) -> asio::awaitable<void> {
+        auto response = http::Response {};
+        response.headers = { { "X-Id", std::string { request.header("X-Id") } } };
+        response.body = body;
+        static_cast<void>(co_await responder.send(std::move(response)));
+    };
+}
+
+auto rejecting(std::uint32_t status) -> http::Handler
+{
+    return [status](const http::Request &request,
+                    http::Responder &responder) -> asio::awaitable<void> {
+        auto response = http::Response {};
+        response.status = status;
+        response.headers = { { "X-Id", std::string { request.header("X-Id") } },
+                             { "X-Not-Run", "1" } };
+        static_cast<void>(co_await responder.send(std::move(response)));
+    };
+}
+
+auto streaming(int first, int last, bool whole) -> http::Handler
+{
+    return [first, last, whole](const http::Request &request,
+                                http::Responder &responder) -> asio::awaitable<void> {
+        auto headers = http::Headers { { "Content-Type", "text/event-stream" },
+                                       { "X-Id", std::string { request.header("X-Id") } } };
+        static_cast<void>(co_await responder.startStream(200, std::move(headers)));
+        for (auto number = first; number <= last; ++number) {
+            auto text = event(number);
+            static_cast<void>(co_await responder.write(std::move(text)));
+        }
+        if (whole) {
+            static_cast<void>(co_await responder.finish());
+        } else {
+            auto part = std::string { "id: 99\ndata: to" };
+            static_cast<void>(co_await responder.write(std::move(part)));
+        }
+    };
+}
+
+auto breaking() -> http::Handler
+{
+    return [](const http::Request &, http::Responder &responder) -> asio::awaitable<void> {
+        auto headers = http::Headers { { "Content-Type", "text/plain" } };
+        static_cast<void>(co_await responder.startStream(200, std::move(headers)));
+    };
+}
+
+} // namespace figrack::gateway::testing
--- /dev/null
+++ b/gateway/testing/tst_forwarder.cpp
@@ -0,0 +1,192 @@
+// What the gateway does with a request, over loopback sockets.
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "gateway/testing/rig.h"
+
+using namespace figrack;
+using namespace figrack::gateway::testing;
+using namespace std::chrono_literals;
+using catalogue::EndpointState;
+
+TEST_CASE("An answer comes back as the endpoint gave it, and names its request")
+{
+    auto rig = Rig {};
+    auto &endpoint = rig.addEndpoint("i-1");
+    endpoint.handler = answering("plaque");
+    const auto got = rig.call(Rig::request("/once/a%20b?x=%7e", "r1"));
+    CHECK(got.status == 200);
+    CHECK(got.body == "plaque");
+    REQUIRE(endpoint.seen.size() == 1);
+    CHECK(endpoint.seen[0].target == "/once/a%20b?x=%7e");
+    CHECK(endpoint.seen[0].header("X-Endpoint") == "i-1");
+    CHECK(endpoint.seen[0].header("Host") == "t");
+}
+
+TEST_CASE("A request that an endpoint did not run goes to another one")
+{
+    auto rig = Rig {};
+    auto &full = rig.addEndpoint("i-1");
+    full.handler = rejecting(503);
+    auto &free = rig.addEndpoint("i-2");
+    free.handler = answering("ok");
+    for (auto i = 0; i < 5; ++i)
+        CHECK(rig.call(Rig::request("/once/x", "r" + std::to_string(i))).status == 200);
+}
+
+TEST_CASE("A request that may have run and must not run twice is given up")
+{
+    auto rig = Rig {};
+    auto &broken = rig.addEndpoint("i-1");
+    broken.handler = breaking();
+    auto &other = rig.addEndpoint("i-2");
+    other.handler = breaking();
+    const auto got = rig.call(Rig::request("/once/x", "r1"));
+    CHECK(got.status == 502);
+    CHECK(broken.seen.size() + other.seen.size() == 1);
+}
+
+TEST_CASE("One that may run again is sent again, within its attempts")
+{
+    auto rig = Rig {};
+    auto &broken = rig.addEndpoint("i-1");
+    broken.handler = breaking();
+    auto &other = rig.addEndpoint("i-2");
+    other.handler = breaking();
+    auto &third = rig.addEndpoint("i-3");
+    third.handler = breaking();
+    CHECK(rig.call(Rig::request("/idem/x", "r1")).status == 502);
+    CHECK(broken.seen.size() + other.seen.size() + third.seen.size() == 2);
+}
+
+TEST_CASE("Without an endpoint the refusal comes at once and says when to come back")
+{
+    auto rig = Rig {};
+    const auto got = rig.call(Rig::request("/once/x", "r1"));
+    CHECK(got.status == 503);
+    CHECK(http::findHeader(got.headers, "X-Come-Back") == "1");
+}
+
+TEST_CASE("A stream that breaks goes on elsewhere only where its route allows it")
+{
+    auto rig = Rig {};
+    auto &endpoint = rig.addEndpoint("i-1");
+    endpoint.handler = streaming(1, 3, false);
+    SUBCASE("not resumable: cut, and only whole events were given")
+    {
+        const auto got = rig.call(Rig::request("/stream/x", "r1"));
+        CHECK(got.status == 200);
+        CHECK_FALSE(got.whole);
+        CHECK(got.body.find("e3") != std::string::npos);
+        CHECK(got.body.find("99") == std::string::npos);
+    }
+    SUBCASE("resumable: each event once, then the true end")
+    {
+        auto &other = rig.addEndpoint("i-2");
+        other.handler = [](const http::Request &request,
+                           http::Responder &responder) -> boost::asio::awaitable<void> {
+            const auto resumed = request.header("X-After") == "3";
+            const auto stream = streaming(resumed ? 3 : 1, resumed ? 5 : 3, resumed);
+            co_await stream(request, responder);
+        };
+        endpoint.handler = other.handler;
+        const auto got = rig.call(Rig::request("/resume/x", "r1"));
+        CHECK(got.whole);
+        auto expected = std::string {};
+        for (auto i = 1; i <= 5; ++i)
+            expected += "id: " + std::to_string(i) + "\ndata: e" + std::to_string(i) + "\n\n";
+        CHECK(got.body == expected);
+    }
+}
+
+TEST_CASE("An answer that names another request is dropped")
+{
+    auto rig = Rig {};
+    auto &endpoint = rig.addEndpoint("i-1");
+    endpoint.handler = [](const http::Request &request,
+                          http::Responder &responder) -> boost::asio::awaitable<void> {
+        auto changed = request;
+        changed.headers = { { "X-Id", "r0" } };
+        const auto answer = answering("late");
+        co_await answer(changed, responder);
+    };
+    // The only answer is another request's: the request's own never comes.
+    auto request = Rig::request("/once/x", "r1");
+    request.headers.push_back({ "X-Deadline", "200" });
+    CHECK(rig.call(std::move(request)).status == 502);
+}
+
+TEST_CASE("When the caller goes, the endpoint's connection is closed")
+{
+    auto rig = Rig {};
+    auto &endpoint = rig.addEndpoint("i-1");
+    auto gone = false;
+    endpoint.handler = [&](const http::Request &,
+                           http::Responder &responder) -> boost::asio::awaitable<void> {
+        responder.onPeerGone([&gone] { gone = true; });
+        auto timer = boost::asio::steady_timer { rig.context, 10s };
+        while (!gone) {
+            timer.expires_after(5ms);
+            co_await timer.async_wait(boost::asio::use_awaitable);
+        }
+    };
+    auto request = Rig::request("/once/x", "r1");
+    request.canceller = std::make_shared<http::Canceller>();
+    const auto canceller = request.canceller;
+    const auto got = rig.begin(std::move(request));
+    REQUIRE(rig.runUntil([&] { return endpoint.seen.size() == 1; }));
+    canceller->cancel();
+    CHECK(rig.runUntil([&] { return gone; }));
+}
+
+TEST_CASE("A request waits for its model, and is refused at once when it cannot come in time")
+{
+    auto rig = Rig {};
+    rig.forwarder.setCatalogue(testCatalogue(true));
+    auto &endpoint = rig.addEndpoint("i-1", { "other" });
+    endpoint.handler = answering("ok");
+    auto request = Rig::request("/once/x", "r1");
+    request.headers.push_back({ "X-Model", "m0" });
+    SUBCASE("too little time for a load")
+    {
+        request.headers.push_back({ "X-Deadline", "2000" });
+        const auto begun = rig.clock.now();
+        CHECK(rig.call(std::move(request)).status == 503);
+        CHECK(rig.clock.now() - begun < 1500ms); // Far from the deadline, which would hold it.
+    }
+    SUBCASE("the model comes")
+    {
+        const auto got = rig.begin(std::move(request));
+        REQUIRE(rig.runUntil([&] { return rig.waiters.size() == 1; }));
+        CHECK(rig.demand.take().rows.at(0).waiting == 1);
+        rig.tell("i-1", endpoint.port, 2, EndpointState::Ready, { "m0" });
+        REQUIRE(rig.runUntil([&] { return got->has_value(); }));
+        CHECK((*got)->status == 200);
+    }
+    SUBCASE("the process ends before the model can come")
+    {
+        const auto got = rig.begin(std::move(request));
+        REQUIRE(rig.runUntil([&] { return rig.waiters.size() == 1; }));
+        rig.forwarder.setPlaceBy(rig.clock.now() + 1s);
+        REQUIRE(rig.runUntil([&] { return got->has_value(); }));
+        CHECK((*got)->status == 503);
+        CHECK(http::findHeader((*got)->headers, "X-Come-Back") == "1");
+    }
+}
+
+TEST_CASE("A leaving endpoint gets no new work")
+{
+    auto rig = Rig {};
+    auto &leaving = rig.addEndpoint("i-1");
+    leaving.handler = answering("old");
+    auto &staying = rig.addEndpoint("i-2");
+    staying.handler = answering("new");
+    rig.tell("i-1", leaving.port, 2, EndpointState::Draining);
+    rig.tell("i-1", leaving.port, 1, EndpointState::Ready); // Late news changes nothing.
+    for (auto i = 0; i < 10; ++i)
+        CHECK(rig.call(Rig::request("/once/x", "r" + std::to_string(i))).body == "new");
+    CHECK(leaving.seen.empty());
+}
--- /dev/null
+++ b/gateway/testing/tst_parts.cpp
@@ -0,0 +1,161 @@
+// The gateway's decisions on plain tables, in virtual time.
+
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "gateway/chooser.h"
+#include "gateway/demand.h"
+#include "gateway/retrywindow.h"
+
+using namespace figrack;
+using namespace figrack::gateway;
+using namespace std::chrono_literals;
+using catalogue::EndpointState;
+
+namespace {
+
+auto makeRow(const std::string &id, std::uint64_t sequence, EndpointState state)
+        -> catalogue::EndpointRow
+{
+    auto row = catalogue::EndpointRow {};
+    row.id = EndpointId { id };
+    row.service = ServiceId { "s" };
+    row.sequence = sequence;
+    row.state = state;
+    row.models = { { ModelId { "m" }, { "a1" } } };
+    return row;
+}
+
+auto updateOf(std::vector<catalogue::EndpointRow> rows) -> proto::ServingUpdate
+{
+    auto update = proto::ServingUpdate {};
+    update.endpoints = std::move(rows);
+    return update;
+}
+
+auto always(const EndpointEntry & /*entry*/) -> bool
+{
+    return true;
+}
+
+} // namespace
+
+TEST_CASE("News of an endpoint is taken only when it is newer, and gone stays gone")
+{
+    auto clock = ManualClock {};
+    auto view = FleetView { {}, clock };
+    CHECK(view.apply(updateOf({ makeRow("i-1", 5, EndpointState::Ready) })));
+    CHECK_FALSE(view.apply(updateOf({ makeRow("i-1", 4, EndpointState::Draining) })));
+    CHECK(view.of(ServiceId { "s" }).size() == 1);
+    auto ordered = makeRow("i-1", 5, EndpointState::Ready);
+    ordered.orderVersion = 1;
+    ordered.models.clear();
+    CHECK(view.apply(updateOf({ ordered })));
+    CHECK(view.apply(updateOf({ makeRow("i-1", 1, EndpointState::Gone) })));
+    CHECK_FALSE(view.apply(updateOf({ makeRow("i-1", 9, EndpointState::Ready) })));
+    CHECK(view.of(ServiceId { "s" }).empty());
+}
+
+TEST_CASE("An endpoint that fails or falls silent is chosen last")
+{
+    auto clock = ManualClock {};
+    auto view = FleetView { {}, clock };
+    view.apply(updateOf({ makeRow("i-1", 1, EndpointState::Ready) }));
+    const auto &entry = *view.find(EndpointId { "i-1" });
+    CHECK(view.isHealthy(entry));
+    view.onFailure(EndpointId { "i-1" });
+    CHECK_FALSE(view.isHealthy(entry));
+    clock.advance(400ms);
+    CHECK(view.isHealthy(entry));
+    view.onFailure(EndpointId { "i-1" });
+    clock.advance(400ms);
+    CHECK_FALSE(view.isHealthy(entry));
+    view.onSuccess(EndpointId { "i-1" });
+    CHECK(view.isHealthy(entry));
+    clock.advance(5s);
+    CHECK_FALSE(view.isHealthy(entry));
+    auto beat = proto::ServingUpdate {};
+    beat.beats = { { EndpointId { "i-1" }, 2 } };
+    view.apply(beat);
+    CHECK(view.isHealthy(entry));
+}
+
+TEST_CASE("Requests that share a prompt go to one endpoint while it keeps up")
+{
+    auto clock = ManualClock {};
+    auto view = FleetView { {}, clock };
+    view.apply(updateOf({ makeRow("i-1", 1, EndpointState::Ready),
+                          makeRow("i-2", 1, EndpointState::Ready),
+                          makeRow("i-3", 1, EndpointState::Ready) }));
+    auto random = Random { 1 };
+    auto wish = Wish { ModelId { "m" }, {}, 77, {} };
+    auto *first = choose(view.of(ServiceId { "s" }), wish, always, random).entry;
+    REQUIRE(first != nullptr);
+    for (auto i = 0; i < 20; ++i)
+        CHECK(choose(view.of(ServiceId { "s" }), wish, always, random).entry == first);
+    first->running = 50;
+    CHECK(choose(view.of(ServiceId { "s" }), wish, always, random).entry != first);
+}
+
+TEST_CASE("What is lacking is told apart")
+{
+    auto clock = ManualClock {};
+    auto view = FleetView { {}, clock };
+    auto random = Random { 1 };
+    const auto lackOf = [&](const Wish &wish) {
+        return choose(view.of(ServiceId { "s" }), wish, always, random).lack;
+    };
+    CHECK(lackOf({ ModelId { "m" }, {}, 0, {} }) == Lack::Endpoint);
+    view.apply(updateOf({ makeRow("i-1", 1, EndpointState::Ready) }));
+    CHECK(lackOf({ ModelId { "m" }, {}, 0, {} }) == Lack::Nothing);
+    CHECK(lackOf({ ModelId { "m" }, "a1", 0, {} }) == Lack::Nothing);
+    CHECK(lackOf({ ModelId { "m" }, "a2", 0, {} }) == Lack::Adapter);
+    CHECK(lackOf({ ModelId { "n" }, {}, 0, {} }) == Lack::Model);
+    CHECK(lackOf({ {}, {}, 0, { EndpointId { "i-1" } } }) == Lack::Endpoint);
+}
+
+TEST_CASE("Repeats stay within a gateway's part of what all may send")
+{
+    auto clock = ManualClock {};
+    auto options = RetryWindowOptions {};
+    options.ratio = 0.2;
+    options.slack = 50;
+    options.margin = 1;
+    auto window = RetryWindow { options, clock };
+    window.setGateways(5);
+    const auto service = ServiceId { "s" };
+    const auto takeAll = [&] {
+        auto count = 0;
+        while (window.take(service))
+            ++count;
+        return count;
+    };
+    CHECK(takeAll() == 10);
+    for (auto i = 0; i < 100; ++i)
+        window.onRequest(service);
+    CHECK(takeAll() == 20);
+    clock.advance(11s);
+    CHECK(takeAll() == 10);
+}
+
+TEST_CASE("A report of demand counts arrivals once and keeps what waits")
+{
+    auto clock = ManualClock {};
+    auto demand = Demand { clock };
+    auto urgent = 0;
+    demand.setOnUrgent([&urgent] { ++urgent; });
+    const auto target = DemandTarget { ServiceId { "s" }, ModelId { "m" }, "a1" };
+    demand.onArrival(target);
+    demand.onLack(target);
+    CHECK(urgent == 1);
+    const auto first = demand.take();
+    REQUIRE(first.rows.size() == 1);
+    CHECK(first.rows[0].arrived == 1);
+    CHECK(first.rows[0].waiting == 1);
+    const auto second = demand.take();
+    REQUIRE(second.rows.size() == 1);
+    CHECK(second.rows[0].arrived == 0);
+    demand.onLackEnd(target);
+    CHECK(demand.take().rows[0].waiting == 0);
+    CHECK(demand.take().rows.empty());
+}
