--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -436,7 +436,7 @@
                 continue;
             const auto *held = orders_.held(row->id);
             input.hosts.push_back({ row->id, held != nullptr ? *held : row->models, row->inMemory,
-                                    row->onDisk, !orders_.isBusy(row->id) });
+                                    row->onDisk, orders_.busySeconds(row->id) });
         }
         auto asked = demand_.of(service.id);
         input.models = std::move(asked.models);
--- a/fleet/orders.cpp
+++ b/fleet/orders.cpp
@@ -22,6 +22,11 @@
 /// about: announcements of a completed order take some hundred milliseconds at most.
 constexpr auto announceDelay = std::chrono::milliseconds { 600 };
 
+/// What an unload before a load usually takes, with its announcement.
+constexpr auto swapTime = std::chrono::milliseconds { 300 };
+/// A plan that has overrun its time may end at any moment.
+constexpr auto minBusySeconds = 0.2;
+
 using HeldModels = std::vector<catalogue::HeldModel>;
 
 auto showsEffect(const EndpointRow &row, const PlanStep &step) -> bool
@@ -103,6 +108,7 @@
         if (job.active)
             return;
         job.active = true;
+        job.startedAt = clock_.now();
         job.plan = plan;
         const auto &last = plan.steps.back();
         if (const auto *spec = engine->find(last.model))
@@ -113,12 +119,16 @@
         asio::co_spawn(context_, run(shared_from_this(), plan), asio::detached);
     }
 
-    auto isBusy(const EndpointId &endpoint) const -> bool
+    auto busySeconds(const EndpointId &endpoint) const -> double
     {
         const auto found = jobs_.find(endpoint);
         if (found == jobs_.end())
-            return false;
-        return found->second.active || clock_.now() < found->second.pausedUntil;
+            return 0;
+        const auto &job = found->second;
+        const auto until = job.active ? job.startedAt + job.loadTime + swapTime : job.pausedUntil;
+        const auto left = std::chrono::duration<double> { until - clock_.now() }.count();
+        const auto least = job.active ? minBusySeconds : 0.0;
+        return std::max(left, least) * (1 + job.failures);
     }
 
     auto held(const EndpointId &endpoint) const -> const HeldModels *
@@ -172,6 +182,8 @@
     struct Job
     {
         bool active = false;
+        std::uint32_t failures = 0; ///< Plans in a row.
+        Instant startedAt {};
         Plan plan;
         std::shared_ptr<const catalogue::EngineSpec> engine;
         Duration loadTime {};
@@ -203,6 +215,7 @@
         }
         auto &job = self->jobs_[plan.endpoint];
         job.active = false;
+        job.failures = done ? 0 : job.failures + 1;
         if (!done)
             job.pausedUntil = self->clock_.now() + self->options_.pauseAfterFailure;
         const auto &last = plan.steps.back();
@@ -409,9 +422,9 @@
     return impl_->held(endpoint);
 }
 
-auto OrderRunner::isBusy(const EndpointId &endpoint) const -> bool
+auto OrderRunner::busySeconds(const EndpointId &endpoint) const -> double
 {
-    return impl_->isBusy(endpoint);
+    return impl_->busySeconds(endpoint);
 }
 
 auto OrderRunner::loading() const -> std::set<ModelId>
--- a/fleet/orders.h
+++ b/fleet/orders.h
@@ -2,7 +2,7 @@
 //
 //   auto runner = OrderRunner { context, options, clock, registry, port, mayOrder };
 //   runner.start(plan, engine);
-//   runner.isBusy(endpoint);
+//   runner.busySeconds(endpoint);
 //
 // An endpoint carries out one order at a time and counts those it accepts. Each
 // order names the count it expects, so that one that was not answered and is
@@ -115,8 +115,9 @@
     auto start(const Plan &plan, std::shared_ptr<const catalogue::EngineSpec> engine) -> void;
     /// @return what the endpoint holds by the runner's account, or nullptr when it has none
     auto held(const EndpointId &endpoint) const -> const std::vector<catalogue::HeldModel> *;
-    /// @return true while an order is under way there, in doubt, or paused after a failure
-    auto isBusy(const EndpointId &endpoint) const -> bool;
+    /// @return seconds until an order may be given there, as expected; 0 when at once. Longer with
+    /// each plan in a row that failed there
+    auto busySeconds(const EndpointId &endpoint) const -> double;
     /// @return models and adapters whose loads are under way
     auto loading() const -> std::set<ModelId>;
     auto loadingAdapters() const -> std::set<AdapterKey>;
--- a/fleet/placement.cpp
+++ b/fleet/placement.cpp
@@ -16,9 +16,14 @@
 namespace figrack::fleet {
 namespace {
 
-/// Requests in progress per endpoint beyond which a model gets another replica. Batches of this
-/// size lengthen a step by a few per cent only; queues form at several times it.
-constexpr auto crowded = 14.0;
+/// Requests in progress per endpoint beyond which a model gets another replica. Prompts that are
+/// read between them lengthen the pauses of all streams: at 14, 28 in 100 long streams paused too
+/// long on a calm day, at 3 to 6, 9 to 15 (played days of two deployments).
+constexpr auto crowded = 4.0;
+/// What another replica is worth to each request in progress at a crowded one, in seconds.
+constexpr auto reliefSeconds = 0.25;
+/// A model that is asked for by chance is expected about so often, per second.
+constexpr auto rareRate = 0.05;
 /// Requests that wait for an unload last about so long.
 constexpr auto runSeconds = 1.0;
 /// What losing the only replica of a model costs at one request a second: a load from disk and
@@ -123,15 +128,19 @@
     auto placeModel(const ModelId &model) -> void
     {
         const auto &spec = *input_.engine.find(model);
+        const auto isExtra = holders_[model] > 0;
         auto best = Candidate {};
         for (auto &host : hosts_) {
-            if (!host.takesOrders || holds(host, model))
+            if (holds(host, model))
                 continue;
-            auto candidate = weigh(host, spec);
+            auto candidate = weigh(host, spec, isExtra);
             if (candidate.cost < best.cost)
                 best = std::move(candidate);
         }
-        if (best.host == nullptr)
+        // An endpoint that is busy and still the best is waited for.
+        if (best.host == nullptr || !best.host->takesOrders())
+            return;
+        if (isExtra && best.cost > reliefSeconds * asked(model).running / holders_[model])
             return;
         if (best.source == LoadSource::Store)
             --storeLoads_;
@@ -142,22 +151,27 @@
         }
         plan.steps.push_back({ StepKind::Load, model, {} });
         ++holders_[model];
-        best.host->takesOrders = false;
+        best.host->busySeconds = 1;
         plans_.push_back(std::move(plan));
     }
 
-    auto weigh(Host &host, const catalogue::ModelSpec &spec) const -> Candidate
+    /// @param isExtra another replica of a model that some hold: nobody waits for this load
+    auto weigh(Host &host, const catalogue::ModelSpec &spec, bool isExtra) const -> Candidate
     {
-        auto candidate = Candidate { &host, 0, {}, LoadSource::Store };
+        auto candidate = Candidate { &host, host.busySeconds, {}, LoadSource::Store };
         if (contains(host.inMemory, spec.id)) {
             candidate.source = LoadSource::Memory;
-            candidate.cost = seconds(spec.loadFromMemory);
+            candidate.cost += seconds(spec.loadFromMemory);
         } else if (contains(host.onDisk, spec.id)) {
             candidate.source = LoadSource::Disk;
-            candidate.cost = seconds(spec.loadFromDisk);
+            candidate.cost += seconds(spec.loadFromDisk);
+        } else if (storeLoads_ == 0) {
+            candidate.cost = never;
         } else {
-            candidate.cost = storeLoads_ == 0 ? never : seconds(spec.loadFromStore) + storePenalty;
+            candidate.cost += (isExtra ? 0 : seconds(spec.loadFromStore)) + storePenalty;
         }
+        if (isExtra)
+            candidate.cost += blockedCost(host, spec);
         auto room = input_.engine.weightsMb - usedMb(host);
         auto victims = evictable(host);
         while (room < spec.weightsMb) {
@@ -174,6 +188,49 @@
         return candidate;
     }
 
+    auto isHot(const ModelId &model) const -> bool
+    {
+        const auto found = holders_.find(model);
+        const auto count = found == holders_.end() ? 0U : found->second;
+        return count > 0 && asked(model).running > count;
+    }
+
+    /// @return room for weights that what is much asked for leaves free
+    auto swapRoomMb(const Host &host) const -> double
+    {
+        auto room = input_.engine.weightsMb;
+        for (const auto &held : host.models)
+            room -= isHot(held.model) ? heldMb(held) : 0;
+        return room;
+    }
+
+    /// What a lasting replica of a model on the host costs those that have copies of their weights
+    /// nowhere else and would not fit beside it.
+    auto blockedCost(const Host &host, const catalogue::ModelSpec &spec) const -> double
+    {
+        const auto roomAfter = swapRoomMb(host) - spec.weightsMb;
+        auto cost = 0.0;
+        for (const auto &model : input_.engine.models) {
+            if (model.id == spec.id || model.weightsMb <= roomAfter || isHot(model.id)
+                || !hasCopy(host, model.id))
+                continue;
+            const auto isElsewhere
+                    = std::any_of(hosts_.begin(), hosts_.end(), [&](const Host &other) {
+                          return &other != &host && hasCopy(other, model.id)
+                                  && swapRoomMb(other) >= model.weightsMb;
+                      });
+            if (!isElsewhere)
+                cost += std::max(asked(model.id).perSecond, rareRate) * seconds(model.loadFromStore);
+        }
+        return cost;
+    }
+
+    static auto hasCopy(const Host &host, const ModelId &model) -> bool
+    {
+        return contains(host.inMemory, model) || contains(host.onDisk, model)
+                || holds(host, model);
+    }
+
     /// @return what the host holds, with the cost of its loss; the cheapest last
     auto evictable(const Host &host) const
             -> std::vector<std::pair<double, const catalogue::HeldModel *>>
@@ -204,7 +261,7 @@
         Host *best = nullptr;
         auto bestScore = never;
         for (auto &host : hosts_) {
-            if (!host.takesOrders || !holds(host, key.first))
+            if (!host.takesOrders() || !holds(host, key.first))
                 continue;
             const auto count = adapterCount(host);
             const auto isFull = count >= input_.engine.maxAdapters
@@ -233,7 +290,7 @@
             plan.steps.push_back({ StepKind::Unload, victim->first, victim->second });
         }
         plan.steps.push_back({ StepKind::Load, key.first, key.second });
-        host.takesOrders = false;
+        host.busySeconds = 1;
         plans_.push_back(std::move(plan));
     }
 
--- a/fleet/placement.h
+++ b/fleet/placement.h
@@ -4,7 +4,10 @@
 //
 // A model that requests wait for goes where it loads fastest: to an endpoint
 // with a copy of its weights in memory or on disk, and there in the place of
-// what is needed least. Pure: the input is a plain account of the fleet.
+// what is needed least. Where that endpoint is busy with another order, the model
+// waits for it when that is sooner than a load elsewhere. A model with many
+// requests in progress gets another replica where that keeps the fewest others
+// from coming back. Pure: the input is a plain account of the fleet.
 //
 // Guarantees: no plan loads more than an endpoint has room for, counting what
 // is unloaded before; an endpoint gets one plan at a time; no more loads from
@@ -33,7 +36,9 @@
     std::vector<catalogue::HeldModel> models;
     std::vector<ModelId> inMemory;
     std::vector<ModelId> onDisk;
-    bool takesOrders = true; ///< Ready, none of its orders under way or in doubt.
+    /// Seconds until it takes an order, as expected; 0 when none is under way or in doubt.
+    double busySeconds = 0;
+    auto takesOrders() const -> bool { return busySeconds <= 0; }
 };
 
 /// How much a model or an adapter is asked for, over all gateways.
--- a/fleet/testing/tst_orders.cpp
+++ b/fleet/testing/tst_orders.cpp
@@ -162,7 +162,7 @@
     rig.run({ load("c") });
     CHECK(rig.engine.seen.empty());
     CHECK_FALSE(rig.engine.overloaded);
-    CHECK(rig.runner->isBusy(rig.id)); // Paused, so that the next plan comes with news.
+    CHECK(rig.runner->busySeconds(rig.id) > 0); // Paused, so that the next plan comes with news.
     REQUIRE(rig.runner->held(rig.id) != nullptr);
     CHECK(rig.runner->held(rig.id)->size() == 2);
 }
--- a/fleet/testing/tst_placement.cpp
+++ b/fleet/testing/tst_placement.cpp
@@ -120,6 +120,34 @@
     CHECK(plan(input).empty());
 }
 
+TEST_CASE("A busy endpoint with a copy is waited for when the store takes longer")
+{
+    const auto engine = makeEngine();
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, 3 };
+    input.hosts = { makeHost("e1", { "m0" }), makeHost("e2", {}) };
+    input.hosts[0].onDisk = { ModelId { "m1" } };
+    input.models[ModelId { "m1" }].waiting = 1;
+    input.hosts[0].busySeconds = 1;
+    CHECK(plan(input).empty());
+    input.hosts[0].busySeconds = 20; // As after several failures there.
+    REQUIRE(plan(input).size() == 1);
+    CHECK(plan(input)[0].endpoint == EndpointId { "e2" });
+}
+
+TEST_CASE("Another replica goes where it keeps no model from its only copy")
+{
+    auto engine = makeEngine();
+    engine.weightsMb = 58;
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, 3 };
+    input.hosts = { makeHost("e1", { "m0" }), makeHost("e2", { "m1" }), makeHost("e3", { "m5" }) };
+    input.hosts[1].onDisk = { ModelId { "m1" }, ModelId { "m2" }, ModelId { "m3" } };
+    input.hosts[2].onDisk = { ModelId { "m5" } };
+    input.models[ModelId { "m0" }].running = 8;
+    const auto plans = plan(input);
+    REQUIRE(plans.size() == 1);
+    CHECK(plans[0].endpoint == EndpointId { "e3" });
+}
+
 TEST_CASE("Random fleets: plans fit, one a host, none for a host that takes no orders")
 {
     const auto engine = makeEngine();
@@ -139,7 +167,7 @@
                 if (random.chance(0.3))
                     host.onDisk.push_back(model.id);
             }
-            host.takesOrders = random.chance(0.8);
+            host.busySeconds = random.chance(0.8) ? 0 : 1;
             input.hosts.push_back(host);
         }
         for (const auto &model : engine.models) {
@@ -154,7 +182,7 @@
         for (const auto &one : plans) {
             CHECK(seen.insert(one.endpoint).second);
             const auto takes = [&](const Host &host) {
-                return host.id == one.endpoint && host.takesOrders;
+                return host.id == one.endpoint && host.takesOrders();
             };
             CHECK(std::any_of(input.hosts.begin(), input.hosts.end(), takes));
         }
