--- a/catalogue/endpointrow.cpp
+++ b/catalogue/endpointrow.cpp
@@ -30,4 +30,15 @@
             && onDisk == other.onDisk;
 }
 
+auto isNewer(const EndpointRow &row, const EndpointRow &than) -> bool
+{
+    if (than.state == EndpointState::Gone)
+        return false;
+    if (row.state == EndpointState::Gone)
+        return true;
+    if (row.sequence != than.sequence)
+        return row.sequence > than.sequence;
+    return row.orderVersion > than.orderVersion;
+}
+
 } // namespace figrack::catalogue
--- a/catalogue/endpointrow.h
+++ b/catalogue/endpointrow.h
@@ -61,6 +61,10 @@
     }
 };
 
+/// @return true when a row tells news of the endpoint that another row is of: a later announcement
+/// or, of the same one, what orders have changed since; and nothing after it is gone
+auto isNewer(const EndpointRow &row, const EndpointRow &than) -> bool;
+
 /// The newest announcement that was heard of an endpoint, without what it says.
 struct EndpointBeat
 {
--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -431,9 +431,13 @@
     {
         const auto &engine = *service.engine;
         auto input = PlacementInput { engine, {}, {}, {}, {}, {}, 0 };
+        const auto unreachable = demand_.unreachable();
         for (const auto *row : registry_.rows()) {
             if (row->service != service.id || row->state != catalogue::EndpointState::Ready)
                 continue;
+            // What it holds serves nobody; should it come back, its replicas count again.
+            if (unreachable.contains(row->id))
+                continue;
             const auto *held = orders_.held(row->id);
             input.hosts.push_back({ row->id, held != nullptr ? *held : row->models, row->inMemory,
                                     row->onDisk, orders_.busySeconds(row->id) });
--- a/fleet/demandtable.cpp
+++ b/fleet/demandtable.cpp
@@ -28,7 +28,7 @@
         rate.perSecond = decayed(rate) + row.arrived / windowSeconds;
         rate.at = now;
     }
-    latest_[gateway] = report.rows;
+    latest_[gateway] = report;
     std::erase_if(rates_, [&](const auto &item) { return decayed(item.second) < negligible; });
     return waits;
 }
@@ -49,8 +49,8 @@
         if (!target.adapter.empty())
             result.adapters[{ target.model, target.adapter }].perSecond += perSecond;
     }
-    for (const auto &[gateway, rows] : latest_) {
-        for (const auto &row : rows) {
+    for (const auto &[gateway, report] : latest_) {
+        for (const auto &row : report.rows) {
             if (row.service != service)
                 continue;
             result.models[row.model].running += row.running;
@@ -65,6 +65,14 @@
     return result;
 }
 
+auto DemandTable::unreachable() const -> std::set<EndpointId>
+{
+    auto result = std::set<EndpointId> {};
+    for (const auto &[gateway, report] : latest_)
+        result.insert(report.unreachable.begin(), report.unreachable.end());
+    return result;
+}
+
 auto DemandTable::clear() -> void
 {
     rates_.clear();
--- a/fleet/demandtable.h
+++ b/fleet/demandtable.h
@@ -11,6 +11,7 @@
 #define FIGRACK_FLEET_DEMANDTABLE_H
 
 #include <map>
+#include <set>
 #include <vector>
 
 #include "core/clock.h"
@@ -34,6 +35,8 @@
     auto onReport(const NodeId &gateway, const proto::ModelWanted &report) -> bool;
     auto onGatewayLost(const NodeId &gateway) -> void;
     auto of(const ServiceId &service) const -> ServiceDemand;
+    /// @return endpoints that some gateway could not reach, by its latest report
+    auto unreachable() const -> std::set<EndpointId>;
     auto clear() -> void;
 
 private:
@@ -54,7 +57,7 @@
     Duration window_;
     const Clock &clock_;
     std::map<Target, Rate> rates_;
-    std::map<NodeId, std::vector<proto::WantedRow>> latest_;
+    std::map<NodeId, proto::ModelWanted> latest_;
 };
 
 } // namespace figrack::fleet
--- a/fleet/registry.cpp
+++ b/fleet/registry.cpp
@@ -33,8 +33,15 @@
         return;
     auto update = baseUpdate();
     update.controls = group_.controls;
+    // Of two that were known at one address, the one told last counts: the one heard last.
+    auto sorted = std::vector<const Known *> {};
     for (const auto &[id, known] : known_)
-        update.endpoints.push_back(known.row);
+        sorted.push_back(&known);
+    std::sort(sorted.begin(), sorted.end(), [](const Known *one, const Known *other) {
+        return one->heardAt < other->heardAt;
+    });
+    for (const auto *known : sorted)
+        update.endpoints.push_back(known->row);
     send(subscriber, std::move(update));
 }
 
@@ -186,11 +193,7 @@
     if (isNew) {
         known.heardAt = clock_.now();
     } else {
-        if (known.row.state == EndpointState::Gone)
-            return false;
-        const auto newer = std::pair { row.sequence, row.orderVersion }
-        > std::pair { known.row.sequence, known.row.orderVersion };
-        if (!newer && row.state != EndpointState::Gone)
+        if (!catalogue::isNewer(row, known.row))
             return false;
     }
     const auto changed = isNew || !row.sameAs(known.row);
--- a/gateway/chooser.cpp
+++ b/gateway/chooser.cpp
@@ -17,16 +17,27 @@
 /// a batch step's worth of prefill at the usual prompt size; a wider gap was not measured better.
 constexpr auto affinitySlack = std::uint32_t { 3 };
 
+auto isMissing(const EndpointEntry &entry, const Wish &wish, const std::string &adapter) -> bool
+{
+    const auto found = entry.missingUntil.find({ wish.model, adapter });
+    return found != entry.missingUntil.end() && wish.now < found->second;
+}
+
+/// @param lack told Adapter when only that is missing
 auto holds(const EndpointEntry &entry, const Wish &wish, Lack &lack) -> bool
 {
     if (wish.model.empty())
         return true;
     const auto *held = entry.row.find(wish.model);
-    if (held == nullptr)
+    if (held == nullptr || isMissing(entry, wish, {}))
         return false;
-    if (lack == Lack::Model)
+    if (wish.adapter.empty())
+        return true;
+    if (held->hasAdapter(wish.adapter) && !isMissing(entry, wish, wish.adapter))
+        return true;
+    if (!wish.avoided.contains(entry.row.id))
         lack = Lack::Adapter;
-    return wish.adapter.empty() || held->hasAdapter(wish.adapter);
+    return false;
 }
 
 auto leastLoaded(const std::vector<EndpointEntry *> &entries, Random &random) -> EndpointEntry *
--- a/gateway/chooser.h
+++ b/gateway/chooser.h
@@ -28,13 +28,14 @@
     std::string adapter;          ///< Empty: the model itself.
     std::uint64_t affinity = 0;   ///< Equal for requests that share a prompt; 0: none.
     std::set<EndpointId> avoided; ///< Those that failed this very request.
+    Instant now {};
 };
 
 /// Why no endpoint can be had.
 enum class Lack : std::uint8_t {
     Nothing,  ///< One was found.
     Endpoint, ///< No endpoint of the service takes work.
-    Model,    ///< None of them holds the model.
+    Model,    ///< None of them holds the model, but for those that failed this request.
     Adapter,  ///< None of them holds the adapter, though some hold the model.
 };
 
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -72,6 +72,11 @@
     std::function<http::Headers(const CallerRequest &, const DispatchTerms &)> writeDispatch;
     /// @return true when the endpoint states that it did not run the request
     std::function<bool(std::uint32_t status, const http::Headers &)> saysNotRun;
+    /// @return true when another endpoint than the one meant has answered
+    std::function<bool(const EndpointId &meant, std::uint32_t status, const http::Headers &)>
+            isOfOtherEndpoint;
+    /// @return true when the endpoint states that it lacks the model or adapter
+    std::function<bool(std::uint32_t status)> saysMissing;
     std::function<http::Response(const Refusal &)> writeRefusal;
     std::string answerIdHeader; ///< Names the request that an answer belongs to.
     /// @return the catalogue that a document holds, or BadRequest
--- a/gateway/fleetview.cpp
+++ b/gateway/fleetview.cpp
@@ -6,20 +6,6 @@
 #include "core/log.h"
 
 namespace figrack::gateway {
-namespace {
-
-auto isNewer(const catalogue::EndpointRow &row, const catalogue::EndpointRow &than) -> bool
-{
-    if (than.state == catalogue::EndpointState::Gone)
-        return false;
-    if (row.state == catalogue::EndpointState::Gone)
-        return true;
-    return std::pair { row.sequence, row.orderVersion }
-    > std::pair { than.sequence, than.orderVersion };
-}
-
-} // namespace
-
 FleetView::FleetView(FleetViewOptions options, const Clock &clock)
     : options_(options)
     , clock_(clock)
@@ -33,8 +19,15 @@
     const auto now = clock_.now();
     for (const auto &beat : update.beats) {
         auto *entry = find(beat.id);
-        if (entry != nullptr && beat.sequence >= entry->row.sequence)
-            entry->heardAt = now;
+        if (entry == nullptr || beat.sequence < entry->row.sequence)
+            continue;
+        entry->heardAt = now;
+        entry->isUnreached = false;
+        if (entry->isReplaced) {
+            replaceOthersAt(entry->row);
+            entry->isReplaced = false;
+            changed = true;
+        }
     }
     if (now >= nextForget_) {
         nextForget_ = now + options_.forgetGoneAfter / 4;
@@ -47,9 +40,13 @@
 {
     auto [item, isNew] = entries_.try_emplace(row.id);
     auto &entry = item->second;
-    if (!isNew && !isNewer(row, entry.row))
+    if (!isNew && !catalogue::isNewer(row, entry.row))
         return false;
-    const auto changed = isNew || !row.sameAs(entry.row);
+    const auto changed = isNew || entry.isReplaced || !row.sameAs(entry.row);
+    if (isNew || entry.isReplaced)
+        replaceOthersAt(row);
+    entry.isReplaced = false;
+    entry.isUnreached = false;
     if (isNew)
         byService_[row.service].push_back(row.id);
     if (changed) {
@@ -63,9 +60,22 @@
     }
     entry.row = row;
     entry.heardAt = clock_.now();
+    const auto now = clock_.now();
+    std::erase_if(entry.missingUntil, [now](const auto &item) { return item.second <= now; });
     return changed;
 }
 
+/// One address has one endpoint: the one of which news has come last.
+auto FleetView::replaceOthersAt(const catalogue::EndpointRow &row) -> void
+{
+    if (row.state == catalogue::EndpointState::Gone)
+        return;
+    for (auto &[id, entry] : entries_) {
+        if (id != row.id && entry.row.address == row.address)
+            entry.isReplaced = true;
+    }
+}
+
 auto FleetView::of(const ServiceId &service) -> std::vector<EndpointEntry *>
 {
     auto result = std::vector<EndpointEntry *> {};
@@ -74,7 +84,7 @@
         return result;
     for (const auto &id : found->second) {
         auto &entry = entries_.at(id);
-        if (entry.row.state == catalogue::EndpointState::Ready)
+        if (entry.row.state == catalogue::EndpointState::Ready && !entry.isReplaced)
             result.push_back(&entry);
     }
     return result;
@@ -96,15 +106,17 @@
 {
     if (auto *entry = find(id)) {
         entry->failures = 0;
+        entry->isUnreached = false;
         entry->avoidUntil = Instant {};
     }
 }
 
-auto FleetView::onFailure(const EndpointId &id) -> void
+auto FleetView::onFailure(const EndpointId &id, bool reached) -> void
 {
     auto *entry = find(id);
     if (entry == nullptr)
         return;
+    entry->isUnreached = !reached;
     auto pause = options_.firstPause;
     for (auto i = 0U; i < entry->failures && pause < options_.longestPause; ++i)
         pause *= 2;
@@ -112,10 +124,39 @@
     entry->avoidUntil = clock_.now() + std::min(pause, options_.longestPause);
 }
 
-auto FleetView::onMisdirected(const EndpointId &id) -> void
+auto FleetView::onRejected(const EndpointId &id) -> void
 {
     if (auto *entry = find(id))
-        entry->avoidUntil = std::max(entry->avoidUntil, clock_.now() + options_.firstPause);
+        entry->avoidUntil = std::max(entry->avoidUntil, clock_.now() + options_.rejectedPause);
+}
+
+auto FleetView::onReplaced(const EndpointId &id) -> void
+{
+    auto *entry = find(id);
+    if (entry == nullptr)
+        return;
+    LogEvent(LogLevel::Info, "endpoint_replaced")
+            .with("endpoint", id)
+            .with("address", entry->row.address.text())
+            .with("sequence", entry->row.sequence);
+    entry->isReplaced = true;
+}
+
+auto FleetView::onMissing(const EndpointId &id, const ModelId &model, const std::string &adapter)
+        -> void
+{
+    if (auto *entry = find(id))
+        entry->missingUntil[{ model, adapter }] = clock_.now() + options_.missingFor;
+}
+
+auto FleetView::unreachable() const -> std::vector<EndpointId>
+{
+    auto result = std::vector<EndpointId> {};
+    for (const auto &[id, entry] : entries_) {
+        if (entry.isReplaced || entry.isUnreached)
+            result.push_back(id);
+    }
+    return result;
 }
 
 auto FleetView::forgetGone() -> void
--- a/gateway/fleetview.h
+++ b/gateway/fleetview.h
@@ -13,6 +13,8 @@
 
 #include <cstdint>
 #include <map>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "catalogue/endpointrow.h"
@@ -29,6 +31,11 @@
     std::uint64_t runningTokens = 0;
     std::uint32_t failures = 0; ///< In a row; each doubles the pause.
     Instant avoidUntil {};      ///< Not chosen before, unless nothing else is left.
+    bool isUnreached = false; ///< The latest connection could not be made, and no news since.
+    /// Another endpoint has its address now. News of it clears this.
+    bool isReplaced = false;
+    /// What it said it does not hold, against its row, and until when that is believed.
+    std::map<std::pair<ModelId, std::string>, Instant> missingUntil;
 };
 
 struct FleetViewOptions
@@ -39,6 +46,9 @@
     Duration forgetGoneAfter = std::chrono::seconds { 60 }; ///< Late news of it may come until then.
     Duration firstPause = std::chrono::milliseconds { 300 }; ///< After a failed connection.
     Duration longestPause = std::chrono::seconds { 4 };
+    Duration rejectedPause = std::chrono::milliseconds { 100 };
+    /// News of what an endpoint holds takes less: an announcement or the end of an order.
+    Duration missingFor = std::chrono::milliseconds { 1500 };
 };
 
 class FleetView
@@ -55,13 +65,21 @@
     auto isHealthy(const EndpointEntry &entry) const -> bool;
     auto onSuccess(const EndpointId &id) -> void;
     /// A connection that failed or broke: the endpoint is chosen last for a pause.
-    auto onFailure(const EndpointId &id) -> void;
-    /// The endpoint says that it is another one, or that it holds not what it was asked for.
-    auto onMisdirected(const EndpointId &id) -> void;
+    /// @param reached whether the connection had been made
+    auto onFailure(const EndpointId &id, bool reached) -> void;
+    /// It did not run a request just now.
+    auto onRejected(const EndpointId &id) -> void;
+    /// Another endpoint answered at its address.
+    auto onReplaced(const EndpointId &id) -> void;
+    /// It said that it does not hold the model or adapter.
+    auto onMissing(const EndpointId &id, const ModelId &model, const std::string &adapter) -> void;
+    /// @return endpoints that could not be reached of late
+    auto unreachable() const -> std::vector<EndpointId>;
     auto size() const -> std::size_t { return entries_.size(); }
 
 private:
     auto applyRow(const catalogue::EndpointRow &row) -> bool;
+    auto replaceOthersAt(const catalogue::EndpointRow &row) -> void;
     auto forgetGone() -> void;
 
     FleetViewOptions options_;
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -210,6 +210,7 @@
             }
             const auto isHealthy
                     = [&](const EndpointEntry &entry) { return parts_.view.isHealthy(entry); };
+            wish_.now = parts_.clock.now();
             const auto choice
                     = choose(parts_.view.of(service_), wish_, isHealthy, parts_.random);
             if (choice.entry != nullptr) {
@@ -225,6 +226,9 @@
             }
             beginWaiting();
             co_await parts_.waiters.wait(*patience);
+            // What rejected the request a while ago may take it now, and is tried last.
+            if (!mayHaveRun_)
+                wish_.avoided.clear();
         }
     }
 
@@ -355,8 +359,9 @@
         auto opened = co_await parts_.client.open(std::move(out), left);
         if (const auto *error = std::get_if<http::ClientError>(&opened)) {
             lastError_ = error->status;
-            noteFailure(id, error->status);
-            if (error->sent == http::Sent::Nothing) {
+            const auto reached = error->sent != http::Sent::Nothing;
+            noteFailure(id, error->status, reached);
+            if (!reached) {
                 ++unsent_;
                 co_return Step::NotRun;
             }
@@ -370,7 +375,7 @@
         if (parts_.dialect.saysNotRun(status_, stream->headers())) {
             lastError_ = makeError(ErrorKind::NoCapacity,
                                    "endpoint=" + id.value() + " status=" + std::to_string(status_));
-            parts_.view.onMisdirected(id);
+            noteRejection(id, stream->headers());
             co_await discard(*stream);
             co_return Step::NotRun;
         }
@@ -380,16 +385,26 @@
         if (step == Step::Settled)
             parts_.view.onSuccess(id);
         else if (!callerGone_ && status_ < 500)
-            noteFailure(id, lastError_);
+            noteFailure(id, lastError_, true);
         co_return step;
     }
 
-    auto noteFailure(const EndpointId &id, const absl::Status &status) -> void
+    auto noteRejection(const EndpointId &id, const http::Headers &headers) -> void
+    {
+        if (parts_.dialect.isOfOtherEndpoint(id, status_, headers))
+            parts_.view.onReplaced(id);
+        else if (parts_.dialect.saysMissing(status_) && !wish_.model.empty())
+            parts_.view.onMissing(id, wish_.model, wish_.adapter);
+        else
+            parts_.view.onRejected(id);
+    }
+
+    auto noteFailure(const EndpointId &id, const absl::Status &status, bool reached) -> void
     {
         // Running out of this request's own time says little about the endpoint.
-        if (callerGone_ || errorKind(status) == ErrorKind::Timeout)
+        if (callerGone_ || (reached && errorKind(status) == ErrorKind::Timeout))
             return;
-        parts_.view.onFailure(id);
+        parts_.view.onFailure(id, reached);
         parts_.metrics.onEndpointFailure();
     }
 
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -160,7 +160,10 @@
     auto reportDemand() -> void
     {
         auto report = demand_.take();
-        if (!report.rows.empty())
+        report.unreachable = view_.unreachable();
+        const auto saysNothing = report.rows.empty() && report.unreachable == toldUnreachable_;
+        toldUnreachable_ = report.unreachable;
+        if (!saysNothing)
             static_cast<void>(feed_->sendWanted(std::move(report)));
     }
 
@@ -223,6 +226,7 @@
     asio::steady_timer urgentTimer_;
     asio::steady_timer stopTimer_;
     Instant stopAskedAt_ {};
+    std::vector<EndpointId> toldUnreachable_; ///< By the last report.
     bool stopping_ = false;
     bool refusing_ = false;
     bool urgentPending_ = false;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -33,6 +33,16 @@
 
 namespace figrack::gateway {
 
+/// Towards endpoints: a connection is made within some milliseconds unless the endpoint is dead or
+/// cut off, and what it does not acknowledge for a second and a half is lost.
+inline auto endpointClient() -> http::ClientOptions
+{
+    auto options = http::ClientOptions {};
+    options.connectTimeout = std::chrono::milliseconds { 500 };
+    options.userTimeout = std::chrono::milliseconds { 5000 };
+    return options;
+}
+
 struct GatewayOptions
 {
     NodeId name;
@@ -44,7 +54,7 @@
     ForwarderOptions forwarder;
     FleetViewOptions view;
     http::ServerOptions server;
-    http::ClientOptions client;
+    http::ClientOptions client = endpointClient();
     Duration stopServing = std::chrono::seconds { 3 }; ///< New requests are served so long.
     Duration stopBy = std::chrono::milliseconds { 7500 };
     /// Demand is told so often. Placement looks at seconds, so a finer report only costs wake-ups.
--- a/gateway/testing/rig.cpp
+++ b/gateway/testing/rig.cpp
@@ -42,6 +42,10 @@
     dialect.saysNotRun = [](std::uint32_t, const http::Headers &headers) {
         return !http::findHeader(headers, "X-Not-Run").empty();
     };
+    dialect.isOfOtherEndpoint = [](const EndpointId &, std::uint32_t, const http::Headers &headers) {
+        return !http::findHeader(headers, "X-Other").empty();
+    };
+    dialect.saysMissing = [](std::uint32_t status) { return status == 421; };
     dialect.writeRefusal = [](const Refusal &refusal) {
         auto response = http::Response {};
         response.status = refusal.notRun ? 503 : 502;
--- a/gateway/testing/tst_parts.cpp
+++ b/gateway/testing/tst_parts.cpp
@@ -23,6 +23,7 @@
     row.sequence = sequence;
     row.state = state;
     row.models = { { ModelId { "m" }, { "a1" } } };
+    row.address = { "127.0.0.1", 1 };
     return row;
 }
 
@@ -63,11 +64,11 @@
     view.apply(updateOf({ makeRow("i-1", 1, EndpointState::Ready) }));
     const auto &entry = *view.find(EndpointId { "i-1" });
     CHECK(view.isHealthy(entry));
-    view.onFailure(EndpointId { "i-1" });
+    view.onFailure(EndpointId { "i-1" }, true);
     CHECK_FALSE(view.isHealthy(entry));
     clock.advance(400ms);
     CHECK(view.isHealthy(entry));
-    view.onFailure(EndpointId { "i-1" });
+    view.onFailure(EndpointId { "i-1" }, true);
     clock.advance(400ms);
     CHECK_FALSE(view.isHealthy(entry));
     view.onSuccess(EndpointId { "i-1" });
@@ -84,11 +85,13 @@
 {
     auto clock = ManualClock {};
     auto view = FleetView { {}, clock };
-    view.apply(updateOf({ makeRow("i-1", 1, EndpointState::Ready),
-                          makeRow("i-2", 1, EndpointState::Ready),
-                          makeRow("i-3", 1, EndpointState::Ready) }));
+    for (const auto *id : { "i-1", "i-2", "i-3" }) {
+        auto row = makeRow(id, 1, EndpointState::Ready);
+        row.address.ip = id;
+        view.apply(updateOf({ row }));
+    }
     auto random = Random { 1 };
-    auto wish = Wish { ModelId { "m" }, {}, 77, {} };
+    auto wish = Wish { ModelId { "m" }, {}, 77, {}, clock.now() };
     auto *first = choose(view.of(ServiceId { "s" }), wish, always, random).entry;
     REQUIRE(first != nullptr);
     for (auto i = 0; i < 20; ++i)
@@ -105,13 +108,47 @@
     const auto lackOf = [&](const Wish &wish) {
         return choose(view.of(ServiceId { "s" }), wish, always, random).lack;
     };
-    CHECK(lackOf({ ModelId { "m" }, {}, 0, {} }) == Lack::Endpoint);
+    CHECK(lackOf({ ModelId { "m" }, {}, 0, {}, clock.now() }) == Lack::Endpoint);
     view.apply(updateOf({ makeRow("i-1", 1, EndpointState::Ready) }));
-    CHECK(lackOf({ ModelId { "m" }, {}, 0, {} }) == Lack::Nothing);
-    CHECK(lackOf({ ModelId { "m" }, "a1", 0, {} }) == Lack::Nothing);
-    CHECK(lackOf({ ModelId { "m" }, "a2", 0, {} }) == Lack::Adapter);
-    CHECK(lackOf({ ModelId { "n" }, {}, 0, {} }) == Lack::Model);
-    CHECK(lackOf({ {}, {}, 0, { EndpointId { "i-1" } } }) == Lack::Endpoint);
+    CHECK(lackOf({ ModelId { "m" }, {}, 0, {}, clock.now() }) == Lack::Nothing);
+    CHECK(lackOf({ ModelId { "m" }, "a1", 0, {}, clock.now() }) == Lack::Nothing);
+    CHECK(lackOf({ ModelId { "m" }, "a2", 0, {}, clock.now() }) == Lack::Adapter);
+    CHECK(lackOf({ ModelId { "n" }, {}, 0, {}, clock.now() }) == Lack::Model);
+    CHECK(lackOf({ {}, {}, 0, { EndpointId { "i-1" } }, clock.now() }) == Lack::Endpoint);
+    // Its only holder failed this request: another load helps, an adapter does not.
+    CHECK(lackOf({ ModelId { "m" }, {}, 0, { EndpointId { "i-1" } }, clock.now() }) == Lack::Model);
+    CHECK(lackOf({ ModelId { "m" }, "a2", 0, { EndpointId { "i-1" } }, clock.now() }) == Lack::Model);
+}
+
+TEST_CASE("An endpoint at whose address another one is known is not used, until news of it comes")
+{
+    auto clock = ManualClock {};
+    auto view = FleetView { {}, clock };
+    view.apply(updateOf({ makeRow("i-1", 5, EndpointState::Ready) }));
+    CHECK(view.apply(updateOf({ makeRow("i-2", 1, EndpointState::Ready) })));
+    REQUIRE(view.of(ServiceId { "s" }).size() == 1);
+    CHECK(view.of(ServiceId { "s" })[0]->row.id == EndpointId { "i-2" });
+    CHECK(view.unreachable() == std::vector { EndpointId { "i-1" } });
+    CHECK(view.apply(updateOf({ makeRow("i-1", 6, EndpointState::Ready) })));
+    REQUIRE(view.of(ServiceId { "s" }).size() == 1);
+    CHECK(view.of(ServiceId { "s" })[0]->row.id == EndpointId { "i-1" });
+}
+
+TEST_CASE("What an endpoint says it lacks is believed for a while, against its row")
+{
+    auto clock = ManualClock {};
+    auto view = FleetView { {}, clock };
+    auto random = Random { 1 };
+    view.apply(updateOf({ makeRow("i-1", 1, EndpointState::Ready) }));
+    view.onMissing(EndpointId { "i-1" }, ModelId { "m" }, "a1");
+    const auto lackOf = [&](const std::string &adapter) {
+        const auto wish = Wish { ModelId { "m" }, adapter, 0, {}, clock.now() };
+        return choose(view.of(ServiceId { "s" }), wish, always, random).lack;
+    };
+    CHECK(lackOf("a1") == Lack::Adapter);
+    CHECK(lackOf("") == Lack::Nothing);
+    clock.advance(2s);
+    CHECK(lackOf("a1") == Lack::Nothing);
 }
 
 TEST_CASE("Repeats stay within a gateway's part of what all may send")
--- a/proto/servingmessages.h
+++ b/proto/servingmessages.h
@@ -105,10 +105,11 @@
 {
     std::uint64_t spanMs = 0; ///< Time that the arrivals cover.
     std::vector<WantedRow> rows;
+    std::vector<EndpointId> unreachable; ///< Endpoints that the gateway could not reach of late.
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(spanMs, rows);
+        archive(spanMs, rows, unreachable);
     }
 };
 
