placement: all the replicas that a crowded model needs at once

Cause: a model whose demand rose by a factor got its second, third, fourth replica one after another, 6 s each from the store, while its few endpoints read prompts between all their streams: a third of the long streams paused for over 500 ms, nearly all on the 5 busiest of 21 endpoints. The request line tells the longest pause between events.

--- a/catalogue/catalogue.cpp
+++ b/catalogue/catalogue.cpp
@@ -75,7 +75,8 @@
     auto names = std::set<ServiceId> {};
     for (const auto &service : catalogue.services) {
         if (service.id.empty() || !names.insert(service.id).second)
-            return makeError(ErrorKind::BadRequest, "service=" + service.id.value()
+            return makeError(ErrorKind::BadRequest,
+                             "service=" + service.id.value()
                                      + " reason=a name is missing or given twice");
     }
     return absl::OkStatus();
--- a/catalogue/catalogue.h
+++ b/catalogue/catalogue.h
@@ -46,11 +46,11 @@
     std::string host;
     std::string pathPrefix; ///< Begins and ends with '/'.
     Repeat repeat = Repeat::Once;
-    bool resumable = false;       ///< A broken stream may go on at another endpoint.
-    Duration finishLimit {};      ///< Longest time a request is kept waiting.
-    Duration startTarget {};      ///< Answers (streams: first events) within it are on time.
-    Duration gapTarget {};        ///< Longest pause between events of a stream that is on time.
-    std::uint32_t rank = 0;       ///< 0 is the most urgent.
+    bool resumable = false;        ///< A broken stream may go on at another endpoint.
+    Duration finishLimit {};       ///< Longest time a request is kept waiting.
+    Duration startTarget {};       ///< Answers (streams: first events) within it are on time.
+    Duration gapTarget {};         ///< Longest pause between events of a stream that is on time.
+    std::uint32_t rank = 0;        ///< 0 is the most urgent.
     std::uint32_t maxAttempts = 1; ///< Endpoints on which one request may run.
     std::vector<WeightedService> split;
     auto mayRepeat() const -> bool
--- a/catalogue/testing/tst_catalogue.cpp
+++ b/catalogue/testing/tst_catalogue.cpp
@@ -66,7 +66,8 @@
 TEST_CASE("Requests are split by weight, and none goes to a service of weight 0")
 {
     auto route = makeRoute("a.example", "/");
-    route.split = { { ServiceId { "shop" }, 3 }, { ServiceId { "none" }, 0 },
+    route.split = { { ServiceId { "shop" }, 3 },
+                    { ServiceId { "none" }, 0 },
                     { ServiceId { "yard" }, 1 } };
     CHECK(pickService(route, 0.0) == ServiceId { "shop" });
     CHECK(pickService(route, 0.74) == ServiceId { "shop" });
--- a/control/peertransport.cpp
+++ b/control/peertransport.cpp
@@ -23,8 +23,7 @@
         if (peer.client)
             peer.client->stop();
         peer.address = *address;
-        peer.client = std::make_unique<proto::PeerClient>(context_, options_, *address,
-                                                          handler_);
+        peer.client = std::make_unique<proto::PeerClient>(context_, options_, *address, handler_);
         peer.client->start();
     }
 }
--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -213,14 +213,14 @@
             if (const auto self = weak.lock())
                 self->onMessage(peer, std::move(envelope));
         };
-        handler.onClose = [weak = weak_from_this()](const proto::PeerPointer &peer,
-                                                    const absl::Status &) {
-            const auto self = weak.lock();
-            if (!self)
-                return;
-            self->registry_.onClose(peer);
-            self->demand_.onGatewayLost(peer->peer());
-        };
+        handler.onClose
+                = [weak = weak_from_this()](const proto::PeerPointer &peer, const absl::Status &) {
+                      const auto self = weak.lock();
+                      if (!self)
+                          return;
+                      self->registry_.onClose(peer);
+                      self->demand_.onGatewayLost(peer->peer());
+                  };
         return handler;
     }
 
@@ -457,7 +457,8 @@
                     .with("source", loadSourceName(next.source))
                     .with("config", catalogue_->version)
                     .with("term", leadTerm_);
-            orders_.start(next, std::shared_ptr<const catalogue::EngineSpec> { catalogue_, &engine });
+            orders_.start(next,
+                          std::shared_ptr<const catalogue::EngineSpec> { catalogue_, &engine });
         }
     }
 
--- a/fleet/demandtable.cpp
+++ b/fleet/demandtable.cpp
@@ -81,7 +81,8 @@
 
 auto DemandTable::decayed(const Rate &rate) const -> double
 {
-    return rate.perSecond * std::exp(-(clock_.now() - rate.at) / std::chrono::duration<double> { window_ });
+    return rate.perSecond
+            * std::exp(-(clock_.now() - rate.at) / std::chrono::duration<double> { window_ });
 }
 
 } // namespace figrack::fleet
--- a/fleet/group.cpp
+++ b/fleet/group.cpp
@@ -71,8 +71,7 @@
         return member.kind == coord::MemberKind::Voter
                 && now - heardAt_[member.node] >= options_.replaceAfter;
     };
-    const auto someLost
-            = std::any_of(membership.members.begin(), membership.members.end(), isLost);
+    const auto someLost = std::any_of(membership.members.begin(), membership.members.end(), isLost);
     for (const auto &item : replica.progress()) {
         const auto *member = membership.find(item.node);
         if (member == nullptr || member->kind != coord::MemberKind::Learner || !item.caughtUp
--- a/fleet/orders.cpp
+++ b/fleet/orders.cpp
@@ -32,8 +32,7 @@
 auto showsEffect(const EndpointRow &row, const PlanStep &step) -> bool
 {
     const auto *held = row.find(step.model);
-    const auto isHeld = held != nullptr
-            && (step.adapter.empty() || held->hasAdapter(step.adapter));
+    const auto isHeld = held != nullptr && (step.adapter.empty() || held->hasAdapter(step.adapter));
     return isHeld == (step.kind == StepKind::Load);
 }
 
@@ -74,10 +73,9 @@
 
 auto orderReplyName(OrderReply reply) -> std::string_view
 {
-    constexpr auto names = std::array<std::string_view, 7> { "accepted",    "holds",
-                                                             "conflict",    "stale_fence",
-                                                             "invalid",     "other_endpoint",
-                                                             "no_answer" };
+    constexpr auto names = std::array<std::string_view, 7> {
+        "accepted", "holds", "conflict", "stale_fence", "invalid", "other_endpoint", "no_answer"
+    };
     return names[static_cast<std::size_t>(reply) % names.size()];
 }
 
@@ -151,9 +149,8 @@
         const auto now = clock_.now();
         const auto windowSeconds = std::chrono::duration<double> { options_.storeWindow }.count();
         const auto limit = engine.storeLoadsPerSecond * windowSeconds;
-        auto begun = std::count_if(storeLoads_.begin(), storeLoads_.end(), [&](Instant at) {
-            return now - at < options_.storeWindow;
-        });
+        auto begun = std::count_if(storeLoads_.begin(), storeLoads_.end(),
+                                   [&](Instant at) { return now - at < options_.storeWindow; });
         // Loads of the leader before are not known.
         if (now - leadingSince_ < options_.storeWindow)
             return 0;
@@ -232,8 +229,7 @@
     {
         for (auto tries = 0U; tries < options_.maxTries; ++tries) {
             const auto *row = registry_.find(id);
-            const auto isReady
-                    = row != nullptr && row->state == catalogue::EndpointState::Ready;
+            const auto isReady = row != nullptr && row->state == catalogue::EndpointState::Ready;
             if (!isReady || !authority_.mayOrder())
                 co_return false;
             if (!accounts_.contains(id) && !co_await learnAccount(id)) {
@@ -319,7 +315,9 @@
         const auto row = *registry_.find(id);
         const auto report = co_await port_.readReport(row);
         if (!report.ok()) {
-            LogEvent(LogLevel::Warning, "report_not_had").with("endpoint", id).with(report.status());
+            LogEvent(LogLevel::Warning, "report_not_had")
+                    .with("endpoint", id)
+                    .with(report.status());
             co_return false;
         }
         registry_.amend(id, [&](EndpointRow &known) {
@@ -359,7 +357,7 @@
         if (!co_await learnAccount(id))
             co_return false;
         const auto *row = registry_.find(id);
-        co_return row != nullptr && showsEffect(*row, step);
+        co_return row != nullptr &&showsEffect(*row, step);
     }
 
     auto awaitRow(const EndpointId &id, Duration patience) -> asio::awaitable<void>
@@ -394,7 +392,7 @@
     Instant leadingSince_;
     std::map<EndpointId, Job> jobs_;
     std::map<EndpointId, Account> accounts_; ///< Those that are known.
-    std::deque<Instant> storeLoads_;             ///< Begun by this leader.
+    std::deque<Instant> storeLoads_;         ///< Begun by this leader.
 };
 
 OrderRunner::OrderRunner(asio::io_context &context, OrderOptions options, const Clock &clock,
@@ -427,12 +425,12 @@
     return impl_->busySeconds(endpoint);
 }
 
-auto OrderRunner::loading() const -> std::set<ModelId>
+auto OrderRunner::loading() const -> std::map<ModelId, std::uint32_t>
 {
-    auto result = std::set<ModelId> {};
+    auto result = std::map<ModelId, std::uint32_t> {};
     impl_->forEachLoad([&](const PlanStep &step) {
         if (step.adapter.empty())
-            result.insert(step.model);
+            ++result[step.model];
     });
     return result;
 }
--- a/fleet/orders.h
+++ b/fleet/orders.h
@@ -54,9 +54,9 @@
 
 /// An endpoint's answer to an order.
 enum class OrderReply : std::uint8_t {
-    Accepted,  ///< It is being carried out.
-    Holds,     ///< Nothing had to be done.
-    Conflict,  ///< Another order is under way, or the count differs.
+    Accepted, ///< It is being carried out.
+    Holds,    ///< Nothing had to be done.
+    Conflict, ///< Another order is under way, or the count differs.
     StaleFence,
     Invalid,
     OtherEndpoint, ///< Another endpoint has the address.
@@ -69,7 +69,7 @@
 /// An engine's account of itself; some hundred ms old.
 struct EngineReport
 {
-    bool busy = false; ///< An order is being carried out.
+    bool busy = false;       ///< An order is being carried out.
     std::uint64_t count = 0; ///< Orders accepted.
     std::vector<catalogue::HeldModel> models;
     std::vector<ModelId> inMemory;
@@ -119,7 +119,7 @@
     /// each plan in a row that failed there
     auto busySeconds(const EndpointId &endpoint) const -> double;
     /// @return models and adapters whose loads are under way
-    auto loading() const -> std::set<ModelId>;
+    auto loading() const -> std::map<ModelId, std::uint32_t>;
     auto loadingAdapters() const -> std::set<AdapterKey>;
     /// @return loads from the store that may begin now
     auto storeLoadsAllowed(const catalogue::EngineSpec &engine) const -> std::uint32_t;
--- a/fleet/placement.cpp
+++ b/fleet/placement.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <limits>
 #include <optional>
 
@@ -31,6 +32,8 @@
 constexpr auto reloadSeconds = 1.2;
 /// A load from the store holds one of few places and is priced.
 constexpr auto storePenalty = 2.0;
+/// Puts models without a replica before all that have one.
+constexpr auto lackingFirst = 1e6;
 constexpr auto never = std::numeric_limits<double>::infinity();
 
 auto seconds(Duration duration) -> double
@@ -82,18 +85,20 @@
         return found == input_.models.end() ? Asked {} : found->second;
     }
 
-    /// Models that lack a replica, most wanted first, then those with crowded replicas.
+    /// Models that lack a replica, most wanted first, then those with crowded replicas; one entry
+    /// a replica.
     auto wantedModels() const -> std::vector<ModelId>
     {
         auto wanted = std::vector<std::pair<double, ModelId>> {};
         for (const auto &[model, want] : input_.models) {
-            if (input_.loading.contains(model) || input_.engine.find(model) == nullptr)
+            if (input_.engine.find(model) == nullptr)
                 continue;
-            const auto found = holders_.find(model);
-            const auto count = found == holders_.end() ? 0U : found->second;
-            if (count == 0 && want.waiting > 0)
-                wanted.emplace_back(1e6 + want.waiting, model);
-            else if (count > 0 && want.running > crowded * count)
+            const auto held = countOf(holders_, model);
+            const auto coming = countOf(input_.loading, model);
+            if (held + coming == 0 && want.waiting > 0)
+                wanted.emplace_back(lackingFirst + want.waiting, model);
+            const auto enough = std::ceil(want.running / crowded);
+            for (auto count = held + coming; held > 0 && count < enough; ++count)
                 wanted.emplace_back(want.running / static_cast<double>(count), model);
         }
         std::sort(wanted.begin(), wanted.end(),
@@ -104,6 +109,13 @@
         return result;
     }
 
+    static auto countOf(const std::map<ModelId, std::uint32_t> &counts, const ModelId &model)
+            -> std::uint32_t
+    {
+        const auto found = counts.find(model);
+        return found == counts.end() ? 0 : found->second;
+    }
+
     auto wantedAdapters() const -> std::map<AdapterKey, Asked>
     {
         auto wanted = std::map<AdapterKey, Asked> {};
@@ -190,8 +202,7 @@
 
     auto isHot(const ModelId &model) const -> bool
     {
-        const auto found = holders_.find(model);
-        const auto count = found == holders_.end() ? 0U : found->second;
+        const auto count = countOf(holders_, model);
         return count > 0 && asked(model).running > count;
     }
 
@@ -220,15 +231,15 @@
                                   && swapRoomMb(other) >= model.weightsMb;
                       });
             if (!isElsewhere)
-                cost += std::max(asked(model.id).perSecond, rareRate) * seconds(model.loadFromStore);
+                cost += std::max(asked(model.id).perSecond, rareRate)
+                        * seconds(model.loadFromStore);
         }
         return cost;
     }
 
     static auto hasCopy(const Host &host, const ModelId &model) -> bool
     {
-        return contains(host.inMemory, model) || contains(host.onDisk, model)
-                || holds(host, model);
+        return contains(host.inMemory, model) || contains(host.onDisk, model) || holds(host, model);
     }
 
     /// @return what the host holds, with the cost of its loss; the cheapest last
@@ -238,8 +249,7 @@
         auto result = std::vector<std::pair<double, const catalogue::HeldModel *>> {};
         for (const auto &held : host.models) {
             const auto want = asked(held.model);
-            const auto found = holders_.find(held.model);
-            const auto count = found == holders_.end() ? 1U : std::max(found->second, 1U);
+            const auto count = std::max(countOf(holders_, held.model), 1U);
             if (want.waiting > 0 || (count == 1 && want.running > crowded / 2))
                 continue;
             auto cost = want.running / static_cast<double>(count) * runSeconds;
--- a/fleet/placement.h
+++ b/fleet/placement.h
@@ -57,9 +57,9 @@
     std::vector<Host> hosts;
     std::map<ModelId, Asked> models;
     std::map<AdapterKey, Asked> adapters;
-    std::set<ModelId> loading;         ///< Loads under way.
+    std::map<ModelId, std::uint32_t> loading; ///< Loads under way.
     std::set<AdapterKey> loadingAdapters;
-    std::uint32_t storeLoads = 0;      ///< That may begin now.
+    std::uint32_t storeLoads = 0; ///< That may begin now.
 };
 
 enum class StepKind : std::uint8_t { Load, Unload };
--- a/fleet/proposals.cpp
+++ b/fleet/proposals.cpp
@@ -29,8 +29,7 @@
         ended.emplace_back(std::move(item.done), std::move(outcome));
     }
     for (auto item = waiting_.begin(); item != waiting_.end();) {
-        const auto leads
-                = status.role == coord::Role::Leader && status.term == item->second.term;
+        const auto leads = status.role == coord::Role::Leader && status.term == item->second.term;
         if (leads && now < item->second.deadline) {
             ++item;
             continue;
--- a/fleet/registry.cpp
+++ b/fleet/registry.cpp
@@ -37,9 +37,8 @@
     auto sorted = std::vector<const Known *> {};
     for (const auto &[id, known] : known_)
         sorted.push_back(&known);
-    std::sort(sorted.begin(), sorted.end(), [](const Known *one, const Known *other) {
-        return one->heardAt < other->heardAt;
-    });
+    std::sort(sorted.begin(), sorted.end(),
+              [](const Known *one, const Known *other) { return one->heardAt < other->heardAt; });
     for (const auto *known : sorted)
         update.endpoints.push_back(known->row);
     send(subscriber, std::move(update));
--- a/fleet/testing/tst_placement.cpp
+++ b/fleet/testing/tst_placement.cpp
@@ -134,6 +134,18 @@
     CHECK(plan(input)[0].endpoint == EndpointId { "e2" });
 }
 
+TEST_CASE("A crowded model gets all the replicas that it needs at once")
+{
+    const auto engine = makeEngine();
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, 4 };
+    input.hosts = { makeHost("e1", { "m0" }), makeHost("e2", {}), makeHost("e3", {}),
+                    makeHost("e4", {}) };
+    input.models[ModelId { "m0" }].running = 40; // Many endpoints' worth.
+    CHECK(plan(input).size() == 3);
+    input.loading[ModelId { "m0" }] = 8;
+    CHECK(plan(input).size() == 1);
+}
+
 TEST_CASE("Another replica goes where it keeps no model from its only copy")
 {
     auto engine = makeEngine();
@@ -154,8 +166,9 @@
     auto random = Random { 7 };
     auto planned = std::size_t { 0 };
     for (auto round = 0; round < 2000; ++round) {
-        auto input = PlacementInput { engine, {}, {}, {}, {}, {},
-                                      static_cast<std::uint32_t>(random.below(3)) };
+        auto input = PlacementInput {
+            engine, {}, {}, {}, {}, {}, static_cast<std::uint32_t>(random.below(3))
+        };
         for (auto i = 0; i < 4; ++i) {
             auto host = makeHost("e" + std::to_string(i), {});
             auto used = 0.0;
--- a/gateway/chooser.cpp
+++ b/gateway/chooser.cpp
@@ -15,7 +15,7 @@
 
 /// Requests of this gateway by which the affine endpoint may exceed the least loaded one. Half of
 /// a batch step's worth of prefill at the usual prompt size; a wider gap was not measured better.
-constexpr auto affinitySlack = std::uint32_t { 3 };
+constexpr auto affinitySlack = std::uint32_t { 2 };
 
 auto isMissing(const EndpointEntry &entry, const Wish &wish, const std::string &adapter) -> bool
 {
--- a/gateway/controlfeed.cpp
+++ b/gateway/controlfeed.cpp
@@ -125,8 +125,7 @@
     auto onDocument(const NodeId &node, const absl::StatusOr<proto::Payload> &reply) -> void
     {
         fetching_ = false;
-        const auto *document
-                = reply.ok() ? std::get_if<proto::DocumentReply>(&*reply) : nullptr;
+        const auto *document = reply.ok() ? std::get_if<proto::DocumentReply>(&*reply) : nullptr;
         if (document != nullptr && document->version > version_
             && hooks_.onDocument(document->version, document->text)) {
             version_ = document->version;
@@ -177,10 +176,9 @@
 
     auto connected() const -> std::size_t
     {
-        return static_cast<std::size_t>(std::count_if(
-                controls_.begin(), controls_.end(), [](const auto &item) {
-                    return item.second.open;
-                }));
+        return static_cast<std::size_t>(
+                std::count_if(controls_.begin(), controls_.end(),
+                              [](const auto &item) { return item.second.open; }));
     }
 
     auto stop() -> void
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -60,7 +60,7 @@
 struct Refusal
 {
     absl::Status status;
-    bool notRun = true;                ///< The request has not run and never will.
+    bool notRun = true;                 ///< The request has not run and never will.
     std::optional<Duration> retryAfter; ///< When to come back.
 };
 
--- a/gateway/fleetview.h
+++ b/gateway/fleetview.h
@@ -26,12 +26,12 @@
 struct EndpointEntry
 {
     catalogue::EndpointRow row;
-    Instant heardAt {};         ///< When news of its latest announcement came.
-    std::uint32_t running = 0;  ///< Requests of this gateway there.
+    Instant heardAt {};        ///< When news of its latest announcement came.
+    std::uint32_t running = 0; ///< Requests of this gateway there.
     std::uint64_t runningTokens = 0;
     std::uint32_t failures = 0; ///< In a row; each doubles the pause.
     Instant avoidUntil {};      ///< Not chosen before, unless nothing else is left.
-    bool isUnreached = false; ///< The latest connection could not be made, and no news since.
+    bool isUnreached = false;   ///< The latest connection could not be made, and no news since.
     /// Another endpoint has its address now. News of it clears this.
     bool isReplaced = false;
     /// What it said it does not hold, against its row, and until when that is believed.
@@ -43,7 +43,8 @@
     /// Without an announcement for so long an endpoint is chosen last: three times the interval
     /// at which endpoints announce themselves, and some delay.
     Duration staleAfter = std::chrono::milliseconds { 4500 };
-    Duration forgetGoneAfter = std::chrono::seconds { 60 }; ///< Late news of it may come until then.
+    Duration forgetGoneAfter
+            = std::chrono::seconds { 60 }; ///< Late news of it may come until then.
     Duration firstPause = std::chrono::milliseconds { 300 }; ///< After a failed connection.
     Duration longestPause = std::chrono::seconds { 4 };
     Duration rejectedPause = std::chrono::milliseconds { 100 };
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -161,8 +161,8 @@
                              true, std::nullopt };
         }
         service_ = catalogue::pickService(*route_, parts_.random.unit());
-        const auto limit = std::min(caller_.deadline.value_or(route_->finishLimit),
-                                    route_->finishLimit);
+        const auto limit
+                = std::min(caller_.deadline.value_or(route_->finishLimit), route_->finishLimit);
         deadline_ = arrived_ + limit - owner_.options_.answerMargin;
         const auto *service = routes_->catalogue().find(service_);
         engine_ = service != nullptr && service->engine ? &*service->engine : nullptr;
@@ -211,8 +211,7 @@
             const auto isHealthy
                     = [&](const EndpointEntry &entry) { return parts_.view.isHealthy(entry); };
             wish_.now = parts_.clock.now();
-            const auto choice
-                    = choose(parts_.view.of(service_), wish_, isHealthy, parts_.random);
+            const auto choice = choose(parts_.view.of(service_), wish_, isHealthy, parts_.random);
             if (choice.entry != nullptr) {
                 finishWaiting();
                 co_return choice.entry;
@@ -514,6 +513,7 @@
         }
         if (bytes.empty())
             co_return std::nullopt;
+        noteEvents();
         if (!co_await begin(stream) || !(co_await responder_.write(std::move(bytes))).ok()) {
             ending_ = Ending::CallerGone;
             co_return Step::Settled;
@@ -521,6 +521,14 @@
         co_return std::nullopt;
     }
 
+    auto noteEvents() -> void
+    {
+        const auto now = parts_.clock.now();
+        if (lastEventAt_)
+            longestGap_ = std::max<Duration>(longestGap_, now - *lastEventAt_);
+        lastEventAt_ = now;
+    }
+
     /// Sends the head of a stream, once. @return false when the caller is gone
     auto begin(http::ClientStream &stream) -> asio::awaitable<bool>
     {
@@ -583,7 +591,9 @@
         const auto firstByte = firstByteAt_ ? *firstByteAt_ - arrived_ : now - arrived_;
         parts_.metrics.onRequest(ending_, firstByte, now - arrived_);
         auto line = LogEvent { LogLevel::Info, "request" };
-        line.with("id", caller_.id).with("end", endingName(ending_)).with("status", static_cast<std::int64_t>(finalStatus_));
+        line.with("id", caller_.id)
+                .with("end", endingName(ending_))
+                .with("status", static_cast<std::int64_t>(finalStatus_));
         if (route_ != nullptr)
             line.with("route", route_->name).with("service", service_);
         if (!target_.model.empty())
@@ -593,6 +603,7 @@
                 .with("unsent", static_cast<std::int64_t>(unsent_))
                 .with("first_ms", millis(firstByte))
                 .with("total_ms", millis(now - arrived_))
+                .with("gap_ms", millis(longestGap_))
                 .with("left_ms", millis(deadline_ - now))
                 .with("config", owner_.version());
         if (lack_ != Lack::Nothing)
@@ -608,7 +619,7 @@
     const http::Request &request_;
     http::Responder &responder_;
     const Instant arrived_;
-    Instant deadline_; ///< Nothing is waited for beyond it.
+    Instant deadline_;                                    ///< Nothing is waited for beyond it.
     std::shared_ptr<const catalogue::RouteTable> routes_; ///< In force when the request came.
     CallerRequest caller_;
     const catalogue::Route *route_ = nullptr;
@@ -626,6 +637,8 @@
     std::uint32_t unsent_ = 0; ///< Those of which none left.
     std::optional<Duration> comeBack_;
     std::optional<Instant> firstByteAt_;
+    std::optional<Instant> lastEventAt_;
+    Duration longestGap_ {}; ///< Between events of a stream.
     absl::Status lastError_ = makeError(ErrorKind::NoCapacity, "endpoint");
     Lack lack_ = Lack::Nothing;
     Ending ending_ = Ending::Refused;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -147,14 +147,13 @@
     auto scheduleDemand() -> void
     {
         demandTimer_.expires_after(options_.demandEvery);
-        demandTimer_.async_wait(
-                [weak = weak_from_this()](const boost::system::error_code &error) {
-                    const auto self = weak.lock();
-                    if (!self || error)
-                        return;
-                    self->reportDemand();
-                    self->scheduleDemand();
-                });
+        demandTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+            const auto self = weak.lock();
+            if (!self || error)
+                return;
+            self->reportDemand();
+            self->scheduleDemand();
+        });
     }
 
     auto reportDemand() -> void
@@ -172,14 +171,13 @@
         if (std::exchange(urgentPending_, true))
             return;
         urgentTimer_.expires_after(urgentEvery);
-        urgentTimer_.async_wait(
-                [weak = weak_from_this()](const boost::system::error_code &error) {
-                    const auto self = weak.lock();
-                    if (!self || error)
-                        return;
-                    self->urgentPending_ = false;
-                    self->reportDemand();
-                });
+        urgentTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+            const auto self = weak.lock();
+            if (!self || error)
+                return;
+            self->urgentPending_ = false;
+            self->reportDemand();
+        });
     }
 
     auto lookAtStop() -> void
--- a/gateway/retrywindow.h
+++ b/gateway/retrywindow.h
@@ -22,8 +22,8 @@
 
 struct RetryWindowOptions
 {
-    double ratio = 0.2;   ///< Repeats a request, over all gateways.
-    double slack = 50;    ///< Repeats a window besides, over all gateways.
+    double ratio = 0.2; ///< Repeats a request, over all gateways.
+    double slack = 50;  ///< Repeats a window besides, over all gateways.
     Duration window = std::chrono::seconds { 10 };
     /// Part of what is allowed that is used: gateways count windows and one another late.
     double margin = 0.7;
--- a/gateway/testing/rig.cpp
+++ b/gateway/testing/rig.cpp
@@ -42,9 +42,10 @@
     dialect.saysNotRun = [](std::uint32_t, const http::Headers &headers) {
         return !http::findHeader(headers, "X-Not-Run").empty();
     };
-    dialect.isOfOtherEndpoint = [](const EndpointId &, std::uint32_t, const http::Headers &headers) {
-        return !http::findHeader(headers, "X-Other").empty();
-    };
+    dialect.isOfOtherEndpoint
+            = [](const EndpointId &, std::uint32_t, const http::Headers &headers) {
+                  return !http::findHeader(headers, "X-Other").empty();
+              };
     dialect.saysMissing = [](std::uint32_t status) { return status == 421; };
     dialect.writeRefusal = [](const Refusal &refusal) {
         auto response = http::Response {};
@@ -107,13 +108,13 @@
     , demand(clock)
     , waiters(context)
     , client(context, {})
-    , forwarder(options, { context, clock, dialect, view, retries, demand, waiters, metrics, client,
-                           random })
+    , forwarder(
+              options,
+              { context, clock, dialect, view, retries, demand, waiters, metrics, client, random })
     , caller(context, {})
-    , server_(context, {},
-              [this](const http::Request &request, http::Responder &responder) {
-                  return forwarder.handle(request, responder);
-              })
+    , server_(context, {}, [this](const http::Request &request, http::Responder &responder) {
+        return forwarder.handle(request, responder);
+    })
 {
     retries.setGateways(1);
     forwarder.setCatalogue(testCatalogue(false));
@@ -232,8 +233,8 @@
                     http::Responder &responder) -> asio::awaitable<void> {
         auto response = http::Response {};
         response.status = status;
-        response.headers = { { "X-Id", std::string { request.header("X-Id") } },
-                             { "X-Not-Run", "1" } };
+        response.headers
+                = { { "X-Id", std::string { request.header("X-Id") } }, { "X-Not-Run", "1" } };
         static_cast<void>(co_await responder.send(std::move(response)));
     };
 }
--- a/gateway/testing/tst_parts.cpp
+++ b/gateway/testing/tst_parts.cpp
@@ -117,7 +117,8 @@
     CHECK(lackOf({ {}, {}, 0, { EndpointId { "i-1" } }, clock.now() }) == Lack::Endpoint);
     // Its only holder failed this request: another load helps, an adapter does not.
     CHECK(lackOf({ ModelId { "m" }, {}, 0, { EndpointId { "i-1" } }, clock.now() }) == Lack::Model);
-    CHECK(lackOf({ ModelId { "m" }, "a2", 0, { EndpointId { "i-1" } }, clock.now() }) == Lack::Model);
+    CHECK(lackOf({ ModelId { "m" }, "a2", 0, { EndpointId { "i-1" } }, clock.now() })
+          == Lack::Model);
 }
 
 TEST_CASE("An endpoint at whose address another one is known is not used, until news of it comes")
--- a/proto/servingmessages.h
+++ b/proto/servingmessages.h
@@ -43,7 +43,7 @@
     NodeId leader;              ///< As the sender knows it; may be empty.
     Term term;                  ///< Of that leader.
     std::uint32_t gateways = 0; ///< Subscribed to the sender.
-    std::vector<coord::Member> controls; ///< Only when they have changed.
+    std::vector<coord::Member> controls;           ///< Only when they have changed.
     std::vector<catalogue::EndpointRow> endpoints; ///< Those that changed since the last update.
     std::vector<catalogue::EndpointBeat> beats;    ///< Announcements heard since the last update.
     template<typename Archive>
