gateway: ask an endpoint that rejected a request again after a pause that doubles

Cause: after each wait all endpoints that had rejected a request were tried again, and any news of the fleet ends a wait: a request whose only holder rejected everything was sent there every 50 ms and spent the retries of its service (incident inc-c0d8, 28.5 s). Ruled out: the endpoint's state (its announcements said ready throughout).

--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -37,6 +37,9 @@
 constexpr auto adapterLoad = std::chrono::milliseconds { 150 };
 /// A waiting request looks again after so long, also when nobody woke it.
 constexpr auto lookAgain = std::chrono::milliseconds { 250 };
+/// How long endpoints that rejected a request are left out of its next choices; doubles.
+constexpr auto firstAvoidPause = std::chrono::milliseconds { 125 };
+constexpr auto longestAvoidPause = std::chrono::milliseconds { 2000 };
 /// Longest wait for the rest of an answer that is thrown away, to keep its connection.
 constexpr auto discardTime = std::chrono::milliseconds { 200 };
 
@@ -225,9 +228,7 @@
             }
             beginWaiting();
             co_await parts_.waiters.wait(*patience);
-            // What rejected the request a while ago may take it now, and is tried last.
-            if (!mayHaveRun_)
-                wish_.avoided.clear();
+            forgiveRejections();
         }
     }
 
@@ -265,6 +266,21 @@
         return model->loadFromStore + storeOverhead;
     }
 
+    auto avoid(const EndpointId &id) -> void
+    {
+        wish_.avoided.insert(id);
+        avoidPause_ = std::min<Duration>(avoidPause_ * 2, longestAvoidPause);
+        avoidUntil_ = parts_.clock.now() + avoidPause_;
+    }
+
+    /// What rejected the request a while ago may take it now. Each time it waits longer, so that an
+    /// endpoint that rejects all gets few of its requests.
+    auto forgiveRejections() -> void
+    {
+        if (!mayHaveRun_ && parts_.clock.now() >= avoidUntil_)
+            wish_.avoided.clear();
+    }
+
     auto beginWaiting() -> void
     {
         if (waiting_)
@@ -327,7 +343,7 @@
             now->runningTokens -= tokens;
         }
         if (step != Step::Settled)
-            wish_.avoided.insert(id);
+            avoid(id);
         co_return step;
     }
 
@@ -448,7 +464,7 @@
     /// repeat brings none.
     auto repeatFault(http::Response failure) -> asio::awaitable<Step>
     {
-        wish_.avoided.insert(endpoint_);
+        avoid(endpoint_);
         const auto isHealthy
                 = [&](const EndpointEntry &entry) { return parts_.view.isHealthy(entry); };
         const auto choice = choose(parts_.view.of(service_), wish_, isHealthy, parts_.random);
@@ -635,6 +651,8 @@
     std::uint32_t sent_ = 0;   ///< Dispatches of which bytes left.
     std::uint32_t ran_ = 0;    ///< Those that may have run.
     std::uint32_t unsent_ = 0; ///< Those of which none left.
+    Duration avoidPause_ = firstAvoidPause;
+    Instant avoidUntil_ {};
     std::optional<Duration> comeBack_;
     std::optional<Instant> firstByteAt_;
     std::optional<Instant> lastEventAt_;
--- a/gateway/testing/tst_forwarder.cpp
+++ b/gateway/testing/tst_forwarder.cpp
@@ -177,6 +177,27 @@
     }
 }
 
+TEST_CASE("An endpoint that rejects everything is asked a few times only, while others may come")
+{
+    auto rig = Rig {};
+    rig.forwarder.setCatalogue(testCatalogue(true));
+    auto &rejects = rig.addEndpoint("i-1", { "m0" });
+    rejects.handler = rejecting(503);
+    auto request = Rig::request("/once/x", "r1");
+    request.headers.push_back({ "X-Model", "m0" });
+    const auto got = rig.begin(std::move(request));
+    auto wakes = 0;
+    rig.runUntil([&] {
+        rig.waiters.wakeAll();
+        return ++wakes > 200;
+    });
+    CHECK(rejects.seen.size() <= 5);
+    auto &takes = rig.addEndpoint("i-2", { "m0" });
+    takes.handler = answering("ok");
+    REQUIRE(rig.runUntil([&] { return got->has_value(); }));
+    CHECK((*got)->status == 200);
+}
+
 TEST_CASE("A leaving endpoint gets no new work")
 {
     auto rig = Rig {};
