--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -92,7 +92,7 @@
         transport_->setPeers(members);
     }
 
-    auto propose(Document document, Done done) -> void
+    auto propose(const Document &document, Done done) -> void
     {
         if (!replica_ || read().document == nullptr) {
             done(makeError(ErrorKind::NotLeader, "control"));
@@ -337,6 +337,10 @@
             nextJoin_ = now + joinEvery;
             askToJoin();
         }
+        if (now >= nextLoads_ && leads_) {
+            nextLoads_ = now + options_.loadsEvery;
+            registry_.tellLoads(demand_.loads());
+        }
         if (now >= nextPlan_)
             planNow();
     }
@@ -525,6 +529,7 @@
     Instant nextKeep_ {};
     Instant nextJoin_ {};
     Instant nextPlan_ {};
+    Instant nextLoads_ {};
     Term leadTerm_;
     bool leads_ = false;
     bool settling_ = false;
@@ -558,9 +563,9 @@
     impl_->reload(seeds);
 }
 
-auto Core::propose(Document document, Done done) -> void
+auto Core::propose(const Document &document, Done done) -> void
 {
-    impl_->propose(std::move(document), std::move(done));
+    impl_->propose(document, std::move(done));
 }
 
 auto Core::read() const -> ReadResult
--- a/fleet/core.h
+++ b/fleet/core.h
@@ -58,6 +58,8 @@
     Duration proposalTimeout = std::chrono::milliseconds { 900 };
     Duration restartEvery = std::chrono::seconds { 1 };
     Duration demandWindow = std::chrono::seconds { 8 };
+    /// Gateways report what they have in progress as often.
+    Duration loadsEvery = std::chrono::milliseconds { 500 };
     /// Looks at placement that no report has set off; crowded replicas are found by it.
     Duration planEvery = std::chrono::milliseconds { 500 };
 };
@@ -86,7 +88,7 @@
 
     /// Only where read() gives the document. @param document checked by the caller
     /// @param done OK once it is committed or was overtaken; else the outcome is unknown
-    auto propose(Document document, Done done) -> void;
+    auto propose(const Document &document, Done done) -> void;
     auto read() const -> ReadResult;
     auto registry() -> Registry &;
     auto status() const -> coord::ReplicaStatus;
--- a/fleet/demandtable.cpp
+++ b/fleet/demandtable.cpp
@@ -65,6 +65,19 @@
     return result;
 }
 
+auto DemandTable::loads() const -> std::vector<proto::EndpointLoad>
+{
+    auto sums = std::map<EndpointId, std::uint32_t> {};
+    for (const auto &[gateway, report] : latest_) {
+        for (const auto &load : report.loads)
+            sums[load.endpoint] += load.running;
+    }
+    auto result = std::vector<proto::EndpointLoad> {};
+    for (const auto &[endpoint, running] : sums)
+        result.push_back({ endpoint, running });
+    return result;
+}
+
 auto DemandTable::unreachable() const -> std::set<EndpointId>
 {
     auto result = std::set<EndpointId> {};
--- a/fleet/demandtable.h
+++ b/fleet/demandtable.h
@@ -35,6 +35,8 @@
     auto onReport(const NodeId &gateway, const proto::ModelWanted &report) -> bool;
     auto onGatewayLost(const NodeId &gateway) -> void;
     auto of(const ServiceId &service) const -> ServiceDemand;
+    /// @return requests in progress by endpoint, over all gateways
+    auto loads() const -> std::vector<proto::EndpointLoad>;
     /// @return endpoints that some gateway could not reach, by its latest report
     auto unreachable() const -> std::set<EndpointId>;
     auto clear() -> void;
@@ -45,6 +47,7 @@
         ServiceId service;
         ModelId model;
         std::string adapter;
+        // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the comparison with 0 for one.
         auto operator<=>(const Target &) const = default;
     };
     struct Rate
--- a/fleet/orders.cpp
+++ b/fleet/orders.cpp
@@ -22,6 +22,12 @@
 /// about: announcements of a completed order take some hundred milliseconds at most.
 constexpr auto announceDelay = std::chrono::milliseconds { 600 };
 
+/// A step that takes so many times its time is given up: its endpoint may be dead to orders.
+constexpr auto longestStretch = 6;
+/// A load that takes so much longer than it should shares the store with too many.
+constexpr auto slowStretch = 1.25;
+/// Loads from the store at once until their times are known.
+constexpr auto firstStoreLimit = 2U;
 /// What an unload before a load usually takes, with its announcement.
 constexpr auto swapTime = std::chrono::milliseconds { 300 };
 /// A plan that has overrun its time may end at any moment.
@@ -158,7 +164,7 @@
             return item.second.active && item.second.plan.source == LoadSource::Store;
         });
         const auto byRate = std::max(0.0, limit - static_cast<double>(begun));
-        const auto byCount = std::max<std::int64_t>(0, options_.storeConcurrency - running);
+        const auto byCount = std::max<std::int64_t>(0, storeLimit_ - running);
         return static_cast<std::uint32_t>(std::min(byRate, static_cast<double>(byCount)));
     }
 
@@ -340,24 +346,79 @@
             complete(id, step);
             co_return true;
         }
-        const auto expected
-                = step.kind == StepKind::Load ? jobs_[id].loadTime : options_.unloadPatience;
-        const auto deadline = clock_.now() + expected + announceDelay;
+        const auto isLoad = step.kind == StepKind::Load;
+        const auto expected = isLoad ? jobs_[id].loadTime : options_.unloadPatience;
+        const auto begun = clock_.now();
+        auto patience = expected + announceDelay;
+        while (clock_.now() - begun < (expected + announceDelay) * longestStretch) {
+            if (co_await seesEffect(id, step, patience)) {
+                if (isLoad)
+                    noteLoadTime(id, clock_.now() - begun);
+                complete(id, step);
+                co_return true;
+            }
+            accounts_.erase(id);
+            if (!co_await isCarryingOut(id))
+                co_return hasEffect(id, step);
+            patience = std::max<Duration>(expected / 2, announceDelay);
+        }
+        co_return false;
+    }
+
+    /// Waits until an announcement shows the step's effect. @return false when none did in time
+    auto seesEffect(const EndpointId &id, const PlanStep &step, Duration patience)
+            -> asio::awaitable<bool>
+    {
+        const auto deadline = clock_.now() + patience;
         while (clock_.now() < deadline) {
+            if (hasEffect(id, step))
+                co_return true;
             const auto *row = registry_.find(id);
             if (row == nullptr || row->state == catalogue::EndpointState::Gone)
                 co_return false;
-            if (showsEffect(*row, step)) {
-                complete(id, step);
-                co_return true;
-            }
             co_await awaitRow(id, deadline - clock_.now());
         }
-        accounts_.erase(id);
-        if (!co_await learnAccount(id))
-            co_return false;
+        co_return hasEffect(id, step);
+    }
+
+    auto hasEffect(const EndpointId &id, const PlanStep &step) const -> bool
+    {
         const auto *row = registry_.find(id);
-        co_return row != nullptr &&showsEffect(*row, step);
+        return row != nullptr && showsEffect(*row, step);
+    }
+
+    /// Asks the endpoint. @return true while an order is still under way there
+    auto isCarryingOut(const EndpointId &id) -> asio::awaitable<bool>
+    {
+        const auto *row = registry_.find(id);
+        if (row == nullptr)
+            co_return false;
+        const auto copy = *row;
+        const auto report = co_await port_.readReport(copy);
+        if (report.ok() && report->busy)
+            co_return true;
+        static_cast<void>(co_await learnAccount(id));
+        co_return false;
+    }
+
+    /// The store serves few loads at full speed, and how many is not told: loads that take their
+    /// time allow one more at once, longer ones fewer.
+    auto noteLoadTime(const EndpointId &id, Duration taken) -> void
+    {
+        const auto &job = jobs_[id];
+        if (job.plan.source != LoadSource::Store || job.loadTime <= Duration::zero())
+            return;
+        const auto stretch = std::chrono::duration<double> { taken } / job.loadTime;
+        const auto before = storeLimit_;
+        if (stretch > slowStretch)
+            storeLimit_ = std::max(1U, static_cast<std::uint32_t>(storeLimit_ / stretch));
+        else
+            storeLimit_ = std::min(storeLimit_ + 1, options_.storeConcurrency);
+        LogEvent(LogLevel::Info, "store_load_time")
+                .with("endpoint", id)
+                .with("stretch", stretch)
+                .with("limit", std::int64_t { storeLimit_ })
+                .with("before", std::int64_t { before });
     }
 
     auto awaitRow(const EndpointId &id, Duration patience) -> asio::awaitable<void>
@@ -393,6 +454,7 @@
     std::map<EndpointId, Job> jobs_;
     std::map<EndpointId, Account> accounts_; ///< Those that are known.
     std::deque<Instant> storeLoads_;         ///< Begun by this leader.
+    std::uint32_t storeLimit_ = firstStoreLimit; ///< Loads at once, as learned.
 };
 
 OrderRunner::OrderRunner(asio::io_context &context, OrderOptions options, const Clock &clock,
--- a/fleet/orders.h
+++ b/fleet/orders.h
@@ -92,7 +92,7 @@
     std::uint32_t maxTries = 4;                              ///< Of one step.
     Duration unloadPatience = std::chrono::seconds { 4 };    ///< For requests in progress to end.
     Duration storeWindow = std::chrono::seconds { 5 };
-    std::uint32_t storeConcurrency = 4; ///< Loads at once at the store's full speed.
+    std::uint32_t storeConcurrency = 4; ///< Loads at once from the store, at most.
     Duration pauseAfterFailure = std::chrono::milliseconds { 700 };
 };
 
--- a/fleet/registry.cpp
+++ b/fleet/registry.cpp
@@ -143,6 +143,19 @@
     }
 }
 
+auto Registry::tellLoads(const std::vector<proto::EndpointLoad> &loads) -> void
+{
+    if (loads.empty())
+        return;
+    for (auto &[key, subscriber] : subscribers_) {
+        if (subscriber.subscribe.kind != proto::SubscriberKind::Gateway)
+            continue;
+        auto update = baseUpdate();
+        update.loads = loads;
+        send(subscriber, std::move(update));
+    }
+}
+
 auto Registry::tick() -> void
 {
     const auto now = clock_.now();
--- a/fleet/registry.h
+++ b/fleet/registry.h
@@ -84,6 +84,8 @@
             -> void;
     /// Tells all subscribers when document, leader or controls have changed.
     auto setGroup(const GroupView &group) -> void;
+    /// On the leader: tells all gateways how much is in progress at each endpoint.
+    auto tellLoads(const std::vector<proto::EndpointLoad> &loads) -> void;
     auto tick() -> void;
 
     auto find(const EndpointId &id) const -> const catalogue::EndpointRow *;
--- a/gateway/chooser.cpp
+++ b/gateway/chooser.cpp
@@ -1,6 +1,10 @@
 // The endpoint of the affinity is left only when it has clearly more to do than
 // the least loaded one: what is saved by a cached prompt is a few hundred
 // milliseconds of one request, what a longer batch costs is paid by all in it.
+//
+// Loads are known with a lag, by all gateways alike. Were each to take the least
+// loaded endpoint, all would take the same one until the next news; so the
+// lesser of two drawn at random is taken.
 
 #include "gateway/chooser.h"
 
@@ -13,9 +17,8 @@
 namespace figrack::gateway {
 namespace {
 
-/// Requests of this gateway by which the affine endpoint may exceed the least loaded one. Half of
-/// a batch step's worth of prefill at the usual prompt size; a wider gap was not measured better.
-constexpr auto affinitySlack = std::uint32_t { 2 };
+/// Requests in progress by which the affine endpoint may exceed the least loaded one.
+constexpr auto affinitySlack = std::uint32_t { 8 };
 
 auto isMissing(const EndpointEntry &entry, const Wish &wish, const std::string &adapter) -> bool
 {
@@ -40,19 +43,19 @@
     return false;
 }
 
-auto leastLoaded(const std::vector<EndpointEntry *> &entries, Random &random) -> EndpointEntry *
+auto leastLoad(const std::vector<EndpointEntry *> &entries) -> std::uint32_t
 {
-    auto *best = entries.front();
-    auto equals = std::uint64_t { 0 };
-    for (auto *entry : entries) {
-        if (entry->running < best->running) {
-            best = entry;
-            equals = 1;
-        } else if (entry->running == best->running && random.below(++equals) == 0) {
-            best = entry;
-        }
-    }
-    return best;
+    const auto byLoad = [](const EndpointEntry *one, const EndpointEntry *other) {
+        return one->load() < other->load();
+    };
+    return (*std::min_element(entries.begin(), entries.end(), byLoad))->load();
+}
+
+auto lesserOfTwo(const std::vector<EndpointEntry *> &entries, Random &random) -> EndpointEntry *
+{
+    auto *one = entries[random.below(entries.size())];
+    auto *other = entries[random.below(entries.size())];
+    return other->load() < one->load() ? other : one;
 }
 
 auto affineEndpoint(const std::vector<EndpointEntry *> &entries, std::uint64_t key)
@@ -101,12 +104,11 @@
     const auto &usable = healthy.empty() ? doubtful : healthy;
     if (usable.empty())
         return { nullptr, lack };
-    auto *least = leastLoaded(usable, random);
     if (wish.affinity == 0)
-        return { least, Lack::Nothing };
+        return { lesserOfTwo(usable, random), Lack::Nothing };
     auto *affine = affineEndpoint(usable, wish.affinity);
-    const auto keepsUp = affine->running <= least->running + affinitySlack;
-    return { keepsUp ? affine : least, Lack::Nothing };
+    const auto keepsUp = affine->load() <= leastLoad(usable) + affinitySlack;
+    return { keepsUp ? affine : lesserOfTwo(usable, random), Lack::Nothing };
 }
 
 } // namespace figrack::gateway
--- a/gateway/demand.h
+++ b/gateway/demand.h
@@ -26,6 +26,7 @@
     ServiceId service;
     ModelId model;
     std::string adapter;
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the comparison with 0 for one.
     auto operator<=>(const DemandTarget &) const = default;
 };
 
--- a/gateway/fleetview.cpp
+++ b/gateway/fleetview.cpp
@@ -29,6 +29,10 @@
             changed = true;
         }
     }
+    for (const auto &load : update.loads) {
+        if (auto *entry = find(load.endpoint))
+            entry->othersRunning = load.running - std::min(load.running, entry->told);
+    }
     if (now >= nextForget_) {
         nextForget_ = now + options_.forgetGoneAfter / 4;
         forgetGone();
@@ -149,6 +153,17 @@
         entry->missingUntil[{ model, adapter }] = clock_.now() + options_.missingFor;
 }
 
+auto FleetView::takeLoads() -> std::vector<proto::EndpointLoad>
+{
+    auto result = std::vector<proto::EndpointLoad> {};
+    for (auto &[id, entry] : entries_) {
+        entry.told = entry.running;
+        if (entry.running > 0)
+            result.push_back({ id, entry.running });
+    }
+    return result;
+}
+
 auto FleetView::unreachable() const -> std::vector<EndpointId>
 {
     auto result = std::vector<EndpointId> {};
--- a/gateway/fleetview.h
+++ b/gateway/fleetview.h
@@ -28,6 +28,10 @@
     catalogue::EndpointRow row;
     Instant heardAt {};        ///< When news of its latest announcement came.
     std::uint32_t running = 0; ///< Requests of this gateway there.
+    std::uint32_t told = 0;          ///< Of those, as this gateway reported last.
+    std::uint32_t othersRunning = 0; ///< Requests of the others, as the leader told last.
+    /// @return requests in progress there, as far as known
+    auto load() const -> std::uint32_t { return running + othersRunning; }
     std::uint64_t runningTokens = 0;
     std::uint32_t failures = 0; ///< In a row; each doubles the pause.
     Instant avoidUntil {};      ///< Not chosen before, unless nothing else is left.
@@ -74,6 +78,8 @@
     auto onReplaced(const EndpointId &id) -> void;
     /// It said that it does not hold the model or adapter.
     auto onMissing(const EndpointId &id, const ModelId &model, const std::string &adapter) -> void;
+    /// @return what this gateway has in progress, for its report
+    auto takeLoads() -> std::vector<proto::EndpointLoad>;
     /// @return endpoints that could not be reached of late
     auto unreachable() const -> std::vector<EndpointId>;
     auto size() const -> std::size_t { return entries_.size(); }
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -160,6 +160,7 @@
     {
         auto report = demand_.take();
         report.unreachable = view_.unreachable();
+        report.loads = view_.takeLoads();
         const auto saysNothing = report.rows.empty() && report.unreachable == toldUnreachable_;
         toldUnreachable_ = report.unreachable;
         if (!saysNothing)
--- a/proto/servingmessages.h
+++ b/proto/servingmessages.h
@@ -35,6 +35,18 @@
     }
 };
 
+/// Requests in progress at one endpoint.
+struct EndpointLoad
+{
+    EndpointId endpoint;
+    std::uint32_t running = 0;
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(endpoint, running);
+    }
+};
+
 /// Where the controls are and what they hold, to each subscriber.
 struct ServingUpdate
 {
@@ -46,10 +58,11 @@
     std::vector<coord::Member> controls;           ///< Only when they have changed.
     std::vector<catalogue::EndpointRow> endpoints; ///< Those that changed since the last update.
     std::vector<catalogue::EndpointBeat> beats;    ///< Announcements heard since the last update.
+    std::vector<EndpointLoad> loads; ///< Over all gateways, from the leader; empty: no news.
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(number, document, leader, term, gateways, controls, endpoints, beats);
+        archive(number, document, leader, term, gateways, controls, endpoints, beats, loads);
     }
 };
 
@@ -105,11 +118,12 @@
 {
     std::uint64_t spanMs = 0; ///< Time that the arrivals cover.
     std::vector<WantedRow> rows;
+    std::vector<EndpointLoad> loads;     ///< What this gateway has in progress.
     std::vector<EndpointId> unreachable; ///< Endpoints that the gateway could not reach of late.
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(spanMs, rows, unreachable);
+        archive(spanMs, rows, loads, unreachable);
     }
 };
 
