--- a/core/testing/tst_log.cpp
+++ b/core/testing/tst_log.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <array>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
@@ -16,28 +18,28 @@
 
 namespace {
 
-/// Takes what the process writes to standard error while it lives.
-class ErrorCapture
+/// Takes what the process writes to standard output while it lives.
+class OutputCapture
 {
 public:
-    ErrorCapture()
+    OutputCapture()
         : file_(std::tmpfile())
-        , saved_(dup(STDERR_FILENO))
     {
-        dup2(fileno(file_), STDERR_FILENO);
+        std::fflush(stdout); // What the test program has written so far is not the log's.
+        saved_ = dup(STDOUT_FILENO);
+        dup2(fileno(file_), STDOUT_FILENO);
     }
-    ~ErrorCapture()
+    ~OutputCapture()
     {
-        dup2(saved_, STDERR_FILENO);
+        dup2(saved_, STDOUT_FILENO);
         close(saved_);
         std::fclose(file_);
     }
-    ErrorCapture(const ErrorCapture &) = delete;
-    auto operator=(const ErrorCapture &) -> ErrorCapture & = delete;
+    OutputCapture(const OutputCapture &) = delete;
+    auto operator=(const OutputCapture &) -> OutputCapture & = delete;
 
     auto text() -> std::string
     {
-        std::fflush(stderr);
         auto text = std::string(1 << 16, '\0');
         std::rewind(file_);
         text.resize(std::fread(text.data(), 1, text.size(), file_));
@@ -46,12 +48,12 @@
 
 private:
     std::FILE *file_;
-    int saved_;
+    int saved_ = -1;
 };
 
 auto lineWith(std::string_view value) -> std::string
 {
-    auto capture = ErrorCapture {};
+    auto capture = OutputCapture {};
     LogEvent(LogLevel::Error, "test").with("key", value);
     const auto text = capture.text();
     return text.substr(text.find(" event=") + 1);
@@ -73,7 +75,7 @@
 
 TEST_CASE("numbers, flags, ids and errors have their own forms")
 {
-    auto capture = ErrorCapture {};
+    auto capture = OutputCapture {};
     LogEvent(LogLevel::Warning, "test")
             .with("small", -3)
             .with("big", UINT64_MAX)
@@ -98,7 +100,7 @@
     options.level = LogLevel::Warning;
     options.process = "tester";
     REQUIRE(startLogging(options).ok());
-    auto capture = ErrorCapture {};
+    auto capture = OutputCapture {};
     LogEvent(LogLevel::Info, "dropped").with("key", 1);
     LogEvent(LogLevel::Error, "kept").with("key", 2);
     CHECK(capture.text().find("dropped") == std::string::npos);
@@ -128,3 +130,40 @@
     }
     rmdir(folder.c_str());
 }
+
+TEST_CASE("more lines than are allowed in a second are dropped, and counted on the next that goes "
+          "out")
+{
+    auto capture = OutputCapture {};
+    for (auto i = 0; i < 4 * maxLinesPerSecond; ++i)
+        LogEvent(LogLevel::Error, "flood").with("n", i);
+    usleep(50'000); // For a few more lines to be allowed.
+    LogEvent(LogLevel::Error, "after");
+    const auto text = capture.text();
+    const auto lines = std::count(text.begin(), text.end(), '\n');
+    CHECK(lines < 2 * maxLinesPerSecond);
+    CHECK(text.find("event=after dropped=") != std::string::npos);
+}
+
+TEST_CASE("a reader that does not read is not waited for")
+{
+    usleep(600'000); // For enough lines to be allowed again.
+    auto ends = std::array<int, 2> { -1, -1 };
+    REQUIRE(pipe(ends.data()) == 0);
+    std::fflush(stdout);
+    const auto saved = dup(STDOUT_FILENO);
+    dup2(ends[1], STDOUT_FILENO);
+    const auto bulk = std::string(2000, 'x');
+    for (auto i = 0; i < maxLinesPerSecond / 2; ++i) // More than a pipe takes: a wait never ends.
+        LogEvent(LogLevel::Error, "bulk").with("value", bulk);
+    dup2(saved, STDOUT_FILENO);
+    close(saved);
+    auto taken = std::string(1 << 20, '\0');
+    taken.resize(static_cast<std::size_t>(read(ends[0], taken.data(), taken.size())));
+    close(ends[0]);
+    close(ends[1]);
+    const auto lines = std::count(taken.begin(), taken.end(), '\n');
+    CHECK(lines > 10);                         // The pipe took some, whole,
+    CHECK(lines < maxLinesPerSecond / 2 - 10); // and the rest was dropped.
+    CHECK(taken.back() == '\n');
+}
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -148,9 +148,13 @@
     /// @return the refusal of a request that cannot be carried at all
     auto prepare() -> std::optional<Refusal>
     {
-        if (!routes_ || owner_.refusing_) {
-            const auto kind = routes_ ? ErrorKind::Draining : ErrorKind::NotCurrent;
-            return Refusal { makeError(kind, "gateway"), true, owner_.options_.comeBack };
+        if (!routes_) {
+            return Refusal { makeError(ErrorKind::NotCurrent, "gateway"), true,
+                             owner_.options_.comeBackWhenNew };
+        }
+        if (owner_.refusing_) {
+            return Refusal { makeError(ErrorKind::Draining, "gateway"), true,
+                             owner_.options_.comeBack };
         }
         auto read = parts_.dialect.readRequest(request_);
         if (!read.ok())
@@ -237,6 +241,8 @@
     {
         const auto now = parts_.clock.now();
         const auto load = expectedLoad(lack);
+        if (!load && parts_.view.of(service_).empty())
+            comeBack_ = owner_.options_.comeBackWhenNew;
         if (!load)
             return std::nullopt;
         const auto since = waiting_ ? parts_.demand.lackingSince(target_) : now;
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -49,6 +49,9 @@
     Duration freshEnough = std::chrono::seconds { 2 };
     /// Retry-After when nothing better is known.
     Duration comeBack = std::chrono::milliseconds { 300 };
+    /// Retry-After while no configuration or no endpoint is known: after a start, endpoints are
+    /// heard of within the interval at which they announce themselves.
+    Duration comeBackWhenNew = std::chrono::milliseconds { 1200 };
 };
 
 /// What the forwarder works with. All of it outlives the Forwarder.
