gateway: weigh an endpoint's load by the prompts that it reads

Cause: a prompt of 9,000 tokens takes a step of the batch for a quarter of a second, and counted like a request of 800; endpoints with equal counts differed in pauses by a factor. Ruled out: the lag of the loads (both deployments with 18 endpoints showed the same as the larger ones).

--- a/gateway/chooser.cpp
+++ b/gateway/chooser.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 /// Requests in progress by which the affine endpoint may exceed the least loaded one.
-constexpr auto affinitySlack = std::uint32_t { 8 };
+constexpr auto affinitySlack = std::uint32_t { 12 };
 
 auto isMissing(const EndpointEntry &entry, const Wish &wish, const std::string &adapter) -> bool
 {
--- a/gateway/fleetview.h
+++ b/gateway/fleetview.h
@@ -27,12 +27,11 @@
 {
     catalogue::EndpointRow row;
     Instant heardAt {};              ///< When news of its latest announcement came.
-    std::uint32_t running = 0;       ///< Requests of this gateway there.
+    std::uint32_t running = 0;       ///< This gateway's requests there, weighed.
     std::uint32_t told = 0;          ///< Of those, as this gateway reported last.
     std::uint32_t othersRunning = 0; ///< Requests of the others, as the leader told last.
     /// @return requests in progress there, as far as known
     auto load() const -> std::uint32_t { return running + othersRunning; }
-    std::uint64_t runningTokens = 0;
     std::uint32_t failures = 0; ///< In a row; each doubles the pause.
     Instant avoidUntil {};      ///< Not chosen before, unless nothing else is left.
     bool isUnreached = false;   ///< The latest connection could not be made, and no news since.
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -40,9 +40,19 @@
 /// How long endpoints that rejected a request are left out of its next choices; doubles.
 constexpr auto firstAvoidPause = std::chrono::milliseconds { 125 };
 constexpr auto longestAvoidPause = std::chrono::milliseconds { 2000 };
+/// Prompt tokens that weigh like one request in progress: some 50 ms of reading.
+constexpr auto tokensPerLoad = std::uint64_t { 2000 };
+constexpr auto maxPromptTokens = std::uint64_t { 1'000'000 };
 /// Longest wait for the rest of an answer that is thrown away, to keep its connection.
 constexpr auto discardTime = std::chrono::milliseconds { 200 };
 
+/// @return what a request counts towards its endpoint's load: a prompt that is read takes the place
+/// of tokens of all streams beside it
+auto loadWeight(std::uint64_t promptTokens) -> std::uint32_t
+{
+    return 1 + static_cast<std::uint32_t>(std::min(promptTokens, maxPromptTokens) / tokensPerLoad);
+}
+
 auto isEventStream(const http::Headers &headers) -> bool
 {
     return http::findHeader(headers, "Content-Type").substr(0, 17) == "text/event-stream";
@@ -333,9 +343,8 @@
         const auto id = entry.row.id;
         endpoint_ = id;
         auto out = makeDispatch(entry);
-        const auto tokens = caller_.promptTokens + caller_.outputTokens;
-        entry.running += 1;
-        entry.runningTokens += tokens;
+        const auto weight = loadWeight(caller_.promptTokens);
+        entry.running += weight;
         if (!target_.model.empty())
             parts_.demand.onStart(target_);
         parts_.metrics.onDispatch(sent_ > 0);
@@ -345,8 +354,7 @@
         if (!target_.model.empty())
             parts_.demand.onEnd(target_);
         if (auto *now = parts_.view.find(id)) {
-            now->running -= 1;
-            now->runningTokens -= tokens;
+            now->running -= weight;
         }
         if (step != Step::Settled)
             avoid(id);
