--- /dev/null
+++ b/fleet/balancer.h
@@ -0,0 +1,115 @@
+// Which endpoint each request of all gateways should go to.
+//
+//   auto balancer = Balancer { options, clock, random };
+//   const auto reply = balancer.pick(gateway, request);   // books it there
+//   balancer.onEnd(gateway, end);
+//
+// A gateway of a large fleet sends an endpoint one request in a hundred, and
+// hears of the others' a second late; prompts that meet at one endpoint make its
+// streams pause. One process that books every request knows at each moment how
+// much each endpoint still has to read. What it knows is soft: a balancer that
+// begins anew, or hears of a part of the requests only, picks less well and
+// nothing else. Gateways check and may overrule every pick.
+//
+// The cost of a candidate, in milliseconds: the time until the request's own
+// prompt is read there; what that reading does to the streams beside it; what
+// others' reading will do to a long stream. Pure but for the clock and the draw
+// among equals. Not thread-safe.
+
+#ifndef FIGRACK_FLEET_BALANCER_H
+#define FIGRACK_FLEET_BALANCER_H
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <utility>
+
+#include "core/clock.h"
+#include "core/ids.h"
+#include "core/random.h"
+#include "proto/servingmessages.h"
+
+namespace figrack::fleet {
+
+struct BalancerOptions
+{
+    /// Prompt tokens that an engine reads in a millisecond, with the steps of its batch around
+    /// them. Engines of today's deployments: 38 without, 28 with.
+    double tokensPerMs = 28;
+    /// Time an engine takes for one token of each stream in its batch, when it reads nothing.
+    double msPerToken = 6;
+    /// Reading that a stream beside it bears without a noticeable pause.
+    Duration bearable = std::chrono::milliseconds { 300 };
+    /// What each running request loses by a millisecond of reading beyond that, to one that the
+    /// new request loses by waiting.
+    double pauseWeight = 0.3;
+    /// What a millisecond of generating loses at an endpoint that reads all the time.
+    double exposureWeight = 0.5;
+    /// Longest time of generating that is foreseen: what comes later is not known.
+    Duration foreseen = std::chrono::seconds { 4 };
+    /// A running request costs a new one so much: all streams of a batch share its steps.
+    double msPerRunning = 2;
+    /// Over which an endpoint's reading is averaged.
+    Duration readWindow = std::chrono::seconds { 4 };
+    /// Beginnings of prompts that an endpoint is taken to keep, in tokens: half of the cache of
+    /// today's engines; running requests take the rest.
+    std::uint64_t keptTokens = 100'000;
+    /// An endpoint that nothing was booked at for so long is forgotten.
+    Duration forgetAfter = std::chrono::seconds { 60 };
+};
+
+class Balancer
+{
+public:
+    Balancer(BalancerOptions options, const Clock &clock, Random &random);
+    /// @param gateway that asks @param request with one candidate at least
+    /// @return the candidate that costs least, and why; empty when there is no candidate
+    auto pick(const NodeId &gateway, const proto::PickRequest &request) -> proto::PickReply;
+    auto onEnd(const NodeId &gateway, const proto::PickEnd &end) -> void;
+    /// The gateway's bookings end: it is gone, and its requests with it.
+    auto onGatewayLost(const NodeId &gateway) -> void;
+    /// @return requests that are booked
+    auto booked() const -> std::size_t { return bookings_.size(); }
+
+private:
+    struct Endpoint
+    {
+        Instant readUntil {}; ///< When all booked prompts will have been read.
+        double reading = 0;   ///< Milliseconds of reading, decayed to averagedAt.
+        Instant averagedAt {};
+        std::uint32_t running = 0;          ///< Booked and not ended.
+        std::deque<proto::PromptSpan> kept; ///< Most recently used last.
+        std::uint64_t keptTokens = 0;
+    };
+    struct Booking
+    {
+        EndpointId endpoint;
+        Instant expiresAt {};
+    };
+    using BookingKey = std::pair<NodeId, std::uint64_t>;
+
+    /// @return milliseconds until the request's prompt is read there
+    auto startAt(const Endpoint &endpoint, const proto::PickRequest &request) const -> double;
+    auto costAt(const Endpoint &endpoint, const proto::PickRequest &request) const -> double;
+    /// @return tokens of the prompt that the endpoint does not keep
+    auto unreadTokens(const Endpoint &endpoint, const proto::PickRequest &request) const
+            -> std::uint64_t;
+    /// @return the part of its time, from 0 on, that the endpoint has been reading of late
+    auto readShare(const Endpoint &endpoint) const -> double;
+    auto book(const NodeId &gateway, const proto::PickRequest &request, const EndpointId &id)
+            -> void;
+    auto keep(Endpoint &endpoint, const std::vector<proto::PromptSpan> &spans) const -> void;
+    auto release(const EndpointId &id) -> void;
+    auto expire() -> void;
+
+    BalancerOptions options_;
+    const Clock &clock_;
+    Random &random_;
+    std::map<EndpointId, Endpoint> endpoints_;
+    std::map<BookingKey, Booking> bookings_;
+    Instant nextExpiry_ {};
+};
+
+} // namespace figrack::fleet
+
+#endif // FIGRACK_FLEET_BALANCER_H
--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -48,6 +48,7 @@
         , registry_(options_.registry, clock)
         , keeper_(options_.group, clock)
         , demand_(options_.demandWindow, clock)
+        , balancer_(options_.balancer, clock, random_)
         , orders_(context, options_.orders, clock, registry_, port, authority())
         , tickTimer_(context)
         , stopTimer_(context)
@@ -227,6 +228,7 @@
                           return;
                       self->registry_.onClose(peer);
                       self->demand_.onGatewayLost(peer->peer());
+                      self->balancer_.onGatewayLost(peer->peer());
                   };
         return handler;
     }
@@ -244,6 +246,12 @@
         } else if (const auto *wanted = std::get_if<proto::ModelWanted>(&envelope.payload)) {
             if (demand_.onReport(peer->peer(), *wanted))
                 planSoon();
+        } else if (const auto *pick = std::get_if<proto::PickRequest>(&envelope.payload)) {
+            auto reply = balancer_.pick(peer->peer(), *pick);
+            if (envelope.correlation != 0)
+                peer->send({ envelope.correlation, std::move(reply) });
+        } else if (const auto *end = std::get_if<proto::PickEnd>(&envelope.payload)) {
+            balancer_.onEnd(peer->peer(), *end);
         } else if (const auto *join = std::get_if<proto::JoinGroup>(&envelope.payload)) {
             onJoin(join->member);
         } else if (std::holds_alternative<proto::DocumentRequest>(envelope.payload)) {
@@ -523,6 +531,7 @@
     Registry registry_;
     GroupKeeper keeper_;
     DemandTable demand_;
+    Balancer balancer_;
     Proposals proposals_;
     std::unique_ptr<control::PeerTransport> transport_;
     std::unique_ptr<proto::PeerServer> server_;
--- a/fleet/core.h
+++ b/fleet/core.h
@@ -29,6 +29,7 @@
 #include "coord/replica.h"
 #include "core/clock.h"
 #include "core/settings.h"
+#include "fleet/balancer.h"
 #include "fleet/configlog.h"
 #include "fleet/group.h"
 #include "fleet/orders.h"
@@ -50,6 +51,7 @@
     GroupOptions group;
     RegistryOptions registry;
     OrderOptions orders;
+    BalancerOptions balancer;
     /// A new leader gives its first order only after any order of the one before is too old to
     /// count as a turn of two holders.
     Duration orderQuarantine = std::chrono::milliseconds { 3300 };
--- /dev/null
+++ b/fleet/testing/tst_balancer.cpp
@@ -0,0 +1,198 @@
+// The balancer on plain requests, in virtual time.
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "fleet/balancer.h"
+
+using namespace figrack;
+using namespace figrack::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Requests of one gateway to a balancer.
+struct Bench
+{
+    explicit Bench(BalancerOptions options = {})
+        : balancer(options, clock, random)
+    { }
+
+    auto pick(std::uint64_t ownTokens, std::uint64_t outputTokens,
+              std::vector<proto::PromptSpan> shared = {},
+              const std::vector<std::string> &among = { "a", "b" }) -> std::string
+    {
+        auto request = proto::PickRequest {};
+        request.ticket = ++ticket;
+        for (const auto &name : among)
+            request.candidates.emplace_back(name);
+        request.shared = std::move(shared);
+        request.ownTokens = ownTokens;
+        request.outputTokens = outputTokens;
+        request.limitMs = 10'000;
+        reply = balancer.pick(gateway, request);
+        return reply.endpoint.value();
+    }
+
+    auto end(std::uint64_t which) -> void { balancer.onEnd(gateway, { which }); }
+
+    ManualClock clock;
+    Random random { 1 };
+    Balancer balancer;
+    NodeId gateway { "g-1" };
+    std::uint64_t ticket = 0;
+    proto::PickReply reply; ///< The last one.
+};
+
+constexpr auto longPrompt = std::uint64_t { 9000 };
+constexpr auto fewTokens = std::uint64_t { 50 };
+constexpr auto manyTokens = std::uint64_t { 400 };
+
+} // namespace
+
+TEST_CASE("Prompts that come together go to different endpoints, whichever gateway they come from")
+{
+    auto bench = Bench {};
+    const auto first = bench.pick(longPrompt, fewTokens);
+    bench.gateway = NodeId { "g-2" };
+    CHECK(bench.pick(longPrompt, fewTokens) != first);
+}
+
+TEST_CASE("A reply tells what it went by")
+{
+    auto bench = Bench { { .tokensPerMs = 10 } };
+    bench.pick(1000, fewTokens, {}, { "a" });
+    CHECK(bench.reply.startMs == 100);
+    CHECK(bench.reply.running == 0);
+    bench.pick(500, fewTokens, {}, { "a" });
+    CHECK(bench.reply.startMs == 150);
+    CHECK(bench.reply.running == 1);
+}
+
+TEST_CASE("A prompt that has been read holds nobody up any more")
+{
+    auto bench = Bench {};
+    const auto first = bench.pick(longPrompt, fewTokens, {}, { "a" });
+    bench.end(1);
+    // Both are idle again; the shared beginning that "a" keeps decides.
+    bench.clock.advance(20s);
+    const auto shared = std::vector<proto::PromptSpan> { { 7, 6000 } };
+    CHECK(bench.pick(100, fewTokens, shared, { "a" }) == first);
+    bench.end(2);
+    bench.clock.advance(20s);
+    CHECK(bench.pick(100, fewTokens, shared) == "a");
+}
+
+TEST_CASE("A shared beginning is read again rather than waited for behind long prompts")
+{
+    auto bench = Bench {};
+    const auto shared = std::vector<proto::PromptSpan> { { 7, 6000 } };
+    CHECK(bench.pick(100, fewTokens, shared, { "a" }) == "a");
+    bench.end(1);
+    bench.clock.advance(1s);
+    CHECK(bench.pick(2 * longPrompt, fewTokens, {}, { "a" }) == "a");
+    CHECK(bench.pick(100, fewTokens, shared) == "b");
+}
+
+TEST_CASE("A part of a prompt counts as kept only after all parts before it")
+{
+    auto bench = Bench {};
+    CHECK(bench.pick(100, fewTokens, { { 7, 3000 }, { 8, 6000 } }, { "a" }) == "a");
+    CHECK(bench.pick(100, fewTokens, { { 9, 1000 } }, { "b" }) == "b");
+    bench.end(1);
+    bench.end(2);
+    bench.clock.advance(20s);
+    // Key 8 lies at "a" behind key 7; behind key 9 it is of no use, so "b" has less to read.
+    CHECK(bench.pick(100, fewTokens, { { 9, 1000 }, { 8, 6000 } }) == "b");
+}
+
+TEST_CASE("A long stream keeps away from an endpoint that reads much")
+{
+    auto bench = Bench {};
+    for (auto i = 0; i < 8; ++i) {
+        CHECK(bench.pick(longPrompt, fewTokens, {}, { "a" }) == "a");
+        bench.end(bench.ticket);
+        bench.clock.advance(400ms);
+    }
+    CHECK(bench.pick(100, manyTokens) == "b");
+}
+
+TEST_CASE("A long prompt keeps away from the endpoint that has the streams")
+{
+    auto bench = Bench {};
+    for (auto i = 0; i < 6; ++i)
+        CHECK(bench.pick(10, manyTokens, {}, { "a" }) == "a");
+    bench.clock.advance(100ms);
+    CHECK(bench.pick(2 * longPrompt, fewTokens) == "b");
+}
+
+TEST_CASE("Bookings end by message, with their gateway, and by their time limit")
+{
+    auto bench = Bench {};
+    bench.pick(1, 1);
+    bench.pick(1, 1);
+    CHECK(bench.balancer.booked() == 2);
+    bench.end(1);
+    bench.end(1);
+    CHECK(bench.balancer.booked() == 1);
+    bench.gateway = NodeId { "g-2" };
+    bench.pick(1, 1);
+    bench.balancer.onGatewayLost(NodeId { "g-1" });
+    CHECK(bench.balancer.booked() == 1);
+    bench.clock.advance(11s);
+    bench.gateway = NodeId { "g-3" };
+    bench.pick(1, 1);
+    CHECK(bench.balancer.booked() == 1);
+}
+
+TEST_CASE("A plain service's requests are spread by count")
+{
+    auto bench = Bench {};
+    auto perEndpoint = std::map<std::string, int> {};
+    for (auto i = 0; i < 30; ++i)
+        ++perEndpoint[bench.pick(0, 0, {}, { "a", "b", "c" })];
+    CHECK(perEndpoint["a"] == 10);
+    CHECK(perEndpoint["b"] == 10);
+    CHECK(perEndpoint["c"] == 10);
+}
+
+TEST_CASE("No candidates bring an empty pick and no booking")
+{
+    auto bench = Bench {};
+    CHECK(bench.pick(1, 1, {}, {}).empty());
+    CHECK(bench.balancer.booked() == 0);
+}
+
+TEST_CASE("Random requests: each pick is a candidate, and every booking ends")
+{
+    auto bench = Bench {};
+    auto random = Random { 7 };
+    auto open = std::vector<std::uint64_t> {};
+    const auto names = std::vector<std::string> { "a", "b", "c", "d", "e" };
+    for (auto step = 0; step < 3000; ++step) {
+        bench.clock.advance(std::chrono::milliseconds { random.below(40) });
+        auto among = std::vector<std::string> {};
+        for (const auto &name : names) {
+            if (random.chance(0.6))
+                among.push_back(name);
+        }
+        const auto got = bench.pick(random.below(20000), random.below(500),
+                                    { { random.below(9), random.below(9000) } }, among);
+        const auto isCandidate = std::find(among.begin(), among.end(), got) != among.end();
+        CHECK(isCandidate == !among.empty());
+        open.push_back(bench.ticket);
+        while (open.size() > 20) {
+            const auto which = random.below(open.size());
+            bench.end(open[which]);
+            open.erase(open.begin() + static_cast<std::ptrdiff_t>(which));
+        }
+        CHECK(bench.balancer.booked() <= 21);
+    }
+    for (const auto ticket : open)
+        bench.end(ticket);
+    CHECK(bench.balancer.booked() == 0);
+}
--- a/gateway/chooser.cpp
+++ b/gateway/chooser.cpp
@@ -65,8 +65,8 @@
 {
     return *std::max_element(entries.begin(), entries.end(),
                              [key](const EndpointEntry *one, const EndpointEntry *other) {
-                                 return rendezvousWeight(key, one->row.id)
-                                         < rendezvousWeight(key, other->row.id);
+                                 return rendezvousWeight(key, one->row.id.value())
+                                         < rendezvousWeight(key, other->row.id.value());
                              });
 }
 
@@ -85,16 +85,16 @@
     return XXH3_64bits(both.data(), sizeof(both));
 }
 
-auto rendezvousWeight(std::uint64_t key, const EndpointId &endpoint) -> std::uint64_t
+auto rendezvousWeight(std::uint64_t key, std::string_view name) -> std::uint64_t
 {
-    return XXH3_64bits_withSeed(endpoint.value().data(), endpoint.value().size(), key);
+    return XXH3_64bits_withSeed(name.data(), name.size(), key);
 }
 
-auto choose(const std::vector<EndpointEntry *> &candidates, const Wish &wish,
-            const std::function<bool(const EndpointEntry &)> &isHealthy, Random &random) -> Choice
+auto ableEndpoints(const std::vector<EndpointEntry *> &candidates, const Wish &wish,
+                   const std::function<bool(const EndpointEntry &)> &isHealthy) -> Able
 {
     if (candidates.empty())
-        return { nullptr, Lack::Endpoint };
+        return { {}, Lack::Endpoint };
     auto lack = wish.model.empty() ? Lack::Endpoint : Lack::Model;
     auto healthy = std::vector<EndpointEntry *> {};
     auto doubtful = std::vector<EndpointEntry *> {};
@@ -103,14 +103,20 @@
             continue;
         (isHealthy(*entry) ? healthy : doubtful).push_back(entry);
     }
-    const auto &usable = healthy.empty() ? doubtful : healthy;
-    if (usable.empty())
-        return { nullptr, lack };
+    auto &able = healthy.empty() ? doubtful : healthy;
+    if (!able.empty())
+        lack = Lack::Nothing;
+    return { std::move(able), lack };
+}
+
+auto chooseAmong(const std::vector<EndpointEntry *> &able, const Wish &wish, Random &random)
+        -> EndpointEntry *
+{
     if (wish.affinity == 0)
-        return { lesserOfTwo(usable, random), Lack::Nothing };
-    auto *affine = affineEndpoint(usable, wish.affinity);
-    const auto keepsUp = affine->load() <= leastLoad(usable) + affinitySlack;
-    return { keepsUp ? affine : lesserOfTwo(usable, random), Lack::Nothing };
+        return lesserOfTwo(able, random);
+    auto *affine = affineEndpoint(able, wish.affinity);
+    const auto keepsUp = affine->load() <= leastLoad(able) + affinitySlack;
+    return keepsUp ? affine : lesserOfTwo(able, random);
 }
 
 } // namespace figrack::gateway
--- a/gateway/chooser.h
+++ b/gateway/chooser.h
@@ -1,6 +1,8 @@
-// Which endpoint a request goes to.
+// Which endpoints can take a request, and which of them takes it by this
+// gateway's own knowledge.
 //
-//   const auto choice = choose(candidates, wish, now-healthy predicate, random);
+//   const auto able = ableEndpoints(candidates, wish, now-healthy predicate);
+//   if (!able.entries.empty()) go(chooseAmong(able.entries, wish, random));
 //
 // Requests that share parts of their prompt go to the same endpoint while it
 // keeps up, so that the parts need not be read again. All gateways agree on
@@ -42,21 +44,27 @@
 /// @return "none", "endpoint", "model" or "adapter"
 auto lackName(Lack lack) -> std::string_view;
 
-struct Choice
+struct Able
 {
-    EndpointEntry *entry = nullptr;
+    std::vector<EndpointEntry *> entries; ///< None when something lacks.
     Lack lack = Lack::Nothing;
 };
 
 /// @param candidates endpoints of the service that take work
-/// @param isHealthy those for which it is false are taken only when no other is left
-auto choose(const std::vector<EndpointEntry *> &candidates, const Wish &wish,
-            const std::function<bool(const EndpointEntry &)> &isHealthy, Random &random) -> Choice;
+/// @param isHealthy those for which it is false are named only when no other is left
+/// @return the endpoints that can take the request
+auto ableEndpoints(const std::vector<EndpointEntry *> &candidates, const Wish &wish,
+                   const std::function<bool(const EndpointEntry &)> &isHealthy) -> Able;
+
+/// @param able one endpoint at least
+/// @return the one to take by this gateway's knowledge alone
+auto chooseAmong(const std::vector<EndpointEntry *> &able, const Wish &wish, Random &random)
+        -> EndpointEntry *;
 
 /// @return a well mixed hash of two numbers
 auto mixHash(std::uint64_t one, std::uint64_t other) -> std::uint64_t;
-/// @return the weight of an endpoint for a key; the highest is the key's endpoint
-auto rendezvousWeight(std::uint64_t key, const EndpointId &endpoint) -> std::uint64_t;
+/// @return the weight of a name for a key; the highest wins the key
+auto rendezvousWeight(std::uint64_t key, std::string_view name) -> std::uint64_t;
 
 } // namespace figrack::gateway
 
--- a/gateway/controlfeed.cpp
+++ b/gateway/controlfeed.cpp
@@ -9,12 +9,21 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// Picks one order of the controls, alike at all gateways.
+constexpr auto balancerKey = std::uint64_t { 0x62616c616e636572 };
+
+} // namespace
+
 class ControlFeed::Impl : public std::enable_shared_from_this<Impl>
 {
 public:
-    Impl(asio::io_context &context, ControlFeedOptions options, ControlFeedHooks hooks)
+    Impl(asio::io_context &context, ControlFeedOptions options, const Clock &clock,
+         ControlFeedHooks hooks)
         : context_(context)
         , options_(std::move(options))
+        , clock_(clock)
         , hooks_(std::move(hooks))
     { }
 
@@ -175,6 +184,40 @@
         return false;
     }
 
+    auto askBalancer(proto::PickRequest request, Duration timeout, BalancerLink::Done done)
+            -> std::optional<Address>
+    {
+        auto address = balancer();
+        if (!address)
+            return std::nullopt;
+        const auto ticket = request.ticket;
+        auto onReply = [weak = weak_from_this(), address = *address, ticket,
+                        done = std::move(done)](const auto &reply) {
+            const auto *pick = reply.ok() ? std::get_if<proto::PickReply>(&*reply) : nullptr;
+            if (const auto self = weak.lock(); self && pick == nullptr)
+                self->onBalancerFailed(address, ticket, reply.status());
+            done(pick == nullptr ? std::nullopt : std::optional { *pick });
+        };
+        controls_.at(*address).client->call(std::move(request), timeout, std::move(onReply));
+        return address;
+    }
+
+    auto tellBalancer(proto::PickRequest request) -> std::optional<Address>
+    {
+        auto address = balancer();
+        if (address)
+            controls_.at(*address).client->push(std::move(request));
+        return address;
+    }
+
+    auto endPick(const Address &address, const proto::PickEnd &end) -> void
+    {
+        const auto found = controls_.find(address);
+        // A control that has gone has lost its account; the next one begins without.
+        if (found != controls_.end() && found->second.open)
+            static_cast<void>(found->second.client->push(end));
+    }
+
     auto connected() const -> std::size_t
     {
         return static_cast<std::size_t>(
@@ -192,6 +235,44 @@
     auto seeds() const -> const std::vector<Address> & { return options_.seeds; }
 
 private:
+    /// @return the control that picks are asked of: of those connected the one with the highest
+    /// hash, and the leader, which has plans to make, only when there is no other
+    auto balancer() const -> std::optional<Address>
+    {
+        const auto now = clock_.now();
+        auto best = std::optional<Address> {};
+        auto bestWeight = std::uint64_t { 0 };
+        auto leader = std::optional<Address> {};
+        for (const auto &[address, control] : controls_) {
+            if (!control.open || now < control.balancesFrom)
+                continue;
+            if (control.node == leader_) {
+                leader = address;
+                continue;
+            }
+            const auto weight = rendezvousWeight(balancerKey, control.node.value());
+            if (!best || weight > bestWeight) {
+                best = address;
+                bestWeight = weight;
+            }
+        }
+        return best ? best : leader;
+    }
+
+    auto onBalancerFailed(const Address &address, std::uint64_t ticket, const absl::Status &status)
+            -> void
+    {
+        endPick(address, { ticket });
+        const auto found = controls_.find(address);
+        if (found == controls_.end())
+            return;
+        found->second.balancesFrom = clock_.now() + options_.balancerPause;
+        LogEvent(LogLevel::Warning, "balancer_lost")
+                .with("control", found->second.node)
+                .with("ticket", ticket)
+                .with(status);
+    }
+
     struct Control
     {
         std::unique_ptr<proto::PeerClient> client;
@@ -199,10 +280,12 @@
         Revision announced;
         std::uint32_t failures = 0; ///< Documents that it did not give.
         bool open = false;
+        Instant balancesFrom {}; ///< Not asked for picks before.
     };
 
     asio::io_context &context_;
     ControlFeedOptions options_;
+    const Clock &clock_;
     ControlFeedHooks hooks_;
     std::map<Address, Control> controls_;
     NodeId leader_;
@@ -213,9 +296,9 @@
     bool stopped_ = false;
 };
 
-ControlFeed::ControlFeed(asio::io_context &context, ControlFeedOptions options,
+ControlFeed::ControlFeed(asio::io_context &context, ControlFeedOptions options, const Clock &clock,
                          ControlFeedHooks hooks)
-    : impl_(std::make_shared<Impl>(context, std::move(options), std::move(hooks)))
+    : impl_(std::make_shared<Impl>(context, std::move(options), clock, std::move(hooks)))
 { }
 
 ControlFeed::~ControlFeed()
@@ -249,6 +332,26 @@
     return impl_->sendWanted(std::move(wanted));
 }
 
+auto ControlFeed::balancerLink() -> BalancerLink
+{
+    auto link = BalancerLink {};
+    link.ask = [weak = std::weak_ptr { impl_ }](proto::PickRequest request, Duration timeout,
+                                                BalancerLink::Done done) {
+        const auto impl = weak.lock();
+        return impl ? impl->askBalancer(std::move(request), timeout, std::move(done))
+                    : std::nullopt;
+    };
+    link.tell = [weak = std::weak_ptr { impl_ }](proto::PickRequest request) {
+        const auto impl = weak.lock();
+        return impl ? impl->tellBalancer(std::move(request)) : std::nullopt;
+    };
+    link.end = [weak = std::weak_ptr { impl_ }](const Address &address, proto::PickEnd end) {
+        if (const auto impl = weak.lock())
+            impl->endPick(address, end);
+    };
+    return link;
+}
+
 auto ControlFeed::connected() const -> std::size_t
 {
     return impl_->connected();
--- a/gateway/controlfeed.h
+++ b/gateway/controlfeed.h
@@ -26,6 +26,7 @@
 
 #include "core/clock.h"
 #include "core/settings.h"
+#include "gateway/picker.h"
 #include "proto/channel.h"
 
 namespace figrack::gateway {
@@ -38,6 +39,9 @@
     std::vector<Address> seeds; ///< Controls' addresses for peers.
     /// After so long without an answer another control is asked for a document.
     Duration documentTimeout = std::chrono::milliseconds { 400 };
+    /// A control that did not answer a pick in time is not asked again for so long: one that is
+    /// frozen or cut off is found out by the channel's idle timeout only.
+    Duration balancerPause = std::chrono::seconds { 1 };
 };
 
 struct ControlFeedHooks
@@ -50,7 +54,7 @@
 class ControlFeed
 {
 public:
-    ControlFeed(boost::asio::io_context &context, ControlFeedOptions options,
+    ControlFeed(boost::asio::io_context &context, ControlFeedOptions options, const Clock &clock,
                 ControlFeedHooks hooks);
     ~ControlFeed();
     auto start() -> void;
@@ -61,6 +65,9 @@
     auto addSeeds(const std::vector<Address> &seeds) -> void;
     /// @return false when no leader is known or connected
     auto sendWanted(proto::ModelWanted wanted) -> bool;
+    /// The control that balances for all gateways, as a link for Picker. Gateways agree on it
+    /// without talking as long as they are connected to the same controls.
+    auto balancerLink() -> BalancerLink;
     /// @return controls to which a connection stands
     auto connected() const -> std::size_t;
 
--- a/gateway/fleetview.cpp
+++ b/gateway/fleetview.cpp
@@ -88,12 +88,19 @@
         return result;
     for (const auto &id : found->second) {
         auto &entry = entries_.at(id);
-        if (entry.row.state == catalogue::EndpointState::Ready && !entry.isReplaced)
+        if (takesWork(id))
             result.push_back(&entry);
     }
     return result;
 }
 
+auto FleetView::takesWork(const EndpointId &id) const -> bool
+{
+    const auto found = entries_.find(id);
+    return found != entries_.end() && found->second.row.state == catalogue::EndpointState::Ready
+            && !found->second.isReplaced;
+}
+
 auto FleetView::find(const EndpointId &id) -> EndpointEntry *
 {
     const auto found = entries_.find(id);
--- a/gateway/fleetview.h
+++ b/gateway/fleetview.h
@@ -63,6 +63,8 @@
     auto apply(const proto::ServingUpdate &update) -> bool;
     /// @return the endpoints of a service that take work; none that is draining or gone
     auto of(const ServiceId &service) -> std::vector<EndpointEntry *>;
+    /// @return true when the endpoint is known and takes work
+    auto takesWork(const EndpointId &id) const -> bool;
     /// @return the endpoint, or nullptr
     auto find(const EndpointId &id) -> EndpointEntry *;
     /// @return true when it neither failed nor fell silent of late
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -225,19 +225,18 @@
                 ending_ = Ending::CallerGone;
                 co_return nullptr;
             }
-            const auto isHealthy
-                    = [&](const EndpointEntry &entry) { return parts_.view.isHealthy(entry); };
-            wish_.now = parts_.clock.now();
-            const auto choice = choose(parts_.view.of(service_), wish_, isHealthy, parts_.random);
-            if (choice.entry != nullptr) {
+            const auto lack = co_await pick();
+            if (lack == Lack::Nothing && callerGone_)
+                continue;
+            if (lack == Lack::Nothing) {
                 finishWaiting();
-                co_return choice.entry;
+                co_return parts_.view.find(picked_.endpoint);
             }
-            lack_ = choice.lack;
-            const auto patience = patienceFor(choice.lack);
+            lack_ = lack;
+            const auto patience = patienceFor(lack);
             if (!patience) {
-                co_await giveUp(makeError(ErrorKind::NoCapacity,
-                                          "lack=" + std::string { lackName(choice.lack) }));
+                co_await giveUp(
+                        makeError(ErrorKind::NoCapacity, "lack=" + std::string { lackName(lack) }));
                 co_return nullptr;
             }
             beginWaiting();
@@ -246,6 +245,25 @@
         }
     }
 
+    /// Looks for an endpoint; it is in picked_ then, and known. @return what lacks
+    auto pick() -> asio::awaitable<Lack>
+    {
+        const auto isHealthy
+                = [&](const EndpointEntry &entry) { return parts_.view.isHealthy(entry); };
+        while (true) {
+            wish_.now = parts_.clock.now();
+            const auto able = ableEndpoints(parts_.view.of(service_), wish_, isHealthy);
+            if (able.entries.empty())
+                co_return able.lack;
+            const auto terms = pickTerms(caller_, timeLeft());
+            auto picked = co_await parts_.picker.pick(able.entries, wish_, terms);
+            picked_ = std::move(picked);
+            // It may have left while the balancer was asked.
+            if (callerGone_ || parts_.view.takesWork(picked_.endpoint))
+                co_return Lack::Nothing;
+        }
+    }
+
     /// @return how long to wait before looking again; empty when waiting is of no use
     auto patienceFor(Lack lack) -> std::optional<Duration>
     {
@@ -353,6 +371,7 @@
         const auto step = co_await exchange(std::move(out), left, id);
         if (!target_.model.empty())
             parts_.demand.onEnd(target_);
+        picked_.booking.end();
         if (auto *now = parts_.view.find(id)) {
             now->running -= weight;
         }
@@ -479,10 +498,9 @@
     auto repeatFault(http::Response failure) -> asio::awaitable<Step>
     {
         avoid(endpoint_);
-        const auto isHealthy
-                = [&](const EndpointEntry &entry) { return parts_.view.isHealthy(entry); };
-        const auto choice = choose(parts_.view.of(service_), wish_, isHealthy, parts_.random);
-        if (choice.entry != nullptr && co_await dispatch(*choice.entry) == Step::Settled)
+        const auto lack = co_await pick();
+        auto *entry = lack == Lack::Nothing ? parts_.view.find(picked_.endpoint) : nullptr;
+        if (entry != nullptr && !callerGone_ && co_await dispatch(*entry) == Step::Settled)
             co_return Step::Settled;
         if (callerGone_)
             co_return Step::Broken;
@@ -636,6 +654,12 @@
                 .with("gap_ms", millis(longestGap_))
                 .with("left_ms", millis(deadline_ - now))
                 .with("config", owner_.version());
+        if (picked_.by != PickedBy::Nobody)
+            line.with("picked", pickedByName(picked_.by));
+        if (picked_.by == PickedBy::Balancer) {
+            line.with("expected_ms", std::int64_t { picked_.startMs })
+                    .with("beside", std::int64_t { picked_.running });
+        }
         if (lack_ != Lack::Nothing)
             line.with("lacked", lackName(lack_));
         if (budgetSpent_)
@@ -660,6 +684,7 @@
     std::shared_ptr<http::Canceller> canceller_; ///< Of the dispatch under way.
     std::string lastEvent_;
     EndpointId endpoint_; ///< Of the latest dispatch.
+    Picked picked_;       ///< The latest; its booking ends with the dispatch.
     std::uint32_t status_ = 0;
     std::uint32_t finalStatus_ = 0;
     std::uint32_t sent_ = 0;   ///< Dispatches of which bytes left.
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -32,6 +32,7 @@
 #include "gateway/dialect.h"
 #include "gateway/fleetview.h"
 #include "gateway/metrics.h"
+#include "gateway/picker.h"
 #include "gateway/retrywindow.h"
 #include "gateway/waiters.h"
 #include "http/client.h"
@@ -66,6 +67,7 @@
     Waiters &waiters;
     Metrics &metrics;
     http::Client &client;
+    Picker &picker;
     Random &random;
 };
 
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -39,9 +39,11 @@
         , demand_(clock)
         , waiters_(context)
         , client_(context, options_.client)
+        , feed_(context, feedOptions(), clock, feedHooks())
+        , picker_(options_.picker, feed_.balancerLink(), metrics_, random_)
         , forwarder_(options_.forwarder,
                      { context, clock, dialect, view_, retries_, demand_, waiters_, metrics_,
-                       client_, random_ })
+                       client_, picker_, random_ })
         , server_(context, options_.server,
                   [this](const http::Request &request, http::Responder &responder) {
                       return forwarder_.handle(request, responder);
@@ -54,23 +56,9 @@
     auto start() -> absl::Status
     {
         demand_.setOnUrgent([this] { reportSoon(); });
-        auto feedOptions = ControlFeedOptions {};
-        feedOptions.channel.self = options_.name;
-        feedOptions.channel.keys = options_.keys;
-        feedOptions.channel.idleTimeout = std::chrono::seconds { 3 };
-        feedOptions.channel.handshakeTimeout = std::chrono::seconds { 1 };
-        feedOptions.callers = options_.callers;
-        feedOptions.domain = options_.domain;
-        feedOptions.seeds = options_.seeds;
-        auto hooks = ControlFeedHooks {};
-        hooks.onUpdate = [this](const proto::ServingUpdate &update) { onUpdate(update); };
-        hooks.onDocument = [this](Revision version, const std::string &text) {
-            return onDocument(version, text);
-        };
-        feed_ = std::make_unique<ControlFeed>(context_, feedOptions, std::move(hooks));
         if (auto status = server_.start(options_.callers); !status.ok())
             return status;
-        feed_->start();
+        feed_.start();
         scheduleDemand();
         LogEvent(LogLevel::Info, "gateway_started").with("callers", options_.callers.text());
         return absl::OkStatus();
@@ -80,7 +68,7 @@
     {
         stopping_ = true;
         stopAskedAt_ = clock_.now();
-        feed_->setReady(false);
+        feed_.setReady(false);
         forwarder_.setPlaceBy(stopAskedAt_ + options_.stopBy - stopPlacing);
         LogEvent(LogLevel::Info, "gateway_leaving")
                 .with("in_progress", static_cast<std::uint64_t>(server_.inProgress()));
@@ -91,7 +79,7 @@
     {
         LogEvent(LogLevel::Info, "gateway_reloaded")
                 .with("seeds", static_cast<std::uint64_t>(seeds.size()));
-        feed_->addSeeds(seeds);
+        feed_.addSeeds(seeds);
     }
 
     auto ready() const -> bool { return !stopping_ && forwarder_.catalogue() != nullptr; }
@@ -110,14 +98,36 @@
     auto stop() -> void
     {
         server_.stop();
-        if (feed_)
-            feed_->stop();
+        feed_.stop();
         demandTimer_.cancel();
         urgentTimer_.cancel();
         stopTimer_.cancel();
     }
 
 private:
+    auto feedOptions() const -> ControlFeedOptions
+    {
+        auto result = ControlFeedOptions {};
+        result.channel.self = options_.name;
+        result.channel.keys = options_.keys;
+        result.channel.idleTimeout = std::chrono::seconds { 3 };
+        result.channel.handshakeTimeout = std::chrono::seconds { 1 };
+        result.callers = options_.callers;
+        result.domain = options_.domain;
+        result.seeds = options_.seeds;
+        return result;
+    }
+
+    auto feedHooks() -> ControlFeedHooks
+    {
+        auto hooks = ControlFeedHooks {};
+        hooks.onUpdate = [this](const proto::ServingUpdate &update) { onUpdate(update); };
+        hooks.onDocument = [this](Revision version, const std::string &text) {
+            return onDocument(version, text);
+        };
+        return hooks;
+    }
+
     auto onUpdate(const proto::ServingUpdate &update) -> void
     {
         if (update.gateways > 0) {
@@ -144,7 +154,7 @@
                 .with("routes", static_cast<std::uint64_t>(catalogue->routes.size()));
         forwarder_.setCatalogue(
                 std::make_shared<const catalogue::Catalogue>(*std::move(catalogue)));
-        feed_->setReady(ready());
+        feed_.setReady(ready());
         return true;
     }
 
@@ -170,7 +180,7 @@
         const auto saysNothing = report.rows.empty() && report.unreachable == toldUnreachable_;
         toldUnreachable_ = report.unreachable;
         if (!saysNothing)
-            static_cast<void>(feed_->sendWanted(std::move(report)));
+            static_cast<void>(feed_.sendWanted(std::move(report)));
     }
 
     auto reportSoon() -> void
@@ -224,9 +234,10 @@
     Waiters waiters_;
     Metrics metrics_;
     http::Client client_;
+    ControlFeed feed_;
+    Picker picker_;
     Forwarder forwarder_;
     http::Server server_;
-    std::unique_ptr<ControlFeed> feed_;
     asio::steady_timer demandTimer_;
     asio::steady_timer urgentTimer_;
     asio::steady_timer stopTimer_;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -53,6 +53,7 @@
     RetryWindowOptions retries;
     ForwarderOptions forwarder;
     FleetViewOptions view;
+    PickerOptions picker;
     http::ServerOptions server;
     http::ClientOptions client = endpointClient();
     Duration stopServing = std::chrono::seconds { 3 }; ///< New requests are served so long.
--- a/gateway/metrics.cpp
+++ b/gateway/metrics.cpp
@@ -47,6 +47,10 @@
                            .Help("Dispatches that an endpoint did not answer")
                            .Register(registry)
                            .Add({}))
+        , picks(prometheus::BuildCounter()
+                        .Name("figrack_gateway_picks_total")
+                        .Help("Choices among endpoints, by who made them")
+                        .Register(registry))
         , latency(prometheus::BuildHistogram()
                           .Name("figrack_gateway_request_seconds")
                           .Help("Arrival to first byte and to the end")
@@ -61,6 +65,7 @@
     prometheus::Family<prometheus::Counter> &requests;
     prometheus::Family<prometheus::Counter> &dispatches;
     prometheus::Counter &failures;
+    prometheus::Family<prometheus::Counter> &picks;
     prometheus::Family<prometheus::Histogram> &latency;
     prometheus::Family<prometheus::Gauge> &gauges;
 };
@@ -88,6 +93,11 @@
     impl_->failures.Increment();
 }
 
+auto Metrics::onPick(std::string_view by) -> void
+{
+    impl_->picks.Add({ { "by", std::string { by } } }).Increment();
+}
+
 auto Metrics::text(const GatewayGauges &gauges) -> std::string
 {
     const auto set = [&](const char *what, double value) {
--- a/gateway/metrics.h
+++ b/gateway/metrics.h
@@ -47,6 +47,8 @@
     auto onRequest(Ending ending, Duration firstByte, Duration total) -> void;
     auto onDispatch(bool isRepeat) -> void;
     auto onEndpointFailure() -> void;
+    /// A choice among several endpoints. @param by who made it, of a fixed set
+    auto onPick(std::string_view by) -> void;
     /// @return the page
     auto text(const GatewayGauges &gauges) -> std::string;
 
--- /dev/null
+++ b/gateway/picker.h
@@ -0,0 +1,127 @@
+// Which of the endpoints that can take a request it goes to.
+//
+//   auto picked = co_await picker.pick(able, wish, terms);
+//   if (auto *entry = view.find(picked.endpoint)) ...     // may have changed meanwhile
+//   // the booking ends with picked.booking
+//
+// A balancer (fleet/balancer.h) knows what all gateways have sent where and is
+// asked first. When none can be asked, or it does not answer in time, the gateway
+// chooses by its own knowledge: a request never waits longer than askTimeout, and
+// never fails, for the balancer's sake. Not thread-safe.
+
+#ifndef FIGRACK_GATEWAY_PICKER_H
+#define FIGRACK_GATEWAY_PICKER_H
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "core/random.h"
+#include "gateway/chooser.h"
+#include "gateway/dialect.h"
+#include "gateway/fleetview.h"
+#include "gateway/metrics.h"
+#include "proto/servingmessages.h"
+
+namespace figrack::gateway {
+
+struct PickerOptions
+{
+    /// A balancer answers within 2 to 6 ms; longer than this costs a request more than a worse
+    /// choice does.
+    Duration askTimeout = std::chrono::milliseconds { 40 };
+    /// Candidates that a balancer is told at most; more add to its work and little to the choice.
+    std::size_t maxCandidates = 16;
+};
+
+/// How a balancer is reached; empty functions: there is none.
+struct BalancerLink
+{
+    using Done = std::function<void(std::optional<proto::PickReply>)>;
+    /// Asks a balancer. @return its address, or nothing (and done is dropped) when none is
+    /// connected
+    std::function<std::optional<Address>(proto::PickRequest, Duration timeout, Done done)> ask;
+    /// Tells a balancer of a choice that was made without it. @return as above
+    std::function<std::optional<Address>(proto::PickRequest)> tell;
+    std::function<void(const Address &balancer, proto::PickEnd)> end;
+};
+
+/// A request's place in a balancer's account; ends with this object.
+class Booking
+{
+public:
+    Booking() = default;
+    Booking(std::shared_ptr<const BalancerLink> link, Address balancer, std::uint64_t ticket);
+    ~Booking();
+    Booking(Booking &&other) noexcept;
+    auto operator=(Booking &&other) noexcept -> Booking &;
+    Booking(const Booking &) = delete;
+    auto operator=(const Booking &) -> Booking & = delete;
+    auto end() -> void;
+
+private:
+    std::shared_ptr<const BalancerLink> link_; ///< Null: nothing is booked.
+    Address balancer_;
+    std::uint64_t ticket_ = 0;
+};
+
+/// Who chose an endpoint.
+enum class PickedBy : std::uint8_t {
+    Nobody,   ///< There was only one, or none yet.
+    Balancer, ///< It knows what all gateways have sent where.
+    Gateway,  ///< By its own knowledge: no balancer answered in time.
+};
+
+/// @return "nobody", "balancer" or "gateway"
+auto pickedByName(PickedBy by) -> std::string_view;
+
+struct Picked
+{
+    EndpointId endpoint;
+    Booking booking;
+    PickedBy by = PickedBy::Nobody;
+    std::uint32_t startMs = 0; ///< Until the prompt is read there, by the balancer's account.
+    std::uint32_t running = 0; ///< Requests there, by the same.
+};
+
+/// What a request puts on an endpoint.
+struct PickTerms
+{
+    std::vector<proto::PromptSpan> shared;
+    std::uint64_t ownTokens = 0;
+    std::uint64_t outputTokens = 0;
+    Duration left {}; ///< Until nobody waits for the request any more.
+};
+
+/// @return what the caller's request puts on an endpoint
+auto pickTerms(const CallerRequest &request, Duration left) -> PickTerms;
+
+class Picker
+{
+public:
+    Picker(PickerOptions options, BalancerLink link, Metrics &metrics, Random &random);
+    /// @param able one endpoint at least
+    auto pick(const std::vector<EndpointEntry *> &able, const Wish &wish, const PickTerms &terms)
+            -> boost::asio::awaitable<Picked>;
+
+private:
+    auto candidatesOf(const std::vector<EndpointEntry *> &able, const EndpointId &local)
+            -> std::vector<EndpointId>;
+    auto ask(proto::PickRequest request, std::optional<Address> &balancer)
+            -> boost::asio::awaitable<std::optional<proto::PickReply>>;
+
+    PickerOptions options_;
+    std::shared_ptr<const BalancerLink> link_;
+    Metrics &metrics_;
+    Random &random_;
+    std::uint64_t lastTicket_ = 0;
+};
+
+} // namespace figrack::gateway
+
+#endif // FIGRACK_GATEWAY_PICKER_H
--- a/gateway/testing/rig.cpp
+++ b/gateway/testing/rig.cpp
@@ -104,16 +104,17 @@
     return std::make_shared<const catalogue::Catalogue>(std::move(catalogue));
 }
 
-Rig::Rig(ForwarderOptions options)
+Rig::Rig(ForwarderOptions options, BalancerLink link)
     : dialect(testDialect())
     , view({}, clock)
     , retries({}, clock)
     , demand(clock)
     , waiters(context)
     , client(context, {})
-    , forwarder(
-              options,
-              { context, clock, dialect, view, retries, demand, waiters, metrics, client, random })
+    , picker({}, std::move(link), metrics, random)
+    , forwarder(options,
+                { context, clock, dialect, view, retries, demand, waiters, metrics, client, picker,
+                  random })
     , caller(context, {})
     , server_(context, {}, [this](const http::Request &request, http::Responder &responder) {
         return forwarder.handle(request, responder);
--- a/gateway/testing/rig.h
+++ b/gateway/testing/rig.h
@@ -47,7 +47,7 @@
 class Rig
 {
 public:
-    explicit Rig(ForwarderOptions options = {});
+    explicit Rig(ForwarderOptions options = {}, BalancerLink link = {});
     ~Rig();
     /// Starts an endpoint of service "s" and makes it known. @param models that it holds
     auto addEndpoint(const std::string &id, const std::vector<std::string> &models = {})
@@ -73,6 +73,7 @@
     Waiters waiters;
     Metrics metrics;
     http::Client client;
+    Picker picker;
     Forwarder forwarder;
     http::Client caller;
 
--- a/gateway/testing/tst_parts.cpp
+++ b/gateway/testing/tst_parts.cpp
@@ -39,6 +39,12 @@
     return true;
 }
 
+auto chosen(FleetView &view, const Wish &wish, Random &random) -> EndpointEntry *
+{
+    const auto able = ableEndpoints(view.of(ServiceId { "s" }), wish, always);
+    return able.entries.empty() ? nullptr : chooseAmong(able.entries, wish, random);
+}
+
 } // namespace
 
 TEST_CASE("News of an endpoint is taken only when it is newer, and gone stays gone")
@@ -92,21 +98,20 @@
     }
     auto random = Random { 1 };
     auto wish = Wish { ModelId { "m" }, {}, 77, {}, clock.now() };
-    auto *first = choose(view.of(ServiceId { "s" }), wish, always, random).entry;
+    auto *first = chosen(view, wish, random);
     REQUIRE(first != nullptr);
     for (auto i = 0; i < 20; ++i)
-        CHECK(choose(view.of(ServiceId { "s" }), wish, always, random).entry == first);
+        CHECK(chosen(view, wish, random) == first);
     first->running = 50;
-    CHECK(choose(view.of(ServiceId { "s" }), wish, always, random).entry != first);
+    CHECK(chosen(view, wish, random) != first);
 }
 
 TEST_CASE("What is lacking is told apart")
 {
     auto clock = ManualClock {};
     auto view = FleetView { {}, clock };
-    auto random = Random { 1 };
     const auto lackOf = [&](const Wish &wish) {
-        return choose(view.of(ServiceId { "s" }), wish, always, random).lack;
+        return ableEndpoints(view.of(ServiceId { "s" }), wish, always).lack;
     };
     CHECK(lackOf({ ModelId { "m" }, {}, 0, {}, clock.now() }) == Lack::Endpoint);
     view.apply(updateOf({ makeRow("i-1", 1, EndpointState::Ready) }));
@@ -139,12 +144,11 @@
 {
     auto clock = ManualClock {};
     auto view = FleetView { {}, clock };
-    auto random = Random { 1 };
     view.apply(updateOf({ makeRow("i-1", 1, EndpointState::Ready) }));
     view.onMissing(EndpointId { "i-1" }, ModelId { "m" }, "a1");
     const auto lackOf = [&](const std::string &adapter) {
         const auto wish = Wish { ModelId { "m" }, adapter, 0, {}, clock.now() };
-        return choose(view.of(ServiceId { "s" }), wish, always, random).lack;
+        return ableEndpoints(view.of(ServiceId { "s" }), wish, always).lack;
     };
     CHECK(lackOf("a1") == Lack::Adapter);
     CHECK(lackOf("") == Lack::Nothing);
--- /dev/null
+++ b/gateway/testing/tst_picker.cpp
@@ -0,0 +1,140 @@
+// Picks with and without a balancer, and what becomes of them in the forwarder.
+
+#include <doctest/doctest.h>
+
+#include "gateway/testing/rig.h"
+
+using namespace figrack;
+using namespace figrack::gateway;
+using namespace figrack::gateway::testing;
+
+namespace {
+
+/// A balancer of a test: remembers what it was told, advises as the test says.
+struct FakeBalancer
+{
+    auto link() -> BalancerLink
+    {
+        auto link = BalancerLink {};
+        link.ask = [this](proto::PickRequest request, Duration,
+                          const BalancerLink::Done &done) -> std::optional<Address> {
+            asked.push_back(std::move(request));
+            if (!isConnected)
+                return std::nullopt;
+            if (onAsk)
+                onAsk();
+            done(advice);
+            return address;
+        };
+        link.tell = [this](proto::PickRequest request) -> std::optional<Address> {
+            told.push_back(std::move(request));
+            return isConnected ? std::optional { address } : std::nullopt;
+        };
+        link.end = [this](const Address &, proto::PickEnd end) { ended.push_back(end.ticket); };
+        return link;
+    }
+
+    Address address { "127.0.0.1", 1 };
+    bool isConnected = true;
+    std::optional<proto::PickReply> advice; ///< Nothing: no answer in time.
+    std::function<void()> onAsk;
+    std::vector<proto::PickRequest> asked;
+    std::vector<proto::PickRequest> told;
+    std::vector<std::uint64_t> ended;
+};
+
+} // namespace
+
+TEST_CASE("The balancer's endpoint is taken, and its booking ends with the request")
+{
+    auto balancer = FakeBalancer {};
+    auto rig = Rig { {}, balancer.link() };
+    rig.addEndpoint("i-1").handler = answering("one");
+    rig.addEndpoint("i-2").handler = answering("two");
+    balancer.advice = proto::PickReply { EndpointId { "i-2" } };
+    for (auto i = 0; i < 4; ++i)
+        CHECK(rig.call(Rig::request("/once/1", "id-" + std::to_string(i))).body == "two");
+    CHECK(balancer.asked.size() == 4);
+    CHECK(balancer.asked.front().candidates.size() == 2);
+    CHECK(balancer.ended == std::vector<std::uint64_t> { 1, 2, 3, 4 });
+}
+
+TEST_CASE("Without an answer of a balancer the gateway chooses by itself")
+{
+    auto balancer = FakeBalancer {};
+    auto rig = Rig { {}, balancer.link() };
+    rig.addEndpoint("i-1").handler = answering("ok");
+    rig.addEndpoint("i-2").handler = answering("ok");
+    CHECK(rig.call(Rig::request("/once/1", "id-1")).status == 200);
+    balancer.isConnected = false;
+    CHECK(rig.call(Rig::request("/once/1", "id-2")).status == 200);
+    CHECK(balancer.asked.size() == 2);
+}
+
+TEST_CASE("A choice of one is told and not asked")
+{
+    auto balancer = FakeBalancer {};
+    auto rig = Rig { {}, balancer.link() };
+    rig.addEndpoint("i-1").handler = answering("ok");
+    CHECK(rig.call(Rig::request("/once/1", "id-1")).status == 200);
+    CHECK(balancer.asked.empty());
+    CHECK(balancer.told.size() == 1);
+    CHECK(balancer.ended.size() == 1);
+}
+
+TEST_CASE("An endpoint that leaves while the balancer is asked gets no request")
+{
+    auto balancer = FakeBalancer {};
+    auto rig = Rig { {}, balancer.link() };
+    rig.addEndpoint("i-1").handler = answering("one");
+    auto &leaving = rig.addEndpoint("i-2");
+    leaving.handler = answering("two");
+    balancer.advice = proto::PickReply { EndpointId { "i-2" } };
+    balancer.onAsk = [&] { rig.tell("i-2", leaving.port, 2, catalogue::EndpointState::Draining); };
+    CHECK(rig.call(Rig::request("/once/1", "id-1")).body == "one");
+    CHECK(leaving.seen.empty());
+    // The booking at the endpoint that left has ended, too.
+    CHECK(balancer.ended.size() == 2);
+}
+
+TEST_CASE("A repeat is picked anew, without the endpoint that broke")
+{
+    auto balancer = FakeBalancer {};
+    auto rig = Rig { {}, balancer.link() };
+    rig.addEndpoint("i-1").handler = answering("ok");
+    rig.addEndpoint("i-2").handler = breaking();
+    balancer.advice = proto::PickReply { EndpointId { "i-2" } };
+    CHECK(rig.call(Rig::request("/idem/1", "id-1")).body == "ok");
+    REQUIRE(balancer.told.size() == 1);
+    CHECK(balancer.told.front().candidates == std::vector { EndpointId { "i-1" } });
+    CHECK(balancer.ended.size() == 2);
+}
+
+TEST_CASE("What a request puts on an endpoint is told by its parts")
+{
+    auto request = CallerRequest {};
+    request.model = ModelId { "m" };
+    request.promptTokens = 1460;
+    request.outputTokens = 80;
+    request.prompt = { { 1, 800 }, { 2, 410 }, { 3, 250 } };
+    const auto terms = pickTerms(request, std::chrono::seconds { 1 });
+    REQUIRE(terms.shared.size() == 2);
+    CHECK(terms.shared[0].tokens == 800);
+    CHECK(terms.shared[1].tokens == 410);
+    CHECK(terms.ownTokens == 250);
+    CHECK(terms.outputTokens == 80);
+    // Cached prompts belong to a model and adapter.
+    request.adapter = "a1";
+    CHECK(pickTerms(request, std::chrono::seconds { 1 }).shared[0].key != terms.shared[0].key);
+}
+
+TEST_CASE("Only so many candidates are told, the gateway's own choice among them")
+{
+    auto balancer = FakeBalancer {};
+    auto rig = Rig { {}, balancer.link() };
+    for (auto i = 0; i < 40; ++i)
+        rig.addEndpoint("i-" + std::to_string(i)).handler = answering("ok");
+    CHECK(rig.call(Rig::request("/once/1", "id-1")).status == 200);
+    REQUIRE(balancer.asked.size() == 1);
+    CHECK(balancer.asked.front().candidates.size() == PickerOptions {}.maxCandidates);
+}
--- a/proto/messages.h
+++ b/proto/messages.h
@@ -285,7 +285,8 @@
                              coord::RenewRequest, coord::RenewReply, DemandReport, EndpointReport,
                              LoadDigest, ClaimRequest, ClaimReply, ClaimEnd, Done, ReportRequest,
                              ReportReply, coord::Message, Subscribe, ServingUpdate, ServingAck,
-                             DocumentRequest, DocumentReply, ModelWanted, JoinGroup>;
+                             DocumentRequest, DocumentReply, ModelWanted, JoinGroup, PickRequest,
+                             PickReply, PickEnd>;
 
 struct Envelope
 {
--- a/proto/servingmessages.h
+++ b/proto/servingmessages.h
@@ -2,6 +2,7 @@
 // demand; part of the inner protocol (proto/messages.h).
 //
 //   gateway, control -> control   Subscribe, DocumentRequest, ServingAck, ModelWanted
+//   gateway          -> control   PickRequest (answered by PickReply), PickEnd
 //   joining control  -> control   JoinGroup
 //   control -> subscriber         ServingUpdate, DocumentReply
 
@@ -129,6 +130,56 @@
     }
 };
 
+/// The beginning of a prompt that other requests may share.
+struct PromptSpan
+{
+    std::uint64_t key = 0;    ///< Of model, adapter and all parts of the prompt up to this one.
+    std::uint64_t tokens = 0; ///< Of this part alone.
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(key, tokens);
+    }
+};
+
+/// Asks a balancer which endpoint a request should go to, and books the request there.
+struct PickRequest
+{
+    std::uint64_t ticket = 0; ///< Names the booking; unique at the gateway.
+    /// Endpoints that can take the request, by what the gateway knows.
+    std::vector<EndpointId> candidates;
+    std::vector<PromptSpan> shared; ///< In the prompt's order.
+    std::uint64_t ownTokens = 0;    ///< Of the prompt, after the shared parts.
+    std::uint64_t outputTokens = 0; ///< At most; 0 at a plain service.
+    std::int64_t limitMs = 0;       ///< The booking ends by itself after it.
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(ticket, candidates, shared, ownTokens, outputTokens, limitMs);
+    }
+};
+struct PickReply
+{
+    EndpointId endpoint;       ///< One of the candidates.
+    std::uint32_t startMs = 0; ///< Until the prompt is read there, as expected.
+    std::uint32_t running = 0; ///< Requests booked there before this one.
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(endpoint, startMs, running);
+    }
+};
+/// The request is not at the endpoint any more, or has never gone there.
+struct PickEnd
+{
+    std::uint64_t ticket = 0;
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(ticket);
+    }
+};
+
 /// A control with an empty or a removed disk asks to become a member.
 struct JoinGroup
 {
--- a/proto/testing/tst_codec.cpp
+++ b/proto/testing/tst_codec.cpp
@@ -62,6 +62,12 @@
     report.replicas = { replica("m"), replica("n") };
     all.emplace_back(report);
     all.emplace_back(LoadDigest { { { EndpointId { "e" }, 5, 6, { replica("m") } } } });
+    all.emplace_back(PickRequest { 1,
+                                   { EndpointId { "i-1" }, EndpointId { "i-2" } },
+                                   { { 3, 800 }, { 4, 410 } },
+                                   5,
+                                   6,
+                                   7 });
     return all;
 }
 
