fleet, gateway: pace the prompts of an endpoint, learn how fast each model reads

Cause: prompts still meet at the few endpoints of a rising model; together they are read in one run, in which a stream beside them gets one token a step of 140 ms. Each alone would be borne.

Change: after a run of 300 ms of reading the balancer has the next prompt held back by its gateway (500 ms at most) for a rest of 50 ms; engine requests with one candidate are asked too; the reading time of a model is learned from the time to the first event of prompts that had nothing before them.

--- a/fleet/balancer.cpp
+++ b/fleet/balancer.cpp
@@ -16,6 +16,12 @@
     return std::chrono::duration<double, std::milli> { duration }.count();
 }
 
+/// @return the duration in milliseconds; 0 for one that is past
+auto wholeMillis(Duration duration) -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(std::max(0.0, millis(duration)));
+}
+
 auto fromMillis(double value) -> Duration
 {
     return std::chrono::duration_cast<Duration>(
@@ -50,24 +56,55 @@
     }
     if (best == nullptr)
         return {};
-    const auto &endpoint = endpoints_[*best];
-    const auto startMs = static_cast<std::uint32_t>(startAt(endpoint, request));
-    auto reply = proto::PickReply { *best, startMs, endpoint.running };
-    book(gateway, request, *best);
-    return reply;
+    return book(gateway, request, *best);
+}
+
+auto Balancer::slotFor(const Endpoint &endpoint, const proto::PickRequest &request) const -> Slot
+{
+    const auto now = clock_.now();
+    const auto read = std::chrono::duration_cast<Duration>(usualRead(endpoint, request)
+                                                           * paceOf(request.model));
+    if (endpoint.readUntil + options_.rest <= now)
+        return { now, now, now + read };
+    auto slot = Slot { endpoint.readSince, std::max(endpoint.readUntil, now), {} };
+    const auto restEnd = endpoint.readUntil + options_.rest;
+    const auto isTooLong = slot.begin + read - endpoint.readSince > options_.bearable;
+    if (isTooLong && endpoint.running > 0 && restEnd - now <= options_.longestHold)
+        slot.runBegin = slot.begin = restEnd;
+    slot.end = slot.begin + read;
+    return slot;
 }
 
-auto Balancer::startAt(const Endpoint &endpoint, const proto::PickRequest &request) const -> double
+auto Balancer::usualRead(const Endpoint &endpoint, const proto::PickRequest &request) const
+        -> Duration
 {
-    const auto wait = std::max(0.0, millis(endpoint.readUntil - clock_.now()));
-    return wait + static_cast<double>(unreadTokens(endpoint, request)) / options_.tokensPerMs;
+    return fromMillis(static_cast<double>(unreadTokens(endpoint, request)) / options_.tokensPerMs);
+}
+
+auto Balancer::paceOf(std::uint64_t model) const -> double
+{
+    const auto found = paces_.find(model);
+    return found == paces_.end() ? 1 : found->second;
+}
+
+auto Balancer::learnPace(const Booking &booking, Duration start) -> void
+{
+    if (!booking.isAlone || booking.usualRead < options_.tellingRead)
+        return;
+    const auto read = std::max(Duration::zero(), start - options_.startOverhead);
+    const auto seen = std::clamp(millis(read) / millis(booking.usualRead), options_.fastest,
+                                 options_.slowest);
+    auto &pace = paces_.try_emplace(booking.model, 1).first->second;
+    pace += options_.learning * (seen - pace);
 }
 
 auto Balancer::costAt(const Endpoint &endpoint, const proto::PickRequest &request) const -> double
 {
-    const auto start = startAt(endpoint, request);
+    const auto slot = slotFor(endpoint, request);
+    const auto start = millis(slot.end - clock_.now());
+    const auto readingOn = millis(slot.end - slot.runBegin);
     const auto running = static_cast<double>(endpoint.running);
-    const auto paused = std::max(0.0, start - millis(options_.bearable));
+    const auto paused = std::max(0.0, readingOn - millis(options_.bearable));
     const auto generating
             = std::min(static_cast<double>(request.outputTokens) * options_.msPerToken,
                        millis(options_.foreseen));
@@ -98,20 +135,27 @@
 }
 
 auto Balancer::book(const NodeId &gateway, const proto::PickRequest &request, const EndpointId &id)
-        -> void
+        -> proto::PickReply
 {
     auto &endpoint = endpoints_[id];
     const auto now = clock_.now();
-    const auto read = static_cast<double>(unreadTokens(endpoint, request)) / options_.tokensPerMs;
-    endpoint.reading = readShare(endpoint) * millis(options_.readWindow) + read;
+    const auto slot = slotFor(endpoint, request);
+    auto reply = proto::PickReply { id, wholeMillis(slot.end - now), endpoint.running,
+                                    wholeMillis(slot.runBegin - now) };
+    const auto read = usualRead(endpoint, request);
+    endpoint.reading
+            = readShare(endpoint) * millis(options_.readWindow) + millis(slot.end - slot.begin);
     endpoint.averagedAt = now;
-    endpoint.readUntil = std::max(endpoint.readUntil, now) + fromMillis(read);
+    endpoint.readSince = slot.runBegin;
+    endpoint.readUntil = slot.end;
     keep(endpoint, request.shared);
     auto &booking = bookings_[{ gateway, request.ticket }];
     if (!booking.endpoint.empty())
         release(booking.endpoint);
-    booking = { id, now + std::chrono::milliseconds { request.limitMs } };
+    booking = { id, request.model, read, slot.begin == now,
+                now + std::chrono::milliseconds { request.limitMs } };
     ++endpoint.running;
+    return reply;
 }
 
 auto Balancer::keep(Endpoint &endpoint, const std::vector<proto::PromptSpan> &spans) const -> void
@@ -136,6 +180,8 @@
     const auto found = bookings_.find({ gateway, end.ticket });
     if (found == bookings_.end())
         return;
+    if (end.startMs > 0)
+        learnPace(found->second, std::chrono::milliseconds { end.startMs });
     release(found->second.endpoint);
     bookings_.erase(found);
 }
--- a/fleet/balancer.h
+++ b/fleet/balancer.h
@@ -13,7 +13,12 @@
 //
 // The cost of a candidate, in milliseconds: the time until the request's own
 // prompt is read there; what that reading does to the streams beside it; what
-// others' reading will do to a long stream. Pure but for the clock and the draw
+// others' reading will do to a long stream.
+//
+// Prompts that an endpoint reads one after another are paced: after a run of
+// reading as long as a stream bears, the next prompt is held back by its gateway
+// for a rest in which every stream gets its next tokens. Behind the others it
+// would have waited anyhow, so a hold costs it the rests alone. Pure but for the clock and the draw
 // among equals. Not thread-safe.
 
 #ifndef FIGRACK_FLEET_BALANCER_H
@@ -36,10 +41,25 @@
     /// Prompt tokens that an engine reads in a millisecond, with the steps of its batch around
     /// them. Engines of today's deployments: 38 without, 28 with.
     double tokensPerMs = 28;
+    /// Time from a request's sending to its first event that no prompt takes: the engine's first
+    /// steps and the way there.
+    Duration startOverhead = std::chrono::milliseconds { 45 };
+    /// Part of a newly seen reading speed that goes into the one that is expected.
+    double learning = 0.15;
+    /// Prompts that are read faster than this tell little of the speed.
+    Duration tellingRead = std::chrono::milliseconds { 30 };
+    /// Bounds of what is learned: times the usual reading time.
+    double fastest = 0.2;
+    double slowest = 8;
     /// Time an engine takes for one token of each stream in its batch, when it reads nothing.
     double msPerToken = 6;
     /// Reading that a stream beside it bears without a noticeable pause.
     Duration bearable = std::chrono::milliseconds { 300 };
+    /// Between two runs of reading: about one event of a stream, 5 or 6 tokens.
+    Duration rest = std::chrono::milliseconds { 50 };
+    /// A prompt that would be held back for longer is not held at all: its endpoint has more to
+    /// read than rests can help.
+    Duration longestHold = std::chrono::milliseconds { 500 };
     /// What each running request loses by a millisecond of reading beyond that, to one that the
     /// new request loses by waiting.
     double pauseWeight = 0.3;
@@ -75,6 +95,7 @@
     struct Endpoint
     {
         Instant readUntil {}; ///< When all booked prompts will have been read.
+        Instant readSince {}; ///< Begin of the last run of reading without a rest.
         double reading = 0;   ///< Milliseconds of reading, decayed to averagedAt.
         Instant averagedAt {};
         std::uint32_t running = 0;          ///< Booked and not ended.
@@ -84,12 +105,25 @@
     struct Booking
     {
         EndpointId endpoint;
+        std::uint64_t model = 0;
+        Duration usualRead {}; ///< Of its prompt, by tokensPerMs alone.
+        bool isAlone = false;  ///< No other prompt was to be read before it.
         Instant expiresAt {};
     };
     using BookingKey = std::pair<NodeId, std::uint64_t>;
 
-    /// @return milliseconds until the request's prompt is read there
-    auto startAt(const Endpoint &endpoint, const proto::PickRequest &request) const -> double;
+    /// When a prompt would be read.
+    struct Slot
+    {
+        Instant runBegin {}; ///< Of the run of reading that it belongs to; not sent before.
+        Instant begin {};
+        Instant end {};
+    };
+    auto slotFor(const Endpoint &endpoint, const proto::PickRequest &request) const -> Slot;
+    auto usualRead(const Endpoint &endpoint, const proto::PickRequest &request) const -> Duration;
+    /// @return what the reading of the model takes, to the usual time
+    auto paceOf(std::uint64_t model) const -> double;
+    auto learnPace(const Booking &booking, Duration start) -> void;
     auto costAt(const Endpoint &endpoint, const proto::PickRequest &request) const -> double;
     /// @return tokens of the prompt that the endpoint does not keep
     auto unreadTokens(const Endpoint &endpoint, const proto::PickRequest &request) const
@@ -97,7 +131,7 @@
     /// @return the part of its time, from 0 on, that the endpoint has been reading of late
     auto readShare(const Endpoint &endpoint) const -> double;
     auto book(const NodeId &gateway, const proto::PickRequest &request, const EndpointId &id)
-            -> void;
+            -> proto::PickReply;
     auto keep(Endpoint &endpoint, const std::vector<proto::PromptSpan> &spans) const -> void;
     auto release(const EndpointId &id) -> void;
     auto expire() -> void;
@@ -107,6 +141,7 @@
     Random &random_;
     std::map<EndpointId, Endpoint> endpoints_;
     std::map<BookingKey, Booking> bookings_;
+    std::map<std::uint64_t, double> paces_; ///< By model; learned.
     Instant nextExpiry_ {};
 };
 
--- a/fleet/testing/tst_balancer.cpp
+++ b/fleet/testing/tst_balancer.cpp
@@ -30,6 +30,7 @@
         request.ticket = ++ticket;
         for (const auto &name : among)
             request.candidates.emplace_back(name);
+        request.model = model;
         request.shared = std::move(shared);
         request.ownTokens = ownTokens;
         request.outputTokens = outputTokens;
@@ -38,13 +39,17 @@
         return reply.endpoint.value();
     }
 
-    auto end(std::uint64_t which) -> void { balancer.onEnd(gateway, { which }); }
+    auto end(std::uint64_t which, std::int64_t startMs = 0) -> void
+    {
+        balancer.onEnd(gateway, { which, startMs });
+    }
 
     ManualClock clock;
     Random random { 1 };
     Balancer balancer;
     NodeId gateway { "g-1" };
     std::uint64_t ticket = 0;
+    std::uint64_t model = 1;
     proto::PickReply reply; ///< The last one.
 };
 
@@ -130,6 +135,62 @@
     CHECK(bench.pick(2 * longPrompt, fewTokens) == "b");
 }
 
+TEST_CASE("After a run of reading the next prompt is held back, so that streams get a rest")
+{
+    auto bench = Bench { { .tokensPerMs = 10 } };
+    CHECK(bench.pick(10, manyTokens, {}, { "a" }) == "a");
+    bench.clock.advance(1s);
+    bench.pick(2000, fewTokens, {}, { "a" });
+    CHECK(bench.reply.holdMs == 0);
+    CHECK(bench.reply.startMs == 200);
+    // 200 ms are read already: with 200 more the streams would pause for longer than they bear.
+    bench.pick(2000, fewTokens, {}, { "a" });
+    CHECK(bench.reply.holdMs == 250);
+    CHECK(bench.reply.startMs == 450);
+    // A short one is read in the same run, and held back with it.
+    bench.pick(500, fewTokens, {}, { "a" });
+    CHECK(bench.reply.holdMs == 250);
+    CHECK(bench.reply.startMs == 500);
+}
+
+TEST_CASE("Nothing is held back where nobody else is, or where there is too much to read")
+{
+    auto bench = Bench { { .tokensPerMs = 10 } };
+    bench.pick(20'000, fewTokens, {}, { "a" });
+    CHECK(bench.reply.holdMs == 0);
+    bench.pick(2000, fewTokens, {}, { "a" });
+    CHECK(bench.reply.holdMs == 0);
+    CHECK(bench.reply.startMs == 2200);
+}
+
+TEST_CASE("The reading speed of a model is learned from first events, and only its own")
+{
+    auto bench = Bench { { .tokensPerMs = 10 } };
+    bench.model = 1;
+    for (auto i = 0; i < 40; ++i) {
+        bench.pick(1000, fewTokens, {}, { "a" });
+        bench.end(bench.ticket, 45 + 30); // Read in 30 ms rather than in 100.
+        bench.clock.advance(1s);
+    }
+    bench.pick(1000, fewTokens, {}, { "a" });
+    CHECK(bench.reply.startMs < 35);
+    bench.clock.advance(20s);
+    bench.model = 2;
+    bench.pick(1000, fewTokens, {}, { "a" });
+    CHECK(bench.reply.startMs == 100);
+}
+
+TEST_CASE("A prompt that had to wait for others tells nothing of the speed")
+{
+    auto bench = Bench { { .tokensPerMs = 10 } };
+    bench.pick(20'000, fewTokens, {}, { "a" });
+    bench.pick(1000, fewTokens, {}, { "a" });
+    bench.end(bench.ticket, 2100);
+    bench.clock.advance(20s);
+    bench.pick(1000, fewTokens, {}, { "a" });
+    CHECK(bench.reply.startMs == 100);
+}
+
 TEST_CASE("Bookings end by message, with their gateway, and by their time limit")
 {
     auto bench = Bench {};
--- a/gateway/controlfeed.cpp
+++ b/gateway/controlfeed.cpp
@@ -262,7 +262,7 @@
     auto onBalancerFailed(const Address &address, std::uint64_t ticket, const absl::Status &status)
             -> void
     {
-        endPick(address, { ticket });
+        endPick(address, { ticket, 0 });
         const auto found = controls_.find(address);
         if (found == controls_.end())
             return;
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -12,6 +12,9 @@
 #include <optional>
 #include <utility>
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/string.hpp>
 
 #include "core/error.h"
@@ -133,6 +136,7 @@
         , arrived_(owner.parts_.clock.now())
         , deadline_(arrived_)
         , routes_(owner.routes_)
+        , holdTimer_(owner.parts_.context)
     { }
     ~Run() { finishWaiting(); }
     Run(const Run &) = delete;
@@ -255,15 +259,29 @@
             const auto able = ableEndpoints(parts_.view.of(service_), wish_, isHealthy);
             if (able.entries.empty())
                 co_return able.lack;
-            const auto terms = pickTerms(caller_, timeLeft());
+            const auto terms = pickTerms(service_, caller_, timeLeft());
             auto picked = co_await parts_.picker.pick(able.entries, wish_, terms);
             picked_ = std::move(picked);
+            co_await hold();
             // It may have left while the balancer was asked.
             if (callerGone_ || parts_.view.takesWork(picked_.endpoint))
                 co_return Lack::Nothing;
         }
     }
 
+    /// Waits as long as the balancer asked for, less when the request has not so much time.
+    auto hold() -> asio::awaitable<void>
+    {
+        const auto left = std::min(deadline_, owner_.placeBy_) - parts_.clock.now();
+        const auto duration = std::min(picked_.hold, left);
+        if (callerGone_ || duration <= Duration::zero())
+            co_return;
+        held_ += duration;
+        holdTimer_.expires_after(duration);
+        auto code = boost::system::error_code {};
+        co_await holdTimer_.async_wait(asio::redirect_error(asio::use_awaitable, code));
+    }
+
     /// @return how long to wait before looking again; empty when waiting is of no use
     auto patienceFor(Lack lack) -> std::optional<Duration>
     {
@@ -368,10 +386,12 @@
         parts_.metrics.onDispatch(sent_ > 0);
         const auto left = std::max<Duration>(deadline_ - parts_.clock.now(),
                                              std::chrono::milliseconds { 1 });
+        sentAt_ = parts_.clock.now();
         const auto step = co_await exchange(std::move(out), left, id);
         if (!target_.model.empty())
             parts_.demand.onEnd(target_);
-        picked_.booking.end();
+        const auto hasStarted = step == Step::Settled && firstByteAt_ && isSuccess(finalStatus_);
+        picked_.booking.end(hasStarted ? *firstByteAt_ - sentAt_ : Duration::zero());
         if (auto *now = parts_.view.find(id)) {
             now->running -= weight;
         }
@@ -601,6 +621,7 @@
         callerGone_ = true;
         if (canceller_)
             canceller_->cancel();
+        holdTimer_.cancel();
         parts_.waiters.wakeAll();
     }
 
@@ -658,7 +679,8 @@
             line.with("picked", pickedByName(picked_.by));
         if (picked_.by == PickedBy::Balancer) {
             line.with("expected_ms", std::int64_t { picked_.startMs })
-                    .with("beside", std::int64_t { picked_.running });
+                    .with("beside", std::int64_t { picked_.running })
+                    .with("held_ms", millis(held_));
         }
         if (lack_ != Lack::Nothing)
             line.with("lacked", lackName(lack_));
@@ -685,6 +707,8 @@
     std::string lastEvent_;
     EndpointId endpoint_; ///< Of the latest dispatch.
     Picked picked_;       ///< The latest; its booking ends with the dispatch.
+    asio::steady_timer holdTimer_;
+    Duration held_ {}; ///< For the sake of the streams at its endpoints.
     std::uint32_t status_ = 0;
     std::uint32_t finalStatus_ = 0;
     std::uint32_t sent_ = 0;   ///< Dispatches of which bytes left.
@@ -693,6 +717,7 @@
     Duration avoidPause_ = firstAvoidPause;
     Instant avoidUntil_ {};
     std::optional<Duration> comeBack_;
+    Instant sentAt_ {}; ///< The latest dispatch.
     std::optional<Instant> firstByteAt_;
     std::optional<Instant> lastEventAt_;
     Duration longestGap_ {}; ///< Between events of a stream.
--- a/gateway/picker.cpp
+++ b/gateway/picker.cpp
@@ -46,18 +46,22 @@
     return *this;
 }
 
-auto Booking::end() -> void
+auto Booking::end(Duration start) -> void
 {
+    const auto startMs = std::chrono::duration_cast<std::chrono::milliseconds>(start).count();
     if (const auto link = std::exchange(link_, nullptr))
-        link->end(balancer_, { ticket_ });
+        link->end(balancer_, { ticket_, startMs });
 }
 
-auto pickTerms(const CallerRequest &request, Duration left) -> PickTerms
+auto pickTerms(const ServiceId &service, const CallerRequest &request, Duration left) -> PickTerms
 {
     auto terms = PickTerms {};
     terms.left = left;
     terms.outputTokens = request.outputTokens;
-    auto key = std::hash<std::string> {}(request.model.value() + "/" + request.adapter);
+    const auto hash = std::hash<std::string> {};
+    if (!request.model.empty())
+        terms.model = mixHash(hash(service.value()), hash(request.model.value()));
+    auto key = hash(request.model.value() + "/" + request.adapter);
     auto shared = std::uint64_t { 0 };
     for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i) {
         const auto &part = request.prompt[i];
@@ -86,19 +90,23 @@
     auto request = proto::PickRequest {};
     request.ticket = ++lastTicket_;
     request.candidates = candidatesOf(able, picked.endpoint);
+    request.model = terms.model;
     request.shared = terms.shared;
     request.ownTokens = terms.ownTokens;
     request.outputTokens = terms.outputTokens;
     request.limitMs = std::chrono::duration_cast<std::chrono::milliseconds>(terms.left).count();
     const auto ticket = request.ticket;
     auto balancer = std::optional<Address> {};
-    if (request.candidates.size() == 1) {
+    // With one candidate nothing is to be chosen, but when to send a prompt there.
+    if (request.candidates.size() == 1 && request.model == 0) {
         balancer = link_->tell(std::move(request));
     } else if (auto advice = co_await ask(std::move(request), balancer)) {
         picked.endpoint = std::move(advice->endpoint);
         picked.by = PickedBy::Balancer;
         picked.startMs = advice->startMs;
         picked.running = advice->running;
+        picked.hold = std::min<Duration>(std::chrono::milliseconds { advice->holdMs },
+                                         options_.longestHold);
     } else {
         picked.by = PickedBy::Gateway;
     }
--- a/gateway/picker.h
+++ b/gateway/picker.h
@@ -35,6 +35,8 @@
     /// A balancer answers within 2 to 6 ms; longer than this costs a request more than a worse
     /// choice does.
     Duration askTimeout = std::chrono::milliseconds { 40 };
+    /// No advice holds a request back for longer; as much as a balancer asks for at most.
+    Duration longestHold = std::chrono::milliseconds { 500 };
     /// Candidates that a balancer is told at most; more add to its work and little to the choice.
     std::size_t maxCandidates = 16;
 };
@@ -62,7 +64,8 @@
     auto operator=(Booking &&other) noexcept -> Booking &;
     Booking(const Booking &) = delete;
     auto operator=(const Booking &) -> Booking & = delete;
-    auto end() -> void;
+    /// @param start from the request's sending to its first event; zero when there was none
+    auto end(Duration start = {}) -> void;
 
 private:
     std::shared_ptr<const BalancerLink> link_; ///< Null: nothing is booked.
@@ -87,11 +90,13 @@
     PickedBy by = PickedBy::Nobody;
     std::uint32_t startMs = 0; ///< Until the prompt is read there, by the balancer's account.
     std::uint32_t running = 0; ///< Requests there, by the same.
+    Duration hold {};          ///< To be waited before the dispatch, for the streams there.
 };
 
 /// What a request puts on an endpoint.
 struct PickTerms
 {
+    std::uint64_t model = 0; ///< Hash of service and model; 0: none.
     std::vector<proto::PromptSpan> shared;
     std::uint64_t ownTokens = 0;
     std::uint64_t outputTokens = 0;
@@ -99,7 +104,7 @@
 };
 
 /// @return what the caller's request puts on an endpoint
-auto pickTerms(const CallerRequest &request, Duration left) -> PickTerms;
+auto pickTerms(const ServiceId &service, const CallerRequest &request, Duration left) -> PickTerms;
 
 class Picker
 {
--- a/gateway/testing/rig.h
+++ b/gateway/testing/rig.h
@@ -58,6 +58,8 @@
     /// @return a request of the dialect of these tests
     static auto request(const std::string &path, const std::string &id) -> http::ClientRequest;
     auto call(http::ClientRequest request) -> Got;
+    /// @return the port on 127.0.0.1 where callers connect
+    auto port() const -> std::uint16_t { return server_.port(); }
     /// Begins a call and returns at once; the answer is in the result once it has come.
     auto begin(http::ClientRequest request) -> std::shared_ptr<std::optional<Got>>;
     /// Runs the context until the condition holds. @return false when it did not within 20 s
--- a/gateway/testing/tst_picker.cpp
+++ b/gateway/testing/tst_picker.cpp
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
 #include "gateway/testing/rig.h"
 
 using namespace figrack;
@@ -97,6 +100,42 @@
     CHECK(balancer.ended.size() == 2);
 }
 
+TEST_CASE("A request is held back as long as the balancer asks, but no longer than the gateway "
+          "allows")
+{
+    auto balancer = FakeBalancer {};
+    auto rig = Rig { {}, balancer.link() };
+    auto &endpoint = rig.addEndpoint("i-1");
+    endpoint.handler = answering("ok");
+    rig.addEndpoint("i-2").handler = answering("ok");
+    balancer.advice = proto::PickReply { EndpointId { "i-1" }, 0, 0, 60 };
+    auto begun = rig.clock.now();
+    CHECK(rig.call(Rig::request("/once/1", "id-1")).status == 200);
+    CHECK(rig.clock.now() - begun >= std::chrono::milliseconds { 60 });
+    balancer.advice->holdMs = 3'600'000;
+    CHECK(rig.call(Rig::request("/once/1", "id-2")).status == 200);
+    CHECK(endpoint.seen.size() == 2);
+}
+
+TEST_CASE("A caller that leaves while its request is held back ends it at once")
+{
+    auto balancer = FakeBalancer {};
+    auto rig = Rig { {}, balancer.link() };
+    auto &endpoint = rig.addEndpoint("i-1");
+    endpoint.handler = answering("ok");
+    rig.addEndpoint("i-2").handler = answering("ok");
+    balancer.advice = proto::PickReply { EndpointId { "i-1" }, 0, 0, 400 };
+    {
+        boost::asio::ip::tcp::socket caller { rig.context };
+        caller.connect({ boost::asio::ip::make_address("127.0.0.1"), rig.port() });
+        const auto text = std::string { "GET /once/1 HTTP/1.1\r\nHost: t\r\nX-Id: id-1\r\n\r\n" };
+        boost::asio::write(caller, boost::asio::buffer(text));
+        CHECK(rig.runUntil([&] { return balancer.asked.size() == 1; }));
+    }
+    CHECK(rig.runUntil([&] { return balancer.ended.size() == 1; }));
+    CHECK(endpoint.seen.empty());
+}
+
 TEST_CASE("A repeat is picked anew, without the endpoint that broke")
 {
     auto balancer = FakeBalancer {};
@@ -117,7 +156,7 @@
     request.promptTokens = 1460;
     request.outputTokens = 80;
     request.prompt = { { 1, 800 }, { 2, 410 }, { 3, 250 } };
-    const auto terms = pickTerms(request, std::chrono::seconds { 1 });
+    const auto terms = pickTerms(ServiceId { "s" }, request, std::chrono::seconds { 1 });
     REQUIRE(terms.shared.size() == 2);
     CHECK(terms.shared[0].tokens == 800);
     CHECK(terms.shared[1].tokens == 410);
@@ -125,7 +164,8 @@
     CHECK(terms.outputTokens == 80);
     // Cached prompts belong to a model and adapter.
     request.adapter = "a1";
-    CHECK(pickTerms(request, std::chrono::seconds { 1 }).shared[0].key != terms.shared[0].key);
+    CHECK(pickTerms(ServiceId { "s" }, request, std::chrono::seconds { 1 }).shared[0].key
+          != terms.shared[0].key);
 }
 
 TEST_CASE("Only so many candidates are told, the gateway's own choice among them")
--- a/proto/servingmessages.h
+++ b/proto/servingmessages.h
@@ -148,6 +148,7 @@
     std::uint64_t ticket = 0; ///< Names the booking; unique at the gateway.
     /// Endpoints that can take the request, by what the gateway knows.
     std::vector<EndpointId> candidates;
+    std::uint64_t model = 0;        ///< Hash of service and model; 0 at a plain service.
     std::vector<PromptSpan> shared; ///< In the prompt's order.
     std::uint64_t ownTokens = 0;    ///< Of the prompt, after the shared parts.
     std::uint64_t outputTokens = 0; ///< At most; 0 at a plain service.
@@ -155,7 +156,7 @@
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(ticket, candidates, shared, ownTokens, outputTokens, limitMs);
+        archive(ticket, candidates, model, shared, ownTokens, outputTokens, limitMs);
     }
 };
 struct PickReply
@@ -163,20 +164,22 @@
     EndpointId endpoint;       ///< One of the candidates.
     std::uint32_t startMs = 0; ///< Until the prompt is read there, as expected.
     std::uint32_t running = 0; ///< Requests booked there before this one.
+    std::uint32_t holdMs = 0; ///< To be sent after so long: the endpoint's streams go on meanwhile.
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(endpoint, startMs, running);
+        archive(endpoint, startMs, running, holdMs);
     }
 };
 /// The request is not at the endpoint any more, or has never gone there.
 struct PickEnd
 {
     std::uint64_t ticket = 0;
+    std::int64_t startMs = 0; ///< From its sending to the first event; 0: there was none.
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(ticket);
+        archive(ticket, startMs);
     }
 };
 
--- a/proto/testing/tst_codec.cpp
+++ b/proto/testing/tst_codec.cpp
@@ -64,6 +64,7 @@
     all.emplace_back(LoadDigest { { { EndpointId { "e" }, 5, 6, { replica("m") } } } });
     all.emplace_back(PickRequest { 1,
                                    { EndpointId { "i-1" }, EndpointId { "i-2" } },
+                                   2,
                                    { { 3, 800 }, { 4, 410 } },
                                    5,
                                    6,
