gateway: refuse a stream before its caller leaves; placement: keep adapters that requests use

Cause: callers leave a stream that has not begun after the longest of two seconds, four times its start target and eight times its longest pause.

An adapter in use is no victim.

Tests: tst_forwarder, tst_placement, tst_documents; tst_forwarder's new case waited 10 s without the change.

--- a/catalogue/catalogue.h
+++ b/catalogue/catalogue.h
@@ -50,6 +50,7 @@
     Duration finishLimit {};       ///< Longest time a request is kept waiting.
     Duration startTarget {};       ///< Answers (streams: first events) within it are on time.
     Duration gapTarget {};         ///< Longest pause between events of a stream that is on time.
+    Duration leaveAfter {};        ///< Callers leave a stream that has not begun by then; 0: none.
     std::uint32_t rank = 0;        ///< 0 is the most urgent.
     std::uint32_t maxAttempts = 1; ///< Endpoints on which one request may run.
     std::vector<WeightedService> split;
--- a/fleet/placement.cpp
+++ b/fleet/placement.cpp
@@ -335,7 +335,8 @@
         return found == input_.adapters.end() ? Asked {} : found->second;
     }
 
-    /// @return the adapter of the host that is asked for least and has nothing running
+    /// @return the adapter of the host that is asked for least and has nothing running: an endpoint
+    /// refuses all orders until the requests of one that is unloaded have ended
     auto adapterVictim(const Host &host) const -> std::optional<AdapterKey>
     {
         auto best = std::optional<AdapterKey> {};
@@ -344,11 +345,10 @@
             for (const auto &adapter : held.adapters) {
                 auto key = AdapterKey { held.model, adapter };
                 const auto want = askedAdapter(key);
-                if (want.waiting > 0)
+                if (want.waiting > 0 || want.running > 0)
                     continue;
-                const auto rate = want.perSecond + want.running;
-                if (rate < bestRate) {
-                    bestRate = rate;
+                if (want.perSecond < bestRate) {
+                    bestRate = want.perSecond;
                     best = std::move(key);
                 }
             }
--- a/fleet/testing/tst_placement.cpp
+++ b/fleet/testing/tst_placement.cpp
@@ -120,6 +120,21 @@
     CHECK(plan(input).empty());
 }
 
+TEST_CASE("No adapter is displaced while requests of it run")
+{
+    const auto engine = makeEngine();
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, 1 };
+    input.hosts = { makeHost("e1", { "m0" }) };
+    input.hosts[0].models[0].adapters = { "a1", "a2" };
+    input.adapters[{ ModelId { "m0" }, "a1" }].running = 1;
+    input.adapters[{ ModelId { "m0" }, "a2" }].running = 2;
+    input.adapters[{ ModelId { "m0" }, "a3" }].waiting = 1;
+    CHECK(plan(input).empty());
+    input.adapters[{ ModelId { "m0" }, "a2" }].running = 0;
+    REQUIRE(plan(input).size() == 1);
+    CHECK(plan(input)[0].steps[0] == PlanStep { StepKind::Unload, ModelId { "m0" }, "a2" });
+}
+
 TEST_CASE("A busy endpoint with a copy is waited for when the store takes longer")
 {
     const auto engine = makeEngine();
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -135,6 +135,7 @@
         , responder_(responder)
         , arrived_(owner.parts_.clock.now())
         , deadline_(arrived_)
+        , startBy_(arrived_)
         , routes_(owner.routes_)
         , holdTimer_(owner.parts_.context)
     { }
@@ -185,6 +186,10 @@
         const auto limit
                 = std::min(caller_.deadline.value_or(route_->finishLimit), route_->finishLimit);
         deadline_ = arrived_ + limit - owner_.options_.answerMargin;
+        startBy_ = deadline_;
+        if (route_->leaveAfter > Duration::zero())
+            startBy_
+                    = std::min(startBy_, arrived_ + route_->leaveAfter - owner_.options_.startTime);
         const auto *service = routes_->catalogue().find(service_);
         engine_ = service != nullptr && service->engine ? &*service->engine : nullptr;
         lastEvent_ = caller_.resumeAfter;
@@ -272,7 +277,7 @@
     /// Waits as long as the balancer asked for, less when the request has not so much time.
     auto hold() -> asio::awaitable<void>
     {
-        const auto left = std::min(deadline_, owner_.placeBy_) - parts_.clock.now();
+        const auto left = std::min(startBy_, owner_.placeBy_) - parts_.clock.now();
         const auto duration = std::min(picked_.hold, left);
         if (callerGone_ || duration <= Duration::zero())
             co_return;
@@ -294,7 +299,7 @@
         const auto since = waiting_ ? parts_.demand.lackingSince(target_) : now;
         const auto ready = std::max(since + *load, now);
         comeBack_ = std::max<Duration>(ready - now, owner_.options_.comeBack);
-        const auto limit = std::min(deadline_, owner_.placeBy_);
+        const auto limit = std::min(startBy_, owner_.placeBy_);
         if (ready >= limit || now >= limit)
             return std::nullopt;
         return std::min<Duration>(lookAgain, limit - now);
@@ -696,6 +701,7 @@
     http::Responder &responder_;
     const Instant arrived_;
     Instant deadline_;                                    ///< Nothing is waited for beyond it.
+    Instant startBy_;                                     ///< Nor an endpoint beyond this.
     std::shared_ptr<const catalogue::RouteTable> routes_; ///< In force when the request came.
     CallerRequest caller_;
     const catalogue::Route *route_ = nullptr;
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -45,6 +45,9 @@
     std::size_t maxAnswerBytes = 16U << 20; ///< Of an answer that is no stream.
     /// Kept back of a request's time for its final answer to reach the caller.
     Duration answerMargin = std::chrono::milliseconds { 20 };
+    /// An endpoint needs so long for the first event of a stream at least: one that is placed later
+    /// has lost its caller before it begins.
+    Duration startTime = std::chrono::milliseconds { 200 };
     /// A connection idle for longer is not used for what must not run twice: its peer may be
     /// about to close it.
     Duration freshEnough = std::chrono::seconds { 2 };
--- a/gateway/testing/tst_forwarder.cpp
+++ b/gateway/testing/tst_forwarder.cpp
@@ -181,6 +181,29 @@
     }
 }
 
+TEST_CASE(
+        "A stream that cannot begin before its caller leaves is refused while the caller is there")
+{
+    auto rig = Rig {};
+    auto catalogue = *testCatalogue(true);
+    for (auto &route : catalogue.routes)
+        route.leaveAfter = 1200ms;
+    rig.forwarder.setCatalogue(std::make_shared<const catalogue::Catalogue>(catalogue));
+    rig.addEndpoint("i-1", { "other" }).handler = answering("ok");
+    auto request = Rig::request("/stream/x", "r1");
+    request.headers.push_back({ "X-Model", "m0" });
+    SUBCASE("at once, when a load from the store takes longer") { }
+    SUBCASE("when a copy was to load in time, and did not")
+    {
+        rig.view.find(EndpointId { "i-1" })->row.onDisk = { ModelId { "m0" } };
+    }
+    const auto begun = rig.clock.now();
+    const auto got = rig.call(request);
+    CHECK(got.status == 503);
+    CHECK_FALSE(http::findHeader(got.headers, "X-Come-Back").empty());
+    CHECK(rig.clock.now() - begun < 5s); // Of the 10 s that the route would let it wait.
+}
+
 TEST_CASE("An endpoint that rejects everything is asked a few times only, while others may come")
 {
     auto rig = Rig {};
