balancer: have shared beginnings of prompts fetched from the endpoint that keeps them

Change: the balancer names the endpoint that has read most of the beginning; the dispatch asks the engine to fetch from it, where the configuration gives a link speed and lets engines copy KV cache.

--- a/fleet/balancer.cpp
+++ b/fleet/balancer.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace figrack::fleet {
 namespace {
@@ -62,8 +63,14 @@
 auto Balancer::slotFor(const Endpoint &endpoint, const proto::PickRequest &request) const -> Slot
 {
     const auto now = clock_.now();
-    const auto read = std::chrono::duration_cast<Duration>(usualRead(endpoint, request)
-                                                           * paceOf(request.model));
+    const auto lacks = missing(endpoint, request);
+    auto read
+            = std::chrono::duration_cast<Duration>(usualRead(lacks.toRead) * paceOf(request.model));
+    if (lacks.toFetch > 0) {
+        read += options_.fetchOverhead
+                + fromMillis(static_cast<double>(lacks.toFetch)
+                             / static_cast<double>(request.fetchTokensPerMs));
+    }
     if (endpoint.readUntil + options_.rest <= now)
         return { now, now, now + read };
     auto slot = Slot { endpoint.readSince, std::max(endpoint.readUntil, now), {} };
@@ -75,10 +82,9 @@
     return slot;
 }
 
-auto Balancer::usualRead(const Endpoint &endpoint, const proto::PickRequest &request) const
-        -> Duration
+auto Balancer::usualRead(std::uint64_t tokens) const -> Duration
 {
-    return fromMillis(static_cast<double>(unreadTokens(endpoint, request)) / options_.tokensPerMs);
+    return fromMillis(static_cast<double>(tokens) / options_.tokensPerMs);
 }
 
 auto Balancer::paceOf(std::uint64_t model) const -> double
@@ -112,19 +118,45 @@
             + generating * options_.exposureWeight * readShare(endpoint);
 }
 
-auto Balancer::unreadTokens(const Endpoint &endpoint, const proto::PickRequest &request) const
-        -> std::uint64_t
+auto Balancer::missing(const Endpoint &endpoint, const proto::PickRequest &request) const -> Missing
 {
-    auto unread = request.ownTokens;
-    auto isKept = true;
-    for (const auto &span : request.shared) {
-        // A part is of use only after all parts before it.
-        isKept = isKept
-                && std::any_of(endpoint.kept.begin(), endpoint.kept.end(),
-                               [&](const auto &kept) { return kept.key == span.key; });
-        unread += isKept ? 0 : span.tokens;
+    auto result = Missing { request.ownTokens, 0, {} };
+    // A part is of use only after all parts before it.
+    auto span = request.shared.begin();
+    while (span != request.shared.end() && keeps(endpoint, span->key))
+        ++span;
+    for (; span != request.shared.end(); ++span) {
+        const auto *keeper = request.fetchTokensPerMs > 0 ? keeperOf(span->key) : nullptr;
+        const auto isSame = keeper != nullptr && (result.from.empty() || *keeper == result.from);
+        if (!isSame)
+            break;
+        result.from = *keeper;
+        result.toFetch += span->tokens;
+    }
+    for (; span != request.shared.end(); ++span)
+        result.toRead += span->tokens;
+    if (result.toFetch < options_.worthFetching) {
+        result.toRead += std::exchange(result.toFetch, 0);
+        result.from = {};
     }
-    return unread;
+    return result;
+}
+
+auto Balancer::keeps(const Endpoint &endpoint, std::uint64_t key) -> bool
+{
+    return std::any_of(endpoint.kept.begin(), endpoint.kept.end(),
+                       [key](const auto &kept) { return kept.key == key; });
+}
+
+auto Balancer::keeperOf(std::uint64_t key) const -> const EndpointId *
+{
+    const auto last = lastKeepers_.find(key);
+    if (last == lastKeepers_.end())
+        return nullptr;
+    const auto found = endpoints_.find(last->second);
+    const auto hasRead = found != endpoints_.end() && found->second.readUntil <= clock_.now()
+            && keeps(found->second, key);
+    return hasRead ? &last->second : nullptr;
 }
 
 auto Balancer::readShare(const Endpoint &endpoint) const -> double
@@ -140,26 +172,29 @@
     auto &endpoint = endpoints_[id];
     const auto now = clock_.now();
     const auto slot = slotFor(endpoint, request);
-    auto reply = proto::PickReply { id, wholeMillis(slot.end - now), endpoint.running,
-                                    wholeMillis(slot.runBegin - now) };
-    const auto read = usualRead(endpoint, request);
+    auto reply = proto::PickReply {
+        id, wholeMillis(slot.end - now), endpoint.running, wholeMillis(slot.runBegin - now), {}
+    };
+    const auto lacks = missing(endpoint, request);
+    reply.fetchFrom = lacks.from;
     endpoint.reading
             = readShare(endpoint) * millis(options_.readWindow) + millis(slot.end - slot.begin);
     endpoint.averagedAt = now;
     endpoint.readSince = slot.runBegin;
     endpoint.readUntil = slot.end;
-    keep(endpoint, request.shared);
+    keep(id, request.shared);
     auto &booking = bookings_[{ gateway, request.ticket }];
     if (!booking.endpoint.empty())
         release(booking.endpoint);
-    booking = { id, request.model, read, slot.begin == now,
+    booking = { id, request.model, usualRead(lacks.toRead), slot.begin == now,
                 now + std::chrono::milliseconds { request.limitMs } };
     ++endpoint.running;
     return reply;
 }
 
-auto Balancer::keep(Endpoint &endpoint, const std::vector<proto::PromptSpan> &spans) const -> void
+auto Balancer::keep(const EndpointId &id, const std::vector<proto::PromptSpan> &spans) -> void
 {
+    auto &endpoint = endpoints_[id];
     for (const auto &span : spans) {
         const auto found = std::find_if(endpoint.kept.begin(), endpoint.kept.end(),
                                         [&](const auto &kept) { return kept.key == span.key; });
@@ -168,9 +203,14 @@
         else
             endpoint.keptTokens += span.tokens;
         endpoint.kept.push_back(span);
+        lastKeepers_[span.key] = id;
     }
     while (endpoint.keptTokens > options_.keptTokens && !endpoint.kept.empty()) {
-        endpoint.keptTokens -= endpoint.kept.front().tokens;
+        const auto &oldest = endpoint.kept.front();
+        endpoint.keptTokens -= oldest.tokens;
+        const auto last = lastKeepers_.find(oldest.key);
+        if (last != lastKeepers_.end() && last->second == id)
+            lastKeepers_.erase(last);
         endpoint.kept.pop_front();
     }
 }
@@ -220,6 +260,8 @@
         const auto &endpoint = item.second;
         return endpoint.running == 0 && now - endpoint.averagedAt > options_.forgetAfter;
     });
+    std::erase_if(lastKeepers_,
+                  [&](const auto &item) { return !endpoints_.contains(item.second); });
 }
 
 } // namespace figrack::fleet
--- a/fleet/balancer.h
+++ b/fleet/balancer.h
@@ -27,6 +27,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <unordered_map>
 #include <utility>
 
 #include "core/clock.h"
@@ -74,6 +75,10 @@
     /// Beginnings of prompts that an endpoint is taken to keep, in tokens: half of the cache of
     /// today's engines; running requests take the rest.
     std::uint64_t keptTokens = 100'000;
+    /// Less than this is read again rather than fetched from another endpoint's cache: some 20 ms.
+    std::uint64_t worthFetching = 500;
+    /// A fetch takes so much beside its tokens: to the other endpoint and back.
+    Duration fetchOverhead = std::chrono::milliseconds { 5 };
     /// An endpoint that nothing was booked at for so long is forgotten.
     Duration forgetAfter = std::chrono::seconds { 60 };
 };
@@ -120,19 +125,27 @@
         Instant end {};
     };
     auto slotFor(const Endpoint &endpoint, const proto::PickRequest &request) const -> Slot;
-    auto usualRead(const Endpoint &endpoint, const proto::PickRequest &request) const -> Duration;
+    auto usualRead(std::uint64_t tokens) const -> Duration;
     /// @return what the reading of the model takes, to the usual time
     auto paceOf(std::uint64_t model) const -> double;
     auto learnPace(const Booking &booking, Duration start) -> void;
     auto costAt(const Endpoint &endpoint, const proto::PickRequest &request) const -> double;
-    /// @return tokens of the prompt that the endpoint does not keep
-    auto unreadTokens(const Endpoint &endpoint, const proto::PickRequest &request) const
-            -> std::uint64_t;
+    /// What of a prompt an endpoint has to get, and how.
+    struct Missing
+    {
+        std::uint64_t toRead = 0;
+        std::uint64_t toFetch = 0;
+        EndpointId from; ///< Empty: nothing is fetched.
+    };
+    auto missing(const Endpoint &endpoint, const proto::PickRequest &request) const -> Missing;
+    static auto keeps(const Endpoint &endpoint, std::uint64_t key) -> bool;
+    /// @return the endpoint that was last seen to keep the span and has read it; nullptr: none
+    auto keeperOf(std::uint64_t key) const -> const EndpointId *;
     /// @return the part of its time, from 0 on, that the endpoint has been reading of late
     auto readShare(const Endpoint &endpoint) const -> double;
     auto book(const NodeId &gateway, const proto::PickRequest &request, const EndpointId &id)
             -> proto::PickReply;
-    auto keep(Endpoint &endpoint, const std::vector<proto::PromptSpan> &spans) const -> void;
+    auto keep(const EndpointId &id, const std::vector<proto::PromptSpan> &spans) -> void;
     auto release(const EndpointId &id) -> void;
     auto expire() -> void;
 
@@ -141,7 +154,8 @@
     Random &random_;
     std::map<EndpointId, Endpoint> endpoints_;
     std::map<BookingKey, Booking> bookings_;
-    std::map<std::uint64_t, double> paces_; ///< By model; learned.
+    std::map<std::uint64_t, double> paces_;                     ///< By model; learned.
+    std::unordered_map<std::uint64_t, EndpointId> lastKeepers_; ///< By the key of a span.
     Instant nextExpiry_ {};
 };
 
--- a/fleet/testing/tst_balancer.cpp
+++ b/fleet/testing/tst_balancer.cpp
@@ -34,6 +34,7 @@
         request.shared = std::move(shared);
         request.ownTokens = ownTokens;
         request.outputTokens = outputTokens;
+        request.fetchTokensPerMs = fetchTokensPerMs;
         request.limitMs = 10'000;
         reply = balancer.pick(gateway, request);
         return reply.endpoint.value();
@@ -50,6 +51,7 @@
     NodeId gateway { "g-1" };
     std::uint64_t ticket = 0;
     std::uint64_t model = 1;
+    std::uint64_t fetchTokensPerMs = 0;
     proto::PickReply reply; ///< The last one.
 };
 
@@ -191,6 +193,41 @@
     CHECK(bench.reply.startMs == 100);
 }
 
+TEST_CASE("A shared beginning is fetched from the endpoint that has read it, when engines can")
+{
+    auto bench = Bench { { .tokensPerMs = 10 } };
+    bench.fetchTokensPerMs = 600;
+    const auto shared = std::vector<proto::PromptSpan> { { 7, 2400 }, { 8, 3600 } };
+    bench.pick(100, fewTokens, shared, { "a" });
+    CHECK(bench.reply.fetchFrom.empty());
+    // Not before it has been read there.
+    bench.pick(100, fewTokens, shared, { "b" });
+    CHECK(bench.reply.fetchFrom.empty());
+    bench.clock.advance(20s);
+    bench.pick(100, fewTokens, shared, { "c" });
+    CHECK(bench.reply.fetchFrom == EndpointId { "b" });
+    CHECK(bench.reply.startMs == 10 + 5 + 10); // Its own part read, the other 6,000 fetched.
+    // What an endpoint keeps itself is not fetched.
+    bench.clock.advance(20s);
+    bench.pick(100, fewTokens, shared, { "b" });
+    CHECK(bench.reply.fetchFrom.empty());
+    CHECK(bench.reply.startMs == 10);
+}
+
+TEST_CASE("Nothing is fetched where engines cannot, nor for a few tokens")
+{
+    auto bench = Bench { { .tokensPerMs = 10 } };
+    bench.pick(100, fewTokens, { { 7, 6000 } }, { "a" });
+    bench.pick(100, fewTokens, { { 9, 200 } }, { "a" });
+    bench.clock.advance(20s);
+    bench.pick(100, fewTokens, { { 7, 6000 } }, { "b" });
+    CHECK(bench.reply.fetchFrom.empty());
+    bench.clock.advance(20s);
+    bench.fetchTokensPerMs = 600;
+    bench.pick(100, fewTokens, { { 9, 200 } }, { "b" });
+    CHECK(bench.reply.fetchFrom.empty());
+}
+
 TEST_CASE("Bookings end by message, with their gateway, and by their time limit")
 {
     auto bench = Bench {};
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -20,6 +20,7 @@
 #include "catalogue/catalogue.h"
 #include "core/clock.h"
 #include "core/ids.h"
+#include "core/settings.h"
 #include "http/message.h"
 
 namespace figrack::gateway {
@@ -54,6 +55,8 @@
     Duration left {};    ///< Until nobody waits any more.
     std::uint32_t rank = 0;
     std::string resumeAfter; ///< Not empty: go on after this event.
+    /// An endpoint that keeps more of the prompt in its KV cache, to fetch it from.
+    std::optional<Address> fetchFrom;
 };
 
 /// A final answer of the gateway's own.
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -264,7 +264,8 @@
             const auto able = ableEndpoints(parts_.view.of(service_), wish_, isHealthy);
             if (able.entries.empty())
                 co_return able.lack;
-            const auto terms = pickTerms(service_, caller_, timeLeft());
+            auto terms = pickTerms(service_, caller_, timeLeft());
+            terms.fetchTokensPerMs = engine_ == nullptr ? 0 : engine_->fetchTokensPerMs;
             auto picked = co_await parts_.picker.pick(able.entries, wish_, terms);
             picked_ = std::move(picked);
             co_await hold();
@@ -412,6 +413,8 @@
         terms.left = deadline_ - parts_.clock.now();
         terms.rank = route_->rank;
         terms.resumeAfter = lastEvent_;
+        if (picked_.fetchFrom != entry.row.id && parts_.view.takesWork(picked_.fetchFrom))
+            terms.fetchFrom = parts_.view.find(picked_.fetchFrom)->row.address;
         canceller_ = std::make_shared<http::Canceller>();
         auto out = http::ClientRequest {};
         out.address = entry.row.address;
@@ -685,7 +688,8 @@
         if (picked_.by == PickedBy::Balancer) {
             line.with("expected_ms", std::int64_t { picked_.startMs })
                     .with("beside", std::int64_t { picked_.running })
-                    .with("held_ms", millis(held_));
+                    .with("held_ms", millis(held_))
+                    .with("fetched_from", picked_.fetchFrom);
         }
         if (lack_ != Lack::Nothing)
             line.with("lacked", lackName(lack_));
--- a/gateway/picker.cpp
+++ b/gateway/picker.cpp
@@ -94,6 +94,7 @@
     request.shared = terms.shared;
     request.ownTokens = terms.ownTokens;
     request.outputTokens = terms.outputTokens;
+    request.fetchTokensPerMs = static_cast<std::uint64_t>(terms.fetchTokensPerMs);
     request.limitMs = std::chrono::duration_cast<std::chrono::milliseconds>(terms.left).count();
     const auto ticket = request.ticket;
     auto balancer = std::optional<Address> {};
@@ -105,6 +106,7 @@
         picked.by = PickedBy::Balancer;
         picked.startMs = advice->startMs;
         picked.running = advice->running;
+        picked.fetchFrom = std::move(advice->fetchFrom);
         picked.hold = std::min<Duration>(std::chrono::milliseconds { advice->holdMs },
                                          options_.longestHold);
     } else {
--- a/gateway/picker.h
+++ b/gateway/picker.h
@@ -91,6 +91,7 @@
     std::uint32_t startMs = 0; ///< Until the prompt is read there, by the balancer's account.
     std::uint32_t running = 0; ///< Requests there, by the same.
     Duration hold {};          ///< To be waited before the dispatch, for the streams there.
+    EndpointId fetchFrom;      ///< Keeps more of the prompt; empty: none does.
 };
 
 /// What a request puts on an endpoint.
@@ -100,7 +101,8 @@
     std::vector<proto::PromptSpan> shared;
     std::uint64_t ownTokens = 0;
     std::uint64_t outputTokens = 0;
-    Duration left {}; ///< Until nobody waits for the request any more.
+    double fetchTokensPerMs = 0; ///< Between two endpoints; 0: not possible.
+    Duration left {};            ///< Until nobody waits for the request any more.
 };
 
 /// @return what the caller's request puts on an endpoint
--- a/gateway/testing/tst_controlfeed.cpp
+++ b/gateway/testing/tst_controlfeed.cpp
@@ -32,21 +32,22 @@
         : name(std::move(itsName))
     {
         auto handler = proto::PeerHandler {};
-        handler.onMessage = [this, leader](const proto::PeerPointer &peer,
-                                           const proto::Envelope &envelope) {
-            if (std::holds_alternative<proto::Subscribe>(envelope.payload)) {
-                auto update = proto::ServingUpdate {};
-                update.leader = NodeId { leader };
-                update.term = Term { 1 };
-                peer->send({ 0, update });
-            } else if (std::holds_alternative<proto::PickRequest>(envelope.payload)) {
-                ++asked;
-                if (!isSilent)
-                    peer->send({ envelope.correlation, proto::PickReply { EndpointId { name } } });
-            } else if (std::holds_alternative<proto::PickEnd>(envelope.payload)) {
-                ++ended;
-            }
-        };
+        handler.onMessage
+                = [this, leader](const proto::PeerPointer &peer, const proto::Envelope &envelope) {
+                      if (std::holds_alternative<proto::Subscribe>(envelope.payload)) {
+                          auto update = proto::ServingUpdate {};
+                          update.leader = NodeId { leader };
+                          update.term = Term { 1 };
+                          peer->send({ 0, update });
+                      } else if (std::holds_alternative<proto::PickRequest>(envelope.payload)) {
+                          ++asked;
+                          if (!isSilent)
+                              peer->send({ envelope.correlation,
+                                           proto::PickReply { EndpointId { name }, 0, 0, 0, {} } });
+                      } else if (std::holds_alternative<proto::PickEnd>(envelope.payload)) {
+                          ++ended;
+                      }
+                  };
         server = std::make_unique<proto::PeerServer>(context, channelOf(name), std::move(handler));
         REQUIRE(server->start({ "127.0.0.1", 0 }).ok());
     }
--- a/gateway/testing/tst_picker.cpp
+++ b/gateway/testing/tst_picker.cpp
@@ -54,7 +54,7 @@
     auto rig = Rig { {}, balancer.link() };
     rig.addEndpoint("i-1").handler = answering("one");
     rig.addEndpoint("i-2").handler = answering("two");
-    balancer.advice = proto::PickReply { EndpointId { "i-2" } };
+    balancer.advice = proto::PickReply { EndpointId { "i-2" }, 0, 0, 0, {} };
     for (auto i = 0; i < 4; ++i)
         CHECK(rig.call(Rig::request("/once/1", "id-" + std::to_string(i))).body == "two");
     CHECK(balancer.asked.size() == 4);
@@ -92,7 +92,7 @@
     rig.addEndpoint("i-1").handler = answering("one");
     auto &leaving = rig.addEndpoint("i-2");
     leaving.handler = answering("two");
-    balancer.advice = proto::PickReply { EndpointId { "i-2" } };
+    balancer.advice = proto::PickReply { EndpointId { "i-2" }, 0, 0, 0, {} };
     balancer.onAsk = [&] { rig.tell("i-2", leaving.port, 2, catalogue::EndpointState::Draining); };
     CHECK(rig.call(Rig::request("/once/1", "id-1")).body == "one");
     CHECK(leaving.seen.empty());
@@ -108,7 +108,7 @@
     auto &endpoint = rig.addEndpoint("i-1");
     endpoint.handler = answering("ok");
     rig.addEndpoint("i-2").handler = answering("ok");
-    balancer.advice = proto::PickReply { EndpointId { "i-1" }, 0, 0, 60 };
+    balancer.advice = proto::PickReply { EndpointId { "i-1" }, 0, 0, 60, {} };
     auto begun = rig.clock.now();
     CHECK(rig.call(Rig::request("/once/1", "id-1")).status == 200);
     CHECK(rig.clock.now() - begun >= std::chrono::milliseconds { 60 });
@@ -124,7 +124,7 @@
     auto &endpoint = rig.addEndpoint("i-1");
     endpoint.handler = answering("ok");
     rig.addEndpoint("i-2").handler = answering("ok");
-    balancer.advice = proto::PickReply { EndpointId { "i-1" }, 0, 0, 400 };
+    balancer.advice = proto::PickReply { EndpointId { "i-1" }, 0, 0, 400, {} };
     {
         boost::asio::ip::tcp::socket caller { rig.context };
         caller.connect({ boost::asio::ip::make_address("127.0.0.1"), rig.port() });
@@ -142,7 +142,7 @@
     auto rig = Rig { {}, balancer.link() };
     rig.addEndpoint("i-1").handler = answering("ok");
     rig.addEndpoint("i-2").handler = breaking();
-    balancer.advice = proto::PickReply { EndpointId { "i-2" } };
+    balancer.advice = proto::PickReply { EndpointId { "i-2" }, 0, 0, 0, {} };
     CHECK(rig.call(Rig::request("/idem/1", "id-1")).body == "ok");
     REQUIRE(balancer.told.size() == 1);
     CHECK(balancer.told.front().candidates == std::vector { EndpointId { "i-1" } });
--- a/proto/servingmessages.h
+++ b/proto/servingmessages.h
@@ -152,11 +152,14 @@
     std::vector<PromptSpan> shared; ///< In the prompt's order.
     std::uint64_t ownTokens = 0;    ///< Of the prompt, after the shared parts.
     std::uint64_t outputTokens = 0; ///< At most; 0 at a plain service.
-    std::int64_t limitMs = 0;       ///< The booking ends by itself after it.
+    /// Tokens of KV cache that one engine fetches from another in a millisecond; 0: it does not.
+    std::uint64_t fetchTokensPerMs = 0;
+    std::int64_t limitMs = 0; ///< The booking ends by itself after it.
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(ticket, candidates, model, shared, ownTokens, outputTokens, limitMs);
+        archive(ticket, candidates, model, shared, ownTokens, outputTokens, fetchTokensPerMs,
+                limitMs);
     }
 };
 struct PickReply
@@ -165,10 +168,11 @@
     std::uint32_t startMs = 0; ///< Until the prompt is read there, as expected.
     std::uint32_t running = 0; ///< Requests booked there before this one.
     std::uint32_t holdMs = 0; ///< To be sent after so long: the endpoint's streams go on meanwhile.
+    EndpointId fetchFrom;     ///< Keeps more of the prompt, which may be fetched; empty: none does.
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(endpoint, startMs, running, holdMs);
+        archive(endpoint, startMs, running, holdMs, fetchFrom);
     }
 };
 /// The request is not at the endpoint any more, or has never gone there.
--- a/proto/testing/tst_codec.cpp
+++ b/proto/testing/tst_codec.cpp
@@ -68,7 +68,8 @@
                                    { { 3, 800 }, { 4, 410 } },
                                    5,
                                    6,
-                                   7 });
+                                   7,
+                                   8 });
     return all;
 }
 
