placement: adapters in use or just loaded give way last, and adapters without places ask for a replica

Displacing one that was loaded a moment before blocked its endpoint for 1 to 3 s: gateways tell of its requests up to a second later.

Change: an adapter with requests gives way where none without is to be had; one that was loaded within 1.5 s does not; a model whose adapters in demand exceed its places gets another replica.

Tests: tst_placement, tst_orders.

--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -453,7 +453,7 @@
     auto planService(const catalogue::Service &service) -> void
     {
         const auto &engine = *service.engine;
-        auto input = PlacementInput { engine, {}, {}, {}, {}, {}, 0 };
+        auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 0 };
         const auto unreachable = demand_.unreachable();
         for (const auto *row : registry_.rows()) {
             if (row->service != service.id || row->state != catalogue::EndpointState::Ready)
@@ -470,6 +470,7 @@
         input.adapters = std::move(asked.adapters);
         input.loading = orders_.loading();
         input.loadingAdapters = orders_.loadingAdapters();
+        input.freshAdapters = orders_.freshAdapters();
         input.storeLoads = orders_.storeLoadsAllowed(engine);
         for (const auto &next : plan(input)) {
             LogEvent(LogLevel::Info, "plan")
--- a/fleet/orders.cpp
+++ b/fleet/orders.cpp
@@ -103,6 +103,7 @@
     {
         leadingSince_ = clock_.now();
         accounts_.clear();
+        adapterLoads_.clear();
         storeLoads_.clear();
     }
 
@@ -135,6 +136,16 @@
         return std::max(left, least) * (1 + job.failures);
     }
 
+    auto freshAdapters() const -> std::set<AdapterKey>
+    {
+        auto result = std::set<AdapterKey> {};
+        for (const auto &[key, at] : adapterLoads_) {
+            if (clock_.now() - at < options_.adapterFresh)
+                result.insert(key);
+        }
+        return result;
+    }
+
     auto held(const EndpointId &endpoint) const -> const HeldModels *
     {
         const auto found = accounts_.find(endpoint);
@@ -453,6 +464,8 @@
 
     auto complete(const EndpointId &id, const PlanStep &step) -> void
     {
+        if (step.kind == StepKind::Load && !step.adapter.empty())
+            adapterLoads_[{ step.model, step.adapter }] = clock_.now();
         if (const auto found = accounts_.find(id); found != accounts_.end())
             applyStep(found->second.models, step);
         registry_.amend(id, [&](EndpointRow &row) { applyStep(row.models, step); });
@@ -467,6 +480,7 @@
     Instant leadingSince_;
     std::map<EndpointId, Job> jobs_;
     std::map<EndpointId, Account> accounts_;     ///< Those that are known.
+    std::map<AdapterKey, Instant> adapterLoads_; ///< When they were last loaded.
     std::deque<Instant> storeLoads_;             ///< Begun by this leader.
     std::uint32_t storeLimit_ = firstStoreLimit; ///< Loads at once, as learned.
 };
@@ -521,6 +535,11 @@
     return result;
 }
 
+auto OrderRunner::freshAdapters() const -> std::set<AdapterKey>
+{
+    return impl_->freshAdapters();
+}
+
 auto OrderRunner::storeLoadsAllowed(const catalogue::EngineSpec &engine) const -> std::uint32_t
 {
     return impl_->storeLoadsAllowed(engine);
--- a/fleet/orders.h
+++ b/fleet/orders.h
@@ -88,6 +88,9 @@
 {
     NodeId self;
     Duration adapterLoad = std::chrono::milliseconds { 8 };
+    /// Until gateways have told of the requests that waited for an adapter: their report interval
+    /// in a large fleet, and the way.
+    Duration adapterFresh = std::chrono::milliseconds { 1500 };
     Duration retryPause = std::chrono::milliseconds { 250 }; ///< A report lags by about so much.
     std::uint32_t maxTries = 4;                              ///< Of one step.
     Duration unloadPatience = std::chrono::seconds { 4 };    ///< For requests in progress to end.
@@ -121,6 +124,8 @@
     /// @return models and adapters whose loads are under way
     auto loading() const -> std::map<ModelId, std::uint32_t>;
     auto loadingAdapters() const -> std::set<AdapterKey>;
+    /// @return adapters that were loaded within the last adapterFresh
+    auto freshAdapters() const -> std::set<AdapterKey>;
     /// @return loads from the store that may begin now
     auto storeLoadsAllowed(const catalogue::EngineSpec &engine) const -> std::uint32_t;
     /// A row has changed: whoever waits for it looks again.
--- a/fleet/placement.cpp
+++ b/fleet/placement.cpp
@@ -24,6 +24,12 @@
 constexpr auto crowded = 4.0;
 /// What another replica is worth to each request in progress at a crowded one, in seconds.
 constexpr auto reliefSeconds = 0.25;
+/// What another replica is worth to each request that waits for an adapter, in seconds: where all
+/// places are in use it would wait for a stream of some seconds to end.
+constexpr auto waitSeconds = 1.0;
+/// Added to the score of a victim whose requests run: an endpoint refuses all orders until those of
+/// an adapter that is unloaded have ended, 0.8 s on played days.
+constexpr auto inUsePenalty = 100.0;
 /// A model that is asked for by chance is expected about so often, per second.
 constexpr auto rareRate = 0.05;
 /// Requests that wait for an unload last about so long.
@@ -100,7 +106,8 @@
             const auto coming = countOf(input_.loading, model);
             if (held + coming == 0 && want.waiting > 0)
                 wanted.emplace_back(lackingFirst + want.waiting, model);
-            const auto enough = std::ceil(want.running / crowded);
+            const auto enough
+                    = std::max(std::ceil(want.running / crowded), replicasForAdapters(model));
             for (auto count = held + coming; held > 0 && count < enough; ++count)
                 wanted.emplace_back(want.running / static_cast<double>(count), model);
         }
@@ -112,6 +119,27 @@
         return result;
     }
 
+    /// @return replicas of a model that its adapters need which are asked for now
+    auto replicasForAdapters(const ModelId &model) const -> double
+    {
+        auto inUse = std::size_t { 0 };
+        for (auto item = input_.adapters.lower_bound({ model, {} });
+             item != input_.adapters.end() && item->first.first == model; ++item)
+            inUse += item->second.running + item->second.waiting > 0 ? 1 : 0;
+        const auto places = std::max<std::size_t>(input_.engine.maxAdapters, 1);
+        return std::ceil(static_cast<double>(inUse) / static_cast<double>(places));
+    }
+
+    /// @return requests that wait for an adapter of the model
+    auto waitingForAdapters(const ModelId &model) const -> std::uint32_t
+    {
+        auto waiting = std::uint32_t { 0 };
+        for (auto item = input_.adapters.lower_bound({ model, {} });
+             item != input_.adapters.end() && item->first.first == model; ++item)
+            waiting += item->second.waiting;
+        return waiting;
+    }
+
     static auto countOf(const std::map<ModelId, std::uint32_t> &counts, const ModelId &model)
             -> std::uint32_t
     {
@@ -155,7 +183,9 @@
         // An endpoint that is busy and still the best is waited for.
         if (best.host == nullptr || !best.host->takesOrders())
             return;
-        if (isExtra && best.cost > reliefSeconds * asked(model).running / holders_[model])
+        const auto relief = reliefSeconds * asked(model).running / holders_[model]
+                + waitSeconds * waitingForAdapters(model);
+        if (isExtra && best.cost > relief)
             return;
         if (best.source == LoadSource::Store)
             --storeLoads_;
@@ -304,8 +334,7 @@
             const auto victim = isFull ? adapterVictim(host) : std::nullopt;
             if (isFull && !victim)
                 continue;
-            const auto score = static_cast<double>(count)
-                    + (victim ? 10.0 + askedAdapter(*victim).perSecond : 0.0);
+            const auto score = static_cast<double>(count) + (victim ? 10.0 + lossOf(*victim) : 0.0);
             if (score < bestScore) {
                 bestScore = score;
                 best = &host;
@@ -335,20 +364,19 @@
         return found == input_.adapters.end() ? Asked {} : found->second;
     }
 
-    /// @return the adapter of the host that is asked for least and has nothing running: an endpoint
-    /// refuses all orders until the requests of one that is unloaded have ended
+    /// @return the adapter of the host that is asked for least, one with requests only if all have
     auto adapterVictim(const Host &host) const -> std::optional<AdapterKey>
     {
         auto best = std::optional<AdapterKey> {};
-        auto bestRate = never;
+        auto bestCost = never;
         for (const auto &held : host.models) {
             for (const auto &adapter : held.adapters) {
                 auto key = AdapterKey { held.model, adapter };
                 const auto want = askedAdapter(key);
-                if (want.waiting > 0 || want.running > 0)
+                if (want.waiting > 0 || input_.freshAdapters.contains(key))
                     continue;
-                if (want.perSecond < bestRate) {
-                    bestRate = want.perSecond;
+                if (const auto cost = lossOf(key); cost < bestCost) {
+                    bestCost = cost;
                     best = std::move(key);
                 }
             }
@@ -356,6 +384,13 @@
         return best;
     }
 
+    /// @return what displacing an adapter costs, to compare
+    auto lossOf(const AdapterKey &key) const -> double
+    {
+        const auto want = askedAdapter(key);
+        return want.perSecond + want.running + (want.running > 0 ? inUsePenalty : 0.0);
+    }
+
     static auto holds(const Host &host, const ModelId &model) -> bool
     {
         return std::any_of(host.models.begin(), host.models.end(),
--- a/fleet/placement.h
+++ b/fleet/placement.h
@@ -59,6 +59,8 @@
     std::map<AdapterKey, Asked> adapters;
     std::map<ModelId, std::uint32_t> loading; ///< Loads under way.
     std::set<AdapterKey> loadingAdapters;
+    /// Loaded so recently that no gateway can have told of the requests that use them.
+    std::set<AdapterKey> freshAdapters;
     std::uint32_t storeLoads = 0; ///< That may begin now.
 };
 
--- a/fleet/testing/tst_orders.cpp
+++ b/fleet/testing/tst_orders.cpp
@@ -224,6 +224,7 @@
     REQUIRE(rig.engine.seen.size() == 2);
     CHECK(rig.engine.seen[1].expectedCount == 5);
     CHECK(rig.engine.models.front().adapters == std::vector<std::string> { "y", "z" });
+    CHECK(rig.runner->freshAdapters() == std::set<AdapterKey> { { ModelId { "a" }, "z" } });
 }
 
 TEST_CASE("An adapter that was not held is not counted as unloaded")
--- a/fleet/testing/tst_placement.cpp
+++ b/fleet/testing/tst_placement.cpp
@@ -65,7 +65,7 @@
 TEST_CASE("A wanted model goes to an endpoint with a copy, not to the store")
 {
     const auto engine = makeEngine();
-    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, 3 };
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 3 };
     input.hosts = { makeHost("e1", { "m0" }), makeHost("e2", { "m1", "m2" }) };
     input.hosts[1].onDisk = { ModelId { "m3" } };
     input.models[ModelId { "m3" }].waiting = 1;
@@ -81,7 +81,7 @@
 TEST_CASE("What gives way is what is asked for least")
 {
     const auto engine = makeEngine();
-    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, 3 };
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 3 };
     input.hosts = { makeHost("e1", { "m0", "m1" }) };
     input.hosts[0].inMemory = { ModelId { "m2" } };
     input.models[ModelId { "m0" }].perSecond = 3;
@@ -94,7 +94,7 @@
 TEST_CASE("No load from the store is planned beyond what is allowed")
 {
     const auto engine = makeEngine();
-    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, 1 };
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 1 };
     input.hosts = { makeHost("e1", {}), makeHost("e2", {}), makeHost("e3", {}) };
     for (const auto *model : { "m0", "m1", "m2" })
         input.models[ModelId { model }].waiting = 1;
@@ -106,7 +106,7 @@
 TEST_CASE("An adapter is loaded once, and displaces the one asked for least when there is no place")
 {
     const auto engine = makeEngine();
-    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, 1 };
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 1 };
     input.hosts = { makeHost("e1", { "m0" }) };
     input.hosts[0].models[0].adapters = { "a1", "a2" };
     input.adapters[{ ModelId { "m0" }, "a2" }].perSecond = 2;
@@ -120,25 +120,60 @@
     CHECK(plan(input).empty());
 }
 
-TEST_CASE("No adapter is displaced while requests of it run")
+TEST_CASE("An adapter with requests gives way only where none without is to be had")
 {
     const auto engine = makeEngine();
-    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, 1 };
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 0 };
+    input.hosts = { makeHost("e1", { "m0" }), makeHost("e2", { "m0" }) };
+    input.hosts[0].models[0].adapters = { "a1", "a2" };
+    input.hosts[1].models[0].adapters = { "a4", "a5" };
+    for (const auto *name : { "a1", "a2", "a5" })
+        input.adapters[{ ModelId { "m0" }, name }].running = 1;
+    input.adapters[{ ModelId { "m0" }, "a4" }].perSecond = 9;
+    input.adapters[{ ModelId { "m0" }, "a3" }].waiting = 1;
+    REQUIRE(plan(input).size() == 1);
+    CHECK(plan(input)[0].steps[0] == PlanStep { StepKind::Unload, ModelId { "m0" }, "a4" });
+    input.adapters[{ ModelId { "m0" }, "a4" }].running = 3;
+    REQUIRE(plan(input).size() == 1);
+    CHECK(plan(input)[0].steps[0] != PlanStep { StepKind::Unload, ModelId { "m0" }, "a4" });
+}
+
+TEST_CASE("An adapter that was loaded just now does not give way")
+{
+    const auto engine = makeEngine();
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 0 };
     input.hosts = { makeHost("e1", { "m0" }) };
     input.hosts[0].models[0].adapters = { "a1", "a2" };
-    input.adapters[{ ModelId { "m0" }, "a1" }].running = 1;
-    input.adapters[{ ModelId { "m0" }, "a2" }].running = 2;
+    input.adapters[{ ModelId { "m0" }, "a2" }].perSecond = 5;
     input.adapters[{ ModelId { "m0" }, "a3" }].waiting = 1;
-    CHECK(plan(input).empty());
-    input.adapters[{ ModelId { "m0" }, "a2" }].running = 0;
+    input.freshAdapters = { { ModelId { "m0" }, "a1" } };
     REQUIRE(plan(input).size() == 1);
     CHECK(plan(input)[0].steps[0] == PlanStep { StepKind::Unload, ModelId { "m0" }, "a2" });
+    input.freshAdapters.insert({ ModelId { "m0" }, "a2" });
+    CHECK(plan(input).empty());
+}
+
+TEST_CASE("A model whose adapters have more requests than places gets another replica")
+{
+    const auto engine = makeEngine();
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 0 };
+    input.hosts = { makeHost("e1", { "m0" }), makeHost("e2", {}) };
+    input.hosts[0].models[0].adapters = { "a1", "a2" };
+    input.hosts[0].busySeconds = 1;
+    input.hosts[1].onDisk = { ModelId { "m0" } };
+    input.models[ModelId { "m0" }].running = 2;
+    input.adapters[{ ModelId { "m0" }, "a1" }].running = 1;
+    input.adapters[{ ModelId { "m0" }, "a2" }].running = 1;
+    CHECK(plan(input).empty());
+    input.adapters[{ ModelId { "m0" }, "a3" }].waiting = 1;
+    REQUIRE(plan(input).size() == 1);
+    CHECK(plan(input)[0].steps[0] == PlanStep { StepKind::Load, ModelId { "m0" }, {} });
 }
 
 TEST_CASE("A busy endpoint with a copy is waited for when the store takes longer")
 {
     const auto engine = makeEngine();
-    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, 3 };
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 3 };
     input.hosts = { makeHost("e1", { "m0" }), makeHost("e2", {}) };
     input.hosts[0].onDisk = { ModelId { "m1" } };
     input.models[ModelId { "m1" }].waiting = 1;
@@ -152,7 +187,7 @@
 TEST_CASE("A crowded model gets all the replicas that it needs at once")
 {
     const auto engine = makeEngine();
-    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, 4 };
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 4 };
     input.hosts = { makeHost("e1", { "m0" }), makeHost("e2", {}), makeHost("e3", {}),
                     makeHost("e4", {}) };
     input.models[ModelId { "m0" }].running = 40; // Many endpoints' worth.
@@ -165,7 +200,7 @@
 {
     auto engine = makeEngine();
     engine.weightsMb = 58;
-    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, 3 };
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 3 };
     input.hosts = { makeHost("e1", { "m0" }), makeHost("e2", { "m1" }), makeHost("e3", { "m5" }) };
     input.hosts[1].onDisk = { ModelId { "m1" }, ModelId { "m2" }, ModelId { "m3" } };
     input.hosts[2].onDisk = { ModelId { "m5" } };
@@ -181,9 +216,8 @@
     auto random = Random { 7 };
     auto planned = std::size_t { 0 };
     for (auto round = 0; round < 2000; ++round) {
-        auto input = PlacementInput {
-            engine, {}, {}, {}, {}, {}, static_cast<std::uint32_t>(random.below(3))
-        };
+        auto input = PlacementInput { engine, {}, {}, {},
+                                      {},     {}, {}, static_cast<std::uint32_t>(random.below(3)) };
         for (auto i = 0; i < 4; ++i) {
             auto host = makeHost("e" + std::to_string(i), {});
             auto used = 0.0;
