Split reading of answers off the forwarder; one set of channel options; drop what nothing uses

Core::status and Core::inGroup were public and unused outside; a handler captured what it did not use. No change of behaviour.

--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -57,11 +57,7 @@
 
     auto start() -> absl::Status
     {
-        auto channel = proto::ChannelOptions {};
-        channel.self = options_.name;
-        channel.keys = options_.keys;
-        channel.idleTimeout = std::chrono::seconds { 3 };
-        channel.handshakeTimeout = std::chrono::seconds { 1 };
+        const auto channel = proto::fleetChannel(options_.name, options_.keys);
         transport_ = std::make_unique<control::PeerTransport>(context_, channel, linkHandler());
         server_ = std::make_unique<proto::PeerServer>(context_, channel, serverHandler());
         if (auto status = server_->start(options_.peers); !status.ok())
@@ -194,7 +190,7 @@
     auto linkHandler() -> proto::PeerHandler
     {
         auto handler = proto::PeerHandler {};
-        handler.onOpen = [weak = weak_from_this()](const proto::PeerPointer &peer) {
+        handler.onOpen = [](const proto::PeerPointer &peer) {
             auto subscribe = proto::Subscribe {};
             subscribe.kind = proto::SubscriberKind::Control;
             peer->send({ 0, subscribe });
@@ -601,19 +597,9 @@
     return impl_->registry();
 }
 
-auto Core::status() const -> coord::ReplicaStatus
-{
-    return impl_->status();
-}
-
 auto Core::mayOrder() const -> bool
 {
     return impl_->mayOrder();
 }
 
-auto Core::inGroup() const -> bool
-{
-    return impl_->inGroup();
-}
-
 } // namespace figrack::fleet
--- a/fleet/core.h
+++ b/fleet/core.h
@@ -93,11 +93,8 @@
     auto propose(const Document &document, Done done) -> void;
     auto read() const -> ReadResult;
     auto registry() -> Registry &;
-    auto status() const -> coord::ReplicaStatus;
     /// @return true while an order may leave: this control leads and its lease holds
     auto mayOrder() const -> bool;
-    /// @return true while this control may confirm what must reach all gateways
-    auto inGroup() const -> bool;
 
 private:
     class Impl;
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -8,18 +8,17 @@
 #include "gateway/forwarder.h"
 
 #include <algorithm>
-#include <array>
 #include <optional>
 #include <utility>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/string.hpp>
 
 #include "core/error.h"
 #include "core/log.h"
 #include "endpoint/ssestream.h"
+#include "gateway/answers.h"
 #include "gateway/chooser.h"
 
 namespace figrack::gateway {
@@ -56,61 +55,6 @@
     return 1 + static_cast<std::uint32_t>(std::min(promptTokens, maxPromptTokens) / tokensPerLoad);
 }
 
-auto isEventStream(const http::Headers &headers) -> bool
-{
-    return http::findHeader(headers, "Content-Type").substr(0, 17) == "text/event-stream";
-}
-
-auto isSuccess(std::uint32_t status) -> bool
-{
-    return status >= 200 && status < 300;
-}
-
-/// @return the endpoint's headers less those that concern one connection or the body's framing
-auto endToEnd(const http::Headers &headers) -> http::Headers
-{
-    constexpr auto dropped
-            = std::array<std::string_view, 6> { "Connection",        "Keep-Alive", "Content-Length",
-                                                "Transfer-Encoding", "Trailer",    "Upgrade" };
-    auto result = http::Headers {};
-    for (const auto &header : headers) {
-        const auto isDropped = std::any_of(dropped.begin(), dropped.end(), [&](auto name) {
-            return boost::beast::iequals(header.name, std::string { name });
-        });
-        if (!isDropped)
-            result.push_back(header);
-    }
-    return result;
-}
-
-/// @return the value of the event's "id:" line; empty when it has none
-auto eventId(std::string_view raw) -> std::string
-{
-    constexpr auto field = std::string_view { "id:" };
-    while (!raw.empty()) {
-        const auto end = raw.find_first_of("\r\n");
-        auto line = raw.substr(0, end);
-        if (line.substr(0, field.size()) == field) {
-            line.remove_prefix(field.size());
-            if (!line.empty() && line.front() == ' ')
-                line.remove_prefix(1);
-            return std::string { line };
-        }
-        if (end == std::string_view::npos)
-            break;
-        raw.remove_prefix(end + 1);
-    }
-    return {};
-}
-
-/// @return true when the id is not after the one that was given last
-auto isOldEvent(const std::string &id, const std::string &given) -> bool
-{
-    if (id.empty() || given.empty())
-        return false;
-    return id.size() != given.size() ? id.size() < given.size() : id <= given;
-}
-
 auto millis(Duration duration) -> std::int64_t
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -108,10 +108,7 @@
     auto feedOptions() const -> ControlFeedOptions
     {
         auto result = ControlFeedOptions {};
-        result.channel.self = options_.name;
-        result.channel.keys = options_.keys;
-        result.channel.idleTimeout = std::chrono::seconds { 3 };
-        result.channel.handshakeTimeout = std::chrono::seconds { 1 };
+        result.channel = proto::fleetChannel(options_.name, options_.keys);
         result.callers = options_.callers;
         result.domain = options_.domain;
         result.seeds = options_.seeds;
--- a/proto/channel.cpp
+++ b/proto/channel.cpp
@@ -514,4 +514,14 @@
     return impl_->push(std::move(payload));
 }
 
+auto fleetChannel(NodeId self, std::shared_ptr<PeerKeys> keys) -> ChannelOptions
+{
+    auto options = ChannelOptions {};
+    options.self = std::move(self);
+    options.keys = std::move(keys);
+    options.idleTimeout = std::chrono::seconds { 3 };
+    options.handshakeTimeout = std::chrono::seconds { 1 };
+    return options;
+}
+
 } // namespace figrack::proto
--- a/proto/channel.h
+++ b/proto/channel.h
@@ -73,6 +73,10 @@
     Duration reconnectDelay = std::chrono::milliseconds { 100 }; ///< Doubles with jitter to 2 s.
 };
 
+/// @return options for a fleet whose processes are milliseconds apart: a peer that is silent for
+/// three seconds is lost, and so is one that does not answer the dial within one
+auto fleetChannel(NodeId self, std::shared_ptr<PeerKeys> keys) -> ChannelOptions;
+
 /// One accepted or dialled connection, as handlers see it.
 class PeerConnection
 {
