balancer, picker: tests that bite; what was broken on purpose

Four of fourteen mechanisms could be broken unseen: the end of a booking's count, the gateway's bound of a hold, a leaving caller during a hold, and the weight of pauses. Their tests now fail then (docs/INVARIANTS.md).

--- a/fleet/testing/tst_balancer.cpp
+++ b/fleet/testing/tst_balancer.cpp
@@ -134,6 +134,8 @@
     for (auto i = 0; i < 6; ++i)
         CHECK(bench.pick(10, manyTokens, {}, { "a" }) == "a");
     bench.clock.advance(100ms);
+    // It waits there for a moment rather than make six streams pause.
+    CHECK(bench.pick(1700, fewTokens, {}, { "b" }) == "b");
     CHECK(bench.pick(2 * longPrompt, fewTokens) == "b");
 }
 
@@ -237,6 +239,9 @@
     bench.end(1);
     bench.end(1);
     CHECK(bench.balancer.booked() == 1);
+    bench.end(2);
+    bench.pick(1, 1, {}, { "a" });
+    CHECK(bench.reply.running == 0);
     bench.gateway = NodeId { "g-2" };
     bench.pick(1, 1);
     bench.balancer.onGatewayLost(NodeId { "g-1" });
--- a/gateway/testing/rig.cpp
+++ b/gateway/testing/rig.cpp
@@ -104,14 +104,14 @@
     return std::make_shared<const catalogue::Catalogue>(std::move(catalogue));
 }
 
-Rig::Rig(ForwarderOptions options, BalancerLink link)
+Rig::Rig(ForwarderOptions options, BalancerLink link, PickerOptions pickerOptions)
     : dialect(testDialect())
     , view({}, clock)
     , retries({}, clock)
     , demand(clock)
     , waiters(context)
     , client(context, {})
-    , picker({}, std::move(link), metrics, random)
+    , picker(pickerOptions, std::move(link), metrics, random)
     , forwarder(options,
                 { context, clock, dialect, view, retries, demand, waiters, metrics, client, picker,
                   random })
--- a/gateway/testing/rig.h
+++ b/gateway/testing/rig.h
@@ -47,7 +47,8 @@
 class Rig
 {
 public:
-    explicit Rig(ForwarderOptions options = {}, BalancerLink link = {});
+    explicit Rig(ForwarderOptions options = {}, BalancerLink link = {},
+                 PickerOptions pickerOptions = {});
     ~Rig();
     /// Starts an endpoint of service "s" and makes it known. @param models that it holds
     auto addEndpoint(const std::string &id, const std::vector<std::string> &models = {})
--- a/gateway/testing/tst_picker.cpp
+++ b/gateway/testing/tst_picker.cpp
@@ -113,18 +113,20 @@
     CHECK(rig.call(Rig::request("/once/1", "id-1")).status == 200);
     CHECK(rig.clock.now() - begun >= std::chrono::milliseconds { 60 });
     balancer.advice->holdMs = 3'600'000;
+    begun = rig.clock.now();
     CHECK(rig.call(Rig::request("/once/1", "id-2")).status == 200);
+    CHECK(rig.clock.now() - begun < std::chrono::seconds { 5 }); // Of the 10 that it has.
     CHECK(endpoint.seen.size() == 2);
 }
 
 TEST_CASE("A caller that leaves while its request is held back ends it at once")
 {
     auto balancer = FakeBalancer {};
-    auto rig = Rig { {}, balancer.link() };
+    auto rig = Rig { {}, balancer.link(), { .longestHold = std::chrono::hours { 1 } } };
     auto &endpoint = rig.addEndpoint("i-1");
     endpoint.handler = answering("ok");
     rig.addEndpoint("i-2").handler = answering("ok");
-    balancer.advice = proto::PickReply { EndpointId { "i-1" }, 0, 0, 400, {} };
+    balancer.advice = proto::PickReply { EndpointId { "i-1" }, 0, 0, 3'600'000, {} };
     {
         boost::asio::ip::tcp::socket caller { rig.context };
         caller.connect({ boost::asio::ip::make_address("127.0.0.1"), rig.port() });
@@ -132,7 +134,9 @@
         boost::asio::write(caller, boost::asio::buffer(text));
         CHECK(rig.runUntil([&] { return balancer.asked.size() == 1; }));
     }
+    const auto left = rig.clock.now();
     CHECK(rig.runUntil([&] { return balancer.ended.size() == 1; }));
+    CHECK(rig.clock.now() - left < std::chrono::seconds { 5 }); // Of the 10 that it had.
     CHECK(endpoint.seen.empty());
 }
 
