--- a/catalogue/catalogue.h
+++ b/catalogue/catalogue.h
@@ -78,7 +78,7 @@
     std::uint64_t cacheTokens = 0; ///< KV cache of one engine.
     /// Tokens of KV cache that one engine fetches from another in a millisecond; 0: it does not.
     double fetchTokensPerMs = 0;
-    double weightsMb = 0;          ///< Room of one engine for weights and adapters together.
+    double weightsMb = 0; ///< Room of one engine for weights and adapters together.
     std::uint32_t maxAdapters = 0;
     double storeLoadsPerSecond = 0; ///< Loads from the weight store, over all engines.
     std::vector<ModelSpec> models;
