demand: what is refused for want of a load is asked for all the same

Ruled out: that the endpoints were full (a third of their places were taken).

Change: a gateway tells the leader of each such request at once; the leader counts refusals of the last 8 s as demand. Tests: the refused request is told, the leader keeps it for one window, the planner loads the model.

--- a/fleet/demandtable.cpp
+++ b/fleet/demandtable.cpp
@@ -7,6 +7,8 @@
 
 /// Below it a rate is forgotten: one arrival in a few minutes.
 constexpr auto negligible = 0.003;
+/// One refusal decays to 1/e = 0.37 in a window.
+constexpr auto roundUp = 0.63;
 
 } // namespace
 
@@ -17,20 +19,27 @@
 
 auto DemandTable::onReport(const NodeId &gateway, const proto::ModelWanted &report) -> bool
 {
-    const auto now = clock_.now();
-    const auto windowSeconds = std::chrono::duration<double> { window_ }.count();
-    auto waits = false;
+    auto lacks = false;
     for (const auto &row : report.rows) {
-        waits = waits || row.waiting > 0;
-        if (row.arrived == 0)
-            continue;
-        auto &rate = rates_[{ row.service, row.model, row.adapter }];
-        rate.perSecond = decayed(rate) + row.arrived / windowSeconds;
-        rate.at = now;
+        lacks = lacks || row.waiting + row.refused > 0;
+        const auto target = Target { row.service, row.model, row.adapter };
+        add(rates_, target, row.arrived);
+        add(refusals_, target, row.refused);
     }
     latest_[gateway] = report;
-    std::erase_if(rates_, [&](const auto &item) { return decayed(item.second) < negligible; });
-    return waits;
+    for (auto *rates : { &rates_, &refusals_ })
+        std::erase_if(*rates, [&](const auto &item) { return decayed(item.second) < negligible; });
+    return lacks;
+}
+
+auto DemandTable::add(std::map<Target, Rate> &rates, const Target &target, std::uint32_t count)
+        -> void
+{
+    if (count == 0)
+        return;
+    auto &rate = rates[target];
+    rate.perSecond = decayed(rate) + count / std::chrono::duration<double> { window_ }.count();
+    rate.at = clock_.now();
 }
 
 auto DemandTable::onGatewayLost(const NodeId &gateway) -> void
@@ -49,6 +58,16 @@
         if (!target.adapter.empty())
             result.adapters[{ target.model, target.adapter }].perSecond += perSecond;
     }
+    const auto windowSeconds = std::chrono::duration<double> { window_ }.count();
+    for (const auto &[target, rate] : refusals_) {
+        // Rounded up from a third on: one refusal is told of for one window.
+        const auto count = static_cast<std::uint32_t>(decayed(rate) * windowSeconds + roundUp);
+        if (target.service != service || count == 0)
+            continue;
+        result.models[target.model].refused += count;
+        if (!target.adapter.empty())
+            result.adapters[{ target.model, target.adapter }].refused += count;
+    }
     for (const auto &[gateway, report] : latest_) {
         for (const auto &row : report.rows) {
             if (row.service != service)
@@ -89,6 +108,7 @@
 auto DemandTable::clear() -> void
 {
     rates_.clear();
+    refusals_.clear();
     latest_.clear();
 }
 
--- a/fleet/demandtable.h
+++ b/fleet/demandtable.h
@@ -31,7 +31,7 @@
 public:
     /// @param window over which arrivals are averaged
     DemandTable(Duration window, const Clock &clock);
-    /// @return true when requests wait that did not wait before
+    /// @return true when requests wait for a load, or were refused for want of one
     auto onReport(const NodeId &gateway, const proto::ModelWanted &report) -> bool;
     auto onGatewayLost(const NodeId &gateway) -> void;
     auto of(const ServiceId &service) const -> ServiceDemand;
@@ -56,10 +56,12 @@
         Instant at {};
     };
     auto decayed(const Rate &rate) const -> double;
+    auto add(std::map<Target, Rate> &rates, const Target &target, std::uint32_t count) -> void;
 
     Duration window_;
     const Clock &clock_;
     std::map<Target, Rate> rates_;
+    std::map<Target, Rate> refusals_;
     std::map<NodeId, proto::ModelWanted> latest_;
 };
 
--- a/fleet/placement.cpp
+++ b/fleet/placement.cpp
@@ -104,8 +104,8 @@
                 continue;
             const auto held = countOf(holders_, model);
             const auto coming = countOf(input_.loading, model);
-            if (held + coming == 0 && want.waiting > 0)
-                wanted.emplace_back(lackingFirst + want.waiting, model);
+            if (held + coming == 0 && want.lacks() > 0)
+                wanted.emplace_back(lackingFirst + want.lacks(), model);
             const auto enough
                     = std::max(std::ceil(want.running / crowded), replicasForAdapters(model));
             for (auto count = held + coming; held > 0 && count < enough; ++count)
@@ -152,7 +152,7 @@
         auto wanted = std::map<AdapterKey, Asked> {};
         for (const auto &[key, want] : input_.adapters) {
             // Where one holds it already, the requests that are told to wait have not heard yet.
-            if (want.waiting > 0 && !key.second.empty() && !input_.loadingAdapters.contains(key)
+            if (want.lacks() > 0 && !key.second.empty() && !input_.loadingAdapters.contains(key)
                 && !isHeldSomewhere(key))
                 wanted.emplace(key, want);
         }
--- a/fleet/placement.h
+++ b/fleet/placement.h
@@ -47,6 +47,10 @@
     double perSecond = 0;      ///< Arrivals, averaged over some seconds.
     std::uint32_t waiting = 0; ///< Requests that wait for a load.
     std::uint32_t running = 0;
+    /// Requests that were refused of late for want of a load: their callers come back, and a model
+    /// whose requests are all refused would otherwise stay unloaded for ever.
+    std::uint32_t refused = 0;
+    auto lacks() const -> std::uint32_t { return waiting + refused; }
 };
 
 using AdapterKey = std::pair<ModelId, std::string>;
--- a/fleet/testing/tst_placement.cpp
+++ b/fleet/testing/tst_placement.cpp
@@ -78,6 +78,19 @@
     CHECK(plans[0].steps[1] == PlanStep { StepKind::Load, ModelId { "m3" }, {} });
 }
 
+TEST_CASE("A model whose requests were all refused is loaded though nobody waits for it")
+{
+    const auto engine = makeEngine();
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 3 };
+    input.hosts = { makeHost("e1", { "m0" }) };
+    input.models[ModelId { "m3" }].refused = 1;
+    const auto plans = plan(input);
+    REQUIRE(plans.size() == 1);
+    CHECK(plans[0].steps.back() == PlanStep { StepKind::Load, ModelId { "m3" }, {} });
+    input.hosts[0].models.push_back({ ModelId { "m3" }, {} });
+    CHECK(plan(input).empty());
+}
+
 TEST_CASE("What gives way is what is asked for least")
 {
     const auto engine = makeEngine();
--- a/fleet/testing/tst_registry.cpp
+++ b/fleet/testing/tst_registry.cpp
@@ -223,3 +223,19 @@
     CHECK(table.of(ServiceId { "s" }).models.at(ModelId { "m" }).perSecond
           == doctest::Approx(2.0 / 2.718).epsilon(0.01));
 }
+
+TEST_CASE("What was refused for want of a load is demand for one window, whoever refused it")
+{
+    auto clock = ManualClock {};
+    auto table = DemandTable { 8s, clock };
+    auto report = proto::ModelWanted {};
+    report.rows = { { ServiceId { "s" }, ModelId { "m" }, "", 1, 0, 0, 1 } };
+    CHECK(table.onReport(NodeId { "g1" }, report));
+    report.rows[0].refused = 0;
+    CHECK_FALSE(table.onReport(NodeId { "g1" }, report));
+    table.onGatewayLost(NodeId { "g1" });
+    clock.advance(7s);
+    CHECK(table.of(ServiceId { "s" }).models.at(ModelId { "m" }).refused == 1);
+    clock.advance(2s);
+    CHECK(table.of(ServiceId { "s" }).models.at(ModelId { "m" }).refused == 0);
+}
--- a/gateway/demand.cpp
+++ b/gateway/demand.cpp
@@ -43,6 +43,13 @@
     --counts_[target].waiting;
 }
 
+auto Demand::onRefused(const DemandTarget &target) -> void
+{
+    ++counts_[target].refused;
+    if (onUrgent_)
+        onUrgent_();
+}
+
 auto Demand::lackingSince(const DemandTarget &target) const -> Instant
 {
     const auto found = counts_.find(target);
@@ -59,10 +66,11 @@
     takenAt_ = now;
     for (auto item = counts_.begin(); item != counts_.end();) {
         auto &[target, counts] = *item;
-        auto row = proto::WantedRow { target.service, target.model,   target.adapter,
-                                      counts.arrived, counts.waiting, counts.running };
+        auto row = proto::WantedRow { target.service, target.model,   target.adapter, counts.arrived,
+                                      counts.waiting, counts.running, counts.refused };
         report.rows.push_back(std::move(row));
         counts.arrived = 0;
+        counts.refused = 0;
         const auto idle = counts.waiting == 0 && counts.running == 0;
         item = idle ? counts_.erase(item) : std::next(item);
     }
--- a/gateway/demand.h
+++ b/gateway/demand.h
@@ -42,6 +42,9 @@
     /// A request begins to wait for the target to be loaded.
     auto onLack(const DemandTarget &target) -> void;
     auto onLackEnd(const DemandTarget &target) -> void;
+    /// A request was refused since the target cannot be loaded in time: its caller comes back, and
+    /// others come, so the leader hears of it at once like of one that waits.
+    auto onRefused(const DemandTarget &target) -> void;
     /// @return since when a request has been waiting for the target; now when none has
     auto lackingSince(const DemandTarget &target) const -> Instant;
     /// @return the report since the last one; its counts start anew
@@ -53,6 +56,7 @@
         std::uint32_t arrived = 0;
         std::uint32_t waiting = 0;
         std::uint32_t running = 0;
+        std::uint32_t refused = 0;
         Instant lackingSince {};
     };
 
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -188,6 +188,8 @@
             lack_ = lack;
             const auto patience = patienceFor(lack);
             if (!patience) {
+                if (!target_.model.empty() && (lack == Lack::Model || lack == Lack::Adapter))
+                    parts_.demand.onRefused(target_);
                 co_await giveUp(
                         makeError(ErrorKind::NoCapacity, "lack=" + std::string { lackName(lack) }));
                 co_return nullptr;
--- a/gateway/testing/tst_forwarder.cpp
+++ b/gateway/testing/tst_forwarder.cpp
@@ -160,6 +160,12 @@
         const auto begun = rig.clock.now();
         CHECK(rig.call(request).status == 503);
         CHECK(rig.clock.now() - begun < 1500ms); // Far from the deadline, which would hold it.
+        // What is refused is wanted all the same: the next one shall find the model.
+        const auto rows = rig.demand.take().rows;
+        REQUIRE(rows.size() == 1);
+        CHECK(rows[0].refused == 1);
+        CHECK(rows[0].waiting == 0);
+        CHECK(rig.demand.take().rows.empty()); // Told once.
     }
     SUBCASE("the model comes")
     {
--- a/proto/servingmessages.h
+++ b/proto/servingmessages.h
@@ -109,10 +109,11 @@
     std::uint32_t arrived = 0;
     std::uint32_t waiting = 0; ///< Requests that no endpoint can take.
     std::uint32_t running = 0;
+    std::uint32_t refused = 0; ///< Since the last report, since no endpoint could have it in time.
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(service, model, adapter, arrived, waiting, running);
+        archive(service, model, adapter, arrived, waiting, running, refused);
     }
 };
 
