orders: an endpoint that is forgotten while its report is awaited gets no order

Cause: the leader looked an endpoint's row up again after waiting for its report and used it without asking whether it is still there. The test ends with a segmentation fault without the change.

Ruled out by reading: subscribers lost while they are told, proposals that end while they are settled, a planner that sorts by a cost that is no number.

--- a/fleet/orders.cpp
+++ b/fleet/orders.cpp
@@ -281,8 +281,12 @@
 
     auto send(const EndpointId &id, const PlanStep &step) -> asio::awaitable<OrderReply>
     {
+        // The endpoint may have been forgotten while its report was waited for.
+        const auto *known = registry_.find(id);
+        if (known == nullptr)
+            co_return OrderReply::OtherEndpoint;
         auto order = ModelOrder { step, accounts_[id].count, options_.self, authority_.fence() };
-        const auto row = *registry_.find(id);
+        const auto row = *known;
         const auto reply = co_await port_.send(row, order);
         if (reply == OrderReply::Accepted || (reply == OrderReply::Holds && wentAtOnce(id, step)))
             noteAccepted(id, step);
@@ -343,7 +347,10 @@
     /// @return false when it cannot take an order now
     auto learnAccount(const EndpointId &id) -> asio::awaitable<bool>
     {
-        const auto row = *registry_.find(id);
+        const auto *known = registry_.find(id);
+        if (known == nullptr)
+            co_return false;
+        const auto row = *known;
         const auto report = co_await port_.readReport(row);
         if (!report.ok()) {
             LogEvent(LogLevel::Warning, "report_not_had")
--- a/fleet/testing/tst_orders.cpp
+++ b/fleet/testing/tst_orders.cpp
@@ -46,8 +46,8 @@
 class OrderRig
 {
 public:
-    OrderRig()
-        : registry({}, clock)
+    explicit OrderRig(RegistryOptions registryOptions = {})
+        : registry(registryOptions, clock)
     {
         auto row = catalogue::EndpointRow {};
         row.id = id;
@@ -121,6 +121,8 @@
 
     auto report() -> boost::asio::awaitable<absl::StatusOr<EngineReport>>
     {
+        if (forgetOnReport)
+            forget();
         auto result = EngineReport {};
         result.count = engine.count;
         result.models = engine.models;
@@ -132,6 +134,16 @@
         co_return result;
     }
 
+    /// The endpoint ends, and so long ago that nothing is known of it any more.
+    auto forget() -> void
+    {
+        auto row = *registry.find(id);
+        ++row.sequence;
+        row.state = catalogue::EndpointState::Gone;
+        registry.hear(row);
+        registry.tick();
+    }
+
     auto announce() -> void
     {
         auto row = *registry.find(id);
@@ -150,6 +162,7 @@
     std::shared_ptr<const catalogue::EngineSpec> engineSpec = makeEngineSpec();
     std::unique_ptr<OrderRunner> runner;
     bool mayOrder = true;
+    bool forgetOnReport = false;
     int ended = 0;
 };
 
@@ -214,6 +227,17 @@
     CHECK(rig.registry.find(rig.id)->find(ModelId { "a" }) != nullptr);
 }
 
+TEST_CASE("An endpoint that is forgotten while it is asked for a report gets no order")
+{
+    auto options = RegistryOptions {};
+    options.forgetGoneAfter = 0s;
+    auto rig = OrderRig { options };
+    rig.forgetOnReport = true;
+    rig.run({ load("a") });
+    CHECK(rig.engine.seen.empty());
+    CHECK(rig.registry.find(rig.id) == nullptr);
+}
+
 TEST_CASE("An adapter that was unloaded at once counts as an order: the next one is not refused")
 {
     auto rig = OrderRig {};
