--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -12,6 +12,7 @@
 #include "core/error.h"
 #include "core/log.h"
 #include "fleet/demandtable.h"
+#include "fleet/lastknown.h"
 #include "fleet/proposals.h"
 
 namespace figrack::fleet {
@@ -45,6 +46,7 @@
         , clock_(clock)
         , readDocument_(std::move(readDocument))
         , random_(seed)
+        , lastKnown_(options_.dataFolder, disk_)
         , registry_(options_.registry, clock)
         , keeper_(options_.group, clock)
         , demand_(options_.demandWindow, clock)
@@ -65,8 +67,10 @@
         log_.setOnApplied([this](LogIndex index, Term term) { proposals_.onApplied(index, term); });
         registry_.setOnChanged([this](const catalogue::EndpointRow &row) {
             orders_.onRowChanged(row.id);
+            endpointsChanged_ = true;
             planSoon();
         });
+        recall();
         reload(options_.seeds);
         startReplica();
         schedule();
@@ -251,7 +255,7 @@
         } else if (const auto *join = std::get_if<proto::JoinGroup>(&envelope.payload)) {
             onJoin(join->member);
         } else if (std::holds_alternative<proto::DocumentRequest>(envelope.payload)) {
-            const auto &held = log_.document();
+            const auto &held = newestDocument();
             peer->send({ envelope.correlation, proto::DocumentReply { held.version, held.text } });
         } else {
             LogEvent(LogLevel::Warning, "message_not_expected").with("peer", peer->peer());
@@ -338,6 +342,7 @@
         settle();
         restartIfStopped();
         registry_.tick();
+        rememberEndpoints();
         const auto now = clock_.now();
         if (now >= nextKeep_ && replica_) {
             nextKeep_ = now + keeperEvery;
@@ -370,14 +375,56 @@
             transport_->setPeers(members_);
         }
         auto group = GroupView {};
-        group.document = log_.document().version;
+        group.document = newestDocument().version;
         group.leader = now.leader;
         group.term = now.term;
         group.controls = members_;
         registry_.setGroup(group);
+        rememberDocument();
         settling_ = false;
     }
 
+    // ---- what outlives a loss of all processes
+
+    auto recall() -> void
+    {
+        recalled_ = lastKnown_.loadDocument();
+        savedVersion_ = recalled_.version;
+        auto endpoints = lastKnown_.loadEndpoints();
+        LogEvent(LogLevel::Info, "recalled")
+                .with("document", recalled_.version)
+                .with("endpoints", static_cast<std::uint64_t>(endpoints.size()));
+        registry_.recall(std::move(endpoints));
+    }
+
+    /// @return the newest document that is known to be committed: after a start, until the log has
+    /// been applied, the one that was applied before it
+    auto newestDocument() const -> const Document &
+    {
+        return log_.document().version >= recalled_.version ? log_.document() : recalled_;
+    }
+
+    auto rememberDocument() -> void
+    {
+        if (log_.document().version <= savedVersion_)
+            return;
+        savedVersion_ = log_.document().version;
+        lastKnown_.save(log_.document());
+    }
+
+    auto rememberEndpoints() -> void
+    {
+        const auto now = clock_.now();
+        if (!endpointsChanged_ || now < nextSave_)
+            return;
+        endpointsChanged_ = false;
+        nextSave_ = now + options_.saveEndpointsEvery;
+        auto rows = std::vector<catalogue::EndpointRow> {};
+        for (const auto *row : registry_.rows())
+            rows.push_back(*row);
+        lastKnown_.save(rows);
+    }
+
     auto noteLeading(const coord::ReplicaStatus &now) -> void
     {
         const auto leads = now.role == coord::Role::Leader;
@@ -524,6 +571,8 @@
     ReadDocument readDocument_;
     Random random_;
     coord::PosixDisk disk_;
+    LastKnownStore lastKnown_;
+    Document recalled_; ///< What was applied here before the start.
     ConfigLog log_;
     Registry registry_;
     GroupKeeper keeper_;
@@ -549,10 +598,13 @@
     Instant nextJoin_ {};
     Instant nextPlan_ {};
     Instant nextLoads_ {};
+    Instant nextSave_ {};
+    Revision savedVersion_;
     Term leadTerm_;
     bool leads_ = false;
     bool settling_ = false;
     bool planPending_ = false;
+    bool endpointsChanged_ = false;
     bool stopping_ = false;
 };
 
--- a/fleet/core.h
+++ b/fleet/core.h
@@ -58,6 +58,8 @@
     /// A change that is not committed within it is answered as unclear; endpoints and operators
     /// wait for a second.
     Duration proposalTimeout = std::chrono::milliseconds { 900 };
+    /// Endpoints are kept for a restart as often, when they have changed.
+    Duration saveEndpointsEvery = std::chrono::seconds { 1 };
     Duration restartEvery = std::chrono::seconds { 1 };
     Duration demandWindow = std::chrono::seconds { 8 };
     /// Gateways report what they have in progress as often.
--- /dev/null
+++ b/fleet/lastknown.cpp
@@ -0,0 +1,154 @@
+// A file each for the document and the endpoints: a checksum, then the value. It
+// is written under a temporary name, synced, renamed, and the folder synced, so a
+// loss of power leaves the old state or the new one.
+
+#include "fleet/lastknown.h"
+
+#include <cstring>
+#include <utility>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "core/error.h"
+#include "core/log.h"
+#include "core/serial.h"
+
+namespace figrack::fleet {
+namespace {
+
+constexpr auto documentName = "known-document";
+constexpr auto endpointsName = "known-endpoints";
+/// The log's recovery removes files of such a name that were left behind.
+constexpr auto temporarySuffix = ".tmp";
+
+auto checksum(std::string_view payload) -> std::uint64_t
+{
+    return XXH3_64bits(payload.data(), payload.size());
+}
+
+auto seal(const std::string &payload) -> std::string
+{
+    const auto sum = detail::littleEndian(checksum(payload));
+    return std::string { sum.data(), sum.size() } + payload;
+}
+
+/// @return Malformed for bytes that seal() did not give
+template<typename T>
+auto unseal(std::string_view bytes, T &value) -> absl::Status
+{
+    auto sum = detail::littleEndian(std::uint64_t { 0 });
+    if (bytes.size() < sum.size())
+        return makeError(ErrorKind::Malformed, "too short");
+    const auto payload = bytes.substr(sum.size());
+    sum = detail::littleEndian(checksum(payload));
+    if (std::memcmp(sum.data(), bytes.data(), sum.size()) != 0)
+        return makeError(ErrorKind::Malformed, "checksum differs");
+    return deserialize(payload, value);
+}
+
+} // namespace
+
+LastKnownStore::LastKnownStore(std::string folder, coord::Disk &disk)
+    : folder_(std::move(folder) + "/")
+    , disk_(disk)
+    , writer_([this] { writeLoop(); })
+{ }
+
+LastKnownStore::~LastKnownStore()
+{
+    {
+        const auto lock = std::scoped_lock { mutex_ };
+        stopping_ = true;
+    }
+    wake_.notify_one();
+    writer_.join();
+}
+
+auto LastKnownStore::loadDocument() -> Document
+{
+    return load<Document>(documentName);
+}
+
+auto LastKnownStore::loadEndpoints() -> std::vector<catalogue::EndpointRow>
+{
+    return load<std::vector<catalogue::EndpointRow>>(endpointsName);
+}
+
+auto LastKnownStore::save(const Document &document) -> void
+{
+    post(documentName, serialize(document));
+}
+
+auto LastKnownStore::save(const std::vector<catalogue::EndpointRow> &endpoints) -> void
+{
+    post(endpointsName, serialize(endpoints));
+}
+
+template<typename T>
+auto LastKnownStore::load(const std::string &name) -> T
+{
+    auto value = T {};
+    const auto bytes = disk_.read(folder_ + name);
+    auto status = bytes.status();
+    if (bytes.ok() && bytes->has_value())
+        status = unseal(**bytes, value);
+    if (status.ok())
+        return value;
+    LogEvent(LogLevel::Warning, "last_known_not_read").with("file", name).with(status);
+    return {};
+}
+
+auto LastKnownStore::post(const std::string &name, std::string payload) -> void
+{
+    auto bytes = seal(payload);
+    {
+        const auto lock = std::scoped_lock { mutex_ };
+        pending_[name] = std::move(bytes);
+    }
+    wake_.notify_one();
+}
+
+auto LastKnownStore::writeLoop() -> void
+{
+    auto lock = std::unique_lock { mutex_ };
+    while (true) {
+        wake_.wait(lock, [this] { return stopping_ || !pending_.empty(); });
+        if (pending_.empty())
+            return; // All is written that was saved before the end.
+        const auto next = pending_.extract(pending_.begin());
+        lock.unlock();
+        if (auto status = write(next.key(), next.mapped()); !status.ok()) {
+            LogEvent(LogLevel::Warning, "last_known_not_written")
+                    .with("file", next.key())
+                    .with(status);
+        }
+        lock.lock();
+    }
+}
+
+auto LastKnownStore::write(const std::string &name, std::string_view bytes) -> absl::Status
+{
+    const auto path = folder_ + name;
+    const auto temporary = path + temporarySuffix;
+    // A file that a failed write left behind would be appended to.
+    const auto left = disk_.read(temporary);
+    if (!left.ok())
+        return left.status();
+    if (left->has_value()) {
+        if (auto status = disk_.remove(temporary); !status.ok())
+            return status;
+    }
+    auto file = disk_.openAppend(temporary);
+    if (!file.ok())
+        return file.status();
+    if (auto status = (*file)->append(bytes); !status.ok())
+        return status;
+    if (auto status = (*file)->sync(); !status.ok())
+        return status;
+    if (auto status = disk_.rename(temporary, path); !status.ok())
+        return status;
+    return disk_.syncDirectory(folder_);
+}
+
+} // namespace figrack::fleet
--- a/fleet/registry.cpp
+++ b/fleet/registry.cpp
@@ -87,6 +87,19 @@
     }
 }
 
+auto Registry::recall(std::vector<EndpointRow> endpoints) -> void
+{
+    // As silent as one that will be taken for lost after recallFor.
+    const auto heardAt = clock_.now() - options_.forgetSilentAfter + options_.recallFor;
+    for (auto &row : endpoints) {
+        if (row.state == EndpointState::Gone)
+            continue;
+        auto &known = known_[row.id];
+        known.row = std::move(row);
+        known.heardAt = heardAt;
+    }
+}
+
 auto Registry::hear(const EndpointRow &row) -> void
 {
     const auto changed = take(row);
--- a/fleet/registry.h
+++ b/fleet/registry.h
@@ -49,6 +49,9 @@
     Duration forgetGoneAfter = std::chrono::seconds { 60 };
     /// An endpoint of which nobody heard for so long is taken for lost.
     Duration forgetSilentAfter = std::chrono::seconds { 30 };
+    /// One that was known before a restart and has not announced itself since: three intervals at
+    /// which endpoints announce themselves.
+    Duration recallFor = std::chrono::seconds { 4 };
 };
 
 /// A gateway to which callers may be sent.
@@ -79,6 +82,9 @@
     /// What another control tells; passed on to this control's subscribers that lack it.
     auto onUpdate(const proto::ServingUpdate &update) -> void;
 
+    /// Endpoints that were known before a restart, until they announce themselves or recallFor has
+    /// passed. Call before anything else.
+    auto recall(std::vector<catalogue::EndpointRow> endpoints) -> void;
     /// An announcement. A draining one is also told by hearLeaving().
     auto hear(const catalogue::EndpointRow &row) -> void;
     /// @param row the announcement that says so, or what is known with the state changed
--- /dev/null
+++ b/fleet/testing/tst_lastknown.cpp
@@ -0,0 +1,96 @@
+// What a control keeps for a restart, against a disk that crashes before any call.
+
+#include <doctest/doctest.h>
+
+#include "coord/testing/fakedisk.h"
+#include "fleet/lastknown.h"
+
+using namespace figrack;
+using namespace figrack::fleet;
+using coord::testing::FakeDisk;
+
+namespace {
+
+constexpr auto folder = "data";
+
+auto makeDisk() -> FakeDisk
+{
+    auto disk = FakeDisk {};
+    REQUIRE(disk.makeFolder(folder).ok());
+    return disk;
+}
+
+auto makeEndpoint(const std::string &id) -> catalogue::EndpointRow
+{
+    auto row = catalogue::EndpointRow {};
+    row.id = EndpointId { id };
+    row.address = { "10.0.0.1", 80 };
+    row.models = { { ModelId { "m" }, { "a1" } } };
+    return row;
+}
+
+auto saveAll(coord::Disk &disk, const Document &document) -> void
+{
+    auto store = LastKnownStore { folder, disk };
+    store.save(document);
+    store.save(std::vector { makeEndpoint("i-1"), makeEndpoint("i-2") });
+}
+
+} // namespace
+
+TEST_CASE("What was saved is there after a loss of power, and nothing is there before")
+{
+    auto disk = makeDisk();
+    {
+        auto store = LastKnownStore { folder, disk };
+        CHECK(store.loadDocument().version == Revision {});
+        CHECK(store.loadEndpoints().empty());
+    }
+    saveAll(disk, { Revision { 7 }, "seven" });
+    saveAll(disk, { Revision { 8 }, "eight" });
+    auto random = Random { 1 };
+    auto later = disk.afterPowerLoss(FakeDisk::Survival::Nothing, random);
+    auto store = LastKnownStore { folder, later };
+    CHECK(store.loadDocument().version == Revision { 8 });
+    CHECK(store.loadDocument().text == "eight");
+    const auto endpoints = store.loadEndpoints();
+    REQUIRE(endpoints.size() == 2);
+    CHECK(endpoints[1].sameAs(makeEndpoint("i-2")));
+}
+
+TEST_CASE("A crash before any call of the disk leaves the old document or the new one, whole")
+{
+    auto ended = false;
+    for (auto call = std::size_t { 1 }; !ended; ++call) {
+        auto disk = makeDisk();
+        saveAll(disk, { Revision { 7 }, "seven" });
+        const auto before = disk.calls();
+        disk.crashAt(before + call);
+        saveAll(disk, { Revision { 8 }, "eight" });
+        ended = !disk.crashed();
+        for (const auto survival : { FakeDisk::Survival::Nothing, FakeDisk::Survival::Everything,
+                                     FakeDisk::Survival::Random }) {
+            auto random = Random { call };
+            auto later = disk.afterPowerLoss(survival, random);
+            auto store = LastKnownStore { folder, later };
+            const auto document = store.loadDocument();
+            const auto isOld = document.version == Revision { 7 } && document.text == "seven";
+            const auto isNew = document.version == Revision { 8 } && document.text == "eight";
+            CHECK((isOld || isNew));
+            CHECK(store.loadEndpoints().size() == 2);
+            // A temporary file that was left behind hinders nothing.
+            store.save(Document { Revision { 9 }, "nine" });
+        }
+    }
+}
+
+TEST_CASE("A damaged file is as good as none")
+{
+    auto disk = makeDisk();
+    saveAll(disk, { Revision { 7 }, "seven" });
+    for (const auto *name : { "data/known-document", "data/known-endpoints" })
+        REQUIRE(disk.damage(name, [](std::string &bytes) { bytes.back() ^= 1; }));
+    auto store = LastKnownStore { folder, disk };
+    CHECK(store.loadDocument().version == Revision {});
+    CHECK(store.loadEndpoints().empty());
+}
--- a/fleet/testing/tst_registry.cpp
+++ b/fleet/testing/tst_registry.cpp
@@ -239,3 +239,18 @@
     clock.advance(2s);
     CHECK(table.of(ServiceId { "s" }).models.at(ModelId { "m" }).refused == 0);
 }
+
+TEST_CASE("Endpoints known before a restart are told at once, and dropped unless they announce")
+{
+    auto rig = RegistryRig {};
+    rig.registry.recall({ makeRow("i-1", 7, EndpointState::Ready),
+                          makeRow("i-2", 7, EndpointState::Ready),
+                          makeRow("i-3", 7, EndpointState::Gone) });
+    rig.subscribe(rig.gateway);
+    REQUIRE(rig.gateway->updates.back().endpoints.size() == 2);
+    rig.registry.hear(makeRow("i-1", 8, EndpointState::Ready));
+    rig.clock.advance(RegistryOptions {}.recallFor);
+    rig.registry.tick();
+    CHECK(rig.registry.find(EndpointId { "i-1" }) != nullptr);
+    CHECK(rig.registry.find(EndpointId { "i-2" }) == nullptr);
+}
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -80,7 +80,6 @@
         , arrived_(owner.parts_.clock.now())
         , deadline_(arrived_)
         , startBy_(arrived_)
-        , routes_(owner.routes_)
         , holdTimer_(owner.parts_.context)
     { }
     ~Run() { finishWaiting(); }
@@ -89,6 +88,7 @@
 
     auto execute() -> asio::awaitable<void>
     {
+        co_await awaitDocument();
         if (auto refusal = prepare()) {
             co_await refuse(std::move(*refusal));
         } else {
@@ -104,6 +104,15 @@
 private:
     // ---- reading the request
 
+    /// Right after the start: waits for the first document.
+    auto awaitDocument() -> asio::awaitable<void>
+    {
+        const auto until = owner_.startedAt_ + owner_.options_.awaitDocument;
+        while (!owner_.routes_ && !owner_.refusing_ && parts_.clock.now() < until)
+            co_await parts_.waiters.wait(until - parts_.clock.now());
+        routes_ = owner_.routes_;
+    }
+
     /// @return the refusal of a request that cannot be carried at all
     auto prepare() -> std::optional<Refusal>
     {
@@ -689,6 +698,7 @@
 Forwarder::Forwarder(ForwarderOptions options, ForwarderParts parts)
     : options_(options)
     , parts_(parts)
+    , startedAt_(parts.clock.now())
 { }
 
 auto Forwarder::setCatalogue(std::shared_ptr<const catalogue::Catalogue> catalogue) -> void
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -53,6 +53,9 @@
     Duration freshEnough = std::chrono::seconds { 2 };
     /// Retry-After when nothing better is known.
     Duration comeBack = std::chrono::milliseconds { 300 };
+    /// After its start a gateway has a document within 0.1 to 0.2 s, as long as one control can be
+    /// reached: requests that come before wait for it.
+    Duration awaitDocument = std::chrono::milliseconds { 250 };
     /// Retry-After while no configuration or no endpoint is known: after a start, endpoints are
     /// heard of within the interval at which they announce themselves.
     Duration comeBackWhenNew = std::chrono::milliseconds { 1200 };
@@ -97,6 +100,7 @@
     ForwarderOptions options_;
     ForwarderParts parts_;
     std::shared_ptr<const catalogue::RouteTable> routes_;
+    const Instant startedAt_;
     Instant placeBy_ = Instant::max(); ///< Nothing waits for an endpoint beyond it.
     bool refusing_ = false;
 };
--- a/gateway/testing/rig.cpp
+++ b/gateway/testing/rig.cpp
@@ -105,6 +105,18 @@
 }
 
 Rig::Rig(ForwarderOptions options, BalancerLink link, PickerOptions pickerOptions)
+    : Rig(NoDocument {}, options, std::move(link), pickerOptions)
+{
+    forwarder.setCatalogue(testCatalogue(false));
+}
+
+auto Rig::withoutDocument() -> std::unique_ptr<Rig>
+{
+    return std::unique_ptr<Rig> { new Rig(NoDocument {}, {}, {}, {}) };
+}
+
+Rig::Rig(NoDocument /*tag*/, ForwarderOptions options, BalancerLink link,
+         PickerOptions pickerOptions)
     : dialect(testDialect())
     , view({}, clock)
     , retries({}, clock)
@@ -121,7 +133,6 @@
     })
 {
     retries.setGateways(1);
-    forwarder.setCatalogue(testCatalogue(false));
     static_cast<void>(server_.start({ "127.0.0.1", 0 }));
 }
 
--- a/gateway/testing/rig.h
+++ b/gateway/testing/rig.h
@@ -49,6 +49,8 @@
 public:
     explicit Rig(ForwarderOptions options = {}, BalancerLink link = {},
                  PickerOptions pickerOptions = {});
+    /// A gateway that has just started and holds no document yet.
+    static auto withoutDocument() -> std::unique_ptr<Rig>;
     ~Rig();
     /// Starts an endpoint of service "s" and makes it known. @param models that it holds
     auto addEndpoint(const std::string &id, const std::vector<std::string> &models = {})
@@ -81,6 +83,9 @@
     http::Client caller;
 
 private:
+    struct NoDocument
+    { };
+    Rig(NoDocument, ForwarderOptions options, BalancerLink link, PickerOptions pickerOptions);
     std::vector<std::unique_ptr<FakeEndpoint>> endpoints_;
     http::Server server_;
 };
--- a/gateway/testing/tst_forwarder.cpp
+++ b/gateway/testing/tst_forwarder.cpp
@@ -74,6 +74,31 @@
     CHECK(http::findHeader(failed.headers, "X-Come-Back") == "300");
 }
 
+TEST_CASE("A request that comes right after the start waits for the first document, and not long")
+{
+    const auto rig = Rig::withoutDocument();
+    const auto begun = rig->clock.now();
+    const auto got = rig->begin(Rig::request("/once/x", "r1"));
+    SUBCASE("the document comes")
+    {
+        rig->addEndpoint("i-1").handler = answering("ok");
+        rig->runUntil([&] { return rig->waiters.size() == 1; });
+        rig->forwarder.setCatalogue(testCatalogue(false));
+        REQUIRE(rig->runUntil([&] { return got->has_value(); }));
+        CHECK((*got)->status == 200);
+    }
+    SUBCASE("it does not")
+    {
+        REQUIRE(rig->runUntil([&] { return got->has_value(); }));
+        CHECK((*got)->status == 503);
+        CHECK(http::findHeader((*got)->headers, "X-Come-Back") == "1200");
+        CHECK(rig->clock.now() - begun >= gateway::ForwarderOptions {}.awaitDocument);
+        // Later ones are refused at once.
+        CHECK(rig->call(Rig::request("/once/x", "r2")).status == 503);
+        CHECK(rig->waiters.size() == 0);
+    }
+}
+
 TEST_CASE("A stream that breaks goes on elsewhere only where its route allows it")
 {
     auto rig = Rig {};
