channel: dial with short patience first

Cause: after a loss of power gateways start before their controls; an opening packet to a VM without power is lost and repeated after 1 s, which was also the patience of a dial. Ruled out: the controls' own start (0.1 s after the gateways').

--- a/proto/channel.cpp
+++ b/proto/channel.cpp
@@ -31,7 +31,6 @@
 using boost::system::error_code;
 using ConnectionPointer = std::shared_ptr<Connection>;
 
-constexpr auto maxReconnectDelay = Duration { std::chrono::seconds { 2 } };
 constexpr auto acceptRetryDelay = std::chrono::milliseconds { 100 };
 
 auto endpointOf(const Address &address) -> absl::StatusOr<tcp::endpoint>
@@ -221,6 +220,7 @@
         , handler_(std::move(handler))
         , strand_(asio::make_strand(context))
         , timer_(strand_)
+        , backoff_(options_.dial)
         , random_(randomSeed())
     { }
 
@@ -371,14 +371,16 @@
     auto keepConnected() -> asio::awaitable<void>
     {
         const auto self = shared_from_this();
-        auto delay = options_.reconnectDelay;
         while (!stopped_) {
             auto wasOpen = false;
             const auto status = co_await connectAndRun(wasOpen);
             report(status, wasOpen);
-            delay = wasOpen ? options_.reconnectDelay : std::min(delay * 2, maxReconnectDelay);
+            if (wasOpen)
+                backoff_.onOpened();
+            else
+                backoff_.onFailed();
             if (!stopped_)
-                co_await pause(delay);
+                co_await pause(backoff_.pause());
         }
     }
 
@@ -415,7 +417,7 @@
         if (!endpoint.ok())
             co_return endpoint.status();
         dialling_ = &socket;
-        timer_.expires_after(options_.handshakeTimeout);
+        timer_.expires_after(backoff_.patience());
         timer_.async_wait([self = shared_from_this()](error_code error) {
             if (!error)
                 self->closeDialling();
@@ -473,6 +475,7 @@
     // What follows is used on the strand only.
     asio::steady_timer timer_;
     tcp::socket *dialling_ = nullptr; ///< The socket that is connecting, for the timer to close.
+    DialBackoff backoff_;
     Random random_;
     std::unordered_map<std::uint64_t, PendingCall> pending_;
     ErrorKind lastFailure_ = ErrorKind::Ok;
--- a/proto/channel.h
+++ b/proto/channel.h
@@ -38,6 +38,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "core/settings.h"
+#include "proto/dialbackoff.h"
 #include "proto/messages.h"
 
 namespace boost::asio {
@@ -69,8 +70,8 @@
     std::size_t maxConnections = 4096;   ///< Server only.
     std::size_t maxPendingCalls = 65536; ///< Client only; past it call() fails with Overloaded.
     Duration handshakeTimeout = std::chrono::seconds { 2 };
-    Duration idleTimeout = std::chrono::seconds { 10 };          ///< Pings go at a third of it.
-    Duration reconnectDelay = std::chrono::milliseconds { 100 }; ///< Doubles with jitter to 2 s.
+    Duration idleTimeout = std::chrono::seconds { 10 }; ///< Pings go at a third of it.
+    DialBackoffOptions dial;                            ///< Client only.
 };
 
 /// @return options for a fleet whose processes are milliseconds apart: a peer that is silent for
--- a/proto/testing/tst_channel.cpp
+++ b/proto/testing/tst_channel.cpp
@@ -93,7 +93,7 @@
     auto result = ChannelOptions {};
     result.self = NodeId { name };
     result.keys = *PeerKeys::fromText(keys);
-    result.reconnectDelay = 5ms;
+    result.dial.firstPause = 5ms;
     return result;
 }
 
--- a/router/testing/fakecontrol.h
+++ b/router/testing/fakecontrol.h
@@ -90,7 +90,7 @@
         auto out = proto::ChannelOptions {};
         out.self = NodeId { name };
         out.keys = testKeys();
-        out.reconnectDelay = std::chrono::milliseconds { 5 };
+        out.dial.firstPause = std::chrono::milliseconds { 5 };
         return out;
     }
 
