gateway: tell the leader of endpoints that leave

Cause: a leader on one side of a split of the controls went on planning for endpoints whose leaving only the other side had heard; gateways hear both.

--- a/gateway/fleetview.cpp
+++ b/gateway/fleetview.cpp
@@ -175,7 +175,8 @@
 {
     auto result = std::vector<EndpointId> {};
     for (const auto &[id, entry] : entries_) {
-        if (entry.isReplaced || entry.isUnreached)
+        const auto hasLeft = entry.row.state != catalogue::EndpointState::Ready;
+        if (entry.isReplaced || entry.isUnreached || hasLeft)
             result.push_back(id);
     }
     return result;
--- a/gateway/testing/tst_parts.cpp
+++ b/gateway/testing/tst_parts.cpp
@@ -140,6 +140,16 @@
     CHECK(view.of(ServiceId { "s" })[0]->row.id == EndpointId { "i-1" });
 }
 
+TEST_CASE("An endpoint that leaves is told to the leader, which may be cut off from whom it told")
+{
+    auto clock = ManualClock {};
+    auto view = FleetView { {}, clock };
+    view.apply(updateOf({ makeRow("i-1", 5, EndpointState::Ready) }));
+    CHECK(view.unreachable().empty());
+    view.apply(updateOf({ makeRow("i-1", 6, EndpointState::Draining) }));
+    CHECK(view.unreachable() == std::vector { EndpointId { "i-1" } });
+}
+
 TEST_CASE("What an endpoint says it lacks is believed for a while, against its row")
 {
     auto clock = ManualClock {};
