balancer: a learned limit of requests for each endpoint, and pacing by the streams' own target

Cause: where a model's arrivals exceed what its replicas serve, engines took all of them. And prompts were paced for pauses of 500 ms whatever the route allows.

Change: the balancer learns from how requests end how many an endpoint may have in progress (half of its places to all of them), lets urgent ones in first, and tells the others at once when to come back, one after another. A request that can still be on time waits for a place for half of its start target. What a run of reading may last is 0.6 of the streams' target for pauses (300 of 500 ms as before), a hold half of the start target at most.

--- a/fleet/balancer.cpp
+++ b/fleet/balancer.cpp
@@ -35,8 +35,33 @@
     : options_(options)
     , clock_(clock)
     , random_(random)
+    , stayMs_(millis(options.usualStay))
 { }
 
+auto Balancer::endpointOf(const EndpointId &id) -> Endpoint &
+{
+    return endpoints_.try_emplace(id, options_.places).first->second;
+}
+
+auto Balancer::hasRoom(Endpoint &endpoint, const proto::PickRequest &request) -> bool
+{
+    return request.hasBegun
+            || endpoint.limit.admits(endpoint.running, request.places, request.rank);
+}
+
+/// Those that are refused are told to come back one after another, as places are given up.
+auto Balancer::turnAway(const proto::PickRequest &request) -> proto::PickReply
+{
+    const auto now = clock_.now();
+    auto &last = returns_.try_emplace(request.model, now).first->second;
+    const auto places = static_cast<double>(request.places * request.candidates.size());
+    const auto next = std::max(last, now + options_.soonestReturn) + fromMillis(stayMs_ / places);
+    last = std::min(next, now + options_.latestReturn);
+    auto reply = proto::PickReply {};
+    reply.comeBackMs = wholeMillis(last - now);
+    return reply;
+}
+
 auto Balancer::pick(const NodeId &gateway, const proto::PickRequest &request) -> proto::PickReply
 {
     expire();
@@ -44,7 +69,10 @@
     auto bestCost = std::numeric_limits<double>::infinity();
     auto equals = std::uint64_t { 0 };
     for (const auto &id : request.candidates) {
-        const auto cost = costAt(endpoints_[id], request);
+        auto &endpoint = endpointOf(id);
+        if (!hasRoom(endpoint, request))
+            continue;
+        const auto cost = costAt(endpoint, request);
         if (best != nullptr && std::abs(cost - bestCost) < sameCost) {
             // Each of the equals is drawn with the same chance.
             if (random_.below(++equals) == 0)
@@ -56,7 +84,7 @@
         }
     }
     if (best == nullptr)
-        return {};
+        return request.candidates.empty() ? proto::PickReply {} : turnAway(request);
     return book(gateway, request, *best);
 }
 
@@ -75,13 +103,28 @@
         return { now, now, now + read };
     auto slot = Slot { endpoint.readSince, std::max(endpoint.readUntil, now), {} };
     const auto restEnd = endpoint.readUntil + options_.rest;
-    const auto isTooLong = slot.begin + read - endpoint.readSince > options_.bearable;
-    if (isTooLong && endpoint.running > 0 && restEnd - now <= options_.longestHold)
+    const auto isTooLong = slot.begin + read - endpoint.readSince > bearableFor(request);
+    if (isTooLong && endpoint.running > 0 && restEnd - now <= longestHoldFor(request))
         slot.runBegin = slot.begin = restEnd;
     slot.end = slot.begin + read;
     return slot;
 }
 
+auto Balancer::bearableFor(const proto::PickRequest &request) const -> Duration
+{
+    if (request.gapTargetMs == 0)
+        return options_.bearable;
+    return fromMillis(static_cast<double>(request.gapTargetMs) * options_.bearablePart);
+}
+
+auto Balancer::longestHoldFor(const proto::PickRequest &request) const -> Duration
+{
+    if (request.startTargetMs == 0)
+        return options_.longestHold;
+    const auto part = static_cast<double>(request.startTargetMs) * options_.longestHoldPart;
+    return std::min(options_.longestHold, fromMillis(part));
+}
+
 auto Balancer::usualRead(std::uint64_t tokens) const -> Duration
 {
     return fromMillis(static_cast<double>(tokens) / options_.tokensPerMs);
@@ -110,7 +153,7 @@
     const auto start = millis(slot.end - clock_.now());
     const auto readingOn = millis(slot.end - slot.runBegin);
     const auto running = static_cast<double>(endpoint.running);
-    const auto paused = std::max(0.0, readingOn - millis(options_.bearable));
+    const auto paused = std::max(0.0, readingOn - millis(bearableFor(request)));
     const auto generating
             = std::min(static_cast<double>(request.outputTokens) * options_.msPerToken,
                        millis(options_.foreseen));
@@ -169,11 +212,11 @@
 auto Balancer::book(const NodeId &gateway, const proto::PickRequest &request, const EndpointId &id)
         -> proto::PickReply
 {
-    auto &endpoint = endpoints_[id];
+    auto &endpoint = endpointOf(id);
     const auto now = clock_.now();
     const auto slot = slotFor(endpoint, request);
     auto reply = proto::PickReply {
-        id, wholeMillis(slot.end - now), endpoint.running, wholeMillis(slot.runBegin - now), {}
+        id, wholeMillis(slot.end - now), endpoint.running, wholeMillis(slot.runBegin - now), {}, 0
     };
     const auto lacks = missing(endpoint, request);
     reply.fetchFrom = lacks.from;
@@ -186,7 +229,11 @@
     auto &booking = bookings_[{ gateway, request.ticket }];
     if (!booking.endpoint.empty())
         release(booking.endpoint);
-    booking = { id, request.model, usualRead(lacks.toRead), slot.begin == now,
+    booking = { id,
+                request.model,
+                usualRead(lacks.toRead),
+                slot.begin == now,
+                now,
                 now + std::chrono::milliseconds { request.limitMs } };
     ++endpoint.running;
     return reply;
@@ -194,7 +241,7 @@
 
 auto Balancer::keep(const EndpointId &id, const std::vector<proto::PromptSpan> &spans) -> void
 {
-    auto &endpoint = endpoints_[id];
+    auto &endpoint = endpointOf(id);
     for (const auto &span : spans) {
         const auto found = std::find_if(endpoint.kept.begin(), endpoint.kept.end(),
                                         [&](const auto &kept) { return kept.key == span.key; });
@@ -222,10 +269,22 @@
         return;
     if (end.startMs > 0)
         learnPace(found->second, std::chrono::milliseconds { end.startMs });
+    learnRoom(found->second, end.outcome);
     release(found->second.endpoint);
     bookings_.erase(found);
 }
 
+auto Balancer::learnRoom(const Booking &booking, proto::PickOutcome outcome) -> void
+{
+    const auto found = endpoints_.find(booking.endpoint);
+    if (outcome == proto::PickOutcome::Unknown || found == endpoints_.end())
+        return;
+    const auto now = clock_.now();
+    stayMs_ += options_.learning * (millis(now - booking.bookedAt) - stayMs_);
+    auto &endpoint = found->second;
+    endpoint.limit.onEnd(outcome == proto::PickOutcome::Late, endpoint.running, now);
+}
+
 auto Balancer::onGatewayLost(const NodeId &gateway) -> void
 {
     auto item = bookings_.lower_bound({ gateway, 0 });
@@ -260,6 +319,7 @@
         const auto &endpoint = item.second;
         return endpoint.running == 0 && now - endpoint.averagedAt > options_.forgetAfter;
     });
+    std::erase_if(returns_, [now](const auto &item) { return item.second <= now; });
     std::erase_if(lastKeepers_,
                   [&](const auto &item) { return !endpoints_.contains(item.second); });
 }
--- a/fleet/balancer.h
+++ b/fleet/balancer.h
@@ -34,6 +34,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "core/random.h"
+#include "fleet/admission.h"
 #include "proto/servingmessages.h"
 
 namespace figrack::fleet {
@@ -56,13 +57,18 @@
     double slowest = 8;
     /// Time an engine takes for one token of each stream in its batch, when it reads nothing.
     double msPerToken = 6;
-    /// Reading that a stream beside it bears without a noticeable pause.
+    /// Reading that a stream beside it bears without a noticeable pause, where streams have no
+    /// target for their pauses.
     Duration bearable = std::chrono::milliseconds { 300 };
+    /// The same, as a part of the target; 300 of 500 ms where it was set.
+    double bearablePart = 0.6;
     /// Between two runs of reading: about one event of a stream, 5 or 6 tokens.
     Duration rest = std::chrono::milliseconds { 50 };
     /// A prompt that would be held back for longer is not held at all: its endpoint has more to
     /// read than rests can help.
     Duration longestHold = std::chrono::milliseconds { 500 };
+    /// Nor for longer than this part of its own start target.
+    double longestHoldPart = 0.5;
     /// What each running request loses by a millisecond of reading beyond what is bearable,
     /// compared with a millisecond that the new request waits. This weight and the next were set
     /// once, by what a late stream is worth, and not varied.
@@ -82,6 +88,13 @@
     std::uint64_t worthFetching = 500;
     /// A fetch takes so much beside its tokens: to the other endpoint and back.
     Duration fetchOverhead = std::chrono::milliseconds { 5 };
+    PlaceLimitOptions places;
+    /// Retry-After of the first request that finds no room. Those that follow it are told later and
+    /// later, one place apart, so that they do not come back together.
+    Duration soonestReturn = std::chrono::milliseconds { 500 };
+    Duration latestReturn = std::chrono::milliseconds { 4000 };
+    /// What a place is expected to be taken for before any end was seen.
+    Duration usualStay = std::chrono::milliseconds { 1500 };
     /// An endpoint that nothing was booked at for so long is forgotten.
     Duration forgetAfter = std::chrono::seconds { 60 };
 };
@@ -91,7 +104,8 @@
 public:
     Balancer(BalancerOptions options, const Clock &clock, Random &random);
     /// @param gateway that asks @param request with one candidate at least
-    /// @return the candidate that costs least, and why; empty when there is no candidate
+    /// @return the candidate that costs least, and why; none when there is no candidate, or none
+    /// has room for the request: then with the time to come back
     auto pick(const NodeId &gateway, const proto::PickRequest &request) -> proto::PickReply;
     auto onEnd(const NodeId &gateway, const proto::PickEnd &end) -> void;
     /// The gateway's bookings end: it is gone, and its requests with it.
@@ -102,6 +116,10 @@
 private:
     struct Endpoint
     {
+        explicit Endpoint(const PlaceLimitOptions &places)
+            : limit(places)
+        { }
+        PlaceLimit limit;
         Instant readUntil {}; ///< When all booked prompts will have been read.
         Instant readSince {}; ///< Begin of the last run of reading without a rest.
         double reading = 0;   ///< Milliseconds of reading, decayed to averagedAt.
@@ -116,6 +134,7 @@
         std::uint64_t model = 0;
         Duration usualRead {}; ///< Of its prompt, by tokensPerMs alone.
         bool isAlone = false;  ///< No other prompt was to be read before it.
+        Instant bookedAt {};
         Instant expiresAt {};
     };
     using BookingKey = std::pair<NodeId, std::uint64_t>;
@@ -128,10 +147,14 @@
         Instant end {};
     };
     auto slotFor(const Endpoint &endpoint, const proto::PickRequest &request) const -> Slot;
+    /// @return reading that the streams of the request's kind bear
+    auto bearableFor(const proto::PickRequest &request) const -> Duration;
+    auto longestHoldFor(const proto::PickRequest &request) const -> Duration;
     auto usualRead(std::uint64_t tokens) const -> Duration;
     /// @return the reading time of the model as a multiple of the usual one
     auto paceOf(std::uint64_t model) const -> double;
     auto learnPace(const Booking &booking, Duration start) -> void;
+    auto learnRoom(const Booking &booking, proto::PickOutcome outcome) -> void;
     auto costAt(const Endpoint &endpoint, const proto::PickRequest &request) const -> double;
     /// What of a prompt an endpoint has to get, and how.
     struct Missing
@@ -150,6 +173,9 @@
             -> proto::PickReply;
     auto keep(const EndpointId &id, const std::vector<proto::PromptSpan> &spans) -> void;
     auto release(const EndpointId &id) -> void;
+    auto endpointOf(const EndpointId &id) -> Endpoint &;
+    auto hasRoom(Endpoint &endpoint, const proto::PickRequest &request) -> bool;
+    auto turnAway(const proto::PickRequest &request) -> proto::PickReply;
     auto expire() -> void;
 
     BalancerOptions options_;
@@ -157,7 +183,9 @@
     Random &random_;
     std::map<EndpointId, Endpoint> endpoints_;
     std::map<BookingKey, Booking> bookings_;
-    std::map<std::uint64_t, double> paces_;                     ///< By model; learned.
+    std::map<std::uint64_t, double> paces_;    ///< By model; learned.
+    std::map<std::uint64_t, Instant> returns_; ///< By model: when the last refused one comes back.
+    double stayMs_;                            ///< How long a request takes a place, averaged.
     std::unordered_map<std::uint64_t, EndpointId> lastKeepers_; ///< By the key of a span.
     Instant nextExpiry_ {};
 };
--- /dev/null
+++ b/fleet/testing/tst_admission.cpp
@@ -0,0 +1,244 @@
+// The limit of an endpoint's requests, alone and under a played load in virtual time.
+
+#include <deque>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "fleet/admission.h"
+#include "fleet/balancer.h"
+
+using namespace figrack;
+using namespace figrack::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto places = 48U;
+
+/// Ends so many requests at once, a judgement later. @return the limit then
+auto endMany(PlaceLimit &limit, std::uint32_t late, std::uint32_t onTime, std::uint32_t running,
+             ManualClock &clock) -> double
+{
+    clock.advance(600ms);
+    for (auto i = 0U; i < late + onTime; ++i)
+        limit.onEnd(i < late, running, clock.now());
+    return limit.limit();
+}
+
+/// An engine that reads one prompt after another and gives each running stream a token a step. A
+/// step that reads takes longer for all, as in a batch.
+class PlayedEngine
+{
+public:
+    struct Stream
+    {
+        std::uint64_t ticket = 0;
+        Instant sentAt {};
+        std::uint32_t tokensLeft = 0;
+        double readLeftMs = 0;
+        Instant lastEventAt {};
+        bool begun = false;
+        bool late = false;
+        std::uint32_t untilEvent = eventTokens;
+    };
+
+    static constexpr auto eventTokens = 6U;
+    static constexpr auto startTarget = Duration { 300ms };
+    static constexpr auto gapTarget = Duration { 150ms };
+
+    auto send(Stream stream) -> void { waiting_.push_back(stream); }
+
+    /// One step. @return the streams that have ended, and how long the step took
+    auto step(Instant now) -> std::pair<std::vector<Stream>, Duration>
+    {
+        while (running_.size() < places && !waiting_.empty()) {
+            running_.push_back(waiting_.front());
+            waiting_.pop_front();
+        }
+        auto milliseconds = 5.0 + 0.0164 * static_cast<double>(running_.size());
+        for (auto &stream : running_) {
+            const auto read = std::min(stream.readLeftMs, 50.0 - std::min(50.0, milliseconds - 5));
+            stream.readLeftMs -= read;
+            milliseconds += read;
+        }
+        const auto took = std::chrono::duration_cast<Duration>(
+                std::chrono::duration<double, std::milli> { milliseconds });
+        auto ended = std::vector<Stream> {};
+        std::erase_if(running_, [&](Stream &stream) {
+            if (stream.readLeftMs > 0)
+                return false;
+            generate(stream, now + took);
+            if (stream.tokensLeft == 0)
+                ended.push_back(stream);
+            return stream.tokensLeft == 0;
+        });
+        return { ended, took };
+    }
+
+private:
+    static auto generate(Stream &stream, Instant now) -> void
+    {
+        --stream.tokensLeft;
+        if (stream.begun && --stream.untilEvent > 0 && stream.tokensLeft > 0)
+            return;
+        const auto since = stream.begun ? now - stream.lastEventAt : now - stream.sentAt;
+        const auto target = stream.begun ? gapTarget : startTarget;
+        stream.late = stream.late || since > target;
+        stream.begun = true;
+        stream.untilEvent = eventTokens;
+        stream.lastEventAt = now;
+    }
+
+    std::deque<Stream> waiting_;
+    std::vector<Stream> running_;
+};
+
+struct Outcome
+{
+    int asked = 0;
+    int onTime = 0;
+    int late = 0;
+    int refused = 0;
+};
+
+/// Plays 30 s of streams of 280 tokens after prompts of 17 ms at one endpoint.
+/// @param perSecond arrivals @param limited whether the balancer is told of the engine's places
+auto play(double perSecond, bool limited) -> Outcome
+{
+    auto clock = ManualClock {};
+    auto random = Random { 5 };
+    auto balancer = Balancer { {}, clock, random };
+    auto engine = PlayedEngine {};
+    const auto gateway = NodeId { "g-1" };
+    auto outcome = Outcome {};
+    auto nextArrival = clock.now();
+    const auto begin = clock.now();
+    while (clock.now() - begin < 30s) {
+        while (nextArrival <= clock.now()) {
+            auto request = proto::PickRequest {};
+            request.ticket = static_cast<std::uint64_t>(++outcome.asked);
+            request.candidates.emplace_back("a");
+            request.model = 1;
+            request.ownTokens = 700;
+            request.outputTokens = 280;
+            request.limitMs = 12'000;
+            request.places = limited ? places : 0;
+            request.rank = 2;
+            const auto reply = balancer.pick(gateway, request);
+            if (reply.endpoint.empty())
+                ++outcome.refused;
+            else
+                engine.send({ request.ticket, clock.now(), 280, 17.0 });
+            const auto gap = std::chrono::duration<double> { (0.5 + random.unit()) / perSecond };
+            nextArrival += std::chrono::duration_cast<Duration>(gap);
+        }
+        const auto [ended, took] = engine.step(clock.now());
+        clock.advance(took);
+        for (const auto &stream : ended) {
+            const auto how = stream.late ? proto::PickOutcome::Late : proto::PickOutcome::OnTime;
+            (stream.late ? outcome.late : outcome.onTime) += 1;
+            balancer.onEnd(gateway, { stream.ticket, 0, how });
+        }
+    }
+    return outcome;
+}
+
+} // namespace
+
+TEST_CASE("The limit falls while many end late, and no lower than half of the places")
+{
+    auto clock = ManualClock {};
+    auto limit = PlaceLimit { {} };
+    CHECK(limit.admits(47, places, 0));
+    CHECK_FALSE(limit.admits(53, places, 0));
+    CHECK(endMany(limit, 5, 5, 48, clock) < 48);
+    CHECK(endMany(limit, 10, 0, 30, clock) < 30);
+    for (auto i = 0; i < 20; ++i)
+        endMany(limit, 10, 0, 10, clock);
+    CHECK(limit.limit() == doctest::Approx(24));
+    CHECK(limit.admits(20, places, 2));
+}
+
+TEST_CASE("The limit rises only where it held somebody back, up to all places")
+{
+    auto clock = ManualClock {};
+    auto limit = PlaceLimit { {} };
+    CHECK(limit.admits(10, places, 0));
+    for (auto i = 0; i < 20; ++i)
+        endMany(limit, 10, 0, 48, clock);
+    const auto low = limit.limit();
+    CHECK(endMany(limit, 0, 10, 20, clock) == low);
+    for (auto i = 0; i < 100; ++i) {
+        CHECK_FALSE(limit.admits(60, places, 0));
+        endMany(limit, 0, 10, 24, clock);
+    }
+    CHECK(limit.limit() == places);
+}
+
+TEST_CASE("Few ends, or ends within one judgement, change nothing")
+{
+    auto clock = ManualClock {};
+    auto limit = PlaceLimit { {} };
+    CHECK(limit.admits(10, places, 0));
+    CHECK(endMany(limit, 3, 0, 48, clock) == places);
+    CHECK(endMany(limit, 1, 0, 48, clock) < places);
+}
+
+TEST_CASE("More urgent requests are let in where less urgent ones are not")
+{
+    auto limit = PlaceLimit { {} };
+    CHECK(limit.admits(45, places, 1));
+    CHECK_FALSE(limit.admits(45, places, 2));
+    CHECK(limit.admits(50, places, 0));
+    CHECK_FALSE(limit.admits(50, places, 1));
+    CHECK(limit.admits(1000, 0, 2)); // A plain service has no places to count.
+}
+
+TEST_CASE("Where more arrive than can be served, those that are let in are on time")
+{
+    const auto without = play(32, false);
+    const auto with = play(32, true);
+    // Of 956 requests 48 were on time before, 528 are now.
+    CHECK(with.onTime > 5 * without.onTime);
+    CHECK(with.onTime > 450);
+    CHECK(with.late < with.onTime);
+    // Where all can be served nobody is turned away.
+    const auto calm = play(10, true);
+    CHECK(calm.refused == 0);
+    CHECK(calm.late * 20 < calm.onTime);
+}
+
+TEST_CASE("Those that find no room are told to come back one after another")
+{
+    auto clock = ManualClock {};
+    auto random = Random { 1 };
+    const auto options = BalancerOptions {};
+    auto balancer = Balancer { options, clock, random };
+    const auto ask = [&](std::uint64_t ticket, bool hasBegun) {
+        auto request = proto::PickRequest {};
+        request.ticket = ticket;
+        request.candidates.emplace_back("a");
+        request.model = 7;
+        request.limitMs = 60'000;
+        request.places = 4;
+        request.hasBegun = hasBegun;
+        return balancer.pick(NodeId { "g" }, request);
+    };
+    auto ticket = std::uint64_t { 0 };
+    while (!ask(++ticket, false).endpoint.empty()) {
+    }
+    const auto taken = balancer.booked();
+    auto last = std::uint32_t { 0 };
+    for (auto i = 0; i < 5; ++i) {
+        const auto reply = ask(++ticket, false);
+        CHECK(reply.endpoint.empty());
+        CHECK(reply.comeBackMs > last);
+        CHECK(std::chrono::milliseconds { reply.comeBackMs } >= options.soonestReturn);
+        CHECK(std::chrono::milliseconds { reply.comeBackMs } <= options.latestReturn);
+        last = reply.comeBackMs;
+    }
+    CHECK(balancer.booked() == taken); // Nothing is booked for them.
+    // A stream that has begun is not cut for want of a place.
+    CHECK_FALSE(ask(++ticket, true).endpoint.empty());
+}
--- a/fleet/testing/tst_balancer.cpp
+++ b/fleet/testing/tst_balancer.cpp
@@ -36,6 +36,8 @@
         request.outputTokens = outputTokens;
         request.fetchTokensPerMs = fetchTokensPerMs;
         request.limitMs = 10'000;
+        request.startTargetMs = startTargetMs;
+        request.gapTargetMs = gapTargetMs;
         reply = balancer.pick(gateway, request);
         return reply.endpoint.value();
     }
@@ -52,6 +54,8 @@
     std::uint64_t ticket = 0;
     std::uint64_t model = 1;
     std::uint64_t fetchTokensPerMs = 0;
+    std::int64_t startTargetMs = 0;
+    std::int64_t gapTargetMs = 0;
     proto::PickReply reply; ///< The last one.
 };
 
@@ -157,6 +161,28 @@
     CHECK(bench.reply.startMs == 500);
 }
 
+TEST_CASE(
+        "Where streams may pause less, prompts are held back sooner, and no longer than they bear")
+{
+    auto bench = Bench {};
+    const auto prompt = std::uint64_t { 1500 }; // Some 54 ms of reading.
+    bench.pick(prompt, manyTokens, {}, { "a" });
+    bench.pick(prompt, manyTokens, {}, { "a" });
+    CHECK(bench.reply.holdMs == 0); // 107 ms in a row are borne where 300 are.
+    auto strict = Bench {};
+    strict.gapTargetMs = 150; // 90 are borne.
+    strict.startTargetMs = 300;
+    strict.pick(prompt, manyTokens, {}, { "a" });
+    strict.pick(prompt, manyTokens, {}, { "a" });
+    CHECK(strict.reply.holdMs > 50);
+    auto hurried = Bench {};
+    hurried.gapTargetMs = 150;
+    hurried.startTargetMs = 150; // Held for 100 ms it would be late itself.
+    hurried.pick(prompt, manyTokens, {}, { "a" });
+    hurried.pick(prompt, manyTokens, {}, { "a" });
+    CHECK(hurried.reply.holdMs == 0);
+}
+
 TEST_CASE("Nothing is held back where nobody else is, or where there is too much to read")
 {
     auto bench = Bench { { .tokensPerMs = 10 } };
--- a/gateway/chooser.cpp
+++ b/gateway/chooser.cpp
@@ -75,7 +75,7 @@
 auto lackName(Lack lack) -> std::string_view
 {
     constexpr auto names
-            = std::array<std::string_view, 4> { "none", "endpoint", "model", "adapter" };
+            = std::array<std::string_view, 5> { "none", "endpoint", "model", "adapter", "places" };
     return names[static_cast<std::size_t>(lack) % names.size()];
 }
 
--- a/gateway/chooser.h
+++ b/gateway/chooser.h
@@ -39,9 +39,10 @@
     Endpoint, ///< No endpoint of the service takes work.
     Model,    ///< None of them holds the model, but for those that failed this request.
     Adapter,  ///< None of them holds the adapter, though some hold the model.
+    Places,   ///< Those that hold what is asked for have as many requests as they can serve.
 };
 
-/// @return "none", "endpoint", "model" or "adapter"
+/// @return "none", "endpoint", "model", "adapter" or "places"
 auto lackName(Lack lack) -> std::string_view;
 
 struct Able
--- a/gateway/demand.cpp
+++ b/gateway/demand.cpp
@@ -43,6 +43,11 @@
     --counts_[target].waiting;
 }
 
+auto Demand::onLate(const DemandTarget &target) -> void
+{
+    ++counts_[target].late;
+}
+
 auto Demand::onRefused(const DemandTarget &target) -> void
 {
     ++counts_[target].refused;
@@ -66,11 +71,11 @@
     takenAt_ = now;
     for (auto item = counts_.begin(); item != counts_.end();) {
         auto &[target, counts] = *item;
-        auto row = proto::WantedRow { target.service, target.model,   target.adapter, counts.arrived,
-                                      counts.waiting, counts.running, counts.refused };
+        auto row
+                = proto::WantedRow { target.service, target.model,   target.adapter, counts.arrived,
+                                     counts.waiting, counts.running, counts.refused, counts.late };
         report.rows.push_back(std::move(row));
-        counts.arrived = 0;
-        counts.refused = 0;
+        counts.arrived = counts.refused = counts.late = 0;
         const auto idle = counts.waiting == 0 && counts.running == 0;
         item = idle ? counts_.erase(item) : std::next(item);
     }
--- a/gateway/demand.h
+++ b/gateway/demand.h
@@ -42,6 +42,8 @@
     /// A request begins to wait for the target to be loaded.
     auto onLack(const DemandTarget &target) -> void;
     auto onLackEnd(const DemandTarget &target) -> void;
+    /// A request began or paused later than it should at an endpoint that holds the target.
+    auto onLate(const DemandTarget &target) -> void;
     /// A request was refused since the target cannot be loaded in time: its caller comes back, and
     /// others come, so the leader hears of it at once like of one that waits.
     auto onRefused(const DemandTarget &target) -> void;
@@ -57,6 +59,7 @@
         std::uint32_t waiting = 0;
         std::uint32_t running = 0;
         std::uint32_t refused = 0;
+        std::uint32_t late = 0;
         Instant lackingSince {};
     };
 
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -39,6 +39,11 @@
 constexpr auto adapterLoad = std::chrono::milliseconds { 150 };
 /// A waiting request looks again after so long, also when nobody woke it.
 constexpr auto lookAgain = std::chrono::milliseconds { 250 };
+/// A request that found no place asks again after so long: one in some dozen places is given up
+/// each 30 to 40 ms.
+constexpr auto lookForPlace = std::chrono::milliseconds { 50 };
+/// Part of a route's start target that a request waits for a place; the rest is for its prompt.
+constexpr auto placeShare = 0.5;
 /// How long endpoints that rejected a request are left out of its next choices; doubles.
 constexpr auto firstAvoidPause = std::chrono::milliseconds { 125 };
 constexpr auto longestAvoidPause = std::chrono::milliseconds { 2000 };
@@ -195,15 +200,16 @@
                 co_return parts_.view.find(picked_.endpoint);
             }
             lack_ = lack;
-            const auto patience = patienceFor(lack);
+            const auto patience = lack == Lack::Places ? patienceForPlace() : patienceFor(lack);
             if (!patience) {
-                if (!target_.model.empty() && (lack == Lack::Model || lack == Lack::Adapter))
+                if (!target_.model.empty() && lack != Lack::Endpoint)
                     parts_.demand.onRefused(target_);
                 co_await giveUp(
                         makeError(ErrorKind::NoCapacity, "lack=" + std::string { lackName(lack) }));
                 co_return nullptr;
             }
-            beginWaiting();
+            if (lack != Lack::Places)
+                beginWaiting();
             co_await parts_.waiters.wait(*patience);
             forgiveRejections();
         }
@@ -220,9 +226,18 @@
             if (able.entries.empty())
                 co_return able.lack;
             auto terms = pickTerms(service_, caller_, timeLeft());
-            terms.fetchTokensPerMs = engine_ == nullptr ? 0 : engine_->fetchTokensPerMs;
+            if (engine_ != nullptr) {
+                terms.fetchTokensPerMs = engine_->fetchTokensPerMs;
+                terms.places = engine_->slots;
+            }
+            terms.rank = route_->rank;
+            terms.hasBegun = sent_ > 0;
+            terms.startTarget = route_->startTarget;
+            terms.gapTarget = route_->gapTarget;
             auto picked = co_await parts_.picker.pick(able.entries, wish_, terms);
             picked_ = std::move(picked);
+            if (picked_.comeBack)
+                co_return Lack::Places;
             co_await hold();
             // It may have left while the balancer was asked.
             if (callerGone_ || parts_.view.takesWork(picked_.endpoint))
@@ -243,6 +258,19 @@
         co_await holdTimer_.async_wait(asio::redirect_error(asio::use_awaitable, code));
     }
 
+    /// @return how long to wait before asking for a place again; empty when a request that began
+    /// after that would be late
+    auto patienceForPlace() -> std::optional<Duration>
+    {
+        const auto now = parts_.clock.now();
+        comeBack_ = picked_.comeBack;
+        const auto spare = std::chrono::duration_cast<Duration>(route_->startTarget * placeShare);
+        const auto limit = std::min({ arrived_ + spare, startBy_, owner_.placeBy_ });
+        if (now >= limit)
+            return std::nullopt;
+        return std::min<Duration>(lookForPlace, limit - now);
+    }
+
     /// @return how long to wait before looking again; empty when waiting is of no use
     auto patienceFor(Lack lack) -> std::optional<Duration>
     {
@@ -352,7 +380,8 @@
         if (!target_.model.empty())
             parts_.demand.onEnd(target_);
         const auto hasStarted = step == Step::Settled && firstByteAt_ && isSuccess(finalStatus_);
-        picked_.booking.end(hasStarted ? *firstByteAt_ - sentAt_ : Duration::zero());
+        const auto start = hasStarted ? *firstByteAt_ - sentAt_ : Duration::zero();
+        picked_.booking.end(start, outcomeOf(hasStarted));
         if (auto *now = parts_.view.find(id)) {
             now->running -= weight;
         }
@@ -361,6 +390,20 @@
         co_return step;
     }
 
+    /// @return whether the endpoint kept the route's targets, as far as this dispatch shows it
+    auto outcomeOf(bool hasStarted) const -> proto::PickOutcome
+    {
+        if (engine_ == nullptr || status_ >= 400)
+            return proto::PickOutcome::Unknown;
+        const auto start = firstByteAt_.value_or(parts_.clock.now()) - sentAt_;
+        const auto gapTarget = route_->gapTarget;
+        const auto isLate = start > route_->startTarget
+                || (gapTarget > Duration::zero() && longestGap_ > gapTarget);
+        if (isLate)
+            return proto::PickOutcome::Late;
+        return hasStarted ? proto::PickOutcome::OnTime : proto::PickOutcome::Unknown;
+    }
+
     auto makeDispatch(const EndpointEntry &entry) -> http::ClientRequest
     {
         auto terms = DispatchTerms {};
@@ -558,6 +601,19 @@
         if (lastEventAt_)
             longestGap_ = std::max<Duration>(longestGap_, now - *lastEventAt_);
         lastEventAt_ = now;
+        noteLateness(now);
+    }
+
+    /// Tells the leader, once, of a stream that its endpoint did not serve in time.
+    auto noteLateness(Instant now) -> void
+    {
+        const auto gapTarget = route_->gapTarget;
+        const auto beganLate = !firstByteAt_ && now - sentAt_ > route_->startTarget;
+        const auto pausedLong = gapTarget > Duration::zero() && longestGap_ > gapTarget;
+        if (target_.model.empty() || lateTold_ || !(beganLate || pausedLong))
+            return;
+        lateTold_ = true;
+        parts_.demand.onLate(target_);
     }
 
     /// Sends the head of a stream, once. @return false when the caller is gone
@@ -640,6 +696,8 @@
                 .with("config", owner_.version());
         if (picked_.by != PickedBy::Nobody)
             line.with("picked", pickedByName(picked_.by));
+        if (picked_.comeBack)
+            line.with("come_back_ms", millis(*picked_.comeBack));
         if (picked_.by == PickedBy::Balancer) {
             line.with("expected_ms", std::int64_t { picked_.startMs })
                     .with("beside", std::int64_t { picked_.running })
@@ -693,6 +751,7 @@
     bool callerGone_ = false;
     bool mayHaveRun_ = false;
     bool budgetSpent_ = false;
+    bool lateTold_ = false; ///< To the leader.
 };
 
 Forwarder::Forwarder(ForwarderOptions options, ForwarderParts parts)
--- a/gateway/picker.cpp
+++ b/gateway/picker.cpp
@@ -12,6 +12,15 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+auto millis(Duration duration) -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+} // namespace
+
 auto pickedByName(PickedBy by) -> std::string_view
 {
     constexpr auto names = std::array<std::string_view, 3> { "nobody", "balancer", "gateway" };
@@ -46,11 +55,11 @@
     return *this;
 }
 
-auto Booking::end(Duration start) -> void
+auto Booking::end(Duration start, proto::PickOutcome outcome) -> void
 {
     const auto startMs = std::chrono::duration_cast<std::chrono::milliseconds>(start).count();
     if (const auto link = std::exchange(link_, nullptr))
-        link->end(balancer_, { ticket_, startMs });
+        link->end(balancer_, { ticket_, startMs, outcome });
 }
 
 auto pickTerms(const ServiceId &service, const CallerRequest &request, Duration left) -> PickTerms
@@ -96,7 +105,12 @@
     request.ownTokens = terms.ownTokens;
     request.outputTokens = terms.outputTokens;
     request.fetchTokensPerMs = static_cast<std::uint64_t>(terms.fetchTokensPerMs);
-    request.limitMs = std::chrono::duration_cast<std::chrono::milliseconds>(terms.left).count();
+    request.limitMs = millis(terms.left);
+    request.places = terms.places;
+    request.rank = terms.rank;
+    request.hasBegun = terms.hasBegun;
+    request.startTargetMs = millis(terms.startTarget);
+    request.gapTargetMs = millis(terms.gapTarget);
     const auto ticket = request.ticket;
     auto balancer = std::optional<Address> {};
     // With one candidate nothing is to be chosen, but when to send a prompt there.
@@ -107,6 +121,12 @@
         const auto isUsable = advice.has_value()
                 && std::find(candidates.begin(), candidates.end(), advice->endpoint)
                         != candidates.end();
+        if (advice.has_value() && advice->endpoint.empty() && advice->comeBackMs > 0) {
+            picked.endpoint = {};
+            picked.by = PickedBy::Balancer;
+            picked.comeBack = std::chrono::milliseconds { advice->comeBackMs };
+            co_return picked;
+        }
         if (isUsable)
             follow(*advice, picked);
         picked.by = isUsable ? PickedBy::Balancer : PickedBy::Gateway;
--- a/gateway/picker.h
+++ b/gateway/picker.h
@@ -65,7 +65,7 @@
     Booking(const Booking &) = delete;
     auto operator=(const Booking &) -> Booking & = delete;
     /// @param start from the request's sending to its first event; zero when there was none
-    auto end(Duration start = {}) -> void;
+    auto end(Duration start = {}, proto::PickOutcome outcome = proto::PickOutcome::Unknown) -> void;
 
 private:
     std::shared_ptr<const BalancerLink> link_; ///< Null: nothing is booked.
@@ -92,6 +92,8 @@
     std::uint32_t running = 0; ///< Requests there, by the same.
     Duration hold {};          ///< To be waited before the dispatch, for the streams there.
     EndpointId fetchFrom;      ///< Keeps more of the prompt; empty: none does.
+    /// No endpoint has room for it now, and when one may; then endpoint is empty.
+    std::optional<Duration> comeBack;
 };
 
 /// What a request puts on an endpoint.
@@ -103,6 +105,11 @@
     std::uint64_t outputTokens = 0;
     double fetchTokensPerMs = 0; ///< Between two endpoints; 0: not possible.
     Duration left {};            ///< Until nobody waits for the request any more.
+    std::uint32_t places = 0;    ///< Requests that an engine runs at once; 0: a plain service.
+    std::uint32_t rank = 0;      ///< 0 is the most urgent.
+    bool hasBegun = false;       ///< Part of its answer was given: it goes on, or is cut off.
+    Duration startTarget {};     ///< Zero: none.
+    Duration gapTarget {};       ///< Zero: none.
 };
 
 /// @return what the caller's request puts on an endpoint
--- a/gateway/testing/tst_picker.cpp
+++ b/gateway/testing/tst_picker.cpp
@@ -10,6 +10,7 @@
 using namespace figrack;
 using namespace figrack::gateway;
 using namespace figrack::gateway::testing;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -33,7 +34,10 @@
             told.push_back(std::move(request));
             return isConnected ? std::optional { address } : std::nullopt;
         };
-        link.end = [this](const Address &, proto::PickEnd end) { ended.push_back(end.ticket); };
+        link.end = [this](const Address &, proto::PickEnd end) {
+            ended.push_back(end.ticket);
+            outcomes.push_back(end.outcome);
+        };
         return link;
     }
 
@@ -44,6 +48,7 @@
     std::vector<proto::PickRequest> asked;
     std::vector<proto::PickRequest> told;
     std::vector<std::uint64_t> ended;
+    std::vector<proto::PickOutcome> outcomes;
 };
 
 } // namespace
@@ -195,3 +200,75 @@
     REQUIRE(balancer.asked.size() == 1);
     CHECK(balancer.asked.front().candidates.size() == PickerOptions {}.maxCandidates);
 }
+
+TEST_CASE("Where no endpoint has room a request is refused at once, with the balancer's time")
+{
+    auto balancer = FakeBalancer {};
+    auto rig = Rig { {}, balancer.link() };
+    auto catalogue = *testCatalogue(true);
+    for (auto &route : catalogue.routes)
+        route.startTarget = 100ms;
+    rig.forwarder.setCatalogue(std::make_shared<const catalogue::Catalogue>(catalogue));
+    auto &endpoint = rig.addEndpoint("i-1", { "m0" });
+    endpoint.handler = answering("ok");
+    balancer.advice = proto::PickReply { {}, 0, 0, 0, {}, 1700 };
+    auto request = Rig::request("/once/1", "id-1");
+    request.headers.push_back({ "X-Model", "m0" });
+    const auto got = rig.call(request);
+    CHECK(got.status == 503);
+    CHECK(http::findHeader(got.headers, "X-Come-Back") == "1700");
+    CHECK(endpoint.seen.empty());
+    CHECK(rig.waiters.size() == 0);
+    // The leader hears that there are too few replicas.
+    const auto rows = rig.demand.take().rows;
+    REQUIRE(rows.size() == 1);
+    CHECK(rows[0].refused == 1);
+}
+
+TEST_CASE("A request that can still be on time waits for a place, and gets it")
+{
+    auto balancer = FakeBalancer {};
+    auto rig = Rig { {}, balancer.link() };
+    auto catalogue = *testCatalogue(true);
+    for (auto &route : catalogue.routes)
+        route.startTarget = 8s;
+    rig.forwarder.setCatalogue(std::make_shared<const catalogue::Catalogue>(catalogue));
+    rig.addEndpoint("i-1", { "m0" }).handler = answering("ok");
+    balancer.advice = proto::PickReply { {}, 0, 0, 0, {}, 1700 };
+    auto request = Rig::request("/once/1", "id-1");
+    request.headers.push_back({ "X-Model", "m0" });
+    const auto got = rig.begin(request);
+    REQUIRE(rig.runUntil([&] { return balancer.asked.size() == 2; }));
+    CHECK(rig.demand.take().rows.at(0).waiting == 0); // No load is lacking.
+    balancer.advice = proto::PickReply { EndpointId { "i-1" }, 0, 0, 0, {}, 0 };
+    REQUIRE(rig.runUntil([&] { return got->has_value(); }));
+    CHECK((*got)->status == 200);
+}
+
+TEST_CASE("The balancer hears whether a stream began in time")
+{
+    auto balancer = FakeBalancer {};
+    auto rig = Rig { {}, balancer.link() };
+    auto catalogue = *testCatalogue(true);
+    auto expected = proto::PickOutcome::OnTime;
+    SUBCASE("it did")
+    {
+        for (auto &route : catalogue.routes)
+            route.startTarget = 10s;
+    }
+    SUBCASE("it did not")
+    {
+        for (auto &route : catalogue.routes)
+            route.startTarget = 0s;
+        expected = proto::PickOutcome::Late;
+    }
+    rig.forwarder.setCatalogue(std::make_shared<const catalogue::Catalogue>(catalogue));
+    rig.addEndpoint("i-1", { "m0" }).handler = streaming(1, 3, true);
+    balancer.advice = proto::PickReply { EndpointId { "i-1" }, 0, 0, 0, {}, 0 };
+    auto request = Rig::request("/stream/1", "id-1");
+    request.headers.push_back({ "X-Model", "m0" });
+    CHECK(rig.call(request).status == 200);
+    REQUIRE(balancer.outcomes.size() == 1);
+    CHECK(balancer.outcomes[0] == expected);
+    CHECK(rig.demand.take().rows.at(0).late == (expected == proto::PickOutcome::Late ? 1 : 0));
+}
--- a/proto/servingmessages.h
+++ b/proto/servingmessages.h
@@ -110,10 +110,11 @@
     std::uint32_t waiting = 0; ///< Requests that no endpoint can take.
     std::uint32_t running = 0;
     std::uint32_t refused = 0; ///< Since the last report, since no endpoint could have it in time.
+    std::uint32_t late = 0; ///< Since the last report: began or paused too late where it was held.
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(service, model, adapter, arrived, waiting, running, refused);
+        archive(service, model, adapter, arrived, waiting, running, refused, late);
     }
 };
 
@@ -155,36 +156,50 @@
     std::uint64_t outputTokens = 0; ///< At most; 0 at a plain service.
     /// Tokens of KV cache that one engine fetches from another in a millisecond; 0: it does not.
     std::uint64_t fetchTokensPerMs = 0;
-    std::int64_t limitMs = 0; ///< The booking ends by itself after it.
+    std::int64_t limitMs = 0;       ///< The booking ends by itself after it.
+    std::uint32_t places = 0;       ///< Requests that an engine runs at once; 0: without bound.
+    std::uint32_t rank = 0;         ///< 0 is the most urgent.
+    bool hasBegun = false;          ///< It goes on elsewhere, and is not turned away.
+    std::int64_t startTargetMs = 0; ///< Its first event should come within it; 0: any time.
+    std::int64_t gapTargetMs = 0;   ///< Its events should follow within it; 0: any time.
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
         archive(ticket, candidates, model, shared, ownTokens, outputTokens, fetchTokensPerMs,
-                limitMs);
+                limitMs, places, rank, hasBegun, startTargetMs, gapTargetMs);
     }
 };
 struct PickReply
 {
-    EndpointId endpoint;       ///< One of the candidates.
+    /// One of the candidates; empty when none has room for it, and nothing is booked then.
+    EndpointId endpoint;
     std::uint32_t startMs = 0; ///< Until the prompt is read there, as expected.
     std::uint32_t running = 0; ///< Requests booked there before this one.
     std::uint32_t holdMs = 0; ///< To be sent after so long: the endpoint's streams go on meanwhile.
     EndpointId fetchFrom;     ///< Keeps more of the prompt, which may be fetched; empty: none does.
+    std::uint32_t comeBackMs = 0; ///< Without an endpoint: when there may be room.
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(endpoint, startMs, running, holdMs, fetchFrom);
+        archive(endpoint, startMs, running, holdMs, fetchFrom, comeBackMs);
     }
 };
+/// How a request that was booked has ended.
+enum class PickOutcome : std::uint8_t {
+    Unknown, ///< It broke, or says nothing of its endpoint's load.
+    OnTime,  ///< It began, and paused, within what its route allows.
+    Late,
+};
 /// The request is not at the endpoint any more, or has never gone there.
 struct PickEnd
 {
     std::uint64_t ticket = 0;
     std::int64_t startMs = 0; ///< From its sending to the first event; 0: there was none.
+    PickOutcome outcome = PickOutcome::Unknown;
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(ticket, startMs);
+        archive(ticket, startMs, outcome);
     }
 };
 
