orders: store loads for a new leader, and the rest of an order that overruns

Change: a new leader may begin three loads in its first window, which the store bears beyond its rate; an order that overran by so much is expected to take as long again.

--- a/fleet/orders.cpp
+++ b/fleet/orders.cpp
@@ -132,8 +132,11 @@
         const auto &job = found->second;
         const auto until = job.active ? job.startedAt + job.loadTime + swapTime : job.pausedUntil;
         const auto left = std::chrono::duration<double> { until - clock_.now() }.count();
-        const auto least = job.active ? minBusySeconds : 0.0;
-        return std::max(left, least) * (1 + job.failures);
+        if (!job.active)
+            return std::max(left, 0.0) * (1 + job.failures);
+        // One that has overrun its time by so much is expected to take as much again: its unload
+        // waits for requests in progress, and how long is not known.
+        return std::max({ left, -left, minBusySeconds }) * (1 + job.failures);
     }
 
     auto freshAdapters() const -> std::set<AdapterKey>
@@ -165,12 +168,11 @@
     {
         const auto now = clock_.now();
         const auto windowSeconds = std::chrono::duration<double> { options_.storeWindow }.count();
-        const auto limit = engine.storeLoadsPerSecond * windowSeconds;
+        // Loads of the leader before are not known.
+        const auto isNew = now - leadingSince_ < options_.storeWindow;
+        const auto limit = isNew ? options_.storeSlack : engine.storeLoadsPerSecond * windowSeconds;
         auto begun = std::count_if(storeLoads_.begin(), storeLoads_.end(),
                                    [&](Instant at) { return now - at < options_.storeWindow; });
-        // Loads of the leader before are not known.
-        if (now - leadingSince_ < options_.storeWindow)
-            return 0;
         const auto running = std::count_if(jobs_.begin(), jobs_.end(), [](const auto &item) {
             return item.second.active && item.second.plan.source == LoadSource::Store;
         });
@@ -179,6 +181,8 @@
         return static_cast<std::uint32_t>(std::min(byRate, static_cast<double>(byCount)));
     }
 
+    auto storeLoadsAtOnce() const -> std::uint32_t { return storeLimit_; }
+
     auto onRowChanged(const EndpointId &endpoint) -> void
     {
         const auto found = jobs_.find(endpoint);
@@ -552,6 +556,11 @@
     return impl_->storeLoadsAllowed(engine);
 }
 
+auto OrderRunner::storeLoadsAtOnce() const -> std::uint32_t
+{
+    return impl_->storeLoadsAtOnce();
+}
+
 auto OrderRunner::onRowChanged(const EndpointId &endpoint) -> void
 {
     impl_->onRowChanged(endpoint);
--- a/fleet/orders.h
+++ b/fleet/orders.h
@@ -16,7 +16,8 @@
 // Guarantees: an endpoint has one plan at a time; no order leaves while mayOrder()
 // is false; a step begins only when the endpoint itself, or its answer, says that
 // the step before is complete; no more loads from the store begin in a window
-// than are allowed, counting as full the window before this leader's time.
+// than are allowed, counting as full the window before this leader's time: it begins with a few
+// that the store bears beyond its rate.
 
 #ifndef FIGRACK_FLEET_ORDERS_H
 #define FIGRACK_FLEET_ORDERS_H
@@ -96,6 +97,9 @@
     Duration unloadPatience = std::chrono::seconds { 4 };    ///< For requests in progress to end.
     Duration storeWindow = std::chrono::seconds { 5 };
     std::uint32_t storeConcurrency = 4; ///< Loads at once from the store, at most.
+    /// Loads that a new leader may begin in its first window, when the leader before it may have
+    /// used up the whole rate: the store's limit lies 3 loads and a tenth above the rate.
+    std::uint32_t storeSlack = 3;
     Duration pauseAfterFailure = std::chrono::milliseconds { 700 };
 };
 
@@ -128,6 +132,8 @@
     auto freshAdapters() const -> std::set<AdapterKey>;
     /// @return loads from the store that may begin now
     auto storeLoadsAllowed(const catalogue::EngineSpec &engine) const -> std::uint32_t;
+    /// @return loads that the store serves at once at full speed, as learned so far
+    auto storeLoadsAtOnce() const -> std::uint32_t;
     /// A row has changed: whoever waits for it looks again.
     auto onRowChanged(const EndpointId &endpoint) -> void;
 
