placement: replicas by what is missed, fewer by what is in progress, and store loads with a price

Hot models had 5 to 7 replicas of 36 places, so every second campaign request needed a swap, and swaps waited for endpoints that were busy with a store load or with an unload behind requests in progress. A model that became hot had no replica for 6 to 10 s while the store loaded others' spares.

A log line, plan_deferred, tells what a lacking model waits for.

--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -11,7 +11,6 @@
 #include "coord/filelogstore.h"
 #include "core/error.h"
 #include "core/log.h"
-#include "fleet/demandtable.h"
 #include "fleet/lastknown.h"
 #include "fleet/proposals.h"
 
@@ -27,6 +26,8 @@
 /// Between two plans: a plan of some dozen endpoints takes a control with a sixth of a core about
 /// as long, and what sets it off comes in bursts.
 constexpr auto planPause = std::chrono::milliseconds { 10 };
+/// Between two lines of the log on one model that waits to be loaded.
+constexpr auto noteEvery = std::chrono::seconds { 1 };
 constexpr auto joinEvery = std::chrono::milliseconds { 500 };
 constexpr auto stopLookEvery = std::chrono::milliseconds { 50 };
 /// For leadership to pass on before the process ends.
@@ -49,7 +50,7 @@
         , lastKnown_(options_.dataFolder, disk_)
         , registry_(options_.registry, clock)
         , keeper_(options_.group, clock)
-        , demand_(options_.demandWindow, clock)
+        , demand_(options_.demand, clock)
         , balancer_(options_.balancer, clock, random_)
         , orders_(context, options_.orders, clock, registry_, port, authority())
         , tickTimer_(context)
@@ -496,7 +497,7 @@
     auto planService(const catalogue::Service &service) -> void
     {
         const auto &engine = *service.engine;
-        auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 0 };
+        auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 0, 0 };
         const auto unreachable = demand_.unreachable();
         for (const auto *row : registry_.rows()) {
             if (row->service != service.id || row->state != catalogue::EndpointState::Ready)
@@ -515,7 +516,10 @@
         input.loadingAdapters = orders_.loadingAdapters();
         input.freshAdapters = orders_.freshAdapters();
         input.storeLoads = orders_.storeLoadsAllowed(engine);
-        for (const auto &next : plan(input)) {
+        input.storeReserve = orders_.storeLoadsAtOnce() > 1 ? 1 : 0;
+        const auto placement = plan(input);
+        noteDeferred(placement.deferred);
+        for (const auto &next : placement.plans) {
             LogEvent(LogLevel::Info, "plan")
                     .with("endpoint", next.endpoint)
                     .with("model", next.steps.back().model)
@@ -529,6 +533,24 @@
         }
     }
 
+    /// One line a model and second, so that a request that waited tells by its model what for.
+    auto noteDeferred(const std::vector<Deferral> &deferred) -> void
+    {
+        const auto now = clock_.now();
+        std::erase_if(deferNoted_,
+                      [&](const auto &item) { return now - item.second >= noteEvery; });
+        for (const auto &deferral : deferred) {
+            if (!deferNoted_.try_emplace(deferral.model, now).second)
+                continue;
+            LogEvent(LogLevel::Info, "plan_deferred")
+                    .with("model", deferral.model)
+                    .with("reason", deferReasonName(deferral.reason))
+                    .with("endpoint", deferral.endpoint)
+                    .with("seconds", deferral.seconds)
+                    .with("lacks", std::int64_t { deferral.lacks });
+        }
+    }
+
     auto currentCatalogue() -> const catalogue::Catalogue *
     {
         const auto &held = log_.document();
@@ -585,6 +607,7 @@
     std::unique_ptr<coord::Replica> replica_;
     std::vector<coord::Member> members_;
     std::shared_ptr<const catalogue::Catalogue> catalogue_; ///< Of the held document.
+    std::map<ModelId, Instant> deferNoted_;                 ///< When the log last told of it.
     OrderRunner orders_;
     asio::steady_timer tickTimer_;
     asio::steady_timer stopTimer_;
--- a/fleet/core.h
+++ b/fleet/core.h
@@ -31,6 +31,7 @@
 #include "core/settings.h"
 #include "fleet/balancer.h"
 #include "fleet/configlog.h"
+#include "fleet/demandtable.h"
 #include "fleet/group.h"
 #include "fleet/orders.h"
 #include "fleet/registry.h"
@@ -61,7 +62,7 @@
     /// Endpoints are kept for a restart as often, when they have changed.
     Duration saveEndpointsEvery = std::chrono::seconds { 1 };
     Duration restartEvery = std::chrono::seconds { 1 };
-    Duration demandWindow = std::chrono::seconds { 8 };
+    DemandWindows demand;
     /// Gateways report what they have in progress as often.
     Duration loadsEvery = std::chrono::milliseconds { 500 };
     /// Looks at placement that no report has set off; crowded replicas are found by it.
--- a/fleet/demandtable.cpp
+++ b/fleet/demandtable.cpp
@@ -7,13 +7,20 @@
 
 /// Below it a rate is forgotten: one arrival in a few minutes.
 constexpr auto negligible = 0.003;
-/// One refusal decays to 1/e = 0.37 in a window.
+/// One event decays to 1/e = 0.37 in a window, and counts for so long.
 constexpr auto roundUp = 0.63;
+/// Arrivals a second from which on a few seconds tell the rate.
+constexpr auto steadyRate = 1.0;
+
+auto seconds(Duration duration) -> double
+{
+    return std::chrono::duration<double> { duration }.count();
+}
 
 } // namespace
 
-DemandTable::DemandTable(Duration window, const Clock &clock)
-    : window_(window)
+DemandTable::DemandTable(DemandWindows windows, const Clock &clock)
+    : windows_(windows)
     , clock_(clock)
 { }
 
@@ -23,25 +30,43 @@
     for (const auto &row : report.rows) {
         lacks = lacks || row.waiting + row.refused > 0;
         const auto target = Target { row.service, row.model, row.adapter };
-        add(rates_, target, row.arrived);
-        add(refusals_, target, row.refused);
+        add(arrivals_, target, row.arrived, windows_.slow);
+        add(recentArrivals_, target, row.arrived, windows_.fast);
+        add(refusals_, target, row.refused, windows_.fast);
+        add(lates_, target, row.late, windows_.fast);
     }
     latest_[gateway] = report;
-    for (auto *rates : { &rates_, &refusals_ })
-        std::erase_if(*rates, [&](const auto &item) { return decayed(item.second) < negligible; });
+    forgetOld(arrivals_, windows_.slow);
+    for (auto *rates : { &recentArrivals_, &refusals_, &lates_ })
+        forgetOld(*rates, windows_.fast);
     return lacks;
 }
 
-auto DemandTable::add(std::map<Target, Rate> &rates, const Target &target, std::uint32_t count)
+auto DemandTable::add(Rates &rates, const Target &target, std::uint32_t count, Duration window)
         -> void
 {
     if (count == 0)
         return;
     auto &rate = rates[target];
-    rate.perSecond = decayed(rate) + count / std::chrono::duration<double> { window_ }.count();
+    rate.perSecond = decayed(rate, window) + count / seconds(window);
     rate.at = clock_.now();
 }
 
+auto DemandTable::forgetOld(Rates &rates, Duration window) -> void
+{
+    std::erase_if(rates,
+                  [&](const auto &item) { return decayed(item.second, window) < negligible; });
+}
+
+auto DemandTable::arrivalRate(const Target &target, const Rate &slow) const -> double
+{
+    const auto perSecond = decayed(slow, windows_.slow);
+    if (perSecond < steadyRate)
+        return perSecond;
+    const auto found = recentArrivals_.find(target);
+    return found == recentArrivals_.end() ? 0 : decayed(found->second, windows_.fast);
+}
+
 auto DemandTable::onGatewayLost(const NodeId &gateway) -> void
 {
     latest_.erase(gateway);
@@ -50,23 +75,24 @@
 auto DemandTable::of(const ServiceId &service) const -> ServiceDemand
 {
     auto result = ServiceDemand {};
-    for (const auto &[target, rate] : rates_) {
+    for (const auto &[target, rate] : arrivals_) {
         if (target.service != service)
             continue;
-        const auto perSecond = decayed(rate);
+        const auto perSecond = arrivalRate(target, rate);
         result.models[target.model].perSecond += perSecond;
         if (!target.adapter.empty())
             result.adapters[{ target.model, target.adapter }].perSecond += perSecond;
     }
-    const auto windowSeconds = std::chrono::duration<double> { window_ }.count();
     for (const auto &[target, rate] : refusals_) {
-        // Rounded up from a third on: one refusal is told of for one window.
-        const auto count = static_cast<std::uint32_t>(decayed(rate) * windowSeconds + roundUp);
-        if (target.service != service || count == 0)
+        if (target.service != service || recent(rate) == 0)
             continue;
-        result.models[target.model].refused += count;
+        result.models[target.model].refused += recent(rate);
         if (!target.adapter.empty())
-            result.adapters[{ target.model, target.adapter }].refused += count;
+            result.adapters[{ target.model, target.adapter }].refused += recent(rate);
+    }
+    for (const auto &[target, rate] : lates_) {
+        if (target.service == service)
+            result.models[target.model].late += recent(rate);
     }
     for (const auto &[gateway, report] : latest_) {
         for (const auto &row : report.rows) {
@@ -105,17 +131,24 @@
     return result;
 }
 
+auto DemandTable::recent(const Rate &rate) const -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(decayed(rate, windows_.fast) * seconds(windows_.fast)
+                                      + roundUp);
+}
+
 auto DemandTable::clear() -> void
 {
-    rates_.clear();
+    arrivals_.clear();
+    recentArrivals_.clear();
     refusals_.clear();
+    lates_.clear();
     latest_.clear();
 }
 
-auto DemandTable::decayed(const Rate &rate) const -> double
+auto DemandTable::decayed(const Rate &rate, Duration window) const -> double
 {
-    return rate.perSecond
-            * std::exp(-(clock_.now() - rate.at) / std::chrono::duration<double> { window_ });
+    return rate.perSecond * std::exp(-seconds(clock_.now() - rate.at) / seconds(window));
 }
 
 } // namespace figrack::fleet
--- a/fleet/demandtable.h
+++ b/fleet/demandtable.h
@@ -26,11 +26,19 @@
     std::map<AdapterKey, Asked> adapters;
 };
 
+struct DemandWindows
+{
+    /// Of models that are asked for now and then.
+    Duration slow = std::chrono::seconds { 8 };
+    /// Of models that are asked for once a second and more, and of requests that were missed:
+    /// demand moves to other models within some seconds, and a load takes up to six.
+    Duration fast = std::chrono::seconds { 3 };
+};
+
 class DemandTable
 {
 public:
-    /// @param window over which arrivals are averaged
-    DemandTable(Duration window, const Clock &clock);
+    DemandTable(DemandWindows windows, const Clock &clock);
     /// @return true when requests wait for a load, or were refused for want of one
     auto onReport(const NodeId &gateway, const proto::ModelWanted &report) -> bool;
     auto onGatewayLost(const NodeId &gateway) -> void;
@@ -50,18 +58,26 @@
         // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the comparison with 0 for one.
         auto operator<=>(const Target &) const = default;
     };
+    /// Events a second, by an exponential window.
     struct Rate
     {
         double perSecond = 0;
         Instant at {};
     };
-    auto decayed(const Rate &rate) const -> double;
-    auto add(std::map<Target, Rate> &rates, const Target &target, std::uint32_t count) -> void;
+    using Rates = std::map<Target, Rate>;
+    auto decayed(const Rate &rate, Duration window) const -> double;
+    /// @return events of the last fast window, rounded
+    auto recent(const Rate &rate) const -> std::uint32_t;
+    auto add(Rates &rates, const Target &target, std::uint32_t count, Duration window) -> void;
+    auto forgetOld(Rates &rates, Duration window) -> void;
+    auto arrivalRate(const Target &target, const Rate &slow) const -> double;
 
-    Duration window_;
+    DemandWindows windows_;
     const Clock &clock_;
-    std::map<Target, Rate> rates_;
-    std::map<Target, Rate> refusals_;
+    Rates arrivals_;       ///< By the slow window.
+    Rates recentArrivals_; ///< By the fast one, as all below.
+    Rates refusals_;
+    Rates lates_;
     std::map<NodeId, proto::ModelWanted> latest_;
 };
 
--- a/fleet/placement.cpp
+++ b/fleet/placement.cpp
@@ -21,12 +21,20 @@
 /// Requests in progress per endpoint beyond which a model gets another replica. Prompts that are
 /// read between them lengthen the pauses of all streams: at 14, 28 in 100 long streams paused too
 /// long on a calm day, at 3 to 6, 9 to 15 (played days of two deployments).
-constexpr auto crowded = 4.0;
+constexpr auto crowded = 10.0;
+/// How long a request of a busy model is in progress, in seconds: what has begun to be asked for is
+/// not in progress yet.
+constexpr auto usualStay = 1.0;
 /// What another replica is worth to each request in progress at a crowded one, in seconds.
 constexpr auto reliefSeconds = 0.25;
 /// What another replica is worth to each request that waits for an adapter, in seconds: where all
 /// places are in use it would wait for a stream of some seconds to end.
 constexpr auto waitSeconds = 1.0;
+/// Over which missed requests are counted, in seconds.
+constexpr auto missWindow = 3.0;
+/// Part of the arrivals that may be missed before a model gets another replica.
+constexpr auto manyMissed = 0.1;
+constexpr auto fewestMissed = 4U;
 /// Added to the score of a victim whose requests run: an endpoint refuses all orders until those of
 /// an adapter that is unloaded have ended, 0.8 s on played days.
 constexpr auto inUsePenalty = 100.0;
@@ -34,13 +42,14 @@
 constexpr auto rareRate = 0.05;
 /// Requests that wait for an unload last about so long.
 constexpr auto runSeconds = 1.0;
+/// An unload waits for the requests in progress to end, and its endpoint takes no other order until
+/// then: the median was 2 s on played days, half of a stream of 300 tokens and its pauses.
+constexpr auto unloadSeconds = 2.0;
 /// What losing the only replica of a model costs at one request a second: a load from disk and
 /// the swap around it.
 constexpr auto reloadSeconds = 1.2;
 /// A load from the store holds one of few places and is priced.
 constexpr auto storePenalty = 2.0;
-/// Puts models without a replica before all that have one.
-constexpr auto lackingFirst = 1e6;
 constexpr auto never = std::numeric_limits<double>::infinity();
 
 auto seconds(Duration duration) -> double
@@ -70,13 +79,14 @@
         }
     }
 
-    auto run() -> std::vector<Plan>
+    auto run() -> Placement
     {
         for (const auto &[key, asked] : wantedAdapters())
             placeAdapter(key);
         for (const auto &model : wantedModels())
             placeModel(model);
-        return std::move(plans_);
+        restock();
+        return { std::move(plans_), std::move(deferred_) };
     }
 
 private:
@@ -105,11 +115,13 @@
             const auto held = countOf(holders_, model);
             const auto coming = countOf(input_.loading, model);
             if (held + coming == 0 && want.lacks() > 0)
-                wanted.emplace_back(lackingFirst + want.lacks(), model);
+                wanted.emplace_back(want.lacks(), model);
+            const auto expected = std::max<double>(want.running, want.perSecond * usualStay);
             const auto enough
-                    = std::max(std::ceil(want.running / crowded), replicasForAdapters(model));
-            for (auto count = held + coming; held > 0 && count < enough; ++count)
-                wanted.emplace_back(want.running / static_cast<double>(count), model);
+                    = std::max({ std::ceil(expected / crowded), replicasForAdapters(model),
+                                 replicasForMissed(want, held) });
+            for (auto count = std::max(held + coming, 1U); count < enough; ++count)
+                wanted.emplace_back(want.missed() / static_cast<double>(count), model);
         }
         std::sort(wanted.begin(), wanted.end(),
                   [](const auto &one, const auto &other) { return one.first > other.first; });
@@ -119,6 +131,14 @@
         return result;
     }
 
+    /// @return replicas of a model whose replicas serve too many of its requests late
+    auto replicasForMissed(const Asked &want, std::uint32_t held) const -> double
+    {
+        const auto arrived = want.perSecond * missWindow;
+        return want.missed() > arrived * manyMissed && want.missed() >= fewestMissed ? held + 1.0
+                                                                                     : 0.0;
+    }
+
     /// @return replicas of a model that its adapters need which are asked for now
     auto replicasForAdapters(const ModelId &model) const -> double
     {
@@ -181,12 +201,20 @@
                 best = std::move(candidate);
         }
         // An endpoint that is busy and still the best is waited for.
-        if (best.host == nullptr || !best.host->takesOrders())
+        if (best.host == nullptr || !best.host->takesOrders()) {
+            if (!isExtra)
+                defer(model, best.host);
             return;
+        }
         const auto relief = reliefSeconds * asked(model).running / holders_[model]
-                + waitSeconds * waitingForAdapters(model);
+                + waitSeconds * (waitingForAdapters(model) + asked(model).missed());
         if (isExtra && best.cost > relief)
             return;
+        begin(best, model);
+    }
+
+    auto begin(const Candidate &best, const ModelId &model) -> void
+    {
         if (best.source == LoadSource::Store)
             --storeLoads_;
         auto plan = Plan { best.host->id, {}, best.source };
@@ -200,6 +228,53 @@
         plans_.push_back(std::move(plan));
     }
 
+    /// Fills room that nothing is in with models that no endpoint holds, the most asked for first:
+    /// what is loaded before it is asked for keeps nobody waiting.
+    auto restock() -> void
+    {
+        auto absent = std::vector<std::pair<double, const catalogue::ModelSpec *>> {};
+        for (const auto &model : input_.engine.models) {
+            const auto held = countOf(holders_, model.id) + countOf(input_.loading, model.id);
+            const auto rate = asked(model.id).perSecond;
+            if (held == 0 && rate > 0)
+                absent.emplace_back(rate, &model);
+        }
+        std::stable_sort(absent.begin(), absent.end(), [](const auto &one, const auto &other) {
+            return one.first > other.first;
+        });
+        for (const auto &[rate, model] : absent)
+            restockWith(*model);
+    }
+
+    auto restockWith(const catalogue::ModelSpec &spec) -> void
+    {
+        auto best = Candidate {};
+        for (auto &host : hosts_) {
+            if (!host.takesOrders() || input_.engine.weightsMb - usedMb(host) < spec.weightsMb)
+                continue;
+            auto candidate = weigh(host, spec, false);
+            if (candidate.source == LoadSource::Store && storeLoads_ <= input_.storeReserve)
+                continue;
+            if (candidate.cost < best.cost)
+                best = std::move(candidate);
+        }
+        if (best.host != nullptr)
+            begin(best, spec.id);
+    }
+
+    auto defer(const ModelId &model, const Host *busy) -> void
+    {
+        auto deferral = Deferral {};
+        deferral.model = model;
+        deferral.lacks = asked(model).lacks();
+        if (busy != nullptr) {
+            deferral.reason = DeferReason::Busy;
+            deferral.endpoint = busy->id;
+            deferral.seconds = busy->busySeconds;
+        }
+        deferred_.push_back(std::move(deferral));
+    }
+
     /// @param isExtra another replica of a model that some hold: nobody waits for this load
     auto weigh(Host &host, const catalogue::ModelSpec &spec, bool isExtra) -> Candidate
     {
@@ -210,10 +285,13 @@
         } else if (contains(host.onDisk, spec.id)) {
             candidate.source = LoadSource::Disk;
             candidate.cost += seconds(spec.loadFromDisk);
-        } else if (storeLoads_ == 0) {
+        } else if (storeLoads_ <= (isExtra ? input_.storeReserve : 0U)) {
             candidate.cost = never;
         } else {
-            candidate.cost += (isExtra ? 0 : seconds(spec.loadFromStore)) + storePenalty;
+            const auto load = seconds(spec.loadFromStore);
+            candidate.cost += (isExtra ? 0 : load) + storePenalty;
+            // Whoever wants one of its other copies meanwhile waits for half of the load.
+            candidate.cost += swapsPerSecond(host) * load * load / 2;
         }
         if (isExtra)
             candidate.cost += blockedCost(host, spec);
@@ -268,6 +346,24 @@
         return cost;
     }
 
+    /// @return how often the host is expected to be asked for a model that it has a copy of and
+    /// that none holds; worked out once a plan, which changes it little
+    auto swapsPerSecond(const Host &host) -> double
+    {
+        const auto found = swapRates_.find(&host);
+        if (found != swapRates_.end())
+            return found->second;
+        if (swapHosts_.empty())
+            countSwapHosts();
+        auto &result = swapRates_[&host];
+        for (const auto &id : copiesOf(host)) {
+            if (countOf(holders_, id) == 0)
+                result += std::max(asked(id).perSecond, rareRate)
+                        / std::max(countOf(swapHosts_, id), 1U);
+        }
+        return result;
+    }
+
     /// Counts for each model the hosts that have a copy of it and room to load it. Once a plan:
     /// looked up for each pair of hosts and models, it took a leader most of its processor time.
     auto countSwapHosts() -> void
@@ -307,7 +403,8 @@
             const auto count = std::max(countOf(holders_, held.model), 1U);
             if (want.waiting > 0 || (count == 1 && want.running > crowded / 2))
                 continue;
-            auto cost = want.running / static_cast<double>(count) * runSeconds;
+            const auto running = want.running / static_cast<double>(count);
+            auto cost = running * runSeconds + std::min(running, 1.0) * unloadSeconds;
             cost += want.perSecond / count * reloadSeconds;
             if (count > 1 && want.running > crowded * (count - 1) / 2)
                 cost += want.running;
@@ -431,8 +528,10 @@
     std::unordered_map<ModelId, const catalogue::ModelSpec *> specs_;
     std::map<ModelId, std::uint32_t> holders_;
     std::map<ModelId, std::uint32_t> swapHosts_; ///< See countSwapHosts().
+    std::map<const Host *, double> swapRates_;   ///< See swapsPerSecond().
     std::uint32_t storeLoads_;
     std::vector<Plan> plans_;
+    std::vector<Deferral> deferred_;
 };
 
 } // namespace
@@ -449,7 +548,13 @@
     return names[static_cast<std::size_t>(source) % names.size()];
 }
 
-auto plan(const PlacementInput &input) -> std::vector<Plan>
+auto deferReasonName(DeferReason reason) -> std::string_view
+{
+    constexpr auto names = std::array<std::string_view, 2> { "busy", "no_room" };
+    return names[static_cast<std::size_t>(reason) % names.size()];
+}
+
+auto plan(const PlacementInput &input) -> Placement
 {
     return Planner { input }.run();
 }
--- a/fleet/placement.h
+++ b/fleet/placement.h
@@ -50,7 +50,11 @@
     /// Requests that were refused of late for want of a load: their callers come back, and a model
     /// whose requests are all refused would otherwise stay unloaded for ever.
     std::uint32_t refused = 0;
+    /// Requests that began or paused too late of late, where the model was held.
+    std::uint32_t late = 0;
     auto lacks() const -> std::uint32_t { return waiting + refused; }
+    /// @return requests of late that its replicas could not serve in time
+    auto missed() const -> std::uint32_t { return refused + late; }
 };
 
 using AdapterKey = std::pair<ModelId, std::string>;
@@ -66,6 +70,9 @@
     /// Loaded so recently that no gateway can have told of the requests that use them.
     std::set<AdapterKey> freshAdapters;
     std::uint32_t storeLoads = 0; ///< That may begin now.
+    /// Of those, kept for models that requests lack: a load that nobody waits for would hold its
+    /// place in the store for the six seconds that it takes.
+    std::uint32_t storeReserve = 0;
 };
 
 enum class StepKind : std::uint8_t { Load, Unload };
@@ -95,7 +102,32 @@
     LoadSource source = LoadSource::Store; ///< Of the last step, a load.
 };
 
-auto plan(const PlacementInput &input) -> std::vector<Plan>;
+/// Why a model that requests lack is not loaded now.
+enum class DeferReason : std::uint8_t {
+    Busy,   ///< The best endpoint is busy with another order, and is waited for.
+    NoRoom, ///< What each endpoint holds is needed more, or the store gives no more.
+};
+
+/// @return "busy" or "no_room"
+auto deferReasonName(DeferReason reason) -> std::string_view;
+
+/// A model that requests lack and that is not loaded now.
+struct Deferral
+{
+    ModelId model;
+    DeferReason reason = DeferReason::NoRoom;
+    EndpointId endpoint; ///< That is waited for; empty: none.
+    double seconds = 0;  ///< Until it takes an order, as expected.
+    std::uint32_t lacks = 0;
+};
+
+struct Placement
+{
+    std::vector<Plan> plans;
+    std::vector<Deferral> deferred;
+};
+
+auto plan(const PlacementInput &input) -> Placement;
 
 } // namespace figrack::fleet
 
