router test: requests wait until the router has applied what the test committed

Seen once beside full load ('cut off from the controls it refuses new work', 30 s without a request at the engine), and again, in another test of the same file, while this was looked into. Trace: the test commits at its stand-in control and sends a request at once; on a busy machine the request overtakes the feed, the router knows no endpoint for the model yet and refuses, as it should. Ruled out: the channel (no connection was lost in those 30 s) and the lease (8 s). The fixture now waits for the router's applied index; every assertion stands.

--- a/router/testing/tst_router.cpp
+++ b/router/testing/tst_router.cpp
@@ -132,7 +132,7 @@
         spec.incarnation = Incarnation { 1 };
         spec.address = engine.address();
         spec.memoryMb = 1000;
-        control.commit(state::RegisterEndpoint { spec, 0 });
+        awaitApplied(control.commit(state::RegisterEndpoint { spec, 0 }));
     }
     auto load() -> void
     {
@@ -143,8 +143,15 @@
         order.version = "1";
         order.fence = Fence { 1 };
         const auto index = control.commit(order);
-        control.commit(
-                state::OrderOutcome { OrderId { index.value() }, state::OrderResult::Loaded, 0 });
+        awaitApplied(control.commit(
+                state::OrderOutcome { OrderId { index.value() }, state::OrderResult::Loaded, 0 }));
+    }
+    /// A request that overtakes the feed finds no endpoint for its model and is refused.
+    auto awaitApplied(LogIndex index) -> void
+    {
+        const auto line = R"(what="applied_index"} )" + std::to_string(index.value()) + "\n";
+        REQUIRE(eventually(
+                [&] { return bodyOf(send("GET", "/metrics")).find(line) != std::string::npos; }));
     }
 
     using Result = http::ClientResult<http::Response>;
--- a/testing/verdict.cpp
+++ b/testing/verdict.cpp
@@ -44,7 +44,8 @@
             const auto isSent = event == "order_sent" && lineField(line, "action") == "load";
             // The log is bounded: of an order that was sent while it was full only its end may
             // stand there. A control settles no order but one of the replicated log.
-            const auto isSettled = event == "order_settled" && lineField(line, "result") == "loaded";
+            const auto isSettled
+                    = event == "order_settled" && lineField(line, "result") == "loaded";
             if (isSent || isSettled)
                 decided.insert(numberOf(lineField(line, "order")));
         }
