--- a/fleet/lastknown.cpp
+++ b/fleet/lastknown.cpp
@@ -99,7 +99,7 @@
     return {};
 }
 
-auto LastKnownStore::post(const std::string &name, std::string payload) -> void
+auto LastKnownStore::post(const std::string &name, const std::string &payload) -> void
 {
     auto bytes = seal(payload);
     {
--- a/fleet/lastknown.h
+++ b/fleet/lastknown.h
@@ -59,13 +59,13 @@
 private:
     template<typename T>
     auto load(const std::string &name) -> T;
-    auto post(const std::string &name, std::string payload) -> void;
+    auto post(const std::string &name, const std::string &payload) -> void;
     auto writeLoop() -> void;
     auto write(const std::string &name, std::string_view bytes) -> absl::Status;
 
     const std::string folder_;
     coord::Disk &disk_;
-    std::mutex mutex_; ///< Guards the next two; a leaf in the lock order.
+    std::mutex mutex_;                           ///< Guards the next two; a leaf in the lock order.
     std::map<std::string, std::string> pending_; ///< Bytes to write, by file name.
     bool stopping_ = false;
     std::condition_variable wake_;
