placement: a model that was loaded for refused callers stays, and does not wait for one slow unload

Change: the only replica of a model gives way to no other while requests for it were refused in the last seconds; a load that waits over 1 s for its unload does not count as coming for a model that missed 10 requests or more.

--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -507,7 +507,7 @@
     auto planService(const catalogue::Service &service) -> void
     {
         const auto &engine = *service.engine;
-        auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 0, 0 };
+        auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 0, 0 };
         const auto unreachable = demand_.unreachable();
         for (const auto *row : registry_.rows()) {
             if (row->service != service.id || row->state != catalogue::EndpointState::Ready)
@@ -523,6 +523,7 @@
         input.models = std::move(asked.models);
         input.adapters = std::move(asked.adapters);
         input.loading = orders_.loading();
+        input.stalled = orders_.stalledLoads();
         input.loadingAdapters = orders_.loadingAdapters();
         input.freshAdapters = orders_.freshAdapters();
         input.storeLoads = orders_.storeLoadsAllowed(engine);
--- a/fleet/orders.cpp
+++ b/fleet/orders.cpp
@@ -30,6 +30,9 @@
 constexpr auto firstStoreLimit = 2U;
 /// What an unload before a load usually takes, with its announcement.
 constexpr auto swapTime = std::chrono::milliseconds { 300 };
+/// An unload without requests in progress takes 60 ms; one that takes so long waits for streams,
+/// and up to 6 s on played days.
+constexpr auto unloadOverdue = std::chrono::seconds { 1 };
 /// A plan that has overrun its time may end at any moment.
 constexpr auto minBusySeconds = 0.2;
 
@@ -113,6 +116,7 @@
         if (job.active)
             return;
         job.active = true;
+        job.stepsDone = 0;
         job.startedAt = clock_.now();
         job.plan = plan;
         const auto &last = plan.steps.back();
@@ -164,6 +168,18 @@
         }
     }
 
+    auto stalledLoads() const -> std::map<ModelId, std::uint32_t>
+    {
+        auto result = std::map<ModelId, std::uint32_t> {};
+        for (const auto &[id, job] : jobs_) {
+            const auto unloads = job.active && job.stepsDone == 0
+                    && job.plan.steps.front().kind == StepKind::Unload;
+            if (unloads && clock_.now() - job.startedAt > unloadOverdue)
+                ++result[job.plan.steps.back().model];
+        }
+        return result;
+    }
+
     auto storeLoadsAllowed(const catalogue::EngineSpec &engine) const -> std::uint32_t
     {
         const auto now = clock_.now();
@@ -200,6 +216,7 @@
     struct Job
     {
         bool active = false;
+        std::size_t stepsDone = 0;  ///< Of the plan.
         std::uint32_t failures = 0; ///< Plans in a row.
         Instant startedAt {};
         Plan plan;
@@ -230,6 +247,7 @@
             done = co_await self->runStep(plan.endpoint, step);
             if (!done)
                 break;
+            ++self->jobs_[plan.endpoint].stepsDone;
         }
         auto &job = self->jobs_[plan.endpoint];
         job.active = false;
@@ -536,6 +554,11 @@
     return result;
 }
 
+auto OrderRunner::stalledLoads() const -> std::map<ModelId, std::uint32_t>
+{
+    return impl_->stalledLoads();
+}
+
 auto OrderRunner::loadingAdapters() const -> std::set<AdapterKey>
 {
     auto result = std::set<AdapterKey> {};
--- a/fleet/orders.h
+++ b/fleet/orders.h
@@ -128,6 +128,8 @@
     /// @return models and adapters whose loads are under way
     auto loading() const -> std::map<ModelId, std::uint32_t>;
     auto loadingAdapters() const -> std::set<AdapterKey>;
+    /// @return of those, the loads that wait for an unload which takes longer than it should
+    auto stalledLoads() const -> std::map<ModelId, std::uint32_t>;
     /// @return adapters that were loaded within the last adapterFresh
     auto freshAdapters() const -> std::set<AdapterKey>;
     /// @return loads from the store that may begin now
--- a/fleet/placement.cpp
+++ b/fleet/placement.cpp
@@ -38,6 +38,8 @@
 /// Part of the arrivals that may be missed before a model gets another replica.
 constexpr auto manyMissed = 0.1;
 constexpr auto fewestMissed = 4U;
+/// Missed requests of the last seconds that are worth a second swap beside one that has stalled.
+constexpr auto urgentMissed = 10U;
 /// Added to the score of a victim whose requests run: an endpoint refuses all orders until those of
 /// an adapter that is unloaded have ended, 0.8 s on played days.
 constexpr auto inUsePenalty = 100.0;
@@ -127,7 +129,7 @@
             if (specOf(model) == nullptr)
                 continue;
             const auto held = countOf(holders_, model);
-            const auto coming = countOf(input_.loading, model);
+            const auto coming = comingOf(model, want);
             if (held + coming == 0 && want.lacks() > 0)
                 wanted.emplace_back(want.lacks(), model);
             const auto expected = std::max<double>(want.running, want.perSecond * usualStay);
@@ -145,6 +147,15 @@
         return result;
     }
 
+    /// @return replicas that are being loaded; of a model that many miss, without those that wait
+    /// for an unload: 145 requests were refused in the six seconds that one took
+    auto comingOf(const ModelId &model, const Asked &want) const -> std::uint32_t
+    {
+        const auto loading = countOf(input_.loading, model);
+        const auto stalled = countOf(input_.stalled, model);
+        return want.missed() < urgentMissed ? loading : loading - std::min(loading, stalled);
+    }
+
     /// @return replicas of a model whose replicas serve too many of its requests late
     auto replicasForMissed(const Asked &want, std::uint32_t held) const -> double
     {
@@ -446,7 +457,11 @@
         for (const auto &held : host.models) {
             const auto want = asked(held.model);
             const auto count = std::max(countOf(holders_, held.model), 1U);
-            if (want.waiting > 0 || (count == 1 && want.running > crowded_ / 2))
+            // Callers that were refused come back to it: a model that had just been loaded for them
+            // gave way after 46 ms, before any had, and 150 were refused in the four seconds until
+            // it was loaded again (a played day's logs).
+            const auto isOnly = count == 1 && (want.refused > 0 || want.running > crowded_ / 2);
+            if (want.waiting > 0 || isOnly)
                 continue;
             const auto running = want.running / static_cast<double>(count);
             auto cost = running * runSeconds + std::min(running, 1.0) * unloadSeconds;
--- a/fleet/placement.h
+++ b/fleet/placement.h
@@ -66,6 +66,7 @@
     std::map<ModelId, Asked> models;
     std::map<AdapterKey, Asked> adapters;
     std::map<ModelId, std::uint32_t> loading; ///< Loads under way.
+    std::map<ModelId, std::uint32_t> stalled; ///< Of those, loads that wait for a slow unload.
     std::set<AdapterKey> loadingAdapters;
     /// Loaded so recently that no gateway can have told of the requests that use them.
     std::set<AdapterKey> freshAdapters;
--- a/fleet/testing/tst_orders.cpp
+++ b/fleet/testing/tst_orders.cpp
@@ -316,3 +316,19 @@
     clock.advance(3s);
     CHECK(runner.busySeconds(id) == doctest::Approx(3.0).epsilon(0.01));
 }
+
+TEST_CASE("A load that waits long for its unload counts as stalled")
+{
+    auto clock = ManualClock {};
+    auto context = boost::asio::io_context { 1 };
+    auto registry = Registry { {}, clock };
+    const auto port = OrderPort {};
+    auto runner = OrderRunner { context, {}, clock, registry, port, {} };
+    runner.start(Plan { EndpointId { "i-1" }, { unload("a"), load("b") }, LoadSource::Disk },
+                 makeEngineSpec());
+    runner.start(Plan { EndpointId { "i-2" }, { load("c") }, LoadSource::Store }, makeEngineSpec());
+    CHECK(runner.stalledLoads().empty());
+    clock.advance(2s);
+    CHECK(runner.loading().size() == 2);
+    CHECK(runner.stalledLoads() == std::map<ModelId, std::uint32_t> { { ModelId { "b" }, 1 } });
+}
--- a/fleet/testing/tst_placement.cpp
+++ b/fleet/testing/tst_placement.cpp
@@ -65,7 +65,7 @@
 TEST_CASE("A wanted model goes to an endpoint with a copy, not to the store")
 {
     const auto engine = makeEngine();
-    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 3, 0 };
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 3, 0 };
     input.hosts = { makeHost("e1", { "m0" }), makeHost("e2", { "m1", "m2" }) };
     input.hosts[1].onDisk = { ModelId { "m3" } };
     input.models[ModelId { "m3" }].waiting = 1;
@@ -81,7 +81,7 @@
 TEST_CASE("A model whose requests were all refused is loaded though nobody waits for it")
 {
     const auto engine = makeEngine();
-    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 3, 0 };
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 3, 0 };
     input.hosts = { makeHost("e1", { "m0" }) };
     input.models[ModelId { "m3" }].refused = 1;
     const auto plans = plan(input).plans;
@@ -94,7 +94,7 @@
 TEST_CASE("What gives way is what is asked for least")
 {
     const auto engine = makeEngine();
-    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 3, 0 };
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 3, 0 };
     input.hosts = { makeHost("e1", { "m0", "m1" }) };
     input.hosts[0].inMemory = { ModelId { "m2" } };
     input.models[ModelId { "m0" }].perSecond = 3;
@@ -107,7 +107,7 @@
 TEST_CASE("No load from the store is planned beyond what is allowed")
 {
     const auto engine = makeEngine();
-    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 1, 0 };
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 1, 0 };
     input.hosts = { makeHost("e1", {}), makeHost("e2", {}), makeHost("e3", {}) };
     for (const auto *model : { "m0", "m1", "m2" })
         input.models[ModelId { model }].waiting = 1;
@@ -119,7 +119,7 @@
 TEST_CASE("An adapter is loaded once, and displaces the one asked for least when there is no place")
 {
     const auto engine = makeEngine();
-    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 1, 0 };
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 1, 0 };
     input.hosts = { makeHost("e1", { "m0" }) };
     input.hosts[0].models[0].adapters = { "a1", "a2" };
     input.adapters[{ ModelId { "m0" }, "a2" }].perSecond = 2;
@@ -136,7 +136,7 @@
 TEST_CASE("An adapter with requests gives way only where none without is to be had")
 {
     const auto engine = makeEngine();
-    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 0, 0 };
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 0, 0 };
     input.hosts = { makeHost("e1", { "m0" }), makeHost("e2", { "m0" }) };
     input.hosts[0].models[0].adapters = { "a1", "a2" };
     input.hosts[1].models[0].adapters = { "a4", "a5" };
@@ -154,7 +154,7 @@
 TEST_CASE("An adapter that was loaded just now does not give way")
 {
     const auto engine = makeEngine();
-    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 0, 0 };
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 0, 0 };
     input.hosts = { makeHost("e1", { "m0" }) };
     input.hosts[0].models[0].adapters = { "a1", "a2" };
     input.adapters[{ ModelId { "m0" }, "a2" }].perSecond = 5;
@@ -169,7 +169,7 @@
 TEST_CASE("A model whose adapters have more requests than places gets another replica")
 {
     const auto engine = makeEngine();
-    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 0, 0 };
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 0, 0 };
     input.hosts = { makeHost("e1", { "m0" }), makeHost("e2", {}) };
     input.hosts[0].models[0].adapters = { "a1", "a2" };
     input.hosts[0].busySeconds = 1;
@@ -186,7 +186,7 @@
 TEST_CASE("A busy endpoint with a copy is waited for when the store takes longer")
 {
     const auto engine = makeEngine();
-    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 3, 0 };
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 3, 0 };
     input.hosts = { makeHost("e1", { "m0" }), makeHost("e2", {}) };
     input.hosts[0].onDisk = { ModelId { "m1" } };
     input.models[ModelId { "m1" }].waiting = 1;
@@ -200,7 +200,7 @@
 TEST_CASE("A crowded model gets all the replicas that it needs at once")
 {
     const auto engine = makeEngine();
-    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 4, 0 };
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 4, 0 };
     input.hosts = { makeHost("e1", { "m0" }), makeHost("e2", {}), makeHost("e3", {}),
                     makeHost("e4", {}) };
     input.models[ModelId { "m0" }].running = 100; // Many endpoints' worth.
@@ -213,7 +213,7 @@
 {
     auto engine = makeEngine();
     engine.weightsMb = 58;
-    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 3, 0 };
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 3, 0 };
     input.hosts = { makeHost("e1", { "m0" }), makeHost("e2", { "m1" }), makeHost("e3", { "m5" }) };
     input.hosts[1].onDisk = { ModelId { "m1" }, ModelId { "m2" }, ModelId { "m3" } };
     input.hosts[2].onDisk = { ModelId { "m5" } };
@@ -226,7 +226,7 @@
 TEST_CASE("Of two models, the one of which more requests are missed is loaded first")
 {
     const auto engine = makeEngine();
-    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 1, 0 };
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 1, 0 };
     input.hosts = { makeHost("e1", {}) };
     input.models[ModelId { "m1" }].waiting = 1;
     input.models[ModelId { "m2" }].refused = 40;
@@ -238,7 +238,7 @@
 TEST_CASE("A model whose replicas serve many requests late gets another, whatever is in progress")
 {
     const auto engine = makeEngine();
-    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 0, 0 };
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 0, 0 };
     input.hosts = { makeHost("e1", { "m0" }), makeHost("e2", {}) };
     input.hosts[1].onDisk = { ModelId { "m0" } };
     auto &asked = input.models[ModelId { "m0" }];
@@ -255,7 +255,7 @@
 TEST_CASE("A model that begins to be asked for gets its replicas before its requests are many")
 {
     const auto engine = makeEngine();
-    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 0, 0 };
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 0, 0 };
     input.hosts = { makeHost("e1", { "m0" }), makeHost("e2", {}) };
     input.hosts[1].onDisk = { ModelId { "m0" } };
     auto &asked = input.models[ModelId { "m0" }];
@@ -267,7 +267,7 @@
 TEST_CASE("Engines that run few requests at once get another replica sooner")
 {
     auto engine = makeEngine();
-    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 0, 0 };
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 0, 0 };
     input.hosts = { makeHost("e1", { "m0" }), makeHost("e2", {}) };
     input.hosts[1].onDisk = { ModelId { "m0" } };
     input.models[ModelId { "m0" }].running = 7;
@@ -280,7 +280,7 @@
 TEST_CASE("Another replica leaves the last load of the store to a model that has none")
 {
     const auto engine = makeEngine();
-    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 1, 1 };
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 1, 1 };
     input.hosts = { makeHost("e1", { "m0" }), makeHost("e2", {}) };
     input.models[ModelId { "m0" }] = { 30, 0, 30 };
     CHECK(plan(input).plans.empty());
@@ -295,7 +295,7 @@
 TEST_CASE("A load from the store goes where nobody needs the endpoint's other copies meanwhile")
 {
     const auto engine = makeEngine();
-    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 1, 0 };
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 1, 0 };
     input.hosts = { makeHost("e1", {}), makeHost("e2", {}) };
     input.hosts[0].onDisk = { ModelId { "m5" }, ModelId { "m6" }, ModelId { "m7" } };
     for (const auto *name : { "m5", "m6", "m7" })
@@ -308,7 +308,7 @@
 TEST_CASE("A victim without requests is preferred to one whose unload would have to wait")
 {
     const auto engine = makeEngine();
-    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 0, 0 };
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 0, 0 };
     input.hosts = { makeHost("e1", { "m0", "m1" }), makeHost("e2", { "m2", "m3" }) };
     for (auto &host : input.hosts)
         host.onDisk = { ModelId { "m4" } };
@@ -322,10 +322,44 @@
     CHECK(plan(input).plans[0].steps[0] == PlanStep { StepKind::Unload, ModelId { "m3" }, {} });
 }
 
+TEST_CASE("The only replica of a model does not give way while refused callers come back to it")
+{
+    const auto engine = makeEngine();
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 0, 0 };
+    input.hosts = { makeHost("e1", { "m0", "m1" }) };
+    input.hosts[0].onDisk = { ModelId { "m2" } };
+    input.models[ModelId { "m0" }] = { 0.1, 0, 0, 6 }; // Loaded just now: nobody uses it yet.
+    input.models[ModelId { "m1" }].perSecond = 0.5;
+    input.models[ModelId { "m2" }].waiting = 1;
+    REQUIRE(plan(input).plans.size() == 1);
+    CHECK(plan(input).plans[0].steps[0] == PlanStep { StepKind::Unload, ModelId { "m1" }, {} });
+    // With another replica it may.
+    input.hosts.push_back(makeHost("e2", { "m0" }));
+    CHECK(plan(input).plans[0].steps[0] == PlanStep { StepKind::Unload, ModelId { "m0" }, {} });
+}
+
+TEST_CASE("A model that many were refused for does not wait for one slow unload")
+{
+    const auto engine = makeEngine();
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 0, 0 };
+    input.hosts = { makeHost("e1", { "m0", "m1" }), makeHost("e2", { "m1", "m2" }) };
+    for (auto &host : input.hosts)
+        host.onDisk = { ModelId { "m3" } };
+    input.hosts[0].busySeconds = 3;
+    input.loading[ModelId { "m3" }] = 1; // At e1.
+    input.models[ModelId { "m3" }].refused = 20;
+    CHECK(plan(input).plans.empty());
+    input.stalled[ModelId { "m3" }] = 1;
+    REQUIRE(plan(input).plans.size() == 1);
+    CHECK(plan(input).plans[0].endpoint == EndpointId { "e2" });
+    input.models[ModelId { "m3" }].refused = 2; // Not worth a second swap.
+    CHECK(plan(input).plans.empty());
+}
+
 TEST_CASE("Free room is filled with models that are asked for and that no endpoint holds")
 {
     const auto engine = makeEngine();
-    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 2, 1 };
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 2, 1 };
     input.hosts = { makeHost("e1", { "m0" }), makeHost("e2", {}) };
     input.models[ModelId { "m1" }].perSecond = 0.1;
     input.models[ModelId { "m2" }].perSecond = 0.3;
@@ -340,7 +374,7 @@
 TEST_CASE("What is not loaded now is named, with what it waits for")
 {
     const auto engine = makeEngine();
-    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, 0, 0 };
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 0, 0 };
     input.hosts = { makeHost("e1", { "m0" }) };
     input.hosts[0].onDisk = { ModelId { "m3" } };
     input.hosts[0].busySeconds = 0.7;
@@ -361,8 +395,9 @@
     auto random = Random { 7 };
     auto planned = std::size_t { 0 };
     for (auto round = 0; round < 2000; ++round) {
-        auto input = PlacementInput { engine, {}, {}, {},
-                                      {},     {}, {}, static_cast<std::uint32_t>(random.below(3)) };
+        auto input = PlacementInput { engine, {}, {},
+                                      {},     {}, {},
+                                      {},     {}, static_cast<std::uint32_t>(random.below(3)) };
         for (auto i = 0; i < 4; ++i) {
             auto host = makeHost("e" + std::to_string(i), {});
             auto used = 0.0;
