--- a/fleet/placement.cpp
+++ b/fleet/placement.cpp
@@ -83,10 +83,8 @@
         , crowded_(crowdedOf(input.engine))
         , storeLoads_(input.storeLoads)
     {
-        for (const auto &model : input.engine.models) {
+        for (const auto &model : input.engine.models)
             specs_.emplace(model.id, &model);
-            smallestMb_ = std::min(smallestMb_, model.weightsMb);
-        }
         for (auto &host : hosts_) {
             for (const auto &held : host.models)
                 ++holders_[held.model];
@@ -101,7 +99,6 @@
             placeAdapter(key);
         for (const auto &model : wantedModels())
             placeModel(model);
-        restock();
         return { std::move(plans_), std::move(deferred_) };
     }
 
@@ -275,48 +272,6 @@
         plans_.push_back(std::move(plan));
     }
 
-    /// Fills room that nothing is in with models that no endpoint holds, the most asked for first:
-    /// what is loaded before it is asked for keeps nobody waiting.
-    auto restock() -> void
-    {
-        auto roomy = std::vector<Host *> {};
-        for (auto &host : hosts_) {
-            if (host.takesOrders() && usedMb(host) + smallestMb_ <= input_.engine.weightsMb)
-                roomy.push_back(&host);
-        }
-        if (roomy.empty())
-            return;
-        auto absent = std::vector<std::pair<double, const catalogue::ModelSpec *>> {};
-        for (const auto &model : input_.engine.models) {
-            const auto held = countOf(holders_, model.id) + countOf(input_.loading, model.id);
-            const auto rate = asked(model.id).perSecond;
-            if (held == 0 && rate > 0)
-                absent.emplace_back(rate, &model);
-        }
-        std::stable_sort(absent.begin(), absent.end(), [](const auto &one, const auto &other) {
-            return one.first > other.first;
-        });
-        for (const auto &[rate, model] : absent)
-            restockWith(*model, roomy);
-    }
-
-    /// @param roomy hosts that have some room and took orders when the plan began
-    auto restockWith(const catalogue::ModelSpec &spec, const std::vector<Host *> &roomy) -> void
-    {
-        auto best = Candidate {};
-        for (auto *host : roomy) {
-            if (!host->takesOrders() || input_.engine.weightsMb - usedMb(*host) < spec.weightsMb)
-                continue;
-            auto candidate = weigh(*host, spec, false);
-            if (candidate.source == LoadSource::Store && storeLoads_ <= input_.storeReserve)
-                continue;
-            if (candidate.cost < best.cost)
-                best = std::move(candidate);
-        }
-        if (best.host != nullptr)
-            begin(best, spec.id);
-    }
-
     auto defer(const ModelId &model, const Host *busy) -> void
     {
         auto deferral = Deferral {};
