--- a/fleet/placement.cpp
+++ b/fleet/placement.cpp
@@ -545,7 +545,6 @@
     std::unordered_map<ModelId, std::vector<Host *>>
             copyHosts_;                          ///< Hosts with a copy or a replica.
     std::map<ModelId, std::uint32_t> swapHosts_; ///< See countSwapHosts().
-    double smallestMb_ = never;                  ///< Weights of the smallest model.
     std::map<const Host *, double> swapRates_;   ///< See swapsPerSecond().
     const double crowded_; ///< Requests in progress that are many for one endpoint.
     std::uint32_t storeLoads_;
