gateway: documents by blocks, a second control asked when the first is overdue

Cause: a gateway asked one control at a time for a whole document under a timer that grew to 3.2 s, longer than a change may take, and that cannot tell a slow transfer from a dead control; nine controls hold the same bytes. Now (gateway/documentfetch, pure): manifest, then the blocks that differ, 48 KB a question; after 200 ms another control is asked besides, and late answers count, since blocks are named by their content (catalogue/documentblocks, fleet/documentshelf). A gateway without a document waits for a majority of announcements, 100 ms at most. Ruled out: a shorter timer alone (a document of 300 KB takes 0.25 s on 10 Mbit/s and was asked for seven times). Sight: config_in_force says what it took, bytes, questions, overdue ones; a histogram and two counters on the metrics page. tst_documentfeed's older test sets overdueAfter in place of the timer that is gone; what it checks is as before.

--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -11,6 +11,7 @@
 #include "coord/filelogstore.h"
 #include "core/error.h"
 #include "core/log.h"
+#include "fleet/documentshelf.h"
 #include "fleet/lastknown.h"
 #include "fleet/proposals.h"
 
@@ -257,9 +258,10 @@
             balancer_.onEnd(peer->peer(), *end);
         } else if (const auto *join = std::get_if<proto::JoinGroup>(&envelope.payload)) {
             onJoin(join->member);
-        } else if (std::holds_alternative<proto::DocumentRequest>(envelope.payload)) {
-            const auto &held = newestDocument();
-            peer->send({ envelope.correlation, proto::DocumentReply { held.version, held.text } });
+        } else if (std::holds_alternative<proto::ManifestRequest>(envelope.payload)) {
+            peer->send({ envelope.correlation, shelf_.manifest() });
+        } else if (const auto *blocks = std::get_if<proto::BlocksRequest>(&envelope.payload)) {
+            peer->send({ envelope.correlation, shelf_.blocks(*blocks) });
         } else {
             LogEvent(LogLevel::Warning, "message_not_expected").with("peer", peer->peer());
         }
@@ -378,6 +380,7 @@
             transport_->setPeers(members_);
         }
         auto group = GroupView {};
+        shelf_.hold(newestDocument());
         group.document = newestDocument().version;
         group.leader = now.leader;
         group.term = now.term;
@@ -607,6 +610,7 @@
     LastKnownStore lastKnown_;
     Document recalled_; ///< What was applied here before the start.
     ConfigLog log_;
+    DocumentShelf shelf_;
     Registry registry_;
     GroupKeeper keeper_;
     DemandTable demand_;
--- a/gateway/controlfeed.cpp
+++ b/gateway/controlfeed.cpp
@@ -2,8 +2,12 @@
 
 #include <algorithm>
 #include <utility>
+#include <variant>
+
+#include <boost/asio/steady_timer.hpp>
 
 #include "core/log.h"
+#include "gateway/chooser.h"
 
 namespace figrack::gateway {
 
@@ -13,6 +17,15 @@
 
 /// Picks one order of the controls, alike at all gateways.
 constexpr auto balancerKey = std::uint64_t { 0x62616c616e636572 };
+/// A timer that fires a little early must not be set anew without a pause.
+constexpr auto shortestLook = std::chrono::milliseconds { 1 };
+
+/// @return the reply as one of a type; nullptr when there is none, or it is another
+template<typename T>
+auto replyAs(const absl::StatusOr<proto::Payload> &reply) -> const T *
+{
+    return reply.ok() ? std::get_if<T>(&*reply) : nullptr;
+}
 
 } // namespace
 
@@ -25,7 +38,8 @@
         , options_(std::move(options))
         , clock_(clock)
         , hooks_(std::move(hooks))
-        , documentTimeout_(options_.documentTimeout)
+        , fetch_(options_.documents, std::hash<std::string> {}(options_.callers.text()), clock)
+        , fetchTimer_(context)
     { }
 
     auto dial(const Address &address) -> void
@@ -33,6 +47,7 @@
         if (stopped_ || controls_.contains(address))
             return;
         auto &control = controls_[address];
+        fetch_.onKnown(address);
         auto handler = proto::PeerHandler {};
         handler.onOpen = [weak = weak_from_this(), address](const proto::PeerPointer &peer) {
             if (const auto self = weak.lock())
@@ -66,8 +81,9 @@
     {
         auto &control = controls_[address];
         control.open = false;
-        control.announced = Revision {};
+        fetch_.onLost(address);
         LogEvent(LogLevel::Warning, "control_lost").with("control", control.node).with(status);
+        fetchDocument();
     }
 
     auto onMessage(const Address &address, const proto::PeerPointer &peer,
@@ -86,7 +102,7 @@
         }
         if (!update->controls.empty())
             dropGone(update->controls);
-        controls_[address].announced = update->document;
+        fetch_.onAnnounced(address, update->document);
         hooks_.onUpdate(*update);
         if (update->wantsAck)
             peer->send({ 0, proto::ServingAck { update->number } });
@@ -104,60 +120,71 @@
         for (auto item = controls_.begin(); item != controls_.end();) {
             const auto drop = !item->second.open && !isListed(item->first)
                     && item->second.node != NodeId {};
-            if (drop)
+            if (drop) {
+                fetch_.onForgotten(item->first);
                 item->second.client->stop();
+            }
             item = drop ? controls_.erase(item) : std::next(item);
         }
     }
 
     auto fetchDocument() -> void
     {
-        if (fetching_ || stopped_)
+        if (stopped_)
             return;
-        Control *best = nullptr;
-        for (auto &[address, control] : controls_) {
-            if (!control.open || control.announced <= version_)
-                continue;
-            if (best == nullptr || isBetterSource(control, *best))
-                best = &control;
-        }
-        if (best == nullptr)
-            return;
-        fetching_ = true;
-        auto done = [weak = weak_from_this(), node = best->node](const auto &reply) {
+        while (const auto document = fetch_.take())
+            hooks_.onDocument(*document);
+        for (const auto &ask : fetch_.next())
+            std::visit([this](const auto &question) { send(question); }, ask);
+        lookLater();
+    }
+
+    auto send(const ManifestAsk &ask) -> void
+    {
+        call(ask.control, proto::ManifestRequest { ask.atLeast });
+    }
+
+    auto send(const BlocksAsk &ask) -> void
+    {
+        call(ask.control, proto::BlocksRequest { ask.blocks });
+    }
+
+    auto call(const Address &address, proto::Payload question) -> void
+    {
+        auto done = [weak = weak_from_this(), address](const auto &reply) {
             if (const auto self = weak.lock())
-                self->onDocument(node, reply);
+                self->onDocumentReply(address, reply);
         };
-        best->client->call(proto::DocumentRequest { version_.next() }, documentTimeout_,
-                           std::move(done));
+        controls_.at(address).client->call(std::move(question), options_.documentTimeout,
+                                           std::move(done));
     }
 
-    auto onDocument(const NodeId &node, const absl::StatusOr<proto::Payload> &reply) -> void
+    auto onDocumentReply(const Address &address, const absl::StatusOr<proto::Payload> &reply)
+            -> void
     {
-        fetching_ = false;
-        const auto *document = reply.ok() ? std::get_if<proto::DocumentReply>(&*reply) : nullptr;
-        if (document != nullptr && document->version > version_
-            && hooks_.onDocument(document->version, document->text)) {
-            version_ = document->version;
-            documentTimeout_ = options_.documentTimeout;
-            fetchDocument();
-            return;
-        }
-        documentTimeout_ = std::min(documentTimeout_ * 2, options_.longestDocumentTimeout);
-        for (auto &[address, control] : controls_) {
-            if (control.node == node)
-                ++control.failures;
+        if (const auto *manifest = replyAs<proto::ManifestReply>(reply)) {
+            fetch_.onManifest(address, *manifest);
+        } else if (const auto *blocks = replyAs<proto::BlocksReply>(reply)) {
+            fetch_.onBlocks(address, *blocks);
+        } else {
+            fetch_.onFailed(address);
+            LogEvent(LogLevel::Warning, "document_not_had")
+                    .with("control", address.text())
+                    .with(reply.status());
         }
-        LogEvent(LogLevel::Warning, "document_not_had").with("control", node).with(reply.status());
-        retryLater();
+        fetchDocument();
     }
 
-    auto retryLater() -> void
+    /// Looks again when a question will be overdue, so that another control is asked.
+    auto lookLater() -> void
     {
-        constexpr auto pause = std::chrono::milliseconds { 50 };
-        auto timer = std::make_shared<asio::steady_timer>(context_, pause);
-        timer->async_wait([weak = weak_from_this(), timer](const boost::system::error_code &) {
-            if (const auto self = weak.lock())
+        const auto look = fetch_.nextLook();
+        if (!look)
+            return;
+        fetchTimer_.expires_after(std::max<Duration>(*look - clock_.now(), shortestLook));
+        fetchTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+            const auto self = weak.lock();
+            if (self && !error)
                 self->fetchDocument();
         });
     }
@@ -230,6 +257,7 @@
     auto stop() -> void
     {
         stopped_ = true;
+        fetchTimer_.cancel();
         for (auto &[address, control] : controls_)
             control.client->stop();
     }
@@ -241,8 +269,6 @@
     {
         std::unique_ptr<proto::PeerClient> client;
         NodeId node; ///< Empty until it has answered once.
-        Revision announced;
-        std::uint32_t failures = 0; ///< Documents that it did not give.
         bool open = false;
         Instant balancesFrom {}; ///< Not asked for picks before.
     };
@@ -271,18 +297,6 @@
         return best ? best : leader;
     }
 
-    /// The newest document first, then the control that failed less; of equals each gateway has its
-    /// own first: all would ask one control for each change otherwise.
-    auto isBetterSource(const Control &one, const Control &other) const -> bool
-    {
-        if (one.announced != other.announced)
-            return one.announced > other.announced;
-        if (one.failures != other.failures)
-            return one.failures < other.failures;
-        const auto key = std::hash<std::string> {}(options_.callers.text());
-        return rendezvousWeight(key, one.node.value()) > rendezvousWeight(key, other.node.value());
-    }
-
     auto onBalancerFailed(const Address &address, std::uint64_t ticket, const absl::Status &status)
             -> void
     {
@@ -304,10 +318,9 @@
     std::map<Address, Control> controls_;
     NodeId leader_;
     Term leaderTerm_;
-    Revision version_;         ///< Of the document in force here.
-    Duration documentTimeout_; ///< Of the next request for one.
+    DocumentFetch fetch_;
+    asio::steady_timer fetchTimer_;
     bool ready_ = false;
-    bool fetching_ = false;
     bool stopped_ = false;
 };
 
--- a/gateway/controlfeed.h
+++ b/gateway/controlfeed.h
@@ -9,8 +9,8 @@
 // own updates; both lists may lag, so an address that answered once is kept
 // until the controls name others. Every control is listened to: news of an
 // endpoint reaches the gateway by whichever control hears it first, and the
-// loss of any control costs nothing. Documents are fetched from one control at
-// a time and only when a newer version was announced. Not thread-safe.
+// loss of any control costs nothing. Which control is asked for a document, and
+// when another, is decided by DocumentFetch. Not thread-safe.
 
 #ifndef FIGRACK_GATEWAY_CONTROLFEED_H
 #define FIGRACK_GATEWAY_CONTROLFEED_H
@@ -22,10 +22,10 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "core/clock.h"
 #include "core/settings.h"
+#include "gateway/documentfetch.h"
 #include "gateway/picker.h"
 #include "proto/channel.h"
 
@@ -37,11 +37,10 @@
     Address callers; ///< Where callers connect to this gateway.
     DomainId domain;
     std::vector<Address> seeds; ///< Controls' addresses for peers.
-    /// After so long without an answer another control is asked for a document. Doubles until one
-    /// comes: a document of 300 KB takes 0.25 s on a link of 10 Mbit/s that carries nothing else,
-    /// and a gateway that gave up each time had seven on their way at once and none for 2.7 s.
-    Duration documentTimeout = std::chrono::milliseconds { 400 };
-    Duration longestDocumentTimeout = std::chrono::milliseconds { 3200 };
+    DocumentFetchOptions documents;
+    /// A question for a document is written off after so long, and its control may be asked again:
+    /// as long as a silent connection is kept. Others are asked long before.
+    Duration documentTimeout = std::chrono::seconds { 3 };
     /// A control that did not answer a pick in time is not asked again for so long: one that is
     /// frozen or cut off is found out by the channel's idle timeout only.
     Duration balancerPause = std::chrono::seconds { 1 };
@@ -50,8 +49,7 @@
 struct ControlFeedHooks
 {
     std::function<void(const proto::ServingUpdate &)> onUpdate;
-    /// @return true when the document was put into force, or is none that ever can be
-    std::function<bool(Revision version, const std::string &text)> onDocument;
+    std::function<void(const FetchedDocument &)> onDocument;
 };
 
 class ControlFeed
--- /dev/null
+++ b/gateway/documentfetch.cpp
@@ -0,0 +1,260 @@
+#include "gateway/documentfetch.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+#include <utility>
+
+#include "core/log.h"
+#include "gateway/chooser.h"
+
+namespace figrack::gateway {
+
+DocumentFetch::DocumentFetch(DocumentFetchOptions options, std::uint64_t key, const Clock &clock)
+    : options_(options)
+    , key_(key)
+    , clock_(clock)
+{ }
+
+auto DocumentFetch::onKnown(const Address &control) -> void
+{
+    sources_.try_emplace(control);
+}
+
+auto DocumentFetch::onForgotten(const Address &control) -> void
+{
+    sources_.erase(control);
+}
+
+auto DocumentFetch::onAnnounced(const Address &control, Revision version) -> void
+{
+    auto &source = sources_[control];
+    source.announced = version;
+    source.hasAnnounced = true;
+    source.isSlow = false;
+    if (!firstHeardAt_)
+        firstHeardAt_ = clock_.now();
+    startMeasuring();
+}
+
+auto DocumentFetch::onLost(const Address &control) -> void
+{
+    const auto found = sources_.find(control);
+    if (found != sources_.end())
+        found->second = Source {};
+}
+
+auto DocumentFetch::onFailed(const Address &control) -> void
+{
+    const auto found = sources_.find(control);
+    if (found == sources_.end())
+        return;
+    found->second.question.reset();
+    found->second.isSlow = true;
+}
+
+auto DocumentFetch::onManifest(const Address &control, const proto::ManifestReply &reply) -> void
+{
+    onAnswer(control);
+    // It began anew, or is another one at the address: what it announced does not hold.
+    sources_[control].announced = reply.version;
+    if (reply.version <= version_ || target_)
+        return;
+    target_ = Target { reply.version, reply.blocks, 0 };
+    auto wanted = std::set<catalogue::BlockId> {};
+    for (const auto &ref : reply.blocks)
+        wanted.insert(ref.id);
+    std::erase_if(blocks_, [&](const auto &item) { return !wanted.contains(item.first); });
+}
+
+auto DocumentFetch::onBlocks(const Address &control, const proto::BlocksReply &reply) -> void
+{
+    onAnswer(control);
+    if (!target_)
+        return;
+    auto took = false;
+    for (const auto &bytes : reply.blocks) {
+        const auto id = catalogue::blockIdOf(bytes);
+        const auto isWanted = std::any_of(target_->blocks.begin(), target_->blocks.end(),
+                                          [&](const auto &ref) { return ref.id == id; });
+        if (!isWanted)
+            continue;
+        took = true;
+        if (blocks_.try_emplace(id, bytes).second)
+            target_->fetchedBytes += bytes.size();
+    }
+    // The control keeps the blocks of a few documents. What came is of use for a newer one, too.
+    if (!took && !missing().empty())
+        target_.reset();
+}
+
+auto DocumentFetch::next() -> std::vector<DocumentAsk>
+{
+    noteOverdue();
+    auto asks = std::vector<DocumentAsk> {};
+    if (isWaiting() || !mayBegin())
+        return asks;
+    // Better an older document than none, when nobody in reach holds the one that was begun.
+    if (target_ && newestAnnounced() < target_->version && newestAnnounced() > version_)
+        target_.reset();
+    if (target_) {
+        const auto control = bestSource(target_->version);
+        auto blocks = missing();
+        if (!control || blocks.empty())
+            return asks;
+        ask(*control);
+        asks.emplace_back(BlocksAsk { *control, std::move(blocks) });
+        return asks;
+    }
+    const auto newest = newestAnnounced();
+    if (newest <= version_)
+        return asks;
+    if (const auto control = bestSource(newest)) {
+        ask(*control);
+        asks.emplace_back(ManifestAsk { *control, newest });
+    }
+    return asks;
+}
+
+auto DocumentFetch::nextLook() const -> std::optional<Instant>
+{
+    auto result = std::optional<Instant> {};
+    for (const auto &[control, source] : sources_) {
+        if (source.question && !source.question->isOverdue)
+            result = std::min(result.value_or(Instant::max()), source.question->overdueAt);
+    }
+    if (!result && firstHeardAt_ && newestAnnounced() > version_ && !mayBegin())
+        result = *firstHeardAt_ + options_.startPatience;
+    return result;
+}
+
+auto DocumentFetch::take() -> std::optional<FetchedDocument>
+{
+    if (!target_ || !missing().empty())
+        return std::nullopt;
+    auto document = FetchedDocument {};
+    document.version = target_->version;
+    document.fetchedBytes = target_->fetchedBytes;
+    document.asked = std::exchange(asked_, 0);
+    document.overdue = std::exchange(overdue_, 0);
+    if (firstLackingAt_)
+        document.took = clock_.now() - *firstLackingAt_;
+    auto held = std::map<catalogue::BlockId, std::string> {};
+    for (const auto &ref : target_->blocks) {
+        const auto &bytes = blocks_.at(ref.id);
+        document.text += bytes;
+        held.try_emplace(ref.id, bytes);
+    }
+    blocks_ = std::move(held);
+    version_ = document.version;
+    target_.reset();
+    firstLackingAt_.reset();
+    startMeasuring();
+    return document;
+}
+
+auto DocumentFetch::noteOverdue() -> void
+{
+    const auto now = clock_.now();
+    for (auto &[control, source] : sources_) {
+        if (!source.question || source.question->isOverdue || now < source.question->overdueAt)
+            continue;
+        source.question->isOverdue = true;
+        source.isSlow = true;
+        ++unanswered_;
+        ++overdue_;
+        LogEvent(LogLevel::Warning, "document_question_overdue")
+                .with("control", control.text())
+                .with("held", version_)
+                .with("wanted", newestAnnounced())
+                .with("unanswered", std::uint64_t { unanswered_ });
+    }
+}
+
+auto DocumentFetch::mayBegin() const -> bool
+{
+    if (version_ != Revision {})
+        return true;
+    if (!firstHeardAt_)
+        return false;
+    const auto announced = std::count_if(sources_.begin(), sources_.end(),
+                                         [](const auto &item) { return item.second.hasAnnounced; });
+    const auto isMajority = 2 * static_cast<std::size_t>(announced) > sources_.size();
+    return isMajority || clock_.now() >= *firstHeardAt_ + options_.startPatience;
+}
+
+auto DocumentFetch::newestAnnounced() const -> Revision
+{
+    auto newest = Revision {};
+    for (const auto &[control, source] : sources_)
+        newest = std::max(newest, source.announced);
+    return newest;
+}
+
+auto DocumentFetch::isWaiting() const -> bool
+{
+    return std::any_of(sources_.begin(), sources_.end(), [](const auto &item) {
+        return item.second.question && !item.second.question->isOverdue;
+    });
+}
+
+/// @return a control that holds the version and has no question to answer: one that is not slow
+/// before others, then this gateway's own first; nullopt when there is none
+auto DocumentFetch::bestSource(Revision version) const -> std::optional<Address>
+{
+    auto best = std::optional<Address> {};
+    auto bestRank = std::tuple<bool, std::uint64_t> {};
+    for (const auto &[control, source] : sources_) {
+        if (source.announced < version || source.question)
+            continue;
+        const auto rank = std::tuple { !source.isSlow, rendezvousWeight(key_, control.text()) };
+        if (best && rank <= bestRank)
+            continue;
+        best = control;
+        bestRank = rank;
+    }
+    return best;
+}
+
+auto DocumentFetch::ask(const Address &control) -> void
+{
+    auto wait = options_.overdueAfter;
+    for (auto i = 0U; i < unanswered_ && wait < options_.longestOverdueAfter; ++i)
+        wait *= 2;
+    sources_[control].question
+            = Question { clock_.now() + std::min(wait, options_.longestOverdueAfter), false };
+    ++asked_;
+}
+
+/// @return the first blocks that the target lacks, a batch at most
+auto DocumentFetch::missing() const -> std::vector<catalogue::BlockId>
+{
+    auto result = std::vector<catalogue::BlockId> {};
+    auto seen = std::set<catalogue::BlockId> {};
+    auto bytes = std::uint64_t { 0 };
+    for (const auto &ref : target_->blocks) {
+        if (blocks_.contains(ref.id) || !seen.insert(ref.id).second)
+            continue;
+        bytes += ref.bytes;
+        if (!result.empty() && bytes > options_.batchBytes)
+            break;
+        result.push_back(ref.id);
+    }
+    return result;
+}
+
+auto DocumentFetch::onAnswer(const Address &control) -> void
+{
+    auto &source = sources_[control];
+    source.question.reset();
+    source.isSlow = false;
+    unanswered_ = 0;
+}
+
+auto DocumentFetch::startMeasuring() -> void
+{
+    if (!firstLackingAt_ && newestAnnounced() > version_)
+        firstLackingAt_ = clock_.now();
+}
+
+} // namespace figrack::gateway
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -21,6 +21,11 @@
 /// After a first report of a lacking model, others are bundled for so long.
 constexpr auto urgentEvery = std::chrono::milliseconds { 5 };
 
+auto millis(Duration duration) -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 } // namespace
 
 class Gateway::Impl : public std::enable_shared_from_this<Impl>
@@ -119,9 +124,7 @@
     {
         auto hooks = ControlFeedHooks {};
         hooks.onUpdate = [this](const proto::ServingUpdate &update) { onUpdate(update); };
-        hooks.onDocument = [this](Revision version, const std::string &text) {
-            return onDocument(version, text);
-        };
+        hooks.onDocument = [this](const FetchedDocument &document) { onDocument(document); };
         return hooks;
     }
 
@@ -135,24 +138,29 @@
             waiters_.wakeAll();
     }
 
-    auto onDocument(Revision version, const std::string &text) -> bool
+    auto onDocument(const FetchedDocument &document) -> void
     {
-        auto catalogue = dialect_.readDocument(text);
+        auto catalogue = dialect_.readDocument(document.text);
         if (!catalogue.ok()) {
             // The controls took it, so a newer program wrote it: nothing here can read it.
             LogEvent(LogLevel::Error, "document_not_read")
-                    .with("version", version)
+                    .with("version", document.version)
                     .with(catalogue.status());
-            return true;
+            return;
         }
         LogEvent(LogLevel::Info, "config_in_force")
-                .with("version", version)
+                .with("version", document.version)
                 .with("before", forwarder_.version())
-                .with("routes", static_cast<std::uint64_t>(catalogue->routes.size()));
+                .with("routes", static_cast<std::uint64_t>(catalogue->routes.size()))
+                .with("bytes", static_cast<std::uint64_t>(document.text.size()))
+                .with("fetched_bytes", document.fetchedBytes)
+                .with("asked", std::uint64_t { document.asked })
+                .with("overdue", std::uint64_t { document.overdue })
+                .with("took_ms", millis(document.took));
+        metrics_.onDocument(document.took, document.overdue, document.fetchedBytes);
         forwarder_.setCatalogue(
                 std::make_shared<const catalogue::Catalogue>(*std::move(catalogue)));
         feed_.setReady(ready());
-        return true;
     }
 
     auto scheduleDemand() -> void
--- a/gateway/metrics.cpp
+++ b/gateway/metrics.cpp
@@ -55,6 +55,21 @@
                           .Name("figrack_gateway_request_seconds")
                           .Help("Arrival to first byte and to the end")
                           .Register(registry))
+        , documentDelay(prometheus::BuildHistogram()
+                                .Name("figrack_gateway_document_seconds")
+                                .Help("Announcement of a document to its being in force")
+                                .Register(registry)
+                                .Add({}, secondBuckets))
+        , documentOverdue(prometheus::BuildCounter()
+                                  .Name("figrack_gateway_document_questions_overdue_total")
+                                  .Help("Questions for documents that were asked elsewhere besides")
+                                  .Register(registry)
+                                  .Add({}))
+        , documentBytes(prometheus::BuildCounter()
+                                .Name("figrack_gateway_document_bytes_total")
+                                .Help("Bytes of blocks of documents that were fetched")
+                                .Register(registry)
+                                .Add({}))
         , gauges(prometheus::BuildGauge()
                          .Name("figrack_gateway_now")
                          .Help("The present moment, by what")
@@ -67,6 +82,9 @@
     prometheus::Counter &failures;
     prometheus::Family<prometheus::Counter> &picks;
     prometheus::Family<prometheus::Histogram> &latency;
+    prometheus::Histogram &documentDelay;
+    prometheus::Counter &documentOverdue;
+    prometheus::Counter &documentBytes;
     prometheus::Family<prometheus::Gauge> &gauges;
 };
 
@@ -98,6 +116,13 @@
     impl_->picks.Add({ { "by", std::string { by } } }).Increment();
 }
 
+auto Metrics::onDocument(Duration took, std::uint32_t overdue, std::uint64_t fetchedBytes) -> void
+{
+    impl_->documentDelay.Observe(seconds(took));
+    impl_->documentOverdue.Increment(overdue);
+    impl_->documentBytes.Increment(static_cast<double>(fetchedBytes));
+}
+
 auto Metrics::text(const GatewayGauges &gauges) -> std::string
 {
     const auto set = [&](const char *what, double value) {
--- a/gateway/metrics.h
+++ b/gateway/metrics.h
@@ -49,6 +49,10 @@
     auto onEndpointFailure() -> void;
     /// A choice among several endpoints. @param by who made it, of a fixed set
     auto onPick(std::string_view by) -> void;
+    /// A document was put into force. @param took since it, or a newer one, was announced here
+    /// @param overdue questions for it that another control was asked besides
+    /// @param fetchedBytes of its blocks
+    auto onDocument(Duration took, std::uint32_t overdue, std::uint64_t fetchedBytes) -> void;
     /// @return the page
     auto text(const GatewayGauges &gauges) -> std::string;
 
--- a/gateway/testing/feedrig.h
+++ b/gateway/testing/feedrig.h
@@ -10,16 +10,19 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "catalogue/documentblocks.h"
 #include "gateway/controlfeed.h"
 
 namespace figrack::gateway::testing {
 
 constexpr auto patience = std::chrono::seconds { 20 };
+constexpr auto idleStep = std::chrono::milliseconds { 10 };
 
 inline auto channelOf(const std::string &name) -> proto::ChannelOptions
 {
@@ -32,53 +35,57 @@
 /// A control that names a leader and answers picks with its own name, unless it is silent.
 struct FakeControl
 {
-    FakeControl(boost::asio::io_context &context, std::string itsName, const std::string &leader)
-        : name(std::move(itsName))
-        , documentTimer(context)
+    FakeControl(boost::asio::io_context &itsContext, std::string itsName, const std::string &leader)
+        : context(itsContext)
+        , name(std::move(itsName))
     {
         auto handler = proto::PeerHandler {};
-        handler.onMessage
-                = [this, leader](const proto::PeerPointer &peer, const proto::Envelope &envelope) {
-                      if (std::holds_alternative<proto::Subscribe>(envelope.payload)) {
-                          auto update = proto::ServingUpdate {};
-                          update.leader = NodeId { leader };
-                          update.term = Term { 1 };
-                          update.document = document;
-                          peer->send({ 0, update });
-                      } else if (std::holds_alternative<proto::PickRequest>(envelope.payload)) {
-                          ++asked;
-                          if (!isSilent)
-                              peer->send({ envelope.correlation,
-                                           proto::PickReply { EndpointId { name }, 0, 0, 0, {} } });
-                      } else if (std::holds_alternative<proto::PickEnd>(envelope.payload)) {
-                          ++ended;
-                      } else if (std::holds_alternative<proto::DocumentRequest>(envelope.payload)) {
-                          sendDocument(peer, envelope.correlation);
-                      }
-                  };
+        handler.onMessage = [this, leader](const proto::PeerPointer &peer,
+                                           const proto::Envelope &envelope) {
+            if (std::holds_alternative<proto::Subscribe>(envelope.payload)) {
+                auto update = proto::ServingUpdate {};
+                update.leader = NodeId { leader };
+                update.term = Term { 1 };
+                update.document = document;
+                peer->send({ 0, update });
+            } else if (std::holds_alternative<proto::PickRequest>(envelope.payload)) {
+                ++asked;
+                if (!isSilent)
+                    peer->send({ envelope.correlation,
+                                 proto::PickReply { EndpointId { name }, 0, 0, 0, {} } });
+            } else if (std::holds_alternative<proto::PickEnd>(envelope.payload)) {
+                ++ended;
+            } else if (std::holds_alternative<proto::ManifestRequest>(envelope.payload)) {
+                answerLater(peer, envelope.correlation,
+                            proto::ManifestReply { document, catalogue::manifestOf(text) });
+            } else if (std::holds_alternative<proto::BlocksRequest>(envelope.payload)) {
+                answerLater(peer, envelope.correlation, proto::BlocksReply { { text } });
+            }
+        };
         server = std::make_unique<proto::PeerServer>(context, channelOf(name), std::move(handler));
         REQUIRE(server->start({ "127.0.0.1", 0 }).ok());
     }
     auto address() const -> Address { return { "127.0.0.1", server->port() }; }
-    auto sendDocument(const proto::PeerPointer &peer, std::uint64_t correlation) -> void
+    auto answerLater(const proto::PeerPointer &peer, std::uint64_t correlation,
+                     proto::Payload answer) -> void
     {
-        ++documentsAsked;
         if (holdsBackDocuments)
             return;
-        documentTimer.expires_after(documentDelay);
-        documentTimer.async_wait([this, peer, correlation](const boost::system::error_code &error) {
+        auto timer = std::make_shared<boost::asio::steady_timer>(context, documentDelay);
+        timer->async_wait([timer, peer, correlation,
+                           answer = std::move(answer)](const boost::system::error_code &error) {
             if (!error)
-                peer->send({ correlation, proto::DocumentReply { document, "text" } });
+                peer->send({ correlation, answer });
         });
     }
 
+    boost::asio::io_context &context;
     std::string name;
-    Revision document;            ///< That it announces; 0: none.
-    Duration documentDelay { 0 }; ///< What its document takes on a slow link.
-    boost::asio::steady_timer documentTimer;
+    Revision document;               ///< That it announces; 0: none.
+    std::string text = "text";       ///< Of one block.
+    Duration documentDelay { 0 };    ///< What an answer about a document takes on a slow link.
     bool isSilent = false;           ///< Answers no pick.
     bool holdsBackDocuments = false; ///< Answers no question for a document.
-    int documentsAsked = 0;
     int asked = 0;
     int ended = 0;
     std::unique_ptr<proto::PeerServer> server;
@@ -109,9 +116,8 @@
         auto updates = std::make_shared<std::size_t>(0);
         auto hooks = ControlFeedHooks {};
         hooks.onUpdate = [updates](const proto::ServingUpdate &) { ++*updates; };
-        hooks.onDocument = [this](Revision version, const std::string &) {
-            documents.push_back(version);
-            return true;
+        hooks.onDocument = [this](const FetchedDocument &document) {
+            documents.push_back(document.version);
         };
         feeds.push_back(std::make_unique<ControlFeed>(context, options, clock, std::move(hooks)));
         feeds.back()->start();
@@ -135,10 +141,14 @@
 
     auto runUntil(const std::function<bool()> &condition) -> void
     {
-        const auto end = std::chrono::steady_clock::now() + patience;
-        while (!condition() && std::chrono::steady_clock::now() < end) {
+        auto now = std::chrono::steady_clock::now();
+        const auto end = now + patience;
+        while (!condition() && now < end) {
             context.restart();
-            context.run_one_for(std::chrono::milliseconds { 10 });
+            context.run_one_for(idleStep);
+            // The feeds' clock goes on as their timers do.
+            const auto before = std::exchange(now, std::chrono::steady_clock::now());
+            clock.advance(now - before);
         }
         REQUIRE(condition());
     }
--- a/gateway/testing/tst_documentfeed.cpp
+++ b/gateway/testing/tst_documentfeed.cpp
@@ -18,8 +18,7 @@
         control->documentDelay = 60ms;
     }
     auto options = ControlFeedOptions {};
-    options.documentTimeout = 10ms;
-    options.longestDocumentTimeout = 10s;
+    options.documents.overdueAfter = 10ms;
     rig.addFeed("g1", options);
     rig.runUntil([&] { return rig.documents == std::vector { Revision { 5 } }; });
     CHECK(rig.documents.size() == 1);
--- a/proto/messages.h
+++ b/proto/messages.h
@@ -31,7 +31,7 @@
 
 namespace figrack::proto {
 
-constexpr auto protocolVersion = std::uint32_t { 1 };
+constexpr auto protocolVersion = std::uint32_t { 2 };
 constexpr auto maxFrameBytes = std::size_t { 16 } << 20;
 
 /// An error on the wire.
@@ -285,8 +285,8 @@
                              coord::RenewRequest, coord::RenewReply, DemandReport, EndpointReport,
                              LoadDigest, ClaimRequest, ClaimReply, ClaimEnd, Done, ReportRequest,
                              ReportReply, coord::Message, Subscribe, ServingUpdate, ServingAck,
-                             DocumentRequest, DocumentReply, ModelWanted, JoinGroup, PickRequest,
-                             PickReply, PickEnd>;
+                             ManifestRequest, ManifestReply, BlocksRequest, BlocksReply,
+                             ModelWanted, JoinGroup, PickRequest, PickReply, PickEnd>;
 
 struct Envelope
 {
--- a/proto/servingmessages.h
+++ b/proto/servingmessages.h
@@ -1,10 +1,11 @@
 // What controls and gateways say to one another about documents, endpoints and
 // demand; part of the inner protocol (proto/messages.h).
 //
-//   gateway, control -> control   Subscribe, DocumentRequest, ServingAck, ModelWanted
+//   gateway, control -> control   Subscribe, ServingAck, ModelWanted
+//   gateway          -> control   ManifestRequest, BlocksRequest (answered by their replies)
 //   gateway          -> control   PickRequest (answered by PickReply), PickEnd
 //   joining control  -> control   JoinGroup
-//   control -> subscriber         ServingUpdate, DocumentReply
+//   control -> subscriber         ServingUpdate, ManifestReply, BlocksReply
 
 #ifndef FIGRACK_PROTO_SERVINGMESSAGES_H
 #define FIGRACK_PROTO_SERVINGMESSAGES_H
@@ -13,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "catalogue/documentblocks.h"
 #include "catalogue/endpointrow.h"
 #include "coord/messages.h"
 #include "core/ids.h"
@@ -80,7 +82,8 @@
     }
 };
 
-struct DocumentRequest
+/// Asks for the blocks of the newest document that the control knows to be committed.
+struct ManifestRequest
 {
     Revision atLeast;
     template<typename Archive>
@@ -89,14 +92,34 @@
         archive(atLeast);
     }
 };
-struct DocumentReply
+struct ManifestReply
 {
-    Revision version;
-    std::string text;
+    Revision version; ///< 0: it has none.
+    std::vector<catalogue::BlockRef> blocks;
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(version, text);
+        archive(version, blocks);
+    }
+};
+
+/// Asks for blocks of any document of late.
+struct BlocksRequest
+{
+    std::vector<catalogue::BlockId> blocks;
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(blocks);
+    }
+};
+struct BlocksReply
+{
+    std::vector<std::string> blocks; ///< Those that the control holds, in the order asked for.
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(blocks);
     }
 };
 
