lastknown: a failed write is tried again

A failed write was left to the next save, which for a document may never come: the next start then recalled an older one, and gateways obeyed it until an election. The new test fails before (6 of 39 checks: each call of the disk failing once) and passes now.

--- a/fleet/lastknown.cpp
+++ b/fleet/lastknown.cpp
@@ -5,6 +5,7 @@
 #include "fleet/lastknown.h"
 
 #include <cstring>
+#include <set>
 #include <utility>
 
 #define XXH_INLINE_ALL
@@ -21,6 +22,8 @@
 constexpr auto endpointsName = "known-endpoints";
 /// The log's recovery removes files of such a name that were left behind.
 constexpr auto temporarySuffix = ".tmp";
+/// After a failed write. A disk that is full or stalled is so for seconds; bounds the log, too.
+constexpr auto retryPause = std::chrono::seconds { 1 };
 
 auto checksum(std::string_view payload) -> std::uint64_t
 {
@@ -111,19 +114,29 @@
 
 auto LastKnownStore::writeLoop() -> void
 {
+    auto triedAtEnd = std::set<std::string> {};
     auto lock = std::unique_lock { mutex_ };
     while (true) {
         wake_.wait(lock, [this] { return stopping_ || !pending_.empty(); });
         if (pending_.empty())
             return; // All is written that was saved before the end.
-        const auto next = pending_.extract(pending_.begin());
+        const auto atEnd = stopping_;
+        auto next = pending_.extract(pending_.begin());
         lock.unlock();
-        if (auto status = write(next.key(), next.mapped()); !status.ok()) {
-            LogEvent(LogLevel::Warning, "last_known_not_written")
-                    .with("file", next.key())
-                    .with(status);
-        }
+        const auto status = write(next.key(), next.mapped());
         lock.lock();
+        if (status.ok())
+            continue;
+        const auto givesUp = atEnd && !triedAtEnd.insert(next.key()).second;
+        LogEvent(LogLevel::Warning, "last_known_not_written")
+                .with("file", next.key())
+                .with("again", !givesUp)
+                .with(status);
+        if (givesUp)
+            continue;
+        // For a document no other save may come. What was saved meanwhile is newer, and stays.
+        pending_.insert(std::move(next));
+        wake_.wait_for(lock, retryPause, [this] { return stopping_; });
     }
 }
 
--- a/fleet/lastknown.h
+++ b/fleet/lastknown.h
@@ -17,8 +17,9 @@
 // configuration, who is owed the newest.
 //
 // Guarantees: what is loaded was saved as a whole, or it is empty. A failed write
-// is logged and made good by the next one. save() never waits for the disk: a
-// thread of its own writes, the newest state only.
+// is logged and tried again until it succeeds, a newer one takes its place, or the
+// store ends (once more then). save() never waits for the disk: a thread of its own
+// writes, the newest state only.
 
 #ifndef FIGRACK_FLEET_LASTKNOWN_H
 #define FIGRACK_FLEET_LASTKNOWN_H
--- a/fleet/testing/tst_lastknown.cpp
+++ b/fleet/testing/tst_lastknown.cpp
@@ -94,3 +94,23 @@
     CHECK(store.loadDocument().version == Revision {});
     CHECK(store.loadEndpoints().empty());
 }
+
+// What users could see: after a restart of all processes gateways went by an older document than
+// before it, until a leader had committed. Order of events: a change is applied; the write beside
+// the log fails, once, by a full or stalled disk; no further change comes; all processes restart.
+// Cause: a failed write was left to the next save, which for a document may never come.
+TEST_CASE("A write that failed once is tried again without another save")
+{
+    auto ended = false;
+    for (auto call = std::size_t { 1 }; !ended; ++call) {
+        auto disk = makeDisk();
+        saveAll(disk, { Revision { 7 }, "seven" });
+        const auto last = disk.calls() + call;
+        disk.failAt(last, call % 2 == 0 ? FakeDisk::Fault::Failed : FakeDisk::Fault::Full);
+        saveAll(disk, { Revision { 8 }, "eight" });
+        ended = disk.calls() < last;
+        auto store = LastKnownStore { folder, disk };
+        CHECK(store.loadDocument().version == Revision { 8 });
+        CHECK(store.loadEndpoints().size() == 2);
+    }
+}
