core: a change is acknowledged once the gateways obey it, 400 ms after its commit at the latest

An acknowledgement followed the log's commit alone, whatever gateways held; nobody could tell the time from the acknowledgement to its being in force. Gateways tell the leader what they obey (DocumentInForce), fleet/documentspread decides, and logs one line a change: gateways, lacking, how long it waited. Weighed: leases for gateways as the native routers have (docs/design/configuration.md): a cut of all controls would then cost all service.

--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -12,6 +12,7 @@
 #include "core/error.h"
 #include "core/log.h"
 #include "fleet/documentshelf.h"
+#include "fleet/documentspread.h"
 #include "fleet/lastknown.h"
 #include "fleet/proposals.h"
 
@@ -51,6 +52,7 @@
         , readDocument_(std::move(readDocument))
         , random_(seed)
         , lastKnown_(options_.dataFolder, disk_)
+        , spread_(clock)
         , registry_(options_.registry, clock)
         , keeper_(options_.group, clock)
         , demand_(options_.demand, clock)
@@ -109,8 +111,10 @@
             done(makeError(ErrorKind::NotLeader, "control"));
             return;
         }
-        if (document.version <= log_.document().version) {
-            done(absl::OkStatus());
+        const auto version = document.version;
+        const auto deadline = clock_.now() + options_.proposalTimeout;
+        if (version <= log_.document().version) {
+            awaitSpread(version, deadline, std::move(done));
             return;
         }
         const auto term = replica_->status().term;
@@ -119,8 +123,13 @@
             done(index.status());
             return;
         }
-        const auto deadline = clock_.now() + options_.proposalTimeout;
-        proposals_.add(*index, term, deadline, std::move(done));
+        auto onCommitted = [this, version, deadline, done = std::move(done)](absl::Status status) {
+            if (status.ok())
+                awaitSpread(version, deadline, done);
+            else
+                done(std::move(status));
+        };
+        proposals_.add(*index, term, deadline, std::move(onCommitted));
         replica_->flush();
         settle();
     }
@@ -231,6 +240,7 @@
                       if (!self)
                           return;
                       self->registry_.onClose(peer);
+                      self->spread_.onLost(peer);
                       self->demand_.onGatewayLost(peer->peer());
                       self->balancer_.onGatewayLost(peer->peer());
                   };
@@ -244,9 +254,11 @@
                 replica_->receive(*message);
             settle();
         } else if (const auto *subscribe = std::get_if<proto::Subscribe>(&envelope.payload)) {
-            registry_.onSubscribe(peer, *subscribe);
+            onSubscribe(peer, *subscribe);
         } else if (const auto *ack = std::get_if<proto::ServingAck>(&envelope.payload)) {
             registry_.onAck(peer, *ack);
+        } else if (const auto *inForce = std::get_if<proto::DocumentInForce>(&envelope.payload)) {
+            spread_.onInForce(peer, inForce->version);
         } else if (const auto *wanted = std::get_if<proto::ModelWanted>(&envelope.payload)) {
             if (demand_.onReport(peer->peer(), *wanted))
                 planSoon();
@@ -267,6 +279,20 @@
         }
     }
 
+    auto onSubscribe(const proto::PeerPointer &peer, const proto::Subscribe &subscribe) -> void
+    {
+        registry_.onSubscribe(peer, subscribe);
+        if (subscribe.kind == proto::SubscriberKind::Gateway)
+            spread_.onSubscribed(peer, subscribe.ready, subscribe.inForce);
+    }
+
+    /// An operator's next step may rely on the change, so gateways are given time to obey it.
+    auto awaitSpread(Revision version, Instant deadline, Done done) -> void
+    {
+        const auto patience = std::min(deadline, clock_.now() + options_.spreadPatience);
+        spread_.await(version, patience, [done = std::move(done)] { done(absl::OkStatus()); });
+    }
+
     auto onUpdate(const proto::ServingUpdate &update) -> void
     {
         registry_.onUpdate(update);
@@ -347,6 +373,7 @@
         settle();
         restartIfStopped();
         registry_.tick();
+        spread_.settle();
         rememberEndpoints();
         const auto now = clock_.now();
         if (now >= nextKeep_ && replica_) {
@@ -611,6 +638,7 @@
     Document recalled_; ///< What was applied here before the start.
     ConfigLog log_;
     DocumentShelf shelf_;
+    DocumentSpread spread_;
     Registry registry_;
     GroupKeeper keeper_;
     DemandTable demand_;
--- a/fleet/core.h
+++ b/fleet/core.h
@@ -59,6 +59,9 @@
     /// A change that is not committed within it is answered as unclear; endpoints and operators
     /// wait for a second.
     Duration proposalTimeout = std::chrono::milliseconds { 900 };
+    /// For gateways to obey a change that is committed, before it is acknowledged. Some hundred
+    /// milliseconds at size; one that stands still delays each change by it.
+    Duration spreadPatience = std::chrono::milliseconds { 400 };
     /// Endpoints are kept for a restart as often, when they have changed.
     Duration saveEndpointsEvery = std::chrono::seconds { 1 };
     Duration restartEvery = std::chrono::seconds { 1 };
@@ -92,7 +95,8 @@
     auto reload(const std::vector<Address> &seeds) -> void;
 
     /// Only where read() gives the document. @param document checked by the caller
-    /// @param done OK once it is committed or was overtaken; else the outcome is unknown
+    /// @param done OK once it is committed or was overtaken, and the gateways obey it or have had
+    /// spreadPatience for it; else the outcome is unknown
     auto propose(const Document &document, Done done) -> void;
     auto read() const -> ReadResult;
     auto registry() -> Registry &;
--- /dev/null
+++ b/fleet/documentspread.cpp
@@ -0,0 +1,86 @@
+#include "fleet/documentspread.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/log.h"
+
+namespace figrack::fleet {
+
+DocumentSpread::DocumentSpread(const Clock &clock)
+    : clock_(clock)
+{ }
+
+auto DocumentSpread::onSubscribed(const proto::PeerPointer &peer, bool ready, Revision version)
+        -> void
+{
+    auto &gateway = gateways_[peer.get()];
+    gateway.name = peer->peer();
+    gateway.ready = ready;
+    gateway.version = std::max(gateway.version, version);
+    settle();
+}
+
+auto DocumentSpread::onInForce(const proto::PeerPointer &peer, Revision version) -> void
+{
+    const auto found = gateways_.find(peer.get());
+    if (found == gateways_.end())
+        return; // It tells all that it knows when it subscribes.
+    found->second.version = std::max(found->second.version, version);
+    settle();
+}
+
+auto DocumentSpread::onLost(const proto::PeerPointer &peer) -> void
+{
+    if (gateways_.erase(peer.get()) > 0)
+        settle();
+}
+
+auto DocumentSpread::await(Revision version, Instant deadline, Done done) -> void
+{
+    waiting_.push_back({ version, clock_.now(), deadline, std::move(done) });
+    settle();
+}
+
+auto DocumentSpread::settle() -> void
+{
+    const auto now = clock_.now();
+    auto ended = std::vector<std::pair<Waiting, std::vector<NodeId>>> {};
+    for (auto item = waiting_.begin(); item != waiting_.end();) {
+        auto without = lacking(item->version);
+        if (!without.empty() && now < item->deadline) {
+            ++item;
+            continue;
+        }
+        ended.emplace_back(std::move(*item), std::move(without));
+        item = waiting_.erase(item);
+    }
+    for (const auto &[waiting, without] : ended)
+        end(waiting, without);
+}
+
+auto DocumentSpread::lacking(Revision version) const -> std::vector<NodeId>
+{
+    auto result = std::vector<NodeId> {};
+    for (const auto &[peer, gateway] : gateways_) {
+        if (gateway.ready && gateway.version < version)
+            result.push_back(gateway.name);
+    }
+    return result;
+}
+
+auto DocumentSpread::end(const Waiting &waiting, const std::vector<NodeId> &lacking) const -> void
+{
+    const auto took = clock_.now() - waiting.since;
+    auto line
+            = LogEvent { lacking.empty() ? LogLevel::Info : LogLevel::Warning, "document_spread" };
+    line.with("version", waiting.version)
+            .with("gateways", static_cast<std::uint64_t>(gateways_.size()))
+            .with("lacking", static_cast<std::uint64_t>(lacking.size()))
+            .with("waited_ms", std::chrono::duration_cast<std::chrono::milliseconds>(took).count());
+    if (!lacking.empty())
+        line.with("first_lacking", lacking.front());
+    waiting.done();
+}
+
+} // namespace figrack::fleet
--- a/gateway/controlfeed.cpp
+++ b/gateway/controlfeed.cpp
@@ -94,7 +94,8 @@
             return;
         if (!update->leader.empty() && update->term >= leaderTerm_) {
             leaderTerm_ = update->term;
-            leader_ = update->leader;
+            if (std::exchange(leader_, update->leader) != update->leader)
+                static_cast<void>(pushToLeader(proto::DocumentInForce { inForce_ }));
         }
         for (const auto &member : update->controls) {
             if (const auto other = parseAddress(member.address); other.ok())
@@ -132,13 +133,21 @@
     {
         if (stopped_)
             return;
-        while (const auto document = fetch_.take())
-            hooks_.onDocument(*document);
+        while (const auto document = fetch_.take()) {
+            if (hooks_.onDocument(*document))
+                tellInForce(document->version);
+        }
         for (const auto &ask : fetch_.next())
             std::visit([this](const auto &question) { send(question); }, ask);
         lookLater();
     }
 
+    auto tellInForce(Revision version) -> void
+    {
+        inForce_ = version;
+        static_cast<void>(pushToLeader(proto::DocumentInForce { inForce_ }));
+    }
+
     auto send(const ManifestAsk &ask) -> void
     {
         call(ask.control, proto::ManifestRequest { ask.atLeast });
@@ -191,7 +200,8 @@
 
     auto subscription() const -> proto::Subscribe
     {
-        return { proto::SubscriberKind::Gateway, options_.callers, options_.domain, ready_ };
+        return { proto::SubscriberKind::Gateway, options_.callers, options_.domain, ready_,
+                 inForce_ };
     }
 
     auto setReady(bool ready) -> void
@@ -204,11 +214,12 @@
         }
     }
 
-    auto sendWanted(proto::ModelWanted wanted) -> bool
+    /// @return false when no leader is known or connected
+    auto pushToLeader(proto::Payload payload) -> bool
     {
         for (auto &[address, control] : controls_) {
             if (control.open && control.node == leader_)
-                return control.client->push(std::move(wanted));
+                return control.client->push(std::move(payload));
         }
         return false;
     }
@@ -318,6 +329,7 @@
     std::map<Address, Control> controls_;
     NodeId leader_;
     Term leaderTerm_;
+    Revision inForce_; ///< Obeyed here.
     DocumentFetch fetch_;
     asio::steady_timer fetchTimer_;
     bool ready_ = false;
@@ -357,7 +369,7 @@
 
 auto ControlFeed::sendWanted(proto::ModelWanted wanted) -> bool
 {
-    return impl_->sendWanted(std::move(wanted));
+    return impl_->pushToLeader(std::move(wanted));
 }
 
 auto ControlFeed::balancerLink() -> BalancerLink
--- a/gateway/controlfeed.h
+++ b/gateway/controlfeed.h
@@ -49,7 +49,8 @@
 struct ControlFeedHooks
 {
     std::function<void(const proto::ServingUpdate &)> onUpdate;
-    std::function<void(const FetchedDocument &)> onDocument;
+    /// @return true when it is obeyed from now on
+    std::function<bool(const FetchedDocument &)> onDocument;
 };
 
 class ControlFeed
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -124,7 +124,7 @@
     {
         auto hooks = ControlFeedHooks {};
         hooks.onUpdate = [this](const proto::ServingUpdate &update) { onUpdate(update); };
-        hooks.onDocument = [this](const FetchedDocument &document) { onDocument(document); };
+        hooks.onDocument = [this](const FetchedDocument &document) { return onDocument(document); };
         return hooks;
     }
 
@@ -138,7 +138,7 @@
             waiters_.wakeAll();
     }
 
-    auto onDocument(const FetchedDocument &document) -> void
+    auto onDocument(const FetchedDocument &document) -> bool
     {
         auto catalogue = dialect_.readDocument(document.text);
         if (!catalogue.ok()) {
@@ -146,7 +146,7 @@
             LogEvent(LogLevel::Error, "document_not_read")
                     .with("version", document.version)
                     .with(catalogue.status());
-            return;
+            return false;
         }
         LogEvent(LogLevel::Info, "config_in_force")
                 .with("version", document.version)
@@ -161,6 +161,7 @@
         forwarder_.setCatalogue(
                 std::make_shared<const catalogue::Catalogue>(*std::move(catalogue)));
         feed_.setReady(ready());
+        return true;
     }
 
     auto scheduleDemand() -> void
--- a/gateway/testing/feedrig.h
+++ b/gateway/testing/feedrig.h
@@ -118,6 +118,7 @@
         hooks.onUpdate = [updates](const proto::ServingUpdate &) { ++*updates; };
         hooks.onDocument = [this](const FetchedDocument &document) {
             documents.push_back(document.version);
+            return true;
         };
         feeds.push_back(std::make_unique<ControlFeed>(context, options, clock, std::move(hooks)));
         feeds.back()->start();
--- a/proto/messages.h
+++ b/proto/messages.h
@@ -285,8 +285,8 @@
                              coord::RenewRequest, coord::RenewReply, DemandReport, EndpointReport,
                              LoadDigest, ClaimRequest, ClaimReply, ClaimEnd, Done, ReportRequest,
                              ReportReply, coord::Message, Subscribe, ServingUpdate, ServingAck,
-                             ManifestRequest, ManifestReply, BlocksRequest, BlocksReply,
-                             ModelWanted, JoinGroup, PickRequest, PickReply, PickEnd>;
+                             DocumentInForce, ManifestRequest, ManifestReply, BlocksRequest,
+                             BlocksReply, ModelWanted, JoinGroup, PickRequest, PickReply, PickEnd>;
 
 struct Envelope
 {
--- a/proto/servingmessages.h
+++ b/proto/servingmessages.h
@@ -2,8 +2,8 @@
 // demand; part of the inner protocol (proto/messages.h).
 //
 //   gateway, control -> control   Subscribe, ServingAck, ModelWanted
-//   gateway          -> control   ManifestRequest, BlocksRequest (answered by their replies)
-//   gateway          -> control   PickRequest (answered by PickReply), PickEnd
+//   gateway          -> control   DocumentInForce, ManifestRequest, BlocksRequest (answered by
+//   their replies) gateway          -> control   PickRequest (answered by PickReply), PickEnd
 //   joining control  -> control   JoinGroup
 //   control -> subscriber         ServingUpdate, ManifestReply, BlocksReply
 
@@ -31,10 +31,22 @@
     Address callers; ///< Where callers connect; of a gateway only.
     DomainId domain;
     bool ready = false; ///< Whether callers may be sent there.
+    Revision inForce;   ///< The document that the gateway obeys; 0: none.
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(kind, callers, domain, ready);
+        archive(kind, callers, domain, ready, inForce);
+    }
+};
+
+/// The gateway obeys a document from now on; to the leader.
+struct DocumentInForce
+{
+    Revision version;
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(version);
     }
 };
 
