Endpoints that start again under their id: each incarnation is an endpoint of its own

An endpoint may start again under its id; it then holds nothing and counts its orders anew. An announcement with a lower sequence was taken for an old one, accounts, bookings, limits and kept beginnings went over to it, and what its predecessor had sent and a cut held back could end it. EndpointId now holds name and incarnation, so that all state kept by it begins anew without a line of its own: accounts, orders under way, balancer, learned limits, kept beginnings, load sums. Registry and gateway end the older incarnations when a newer one is heard; what an older one says later changes nothing. The gateway ends requests in progress there, which go on elsewhere where the route allows it. A report of another incarnation is not believed. An incarnation that falls (a clock set back) is taken when it goes on for 4 s while the other is silent. A late announcement does not displace an endpoint that was started later at its address. Ruled out: an incarnation beside the id in each table, compared at each use: sixteen places, and the next one forgets it.

--- a/catalogue/endpointrow.h
+++ b/catalogue/endpointrow.h
@@ -36,7 +36,7 @@
 
 struct EndpointRow
 {
-    EndpointId id; ///< Of one life: a restarted endpoint has another.
+    EndpointId id; ///< Of one incarnation.
     ServiceId service;
     Address address;
     DomainId domain;
@@ -61,6 +61,41 @@
     }
 };
 
+/// Visits the entries of all incarnations of an endpoint.
+/// @param rows a map from EndpointId; const or not
+template<typename Rows, typename Visit>
+auto forEachIncarnation(Rows &rows, const EndpointId &id, const Visit &visit) -> void
+{
+    const auto name = std::string { id.name() };
+    // Names that begin alike may sort between an id without an incarnation and those with one.
+    if (const auto plain = rows.find(EndpointId { name }); plain != rows.end())
+        visit(*plain);
+    const auto prefix = name + EndpointId::separator;
+    for (auto item = rows.lower_bound(EndpointId { prefix }); item != rows.end(); ++item) {
+        if (item->first.value().compare(0, prefix.size(), prefix) != 0)
+            return;
+        visit(*item);
+    }
+}
+
+/// Among incarnations of one endpoint the newest is in use and the others are over.
+/// @param rows a map from EndpointId to what holds a row @param rowOf gives the row of an entry
+/// @return the live row of another incarnation of the endpoint that stands against this one, being
+/// newer; nullptr when there is none
+template<typename Rows, typename RowOf>
+auto newerIncarnation(const Rows &rows, const EndpointId &id, const RowOf &rowOf)
+        -> const EndpointRow *
+{
+    const EndpointRow *newest = nullptr;
+    forEachIncarnation(rows, id, [&](const auto &item) {
+        const EndpointRow &row = rowOf(item.second);
+        const auto isLive = row.state != EndpointState::Gone;
+        if (isLive && row.id.incarnation() > id.incarnation())
+            newest = &row;
+    });
+    return newest;
+}
+
 /// @return true when a row tells news of the endpoint that another row is of: a later announcement
 /// or, of the same one, what orders have changed since; and nothing after it is gone
 auto isNewer(const EndpointRow &row, const EndpointRow &than) -> bool;
--- a/core/ids.h
+++ b/core/ids.h
@@ -9,10 +9,12 @@
 #ifndef FIGRACK_CORE_IDS_H
 #define FIGRACK_CORE_IDS_H
 
+#include <charconv>
 #include <compare>
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace figrack {
@@ -73,8 +75,7 @@
 using OrderId = NumberId<struct OrderIdTag>;         ///< The log index of the order's intent.
 using Fence = NumberId<struct FenceTag>;             ///< Fencing number carried by every order.
 
-using NodeId = NameId<struct NodeIdTag>; ///< A router or control process.
-using EndpointId = NameId<struct EndpointIdTag>;
+using NodeId = NameId<struct NodeIdTag>;       ///< A router or control process.
 using ModelId = NameId<struct ModelIdTag>;     ///< A base model or an adapter.
 using ClassId = NameId<struct ClassIdTag>;     ///< An operator's class of work.
 using ServiceId = NameId<struct ServiceIdTag>; ///< A plain service.
@@ -83,6 +84,43 @@
 using ChangeId = NameId<struct ChangeIdTag>; ///< An operator's own id of one change.
 using IdempotencyKey = NameId<struct IdempotencyKeyTag>;
 
+/// One incarnation of an endpoint. An endpoint that starts again under its name is another one to
+/// all that keep state by this id: orders, bookings, limits and copies of the one before do not
+/// carry over. The text is the name and, where the endpoint tells its incarnation, '#' and the
+/// number; a name that comes from outside must not hold that character.
+class EndpointId : public NameId<struct EndpointIdTag>
+{
+public:
+    EndpointId() = default;
+    /// @param value as value() gives it
+    explicit EndpointId(std::string value)
+        : NameId(std::move(value))
+    { }
+    /// @param incarnation 0: not told
+    EndpointId(const std::string &name, Incarnation incarnation)
+        : NameId(incarnation == Incarnation {}
+                         ? name
+                         : name + separator + std::to_string(incarnation.value()))
+    { }
+
+    /// @return what all incarnations share
+    auto name() const -> std::string_view
+    {
+        return std::string_view { value() }.substr(0, value().rfind(separator));
+    }
+    /// @return 0 when it was not told; the higher one is the newer
+    auto incarnation() const -> Incarnation
+    {
+        const auto end = value().rfind(separator);
+        auto number = std::uint64_t { 0 };
+        if (end != std::string::npos)
+            std::from_chars(value().data() + end + 1, value().data() + value().size(), number);
+        return Incarnation { number };
+    }
+
+    static constexpr auto separator = '#';
+};
+
 } // namespace figrack
 
 template<typename Tag>
@@ -103,4 +141,13 @@
     }
 };
 
+template<>
+struct std::hash<figrack::EndpointId>
+{
+    auto operator()(const figrack::EndpointId &id) const noexcept -> std::size_t
+    {
+        return std::hash<std::string> {}(id.value());
+    }
+};
+
 #endif // FIGRACK_CORE_IDS_H
--- a/fleet/orders.cpp
+++ b/fleet/orders.cpp
@@ -380,6 +380,13 @@
                     .with(report.status());
             co_return false;
         }
+        // The one that was meant is over, and news of its successor is on its way.
+        if (report->incarnation != id.incarnation()) {
+            LogEvent(LogLevel::Warning, "report_of_other_incarnation")
+                    .with("endpoint", id)
+                    .with("says", report->incarnation);
+            co_return false;
+        }
         registry_.amend(id, [&](EndpointRow &known) {
             known.models = report->models;
             known.inMemory = report->inMemory;
@@ -445,11 +452,11 @@
     auto isCarryingOut(const EndpointId &id) -> asio::awaitable<bool>
     {
         const auto *row = registry_.find(id);
-        if (row == nullptr)
+        if (row == nullptr || row->state == catalogue::EndpointState::Gone)
             co_return false;
         const auto copy = *row;
         const auto report = co_await port_.readReport(copy);
-        if (report.ok() && report->busy)
+        if (report.ok() && report->busy && report->incarnation == id.incarnation())
             co_return true;
         static_cast<void>(co_await learnAccount(id));
         co_return false;
--- a/fleet/orders.h
+++ b/fleet/orders.h
@@ -72,6 +72,7 @@
 {
     bool busy = false;       ///< An order is being carried out.
     std::uint64_t count = 0; ///< Orders accepted.
+    Incarnation incarnation; ///< Of the one that says it; 0: not told.
     std::vector<catalogue::HeldModel> models;
     std::vector<ModelId> inMemory;
     std::vector<ModelId> onDisk;
--- a/fleet/registry.cpp
+++ b/fleet/registry.cpp
@@ -75,9 +75,12 @@
 
 auto Registry::onUpdate(const proto::ServingUpdate &update) -> void
 {
-    for (const auto &row : update.endpoints) {
-        if (take(row))
-            relayed_.insert(row.id);
+    // The end of an incarnation first: another one may have taken its place.
+    for (const auto isGone : { true, false }) {
+        for (const auto &row : update.endpoints) {
+            if ((row.state == EndpointState::Gone) == isGone && take(row))
+                relayed_.insert(row.id);
+        }
     }
     const auto now = clock_.now();
     for (const auto &beat : update.beats) {
@@ -102,6 +105,13 @@
 
 auto Registry::hear(const EndpointRow &row) -> void
 {
+    if (isIgnored(row)) {
+        LogEvent(LogLevel::Info, "old_incarnation_ignored")
+                .with("endpoint", row.id)
+                .with("state", catalogue::endpointStateName(row.state))
+                .with("sequence", row.sequence);
+        return;
+    }
     const auto changed = take(row);
     auto &known = known_[row.id];
     known.heardAt = clock_.now();
@@ -113,6 +123,10 @@
 auto Registry::hearLeaving(const EndpointRow &row, Done done) -> void
 {
     hear(row);
+    if (!known_.contains(row.id) || isOver(row.id)) {
+        done(absl::OkStatus()); // No gateway sends there: it is another incarnation's place.
+        return;
+    }
     relayed_.erase(row.id);
     fresh_.insert(row.id);
     tell(fresh_, true);
@@ -132,7 +146,7 @@
 auto Registry::amend(const EndpointId &id, const std::function<void(EndpointRow &)> &change) -> void
 {
     const auto found = known_.find(id);
-    if (found == known_.end())
+    if (found == known_.end() || found->second.row.state == EndpointState::Gone)
         return;
     auto row = found->second.row;
     change(row);
@@ -192,6 +206,18 @@
     return found == known_.end() ? nullptr : &found->second.row;
 }
 
+auto Registry::inUse(const EndpointId &id) const -> const EndpointRow *
+{
+    const EndpointRow *newest = nullptr;
+    catalogue::forEachIncarnation(known_, id, [&](const auto &item) {
+        const auto &row = item.second.row;
+        const auto isNewest = newest == nullptr || row.id.incarnation() > newest->id.incarnation();
+        if (row.state != EndpointState::Gone && isNewest)
+            newest = &row;
+    });
+    return newest;
+}
+
 auto Registry::rows() const -> std::vector<const EndpointRow *>
 {
     auto result = std::vector<const EndpointRow *> {};
@@ -216,9 +242,70 @@
     onChanged_ = std::move(listener);
 }
 
+/// @return when a newer incarnation of the endpoint was last heard of; nullopt: none is known
+auto Registry::newerHeardAt(const EndpointId &id) const -> std::optional<Instant>
+{
+    auto result = std::optional<Instant> {};
+    catalogue::forEachIncarnation(known_, id, [&](const auto &item) {
+        if (item.first.incarnation() > id.incarnation())
+            result = std::max(result.value_or(Instant::min()), item.second.heardAt);
+    });
+    return result;
+}
+
+/// @return true for the word of an incarnation that is over
+auto Registry::isIgnored(const EndpointRow &row) -> bool
+{
+    if (known_.contains(row.id))
+        return false;
+    return row.state == EndpointState::Ready ? !mayBegin(row.id) : newerHeardAt(row.id).has_value();
+}
+
+/// @return true when the incarnation, of which nothing was known, is not over by what is known
+auto Registry::mayBegin(const EndpointId &id) -> bool
+{
+    const auto newer = newerHeardAt(id);
+    if (!newer)
+        return true;
+    const auto now = clock_.now();
+    auto &since = challengers_.try_emplace(id, now).first->second;
+    if (*newer >= since)
+        since = now;
+    if (now - since < options_.incarnationProof)
+        return false;
+    LogEvent(LogLevel::Warning, "incarnation_falls").with("endpoint", id);
+    challengers_.erase(id);
+    endOthers(id);
+    return true;
+}
+
+/// @return true when a newer incarnation of the endpoint is in use
+auto Registry::isOver(const EndpointId &id) const -> bool
+{
+    const auto rowOf = [](const Known &known) -> const EndpointRow & { return known.row; };
+    return catalogue::newerIncarnation(known_, id, rowOf) != nullptr;
+}
+
+/// The incarnation is in use: the others of the endpoint are over.
+auto Registry::endOthers(const EndpointId &id) -> void
+{
+    catalogue::forEachIncarnation(known_, id, [&](auto &item) {
+        auto &row = item.second.row;
+        if (item.first == id || row.state == EndpointState::Gone)
+            return;
+        row.state = EndpointState::Gone;
+        fresh_.insert(item.first);
+        LogEvent(LogLevel::Info, "incarnation_over").with("endpoint", item.first).with("by", id);
+        if (onChanged_)
+            onChanged_(row);
+    });
+}
+
 /// @return true when the row says something new
 auto Registry::take(const EndpointRow &row) -> bool
 {
+    if (!known_.contains(row.id) && isOver(row.id))
+        return false;
     auto [item, isNew] = known_.try_emplace(row.id);
     auto &known = item->second;
     if (isNew) {
@@ -238,6 +325,8 @@
             .with("state", catalogue::endpointStateName(row.state))
             .with("sequence", row.sequence)
             .with("models", static_cast<std::uint64_t>(row.models.size()));
+    if (isNew && row.state != EndpointState::Gone)
+        endOthers(row.id);
     if (onChanged_)
         onChanged_(known.row);
     return true;
@@ -299,6 +388,9 @@
 auto Registry::forgetOld() -> void
 {
     const auto now = clock_.now();
+    std::erase_if(challengers_, [&](const auto &item) {
+        return now - item.second >= options_.forgetSilentAfter;
+    });
     std::erase_if(known_, [&](const auto &item) {
         const auto isGone = item.second.row.state == EndpointState::Gone;
         const auto limit = isGone ? options_.forgetGoneAfter : options_.forgetSilentAfter;
--- a/fleet/registry.h
+++ b/fleet/registry.h
@@ -13,6 +13,10 @@
 // that is not subscribed learns of it before it sends anything, by the whole list that it gets when
 // it subscribes.
 //
+// An endpoint may start again under its name; each incarnation has an id of its own. The newest
+// that was heard of is in use and ends the others; what an older one said and arrives later changes
+// nothing, whether it says ready, draining or gone.
+//
 // Soft state: a control that restarts learns all endpoints anew from their
 // announcements and from the other controls. Not thread-safe.
 
@@ -22,6 +26,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -52,6 +57,11 @@
     /// One that was known before a restart and has not announced itself since: three intervals at
     /// which endpoints announce themselves.
     Duration recallFor = std::chrono::seconds { 4 };
+    /// An incarnation that calls itself older than one that is known is taken for one whose VM's
+    /// clock was set back, which must not be shut out, when it goes on announcing itself for so
+    /// long while the other is silent. What a cut has held back arrives at once, so that a dead one
+    /// does not pass for it; an endpoint that was set back is away for three announcements.
+    Duration incarnationProof = std::chrono::seconds { 4 };
 };
 
 /// A gateway to which callers may be sent.
@@ -100,6 +110,8 @@
     auto tick() -> void;
 
     auto find(const EndpointId &id) const -> const catalogue::EndpointRow *;
+    /// @return the newest incarnation of the endpoint that is in use, or nullptr
+    auto inUse(const EndpointId &id) const -> const catalogue::EndpointRow *;
     auto rows() const -> std::vector<const catalogue::EndpointRow *>;
     /// @return gateways that are subscribed, ready or not
     auto gatewayCount() const -> std::uint32_t;
@@ -131,7 +143,12 @@
         Done done;
     };
 
+    auto newerHeardAt(const EndpointId &id) const -> std::optional<Instant>;
+    auto isIgnored(const catalogue::EndpointRow &row) -> bool;
+    auto mayBegin(const EndpointId &id) -> bool;
+    auto isOver(const EndpointId &id) const -> bool;
     auto take(const catalogue::EndpointRow &row) -> bool;
+    auto endOthers(const EndpointId &id) -> void;
     auto tell(std::set<EndpointId> &ids, bool wantsAck) -> void;
     auto send(Subscriber &subscriber, proto::ServingUpdate update) -> void;
     auto baseUpdate() const -> proto::ServingUpdate;
@@ -146,6 +163,9 @@
     GroupView group_;
     std::map<EndpointId, Known> known_;
     std::map<const proto::PeerConnection *, Subscriber> subscribers_;
+    /// Incarnations older than one that is known, and since when they announce themselves while
+    /// that is silent.
+    std::map<EndpointId, Instant> challengers_;
     std::set<EndpointId> fresh_;   ///< Rows to tell with the next tick.
     std::set<EndpointId> relayed_; ///< Rows to tell with the next relay.
     Instant nextRelay_ {};
--- a/fleet/testing/tst_orders.cpp
+++ b/fleet/testing/tst_orders.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "core/error.h"
+#include "core/random.h"
 #include "fleet/orders.h"
 
 using namespace figrack;
@@ -20,6 +21,7 @@
 struct FakeEngine
 {
     std::uint64_t count = 0;
+    Incarnation incarnation;
     std::vector<HeldModel> models;
     std::vector<ModelOrder> seen;
     std::uint32_t unanswered = 0;  ///< So many next orders are accepted, and no answer given.
@@ -98,6 +100,8 @@
             --engine.unanswered;
             co_return OrderReply::NoAnswer;
         }
+        if (onAccepted)
+            onAccepted();
         if (engine.busyReports == 0)
             announce();
         co_return OrderReply::Accepted;
@@ -125,6 +129,7 @@
             forget();
         auto result = EngineReport {};
         result.count = engine.count;
+        result.incarnation = engine.incarnation;
         result.models = engine.models;
         if (engine.busyReports > 0 && !engine.seen.empty()) {
             result.busy = true;
@@ -146,7 +151,7 @@
 
     auto announce() -> void
     {
-        auto row = *registry.find(id);
+        auto row = *registry.inUse(id);
         ++row.sequence;
         row.orderVersion = 0;
         row.models = engine.models;
@@ -161,6 +166,7 @@
     OrderPort port;
     std::shared_ptr<const catalogue::EngineSpec> engineSpec = makeEngineSpec();
     std::unique_ptr<OrderRunner> runner;
+    std::function<void()> onAccepted; ///< What happens before the answer leaves; may be empty.
     bool mayOrder = true;
     bool forgetOnReport = false;
     int ended = 0;
@@ -332,3 +338,83 @@
     CHECK(runner.loading().size() == 2);
     CHECK(runner.stalledLoads() == std::map<ModelId, std::uint32_t> { { ModelId { "b" }, 1 } });
 }
+
+namespace {
+
+/// The endpoint starts again under its name, empty; orders are counted from 0.
+auto restart(OrderRig &rig, std::uint64_t incarnation) -> EndpointId
+{
+    rig.engine.count = 0;
+    rig.engine.models.clear();
+    rig.engine.incarnation = Incarnation { incarnation };
+    auto row = *rig.registry.find(rig.id);
+    row.id = EndpointId { std::string { rig.id.name() }, rig.engine.incarnation };
+    row.sequence = 1;
+    row.models.clear();
+    rig.registry.hear(row);
+    return row.id;
+}
+
+} // namespace
+
+TEST_CASE("Orders to an incarnation that is over are lost, and nothing is booked on the next one")
+{
+    auto rig = OrderRig {};
+    rig.engine.models = { { ModelId { "a" }, {} } };
+    auto next = EndpointId {};
+    // It restarts with the order accepted, before the load shows.
+    rig.onAccepted = [&] { next = restart(rig, 200); };
+    rig.run({ load("b") });
+    REQUIRE_FALSE(next.empty());
+    CHECK(rig.ended == 1);
+    CHECK(rig.registry.find(next)->models.empty());
+    CHECK(rig.runner->held(next) == nullptr);
+    CHECK(rig.runner->busySeconds(next) == 0);
+    CHECK(rig.runner->loading().empty());
+
+    // The next one is asked for its own count, and has all of its room.
+    rig.onAccepted = {};
+    rig.id = next;
+    rig.run({ load("c") });
+    rig.run({ load("a") });
+    CHECK(rig.engine.seen.back().expectedCount == 1);
+    CHECK(rig.engine.models.size() == 2);
+    CHECK_FALSE(rig.engine.overloaded);
+}
+
+TEST_CASE("A report of another incarnation than the one that is meant is not believed")
+{
+    auto rig = OrderRig {};
+    // It has restarted, and no control has heard of it yet.
+    rig.engine.incarnation = Incarnation { 200 };
+    rig.run({ load("a") });
+    CHECK(rig.engine.seen.empty());
+    CHECK(rig.runner->held(rig.id) == nullptr);
+}
+
+TEST_CASE("Restarts at any moment of a plan leave accounts that are exact")
+{
+    for (auto seed = 1U; seed <= 40; ++seed) {
+        CAPTURE(seed);
+        auto random = Random { seed };
+        auto rig = OrderRig {};
+        auto incarnation = std::uint64_t { 100 };
+        rig.onAccepted = [&] {
+            if (random.chance(0.3))
+                restart(rig, ++incarnation);
+        };
+        for (auto round = 0; round < 8; ++round) {
+            rig.id = rig.registry.inUse(rig.id)->id;
+            rig.run(random.chance(0.5) ? std::vector { load(random.chance(0.5) ? "a" : "b") }
+                                       : std::vector { unload("a"), load("c") });
+            REQUIRE_FALSE(rig.engine.overloaded);
+            const auto current = rig.registry.inUse(rig.id)->id;
+            if (const auto *held = rig.runner->held(current))
+                REQUIRE(held->size() == rig.engine.models.size());
+            for (const auto *row : rig.registry.rows()) {
+                if (row->id == current)
+                    REQUIRE(row->models.size() == rig.engine.models.size());
+            }
+        }
+    }
+}
--- a/fleet/testing/tst_registry.cpp
+++ b/fleet/testing/tst_registry.cpp
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 
 #include "core/error.h"
+#include "core/random.h"
 #include "fleet/configlog.h"
 #include "fleet/demandtable.h"
 #include "fleet/proposals.h"
@@ -283,3 +284,172 @@
     CHECK(rig.registry.find(EndpointId { "i-1" }) != nullptr);
     CHECK(rig.registry.find(EndpointId { "i-2" }) == nullptr);
 }
+
+namespace {
+
+auto isReady(const Registry &registry, const char *id) -> bool
+{
+    const auto *row = registry.find(EndpointId { id });
+    return row != nullptr && row->state == EndpointState::Ready;
+}
+
+} // namespace
+
+TEST_CASE("A newer incarnation ends the others, and what they say later changes nothing")
+{
+    auto rig = RegistryRig {};
+    rig.subscribe(rig.gateway);
+    rig.clock.advance(2s);
+    rig.registry.hear(makeRow("i-1#100", 7, EndpointState::Ready));
+    rig.registry.hear(makeRow("i-1#200", 1, EndpointState::Ready));
+    CHECK_FALSE(isReady(rig.registry, "i-1#100"));
+    CHECK(isReady(rig.registry, "i-1#200"));
+    rig.registry.tick();
+    auto told = std::map<EndpointId, EndpointState> {};
+    for (const auto &update : rig.gateway->updates) {
+        for (const auto &row : update.endpoints)
+            told[row.id] = row.state;
+    }
+    CHECK(told[EndpointId { "i-1#100" }] == EndpointState::Gone);
+    CHECK(told[EndpointId { "i-1#200" }] == EndpointState::Ready);
+
+    SUBCASE("ready")
+    {
+        rig.registry.hear(makeRow("i-1#100", 8, EndpointState::Ready));
+        rig.registry.hear(makeRow("i-1#50", 8, EndpointState::Ready));
+    }
+    SUBCASE("draining and gone, acknowledged at once")
+    {
+        rig.leave(makeRow("i-1#100", 8, EndpointState::Draining));
+        rig.leave(makeRow("i-1#50", 8, EndpointState::Gone));
+        REQUIRE(rig.ends.size() == 2);
+        CHECK(rig.ends[0].ok());
+        CHECK(rig.ends[1].ok());
+    }
+    SUBCASE("by another control")
+    {
+        auto update = proto::ServingUpdate {};
+        update.endpoints = { makeRow("i-1#100", 9, EndpointState::Ready),
+                             makeRow("i-1#50", 9, EndpointState::Draining) };
+        rig.registry.onUpdate(update);
+    }
+    CHECK_FALSE(isReady(rig.registry, "i-1#100"));
+    CHECK(isReady(rig.registry, "i-1#200"));
+    CHECK(rig.registry.inUse(EndpointId { "i-1" })->id == EndpointId { "i-1#200" });
+}
+
+TEST_CASE("What was known before a restart gives way to the incarnation that announces itself")
+{
+    auto rig = RegistryRig {};
+    rig.registry.recall({ makeRow("i-1#100", 7, EndpointState::Ready) });
+    CHECK(isReady(rig.registry, "i-1#100"));
+    rig.registry.hear(makeRow("i-1#200", 1, EndpointState::Ready));
+    CHECK_FALSE(isReady(rig.registry, "i-1#100"));
+}
+
+// The clock of its VM was set back: it must not be shut out for ever.
+TEST_CASE(
+        "An endpoint whose incarnation falls is taken when it goes on and the one before is silent")
+{
+    auto rig = RegistryRig {};
+    rig.registry.hear(makeRow("i-1#200", 7, EndpointState::Ready));
+    rig.clock.advance(20s);
+    for (auto sequence = 1U; sequence <= 4; ++sequence) {
+        rig.registry.hear(makeRow("i-1#150", sequence, EndpointState::Ready));
+        CHECK(isReady(rig.registry, "i-1#200"));
+        rig.clock.advance(1200ms);
+    }
+    rig.registry.hear(makeRow("i-1#150", 5, EndpointState::Ready));
+    CHECK_FALSE(isReady(rig.registry, "i-1#200"));
+    CHECK(isReady(rig.registry, "i-1#150"));
+}
+
+TEST_CASE("What a cut has held back of a dead incarnation does not pass for a clock that was set "
+          "back")
+{
+    auto rig = RegistryRig {};
+    rig.registry.recall({ makeRow("i-1#200", 7, EndpointState::Ready) });
+    rig.clock.advance(2s);
+    for (auto sequence = 1U; sequence <= 9; ++sequence) {
+        rig.registry.hear(makeRow("i-1#150", sequence, EndpointState::Ready));
+        rig.clock.advance(100ms);
+    }
+    CHECK(isReady(rig.registry, "i-1#200"));
+    // The live one is heard now and then: the other never passes.
+    for (auto sequence = 8U; sequence <= 30; ++sequence) {
+        if (sequence % 2 == 0)
+            rig.registry.hear(makeRow("i-1#200", sequence, EndpointState::Ready));
+        rig.registry.hear(makeRow("i-1#150", 10 + sequence, EndpointState::Ready));
+        rig.clock.advance(1200ms);
+        CHECK(isReady(rig.registry, "i-1#200"));
+    }
+}
+
+// Three controls hear of incarnations late, in any order, some not at all, and tell one another.
+TEST_CASE("Whatever is lost or late, no control goes back to an incarnation that is over")
+{
+    constexpr auto controls = std::size_t { 3 };
+    for (auto seed = 1U; seed <= 300; ++seed) {
+        CAPTURE(seed);
+        auto random = Random { seed };
+        auto clock = ManualClock {};
+        auto registries = std::vector<std::unique_ptr<Registry>> {};
+        auto peers = std::vector<std::shared_ptr<FakePeer>> {};
+        auto newest = std::vector<Incarnation>(controls);
+        for (auto i = std::size_t { 0 }; i < controls; ++i) {
+            registries.push_back(std::make_unique<Registry>(RegistryOptions {}, clock));
+            peers.push_back(std::make_shared<FakePeer>("p" + std::to_string(i)));
+            registries[i]->onSubscribe(peers[i], {});
+        }
+        const auto noteNewest = [&](std::size_t control) {
+            const auto *row = registries[control]->inUse(EndpointId { "i-1" });
+            const auto now = row == nullptr ? newest[control] : row->id.incarnation();
+            REQUIRE(now >= newest[control]);
+            newest[control] = now;
+            auto live = 0;
+            for (const auto *known : registries[control]->rows())
+                live += known->state == EndpointState::Gone ? 0 : 1;
+            REQUIRE(live <= 1);
+        };
+        struct Late
+        {
+            Instant at;
+            std::size_t control;
+            catalogue::EndpointRow row;
+        };
+        auto late = std::vector<Late> {};
+        auto incarnation = std::uint64_t { 100 };
+        auto sequence = std::uint64_t { 1 };
+        for (auto step = 0; step < 120; ++step) {
+            if (random.chance(0.1)) {
+                ++incarnation;
+                sequence = 1;
+            }
+            const auto drains = random.chance(0.1);
+            auto row = makeRow("i-1#" + std::to_string(incarnation), sequence++,
+                               drains ? EndpointState::Draining : EndpointState::Ready);
+            // At most 3 s late: a silent incarnation gives way only after that.
+            if (!random.chance(0.2))
+                late.push_back({ clock.now() + random.below(3000) * 1ms, random.below(controls),
+                                 std::move(row) });
+            clock.advance(random.below(400) * 1ms);
+            for (const auto &item : late) {
+                if (item.at <= clock.now()) {
+                    registries[item.control]->hear(item.row);
+                    noteNewest(item.control);
+                }
+            }
+            std::erase_if(late, [&](const auto &item) { return item.at <= clock.now(); });
+            for (auto from = std::size_t { 0 }; from < controls; ++from) {
+                registries[from]->tick();
+                for (const auto &update : std::exchange(peers[from]->updates, {})) {
+                    const auto to = random.below(controls);
+                    if (to == from || random.chance(0.3))
+                        continue;
+                    registries[to]->onUpdate(update);
+                    noteNewest(to);
+                }
+            }
+        }
+    }
+}
--- a/gateway/fleetview.cpp
+++ b/gateway/fleetview.cpp
@@ -14,8 +14,13 @@
 auto FleetView::apply(const proto::ServingUpdate &update) -> bool
 {
     auto changed = false;
-    for (const auto &row : update.endpoints)
-        changed = applyRow(row) || changed;
+    // The end of an incarnation first: another one may have taken its place.
+    for (const auto isGone : { true, false }) {
+        for (const auto &row : update.endpoints) {
+            if ((row.state == catalogue::EndpointState::Gone) == isGone)
+                changed = applyRow(row) || changed;
+        }
+    }
     const auto now = clock_.now();
     for (const auto &beat : update.beats) {
         auto *entry = find(beat.id);
@@ -42,15 +47,21 @@
 
 auto FleetView::applyRow(const catalogue::EndpointRow &row) -> bool
 {
+    if (!entries_.contains(row.id) && isOver(row.id))
+        return false;
     auto [item, isNew] = entries_.try_emplace(row.id);
     auto &entry = item->second;
     if (!isNew && !catalogue::isNewer(row, entry.row))
         return false;
     const auto changed = isNew || entry.isReplaced || !row.sameAs(entry.row);
-    if (isNew || entry.isReplaced)
+    // A cut may delay the announcement of one that has crashed until another has its address.
+    const auto isDisplaced = (isNew || entry.isReplaced) && hasYoungerAt(row);
+    if ((isNew || entry.isReplaced) && !isDisplaced)
         replaceOthersAt(row);
-    entry.isReplaced = false;
+    entry.isReplaced = isDisplaced;
     entry.isUnreached = false;
+    if (isNew && row.state != catalogue::EndpointState::Gone)
+        endOthers(row.id);
     if (isNew)
         byService_[row.service].push_back(row.id);
     if (changed) {
@@ -69,6 +80,29 @@
     return changed;
 }
 
+/// @return true when a newer incarnation of the endpoint is in use
+auto FleetView::isOver(const EndpointId &id) const -> bool
+{
+    const auto rowOf = [](const EndpointEntry &entry) -> const catalogue::EndpointRow & {
+        return entry.row;
+    };
+    return catalogue::newerIncarnation(entries_, id, rowOf) != nullptr;
+}
+
+/// The incarnation is in use: the others of the endpoint are over.
+auto FleetView::endOthers(const EndpointId &id) -> void
+{
+    catalogue::forEachIncarnation(entries_, id, [&](auto &item) {
+        auto &row = item.second.row;
+        if (item.first == id || row.state == catalogue::EndpointState::Gone)
+            return;
+        row.state = catalogue::EndpointState::Gone;
+        LogEvent(LogLevel::Info, "incarnation_over").with("endpoint", item.first).with("by", id);
+        if (onOver_)
+            onOver_(item.first);
+    });
+}
+
 /// One address has one endpoint: the one of which news has come last.
 auto FleetView::replaceOthersAt(const catalogue::EndpointRow &row) -> void
 {
@@ -80,6 +114,18 @@
     }
 }
 
+/// @return true when an endpoint that was started later is known at the row's address
+auto FleetView::hasYoungerAt(const catalogue::EndpointRow &row) const -> bool
+{
+    return std::any_of(entries_.begin(), entries_.end(), [&](const auto &item) {
+        const auto &other = item.second.row;
+        const auto isLive
+                = other.state != catalogue::EndpointState::Gone && !item.second.isReplaced;
+        return isLive && other.address == row.address && row.id.incarnation() != Incarnation {}
+        && other.id.incarnation() > row.id.incarnation();
+    });
+}
+
 auto FleetView::of(const ServiceId &service) -> std::vector<EndpointEntry *>
 {
     auto result = std::vector<EndpointEntry *> {};
@@ -107,6 +153,11 @@
     return found == entries_.end() ? nullptr : &found->second;
 }
 
+auto FleetView::setOnOver(std::function<void(const EndpointId &)> listener) -> void
+{
+    onOver_ = std::move(listener);
+}
+
 auto FleetView::isHealthy(const EndpointEntry &entry) const -> bool
 {
     const auto now = clock_.now();
--- a/gateway/fleetview.h
+++ b/gateway/fleetview.h
@@ -6,12 +6,14 @@
 //
 // Updates come from several controls, late and in any order. A row replaces
 // another of the same endpoint only when it is newer by sequence, then by order
-// version; an endpoint that is gone stays gone. Not thread-safe.
+// version; an endpoint that is gone stays gone. Of an endpoint that starts again
+// under its name the newest incarnation is in use, and the others are gone. Not thread-safe.
 
 #ifndef FIGRACK_GATEWAY_FLEETVIEW_H
 #define FIGRACK_GATEWAY_FLEETVIEW_H
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <utility>
@@ -84,9 +86,15 @@
     /// @return endpoints that could not be reached of late
     auto unreachable() const -> std::vector<EndpointId>;
     auto size() const -> std::size_t { return entries_.size(); }
+    /// Called when an incarnation of an endpoint is over since a newer one was heard of: what runs
+    /// there has ended with it, though its connections may not show it. Must not call the view.
+    auto setOnOver(std::function<void(const EndpointId &)> listener) -> void;
 
 private:
     auto applyRow(const catalogue::EndpointRow &row) -> bool;
+    auto isOver(const EndpointId &id) const -> bool;
+    auto endOthers(const EndpointId &id) -> void;
+    auto hasYoungerAt(const catalogue::EndpointRow &row) const -> bool;
     auto replaceOthersAt(const catalogue::EndpointRow &row) -> void;
     auto forgetGone() -> void;
 
@@ -94,6 +102,7 @@
     const Clock &clock_;
     std::map<EndpointId, EndpointEntry> entries_;
     std::map<ServiceId, std::vector<EndpointId>> byService_;
+    std::function<void(const EndpointId &)> onOver_;
     Instant nextForget_ {};
 };
 
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -376,7 +376,9 @@
         const auto left = std::max<Duration>(deadline_ - parts_.clock.now(),
                                              std::chrono::milliseconds { 1 });
         sentAt_ = parts_.clock.now();
+        const auto dispatched = owner_.dispatches_.emplace(id, canceller_);
         const auto step = co_await exchange(std::move(out), left, id);
+        owner_.dispatches_.erase(dispatched);
         if (!target_.model.empty())
             parts_.demand.onEnd(target_);
         const auto hasStarted = step == Step::Settled && firstByteAt_ && isSuccess(finalStatus_);
@@ -782,6 +784,18 @@
     return routes_ ? &routes_->catalogue() : nullptr;
 }
 
+auto Forwarder::endDispatches(const EndpointId &endpoint) -> void
+{
+    const auto [begin, end] = dispatches_.equal_range(endpoint);
+    if (begin == end)
+        return;
+    LogEvent(LogLevel::Warning, "dispatches_ended")
+            .with("endpoint", endpoint)
+            .with("count", static_cast<std::uint64_t>(std::distance(begin, end)));
+    for (auto item = begin; item != end; ++item)
+        item->second->cancel();
+}
+
 auto Forwarder::handle(const http::Request &request, http::Responder &responder)
         -> asio::awaitable<void>
 {
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -21,6 +21,7 @@
 #define FIGRACK_GATEWAY_FORWARDER_H
 
 #include <functional>
+#include <map>
 #include <memory>
 
 #include <boost/asio/awaitable.hpp>
@@ -91,6 +92,9 @@
     auto setPlaceBy(Instant placeBy) -> void;
     auto handle(const http::Request &request, http::Responder &responder)
             -> boost::asio::awaitable<void>;
+    /// Ends the dispatches to an endpoint that is known to run no more; each goes on elsewhere
+    /// where its route allows that.
+    auto endDispatches(const EndpointId &endpoint) -> void;
     /// @return the catalogue in force, or nullptr
     auto catalogue() const -> const catalogue::Catalogue *;
 
@@ -101,6 +105,7 @@
     ForwarderParts parts_;
     std::shared_ptr<const catalogue::RouteTable> routes_;
     const Instant startedAt_;
+    std::multimap<EndpointId, std::shared_ptr<http::Canceller>> dispatches_; ///< Under way.
     Instant placeBy_ = Instant::max(); ///< Nothing waits for an endpoint beyond it.
     bool refusing_ = false;
 };
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -61,6 +61,7 @@
     auto start() -> absl::Status
     {
         demand_.setOnUrgent([this] { reportSoon(); });
+        view_.setOnOver([this](const EndpointId &id) { forwarder_.endDispatches(id); });
         if (auto status = server_.start(options_.callers); !status.ok())
             return status;
         feed_.start();
--- a/gateway/testing/tst_forwarder.cpp
+++ b/gateway/testing/tst_forwarder.cpp
@@ -269,3 +269,25 @@
         CHECK(rig.call(Rig::request("/once/x", "r" + std::to_string(i))).body == "new");
     CHECK(leaving.seen.empty());
 }
+
+// Behind a cut the connections to an endpoint that has crashed do not break: its requests waited
+// until their callers left.
+TEST_CASE("What runs at an incarnation that is over goes on elsewhere where its route allows that")
+{
+    auto rig = Rig {};
+    rig.view.setOnOver([&](const EndpointId &id) { rig.forwarder.endDispatches(id); });
+    auto &old = rig.addEndpoint("i-1#100");
+    old.handler = [&](const http::Request &, http::Responder &) -> boost::asio::awaitable<void> {
+        auto timer = boost::asio::steady_timer { rig.context, 60s };
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    };
+    const auto repeated = rig.begin(Rig::request("/idem/x", "r1"));
+    const auto once = rig.begin(Rig::request("/once/x", "r2"));
+    REQUIRE(rig.runUntil([&] { return old.seen.size() == 2; }));
+    auto &next = rig.addEndpoint("i-1#200");
+    next.handler = answering("ok");
+    REQUIRE(rig.runUntil([&] { return repeated->has_value() && once->has_value(); }));
+    CHECK((*repeated)->status == 200);
+    CHECK((*once)->status == 502);
+    CHECK(next.seen.size() == 1);
+}
--- a/gateway/testing/tst_parts.cpp
+++ b/gateway/testing/tst_parts.cpp
@@ -211,3 +211,54 @@
     CHECK(demand.take().rows[0].waiting == 0);
     CHECK(demand.take().rows.empty());
 }
+
+TEST_CASE("Of an endpoint that starts again under its name the newest incarnation is in use")
+{
+    auto clock = ManualClock {};
+    auto view = FleetView { {}, clock };
+    auto over = std::vector<EndpointId> {};
+    view.setOnOver([&](const EndpointId &id) { over.push_back(id); });
+    const auto service = ServiceId { "s" };
+    view.apply(updateOf({ makeRow("i-1#100", 9, EndpointState::Ready) }));
+    view.onFailure(EndpointId { "i-1#100" }, true);
+    CHECK(view.apply(updateOf({ makeRow("i-1#200", 1, EndpointState::Ready) })));
+    REQUIRE(view.of(service).size() == 1);
+    CHECK(view.of(service)[0]->row.id == EndpointId { "i-1#200" });
+    CHECK(view.isHealthy(*view.of(service)[0])); // What the one before did is not held against it.
+    CHECK(over == std::vector { EndpointId { "i-1#100" } });
+
+    // What the one before said arrives late.
+    for (const auto state : { EndpointState::Ready, EndpointState::Draining, EndpointState::Gone })
+        view.apply(updateOf({ makeRow("i-1#100", 10, state), makeRow("i-1#50", 3, state) }));
+    REQUIRE(view.of(service).size() == 1);
+    CHECK(view.of(service)[0]->row.id == EndpointId { "i-1#200" });
+
+    // Controls found that it is silent, and that one with an earlier clock is in its place.
+    view.apply(updateOf({ makeRow("i-1#150", 1, EndpointState::Ready),
+                          makeRow("i-1#200", 1, EndpointState::Gone) }));
+    REQUIRE(view.of(service).size() == 1);
+    CHECK(view.of(service)[0]->row.id == EndpointId { "i-1#150" });
+}
+
+// A cut delays an announcement; its sender crashes meanwhile and another endpoint has its address.
+TEST_CASE("A late announcement of an endpoint does not displace the one that has its address now")
+{
+    auto clock = ManualClock {};
+    auto view = FleetView { {}, clock };
+    view.apply(updateOf({ makeRow("i-1#100", 1, EndpointState::Ready) }));
+    view.apply(updateOf({ makeRow("i-2#200", 1, EndpointState::Ready) }));
+    CHECK(view.takesWork(EndpointId { "i-2#200" }));
+    view.apply(updateOf({ makeRow("i-1#100", 2, EndpointState::Ready) }));
+    CHECK(view.takesWork(EndpointId { "i-2#200" }));
+    CHECK_FALSE(view.takesWork(EndpointId { "i-1#100" }));
+
+    // Where no incarnation is told the later news counts, until the other is heard again.
+    view.apply(updateOf({ makeRow("i-3", 1, EndpointState::Ready) }));
+    view.apply(updateOf({ makeRow("i-4", 1, EndpointState::Ready) }));
+    view.apply(updateOf({ makeRow("i-3", 2, EndpointState::Ready) }));
+    auto beat = proto::ServingUpdate {};
+    beat.beats = { { EndpointId { "i-4" }, 1 } };
+    view.apply(beat);
+    CHECK(view.takesWork(EndpointId { "i-4" }));
+    CHECK_FALSE(view.takesWork(EndpointId { "i-3" }));
+}
