--- a/fleet/documentspread.cpp
+++ b/fleet/documentspread.cpp
@@ -7,8 +7,9 @@
 
 namespace figrack::fleet {
 
-DocumentSpread::DocumentSpread(const Clock &clock)
+DocumentSpread::DocumentSpread(const Clock &clock, Metrics &metrics)
     : clock_(clock)
+    , metrics_(metrics)
 { }
 
 auto DocumentSpread::onSubscribed(const proto::PeerPointer &peer, bool ready, Revision version)
@@ -80,6 +81,7 @@
             .with("waited_ms", std::chrono::duration_cast<std::chrono::milliseconds>(took).count());
     if (!lacking.empty())
         line.with("first_lacking", lacking.front());
+    metrics_.onAcknowledged(took, lacking.size());
     waiting.done();
 }
 
--- a/fleet/documentspread.h
+++ b/fleet/documentspread.h
@@ -22,6 +22,7 @@
 
 #include "core/clock.h"
 #include "core/ids.h"
+#include "fleet/metrics.h"
 #include "proto/channel.h"
 
 namespace figrack::fleet {
@@ -30,8 +31,8 @@
 {
 public:
     using Done = std::function<void()>;
-    /// @param clock outlives this
-    explicit DocumentSpread(const Clock &clock);
+    /// @param metrics outlives this
+    DocumentSpread(const Clock &clock, Metrics &metrics);
 
     /// A gateway subscribes, or says anew whether callers may be sent to it.
     /// @param version that it obeys; 0: none
@@ -62,6 +63,7 @@
     auto end(const Waiting &waiting, const std::vector<NodeId> &lacking) const -> void;
 
     const Clock &clock_;
+    Metrics &metrics_;
     std::map<const proto::PeerConnection *, Gateway> gateways_;
     std::vector<Waiting> waiting_;
 };
--- /dev/null
+++ b/fleet/metrics.cpp
@@ -0,0 +1,65 @@
+#include "fleet/metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace figrack::fleet {
+namespace {
+
+const auto secondBuckets
+        = prometheus::Histogram::BucketBoundaries { 0.01, 0.03, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 1 };
+
+} // namespace
+
+class Metrics::Impl
+{
+public:
+    Impl()
+        : refused(prometheus::BuildCounter()
+                          .Name("figrack_core_announcements_refused_total")
+                          .Help("Announcements that name no endpoint to use")
+                          .Register(registry)
+                          .Add({}))
+        , spread(prometheus::BuildHistogram()
+                         .Name("figrack_core_change_spread_seconds")
+                         .Help("Commit of a change to its acknowledgement")
+                         .Register(registry)
+                         .Add({}, secondBuckets))
+        , lacking(prometheus::BuildCounter()
+                          .Name("figrack_core_change_lacking_total")
+                          .Help("Gateways that did not obey a change at its acknowledgement")
+                          .Register(registry)
+                          .Add({}))
+    { }
+
+    prometheus::Registry registry;
+    prometheus::Counter &refused;
+    prometheus::Histogram &spread;
+    prometheus::Counter &lacking;
+};
+
+Metrics::Metrics()
+    : impl_(std::make_unique<Impl>())
+{ }
+
+Metrics::~Metrics() = default;
+
+auto Metrics::onAnnouncementRefused() -> void
+{
+    impl_->refused.Increment();
+}
+
+auto Metrics::onAcknowledged(Duration waited, std::size_t lacking) -> void
+{
+    impl_->spread.Observe(std::chrono::duration<double> { waited }.count());
+    impl_->lacking.Increment(static_cast<double>(lacking));
+}
+
+auto Metrics::text() -> std::string
+{
+    return prometheus::TextSerializer {}.Serialize(impl_->registry.Collect());
+}
+
+} // namespace figrack::fleet
--- a/fleet/testing/tst_documentspread.cpp
+++ b/fleet/testing/tst_documentspread.cpp
@@ -28,7 +28,8 @@
 struct SpreadRig
 {
     ManualClock clock;
-    DocumentSpread spread { clock };
+    Metrics metrics;
+    DocumentSpread spread { clock, metrics };
     proto::PeerPointer one = std::make_shared<NamedPeer>("g1");
     proto::PeerPointer two = std::make_shared<NamedPeer>("g2");
     int ended = 0;
