connection: bytes of a frame are a sign of life, not only whole frames

A frame that took longer than the idle timeout (3 s in a fleet; 300 KB on a filled link of 10 Mbit/s) ended its connection as silent, and the next one began it anew. The new test fails before (a piece each quarter of the idle timeout, for three of them) and passes now.

--- a/proto/connection.cpp
+++ b/proto/connection.cpp
@@ -150,7 +150,6 @@
         const auto frame = co_await readFrame(maxSealedBytes);
         if (!frame.ok())
             co_return frame.status();
-        silentTicks_ = 0;
         const auto body = opener_.open(*frame);
         if (!body.ok())
             co_return body.status();
@@ -186,8 +185,13 @@
         co_return makeError(ErrorKind::Malformed,
                             fmt::format("peer={} announces a frame of {} bytes", remote_, length));
     auto frame = std::string(length, '\0');
-    co_await asio::async_read(socket_, asio::buffer(frame),
-                              asio::redirect_error(asio::use_awaitable, error));
+    // Bytes are a sign of life, not only whole frames: a large one on a slow link takes longer than
+    // a peer may be silent.
+    for (auto got = std::size_t { 0 }; got < length && !error;) {
+        got += co_await socket_.async_read_some(asio::buffer(frame) + got,
+                                                asio::redirect_error(asio::use_awaitable, error));
+        silentTicks_ = 0;
+    }
     if (error)
         co_return failure(error.message());
     co_return frame;
--- a/proto/testing/tst_channel.cpp
+++ b/proto/testing/tst_channel.cpp
@@ -446,6 +446,27 @@
     CHECK(server.events.waitFor("close hand", 2));
 }
 
+// A frame of 300 KB takes seconds on a link of 10 Mbit/s that callers fill. The connection was
+// taken for silent in the middle of it, and the next one began the frame anew.
+TEST_CASE("a frame that comes slowly keeps its connection")
+{
+    auto settings = options("server");
+    settings.idleTimeout = 1500ms;
+    auto server = TestServer { settings };
+    auto hand = HandPeer { server.server.port() };
+    auto sealer = hand.shakeHands();
+    const auto frame = sealer.seal(encode({ 0, DrainNotice {} }));
+    // A piece four times in the time after which silence ends it, for more than twice that time.
+    constexpr auto pieces = std::size_t { 12 };
+    for (auto i = std::size_t { 0 }; i < pieces; ++i) {
+        const auto begin = frame.size() * i / pieces;
+        hand.write(frame.substr(begin, frame.size() * (i + 1) / pieces - begin));
+        std::this_thread::sleep_for(settings.idleTimeout / 4);
+    }
+    CHECK(server.events.waitFor("message"));
+    CHECK(server.events.count("close hand") == 0);
+}
+
 TEST_CASE("the send queue is bounded")
 {
     auto settings = options("server");
