--- a/gateway/documentfetch.cpp
+++ b/gateway/documentfetch.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <set>
-#include <tuple>
 #include <utility>
 
 #include "core/log.h"
@@ -31,7 +30,6 @@
     auto &source = sources_[control];
     source.announced = version;
     source.hasAnnounced = true;
-    source.isSlow = false;
     if (!firstHeardAt_)
         firstHeardAt_ = clock_.now();
     startMeasuring();
@@ -50,7 +48,6 @@
     if (found == sources_.end())
         return;
     found->second.question.reset();
-    found->second.isSlow = true;
 }
 
 auto DocumentFetch::onManifest(const Address &control, const proto::ManifestReply &reply) -> void
@@ -160,7 +157,6 @@
         if (!source.question || source.question->isOverdue || now < source.question->overdueAt)
             continue;
         source.question->isOverdue = true;
-        source.isSlow = true;
         ++unanswered_;
         ++overdue_;
         LogEvent(LogLevel::Warning, "document_question_overdue")
@@ -198,20 +194,20 @@
     });
 }
 
-/// @return a control that holds the version and has no question to answer: one that is not slow
-/// before others, then this gateway's own first; nullopt when there is none
+/// @return a control that holds the version and has no question to answer, this gateway's own first
+/// before others; nullopt when there is none
 auto DocumentFetch::bestSource(Revision version) const -> std::optional<Address>
 {
     auto best = std::optional<Address> {};
-    auto bestRank = std::tuple<bool, std::uint64_t> {};
+    auto bestWeight = std::uint64_t { 0 };
     for (const auto &[control, source] : sources_) {
         if (source.announced < version || source.question)
             continue;
-        const auto rank = std::tuple { !source.isSlow, rendezvousWeight(key_, control.text()) };
-        if (best && rank <= bestRank)
+        const auto weight = rendezvousWeight(key_, control.text());
+        if (best && weight <= bestWeight)
             continue;
         best = control;
-        bestRank = rank;
+        bestWeight = weight;
     }
     return best;
 }
@@ -247,7 +243,6 @@
 {
     auto &source = sources_[control];
     source.question.reset();
-    source.isSlow = false;
     unanswered_ = 0;
 }
 
--- a/gateway/documentfetch.h
+++ b/gateway/documentfetch.h
@@ -10,7 +10,7 @@
 // batch at a time. One question waits at a time; when it is overdue, another
 // control is asked the same besides, and whichever answers first counts: a slow
 // answer is kept when it comes, since blocks are named by their content. A control
-// with an overdue question is asked last until anything is heard of it.
+// with an overdue question is not asked again before that one has ended.
 //
 // A document whose manifest has come is finished before a newer one is begun, so
 // that a series of changes faster than the link cannot keep the gateway from all
@@ -122,7 +122,6 @@
     {
         Revision announced;
         bool hasAnnounced = false;
-        bool isSlow = false; ///< It let a question become overdue, and was not heard of since.
         std::optional<Question> question;
     };
     /// The document that is being completed.
--- a/gateway/testing/tst_documentfetch.cpp
+++ b/gateway/testing/tst_documentfetch.cpp
@@ -239,7 +239,7 @@
         world.run(mustBeInForceWithin);
         CHECK(world.inForce() == Revision { 2 });
         world.publishAtAll(Revision { 3 });
-        // Those that did not answer are asked last from now on.
+        // Those that did not answer are not asked again.
         world.run(100ms);
         CHECK(world.inForce() == Revision { 3 });
     }
@@ -285,12 +285,13 @@
     auto world = World { controlCount };
     world.publishAtAll(Revision { 1 });
     world.run(2s);
-    for (auto i = std::size_t { 1 }; i < controlCount; ++i)
-        world.publish(i, Revision { 2 });
     world.publish(0, Revision { 3 });
+    // Until its manifest is there, and no block.
+    world.run(8ms);
     world.freeze(0, world.clock().now() + 1h);
-    world.run(150ms);
     world.reset(0);
+    for (auto i = std::size_t { 1 }; i < controlCount; ++i)
+        world.publish(i, Revision { 2 });
     world.run(2s);
     CHECK(world.inForce() == Revision { 2 });
 }
