--- a/fleet/registry.cpp
+++ b/fleet/registry.cpp
@@ -146,7 +146,7 @@
 auto Registry::amend(const EndpointId &id, const std::function<void(EndpointRow &)> &change) -> void
 {
     const auto found = known_.find(id);
-    if (found == known_.end() || found->second.row.state == EndpointState::Gone)
+    if (found == known_.end())
         return;
     auto row = found->second.row;
     change(row);
