--- a/catalogue/documentblocks.h
+++ b/catalogue/documentblocks.h
@@ -36,6 +36,7 @@
 {
     std::uint64_t low = 0;
     std::uint64_t high = 0;
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the comparison with 0 for one.
     auto operator<=>(const BlockId &) const = default;
     template<typename Archive>
     auto serialize(Archive &archive) -> void
