fleet: announcements are decided in a class of their own, off core.cpp, with tests; a failed question for a document pauses

A control that could not be asked was asked again at once, until the news that its connection had broken came: now after 50 ms (tst_documentfetch).

--- /dev/null
+++ b/fleet/announcements.cpp
@@ -0,0 +1,64 @@
+#include "fleet/announcements.h"
+
+#include <utility>
+
+#include "core/error.h"
+#include "core/log.h"
+
+namespace figrack::fleet {
+namespace {
+
+/// Between two lines of the log on what was refused.
+constexpr auto noteEvery = std::chrono::seconds { 1 };
+
+} // namespace
+
+Announcements::Announcements(Registry &registry, KnownServices services, const Clock &clock,
+                             Metrics &metrics)
+    : registry_(registry)
+    , services_(std::move(services))
+    , clock_(clock)
+    , metrics_(metrics)
+{ }
+
+auto Announcements::hear(const catalogue::EndpointRow &row, const Document &newest, Done done)
+        -> void
+{
+    if (!services_.knows(row.service, newest)) {
+        auto status = makeError(ErrorKind::BadRequest, "service=" + row.service.value());
+        refuse(status);
+        done(std::move(status));
+    } else if (row.state == catalogue::EndpointState::Ready) {
+        registry_.hear(row);
+        done(absl::OkStatus());
+    } else {
+        registry_.hearLeaving(row, std::move(done));
+    }
+}
+
+auto Announcements::hearGone(const EndpointId &id, Done done) -> void
+{
+    const auto *known = registry_.find(id);
+    if (known == nullptr && id.incarnation() == Incarnation {})
+        known = registry_.inUse(id);
+    auto row = known != nullptr ? *known : catalogue::EndpointRow {};
+    if (known == nullptr)
+        row.id = id;
+    row.state = catalogue::EndpointState::Gone;
+    registry_.hearLeaving(row, std::move(done));
+}
+
+auto Announcements::refuse(const absl::Status &reason) -> void
+{
+    metrics_.onAnnouncementRefused();
+    ++refused_;
+    const auto now = clock_.now();
+    if (now < nextNote_)
+        return;
+    nextNote_ = now + noteEvery;
+    LogEvent(LogLevel::Warning, "announcement_refused")
+            .with("count", std::exchange(refused_, 0))
+            .with(reason);
+}
+
+} // namespace figrack::fleet
--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -11,9 +11,9 @@
 #include "coord/filelogstore.h"
 #include "core/error.h"
 #include "core/log.h"
+#include "fleet/announcements.h"
 #include "fleet/documentshelf.h"
 #include "fleet/documentspread.h"
-#include "fleet/knownservices.h"
 #include "fleet/lastknown.h"
 #include "fleet/metrics.h"
 #include "fleet/proposals.h"
@@ -32,8 +32,7 @@
 constexpr auto planPause = std::chrono::milliseconds { 10 };
 /// Time for all else after a plan, as a multiple of the time that the plan took.
 constexpr auto restPerPlan = 3;
-/// Between two lines of the log on one model that waits to be loaded, or on announcements that
-/// cannot be used.
+/// Between two lines of the log on one model that waits to be loaded.
 constexpr auto noteEvery = std::chrono::seconds { 1 };
 constexpr auto joinEvery = std::chrono::milliseconds { 500 };
 constexpr auto stopLookEvery = std::chrono::milliseconds { 50 };
@@ -53,11 +52,11 @@
         , options_(std::move(options))
         , clock_(clock)
         , readDocument_(std::move(readDocument))
-        , services_(readDocument_)
         , random_(seed)
         , lastKnown_(options_.dataFolder, disk_)
         , spread_(clock, metrics_)
         , registry_(options_.registry, clock)
+        , announcements_(registry_, KnownServices { readDocument_ }, clock, metrics_)
         , keeper_(options_.group, clock)
         , demand_(options_.demand, clock)
         , balancer_(options_.balancer, clock, random_)
@@ -185,43 +184,10 @@
 
     auto hear(const catalogue::EndpointRow &row, Done done) -> void
     {
-        if (!services_.knows(row.service, newestDocument())) {
-            auto status = makeError(ErrorKind::BadRequest, "service=" + row.service.value());
-            noteRefused(status);
-            done(std::move(status));
-        } else if (row.state == catalogue::EndpointState::Ready) {
-            registry_.hear(row);
-            done(absl::OkStatus());
-        } else {
-            registry_.hearLeaving(row, std::move(done));
-        }
-    }
-
-    auto hearGone(const EndpointId &id, Done done) -> void
-    {
-        auto row = catalogue::EndpointRow {};
-        row.id = id;
-        if (const auto *known = registry_.find(id))
-            row = *known;
-        else if (const auto *current = registry_.inUse(id);
-                 current != nullptr && id.incarnation() == Incarnation {})
-            row = *current;
-        row.state = catalogue::EndpointState::Gone;
-        registry_.hearLeaving(row, std::move(done));
+        announcements_.hear(row, newestDocument(), std::move(done));
     }
 
-    auto noteRefused(const absl::Status &reason) -> void
-    {
-        metrics_.onAnnouncementRefused();
-        ++refused_;
-        const auto now = clock_.now();
-        if (now < nextRefusalNote_)
-            return;
-        nextRefusalNote_ = now + noteEvery;
-        LogEvent(LogLevel::Warning, "announcement_refused")
-                .with("count", std::exchange(refused_, 0))
-                .with(reason);
-    }
+    auto announcements() -> Announcements & { return announcements_; }
 
     auto metricsPage() -> std::string { return metrics_.text(); }
 
@@ -678,7 +644,6 @@
     CoreOptions options_;
     const Clock &clock_;
     ReadDocument readDocument_;
-    KnownServices services_;
     Random random_;
     coord::PosixDisk disk_;
     LastKnownStore lastKnown_;
@@ -688,6 +653,7 @@
     Metrics metrics_;
     DocumentSpread spread_;
     Registry registry_;
+    Announcements announcements_;
     GroupKeeper keeper_;
     DemandTable demand_;
     Balancer balancer_;
@@ -713,8 +679,6 @@
     Instant nextPlan_ {};
     Instant nextLoads_ {};
     Instant nextSave_ {};
-    Instant nextRefusalNote_ {};
-    std::uint64_t refused_ = 0; ///< Announcements since the last line of the log on them.
     Revision savedVersion_;
     Term leadTerm_;
     bool leads_ = false;
@@ -772,12 +736,12 @@
 
 auto Core::hearGone(const EndpointId &id, Done done) -> void
 {
-    impl_->hearGone(id, std::move(done));
+    impl_->announcements().hearGone(id, std::move(done));
 }
 
 auto Core::noteRefused(const absl::Status &reason) -> void
 {
-    impl_->noteRefused(reason);
+    impl_->announcements().refuse(reason);
 }
 
 auto Core::metricsPage() -> std::string
--- /dev/null
+++ b/fleet/testing/tst_announcements.cpp
@@ -0,0 +1,78 @@
+// What is taken in of what endpoints say, and what is refused.
+
+#include <doctest/doctest.h>
+
+#include "core/error.h"
+#include "fleet/announcements.h"
+
+using namespace figrack;
+using namespace figrack::fleet;
+using catalogue::EndpointState;
+
+namespace {
+
+struct AnnouncementsRig
+{
+    ManualClock clock;
+    Metrics metrics;
+    Registry registry { {}, clock };
+    Announcements announcements { registry, KnownServices { readDocument }, clock, metrics };
+    absl::Status last;
+
+    static auto readDocument(std::string_view text) -> absl::StatusOr<catalogue::Catalogue>
+    {
+        auto service = catalogue::Service {};
+        service.id = ServiceId { std::string { text } };
+        auto result = catalogue::Catalogue {};
+        result.services.push_back(service);
+        return result;
+    }
+    auto hear(const std::string &id, const std::string &service, EndpointState state) -> void
+    {
+        auto row = catalogue::EndpointRow {};
+        row.id = EndpointId { id };
+        row.service = ServiceId { service };
+        row.sequence = 1;
+        row.state = state;
+        announcements.hear(row, { Revision { 1 }, "llm" },
+                           [this](absl::Status status) { last = std::move(status); });
+    }
+    auto hearGone(const EndpointId &id) -> void
+    {
+        announcements.hearGone(id, [this](absl::Status status) { last = std::move(status); });
+    }
+    auto stateOf(const char *id) const -> EndpointState
+    {
+        const auto *row = registry.find(EndpointId { id });
+        return row == nullptr ? EndpointState::Gone : row->state;
+    }
+};
+
+} // namespace
+
+TEST_CASE("Who announces itself for a service that no configuration names is counted and refused")
+{
+    auto rig = AnnouncementsRig {};
+    rig.hear("i-1", "llm", EndpointState::Ready);
+    CHECK(rig.last.ok());
+    rig.hear("i-2", "other", EndpointState::Ready);
+    CHECK(errorKind(rig.last) == ErrorKind::BadRequest);
+    rig.hear("i-1", "other", EndpointState::Draining);
+    CHECK(errorKind(rig.last) == ErrorKind::BadRequest);
+    CHECK(rig.registry.rows().size() == 1);
+    CHECK(rig.stateOf("i-1") == EndpointState::Ready);
+    CHECK(rig.metrics.text().find("announcements_refused_total 2") != std::string::npos);
+}
+
+TEST_CASE("A deregistration is of the incarnation that it names, without one of that in use")
+{
+    auto rig = AnnouncementsRig {};
+    rig.hear("i-1#100", "llm", EndpointState::Ready);
+    rig.hear("i-1#200", "llm", EndpointState::Ready);
+    rig.hearGone(EndpointId { "i-1#100" });
+    CHECK(rig.stateOf("i-1#200") == EndpointState::Ready);
+    rig.hearGone(EndpointId { "i-1#50" });
+    CHECK(rig.stateOf("i-1#200") == EndpointState::Ready);
+    rig.hearGone(EndpointId { "i-1" });
+    CHECK(rig.stateOf("i-1#200") == EndpointState::Gone);
+}
--- a/gateway/controlfeed.cpp
+++ b/gateway/controlfeed.cpp
@@ -164,8 +164,12 @@
             if (const auto self = weak.lock())
                 self->onDocumentReply(address, reply);
         };
-        controls_.at(address).client->call(std::move(question), options_.documentTimeout,
-                                           std::move(done));
+        const auto found = controls_.find(address);
+        if (found == controls_.end())
+            fetch_.onForgotten(address);
+        else
+            found->second.client->call(std::move(question), options_.documentTimeout,
+                                       std::move(done));
     }
 
     auto onDocumentReply(const Address &address, const absl::StatusOr<proto::Payload> &reply)
--- a/gateway/documentfetch.cpp
+++ b/gateway/documentfetch.cpp
@@ -48,6 +48,7 @@
     if (found == sources_.end())
         return;
     found->second.question.reset();
+    found->second.notBefore = clock_.now() + options_.failedPause;
 }
 
 auto DocumentFetch::onManifest(const Address &control, const proto::ManifestReply &reply) -> void
@@ -120,8 +121,14 @@
         if (source.question && !source.question->isOverdue)
             result = std::min(result.value_or(Instant::max()), source.question->overdueAt);
     }
-    if (!result && firstHeardAt_ && newestAnnounced() > version_ && !mayBegin())
-        result = *firstHeardAt_ + options_.startPatience;
+    if (result || newestAnnounced() <= version_)
+        return result;
+    if (firstHeardAt_ && !mayBegin())
+        return *firstHeardAt_ + options_.startPatience;
+    for (const auto &[control, source] : sources_) {
+        if (source.announced > version_ && source.notBefore > clock_.now())
+            result = std::min(result.value_or(Instant::max()), source.notBefore);
+    }
     return result;
 }
 
@@ -201,7 +208,7 @@
     auto best = std::optional<Address> {};
     auto bestWeight = std::uint64_t { 0 };
     for (const auto &[control, source] : sources_) {
-        if (source.announced < version || source.question)
+        if (source.announced < version || source.question || clock_.now() < source.notBefore)
             continue;
         const auto weight = rendezvousWeight(key_, control.text());
         if (best && weight <= bestWeight)
--- a/gateway/documentfetch.h
+++ b/gateway/documentfetch.h
@@ -54,6 +54,9 @@
     /// Of blocks that are asked for at once: much less than a link carries in overdueAfter, and
     /// enough that the round trips of a whole document of 300 KB are seven.
     std::uint64_t batchBytes = std::uint64_t { 48 } << 10;
+    /// A control that could not be asked, or whose question was written off, is left out for so
+    /// long: the news that its connection broke may still be on its way.
+    Duration failedPause = std::chrono::milliseconds { 50 };
     /// For a majority of announcements, when there is no document yet. Connections to nine controls
     /// are made within 30 ms unless they are down.
     Duration startPatience = std::chrono::milliseconds { 100 };
@@ -122,6 +125,7 @@
     {
         Revision announced;
         bool hasAnnounced = false;
+        Instant notBefore {}; ///< Not asked before.
         std::optional<Question> question;
     };
     /// The document that is being completed.
--- a/gateway/testing/tst_documentfetch.cpp
+++ b/gateway/testing/tst_documentfetch.cpp
@@ -245,6 +245,21 @@
     }
 }
 
+TEST_CASE("A control that cannot be asked is asked again after a pause, and not at once")
+{
+    auto clock = ManualClock {};
+    auto fetch = DocumentFetch { {}, 17, clock };
+    const auto control = Address { "10.0.0.1", 7380 };
+    fetch.onAnnounced(control, Revision { 1 });
+    for (auto round = 0; round < 3; ++round) {
+        REQUIRE(fetch.next().size() == 1);
+        fetch.onFailed(control);
+        CHECK(fetch.next().empty());
+        REQUIRE(fetch.nextLook().has_value());
+        clock.advanceTo(*fetch.nextLook());
+    }
+}
+
 TEST_CASE("Changes that come faster than the link carries them do not keep a gateway from all")
 {
     auto world = World { controlCount };
