demandtable: forgotten rates are looked for once a second

Cause: each report of a gateway walked all rates of models and adapters, some 1,500 at this size, four maps of them.

--- a/fleet/demandtable.cpp
+++ b/fleet/demandtable.cpp
@@ -7,6 +7,9 @@
 
 /// Below it a rate is forgotten: one arrival in a few minutes.
 constexpr auto negligible = 0.003;
+/// Looking through all rates with each report took more than all else of it: see the benchmark of
+/// reports in testing/tst_demandtable.cpp.
+constexpr auto forgetEvery = std::chrono::seconds { 1 };
 /// One event decays to 1/e = 0.37 in a window, and counts for so long.
 constexpr auto roundUp = 0.63;
 /// Arrivals a second from which on a few seconds tell the rate.
@@ -36,9 +39,7 @@
         add(lates_, target, row.late, windows_.fast);
     }
     latest_[gateway] = report;
-    forgetOld(arrivals_, windows_.slow);
-    for (auto *rates : { &recentArrivals_, &refusals_, &lates_ })
-        forgetOld(*rates, windows_.fast);
+    forgetOld();
     return lacks;
 }
 
@@ -52,7 +53,18 @@
     rate.at = clock_.now();
 }
 
-auto DemandTable::forgetOld(Rates &rates, Duration window) -> void
+auto DemandTable::forgetOld() -> void
+{
+    const auto now = clock_.now();
+    if (now < nextForget_)
+        return;
+    nextForget_ = now + forgetEvery;
+    forgetNegligible(arrivals_, windows_.slow);
+    for (auto *rates : { &recentArrivals_, &refusals_, &lates_ })
+        forgetNegligible(*rates, windows_.fast);
+}
+
+auto DemandTable::forgetNegligible(Rates &rates, Duration window) const -> void
 {
     std::erase_if(rates,
                   [&](const auto &item) { return decayed(item.second, window) < negligible; });
--- a/fleet/demandtable.h
+++ b/fleet/demandtable.h
@@ -69,7 +69,8 @@
     /// @return events of the last fast window, rounded
     auto recent(const Rate &rate) const -> std::uint32_t;
     auto add(Rates &rates, const Target &target, std::uint32_t count, Duration window) -> void;
-    auto forgetOld(Rates &rates, Duration window) -> void;
+    auto forgetOld() -> void;
+    auto forgetNegligible(Rates &rates, Duration window) const -> void;
     auto arrivalRate(const Target &target, const Rate &slow) const -> double;
 
     DemandWindows windows_;
@@ -79,6 +80,7 @@
     Rates refusals_;
     Rates lates_;
     std::map<NodeId, proto::ModelWanted> latest_;
+    Instant nextForget_ {};
 };
 
 } // namespace figrack::fleet
