--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -49,7 +49,7 @@
     Impl(asio::io_context &context, CoreOptions options, const Clock &clock, const OrderPort &port,
          ReadDocument readDocument, std::uint64_t seed)
         : context_(context)
-        , options_(std::move(options))
+        , options_(withRegistryName(std::move(options)))
         , clock_(clock)
         , readDocument_(std::move(readDocument))
         , random_(seed)
@@ -194,6 +194,12 @@
 private:
     // ---- wiring
 
+    static auto withRegistryName(CoreOptions options) -> CoreOptions
+    {
+        options.registry.self = options.name;
+        return options;
+    }
+
     auto authority() -> Authority
     {
         auto authority = Authority {};
--- a/fleet/registry.cpp
+++ b/fleet/registry.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/error.h"
+#include "core/hash.h"
 #include "core/log.h"
 
 namespace figrack::fleet {
@@ -80,7 +81,7 @@
     // The end of an incarnation first: another one may have taken its place.
     for (const auto isGone : { true, false }) {
         for (const auto &row : update.endpoints) {
-            if ((row.state == EndpointState::Gone) == isGone && take(row))
+            if ((row.state == EndpointState::Gone) == isGone && take(row) && relays(row.id))
                 relayed_.insert(row.id);
         }
     }
@@ -92,6 +93,19 @@
     }
 }
 
+/// The controls with the highest weights for the endpoint do, so that they need not talk of it.
+auto Registry::relays(const EndpointId &id) const -> bool
+{
+    const auto key = std::hash<EndpointId> {}(id);
+    const auto own = rendezvousWeight(key, options_.self.value());
+    const auto higher = std::count_if(
+            group_.controls.begin(), group_.controls.end(), [&](const coord::Member &member) {
+                return member.node != options_.self
+                        && rendezvousWeight(key, member.node.value()) > own;
+            });
+    return static_cast<std::size_t>(higher) < options_.relays;
+}
+
 auto Registry::recall(std::vector<EndpointRow> endpoints) -> void
 {
     // As silent as one that will be taken for lost after recallFor.
--- a/fleet/registry.h
+++ b/fleet/registry.h
@@ -7,7 +7,7 @@
 //
 // News of an endpoint that leaves goes to every subscriber at once, other news
 // with the next tick, or some ticks later where there are many subscribers. What other controls
-// told goes on every relayEvery only, in
+// told goes on, from some of them, every relayEvery only, in
 // one message: gateways hear of it from those controls too, and only one that is
 // cut off from them needs it from here. All that was heard is told every beatEvery. An endpoint's
 // leaving is acknowledged only after each subscribed gateway has said that it acts on it: a gateway
@@ -43,6 +43,11 @@
 
 struct RegistryOptions
 {
+    NodeId self; ///< This control's name in the group.
+    /// So many controls pass on what others told of an endpoint: one more than may be lost at once,
+    /// so that a gateway that is cut off from the one that heard it still hears. With all nine,
+    /// eight of nine copies of each row that a gateway got were such relays.
+    std::size_t relays = 3;
     /// How often the age of announcements is told; somewhat finer than endpoints announce.
     Duration beatEvery = std::chrono::milliseconds { 1000 };
     /// A row that changes was told by nine controls to 68 gateways before there were batches, which
@@ -154,6 +159,8 @@
     auto mayBegin(const EndpointId &id) -> bool;
     auto isOver(const EndpointId &id) const -> bool;
     auto take(const catalogue::EndpointRow &row) -> bool;
+    /// @return whether this control passes on what others told of the endpoint
+    auto relays(const EndpointId &id) const -> bool;
     auto endOthers(const EndpointId &id) -> void;
     auto tell(std::set<EndpointId> &ids, bool wantsAck) -> void;
     /// Numbers the update and sends it to every subscriber, encoded once.
--- a/fleet/testing/tst_registry.cpp
+++ b/fleet/testing/tst_registry.cpp
@@ -2,6 +2,7 @@
 
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <cmath>
+#include <map>
 #include <set>
 
 #include <doctest/doctest.h>
@@ -124,6 +125,45 @@
     }
 }
 
+TEST_CASE("What others told of an endpoint is passed on by three controls, whichever are known")
+{
+    for (const auto controls : { 1, 3, 5, 9 }) {
+        auto relays = std::map<std::string, int> {};
+        for (auto self = 0; self < controls; ++self) {
+            auto clock = ManualClock {};
+            auto registry = Registry { { .self = NodeId { "n" + std::to_string(self) } }, clock };
+            auto gateway = std::make_shared<FakePeer>("g");
+            registry.onSubscribe(gateway, {});
+            auto group = GroupView {};
+            for (auto i = 0; i < controls; ++i)
+                group.controls.push_back({ .node = NodeId { "n" + std::to_string(i) } });
+            registry.setGroup(group);
+            gateway->updates.clear();
+            auto update = proto::ServingUpdate {};
+            for (auto i = 0; i < 50; ++i)
+                update.endpoints.push_back(
+                        makeRow("e" + std::to_string(i), 1, EndpointState::Ready));
+            registry.onUpdate(update);
+            registry.tick();
+            for (const auto &told : gateway->updates) {
+                for (const auto &row : told.endpoints)
+                    ++relays[row.id.value()];
+            }
+            // What it has heard itself it tells in any case.
+            registry.hear(makeRow("e1", 2, EndpointState::Ready));
+            registry.amend(EndpointId { "e1" }, [](auto &row) { row.models = { {} }; });
+            clock.advance(1s);
+            registry.tick();
+            const auto &last = gateway->updates.at(gateway->updates.size() - 2);
+            REQUIRE(last.endpoints.size() == 1);
+            CHECK(last.endpoints[0].id == EndpointId { "e1" });
+        }
+        CHECK(relays.size() == 50);
+        for (const auto &[id, count] : relays)
+            CHECK(count == std::min(controls, 3));
+    }
+}
+
 // What users saw: beside 291 gateways a control with 0.15 of a core used 0.06 of it on average and
 // the busiest 0.09; its answers came late, and so did requests that waited for them. Each change
 // was encoded once for each gateway, and the gateways were counted again for each.
--- a/gateway/chooser.cpp
+++ b/gateway/chooser.cpp
@@ -11,8 +11,7 @@
 #include <algorithm>
 #include <array>
 
-#define XXH_INLINE_ALL
-#include <xxhash.h>
+#include "core/hash.h"
 
 namespace figrack::gateway {
 namespace {
@@ -79,17 +78,6 @@
     return names[static_cast<std::size_t>(lack) % names.size()];
 }
 
-auto mixHash(std::uint64_t one, std::uint64_t other) -> std::uint64_t
-{
-    const auto both = std::array<std::uint64_t, 2> { one, other };
-    return XXH3_64bits(both.data(), sizeof(both));
-}
-
-auto rendezvousWeight(std::uint64_t key, std::string_view name) -> std::uint64_t
-{
-    return XXH3_64bits_withSeed(name.data(), name.size(), key);
-}
-
 auto ableEndpoints(const std::vector<EndpointEntry *> &candidates, const Wish &wish,
                    const std::function<bool(const EndpointEntry &)> &isHealthy) -> Able
 {
--- a/gateway/chooser.h
+++ b/gateway/chooser.h
@@ -62,11 +62,6 @@
 auto chooseAmong(const std::vector<EndpointEntry *> &able, const Wish &wish, Random &random)
         -> EndpointEntry *;
 
-/// @return a well mixed hash of two numbers
-auto mixHash(std::uint64_t one, std::uint64_t other) -> std::uint64_t;
-/// @return the weight of a name for a key; the highest wins the key
-auto rendezvousWeight(std::uint64_t key, std::string_view name) -> std::uint64_t;
-
 } // namespace figrack::gateway
 
 #endif // FIGRACK_GATEWAY_CHOOSER_H
--- a/gateway/controlfeed.cpp
+++ b/gateway/controlfeed.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "core/hash.h"
 #include "core/log.h"
 #include "gateway/chooser.h"
 
--- a/gateway/documentfetch.cpp
+++ b/gateway/documentfetch.cpp
@@ -4,8 +4,8 @@
 #include <set>
 #include <utility>
 
+#include "core/hash.h"
 #include "core/log.h"
-#include "gateway/chooser.h"
 
 namespace figrack::gateway {
 
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -16,6 +16,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "core/error.h"
+#include "core/hash.h"
 #include "core/log.h"
 #include "endpoint/ssestream.h"
 #include "gateway/answers.h"
--- a/gateway/picker.cpp
+++ b/gateway/picker.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "core/hash.h"
+
 namespace figrack::gateway {
 
 namespace asio = boost::asio;
