placement: adapters go where their model has least to do; reports and loads three times as often

What the leader went by was up to 4.4 s old at 291 gateways; a report costs it little since old rates are not looked through with each.

--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -1,6 +1,7 @@
 #include "fleet/core.h"
 
 #include <algorithm>
+#include <unordered_map>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -26,7 +27,7 @@
 
 constexpr auto keeperEvery = std::chrono::milliseconds { 200 };
 /// Time between two gateways that are told the loads.
-constexpr auto loadShare = std::chrono::milliseconds { 15 };
+constexpr auto loadShare = std::chrono::milliseconds { 5 };
 /// Between two plans: a plan of some dozen endpoints takes a control with a sixth of a core about
 /// as long, and what sets it off comes in bursts.
 constexpr auto planPause = std::chrono::milliseconds { 10 };
@@ -557,6 +558,9 @@
         const auto &engine = *service.engine;
         auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 0, 0 };
         const auto unreachable = demand_.unreachable();
+        auto running = std::unordered_map<EndpointId, std::uint32_t> {};
+        for (const auto &load : demand_.loads())
+            running[load.endpoint] = load.running;
         for (const auto *row : registry_.rows()) {
             if (row->service != service.id || row->state != catalogue::EndpointState::Ready)
                 continue;
@@ -565,7 +569,7 @@
                 continue;
             const auto *held = orders_.held(row->id);
             input.hosts.push_back({ row->id, held != nullptr ? *held : row->models, row->inMemory,
-                                    row->onDisk, orders_.busySeconds(row->id) });
+                                    row->onDisk, orders_.busySeconds(row->id), running[row->id] });
         }
         auto asked = demand_.of(service.id);
         input.models = std::move(asked.models);
--- a/fleet/placement.cpp
+++ b/fleet/placement.cpp
@@ -56,6 +56,11 @@
 constexpr auto reloadSeconds = 1.2;
 /// A load from the store holds one of few places and is priced.
 constexpr auto storePenalty = 2.0;
+/// What a request in progress weighs beside an adapter when a host for another adapter is sought.
+/// Most adapters are held once, so their requests have no choice: of their streams 25 in 100 were
+/// late where 16 of the others were, when hosts were taken by their adapters alone (a played calm
+/// day of 240 endpoints).
+constexpr auto adapterLoadWeight = 0.5;
 constexpr auto never = std::numeric_limits<double>::infinity();
 
 auto seconds(Duration duration) -> double
@@ -472,7 +477,8 @@
             const auto victim = isFull ? adapterVictim(host) : std::nullopt;
             if (isFull && !victim)
                 continue;
-            const auto score = static_cast<double>(count) + (victim ? 10.0 + lossOf(*victim) : 0.0);
+            const auto score = static_cast<double>(count) + host.running * adapterLoadWeight
+                    + (victim ? 10.0 + lossOf(*victim) : 0.0);
             if (score < bestScore) {
                 bestScore = score;
                 best = &host;
--- a/fleet/placement.h
+++ b/fleet/placement.h
@@ -38,6 +38,8 @@
     std::vector<ModelId> onDisk;
     /// Seconds until it takes an order, as expected; 0 when none is under way or in doubt.
     double busySeconds = 0;
+    /// Requests in progress, over all gateways, as they told last.
+    std::uint32_t running = 0;
     auto takesOrders() const -> bool { return busySeconds <= 0; }
 };
 
--- a/fleet/testing/tst_placement.cpp
+++ b/fleet/testing/tst_placement.cpp
@@ -150,6 +150,24 @@
     CHECK(others[0].steps.back().model != ModelId { "m0" });
 }
 
+// What users saw: checks with an adapter were late half as often again as those without. Most
+// adapters are held by one endpoint, which was taken by its adapters alone, however busy it was.
+TEST_CASE("An adapter goes where its model has least to do, as long as there is a place")
+{
+    const auto engine = makeEngine();
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 0, 0 };
+    input.hosts = { makeHost("e1", { "m0" }), makeHost("e2", { "m0" }), makeHost("e3", { "m0" }) };
+    input.hosts[0].running = 30;
+    input.hosts[1].running = 4;
+    input.hosts[1].models[0].adapters = { "a1" };
+    input.hosts[2].running = 2;
+    input.hosts[2].models[0].adapters = { "a2", "a3" }; // All places that it has.
+    input.adapters[{ ModelId { "m0" }, "a9" }].waiting = 1;
+    const auto plans = plan(input).plans;
+    REQUIRE(plans.size() == 1);
+    CHECK(plans[0].endpoint == EndpointId { "e2" });
+}
+
 TEST_CASE("An adapter is loaded once, and displaces the one asked for least when there is no place")
 {
     const auto engine = makeEngine();
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -16,8 +16,8 @@
 constexpr auto stopLookEvery = std::chrono::milliseconds { 50 };
 /// Requests are placed until so long before the end of a planned stop: most run for less.
 constexpr auto stopPlacing = std::chrono::milliseconds { 2500 };
-/// Time of the leader between two reports, over all gateways; a report costs it about 0.1 ms.
-constexpr auto reportShare = std::chrono::milliseconds { 15 };
+/// Time of the leader between two reports, over all gateways: from 291 each is 1.5 s old at most.
+constexpr auto reportShare = std::chrono::milliseconds { 5 };
 /// After a first report of a lacking model, others are bundled for so long.
 constexpr auto urgentEvery = std::chrono::milliseconds { 5 };
 
