--- a/fleet/registry.cpp
+++ b/fleet/registry.cpp
@@ -13,7 +13,7 @@
 using catalogue::EndpointState;
 
 Registry::Registry(RegistryOptions options, const Clock &clock)
-    : options_(options)
+    : options_(std::move(options))
     , clock_(clock)
     , startedAt_(clock.now())
 { }
