--- a/fleet/testing/tst_orders.cpp
+++ b/fleet/testing/tst_orders.cpp
@@ -49,7 +49,7 @@
 {
 public:
     explicit OrderRig(RegistryOptions registryOptions = {})
-        : registry(registryOptions, clock)
+        : registry(std::move(registryOptions), clock)
     {
         auto row = catalogue::EndpointRow {};
         row.id = id;
