--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -26,7 +26,7 @@
 namespace {
 
 constexpr auto keeperEvery = std::chrono::milliseconds { 200 };
-/// Time between two gateways that are told the loads.
+/// Time between two gateways that are told the loads: each of 291 every 1.5 s.
 constexpr auto loadShare = std::chrono::milliseconds { 5 };
 /// Between two plans: a plan of some dozen endpoints takes a control with a sixth of a core about
 /// as long, and what sets it off comes in bursts.
--- a/fleet/registry.h
+++ b/fleet/registry.h
@@ -55,7 +55,8 @@
     Duration relayEvery = std::chrono::milliseconds { 250 };
     /// At least so long for each subscriber between two relays, and between two batches of news: a
     /// control sends some thousand messages a second at most, however many gateways there are. It
-    /// takes effect from some 70 gateways on for relays, from 100 on for news.
+    /// takes effect from some 70 subscribers on for relays, from 100 on for news. Before 291
+    /// gateways controls used 0.036 of a core on average in place of 0.044 (played calm day).
     Duration relayShare = std::chrono::microseconds { 3500 };
     Duration newsShare = std::chrono::microseconds { 200 };
     /// Gateways must confirm an endpoint's leaving within it; below the second after which the
--- a/proto/sharedpush.h
+++ b/proto/sharedpush.h
@@ -6,7 +6,9 @@
 //
 // It is encoded once, at the first connection that needs its bytes; each
 // connection seals them for itself. A control tells some 300 gateways of each
-// change: encoded for each of them, news took it most of its processor time.
+// change: with one encoding for each of them, and old rates of demand looked
+// through with each report, controls used 0.051 of a core on average on a
+// played calm day, and 0.044 without both.
 //
 // Not thread-safe before body() was called once; the bytes may be read by any.
 
