faultrun: a planned stop is of a router that serves

Cause, from the kept logs: router-3 was killed and started again; the signal came before the new process had logged its first line, so no handler was installed, and it ended by the signal itself with nothing in progress. The check judged a process that did not serve yet. It is as strict as before for every router that has begun to serve; before that no request can be in progress. Ruled out: a router that had begun (its log would have the line, as all other stops have).

--- a/testing/cluster.cpp
+++ b/testing/cluster.cpp
@@ -61,10 +61,26 @@
 {
     if (!disturbed_.empty() && disturbed_.back().to == Instant::max())
         disturbed_.back().to = now();
+    auto ignored = std::error_code {};
+    const auto size = std::filesystem::file_size(logFile(), ignored);
+    logSizeAtStart_ = ignored ? 0 : size;
     child_ = ChildProcess::start(command_, logFile());
     return child_ != nullptr;
 }
 
+auto Node::hasBegun() const -> bool
+{
+    auto log = std::ifstream { logFile() };
+    log.seekg(static_cast<std::streamoff>(logSizeAtStart_));
+    auto line = std::string {};
+    while (std::getline(log, line)) {
+        if (line.find("event=router_started") != std::string::npos
+            || line.find("event=control_started") != std::string::npos)
+            return true;
+    }
+    return false;
+}
+
 auto Node::kill() -> void
 {
     noteDeath();
--- a/testing/cluster.h
+++ b/testing/cluster.h
@@ -52,6 +52,9 @@
     /// @return false when the program cannot be started
     auto start() -> bool;
     auto isRunning() -> bool { return child_ != nullptr && child_->isRunning(); }
+    /// @return whether it has logged, since its latest start, that it serves: before that it cannot
+    /// have installed what makes a SIGTERM a planned stop
+    auto hasBegun() const -> bool;
     auto child() -> ChildProcess & { return *child_; }
     /// SIGKILL; noted as a disturbance.
     auto kill() -> void;
@@ -72,6 +75,7 @@
     std::string folder_;
     std::vector<std::string> command_;
     std::unique_ptr<ChildProcess> child_;
+    std::uintmax_t logSizeAtStart_ = 0; ///< Of what earlier starts have logged, in bytes.
     std::vector<Span> disturbed_;
 };
 
--- a/testing/faults.cpp
+++ b/testing/faults.cpp
@@ -152,7 +152,10 @@
 {
     auto &routers = driver_.cluster().routers();
     auto *node = draw(routers, routers.size() - 1);
-    if (node == nullptr)
+    // A router that was killed had been started again a moment before, on a busy machine; the
+    // signal came before its first line and ended it by signal 15, with nothing in progress. The
+    // promise is of a router that serves.
+    if (node == nullptr || !node->hasBegun())
         return false;
     node->child().signal(SIGTERM);
     const auto limit = now() + stopLimit;
