--- a/fleet/placement.cpp
+++ b/fleet/placement.cpp
@@ -250,10 +250,11 @@
     /// 240 endpoints). One load at a time: then it is the others' turn.
     auto mayUseStore(const ModelId &model, bool isExtra) const -> bool
     {
+        if (!isExtra || storeLoads_ > input_.storeReserve)
+            return storeLoads_ > 0;
         const auto isUrgent = missedPerReplica(model) > std::max(mostLacked_, urgentMissed)
                 && countOf(input_.loading, model) == 0;
-        const auto isKept = isExtra && !isUrgent;
-        return storeLoads_ > (isKept ? input_.storeReserve : 0U);
+        return isUrgent && storeLoads_ > 0;
     }
 
     auto missedPerReplica(const ModelId &model) const -> std::uint32_t
--- a/fleet/registry.cpp
+++ b/fleet/registry.cpp
@@ -81,7 +81,7 @@
     // The end of an incarnation first: another one may have taken its place.
     for (const auto isGone : { true, false }) {
         for (const auto &row : update.endpoints) {
-            if ((row.state == EndpointState::Gone) == isGone && take(row) && relays(row.id))
+            if ((row.state == EndpointState::Gone) == isGone && take(row) && passesOn(row.id))
                 relayed_.insert(row.id);
         }
     }
@@ -94,7 +94,7 @@
 }
 
 /// The controls with the highest weights for the endpoint do, so that they need not talk of it.
-auto Registry::relays(const EndpointId &id) const -> bool
+auto Registry::passesOn(const EndpointId &id) const -> bool
 {
     const auto key = std::hash<EndpointId> {}(id);
     const auto own = rendezvousWeight(key, options_.self.value());
@@ -193,7 +193,7 @@
     update.loads = loads;
     update.number = ++lastNumber_;
     const auto push = proto::SharedPush { std::move(update) };
-    for (auto &[key, subscriber] : subscribers_) {
+    for (const auto &[key, subscriber] : subscribers_) {
         if (subscriber.subscribe.kind == proto::SubscriberKind::Gateway)
             send(subscriber, push);
     }
--- a/fleet/registry.h
+++ b/fleet/registry.h
@@ -161,7 +161,7 @@
     auto isOver(const EndpointId &id) const -> bool;
     auto take(const catalogue::EndpointRow &row) -> bool;
     /// @return whether this control passes on what others told of the endpoint
-    auto relays(const EndpointId &id) const -> bool;
+    auto passesOn(const EndpointId &id) const -> bool;
     auto endOthers(const EndpointId &id) -> void;
     auto tell(std::set<EndpointId> &ids, bool wantsAck) -> void;
     /// Numbers the update and sends it to every subscriber, encoded once.
--- a/gateway/controlfeed.cpp
+++ b/gateway/controlfeed.cpp
@@ -8,7 +8,6 @@
 
 #include "core/hash.h"
 #include "core/log.h"
-#include "gateway/chooser.h"
 
 namespace figrack::gateway {
 
