--- /dev/null
+++ b/catalogue/suspect.cpp
@@ -0,0 +1,41 @@
+// Each part is led by its length, so that no two lists of parts give the same bytes.
+
+#include "catalogue/suspect.h"
+
+#include <algorithm>
+#include <cstring>
+
+#include <fmt/format.h>
+
+#include "core/crypto.h"
+
+namespace figrack::catalogue {
+
+auto WorkId::text() const -> std::string
+{
+    return fmt::format("{:016x}{:016x}", high, low);
+}
+
+auto workIdOf(const WorkParts &parts) -> WorkId
+{
+    auto bytes = std::string {};
+    for (const auto part : { parts.method, parts.host, parts.target, parts.account, parts.body }) {
+        bytes += std::to_string(part.size());
+        bytes += ':';
+        bytes += part;
+    }
+    const auto digest = sha256(bytes);
+    auto work = WorkId {};
+    std::memcpy(&work.high, digest.data(), sizeof(work.high));
+    std::memcpy(&work.low, digest.data() + sizeof(work.high), sizeof(work.low));
+    if (work.isNone())
+        work.low = 1;
+    return work;
+}
+
+auto SuspectRow::ends() const -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(ended.size() - std::min(ended.size(), acquitted.size()));
+}
+
+} // namespace figrack::catalogue
--- a/core/error.cpp
+++ b/core/error.cpp
@@ -102,6 +102,9 @@
           "nothing to do" },
         { ErrorKind::InUse, StatusCode::kFailedPrecondition, "in_use",
           "something still refers to it", "remove what refers to it first" },
+        { ErrorKind::Quarantined, StatusCode::kUnavailable, "quarantined",
+          "endpoints ended while they ran this request",
+          "change the request, or try again after the time given" },
 } };
 
 constexpr auto tableIsOrdered() -> bool
--- a/core/error.h
+++ b/core/error.h
@@ -60,11 +60,13 @@
     MembershipBusy, ///< Another membership change is under way.
     Timeout,
     Cancelled,
-    InUse, ///< Something else still refers to what is to be removed or replaced.
+    InUse,       ///< Something else still refers to what is to be removed or replaced.
+    Quarantined, ///< Endpoint after endpoint ended while it ran this work.
 };
 
 /// Number of kinds, for tables indexed by kind.
-constexpr auto errorKindCount = std::size_t { static_cast<std::size_t>(ErrorKind::InUse) + 1 };
+constexpr auto errorKindCount
+        = std::size_t { static_cast<std::size_t>(ErrorKind::Quarantined) + 1 };
 
 /// The wire and log name of a kind, snake_case.
 /// @param kind any ErrorKind value
--- a/fleet/balancer.cpp
+++ b/fleet/balancer.cpp
@@ -314,6 +314,12 @@
     }
 }
 
+auto Balancer::runningAt(const EndpointId &id) const -> std::uint32_t
+{
+    const auto found = endpoints_.find(id);
+    return found == endpoints_.end() ? 0 : found->second.running;
+}
+
 auto Balancer::release(const EndpointId &id) -> void
 {
     const auto found = endpoints_.find(id);
--- a/fleet/balancer.h
+++ b/fleet/balancer.h
@@ -116,6 +116,8 @@
     auto onEnd(const NodeId &gateway, const proto::PickEnd &end) -> void;
     /// The gateway's bookings end: it is gone, and its requests with it.
     auto onGatewayLost(const NodeId &gateway) -> void;
+    /// @return requests that are booked at the endpoint
+    auto runningAt(const EndpointId &id) const -> std::uint32_t;
     /// @return requests that are booked
     auto booked() const -> std::size_t { return bookings_.size(); }
 
--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -18,6 +18,8 @@
 #include "fleet/lastknown.h"
 #include "fleet/metrics.h"
 #include "fleet/proposals.h"
+#include "fleet/suspectsync.h"
+#include "fleet/trials.h"
 
 namespace figrack::fleet {
 
@@ -59,6 +61,8 @@
         , registry_(options_.registry, clock)
         , announcements_(registry_, KnownServices { readDocument_ }, clock, metrics_)
         , keeper_(options_.group, clock)
+        , suspects_({}, quarantine_, registry_, lastKnown_, clock)
+        , trials_({}, quarantine_, clock)
         , demand_(options_.demand, clock)
         , balancer_(options_.balancer, clock, random_)
         , orders_(context, options_.orders, clock, registry_, port, authority())
@@ -235,9 +239,12 @@
         handler.onMessage = [weak = weak_from_this()](const proto::PeerPointer &,
                                                       const proto::Envelope &envelope) {
             const auto self = weak.lock();
-            const auto *update = std::get_if<proto::ServingUpdate>(&envelope.payload);
-            if (self && update != nullptr)
+            if (!self)
+                return;
+            if (const auto *update = std::get_if<proto::ServingUpdate>(&envelope.payload))
                 self->onUpdate(*update);
+            else if (const auto *news = std::get_if<proto::SuspectNews>(&envelope.payload))
+                self->suspects_.onNews(*news);
         };
         handler.onClose = [](const proto::PeerPointer &peer, const absl::Status &status) {
             LogEvent(LogLevel::Warning, "control_lost").with("control", peer->peer()).with(status);
@@ -262,6 +269,7 @@
                       self->spread_.onLost(peer);
                       self->demand_.onGatewayLost(peer->peer());
                       self->balancer_.onGatewayLost(peer->peer());
+                      self->trials_.onGatewayLost(peer->peer());
                   };
         return handler;
     }
@@ -281,12 +289,15 @@
         } else if (const auto *wanted = std::get_if<proto::ModelWanted>(&envelope.payload)) {
             if (demand_.onReport(peer->peer(), *wanted))
                 planSoon();
-        } else if (const auto *pick = std::get_if<proto::PickRequest>(&envelope.payload)) {
-            auto reply = balancer_.pick(peer->peer(), *pick);
+        } else if (auto *pick = std::get_if<proto::PickRequest>(&envelope.payload)) {
+            auto reply = onPick(peer->peer(), *pick);
             if (envelope.correlation != 0)
                 peer->send({ envelope.correlation, std::move(reply) });
         } else if (const auto *end = std::get_if<proto::PickEnd>(&envelope.payload)) {
             balancer_.onEnd(peer->peer(), *end);
+            trials_.onEnd(peer->peer(), end->ticket);
+        } else if (const auto *news = std::get_if<proto::SuspectNews>(&envelope.payload)) {
+            suspects_.onNews(*news);
         } else if (const auto *join = std::get_if<proto::JoinGroup>(&envelope.payload)) {
             onJoin(join->member);
         } else if (std::holds_alternative<proto::ManifestRequest>(envelope.payload)) {
@@ -298,9 +309,21 @@
         }
     }
 
+    auto onPick(const NodeId &gateway, proto::PickRequest &request) -> proto::PickReply
+    {
+        if (auto refusal = trials_.refuse(gateway, request))
+            return *std::move(refusal);
+        trials_.narrow(request, [this](const EndpointId &id) { return balancer_.runningAt(id); });
+        auto reply = balancer_.pick(gateway, request);
+        if (!reply.endpoint.empty())
+            trials_.begin(gateway, request);
+        return reply;
+    }
+
     auto onSubscribe(const proto::PeerPointer &peer, const proto::Subscribe &subscribe) -> void
     {
         registry_.onSubscribe(peer, subscribe);
+        suspects_.onSubscribed(peer, subscribe.kind);
         if (subscribe.kind == proto::SubscriberKind::Gateway)
             spread_.onSubscribed(peer, subscribe.ready, subscribe.inForce);
     }
@@ -393,6 +416,7 @@
         restartIfStopped();
         registry_.tick();
         spread_.settle();
+        suspects_.tick();
         rememberEndpoints();
         const auto now = clock_.now();
         if (now >= nextKeep_ && replica_) {
@@ -447,6 +471,7 @@
                 .with("document", recalled_.version)
                 .with("endpoints", static_cast<std::uint64_t>(endpoints.size()));
         registry_.recall(std::move(endpoints));
+        suspects_.recall();
     }
 
     /// @return the newest document that is known to be committed: after a start, until the log has
@@ -665,6 +690,9 @@
     Registry registry_;
     Announcements announcements_;
     GroupKeeper keeper_;
+    policy::Quarantine quarantine_ { {} };
+    SuspectSync suspects_;
+    Trials trials_;
     DemandTable demand_;
     Balancer balancer_;
     Proposals proposals_;
--- a/fleet/lastknown.cpp
+++ b/fleet/lastknown.cpp
@@ -1,4 +1,4 @@
-// A file each for the document and the endpoints: a checksum, then the value. It
+// A file each for the document, the endpoints and suspected work: a checksum, then the value. It
 // is written under a temporary name, synced, renamed, and the folder synced, so a
 // loss of power leaves the old state or the new one.
 
@@ -20,6 +20,7 @@
 
 constexpr auto documentName = "known-document";
 constexpr auto endpointsName = "known-endpoints";
+constexpr auto suspectsName = "known-suspects";
 /// The log's recovery removes files of such a name that were left behind.
 constexpr auto temporarySuffix = ".tmp";
 /// After a failed write. A disk that is full or stalled is so for seconds; bounds the log, too.
@@ -78,6 +79,11 @@
     return load<std::vector<catalogue::EndpointRow>>(endpointsName);
 }
 
+auto LastKnownStore::loadSuspects() -> std::vector<catalogue::SuspectRow>
+{
+    return load<std::vector<catalogue::SuspectRow>>(suspectsName);
+}
+
 auto LastKnownStore::save(const Document &document) -> void
 {
     post(documentName, serialize(document));
@@ -88,6 +94,11 @@
     post(endpointsName, serialize(endpoints));
 }
 
+auto LastKnownStore::save(const std::vector<catalogue::SuspectRow> &suspects) -> void
+{
+    post(suspectsName, serialize(suspects));
+}
+
 template<typename T>
 auto LastKnownStore::load(const std::string &name) -> T
 {
--- a/fleet/lastknown.h
+++ b/fleet/lastknown.h
@@ -4,6 +4,7 @@
 //   const auto document = store.loadDocument();   // empty when there is none
 //   store.save(document);                         // returns at once; written soon
 //   store.save(endpoints);
+//   store.save(suspects);
 //
 // When all processes of a fleet are lost at once, gateways need a document and
 // endpoints before they can serve, and both came from memory: a document only
@@ -11,6 +12,9 @@
 // endpoint when it announced itself (0 to 1.2 s). With what is kept here they
 // serve 0.2 s after the start.
 //
+// Suspected work is kept for the same case: with a table that begins anew, work in
+// quarantine ends three more endpoints after each loss of all processes.
+//
 // What is loaded is proof of nothing: the document was committed, but newer ones
 // may have been; endpoints may be gone. It is told to gateways, which hold no
 // newer document after a start, and is never an answer to a reader of the
@@ -34,6 +38,7 @@
 #include <absl/status/status.h>
 
 #include "catalogue/endpointrow.h"
+#include "catalogue/suspect.h"
 #include "coord/disk.h"
 #include "fleet/configlog.h"
 
@@ -54,8 +59,11 @@
     auto loadDocument() -> Document;
     /// @return the endpoints that were saved last; none when they cannot be read
     auto loadEndpoints() -> std::vector<catalogue::EndpointRow>;
+    /// @return the suspected work that was saved last; none when it cannot be read
+    auto loadSuspects() -> std::vector<catalogue::SuspectRow>;
     auto save(const Document &document) -> void;
     auto save(const std::vector<catalogue::EndpointRow> &endpoints) -> void;
+    auto save(const std::vector<catalogue::SuspectRow> &suspects) -> void;
 
 private:
     template<typename T>
--- a/fleet/registry.cpp
+++ b/fleet/registry.cpp
@@ -81,7 +81,8 @@
     // The end of an incarnation first: another one may have taken its place.
     for (const auto isGone : { true, false }) {
         for (const auto &row : update.endpoints) {
-            if ((row.state == EndpointState::Gone) == isGone && take(row) && passesOn(row.id))
+            if ((row.state == EndpointState::Gone) == isGone && take(row)
+                && passesOn(std::hash<EndpointId> {}(row.id)))
                 relayed_.insert(row.id);
         }
     }
@@ -93,10 +94,9 @@
     }
 }
 
-/// The controls with the highest weights for the endpoint do, so that they need not talk of it.
-auto Registry::passesOn(const EndpointId &id) const -> bool
+/// The controls with the highest weights for the key do, so that they need not talk of it.
+auto Registry::passesOn(std::uint64_t key) const -> bool
 {
-    const auto key = std::hash<EndpointId> {}(id);
     const auto own = rendezvousWeight(key, options_.self.value());
     const auto higher = std::count_if(
             group_.controls.begin(), group_.controls.end(), [&](const coord::Member &member) {
@@ -192,10 +192,15 @@
     auto update = baseUpdate();
     update.loads = loads;
     update.number = ++lastNumber_;
-    const auto push = proto::SharedPush { std::move(update) };
+    push(proto::SubscriberKind::Gateway, std::move(update));
+}
+
+auto Registry::push(proto::SubscriberKind kind, proto::Payload payload) -> void
+{
+    const auto shared = proto::SharedPush { std::move(payload) };
     for (const auto &[key, subscriber] : subscribers_) {
-        if (subscriber.subscribe.kind == proto::SubscriberKind::Gateway)
-            send(subscriber, push);
+        if (subscriber.subscribe.kind == kind)
+            send(subscriber, shared);
     }
 }
 
--- a/fleet/registry.h
+++ b/fleet/registry.h
@@ -120,6 +120,10 @@
     auto setGroup(const GroupView &group) -> void;
     /// On the leader: tells all gateways how much is in progress at each endpoint.
     auto tellLoads(const std::vector<proto::EndpointLoad> &loads) -> void;
+    /// Sends a message to every subscriber of a kind.
+    auto push(proto::SubscriberKind kind, proto::Payload payload) -> void;
+    /// @return whether this control passes on what others told of what the key names
+    auto passesOn(std::uint64_t key) const -> bool;
     auto tick() -> void;
 
     auto find(const EndpointId &id) const -> const catalogue::EndpointRow *;
@@ -160,8 +164,6 @@
     auto mayBegin(const EndpointId &id) -> bool;
     auto isOver(const EndpointId &id) const -> bool;
     auto take(const catalogue::EndpointRow &row) -> bool;
-    /// @return whether this control passes on what others told of the endpoint
-    auto passesOn(const EndpointId &id) const -> bool;
     auto endOthers(const EndpointId &id) -> void;
     auto tell(std::set<EndpointId> &ids, bool wantsAck) -> void;
     /// Numbers the update and sends it to every subscriber, encoded once.
--- /dev/null
+++ b/fleet/suspectsync.cpp
@@ -0,0 +1,90 @@
+#include "fleet/suspectsync.h"
+
+#include <utility>
+
+#include "core/log.h"
+
+namespace figrack::fleet {
+
+SuspectSync::SuspectSync(SuspectSyncOptions options, policy::Quarantine &quarantine,
+                         Registry &registry, LastKnownStore &store, const Clock &clock)
+    : options_(options)
+    , quarantine_(quarantine)
+    , registry_(registry)
+    , store_(store)
+    , clock_(clock)
+{ }
+
+auto SuspectSync::recall() -> void
+{
+    for (const auto &row : store_.loadSuspects())
+        quarantine_.merge(row, now());
+    LogEvent(LogLevel::Info, "suspects_recalled")
+            .with("rows", static_cast<std::uint64_t>(quarantine_.size()));
+}
+
+auto SuspectSync::onNews(const proto::SuspectNews &news) -> void
+{
+    for (const auto &row : news.rows) {
+        if (!quarantine_.merge(row, now()))
+            continue;
+        changed_.insert(row.work);
+        const auto verdict = quarantine_.verdict(row.work, now());
+        LogEvent(LogLevel::Info, "suspect_told")
+                .with("work", row.work.text())
+                .with("ends", std::uint64_t { verdict.ends })
+                .with("standing", policy::standingName(verdict.standing))
+                .with("release_ms", verdict.releaseIn);
+    }
+}
+
+auto SuspectSync::onSubscribed(const proto::PeerPointer &peer, proto::SubscriberKind kind) -> void
+{
+    const auto isGateway = kind == proto::SubscriberKind::Gateway;
+    auto rows = quarantine_.rows(isGateway ? options_.gatewaysFromEnds : 1, now());
+    if (!rows.empty())
+        peer->send({ 0, proto::SuspectNews { std::move(rows) } });
+}
+
+auto SuspectSync::tick() -> void
+{
+    if (!changed_.empty())
+        passOn();
+    if (unsaved_ && clock_.now() >= nextSave_)
+        save();
+}
+
+auto SuspectSync::passOn() -> void
+{
+    auto toControls = proto::SuspectNews {};
+    auto toGateways = proto::SuspectNews {};
+    for (const auto &work : std::exchange(changed_, {})) {
+        auto row = quarantine_.row(work, now());
+        const auto hasCounted = row.ended.size() >= options_.gatewaysFromEnds;
+        unsaved_ = unsaved_ || hasCounted;
+        if (!registry_.passesOn(work.low))
+            continue;
+        if (hasCounted)
+            toGateways.rows.push_back(row);
+        toControls.rows.push_back(std::move(row));
+    }
+    if (!toControls.rows.empty())
+        registry_.push(proto::SubscriberKind::Control, std::move(toControls));
+    if (!toGateways.rows.empty())
+        registry_.push(proto::SubscriberKind::Gateway, std::move(toGateways));
+}
+
+auto SuspectSync::save() -> void
+{
+    unsaved_ = false;
+    nextSave_ = clock_.now() + options_.saveEvery;
+    store_.save(quarantine_.rows(options_.gatewaysFromEnds, now()));
+}
+
+auto SuspectSync::now() const -> policy::Millis
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now().time_since_epoch())
+            .count();
+}
+
+} // namespace figrack::fleet
--- a/fleet/testing/tst_documentspread.cpp
+++ b/fleet/testing/tst_documentspread.cpp
@@ -3,35 +3,22 @@
 #include <doctest/doctest.h>
 
 #include "fleet/documentspread.h"
+#include "fleet/testing/fakepeer.h"
 
 using namespace figrack;
 using namespace figrack::fleet;
+using figrack::fleet::testing::FakePeer;
 using namespace std::chrono_literals;
 
 namespace {
 
-class NamedPeer final : public proto::PeerConnection
-{
-public:
-    explicit NamedPeer(std::string name)
-        : name_(std::move(name))
-    { }
-    auto peer() const -> const NodeId & override { return name_; }
-    auto send(proto::Envelope /*envelope*/) -> bool override { return true; }
-    auto close() -> void override { }
-    auto isOpen() const -> bool override { return true; }
-
-private:
-    NodeId name_;
-};
-
 struct SpreadRig
 {
     ManualClock clock;
     Metrics metrics;
     DocumentSpread spread { clock, metrics };
-    proto::PeerPointer one = std::make_shared<NamedPeer>("g1");
-    proto::PeerPointer two = std::make_shared<NamedPeer>("g2");
+    proto::PeerPointer one = std::make_shared<FakePeer>("g1");
+    proto::PeerPointer two = std::make_shared<FakePeer>("g2");
     int ended = 0;
 
     SpreadRig()
@@ -93,7 +80,7 @@
 TEST_CASE("What a gateway said on another connection does not count")
 {
     auto rig = SpreadRig {};
-    const auto again = proto::PeerPointer { std::make_shared<NamedPeer>("g2") };
+    const auto again = proto::PeerPointer { std::make_shared<FakePeer>("g2") };
     rig.spread.onInForce(again, Revision { 2 });
     rig.spread.onInForce(rig.one, Revision { 2 });
     rig.await(Revision { 2 });
--- a/fleet/testing/tst_registry.cpp
+++ b/fleet/testing/tst_registry.cpp
@@ -13,43 +13,16 @@
 #include "fleet/demandtable.h"
 #include "fleet/proposals.h"
 #include "fleet/registry.h"
+#include "fleet/testing/fakepeer.h"
 
 using namespace figrack;
 using namespace figrack::fleet;
+using figrack::fleet::testing::FakePeer;
 using namespace std::chrono_literals;
 using catalogue::EndpointState;
 
 namespace {
 
-/// A subscriber's connection that keeps what was sent.
-class FakePeer final : public proto::PeerConnection
-{
-public:
-    explicit FakePeer(std::string name)
-        : name_(std::move(name))
-    { }
-    auto peer() const -> const NodeId & override { return name_; }
-    auto send(proto::Envelope envelope) -> bool override
-    {
-        updates.push_back(std::get<proto::ServingUpdate>(envelope.payload));
-        return true;
-    }
-    auto sendShared(const proto::SharedPush &push) -> bool override
-    {
-        bodies.insert(push.body());
-        return send(push.envelope());
-    }
-    auto close() -> void override { }
-    auto isOpen() const -> bool override { return true; }
-
-    std::vector<proto::ServingUpdate> updates;
-    std::set<std::shared_ptr<const std::string>>
-            bodies; ///< Encodings, kept so that none is reused.
-
-private:
-    NodeId name_;
-};
-
 auto makeRow(const std::string &id, std::uint64_t sequence, EndpointState state)
         -> catalogue::EndpointRow
 {
--- /dev/null
+++ b/fleet/testing/tst_trials.cpp
@@ -0,0 +1,120 @@
+// Suspected work runs one at a time; in virtual time.
+
+#include <doctest/doctest.h>
+
+#include "fleet/trials.h"
+
+using namespace figrack;
+using namespace figrack::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct TrialRig
+{
+    ManualClock clock;
+    policy::Quarantine quarantine { {} };
+    Trials trials { {}, quarantine, clock };
+    const catalogue::WorkId work = catalogue::workIdOf({ "POST", "h", "/p", "a", "poison" });
+    const NodeId one { "g1" };
+    const NodeId other { "g2" };
+
+    auto endAt(const std::string &endpoint) -> void
+    {
+        const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+                                 clock.now().time_since_epoch())
+                                 .count();
+        quarantine.onEnd(work, 1, EndpointId { endpoint }, now);
+    }
+    auto request(std::uint64_t ticket) const -> proto::PickRequest
+    {
+        auto result = proto::PickRequest {};
+        result.ticket = ticket;
+        result.work = work;
+        result.limitMs = 5000;
+        result.candidates = { EndpointId { "i-1" }, EndpointId { "i-2" }, EndpointId { "i-3" } };
+        return result;
+    }
+    /// @return true when the request was let through
+    auto tries(const NodeId &gateway, std::uint64_t ticket) -> bool
+    {
+        const auto wanted = request(ticket);
+        const auto refusal = trials.refuse(gateway, wanted);
+        if (!refusal)
+            trials.begin(gateway, wanted);
+        else
+            CHECK(refusal->comeBackMs > 0);
+        return !refusal.has_value();
+    }
+};
+
+} // namespace
+
+TEST_CASE("What is not suspected runs as often as it comes")
+{
+    auto rig = TrialRig {};
+    CHECK(rig.tries(rig.one, 1));
+    CHECK(rig.tries(rig.other, 1));
+    auto wanted = rig.request(2);
+    rig.trials.narrow(wanted, [](const EndpointId &) { return 0; });
+    CHECK(wanted.candidates.size() == 3);
+}
+
+TEST_CASE("From the first end on a copy waits until the one before has come back and was told of")
+{
+    auto rig = TrialRig {};
+    rig.endAt("i-9");
+    CHECK(rig.tries(rig.one, 1));
+    CHECK_FALSE(rig.tries(rig.other, 1));
+    CHECK_FALSE(rig.tries(rig.one, 2));
+    rig.trials.onEnd(rig.one, 1);
+    // The word of what came of it is on its way.
+    CHECK_FALSE(rig.tries(rig.other, 2));
+    SUBCASE("nothing came of it")
+    {
+        rig.clock.advance(TrialOptions {}.settle);
+        CHECK(rig.tries(rig.other, 3));
+    }
+    SUBCASE("it completed")
+    {
+        rig.quarantine.onCompleted(rig.work, 0);
+        CHECK(rig.tries(rig.other, 3));
+    }
+    SUBCASE("two more endpoints ended")
+    {
+        rig.endAt("i-8");
+        rig.endAt("i-7");
+        rig.clock.advance(TrialOptions {}.settle);
+        CHECK_FALSE(rig.tries(rig.other, 3));
+        const auto refusal = rig.trials.refuse(rig.other, rig.request(4));
+        REQUIRE(refusal);
+        CHECK(refusal->comeBackMs > 500'000);
+    }
+}
+
+TEST_CASE("A gateway that is lost, or never tells of an end, holds the work up for a while only")
+{
+    auto rig = TrialRig {};
+    rig.endAt("i-9");
+    CHECK(rig.tries(rig.one, 1));
+    SUBCASE("lost")
+    {
+        rig.trials.onGatewayLost(rig.one);
+        rig.clock.advance(TrialOptions {}.settle);
+    }
+    SUBCASE("silent")
+    {
+        rig.clock.advance(5s);
+    }
+    CHECK(rig.tries(rig.other, 1));
+}
+
+TEST_CASE("Suspected work goes where the fewest requests are in progress")
+{
+    auto rig = TrialRig {};
+    rig.endAt("i-9");
+    auto wanted = rig.request(1);
+    rig.trials.narrow(wanted, [](const EndpointId &id) { return id.value() == "i-2" ? 1U : 7U; });
+    REQUIRE(wanted.candidates.size() == 1);
+    CHECK(wanted.candidates[0].value() == "i-2");
+}
--- a/gateway/controlfeed.cpp
+++ b/gateway/controlfeed.cpp
@@ -75,6 +75,8 @@
         control.open = true;
         LogEvent(LogLevel::Info, "control_regained").with("control", control.node);
         peer->send({ 0, subscription() });
+        if (auto rows = hooks_.suspects(); !rows.empty())
+            peer->send({ 0, proto::SuspectNews { std::move(rows) } });
     }
 
     auto onClose(const Address &address, const absl::Status &status) -> void
@@ -89,6 +91,9 @@
     auto onMessage(const Address &address, const proto::PeerPointer &peer,
                    const proto::Envelope &envelope) -> void
     {
+        const auto *news = std::get_if<proto::SuspectNews>(&envelope.payload);
+        if (news != nullptr && !stopped_)
+            hooks_.onSuspects(*news);
         const auto *update = std::get_if<proto::ServingUpdate>(&envelope.payload);
         if (update == nullptr || stopped_)
             return;
@@ -218,6 +223,14 @@
         }
     }
 
+    auto sendSuspects(const std::vector<catalogue::SuspectRow> &rows) -> void
+    {
+        for (auto &[address, control] : controls_) {
+            if (control.open)
+                static_cast<void>(control.client->push(proto::SuspectNews { rows }));
+        }
+    }
+
     /// @return false when no leader is known or connected
     auto pushToLeader(proto::Payload payload) -> bool
     {
@@ -376,6 +389,11 @@
     return impl_->pushToLeader(std::move(wanted));
 }
 
+auto ControlFeed::sendSuspects(const std::vector<catalogue::SuspectRow> &rows) -> void
+{
+    impl_->sendSuspects(rows);
+}
+
 auto ControlFeed::balancerLink() -> BalancerLink
 {
     auto link = BalancerLink {};
--- a/gateway/controlfeed.h
+++ b/gateway/controlfeed.h
@@ -51,6 +51,9 @@
     std::function<void(const proto::ServingUpdate &)> onUpdate;
     /// @return true when it is obeyed from now on
     std::function<bool(const FetchedDocument &)> onDocument;
+    std::function<void(const proto::SuspectNews &)> onSuspects;
+    /// @return what this gateway knows of suspected work: a control that has just started may not
+    std::function<std::vector<catalogue::SuspectRow>()> suspects;
 };
 
 class ControlFeed
@@ -67,6 +70,8 @@
     auto addSeeds(const std::vector<Address> &seeds) -> void;
     /// @return false when no leader is known or connected
     auto sendWanted(proto::ModelWanted wanted) -> bool;
+    /// Tells all controls: each may be the only one that another gateway is connected to.
+    auto sendSuspects(const std::vector<catalogue::SuspectRow> &rows) -> void;
     /// The control that balances for all gateways, as a link for Picker. Gateways agree on it
     /// without talking as long as they are connected to the same controls.
     auto balancerLink() -> BalancerLink;
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -36,6 +36,7 @@
 struct CallerRequest
 {
     RequestId id;
+    std::string account; ///< Client account, or whatever else tells callers apart.
     std::string host;
     std::string path;
     http::Headers headers; ///< Those that go on to the endpoint as they are.
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -97,6 +97,8 @@
         co_await awaitDocument();
         if (auto refusal = prepare()) {
             co_await refuse(std::move(*refusal));
+        } else if (isQuarantined()) {
+            co_await giveUp(quarantinedError());
         } else {
             responder_.onPeerGone([this] { onCallerGone(); });
             parts_.retries.onRequest(service_);
@@ -152,6 +154,8 @@
         const auto *service = routes_->catalogue().find(service_);
         engine_ = service != nullptr && service->engine ? &*service->engine : nullptr;
         lastEvent_ = caller_.resumeAfter;
+        work_ = catalogue::workIdOf(
+                { request_.method, caller_.host, request_.target, caller_.account, request_.body });
         if (engine_ != nullptr && !caller_.model.empty())
             makeWish();
         return std::nullopt;
@@ -170,6 +174,44 @@
             wish_.affinity = std::hash<std::string> {}(caller_.model.value() + caller_.adapter);
     }
 
+    // ---- work under which endpoints ended
+
+    /// Sets when to come back. @return true when the request may not run
+    auto isQuarantined() -> bool
+    {
+        const auto verdict = parts_.quarantine.verdict(work_, policyNow(parts_.clock));
+        if (verdict.standing != policy::Standing::Quarantined)
+            return false;
+        comeBack_ = std::chrono::milliseconds { verdict.releaseIn };
+        parts_.metrics.onQuarantined();
+        return true;
+    }
+
+    auto quarantinedError() const -> absl::Status
+    {
+        const auto verdict = parts_.quarantine.verdict(work_, policyNow(parts_.clock));
+        return makeError(ErrorKind::Quarantined,
+                         "work=" + work_.text() + " ends=" + std::to_string(verdict.ends));
+    }
+
+    /// The dispatch broke off. What an endpoint was doing as it ended is noted: the next gateway
+    /// that the request comes to knows nothing of this one's failure.
+    auto noteBroken(const EndpointId &id, const absl::Status &status, bool hasBegun) -> void
+    {
+        if (callerGone_ || errorKind(status) == ErrorKind::Timeout)
+            return;
+        const auto account = std::hash<std::string> {}(caller_.account);
+        parts_.endings.note(id, { work_, account, caller_.id, hasBegun });
+    }
+
+    /// After a dispatch that broke off. @return true when the work has cost endpoints enough
+    auto endsTooMany() -> asio::awaitable<bool>
+    {
+        static_cast<void>(co_await parts_.endings.hasEnded(endpoint_));
+        const auto verdict = parts_.quarantine.verdict(work_, policyNow(parts_.clock));
+        co_return verdict.ends >= owner_.options_.endsWithoutRepeat;
+    }
+
     // ---- carrying it
 
     auto carry() -> asio::awaitable<void>
@@ -193,6 +235,11 @@
                 ending_ = Ending::CallerGone;
                 co_return nullptr;
             }
+            // Endpoints may have ended under another try of it while this one waited.
+            if (isQuarantined()) {
+                co_await giveUp(quarantinedError());
+                co_return nullptr;
+            }
             const auto lack = co_await pick();
             if (lack == Lack::Nothing && callerGone_)
                 continue;
@@ -235,6 +282,7 @@
             terms.hasBegun = sent_ > 0;
             terms.startTarget = route_->startTarget;
             terms.gapTarget = route_->gapTarget;
+            terms.work = work_;
             auto picked = co_await parts_.picker.pick(able.entries, wish_, terms);
             picked_ = std::move(picked);
             if (picked_.comeBack)
@@ -350,7 +398,10 @@
         const auto mayResume = !responder_.started() || route_->resumable;
         const auto inTime = parts_.clock.now() < deadline_;
         const auto inCount = ran_ < route_->maxAttempts && unsent_ < maxUnsent;
-        if (mayRepeat && mayResume && inTime && inCount && (sent_ == 0 || takeRepeat()))
+        auto mayTry = mayRepeat && mayResume && inTime && inCount;
+        if (mayTry && step == Step::Broken)
+            mayTry = !co_await endsTooMany() && !callerGone_;
+        if (mayTry && (sent_ == 0 || takeRepeat()))
             co_return true;
         co_await giveUp(lastError_);
         co_return false;
@@ -444,6 +495,7 @@
             }
             ++sent_;
             ++ran_;
+            noteBroken(id, error->status, false);
             co_return Step::Broken;
         }
         auto stream = std::move(std::get<std::unique_ptr<http::ClientStream>>(opened));
@@ -459,10 +511,14 @@
         ++ran_;
         const auto isStream = isSuccess(status_) && isEventStream(stream->headers());
         const auto step = isStream ? co_await relayStream(*stream) : co_await relayWhole(*stream);
-        if (step == Step::Settled)
+        if (step == Step::Settled) {
             parts_.view.onSuccess(id);
-        else if (!callerGone_ && status_ < 500)
+            if (ending_ == Ending::Answered && status_ < 500)
+                noteCompleted();
+        } else if (!callerGone_ && status_ < 500) {
             noteFailure(id, lastError_, true);
+            noteBroken(id, lastError_, lastEventAt_.has_value());
+        }
         co_return step;
     }
 
@@ -485,6 +541,12 @@
         parts_.metrics.onEndpointFailure();
     }
 
+    auto noteCompleted() -> void
+    {
+        if (parts_.quarantine.onCompleted(work_, policyNow(parts_.clock)))
+            parts_.endings.onAcquitted(work_);
+    }
+
     /// Reads a small answer to its end, so that its connection can be kept.
     auto discard(http::ClientStream &stream) -> asio::awaitable<void>
     {
@@ -709,6 +771,8 @@
         }
         if (lack_ != Lack::Nothing)
             line.with("lacked", lackName(lack_));
+        if (!work_.isNone())
+            line.with("work", work_.text());
         if (budgetSpent_)
             line.with("retries", "spent");
         if (ending_ != Ending::Answered && !lastError_.ok())
@@ -729,6 +793,7 @@
     ServiceId service_;
     DemandTarget target_; ///< Empty model: none.
     Wish wish_;
+    catalogue::WorkId work_;                     ///< None before the request was read.
     std::shared_ptr<http::Canceller> canceller_; ///< Of the dispatch under way.
     std::string lastEvent_;
     EndpointId endpoint_; ///< Of the latest dispatch.
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -10,6 +10,9 @@
 //   part of a stream was given back, the stream may be resumed    goes on elsewhere
 //   anything else                                                 given up
 //
+// Work under which endpoint after endpoint ended is refused before it costs another one anything
+// (policy/quarantine.h), and is no demand for its model.
+//
 // Guarantees: each request ends in one final answer or, once a stream has begun,
 // in its whole end or a cut connection; only whole events of a stream are passed
 // on, none twice; a refusal that says not run is true; what is given up is
@@ -31,6 +34,7 @@
 #include "core/random.h"
 #include "gateway/demand.h"
 #include "gateway/dialect.h"
+#include "gateway/endingwatch.h"
 #include "gateway/fleetview.h"
 #include "gateway/metrics.h"
 #include "gateway/picker.h"
@@ -38,6 +42,7 @@
 #include "gateway/waiters.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "policy/quarantine.h"
 
 namespace figrack::gateway {
 
@@ -60,6 +65,9 @@
     /// Retry-After while no configuration or no endpoint is known: after a start, endpoints are
     /// heard of within the interval at which they announce themselves.
     Duration comeBackWhenNew = std::chrono::milliseconds { 1200 };
+    /// After so many ends of endpoints under its work a gateway does not send a request on by
+    /// itself. The next try may be the one too many: it is its caller's to make, one at a time.
+    std::uint32_t endsWithoutRepeat = 2;
 };
 
 /// What the forwarder works with. All of it outlives the Forwarder.
@@ -76,6 +84,8 @@
     http::Client &client;
     Picker &picker;
     Random &random;
+    policy::Quarantine &quarantine;
+    EndingWatch &endings;
 };
 
 class Forwarder
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -46,9 +46,11 @@
         , client_(context, options_.client)
         , feed_(context, feedOptions(), clock, feedHooks())
         , picker_(options_.picker, feed_.balancerLink(), metrics_, random_)
+        , endings_({}, { context, clock, view_, quarantine_, metrics_ },
+                   [this] { feed_.sendSuspects(quarantine_.takeOwn(policyNow(clock_))); })
         , forwarder_(options_.forwarder,
                      { context, clock, dialect, view_, retries_, demand_, waiters_, metrics_,
-                       client_, picker_, random_ })
+                       client_, picker_, random_, quarantine_, endings_ })
         , server_(context, options_.server,
                   [this](const http::Request &request, http::Responder &responder) {
                       return forwarder_.handle(request, responder);
@@ -61,7 +63,10 @@
     auto start() -> absl::Status
     {
         demand_.setOnUrgent([this] { reportSoon(); });
-        view_.setOnOver([this](const EndpointId &id) { forwarder_.endDispatches(id); });
+        view_.setOnOver([this](const EndpointId &id) {
+            endings_.onOver(id);
+            forwarder_.endDispatches(id);
+        });
         if (auto status = server_.start(options_.callers); !status.ok())
             return status;
         feed_.start();
@@ -97,6 +102,8 @@
         gauges.endpoints = view_.size();
         gauges.waiting = waiters_.size();
         gauges.inProgress = server_.inProgress();
+        gauges.suspects = quarantine_.size();
+        gauges.quarantined = quarantine_.quarantined(policyNow(clock_));
         gauges.ready = ready();
         return metrics_.text(gauges);
     }
@@ -126,9 +133,29 @@
         auto hooks = ControlFeedHooks {};
         hooks.onUpdate = [this](const proto::ServingUpdate &update) { onUpdate(update); };
         hooks.onDocument = [this](const FetchedDocument &document) { return onDocument(document); };
+        hooks.onSuspects = [this](const proto::SuspectNews &news) { onSuspects(news); };
+        hooks.suspects = [this] { return quarantine_.rows(1, policyNow(clock_)); };
         return hooks;
     }
 
+    auto onSuspects(const proto::SuspectNews &news) -> void
+    {
+        const auto now = policyNow(clock_);
+        for (const auto &row : news.rows) {
+            if (!quarantine_.merge(row, now))
+                continue;
+            const auto verdict = quarantine_.verdict(row.work, now);
+            LogEvent(LogLevel::Info, "suspect_told")
+                    .with("work", row.work.text())
+                    .with("ends", std::uint64_t { verdict.ends })
+                    .with("standing", policy::standingName(verdict.standing))
+                    .with("release_ms", verdict.releaseIn);
+        }
+        // Of those, what has completed here of late.
+        if (const auto own = quarantine_.takeOwn(now); !own.empty())
+            feed_.sendSuspects(own);
+    }
+
     auto onUpdate(const proto::ServingUpdate &update) -> void
     {
         if (update.gateways > 0) {
@@ -240,9 +267,11 @@
     Demand demand_;
     Waiters waiters_;
     Metrics metrics_;
+    policy::Quarantine quarantine_ { {} };
     http::Client client_;
     ControlFeed feed_;
     Picker picker_;
+    EndingWatch endings_;
     Forwarder forwarder_;
     http::Server server_;
     asio::steady_timer demandTimer_;
--- a/gateway/metrics.cpp
+++ b/gateway/metrics.cpp
@@ -47,6 +47,16 @@
                            .Help("Dispatches that an endpoint did not answer")
                            .Register(registry)
                            .Add({}))
+        , ended(prometheus::BuildCounter()
+                        .Name("figrack_gateway_endpoints_ended_total")
+                        .Help("Ends of endpoints under requests of this gateway")
+                        .Register(registry)
+                        .Add({}))
+        , quarantineRefusals(prometheus::BuildCounter()
+                                     .Name("figrack_gateway_quarantine_refusals_total")
+                                     .Help("Requests refused, as their work is in quarantine")
+                                     .Register(registry)
+                                     .Add({}))
         , picks(prometheus::BuildCounter()
                         .Name("figrack_gateway_picks_total")
                         .Help("Choices among endpoints, by who made them")
@@ -80,6 +90,8 @@
     prometheus::Family<prometheus::Counter> &requests;
     prometheus::Family<prometheus::Counter> &dispatches;
     prometheus::Counter &failures;
+    prometheus::Counter &ended;
+    prometheus::Counter &quarantineRefusals;
     prometheus::Family<prometheus::Counter> &picks;
     prometheus::Family<prometheus::Histogram> &latency;
     prometheus::Histogram &documentDelay;
@@ -111,6 +123,16 @@
     impl_->failures.Increment();
 }
 
+auto Metrics::onEndpointEnded() -> void
+{
+    impl_->ended.Increment();
+}
+
+auto Metrics::onQuarantined() -> void
+{
+    impl_->quarantineRefusals.Increment();
+}
+
 auto Metrics::onPick(std::string_view by) -> void
 {
     impl_->picks.Add({ { "by", std::string { by } } }).Increment();
@@ -132,6 +154,8 @@
     set("endpoints", static_cast<double>(gauges.endpoints));
     set("waiting", static_cast<double>(gauges.waiting));
     set("in_progress", static_cast<double>(gauges.inProgress));
+    set("suspects", static_cast<double>(gauges.suspects));
+    set("quarantined", static_cast<double>(gauges.quarantined));
     set("ready", gauges.ready ? 1 : 0);
     return prometheus::TextSerializer {}.Serialize(impl_->registry.Collect());
 }
--- a/gateway/metrics.h
+++ b/gateway/metrics.h
@@ -34,6 +34,8 @@
     std::uint64_t endpoints = 0;
     std::uint64_t waiting = 0;
     std::uint64_t inProgress = 0;
+    std::uint64_t suspects = 0;    ///< Rows of suspected work, in quarantine or not.
+    std::uint64_t quarantined = 0; ///< Of those, in quarantine.
     bool ready = false;
 };
 
@@ -47,6 +49,10 @@
     auto onRequest(Ending ending, Duration firstByte, Duration total) -> void;
     auto onDispatch(bool isRepeat) -> void;
     auto onEndpointFailure() -> void;
+    /// The process of an endpoint ended while requests of this gateway were in progress there.
+    auto onEndpointEnded() -> void;
+    /// A request was refused, as its work is in quarantine.
+    auto onQuarantined() -> void;
     /// A choice among several endpoints. @param by who made it, of a fixed set
     auto onPick(std::string_view by) -> void;
     /// A document was put into force. @param took since it, or a newer one, was announced here
--- a/gateway/testing/feedrig.h
+++ b/gateway/testing/feedrig.h
@@ -48,6 +48,10 @@
                 update.term = Term { 1 };
                 update.document = document;
                 peer->send({ 0, update });
+                if (!suspects.empty())
+                    peer->send({ 0, proto::SuspectNews { suspects } });
+            } else if (const auto *news = std::get_if<proto::SuspectNews>(&envelope.payload)) {
+                suspectsHeard += news->rows.size();
             } else if (std::holds_alternative<proto::PickRequest>(envelope.payload)) {
                 ++asked;
                 if (!isSilent)
@@ -88,6 +92,8 @@
     bool holdsBackDocuments = false; ///< Answers no question for a document.
     int asked = 0;
     int ended = 0;
+    std::vector<catalogue::SuspectRow> suspects; ///< That it tells its subscribers.
+    std::size_t suspectsHeard = 0;               ///< Rows that came.
     std::unique_ptr<proto::PeerServer> server;
 };
 
@@ -120,6 +126,9 @@
             documents.push_back(document.version);
             return true;
         };
+        hooks.onSuspects
+                = [this](const proto::SuspectNews &news) { suspectsTold += news.rows.size(); };
+        hooks.suspects = [this] { return suspects; };
         feeds.push_back(std::make_unique<ControlFeed>(context, options, clock, std::move(hooks)));
         feeds.back()->start();
         runUntil([&] { return *updates == controls.size(); });
@@ -158,7 +167,9 @@
     ManualClock clock;
     std::map<std::string, std::unique_ptr<FakeControl>> controls;
     std::vector<std::unique_ptr<ControlFeed>> feeds;
-    std::vector<Revision> documents; ///< That came.
+    std::vector<Revision> documents;             ///< That came.
+    std::vector<catalogue::SuspectRow> suspects; ///< That the feeds' gateways know.
+    std::size_t suspectsTold = 0;                ///< Rows that came.
 };
 
 } // namespace figrack::gateway::testing
--- a/gateway/testing/rig.cpp
+++ b/gateway/testing/rig.cpp
@@ -22,6 +22,7 @@
         result.id = RequestId { std::string { request.header("X-Id") } };
         if (result.id.empty())
             return makeError(ErrorKind::BadRequest, "header=X-Id");
+        result.account = request.header("X-Account");
         result.host = request.header("Host");
         result.path = request.path;
         result.model = ModelId { std::string { request.header("X-Model") } };
@@ -124,9 +125,11 @@
     , waiters(context)
     , client(context, {})
     , picker(pickerOptions, std::move(link), metrics, random)
+    , quarantine({})
+    , endings({}, { context, clock, view, quarantine, metrics }, [] {})
     , forwarder(options,
                 { context, clock, dialect, view, retries, demand, waiters, metrics, client, picker,
-                  random })
+                  random, quarantine, endings })
     , caller(context, {})
     , server_(context, {}, [this](const http::Request &request, http::Responder &responder) {
         return forwarder.handle(request, responder);
--- a/gateway/testing/rig.h
+++ b/gateway/testing/rig.h
@@ -19,6 +19,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "core/clock.h"
+#include "gateway/endingwatch.h"
 #include "gateway/forwarder.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -79,6 +80,8 @@
     Metrics metrics;
     http::Client client;
     Picker picker;
+    policy::Quarantine quarantine;
+    EndingWatch endings;
     Forwarder forwarder;
     http::Client caller;
 
--- a/gateway/testing/tst_controlfeed.cpp
+++ b/gateway/testing/tst_controlfeed.cpp
@@ -50,3 +50,18 @@
     CHECK_FALSE(feed.balancerLink().ask({}, 200ms, [](const auto &) {}));
     CHECK_FALSE(feed.balancerLink().tell({}));
 }
+
+TEST_CASE("All controls are told of suspected work, also one whose connection opens later")
+{
+    auto rig = FeedRig { "n1" };
+    rig.controls.at("n2")->suspects.resize(2);
+    rig.suspects.resize(1);
+    auto &feed = rig.addFeed("g1");
+    const auto allHeard = [&](std::size_t count) {
+        return std::all_of(rig.controls.begin(), rig.controls.end(),
+                           [&](const auto &item) { return item.second->suspectsHeard == count; });
+    };
+    rig.runUntil([&] { return allHeard(1) && rig.suspectsTold == 2; });
+    feed.sendSuspects(std::vector<catalogue::SuspectRow>(3));
+    rig.runUntil([&] { return allHeard(4); });
+}
--- a/gateway/testing/tst_poisonrequest.cpp
+++ b/gateway/testing/tst_poisonrequest.cpp
@@ -5,8 +5,8 @@
 //
 // Order of events: a caller's request makes the process of the endpoint that runs it end. All
 // connections to that endpoint break. The gateway blames the endpoint, answers 502 and forgets what
-// the endpoint was doing. The caller comes again about once a second, with the same path and body, at
-// another gateway; an endpoint that has nothing to do with it is chosen, and ends.
+// the endpoint was doing. The caller comes again about once a second, with the same path and body,
+// at another gateway; an endpoint that has nothing to do with it is chosen, and ends.
 //
 // Cause: failures are remembered by endpoint and by gateway, and this fault travels with the work.
 //
@@ -18,6 +18,8 @@
 #include <doctest/doctest.h>
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include "gateway/testing/rig.h"
 
@@ -109,3 +111,141 @@
         CHECK(rig.call(requestWith(path, id, "sound " + id)).status == 200);
     }
 }
+
+// What breaks a connection and is no end of an endpoint. Each is tried more often than it would
+// take.
+
+TEST_CASE("Connections that break while their endpoints live put nothing in quarantine")
+{
+    auto rig = Rig {};
+    auto endpoints = std::vector<FakeEndpoint *> {};
+    for (auto i = 0; i < endpointCount; ++i) {
+        endpoints.push_back(&rig.addEndpoint("i-" + std::to_string(i)));
+        endpoints.back()->handler = breaking();
+    }
+    for (auto i = 0; i < endpointCount; ++i)
+        CHECK(rig.call(requestWith("/idem/x", "r" + std::to_string(i), "sound")).status == 502);
+    CHECK(rig.quarantine.size() == 0);
+    for (auto *endpoint : endpoints)
+        endpoint->handler = answering("sound");
+    CHECK(rig.call(requestWith("/idem/x", "last", "sound")).status == 200);
+}
+
+TEST_CASE("An endpoint's own failures, rejections and silence put nothing in quarantine")
+{
+    auto rig = Rig {};
+    auto &endpoint = rig.addEndpoint("i-1");
+    SUBCASE("it fails and says so")
+    {
+        endpoint.handler = [](const http::Request &request,
+                              http::Responder &responder) -> boost::asio::awaitable<void> {
+            auto response = http::Response {};
+            response.status = 500;
+            response.headers = { { "X-Id", std::string { request.header("X-Id") } } };
+            static_cast<void>(co_await responder.send(std::move(response)));
+        };
+    }
+    SUBCASE("it rejects")
+    {
+        endpoint.handler = rejecting(503);
+    }
+    SUBCASE("it does not answer in time")
+    {
+        endpoint.handler
+                = [&rig](const http::Request &, http::Responder &) -> boost::asio::awaitable<void> {
+            auto timer = boost::asio::steady_timer { rig.context, std::chrono::seconds { 5 } };
+            co_await timer.async_wait(boost::asio::use_awaitable);
+        };
+    }
+    for (auto i = 0; i < 4; ++i) {
+        auto request = requestWith("/once/x", "r" + std::to_string(i), "sound");
+        request.headers.push_back({ "X-Deadline", "100" });
+        rig.call(std::move(request));
+    }
+    CHECK(rig.quarantine.size() == 0);
+}
+
+TEST_CASE("An endpoint that had announced that it leaves ends as planned")
+{
+    auto rig = Rig {};
+    auto &endpoint = rig.addEndpoint("i-1");
+    endpoint.handler = [&](const http::Request &request,
+                           http::Responder &responder) -> boost::asio::awaitable<void> {
+        rig.tell("i-1", endpoint.port, 2, catalogue::EndpointState::Draining);
+        boost::asio::post(rig.context, [&endpoint] { endpoint.server->stop(); });
+        co_await breaking()(request, responder);
+    };
+    CHECK(rig.call(requestWith("/once/x", "r1", "sound")).status == 502);
+    CHECK(rig.quarantine.size() == 0);
+}
+
+TEST_CASE("An endpoint that starts again at once has ended, as its newer incarnation shows")
+{
+    auto rig = Rig {};
+    rig.view.setOnOver([&](const EndpointId &id) {
+        rig.endings.onOver(id);
+        rig.forwarder.endDispatches(id);
+    });
+    auto &endpoint = rig.addEndpoint("i-1#1");
+    endpoint.handler
+            = [&](const http::Request &, http::Responder &) -> boost::asio::awaitable<void> {
+        // It listens all the while, and the connection stays open.
+        rig.tell("i-1#2", endpoint.port, 1, catalogue::EndpointState::Ready);
+        auto timer = boost::asio::steady_timer { rig.context, std::chrono::milliseconds { 200 } };
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    };
+    CHECK(rig.call(requestWith("/once/x", "r1", "suspect")).status == 502);
+    CHECK(rig.quarantine.size() == 1);
+}
+
+TEST_CASE("A completed run clears what was suspected, and a caller's own poison shuts out no other")
+{
+    auto rig = Rig {};
+    auto endpoints = addEndpoints(rig);
+    const auto callAs = [&](const std::string &account, const std::string &id) {
+        auto request = requestWith("/once/x", id, poison);
+        request.headers.push_back({ "X-Account", account });
+        return rig.call(std::move(request)).status;
+    };
+    SUBCASE("cleared")
+    {
+        CHECK(callAs("a", "r1") == 502);
+        CHECK(callAs("a", "r2") == 502);
+        for (auto *endpoint : endpoints)
+            endpoint->handler = answering("repaired");
+        CHECK(callAs("a", "r3") == 200);
+        for (auto *endpoint : endpoints)
+            endpoint->handler = endingUnderPoison(rig, *endpoint);
+        CHECK(callAs("a", "r4") == 502);
+        CHECK(callAs("a", "r5") == 502); // Within the seconds for which that run speaks.
+    }
+    SUBCASE("of another account")
+    {
+        for (const auto *id : { "r1", "r2", "r3" })
+            CHECK(callAs("a", id) == 502);
+        CHECK(callAs("a", "r4") == 503);
+        for (auto *endpoint : endpoints)
+            endpoint->handler = answering("sound for others");
+        CHECK(callAs("a", "r5") == 503);
+        CHECK(callAs("b", "r6") == 200);
+    }
+}
+
+TEST_CASE("A refused request is no demand and takes no repeat, and its answer comes at once")
+{
+    auto rig = Rig {};
+    const auto endpoints = addEndpoints(rig);
+    for (const auto *id : { "r1", "r2", "r3" })
+        rig.call(requestWith("/once/x", id, poison));
+    const auto begun = rig.clock.now();
+    const auto got = rig.call(requestWith("/once/x", "r4", poison));
+    CHECK(got.status == 503);
+    // Ten minutes, less what has passed; the caller learns that coming back sooner is of no use.
+    const auto comeBack = std::stol(std::string { http::findHeader(got.headers, "X-Come-Back") });
+    CHECK(comeBack > 590'000);
+    CHECK(comeBack <= 600'000);
+    CHECK(rig.demand.take().rows.empty());
+    CHECK(rig.waiters.size() == 0);
+    CHECK(rig.clock.now() - begun < gateway::ForwarderOptions {}.awaitDocument);
+    CHECK(reached(endpoints, poison) == endsUntilRefused);
+}
--- a/http/errorresponse.cpp
+++ b/http/errorresponse.cpp
@@ -55,6 +55,7 @@
         { ErrorKind::Timeout, 504 },
         { ErrorKind::Cancelled, 499 },
         { ErrorKind::InUse, 409 },
+        { ErrorKind::Quarantined, 503 },
 } };
 
 constexpr auto tableNamesEveryKind() -> bool
--- /dev/null
+++ b/policy/quarantine.cpp
@@ -0,0 +1,227 @@
+#include "policy/quarantine.h"
+
+#include <algorithm>
+#include <array>
+
+namespace figrack::policy {
+
+using catalogue::SuspectRow;
+using catalogue::WorkId;
+
+auto standingName(Standing standing) -> std::string_view
+{
+    constexpr auto names = std::array<std::string_view, 3> { "clear", "suspect", "quarantined" };
+    return names[static_cast<std::size_t>(standing) % names.size()];
+}
+
+Quarantine::Quarantine(QuarantineOptions options)
+    : options_(options)
+{ }
+
+auto Quarantine::Known::ends() const -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(ended.size() - acquitted.size());
+}
+
+auto Quarantine::onEnd(const WorkId &work, std::uint64_t account, const EndpointId &endpoint,
+                       Millis now) -> bool
+{
+    auto row = SuspectRow {};
+    row.work = work;
+    row.account = account;
+    row.ended.push_back(endpoint);
+    if (!merge(row, now))
+        return false;
+    own_.insert(work);
+    return true;
+}
+
+auto Quarantine::onCompleted(const WorkId &work, Millis now) -> bool
+{
+    while (!completions_.empty()
+           && (completions_.size() >= options_.maxCompleted
+               || now - completions_.front().first >= options_.soundFor)) {
+        const auto found = completedAt_.find(completions_.front().second);
+        if (found != completedAt_.end() && found->second == completions_.front().first)
+            completedAt_.erase(found);
+        completions_.pop_front();
+    }
+    completedAt_[work] = now;
+    completions_.emplace_back(now, work);
+    const auto found = rows_.find(work);
+    if (found == rows_.end() || !acquit(found->second))
+        return false;
+    own_.insert(work);
+    return true;
+}
+
+auto Quarantine::merge(const SuspectRow &row, Millis now) -> bool
+{
+    const auto quiet = static_cast<Millis>(
+            std::min(row.quietMs, static_cast<std::uint64_t>(options_.longestPeriod)));
+    auto found = rows_.find(row.work);
+    if (found == rows_.end()) {
+        auto fresh = Known {};
+        fresh.account = row.account;
+        fresh.lastEndAt = now - quiet;
+        makeRoom(row.account, now);
+        found = rows_.emplace(row.work, std::move(fresh)).first;
+        ++rowsOfAccount_[row.account];
+    }
+    auto &known = found->second;
+    auto changed = false;
+    auto hasEnded = false;
+    for (const auto &endpoint : row.ended) {
+        if (known.ended.size() < options_.maxEndsPerRow)
+            hasEnded = known.ended.insert(endpoint).second || hasEnded;
+    }
+    if (hasEnded)
+        known.lastEndAt = std::max(known.lastEndAt, now - quiet);
+    for (const auto &endpoint : row.acquitted) {
+        if (known.ended.contains(endpoint))
+            changed = known.acquitted.insert(endpoint).second || changed;
+    }
+    if (hasEnded && completedOfLate(row.work, now) && acquit(known))
+        own_.insert(row.work); // Others have not seen that run.
+    if (known.ended.empty() || isForgotten(known, now)) {
+        erase(found);
+        return false;
+    }
+    return changed || hasEnded;
+}
+
+auto Quarantine::verdict(const WorkId &work, Millis now) const -> Verdict
+{
+    const auto found = rows_.find(work);
+    if (found == rows_.end() || isForgotten(found->second, now))
+        return {};
+    const auto ends = found->second.ends();
+    if (ends == 0)
+        return {};
+    if (ends < options_.endsUntilQuarantine)
+        return { Standing::Suspect, ends, 0 };
+    const auto releaseIn = found->second.lastEndAt + period(ends) - now;
+    if (releaseIn <= 0)
+        return { Standing::Suspect, ends, 0 };
+    return { Standing::Quarantined, ends, releaseIn };
+}
+
+auto Quarantine::row(const WorkId &work, Millis now) const -> SuspectRow
+{
+    const auto found = rows_.find(work);
+    return toRow(work, found == rows_.end() ? Known {} : found->second, now);
+}
+
+auto Quarantine::rows(std::uint32_t leastEnds, Millis now) const -> std::vector<SuspectRow>
+{
+    auto result = std::vector<SuspectRow> {};
+    for (const auto &[work, known] : rows_) {
+        if (known.ends() >= leastEnds && !isForgotten(known, now))
+            result.push_back(toRow(work, known, now));
+    }
+    return result;
+}
+
+auto Quarantine::takeOwn(Millis now) -> std::vector<SuspectRow>
+{
+    auto result = std::vector<SuspectRow> {};
+    for (const auto &work : own_) {
+        if (const auto found = rows_.find(work); found != rows_.end())
+            result.push_back(toRow(work, found->second, now));
+    }
+    own_.clear();
+    return result;
+}
+
+auto Quarantine::quarantined(Millis now) const -> std::size_t
+{
+    return static_cast<std::size_t>(
+            std::count_if(rows_.begin(), rows_.end(), [&](const auto &item) {
+                return verdict(item.first, now).standing == Standing::Quarantined;
+            }));
+}
+
+auto Quarantine::period(std::uint32_t ends) const -> Millis
+{
+    auto result = options_.firstPeriod;
+    for (auto i = options_.endsUntilQuarantine; i < ends && result < options_.longestPeriod; ++i)
+        result *= 2;
+    return std::min(result, options_.longestPeriod);
+}
+
+/// Work in quarantine is remembered for as long as its longest period: on its return after the
+/// first one it is admitted once, not three times.
+auto Quarantine::isForgotten(const Known &known, Millis now) const -> bool
+{
+    const auto isHeld = known.ends() >= options_.endsUntilQuarantine;
+    return now - known.lastEndAt >= (isHeld ? options_.longestPeriod : options_.forgetSuspectAfter);
+}
+
+auto Quarantine::completedOfLate(const WorkId &work, Millis now) const -> bool
+{
+    const auto found = completedAt_.find(work);
+    return found != completedAt_.end() && now - found->second < options_.soundFor;
+}
+
+/// @return true when ends counted that do not any more
+auto Quarantine::acquit(Known &known) -> bool
+{
+    const auto changed = known.acquitted.size() < known.ended.size();
+    known.acquitted = known.ended;
+    return changed;
+}
+
+/// Before a row of the account is added.
+auto Quarantine::makeRoom(std::uint64_t account, Millis now) -> void
+{
+    const auto isFull = [&] { return rows_.size() >= options_.maxRows; };
+    const auto hasMany = [&] {
+        const auto found = rowsOfAccount_.find(account);
+        return found != rowsOfAccount_.end() && found->second >= options_.maxRowsPerAccount;
+    };
+    if (!isFull() && !hasMany())
+        return;
+    forget(now);
+    if (!isFull() && !hasMany())
+        return;
+    const auto ofAccountOnly = hasMany();
+    auto least = rows_.end();
+    for (auto item = rows_.begin(); item != rows_.end(); ++item) {
+        const auto &known = item->second;
+        if (ofAccountOnly && known.account != account)
+            continue;
+        const auto isLess = least == rows_.end()
+                || std::pair { known.ends(), known.lastEndAt }
+                        < std::pair { least->second.ends(), least->second.lastEndAt };
+        if (isLess)
+            least = item;
+    }
+    erase(least);
+}
+
+auto Quarantine::forget(Millis now) -> void
+{
+    for (auto item = rows_.begin(); item != rows_.end();)
+        item = isForgotten(item->second, now) ? erase(item) : std::next(item);
+}
+
+auto Quarantine::erase(Rows::iterator item) -> Rows::iterator
+{
+    const auto count = rowsOfAccount_.find(item->second.account);
+    if (count != rowsOfAccount_.end() && --count->second == 0)
+        rowsOfAccount_.erase(count);
+    return rows_.erase(item);
+}
+
+auto Quarantine::toRow(const WorkId &work, const Known &known, Millis now) -> SuspectRow
+{
+    auto row = SuspectRow {};
+    row.work = work;
+    row.account = known.account;
+    row.ended.assign(known.ended.begin(), known.ended.end());
+    row.acquitted.assign(known.acquitted.begin(), known.acquitted.end());
+    row.quietMs = static_cast<std::uint64_t>(std::max<Millis>(now - known.lastEndAt, 0));
+    return row;
+}
+
+} // namespace figrack::policy
--- /dev/null
+++ b/policy/testing/tst_quarantine.cpp
@@ -0,0 +1,328 @@
+// Which work is refused after endpoints ended under it, in virtual time.
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+
+#include "core/random.h"
+#include "policy/quarantine.h"
+
+using namespace figrack;
+using namespace figrack::policy;
+using catalogue::SuspectRow;
+using catalogue::WorkId;
+using catalogue::workIdOf;
+
+namespace {
+
+constexpr auto start = Millis { 1'000'000 };
+constexpr auto second = Millis { 1000 };
+constexpr auto account = std::uint64_t { 7 };
+
+auto workOf(const std::string &body, const std::string &caller = "a") -> WorkId
+{
+    return workIdOf({ "POST", "host", "/path", caller, body });
+}
+
+auto endpointOf(std::uint64_t number) -> EndpointId
+{
+    return EndpointId { "i-" + std::to_string(number) };
+}
+
+auto standingOf(const Quarantine &quarantine, const WorkId &work, Millis now) -> Standing
+{
+    return quarantine.verdict(work, now).standing;
+}
+
+/// Endpoints that run sound requests; some end at each wave, and those that were cut off come back
+/// at once, as often as callers do, onto an endpoint drawn at random.
+struct WaveModel
+{
+    std::size_t endpoints = 240;
+    std::size_t inProgress = 20; ///< Requests at each endpoint.
+    double share = 0.25;         ///< Of the endpoints that end with each wave.
+    std::size_t waves = 3;
+    Millis between = 400; ///< From one wave to the next; a request takes longer.
+    std::uint64_t seed = 1;
+};
+
+struct WaveResult
+{
+    std::size_t requests = 0;
+    std::size_t quarantined = 0;
+};
+
+/// The worst case: no request completes before all waves are over.
+auto playWaves(const WaveModel &model) -> WaveResult
+{
+    auto random = Random { model.seed };
+    auto quarantine = Quarantine { {} };
+    auto at = std::vector<std::size_t>(model.endpoints * model.inProgress);
+    for (std::size_t i = 0; i < at.size(); ++i)
+        at[i] = i / model.inProgress;
+    auto lives = std::vector<std::uint64_t>(model.endpoints, 0);
+    auto now = start;
+    for (std::size_t wave = 0; wave < model.waves; ++wave, now += model.between) {
+        auto ended = std::vector<bool>(model.endpoints, false);
+        for (std::size_t i = 0; i < model.endpoints; ++i)
+            ended[i] = random.unit() < model.share;
+        for (std::size_t i = 0; i < at.size(); ++i) {
+            const auto endpoint = at[i];
+            if (!ended[endpoint])
+                continue;
+            const auto work = workOf(std::to_string(i));
+            if (standingOf(quarantine, work, now) == Standing::Quarantined)
+                continue;
+            const auto id = endpointOf(endpoint + model.endpoints * lives[endpoint]);
+            quarantine.onEnd(work, i, id, now);
+            at[i] = random.below(model.endpoints);
+        }
+        for (std::size_t i = 0; i < model.endpoints; ++i)
+            lives[i] += ended[i] ? 1 : 0;
+    }
+    return { at.size(), quarantine.quarantined(now) };
+}
+
+} // namespace
+
+TEST_CASE("Work is known again by method, host, target, client account and body")
+{
+    const auto parts = catalogue::WorkParts { "POST", "h", "/p", "a", "b" };
+    const auto work = workIdOf(parts);
+    CHECK(work == workIdOf(parts));
+    CHECK(work != workIdOf({ "PUT", "h", "/p", "a", "b" }));
+    CHECK(work != workIdOf({ "POST", "g", "/p", "a", "b" }));
+    CHECK(work != workIdOf({ "POST", "h", "/q", "a", "b" }));
+    CHECK(work != workIdOf({ "POST", "h", "/p", "x", "b" }));
+    CHECK(work != workIdOf({ "POST", "h", "/p", "a", "c" }));
+    CHECK(work != workIdOf({ "POST", "h", "/pa", "", "b" })); // The same bytes, cut elsewhere.
+    CHECK_FALSE(work.isNone());
+    CHECK(work.text().size() == 32);
+}
+
+TEST_CASE("The third endpoint that ends puts the work in quarantine, an end told twice does not")
+{
+    auto quarantine = Quarantine { {} };
+    const auto work = workOf("poison");
+    CHECK(standingOf(quarantine, work, start) == Standing::Clear);
+    CHECK(quarantine.onEnd(work, account, endpointOf(1), start));
+    CHECK_FALSE(quarantine.onEnd(work, account, endpointOf(1), start + second));
+    CHECK(quarantine.verdict(work, start).ends == 1);
+    CHECK(standingOf(quarantine, work, start) == Standing::Suspect);
+    quarantine.onEnd(work, account, EndpointId { "i-1", Incarnation { 5 } }, start);
+    CHECK(standingOf(quarantine, work, start) == Standing::Suspect);
+    quarantine.onEnd(work, account, endpointOf(3), start);
+    const auto verdict = quarantine.verdict(work, start + second);
+    CHECK(verdict.standing == Standing::Quarantined);
+    CHECK(verdict.releaseIn == QuarantineOptions {}.firstPeriod - second);
+    // The same body of another account is other work.
+    CHECK(standingOf(quarantine, workOf("poison", "b"), start) == Standing::Clear);
+}
+
+TEST_CASE("After its time it is admitted once more, and each further end doubles the time")
+{
+    const auto options = QuarantineOptions {};
+    auto quarantine = Quarantine { options };
+    const auto work = workOf("poison");
+    for (std::uint64_t i = 0; i < options.endsUntilQuarantine; ++i)
+        quarantine.onEnd(work, account, endpointOf(i), start);
+    auto now = start + options.firstPeriod;
+    CHECK(standingOf(quarantine, work, now - 1) == Standing::Quarantined);
+    CHECK(standingOf(quarantine, work, now) == Standing::Suspect);
+    quarantine.onEnd(work, account, endpointOf(9), now);
+    CHECK(quarantine.verdict(work, now).releaseIn == 2 * options.firstPeriod);
+    SUBCASE("never for longer than the bound")
+    {
+        for (std::uint64_t i = 10; i < 40; ++i)
+            quarantine.onEnd(work, account, endpointOf(i), now);
+        CHECK(quarantine.verdict(work, now).releaseIn == options.longestPeriod);
+    }
+    SUBCASE("a run that completes ends it")
+    {
+        now += 2 * options.firstPeriod;
+        CHECK(quarantine.onCompleted(work, now));
+        CHECK(standingOf(quarantine, work, now) == Standing::Clear);
+    }
+}
+
+TEST_CASE("A completed run clears the ends before it, and those of the seconds after")
+{
+    const auto options = QuarantineOptions {};
+    auto quarantine = Quarantine { options };
+    const auto work = workOf("");
+    quarantine.onEnd(work, account, endpointOf(1), start);
+    quarantine.onEnd(work, account, endpointOf(2), start);
+    CHECK(quarantine.onCompleted(work, start + second));
+    CHECK_FALSE(quarantine.onCompleted(work, start + second));
+    CHECK(standingOf(quarantine, work, start + second) == Standing::Clear);
+    // Equal requests were in progress at four endpoints that end together.
+    auto now = start + 2 * second;
+    for (std::uint64_t i = 10; i < 14; ++i)
+        quarantine.onEnd(work, account, endpointOf(i), now);
+    CHECK(standingOf(quarantine, work, now) == Standing::Clear);
+    // What was sound once and completes no more is found out all the same.
+    now = start + second + options.soundFor;
+    for (std::uint64_t i = 20; i < 23; ++i)
+        quarantine.onEnd(work, account, endpointOf(i), now);
+    CHECK(standingOf(quarantine, work, now) == Standing::Quarantined);
+}
+
+TEST_CASE("Tables that hear of the same ends agree, in any order and any number of times")
+{
+    constexpr auto seeds = std::uint64_t { 200 };
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        auto random = Random { seed };
+        const auto work = workOf("poison");
+        constexpr auto tables = std::size_t { 5 };
+        auto all = std::vector<Quarantine>(tables, Quarantine { {} });
+        const auto ends = 1 + random.below(6);
+        for (std::uint64_t i = 0; i < ends; ++i)
+            all[random.below(tables)].onEnd(work, account, endpointOf(i), start);
+        if (random.below(3) == 0)
+            all[random.below(tables)].onCompleted(work, start);
+        // Each pair exchanges rows, several times and in an order drawn at random.
+        for (auto round = 0; round < 40; ++round) {
+            const auto from = random.below(tables);
+            const auto to = random.below(tables);
+            all[to].merge(all[from].row(work, start), start);
+        }
+        for (std::size_t i = 0; i < tables * tables; ++i)
+            all[i % tables].merge(all[i / tables].row(work, start), start);
+        for (std::size_t i = 0; i < tables * tables; ++i)
+            all[i % tables].merge(all[i / tables].row(work, start), start);
+        for (const auto &table : all) {
+            CHECK(table.row(work, start).ended == all[0].row(work, start).ended);
+            CHECK(table.row(work, start).acquitted == all[0].row(work, start).acquitted);
+        }
+    }
+}
+
+TEST_CASE(
+        "Three gateways see one end each: their sum decides, and a completed run at one clears all")
+{
+    auto gateways = std::vector<Quarantine>(3, Quarantine { {} });
+    auto control = Quarantine { {} };
+    const auto work = workOf("poison");
+    for (std::size_t i = 0; i < gateways.size(); ++i) {
+        gateways[i].onEnd(work, account, endpointOf(i), start);
+        for (const auto &row : gateways[i].takeOwn(start))
+            CHECK(control.merge(row, start));
+        CHECK(gateways[i].takeOwn(start).empty());
+    }
+    CHECK(standingOf(control, work, start) == Standing::Quarantined);
+    for (auto &gateway : gateways) {
+        for (const auto &row : control.rows(2, start + second))
+            gateway.merge(row, start + second);
+        CHECK(standingOf(gateway, work, start + second) == Standing::Quarantined);
+        // The age travels with the row: the time of release is the same everywhere.
+        CHECK(gateway.verdict(work, start + second).releaseIn
+              == control.verdict(work, start + second).releaseIn);
+        CHECK(gateway.takeOwn(start).empty()); // What was told is not told back.
+    }
+    gateways[1].onCompleted(work, start + 2 * second);
+    for (const auto &row : gateways[1].takeOwn(start + 2 * second))
+        control.merge(row, start + 2 * second);
+    CHECK(standingOf(control, work, start + 2 * second) == Standing::Clear);
+}
+
+TEST_CASE("Work that completed here of late is not suspected for what others saw")
+{
+    auto quarantine = Quarantine { {} };
+    const auto work = workOf("");
+    quarantine.onCompleted(work, start);
+    auto row = SuspectRow {};
+    row.work = work;
+    row.ended = { endpointOf(1), endpointOf(2), endpointOf(3) };
+    CHECK(quarantine.merge(row, start + second));
+    CHECK(standingOf(quarantine, work, start + second) == Standing::Clear);
+    // The others are told of that run.
+    REQUIRE(quarantine.takeOwn(start + second).size() == 1);
+}
+
+TEST_CASE("Two kinds of poison at once are both found, and nothing else is")
+{
+    auto quarantine = Quarantine { {} };
+    auto next = std::uint64_t { 0 };
+    for (auto i = 0; i < 3; ++i) {
+        for (const auto *poison : { "one", "other" }) {
+            const auto endpoint = endpointOf(next++);
+            quarantine.onEnd(workOf(poison), account, endpoint, start);
+            // Ten sound requests were in progress beside it.
+            for (auto beside = 0; beside < 10; ++beside) {
+                const auto body = std::to_string(next * 100 + beside);
+                quarantine.onEnd(workOf(body), account, endpoint, start);
+            }
+        }
+    }
+    CHECK(quarantine.quarantined(start) == 2);
+    CHECK(standingOf(quarantine, workOf("one"), start) == Standing::Quarantined);
+    CHECK(standingOf(quarantine, workOf("other"), start) == Standing::Quarantined);
+}
+
+TEST_CASE("Waves of ends without any poison: sound requests that are refused stay within 1 in 50")
+{
+    // A request must meet all three waves, and each time be where an endpoint ends: 0.25 to the
+    // third, 1.6 in 100, when none completes in between and all come back at once.
+    constexpr auto seeds = std::uint64_t { 20 };
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        auto model = WaveModel {};
+        model.seed = seed;
+        const auto result = playWaves(model);
+        CHECK(result.quarantined * 50 <= result.requests);
+    }
+    // Two waves refuse nobody, however many end.
+    auto two = WaveModel {};
+    two.waves = 2;
+    two.share = 1;
+    CHECK(playWaves(two).quarantined == 0);
+}
+
+TEST_CASE("The table is bounded, in all and by client account, and keeps what has most ends")
+{
+    auto options = QuarantineOptions {};
+    options.maxRows = 100;
+    options.maxRowsPerAccount = 20;
+    auto quarantine = Quarantine { options };
+    const auto work = workOf("poison");
+    for (std::uint64_t i = 0; i < 3; ++i)
+        quarantine.onEnd(work, account, endpointOf(i), start);
+    SUBCASE("one account fills it on purpose")
+    {
+        for (auto i = 0; i < 1000; ++i)
+            quarantine.onEnd(workOf(std::to_string(i)), account, endpointOf(5), start + i);
+        CHECK(quarantine.size() == options.maxRowsPerAccount);
+    }
+    SUBCASE("many accounts do")
+    {
+        for (std::uint64_t i = 0; i < 1000; ++i)
+            quarantine.onEnd(workOf(std::to_string(i)), i, endpointOf(5), start + second);
+        CHECK(quarantine.size() == options.maxRows);
+    }
+    CHECK(standingOf(quarantine, work, start + second) == Standing::Quarantined);
+    // One row does not grow without bound either.
+    for (std::uint64_t i = 0; i < 100; ++i)
+        quarantine.onEnd(work, account, endpointOf(i), start);
+    CHECK(quarantine.row(work, start).ended.size() == options.maxEndsPerRow);
+}
+
+TEST_CASE("Suspects are forgotten after a calm time, work in quarantine is not")
+{
+    const auto options = QuarantineOptions {};
+    auto quarantine = Quarantine { options };
+    quarantine.onEnd(workOf("suspect"), account, endpointOf(1), start);
+    for (std::uint64_t i = 0; i < 3; ++i)
+        quarantine.onEnd(workOf("poison"), account, endpointOf(i), start);
+    const auto later = start + options.forgetSuspectAfter;
+    CHECK(standingOf(quarantine, workOf("suspect"), later) == Standing::Clear);
+    CHECK(quarantine.rows(1, later).size() == 1);
+    // Told late by one that was cut off, it does not come back.
+    auto row = SuspectRow {};
+    row.work = workOf("late");
+    row.ended = { endpointOf(1) };
+    row.quietMs = static_cast<std::uint64_t>(options.forgetSuspectAfter);
+    CHECK_FALSE(quarantine.merge(row, later));
+    CHECK(quarantine.verdict(workOf("poison"), later).ends == 3);
+}
--- a/proto/messages.h
+++ b/proto/messages.h
@@ -31,7 +31,7 @@
 
 namespace figrack::proto {
 
-constexpr auto protocolVersion = std::uint32_t { 2 };
+constexpr auto protocolVersion = std::uint32_t { 3 };
 constexpr auto maxFrameBytes = std::size_t { 16 } << 20;
 
 /// An error on the wire.
@@ -281,12 +281,13 @@
     }
 };
 
-using Payload = std::variant<Failure, JoinRequest, JoinReply, DrainNotice, FeedRequest, FeedBatch,
-                             coord::RenewRequest, coord::RenewReply, DemandReport, EndpointReport,
-                             LoadDigest, ClaimRequest, ClaimReply, ClaimEnd, Done, ReportRequest,
-                             ReportReply, coord::Message, Subscribe, ServingUpdate, ServingAck,
-                             DocumentInForce, ManifestRequest, ManifestReply, BlocksRequest,
-                             BlocksReply, ModelWanted, JoinGroup, PickRequest, PickReply, PickEnd>;
+using Payload
+        = std::variant<Failure, JoinRequest, JoinReply, DrainNotice, FeedRequest, FeedBatch,
+                       coord::RenewRequest, coord::RenewReply, DemandReport, EndpointReport,
+                       LoadDigest, ClaimRequest, ClaimReply, ClaimEnd, Done, ReportRequest,
+                       ReportReply, coord::Message, Subscribe, ServingUpdate, ServingAck,
+                       DocumentInForce, ManifestRequest, ManifestReply, BlocksRequest, BlocksReply,
+                       ModelWanted, JoinGroup, PickRequest, PickReply, PickEnd, SuspectNews>;
 
 struct Envelope
 {
--- a/proto/servingmessages.h
+++ b/proto/servingmessages.h
@@ -5,6 +5,7 @@
 //   gateway          -> control   DocumentInForce, ManifestRequest, BlocksRequest (answered by
 //   their replies) gateway          -> control   PickRequest (answered by PickReply), PickEnd
 //   joining control  -> control   JoinGroup
+//   gateway, control -> control, and control -> gateway   SuspectNews
 //   control -> subscriber         ServingUpdate, ManifestReply, BlocksReply
 
 #ifndef FIGRACK_PROTO_SERVINGMESSAGES_H
@@ -16,6 +17,7 @@
 
 #include "catalogue/documentblocks.h"
 #include "catalogue/endpointrow.h"
+#include "catalogue/suspect.h"
 #include "coord/messages.h"
 #include "core/ids.h"
 #include "core/settings.h"
@@ -197,11 +199,12 @@
     bool hasBegun = false;          ///< It goes on elsewhere, and is not turned away.
     std::int64_t startTargetMs = 0; ///< Its first event should come within it; 0: any time.
     std::int64_t gapTargetMs = 0;   ///< Its events should follow within it; 0: any time.
+    catalogue::WorkId work;         ///< What is suspected runs one at a time.
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
         archive(ticket, candidates, model, shared, ownTokens, outputTokens, fetchTokensPerMs,
-                limitMs, places, rank, hasBegun, startTargetMs, gapTargetMs);
+                limitMs, places, rank, hasBegun, startTargetMs, gapTargetMs, work);
     }
 };
 struct PickReply
@@ -238,6 +241,18 @@
     }
 };
 
+/// Work that was in progress at endpoints as they ended: what the sender knows and the receiver may
+/// not. Merging it is a union (policy/quarantine.h).
+struct SuspectNews
+{
+    std::vector<catalogue::SuspectRow> rows;
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(rows);
+    }
+};
+
 /// A control with an empty or a removed disk asks to become a member.
 struct JoinGroup
 {
