Work is known again of its caller and of anyone; timers and ages that count a suspension

Now a request is known in two ways, of its caller and of anyone (path and body; the query only without a body), each with its own ends and completed runs; the worse one decides. So a poison from many addresses is summed, and where others send the same request and it completes only the caller under whom endpoints end is out.

Timers of asio, the watchdogs of HTTP and the ages of kept connections went by the steady clock, which stands still while a VM is suspended: a request was held for as long beyond its deadline, and a connection was taken for young that its peer had closed. core/boottimer counts by CLOCK_BOOTTIME and looks again each second at the latest, one wake-up a thread; http/client is given a clock. By the steady clock still: the refill of the log's bound, which loses nothing but lines.

--- a/catalogue/suspect.cpp
+++ b/catalogue/suspect.cpp
@@ -4,22 +4,19 @@
 
 #include <algorithm>
 #include <cstring>
+#include <initializer_list>
 
 #include <fmt/format.h>
 
 #include "core/crypto.h"
 
 namespace figrack::catalogue {
+namespace {
 
-auto WorkId::text() const -> std::string
-{
-    return fmt::format("{:016x}{:016x}", high, low);
-}
-
-auto workIdOf(const WorkParts &parts) -> WorkId
+auto digestOf(std::initializer_list<std::string_view> parts) -> WorkId
 {
     auto bytes = std::string {};
-    for (const auto part : { parts.method, parts.host, parts.target, parts.account, parts.body }) {
+    for (const auto part : parts) {
         bytes += std::to_string(part.size());
         bytes += ':';
         bytes += part;
@@ -33,6 +30,21 @@
     return work;
 }
 
+} // namespace
+
+auto WorkId::text() const -> std::string
+{
+    return fmt::format("{:016x}{:016x}", high, low);
+}
+
+auto workIdsOf(const WorkParts &parts) -> WorkIds
+{
+    const auto query = parts.body.empty() ? parts.query : std::string_view {};
+    return { digestOf({ "caller", parts.caller, parts.method, parts.host, parts.path, parts.query,
+                        parts.body }),
+             digestOf({ "anyone", parts.method, parts.host, parts.path, query, parts.body }) };
+}
+
 auto SuspectRow::ends() const -> std::uint32_t
 {
     return static_cast<std::uint32_t>(ended.size() - std::min(ended.size(), acquitted.size()));
--- a/catalogue/suspect.h
+++ b/catalogue/suspect.h
@@ -1,10 +1,11 @@
 // Work by what it is, and the endpoints that ended while they ran it, as plain values.
 //
-//   const auto work = workIdOf({ method, host, target, account, body });
+//   const auto works = workIdsOf({ method, host, path, query, caller, body });
 //
 // A request that makes the process of its endpoint end comes again with another
-// request id, at another gateway. It is known again by its method, host, target,
-// client account and whole body.
+// request id, at another gateway, maybe from another address of its caller and
+// with another query. It is known again by what it asks for, the whole body
+// included, in two ways: of its caller, and of whoever asks for it.
 
 #ifndef FIGRACK_CATALOGUE_SUSPECT_H
 #define FIGRACK_CATALOGUE_SUSPECT_H
@@ -20,8 +21,8 @@
 
 namespace figrack::catalogue {
 
-/// The same for requests that ask for the same work on behalf of the same client account. Cut from
-/// a SHA-256 digest, so that nobody can make up a request that is taken for another's.
+/// The same for requests that ask for the same work. Cut from a SHA-256 digest, so that nobody can
+/// make up a request that is taken for another.
 struct WorkId
 {
     std::uint64_t high = 0;
@@ -44,21 +45,39 @@
 {
     std::string_view method;
     std::string_view host;
-    std::string_view target; ///< Path and query, as sent.
-    /// Keeps apart equal requests of several accounts, such as reads without a body: what one of
-    /// them does to an endpoint says nothing of the others.
-    std::string_view account;
+    std::string_view path;   ///< As sent.
+    std::string_view query;  ///< As sent.
+    std::string_view caller; ///< Client account, or what else tells callers apart.
     std::string_view body;
 };
 
-/// @return the id of the work; never that of no work
-auto workIdOf(const WorkParts &parts) -> WorkId;
+/// The two ways in which a request is known again. Each has ends and completed runs of its own, and
+/// either one can put the request in quarantine.
+struct WorkIds
+{
+    /// Of this caller. Where others send the same and it completes, as reads without a body do,
+    /// what this caller's request does to endpoints counts all the same.
+    WorkId ofCaller;
+    /// Of whoever sends it: a caller may have many addresses. The query counts only where there is
+    /// no body, as what an engine runs is the body.
+    WorkId ofAnyone;
+    auto operator==(const WorkIds &) const -> bool = default;
+
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(ofCaller, ofAnyone);
+    }
+};
+
+/// @return the ids of the work; never those of no work
+auto workIdsOf(const WorkParts &parts) -> WorkIds;
 
 /// Work in progress at endpoints as these ended.
 struct SuspectRow
 {
     WorkId work;
-    std::uint64_t account = 0;         ///< Hash of the client account.
+    std::uint64_t account = 0;         ///< Hash of the caller, for the bound by caller.
     std::vector<EndpointId> ended;     ///< Endpoints that ended under it; sorted.
     std::vector<EndpointId> acquitted; ///< Of those, the ends that a completed run clears; sorted.
     std::uint64_t quietMs = 0;         ///< Since the newest end, as the sender knows.
--- a/cmd/ctlclient.cpp
+++ b/cmd/ctlclient.cpp
@@ -55,7 +55,7 @@
 ControlClient::ControlClient(ControlClientOptions options, const Clock &clock)
     : options_(std::move(options))
     , clock_(clock)
-    , http_(context_, {})
+    , http_(context_, {}, clock)
 {
     FIGRACK_CHECK(!options_.controls.empty(), "there is a control to call");
 }
--- a/cmd/settingswatch.cpp
+++ b/cmd/settingswatch.cpp
@@ -6,9 +6,9 @@
 #include <utility>
 
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "cmd/daemon.h"
+#include "core/boottimer.h"
 #include "core/log.h"
 
 namespace figrack::cmd {
@@ -89,7 +89,7 @@
     }
 
     boost::asio::signal_set signals_;
-    boost::asio::steady_timer timer_;
+    BootTimer timer_;
     std::string path_;
     std::vector<SettingRule> schema_;
     std::function<void(const Settings &)> onChanged_;
--- a/control/process.cpp
+++ b/control/process.cpp
@@ -9,7 +9,6 @@
 #include <utility>
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
 #include "control/httporderport.h"
@@ -17,6 +16,7 @@
 #include "control/peertransport.h"
 #include "coord/disk.h"
 #include "coord/filelogstore.h"
+#include "core/boottimer.h"
 #include "core/log.h"
 #include "core/secretfile.h"
 
@@ -75,9 +75,9 @@
     const Clock &clock_;
     asio::io_context &context_;
     Strand strand_;
-    asio::steady_timer timer_;
+    BootTimer timer_;
     Strand watchStrand_;
-    asio::steady_timer watchTimer_;
+    BootTimer watchTimer_;
     bool wasHeld_ = false; ///< By the watch.
     Random random_;
     coord::PosixDisk disk_;
@@ -234,7 +234,7 @@
         done();
         return;
     }
-    auto timer = std::make_shared<asio::steady_timer>(strand_, leaseWatchEvery);
+    auto timer = std::make_shared<BootTimer>(strand_, leaseWatchEvery);
     timer->async_wait([self = shared_from_this(), timer, deadline,
                        done = std::move(done)](const boost::system::error_code &) mutable {
         self->awaitHandover(deadline, std::move(done));
--- a/core/clock.cpp
+++ b/core/clock.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-auto SystemClock::now() const -> Instant
+auto BootClock::now() -> Instant
 {
     auto time = timespec {};
     clock_gettime(CLOCK_BOOTTIME, &time);
@@ -22,12 +22,23 @@
                      + std::chrono::nanoseconds { time.tv_nsec } };
 }
 
+auto SystemClock::now() const -> Instant
+{
+    return BootClock::now();
+}
+
 auto SystemClock::wallNow() const -> WallTime
 {
     return std::chrono::time_point_cast<std::chrono::milliseconds>(
             std::chrono::system_clock::now());
 }
 
+auto systemClock() -> const Clock &
+{
+    static const auto clock = SystemClock {};
+    return clock;
+}
+
 ManualClock::ManualClock()
     : nanos_(Duration { manualStart }.count())
 { }
--- a/core/clock.h
+++ b/core/clock.h
@@ -24,6 +24,18 @@
 /// Milliseconds since the Unix epoch, UTC.
 using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
 
+/// CLOCK_BOOTTIME, as the standard library phrases a clock; for timers (core/boottimer.h). All else
+/// is given a Clock.
+struct BootClock
+{
+    using duration = Duration;
+    using rep = Duration::rep;
+    using period = Duration::period;
+    using time_point = Instant;
+    static constexpr auto is_steady = true;
+    static auto now() -> Instant;
+};
+
 /// The source of time. Implementations are safe to read from any thread.
 class Clock
 {
@@ -44,6 +56,9 @@
     auto wallNow() const -> WallTime override;
 };
 
+/// @return the one that main programs and tools hand to their parts; lives as long as the process
+auto systemClock() -> const Clock &;
+
 /// A clock that moves only when told. For tests and for discrete-event benchmarks.
 class ManualClock final : public Clock
 {
--- a/endpoint/orders.cpp
+++ b/endpoint/orders.cpp
@@ -86,8 +86,8 @@
 
 OrderSender::OrderSender(asio::io_context &context, OrderOptions options)
     : options_(options)
-    , orders_(context, orderClientOptions(options))
-    , statuses_(context, orderClientOptions(options))
+    , orders_(context, orderClientOptions(options), systemClock())
+    , statuses_(context, orderClientOptions(options), systemClock())
 { }
 
 auto OrderSender::send(Address endpoint, Order order, std::function<bool()> mayStart)
--- a/fleet/completion.h
+++ b/fleet/completion.h
@@ -15,9 +15,10 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "core/boottimer.h"
+
 namespace figrack::fleet {
 
 /// @param start is given the callback; it calls it once, perhaps at once, on the context's thread
@@ -29,9 +30,9 @@
     struct State
     {
         explicit State(boost::asio::io_context &context)
-            : timer(context, boost::asio::steady_timer::time_point::max())
+            : timer(context, Instant::max())
         { }
-        boost::asio::steady_timer timer;
+        BootTimer timer;
         std::optional<absl::Status> status;
     };
     const auto state = std::make_shared<State>(context);
--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -5,11 +5,11 @@
 #include <utility>
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "control/peertransport.h"
 #include "coord/disk.h"
 #include "coord/filelogstore.h"
+#include "core/boottimer.h"
 #include "core/error.h"
 #include "core/log.h"
 #include "fleet/announcements.h"
@@ -544,7 +544,7 @@
     {
         if (!leads_ || std::exchange(planPending_, true))
             return;
-        planTimer_.expires_at(std::max(asio::steady_timer::clock_type::now(), planAgainAt_));
+        planTimer_.expires_at(std::max(BootClock::now(), planAgainAt_));
         planTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
             const auto self = weak.lock();
             if (!self || error)
@@ -559,11 +559,11 @@
         nextPlan_ = clock_.now() + options_.planEvery;
         if (!mayOrder())
             return;
-        const auto begun = asio::steady_timer::clock_type::now();
+        const auto begun = BootClock::now();
         planServices();
         // A control with a small share of a core, before many endpoints, has more to do than to
         // plan: a plan of 6 ms takes 40 ms of a sixth of a core, and one followed the other.
-        const auto ended = asio::steady_timer::clock_type::now();
+        const auto ended = BootClock::now();
         planAgainAt_ = ended + std::max<Duration>(planPause, (ended - begun) * restPerPlan);
     }
 
@@ -704,10 +704,10 @@
     std::shared_ptr<const catalogue::Catalogue> catalogue_; ///< Of the held document.
     std::map<ModelId, Instant> deferNoted_;                 ///< When the log last told of it.
     OrderRunner orders_;
-    asio::steady_timer tickTimer_;
-    asio::steady_timer stopTimer_;
-    asio::steady_timer planTimer_;
-    asio::steady_timer::time_point planAgainAt_ {}; ///< Not before, however much news comes.
+    BootTimer tickTimer_;
+    BootTimer stopTimer_;
+    BootTimer planTimer_;
+    Instant planAgainAt_ {}; ///< Not before, however much news comes.
     std::function<void()> onStopped_;
     std::optional<Instant> stoppedAt_; ///< Since when the replica is stopped.
     Instant stopAskedAt_ {};
--- a/fleet/orders.cpp
+++ b/fleet/orders.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "core/boottimer.h"
 #include "core/log.h"
 
 namespace figrack::fleet {
@@ -223,7 +224,7 @@
         std::shared_ptr<const catalogue::EngineSpec> engine;
         Duration loadTime {};
         Instant pausedUntil {};
-        asio::steady_timer *timer = nullptr; ///< Set while the job waits for a row.
+        BootTimer *timer = nullptr; ///< Set while the job waits for a row.
     };
 
     static auto loadTime(const catalogue::ModelSpec &spec, LoadSource source) -> Duration
@@ -484,7 +485,7 @@
 
     auto awaitRow(const EndpointId &id, Duration patience) -> asio::awaitable<void>
     {
-        auto timer = asio::steady_timer { context_, patience };
+        auto timer = BootTimer { context_, patience };
         jobs_[id].timer = &timer;
         auto code = boost::system::error_code {};
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, code));
@@ -493,7 +494,7 @@
 
     auto pause(Duration duration) -> asio::awaitable<void>
     {
-        auto timer = asio::steady_timer { context_, duration };
+        auto timer = BootTimer { context_, duration };
         auto code = boost::system::error_code {};
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, code));
     }
--- a/fleet/orders.h
+++ b/fleet/orders.h
@@ -35,7 +35,6 @@
 #include <absl/status/statusor.h>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "catalogue/catalogue.h"
 #include "core/clock.h"
--- a/fleet/testing/tst_trials.cpp
+++ b/fleet/testing/tst_trials.cpp
@@ -15,7 +15,7 @@
     ManualClock clock;
     policy::Quarantine quarantine { {} };
     Trials trials { {}, quarantine, clock };
-    const catalogue::WorkId work = catalogue::workIdOf({ "POST", "h", "/p", "a", "poison" });
+    const catalogue::WorkIds works = catalogue::workIdsOf({ "POST", "h", "/p", "", "a", "poison" });
     const NodeId one { "g1" };
     const NodeId other { "g2" };
 
@@ -24,13 +24,13 @@
         const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
                                  clock.now().time_since_epoch())
                                  .count();
-        quarantine.onEnd(work, 1, EndpointId { endpoint }, now);
+        quarantine.onEnd(works, 1, EndpointId { endpoint }, now);
     }
     auto request(std::uint64_t ticket) const -> proto::PickRequest
     {
         auto result = proto::PickRequest {};
         result.ticket = ticket;
-        result.work = work;
+        result.works = works;
         result.limitMs = 5000;
         result.candidates = { EndpointId { "i-1" }, EndpointId { "i-2" }, EndpointId { "i-3" } };
         return result;
@@ -77,7 +77,7 @@
     }
     SUBCASE("it completed")
     {
-        rig.quarantine.onCompleted(rig.work, 0);
+        rig.quarantine.onCompleted(rig.works, 0);
         CHECK(rig.tries(rig.other, 3));
     }
     SUBCASE("two more endpoints ended")
--- a/gateway/controlfeed.cpp
+++ b/gateway/controlfeed.cpp
@@ -4,8 +4,7 @@
 #include <utility>
 #include <variant>
 
-#include <boost/asio/steady_timer.hpp>
-
+#include "core/boottimer.h"
 #include "core/hash.h"
 #include "core/log.h"
 
@@ -348,7 +347,7 @@
     Term leaderTerm_;
     Revision inForce_; ///< Obeyed here.
     DocumentFetch fetch_;
-    asio::steady_timer fetchTimer_;
+    BootTimer fetchTimer_;
     bool ready_ = false;
     bool stopped_ = false;
 };
--- a/gateway/endingwatch.cpp
+++ b/gateway/endingwatch.cpp
@@ -12,9 +12,9 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "core/boottimer.h"
 #include "core/log.h"
 
 namespace figrack::gateway {
@@ -61,7 +61,7 @@
         const auto found = cases_.find(endpoint);
         if (found == cases_.end() || found->second.ended || !found->second.dialling)
             co_return found != cases_.end() && found->second.ended;
-        auto timer = std::make_shared<asio::steady_timer>(parts_.context, options_.confirmPatience);
+        auto timer = std::make_shared<BootTimer>(parts_.context, options_.confirmPatience);
         found->second.waiting.push_back(timer);
         auto code = boost::system::error_code {};
         co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, code));
@@ -76,9 +76,9 @@
         conclude(endpoint, open);
     }
 
-    auto onAcquitted(const catalogue::WorkId &work) -> void
+    auto onAcquitted(const catalogue::WorkIds &works) -> void
     {
-        LogEvent(LogLevel::Info, "work_acquitted").with("work", work.text());
+        LogEvent(LogLevel::Info, "work_acquitted").with("work", works.ofAnyone.text());
         onSuspects_();
     }
 
@@ -87,7 +87,7 @@
     {
         Instant since {};
         std::vector<SuspectWork> suspects = {}; ///< Not noted in the table yet.
-        std::vector<std::shared_ptr<asio::steady_timer>> waiting = {};
+        std::vector<std::shared_ptr<BootTimer>> waiting = {};
         bool dialling = false;
         bool ended = false;
     };
@@ -99,7 +99,7 @@
         const auto weak = std::weak_ptr { self };
         auto &context = self->parts_.context;
         auto socket = tcp::socket { context };
-        auto timer = asio::steady_timer { context, self->options_.dialTimeout };
+        auto timer = BootTimer { context, self->options_.dialTimeout };
         self.reset(); // The watch may end meanwhile.
         timer.async_wait([&socket](const boost::system::error_code &error) {
             auto ignored = boost::system::error_code {};
@@ -147,12 +147,13 @@
         }
         auto changed = false;
         for (const auto &suspect : std::exchange(open.suspects, {})) {
-            if (!parts_.quarantine.onEnd(suspect.work, suspect.account, endpoint, now))
+            if (!parts_.quarantine.onEnd(suspect.works, suspect.account, endpoint, now))
                 continue;
             changed = true;
-            const auto verdict = parts_.quarantine.verdict(suspect.work, now);
+            const auto verdict = parts_.quarantine.verdict(suspect.works, now);
             LogEvent(LogLevel::Warning, "work_suspected")
-                    .with("work", suspect.work.text())
+                    .with("work", suspect.works.ofAnyone.text())
+                    .with("of_caller", suspect.works.ofCaller.text())
                     .with("request", suspect.request)
                     .with("endpoint", endpoint)
                     .with("begun", suspect.hasBegun)
@@ -210,9 +211,9 @@
     impl_->onOver(endpoint);
 }
 
-auto EndingWatch::onAcquitted(const catalogue::WorkId &work) -> void
+auto EndingWatch::onAcquitted(const catalogue::WorkIds &works) -> void
 {
-    impl_->onAcquitted(work);
+    impl_->onAcquitted(works);
 }
 
 } // namespace figrack::gateway
--- a/gateway/endingwatch.h
+++ b/gateway/endingwatch.h
@@ -52,8 +52,8 @@
 /// Work in progress at an endpoint.
 struct SuspectWork
 {
-    catalogue::WorkId work;
-    std::uint64_t account = 0; ///< Hash of the client account.
+    catalogue::WorkIds works;
+    std::uint64_t account = 0; ///< Hash of the caller.
     RequestId request;         ///< The attempt, for the log.
     bool hasBegun = false;     ///< A part of its answer had come.
 };
@@ -85,7 +85,7 @@
     /// A newer incarnation of the endpoint is in use.
     auto onOver(const EndpointId &endpoint) -> void;
     /// A run of suspected work has completed, which the table has noted.
-    auto onAcquitted(const catalogue::WorkId &work) -> void;
+    auto onAcquitted(const catalogue::WorkIds &works) -> void;
 
 private:
     class Impl;
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -12,9 +12,9 @@
 #include <utility>
 
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "core/boottimer.h"
 #include "core/error.h"
 #include "core/hash.h"
 #include "core/log.h"
@@ -154,8 +154,8 @@
         const auto *service = routes_->catalogue().find(service_);
         engine_ = service != nullptr && service->engine ? &*service->engine : nullptr;
         lastEvent_ = caller_.resumeAfter;
-        work_ = catalogue::workIdOf(
-                { request_.method, caller_.host, request_.target, caller_.account, request_.body });
+        works_ = catalogue::workIdsOf({ request_.method, caller_.host, caller_.path, request_.query,
+                                        caller_.account, request_.body });
         if (engine_ != nullptr && !caller_.model.empty())
             makeWish();
         return std::nullopt;
@@ -179,7 +179,7 @@
     /// Sets when to come back. @return true when the request may not run
     auto isQuarantined() -> bool
     {
-        const auto verdict = parts_.quarantine.verdict(work_, policyNow(parts_.clock));
+        const auto verdict = parts_.quarantine.verdict(works_, policyNow(parts_.clock));
         if (verdict.standing != policy::Standing::Quarantined)
             return false;
         comeBack_ = std::chrono::milliseconds { verdict.releaseIn };
@@ -189,9 +189,10 @@
 
     auto quarantinedError() const -> absl::Status
     {
-        const auto verdict = parts_.quarantine.verdict(work_, policyNow(parts_.clock));
+        const auto verdict = parts_.quarantine.verdict(works_, policyNow(parts_.clock));
         return makeError(ErrorKind::Quarantined,
-                         "work=" + work_.text() + " ends=" + std::to_string(verdict.ends));
+                         "work=" + works_.ofAnyone.text()
+                                 + " ends=" + std::to_string(verdict.ends));
     }
 
     /// The dispatch broke off. What an endpoint was doing as it ended is noted: the next gateway
@@ -201,14 +202,14 @@
         if (callerGone_ || errorKind(status) == ErrorKind::Timeout)
             return;
         const auto account = std::hash<std::string> {}(caller_.account);
-        parts_.endings.note(id, { work_, account, caller_.id, hasBegun });
+        parts_.endings.note(id, { works_, account, caller_.id, hasBegun });
     }
 
     /// After a dispatch that broke off. @return true when the work has cost endpoints enough
     auto endsTooMany() -> asio::awaitable<bool>
     {
         static_cast<void>(co_await parts_.endings.hasEnded(endpoint_));
-        const auto verdict = parts_.quarantine.verdict(work_, policyNow(parts_.clock));
+        const auto verdict = parts_.quarantine.verdict(works_, policyNow(parts_.clock));
         co_return verdict.ends >= owner_.options_.endsWithoutRepeat;
     }
 
@@ -282,7 +283,7 @@
             terms.hasBegun = sent_ > 0;
             terms.startTarget = route_->startTarget;
             terms.gapTarget = route_->gapTarget;
-            terms.work = work_;
+            terms.works = works_;
             auto picked = co_await parts_.picker.pick(able.entries, wish_, terms);
             picked_ = std::move(picked);
             if (picked_.comeBack)
@@ -543,8 +544,8 @@
 
     auto noteCompleted() -> void
     {
-        if (parts_.quarantine.onCompleted(work_, policyNow(parts_.clock)))
-            parts_.endings.onAcquitted(work_);
+        if (parts_.quarantine.onCompleted(works_, policyNow(parts_.clock)))
+            parts_.endings.onAcquitted(works_);
     }
 
     /// Reads a small answer to its end, so that its connection can be kept.
@@ -771,8 +772,8 @@
         }
         if (lack_ != Lack::Nothing)
             line.with("lacked", lackName(lack_));
-        if (!work_.isNone())
-            line.with("work", work_.text());
+        if (!works_.ofAnyone.isNone())
+            line.with("work", works_.ofAnyone.text());
         if (budgetSpent_)
             line.with("retries", "spent");
         if (ending_ != Ending::Answered && !lastError_.ok())
@@ -793,12 +794,12 @@
     ServiceId service_;
     DemandTarget target_; ///< Empty model: none.
     Wish wish_;
-    catalogue::WorkId work_;                     ///< None before the request was read.
+    catalogue::WorkIds works_;                   ///< None before the request was read.
     std::shared_ptr<http::Canceller> canceller_; ///< Of the dispatch under way.
     std::string lastEvent_;
     EndpointId endpoint_; ///< Of the latest dispatch.
     Picked picked_;       ///< The latest; its booking ends with the dispatch.
-    asio::steady_timer holdTimer_;
+    BootTimer holdTimer_;
     Duration held_ {}; ///< For the sake of the streams at its endpoints.
     std::uint32_t status_ = 0;
     std::uint32_t finalStatus_ = 0;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -2,8 +2,7 @@
 
 #include <utility>
 
-#include <boost/asio/steady_timer.hpp>
-
+#include "core/boottimer.h"
 #include "core/log.h"
 #include "gateway/controlfeed.h"
 
@@ -43,7 +42,7 @@
         , retries_(options_.retries, clock)
         , demand_(clock)
         , waiters_(context)
-        , client_(context, options_.client)
+        , client_(context, options_.client, clock)
         , feed_(context, feedOptions(), clock, feedHooks())
         , picker_(options_.picker, feed_.balancerLink(), metrics_, random_)
         , endings_({}, { context, clock, view_, quarantine_, metrics_ },
@@ -274,9 +273,9 @@
     EndingWatch endings_;
     Forwarder forwarder_;
     http::Server server_;
-    asio::steady_timer demandTimer_;
-    asio::steady_timer urgentTimer_;
-    asio::steady_timer stopTimer_;
+    BootTimer demandTimer_;
+    BootTimer urgentTimer_;
+    BootTimer stopTimer_;
     std::uint32_t gateways_ = 1; ///< As a control told last.
     Instant stopAskedAt_ {};
     std::vector<EndpointId> toldUnreachable_; ///< By the last report.
--- a/gateway/picker.cpp
+++ b/gateway/picker.cpp
@@ -113,7 +113,7 @@
     request.hasBegun = terms.hasBegun;
     request.startTargetMs = millis(terms.startTarget);
     request.gapTargetMs = millis(terms.gapTarget);
-    request.work = terms.work;
+    request.works = terms.works;
     const auto ticket = request.ticket;
     auto balancer = std::optional<Address> {};
     // With one candidate nothing is to be chosen, but when to send a prompt there.
--- a/gateway/picker.h
+++ b/gateway/picker.h
@@ -110,7 +110,7 @@
     bool hasBegun = false;       ///< Part of its answer was given: it goes on, or is cut off.
     Duration startTarget {};     ///< Zero: none.
     Duration gapTarget {};       ///< Zero: none.
-    catalogue::WorkId work;      ///< Suspected work runs one at a time.
+    catalogue::WorkIds works;    ///< Suspected work runs one at a time.
 };
 
 /// @return what the caller's request puts on an endpoint
--- a/gateway/testing/rig.cpp
+++ b/gateway/testing/rig.cpp
@@ -27,7 +27,9 @@
         result.path = request.path;
         result.model = ModelId { std::string { request.header("X-Model") } };
         result.resumeAfter = request.header("X-After");
-        result.headers = { { "Host", result.host }, { "X-Id", result.id.value() } };
+        result.headers = { { "Host", result.host },
+                           { "X-Id", result.id.value() },
+                           { "X-Account", result.account } };
         const auto deadline = std::string { request.header("X-Deadline") };
         if (!deadline.empty())
             result.deadline = std::chrono::milliseconds { std::stoi(deadline) };
@@ -123,14 +125,14 @@
     , retries({}, clock)
     , demand(clock)
     , waiters(context)
-    , client(context, {})
+    , client(context, {}, clock)
     , picker(pickerOptions, std::move(link), metrics, random)
     , quarantine({})
     , endings({}, { context, clock, view, quarantine, metrics }, [] {})
     , forwarder(options,
                 { context, clock, dialect, view, retries, demand, waiters, metrics, client, picker,
                   random, quarantine, endings })
-    , caller(context, {})
+    , caller(context, {}, clock)
     , server_(context, {}, [this](const http::Request &request, http::Responder &responder) {
         return forwarder.handle(request, responder);
     })
--- a/gateway/waiters.cpp
+++ b/gateway/waiters.cpp
@@ -1,4 +1,5 @@
 #include "gateway/waiters.h"
+#include "core/boottimer.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -7,7 +8,7 @@
 
 auto Waiters::wait(Duration patience) -> boost::asio::awaitable<void>
 {
-    auto timer = boost::asio::steady_timer { context_, patience };
+    auto timer = BootTimer { context_, patience };
     timers_.insert(&timer);
     auto code = boost::system::error_code {};
     co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, code));
--- a/gateway/waiters.h
+++ b/gateway/waiters.h
@@ -12,8 +12,8 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
+#include "core/boottimer.h"
 #include "core/clock.h"
 
 namespace figrack::gateway {
@@ -31,7 +31,7 @@
 
 private:
     boost::asio::io_context &context_;
-    std::set<boost::asio::steady_timer *> timers_;
+    std::set<BootTimer *> timers_;
 };
 
 } // namespace figrack::gateway
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -127,22 +127,21 @@
 };
 
 using LinkPointer = std::shared_ptr<Link>;
-using SteadyTime = std::chrono::steady_clock::time_point;
-
 struct KeptLink
 {
     LinkPointer link;
-    SteadyTime since;
-    SteadyTime until; ///< Not used any more from then on.
+    Instant since;
+    Instant until; ///< Not used any more from then on.
 };
 
 /// The kept connections, and the list of all for abortAll().
 class Pool
 {
 public:
-    Pool(asio::io_context &context, const ClientOptions &options)
+    Pool(asio::io_context &context, const ClientOptions &options, const Clock &clock)
         : context_(context)
         , options_(options)
+        , clock_(clock)
     { }
 
     auto context() -> asio::io_context & { return context_; }
@@ -151,7 +150,7 @@
     /// @param maxIdleAge a connection that has been idle for longer is not taken
     auto takeKept(const Address &address, Duration maxIdleAge) -> LinkPointer
     {
-        const auto now = std::chrono::steady_clock::now();
+        const auto now = clock_.now();
         while (true) {
             auto kept = KeptLink {};
             {
@@ -180,7 +179,7 @@
     /// @param promised how long the peer keeps it; the own limit holds besides
     auto keep(const Address &address, LinkPointer link, Duration promised) -> void
     {
-        const auto now = std::chrono::steady_clock::now();
+        const auto now = clock_.now();
         const auto until = now + std::min(promised, options_.idleTimeout);
         auto dropped = std::vector<LinkPointer> {}; // Closed outside the lock.
         const auto lock = std::lock_guard { mutex_ };
@@ -213,7 +212,7 @@
     }
 
 private:
-    auto sweep(SteadyTime now, std::vector<LinkPointer> &dropped) -> void
+    auto sweep(Instant now, std::vector<LinkPointer> &dropped) -> void
     {
         for (auto entry = kept_.begin(); entry != kept_.end();) {
             auto &list = entry->second;
@@ -254,10 +253,11 @@
 
     asio::io_context &context_;
     ClientOptions options_;
+    const Clock &clock_;
     std::mutex mutex_; ///< Guards the tables; taken before a Link's and never with it held.
     std::map<Address, std::deque<KeptLink>> kept_; ///< Oldest first.
     std::map<Address, std::set<LinkPointer>> all_; ///< Kept and in use.
-    SteadyTime nextSweep_ = SteadyTime::min();
+    Instant nextSweep_ = Instant::min();
 };
 
 using PoolPointer = std::shared_ptr<Pool>;
@@ -689,8 +689,8 @@
 class Client::Impl
 {
 public:
-    Impl(asio::io_context &context, const ClientOptions &options)
-        : pool_(std::make_shared<Pool>(context, options))
+    Impl(asio::io_context &context, const ClientOptions &options, const Clock &clock)
+        : pool_(std::make_shared<Pool>(context, options, clock))
     { }
     auto pool() const -> const PoolPointer & { return pool_; }
 
@@ -698,8 +698,8 @@
     PoolPointer pool_;
 };
 
-Client::Client(asio::io_context &context, ClientOptions options)
-    : impl_(std::make_shared<Impl>(context, options))
+Client::Client(asio::io_context &context, ClientOptions options, const Clock &clock)
+    : impl_(std::make_shared<Impl>(context, options, clock))
 { }
 
 Client::~Client()
--- a/http/client.h
+++ b/http/client.h
@@ -1,6 +1,6 @@
 // An HTTP/1.1 client with kept connections, over Boost.Beast.
 //
-//   auto client = Client { context, options };
+//   auto client = Client { context, options, clock };
 //   auto reply = co_await client.fetch(request, timeout);       // whole answer
 //   auto stream = co_await client.open(request, timeout);       // head, then chunks
 //   while (auto chunk = co_await stream->read(timeout)) { ... }
@@ -115,7 +115,8 @@
 class Client
 {
 public:
-    Client(boost::asio::io_context &context, ClientOptions options);
+    /// @param clock outlives the client; by it kept connections age, also in a suspension of the VM
+    Client(boost::asio::io_context &context, ClientOptions options, const Clock &clock);
     ~Client();
     auto fetch(ClientRequest request, Duration timeout)
             -> boost::asio::awaitable<ClientResult<Response>>;
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -23,7 +23,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/ssl/context.hpp>
 #include <boost/asio/ssl/stream.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -32,6 +31,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "core/boottimer.h"
 #include "core/log.h"
 #include "http/requestparser.h"
 #include "http/watchdog.h"
@@ -49,8 +49,7 @@
 using Socket = asio::basic_stream_socket<tcp, Strand>;
 using TlsStream = asio::ssl::stream<Socket>;
 using Acceptor = asio::basic_socket_acceptor<tcp, Strand>;
-using Timer = asio::basic_waitable_timer<std::chrono::steady_clock,
-                                         asio::wait_traits<std::chrono::steady_clock>, Strand>;
+using Timer = BasicBootTimer<Strand>;
 
 constexpr auto readChunkBytes = std::size_t { 8 } << 10;
 constexpr auto lingerTime = std::chrono::seconds { 1 };
@@ -393,7 +392,7 @@
         while (input_.size() == before && !peerGone_ && !timedOut_ && open_ && reading_) {
             auto code = error_code {};
             waiting_ = true;
-            wake_.expires_at(Timer::time_point::max());
+            wake_.expires_at(Instant::max());
             co_await wake_.async_wait(asio::redirect_error(asio::use_awaitable, code));
             waiting_ = false;
         }
--- a/http/testing/tst_client.cpp
+++ b/http/testing/tst_client.cpp
@@ -20,7 +20,7 @@
 {
 public:
     explicit Fixture(ClientOptions options = {})
-        : client(threads.context(), options)
+        : client(threads.context(), options, clock)
     { }
     auto request(const std::string &body = "hello") const -> ClientRequest
     {
@@ -38,6 +38,7 @@
     }
     auto open(ClientRequest made) { return threads.wait(client.open(std::move(made), testLimit)); }
 
+    ManualClock clock; ///< Steps as a VM's does in a suspension; timers and sockets do not notice.
     ContextThreads threads;
     RawListener listener;
     Client client;
@@ -154,6 +155,33 @@
     CHECK(std::holds_alternative<Response>(later.get()));
 }
 
+TEST_CASE("a connection that was kept over a suspension is as old as the suspension was long")
+{
+    // After one of 21 s the VM took connections of 20 s for fresh: their peers had closed them, and
+    // what must not run twice was sent on one of them and lost.
+    auto fixture = Fixture {};
+    auto later = fixture.fetchLater(fixture.request());
+    auto socket = fixture.listener.accept();
+    socket.hearUntil("hello");
+    socket.say(okAnswer);
+    REQUIRE(std::holds_alternative<Response>(later.get()));
+    auto made = fixture.request();
+    SUBCASE("older than the client keeps any")
+    {
+        fixture.clock.advance(ClientOptions {}.idleTimeout + std::chrono::seconds { 1 });
+    }
+    SUBCASE("older than this request allows")
+    {
+        made.maxIdleAge = std::chrono::seconds { 2 };
+        fixture.clock.advance(std::chrono::seconds { 3 });
+    }
+    later = fixture.fetchLater(made);
+    auto second = fixture.listener.accept();
+    second.hearUntil("hello");
+    second.say(okAnswer);
+    CHECK(std::holds_alternative<Response>(later.get()));
+}
+
 TEST_CASE("answers over the bound are refused")
 {
     auto options = ClientOptions {};
--- a/http/watchdog.cpp
+++ b/http/watchdog.cpp
@@ -1,6 +1,7 @@
 // The timer is restarted only when the new deadline lies before its next look.
 
 #include "http/watchdog.h"
+#include "core/boottimer.h"
 
 #include <utility>
 
@@ -23,7 +24,7 @@
     if (stopped_)
         return;
     fired_ = false;
-    deadline_ = std::chrono::steady_clock::now() + timeout;
+    deadline_ = BootClock::now() + timeout;
     if (deadline_ < wakeAt_)
         wait();
 }
@@ -31,7 +32,7 @@
 auto Watchdog::disarm() -> bool
 {
     const auto lock = std::lock_guard { mutex_ };
-    deadline_ = Time::max();
+    deadline_ = Instant::max();
     return !std::exchange(fired_, false);
 }
 
@@ -40,7 +41,7 @@
     auto callback = std::function<void()> {};
     const auto lock = std::lock_guard { mutex_ };
     stopped_ = true;
-    deadline_ = Time::max();
+    deadline_ = Instant::max();
     callback.swap(onExpire_);
     timer_.cancel();
 }
@@ -60,14 +61,14 @@
     auto callback = std::function<void()> {};
     {
         const auto lock = std::lock_guard { mutex_ };
-        if (std::chrono::steady_clock::now() < wakeAt_)
+        if (BootClock::now() < wakeAt_)
             return; // An older wait whose end was already on its way when arm() moved it.
-        wakeAt_ = Time::max();
-        if (stopped_ || deadline_ == Time::max())
+        wakeAt_ = Instant::max();
+        if (stopped_ || deadline_ == Instant::max())
             return;
-        if (std::chrono::steady_clock::now() < deadline_)
+        if (BootClock::now() < deadline_)
             return wait();
-        deadline_ = Time::max();
+        deadline_ = Instant::max();
         fired_ = true;
         callback = onExpire_;
     }
--- a/http/watchdog.h
+++ b/http/watchdog.h
@@ -17,8 +17,8 @@
 #include <mutex>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
+#include "core/boottimer.h"
 #include "core/clock.h"
 
 namespace figrack::http {
@@ -37,18 +37,14 @@
     auto stop() -> void;
 
 private:
-    using Time = std::chrono::steady_clock::time_point;
     auto wait() -> void;
     auto onTimer() -> void;
 
     std::mutex mutex_; ///< Guards all below; a leaf.
-    boost::asio::basic_waitable_timer<std::chrono::steady_clock,
-                                      boost::asio::wait_traits<std::chrono::steady_clock>,
-                                      boost::asio::io_context::executor_type>
-            timer_;
+    BasicBootTimer<boost::asio::io_context::executor_type> timer_;
     std::function<void()> onExpire_;
-    Time deadline_ = Time::max();
-    Time wakeAt_ = Time::max(); ///< When the timer looks next; max() when it does not run.
+    Instant deadline_ = Instant::max();
+    Instant wakeAt_ = Instant::max(); ///< When the timer looks next; max() when it does not run.
     bool fired_ = false;
     bool stopped_ = false;
 };
--- a/policy/quarantine.cpp
+++ b/policy/quarantine.cpp
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <array>
+#include <tuple>
 
 namespace figrack::policy {
 
 using catalogue::SuspectRow;
 using catalogue::WorkId;
+using catalogue::WorkIds;
 
 auto standingName(Standing standing) -> std::string_view
 {
@@ -23,8 +25,15 @@
     return static_cast<std::uint32_t>(ended.size() - acquitted.size());
 }
 
-auto Quarantine::onEnd(const WorkId &work, std::uint64_t account, const EndpointId &endpoint,
+auto Quarantine::onEnd(const WorkIds &works, std::uint64_t account, const EndpointId &endpoint,
                        Millis now) -> bool
+{
+    const auto isNews = noteEnd(works.ofCaller, account, endpoint, now);
+    return noteEnd(works.ofAnyone, account, endpoint, now) || isNews;
+}
+
+auto Quarantine::noteEnd(const WorkId &work, std::uint64_t account, const EndpointId &endpoint,
+                         Millis now) -> bool
 {
     auto row = SuspectRow {};
     row.work = work;
@@ -36,7 +45,13 @@
     return true;
 }
 
-auto Quarantine::onCompleted(const WorkId &work, Millis now) -> bool
+auto Quarantine::onCompleted(const WorkIds &works, Millis now) -> bool
+{
+    const auto clears = noteCompleted(works.ofCaller, now);
+    return noteCompleted(works.ofAnyone, now) || clears;
+}
+
+auto Quarantine::noteCompleted(const WorkId &work, Millis now) -> bool
 {
     while (!completions_.empty()
            && (completions_.size() >= options_.maxCompleted
@@ -106,6 +121,16 @@
     return { Standing::Quarantined, ends, releaseIn };
 }
 
+auto Quarantine::verdict(const WorkIds &works, Millis now) const -> Verdict
+{
+    const auto ofCaller = verdict(works.ofCaller, now);
+    const auto ofAnyone = verdict(works.ofAnyone, now);
+    const auto rank = [](const Verdict &verdict) {
+        return std::tuple { verdict.standing, verdict.releaseIn, verdict.ends };
+    };
+    return rank(ofCaller) > rank(ofAnyone) ? ofCaller : ofAnyone;
+}
+
 auto Quarantine::row(const WorkId &work, Millis now) const -> SuspectRow
 {
     const auto found = rows_.find(work);
--- a/policy/quarantine.h
+++ b/policy/quarantine.h
@@ -1,8 +1,8 @@
 // Which work may not run, since endpoint after endpoint ended while they ran it.
 //
-//   if (quarantine.verdict(work, now).standing == Standing::Quarantined) refuse();
-//   quarantine.onEnd(work, account, endpoint, now);   // the endpoint ended under it
-//   quarantine.onCompleted(work, now);                // a run of it has ended well
+//   if (quarantine.verdict(works, now).standing == Standing::Quarantined) refuse();
+//   quarantine.onEnd(works, account, endpoint, now);   // the endpoint ended under it
+//   quarantine.onCompleted(works, now);                // a run of it has ended well
 //   for (row : quarantine.takeOwn(now)) tell(row);    // what others do not know yet
 //   quarantine.merge(row, now);                       // what others told
 //
@@ -53,8 +53,8 @@
     std::size_t maxRows = 4096;
     std::size_t maxRowsPerAccount = 512;
     std::size_t maxEndsPerRow = 16;
-    /// Completed work that is remembered for soundFor: 130 a second.
-    std::size_t maxCompleted = 4096;
+    /// Completed work that is remembered for soundFor: 130 requests a second.
+    std::size_t maxCompleted = 8192;
 };
 
 enum class Standing : std::uint8_t {
@@ -77,16 +77,18 @@
 {
 public:
     explicit Quarantine(QuarantineOptions options);
-    /// An endpoint ended while the work was in progress there. @param account its client account
+    /// An endpoint ended while the work was in progress there. @param account hash of its caller
     /// @return true when that was not known
-    auto onEnd(const catalogue::WorkId &work, std::uint64_t account, const EndpointId &endpoint,
+    auto onEnd(const catalogue::WorkIds &works, std::uint64_t account, const EndpointId &endpoint,
                Millis now) -> bool;
     /// A run of the work has come to its end, and the endpoint lives on.
     /// @return true when that clears ends which counted
-    auto onCompleted(const catalogue::WorkId &work, Millis now) -> bool;
+    auto onCompleted(const catalogue::WorkIds &works, Millis now) -> bool;
     /// Takes over what another table knows. @return true when it says something new
     auto merge(const catalogue::SuspectRow &row, Millis now) -> bool;
     auto verdict(const catalogue::WorkId &work, Millis now) const -> Verdict;
+    /// @return the worse one of the two ways to know the work
+    auto verdict(const catalogue::WorkIds &works, Millis now) const -> Verdict;
     /// @return the row as it stands now; empty lists when nothing is known of the work
     auto row(const catalogue::WorkId &work, Millis now) const -> catalogue::SuspectRow;
     /// @return the rows with so many ends that count, or more
@@ -108,6 +110,9 @@
     };
     using Rows = std::map<catalogue::WorkId, Known>;
 
+    auto noteEnd(const catalogue::WorkId &work, std::uint64_t account, const EndpointId &endpoint,
+                 Millis now) -> bool;
+    auto noteCompleted(const catalogue::WorkId &work, Millis now) -> bool;
     auto period(std::uint32_t ends) const -> Millis;
     auto isForgotten(const Known &known, Millis now) const -> bool;
     auto completedOfLate(const catalogue::WorkId &work, Millis now) const -> bool;
--- a/proto/channel.cpp
+++ b/proto/channel.cpp
@@ -15,6 +15,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
+#include "core/boottimer.h"
 #include "core/check.h"
 #include "core/crypto.h"
 #include "core/log.h"
@@ -180,7 +181,7 @@
     const PeerHandler handler_;
     Strand strand_;
     tcp::acceptor acceptor_;
-    asio::steady_timer retryTimer_;
+    BootTimer retryTimer_;
     std::uint16_t port_ = 0;
     std::mutex mutex_; ///< Guards what follows. A leaf: no other lock is taken under it.
     std::set<ConnectionPointer> connections_;
@@ -273,7 +274,7 @@
     struct PendingCall
     {
         ReplyHandler done;
-        std::unique_ptr<asio::steady_timer> timer;
+        std::unique_ptr<BootTimer> timer;
     };
 
     auto current() const -> ConnectionPointer
@@ -317,7 +318,7 @@
                            fmt::format("peer={} pending calls", address_.text())));
             return;
         }
-        auto timer = std::make_unique<asio::steady_timer>(strand_, timeout);
+        auto timer = std::make_unique<BootTimer>(strand_, timeout);
         timer->async_wait([self = shared_from_this(), correlation](error_code error) {
             if (!error)
                 self->endCall(correlation,
@@ -473,7 +474,7 @@
     ConnectionPointer connection_;
 
     // What follows is used on the strand only.
-    asio::steady_timer timer_;
+    BootTimer timer_;
     tcp::socket *dialling_ = nullptr; ///< The socket that is connecting, for the timer to close.
     DialBackoff backoff_;
     Random random_;
--- a/proto/connection.h
+++ b/proto/connection.h
@@ -19,9 +19,9 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
+#include "core/boottimer.h"
 #include "proto/channel.h"
 #include "proto/handshake.h"
 
@@ -96,7 +96,7 @@
     std::atomic<std::size_t> queuedBytes_ { 0 };
 
     // What follows is used on the strand only.
-    boost::asio::steady_timer timer_;
+    BootTimer timer_;
     FrameSealer sealer_;
     FrameOpener opener_;
     std::vector<std::string> queue_;    ///< Sealed frames that wait.
--- a/proto/servingmessages.h
+++ b/proto/servingmessages.h
@@ -199,12 +199,12 @@
     bool hasBegun = false;          ///< It goes on elsewhere, and is not turned away.
     std::int64_t startTargetMs = 0; ///< Its first event should come within it; 0: any time.
     std::int64_t gapTargetMs = 0;   ///< Its events should follow within it; 0: any time.
-    catalogue::WorkId work;         ///< What is suspected runs one at a time.
+    catalogue::WorkIds works;       ///< What is suspected runs one at a time.
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
         archive(ticket, candidates, model, shared, ownTokens, outputTokens, fetchTokensPerMs,
-                limitMs, places, rank, hasBegun, startTargetMs, gapTargetMs, work);
+                limitMs, places, rank, hasBegun, startTargetMs, gapTargetMs, works);
     }
 };
 struct PickReply
--- a/router/controllink.cpp
+++ b/router/controllink.cpp
@@ -11,9 +11,9 @@
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
+#include "core/boottimer.h"
 #include "core/error.h"
 #include "core/log.h"
 
@@ -107,7 +107,7 @@
     ControlLinkHooks hooks_;
     asio::io_context &context_;
     asio::strand<asio::io_context::executor_type> strand_;
-    asio::steady_timer timer_;
+    BootTimer timer_;
     std::vector<Peer> peers_; ///< Fixed after the constructor's start(); clients are thread-safe.
 
     mutable std::mutex holderMutex_; ///< Lock order: a leaf; nothing is called under it.
@@ -456,7 +456,7 @@
             index = guess;
     }
     if (index == noPeer) {
-        auto timer = std::make_shared<asio::steady_timer>(strand_, leaderRetry);
+        auto timer = std::make_shared<BootTimer>(strand_, leaderRetry);
         timer->async_wait(
                 [self = shared_from_this(), call, timer](const auto &) { self->tryLeader(call); });
         return;
@@ -482,7 +482,7 @@
     if (leader_ == peers_[index].name)
         leader_ = NodeId {};
     setLeader(leaderNamedBy(reply.status()));
-    auto timer = std::make_shared<asio::steady_timer>(strand_, leaderRetry);
+    auto timer = std::make_shared<BootTimer>(strand_, leaderRetry);
     timer->async_wait(
             [self = shared_from_this(), call, timer](const auto &) { self->tryLeader(call); });
 }
--- a/router/dispatch.cpp
+++ b/router/dispatch.cpp
@@ -12,11 +12,11 @@
 #include <boost/asio/async_result.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
+#include "core/boottimer.h"
 #include "core/check.h"
 #include "core/error.h"
 #include "core/log.h"
@@ -280,7 +280,7 @@
 {
     if (wait <= 0)
         co_return;
-    auto timer = asio::steady_timer { co_await asio::this_coro::executor };
+    auto timer = BootTimer { co_await asio::this_coro::executor };
     timer.expires_after(millis(wait));
     caller_.setStop([&timer] { timer.cancel(); });
     auto error = boost::system::error_code {};
--- a/router/router.cpp
+++ b/router/router.cpp
@@ -8,9 +8,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
+#include "core/boottimer.h"
 #include "core/log.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -114,7 +114,7 @@
     Incarnation incarnation;
     std::function<void()> onStopped;
     asio::strand<asio::io_context::executor_type> strand;
-    asio::steady_timer timer;
+    BootTimer timer;
 
     View view;
     report::Recorder recorder;
@@ -158,7 +158,7 @@
     , timer(strand)
     , view(options.self, options.serviceSlots)
     , recorder(clock)
-    , client(context, clientOptions(options))
+    , client(context, clientOptions(options), ticking)
     , budget(options.retry, seed)
     , drain(drainOptions(options), clock)
     , link(context, linkOptions(std::move(keys)), clock, view, linkHooks())
--- a/router/testing/tst_router.cpp
+++ b/router/testing/tst_router.cpp
@@ -192,7 +192,7 @@
     RouterOptions options;
     std::uint64_t revision = 0;
     std::atomic<bool> stopped = false;
-    http::Client client { threads.context, http::ClientOptions {} };
+    http::Client client { threads.context, http::ClientOptions {}, systemClock() };
     std::unique_ptr<Router> router;
 };
 
@@ -239,7 +239,7 @@
     load();
     engine.holds = true;
     {
-        auto other = http::Client { threads.context, http::ClientOptions {} };
+        auto other = http::Client { threads.context, http::ClientOptions {}, systemClock() };
         auto request = http::ClientRequest {};
         request.address = Address { "127.0.0.1", router->port() };
         request.target = "/v1/completions";
--- a/testing/calleragent.cpp
+++ b/testing/calleragent.cpp
@@ -183,7 +183,7 @@
 }
 
 CallerAgent::CallerAgent(asio::io_context &context, CallerOptions options, std::string domain)
-    : client_(context, {})
+    : client_(context, {}, systemClock())
     , options_(std::move(options))
     , domain_(std::move(domain))
 { }
--- a/testing/driver.cpp
+++ b/testing/driver.cpp
@@ -107,7 +107,7 @@
     , cluster_(std::move(options))
     , operator_(std::make_unique<OperatorAgent>(context_, addressesOf(cluster_.controls()),
                                                 cluster_.token()))
-    , teller_(std::make_unique<http::Client>(context_, http::ClientOptions {}))
+    , teller_(std::make_unique<http::Client>(context_, http::ClientOptions {}, systemClock()))
 {
     auto callerOptions = CallerOptions {};
     callerOptions.seeds = addressesOf(cluster_.routers());
--- a/testing/fakeserver.cpp
+++ b/testing/fakeserver.cpp
@@ -173,7 +173,7 @@
               [this](const http::Request &request, http::Responder &responder) {
                   return handle(request, responder);
               })
-    , client_(context, {})
+    , client_(context, {}, systemClock())
     // Rises from one life to the next, and differs between them.
     , incarnation_(static_cast<std::uint64_t>(SystemClock {}.wallNow().time_since_epoch().count()))
     , routers_(options_.routers)
--- a/testing/operatoragent.cpp
+++ b/testing/operatoragent.cpp
@@ -61,7 +61,7 @@
 
 OperatorAgent::OperatorAgent(asio::io_context &context, std::vector<Address> controls,
                              std::string token)
-    : client_(context, {})
+    : client_(context, {}, systemClock())
     , controls_(std::move(controls))
     , token_(std::move(token))
 { }
