Loads under which endpoints end; disks lost and all power gone after an acknowledgement, tested

The same cause elsewhere: a plan that fails is made again at another endpoint, so a model whose load ends what loads it would end one after the other. fleet/loadguard counts such ends in the same table (an accepted load without effect whose endpoint refuses connections or has a newer incarnation); after three series without a completed load the model is not planned for ten minutes. Ends less than 2 s apart count once: a busy model is loaded at many endpoints, and one that is barred serves nobody. Tests: tst_loadguard, tst_orders (told of an end, not of a planned leave).

--- a/coord/testing/tst_replicafaults.cpp
+++ b/coord/testing/tst_replicafaults.cpp
@@ -219,6 +219,63 @@
     }
 }
 
+TEST_CASE("disks lost and all power gone right after an acknowledgement lose nothing")
+{
+    // As many disks as a group bears, the leader's among them in some runs; at that moment every
+    // other VM loses power, those without a disk as well: whoever knew of the entry has forgotten
+    // it.
+    struct Group
+    {
+        std::size_t voters;
+        std::size_t lostDisks;
+    };
+    for (const auto &group : { Group { 3, 1 }, Group { 5, 1 }, Group { 5, 2 }, Group { 9, 4 } }) {
+        for (auto seed = std::uint64_t { 1 }; seed <= 40; ++seed) {
+            CAPTURE(group.voters);
+            CAPTURE(group.lostDisks);
+            CAPTURE(seed);
+            auto cluster = SimCluster { {}, seed };
+            auto names = std::vector<std::string> {};
+            for (std::size_t i = 0; i < group.voters; ++i)
+                names.push_back(std::string(1, static_cast<char>('a' + i)));
+            for (const auto &name : names)
+                cluster.start(cluster.add(name, foundersNamed(names)));
+            cluster.run(4s);
+            REQUIRE(cluster.leader() != nullptr);
+            auto index = LogIndex {};
+            cluster.step(*cluster.leader(), [&](Replica &replica) {
+                const auto proposed = replica.propose("last");
+                REQUIRE(proposed.ok());
+                index = *proposed;
+                replica.flush();
+            });
+            const auto *leader = cluster.leader();
+            while (leader->replica->status().commitIndex < index)
+                cluster.run(50us);
+            // The acknowledgement is out; some followers do not know that it is committed.
+            auto order = cluster.nodes();
+            for (std::size_t i = order.size() - 1; i > 0; --i)
+                std::swap(order[i], order[cluster.random().below(i + 1)]);
+            for (std::size_t i = 0; i < order.size(); ++i) {
+                if (i < group.lostDisks) {
+                    cluster.wipe(*order[i]);
+                    order[i]->founders.clear(); // Only the first start of all founds a group.
+                } else {
+                    cluster.kill(*order[i]);
+                }
+            }
+            for (auto *node : order) {
+                const auto delay = std::chrono::milliseconds { cluster.random().below(1000) };
+                cluster.after(delay, [&cluster, node] { cluster.start(*node); });
+            }
+            cluster.run(6s);
+            REQUIRE(cluster.leader() != nullptr);
+            CHECK(cluster.leader()->replica->status().commitIndex > index);
+            CHECK(cluster.leader()->disk.termAt(index).has_value());
+        }
+    }
+}
+
 TEST_CASE("a promotion waits for the learner, and a removal for a living majority")
 {
     auto three = Three {};
--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -16,6 +16,7 @@
 #include "fleet/documentshelf.h"
 #include "fleet/documentspread.h"
 #include "fleet/lastknown.h"
+#include "fleet/loadguard.h"
 #include "fleet/metrics.h"
 #include "fleet/proposals.h"
 #include "fleet/suspectsync.h"
@@ -63,6 +64,7 @@
         , keeper_(options_.group, clock)
         , suspects_({}, quarantine_, registry_, lastKnown_, clock)
         , trials_({}, quarantine_, clock)
+        , loadGuard_({}, quarantine_, clock, [this] { suspects_.tellOwn(); })
         , demand_(options_.demand, clock)
         , balancer_(options_.balancer, clock, random_)
         , orders_(context, options_.orders, clock, registry_, port, authority())
@@ -211,6 +213,10 @@
         authority.mayOrder = [this] { return mayOrder(); };
         authority.fence = [this] { return Fence { status().term.value() }; };
         authority.onPlanEnded = [this] { planSoon(); };
+        authority.onEndedUnderLoad = [this](const ModelId &model, const EndpointId &endpoint) {
+            loadGuard_.onEnded(model, endpoint);
+        };
+        authority.onLoaded = [this](const ModelId &model) { loadGuard_.onLoaded(model); };
         return authority;
     }
 
@@ -597,6 +603,8 @@
                                     row->onDisk, orders_.busySeconds(row->id), running[row->id] });
         }
         auto asked = demand_.of(service.id);
+        std::erase_if(asked.models,
+                      [this](const auto &wanted) { return loadGuard_.isBarred(wanted.first); });
         input.models = std::move(asked.models);
         input.adapters = std::move(asked.adapters);
         input.loading = orders_.loading();
@@ -693,6 +701,7 @@
     policy::Quarantine quarantine_ { {} };
     SuspectSync suspects_;
     Trials trials_;
+    LoadGuard loadGuard_;
     DemandTable demand_;
     Balancer balancer_;
     Proposals proposals_;
--- a/fleet/orders.cpp
+++ b/fleet/orders.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "core/boottimer.h"
+#include "core/error.h"
 #include "core/log.h"
 
 namespace figrack::fleet {
@@ -414,14 +415,21 @@
         auto patience = expected + announceDelay;
         while (clock_.now() - begun < (expected + announceDelay) * longestStretch) {
             if (co_await seesEffect(id, step, patience)) {
-                if (isLoad)
+                if (isLoad) {
                     noteLoadTime(id, clock_.now() - begun);
+                    authority_.onLoaded(step.model);
+                }
                 complete(id, step);
                 co_return true;
             }
             accounts_.erase(id);
-            if (!co_await isCarryingOut(id))
-                co_return hasEffect(id, step);
+            if (!co_await isCarryingOut(id)) {
+                const auto isDone = hasEffect(id, step);
+                // Elsewhere the same load would end the next one.
+                if (isLoad && !isDone && co_await hasEnded(id))
+                    authority_.onEndedUnderLoad(step.model, id);
+                co_return isDone;
+            }
             patience = std::max<Duration>(expected / 2, announceDelay);
         }
         co_return false;
@@ -463,6 +471,21 @@
         co_return false;
     }
 
+    /// @return true when the endpoint's process is known to have ended unplanned: a newer
+    /// incarnation is in use, or nobody takes a connection at its address
+    auto hasEnded(EndpointId id) -> asio::awaitable<bool>
+    {
+        const auto *row = registry_.find(id);
+        const auto *inUse = registry_.inUse(id);
+        if (inUse != nullptr && inUse->id.incarnation() > id.incarnation())
+            co_return true;
+        if (row == nullptr || row->state != catalogue::EndpointState::Ready)
+            co_return false;
+        const auto copy = *row;
+        const auto report = co_await port_.readReport(copy);
+        co_return !report.ok() && errorKind(report.status()) == ErrorKind::EndpointFailed;
+    }
+
     /// The store serves few loads at full speed, and how many is not told: loads that take their
     /// time allow one more at once, longer ones fewer.
     auto noteLoadTime(const EndpointId &id, Duration taken) -> void
--- a/fleet/orders.h
+++ b/fleet/orders.h
@@ -109,6 +109,9 @@
     std::function<bool()> mayOrder;
     std::function<Fence()> fence;
     std::function<void()> onPlanEnded;
+    /// The endpoint's process ended while it loaded the model.
+    std::function<void(const ModelId &, const EndpointId &)> onEndedUnderLoad;
+    std::function<void(const ModelId &)> onLoaded;
 };
 
 class OrderRunner
--- a/fleet/suspectsync.cpp
+++ b/fleet/suspectsync.cpp
@@ -46,6 +46,15 @@
         peer->send({ 0, proto::SuspectNews { std::move(rows) } });
 }
 
+auto SuspectSync::tellOwn() -> void
+{
+    auto news = proto::SuspectNews { quarantine_.takeOwn(now()) };
+    if (news.rows.empty())
+        return;
+    unsaved_ = true;
+    registry_.push(proto::SubscriberKind::Control, std::move(news));
+}
+
 auto SuspectSync::tick() -> void
 {
     if (!changed_.empty())
--- a/fleet/suspectsync.h
+++ b/fleet/suspectsync.h
@@ -2,6 +2,7 @@
 //
 //   sync.onNews(news);                 // of a gateway or of another control
 //   sync.onSubscribed(peer, kind);     // it gets all that is known
+//   sync.tellOwn();                    // this control itself saw an end
 //   sync.tick();                       // what changed goes on
 //
 // Every gateway tells every control of the ends that it saw, so each control sums
@@ -45,6 +46,8 @@
     auto recall() -> void;
     auto onNews(const proto::SuspectNews &news) -> void;
     auto onSubscribed(const proto::PeerPointer &peer, proto::SubscriberKind kind) -> void;
+    /// Tells the other controls what changed in this control's own table.
+    auto tellOwn() -> void;
     auto tick() -> void;
 
 private:
--- a/fleet/testing/tst_orders.cpp
+++ b/fleet/testing/tst_orders.cpp
@@ -68,6 +68,9 @@
         authority.mayOrder = [this] { return mayOrder; };
         authority.fence = [] { return Fence { 3 }; };
         authority.onPlanEnded = [this] { ++ended; };
+        authority.onEndedUnderLoad
+                = [this](const ModelId &model, const EndpointId &) { endedUnder.push_back(model); };
+        authority.onLoaded = [this](const ModelId &model) { loaded.push_back(model); };
         runner = std::make_unique<OrderRunner>(context, options, clock, registry, port, authority);
         registry.setOnChanged(
                 [this](const catalogue::EndpointRow &row) { runner->onRowChanged(row.id); });
@@ -127,6 +130,8 @@
     {
         if (forgetOnReport)
             forget();
+        if (isDown)
+            co_return makeError(ErrorKind::EndpointFailed, "reason=refused");
         auto result = EngineReport {};
         result.count = engine.count;
         result.incarnation = engine.incarnation;
@@ -170,6 +175,9 @@
     bool mayOrder = true;
     bool forgetOnReport = false;
     int ended = 0;
+    std::vector<ModelId> endedUnder; ///< Loads under which the endpoint ended.
+    std::vector<ModelId> loaded;
+    bool isDown = false; ///< Nobody takes a connection.
 };
 
 auto load(const char *model) -> PlanStep
@@ -392,6 +400,42 @@
     CHECK(rig.runner->held(rig.id) == nullptr);
 }
 
+TEST_CASE("An endpoint that ends while it loads a model is told of, one that leaves as planned is "
+          "not")
+{
+    auto rig = OrderRig {};
+    rig.engine.busyReports = 1; // Nothing is announced.
+    SUBCASE("nobody takes a connection any more")
+    {
+        rig.onAccepted = [&] { rig.isDown = true; };
+        rig.run({ load("a") });
+        CHECK(rig.endedUnder == std::vector { ModelId { "a" } });
+    }
+    SUBCASE("it has started again")
+    {
+        rig.onAccepted = [&] { restart(rig, 300); };
+        rig.run({ load("a") });
+        CHECK(rig.endedUnder == std::vector { ModelId { "a" } });
+    }
+    SUBCASE("it leaves as planned")
+    {
+        rig.onAccepted = [&] {
+            auto row = *rig.registry.find(rig.id);
+            row.state = catalogue::EndpointState::Gone;
+            ++row.sequence;
+            rig.registry.hear(row);
+        };
+        rig.run({ load("a") });
+        CHECK(rig.endedUnder.empty());
+    }
+    SUBCASE("it completes")
+    {
+        rig.run({ load("a") });
+        CHECK(rig.endedUnder.empty());
+        CHECK(rig.loaded == std::vector { ModelId { "a" } });
+    }
+}
+
 TEST_CASE("Restarts at any moment of a plan leave accounts that are exact")
 {
     for (auto seed = 1U; seed <= 40; ++seed) {
