--- a/catalogue/suspect.cpp
+++ b/catalogue/suspect.cpp
@@ -40,9 +40,11 @@
 auto workIdsOf(const WorkParts &parts) -> WorkIds
 {
     const auto query = parts.body.empty() ? parts.query : std::string_view {};
+    // Prompts are long: the body is read once for both.
+    const auto body = parts.body.empty() ? std::string {} : sha256(parts.body);
     return { digestOf({ "caller", parts.caller, parts.method, parts.host, parts.path, parts.query,
-                        parts.body }),
-             digestOf({ "anyone", parts.method, parts.host, parts.path, query, parts.body }) };
+                        body }),
+             digestOf({ "anyone", parts.method, parts.host, parts.path, query, body }) };
 }
 
 auto SuspectRow::ends() const -> std::uint32_t
--- a/catalogue/suspect.h
+++ b/catalogue/suspect.h
@@ -27,6 +27,7 @@
 {
     std::uint64_t high = 0;
     std::uint64_t low = 0;
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the comparison with 0 for one.
     auto operator<=>(const WorkId &) const = default;
     /// @return true for the id of no work
     auto isNone() const -> bool { return high == 0 && low == 0; }
--- a/core/boottimer.h
+++ b/core/boottimer.h
@@ -26,10 +26,12 @@
 struct ShortLooks
 {
     static constexpr auto longestLook = Duration { std::chrono::seconds { 1 } };
+    // NOLINTNEXTLINE(readability-identifier-naming): Asio's name.
     static auto to_wait_duration(const Duration &left) -> Duration
     {
         return std::min(left, longestLook);
     }
+    // NOLINTNEXTLINE(readability-identifier-naming): Asio's name.
     static auto to_wait_duration(const Instant &at) -> Duration
     {
         // Without overflow for a time that never comes.
--- a/core/clock.h
+++ b/core/clock.h
@@ -32,6 +32,7 @@
     using rep = Duration::rep;
     using period = Duration::period;
     using time_point = Instant;
+    // NOLINTNEXTLINE(readability-identifier-naming): the standard library's name.
     static constexpr auto is_steady = true;
     static auto now() -> Instant;
 };
--- a/core/testing/tst_boottimer.cpp
+++ b/core/testing/tst_boottimer.cpp
@@ -21,6 +21,7 @@
     using rep = Duration::rep;
     using period = Duration::period;
     using time_point = Instant;
+    // NOLINTNEXTLINE(readability-identifier-naming): the standard library's name.
     static constexpr auto is_steady = true;
     static auto now() -> Instant { return BootClock::now() + stepped; }
     static inline auto stepped = Duration::zero();
--- a/fleet/testing/tst_trials.cpp
+++ b/fleet/testing/tst_trials.cpp
@@ -43,7 +43,7 @@
         if (!refusal)
             trials.begin(gateway, wanted);
         else
-            CHECK(refusal->comeBackMs > 0);
+            CHECK((refusal->comeBackMs > 0 && refusal->isSuspect));
         return !refusal.has_value();
     }
 };
--- a/gateway/chooser.cpp
+++ b/gateway/chooser.cpp
@@ -73,8 +73,8 @@
 
 auto lackName(Lack lack) -> std::string_view
 {
-    constexpr auto names
-            = std::array<std::string_view, 5> { "none", "endpoint", "model", "adapter", "places" };
+    constexpr auto names = std::array<std::string_view, 6> { "none",    "endpoint", "model",
+                                                             "adapter", "places",   "trial" };
     return names[static_cast<std::size_t>(lack) % names.size()];
 }
 
--- a/gateway/chooser.h
+++ b/gateway/chooser.h
@@ -40,9 +40,10 @@
     Model,    ///< None of them holds the model, but for those that failed this request.
     Adapter,  ///< None of them holds the adapter, though some hold the model.
     Places,   ///< Those that hold what is asked for have as many requests as they can serve.
+    Trial,    ///< Its work is suspected, and another try of it is not over.
 };
 
-/// @return "none", "endpoint", "model", "adapter" or "places"
+/// @return "none", "endpoint", "model", "adapter", "places" or "trial"
 auto lackName(Lack lack) -> std::string_view;
 
 struct Able
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -249,21 +249,29 @@
                 co_return parts_.view.find(picked_.endpoint);
             }
             lack_ = lack;
-            const auto patience = lack == Lack::Places ? patienceForPlace() : patienceFor(lack);
+            const auto isTurnedAway = lack == Lack::Places || lack == Lack::Trial;
+            const auto patience = isTurnedAway ? patienceForPlace() : patienceFor(lack);
             if (!patience) {
-                if (!target_.model.empty() && lack != Lack::Endpoint)
+                // Suspected work is no reason to load its model anywhere else.
+                if (!target_.model.empty() && lack != Lack::Endpoint && lack != Lack::Trial)
                     parts_.demand.onRefused(target_);
-                co_await giveUp(
-                        makeError(ErrorKind::NoCapacity, "lack=" + std::string { lackName(lack) }));
+                // Named: g++ 12 destroys a conditional value within a co_await expression twice.
+                auto error = lack == Lack::Trial ? quarantinedError() : lackError(lack);
+                co_await giveUp(std::move(error));
                 co_return nullptr;
             }
-            if (lack != Lack::Places)
+            if (!isTurnedAway)
                 beginWaiting();
             co_await parts_.waiters.wait(*patience);
             forgiveRejections();
         }
     }
 
+    static auto lackError(Lack lack) -> absl::Status
+    {
+        return makeError(ErrorKind::NoCapacity, "lack=" + std::string { lackName(lack) });
+    }
+
     /// Looks for an endpoint; it is in picked_ then, and known. @return what lacks
     auto pick() -> asio::awaitable<Lack>
     {
@@ -287,7 +295,7 @@
             auto picked = co_await parts_.picker.pick(able.entries, wish_, terms);
             picked_ = std::move(picked);
             if (picked_.comeBack)
-                co_return Lack::Places;
+                co_return picked_.isSuspect ? Lack::Trial : Lack::Places;
             co_await hold();
             // It may have left while the balancer was asked.
             if (callerGone_ || parts_.view.takesWork(picked_.endpoint))
--- a/gateway/picker.cpp
+++ b/gateway/picker.cpp
@@ -128,6 +128,7 @@
             picked.endpoint = {};
             picked.by = PickedBy::Balancer;
             picked.comeBack = std::chrono::milliseconds { advice->comeBackMs };
+            picked.isSuspect = advice->isSuspect;
             co_return picked;
         }
         if (isUsable)
--- a/gateway/picker.h
+++ b/gateway/picker.h
@@ -94,6 +94,7 @@
     EndpointId fetchFrom;      ///< Keeps more of the prompt; empty: none does.
     /// No endpoint has room for it now, and when one may; then endpoint is empty.
     std::optional<Duration> comeBack;
+    bool isSuspect = false; ///< With comeBack: not for want of room, but for what its work did.
 };
 
 /// What a request puts on an endpoint.
--- a/gateway/testing/tst_picker.cpp
+++ b/gateway/testing/tst_picker.cpp
@@ -225,6 +225,29 @@
     CHECK(rows[0].refused == 1);
 }
 
+TEST_CASE("Suspected work that may not run now is refused as that, and is no demand for its model")
+{
+    auto balancer = FakeBalancer {};
+    auto rig = Rig { {}, balancer.link() };
+    auto catalogue = *testCatalogue(true);
+    for (auto &route : catalogue.routes)
+        route.startTarget = 100ms;
+    rig.forwarder.setCatalogue(std::make_shared<const catalogue::Catalogue>(catalogue));
+    auto &endpoint = rig.addEndpoint("i-1", { "m0" });
+    endpoint.handler = answering("ok");
+    balancer.advice = proto::PickReply { {}, 0, 0, 0, {}, 500, true };
+    auto request = Rig::request("/once/1", "id-1");
+    request.headers.push_back({ "X-Model", "m0" });
+    const auto got = rig.call(request);
+    CHECK(got.status == 503);
+    CHECK(http::findHeader(got.headers, "X-Come-Back") == "500");
+    CHECK(endpoint.seen.empty());
+    for (const auto &row : rig.demand.take().rows)
+        CHECK(row.refused == 0);
+    REQUIRE_FALSE(balancer.asked.empty());
+    CHECK_FALSE(balancer.asked[0].works.ofAnyone.isNone());
+}
+
 TEST_CASE("A request that can still be on time waits for a place, and gets it")
 {
     auto balancer = FakeBalancer {};
--- a/proto/servingmessages.h
+++ b/proto/servingmessages.h
@@ -216,10 +216,12 @@
     std::uint32_t holdMs = 0; ///< To be sent after so long: the endpoint's streams go on meanwhile.
     EndpointId fetchFrom;     ///< Keeps more of the prompt, which may be fetched; empty: none does.
     std::uint32_t comeBackMs = 0; ///< Without an endpoint: when there may be room.
+    bool isSuspect
+            = false; ///< Without an endpoint: not for want of room, but for what its work did.
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(endpoint, startMs, running, holdMs, fetchFrom, comeBackMs);
+        archive(endpoint, startMs, running, holdMs, fetchFrom, comeBackMs, isSuspect);
     }
 };
 /// How a request that was booked has ended.
