One conversion to policy times; a refusal for quarantine is one function

policy::millisOf replaces four copies (gateway/endingwatch, fleet/suspectsync, trials, loadguard) and one in a test; quarantineRefusal() replaces a question that counted and set the time to come back. Behaviour is the same.

--- a/fleet/loadguard.cpp
+++ b/fleet/loadguard.cpp
@@ -28,9 +28,10 @@
     const auto last = lastEnds_.find(model);
     const auto isSameSeries = last != lastEnds_.end() && at - last->second < options_.series;
     lastEnds_[model] = at;
-    if (isSameSeries || !quarantine_.onEnd(worksOf(model), 0, endpoint, now()))
+    if (isSameSeries
+        || !quarantine_.onEnd(worksOf(model), 0, endpoint, policy::millisOf(clock_.now())))
         return;
-    const auto verdict = quarantine_.verdict(worksOf(model), now());
+    const auto verdict = quarantine_.verdict(worksOf(model), policy::millisOf(clock_.now()));
     LogEvent(LogLevel::Warning, "load_suspected")
             .with("model", model)
             .with("endpoint", endpoint)
@@ -42,7 +43,7 @@
 
 auto LoadGuard::onLoaded(const ModelId &model) -> void
 {
-    if (!quarantine_.onCompleted(worksOf(model), now()))
+    if (!quarantine_.onCompleted(worksOf(model), policy::millisOf(clock_.now())))
         return;
     LogEvent(LogLevel::Info, "load_acquitted").with("model", model);
     onSuspects_();
@@ -50,13 +51,8 @@
 
 auto LoadGuard::isBarred(const ModelId &model) const -> bool
 {
-    return quarantine_.verdict(worksOf(model), now()).standing == policy::Standing::Quarantined;
-}
-
-auto LoadGuard::now() const -> policy::Millis
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now().time_since_epoch())
-            .count();
+    return quarantine_.verdict(worksOf(model), policy::millisOf(clock_.now())).standing
+            == policy::Standing::Quarantined;
 }
 
 } // namespace figrack::fleet
--- a/fleet/loadguard.h
+++ b/fleet/loadguard.h
@@ -42,8 +42,6 @@
     auto isBarred(const ModelId &model) const -> bool;
 
 private:
-    auto now() const -> policy::Millis;
-
     LoadGuardOptions options_;
     policy::Quarantine &quarantine_;
     const Clock &clock_;
--- a/fleet/suspectsync.cpp
+++ b/fleet/suspectsync.cpp
@@ -18,7 +18,7 @@
 auto SuspectSync::recall() -> void
 {
     for (const auto &row : store_.loadSuspects())
-        quarantine_.merge(row, now());
+        quarantine_.merge(row, policy::millisOf(clock_.now()));
     LogEvent(LogLevel::Info, "suspects_recalled")
             .with("rows", static_cast<std::uint64_t>(quarantine_.size()));
 }
@@ -26,10 +26,10 @@
 auto SuspectSync::onNews(const proto::SuspectNews &news) -> void
 {
     for (const auto &row : news.rows) {
-        if (!quarantine_.merge(row, now()))
+        if (!quarantine_.merge(row, policy::millisOf(clock_.now())))
             continue;
         changed_.insert(row.work);
-        const auto verdict = quarantine_.verdict(row.work, now());
+        const auto verdict = quarantine_.verdict(row.work, policy::millisOf(clock_.now()));
         LogEvent(LogLevel::Info, "suspect_told")
                 .with("work", row.work.text())
                 .with("ends", std::uint64_t { verdict.ends })
@@ -41,14 +41,15 @@
 auto SuspectSync::onSubscribed(const proto::PeerPointer &peer, proto::SubscriberKind kind) -> void
 {
     const auto isGateway = kind == proto::SubscriberKind::Gateway;
-    auto rows = quarantine_.rows(isGateway ? options_.gatewaysFromEnds : 1, now());
+    auto rows = quarantine_.rows(isGateway ? options_.gatewaysFromEnds : 1,
+                                 policy::millisOf(clock_.now()));
     if (!rows.empty())
         peer->send({ 0, proto::SuspectNews { std::move(rows) } });
 }
 
 auto SuspectSync::tellOwn() -> void
 {
-    auto news = proto::SuspectNews { quarantine_.takeOwn(now()) };
+    auto news = proto::SuspectNews { quarantine_.takeOwn(policy::millisOf(clock_.now())) };
     if (news.rows.empty())
         return;
     unsaved_ = true;
@@ -68,7 +69,7 @@
     auto toControls = proto::SuspectNews {};
     auto toGateways = proto::SuspectNews {};
     for (const auto &work : std::exchange(changed_, {})) {
-        auto row = quarantine_.row(work, now());
+        auto row = quarantine_.row(work, policy::millisOf(clock_.now()));
         const auto hasCounted = row.ended.size() >= options_.gatewaysFromEnds;
         unsaved_ = unsaved_ || hasCounted;
         if (!registry_.passesOn(work.low))
@@ -87,13 +88,7 @@
 {
     unsaved_ = false;
     nextSave_ = clock_.now() + options_.saveEvery;
-    store_.save(quarantine_.rows(options_.gatewaysFromEnds, now()));
-}
-
-auto SuspectSync::now() const -> policy::Millis
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now().time_since_epoch())
-            .count();
+    store_.save(quarantine_.rows(options_.gatewaysFromEnds, policy::millisOf(clock_.now())));
 }
 
 } // namespace figrack::fleet
--- a/fleet/suspectsync.h
+++ b/fleet/suspectsync.h
@@ -53,7 +53,6 @@
 private:
     auto passOn() -> void;
     auto save() -> void;
-    auto now() const -> policy::Millis;
 
     SuspectSyncOptions options_;
     policy::Quarantine &quarantine_;
--- a/fleet/testing/tst_suspectsync.cpp
+++ b/fleet/testing/tst_suspectsync.cpp
@@ -27,11 +27,6 @@
 constexpr auto contactTime = Duration { 3s };
 constexpr auto tickEvery = Duration { 15ms };
 
-auto toMillis(Instant at) -> policy::Millis
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(at.time_since_epoch()).count();
-}
-
 class Fleet
 {
 public:
@@ -92,7 +87,7 @@
     {
         auto result = std::size_t { 0 };
         for (const auto &gateway : gateways_) {
-            const auto standing = gateway->verdict(work, toMillis(clock_.now())).standing;
+            const auto standing = gateway->verdict(work, policy::millisOf(clock_.now())).standing;
             result += standing == policy::Standing::Quarantined ? 1 : 0;
         }
         return result;
@@ -131,7 +126,7 @@
         proto::Envelope envelope;
     };
 
-    auto now() const -> policy::Millis { return toMillis(clock_.now()); }
+    auto now() const -> policy::Millis { return policy::millisOf(clock_.now()); }
 
     static auto nameOf(std::size_t control) -> std::string { return "c" + std::to_string(control); }
 
--- a/fleet/testing/tst_trials.cpp
+++ b/fleet/testing/tst_trials.cpp
@@ -21,10 +21,7 @@
 
     auto endAt(const std::string &endpoint) -> void
     {
-        const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
-                                 clock.now().time_since_epoch())
-                                 .count();
-        quarantine.onEnd(works, 1, EndpointId { endpoint }, now);
+        quarantine.onEnd(works, 1, EndpointId { endpoint }, policy::millisOf(clock.now()));
     }
     auto request(std::uint64_t ticket) const -> proto::PickRequest
     {
--- a/fleet/trials.cpp
+++ b/fleet/trials.cpp
@@ -93,13 +93,7 @@
 
 auto Trials::standing(const proto::PickRequest &request) const -> policy::Verdict
 {
-    return quarantine_.verdict(request.works, now());
-}
-
-auto Trials::now() const -> policy::Millis
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now().time_since_epoch())
-            .count();
+    return quarantine_.verdict(request.works, policy::millisOf(clock_.now()));
 }
 
 } // namespace figrack::fleet
--- a/fleet/trials.h
+++ b/fleet/trials.h
@@ -62,7 +62,6 @@
         Instant expiresAt {};
     };
     auto standing(const proto::PickRequest &request) const -> policy::Verdict;
-    auto now() const -> policy::Millis;
 
     TrialOptions options_;
     const policy::Quarantine &quarantine_;
--- a/gateway/endingwatch.cpp
+++ b/gateway/endingwatch.cpp
@@ -22,12 +22,6 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-auto policyNow(const Clock &clock) -> policy::Millis
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(clock.now().time_since_epoch())
-            .count();
-}
-
 class EndingWatch::Impl : public std::enable_shared_from_this<Impl>
 {
 public:
@@ -137,7 +131,7 @@
     /// The endpoint has ended: what was in progress there is suspected.
     auto conclude(const EndpointId &endpoint, Case &open) -> void
     {
-        const auto now = policyNow(parts_.clock);
+        const auto now = policy::millisOf(parts_.clock.now());
         const auto isNews = !std::exchange(open.ended, true) && !open.suspects.empty();
         if (isNews) {
             parts_.metrics.onEndpointEnded();
--- a/gateway/endingwatch.h
+++ b/gateway/endingwatch.h
@@ -92,9 +92,6 @@
     std::shared_ptr<Impl> impl_;
 };
 
-/// @return a policy time on the clock's scale
-auto policyNow(const Clock &clock) -> policy::Millis;
-
 } // namespace figrack::gateway
 
 #endif // FIGRACK_GATEWAY_ENDINGWATCH_H
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -97,8 +97,8 @@
         co_await awaitDocument();
         if (auto refusal = prepare()) {
             co_await refuse(std::move(*refusal));
-        } else if (isQuarantined()) {
-            co_await giveUp(quarantinedError());
+        } else if (auto status = quarantineRefusal()) {
+            co_await giveUp(std::move(*status));
         } else {
             responder_.onPeerGone([this] { onCallerGone(); });
             parts_.retries.onRequest(service_);
@@ -176,23 +176,26 @@
 
     // ---- work under which endpoints ended
 
-    /// Sets when to come back. @return true when the request may not run
-    auto isQuarantined() -> bool
+    auto verdict() const -> policy::Verdict
     {
-        const auto verdict = parts_.quarantine.verdict(works_, policyNow(parts_.clock));
-        if (verdict.standing != policy::Standing::Quarantined)
-            return false;
-        comeBack_ = std::chrono::milliseconds { verdict.releaseIn };
+        return parts_.quarantine.verdict(works_, policy::millisOf(parts_.clock.now()));
+    }
+
+    /// @return why the request may not run, and sets when to come back; nullopt: it may
+    auto quarantineRefusal() -> std::optional<absl::Status>
+    {
+        const auto now = verdict();
+        if (now.standing != policy::Standing::Quarantined)
+            return std::nullopt;
+        comeBack_ = std::chrono::milliseconds { now.releaseIn };
         parts_.metrics.onQuarantined();
-        return true;
+        return quarantinedError(now.ends);
     }
 
-    auto quarantinedError() const -> absl::Status
+    auto quarantinedError(std::uint32_t ends) const -> absl::Status
     {
-        const auto verdict = parts_.quarantine.verdict(works_, policyNow(parts_.clock));
         return makeError(ErrorKind::Quarantined,
-                         "work=" + works_.ofAnyone.text()
-                                 + " ends=" + std::to_string(verdict.ends));
+                         "work=" + works_.ofAnyone.text() + " ends=" + std::to_string(ends));
     }
 
     /// The dispatch broke off. What an endpoint was doing as it ended is noted: the next gateway
@@ -209,8 +212,7 @@
     auto endsTooMany() -> asio::awaitable<bool>
     {
         static_cast<void>(co_await parts_.endings.hasEnded(endpoint_));
-        const auto verdict = parts_.quarantine.verdict(works_, policyNow(parts_.clock));
-        co_return verdict.ends >= owner_.options_.endsWithoutRepeat;
+        co_return verdict().ends >= owner_.options_.endsWithoutRepeat;
     }
 
     // ---- carrying it
@@ -237,8 +239,8 @@
                 co_return nullptr;
             }
             // Endpoints may have ended under another try of it while this one waited.
-            if (isQuarantined()) {
-                co_await giveUp(quarantinedError());
+            if (auto status = quarantineRefusal()) {
+                co_await giveUp(std::move(*status));
                 co_return nullptr;
             }
             const auto lack = co_await pick();
@@ -256,7 +258,8 @@
                 if (!target_.model.empty() && lack != Lack::Endpoint && lack != Lack::Trial)
                     parts_.demand.onRefused(target_);
                 // Named: g++ 12 destroys a conditional value within a co_await expression twice.
-                auto error = lack == Lack::Trial ? quarantinedError() : lackError(lack);
+                auto error
+                        = lack == Lack::Trial ? quarantinedError(verdict().ends) : lackError(lack);
                 co_await giveUp(std::move(error));
                 co_return nullptr;
             }
@@ -552,7 +555,7 @@
 
     auto noteCompleted() -> void
     {
-        if (parts_.quarantine.onCompleted(works_, policyNow(parts_.clock)))
+        if (parts_.quarantine.onCompleted(works_, policy::millisOf(parts_.clock.now())))
             parts_.endings.onAcquitted(works_);
     }
 
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -46,7 +46,9 @@
         , feed_(context, feedOptions(), clock, feedHooks())
         , picker_(options_.picker, feed_.balancerLink(), metrics_, random_)
         , endings_({}, { context, clock, view_, quarantine_, metrics_ },
-                   [this] { feed_.sendSuspects(quarantine_.takeOwn(policyNow(clock_))); })
+                   [this] {
+                       feed_.sendSuspects(quarantine_.takeOwn(policy::millisOf(clock_.now())));
+                   })
         , forwarder_(options_.forwarder,
                      { context, clock, dialect, view_, retries_, demand_, waiters_, metrics_,
                        client_, picker_, random_, quarantine_, endings_ })
@@ -102,7 +104,7 @@
         gauges.waiting = waiters_.size();
         gauges.inProgress = server_.inProgress();
         gauges.suspects = quarantine_.size();
-        gauges.quarantined = quarantine_.quarantined(policyNow(clock_));
+        gauges.quarantined = quarantine_.quarantined(policy::millisOf(clock_.now()));
         gauges.ready = ready();
         return metrics_.text(gauges);
     }
@@ -133,13 +135,13 @@
         hooks.onUpdate = [this](const proto::ServingUpdate &update) { onUpdate(update); };
         hooks.onDocument = [this](const FetchedDocument &document) { return onDocument(document); };
         hooks.onSuspects = [this](const proto::SuspectNews &news) { onSuspects(news); };
-        hooks.suspects = [this] { return quarantine_.rows(1, policyNow(clock_)); };
+        hooks.suspects = [this] { return quarantine_.rows(1, policy::millisOf(clock_.now())); };
         return hooks;
     }
 
     auto onSuspects(const proto::SuspectNews &news) -> void
     {
-        const auto now = policyNow(clock_);
+        const auto now = policy::millisOf(clock_.now());
         for (const auto &row : news.rows) {
             if (!quarantine_.merge(row, now))
                 continue;
--- a/policy/tables.h
+++ b/policy/tables.h
@@ -12,12 +12,19 @@
 #include <string>
 #include <vector>
 
+#include "core/clock.h"
 #include "core/ids.h"
 
 namespace figrack::policy {
 
 using Millis = std::int64_t;
 
+/// @return a clock's reading on the scale of policy times
+inline auto millisOf(Instant at) -> Millis
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(at.time_since_epoch()).count();
+}
+
 struct ClassTarget
 {
     ClassId id;
