What an endpoint says of itself in its answers is one typed piece

Callers' requests went on to an endpoint that had named the rate it takes; no line said that it had, or who had heard it.

The rate is kept with the endpoint's entry of the view, by incarnation, and changes nothing yet. A change of it is a line (endpoint_rate); endpoint_rejected names each request that an endpoint did not run; a counter and a gauge show that rates are named. A rate that cannot be read leaves what is known and is told (endpoint_notice_malformed).

The comparison of header names stood three times; it is http::isSameName.

--- /dev/null
+++ b/catalogue/endpointnotice.h
@@ -0,0 +1,23 @@
+// What an endpoint says of itself in the head of an answer.
+
+#ifndef FIGRACK_CATALOGUE_ENDPOINTNOTICE_H
+#define FIGRACK_CATALOGUE_ENDPOINTNOTICE_H
+
+#include <optional>
+
+namespace figrack::catalogue {
+
+struct EndpointNotice
+{
+    bool notRun = false;     ///< It did not run the request, and will not.
+    bool isOther = false;    ///< Another endpoint than the one meant has answered.
+    bool lacksModel = false; ///< It does not hold the model or adapter that was asked for.
+    /// Requests a second that it takes from all gateways together, from 0 on. Absent: any number.
+    std::optional<double> ratePerSecond;
+    /// A rate was named that could not be read: what was known of it stands.
+    bool isRateMalformed = false;
+};
+
+} // namespace figrack::catalogue
+
+#endif // FIGRACK_CATALOGUE_ENDPOINTNOTICE_H
--- a/gateway/answers.cpp
+++ b/gateway/answers.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <array>
 
-#include <boost/beast/core/string.hpp>
-
 namespace figrack::gateway {
 
 auto isEventStream(const http::Headers &headers) -> bool
@@ -25,7 +23,7 @@
     auto result = http::Headers {};
     for (const auto &header : headers) {
         const auto isDropped = std::any_of(dropped.begin(), dropped.end(), [&](auto name) {
-            return boost::beast::iequals(header.name, std::string { name });
+            return http::isSameName(header.name, name);
         });
         if (!isDropped)
             result.push_back(header);
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -18,6 +18,7 @@
 #include <absl/status/statusor.h>
 
 #include "catalogue/catalogue.h"
+#include "catalogue/endpointnotice.h"
 #include "core/clock.h"
 #include "core/ids.h"
 #include "core/settings.h"
@@ -80,13 +81,10 @@
     std::function<absl::StatusOr<CallerRequest>(const http::Request &)> readRequest;
     /// @return all headers of a dispatch
     std::function<http::Headers(const CallerRequest &, const DispatchTerms &)> writeDispatch;
-    /// @return true when the endpoint states that it did not run the request
-    std::function<bool(std::uint32_t status, const http::Headers &)> saysNotRun;
-    /// @return true when another endpoint than the one meant has answered
-    std::function<bool(const EndpointId &meant, std::uint32_t status, const http::Headers &)>
-            isOfOtherEndpoint;
-    /// @return true when the endpoint states that it lacks the model or adapter
-    std::function<bool(std::uint32_t status)> saysMissing;
+    /// @return what the head of an answer says of the endpoint
+    std::function<catalogue::EndpointNotice(const EndpointId &meant, std::uint32_t status,
+                                            const http::Headers &)>
+            readNotice;
     std::function<http::Response(const Refusal &)> writeRefusal;
     std::string answerIdHeader; ///< Names the request that an answer belongs to.
     /// @return the catalogue that a document holds, or BadRequest
--- a/gateway/fleetview.cpp
+++ b/gateway/fleetview.cpp
@@ -214,6 +214,35 @@
         entry->missingUntil[{ model, adapter }] = clock_.now() + options_.missingFor;
 }
 
+auto FleetView::onNotice(const EndpointId &id, const catalogue::EndpointNotice &notice,
+                         Instant sentAt) -> void
+{
+    auto *entry = find(id);
+    if (entry == nullptr || (notice.isRateMalformed && !notice.ratePerSecond))
+        return;
+    auto &rate = entry->rate;
+    const auto isUnlimited = !notice.ratePerSecond;
+    if (isUnlimited && (!entry->isRateLimited() || sentAt < rate->heardAt))
+        return;
+    const auto before = entry->isRateLimited() ? rate->perSecond : std::nullopt;
+    if (notice.ratePerSecond != before) {
+        LogEvent(LogLevel::Info, "endpoint_rate")
+                .with("endpoint", id)
+                .with("per_s", notice.ratePerSecond.value_or(-1))
+                .with("before", before.value_or(-1));
+    }
+    rate = NamedRate { notice.ratePerSecond, clock_.now() };
+}
+
+auto FleetView::rateLimited() const -> std::size_t
+{
+    return static_cast<std::size_t>(
+            std::count_if(entries_.begin(), entries_.end(), [](const auto &item) {
+                return item.second.isRateLimited()
+                        && item.second.row.state != catalogue::EndpointState::Gone;
+            }));
+}
+
 auto FleetView::takeLoads() -> std::vector<proto::EndpointLoad>
 {
     auto result = std::vector<proto::EndpointLoad> {};
--- a/gateway/fleetview.h
+++ b/gateway/fleetview.h
@@ -15,16 +15,25 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "catalogue/endpointnotice.h"
 #include "catalogue/endpointrow.h"
 #include "core/clock.h"
 #include "proto/servingmessages.h"
 
 namespace figrack::gateway {
 
+/// What an endpoint said last of the rate that it takes.
+struct NamedRate
+{
+    std::optional<double> perSecond; ///< Over all gateways; absent: it takes any rate again.
+    Instant heardAt {};
+};
+
 struct EndpointEntry
 {
     catalogue::EndpointRow row;
@@ -41,6 +50,9 @@
     bool isReplaced = false;
     /// What it said it does not hold, against its row, and until when that is believed.
     std::map<std::pair<ModelId, std::string>, Instant> missingUntil;
+    std::optional<NamedRate> rate; ///< Absent: it never named one.
+    /// @return true while it takes a limited rate of requests
+    auto isRateLimited() const -> bool { return rate && rate->perSecond; }
 };
 
 struct FleetViewOptions
@@ -81,6 +93,13 @@
     auto onReplaced(const EndpointId &id) -> void;
     /// It said that it does not hold the model or adapter.
     auto onMissing(const EndpointId &id, const ModelId &model, const std::string &adapter) -> void;
+    /// Takes over what an endpoint says of itself in the head of an answer. What it does not name
+    /// is over, unless the request had left before it was last named: answers overtake one another.
+    /// @param sentAt when the request of that answer left
+    auto onNotice(const EndpointId &id, const catalogue::EndpointNotice &notice, Instant sentAt)
+            -> void;
+    /// @return endpoints that take a limited rate of requests
+    auto rateLimited() const -> std::size_t;
     /// @return what this gateway has in progress, for its report
     auto takeLoads() -> std::vector<proto::EndpointLoad>;
     /// @return endpoints that could not be reached of late
--- a/gateway/forwarderdispatch.cpp
+++ b/gateway/forwarderdispatch.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/log.h"
 #include "gateway/answers.h"
 #include "gateway/forwarderrun.h"
 
@@ -155,10 +156,12 @@
     auto stream = std::move(std::get<std::unique_ptr<http::ClientStream>>(opened));
     ++sent_;
     status_ = stream->status();
-    if (parts_.dialect.saysNotRun(status_, stream->headers())) {
+    const auto notice = parts_.dialect.readNotice(id, status_, stream->headers());
+    noteNotice(id, notice);
+    if (notice.notRun) {
         lastError_ = makeError(ErrorKind::NoCapacity,
                                "endpoint=" + id.value() + " status=" + std::to_string(status_));
-        noteRejection(id, stream->headers());
+        noteRejection(id, notice);
         co_await discard(*stream);
         co_return Step::NotRun;
     }
@@ -176,11 +179,33 @@
     co_return step;
 }
 
-auto Forwarder::Run::noteRejection(const EndpointId &id, const http::Headers &headers) -> void
+auto Forwarder::Run::noteNotice(const EndpointId &id, const catalogue::EndpointNotice &notice)
+        -> void
+{
+    if (notice.isOther)
+        return;
+    if (notice.ratePerSecond)
+        parts_.metrics.onRateNamed();
+    if (notice.isRateMalformed) {
+        LogEvent(LogLevel::Warning, "endpoint_notice_malformed")
+                .with("endpoint", id)
+                .with("request", caller_.id)
+                .with("field", "rate");
+    }
+    parts_.view.onNotice(id, notice, sentAt_);
+}
+
+auto Forwarder::Run::noteRejection(const EndpointId &id, const catalogue::EndpointNotice &notice)
+        -> void
 {
-    if (parts_.dialect.isOfOtherEndpoint(id, status_, headers))
+    LogEvent(LogLevel::Info, "endpoint_rejected")
+            .with("endpoint", id)
+            .with("request", caller_.id)
+            .with("status", std::int64_t { status_ })
+            .with("sent", std::int64_t { sent_ });
+    if (notice.isOther)
         parts_.view.onReplaced(id);
-    else if (parts_.dialect.saysMissing(status_) && !wish_.model.empty())
+    else if (notice.lacksModel && !wish_.model.empty())
         parts_.view.onMissing(id, wish_.model, wish_.adapter);
     else
         parts_.view.onRejected(id);
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -105,7 +105,9 @@
     auto makeDispatch(const EndpointEntry &entry) -> http::ClientRequest;
     auto exchange(http::ClientRequest out, Duration left, const EndpointId &id)
             -> boost::asio::awaitable<Step>;
-    auto noteRejection(const EndpointId &id, const http::Headers &headers) -> void;
+    /// Whatever the endpoint answered, it may have said something of itself.
+    auto noteNotice(const EndpointId &id, const catalogue::EndpointNotice &notice) -> void;
+    auto noteRejection(const EndpointId &id, const catalogue::EndpointNotice &notice) -> void;
     auto noteFailure(const EndpointId &id, const absl::Status &status, bool reached) -> void;
     /// The dispatch broke off. What an endpoint was doing as it ended is noted: the next gateway
     /// that the request comes to knows nothing of this one's failure.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -105,6 +105,7 @@
         gauges.inProgress = server_.inProgress();
         gauges.suspects = quarantine_.size();
         gauges.quarantined = quarantine_.quarantined(policy::millisOf(clock_.now()));
+        gauges.rateLimited = view_.rateLimited();
         gauges.ready = ready();
         return metrics_.text(gauges);
     }
--- a/gateway/metrics.cpp
+++ b/gateway/metrics.cpp
@@ -57,6 +57,11 @@
                                      .Help("Requests refused, as their work is in quarantine")
                                      .Register(registry)
                                      .Add({}))
+        , ratesNamed(prometheus::BuildCounter()
+                             .Name("figrack_gateway_rates_named_total")
+                             .Help("Answers in which an endpoint named the rate that it takes")
+                             .Register(registry)
+                             .Add({}))
         , picks(prometheus::BuildCounter()
                         .Name("figrack_gateway_picks_total")
                         .Help("Choices among endpoints, by who made them")
@@ -92,6 +97,7 @@
     prometheus::Counter &failures;
     prometheus::Counter &ended;
     prometheus::Counter &quarantineRefusals;
+    prometheus::Counter &ratesNamed;
     prometheus::Family<prometheus::Counter> &picks;
     prometheus::Family<prometheus::Histogram> &latency;
     prometheus::Histogram &documentDelay;
@@ -133,6 +139,11 @@
     impl_->quarantineRefusals.Increment();
 }
 
+auto Metrics::onRateNamed() -> void
+{
+    impl_->ratesNamed.Increment();
+}
+
 auto Metrics::onPick(std::string_view by) -> void
 {
     impl_->picks.Add({ { "by", std::string { by } } }).Increment();
@@ -156,6 +167,7 @@
     set("in_progress", static_cast<double>(gauges.inProgress));
     set("suspects", static_cast<double>(gauges.suspects));
     set("quarantined", static_cast<double>(gauges.quarantined));
+    set("rate_limited_endpoints", static_cast<double>(gauges.rateLimited));
     set("ready", gauges.ready ? 1 : 0);
     return prometheus::TextSerializer {}.Serialize(impl_->registry.Collect());
 }
--- a/gateway/metrics.h
+++ b/gateway/metrics.h
@@ -38,6 +38,7 @@
     std::uint64_t inProgress = 0;
     std::uint64_t suspects = 0;    ///< Rows of suspected work, in quarantine or not.
     std::uint64_t quarantined = 0; ///< Of those, in quarantine.
+    std::uint64_t rateLimited = 0; ///< Endpoints that take a limited rate of requests.
     bool ready = false;
 };
 
@@ -55,6 +56,8 @@
     auto onEndpointEnded() -> void;
     /// A request was refused, as its work is in quarantine.
     auto onQuarantined() -> void;
+    /// An endpoint named the rate of requests that it takes.
+    auto onRateNamed() -> void;
     /// A choice among several endpoints. @param by who made it, of a fixed set
     auto onPick(std::string_view by) -> void;
     /// A document was put into force. @param took since it, or a newer one, was announced here
--- a/gateway/testing/rig.cpp
+++ b/gateway/testing/rig.cpp
@@ -50,14 +50,17 @@
             headers.push_back({ "X-After", terms.resumeAfter });
         return headers;
     };
-    dialect.saysNotRun = [](std::uint32_t, const http::Headers &headers) {
-        return !http::findHeader(headers, "X-Not-Run").empty();
-    };
-    dialect.isOfOtherEndpoint
-            = [](const EndpointId &, std::uint32_t, const http::Headers &headers) {
-                  return !http::findHeader(headers, "X-Other").empty();
+    dialect.readNotice
+            = [](const EndpointId &, std::uint32_t status, const http::Headers &headers) {
+                  auto notice = catalogue::EndpointNotice {};
+                  notice.notRun = !http::findHeader(headers, "X-Not-Run").empty();
+                  notice.isOther = !http::findHeader(headers, "X-Other").empty();
+                  notice.lacksModel = status == 421 && !notice.isOther;
+                  const auto rate = std::string { http::findHeader(headers, "X-Rate") };
+                  if (!rate.empty())
+                      notice.ratePerSecond = std::stod(rate);
+                  return notice;
               };
-    dialect.saysMissing = [](std::uint32_t status) { return status == 421; };
     dialect.writeRefusal = [](const Refusal &refusal) {
         auto response = http::Response {};
         const auto kind = errorKind(refusal.status);
--- a/http/message.cpp
+++ b/http/message.cpp
@@ -12,18 +12,18 @@
     return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
 }
 
-auto sameName(std::string_view left, std::string_view right) -> bool
+} // namespace
+
+auto isSameName(std::string_view left, std::string_view right) -> bool
 {
     return std::equal(left.begin(), left.end(), right.begin(), right.end(),
                       [](char a, char b) { return lower(a) == lower(b); });
 }
 
-} // namespace
-
 auto findHeader(const Headers &headers, std::string_view name) -> std::string_view
 {
     for (const auto &header : headers) {
-        if (sameName(header.name, name))
+        if (isSameName(header.name, name))
             return header.value;
     }
     return {};
--- a/http/message.h
+++ b/http/message.h
@@ -18,6 +18,9 @@
 
 using Headers = std::vector<Header>;
 
+/// @return true when two header names are the same, without regard to case
+auto isSameName(std::string_view left, std::string_view right) -> bool;
+
 /// @param name compared without regard to case
 /// @return the first value, or an empty view
 auto findHeader(const Headers &headers, std::string_view name) -> std::string_view;
