An endpoint that names a rate gets no more than it from all gateways

Callers saw nothing: an endpoint in need that had named 1 request a second went on getting 3 to 5 a second, 12 in four seconds, from gateways that it had told.

Cause: the rate was read nowhere, and no place knows what all gateways send to an endpoint in a second. The class: what an endpoint asks for that must bind was taken for a hint, or for nothing.

The balancer, which books every request of all gateways, keeps a token bucket an endpoint (policy/ratelimiter). A gateway that has heard of a rate says so, with its age, in each question that names the endpoint; so a balancer that starts anew or takes another's place knows it with the first question, and the latest word counts. Where no balancer answers, a second one is asked, and then each gateway uses an equal part of half of the rate (gateway/lonerates). A request that only endpoints beyond their rate can take waits if the rate allows it within half of its start target; else it is refused at once, with the time at which the rate has room, and counts as demand that lacks a replica.

Weighed: a share of the rate for each gateway, without talk: of 1 a second none of seven gateways could use more than one request in 7 s, and one gateway in a hundred has a given request. A message from gateway to gateway: more bytes, and later.

Played besides in virtual time, 1 to 300 gateways, rates of 0.25 to 8 a second, balancers lost, begun anew and exchanged: no window above 1.5 times the rate and 5, and nine tenths of the rate are used. Where nothing is named a question is one byte longer.

--- a/fleet/balancer.cpp
+++ b/fleet/balancer.cpp
@@ -43,8 +43,19 @@
     return endpoints_.try_emplace(id, options_.places).first->second;
 }
 
+auto Balancer::learnRates(const proto::PickRequest &request) -> void
+{
+    const auto now = clock_.now();
+    for (const auto &rate : request.rates) {
+        const auto heardAt = now - std::chrono::milliseconds { rate.ageMs };
+        endpointOf(rate.endpoint).rate.onNamed(rate.perSecond, heardAt, now);
+    }
+}
+
 auto Balancer::hasRoom(Endpoint &endpoint, const proto::PickRequest &request) -> bool
 {
+    if (!endpoint.rate.allows(clock_.now()))
+        return false;
     if (request.hasBegun)
         return true;
     return endpoint.limit.admits(endpoint.running, request.places, request.rank)
@@ -76,9 +87,32 @@
     return reply;
 }
 
+auto Balancer::areRatesUsed(const proto::PickRequest &request) const -> bool
+{
+    const auto now = clock_.now();
+    return std::all_of(request.candidates.begin(), request.candidates.end(),
+                       [&](const auto &id) { return !endpoints_.at(id).rate.allows(now); });
+}
+
+auto Balancer::turnAwayForRate(const proto::PickRequest &request) -> proto::PickReply
+{
+    const auto now = clock_.now();
+    auto *soonest = &endpoints_.at(request.candidates.front()).rate;
+    for (const auto &id : request.candidates) {
+        auto &rate = endpoints_.at(id).rate;
+        if (rate.nextAt(now) < soonest->nextAt(now))
+            soonest = &rate;
+    }
+    auto reply = proto::PickReply {};
+    reply.comeBackMs = std::max(wholeMillis(soonest->tellReturn(now)), 1U);
+    reply.refusal = proto::PickRefusal::RateUsed;
+    return reply;
+}
+
 auto Balancer::pick(const NodeId &gateway, const proto::PickRequest &request) -> proto::PickReply
 {
     expire();
+    learnRates(request);
     const EndpointId *best = nullptr;
     auto bestCost = std::numeric_limits<double>::infinity();
     auto equals = std::uint64_t { 0 };
@@ -97,8 +131,10 @@
             equals = 1;
         }
     }
+    if (request.candidates.empty())
+        return {};
     if (best == nullptr)
-        return request.candidates.empty() ? proto::PickReply {} : turnAway(request);
+        return areRatesUsed(request) ? turnAwayForRate(request) : turnAway(request);
     return book(gateway, request, *best);
 }
 
@@ -246,6 +282,7 @@
     endpoint.averagedAt = now;
     endpoint.readSince = slot.runBegin;
     endpoint.readUntil = slot.end;
+    endpoint.rate.take(now);
     keep(id, request.shared);
     auto &booking = bookings_[{ gateway, request.ticket }];
     if (!booking.endpoint.empty())
--- a/fleet/balancer.h
+++ b/fleet/balancer.h
@@ -20,6 +20,10 @@
 // for a rest in which every stream gets its next tokens. Behind the others it
 // would have waited anyhow, so a hold costs it the rests alone.
 //
+// An endpoint that names the rate of requests that it takes gets no more, whoever asks
+// and whatever has begun elsewhere. Gateways tell with each question what they have heard,
+// so that a balancer that takes another's place knows it with the first.
+//
 // Pure but for the clock and the draw among equals. Not thread-safe.
 
 #ifndef FIGRACK_FLEET_BALANCER_H
@@ -35,6 +39,7 @@
 #include "core/ids.h"
 #include "core/random.h"
 #include "fleet/admission.h"
+#include "policy/ratelimiter.h"
 #include "proto/servingmessages.h"
 
 namespace figrack::fleet {
@@ -124,9 +129,10 @@
             : limit(places)
         { }
         PlaceLimit limit;
-        Instant readUntil {}; ///< When all booked prompts will have been read.
-        Instant readSince {}; ///< Begin of the last run of reading without a rest.
-        double reading = 0;   ///< Milliseconds of reading, decayed to averagedAt.
+        policy::RateLimiter rate; ///< What it named, and what it was sent of late.
+        Instant readUntil {};     ///< When all booked prompts will have been read.
+        Instant readSince {};     ///< Begin of the last run of reading without a rest.
+        double reading = 0;       ///< Milliseconds of reading, decayed to averagedAt.
         Instant averagedAt {};
         std::uint32_t running = 0;          ///< Booked and not ended.
         std::deque<proto::PromptSpan> kept; ///< Most recently used last.
@@ -182,7 +188,12 @@
     auto release(const EndpointId &id) -> void;
     auto endpointOf(const EndpointId &id) -> Endpoint &;
     auto hasRoom(Endpoint &endpoint, const proto::PickRequest &request) -> bool;
+    auto learnRates(const proto::PickRequest &request) -> void;
+    /// @return true when each candidate has been sent all that it takes
+    auto areRatesUsed(const proto::PickRequest &request) const -> bool;
     auto turnAway(const proto::PickRequest &request) -> proto::PickReply;
+    /// To the candidate that takes another request first.
+    auto turnAwayForRate(const proto::PickRequest &request) -> proto::PickReply;
     auto expire() -> void;
 
     BalancerOptions options_;
--- a/fleet/testing/tst_balancer.cpp
+++ b/fleet/testing/tst_balancer.cpp
@@ -352,3 +352,30 @@
         bench.end(ticket);
     CHECK(bench.balancer.booked() == 0);
 }
+
+TEST_CASE("A rate that any gateway has heard of holds for all, and a later word ends it")
+{
+    auto bench = Bench {};
+    auto request = proto::PickRequest {};
+    request.ticket = 1;
+    request.candidates = { EndpointId { "i-1" } };
+    request.model = 1;
+    request.limitMs = 10'000;
+    request.places = 96;
+    auto told = request;
+    told.rates = { { EndpointId { "i-1" }, 1.0, 50 } };
+    auto &balancer = bench.balancer;
+    CHECK(balancer.pick(NodeId { "g1" }, told).endpoint == EndpointId { "i-1" });
+    const auto refused = balancer.pick(NodeId { "g2" }, request);
+    CHECK(refused.endpoint.empty());
+    CHECK(refused.refusal == proto::PickRefusal::RateUsed);
+    CHECK(refused.comeBackMs == 1000);
+    // What has begun elsewhere is not turned away for want of room, but for a rate.
+    auto begun = request;
+    begun.hasBegun = true;
+    CHECK(balancer.pick(NodeId { "g2" }, begun).refusal == proto::PickRefusal::RateUsed);
+    told.rates = { { EndpointId { "i-1" }, std::nullopt, 100 } };
+    CHECK(balancer.pick(NodeId { "g3" }, told).refusal == proto::PickRefusal::RateUsed);
+    told.rates = { { EndpointId { "i-1" }, std::nullopt, 0 } };
+    CHECK(balancer.pick(NodeId { "g3" }, told).endpoint == EndpointId { "i-1" });
+}
--- a/gateway/chooser.cpp
+++ b/gateway/chooser.cpp
@@ -73,8 +73,8 @@
 auto lackName(Lack lack) -> std::string_view
 {
     constexpr auto names
-            = std::array<std::string_view, 8> { "none",   "endpoint", "model", "adapter",
-                                                "places", "trial",    "limit", "counter" };
+            = std::array<std::string_view, 9> { "none",  "endpoint", "model",   "adapter", "places",
+                                                "trial", "limit",    "counter", "rate" };
     return names[static_cast<std::size_t>(lack) % names.size()];
 }
 
--- a/gateway/chooser.h
+++ b/gateway/chooser.h
@@ -43,9 +43,10 @@
     Trial,    ///< Its work is suspected, and another try of it is not over.
     Limit,    ///< Its account has used up its limit.
     Counter,  ///< Nobody that counts what its account uses can be asked.
+    Rate,     ///< Those that hold what is asked for have got all requests of late that they take.
 };
 
-/// @return "none", "endpoint", "model", "adapter", "places", "trial", "limit" or "counter"
+/// @return "none", "endpoint", "model", "adapter", "places", "trial", "limit", "counter" or "rate"
 auto lackName(Lack lack) -> std::string_view;
 
 struct Able
--- a/gateway/fleetview.cpp
+++ b/gateway/fleetview.cpp
@@ -222,7 +222,8 @@
         return;
     auto &rate = entry->rate;
     const auto isUnlimited = !notice.ratePerSecond;
-    if (isUnlimited && (!entry->isRateLimited() || sentAt < rate->heardAt))
+    const auto isTelling = !notice.notRun && rate && sentAt >= rate->heardAt;
+    if (isUnlimited && (!entry->isRateLimited() || !isTelling))
         return;
     const auto before = entry->isRateLimited() ? rate->perSecond : std::nullopt;
     if (notice.ratePerSecond != before) {
--- a/gateway/fleetview.h
+++ b/gateway/fleetview.h
@@ -93,8 +93,9 @@
     auto onReplaced(const EndpointId &id) -> void;
     /// It said that it does not hold the model or adapter.
     auto onMissing(const EndpointId &id, const ModelId &model, const std::string &adapter) -> void;
-    /// Takes over what an endpoint says of itself in the head of an answer. What it does not name
-    /// is over, unless the request had left before it was last named: answers overtake one another.
+    /// Takes over what an endpoint says of itself in the head of an answer. A rate that it does not
+    /// name is over, unless it turned the request away, or the request had left before the rate was
+    /// last named: answers overtake one another.
     /// @param sentAt when the request of that answer left
     auto onNotice(const EndpointId &id, const catalogue::EndpointNotice &notice, Instant sentAt)
             -> void;
--- a/gateway/forwarderplacing.cpp
+++ b/gateway/forwarderplacing.cpp
@@ -64,8 +64,8 @@
             co_return parts_.view.find(picked_.endpoint);
         }
         lack_ = lack;
-        const auto isTurnedAway = lack == Lack::Places || lack == Lack::Trial;
-        const auto patience = isTurnedAway ? patienceForPlace() : patienceFor(lack);
+        const auto isTurnedAway = lack == Lack::Places || lack == Lack::Trial || lack == Lack::Rate;
+        const auto patience = isTurnedAway ? patienceForPlace(lack) : patienceFor(lack);
         if (!patience) {
             // Suspected work is no reason to load its model anywhere else.
             if (!target_.model.empty() && lack != Lack::Endpoint && lack != Lack::Trial)
@@ -130,7 +130,7 @@
     co_await holdTimer_.async_wait(asio::redirect_error(asio::use_awaitable, code));
 }
 
-auto Forwarder::Run::patienceForPlace() -> std::optional<Duration>
+auto Forwarder::Run::patienceForPlace(Lack lack) -> std::optional<Duration>
 {
     const auto now = parts_.clock.now();
     comeBack_ = picked_.comeBack;
@@ -138,6 +138,9 @@
     const auto limit = std::min({ arrived_ + spare, startBy_, owner_.placeBy_ });
     if (now >= limit)
         return std::nullopt;
+    // Places are given up at any time; when a rate allows the next request is known.
+    if (lack == Lack::Rate)
+        return now + *comeBack_ <= limit ? comeBack_ : std::nullopt;
     return std::min<Duration>(lookForPlace, limit - now);
 }
 
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -78,7 +78,7 @@
     auto hold() -> boost::asio::awaitable<void>;
     /// @return how long to wait before asking for a place again; empty when a request that began
     /// after that would be late
-    auto patienceForPlace() -> std::optional<Duration>;
+    auto patienceForPlace(Lack lack) -> std::optional<Duration>;
     /// @return how long to wait before looking again; empty when waiting is of no use
     auto patienceFor(Lack lack) -> std::optional<Duration>;
     /// @return how long a load of what is lacking takes; empty when no load would help
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -165,6 +165,7 @@
         if (update.gateways > 0) {
             gateways_ = update.gateways;
             retries_.setGateways(update.gateways);
+            picker_.setGateways(update.gateways);
         }
         if (view_.apply(update))
             waiters_.wakeAll();
--- a/gateway/picker.cpp
+++ b/gateway/picker.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <utility>
 
 #include <boost/asio/async_result.hpp>
@@ -30,6 +31,8 @@
         return Lack::Limit;
     case proto::PickRefusal::CannotCount:
         return Lack::Counter;
+    case proto::PickRefusal::RateUsed:
+        return Lack::Rate;
     default:
         return Lack::Places;
     }
@@ -100,6 +103,8 @@
     , link_(std::make_shared<const BalancerLink>(std::move(link)))
     , metrics_(metrics)
     , random_(random)
+    , clock_(clock)
+    , loneRates_(clock, random)
     , lone_(std::make_shared<LoneAdmission>(options.lone, clock, random))
 { }
 
@@ -122,33 +127,74 @@
     return request;
 }
 
+auto Picker::ratesOf(const std::vector<EndpointEntry *> &able) const
+        -> std::vector<proto::CandidateRate>
+{
+    auto result = std::vector<proto::CandidateRate> {};
+    for (const auto *entry : able) {
+        if (!entry->rate)
+            continue;
+        const auto age = millis(clock_.now() - entry->rate->heardAt);
+        result.push_back({ entry->row.id, entry->rate->perSecond,
+                           static_cast<std::uint64_t>(std::max<std::int64_t>(age, 0)) });
+    }
+    return result;
+}
+
+auto Picker::chooseAlone(const std::vector<EndpointEntry *> &able, const Wish &wish) -> OwnChoice
+{
+    auto unlimited = std::vector<EndpointEntry *> {};
+    std::copy_if(able.begin(), able.end(), std::back_inserter(unlimited),
+                 [](const auto *entry) { return !entry->isRateLimited(); });
+    const auto *entry = chooseAmong(unlimited.empty() ? able : unlimited, wish, random_);
+    return { entry->row.id, entry->rate ? entry->rate->perSecond : std::nullopt };
+}
+
+auto Picker::followOwn(const OwnChoice &own, Picked &picked) -> void
+{
+    picked.endpoint = own.endpoint;
+    if (!own.ratePerSecond)
+        return;
+    picked.comeBack = loneRates_.take(own.endpoint, *own.ratePerSecond);
+    if (!picked.comeBack)
+        return;
+    picked.endpoint = {};
+    picked.booking = {};
+    picked.lack = Lack::Rate;
+}
+
 auto Picker::pick(const std::vector<EndpointEntry *> &able, const Wish &wish,
                   const PickTerms &terms) -> asio::awaitable<Picked>
 {
     auto picked = Picked {};
-    picked.endpoint = chooseAmong(able, wish, random_)->row.id;
-    if (!link_->ask)
+    const auto own = chooseAlone(able, wish);
+    if (!link_->ask) {
+        followOwn(own, picked);
         co_return picked;
+    }
     auto request = requestOf(terms);
-    const auto candidates = candidatesOf(able, picked.endpoint);
+    request.rates = ratesOf(able);
+    const auto candidates = candidatesOf(able, own.endpoint);
     request.candidates = candidates;
+    const auto mustBeCounted = terms.charge || own.ratePerSecond;
     // With one candidate nothing is to be chosen, but when to send a prompt there.
-    if (candidates.size() == 1 && request.model == 0 && !terms.charge) {
+    if (candidates.size() == 1 && request.model == 0 && !mustBeCounted) {
+        picked.endpoint = own.endpoint;
         const auto ticket = request.ticket = ++lastTicket_;
         if (const auto balancer = link_->tell(std::move(request)))
             picked.booking = bookingAt(*balancer, ticket);
         co_return picked;
     }
-    const auto answer = co_await askOneOrTwo(std::move(request));
+    const auto answer = co_await askOneOrTwo(std::move(request), mustBeCounted);
     const auto &advice = answer.advice;
     if (terms.charge && !advice) {
-        admitAlone(*terms.charge, picked);
+        if (admitAlone(*terms.charge, picked))
+            followOwn(own, picked);
         co_return picked;
     }
     if (terms.charge)
         noteCounted(*terms.charge, *advice);
     if (advice && advice->endpoint.empty() && advice->comeBackMs > 0) {
-        picked.endpoint = {};
         picked.by = PickedBy::Balancer;
         picked.comeBack = std::chrono::milliseconds { advice->comeBackMs };
         picked.lack = lackOf(advice->refusal);
@@ -157,19 +203,21 @@
     const auto isUsable = advice.has_value()
             && std::find(candidates.begin(), candidates.end(), advice->endpoint)
                     != candidates.end();
-    if (isUsable)
-        follow(*advice, picked);
     picked.by = isUsable ? PickedBy::Balancer : PickedBy::Gateway;
     metrics_.onPick(pickedByName(picked.by));
     if (answer.balancer)
         picked.booking = bookingAt(*answer.balancer, answer.ticket);
+    if (isUsable)
+        follow(*advice, picked);
+    else
+        followOwn(own, picked);
     co_return picked;
 }
 
-/// What an account uses must be counted: for it a second balancer is asked before none is.
-auto Picker::askOneOrTwo(proto::PickRequest request) -> asio::awaitable<Answer>
+/// @param mustBeCounted over all gateways: a second balancer is asked before none is
+auto Picker::askOneOrTwo(proto::PickRequest request, bool mustBeCounted) -> asio::awaitable<Answer>
 {
-    const auto tries = request.charge ? 2 : 1;
+    const auto tries = mustBeCounted ? 2 : 1;
     auto untold = std::uint64_t { 0 };
     if (request.charge)
         untold = request.charge->admittedAlone = lone_->takeUntold(request.charge->account);
@@ -178,6 +226,8 @@
         answer.ticket = request.ticket = ++lastTicket_;
         answer.advice = co_await ask(request, answer.balancer);
     }
+    if (answer.advice)
+        loneRates_.onCounted();
     if (!answer.advice && untold > 0)
         lone_->putBackUntold(request.charge->account, untold);
     co_return answer;
@@ -189,22 +239,22 @@
              ticket };
 }
 
-/// No balancer counts the charge.
-auto Picker::admitAlone(const catalogue::AccountCharge &charge, Picked &picked) -> void
+/// No balancer counts the charge. @return true when the request may go on
+auto Picker::admitAlone(const catalogue::AccountCharge &charge, Picked &picked) -> bool
 {
     picked.by = PickedBy::Gateway;
     metrics_.onPick(pickedByName(picked.by));
     if (const auto comeBack = lone_->admit(charge)) {
-        picked.endpoint = {};
         picked.comeBack = comeBack;
         picked.lack = Lack::Counter;
-        return;
+        return false;
     }
     auto giveBack = [lone = lone_, charge](const proto::PickEnd &end) {
         if (!end.mayHaveRun)
             lone->giveBack(charge.account, charge.cost);
     };
     picked.booking = Booking { std::move(giveBack), ++lastTicket_ };
+    return true;
 }
 
 auto Picker::noteCounted(const catalogue::AccountCharge &charge, const proto::PickReply &advice)
@@ -223,7 +273,7 @@
     auto request = proto::PickRequest {};
     request.charge = std::move(charge);
     request.works = works;
-    const auto answer = co_await askOneOrTwo(std::move(request));
+    const auto answer = co_await askOneOrTwo(std::move(request), true);
     const auto &advice = answer.advice;
     if (!advice || advice->refusal != proto::PickRefusal::OverLimit)
         co_return std::nullopt;
--- a/gateway/picker.h
+++ b/gateway/picker.h
@@ -7,7 +7,10 @@
 // A balancer (fleet/balancer.h) knows what all gateways have sent where and is
 // asked first. When none can be asked, or it does not answer in time, the gateway
 // chooses by its own knowledge: a request never waits longer than askTimeout, and
-// never fails, for the balancer's sake. Not thread-safe.
+// never fails, for the balancer's sake. Only what must be counted over all gateways
+// is asked of a second one, and refused beyond this gateway's own part: requests of
+// accounts with a limit (gateway/loneadmission.h), and those that only endpoints can
+// take that named a rate (gateway/lonerates.h). Not thread-safe.
 
 #ifndef FIGRACK_GATEWAY_PICKER_H
 #define FIGRACK_GATEWAY_PICKER_H
@@ -26,6 +29,7 @@
 #include "gateway/dialect.h"
 #include "gateway/fleetview.h"
 #include "gateway/loneadmission.h"
+#include "gateway/lonerates.h"
 #include "gateway/metrics.h"
 #include "proto/servingmessages.h"
 
@@ -129,6 +133,8 @@
 public:
     Picker(PickerOptions options, BalancerLink link, Metrics &metrics, Random &random,
            const Clock &clock);
+    /// @param gateways how many there are, this one included; at least 1
+    auto setGateways(std::uint32_t gateways) -> void { loneRates_.setGateways(gateways); }
     /// @param able one endpoint at least
     auto pick(const std::vector<EndpointEntry *> &able, const Wish &wish, const PickTerms &terms)
             -> boost::asio::awaitable<Picked>;
@@ -145,10 +151,22 @@
         std::optional<Address> balancer;        ///< That was asked last.
         std::uint64_t ticket = 0;
     };
+    /// What this gateway would choose by itself.
+    struct OwnChoice
+    {
+        EndpointId endpoint;
+        std::optional<double> ratePerSecond; ///< That the endpoint takes; absent: any.
+    };
     static auto requestOf(const PickTerms &terms) -> proto::PickRequest;
-    auto askOneOrTwo(proto::PickRequest request) -> boost::asio::awaitable<Answer>;
+    auto ratesOf(const std::vector<EndpointEntry *> &able) const
+            -> std::vector<proto::CandidateRate>;
+    auto chooseAlone(const std::vector<EndpointEntry *> &able, const Wish &wish) -> OwnChoice;
+    /// No balancer chose: the gateway's own choice is taken, if its rate allows it.
+    auto followOwn(const OwnChoice &own, Picked &picked) -> void;
+    auto askOneOrTwo(proto::PickRequest request, bool mustBeCounted)
+            -> boost::asio::awaitable<Answer>;
     auto bookingAt(const Address &balancer, std::uint64_t ticket) const -> Booking;
-    auto admitAlone(const catalogue::AccountCharge &charge, Picked &picked) -> void;
+    auto admitAlone(const catalogue::AccountCharge &charge, Picked &picked) -> bool;
     auto noteCounted(const catalogue::AccountCharge &charge, const proto::PickReply &advice)
             -> void;
     auto follow(const proto::PickReply &advice, Picked &picked) const -> void;
@@ -161,6 +179,8 @@
     std::shared_ptr<const BalancerLink> link_;
     Metrics &metrics_;
     Random &random_;
+    const Clock &clock_;
+    LoneRates loneRates_;
     std::shared_ptr<LoneAdmission> lone_; ///< Shared with bookings, which may end later.
     std::uint64_t lastTicket_ = 0;
 };
--- a/gateway/testing/tst_endpointrate.cpp
+++ b/gateway/testing/tst_endpointrate.cpp
@@ -4,8 +4,13 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <deque>
+#include <memory>
 #include <vector>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include "fleet/balancer.h"
 #include "gateway/testing/rig.h"
 
@@ -104,6 +109,131 @@
     return got->value_or(Got {});
 }
 
+/// Gateways that ask for endpoints which all name the same rate, in virtual time.
+class Play
+{
+public:
+    Play(std::size_t gateways, std::size_t endpoints, double perSecond)
+        : perSecond_(perSecond)
+    {
+        startBalancers();
+        for (std::size_t i = 0; i < endpoints; ++i) {
+            entries_.push_back(std::make_unique<EndpointEntry>());
+            entries_.back()->row.id = EndpointId { "i-" + std::to_string(i) };
+        }
+        arrivals_.resize(endpoints);
+        for (std::size_t i = 0; i < gateways; ++i) {
+            pickers_.push_back(std::make_unique<Picker>(PickerOptions {}, linkFor(i), metrics_,
+                                                        random_, clock_));
+            pickers_.back()->setGateways(static_cast<std::uint32_t>(gateways));
+        }
+    }
+    /// All balancers start anew and know nothing.
+    auto startBalancers() -> void
+    {
+        for (auto &balancer : balancers_)
+            balancer = std::make_unique<SharedBalancer>(clock_);
+    }
+    /// Endpoints name the rate to every gateway, or that they take any.
+    auto name(bool isLimited) -> void
+    {
+        for (auto &entry : entries_) {
+            entry->rate = NamedRate { isLimited ? std::optional { perSecond_ } : std::nullopt,
+                                      clock_.now() };
+        }
+    }
+    auto setLeader(std::size_t balancer) -> void { asked_ = balancer; }
+    auto setConnected(bool connected) -> void
+    {
+        for (auto &balancer : balancers_)
+            balancer->isConnected = connected;
+    }
+    /// @param perSecond requests of callers, over all gateways
+    auto run(Duration duration, double perSecond) -> void
+    {
+        constexpr auto step = Duration { 5ms };
+        const auto until = clock_.now() + duration;
+        const auto inStep = perSecond * std::chrono::duration<double> { step }.count();
+        while (clock_.now() < until) {
+            clock_.advance(step);
+            if (random_.chance(inStep))
+                arrive();
+        }
+    }
+    /// @return the most that any endpoint got in a window
+    auto most() const -> std::size_t
+    {
+        auto result = std::size_t { 0 };
+        for (const auto &times : arrivals_)
+            result = std::max(result, mostInWindow(times));
+        return result;
+    }
+    auto served() const -> std::size_t { return served_; }
+    auto refused() const -> std::size_t { return refused_; }
+
+private:
+    auto linkFor(std::size_t gateway) -> BalancerLink
+    {
+        const auto name = "g" + std::to_string(gateway);
+        auto link = BalancerLink {};
+        link.ask = [this, name](proto::PickRequest request, Duration timeout,
+                                const BalancerLink::Done &done) {
+            return balancers_[asked_]->linkFor(name).ask(std::move(request), timeout, done);
+        };
+        link.tell = [this, name](proto::PickRequest request) {
+            return balancers_[asked_]->linkFor(name).tell(std::move(request));
+        };
+        link.end = [this, name](const Address &address, const proto::PickEnd &end) {
+            balancers_[asked_]->linkFor(name).end(address, end);
+        };
+        return link;
+    }
+
+    auto arrive() -> void
+    {
+        auto able = std::vector<EndpointEntry *> {};
+        for (auto &entry : entries_)
+            able.push_back(entry.get());
+        auto picked = Picked {};
+        auto work = [&](Picker &picker) -> boost::asio::awaitable<void> {
+            const auto wish = Wish {};
+            auto terms = PickTerms {};
+            terms.model = 1;
+            terms.places = 96;
+            terms.left = 5s;
+            picked = co_await picker.pick(able, wish, terms);
+        };
+        auto &picker = *pickers_[random_.below(pickers_.size())];
+        boost::asio::co_spawn(context_, work(picker), boost::asio::detached);
+        context_.restart();
+        context_.run();
+        if (picked.comeBack) {
+            CHECK(picked.lack == Lack::Rate);
+            CHECK(*picked.comeBack > Duration::zero());
+            ++refused_;
+            return;
+        }
+        ++served_;
+        for (std::size_t i = 0; i < entries_.size(); ++i) {
+            if (entries_[i]->row.id == picked.endpoint)
+                arrivals_[i].push_back(clock_.now());
+        }
+    }
+
+    double perSecond_;
+    ManualClock clock_;
+    Random random_ { 5 };
+    Metrics metrics_;
+    boost::asio::io_context context_;
+    std::array<std::unique_ptr<SharedBalancer>, 2> balancers_;
+    std::size_t asked_ = 0;
+    std::vector<std::unique_ptr<EndpointEntry>> entries_;
+    std::vector<std::unique_ptr<Picker>> pickers_;
+    std::vector<std::vector<Instant>> arrivals_;
+    std::size_t served_ = 0;
+    std::size_t refused_ = 0;
+};
+
 } // namespace
 
 TEST_CASE("An endpoint gets no more than the rate it named, summed over the gateways")
@@ -136,3 +266,89 @@
     CHECK(mostInWindow(arrivals) <= allowedInWindow(1));
     CHECK(refused + arrivals.size() == 2 * calls);
 }
+
+TEST_CASE("A rate is used up evenly, and not exceeded by any number of gateways")
+{
+    for (const auto gateways : { 1U, 7U, 76U, 300U }) {
+        for (const auto rate : { 0.25, 1.0, 8.0 }) {
+            CAPTURE(gateways);
+            CAPTURE(rate);
+            auto play = Play { gateways, 1, rate };
+            play.name(true);
+            play.run(60s, 20);
+            CHECK(play.most() <= allowedInWindow(rate));
+            CHECK(static_cast<double>(play.served()) >= rate * 60 * 0.9);
+        }
+    }
+}
+
+TEST_CASE("A rate holds while balancers are lost, start anew or take one another's place")
+{
+    for (const auto gateways : { 7U, 76U, 300U }) {
+        for (const auto rate : { 1.0, 8.0 }) {
+            CAPTURE(gateways);
+            CAPTURE(rate);
+            auto play = Play { gateways, 1, rate };
+            play.name(true);
+            for (auto i = 0U; i < 6; ++i) {
+                play.run(5s, 40);
+                play.setLeader(i % 2);
+                play.run(5s, 40);
+                play.startBalancers();
+                play.run(5s, 40);
+                play.setConnected(false);
+                play.run(9s, 40);
+                play.setConnected(true);
+            }
+            CHECK(play.most() <= allowedInWindow(rate));
+        }
+    }
+}
+
+TEST_CASE("What one endpoint may not take goes to the others, and all to it again once it may")
+{
+    auto play = Play { 7, 2, 5 };
+    play.name(true);
+    play.run(20s, 9);
+    CHECK(play.served() > 5 * 20 * 1.5); // One endpoint alone takes 5 a second.
+    CHECK(play.most() <= allowedInWindow(5));
+    play.name(false);
+    const auto refused = play.refused();
+    play.run(20s, 40);
+    CHECK(play.refused() == refused);
+}
+
+TEST_CASE("Without a balancer an endpoint that takes any rate goes before one that named one")
+{
+    auto rig = Rig {};
+    auto arrivals = std::vector<Instant> {};
+    rig.addEndpoint("i-1").handler = namingRate("1", rig.clock, arrivals);
+    rig.addEndpoint("i-2").handler = answering("ok");
+    for (auto i = 0; i < 40; ++i)
+        CHECK(rig.call(Rig::request("/once/x", std::to_string(i))).status == 200);
+    CHECK(arrivals.size() == 1);
+}
+
+TEST_CASE("A rate ends with an answer that names none to a request sent after it was named")
+{
+    auto clock = ManualClock {};
+    auto view = FleetView { {}, clock };
+    auto update = proto::ServingUpdate {};
+    update.endpoints.emplace_back().id = EndpointId { "i-1" };
+    view.apply(update);
+    const auto id = EndpointId { "i-1" };
+    auto limited = catalogue::EndpointNotice {};
+    limited.ratePerSecond = 2;
+    const auto sentBefore = clock.now();
+    clock.advance(1s);
+    view.onNotice(id, limited, sentBefore);
+    REQUIRE(view.find(id)->isRateLimited());
+    view.onNotice(id, {}, sentBefore);
+    CHECK(view.find(id)->isRateLimited());
+    auto malformed = catalogue::EndpointNotice {};
+    malformed.isRateMalformed = true;
+    view.onNotice(id, malformed, clock.now());
+    CHECK(view.find(id)->isRateLimited());
+    view.onNotice(id, {}, clock.now());
+    CHECK_FALSE(view.find(id)->isRateLimited());
+}
--- /dev/null
+++ b/policy/ratelimiter.cpp
@@ -0,0 +1,90 @@
+#include "policy/ratelimiter.h"
+
+#include <algorithm>
+
+namespace figrack::policy {
+namespace {
+
+auto seconds(Duration duration) -> double
+{
+    return std::chrono::duration<double> { duration }.count();
+}
+
+auto fromSeconds(double value) -> Duration
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double> { value });
+}
+
+} // namespace
+
+auto RateLimiter::onNamed(std::optional<double> perSecond, Instant heardAt, Instant now) -> void
+{
+    if (heardAt < heardAt_)
+        return;
+    heardAt_ = heardAt;
+    const auto wasLimited = isLimited();
+    refill(now);
+    named_ = perSecond;
+    if (isLimited() && !wasLimited) {
+        tokens_ = options_.firstTokens;
+        lastReturn_ = now;
+    }
+}
+
+auto RateLimiter::setPart(double part, Instant now) -> void
+{
+    refill(now);
+    options_.part = part;
+}
+
+auto RateLimiter::perSecond() const -> double
+{
+    return std::max(named_.value_or(0), options_.leastPerSecond) * options_.part;
+}
+
+auto RateLimiter::capacity() const -> double
+{
+    return std::max(1.0, perSecond() * seconds(options_.burst));
+}
+
+auto RateLimiter::tokens(Instant now) const -> double
+{
+    return std::min(capacity(), tokens_ + perSecond() * seconds(now - refilledAt_));
+}
+
+auto RateLimiter::refill(Instant now) -> void
+{
+    tokens_ = tokens(now);
+    refilledAt_ = now;
+}
+
+auto RateLimiter::allows(Instant now) const -> bool
+{
+    return !isLimited() || tokens(now) >= 1;
+}
+
+auto RateLimiter::take(Instant now) -> void
+{
+    if (!isLimited())
+        return;
+    refill(now);
+    tokens_ -= 1;
+}
+
+auto RateLimiter::nextAt(Instant now) const -> Instant
+{
+    if (!isLimited())
+        return now;
+    const auto lacking = std::max(0.0, 1 - tokens(now));
+    const auto soonest = now + fromSeconds(lacking / perSecond());
+    const auto next = std::max(soonest, lastReturn_ + fromSeconds(1 / perSecond()));
+    return std::min(next, now + options_.latestReturn);
+}
+
+auto RateLimiter::tellReturn(Instant now) -> Duration
+{
+    lastReturn_ = nextAt(now);
+    return lastReturn_ - now;
+}
+
+} // namespace figrack::policy
--- /dev/null
+++ b/policy/testing/tst_ratelimiter.cpp
@@ -0,0 +1,91 @@
+// The rate that an endpoint names, kept evenly.
+
+#include <doctest/doctest.h>
+
+#include <deque>
+
+#include "core/random.h"
+#include "policy/ratelimiter.h"
+
+using namespace figrack;
+using namespace figrack::policy;
+using namespace std::chrono_literals;
+
+TEST_CASE("Without a rate all may be sent")
+{
+    auto limiter = RateLimiter {};
+    const auto now = ManualClock {}.now();
+    for (auto i = 0; i < 100; ++i) {
+        CHECK(limiter.allows(now));
+        limiter.take(now);
+    }
+    CHECK(limiter.nextAt(now) == now);
+}
+
+TEST_CASE("No window sees more than the rate and what may be sent at once")
+{
+    constexpr auto window = 4s;
+    for (const auto rate : { 0.25, 1.0, 3.0, 40.0 }) {
+        CAPTURE(rate);
+        auto clock = ManualClock {};
+        auto random = Random { 7 };
+        auto limiter = RateLimiter {};
+        limiter.onNamed(rate, clock.now(), clock.now());
+        auto sent = std::deque<Instant> {};
+        auto total = 0;
+        const auto begun = clock.now();
+        for (auto i = 0; i < 20'000; ++i) {
+            clock.advance(std::chrono::milliseconds { random.below(10) });
+            const auto now = clock.now();
+            if (!limiter.allows(now))
+                continue;
+            limiter.take(now);
+            ++total;
+            sent.push_back(now);
+            while (now - sent.front() >= window)
+                sent.pop_front();
+            CHECK(static_cast<double>(sent.size()) <= rate * 4 * 1.5 + 5);
+        }
+        const auto seconds = std::chrono::duration<double> { clock.now() - begun }.count();
+        CHECK(total >= rate * seconds * 0.9);
+    }
+}
+
+TEST_CASE("The latest word counts, whoever brings it")
+{
+    auto clock = ManualClock {};
+    const auto first = clock.now();
+    auto limiter = RateLimiter {};
+    limiter.onNamed(1, first + 2s, first + 2s);
+    limiter.onNamed(std::nullopt, first + 1s, first + 3s);
+    CHECK(limiter.isLimited());
+    limiter.onNamed(std::nullopt, first + 3s, first + 3s);
+    CHECK_FALSE(limiter.isLimited());
+    limiter.onNamed(5, first + 2s, first + 4s);
+    CHECK_FALSE(limiter.isLimited());
+}
+
+TEST_CASE("Those who may not go are told to come one after another, and not too late")
+{
+    auto clock = ManualClock {};
+    const auto now = clock.now();
+    auto limiter = RateLimiter {};
+    limiter.onNamed(2, now, now);
+    limiter.take(now);
+    CHECK(limiter.tellReturn(now) == 500ms);
+    CHECK(limiter.tellReturn(now) == 1000ms);
+    for (auto i = 0; i < 20; ++i)
+        CHECK(limiter.tellReturn(now) <= RateLimiterOptions {}.latestReturn);
+}
+
+TEST_CASE("An endpoint that takes none is asked now and then whether it still does")
+{
+    auto clock = ManualClock {};
+    auto limiter = RateLimiter {};
+    limiter.onNamed(0, clock.now(), clock.now());
+    limiter.take(clock.now());
+    clock.advance(9s);
+    CHECK_FALSE(limiter.allows(clock.now()));
+    clock.advance(2s);
+    CHECK(limiter.allows(clock.now()));
+}
--- a/proto/servingmessages.h
+++ b/proto/servingmessages.h
@@ -203,6 +203,19 @@
     }
 };
 
+/// What an endpoint named as the rate of requests that it takes from all gateways together.
+struct CandidateRate
+{
+    EndpointId endpoint;
+    std::optional<double> perSecond; ///< Absent: it takes any rate again.
+    std::uint64_t ageMs = 0;         ///< Since the gateway heard of it.
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(endpoint, perSecond, ageMs);
+    }
+};
+
 /// Asks a balancer which endpoint a request should go to, and books the request there.
 struct PickRequest
 {
@@ -224,11 +237,13 @@
     catalogue::WorkIds works;       ///< What is suspected runs one at a time.
     /// Of an account with a limit. With no candidate it is only asked whether the account has room.
     std::optional<catalogue::AccountCharge> charge;
+    /// Of the candidates that ever named one to the gateway.
+    std::vector<CandidateRate> rates;
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
         archive(ticket, candidates, model, shared, ownTokens, outputTokens, fetchTokensPerMs,
-                limitMs, places, rank, hasBegun, startTargetMs, gapTargetMs, works, charge);
+                limitMs, places, rank, hasBegun, startTargetMs, gapTargetMs, works, charge, rates);
     }
 };
 /// Why a request may not go anywhere now.
@@ -238,6 +253,7 @@
     Suspect,     ///< For what its work did.
     OverLimit,   ///< Its account has used up its limit.
     CannotCount, ///< This control does not hear what others admit for its account.
+    RateUsed,    ///< Those that could take it have got all requests of late that they take.
 };
 struct PickReply
 {
