A rest that an endpoint asks for is decoded and told

An endpoint that turns a request away may say for how long it wants none of the gateway. No line said that it had. Nothing is decided by it yet.

--- a/catalogue/endpointnotice.h
+++ b/catalogue/endpointnotice.h
@@ -5,6 +5,8 @@
 
 #include <optional>
 
+#include "core/clock.h"
+
 namespace figrack::catalogue {
 
 struct EndpointNotice
@@ -16,6 +18,9 @@
     std::optional<double> ratePerSecond;
     /// A rate was named that could not be read: what was known of it stands.
     bool isRateMalformed = false;
+    /// It turned the request away, and takes none of the asking gateway for so long.
+    std::optional<Duration> rest;
+    bool isRestMalformed = false; ///< It asked for rest, for a time that could not be read.
 };
 
 } // namespace figrack::catalogue
--- a/gateway/fleetview.cpp
+++ b/gateway/fleetview.cpp
@@ -218,23 +218,59 @@
                          Instant sentAt) -> void
 {
     auto *entry = find(id);
-    if (entry == nullptr || (notice.isRateMalformed && !notice.ratePerSecond))
+    if (entry == nullptr)
         return;
-    auto &rate = entry->rate;
+    noteRate(*entry, notice, sentAt);
+    if (notice.rest)
+        noteRest(*entry, *notice.rest);
+}
+
+auto FleetView::noteRate(EndpointEntry &entry, const catalogue::EndpointNotice &notice,
+                         Instant sentAt) -> void
+{
+    if (notice.isRateMalformed && !notice.ratePerSecond)
+        return;
+    auto &rate = entry.rate;
     const auto isUnlimited = !notice.ratePerSecond;
     const auto isTelling = !notice.notRun && rate && sentAt >= rate->heardAt;
-    if (isUnlimited && (!entry->isRateLimited() || !isTelling))
+    if (isUnlimited && (!entry.isRateLimited() || !isTelling))
         return;
-    const auto before = entry->isRateLimited() ? rate->perSecond : std::nullopt;
+    const auto before = entry.isRateLimited() ? rate->perSecond : std::nullopt;
     if (notice.ratePerSecond != before) {
         LogEvent(LogLevel::Info, "endpoint_rate")
-                .with("endpoint", id)
+                .with("endpoint", entry.row.id)
                 .with("per_s", notice.ratePerSecond.value_or(-1))
                 .with("before", before.value_or(-1));
     }
     rate = NamedRate { notice.ratePerSecond, clock_.now() };
 }
 
+auto FleetView::noteRest(EndpointEntry &entry, Duration rest) -> void
+{
+    const auto until = clock_.now() + rest;
+    if (until <= entry.restUntil)
+        return;
+    LogEvent(LogLevel::Info, "endpoint_rests")
+            .with("endpoint", entry.row.id)
+            .with("for_ms",
+                  std::int64_t {
+                          std::chrono::duration_cast<std::chrono::milliseconds>(rest).count() })
+            .with("rested_already", isResting(entry));
+    entry.restUntil = until;
+}
+
+auto FleetView::isResting(const EndpointEntry &entry) const -> bool
+{
+    return clock_.now() < entry.restUntil;
+}
+
+auto FleetView::resting() const -> std::size_t
+{
+    return static_cast<std::size_t>(
+            std::count_if(entries_.begin(), entries_.end(),
+                          [this](const auto &item) { return isResting(item.second); }));
+}
+
 auto FleetView::rateLimited() const -> std::size_t
 {
     return static_cast<std::size_t>(
--- a/gateway/fleetview.h
+++ b/gateway/fleetview.h
@@ -51,6 +51,7 @@
     /// What it said it does not hold, against its row, and until when that is believed.
     std::map<std::pair<ModelId, std::string>, Instant> missingUntil;
     std::optional<NamedRate> rate; ///< Absent: it never named one.
+    Instant restUntil {};          ///< It asked this gateway for no requests before.
     /// @return true while it takes a limited rate of requests
     auto isRateLimited() const -> bool { return rate && rate->perSecond; }
 };
@@ -95,10 +96,14 @@
     auto onMissing(const EndpointId &id, const ModelId &model, const std::string &adapter) -> void;
     /// Takes over what an endpoint says of itself in the head of an answer. A rate that it does not
     /// name is over, unless it turned the request away, or the request had left before the rate was
-    /// last named: answers overtake one another.
+    /// last named: answers overtake one another. A rest is never shortened.
     /// @param sentAt when the request of that answer left
     auto onNotice(const EndpointId &id, const catalogue::EndpointNotice &notice, Instant sentAt)
             -> void;
+    /// @return true while the endpoint rests, by its own word to this gateway
+    auto isResting(const EndpointEntry &entry) const -> bool;
+    /// @return endpoints that rest
+    auto resting() const -> std::size_t;
     /// @return endpoints that take a limited rate of requests
     auto rateLimited() const -> std::size_t;
     /// @return what this gateway has in progress, for its report
@@ -113,6 +118,9 @@
     auto setOnOver(OnOver listener) -> void;
 
 private:
+    auto noteRate(EndpointEntry &entry, const catalogue::EndpointNotice &notice, Instant sentAt)
+            -> void;
+    auto noteRest(EndpointEntry &entry, Duration rest) -> void;
     auto applyRow(const catalogue::EndpointRow &row) -> bool;
     auto isOver(const EndpointId &id) const -> bool;
     auto endOthers(const EndpointId &id) -> void;
--- a/gateway/forwarderdispatch.cpp
+++ b/gateway/forwarderdispatch.cpp
@@ -186,11 +186,13 @@
         return;
     if (notice.ratePerSecond)
         parts_.metrics.onRateNamed();
-    if (notice.isRateMalformed) {
+    if (notice.rest)
+        parts_.metrics.onRestAsked();
+    if (notice.isRateMalformed || notice.isRestMalformed) {
         LogEvent(LogLevel::Warning, "endpoint_notice_malformed")
                 .with("endpoint", id)
                 .with("request", caller_.id)
-                .with("field", "rate");
+                .with("field", notice.isRateMalformed ? "rate" : "rest");
     }
     parts_.view.onNotice(id, notice, sentAt_);
 }
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -106,6 +106,7 @@
         gauges.suspects = quarantine_.size();
         gauges.quarantined = quarantine_.quarantined(policy::millisOf(clock_.now()));
         gauges.rateLimited = view_.rateLimited();
+        gauges.resting = view_.resting();
         gauges.ready = ready();
         return metrics_.text(gauges);
     }
--- a/gateway/metrics.cpp
+++ b/gateway/metrics.cpp
@@ -62,6 +62,11 @@
                              .Help("Answers in which an endpoint named the rate that it takes")
                              .Register(registry)
                              .Add({}))
+        , restsAsked(prometheus::BuildCounter()
+                             .Name("figrack_gateway_rests_asked_total")
+                             .Help("Answers in which an endpoint asked for no requests for a time")
+                             .Register(registry)
+                             .Add({}))
         , picks(prometheus::BuildCounter()
                         .Name("figrack_gateway_picks_total")
                         .Help("Choices among endpoints, by who made them")
@@ -98,6 +103,7 @@
     prometheus::Counter &ended;
     prometheus::Counter &quarantineRefusals;
     prometheus::Counter &ratesNamed;
+    prometheus::Counter &restsAsked;
     prometheus::Family<prometheus::Counter> &picks;
     prometheus::Family<prometheus::Histogram> &latency;
     prometheus::Histogram &documentDelay;
@@ -144,6 +150,11 @@
     impl_->ratesNamed.Increment();
 }
 
+auto Metrics::onRestAsked() -> void
+{
+    impl_->restsAsked.Increment();
+}
+
 auto Metrics::onPick(std::string_view by) -> void
 {
     impl_->picks.Add({ { "by", std::string { by } } }).Increment();
@@ -168,6 +179,7 @@
     set("suspects", static_cast<double>(gauges.suspects));
     set("quarantined", static_cast<double>(gauges.quarantined));
     set("rate_limited_endpoints", static_cast<double>(gauges.rateLimited));
+    set("resting_endpoints", static_cast<double>(gauges.resting));
     set("ready", gauges.ready ? 1 : 0);
     return prometheus::TextSerializer {}.Serialize(impl_->registry.Collect());
 }
--- a/gateway/testing/rig.cpp
+++ b/gateway/testing/rig.cpp
@@ -59,6 +59,9 @@
                   const auto rate = std::string { http::findHeader(headers, "X-Rate") };
                   if (!rate.empty())
                       notice.ratePerSecond = std::stod(rate);
+                  const auto rest = std::string { http::findHeader(headers, "X-Rest-Ms") };
+                  if (!rest.empty())
+                      notice.rest = std::chrono::milliseconds { std::stoi(rest) };
                   return notice;
               };
     dialect.writeRefusal = [](const Refusal &refusal) {
