An endpoint that asks for rest gets no request of the gateway that it asked

Callers' urgent drafts were kept for up to six seconds and refused then, while the endpoint that was to run them had asked for three seconds of rest and got the same draft three times, others up to six.

Cause: the time was not read. What followed a rejection was a pause of 100 ms for the endpoint and of 125 ms, doubling, for the request, and both give way when no other endpoint is left: the class of a binding word that is taken for a preference.

An endpoint that rests is no candidate, healthy or not, alone or not: that is a lack of its own (rest). A request waits for the end of the first rest, or for a load of its model elsewhere if that is sooner, if it can still be begun then; else it is refused at once with that time, spread over half a second. The word is looked at again after a hold, and right before the first byte leaves. The leader is told of endpoints that rest for a second and more as of those that cannot be reached: what they hold is loaded elsewhere when it is wanted, and no load is ordered there.

Weighed: a longer pause, which falls to one request that finds no other endpoint, and to two that were held; refusing while a rest lasts whatever time the caller has.

--- a/gateway/chooser.cpp
+++ b/gateway/chooser.cpp
@@ -73,8 +73,9 @@
 auto lackName(Lack lack) -> std::string_view
 {
     constexpr auto names
-            = std::array<std::string_view, 9> { "none",  "endpoint", "model",   "adapter", "places",
-                                                "trial", "limit",    "counter", "rate" };
+            = std::array<std::string_view, 10> { "none",   "endpoint", "model", "adapter",
+                                                 "places", "trial",    "limit", "counter",
+                                                 "rate",   "rest" };
     return names[static_cast<std::size_t>(lack) % names.size()];
 }
 
@@ -82,19 +83,28 @@
                    const std::function<bool(const EndpointEntry &)> &isHealthy) -> Able
 {
     if (candidates.empty())
-        return { {}, Lack::Endpoint };
+        return { {}, Lack::Endpoint, {} };
+    auto restsUntil = Instant::max();
     auto lack = wish.model.empty() ? Lack::Endpoint : Lack::Model;
     auto healthy = std::vector<EndpointEntry *> {};
     auto doubtful = std::vector<EndpointEntry *> {};
     for (auto *entry : candidates) {
-        if (!holds(*entry, wish, lack) || wish.avoided.contains(entry->row.id))
+        if (!holds(*entry, wish, lack))
+            continue;
+        if (wish.now < entry->restUntil) {
+            restsUntil = std::min(restsUntil, entry->restUntil);
+            continue;
+        }
+        if (wish.avoided.contains(entry->row.id))
             continue;
         (isHealthy(*entry) ? healthy : doubtful).push_back(entry);
     }
     auto &able = healthy.empty() ? doubtful : healthy;
     if (!able.empty())
         lack = Lack::Nothing;
-    return { std::move(able), lack };
+    else if (restsUntil != Instant::max() && lack != Lack::Adapter)
+        lack = Lack::Rest;
+    return { std::move(able), lack, restsUntil };
 }
 
 auto chooseAmong(const std::vector<EndpointEntry *> &able, const Wish &wish, Random &random)
--- a/gateway/chooser.h
+++ b/gateway/chooser.h
@@ -44,20 +44,23 @@
     Limit,    ///< Its account has used up its limit.
     Counter,  ///< Nobody that counts what its account uses can be asked.
     Rate,     ///< Those that hold what is asked for have got all requests of late that they take.
+    Rest,     ///< Those that hold what is asked for rest.
 };
 
-/// @return "none", "endpoint", "model", "adapter", "places", "trial", "limit", "counter" or "rate"
+/// @return "none", "endpoint", "model", "adapter", "places", "trial", "limit", "counter", "rate" or
+/// "rest"
 auto lackName(Lack lack) -> std::string_view;
 
 struct Able
 {
     std::vector<EndpointEntry *> entries; ///< None when something lacks.
     Lack lack = Lack::Nothing;
+    Instant restsUntil = Instant::max(); ///< With Rest: when the first of them ends it.
 };
 
 /// @param candidates endpoints of the service that take work
 /// @param isHealthy those for which it is false are named only when no other is left
-/// @return the endpoints that can take the request
+/// @return the endpoints that can take the request; none that rests
 auto ableEndpoints(const std::vector<EndpointEntry *> &candidates, const Wish &wish,
                    const std::function<bool(const EndpointEntry &)> &isHealthy) -> Able;
 
--- a/gateway/fleetview.cpp
+++ b/gateway/fleetview.cpp
@@ -6,6 +6,13 @@
 #include "core/log.h"
 
 namespace figrack::gateway {
+namespace {
+
+/// What a load of a model takes at least, with its order and the unload before it.
+constexpr auto shortestLoad = std::chrono::seconds { 1 };
+
+} // namespace
+
 FleetView::FleetView(FleetViewOptions options, const Clock &clock)
     : options_(options)
     , clock_(clock)
@@ -150,6 +157,12 @@
             && !found->second.isReplaced;
 }
 
+auto FleetView::maySend(const EndpointId &id) const -> bool
+{
+    const auto found = entries_.find(id);
+    return found != entries_.end() && takesWork(id) && !isResting(found->second);
+}
+
 auto FleetView::find(const EndpointId &id) -> EndpointEntry *
 {
     const auto found = entries_.find(id);
@@ -296,7 +309,8 @@
     auto result = std::vector<EndpointId> {};
     for (const auto &[id, entry] : entries_) {
         const auto hasLeft = entry.row.state != catalogue::EndpointState::Ready;
-        if (entry.isReplaced || entry.isUnreached || hasLeft)
+        const auto restsLong = entry.restUntil - clock_.now() >= shortestLoad;
+        if (entry.isReplaced || entry.isUnreached || hasLeft || restsLong)
             result.push_back(id);
     }
     return result;
--- a/gateway/fleetview.h
+++ b/gateway/fleetview.h
@@ -80,6 +80,8 @@
     auto of(const ServiceId &service) -> std::vector<EndpointEntry *>;
     /// @return true when the endpoint is known and takes work
     auto takesWork(const EndpointId &id) const -> bool;
+    /// @return true when a request may be sent there now: it takes work and does not rest
+    auto maySend(const EndpointId &id) const -> bool;
     /// @return the endpoint, or nullptr
     auto find(const EndpointId &id) -> EndpointEntry *;
     /// @return true when it neither failed nor fell silent of late
@@ -108,7 +110,8 @@
     auto rateLimited() const -> std::size_t;
     /// @return what this gateway has in progress, for its report
     auto takeLoads() -> std::vector<proto::EndpointLoad>;
-    /// @return endpoints that could not be reached of late
+    /// @return endpoints that serve this gateway nothing: they could not be reached of late, take
+    /// no work, or rest for longer than the shortest load elsewhere takes
     auto unreachable() const -> std::vector<EndpointId>;
     auto size() const -> std::size_t { return entries_.size(); }
     /// @param id of an incarnation that is over @param before what it had last said of itself
--- a/gateway/forwarderdispatch.cpp
+++ b/gateway/forwarderdispatch.cpp
@@ -120,7 +120,7 @@
     if (account_ != nullptr)
         terms.account = account_->id;
     terms.resumeAfter = lastEvent_;
-    if (picked_.fetchFrom != entry.row.id && parts_.view.takesWork(picked_.fetchFrom))
+    if (picked_.fetchFrom != entry.row.id && parts_.view.maySend(picked_.fetchFrom))
         terms.fetchFrom = parts_.view.find(picked_.fetchFrom)->row.address;
     canceller_ = std::make_shared<http::Canceller>();
     auto out = http::ClientRequest {};
@@ -133,6 +133,8 @@
         out.maxIdleAge = owner_.options_.freshEnough;
     out.match = { parts_.dialect.answerIdHeader, caller_.id.value() };
     out.canceller = canceller_;
+    // The endpoint may have asked for rest while the connection was made.
+    out.mayStart = [this, id = entry.row.id] { return parts_.view.maySend(id); };
     return out;
 }
 
@@ -143,6 +145,9 @@
     if (const auto *error = std::get_if<http::ClientError>(&opened)) {
         lastError_ = error->status;
         const auto reached = error->sent != http::Sent::Nothing;
+        const auto isWithheld = !reached && errorKind(error->status) == ErrorKind::Cancelled;
+        if (isWithheld && !callerGone_)
+            co_return Step::NotRun;
         noteFailure(id, error->status, reached);
         if (!reached) {
             ++unsent_;
--- a/gateway/forwarderplacing.cpp
+++ b/gateway/forwarderplacing.cpp
@@ -27,6 +27,8 @@
 constexpr auto lookForPlace = std::chrono::milliseconds { 50 };
 /// Part of a route's start target that a request waits for a place; the rest is for its prompt.
 constexpr auto placeShare = 0.5;
+/// Those that are told to come back after an endpoint's rest do so over this long.
+constexpr auto returnSpread = std::chrono::milliseconds { 500 };
 constexpr auto longestAvoidPause = std::chrono::milliseconds { 2000 };
 
 } // namespace
@@ -53,8 +55,9 @@
             co_await giveUp(std::move(error));
             co_return nullptr;
         }
-        const auto isToBeLoaded = lack == Lack::Model || lack == Lack::Adapter;
-        if (isToBeLoaded && co_await refuseOverLimit())
+        const auto mayCauseLoad
+                = lack == Lack::Model || lack == Lack::Adapter || lack == Lack::Rest;
+        if (mayCauseLoad && co_await refuseOverLimit())
             co_return nullptr;
         if (callerGone_)
             continue;
@@ -94,6 +97,7 @@
     while (true) {
         wish_.now = parts_.clock.now();
         const auto able = ableEndpoints(parts_.view.of(service_), wish_, isHealthy);
+        restsUntil_ = able.restsUntil;
         if (able.entries.empty())
             co_return able.lack;
         auto terms = pickTerms(service_, caller_, timeLeft());
@@ -112,9 +116,10 @@
         if (picked_.comeBack)
             co_return picked_.lack;
         co_await hold();
-        // It may have left while the balancer was asked.
-        if (callerGone_ || parts_.view.takesWork(picked_.endpoint))
+        // It may have left, or asked for rest, while the balancer was asked and the request held.
+        if (callerGone_ || parts_.view.maySend(picked_.endpoint))
             co_return Lack::Nothing;
+        picked_.booking = {};
     }
 }
 
@@ -147,28 +152,44 @@
 auto Forwarder::Run::patienceFor(Lack lack) -> std::optional<Duration>
 {
     const auto now = parts_.clock.now();
-    const auto load = expectedLoad(lack);
-    if (!load && parts_.view.of(service_).empty())
+    const auto ready = readyAt(lack);
+    if (!ready && parts_.view.of(service_).empty())
         comeBack_ = owner_.options_.comeBackWhenNew;
-    if (!load)
+    if (!ready)
         return std::nullopt;
-    const auto since = waiting_ ? parts_.demand.lackingSince(target_) : now;
-    const auto ready = std::max(since + *load, now);
-    comeBack_ = std::max<Duration>(ready - now, owner_.options_.comeBack);
+    comeBack_ = std::max<Duration>(*ready - now, owner_.options_.comeBack);
+    if (lack == Lack::Rest)
+        *comeBack_ += std::chrono::duration_cast<Duration>(returnSpread * parts_.random.unit());
     const auto limit = std::min(startBy_, owner_.placeBy_);
-    if (ready >= limit || now >= limit)
+    if (*ready >= limit || now >= limit)
         return std::nullopt;
     return std::min<Duration>(lookAgain, limit - now);
 }
 
+auto Forwarder::Run::readyAt(Lack lack) -> std::optional<Instant>
+{
+    const auto now = parts_.clock.now();
+    const auto load = expectedLoad(lack);
+    const auto since = waiting_ ? parts_.demand.lackingSince(target_) : now;
+    auto ready = std::optional<Instant> {};
+    if (load)
+        ready = std::max(since + *load, now);
+    if (lack == Lack::Rest)
+        ready = std::min(ready.value_or(restsUntil_), restsUntil_);
+    return ready;
+}
+
 auto Forwarder::Run::expectedLoad(Lack lack) -> std::optional<Duration>
 {
     if (lack == Lack::Adapter)
         return adapterLoad;
     const auto *model = engine_ == nullptr ? nullptr : engine_->find(wish_.model);
-    if (lack != Lack::Model || model == nullptr)
+    const auto isToBeLoaded = lack == Lack::Model || lack == Lack::Rest;
+    if (!isToBeLoaded || model == nullptr)
         return std::nullopt;
     for (const auto *entry : parts_.view.of(service_)) {
+        if (parts_.view.isResting(*entry))
+            continue;
         const auto has = [&](const std::vector<ModelId> &copies) {
             return std::find(copies.begin(), copies.end(), model->id) != copies.end();
         };
@@ -199,7 +220,7 @@
 
 auto Forwarder::Run::beginWaiting() -> void
 {
-    if (waiting_)
+    if (waiting_ || target_.model.empty())
         return;
     waiting_ = true;
     parts_.demand.onLack(target_);
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -81,6 +81,8 @@
     auto patienceForPlace(Lack lack) -> std::optional<Duration>;
     /// @return how long to wait before looking again; empty when waiting is of no use
     auto patienceFor(Lack lack) -> std::optional<Duration>;
+    /// @return when what is lacking will be there; empty when waiting is of no use
+    auto readyAt(Lack lack) -> std::optional<Instant>;
     /// @return how long a load of what is lacking takes; empty when no load would help
     auto expectedLoad(Lack lack) -> std::optional<Duration>;
     auto avoid(const EndpointId &id) -> void;
@@ -173,6 +175,7 @@
     std::uint32_t unsent_ = 0; ///< Those of which none left.
     Duration avoidPause_ = firstAvoidPause;
     Instant avoidUntil_ {};
+    Instant restsUntil_ {}; ///< The first of those that could take it and rest.
     std::optional<Duration> comeBack_;
     Instant sentAt_ {}; ///< The latest dispatch.
     std::optional<Instant> firstByteAt_;
--- a/gateway/testing/tst_endpointrest.cpp
+++ b/gateway/testing/tst_endpointrest.cpp
@@ -3,6 +3,7 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -129,3 +130,36 @@
     }
     CHECK(longer.seen.size() + shorter.seen.size() <= 2 * (1 + onTheWay));
 }
+
+TEST_CASE("A rest is not shortened, and is over with the incarnation that asked for it")
+{
+    auto clock = ManualClock {};
+    auto view = FleetView { {}, clock };
+    const auto first = EndpointId { "i-1", Incarnation { 1 } };
+    const auto second = EndpointId { "i-1", Incarnation { 2 } };
+    const auto tell = [&](const EndpointId &id) {
+        auto update = proto::ServingUpdate {};
+        update.endpoints.emplace_back().id = id;
+        view.apply(update);
+    };
+    const auto ask = [&](Duration rest) {
+        auto notice = catalogue::EndpointNotice {};
+        notice.notRun = true;
+        notice.rest = rest;
+        view.onNotice(first, notice, clock.now());
+    };
+    tell(first);
+    ask(10s);
+    clock.advance(1s);
+    ask(2s);
+    view.onSuccess(first);
+    clock.advance(8s);
+    CHECK_FALSE(view.maySend(first));
+    CHECK(view.unreachable().size() == 1); // Its models are loaded elsewhere when they are wanted.
+    clock.advance(1s);
+    CHECK(view.maySend(first));
+    CHECK(view.unreachable().empty());
+    ask(10s);
+    tell(second);
+    CHECK(view.maySend(second));
+}
