An endpoint that says in its answers that it leaves gets no new request

An endpoint may say in all its answers that it will end, before its announcement says so or without one; gateways passed that on to callers and went on sending.

Cause: the same as for rest, an endpoint's word in its answers was not read: only its announcement made it leave. The notice of an answer has it now; the entry of the view keeps it for the incarnation's life, whatever is announced later, since an announcement may have left before. Such an endpoint is no candidate, also for a request that was picked or held before; what it holds is loaded elsewhere when it is wanted; its end is planned, and no request is suspected for it.

Weighed: clearing it by a later announcement that it is ready, which a delayed one would do as well.

The test (endpointleaving) failed before: 8 of 8 further requests reached an endpoint that had said it leaves, with a success and with a failure, and its models counted as held. None does now.

--- a/catalogue/endpointnotice.h
+++ b/catalogue/endpointnotice.h
@@ -21,6 +21,7 @@
     /// It turned the request away, and takes none of the asking gateway for so long.
     std::optional<Duration> rest;
     bool isRestMalformed = false; ///< It asked for rest, for a time that could not be read.
+    bool isLeaving = false;       ///< It will end, and takes no new requests.
 };
 
 } // namespace figrack::catalogue
--- a/gateway/endingwatch.cpp
+++ b/gateway/endingwatch.cpp
@@ -37,7 +37,7 @@
         const auto *entry = parts_.view.find(endpoint);
         const auto known = cases_.find(endpoint);
         const auto isOver = known != cases_.end() && known->second.ended;
-        const auto leaves = entry == nullptr || entry->row.state != catalogue::EndpointState::Ready;
+        const auto leaves = entry == nullptr || entry->leaves();
         if (leaves && !isOver)
             return;
         auto &open = cases_.try_emplace(endpoint, Case { parts_.clock.now() }).first->second;
--- a/gateway/fleetview.cpp
+++ b/gateway/fleetview.cpp
@@ -103,7 +103,8 @@
         auto &row = item.second.row;
         if (item.first == id || row.state == catalogue::EndpointState::Gone)
             return;
-        const auto before = std::exchange(row.state, catalogue::EndpointState::Gone);
+        const auto announced = std::exchange(row.state, catalogue::EndpointState::Gone);
+        const auto before = item.second.isLeaving ? catalogue::EndpointState::Draining : announced;
         LogEvent(LogLevel::Info, "incarnation_over")
                 .with("endpoint", item.first)
                 .with("by", id)
@@ -153,8 +154,7 @@
 auto FleetView::takesWork(const EndpointId &id) const -> bool
 {
     const auto found = entries_.find(id);
-    return found != entries_.end() && found->second.row.state == catalogue::EndpointState::Ready
-            && !found->second.isReplaced;
+    return found != entries_.end() && !found->second.leaves() && !found->second.isReplaced;
 }
 
 auto FleetView::maySend(const EndpointId &id) const -> bool
@@ -236,6 +236,12 @@
     noteRate(*entry, notice, sentAt);
     if (notice.rest)
         noteRest(*entry, *notice.rest);
+    if (notice.isLeaving && !std::exchange(entry->isLeaving, true)) {
+        LogEvent(LogLevel::Info, "endpoint_leaves")
+                .with("endpoint", id)
+                .with("state", catalogue::endpointStateName(entry->row.state))
+                .with("sequence", entry->row.sequence);
+    }
 }
 
 auto FleetView::noteRate(EndpointEntry &entry, const catalogue::EndpointNotice &notice,
@@ -308,9 +314,8 @@
 {
     auto result = std::vector<EndpointId> {};
     for (const auto &[id, entry] : entries_) {
-        const auto hasLeft = entry.row.state != catalogue::EndpointState::Ready;
         const auto restsLong = entry.restUntil - clock_.now() >= shortestLoad;
-        if (entry.isReplaced || entry.isUnreached || hasLeft || restsLong)
+        if (entry.isReplaced || entry.isUnreached || entry.leaves() || restsLong)
             result.push_back(id);
     }
     return result;
--- a/gateway/fleetview.h
+++ b/gateway/fleetview.h
@@ -52,6 +52,14 @@
     std::map<std::pair<ModelId, std::string>, Instant> missingUntil;
     std::optional<NamedRate> rate; ///< Absent: it never named one.
     Instant restUntil {};          ///< It asked this gateway for no requests before.
+    /// It said in an answer that it will end. Lasts while it lives, whatever it announces: an
+    /// announcement may have left before.
+    bool isLeaving = false;
+    /// @return true when it takes no new requests any more, by its announcement or an answer
+    auto leaves() const -> bool
+    {
+        return isLeaving || row.state != catalogue::EndpointState::Ready;
+    }
     /// @return true while it takes a limited rate of requests
     auto isRateLimited() const -> bool { return rate && rate->perSecond; }
 };
--- a/gateway/testing/rig.cpp
+++ b/gateway/testing/rig.cpp
@@ -59,6 +59,7 @@
                   const auto rate = std::string { http::findHeader(headers, "X-Rate") };
                   if (!rate.empty())
                       notice.ratePerSecond = std::stod(rate);
+                  notice.isLeaving = !http::findHeader(headers, "X-Leaving").empty();
                   const auto rest = std::string { http::findHeader(headers, "X-Rest-Ms") };
                   if (!rest.empty())
                       notice.rest = std::chrono::milliseconds { std::stoi(rest) };
