A request does not wait for a load that no endpoint can take beside one that rests

The test of rests took 130 s: twelve requests for a model whose only endpoint rests for a minute were each kept for the ten seconds that they had, for a load elsewhere that nobody could carry out. A load counts beside the end of a rest only while it is not overdue, and while an endpoint is there that does not rest; else the request is refused at once with the end of the rest.

--- a/gateway/forwarderplacing.cpp
+++ b/gateway/forwarderplacing.cpp
@@ -171,12 +171,11 @@
     const auto now = parts_.clock.now();
     const auto load = expectedLoad(lack);
     const auto since = waiting_ ? parts_.demand.lackingSince(target_) : now;
-    auto ready = std::optional<Instant> {};
-    if (load)
-        ready = std::max(since + *load, now);
-    if (lack == Lack::Rest)
-        ready = std::min(ready.value_or(restsUntil_), restsUntil_);
-    return ready;
+    if (lack != Lack::Rest)
+        return load ? std::optional { std::max(since + *load, now) } : std::nullopt;
+    // A load elsewhere that is overdue may never come; the end of the rest does.
+    const auto isDue = load && since + *load > now;
+    return isDue ? std::min(since + *load, restsUntil_) : restsUntil_;
 }
 
 auto Forwarder::Run::expectedLoad(Lack lack) -> std::optional<Duration>
@@ -187,15 +186,19 @@
     const auto isToBeLoaded = lack == Lack::Model || lack == Lack::Rest;
     if (!isToBeLoaded || model == nullptr)
         return std::nullopt;
+    auto hasHost = lack == Lack::Model;
     for (const auto *entry : parts_.view.of(service_)) {
         if (parts_.view.isResting(*entry))
             continue;
+        hasHost = true;
         const auto has = [&](const std::vector<ModelId> &copies) {
             return std::find(copies.begin(), copies.end(), model->id) != copies.end();
         };
         if (has(entry->row.inMemory) || has(entry->row.onDisk))
             return std::max(model->loadFromDisk, model->loadFromMemory) + swapOverhead;
     }
+    if (!hasHost)
+        return std::nullopt;
     return model->loadFromStore + storeOverhead;
 }
 
--- a/gateway/testing/rig.cpp
+++ b/gateway/testing/rig.cpp
@@ -256,6 +256,13 @@
     return condition();
 }
 
+auto announce(FleetView &view, const EndpointId &id) -> void
+{
+    auto update = proto::ServingUpdate {};
+    update.endpoints.emplace_back().id = id;
+    view.apply(update);
+}
+
 auto answering(std::string body) -> http::Handler
 {
     return [body = std::move(body)](const http::Request &request,
--- a/gateway/testing/rig.h
+++ b/gateway/testing/rig.h
@@ -98,6 +98,9 @@
 /// The catalogue of these tests: routes /once/, /idem/, /stream/, /resume/ to service "s".
 auto testCatalogue(bool engine) -> std::shared_ptr<const catalogue::Catalogue>;
 
+/// Makes an endpoint known that takes work and holds no model.
+auto announce(FleetView &view, const EndpointId &id) -> void;
+
 /// @return a handler that answers 200 with a body
 auto answering(std::string body) -> http::Handler;
 /// @return a handler that answers a status and states that it did not run the request
--- a/gateway/testing/tst_endpointleaving.cpp
+++ b/gateway/testing/tst_endpointleaving.cpp
@@ -62,18 +62,13 @@
     auto view = FleetView { {}, clock };
     const auto first = EndpointId { "i-1", Incarnation { 1 } };
     const auto second = EndpointId { "i-1", Incarnation { 2 } };
-    const auto tell = [&](const EndpointId &id) {
-        auto update = proto::ServingUpdate {};
-        update.endpoints.emplace_back().id = id;
-        view.apply(update);
-    };
-    tell(first);
+    announce(view, first);
     auto notice = catalogue::EndpointNotice {};
     notice.isLeaving = true;
     view.onNotice(first, notice, clock.now());
     view.onNotice(first, {}, clock.now());
     CHECK_FALSE(view.takesWork(first));
     CHECK(view.unreachable().size() == 1);
-    tell(second);
+    announce(view, second);
     CHECK(view.takesWork(second));
 }
--- a/gateway/testing/tst_endpointrate.cpp
+++ b/gateway/testing/tst_endpointrate.cpp
@@ -333,10 +333,8 @@
 {
     auto clock = ManualClock {};
     auto view = FleetView { {}, clock };
-    auto update = proto::ServingUpdate {};
-    update.endpoints.emplace_back().id = EndpointId { "i-1" };
-    view.apply(update);
     const auto id = EndpointId { "i-1" };
+    announce(view, id);
     auto limited = catalogue::EndpointNotice {};
     limited.ratePerSecond = 2;
     const auto sentBefore = clock.now();
--- a/gateway/testing/tst_endpointrest.cpp
+++ b/gateway/testing/tst_endpointrest.cpp
@@ -72,11 +72,13 @@
     rig.forwarder.setCatalogue(testCatalogue(true));
     auto &endpoint = rig.addEndpoint("i-1", { "m0" });
     endpoint.handler = resting(rest);
+    const auto begun = rig.clock.now();
     for (auto i = 0; i < 12; ++i) {
         const auto got = rig.call(modelRequest(std::to_string(i)));
         CHECK(got.status == 503);
-        CHECK(comeBackOf(got) > Duration::zero());
+        CHECK(rig.clock.now() + comeBackOf(got) >= begun + rest - 1ms);
         CHECK(comeBackOf(got) <= rest + 1s);
+        CHECK(rig.clock.now() < begun + rest); // No endpoint could load it: nothing is waited for.
     }
     CHECK(endpoint.seen.size() <= 1 + onTheWay);
 }
@@ -137,18 +139,13 @@
     auto view = FleetView { {}, clock };
     const auto first = EndpointId { "i-1", Incarnation { 1 } };
     const auto second = EndpointId { "i-1", Incarnation { 2 } };
-    const auto tell = [&](const EndpointId &id) {
-        auto update = proto::ServingUpdate {};
-        update.endpoints.emplace_back().id = id;
-        view.apply(update);
-    };
     const auto ask = [&](Duration rest) {
         auto notice = catalogue::EndpointNotice {};
         notice.notRun = true;
         notice.rest = rest;
         view.onNotice(first, notice, clock.now());
     };
-    tell(first);
+    announce(view, first);
     ask(10s);
     clock.advance(1s);
     ask(2s);
@@ -160,6 +157,6 @@
     CHECK(view.maySend(first));
     CHECK(view.unreachable().empty());
     ask(10s);
-    tell(second);
+    announce(view, second);
     CHECK(view.maySend(second));
 }
