--- a/fleet/balancer.cpp
+++ b/fleet/balancer.cpp
@@ -5,6 +5,8 @@
 #include <limits>
 #include <utility>
 
+#include "core/duration.h"
+
 namespace figrack::fleet {
 namespace {
 
@@ -12,21 +14,10 @@
 /// Costs that differ by less are equal: half a round trip between failure domains.
 constexpr auto sameCost = 1.0;
 
-auto millis(Duration duration) -> double
-{
-    return std::chrono::duration<double, std::milli> { duration }.count();
-}
-
 /// @return the duration in milliseconds; 0 for one that is past
-auto wholeMillis(Duration duration) -> std::uint32_t
-{
-    return static_cast<std::uint32_t>(std::max(0.0, millis(duration)));
-}
-
-auto fromMillis(double value) -> Duration
+auto positiveMillis(Duration duration) -> std::uint32_t
 {
-    return std::chrono::duration_cast<Duration>(
-            std::chrono::duration<double, std::milli> { value });
+    return static_cast<std::uint32_t>(std::max(0.0, inMillis(duration)));
 }
 
 } // namespace
@@ -35,7 +26,7 @@
     : options_(options)
     , clock_(clock)
     , random_(random)
-    , stayMs_(millis(options.usualStay))
+    , stayMs_(inMillis(options.usualStay))
 { }
 
 auto Balancer::endpointOf(const EndpointId &id) -> Endpoint &
@@ -82,7 +73,7 @@
     const auto next = std::max(last, now + options_.soonestReturn) + fromMillis(stayMs_ / places);
     last = std::min(next, now + options_.latestReturn);
     auto reply = proto::PickReply {};
-    reply.comeBackMs = wholeMillis(last - now);
+    reply.comeBackMs = positiveMillis(last - now);
     reply.refusal = proto::PickRefusal::NoRoom;
     return reply;
 }
@@ -104,7 +95,7 @@
             soonest = &rate;
     }
     auto reply = proto::PickReply {};
-    reply.comeBackMs = std::max(wholeMillis(soonest->tellReturn(now)), 1U);
+    reply.comeBackMs = std::max(positiveMillis(soonest->tellReturn(now)), 1U);
     reply.refusal = proto::PickRefusal::RateUsed;
     return reply;
 }
@@ -198,7 +189,7 @@
     if (!booking.isAlone || booking.usualRead < options_.tellingRead)
         return;
     const auto read = std::max(Duration::zero(), start - options_.startOverhead);
-    const auto seen = std::clamp(millis(read) / millis(booking.usualRead), options_.fastest,
+    const auto seen = std::clamp(inMillis(read) / inMillis(booking.usualRead), options_.fastest,
                                  options_.slowest);
     auto &pace = paces_.try_emplace(booking.model, 1).first->second;
     pace += options_.learning * (seen - pace);
@@ -207,13 +198,13 @@
 auto Balancer::costAt(const Endpoint &endpoint, const proto::PickRequest &request) const -> double
 {
     const auto slot = slotFor(endpoint, request);
-    const auto start = millis(slot.end - clock_.now());
-    const auto readingOn = millis(slot.end - slot.runBegin);
+    const auto start = inMillis(slot.end - clock_.now());
+    const auto readingOn = inMillis(slot.end - slot.runBegin);
     const auto running = static_cast<double>(endpoint.running);
-    const auto paused = std::max(0.0, readingOn - millis(bearableFor(request)));
+    const auto paused = std::max(0.0, readingOn - inMillis(bearableFor(request)));
     const auto generating
             = std::min(static_cast<double>(request.outputTokens) * options_.msPerToken,
-                       millis(options_.foreseen));
+                       inMillis(options_.foreseen));
     return start + running * options_.msPerRunning + running * options_.pauseWeight * paused
             + generating * options_.exposureWeight * readShare(endpoint);
 }
@@ -261,8 +252,8 @@
 
 auto Balancer::readShare(const Endpoint &endpoint) const -> double
 {
-    const auto age = millis(clock_.now() - endpoint.averagedAt);
-    const auto window = millis(options_.readWindow);
+    const auto age = inMillis(clock_.now() - endpoint.averagedAt);
+    const auto window = inMillis(options_.readWindow);
     return endpoint.reading * std::exp(-age / window) / window;
 }
 
@@ -272,13 +263,16 @@
     auto &endpoint = endpointOf(id);
     const auto now = clock_.now();
     const auto slot = slotFor(endpoint, request);
-    auto reply = proto::PickReply {
-        id, wholeMillis(slot.end - now), endpoint.running, wholeMillis(slot.runBegin - now), {}, 0
-    };
+    auto reply = proto::PickReply { id,
+                                    positiveMillis(slot.end - now),
+                                    endpoint.running,
+                                    positiveMillis(slot.runBegin - now),
+                                    {},
+                                    0 };
     const auto lacks = missing(endpoint, request);
     reply.fetchFrom = lacks.from;
     endpoint.reading
-            = readShare(endpoint) * millis(options_.readWindow) + millis(slot.end - slot.begin);
+            = readShare(endpoint) * inMillis(options_.readWindow) + inMillis(slot.end - slot.begin);
     endpoint.averagedAt = now;
     endpoint.readSince = slot.runBegin;
     endpoint.readUntil = slot.end;
@@ -338,7 +332,7 @@
     if (outcome == proto::PickOutcome::Unknown || found == endpoints_.end())
         return;
     const auto now = clock_.now();
-    stayMs_ += options_.learning * (millis(now - booking.bookedAt) - stayMs_);
+    stayMs_ += options_.learning * (inMillis(now - booking.bookedAt) - stayMs_);
     auto &endpoint = found->second;
     endpoint.limit.onEnd(outcome == proto::PickOutcome::Late, endpoint.running, now);
 }
--- a/fleet/demandtable.cpp
+++ b/fleet/demandtable.cpp
@@ -2,6 +2,8 @@
 
 #include <cmath>
 
+#include "core/duration.h"
+
 namespace figrack::fleet {
 namespace {
 
@@ -15,11 +17,6 @@
 /// Arrivals a second from which on a few seconds tell the rate.
 constexpr auto steadyRate = 1.0;
 
-auto seconds(Duration duration) -> double
-{
-    return std::chrono::duration<double> { duration }.count();
-}
-
 } // namespace
 
 DemandTable::DemandTable(DemandWindows windows, const Clock &clock)
@@ -49,7 +46,7 @@
     if (count == 0)
         return;
     auto &rate = rates[target];
-    rate.perSecond = decayed(rate, window) + count / seconds(window);
+    rate.perSecond = decayed(rate, window) + count / inSeconds(window);
     rate.at = clock_.now();
 }
 
@@ -145,7 +142,7 @@
 
 auto DemandTable::recent(const Rate &rate) const -> std::uint32_t
 {
-    return static_cast<std::uint32_t>(decayed(rate, windows_.fast) * seconds(windows_.fast)
+    return static_cast<std::uint32_t>(decayed(rate, windows_.fast) * inSeconds(windows_.fast)
                                       + roundUp);
 }
 
@@ -160,7 +157,7 @@
 
 auto DemandTable::decayed(const Rate &rate, Duration window) const -> double
 {
-    return rate.perSecond * std::exp(-seconds(clock_.now() - rate.at) / seconds(window));
+    return rate.perSecond * std::exp(-inSeconds(clock_.now() - rate.at) / inSeconds(window));
 }
 
 } // namespace figrack::fleet
--- a/fleet/placement.cpp
+++ b/fleet/placement.cpp
@@ -15,6 +15,8 @@
 #include <optional>
 #include <unordered_map>
 
+#include "core/duration.h"
+
 namespace figrack::fleet {
 namespace {
 
@@ -59,11 +61,6 @@
 constexpr auto adapterLoadWeight = 0.5;
 constexpr auto never = std::numeric_limits<double>::infinity();
 
-auto seconds(Duration duration) -> double
-{
-    return std::chrono::duration<double> { duration }.count();
-}
-
 auto contains(const std::vector<ModelId> &models, const ModelId &model) -> bool
 {
     return std::find(models.begin(), models.end(), model) != models.end();
@@ -271,7 +268,7 @@
     /// @return what a load from the store costs at an endpoint that nobody else needs
     static auto leastStoreCost(const catalogue::ModelSpec &spec, bool isExtra) -> double
     {
-        return (isExtra ? 0 : seconds(spec.loadFromStore)) + storePenalty;
+        return (isExtra ? 0 : inSeconds(spec.loadFromStore)) + storePenalty;
     }
 
     auto consider(Host &host, const catalogue::ModelSpec &spec, bool isExtra, Candidate &best)
@@ -318,15 +315,15 @@
         auto candidate = Candidate { &host, host.busySeconds, {}, LoadSource::Store };
         if (contains(host.inMemory, spec.id)) {
             candidate.source = LoadSource::Memory;
-            candidate.cost += seconds(spec.loadFromMemory);
+            candidate.cost += inSeconds(spec.loadFromMemory);
         } else if (contains(host.onDisk, spec.id)) {
             candidate.source = LoadSource::Disk;
-            candidate.cost += seconds(spec.loadFromDisk);
+            candidate.cost += inSeconds(spec.loadFromDisk);
         } else if (!mayUseStore(spec.id, isExtra)) {
             candidate.cost = never;
             return candidate;
         } else {
-            const auto load = seconds(spec.loadFromStore);
+            const auto load = inSeconds(spec.loadFromStore);
             candidate.cost += leastStoreCost(spec, isExtra);
             // Whoever wants one of its other copies meanwhile waits for half of the load.
             candidate.cost += swapsPerSecond(host) * load * load / 2;
@@ -379,7 +376,7 @@
                 continue;
             const auto here = room >= model->weightsMb ? 1U : 0U;
             if (countOf(swapHosts_, id) <= here)
-                cost += std::max(asked(id).perSecond, rareRate) * seconds(model->loadFromStore);
+                cost += std::max(asked(id).perSecond, rareRate) * inSeconds(model->loadFromStore);
         }
         return cost;
     }
--- a/gateway/fleetview.cpp
+++ b/gateway/fleetview.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/duration.h"
 #include "core/log.h"
 
 namespace figrack::gateway {
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "core/duration.h"
 #include "core/log.h"
 #include "gateway/forwarderrun.h"
 
@@ -11,11 +12,6 @@
 
 namespace {
 
-auto millis(Duration duration) -> std::int64_t
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 auto endingOf(const Refusal &refusal) -> Ending
 {
     const auto kind = errorKind(refusal.status);
@@ -126,19 +122,19 @@
     line.with("endpoint", endpoint_)
             .with("sent", static_cast<std::int64_t>(sent_))
             .with("unsent", static_cast<std::int64_t>(unsent_))
-            .with("first_ms", millis(firstByte))
-            .with("total_ms", millis(now - arrived_))
-            .with("gap_ms", millis(longestGap_))
-            .with("left_ms", millis(deadline_ - now))
+            .with("first_ms", wholeMillis(firstByte))
+            .with("total_ms", wholeMillis(now - arrived_))
+            .with("gap_ms", wholeMillis(longestGap_))
+            .with("left_ms", wholeMillis(deadline_ - now))
             .with("config", owner_.version());
     if (picked_.by != PickedBy::Nobody)
         line.with("picked", pickedByName(picked_.by));
     if (picked_.comeBack)
-        line.with("come_back_ms", millis(*picked_.comeBack));
+        line.with("come_back_ms", wholeMillis(*picked_.comeBack));
     if (picked_.by == PickedBy::Balancer) {
         line.with("expected_ms", std::int64_t { picked_.startMs })
                 .with("beside", std::int64_t { picked_.running })
-                .with("held_ms", millis(held_))
+                .with("held_ms", wholeMillis(held_))
                 .with("fetched_from", picked_.fetchFrom);
     }
     if (lack_ != Lack::Nothing)
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "core/boottimer.h"
+#include "core/duration.h"
 #include "core/log.h"
 #include "gateway/controlfeed.h"
 
@@ -20,11 +21,6 @@
 /// After a first report of a lacking model, others are bundled for so long.
 constexpr auto urgentEvery = std::chrono::milliseconds { 5 };
 
-auto millis(Duration duration) -> std::int64_t
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 } // namespace
 
 class Gateway::Impl : public std::enable_shared_from_this<Impl>
@@ -193,7 +189,7 @@
                 .with("fetched_bytes", document.fetchedBytes)
                 .with("asked", std::uint64_t { document.asked })
                 .with("overdue", std::uint64_t { document.overdue })
-                .with("took_ms", millis(document.took));
+                .with("took_ms", wholeMillis(document.took));
         metrics_.onDocument(document.took, document.overdue, document.fetchedBytes);
         forwarder_.setCatalogue(
                 std::make_shared<const catalogue::Catalogue>(*std::move(catalogue)));
--- a/gateway/loneadmission.cpp
+++ b/gateway/loneadmission.cpp
@@ -4,21 +4,9 @@
 #include <cmath>
 #include <utility>
 
-namespace figrack::gateway {
-namespace {
-
-auto seconds(Duration duration) -> double
-{
-    return std::chrono::duration<double> { duration }.count();
-}
-
-auto fromSeconds(double value) -> Duration
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double> { value });
-}
-
-} // namespace
+#include "core/duration.h"
 
+namespace figrack::gateway {
 LoneAdmission::LoneAdmission(LoneAdmissionOptions options, const Clock &clock, Random &random)
     : options_(options)
     , clock_(clock)
@@ -28,7 +16,7 @@
 auto LoneAdmission::decay(Row &row) const -> void
 {
     const auto now = clock_.now();
-    row.usual *= std::exp(-seconds(now - row.usualAt) / seconds(options_.window));
+    row.usual *= std::exp(-inSeconds(now - row.usualAt) / inSeconds(options_.window));
     row.usualAt = now;
 }
 
@@ -62,8 +50,8 @@
     auto &row = rows_[charge.account];
     decay(row);
     begin(row, charge.cost);
-    const auto rate = std::min(row.usual / seconds(options_.window), charge.limit.perSecond);
-    row.level = std::min(row.level + rate * seconds(now - row.levelAt), 0.0);
+    const auto rate = std::min(row.usual / inSeconds(options_.window), charge.limit.perSecond);
+    row.level = std::min(row.level + rate * inSeconds(now - row.levelAt), 0.0);
     row.levelAt = now;
     if (row.level < 0) {
         const auto wait = rate > 0 ? fromSeconds(std::min(-row.level / rate, 3600.0))
--- a/gateway/lonerates.cpp
+++ b/gateway/lonerates.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/duration.h"
+
 namespace figrack::gateway {
 namespace {
 
@@ -31,7 +33,7 @@
 
 auto LoneRates::begin(double perSecond) -> Row
 {
-    const auto inWindow = perSecond * part() * std::chrono::duration<double> { window }.count();
+    const auto inWindow = perSecond * part() * inSeconds(window);
     auto options = policy::RateLimiterOptions {};
     options.part = part();
     options.firstTokens = random_.chance(std::min(inWindow, 1.0)) ? 1 : -random_.unit();
--- a/gateway/metrics.cpp
+++ b/gateway/metrics.cpp
@@ -8,6 +8,8 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include "core/duration.h"
+
 namespace figrack::gateway {
 namespace {
 
@@ -18,11 +20,6 @@
         = std::array<std::string_view, 8> { "answered",   "no_route",    "refused", "failed",
                                             "broken_off", "caller_gone", "denied",  "over_limit" };
 
-auto seconds(Duration duration) -> double
-{
-    return std::chrono::duration<double> { duration }.count();
-}
-
 } // namespace
 
 auto endingName(Ending ending) -> std::string_view
@@ -121,8 +118,8 @@
 auto Metrics::onRequest(Ending ending, Duration firstByte, Duration total) -> void
 {
     impl_->requests.Add({ { "end", std::string { endingName(ending) } } }).Increment();
-    impl_->latency.Add({ { "until", "first_byte" } }, secondBuckets).Observe(seconds(firstByte));
-    impl_->latency.Add({ { "until", "end" } }, secondBuckets).Observe(seconds(total));
+    impl_->latency.Add({ { "until", "first_byte" } }, secondBuckets).Observe(inSeconds(firstByte));
+    impl_->latency.Add({ { "until", "end" } }, secondBuckets).Observe(inSeconds(total));
 }
 
 auto Metrics::onDispatch(bool isRepeat) -> void
@@ -162,7 +159,7 @@
 
 auto Metrics::onDocument(Duration took, std::uint32_t overdue, std::uint64_t fetchedBytes) -> void
 {
-    impl_->documentDelay.Observe(seconds(took));
+    impl_->documentDelay.Observe(inSeconds(took));
     impl_->documentOverdue.Increment(overdue);
     impl_->documentBytes.Increment(static_cast<double>(fetchedBytes));
 }
--- a/gateway/picker.cpp
+++ b/gateway/picker.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "core/duration.h"
 #include "core/hash.h"
 
 namespace figrack::gateway {
@@ -17,11 +18,6 @@
 
 namespace {
 
-auto millis(Duration duration) -> std::int64_t
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 auto lackOf(proto::PickRefusal refusal) -> Lack
 {
     switch (refusal) {
@@ -74,7 +70,7 @@
 auto Booking::end(Duration start, proto::PickOutcome outcome, bool mayHaveRun) -> void
 {
     if (const auto onEnd = std::exchange(onEnd_, nullptr))
-        onEnd({ ticket_, millis(start), outcome, mayHaveRun });
+        onEnd({ ticket_, wholeMillis(start), outcome, mayHaveRun });
 }
 
 auto pickTerms(const ServiceId &service, const CallerRequest &request, Duration left) -> PickTerms
@@ -116,25 +112,29 @@
     request.ownTokens = terms.ownTokens;
     request.outputTokens = terms.outputTokens;
     request.fetchTokensPerMs = static_cast<std::uint64_t>(terms.fetchTokensPerMs);
-    request.limitMs = millis(terms.left);
+    request.limitMs = wholeMillis(terms.left);
     request.places = terms.places;
     request.rank = terms.rank;
     request.hasBegun = terms.hasBegun;
-    request.startTargetMs = millis(terms.startTarget);
-    request.gapTargetMs = millis(terms.gapTarget);
+    request.startTargetMs = wholeMillis(terms.startTarget);
+    request.gapTargetMs = wholeMillis(terms.gapTarget);
     request.works = terms.works;
     request.charge = terms.charge;
     return request;
 }
 
-auto Picker::ratesOf(const std::vector<EndpointEntry *> &able) const
+auto Picker::ratesOf(const std::vector<EndpointEntry *> &able,
+                     const std::vector<EndpointId> &candidates) const
         -> std::vector<proto::CandidateRate>
 {
+    const auto isCandidate = [&](const EndpointId &id) {
+        return std::find(candidates.begin(), candidates.end(), id) != candidates.end();
+    };
     auto result = std::vector<proto::CandidateRate> {};
     for (const auto *entry : able) {
-        if (!entry->rate)
+        if (!entry->rate || !isCandidate(entry->row.id))
             continue;
-        const auto age = millis(clock_.now() - entry->rate->heardAt);
+        const auto age = wholeMillis(clock_.now() - entry->rate->heardAt);
         result.push_back({ entry->row.id, entry->rate->perSecond,
                            static_cast<std::uint64_t>(std::max<std::int64_t>(age, 0)) });
     }
@@ -173,9 +173,9 @@
         co_return picked;
     }
     auto request = requestOf(terms);
-    request.rates = ratesOf(able);
     const auto candidates = candidatesOf(able, own.endpoint);
     request.candidates = candidates;
+    request.rates = ratesOf(able, candidates);
     const auto mustBeCounted = terms.charge || own.ratePerSecond;
     // With one candidate nothing is to be chosen, but when to send a prompt there.
     if (candidates.size() == 1 && request.model == 0 && !mustBeCounted) {
--- a/gateway/picker.h
+++ b/gateway/picker.h
@@ -158,7 +158,9 @@
         std::optional<double> ratePerSecond; ///< That the endpoint takes; absent: any.
     };
     static auto requestOf(const PickTerms &terms) -> proto::PickRequest;
-    auto ratesOf(const std::vector<EndpointEntry *> &able) const
+    /// @return what the candidates ever named, so that a question stays bounded
+    auto ratesOf(const std::vector<EndpointEntry *> &able,
+                 const std::vector<EndpointId> &candidates) const
             -> std::vector<proto::CandidateRate>;
     auto chooseAlone(const std::vector<EndpointEntry *> &able, const Wish &wish) -> OwnChoice;
     /// No balancer chose: the gateway's own choice is taken, if its rate allows it.
--- a/policy/ratelimiter.cpp
+++ b/policy/ratelimiter.cpp
@@ -2,21 +2,9 @@
 
 #include <algorithm>
 
-namespace figrack::policy {
-namespace {
-
-auto seconds(Duration duration) -> double
-{
-    return std::chrono::duration<double> { duration }.count();
-}
-
-auto fromSeconds(double value) -> Duration
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double> { value });
-}
-
-} // namespace
+#include "core/duration.h"
 
+namespace figrack::policy {
 auto RateLimiter::onNamed(std::optional<double> perSecond, Instant heardAt, Instant now) -> void
 {
     if (heardAt < heardAt_)
@@ -44,12 +32,12 @@
 
 auto RateLimiter::capacity() const -> double
 {
-    return std::max(1.0, perSecond() * seconds(options_.burst));
+    return std::max(1.0, perSecond() * inSeconds(options_.burst));
 }
 
 auto RateLimiter::tokens(Instant now) const -> double
 {
-    return std::min(capacity(), tokens_ + perSecond() * seconds(now - refilledAt_));
+    return std::min(capacity(), tokens_ + perSecond() * inSeconds(now - refilledAt_));
 }
 
 auto RateLimiter::refill(Instant now) -> void
