accounts: a control whose connection ends takes nothing from them

Each end of a connection at a control took from every account what a gateway may admit by itself while it reaches nobody, also when the connection was another control's; a leader's restart so cost each busy account a part of its limit.

The registry says what the peer had subscribed as, and only a gateway's end counts.

--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -283,12 +283,14 @@
                       const auto self = weak.lock();
                       if (!self)
                           return;
-                      self->registry_.onClose(peer);
+                      const auto kind = self->registry_.onClose(peer);
                       self->spread_.onLost(peer);
                       self->demand_.onGatewayLost(peer->peer());
                       self->balancer_.onGatewayLost(peer->peer());
                       self->trials_.onGatewayLost(peer->peer());
-                      self->ledger_.onGatewayLost(peer->peer());
+                      // Other controls count for nobody by themselves.
+                      if (kind == proto::SubscriberKind::Gateway)
+                          self->ledger_.onGatewayLost(peer->peer());
                   };
         return handler;
     }
--- a/fleet/registry.cpp
+++ b/fleet/registry.cpp
@@ -62,11 +62,12 @@
     settleLeaving();
 }
 
-auto Registry::onClose(const proto::PeerPointer &peer) -> void
+auto Registry::onClose(const proto::PeerPointer &peer) -> std::optional<proto::SubscriberKind>
 {
     const auto found = subscribers_.find(peer.get());
     if (found == subscribers_.end())
-        return;
+        return std::nullopt;
+    const auto kind = found->second.subscribe.kind;
     LogEvent(LogLevel::Warning, "subscriber_lost").with("peer", peer->peer());
     subscribers_.erase(found);
     // It gets the whole list before it may send again; until then this control cannot tell.
@@ -74,6 +75,7 @@
         if (leaving.unconfirmed.contains(peer.get()))
             leaving.deadline = clock_.now();
     }
+    return kind;
 }
 
 auto Registry::onUpdate(const proto::ServingUpdate &update) -> void
--- a/fleet/registry.h
+++ b/fleet/registry.h
@@ -99,7 +99,8 @@
 
     auto onSubscribe(const proto::PeerPointer &peer, const proto::Subscribe &subscribe) -> void;
     auto onAck(const proto::PeerPointer &peer, const proto::ServingAck &ack) -> void;
-    auto onClose(const proto::PeerPointer &peer) -> void;
+    /// @return what the connection's peer had subscribed as; nullopt: it had not
+    auto onClose(const proto::PeerPointer &peer) -> std::optional<proto::SubscriberKind>;
     /// What another control tells; passed on to this control's subscribers that lack it.
     auto onUpdate(const proto::ServingUpdate &update) -> void;
 
--- a/fleet/testing/tst_registry.cpp
+++ b/fleet/testing/tst_registry.cpp
@@ -338,6 +338,24 @@
     CHECK(asked().refused == 0);
 }
 
+TEST_CASE("The end of a connection tells whether a gateway was lost or another control")
+{
+    auto clock = ManualClock {};
+    auto registry = Registry { {}, clock };
+    const auto subscribeAs = [&](proto::SubscriberKind kind) {
+        auto peer = std::make_shared<FakePeer>("p");
+        auto subscribe = proto::Subscribe {};
+        subscribe.kind = kind;
+        registry.onSubscribe(peer, subscribe);
+        return peer;
+    };
+    const auto gateway = subscribeAs(proto::SubscriberKind::Gateway);
+    const auto control = subscribeAs(proto::SubscriberKind::Control);
+    CHECK(registry.onClose(gateway) == proto::SubscriberKind::Gateway);
+    CHECK(registry.onClose(control) == proto::SubscriberKind::Control);
+    CHECK_FALSE(registry.onClose(control).has_value());
+}
+
 TEST_CASE("A busy model's rate follows within seconds, a rare one's stays for the slow window")
 {
     const auto windows = DemandWindows {};
