accounts: the bucket that has used least of its limit makes room for a new one

With more accounts than are kept, the first by name was forgotten, used up or not: an account over its limit began anew. Found by reading. Now the fullest one goes, of which a new bucket differs least. The test failed before: an account that had used up its limit was admitted again after two others had come.

--- a/policy/accountlimits.cpp
+++ b/policy/accountlimits.cpp
@@ -258,8 +258,18 @@
         fill(bucket, now);
         return bucket.level >= capacity(bucket.limit) && !changed_.contains(item.first);
     });
-    if (buckets_.size() >= options_.maxAccounts)
-        buckets_.erase(buckets_.begin());
+    // A new bucket begins nearly empty: the fullest one is forgotten at the least loss.
+    if (buckets_.size() >= options_.maxAccounts) {
+        const auto fullness = [&](const auto &item) {
+            auto bucket = item.second;
+            fill(bucket, now);
+            return bucket.level / capacity(bucket.limit);
+        };
+        buckets_.erase(std::max_element(buckets_.begin(), buckets_.end(),
+                                        [&](const auto &one, const auto &other) {
+                                            return fullness(one) < fullness(other);
+                                        }));
+    }
     for (auto &[node, counter] : counters_) {
         std::erase_if(counter.admitted,
                       [&](const auto &item) { return !buckets_.contains(item.first); });
--- a/policy/testing/tst_accountlimits.cpp
+++ b/policy/testing/tst_accountlimits.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 #include "policy/accountlimits.h"
 
 using namespace figrack;
@@ -162,3 +164,29 @@
     CHECK(limits.admit(higher, 1, later + 1200).has_value());
     CHECK_FALSE(limits.admit(higher, 1, later + 1700).has_value()); // It fills by the new rate.
 }
+
+TEST_CASE("When there are too many accounts the one that has used least of its limit is forgotten")
+{
+    auto options = policy::AccountLimitsOptions {};
+    options.maxAccounts = 2;
+    auto limits = policy::AccountLimits { options, 0 };
+    const auto chargeTo = [](const char *account, std::uint64_t cost) {
+        auto charge = chargeOf(cost);
+        charge.account = AccountId { account };
+        return charge;
+    };
+    while (!limits.admit(chargeTo("a", 50), ++work, later)) {
+    }
+    CHECK_FALSE(limits.admit(chargeTo("b", 50), ++work, later));
+    CHECK_FALSE(limits.admit(chargeTo("c", 50), ++work, later));
+    CHECK(limits.size() == 2);
+    CHECK(limits.admit(chargeTo("a", 50), ++work, later).has_value());
+    const auto standings = limits.standings(3, later);
+    const auto isKnown = [&](const char *account) {
+        return std::any_of(standings.begin(), standings.end(), [&](const auto &standing) {
+            return standing.account == AccountId { account };
+        });
+    };
+    CHECK(isKnown("a"));
+    CHECK_FALSE(isKnown("b"));
+}
