accounts: a gateway forgets accounts that nobody asks for

gateway/loneadmission kept a row of every account that ever came, also of those that no document has any more, against what its header promised. Found by reading. A row is forgotten after a minute without a request, when all that was admitted alone has been told: 1,001 rows before in the test, 2 now.

--- a/gateway/loneadmission.cpp
+++ b/gateway/loneadmission.cpp
@@ -13,19 +13,33 @@
     , random_(random)
 { }
 
-auto LoneAdmission::decay(Row &row) const -> void
+auto LoneAdmission::rowOf(const AccountId &account) -> Row &
 {
+    forgetOld();
     const auto now = clock_.now();
+    auto &row = rows_[account];
     row.usual *= std::exp(-inSeconds(now - row.usualAt) / inSeconds(options_.window));
     row.usualAt = now;
+    return row;
+}
+
+/// What was admitted here and nobody was told of is kept until it is.
+auto LoneAdmission::forgetOld() -> void
+{
+    const auto now = clock_.now();
+    if (now < nextForget_)
+        return;
+    nextForget_ = now + options_.forgetAfter / 4;
+    std::erase_if(rows_, [&](const auto &item) {
+        return item.second.untold == 0 && now - item.second.usualAt > options_.forgetAfter;
+    });
 }
 
 auto LoneAdmission::onCounted(const AccountId &account, std::uint64_t cost, bool isNearLimit)
         -> void
 {
     aloneSince_.reset();
-    auto &row = rows_[account];
-    decay(row);
+    auto &row = rowOf(account);
     row.isNearLimit = isNearLimit;
     row.isAlone = false;
     row.usual += static_cast<double>(cost);
@@ -47,8 +61,7 @@
         aloneSince_ = now;
     if (now - *aloneSince_ >= options_.aloneFor)
         return options_.latestReturn;
-    auto &row = rows_[charge.account];
-    decay(row);
+    auto &row = rowOf(charge.account);
     begin(row, charge.cost);
     const auto rate = std::min(row.usual / inSeconds(options_.window), charge.limit.perSecond);
     row.level = std::min(row.level + rate * inSeconds(now - row.levelAt), 0.0);
--- a/gateway/loneadmission.h
+++ b/gateway/loneadmission.h
@@ -14,8 +14,8 @@
 // that was near it the gateways begin at different times, so that all of them together
 // stay at its rate. After aloneFor without an answer nothing more is admitted.
 //
-// Pure but for the clock. Bounded by the accounts of the document in force. Not
-// thread-safe.
+// Pure but for the clock. Bounded by the accounts of the last minute: what was not asked
+// for in it carries nothing worth knowing. Not thread-safe.
 
 #ifndef FIGRACK_GATEWAY_LONEADMISSION_H
 #define FIGRACK_GATEWAY_LONEADMISSION_H
@@ -35,6 +35,8 @@
     Duration aloneFor = std::chrono::seconds { 4 };
     /// Over which the rate of an account is averaged.
     Duration window = std::chrono::seconds { 8 };
+    /// An account of which nothing was asked for so long is forgotten.
+    Duration forgetAfter = std::chrono::seconds { 60 };
     Duration soonestReturn = std::chrono::milliseconds { 300 };
     Duration latestReturn = std::chrono::seconds { 4 };
 };
@@ -57,6 +59,8 @@
     auto takeUntold(const AccountId &account) -> std::uint64_t;
     /// The units could not be told after all.
     auto putBackUntold(const AccountId &account, std::uint64_t cost) -> void;
+    /// @return accounts that are kept
+    auto size() const -> std::size_t { return rows_.size(); }
 
 private:
     struct Row
@@ -69,7 +73,9 @@
         bool isNearLimit = false;
         bool isAlone = false; ///< Since the last answer something was asked for alone.
     };
-    auto decay(Row &row) const -> void;
+    /// @return the account's row, decayed to now
+    auto rowOf(const AccountId &account) -> Row &;
+    auto forgetOld() -> void;
     auto begin(Row &row, std::uint64_t cost) -> void;
 
     LoneAdmissionOptions options_;
@@ -77,6 +83,7 @@
     Random &random_;
     std::optional<Instant> aloneSince_; ///< The first question without an answer.
     std::map<AccountId, Row> rows_;
+    Instant nextForget_ {};
 };
 
 } // namespace figrack::gateway
--- a/gateway/testing/tst_loneadmission.cpp
+++ b/gateway/testing/tst_loneadmission.cpp
@@ -94,3 +94,17 @@
     CHECK(admitted <= 200 * 100 * 4 * 11 / 10);
     CHECK(admitted >= 200 * 100 * 4 / 2);
 }
+
+TEST_CASE("Accounts that nobody asks for are forgotten, but not what nobody was told of")
+{
+    auto clock = ManualClock {};
+    auto random = Random { 1 };
+    auto lone = LoneAdmission { {}, clock, random };
+    for (auto i = 0; i < 1000; ++i)
+        lone.onCounted(AccountId { "old-" + std::to_string(i) }, 100, false);
+    CHECK_FALSE(lone.admit(chargeOf(7)).has_value());
+    clock.advance(90s);
+    lone.onCounted(AccountId { "new" }, 100, false);
+    CHECK(lone.size() == 2);
+    CHECK(lone.takeUntold(AccountId { "a" }) == 7);
+}
