--- a/catalogue/endpointnotice.h
+++ b/catalogue/endpointnotice.h
@@ -18,10 +18,10 @@
     std::optional<double> ratePerSecond;
     /// A rate was named that could not be read: what was known of it stands.
     bool isRateMalformed = false;
-    /// It turned the request away, and takes none of the asking gateway for so long.
-    std::optional<Duration> rest;
-    bool isRestMalformed = false; ///< It asked for rest, for a time that could not be read.
-    bool isLeaving = false;       ///< It will end, and takes no new requests.
+    /// It rejected the request, and takes none from the asking gateway for so long.
+    std::optional<Duration> backoff;
+    bool isBackoffMalformed = false; ///< The time of a backoff could not be read.
+    bool isDraining = false;         ///< It will end, and takes no new requests.
 };
 
 } // namespace figrack::catalogue
--- a/gateway/chooser.cpp
+++ b/gateway/chooser.cpp
@@ -75,7 +75,7 @@
     constexpr auto names
             = std::array<std::string_view, 10> { "none",   "endpoint", "model", "adapter",
                                                  "places", "trial",    "limit", "counter",
-                                                 "rate",   "rest" };
+                                                 "rate",   "backoff" };
     return names[static_cast<std::size_t>(lack) % names.size()];
 }
 
@@ -84,15 +84,15 @@
 {
     if (candidates.empty())
         return { {}, Lack::Endpoint, {} };
-    auto restsUntil = Instant::max();
+    auto backoffUntil = Instant::max();
     auto lack = wish.model.empty() ? Lack::Endpoint : Lack::Model;
     auto healthy = std::vector<EndpointEntry *> {};
     auto doubtful = std::vector<EndpointEntry *> {};
     for (auto *entry : candidates) {
         if (!holds(*entry, wish, lack))
             continue;
-        if (wish.now < entry->restUntil) {
-            restsUntil = std::min(restsUntil, entry->restUntil);
+        if (wish.now < entry->backoffUntil) {
+            backoffUntil = std::min(backoffUntil, entry->backoffUntil);
             continue;
         }
         if (wish.avoided.contains(entry->row.id))
@@ -102,9 +102,9 @@
     auto &able = healthy.empty() ? doubtful : healthy;
     if (!able.empty())
         lack = Lack::Nothing;
-    else if (restsUntil != Instant::max() && lack != Lack::Adapter)
-        lack = Lack::Rest;
-    return { std::move(able), lack, restsUntil };
+    else if (backoffUntil != Instant::max() && lack != Lack::Adapter)
+        lack = Lack::Backoff;
+    return { std::move(able), lack, backoffUntil };
 }
 
 auto chooseAmong(const std::vector<EndpointEntry *> &able, const Wish &wish, Random &random)
--- a/gateway/chooser.h
+++ b/gateway/chooser.h
@@ -44,23 +44,23 @@
     Limit,    ///< Its account has used up its limit.
     Counter,  ///< Nobody that counts what its account uses can be asked.
     Rate,     ///< Those that hold what is asked for have got all requests of late that they take.
-    Rest,     ///< Those that hold what is asked for rest.
+    Backoff,  ///< Those that hold what is asked for asked this gateway for a backoff.
 };
 
 /// @return "none", "endpoint", "model", "adapter", "places", "trial", "limit", "counter", "rate" or
-/// "rest"
+/// "backoff"
 auto lackName(Lack lack) -> std::string_view;
 
 struct Able
 {
     std::vector<EndpointEntry *> entries; ///< None when something lacks.
     Lack lack = Lack::Nothing;
-    Instant restsUntil = Instant::max(); ///< With Rest: when the first of them ends it.
+    Instant backoffUntil = Instant::max(); ///< With Backoff: when the first one is over.
 };
 
 /// @param candidates endpoints of the service that take work
 /// @param isHealthy those for which it is false are named only when no other is left
-/// @return the endpoints that can take the request; none that rests
+/// @return the endpoints that can take the request; none whose backoff lasts
 auto ableEndpoints(const std::vector<EndpointEntry *> &candidates, const Wish &wish,
                    const std::function<bool(const EndpointEntry &)> &isHealthy) -> Able;
 
--- a/gateway/fleetview.cpp
+++ b/gateway/fleetview.cpp
@@ -105,7 +105,7 @@
         if (item.first == id || row.state == catalogue::EndpointState::Gone)
             return;
         const auto announced = std::exchange(row.state, catalogue::EndpointState::Gone);
-        const auto before = item.second.isLeaving ? catalogue::EndpointState::Draining : announced;
+        const auto before = item.second.isDraining ? catalogue::EndpointState::Draining : announced;
         LogEvent(LogLevel::Info, "incarnation_over")
                 .with("endpoint", item.first)
                 .with("by", id)
@@ -161,7 +161,7 @@
 auto FleetView::maySend(const EndpointId &id) const -> bool
 {
     const auto found = entries_.find(id);
-    return found != entries_.end() && takesWork(id) && !isResting(found->second);
+    return found != entries_.end() && takesWork(id) && !isBackedOff(found->second);
 }
 
 auto FleetView::find(const EndpointId &id) -> EndpointEntry *
@@ -235,10 +235,10 @@
     if (entry == nullptr)
         return;
     noteRate(*entry, notice, sentAt);
-    if (notice.rest)
-        noteRest(*entry, *notice.rest);
-    if (notice.isLeaving && !std::exchange(entry->isLeaving, true)) {
-        LogEvent(LogLevel::Info, "endpoint_leaves")
+    if (notice.backoff)
+        noteBackoff(*entry, *notice.backoff);
+    if (notice.isDraining && !std::exchange(entry->isDraining, true)) {
+        LogEvent(LogLevel::Info, "endpoint_draining")
                 .with("endpoint", id)
                 .with("state", catalogue::endpointStateName(entry->row.state))
                 .with("sequence", entry->row.sequence);
@@ -265,30 +265,28 @@
     rate = NamedRate { notice.ratePerSecond, clock_.now() };
 }
 
-auto FleetView::noteRest(EndpointEntry &entry, Duration rest) -> void
+auto FleetView::noteBackoff(EndpointEntry &entry, Duration backoff) -> void
 {
-    const auto until = clock_.now() + rest;
-    if (until <= entry.restUntil)
+    const auto until = clock_.now() + backoff;
+    if (until <= entry.backoffUntil)
         return;
-    LogEvent(LogLevel::Info, "endpoint_rests")
+    LogEvent(LogLevel::Info, "endpoint_backoff")
             .with("endpoint", entry.row.id)
-            .with("for_ms",
-                  std::int64_t {
-                          std::chrono::duration_cast<std::chrono::milliseconds>(rest).count() })
-            .with("rested_already", isResting(entry));
-    entry.restUntil = until;
+            .with("for_ms", wholeMillis(backoff))
+            .with("extended", isBackedOff(entry));
+    entry.backoffUntil = until;
 }
 
-auto FleetView::isResting(const EndpointEntry &entry) const -> bool
+auto FleetView::isBackedOff(const EndpointEntry &entry) const -> bool
 {
-    return clock_.now() < entry.restUntil;
+    return clock_.now() < entry.backoffUntil;
 }
 
-auto FleetView::resting() const -> std::size_t
+auto FleetView::backedOff() const -> std::size_t
 {
     return static_cast<std::size_t>(
             std::count_if(entries_.begin(), entries_.end(),
-                          [this](const auto &item) { return isResting(item.second); }));
+                          [this](const auto &item) { return isBackedOff(item.second); }));
 }
 
 auto FleetView::rateLimited() const -> std::size_t
@@ -315,8 +313,8 @@
 {
     auto result = std::vector<EndpointId> {};
     for (const auto &[id, entry] : entries_) {
-        const auto restsLong = entry.restUntil - clock_.now() >= shortestLoad;
-        if (entry.isReplaced || entry.isUnreached || entry.leaves() || restsLong)
+        const auto isBackedOffLong = entry.backoffUntil - clock_.now() >= shortestLoad;
+        if (entry.isReplaced || entry.isUnreached || entry.leaves() || isBackedOffLong)
             result.push_back(id);
     }
     return result;
--- a/gateway/fleetview.h
+++ b/gateway/fleetview.h
@@ -51,14 +51,14 @@
     /// What it said it does not hold, against its row, and until when that is believed.
     std::map<std::pair<ModelId, std::string>, Instant> missingUntil;
     std::optional<NamedRate> rate; ///< Absent: it never named one.
-    Instant restUntil {};          ///< It asked this gateway for no requests before.
+    Instant backoffUntil {};       ///< It asked this gateway for no requests before.
     /// It said in an answer that it will end. Lasts while it lives, whatever it announces: an
     /// announcement may have left before.
-    bool isLeaving = false;
+    bool isDraining = false;
     /// @return true when it takes no new requests any more, by its announcement or an answer
     auto leaves() const -> bool
     {
-        return isLeaving || row.state != catalogue::EndpointState::Ready;
+        return isDraining || row.state != catalogue::EndpointState::Ready;
     }
     /// @return true while it takes a limited rate of requests
     auto isRateLimited() const -> bool { return rate && rate->perSecond; }
@@ -88,7 +88,8 @@
     auto of(const ServiceId &service) -> std::vector<EndpointEntry *>;
     /// @return true when the endpoint is known and takes work
     auto takesWork(const EndpointId &id) const -> bool;
-    /// @return true when a request may be sent there now: it takes work and does not rest
+    /// @return true when a request may be sent there now: it takes work and asked for no
+    /// backoff that lasts
     auto maySend(const EndpointId &id) const -> bool;
     /// @return the endpoint, or nullptr
     auto find(const EndpointId &id) -> EndpointEntry *;
@@ -105,21 +106,21 @@
     /// It said that it does not hold the model or adapter.
     auto onMissing(const EndpointId &id, const ModelId &model, const std::string &adapter) -> void;
     /// Takes over what an endpoint says of itself in the head of an answer. A rate that it does not
-    /// name is over, unless it turned the request away, or the request had left before the rate was
-    /// last named: answers overtake one another. A rest is never shortened.
+    /// name is over, unless it rejected the request, or the request had left before the rate was
+    /// last named: answers overtake one another. A backoff is never shortened.
     /// @param sentAt when the request of that answer left
     auto onNotice(const EndpointId &id, const catalogue::EndpointNotice &notice, Instant sentAt)
             -> void;
-    /// @return true while the endpoint rests, by its own word to this gateway
-    auto isResting(const EndpointEntry &entry) const -> bool;
-    /// @return endpoints that rest
-    auto resting() const -> std::size_t;
+    /// @return true while a backoff lasts that the endpoint asked of this gateway
+    auto isBackedOff(const EndpointEntry &entry) const -> bool;
+    /// @return endpoints whose backoff lasts
+    auto backedOff() const -> std::size_t;
     /// @return endpoints that take a limited rate of requests
     auto rateLimited() const -> std::size_t;
     /// @return what this gateway has in progress, for its report
     auto takeLoads() -> std::vector<proto::EndpointLoad>;
     /// @return endpoints that serve this gateway nothing: they could not be reached of late, take
-    /// no work, or rest for longer than the shortest load elsewhere takes
+    /// no work, or asked for a backoff that lasts longer than the shortest load elsewhere
     auto unreachable() const -> std::vector<EndpointId>;
     auto size() const -> std::size_t { return entries_.size(); }
     /// @param id of an incarnation that is over @param before what it had last said of itself
@@ -131,7 +132,7 @@
 private:
     auto noteRate(EndpointEntry &entry, const catalogue::EndpointNotice &notice, Instant sentAt)
             -> void;
-    auto noteRest(EndpointEntry &entry, Duration rest) -> void;
+    auto noteBackoff(EndpointEntry &entry, Duration backoff) -> void;
     auto applyRow(const catalogue::EndpointRow &row) -> bool;
     auto isOver(const EndpointId &id) const -> bool;
     auto endOthers(const EndpointId &id) -> void;
--- a/gateway/forwarderdispatch.cpp
+++ b/gateway/forwarderdispatch.cpp
@@ -133,7 +133,7 @@
         out.maxIdleAge = owner_.options_.freshEnough;
     out.match = { parts_.dialect.answerIdHeader, caller_.id.value() };
     out.canceller = canceller_;
-    // The endpoint may have asked for rest while the connection was made.
+    // The endpoint may have asked for a backoff while the connection was made.
     out.mayStart = [this, id = entry.row.id] { return parts_.view.maySend(id); };
     return out;
 }
@@ -191,13 +191,13 @@
         return;
     if (notice.ratePerSecond)
         parts_.metrics.onRateNamed();
-    if (notice.rest)
-        parts_.metrics.onRestAsked();
-    if (notice.isRateMalformed || notice.isRestMalformed) {
+    if (notice.backoff)
+        parts_.metrics.onBackoffAsked();
+    if (notice.isRateMalformed || notice.isBackoffMalformed) {
         LogEvent(LogLevel::Warning, "endpoint_notice_malformed")
                 .with("endpoint", id)
                 .with("request", caller_.id)
-                .with("field", notice.isRateMalformed ? "rate" : "rest");
+                .with("field", notice.isRateMalformed ? "rate" : "backoff");
     }
     parts_.view.onNotice(id, notice, sentAt_);
 }
--- a/gateway/forwarderplacing.cpp
+++ b/gateway/forwarderplacing.cpp
@@ -27,7 +27,7 @@
 constexpr auto lookForPlace = std::chrono::milliseconds { 50 };
 /// Part of a route's start target that a request waits for a place; the rest is for its prompt.
 constexpr auto placeShare = 0.5;
-/// Those that are told to come back after an endpoint's rest do so over this long.
+/// Those that are told to come back after a backoff do so over this long.
 constexpr auto returnSpread = std::chrono::milliseconds { 500 };
 constexpr auto longestAvoidPause = std::chrono::milliseconds { 2000 };
 
@@ -56,7 +56,7 @@
             co_return nullptr;
         }
         const auto mayCauseLoad
-                = lack == Lack::Model || lack == Lack::Adapter || lack == Lack::Rest;
+                = lack == Lack::Model || lack == Lack::Adapter || lack == Lack::Backoff;
         if (mayCauseLoad && co_await refuseOverLimit())
             co_return nullptr;
         if (callerGone_)
@@ -97,7 +97,7 @@
     while (true) {
         wish_.now = parts_.clock.now();
         const auto able = ableEndpoints(parts_.view.of(service_), wish_, isHealthy);
-        restsUntil_ = able.restsUntil;
+        backoffUntil_ = able.backoffUntil;
         if (able.entries.empty())
             co_return able.lack;
         auto terms = pickTerms(service_, caller_, timeLeft());
@@ -116,7 +116,8 @@
         if (picked_.comeBack)
             co_return picked_.lack;
         co_await hold();
-        // It may have left, or asked for rest, while the balancer was asked and the request held.
+        // It may have left, or asked for a backoff, while the balancer was asked and the request
+        // held.
         if (callerGone_ || parts_.view.maySend(picked_.endpoint))
             co_return Lack::Nothing;
         picked_.booking = {};
@@ -158,7 +159,7 @@
     if (!ready)
         return std::nullopt;
     comeBack_ = std::max<Duration>(*ready - now, owner_.options_.comeBack);
-    if (lack == Lack::Rest)
+    if (lack == Lack::Backoff)
         *comeBack_ += std::chrono::duration_cast<Duration>(returnSpread * parts_.random.unit());
     const auto limit = std::min(startBy_, owner_.placeBy_);
     if (*ready >= limit || now >= limit)
@@ -171,11 +172,11 @@
     const auto now = parts_.clock.now();
     const auto load = expectedLoad(lack);
     const auto since = waiting_ ? parts_.demand.lackingSince(target_) : now;
-    if (lack != Lack::Rest)
+    if (lack != Lack::Backoff)
         return load ? std::optional { std::max(since + *load, now) } : std::nullopt;
-    // A load elsewhere that is overdue may never come; the end of the rest does.
+    // A load elsewhere that is overdue may never come; the end of the backoff does.
     const auto isDue = load && since + *load > now;
-    return isDue ? std::min(since + *load, restsUntil_) : restsUntil_;
+    return isDue ? std::min(since + *load, backoffUntil_) : backoffUntil_;
 }
 
 auto Forwarder::Run::expectedLoad(Lack lack) -> std::optional<Duration>
@@ -183,12 +184,12 @@
     if (lack == Lack::Adapter)
         return adapterLoad;
     const auto *model = engine_ == nullptr ? nullptr : engine_->find(wish_.model);
-    const auto isToBeLoaded = lack == Lack::Model || lack == Lack::Rest;
+    const auto isToBeLoaded = lack == Lack::Model || lack == Lack::Backoff;
     if (!isToBeLoaded || model == nullptr)
         return std::nullopt;
     auto hasHost = lack == Lack::Model;
     for (const auto *entry : parts_.view.of(service_)) {
-        if (parts_.view.isResting(*entry))
+        if (parts_.view.isBackedOff(*entry))
             continue;
         hasHost = true;
         const auto has = [&](const std::vector<ModelId> &copies) {
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -175,7 +175,7 @@
     std::uint32_t unsent_ = 0; ///< Those of which none left.
     Duration avoidPause_ = firstAvoidPause;
     Instant avoidUntil_ {};
-    Instant restsUntil_ {}; ///< The first of those that could take it and rest.
+    Instant backoffUntil_ {}; ///< The first to end, of those that could take it.
     std::optional<Duration> comeBack_;
     Instant sentAt_ {}; ///< The latest dispatch.
     std::optional<Instant> firstByteAt_;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -102,7 +102,7 @@
         gauges.suspects = quarantine_.size();
         gauges.quarantined = quarantine_.quarantined(policy::millisOf(clock_.now()));
         gauges.rateLimited = view_.rateLimited();
-        gauges.resting = view_.resting();
+        gauges.backedOff = view_.backedOff();
         gauges.ready = ready();
         return metrics_.text(gauges);
     }
--- a/gateway/metrics.cpp
+++ b/gateway/metrics.cpp
@@ -59,11 +59,12 @@
                              .Help("Answers in which an endpoint named the rate that it takes")
                              .Register(registry)
                              .Add({}))
-        , restsAsked(prometheus::BuildCounter()
-                             .Name("figrack_gateway_rests_asked_total")
-                             .Help("Answers in which an endpoint asked for no requests for a time")
-                             .Register(registry)
-                             .Add({}))
+        , backoffsAsked(
+                  prometheus::BuildCounter()
+                          .Name("figrack_gateway_backoffs_asked_total")
+                          .Help("Answers in which an endpoint asked for no requests for a time")
+                          .Register(registry)
+                          .Add({}))
         , picks(prometheus::BuildCounter()
                         .Name("figrack_gateway_picks_total")
                         .Help("Choices among endpoints, by who made them")
@@ -100,7 +101,7 @@
     prometheus::Counter &ended;
     prometheus::Counter &quarantineRefusals;
     prometheus::Counter &ratesNamed;
-    prometheus::Counter &restsAsked;
+    prometheus::Counter &backoffsAsked;
     prometheus::Family<prometheus::Counter> &picks;
     prometheus::Family<prometheus::Histogram> &latency;
     prometheus::Histogram &documentDelay;
@@ -147,9 +148,9 @@
     impl_->ratesNamed.Increment();
 }
 
-auto Metrics::onRestAsked() -> void
+auto Metrics::onBackoffAsked() -> void
 {
-    impl_->restsAsked.Increment();
+    impl_->backoffsAsked.Increment();
 }
 
 auto Metrics::onPick(std::string_view by) -> void
@@ -176,7 +177,7 @@
     set("suspects", static_cast<double>(gauges.suspects));
     set("quarantined", static_cast<double>(gauges.quarantined));
     set("rate_limited_endpoints", static_cast<double>(gauges.rateLimited));
-    set("resting_endpoints", static_cast<double>(gauges.resting));
+    set("backed_off_endpoints", static_cast<double>(gauges.backedOff));
     set("ready", gauges.ready ? 1 : 0);
     return prometheus::TextSerializer {}.Serialize(impl_->registry.Collect());
 }
--- a/gateway/metrics.h
+++ b/gateway/metrics.h
@@ -39,7 +39,7 @@
     std::uint64_t suspects = 0;    ///< Rows of suspected work, in quarantine or not.
     std::uint64_t quarantined = 0; ///< Of those, in quarantine.
     std::uint64_t rateLimited = 0; ///< Endpoints that take a limited rate of requests.
-    std::uint64_t resting = 0;     ///< Endpoints that take none for some time.
+    std::uint64_t backedOff = 0;   ///< Endpoints whose backoff lasts.
     bool ready = false;
 };
 
@@ -59,8 +59,8 @@
     auto onQuarantined() -> void;
     /// An endpoint named the rate of requests that it takes.
     auto onRateNamed() -> void;
-    /// An endpoint turned a request away and asked for rest.
-    auto onRestAsked() -> void;
+    /// An endpoint rejected a request and asked for a backoff.
+    auto onBackoffAsked() -> void;
     /// A choice among several endpoints. @param by who made it, of a fixed set
     auto onPick(std::string_view by) -> void;
     /// A document was put into force. @param took since it, or a newer one, was announced here
--- a/gateway/testing/rig.cpp
+++ b/gateway/testing/rig.cpp
@@ -59,10 +59,10 @@
                   const auto rate = std::string { http::findHeader(headers, "X-Rate") };
                   if (!rate.empty())
                       notice.ratePerSecond = std::stod(rate);
-                  notice.isLeaving = !http::findHeader(headers, "X-Leaving").empty();
-                  const auto rest = std::string { http::findHeader(headers, "X-Rest-Ms") };
-                  if (!rest.empty())
-                      notice.rest = std::chrono::milliseconds { std::stoi(rest) };
+                  notice.isDraining = !http::findHeader(headers, "X-Draining").empty();
+                  const auto backoff = std::string { http::findHeader(headers, "X-Backoff-Ms") };
+                  if (!backoff.empty())
+                      notice.backoff = std::chrono::milliseconds { std::stoi(backoff) };
                   return notice;
               };
     dialect.writeRefusal = [](const Refusal &refusal) {
--- a/gateway/testing/tst_endpointrest.cpp
+++ b/gateway/testing/tst_endpointbackoff.cpp
@@ -1,4 +1,4 @@
-// Endpoints that turn a request away and ask for rest.
+// Endpoints that reject a request and ask for a backoff.
 
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
@@ -16,19 +16,19 @@
 
 namespace {
 
-/// Requests that may still be on their way when an endpoint asks for rest.
+/// Requests that may still be on their way when an endpoint asks for a backoff.
 constexpr auto onTheWay = std::size_t { 2 };
 
-/// @return a handler that turns all away and asks for rest
-auto resting(Duration rest) -> http::Handler
+/// @return a handler that rejects all and asks for a backoff
+auto backingOff(Duration backoff) -> http::Handler
 {
-    return [rest](const http::Request &request,
-                  http::Responder &responder) -> boost::asio::awaitable<void> {
+    return [backoff](const http::Request &request,
+                     http::Responder &responder) -> boost::asio::awaitable<void> {
         auto response = http::Response {};
         response.status = 503;
         response.headers = { { "X-Id", std::string { request.header("X-Id") } },
                              { "X-Not-Run", "1" },
-                             { "X-Rest-Ms", std::to_string(rest / 1ms) } };
+                             { "X-Backoff-Ms", std::to_string(backoff / 1ms) } };
         static_cast<void>(co_await responder.send(std::move(response)));
     };
 }
@@ -65,30 +65,31 @@
 
 } // namespace
 
-TEST_CASE("An endpoint that holds a model alone gets no request while it rests")
+TEST_CASE("An endpoint that holds a model alone gets no request during a backoff")
 {
-    constexpr auto rest = 60s;
+    constexpr auto backoff = 60s;
     auto rig = Rig {};
     rig.forwarder.setCatalogue(testCatalogue(true));
     auto &endpoint = rig.addEndpoint("i-1", { "m0" });
-    endpoint.handler = resting(rest);
+    endpoint.handler = backingOff(backoff);
     const auto begun = rig.clock.now();
     for (auto i = 0; i < 12; ++i) {
         const auto got = rig.call(modelRequest(std::to_string(i)));
         CHECK(got.status == 503);
-        CHECK(rig.clock.now() + comeBackOf(got) >= begun + rest - 1ms);
-        CHECK(comeBackOf(got) <= rest + 1s);
-        CHECK(rig.clock.now() < begun + rest); // No endpoint could load it: nothing is waited for.
+        CHECK(rig.clock.now() + comeBackOf(got) >= begun + backoff - 1ms);
+        CHECK(comeBackOf(got) <= backoff + 1s);
+        // Nothing is waited for: no endpoint could load the model.
+        CHECK(rig.clock.now() < begun + backoff);
     }
     CHECK(endpoint.seen.size() <= 1 + onTheWay);
 }
 
-TEST_CASE("Requests that were held back for an endpoint do not reach it once it rests")
+TEST_CASE("Requests that were held back do not reach an endpoint that asks for a backoff")
 {
     auto rig = Rig { {}, holdingLink(300ms) };
     rig.forwarder.setCatalogue(testCatalogue(true));
     auto &endpoint = rig.addEndpoint("i-1", { "m0" });
-    endpoint.handler = resting(60s);
+    endpoint.handler = backingOff(60s);
     auto answers = std::vector<std::shared_ptr<std::optional<Got>>> {};
     for (auto i = 0; i < 8; ++i)
         answers.push_back(rig.begin(modelRequest(std::to_string(i))));
@@ -99,9 +100,9 @@
     CHECK(endpoint.seen.size() <= 1 + onTheWay);
 }
 
-TEST_CASE("A request waits for the end of a rest that leaves it time enough")
+TEST_CASE("A request waits for the end of a backoff that leaves it time enough")
 {
-    constexpr auto rest = 400ms;
+    constexpr auto backoff = 400ms;
     auto rig = Rig {};
     rig.forwarder.setCatalogue(testCatalogue(true));
     auto &endpoint = rig.addEndpoint("i-1", { "m0" });
@@ -109,21 +110,21 @@
     endpoint.handler = [&](const http::Request &request,
                            http::Responder &responder) -> boost::asio::awaitable<void> {
         arrivals.push_back(rig.clock.now());
-        const auto handler = arrivals.size() == 1 ? resting(rest) : answering("ok");
+        const auto handler = arrivals.size() == 1 ? backingOff(backoff) : answering("ok");
         co_await handler(request, responder);
     };
     CHECK(rig.call(modelRequest("r1")).status == 200);
     REQUIRE(arrivals.size() == 2);
-    CHECK(arrivals[1] - arrivals[0] >= rest);
+    CHECK(arrivals[1] - arrivals[0] >= backoff);
 }
 
-TEST_CASE("Without a model too, and when all endpoints rest the first to end is waited for")
+TEST_CASE("Without a model too, and when all endpoints back off the first to end is waited for")
 {
     auto rig = Rig {};
     auto &longer = rig.addEndpoint("i-1");
     auto &shorter = rig.addEndpoint("i-2");
-    longer.handler = resting(60s);
-    shorter.handler = resting(30s);
+    longer.handler = backingOff(60s);
+    shorter.handler = backingOff(30s);
     for (auto i = 0; i < 12; ++i) {
         const auto got = rig.call(Rig::request("/once/x", std::to_string(i)));
         CHECK(got.status == 503);
@@ -133,16 +134,16 @@
     CHECK(longer.seen.size() + shorter.seen.size() <= 2 * (1 + onTheWay));
 }
 
-TEST_CASE("A rest is not shortened, and is over with the incarnation that asked for it")
+TEST_CASE("A backoff is not shortened, and is over with the incarnation that asked for it")
 {
     auto clock = ManualClock {};
     auto view = FleetView { {}, clock };
     const auto first = EndpointId { "i-1", Incarnation { 1 } };
     const auto second = EndpointId { "i-1", Incarnation { 2 } };
-    const auto ask = [&](Duration rest) {
+    const auto ask = [&](Duration backoff) {
         auto notice = catalogue::EndpointNotice {};
         notice.notRun = true;
-        notice.rest = rest;
+        notice.backoff = backoff;
         view.onNotice(first, notice, clock.now());
     };
     announce(view, first);
--- a/gateway/testing/tst_endpointleaving.cpp
+++ b/gateway/testing/tst_endpointdraining.cpp
@@ -22,7 +22,7 @@
         auto response = http::Response {};
         response.status = status;
         response.headers
-                = { { "X-Id", std::string { request.header("X-Id") } }, { "X-Leaving", "1" } };
+                = { { "X-Id", std::string { request.header("X-Id") } }, { "X-Draining", "1" } };
         static_cast<void>(co_await responder.send(std::move(response)));
     };
 }
@@ -64,7 +64,7 @@
     const auto second = EndpointId { "i-1", Incarnation { 2 } };
     announce(view, first);
     auto notice = catalogue::EndpointNotice {};
-    notice.isLeaving = true;
+    notice.isDraining = true;
     view.onNotice(first, notice, clock.now());
     view.onNotice(first, {}, clock.now());
     CHECK_FALSE(view.takesWork(first));
--- a/policy/ratelimiter.h
+++ b/policy/ratelimiter.h
@@ -4,9 +4,9 @@
 //   limiter.onNamed(perSecond, heardAt, now);
 //   if (limiter.allows(now)) { limiter.take(now); send(); } else refuse(limiter.tellReturn(now));
 //
-// The load that it answers: an endpoint in need that takes some requests a second from all
-// gateways together, while callers ask for more. Tokens come evenly, and few are kept: what an
-// endpoint in need has not been sent before it cannot serve at once later.
+// The load that it answers: an overloaded endpoint that takes some requests a second from
+// all gateways together, while callers ask for more. Tokens come evenly, and few are kept: what it
+// was not sent before it cannot serve at once later.
 //
 // Who hears of a rate, and in which order, differs from sender to sender: the latest word
 // counts, by when it was heard. Pure: no I/O, no clock. Not thread-safe.
@@ -26,9 +26,10 @@
     double part = 1;
     /// Requests that may be sent at once: what comes in so long, and one at least.
     Duration burst = std::chrono::milliseconds { 500 };
-    /// Of one that names less, no answer would tell that it takes more again.
+    /// An endpoint that names less is sent so much all the same: only an answer tells that it takes
+    /// more again.
     double leastPerSecond = 0.1;
-    /// When an endpoint first names a rate, from none to one request may be sent at once.
+    /// When an endpoint first names a rate; below zero the first request waits longer.
     double firstTokens = 1;
     /// Nobody is told to come back later: a replica elsewhere takes about as long.
     Duration latestReturn = std::chrono::seconds { 4 };
