--- a/gateway/forwarderplacing.cpp
+++ b/gateway/forwarderplacing.cpp
@@ -159,8 +159,11 @@
     if (!ready)
         return std::nullopt;
     comeBack_ = std::max<Duration>(*ready - now, owner_.options_.comeBack);
-    if (lack == Lack::Backoff)
+    if (lack == Lack::Backoff) {
+        // A load elsewhere that is overdue may still come long before the end of the backoff.
+        comeBack_ = std::min(*comeBack_, expectedLoad(lack).value_or(*comeBack_));
         *comeBack_ += std::chrono::duration_cast<Duration>(returnSpread * parts_.random.unit());
+    }
     const auto limit = std::min(startBy_, owner_.placeBy_);
     if (*ready >= limit || now >= limit)
         return std::nullopt;
--- a/gateway/testing/tst_endpointbackoff.cpp
+++ b/gateway/testing/tst_endpointbackoff.cpp
@@ -100,6 +100,19 @@
     CHECK(endpoint.seen.size() <= 1 + onTheWay);
 }
 
+TEST_CASE("Who is refused during a long backoff comes back when a load elsewhere may be done")
+{
+    auto catalogue = *testCatalogue(true);
+    catalogue.services.front().engine->models.front().loadFromStore = Duration::zero();
+    auto rig = Rig {};
+    rig.forwarder.setCatalogue(std::make_shared<const catalogue::Catalogue>(catalogue));
+    rig.addEndpoint("i-1", { "m0" }).handler = backingOff(24h);
+    rig.addEndpoint("i-2").handler = answering("ok"); // It could load the model, and never does.
+    const auto got = rig.call(modelRequest("r1"));
+    CHECK(got.status == 503);
+    CHECK(comeBackOf(got) <= 10s);
+}
+
 TEST_CASE("A request waits for the end of a backoff that leaves it time enough")
 {
     constexpr auto backoff = 400ms;
