Tests: requests beyond an endpoint's rate are demand, and bring another replica

Both hold without a change: what no endpoint may take counts as refused, and a model that misses two of three requests gets another replica elsewhere.

--- a/fleet/testing/tst_placement.cpp
+++ b/fleet/testing/tst_placement.cpp
@@ -304,6 +304,19 @@
     CHECK(plan(input).plans.empty());
 }
 
+TEST_CASE("A model of which its only endpoint takes a part of the requests gets another replica")
+{
+    const auto engine = makeEngine();
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 3, 0 };
+    input.hosts = { makeHost("e1", { "m0" }), makeHost("e2", {}) };
+    // 3 requests a second, of which the endpoint takes 1.
+    input.models[ModelId { "m0" }] = { .perSecond = 3, .running = 1, .refused = 6 };
+    const auto plans = plan(input).plans;
+    REQUIRE(plans.size() == 1);
+    CHECK(plans[0].endpoint == EndpointId { "e2" });
+    CHECK(plans[0].steps.back().model == ModelId { "m0" });
+}
+
 TEST_CASE("A model that begins to be asked for gets its replicas before its requests are many")
 {
     const auto engine = makeEngine();
--- a/gateway/testing/tst_endpointrate.cpp
+++ b/gateway/testing/tst_endpointrate.cpp
@@ -350,3 +350,21 @@
     view.onNotice(id, {}, clock.now());
     CHECK_FALSE(view.find(id)->isRateLimited());
 }
+
+TEST_CASE("Requests beyond a rate are demand that lacks a replica")
+{
+    auto rig = Rig {};
+    rig.forwarder.setCatalogue(testCatalogue(true));
+    auto arrivals = std::vector<Instant> {};
+    rig.addEndpoint("i-1", { "m0" }).handler = namingRate("0", rig.clock, arrivals);
+    auto refused = std::uint32_t { 0 };
+    for (auto i = 0; i < 10; ++i) {
+        auto request = Rig::request("/once/x", std::to_string(i));
+        request.headers.push_back({ "X-Model", "m0" });
+        refused += rig.call(std::move(request)).status == 503 ? 1 : 0;
+    }
+    CHECK(refused > 0);
+    const auto report = rig.demand.take();
+    REQUIRE(report.rows.size() == 1);
+    CHECK(report.rows.front().refused == refused);
+}
