--- a/catalogue/catalogue.h
+++ b/catalogue/catalogue.h
@@ -93,6 +93,8 @@
     ServiceId id;
     std::uint32_t maxConnections = 0; ///< That one endpoint takes from all callers together.
     std::optional<EngineSpec> engine;
+    /// Requests a second that one cold endpoint takes from all gateways together; 0: any number.
+    double coldPerSecond = 0;
 };
 
 struct Catalogue
--- a/catalogue/endpointrow.h
+++ b/catalogue/endpointrow.h
@@ -48,16 +48,19 @@
     std::vector<HeldModel> models;
     std::vector<ModelId> inMemory; ///< Copies of weights that load fast.
     std::vector<ModelId> onDisk;   ///< Copies of weights that load nearly as fast.
+    /// How much longer the endpoint is cold, ms; a cold one takes only a limited rate of requests.
+    std::uint32_t coldMs = 0;
     /// @return the model as held, or nullptr
     auto find(const ModelId &model) const -> const HeldModel *;
-    /// @return true when nothing but the age of the announcement differs
+    /// @return true when nothing but the age of the announcement and the time left until the
+    /// endpoint is warm differs
     auto sameAs(const EndpointRow &other) const -> bool;
 
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
         archive(id, service, address, domain, slots, state, sequence, orderVersion, models,
-                inMemory, onDisk);
+                inMemory, onDisk, coldMs);
     }
 };
 
--- a/core/error.cpp
+++ b/core/error.cpp
@@ -107,6 +107,8 @@
           "change the request, or try again after the time given" },
         { ErrorKind::OverLimit, StatusCode::kResourceExhausted, "over_limit",
           "the client account has used up its limit", "try again after the time given" },
+        { ErrorKind::UnknownDomain, StatusCode::kNotFound, "unknown_domain",
+          "nothing is known to be in this failure domain", "name the domain of a known endpoint" },
 } };
 
 constexpr auto tableIsOrdered() -> bool
--- a/core/error.h
+++ b/core/error.h
@@ -63,10 +63,11 @@
     InUse,       ///< Something else still refers to what is to be removed or replaced.
     Quarantined, ///< Endpoint after endpoint ended while it ran this work.
     OverLimit,   ///< The client account has used up what its limit gives.
+    UnknownDomain,
 };
 
 /// Number of kinds, for tables indexed by kind.
-constexpr auto errorKindCount = std::size_t { static_cast<std::size_t>(ErrorKind::OverLimit) + 1 };
+constexpr auto errorKindCount = std::size_t { static_cast<std::size_t>(ErrorKind::UnknownDomain) + 1 };
 
 /// The wire and log name of a kind, snake_case.
 /// @param kind any ErrorKind value
--- a/fleet/configlog.h
+++ b/fleet/configlog.h
@@ -1,11 +1,16 @@
-// The replicated configuration document: the state machine of a control group.
+// What operators have decided: the state machine of a control group. It holds the
+// configuration document and the evacuated failure domains.
 //
 //   auto log = ConfigLog {};
 //   auto replica = coord::Replica { options, clock, transport, store, log, random };
 //   replica.propose(ConfigLog::encode({ version, text }));
 //
 // Guarantees: the version never falls; a document under a version that is not
-// higher than the held one changes nothing. The text is kept byte for byte.
+// higher than the held one changes nothing. The text is kept byte for byte. Of
+// evacuations the order in the log decides, and the revision never falls.
+//
+// Entries and snapshots without evacuations, as earlier releases wrote them, can
+// be read.
 
 #ifndef FIGRACK_FLEET_CONFIGLOG_H
 #define FIGRACK_FLEET_CONFIGLOG_H
@@ -17,6 +22,7 @@
 
 #include <absl/status/status.h>
 
+#include "catalogue/evacuations.h"
 #include "coord/replica.h"
 #include "core/ids.h"
 
@@ -40,6 +46,8 @@
 public:
     /// @return the command that proposes a document
     static auto encode(const Document &document) -> std::string;
+    /// @return the command that proposes a change of the evacuated domains
+    static auto encode(const catalogue::EvacuationChange &change) -> std::string;
 
     /// @return the version that a log entry proposes; nullopt when it is not a document
     static auto versionOf(const coord::Entry &entry) -> std::optional<Revision>;
@@ -48,15 +56,22 @@
     auto snapshot() const -> std::string override;
     auto restore(std::string_view state, LogIndex lastIndex) -> absl::Status override;
 
+    /// Returns to the state before the first entry, for a replica that is started again.
+    auto reset() -> void;
     auto document() const -> const Document & { return document_; }
+    auto evacuations() const -> const catalogue::Evacuations & { return evacuations_; }
     /// Sets the function that is called for each applied command; it must not call the replica.
     auto setOnApplied(std::function<void(LogIndex, Term)> listener) -> void;
-    /// Sets the function that is called when a snapshot has replaced the document; it must not
+    /// Sets the function that is called when a snapshot has replaced the state; it must not
     /// call the replica.
     auto setOnRestored(std::function<void(LogIndex)> listener) -> void;
 
 private:
+    auto applyDocument(const coord::Entry &entry) -> void;
+    auto applyEvacuation(const coord::Entry &entry) -> void;
+
     Document document_;
+    catalogue::Evacuations evacuations_;
     std::function<void(LogIndex, Term)> onApplied_;
     std::function<void(LogIndex)> onRestored_;
 };
--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -13,12 +13,11 @@
 #include "core/error.h"
 #include "core/log.h"
 #include "fleet/announcements.h"
-#include "fleet/documentrollout.h"
+#include "fleet/decisions.h"
 #include "fleet/documentvoter.h"
 #include "fleet/lastknown.h"
 #include "fleet/loadguard.h"
 #include "fleet/metrics.h"
-#include "fleet/proposals.h"
 #include "fleet/recentdocuments.h"
 #include "fleet/suspectsync.h"
 #include "fleet/trials.h"
@@ -59,7 +58,7 @@
         , readDocument_(std::move(readDocument))
         , random_(seed)
         , lastKnown_(options_.dataFolder, disk_)
-        , rollout_(clock, metrics_)
+        , decisions_(options_.decisions, clock, lastKnown_, metrics_)
         , registry_(options_.registry, clock)
         , announcements_(registry_, KnownServices { readDocument_ }, clock, metrics_)
         , groupManager_(options_.group, clock)
@@ -83,12 +82,8 @@
         server_ = std::make_unique<proto::PeerServer>(context_, channel, serverHandler());
         if (auto status = server_->start(options_.peers); !status.ok())
             return status;
-        log_.setOnApplied([this](LogIndex index, Term term) {
-            voter_->onApplied(index, log_.document().version);
-            proposals_.onApplied(index, term);
-        });
-        log_.setOnRestored(
-                [this](LogIndex index) { voter_->onApplied(index, log_.document().version); });
+        decisions_.setOnApplied(
+                [this](LogIndex index, Revision document) { voter_->onApplied(index, document); });
         registry_.setOnChanged([this](const catalogue::EndpointRow &row) {
             orders_.onRowChanged(row.id);
             endpointsChanged_ = true;
@@ -129,26 +124,25 @@
             done(makeError(ErrorKind::NotLeader, "control"));
             return;
         }
-        const auto version = document.version;
-        const auto deadline = clock_.now() + options_.proposalTimeout;
-        if (version <= log_.document().version) {
-            awaitRollout(version, deadline, std::move(done));
+        decisions_.propose(document, std::move(done));
+        settle();
+    }
+
+    auto changeEvacuation(const catalogue::EvacuationChange &change, Done done) -> void
+    {
+        if (!replica_ || read().document == nullptr) {
+            done(makeError(ErrorKind::NotLeader, "control"));
             return;
         }
-        const auto term = replica_->status().term;
-        const auto index = replica_->propose(ConfigLog::encode(document));
-        if (!index.ok()) {
-            done(index.status());
+        if (!registry_.knowsDomain(change.domain)
+            && !decisions_.newestEvacuations().contains(change.domain)) {
+            // A new leader may not have received the announcements from the domain yet.
+            const auto isSettled = clock_.now() - leadingSince_ >= options_.domainsKnownAfter;
+            done(makeError(isSettled ? ErrorKind::UnknownDomain : ErrorKind::NotLeader,
+                           "domain=" + change.domain.value()));
             return;
         }
-        auto onCommitted = [this, version, deadline, done = std::move(done)](absl::Status status) {
-            if (status.ok())
-                awaitRollout(version, deadline, done);
-            else
-                done(std::move(status));
-        };
-        proposals_.add(*index, term, deadline, std::move(onCommitted));
-        replica_->flush();
+        decisions_.changeEvacuation(change, std::move(done));
         settle();
     }
 
@@ -157,7 +151,7 @@
         if (!replica_ || stopping_)
             return {};
         if (replica_->holdsLease())
-            return { &log_.document(), std::nullopt };
+            return { &decisions_.log().document(), std::nullopt };
         const auto status = replica_->status();
         const auto *leader = status.membership.find(status.leader);
         if (leader == nullptr || status.leader == options_.name)
@@ -199,7 +193,7 @@
 
     auto onAnnouncement(const catalogue::EndpointRow &row, Done done) -> void
     {
-        announcements_.onAnnouncement(row, newestDocument(), std::move(done));
+        announcements_.onAnnouncement(row, decisions_.newestDocument(), std::move(done));
     }
 
     auto announcements() -> Announcements & { return announcements_; }
@@ -220,6 +214,9 @@
         auto authority = Authority {};
         authority.mayOrder = [this] { return mayOrder(); };
         authority.fence = [this] { return Fence { status().term.value() }; };
+        authority.isEvacuated = [this](const DomainId &domain) {
+            return decisions_.newestEvacuations().contains(domain);
+        };
         authority.onPlanEnded = [this] { planSoon(); };
         authority.onEndedDuringLoad = [this](const ModelId &model, const EndpointId &endpoint) {
             loadGuard_.onEnded(model, endpoint);
@@ -262,7 +259,7 @@
             else if (const auto *use = std::get_if<proto::AccountNews>(&envelope.payload))
                 self->ledger_.onNews(peer->peer(), *use);
             else if (const auto *reply = std::get_if<coord::RevisionReply>(&envelope.payload))
-                self->proof_.onReply(*reply, self->newestDocument().version);
+                self->proof_.onReply(*reply, self->decisions_.newestDocument().version);
         };
         handler.onClose = [](const proto::PeerPointer &peer, const absl::Status &status) {
             LogEvent(LogLevel::Warning, "control_lost").with("control", peer->peer()).with(status);
@@ -284,7 +281,7 @@
                       if (!self)
                           return;
                       const auto kind = self->registry_.onClose(peer);
-                      self->rollout_.onLost(peer);
+                      self->decisions_.rollout().onLost(peer);
                       self->demand_.onGatewayLost(peer->peer());
                       self->balancer_.onGatewayLost(peer->peer());
                       self->trials_.onGatewayLost(peer->peer());
@@ -305,8 +302,8 @@
             onSubscribe(peer, *subscribe);
         } else if (const auto *ack = std::get_if<proto::ServingAck>(&envelope.payload)) {
             registry_.onAck(peer, *ack);
-        } else if (const auto *inForce = std::get_if<proto::DocumentInForce>(&envelope.payload)) {
-            rollout_.onInForce(peer, inForce->version);
+        } else if (const auto *inForce = std::get_if<proto::InForce>(&envelope.payload)) {
+            decisions_.rollout().onInForce(peer, *inForce);
         } else if (const auto *wanted = std::get_if<proto::ModelWanted>(&envelope.payload)) {
             if (demand_.onReport(peer->peer(), *wanted))
                 planSoon();
@@ -364,9 +361,9 @@
     {
         if (const auto query = proof_.nextQuery()) {
             transport_->pushToAll(*query);
-            proof_.onReply(answerAsVoter(*query), newestDocument().version);
+            proof_.onReply(answerAsVoter(*query), decisions_.newestDocument().version);
         }
-        proof_.settle(newestDocument().version);
+        proof_.settle(decisions_.newestDocument().version);
     }
 
     /// @return true while this control receives the decisions of its group
@@ -381,15 +378,7 @@
         registry_.onSubscribe(peer, subscribe);
         suspects_.onSubscribed(peer, subscribe.kind);
         if (subscribe.kind == proto::SubscriberKind::Gateway)
-            rollout_.onSubscribed(peer, subscribe.ready, subscribe.inForce);
-    }
-
-    /// Gives gateways time to apply the change, because an operator's next step may rely on it.
-    auto awaitRollout(Revision version, Instant deadline, Done done) -> void
-    {
-        const auto rolloutDeadline = std::min(deadline, clock_.now() + options_.rolloutTimeout);
-        rollout_.await(version, rolloutDeadline,
-                       [done = std::move(done)] { done(absl::OkStatus()); });
+            decisions_.rollout().onSubscribed(peer, subscribe.ready, subscribe.inForce);
     }
 
     auto onUpdate(const proto::ServingUpdate &update) -> void
@@ -424,8 +413,9 @@
         }
         store_ = std::make_unique<coord::FileLogStore>(
                 coord::FileLogStoreOptions { .folder = options_.dataFolder }, disk_);
-        replica_ = std::make_unique<coord::Replica>(options, clock_, *transport_, *store_, log_,
-                                                    random_);
+        replica_ = std::make_unique<coord::Replica>(options, clock_, *transport_, *store_,
+                                                    decisions_.log(), random_);
+        decisions_.setReplica(replica_.get());
         // Each start of the replica gets a new voter, which requires what the disk holds.
         voter_.emplace(options_.name);
         replica_->setStoredHook([this](const coord::Entry &entry, bool stored) {
@@ -436,7 +426,7 @@
             voter_->onRecovered();
         LogEvent(status.ok() ? LogLevel::Info : LogLevel::Error, "replica_started")
                 .with("incarnation", replica_->status().incarnation)
-                .with("document", log_.document().version)
+                .with("document", decisions_.log().document().version)
                 .with(status);
         settle();
     }
@@ -454,9 +444,9 @@
         if (now - *stoppedAt_ < options_.restartEvery)
             return;
         stoppedAt_.reset();
+        decisions_.setReplica(nullptr);
         replica_.reset();
         store_.reset();
-        proposals_.settle({}, now);
         startReplica();
     }
 
@@ -479,7 +469,7 @@
         settle();
         restartIfStopped();
         registry_.tick();
-        rollout_.settle();
+        decisions_.rollout().settle();
         suspects_.tick();
         ledger_.tick(hearsGroup());
         proveDocument();
@@ -509,20 +499,20 @@
         if (!replica_ || std::exchange(settling_, true))
             return;
         const auto now = replica_->status();
-        proposals_.settle(now, clock_.now());
+        decisions_.settle(now);
         noteLeading(now);
         if (now.membership.members != members_) {
             members_ = now.membership.members;
             transport_->setPeers(members_);
         }
         auto group = GroupView {};
-        recentDocuments_.addDocument(newestDocument());
-        group.document = newestDocument().version;
+        recentDocuments_.addDocument(decisions_.newestDocument());
+        group.document = decisions_.newestDocument().version;
         group.leader = now.leader;
         group.term = now.term;
         group.controls = members_;
+        group.evacuations = decisions_.newestEvacuations();
         registry_.setGroup(group);
-        rememberDocument();
         settling_ = false;
     }
 
@@ -530,31 +520,14 @@
 
     auto recall() -> void
     {
-        recalled_ = lastKnown_.loadDocument();
-        savedVersion_ = recalled_.version;
+        decisions_.recall();
         auto endpoints = lastKnown_.loadEndpoints();
-        LogEvent(LogLevel::Info, "recalled")
-                .with("document", recalled_.version)
+        LogEvent(LogLevel::Info, "endpoints_recalled")
                 .with("endpoints", static_cast<std::uint64_t>(endpoints.size()));
         registry_.recall(std::move(endpoints));
         suspects_.recall();
     }
 
-    /// @return the newest document known to be committed. After a start, until the log has been
-    /// applied, this is the one that was applied before the restart
-    auto newestDocument() const -> const Document &
-    {
-        return log_.document().version >= recalled_.version ? log_.document() : recalled_;
-    }
-
-    auto rememberDocument() -> void
-    {
-        if (log_.document().version <= savedVersion_)
-            return;
-        savedVersion_ = log_.document().version;
-        lastKnown_.save(log_.document());
-    }
-
     auto rememberEndpoints() -> void
     {
         const auto now = clock_.now();
@@ -657,7 +630,8 @@
             if (row->service != service.id || row->state != catalogue::EndpointState::Ready)
                 continue;
             // The models it holds are not available to anybody. If it returns, they count again.
-            if (unreachable.contains(row->id))
+            if (unreachable.contains(row->id)
+                || decisions_.newestEvacuations().contains(row->domain))
                 continue;
             const auto *held = orders_.held(row->id);
             input.hosts.push_back({ row->id, held != nullptr ? *held : row->models, row->inMemory,
@@ -711,7 +685,7 @@
 
     auto currentCatalogue() -> const catalogue::Catalogue *
     {
-        const auto &held = log_.document();
+        const auto &held = decisions_.log().document();
         if (held.version == Revision {})
             return nullptr;
         if (catalogue_ && catalogue_->version == held.version)
@@ -752,11 +726,9 @@
     Random random_;
     coord::PosixDisk disk_;
     LastKnownStore lastKnown_;
-    Document recalled_; ///< The document that was applied here before the start.
-    ConfigLog log_;
     RecentDocuments recentDocuments_;
     Metrics metrics_;
-    DocumentRollout rollout_;
+    Decisions decisions_;
     Registry registry_;
     Announcements announcements_;
     GroupManager groupManager_;
@@ -769,7 +741,6 @@
     AccountLedger ledger_;
     DocumentProof proof_;
     std::optional<DocumentVoter> voter_; ///< Created for each start of the replica.
-    Proposals proposals_;
     std::unique_ptr<control::PeerTransport> transport_;
     std::unique_ptr<proto::PeerServer> server_;
     std::unique_ptr<coord::FileLogStore> store_;
@@ -791,7 +762,6 @@
     Instant nextPlan_ {};
     Instant nextLoads_ {};
     Instant nextSave_ {};
-    Revision savedVersion_;
     Term leadTerm_;
     bool leads_ = false;
     bool settling_ = false;
@@ -831,6 +801,11 @@
     impl_->propose(document, std::move(done));
 }
 
+auto Core::changeEvacuation(const catalogue::EvacuationChange &change, Done done) -> void
+{
+    impl_->changeEvacuation(change, std::move(done));
+}
+
 auto Core::read() const -> ReadResult
 {
     return impl_->read();
--- a/fleet/core.h
+++ b/fleet/core.h
@@ -3,12 +3,13 @@
 //   auto core = Core { context, options, clock, port, readDocument };
 //   if (auto status = core.start(); !status.ok()) ...
 //   core.propose(document, done);      core.read();      core.registry().onAnnouncement(row);
+//   core.changeEvacuation(change, done);
 //   core.requestStop(onStopped);
 //
-// The replicated log holds the configuration document. Endpoints, gateways and
-// demand are soft state, kept in memory. Only the leader orders loads. A replica
-// whose disk fails is stopped and restarted from the disk every restartEvery;
-// in the meantime endpoints and gateways are served from memory.
+// The replicated log holds the configuration document and the evacuated failure
+// domains. Endpoints, gateways and demand are soft state, kept in memory. Only the leader orders
+// loads. A replica whose disk fails is stopped and restarted from the disk every restartEvery; in
+// the meantime endpoints and gateways are served from memory.
 //
 // Everything runs on the context's single thread.
 
@@ -32,6 +33,7 @@
 #include "fleet/accountledger.h"
 #include "fleet/balancer.h"
 #include "fleet/configlog.h"
+#include "fleet/decisions.h"
 #include "fleet/demandtable.h"
 #include "fleet/documentproof.h"
 #include "fleet/group.h"
@@ -60,13 +62,10 @@
     /// A new leader sends its first order only when every order of its predecessor is so old that
     /// orders of the two cannot count as alternating.
     Duration orderQuarantine = std::chrono::milliseconds { 3300 };
-    /// A change that is not committed within this time is answered with an unknown outcome.
-    /// Endpoints and operators wait for one second.
-    Duration proposalTimeout = std::chrono::milliseconds { 900 };
-    /// How long to wait for gateways to apply a committed change before it is acknowledged. In a
-    /// large fleet they take a few hundred milliseconds. A gateway that hangs delays every change
-    /// by this time.
-    Duration rolloutTimeout = std::chrono::milliseconds { 400 };
+    DecisionOptions decisions;
+    /// Time in which a new leader has received announcements from all failure domains: a few
+    /// announcement intervals. Until then it does not call a domain unknown.
+    Duration domainsKnownAfter = std::chrono::seconds { 6 };
     /// Interval at which the endpoints are saved for a restart, if they have changed.
     Duration saveEndpointsEvery = std::chrono::seconds { 1 };
     Duration restartEvery = std::chrono::seconds { 1 };
@@ -102,8 +101,14 @@
     /// Proposes a document. Call it only where read() returns a document. @param document already
     /// checked by the caller
     /// @param done OK when the document is committed or superseded by a newer one, and the gateways
-    /// have applied it or rolloutTimeout has passed; otherwise the outcome is unknown
+    /// have applied it or DecisionOptions::rolloutTimeout has passed; otherwise the outcome is
+    /// unknown
     auto propose(const Document &document, Done done) -> void;
+    /// Evacuates a failure domain, or withdraws its evacuation. Call it only where read() returns
+    /// a document. Calling it again with the same change is harmless.
+    /// @param done likewise; UnknownDomain when nothing is known to be in the domain; otherwise
+    /// the outcome is unknown
+    auto changeEvacuation(const catalogue::EvacuationChange &change, Done done) -> void;
     auto read() const -> ReadResult;
     auto registry() -> Registry &;
     /// Handles an endpoint's announcement. @param row the decoded announcement
--- a/fleet/documentrollout.cpp
+++ b/fleet/documentrollout.cpp
@@ -6,28 +6,39 @@
 #include "core/log.h"
 
 namespace figrack::fleet {
+namespace {
+
+/// Reports may arrive late, and a part may be absent from one, so the newest of each part counts.
+auto merge(proto::InForce &known, const proto::InForce &reported) -> void
+{
+    known.document = std::max(known.document, reported.document);
+    known.evacuations = std::max(known.evacuations, reported.evacuations);
+}
+
+} // namespace
 
 DocumentRollout::DocumentRollout(const Clock &clock, Metrics &metrics)
     : clock_(clock)
     , metrics_(metrics)
 { }
 
-auto DocumentRollout::onSubscribed(const proto::PeerPointer &peer, bool ready, Revision version)
-        -> void
+auto DocumentRollout::onSubscribed(const proto::PeerPointer &peer, bool ready,
+                                   const proto::InForce &inForce) -> void
 {
     auto &gateway = gateways_[peer.get()];
     gateway.name = peer->peer();
     gateway.ready = ready;
-    gateway.version = std::max(gateway.version, version);
+    merge(gateway.inForce, inForce);
     settle();
 }
 
-auto DocumentRollout::onInForce(const proto::PeerPointer &peer, Revision version) -> void
+auto DocumentRollout::onInForce(const proto::PeerPointer &peer, const proto::InForce &inForce)
+        -> void
 {
     const auto found = gateways_.find(peer.get());
     if (found == gateways_.end())
-        return; // The gateway reports its version when it subscribes.
-    found->second.version = std::max(found->second.version, version);
+        return; // The gateway reports what it has in force when it subscribes.
+    merge(found->second.inForce, inForce);
     settle();
 }
 
@@ -37,9 +48,9 @@
         settle();
 }
 
-auto DocumentRollout::await(Revision version, Instant deadline, Done done) -> void
+auto DocumentRollout::await(const proto::InForce &target, Instant deadline, Done done) -> void
 {
-    waiting_.push_back({ version, clock_.now(), deadline, std::move(done) });
+    waiting_.push_back({ target, clock_.now(), deadline, std::move(done) });
     settle();
 }
 
@@ -48,11 +59,11 @@
     const auto now = clock_.now();
     auto ended = std::vector<std::pair<Waiting, std::vector<NodeId>>> {};
     for (auto item = waiting_.begin(); item != waiting_.end();) {
-        if (now < item->deadline && hasGatewayBehind(item->version)) {
+        if (now < item->deadline && hasGatewayBehind(item->target)) {
             ++item;
             continue;
         }
-        auto without = gatewaysBehind(item->version);
+        auto without = gatewaysBehind(item->target);
         ended.emplace_back(std::move(*item), std::move(without));
         item = waiting_.erase(item);
     }
@@ -61,18 +72,17 @@
 }
 
 /// Stops at the first gateway that is behind, since this is called for each report of a gateway.
-auto DocumentRollout::hasGatewayBehind(Revision version) const -> bool
+auto DocumentRollout::hasGatewayBehind(const proto::InForce &target) const -> bool
 {
-    return std::any_of(gateways_.begin(), gateways_.end(), [version](const auto &item) {
-        return item.second.ready && item.second.version < version;
-    });
+    return std::any_of(gateways_.begin(), gateways_.end(),
+                       [&](const auto &item) { return item.second.isBehind(target); });
 }
 
-auto DocumentRollout::gatewaysBehind(Revision version) const -> std::vector<NodeId>
+auto DocumentRollout::gatewaysBehind(const proto::InForce &target) const -> std::vector<NodeId>
 {
     auto result = std::vector<NodeId> {};
     for (const auto &[peer, gateway] : gateways_) {
-        if (gateway.ready && gateway.version < version)
+        if (gateway.isBehind(target))
             result.push_back(gateway.name);
     }
     return result;
@@ -84,7 +94,8 @@
     const auto took = clock_.now() - waiting.since;
     auto line = LogEvent { gatewaysBehind.empty() ? LogLevel::Info : LogLevel::Warning,
                            "document_spread" };
-    line.with("version", waiting.version)
+    line.with("version", waiting.target.document)
+            .with("evacuations", waiting.target.evacuations)
             .with("gateways", static_cast<std::uint64_t>(gateways_.size()))
             .with("lacking", static_cast<std::uint64_t>(gatewaysBehind.size()))
             .with("waited_ms", std::chrono::duration_cast<std::chrono::milliseconds>(took).count());
--- a/fleet/documentrollout.h
+++ b/fleet/documentrollout.h
@@ -1,7 +1,8 @@
-// Tracks which document each gateway has in force, and waits until all of them have a given one.
+// Tracks which document and which evacuations each gateway has in force, and waits until all of
+// them have given ones.
 //
-//   rollout.onSubscribed(peer, ready, version);   rollout.onInForce(peer, version);
-//   rollout.await(version, deadline, done);       // after the commit
+//   rollout.onSubscribed(peer, ready, inForce);   rollout.onInForce(peer, inForce);
+//   rollout.await(target, deadline, done);        // after the commit
 //   rollout.settle();                             // with each tick
 //
 // A change is acknowledged to the operator when each gateway that callers may be
@@ -35,13 +36,14 @@
     DocumentRollout(const Clock &clock, Metrics &metrics);
 
     /// Call when a gateway subscribes, or changes whether callers may be directed to it.
-    /// @param version the version that it has in force; 0: none
-    auto onSubscribed(const proto::PeerPointer &peer, bool ready, Revision version) -> void;
-    auto onInForce(const proto::PeerPointer &peer, Revision version) -> void;
+    auto onSubscribed(const proto::PeerPointer &peer, bool ready, const proto::InForce &inForce)
+            -> void;
+    auto onInForce(const proto::PeerPointer &peer, const proto::InForce &inForce) -> void;
     auto onLost(const proto::PeerPointer &peer) -> void;
-    /// @param done called once: when all ready gateways have the version or a newer one in force,
+    /// @param target what must be in force; a part that is 0 is not waited for
+    /// @param done called once: when all ready gateways have the target or newer state in force,
     /// or at the deadline; possibly before await() returns
-    auto await(Revision version, Instant deadline, Done done) -> void;
+    auto await(const proto::InForce &target, Instant deadline, Done done) -> void;
     auto settle() -> void;
 
 private:
@@ -49,18 +51,22 @@
     {
         NodeId name;
         bool ready = false;
-        Revision version;
+        proto::InForce inForce;
+        auto isBehind(const proto::InForce &target) const -> bool
+        {
+            return ready && !inForce.covers(target);
+        }
     };
     struct Waiting
     {
-        Revision version;
+        proto::InForce target;
         Instant since;
         Instant deadline;
         Done done;
     };
 
-    auto hasGatewayBehind(Revision version) const -> bool;
-    auto gatewaysBehind(Revision version) const -> std::vector<NodeId>;
+    auto hasGatewayBehind(const proto::InForce &target) const -> bool;
+    auto gatewaysBehind(const proto::InForce &target) const -> std::vector<NodeId>;
     auto end(const Waiting &waiting, const std::vector<NodeId> &gatewaysBehind) const -> void;
 
     const Clock &clock_;
--- a/fleet/lastknown.cpp
+++ b/fleet/lastknown.cpp
@@ -1,5 +1,5 @@
-// There is one file each for the document, the endpoints and the suspected work. A
-// file contains a checksum followed by the value. It is written under a temporary
+// There is one file each for the document, the evacuations, the endpoints and the
+// suspected work. A file contains a checksum followed by the value. It is written under a temporary
 // name, synced and renamed, and then its folder is synced, so that after a power
 // loss it holds either the old state or the new one.
 
@@ -20,6 +20,7 @@
 namespace {
 
 constexpr auto documentName = "known-document";
+constexpr auto evacuationsName = "known-evacuations";
 constexpr auto endpointsName = "known-endpoints";
 constexpr auto suspectsName = "known-suspects";
 /// The recovery of the log removes leftover files with this suffix.
@@ -76,6 +77,11 @@
     return load<Document>(documentName);
 }
 
+auto LastKnownStore::loadEvacuations() -> catalogue::Evacuations
+{
+    return load<catalogue::Evacuations>(evacuationsName);
+}
+
 auto LastKnownStore::loadEndpoints() -> std::vector<catalogue::EndpointRow>
 {
     return load<std::vector<catalogue::EndpointRow>>(endpointsName);
@@ -91,6 +97,11 @@
     post(documentName, serialize(document));
 }
 
+auto LastKnownStore::save(const catalogue::Evacuations &evacuations) -> void
+{
+    post(evacuationsName, serialize(evacuations));
+}
+
 auto LastKnownStore::save(const std::vector<catalogue::EndpointRow> &endpoints) -> void
 {
     post(endpointsName, serialize(endpoints));
--- a/fleet/lastknown.h
+++ b/fleet/lastknown.h
@@ -3,6 +3,7 @@
 //   auto store = LastKnownStore { folder, disk };
 //   const auto document = store.loadDocument();   // empty when there is none
 //   store.save(document);                         // returns at once; written in the background
+//   store.save(evacuations);
 //   store.save(endpoints);
 //   store.save(suspects);
 //
@@ -12,6 +13,8 @@
 // to 1.5 s), an endpoint until it announces itself (0 to 1.2 s). With the store,
 // gateways serve 0.2 s after the start.
 //
+// Evacuations are saved because a gateway must know them before its first request.
+//
 // Suspected work is saved for the same case: with an empty table, work that was
 // in quarantine would end three more endpoints after each loss of all processes.
 //
@@ -38,6 +41,7 @@
 #include <absl/status/status.h>
 
 #include "catalogue/endpointrow.h"
+#include "catalogue/evacuations.h"
 #include "catalogue/suspect.h"
 #include "coord/disk.h"
 #include "fleet/configlog.h"
@@ -57,11 +61,14 @@
 
     /// @return the last saved document; version 0 when there is none or it cannot be read
     auto loadDocument() -> Document;
+    /// @return the last saved evacuations; revision 0 when there are none or they cannot be read
+    auto loadEvacuations() -> catalogue::Evacuations;
     /// @return the last saved endpoints; none when they cannot be read
     auto loadEndpoints() -> std::vector<catalogue::EndpointRow>;
     /// @return the last saved suspected work; none when it cannot be read
     auto loadSuspects() -> std::vector<catalogue::SuspectRow>;
     auto save(const Document &document) -> void;
+    auto save(const catalogue::Evacuations &evacuations) -> void;
     auto save(const std::vector<catalogue::EndpointRow> &endpoints) -> void;
     auto save(const std::vector<catalogue::SuspectRow> &suspects) -> void;
 
--- a/fleet/orders.cpp
+++ b/fleet/orders.cpp
@@ -271,7 +271,7 @@
         for (auto tries = 0U; tries < options_.maxTries; ++tries) {
             const auto *row = registry_.find(id);
             const auto isReady = row != nullptr && row->state == catalogue::EndpointState::Ready;
-            if (!isReady || !authority_.mayOrder())
+            if (!isReady || !authority_.mayOrder() || isEvacuated(*row))
                 co_return false;
             if (!heldStates_.contains(id) && !co_await readHeldState(id)) {
                 co_await pause(options_.retryPause);
@@ -303,6 +303,11 @@
         co_return false;
     }
 
+    auto isEvacuated(const EndpointRow &row) const -> bool
+    {
+        return authority_.isEvacuated && authority_.isEvacuated(row.domain);
+    }
+
     auto send(const EndpointId &id, const PlanStep &step) -> asio::awaitable<OrderReply>
     {
         // The endpoint may have been forgotten while the report was read.
--- a/fleet/orders.h
+++ b/fleet/orders.h
@@ -15,7 +15,7 @@
 // endpoint holds.
 //
 // Guarantees: an endpoint has one plan at a time. No order is sent while
-// mayOrder() is false. A step starts only when the endpoint itself, or its
+// mayOrder() is false, or to an endpoint in an evacuated failure domain. A step starts only when the endpoint itself, or its
 // answer, says that the previous step is complete. The number of loads from the
 // store that start within a window stays within its limit. A new leader counts
 // the window before its term as full, so it starts with the few loads that the
@@ -111,6 +111,8 @@
 {
     std::function<bool()> mayOrder;
     std::function<Fence()> fence;
+    /// @return true when the failure domain is evacuated; may be empty
+    std::function<bool(const DomainId &)> isEvacuated;
     std::function<void()> onPlanEnded;
     /// Called when the endpoint's process ended while it loaded the model.
     std::function<void(const ModelId &, const EndpointId &)> onEndedDuringLoad;
--- a/fleet/registry.cpp
+++ b/fleet/registry.cpp
@@ -12,6 +12,13 @@
 using catalogue::EndpointRow;
 using catalogue::EndpointState;
 
+namespace {
+
+/// Announcements are delayed by different times, so the ends that they state differ slightly.
+constexpr auto coldTolerance = std::chrono::milliseconds { 500 };
+
+} // namespace
+
 Registry::Registry(RegistryOptions options, const Clock &clock)
     : options_(std::move(options))
     , clock_(clock)
@@ -34,6 +41,7 @@
         return;
     auto update = baseUpdate();
     update.controls = group_.controls;
+    update.evacuations = group_.evacuations;
     // If two endpoints were known at one address, the receiver keeps the later one in the update,
     // so the one heard last must come last.
     auto sorted = std::vector<const Known *> {};
@@ -42,7 +50,7 @@
     std::sort(sorted.begin(), sorted.end(),
               [](const Known *one, const Known *other) { return one->heardAt < other->heardAt; });
     for (const auto *known : sorted)
-        update.endpoints.push_back(known->row);
+        update.endpoints.push_back(rowToSend(*known));
     update.wantsAck = true;
     update.number = ++lastNumber_;
     subscriber.asked = update.number;
@@ -120,6 +128,7 @@
         auto &known = known_[row.id];
         known.row = std::move(row);
         known.heardAt = heardAt;
+        noteCold(known);
     }
 }
 
@@ -168,7 +177,7 @@
     const auto found = known_.find(id);
     if (found == known_.end())
         return;
-    auto row = found->second.row;
+    auto row = rowToSend(found->second);
     change(row);
     ++row.orderVersion;
     if (merge(row))
@@ -178,7 +187,8 @@
 auto Registry::setGroup(const GroupView &group) -> void
 {
     const auto controlsChanged = group.controls != group_.controls;
-    const auto changed = controlsChanged || group.document != group_.document
+    const auto evacuationsChanged = group.evacuations != group_.evacuations;
+    const auto changed = controlsChanged || evacuationsChanged || group.document != group_.document
             || group.leader != group_.leader || group.term != group_.term;
     if (!changed)
         return;
@@ -186,6 +196,8 @@
     auto update = baseUpdate();
     if (controlsChanged)
         update.controls = group_.controls;
+    if (evacuationsChanged)
+        update.evacuations = group_.evacuations;
     sendToAll(std::move(update));
 }
 
@@ -254,6 +266,16 @@
     return result;
 }
 
+auto Registry::knowsDomain(const DomainId &domain) const -> bool
+{
+    const auto isInDomain = [&](const auto &item) { return item.domain == domain; };
+    return std::any_of(group_.controls.begin(), group_.controls.end(), isInDomain)
+            || std::any_of(subscribers_.begin(), subscribers_.end(),
+                           [&](const auto &item) { return isInDomain(item.second.subscribe); })
+            || std::any_of(known_.begin(), known_.end(),
+                           [&](const auto &item) { return isInDomain(item.second.row); });
+}
+
 auto Registry::gateways() const -> std::vector<GatewayInfo>
 {
     auto result = std::vector<GatewayInfo> {};
@@ -343,8 +365,9 @@
         if (!catalogue::isNewer(row, known.row))
             return false;
     }
-    const auto changed = isNew || !row.sameAs(known.row);
+    auto changed = isNew || !row.sameAs(known.row);
     known.row = row;
+    changed = noteCold(known) || changed;
     if (!changed)
         return false;
     LogEvent(LogLevel::Info, "endpoint_changed")
@@ -361,13 +384,32 @@
     return true;
 }
 
+/// Call when the row has been set. @return true when subscribers must be told: each announcement of
+/// a cold endpoint states less time, but nearly the same end
+auto Registry::noteCold(Known &known) const -> bool
+{
+    const auto now = clock_.now();
+    const auto before = std::max(known.coldUntil, now);
+    known.coldUntil = now + std::chrono::milliseconds { known.row.coldMs };
+    return std::chrono::abs(known.coldUntil - before) > coldTolerance;
+}
+
+auto Registry::rowToSend(const Known &known) const -> EndpointRow
+{
+    using std::chrono::milliseconds;
+    auto row = known.row;
+    const auto left = std::chrono::ceil<milliseconds>(known.coldUntil - clock_.now());
+    row.coldMs = static_cast<std::uint32_t>(std::max<milliseconds::rep>(left.count(), 0));
+    return row;
+}
+
 /// Sends the rows to all subscribers and clears the set.
 auto Registry::publish(std::set<EndpointId> &ids, bool wantsAck) -> void
 {
     auto rows = std::vector<EndpointRow> {};
     for (const auto &id : std::exchange(ids, {})) {
-        if (const auto *row = find(id))
-            rows.push_back(*row);
+        if (const auto found = known_.find(id); found != known_.end())
+            rows.push_back(rowToSend(found->second));
     }
     if (rows.empty())
         return;
--- a/fleet/registry.h
+++ b/fleet/registry.h
@@ -96,6 +96,7 @@
     NodeId leader;
     Term term;
     std::vector<coord::Member> controls;
+    catalogue::Evacuations evacuations;
 };
 
 class Registry
@@ -123,7 +124,8 @@
     /// Changes the known row of an endpoint after an order, until its next announcement.
     auto amend(const EndpointId &id, const std::function<void(catalogue::EndpointRow &)> &change)
             -> void;
-    /// Notifies all subscribers when the document, the leader or the controls have changed.
+    /// Notifies all subscribers when the document, the leader, the controls or the evacuations have
+    /// changed.
     auto setGroup(const GroupView &group) -> void;
     /// On the leader: tells all gateways the number of requests in progress at each endpoint.
     auto publishLoads(const std::vector<proto::EndpointLoad> &loads) -> void;
@@ -137,6 +139,8 @@
     /// @return the newest incarnation of the endpoint that is in use, or nullptr
     auto inUse(const EndpointId &id) const -> const catalogue::EndpointRow *;
     auto rows() const -> std::vector<const catalogue::EndpointRow *>;
+    /// @return true when a known endpoint, gateway or control is in the failure domain
+    auto knowsDomain(const DomainId &domain) const -> bool;
     /// @return the number of subscribed gateways, ready or not
     auto gatewayCount() const -> std::uint32_t;
     /// @return the gateways that are ready
@@ -149,7 +153,8 @@
     {
         catalogue::EndpointRow row;
         Instant heardAt {};
-        bool beaten = false; ///< An announcement arrived here since the last sendBeats().
+        Instant coldUntil {}; ///< The endpoint takes a limited rate of requests until then.
+        bool beaten = false;  ///< An announcement arrived here since the last sendBeats().
     };
     struct Subscriber
     {
@@ -171,6 +176,9 @@
     auto acceptsIncarnation(const EndpointId &id) -> bool;
     auto isSuperseded(const EndpointId &id) const -> bool;
     auto merge(const catalogue::EndpointRow &row) -> bool;
+    auto noteCold(Known &known) const -> bool;
+    /// @return the row as it is sent: with the time that is left until the endpoint is warm
+    auto rowToSend(const Known &known) const -> catalogue::EndpointRow;
     auto supersedeOthers(const EndpointId &id) -> void;
     auto publish(std::set<EndpointId> &ids, bool wantsAck) -> void;
     /// Numbers the update, encodes it once and sends it to every subscriber.
--- a/fleet/testing/tst_documentrollout.cpp
+++ b/fleet/testing/tst_documentrollout.cpp
@@ -23,12 +23,12 @@
 
     SpreadRig()
     {
-        rollout.onSubscribed(one, true, Revision { 1 });
-        rollout.onSubscribed(two, true, Revision { 1 });
+        rollout.onSubscribed(one, true, { Revision { 1 }, {} });
+        rollout.onSubscribed(two, true, { Revision { 1 }, {} });
     }
     auto await(Revision version) -> void
     {
-        rollout.await(version, clock.now() + 400ms, [this] { ++ended; });
+        rollout.await({ version, {} }, clock.now() + 400ms, [this] { ++ended; });
     }
 };
 
@@ -38,12 +38,12 @@
 {
     auto rig = SpreadRig {};
     rig.await(Revision { 2 });
-    rig.rollout.onInForce(rig.one, Revision { 2 });
+    rig.rollout.onInForce(rig.one, { Revision { 2 }, {} });
     rig.clock.advance(399ms);
     rig.rollout.settle();
     CHECK(rig.ended == 0);
     // A newer version is enough.
-    rig.rollout.onInForce(rig.two, Revision { 3 });
+    rig.rollout.onInForce(rig.two, { Revision { 3 }, {} });
     CHECK(rig.ended == 1);
     rig.await(Revision { 2 });
     CHECK(rig.ended == 2);
@@ -53,7 +53,7 @@
 {
     auto rig = SpreadRig {};
     rig.await(Revision { 2 });
-    rig.rollout.onInForce(rig.one, Revision { 2 });
+    rig.rollout.onInForce(rig.one, { Revision { 2 }, {} });
     rig.clock.advance(400ms);
     rig.rollout.settle();
     CHECK(rig.ended == 1);
@@ -61,18 +61,29 @@
     CHECK(rig.ended == 1);
 }
 
+TEST_CASE("An evacuation is accepted when all gateways have it in force, whatever their document")
+{
+    auto rig = SpreadRig {};
+    rig.rollout.await({ {}, Revision { 5 } }, rig.clock.now() + 400ms, [&] { ++rig.ended; });
+    rig.rollout.onInForce(rig.one, { Revision { 2 }, Revision { 5 } });
+    rig.rollout.onInForce(rig.two, { Revision { 2 }, Revision { 4 } });
+    CHECK(rig.ended == 0);
+    rig.rollout.onInForce(rig.two, { {}, Revision { 6 } });
+    CHECK(rig.ended == 1);
+}
+
 TEST_CASE("Gateways that are gone, or that no caller is directed to, are not waited for")
 {
     auto rig = SpreadRig {};
     rig.await(Revision { 2 });
-    rig.rollout.onInForce(rig.one, Revision { 2 });
+    rig.rollout.onInForce(rig.one, { Revision { 2 }, {} });
     SUBCASE("gone")
     {
         rig.rollout.onLost(rig.two);
     }
     SUBCASE("not ready")
     {
-        rig.rollout.onSubscribed(rig.two, false, Revision { 1 });
+        rig.rollout.onSubscribed(rig.two, false, { Revision { 1 }, {} });
     }
     CHECK(rig.ended == 1);
 }
@@ -81,8 +92,8 @@
 {
     auto rig = SpreadRig {};
     const auto again = proto::PeerPointer { std::make_shared<FakePeer>("g2") };
-    rig.rollout.onInForce(again, Revision { 2 });
-    rig.rollout.onInForce(rig.one, Revision { 2 });
+    rig.rollout.onInForce(again, { Revision { 2 }, {} });
+    rig.rollout.onInForce(rig.one, { Revision { 2 }, {} });
     rig.await(Revision { 2 });
     CHECK(rig.ended == 0);
 }
--- a/fleet/testing/tst_lastknown.cpp
+++ b/fleet/testing/tst_lastknown.cpp
@@ -33,6 +33,7 @@
 {
     auto store = LastKnownStore { folder, disk };
     store.save(document);
+    store.save(catalogue::Evacuations { document.version, { DomainId { "d" } } });
     store.save(std::vector { makeEndpoint("i-1"), makeEndpoint("i-2") });
 }
 
@@ -45,6 +46,7 @@
         auto store = LastKnownStore { folder, disk };
         CHECK(store.loadDocument().version == Revision {});
         CHECK(store.loadEndpoints().empty());
+        CHECK(store.loadEvacuations().revision == Revision {});
     }
     saveAll(disk, { Revision { 7 }, "seven" });
     saveAll(disk, { Revision { 8 }, "eight" });
@@ -53,6 +55,8 @@
     auto store = LastKnownStore { folder, later };
     CHECK(store.loadDocument().version == Revision { 8 });
     CHECK(store.loadDocument().text == "eight");
+    CHECK(store.loadEvacuations().revision == Revision { 8 });
+    CHECK(store.loadEvacuations().contains(DomainId { "d" }));
     const auto endpoints = store.loadEndpoints();
     REQUIRE(endpoints.size() == 2);
     CHECK(endpoints[1].sameAs(makeEndpoint("i-2")));
--- a/fleet/testing/tst_registry.cpp
+++ b/fleet/testing/tst_registry.cpp
@@ -10,7 +10,6 @@
 
 #include "core/error.h"
 #include "core/random.h"
-#include "fleet/configlog.h"
 #include "fleet/demandtable.h"
 #include "fleet/proposals.h"
 #include "fleet/registry.h"
@@ -206,6 +205,67 @@
     CHECK_FALSE(rig.gateway->updates[1].wantsAck);
 }
 
+TEST_CASE("Evacuations are sent with the first update, and to all when they change")
+{
+    auto rig = RegistryRig {};
+    auto group = GroupView {};
+    group.evacuations = { Revision { 1 }, { DomainId { "a" } } };
+    rig.registry.setGroup(group);
+    rig.subscribe(rig.gateway);
+    CHECK(rig.gateway->updates.at(0).evacuations == group.evacuations);
+    group.term = Term { 3 };
+    rig.registry.setGroup(group);
+    CHECK_FALSE(rig.gateway->updates.at(1).evacuations);
+    group.evacuations = { Revision { 2 }, {} };
+    rig.registry.setGroup(group);
+    CHECK(rig.gateway->updates.at(2).evacuations == group.evacuations);
+}
+
+TEST_CASE("A failure domain is known by an endpoint, a gateway or a control in it")
+{
+    auto rig = RegistryRig {};
+    CHECK_FALSE(rig.registry.knowsDomain(DomainId { "a" }));
+    auto row = makeRow("i-1", 1, EndpointState::Ready);
+    row.domain = DomainId { "a" };
+    rig.registry.onAnnouncement(row);
+    CHECK(rig.registry.knowsDomain(DomainId { "a" }));
+    auto subscribe = proto::Subscribe {};
+    subscribe.domain = DomainId { "b" };
+    rig.registry.onSubscribe(rig.gateway, subscribe);
+    CHECK(rig.registry.knowsDomain(DomainId { "b" }));
+    auto group = GroupView {};
+    group.controls.emplace_back().domain = DomainId { "c" };
+    rig.registry.setGroup(group);
+    CHECK(rig.registry.knowsDomain(DomainId { "c" }));
+    CHECK_FALSE(rig.registry.knowsDomain(DomainId { "d" }));
+}
+
+TEST_CASE("A cold time is sent when it begins or ends early, not with each announcement")
+{
+    auto rig = RegistryRig {};
+    rig.subscribe(rig.gateway);
+    const auto announce = [&](std::uint64_t sequence, std::uint32_t coldMs) {
+        auto row = makeRow("i-1", sequence, EndpointState::Ready);
+        row.coldMs = coldMs;
+        rig.registry.onAnnouncement(row);
+        rig.gateway->updates.clear();
+        rig.clock.advance(20ms);
+        rig.registry.tick();
+        return std::any_of(rig.gateway->updates.begin(), rig.gateway->updates.end(),
+                           [](const auto &update) { return !update.endpoints.empty(); });
+    };
+    CHECK(announce(1, 0));
+    CHECK(announce(2, 3000));
+    CHECK(rig.gateway->updates.back().endpoints.at(0).coldMs == 2980);
+    rig.clock.advance(1s);
+    CHECK_FALSE(announce(3, 1900));
+    CHECK(announce(4, 0));
+    CHECK_FALSE(announce(5, 0));
+    CHECK(announce(6, 2000));
+    rig.clock.advance(3s);
+    CHECK_FALSE(announce(7, 0));
+}
+
 TEST_CASE("A leaving endpoint is confirmed when every gateway acts on it, and not before")
 {
     auto rig = RegistryRig {};
@@ -253,24 +313,6 @@
     CHECK_FALSE(rig.ends.at(1).ok());
 }
 
-TEST_CASE("The document's version never falls, and equal versions change nothing")
-{
-    auto log = ConfigLog {};
-    const auto apply = [&](std::uint64_t version, const std::string &text) {
-        log.apply({ Term { 1 }, LogIndex { 1 }, coord::EntryKind::Command,
-                    ConfigLog::encode({ Revision { version }, text }) });
-    };
-    apply(3, "three");
-    apply(3, "other");
-    apply(2, "two");
-    CHECK(log.document().text == "three");
-    auto restored = ConfigLog {};
-    CHECK(restored.restore(log.snapshot(), LogIndex { 1 }).ok());
-    CHECK(restored.document().text == "three");
-    CHECK_FALSE(restored.restore("junk", LogIndex { 2 }).ok());
-    CHECK(restored.document().text == "three");
-}
-
 TEST_CASE("A proposal succeeds only when its own entry was applied")
 {
     auto proposals = Proposals {};
--- a/gateway/controlfeed.cpp
+++ b/gateway/controlfeed.cpp
@@ -112,7 +112,7 @@
         if (!update->leader.empty() && update->term >= leaderTerm_) {
             leaderTerm_ = update->term;
             if (std::exchange(leader_, update->leader) != update->leader)
-                static_cast<void>(pushToLeader(proto::DocumentInForce { inForce_ }));
+                static_cast<void>(pushToLeader(inForce_));
         }
         for (const auto &member : update->controls) {
             if (const auto other = parseAddress(member.address); other.ok())
@@ -122,6 +122,8 @@
             dropUnlisted(update->controls);
         fetch_.onAnnounced(address, update->document);
         hooks_.onUpdate(*update);
+        if (update->evacuations)
+            reportEvacuations(update->evacuations->revision);
         if (update->wantsAck)
             peer->send({ 0, proto::ServingAck { update->number } });
         fetchDocument();
@@ -161,9 +163,17 @@
 
     auto reportInForce(Revision version) -> void
     {
-        inForce_ = version;
+        inForce_.document = version;
         lease_.onInForce(version);
-        static_cast<void>(pushToLeader(proto::DocumentInForce { inForce_ }));
+        static_cast<void>(pushToLeader(inForce_));
+    }
+
+    auto reportEvacuations(Revision revision) -> void
+    {
+        if (revision <= inForce_.evacuations)
+            return;
+        inForce_.evacuations = revision;
+        static_cast<void>(pushToLeader(inForce_));
     }
 
     auto send(const ManifestAsk &ask) -> void
@@ -436,7 +446,7 @@
     std::map<Address, Control> controls_;
     NodeId leader_;
     Term leaderTerm_;
-    Revision inForce_; ///< Version of the document in force here.
+    proto::InForce inForce_;
     DocumentFetch fetch_;
     BootTimer fetchTimer_;
     KeyLease lease_;
--- a/gateway/fleetview.cpp
+++ b/gateway/fleetview.cpp
@@ -14,6 +14,20 @@
 
 } // namespace
 
+auto EndpointEntry::rateAt(Instant now, double coldPerSecond) const -> std::optional<NamedRate>
+{
+    if (coldPerSecond <= 0 || coldUntil == Instant {})
+        return rate;
+    auto result = rate.value_or(NamedRate { std::nullopt, coldSince });
+    if (now < coldUntil) {
+        result.perSecond = std::min(result.perSecond.value_or(coldPerSecond), coldPerSecond);
+        result.heardAt = std::max(result.heardAt, coldSince);
+    } else {
+        result.heardAt = std::max(result.heardAt, coldUntil);
+    }
+    return result;
+}
+
 FleetView::FleetView(FleetViewOptions options, const Clock &clock)
     : options_(options)
     , clock_(clock)
@@ -21,7 +35,7 @@
 
 auto FleetView::apply(const proto::ServingUpdate &update) -> bool
 {
-    auto changed = false;
+    auto changed = update.evacuations && applyEvacuations(*update.evacuations);
     // Apply rows of endpoints that are gone first, since another incarnation may have replaced
     // them.
     for (const auto isGone : { true, false }) {
@@ -54,6 +68,20 @@
     return changed;
 }
 
+/// A control that lags behind the others announces older evacuations; they are ignored.
+auto FleetView::applyEvacuations(const catalogue::Evacuations &evacuations) -> bool
+{
+    if (evacuations.revision <= evacuations_.revision)
+        return false;
+    LogEvent(LogLevel::Info, "evacuations_in_force")
+            .with("revision", evacuations.revision)
+            .with("before", evacuations_.revision)
+            .with("domains", static_cast<std::uint64_t>(evacuations.domains.size()))
+            .with("last", evacuations.domains.empty() ? DomainId {} : evacuations.domains.back());
+    evacuations_ = evacuations;
+    return true;
+}
+
 auto FleetView::applyRow(const catalogue::EndpointRow &row) -> bool
 {
     if (!entries_.contains(row.id) && isSuperseded(row.id))
@@ -85,11 +113,25 @@
     }
     entry.row = row;
     entry.heardAt = clock_.now();
+    noteCold(entry);
     const auto now = clock_.now();
     std::erase_if(entry.missingUntil, [now](const auto &item) { return item.second <= now; });
     return changed;
 }
 
+auto FleetView::noteCold(EndpointEntry &entry) const -> void
+{
+    const auto now = clock_.now();
+    const auto wasCold = now < entry.coldUntil;
+    if (entry.row.coldMs == 0) {
+        entry.coldUntil = std::min(entry.coldUntil, now);
+        return;
+    }
+    if (!wasCold)
+        entry.coldSince = now;
+    entry.coldUntil = now + std::chrono::milliseconds { entry.row.coldMs };
+}
+
 /// @return true if a newer incarnation of the endpoint is in use
 auto FleetView::isSuperseded(const EndpointId &id) const -> bool
 {
@@ -158,7 +200,8 @@
 auto FleetView::takesWork(const EndpointId &id) const -> bool
 {
     const auto found = entries_.find(id);
-    return found != entries_.end() && !found->second.isLeaving() && !found->second.isReplaced;
+    return found != entries_.end() && !found->second.isLeaving() && !found->second.isReplaced
+            && !evacuations_.contains(found->second.row.domain);
 }
 
 auto FleetView::maySend(const EndpointId &id) const -> bool
--- a/gateway/fleetview.h
+++ b/gateway/fleetview.h
@@ -7,7 +7,11 @@
 // Updates arrive from several controls, with delay and in any order. A row replaces an older row of
 // the same endpoint only if its sequence number, or else its order version, is higher. An endpoint
 // that is gone stays gone. If an endpoint restarts under the same name, its newest incarnation is
-// in use and the older ones count as gone. Not thread-safe.
+// in use and the older ones count as gone.
+//
+// takesWork() is the only place that decides whether an endpoint gets anything new. It covers
+// endpoints that leave, are replaced, or are in an evacuated failure domain; the chooser, the
+// balancer's candidates, retries and fetches of cached prompts all depend on it. Not thread-safe.
 
 #ifndef FIGRACK_GATEWAY_FLEETVIEW_H
 #define FIGRACK_GATEWAY_FLEETVIEW_H
@@ -57,6 +61,8 @@
     std::map<std::pair<ModelId, std::string>, Instant> missingUntil;
     std::optional<NamedRate> rate; ///< Absent if it has never named a rate.
     Instant backoffUntil {};       ///< End of the backoff that it asked of this gateway.
+    Instant coldSince {};          ///< When its latest cold time began to be known here.
+    Instant coldUntil {};          ///< End of its latest cold time; zero if it has had none.
     /// The endpoint stated in an answer that it is shutting down. The flag is never cleared,
     /// because an announcement that says otherwise may have been sent earlier.
     bool isDraining = false;
@@ -66,8 +72,12 @@
     {
         return isDraining || row.state != catalogue::EndpointState::Ready;
     }
-    /// @return true while the endpoint accepts only a limited rate of requests
+    /// @return true while the endpoint accepts only the limited rate that it named
     auto isRateLimited() const -> bool { return rate && rate->perSecond; }
+    /// @param coldPerSecond rate that a cold endpoint of its service accepts; 0: any
+    /// @return the lower one of the rate that it named and that of a cold endpoint, and since when
+    /// it applies; absent if there has never been either
+    auto rateAt(Instant now, double coldPerSecond) const -> std::optional<NamedRate>;
 };
 
 struct FleetViewOptions
@@ -95,13 +105,16 @@
     /// @return the endpoints of a service that accept new requests, without those that are draining
     /// or gone
     auto of(const ServiceId &service) -> std::vector<EndpointEntry *>;
-    /// @return true if the endpoint is known and accepts new requests
+    /// @return true if the endpoint is known, accepts new requests, and its failure domain is not
+    /// evacuated
     auto takesWork(const EndpointId &id) const -> bool;
     /// @return true if a request may be sent there now: it accepts new requests and is not in
     /// backoff
     auto maySend(const EndpointId &id) const -> bool;
     /// @return the endpoint, or nullptr
     auto find(const EndpointId &id) -> EndpointEntry *;
+    /// @return the newest evacuations that a control has announced
+    auto evacuations() const -> const catalogue::Evacuations & { return evacuations_; }
     /// @return true if the endpoint has neither failed nor stopped announcing itself recently
     auto isHealthy(const EndpointEntry &entry) const -> bool;
     auto onSuccess(const EndpointId &id) -> void;
@@ -148,6 +161,8 @@
             -> void;
     auto noteBackoff(EndpointEntry &entry, Duration backoff) -> void;
     auto applyRow(const catalogue::EndpointRow &row) -> bool;
+    auto noteCold(EndpointEntry &entry) const -> void;
+    auto applyEvacuations(const catalogue::Evacuations &evacuations) -> bool;
     auto isSuperseded(const EndpointId &id) const -> bool;
     auto supersedeOthers(const EndpointId &id) -> void;
     auto hasYoungerAt(const catalogue::EndpointRow &row) const -> bool;
@@ -158,6 +173,7 @@
     const Clock &clock_;
     std::map<EndpointId, EndpointEntry> entries_;
     std::map<ServiceId, std::vector<EndpointId>> byService_;
+    catalogue::Evacuations evacuations_;
     OnSuperseded onSuperseded_;
     Instant nextForget_ {};
 };
--- a/gateway/forwarderadmission.cpp
+++ b/gateway/forwarderadmission.cpp
@@ -56,6 +56,7 @@
                             arrived_ + route_->leaveAfter - owner_.options_.minTimeToFirstEvent);
     const auto *service = routes_->catalogue().find(service_);
     engine_ = service != nullptr && service->engine ? &*service->engine : nullptr;
+    coldPerSecond_ = service != nullptr ? service->coldPerSecond : 0;
     lastEvent_ = caller_.resumeAfter;
     works_ = catalogue::workIdsOf({ request_.method, caller_.host, caller_.path, request_.query,
                                     caller_.account, request_.body });
--- a/gateway/forwarderplacing.cpp
+++ b/gateway/forwarderplacing.cpp
@@ -114,6 +114,7 @@
             terms.fetchTokensPerMs = engine_->fetchTokensPerMs;
             terms.places = engine_->slots;
         }
+        terms.coldPerSecond = coldPerSecond_;
         terms.rank = rank();
         terms.hasBegun = sent_ > 0;
         terms.startTarget = route_->startTarget;
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -177,7 +177,8 @@
     const catalogue::Route *route_ = nullptr;
     const catalogue::EngineSpec *engine_ = nullptr; ///< Null for a plain service.
     ServiceId service_;
-    DemandTarget target_; ///< The model is empty if the request needs none.
+    double coldPerSecond_ = 0; ///< Rate that a cold endpoint of the service accepts; 0: any.
+    DemandTarget target_;      ///< The model is empty if the request needs none.
     Criteria criteria_;
     catalogue::WorkIds works_;                   ///< Empty until the request has been read.
     std::shared_ptr<http::Canceller> canceller_; ///< Cancels the dispatch in progress.
--- a/gateway/picker.cpp
+++ b/gateway/picker.cpp
@@ -124,7 +124,7 @@
 }
 
 auto Picker::ratesOf(const std::vector<EndpointEntry *> &able,
-                     const std::vector<EndpointId> &candidates) const
+                     const std::vector<EndpointId> &candidates, double coldPerSecond) const
         -> std::vector<proto::CandidateRate>
 {
     const auto isCandidate = [&](const EndpointId &id) {
@@ -132,23 +132,28 @@
     };
     auto result = std::vector<proto::CandidateRate> {};
     for (const auto *entry : able) {
-        if (!entry->rate || !isCandidate(entry->row.id))
+        const auto rate = entry->rateAt(clock_.now(), coldPerSecond);
+        if (!rate || !isCandidate(entry->row.id))
             continue;
-        const auto age = wholeMillis(clock_.now() - entry->rate->heardAt);
-        result.push_back({ entry->row.id, entry->rate->perSecond,
+        const auto age = wholeMillis(clock_.now() - rate->heardAt);
+        result.push_back({ entry->row.id, rate->perSecond,
                            static_cast<std::uint64_t>(std::max<std::int64_t>(age, 0)) });
     }
     return result;
 }
 
-auto Picker::chooseLocally(const std::vector<EndpointEntry *> &able, const Criteria &criteria)
-        -> LocalChoice
+auto Picker::chooseLocally(const std::vector<EndpointEntry *> &able, const Criteria &criteria,
+                           double coldPerSecond) -> LocalChoice
 {
+    const auto limitOf = [&](const EndpointEntry &entry) {
+        const auto rate = entry.rateAt(clock_.now(), coldPerSecond);
+        return rate ? rate->perSecond : std::nullopt;
+    };
     auto unlimited = std::vector<EndpointEntry *> {};
     std::copy_if(able.begin(), able.end(), std::back_inserter(unlimited),
-                 [](const auto *entry) { return !entry->isRateLimited(); });
+                 [&](const auto *entry) { return !limitOf(*entry); });
     const auto *entry = chooseAmong(unlimited.empty() ? able : unlimited, criteria, random_);
-    return { entry->row.id, entry->rate ? entry->rate->perSecond : std::nullopt };
+    return { entry->row.id, limitOf(*entry) };
 }
 
 auto Picker::applyLocalChoice(const LocalChoice &localChoice, Picked &picked) -> void
@@ -168,7 +173,7 @@
                   const PickTerms &terms) -> asio::awaitable<Picked>
 {
     auto picked = Picked {};
-    const auto localChoice = chooseLocally(able, criteria);
+    const auto localChoice = chooseLocally(able, criteria, terms.coldPerSecond);
     if (!link_->ask) {
         applyLocalChoice(localChoice, picked);
         co_return picked;
@@ -176,7 +181,7 @@
     auto request = requestOf(terms);
     const auto candidates = candidatesOf(able, localChoice.endpoint);
     request.candidates = candidates;
-    request.rates = ratesOf(able, candidates);
+    request.rates = ratesOf(able, candidates, terms.coldPerSecond);
     const auto mustBeCounted = terms.charge || localChoice.ratePerSecond;
     // With a single candidate there is no choice of endpoint. A balancer is still asked if the
     // request has a model, since it also decides when to send the prompt.
--- a/gateway/picker.h
+++ b/gateway/picker.h
@@ -125,8 +125,10 @@
     std::uint32_t rank = 0;   ///< 0 is the most urgent.
     bool hasBegun
             = false; ///< An earlier dispatch was sent, so part of the answer may have been given.
-    Duration startTarget {};  ///< Target time to the first event; zero if there is none.
-    Duration gapTarget {};    ///< Target time between events; zero if there is none.
+    Duration startTarget {}; ///< Target time to the first event; zero if there is none.
+    Duration gapTarget {};   ///< Target time between events; zero if there is none.
+    /// Rate that a cold endpoint of the service accepts from all gateways together; 0: any.
+    double coldPerSecond = 0;
     catalogue::WorkIds works; ///< For quarantine: suspected work runs one attempt at a time.
     /// Charge against an account with a limit; absent if there is none, or the request has been
     /// counted already.
@@ -167,13 +169,13 @@
         std::optional<double> ratePerSecond;
     };
     static auto requestOf(const PickTerms &terms) -> proto::PickRequest;
-    /// @return the rates that the candidates have named; only candidates are listed, so that the
-    /// size of a request to a balancer is bounded
+    /// @return the rates of the candidates that have had one; only candidates are listed, so that
+    /// the size of a request to a balancer is bounded
     auto ratesOf(const std::vector<EndpointEntry *> &able,
-                 const std::vector<EndpointId> &candidates) const
+                 const std::vector<EndpointId> &candidates, double coldPerSecond) const
             -> std::vector<proto::CandidateRate>;
-    auto chooseLocally(const std::vector<EndpointEntry *> &able, const Criteria &criteria)
-            -> LocalChoice;
+    auto chooseLocally(const std::vector<EndpointEntry *> &able, const Criteria &criteria,
+                       double coldPerSecond) -> LocalChoice;
     /// Uses the gateway's own choice if its rate allows it. Called when no balancer chose.
     auto applyLocalChoice(const LocalChoice &localChoice, Picked &picked) -> void;
     auto askWithRetry(proto::PickRequest request, bool mustBeCounted)
--- a/gateway/testing/tst_endpointrate.cpp
+++ b/gateway/testing/tst_endpointrate.cpp
@@ -33,12 +33,12 @@
 }
 
 /// @param times in ascending order
-/// @return the largest number of them in any window
-auto mostInWindow(const std::vector<Instant> &times) -> std::size_t
+/// @return the largest number of them in any window of the length
+auto mostInWindow(const std::vector<Instant> &times, Duration length = window) -> std::size_t
 {
     auto most = std::size_t { 0 };
     for (auto first = times.begin(); first != times.end(); ++first) {
-        const auto end = std::lower_bound(first, times.end(), *first + window);
+        const auto end = std::lower_bound(first, times.end(), *first + length);
         most = std::max(most, static_cast<std::size_t>(std::distance(first, end)));
     }
     return most;
@@ -142,6 +142,17 @@
                                       clock_.now() };
         }
     }
+    /// Every endpoint announces that it is cold for a time, and accepts the rate until then.
+    auto makeCold(Duration duration) -> void
+    {
+        coldPerSecond_ = perSecond_;
+        for (auto &entry : entries_) {
+            entry->coldSince = clock_.now();
+            entry->coldUntil = clock_.now() + duration;
+        }
+    }
+    /// Cuts every second gateway off from the balancers, or heals the cut.
+    auto cutEverySecond(bool isCut) -> void { isEverySecondCut_ = isCut; }
     auto setLeader(std::size_t balancer) -> void { asked_ = balancer; }
     auto setConnected(bool connected) -> void
     {
@@ -161,11 +172,11 @@
         }
     }
     /// @return the largest number of requests that any endpoint got in a window
-    auto most() const -> std::size_t
+    auto most(Duration length = window) const -> std::size_t
     {
         auto result = std::size_t { 0 };
         for (const auto &times : arrivals_)
-            result = std::max(result, mostInWindow(times));
+            result = std::max(result, mostInWindow(times, length));
         return result;
     }
     auto served() const -> std::size_t { return served_; }
@@ -176,8 +187,10 @@
     {
         const auto name = "g" + std::to_string(gateway);
         auto link = BalancerLink {};
-        link.ask = [this, name](proto::PickRequest request, Duration timeout,
-                                const BalancerLink::Done &done) {
+        link.ask = [this, name, gateway](proto::PickRequest request, Duration timeout,
+                                         const BalancerLink::Done &done) -> std::optional<Address> {
+            if (isEverySecondCut_ && gateway % 2 == 0)
+                return std::nullopt;
             return balancers_[asked_]->linkFor(name).ask(std::move(request), timeout, done);
         };
         link.tell = [this, name](proto::PickRequest request) {
@@ -200,6 +213,7 @@
             auto terms = PickTerms {};
             terms.model = 1;
             terms.places = 96;
+            terms.coldPerSecond = coldPerSecond_;
             terms.left = 5s;
             picked = co_await picker.pick(able, criteria, terms);
         };
@@ -221,6 +235,8 @@
     }
 
     double perSecond_;
+    double coldPerSecond_ = 0;
+    bool isEverySecondCut_ = false;
     ManualClock clock_;
     Random random_ { 5 };
     Metrics metrics_;
@@ -318,6 +334,63 @@
     CHECK(play.refused() == refused);
 }
 
+TEST_CASE("A cold endpoint gets no more than its rate in any second, and all requests once it is "
+          "warm")
+{
+    constexpr auto coldPerSecond = 6.5;
+    constexpr auto allowedInSecond = std::size_t { 14 }; // 1.5 times the rate, and 5 more.
+    constexpr auto askedPerSecond = 120.0;
+    for (const auto gateways : { 1U, 30U, 300U }) {
+        for (const auto isCut : { false, true }) {
+            CAPTURE(gateways);
+            CAPTURE(isCut);
+            auto play = Play { gateways, 1, coldPerSecond };
+            play.makeCold(10s);
+            play.run(3s, askedPerSecond);
+            play.cutEverySecond(isCut);
+            play.run(3s, askedPerSecond);
+            play.setLeader(1);
+            play.run(4s, askedPerSecond);
+            play.cutEverySecond(false);
+            CHECK(play.most(1s) <= allowedInSecond);
+            CHECK(static_cast<double>(play.served()) >= coldPerSecond * 6 * 0.9);
+            const auto refused = play.refused();
+            play.run(5s, askedPerSecond);
+            CHECK(play.refused() == refused);
+        }
+    }
+}
+
+TEST_CASE("A cold endpoint's lower rate applies, and ends with an announcement that it is warm")
+{
+    auto clock = ManualClock {};
+    auto view = FleetView { {}, clock };
+    auto row = catalogue::EndpointRow {};
+    row.id = EndpointId { "i-1" };
+    const auto announce = [&](std::uint32_t coldMs) -> EndpointEntry & {
+        ++row.sequence;
+        row.coldMs = coldMs;
+        auto update = proto::ServingUpdate {};
+        update.endpoints = { row };
+        view.apply(update);
+        return *view.find(row.id);
+    };
+    CHECK_FALSE(announce(0).rateAt(clock.now(), 5));
+    announce(3000);
+    clock.advance(1s);
+    auto &entry = announce(2000);
+    CHECK(entry.rateAt(clock.now(), 5)->perSecond == 5);
+    CHECK_FALSE(entry.rateAt(clock.now(), 0)); // Its service states no rate.
+    entry.rate = NamedRate { 2.0, clock.now() };
+    CHECK(entry.rateAt(clock.now(), 5)->perSecond == 2);
+    entry.rate.reset();
+    announce(0);
+    CHECK_FALSE(entry.rateAt(clock.now(), 5)->perSecond);
+    announce(1000);
+    clock.advance(1s);
+    CHECK_FALSE(entry.rateAt(clock.now(), 5)->perSecond);
+}
+
 TEST_CASE("Without a balancer, an endpoint without a rate is preferred to one with a rate")
 {
     auto rig = Rig {};
--- a/http/errorresponse.cpp
+++ b/http/errorresponse.cpp
@@ -57,6 +57,7 @@
         { ErrorKind::InUse, 409 },
         { ErrorKind::Quarantined, 503 },
         { ErrorKind::OverLimit, 429 },
+        { ErrorKind::UnknownDomain, 404 },
 } };
 
 constexpr auto tableNamesEveryKind() -> bool
--- a/proto/servingmessages.h
+++ b/proto/servingmessages.h
@@ -2,7 +2,7 @@
 // demand; part of the inner protocol (proto/messages.h).
 //
 //   gateway, control -> control   Subscribe, ServingAck, ModelWanted
-//   gateway          -> control   DocumentInForce, ManifestRequest, BlocksRequest,
+//   gateway          -> control   InForce, ManifestRequest, BlocksRequest,
 //                                 DocumentProofRequest (answered by their replies)
 //   gateway          -> control   PickRequest (answered by PickReply), PickEnd
 //   control          -> control   AccountNews; coord::RevisionQuery, answered by its reply
@@ -21,6 +21,7 @@
 #include "catalogue/account.h"
 #include "catalogue/documentblocks.h"
 #include "catalogue/endpointrow.h"
+#include "catalogue/evacuations.h"
 #include "catalogue/suspect.h"
 #include "coord/messages.h"
 #include "core/ids.h"
@@ -30,29 +31,35 @@
 
 enum class SubscriberKind : std::uint8_t { Gateway, Control };
 
-/// Asks for updates on this connection; sent again when the gateway's readiness changes.
-struct Subscribe
+/// What a gateway obeys from now on; to the leader.
+struct InForce
 {
-    SubscriberKind kind = SubscriberKind::Gateway;
-    Address callers; ///< Where callers connect; of a gateway only.
-    DomainId domain;
-    bool ready = false; ///< Whether callers may be sent there.
-    Revision inForce;   ///< The document that the gateway obeys; 0: none.
+    Revision document;    ///< Version of the configuration; 0: none.
+    Revision evacuations; ///< 0: none.
+    /// @return true when the state is at least as new as the other
+    auto covers(const InForce &other) const -> bool
+    {
+        return document >= other.document && evacuations >= other.evacuations;
+    }
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(kind, callers, domain, ready, inForce);
+        archive(document, evacuations);
     }
 };
 
-/// The gateway obeys a document from now on; to the leader.
-struct DocumentInForce
+/// Asks for updates on this connection; sent again when the gateway's readiness changes.
+struct Subscribe
 {
-    Revision version;
+    SubscriberKind kind = SubscriberKind::Gateway;
+    Address callers; ///< Where callers connect; of a gateway only.
+    DomainId domain;
+    bool ready = false; ///< Whether callers may be sent there.
+    InForce inForce;    ///< Of a gateway only.
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(version);
+        archive(kind, callers, domain, ready, inForce);
     }
 };
 
@@ -77,6 +84,8 @@
     NodeId leader;              ///< As the sender knows it; may be empty.
     Term term;                  ///< Of that leader.
     std::uint32_t gateways = 0; ///< Subscribed to the sender.
+    /// Only when they have changed, and to a new subscriber.
+    std::optional<catalogue::Evacuations> evacuations;
     std::vector<coord::Member> controls;           ///< Only when they have changed.
     std::vector<catalogue::EndpointRow> endpoints; ///< Those that changed since the last update.
     std::vector<catalogue::EndpointBeat> beats;    ///< Announcements heard since the last update.
@@ -84,8 +93,8 @@
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(number, wantsAck, document, leader, term, gateways, controls, endpoints, beats,
-                loads);
+        archive(number, wantsAck, document, leader, term, gateways, evacuations, controls,
+                endpoints, beats, loads);
     }
 };
 
