--- a/catalogue/account.h
+++ b/catalogue/account.h
@@ -55,6 +55,7 @@
     CostUnit unit = CostUnit::Requests;
     std::uint64_t plainCost = 1; ///< Of a request that says no number of tokens.
     RateLimit limit;
+    std::vector<RegionId> homeRegions; ///< Where requests may be served; empty: anywhere.
     /// @param tokens that the request names; nullopt: it names none
     /// @return units
     auto costOf(std::optional<std::uint64_t> tokens) const -> std::uint64_t;
--- a/catalogue/catalogue.h
+++ b/catalogue/catalogue.h
@@ -56,6 +56,7 @@
     std::uint32_t rank = 0;        ///< 0 is the most urgent.
     std::uint32_t maxAttempts = 1; ///< Endpoints on which one request may run.
     std::vector<WeightedService> split;
+    std::vector<RegionId> homeRegions; ///< Where requests may be served; empty: anywhere.
     auto mayRepeat() const -> bool
     {
         return repeat == Repeat::Idempotent || (repeat == Repeat::Stream && resumable);
--- a/core/ids.h
+++ b/core/ids.h
@@ -81,6 +81,7 @@
 using AccountId = NameId<struct AccountIdTag>; ///< A client account.
 using ServiceId = NameId<struct ServiceIdTag>; ///< A plain service.
 using DomainId = NameId<struct DomainIdTag>;   ///< A failure domain.
+using RegionId = NameId<struct RegionIdTag>;   ///< A group of failure domains close to one another.
 using RequestId = NameId<struct RequestIdTag>;
 using ChangeId = NameId<struct ChangeIdTag>; ///< An operator's own id of one change.
 using IdempotencyKey = NameId<struct IdempotencyKeyTag>;
--- a/gateway/chooser.cpp
+++ b/gateway/chooser.cpp
@@ -74,9 +74,9 @@
 auto blockedByName(BlockedBy blockedBy) -> std::string_view
 {
     constexpr auto names
-            = std::array<std::string_view, 10> { "none",   "endpoint", "model", "adapter",
+            = std::array<std::string_view, 11> { "none",   "endpoint", "model", "adapter",
                                                  "places", "trial",    "limit", "counter",
-                                                 "rate",   "backoff" };
+                                                 "rate",   "backoff",  "home" };
     return names[static_cast<std::size_t>(blockedBy) % names.size()];
 }
 
--- a/gateway/chooser.h
+++ b/gateway/chooser.h
@@ -47,10 +47,11 @@
     Rate,     ///< The endpoints that hold the model have received all the requests that their rates
               ///< allow.
     Backoff,  ///< The endpoints that hold the model asked this gateway for a backoff.
+    Home,     ///< No endpoint of the service is in the home regions of the route and the account.
 };
 
-/// @return "none", "endpoint", "model", "adapter", "places", "trial", "limit", "counter", "rate" or
-/// "backoff"
+/// @return "none", "endpoint", "model", "adapter", "places", "trial", "limit", "counter", "rate",
+/// "backoff" or "home"
 auto blockedByName(BlockedBy blockedBy) -> std::string_view;
 
 /// The endpoints that can take a request.
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -36,6 +36,7 @@
     , arrived_(owner.parts_.clock.now())
     , deadline_(arrived_)
     , startBy_(arrived_)
+    , homes_(owner.options_.regions)
     , holdTimer_(owner.parts_.context)
 { }
 
@@ -152,7 +153,7 @@
 }
 
 Forwarder::Forwarder(ForwarderOptions options, ForwarderParts parts)
-    : options_(options)
+    : options_(std::move(options))
     , parts_(parts)
     , startedAt_(parts.clock.now())
 { }
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -42,6 +42,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "catalogue/homes.h"
 #include "core/clock.h"
 #include "core/random.h"
 #include "gateway/crashdetector.h"
@@ -86,6 +87,8 @@
     /// request by itself. The next attempt may be the one that puts the work in quarantine, so it
     /// is left to the caller, which makes one attempt at a time.
     std::uint32_t crashLimitForRetry = 2;
+    /// Decides which endpoints are in the homes of a route or an account.
+    catalogue::RegionMap regions = {};
 };
 
 /// Dependencies of the Forwarder. All of them must outlive it.
--- a/gateway/forwarderadmission.cpp
+++ b/gateway/forwarderadmission.cpp
@@ -58,6 +58,9 @@
     engine_ = service != nullptr && service->engine ? &*service->engine : nullptr;
     coldPerSecond_ = service != nullptr ? service->coldPerSecond : 0;
     lastEvent_ = caller_.resumeAfter;
+    homes_.restrictTo(route_->homeRegions);
+    if (account_ != nullptr)
+        homes_.restrictTo(account_->homeRegions);
     works_ = catalogue::workIdsOf({ request_.method, caller_.host, caller_.path, request_.query,
                                     caller_.account, request_.body });
     if (engine_ != nullptr && !caller_.model.empty())
--- a/gateway/forwarderdispatch.cpp
+++ b/gateway/forwarderdispatch.cpp
@@ -121,8 +121,11 @@
     if (account_ != nullptr)
         terms.account = account_->id;
     terms.resumeAfter = lastEvent_;
-    if (picked_.fetchFrom != entry.row.id && parts_.view.maySend(picked_.fetchFrom))
-        terms.fetchFrom = parts_.view.find(picked_.fetchFrom)->row.address;
+    const auto *source = parts_.view.maySend(picked_.fetchFrom)
+            ? parts_.view.find(picked_.fetchFrom)
+            : nullptr;
+    if (source != nullptr && source != &entry && homes_.allows(source->row.domain))
+        terms.fetchFrom = source->row.address;
     canceller_ = std::make_shared<http::Canceller>();
     auto out = http::ClientRequest {};
     out.address = entry.row.address;
--- a/gateway/forwarderplacing.cpp
+++ b/gateway/forwarderplacing.cpp
@@ -60,6 +60,12 @@
             co_await giveUp(std::move(error));
             co_return nullptr;
         }
+        if (blockedBy == BlockedBy::Home) {
+            blockedBy_ = blockedBy;
+            auto error = blockedError(blockedBy);
+            co_await giveUp(std::move(error));
+            co_return nullptr;
+        }
         const auto mayCauseLoad = blockedBy == BlockedBy::Model || blockedBy == BlockedBy::Adapter
                 || blockedBy == BlockedBy::Backoff;
         if (mayCauseLoad && co_await refuseOverLimit())
@@ -100,12 +106,22 @@
     return makeError(kind, "lack=" + std::string { blockedByName(blockedBy) });
 }
 
+auto Forwarder::Run::candidates() const -> std::vector<EndpointEntry *>
+{
+    auto result = parts_.view.of(service_);
+    std::erase_if(result, [&](const auto *entry) { return !homes_.allows(entry->row.domain); });
+    return result;
+}
+
 auto Forwarder::Run::pick() -> asio::awaitable<BlockedBy>
 {
     const auto isHealthy = [&](const EndpointEntry &entry) { return parts_.view.isHealthy(entry); };
     while (true) {
         criteria_.now = parts_.clock.now();
-        const auto able = ableEndpoints(parts_.view.of(service_), criteria_, isHealthy);
+        const auto candidates = this->candidates();
+        if (candidates.empty() && homes_.isRestricted() && !parts_.view.of(service_).empty())
+            co_return BlockedBy::Home;
+        const auto able = ableEndpoints(candidates, criteria_, isHealthy);
         backoffUntil_ = able.backoffUntil;
         if (able.entries.empty())
             co_return able.blockedBy;
@@ -203,7 +219,7 @@
     if (!isToBeLoaded || model == nullptr)
         return std::nullopt;
     auto hasHost = blockedBy == BlockedBy::Model;
-    for (const auto *entry : parts_.view.of(service_)) {
+    for (const auto *entry : candidates()) {
         if (parts_.view.isBackedOff(*entry))
             continue;
         hasHost = true;
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -77,6 +77,8 @@
     /// @return the endpoint, or nullptr if the request has been settled instead
     auto place() -> boost::asio::awaitable<EndpointEntry *>;
     static auto blockedError(BlockedBy blockedBy) -> absl::Status;
+    /// @return the endpoints that accept new requests, and where the request may be served
+    auto candidates() const -> std::vector<EndpointEntry *>;
     /// Looks for an endpoint and stores the result in picked_.
     /// @return why there is none, or BlockedBy::Nothing if picked_ names a known endpoint
     auto pick() -> boost::asio::awaitable<BlockedBy>;
@@ -177,8 +179,9 @@
     const catalogue::Route *route_ = nullptr;
     const catalogue::EngineSpec *engine_ = nullptr; ///< Null for a plain service.
     ServiceId service_;
-    double coldPerSecond_ = 0; ///< Rate that a cold endpoint of the service accepts; 0: any.
-    DemandTarget target_;      ///< The model is empty if the request needs none.
+    catalogue::HomeRule homes_; ///< Of the route and of the account.
+    double coldPerSecond_ = 0;  ///< Rate that a cold endpoint of the service accepts; 0: any.
+    DemandTarget target_;       ///< The model is empty if the request needs none.
     Criteria criteria_;
     catalogue::WorkIds works_;                   ///< Empty until the request has been read.
     std::shared_ptr<http::Canceller> canceller_; ///< Cancels the dispatch in progress.
--- a/gateway/testing/tst_forwarder.cpp
+++ b/gateway/testing/tst_forwarder.cpp
@@ -74,6 +74,40 @@
     CHECK(http::findHeader(failed.headers, "X-Come-Back") == "300");
 }
 
+TEST_CASE("A request is sent only to its route's home regions, and refused at once if nothing is "
+          "there")
+{
+    auto options = gateway::ForwarderOptions {};
+    options.regions = { { DomainId { "n1" }, RegionId { "north" } },
+                        { DomainId { "s1" }, RegionId { "south" } } };
+    auto rig = Rig { options };
+    auto catalogue = *testCatalogue(false);
+    catalogue.routes.at(0).homeRegions = { RegionId { "south" } };
+    rig.forwarder.setCatalogue(std::make_shared<const catalogue::Catalogue>(catalogue));
+    auto &north = rig.addEndpoint("i-n");
+    north.handler = answering("north");
+    rig.addEndpoint("i-s").handler = answering("south");
+    const auto place = [&](const std::string &id, const std::string &domain,
+                           catalogue::EndpointState state) {
+        auto row = rig.view.find(EndpointId { id })->row;
+        ++row.sequence;
+        row.domain = DomainId { domain };
+        row.state = state;
+        auto update = proto::ServingUpdate {};
+        update.endpoints = { row };
+        rig.view.apply(update);
+    };
+    place("i-n", "n1", catalogue::EndpointState::Ready);
+    place("i-s", "s1", catalogue::EndpointState::Ready);
+    for (auto i = 0; i < 20; ++i)
+        CHECK(rig.call(Rig::request("/once/x", "a" + std::to_string(i))).body == "south");
+    place("i-s", "s1", catalogue::EndpointState::Draining);
+    const auto got = rig.call(Rig::request("/once/x", "b"));
+    CHECK(got.status == 503);
+    CHECK(north.seen.empty());
+    CHECK(rig.call(Rig::request("/idem/x", "c")).body == "north");
+}
+
 TEST_CASE("A request that arrives right after the start waits for the first document, for a "
           "limited time")
 {
--- a/tools/boundary.sh
+++ b/tools/boundary.sh
@@ -2,7 +2,7 @@
 # Holds the platform's words to platform/: nothing outside includes the folder or has one of its wire names.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-names='"(PathPrefix|TimeoutMs|TargetLatencyMs|GapTargetMs|MaxAttempts|WeightsMb|MaxAdapters|AdapterMb|LoadsPerS|ColdMs|KvCapacity|ExpectedRev|HeartbeatAddr|Prompt-Prefix|Token-Count|Server-Stamp|Server-Limit|Server-Leaving|Expect-Instance|Instance-Id|Request-Id|Deadline-Ms|Request-Urgency|Not-Run|born|ApiKeys|RatePerS|Burst|PlainTokens|Tenants|Tenant|StrictRevoke|RevokeMs|QuotaSlack|QuotaWindowS)"'
+names='"(PathPrefix|TimeoutMs|TargetLatencyMs|GapTargetMs|MaxAttempts|WeightsMb|MaxAdapters|AdapterMb|LoadsPerS|ColdMs|ColdPerS|HomeRegions|KvCapacity|ExpectedRev|HeartbeatAddr|Prompt-Prefix|Token-Count|Server-Stamp|Server-Limit|Server-Leaving|Expect-Instance|Instance-Id|Request-Id|Deadline-Ms|Request-Urgency|Not-Run|born|ApiKeys|RatePerS|Burst|PlainTokens|Tenants|Tenant|StrictRevoke|RevokeMs|QuotaSlack|QuotaWindowS)"'
 failed=0
 if git grep -nE "#include \"platform/" -- '*.h' '*.cpp' ':!platform'; then
   echo 'event=boundary_broken what=include remedy="move it to platform/, or let platform/ use the product"'
