--- a/control/peertransport.cpp
+++ b/control/peertransport.cpp
@@ -29,10 +29,14 @@
 }
 
 auto PeerTransport::send(const NodeId &to, coord::Message message) -> void
+{
+    static_cast<void>(push(to, std::move(message)));
+}
+
+auto PeerTransport::push(const NodeId &to, proto::Payload payload) -> bool
 {
     const auto found = peers_.find(to);
-    if (found != peers_.end())
-        (void)found->second.client->push(std::move(message));
+    return found != peers_.end() && found->second.client->push(std::move(payload));
 }
 
 auto PeerTransport::pushToAll(const proto::Payload &payload) -> void
--- a/control/peertransport.h
+++ b/control/peertransport.h
@@ -32,6 +32,8 @@
     /// since a removed control may still have to learn of its removal.
     auto setPeers(const std::vector<coord::Member> &members) -> void;
     auto send(const NodeId &to, coord::Message message) -> void override;
+    /// @return false when the control is not connected or its queue is full
+    auto push(const NodeId &to, proto::Payload payload) -> bool;
     /// Pushes a copy to every control that is connected.
     auto pushToAll(const proto::Payload &payload) -> void;
     auto stop() -> void;
--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -1,7 +1,6 @@
 #include "fleet/core.h"
 
 #include <algorithm>
-#include <unordered_map>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -14,10 +13,12 @@
 #include "core/log.h"
 #include "fleet/announcements.h"
 #include "fleet/decisions.h"
+#include "fleet/demandrelay.h"
 #include "fleet/documentvoter.h"
 #include "fleet/lastknown.h"
 #include "fleet/loadguard.h"
 #include "fleet/metrics.h"
+#include "fleet/planning.h"
 #include "fleet/recentdocuments.h"
 #include "fleet/suspectsync.h"
 #include "fleet/trials.h"
@@ -31,13 +32,14 @@
 constexpr auto groupCheckInterval = std::chrono::milliseconds { 200 };
 /// Time per gateway between two reports of the loads: with 291 gateways one every 1.5 s.
 constexpr auto loadReportSpacing = std::chrono::milliseconds { 5 };
+/// Minimum time between two saves of the endpoints, for each endpoint: all of them are written each
+/// time, so that writing takes a bounded share of the time.
+constexpr auto saveTimePerRow = std::chrono::microseconds { 500 };
 /// Minimum time between two planning passes. A pass for a few dozen endpoints takes about this
 /// long on a control with a sixth of a core, and its triggers come in bursts.
 constexpr auto planPause = std::chrono::milliseconds { 10 };
 /// Minimum time without planning after a pass, as a multiple of the pass's duration.
 constexpr auto idlePerPlan = 3;
-/// Minimum time between two log lines about one model that waits to be loaded.
-constexpr auto deferLogInterval = std::chrono::seconds { 1 };
 constexpr auto joinEvery = std::chrono::milliseconds { 500 };
 constexpr auto stopCheckInterval = std::chrono::milliseconds { 50 };
 /// Time for leadership to be transferred before the process ends.
@@ -70,6 +72,8 @@
         , ledger_(options_.ledger, registry_, clock, Incarnation { random_.bits() })
         , proof_(options_.proof, clock)
         , orders_(context, options_.orders, clock, registry_, port, authority())
+        , planning_(options_.planning,
+                    { clock, registry_, decisions_, demand_, loadGuard_, orders_ }, readDocument_)
         , tickTimer_(context)
         , stopTimer_(context)
         , planTimer_(context)
@@ -90,6 +94,7 @@
             planSoon();
         });
         recall();
+        heardGroupAt_ = clock_.now();
         reload(options_.seeds);
         startReplica();
         schedule();
@@ -241,10 +246,11 @@
     auto linkHandler() -> proto::PeerHandler
     {
         auto handler = proto::PeerHandler {};
-        handler.onOpen = [](const proto::PeerPointer &peer) {
-            auto subscribe = proto::Subscribe {};
-            subscribe.kind = proto::SubscriberKind::Control;
-            peer->send({ 0, subscribe });
+        handler.onOpen = [weak = weak_from_this()](const proto::PeerPointer &peer) {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            peer->send({ 0, self->subscription() });
             LogEvent(LogLevel::Info, "control_regained").with("control", peer->peer());
         };
         handler.onMessage = [weak = weak_from_this()](const proto::PeerPointer &peer,
@@ -253,7 +259,7 @@
             if (!self)
                 return;
             if (const auto *update = std::get_if<proto::ServingUpdate>(&envelope.payload))
-                self->onUpdate(*update);
+                self->onUpdate(peer, *update);
             else if (const auto *news = std::get_if<proto::SuspectNews>(&envelope.payload))
                 self->suspects_.onNews(*news);
             else if (const auto *use = std::get_if<proto::AccountNews>(&envelope.payload))
@@ -283,6 +289,7 @@
                       const auto kind = self->registry_.onClose(peer);
                       self->decisions_.rollout().onLost(peer);
                       self->demand_.onGatewayLost(peer->peer());
+                      self->demandRelay_.onGatewayLost(peer->peer());
                       self->balancer_.onGatewayLost(peer->peer());
                       self->trials_.onGatewayLost(peer->peer());
                       // Connections of other controls have no requests in the ledger.
@@ -304,9 +311,10 @@
             registry_.onAck(peer, *ack);
         } else if (const auto *inForce = std::get_if<proto::InForce>(&envelope.payload)) {
             decisions_.rollout().onInForce(peer, *inForce);
+        } else if (const auto *watch = std::get_if<proto::WatchRequest>(&envelope.payload)) {
+            peer->send({ envelope.correlation, registry_.onWatch(peer, *watch) });
         } else if (const auto *wanted = std::get_if<proto::ModelWanted>(&envelope.payload)) {
-            if (demand_.onReport(peer->peer(), *wanted))
-                planSoon();
+            onWanted(peer->peer(), *wanted);
         } else if (auto *pick = std::get_if<proto::PickRequest>(&envelope.payload)) {
             auto reply = onPick(peer->peer(), *pick);
             if (envelope.correlation != 0)
@@ -333,6 +341,45 @@
         }
     }
 
+    /// Gateways with the whole list report to the leader; the others to any control.
+    auto onWanted(const NodeId &sender, const proto::ModelWanted &wanted) -> void
+    {
+        if (leads_) {
+            demandRelay_.onGatewayLost(sender); // What it reported before is out of date.
+            if (demand_.onReport(sender, wanted))
+                planSoon();
+        } else if (demandRelay_.onReport(sender, wanted)) {
+            nextRelayedDemand_ = {};
+        }
+    }
+
+    auto relayDemand() -> void
+    {
+        const auto now = clock_.now();
+        if (now < nextRelayedDemand_ || leads_)
+            return;
+        nextRelayedDemand_ = now + options_.relayDemandEvery;
+        if (auto sum = demandRelay_.take())
+            static_cast<void>(transport_->push(status().leader, *std::move(sum)));
+    }
+
+    auto subscription() const -> proto::Subscribe
+    {
+        auto subscribe = proto::Subscribe {};
+        subscribe.kind = proto::SubscriberKind::Control;
+        subscribe.hasWatchers = hasWatchers_;
+        return subscribe;
+    }
+
+    /// The other controls must know whether the leaving of an endpoint concerns gateways here.
+    auto noteWatchers() -> void
+    {
+        if (registry_.hasWatchers() == hasWatchers_)
+            return;
+        hasWatchers_ = !hasWatchers_;
+        transport_->pushToAll(subscription());
+    }
+
     auto onPick(const NodeId &gateway, proto::PickRequest &request) -> proto::PickReply
     {
         if (auto refusal = trials_.refuse(gateway, request))
@@ -373,6 +420,15 @@
         return now.role == coord::Role::Leader ? replica_->holdsLease() : !now.leader.empty();
     }
 
+    /// An election takes about a second, in which no control hears from a leader.
+    auto isCurrent() -> bool
+    {
+        const auto now = clock_.now();
+        if (hearsGroup())
+            heardGroupAt_ = now;
+        return now - heardGroupAt_ < options_.currentWithin;
+    }
+
     auto onSubscribe(const proto::PeerPointer &peer, const proto::Subscribe &subscribe) -> void
     {
         registry_.onSubscribe(peer, subscribe);
@@ -381,9 +437,9 @@
             decisions_.rollout().onSubscribed(peer, subscribe.ready, subscribe.inForce);
     }
 
-    auto onUpdate(const proto::ServingUpdate &update) -> void
+    auto onUpdate(const proto::PeerPointer &peer, const proto::ServingUpdate &update) -> void
     {
-        registry_.onUpdate(update);
+        registry_.onUpdate(peer, update);
         if (!update.controls.empty() && !inGroup())
             transport_->setPeers(update.controls);
     }
@@ -469,6 +525,8 @@
         settle();
         restartIfStopped();
         registry_.tick();
+        noteWatchers();
+        relayDemand();
         decisions_.rollout().settle();
         suspects_.tick();
         ledger_.tick(hearsGroup());
@@ -512,6 +570,7 @@
         group.term = now.term;
         group.controls = members_;
         group.evacuations = decisions_.newestEvacuations();
+        group.isCurrent = isCurrent();
         registry_.setGroup(group);
         settling_ = false;
     }
@@ -534,7 +593,8 @@
         if (!endpointsChanged_ || now < nextSave_)
             return;
         endpointsChanged_ = false;
-        nextSave_ = now + options_.saveEndpointsEvery;
+        const auto size = static_cast<std::int64_t>(registry_.size());
+        nextSave_ = now + std::max<Duration>(options_.saveEndpointsEvery, size * saveTimePerRow);
         auto rows = std::vector<catalogue::EndpointRow> {};
         for (const auto *row : registry_.rows())
             rows.push_back(*row);
@@ -599,7 +659,7 @@
         if (!mayOrder())
             return;
         const auto begun = BootClock::now();
-        planServices();
+        planning_.run(leadTerm_);
         // A control with a small share of a core and many endpoints must leave time for other work:
         // a plan of 6 ms takes 40 ms on a sixth of a core, and without a pause one plan would
         // directly follow the other.
@@ -607,98 +667,6 @@
         planAgainAt_ = ended + std::max<Duration>(planPause, (ended - begun) * idlePerPlan);
     }
 
-    auto planServices() -> void
-    {
-        const auto *catalogue = currentCatalogue();
-        if (catalogue == nullptr)
-            return;
-        for (const auto &service : catalogue->services) {
-            if (service.engine)
-                planService(service);
-        }
-    }
-
-    auto planService(const catalogue::Service &service) -> void
-    {
-        const auto &engine = *service.engine;
-        auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 0, 0 };
-        const auto unreachable = demand_.unreachable();
-        auto running = std::unordered_map<EndpointId, std::uint32_t> {};
-        for (const auto &load : demand_.loads())
-            running[load.endpoint] = load.running;
-        for (const auto *row : registry_.rows()) {
-            if (row->service != service.id || row->state != catalogue::EndpointState::Ready)
-                continue;
-            // The models it holds are not available to anybody. If it returns, they count again.
-            if (unreachable.contains(row->id)
-                || decisions_.newestEvacuations().contains(row->domain))
-                continue;
-            const auto *held = orders_.held(row->id);
-            input.hosts.push_back({ row->id, held != nullptr ? *held : row->models, row->inMemory,
-                                    row->onDisk, orders_.busySeconds(row->id), running[row->id] });
-        }
-        auto asked = demand_.of(service.id);
-        std::erase_if(asked.models,
-                      [this](const auto &wanted) { return loadGuard_.isBarred(wanted.first); });
-        input.models = std::move(asked.models);
-        input.adapters = std::move(asked.adapters);
-        input.loading = orders_.loading();
-        input.stalled = orders_.stalledLoads();
-        input.loadingAdapters = orders_.loadingAdapters();
-        input.freshAdapters = orders_.freshAdapters();
-        input.storeLoads = orders_.storeLoadsAllowed(engine);
-        input.storeReserve = orders_.storeLoadsAtOnce() > 1 ? 1 : 0;
-        const auto placement = plan(input);
-        logDeferred(placement.deferred);
-        for (const auto &next : placement.plans) {
-            LogEvent(LogLevel::Info, "plan")
-                    .with("endpoint", next.endpoint)
-                    .with("model", next.steps.back().model)
-                    .with("adapter", next.steps.back().adapter)
-                    .with("unloads", static_cast<std::uint64_t>(next.steps.size() - 1))
-                    .with("source", loadSourceName(next.source))
-                    .with("config", catalogue_->version)
-                    .with("term", leadTerm_);
-            orders_.start(next,
-                          std::shared_ptr<const catalogue::EngineSpec> { catalogue_, &engine });
-        }
-    }
-
-    /// Logs at most one line per model and second, so that the log shows what requests for that
-    /// model waited for.
-    auto logDeferred(const std::vector<Deferral> &deferred) -> void
-    {
-        const auto now = clock_.now();
-        std::erase_if(deferLoggedAt_,
-                      [&](const auto &item) { return now - item.second >= deferLogInterval; });
-        for (const auto &deferral : deferred) {
-            if (!deferLoggedAt_.try_emplace(deferral.model, now).second)
-                continue;
-            LogEvent(LogLevel::Info, "plan_deferred")
-                    .with("model", deferral.model)
-                    .with("reason", deferReasonName(deferral.reason))
-                    .with("endpoint", deferral.endpoint)
-                    .with("seconds", deferral.seconds)
-                    .with("lacks", std::int64_t { deferral.unserved });
-        }
-    }
-
-    auto currentCatalogue() -> const catalogue::Catalogue *
-    {
-        const auto &held = decisions_.log().document();
-        if (held.version == Revision {})
-            return nullptr;
-        if (catalogue_ && catalogue_->version == held.version)
-            return catalogue_.get();
-        auto read = readDocument_(held.text);
-        if (!read.ok()) {
-            LogEvent(LogLevel::Error, "document_not_read").with(read.status());
-            return nullptr;
-        }
-        catalogue_ = std::make_shared<const catalogue::Catalogue>(*std::move(read));
-        return catalogue_.get();
-    }
-
     // ---- stopping
 
     auto checkStop() -> void
@@ -737,6 +705,7 @@
     Trials trials_;
     LoadGuard loadGuard_;
     DemandTable demand_;
+    DemandRelay demandRelay_;
     Balancer balancer_;
     AccountLedger ledger_;
     DocumentProof proof_;
@@ -746,9 +715,8 @@
     std::unique_ptr<coord::FileLogStore> store_;
     std::unique_ptr<coord::Replica> replica_;
     std::vector<coord::Member> members_;
-    std::shared_ptr<const catalogue::Catalogue> catalogue_; ///< Of the held document.
-    std::map<ModelId, Instant> deferLoggedAt_;              ///< Time of the last log line.
     OrderRunner orders_;
+    Planning planning_;
     BootTimer tickTimer_;
     BootTimer stopTimer_;
     BootTimer planTimer_;
@@ -762,6 +730,9 @@
     Instant nextPlan_ {};
     Instant nextLoads_ {};
     Instant nextSave_ {};
+    Instant nextRelayedDemand_ {};
+    Instant heardGroupAt_ {};  ///< When this control last received decisions of its group.
+    bool hasWatchers_ = false; ///< As announced to the other controls.
     Term leadTerm_;
     bool leads_ = false;
     bool settling_ = false;
--- a/fleet/core.h
+++ b/fleet/core.h
@@ -38,6 +38,7 @@
 #include "fleet/documentproof.h"
 #include "fleet/group.h"
 #include "fleet/orders.h"
+#include "fleet/planning.h"
 #include "fleet/registry.h"
 #include "proto/channel.h"
 
@@ -70,6 +71,13 @@
     Duration saveEndpointsEvery = std::chrono::seconds { 1 };
     Duration restartEvery = std::chrono::seconds { 1 };
     DemandWindows demand;
+    PlanningOptions planning;
+    /// Interval at which a control that does not lead sums up the demand reports that it gets. A
+    /// report of requests that wait for a model is passed on with the next tick.
+    Duration relayDemandEvery = std::chrono::milliseconds { 250 };
+    /// A control that has not received decisions of its group for this time says so to gateways,
+    /// which then watch endpoints at another one.
+    Duration currentWithin = std::chrono::milliseconds { 2500 };
     /// Interval at which gateways report their requests in progress.
     Duration loadsEvery = std::chrono::milliseconds { 500 };
     /// Interval of planning passes that no report has triggered. They find overloaded replicas.
--- /dev/null
+++ b/fleet/demandrelay.cpp
@@ -0,0 +1,67 @@
+#include "fleet/demandrelay.h"
+
+#include <set>
+#include <utility>
+
+namespace figrack::fleet {
+namespace {
+
+auto keyOf(const proto::WantedRow &row) -> proto::WatchKey
+{
+    return { row.service, row.model, row.adapter };
+}
+
+auto emptyRow(const proto::WantedRow &like) -> proto::WantedRow
+{
+    return { like.service, like.model, like.adapter, 0, 0, 0, 0, 0 };
+}
+
+} // namespace
+
+auto DemandRelay::onReport(const NodeId &gateway, const proto::ModelWanted &report) -> bool
+{
+    auto unserved = false;
+    for (const auto &row : report.rows) {
+        unserved = unserved || row.waiting + row.refused > 0;
+        auto &sum = arrived_.try_emplace(keyOf(row), emptyRow(row)).first->second;
+        sum.arrived += row.arrived;
+        sum.refused += row.refused;
+        sum.late += row.late;
+    }
+    latest_[gateway] = report;
+    hasNews_ = true;
+    return unserved;
+}
+
+auto DemandRelay::onGatewayLost(const NodeId &gateway) -> void
+{
+    hasNews_ = latest_.erase(gateway) > 0 || hasNews_;
+}
+
+auto DemandRelay::take() -> std::optional<proto::ModelWanted>
+{
+    if (!std::exchange(hasNews_, false))
+        return std::nullopt;
+    auto rows = std::exchange(arrived_, {});
+    auto loads = std::map<EndpointId, std::uint32_t> {};
+    auto unreachable = std::set<EndpointId> {};
+    for (const auto &[gateway, report] : latest_) {
+        for (const auto &row : report.rows) {
+            auto &sum = rows.try_emplace(keyOf(row), emptyRow(row)).first->second;
+            sum.waiting += row.waiting;
+            sum.running += row.running;
+        }
+        for (const auto &load : report.loads)
+            loads[load.endpoint] += load.running;
+        unreachable.insert(report.unreachable.begin(), report.unreachable.end());
+    }
+    auto result = proto::ModelWanted {};
+    for (auto &[key, row] : rows)
+        result.rows.push_back(std::move(row));
+    for (const auto &[endpoint, running] : loads)
+        result.loads.push_back({ endpoint, running });
+    result.unreachable = { unreachable.begin(), unreachable.end() };
+    return result;
+}
+
+} // namespace figrack::fleet
--- a/fleet/orders.h
+++ b/fleet/orders.h
@@ -15,11 +15,11 @@
 // endpoint holds.
 //
 // Guarantees: an endpoint has one plan at a time. No order is sent while
-// mayOrder() is false, or to an endpoint in an evacuated failure domain. A step starts only when the endpoint itself, or its
-// answer, says that the previous step is complete. The number of loads from the
-// store that start within a window stays within its limit. A new leader counts
-// the window before its term as full, so it starts with the few loads that the
-// store can take in excess of its rate.
+// mayOrder() is false, or to an endpoint in an evacuated failure domain. A step starts only when
+// the endpoint itself, or its answer, says that the previous step is complete. The number of loads
+// from the store that start within a window stays within its limit. A new leader counts the window
+// before its term as full, so it starts with the few loads that the store can take in excess of its
+// rate.
 
 #ifndef FIGRACK_FLEET_ORDERS_H
 #define FIGRACK_FLEET_ORDERS_H
--- a/fleet/placement.cpp
+++ b/fleet/placement.cpp
@@ -84,9 +84,11 @@
     {
         for (const auto &model : input.engine.models)
             specs_.emplace(model.id, &model);
+        if (input.holders)
+            holders_ = *input.holders;
         for (auto &host : hosts_) {
             for (const auto &held : host.models)
-                ++holders_[held.model];
+                holders_[held.model] += input.holders ? 0 : 1;
             for (const auto &id : copiesOf(host))
                 copyHosts_[id].push_back(&host);
         }
@@ -204,6 +206,8 @@
 
     auto isHeldSomewhere(const AdapterKey &key) const -> bool
     {
+        if (input_.heldAdapters.contains(key))
+            return true;
         return std::any_of(hosts_.begin(), hosts_.end(), [&](const Host &host) {
             return std::any_of(host.models.begin(), host.models.end(), [&](const auto &held) {
                 return held.model == key.first && held.hasAdapter(key.second);
--- a/fleet/placement.h
+++ b/fleet/placement.h
@@ -19,6 +19,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -79,6 +80,10 @@
     /// waiting requests would occupy its place in the store for the six seconds that it takes. The
     /// reserve is open to a model whose replicas miss more requests each.
     std::uint32_t storeReserve = 0;
+    /// Where hosts are only some of the endpoints: the number of all that hold each model, and the
+    /// adapters that any of them holds. Otherwise they are counted.
+    std::optional<std::map<ModelId, std::uint32_t>> holders = {};
+    std::set<AdapterKey> heldAdapters = {};
 };
 
 enum class StepKind : std::uint8_t { Load, Unload };
--- a/fleet/registry.cpp
+++ b/fleet/registry.cpp
@@ -14,8 +14,15 @@
 
 namespace {
 
-/// Announcements are delayed by different times, so the ends that they state differ slightly.
-constexpr auto coldTolerance = std::chrono::milliseconds { 500 };
+/// Adds news to what is still to be sent to a gateway.
+auto mergeNews(WatchTable::News &into, const WatchTable::News &from) -> void
+{
+    for (const auto &id : from.rows) {
+        into.rows.insert(id);
+        into.withdrawn.erase(id);
+    }
+    into.withdrawn.insert(from.withdrawn.begin(), from.withdrawn.end());
+}
 
 } // namespace
 
@@ -23,52 +30,98 @@
     : options_(std::move(options))
     , clock_(clock)
     , startedAt_(clock.now())
-{ }
+    , table_(options_.table, clock)
+    , watches_(options_.watch, table_, index_)
+{
+    table_.setOnChanged([this](const EndpointRow &row, EndpointTable::Change change) {
+        onTableChanged(row, change);
+    });
+    table_.setOnForgotten([this](const EndpointId &id) {
+        index_.remove(id);
+        for (const auto &[subscriber, news] : watches_.onChanged(id, EndpointTable::Change::Row))
+            mergeNews(watchNews_[subscriber], news);
+    });
+}
 
 auto Registry::onSubscribe(const proto::PeerPointer &peer, const proto::Subscribe &subscribe)
         -> void
 {
     auto &subscriber = subscribers_[peer.get()];
     const auto isNew = subscriber.peer == nullptr;
+    const auto wasWhole = !isNew && subscriber.isWhole;
     subscriber.peer = peer;
     subscriber.subscribe = subscribe;
+    subscriber.isWhole = table_.size() <= subscribe.wholeUpTo;
     LogEvent(LogLevel::Info, "subscriber")
             .with("peer", peer->peer())
-            .with("gateway", subscribe.kind == proto::SubscriberKind::Gateway)
+            .with("gateway", subscriber.isGateway())
             .with("ready", subscribe.ready)
+            .with("whole", subscriber.isWhole)
             .with("new", isNew);
-    if (!isNew)
-        return;
+    if (isNew || (subscriber.isWhole && !wasWhole))
+        sendSnapshot(subscriber);
+}
+
+auto Registry::sendSnapshot(Subscriber &subscriber) -> void
+{
     auto update = baseUpdate();
     update.controls = group_.controls;
     update.evacuations = group_.evacuations;
-    // If two endpoints were known at one address, the receiver keeps the later one in the update,
-    // so the one heard last must come last.
-    auto sorted = std::vector<const Known *> {};
-    for (const auto &[id, known] : known_)
-        sorted.push_back(&known);
-    std::sort(sorted.begin(), sorted.end(),
-              [](const Known *one, const Known *other) { return one->heardAt < other->heardAt; });
-    for (const auto *known : sorted)
-        update.endpoints.push_back(rowToSend(*known));
+    if (subscriber.isWhole)
+        update.endpoints = table_.allToSend();
     update.wantsAck = true;
     update.number = ++lastNumber_;
     subscriber.asked = update.number;
     send(subscriber, proto::SharedPush { std::move(update) });
 }
 
+auto Registry::onWatch(const proto::PeerPointer &peer, const proto::WatchRequest &request)
+        -> proto::WatchReply
+{
+    auto reply = proto::WatchReply { group_.isCurrent, {} };
+    const auto found = subscribers_.find(peer.get());
+    if (found == subscribers_.end()) {
+        LogEvent(LogLevel::Warning, "watch_without_subscription").with("peer", peer->peer());
+        return {};
+    }
+    if (request.isReset) {
+        watches_.drop(peer.get());
+        watchNews_.erase(peer.get());
+    }
+    auto &news = watchNews_[peer.get()];
+    const auto withdrawn = watches_.remove(peer.get(), request.removed);
+    mergeNews(news, { {}, withdrawn });
+    const auto told = watches_.add(peer.get(), found->second.subscribe.domain, request.added);
+    for (const auto &id : told)
+        news.withdrawn.erase(id);
+    if (news.rows.empty() && news.withdrawn.empty())
+        watchNews_.erase(peer.get());
+    reply.endpoints = rowsOf(told);
+    return reply;
+}
+
 auto Registry::onAck(const proto::PeerPointer &peer, const proto::ServingAck &ack) -> void
 {
     const auto found = subscribers_.find(peer.get());
     if (found == subscribers_.end())
         return;
     found->second.acked = std::max(found->second.acked, ack.number);
-    for (auto &leaving : leaving_) {
-        const auto waits = leaving.unconfirmed.find(peer.get());
-        if (waits != leaving.unconfirmed.end() && waits->second <= ack.number)
-            leaving.unconfirmed.erase(waits);
-    }
+    onConfirmed(peer.get(), ack.number);
+}
+
+auto Registry::onConfirmed(const proto::PeerConnection *peer, std::uint64_t number) -> void
+{
+    const auto confirm = [&](Unconfirmed &unconfirmed) {
+        const auto waits = unconfirmed.find(peer);
+        if (waits != unconfirmed.end() && waits->second <= number)
+            unconfirmed.erase(waits);
+    };
+    for (auto &leaving : leaving_)
+        confirm(leaving.unconfirmed);
+    for (auto &relayed : relayed_)
+        confirm(relayed.unconfirmed);
     completeLeaving();
+    completeRelayed();
 }
 
 auto Registry::onClose(const proto::PeerPointer &peer) -> std::optional<proto::SubscriberKind>
@@ -79,30 +132,37 @@
     const auto kind = found->second.subscribe.kind;
     LogEvent(LogLevel::Warning, "subscriber_lost").with("peer", peer->peer());
     subscribers_.erase(found);
-    // The gateway gets the whole list before it may send again, but this control cannot tell when.
+    watches_.drop(peer.get());
+    watchNews_.erase(peer.get());
+    // The gateway gets all rows anew before it may send again, but this control cannot tell when.
     for (auto &leaving : leaving_) {
         if (leaving.unconfirmed.contains(peer.get()))
             leaving.deadline = clock_.now();
     }
+    std::erase_if(relayed_, [&](const auto &relayed) {
+        return relayed.control == peer || relayed.unconfirmed.contains(peer.get());
+    });
     return kind;
 }
 
-auto Registry::onUpdate(const proto::ServingUpdate &update) -> void
+auto Registry::onUpdate(const proto::PeerPointer &peer, const proto::ServingUpdate &update) -> void
 {
     // Rows of ended incarnations come first, because another one may have replaced them.
     for (const auto isGone : { true, false }) {
         for (const auto &row : update.endpoints) {
-            if ((row.state == EndpointState::Gone) == isGone && merge(row)
+            if ((row.state == EndpointState::Gone) == isGone && table_.merge(row)
                 && shouldRelay(std::hash<EndpointId> {}(row.id)))
                 unrelayed_.insert(row.id);
         }
     }
-    const auto now = clock_.now();
-    for (const auto &beat : update.beats) {
-        const auto found = known_.find(beat.id);
-        if (found != known_.end() && beat.sequence >= found->second.row.sequence)
-            found->second.heardAt = now;
-    }
+    for (const auto &beat : update.beats)
+        table_.hear(beat);
+    if (!update.wantsAck || peer == nullptr)
+        return;
+    publishToWatchers(true);
+    relayed_.push_back(
+            { peer, update.number, unconfirmed(false), clock_.now() + options_.confirmTimeout });
+    completeRelayed();
 }
 
 /// Selects the controls with the highest rendezvous weights for the key, so no negotiation is
@@ -120,51 +180,35 @@
 
 auto Registry::recall(std::vector<EndpointRow> endpoints) -> void
 {
-    // Set the time so that the endpoint is considered lost after recallFor.
-    const auto heardAt = clock_.now() - options_.forgetSilentAfter + options_.recallFor;
-    for (auto &row : endpoints) {
-        if (row.state == EndpointState::Gone)
-            continue;
-        auto &known = known_[row.id];
-        known.row = std::move(row);
-        known.heardAt = heardAt;
-        noteCold(known);
-    }
+    table_.recall(std::move(endpoints));
 }
 
 auto Registry::onAnnouncement(const EndpointRow &row) -> void
 {
-    if (isIgnored(row)) {
+    if (table_.isIgnored(row)) {
         LogEvent(LogLevel::Info, "old_incarnation_ignored")
                 .with("endpoint", row.id)
                 .with("state", catalogue::endpointStateName(row.state))
                 .with("sequence", row.sequence);
         return;
     }
-    const auto changed = merge(row);
-    auto &known = known_[row.id];
-    known.heardAt = clock_.now();
-    known.beaten = true;
-    if (changed)
+    if (table_.announce(row))
         unpublished_.insert(row.id);
 }
 
 auto Registry::onLeaving(const EndpointRow &row, Done done) -> void
 {
     onAnnouncement(row);
-    if (!known_.contains(row.id) || isSuperseded(row.id)) {
+    if (table_.find(row.id) == nullptr || table_.isSuperseded(row.id)) {
         done(absl::OkStatus()); // No gateway sends work there: another incarnation is in use.
         return;
     }
     unrelayed_.erase(row.id);
     unpublished_.insert(row.id);
     publish(unpublished_, true);
-    auto leaving = Leaving { row.id, {}, clock_.now() + options_.confirmTimeout, std::move(done) };
-    for (const auto &[key, subscriber] : subscribers_) {
-        const auto isGateway = subscriber.subscribe.kind == proto::SubscriberKind::Gateway;
-        if (isGateway && subscriber.acked < subscriber.asked)
-            leaving.unconfirmed.emplace(key, subscriber.asked);
-    }
+    publishToWatchers(true);
+    auto leaving = Leaving { row.id, unconfirmed(true), clock_.now() + options_.confirmTimeout,
+                             std::move(done) };
     const auto settled = clock_.now() >= startedAt_ + options_.settleAfterStart;
     if (gatewayCount() == 0 || !settled)
         leaving.deadline = Instant {}; // No gateway can confirm it, so it fails at once.
@@ -172,23 +216,42 @@
     completeLeaving();
 }
 
+/// @param isForWhole also of subscribers to the whole list, and of controls where gateways watch
+auto Registry::unconfirmed(bool isForWhole) const -> Unconfirmed
+{
+    auto result = Unconfirmed {};
+    for (const auto &[key, subscriber] : subscribers_) {
+        const auto isWatching = subscriber.isGateway() && !subscriber.isWhole;
+        const auto counts = subscriber.isGateway() || subscriber.subscribe.hasWatchers;
+        if (subscriber.isBehind() && (isForWhole ? counts : isWatching))
+            result.emplace(key, subscriber.asked);
+    }
+    return result;
+}
+
 auto Registry::amend(const EndpointId &id, const std::function<void(EndpointRow &)> &change) -> void
 {
-    const auto found = known_.find(id);
-    if (found == known_.end())
-        return;
-    auto row = rowToSend(found->second);
-    change(row);
-    ++row.orderVersion;
-    if (merge(row))
+    if (table_.amend(id, change))
         unpublished_.insert(id);
 }
 
+auto Registry::onTableChanged(const EndpointRow &row, EndpointTable::Change change) -> void
+{
+    index_.update(row);
+    for (const auto &[subscriber, news] : watches_.onChanged(row.id, change))
+        mergeNews(watchNews_[subscriber], news);
+    if (change == EndpointTable::Change::Superseded)
+        unpublished_.insert(row.id);
+    if (onChanged_ && change != EndpointTable::Change::Silence)
+        onChanged_(row);
+}
+
 auto Registry::setGroup(const GroupView &group) -> void
 {
     const auto controlsChanged = group.controls != group_.controls;
     const auto evacuationsChanged = group.evacuations != group_.evacuations;
-    const auto changed = controlsChanged || evacuationsChanged || group.document != group_.document
+    const auto changed = controlsChanged || evacuationsChanged
+            || group.isCurrent != group_.isCurrent || group.document != group_.document
             || group.leader != group_.leader || group.term != group_.term;
     if (!changed)
         return;
@@ -198,7 +261,11 @@
         update.controls = group_.controls;
     if (evacuationsChanged)
         update.evacuations = group_.evacuations;
-    sendToAll(std::move(update));
+    sendToAll(std::move(update), false);
+    if (!evacuationsChanged)
+        return;
+    for (const auto &[subscriber, news] : watches_.setEvacuations(group_.evacuations))
+        mergeNews(watchNews_[subscriber], news);
 }
 
 auto Registry::publishLoads(const std::vector<proto::EndpointLoad> &loads) -> void
@@ -208,7 +275,11 @@
     auto update = baseUpdate();
     update.loads = loads;
     update.number = ++lastNumber_;
-    push(proto::SubscriberKind::Gateway, std::move(update));
+    const auto shared = proto::SharedPush { std::move(update) };
+    for (const auto &[key, subscriber] : subscribers_) {
+        if (subscriber.isGateway() && subscriber.isWhole)
+            send(subscriber, shared);
+    }
 }
 
 auto Registry::push(proto::SubscriberKind kind, proto::Payload payload) -> void
@@ -224,46 +295,44 @@
 {
     const auto now = clock_.now();
     if (now >= nextUpdate_) {
-        nextUpdate_ = now + subscribers_.size() * options_.updateSpacing;
+        nextUpdate_ = now + wholeCount() * options_.updateSpacing;
         publish(unpublished_, false);
     }
     if (now >= nextRelay_) {
-        const auto share = subscribers_.size() * options_.relaySpacing;
+        const auto share = wholeCount() * options_.relaySpacing;
         nextRelay_ = now + std::max<Duration>(options_.relayEvery, share);
         publish(unrelayed_, false);
     }
+    publishToWatchers(false);
     completeLeaving();
+    completeRelayed();
     if (now < nextBeat_)
         return;
     nextBeat_ = now + options_.beatEvery;
     sendBeats();
-    forgetOld();
+    table_.tick();
 }
 
 auto Registry::find(const EndpointId &id) const -> const EndpointRow *
 {
-    const auto found = known_.find(id);
-    return found == known_.end() ? nullptr : &found->second.row;
+    return table_.find(id);
 }
 
 auto Registry::inUse(const EndpointId &id) const -> const EndpointRow *
 {
-    const EndpointRow *newest = nullptr;
-    catalogue::forEachIncarnation(known_, id, [&](const auto &item) {
-        const auto &row = item.second.row;
-        const auto isNewest = newest == nullptr || row.id.incarnation() > newest->id.incarnation();
-        if (row.state != EndpointState::Gone && isNewest)
-            newest = &row;
-    });
-    return newest;
+    return table_.inUse(id);
 }
 
 auto Registry::rows() const -> std::vector<const EndpointRow *>
 {
-    auto result = std::vector<const EndpointRow *> {};
-    for (const auto &[id, known] : known_)
-        result.push_back(&known.row);
-    return result;
+    return table_.rows();
+}
+
+auto Registry::hasWatchers() const -> bool
+{
+    return std::any_of(subscribers_.begin(), subscribers_.end(), [](const auto &item) {
+        return item.second.isGateway() && !item.second.isWhole;
+    });
 }
 
 auto Registry::knowsDomain(const DomainId &domain) const -> bool
@@ -272,8 +341,7 @@
     return std::any_of(group_.controls.begin(), group_.controls.end(), isInDomain)
             || std::any_of(subscribers_.begin(), subscribers_.end(),
                            [&](const auto &item) { return isInDomain(item.second.subscribe); })
-            || std::any_of(known_.begin(), known_.end(),
-                           [&](const auto &item) { return isInDomain(item.second.row); });
+            || table_.knowsDomain(domain);
 }
 
 auto Registry::gateways() const -> std::vector<GatewayInfo>
@@ -292,149 +360,67 @@
     onChanged_ = std::move(listener);
 }
 
-/// @return when a newer incarnation of the endpoint was last heard from; nullopt: none is known
-auto Registry::newerHeardAt(const EndpointId &id) const -> std::optional<Instant>
-{
-    auto result = std::optional<Instant> {};
-    catalogue::forEachIncarnation(known_, id, [&](const auto &item) {
-        if (item.first.incarnation() > id.incarnation())
-            result = std::max(result.value_or(Instant::min()), item.second.heardAt);
-    });
-    return result;
-}
-
-/// @return true when the row comes from a superseded incarnation
-auto Registry::isIgnored(const EndpointRow &row) -> bool
-{
-    if (known_.contains(row.id))
-        return false;
-    return row.state == EndpointState::Ready ? !acceptsIncarnation(row.id)
-                                             : newerHeardAt(row.id).has_value();
-}
-
-/// @return true when this yet unknown incarnation is not superseded by a known one
-auto Registry::acceptsIncarnation(const EndpointId &id) -> bool
+/// Sends the rows to the subscribers of the whole list and clears the set.
+auto Registry::publish(std::set<EndpointId> &ids, bool wantsAck) -> void
 {
-    const auto newer = newerHeardAt(id);
-    if (!newer)
-        return true;
-    const auto now = clock_.now();
-    auto &since = olderIncarnations_.try_emplace(id, now).first->second;
-    if (*newer >= since)
-        since = now;
-    if (now - since < options_.olderIncarnationAfter)
-        return false;
-    LogEvent(LogLevel::Warning, "incarnation_falls").with("endpoint", id);
-    olderIncarnations_.erase(id);
-    supersedeOthers(id);
-    return true;
-}
-
-/// @return true when a newer incarnation of the endpoint is in use
-auto Registry::isSuperseded(const EndpointId &id) const -> bool
-{
-    const auto rowOf = [](const Known &known) -> const EndpointRow & { return known.row; };
-    return catalogue::newerIncarnation(known_, id, rowOf) != nullptr;
-}
-
-/// Marks all other incarnations of the endpoint as gone, since this one is in use.
-auto Registry::supersedeOthers(const EndpointId &id) -> void
-{
-    catalogue::forEachIncarnation(known_, id, [&](auto &item) {
-        auto &row = item.second.row;
-        if (item.first == id || row.state == EndpointState::Gone)
-            return;
-        row.state = EndpointState::Gone;
-        unpublished_.insert(item.first);
-        LogEvent(LogLevel::Info, "incarnation_over").with("endpoint", item.first).with("by", id);
-        if (onChanged_)
-            onChanged_(row);
-    });
+    auto rows = rowsOf(std::exchange(ids, {}));
+    if (rows.empty())
+        return;
+    auto update = baseUpdate();
+    update.endpoints = std::move(rows);
+    update.wantsAck = wantsAck;
+    sendToAll(std::move(update), true);
 }
 
-/// @return true when the row changed the known state
-auto Registry::merge(const EndpointRow &row) -> bool
+auto Registry::publishToWatchers(bool wantsAck) -> void
 {
-    if (!known_.contains(row.id) && isSuperseded(row.id))
-        return false;
-    auto [item, isNew] = known_.try_emplace(row.id);
-    auto &known = item->second;
-    if (isNew) {
-        known.heardAt = clock_.now();
-    } else {
-        if (!catalogue::isNewer(row, known.row))
-            return false;
+    for (const auto &[key, news] : std::exchange(watchNews_, {})) {
+        const auto found = subscribers_.find(key);
+        if (found == subscribers_.end())
+            continue;
+        auto update = baseUpdate();
+        update.endpoints = rowsOf(news.rows);
+        update.withdrawn = { news.withdrawn.begin(), news.withdrawn.end() };
+        update.wantsAck = wantsAck;
+        update.number = ++lastNumber_;
+        if (wantsAck)
+            found->second.asked = update.number;
+        send(found->second, proto::SharedPush { std::move(update) });
     }
-    auto changed = isNew || !row.sameAs(known.row);
-    known.row = row;
-    changed = noteCold(known) || changed;
-    if (!changed)
-        return false;
-    LogEvent(LogLevel::Info, "endpoint_changed")
-            .with("endpoint", row.id)
-            .with("service", row.service)
-            .with("address", row.address.text())
-            .with("state", catalogue::endpointStateName(row.state))
-            .with("sequence", row.sequence)
-            .with("models", static_cast<std::uint64_t>(row.models.size()));
-    if (isNew && row.state != EndpointState::Gone)
-        supersedeOthers(row.id);
-    if (onChanged_)
-        onChanged_(known.row);
-    return true;
-}
-
-/// Call when the row has been set. @return true when subscribers must be told: each announcement of
-/// a cold endpoint states less time, but nearly the same end
-auto Registry::noteCold(Known &known) const -> bool
-{
-    const auto now = clock_.now();
-    const auto before = std::max(known.coldUntil, now);
-    known.coldUntil = now + std::chrono::milliseconds { known.row.coldMs };
-    return std::chrono::abs(known.coldUntil - before) > coldTolerance;
 }
 
-auto Registry::rowToSend(const Known &known) const -> EndpointRow
-{
-    using std::chrono::milliseconds;
-    auto row = known.row;
-    const auto left = std::chrono::ceil<milliseconds>(known.coldUntil - clock_.now());
-    row.coldMs = static_cast<std::uint32_t>(std::max<milliseconds::rep>(left.count(), 0));
-    return row;
-}
-
-/// Sends the rows to all subscribers and clears the set.
-auto Registry::publish(std::set<EndpointId> &ids, bool wantsAck) -> void
+auto Registry::rowsOf(const std::set<EndpointId> &ids) const -> std::vector<EndpointRow>
 {
     auto rows = std::vector<EndpointRow> {};
-    for (const auto &id : std::exchange(ids, {})) {
-        if (const auto found = known_.find(id); found != known_.end())
-            rows.push_back(rowToSend(found->second));
+    for (const auto &id : ids) {
+        if (auto row = table_.toSend(id))
+            rows.push_back(*std::move(row));
     }
-    if (rows.empty())
-        return;
-    auto update = baseUpdate();
-    update.endpoints = std::move(rows);
-    update.wantsAck = wantsAck;
-    sendToAll(std::move(update));
+    return rows;
 }
 
-auto Registry::sendToAll(proto::ServingUpdate update) -> void
+auto Registry::sendToAll(proto::ServingUpdate update, bool isForWhole) -> void
 {
     update.number = ++lastNumber_;
     const auto wantsAck = update.wantsAck;
     const auto push = proto::SharedPush { std::move(update) };
     for (auto &[key, subscriber] : subscribers_) {
+        if (isForWhole && !subscriber.isWhole)
+            continue;
         if (wantsAck)
             subscriber.asked = lastNumber_;
         send(subscriber, push);
     }
 }
 
+/// A subscriber that has missed an update is wrong about an endpoint from then on, so it has to
+/// subscribe again.
 auto Registry::send(const Subscriber &subscriber, const proto::SharedPush &push) -> void
 {
-    if (!subscriber.peer->sendShared(push))
-        LogEvent(LogLevel::Warning, "update_not_sent").with("peer", subscriber.peer->peer());
+    if (subscriber.peer->sendShared(push))
+        return;
+    LogEvent(LogLevel::Warning, "update_not_sent").with("peer", subscriber.peer->peer());
+    subscriber.peer->close();
 }
 
 auto Registry::baseUpdate() const -> proto::ServingUpdate
@@ -444,34 +430,25 @@
     update.leader = group_.leader;
     update.term = group_.term;
     update.gateways = gatewayCount();
+    update.endpointsKnown = static_cast<std::uint32_t>(table_.size());
+    update.isCurrent = group_.isCurrent;
     return update;
 }
 
+/// Those that watch are told by one small message that this control still follows the endpoints; it
+/// withdraws those that have fallen silent.
 auto Registry::sendBeats() -> void
 {
-    auto beats = std::vector<catalogue::EndpointBeat> {};
-    for (auto &[id, known] : known_) {
-        if (std::exchange(known.beaten, false))
-            beats.push_back({ id, known.row.sequence });
-    }
-    if (beats.empty())
-        return;
     auto update = baseUpdate();
-    update.beats = std::move(beats);
-    sendToAll(std::move(update));
-}
-
-auto Registry::forgetOld() -> void
-{
-    const auto now = clock_.now();
-    std::erase_if(olderIncarnations_, [&](const auto &item) {
-        return now - item.second >= options_.forgetSilentAfter;
-    });
-    std::erase_if(known_, [&](const auto &item) {
-        const auto isGone = item.second.row.state == EndpointState::Gone;
-        const auto limit = isGone ? options_.forgetGoneAfter : options_.forgetSilentAfter;
-        return now - item.second.heardAt >= limit;
-    });
+    update.number = ++lastNumber_;
+    const auto pulse = proto::SharedPush { update };
+    for (const auto &[key, subscriber] : subscribers_) {
+        if (subscriber.isGateway() && !subscriber.isWhole && watches_.isWatching(key))
+            send(subscriber, pulse);
+    }
+    update.beats = table_.takeBeats();
+    if (!update.beats.empty())
+        sendToAll(std::move(update), true);
 }
 
 auto Registry::completeLeaving() -> void
@@ -500,6 +477,25 @@
     }
 }
 
+auto Registry::completeRelayed() -> void
+{
+    const auto now = clock_.now();
+    for (const auto &relayed : relayed_) {
+        if (relayed.unconfirmed.empty())
+            relayed.control->send({ 0, proto::ServingAck { relayed.number } });
+    }
+    std::erase_if(relayed_, [now](const auto &relayed) {
+        return relayed.unconfirmed.empty() || now >= relayed.deadline;
+    });
+}
+
+auto Registry::wholeCount() const -> std::size_t
+{
+    return static_cast<std::size_t>(
+            std::count_if(subscribers_.begin(), subscribers_.end(),
+                          [](const auto &item) { return item.second.isWhole; }));
+}
+
 auto Registry::gatewayCount() const -> std::uint32_t
 {
     return static_cast<std::uint32_t>(
--- a/fleet/registry.h
+++ b/fleet/registry.h
@@ -1,26 +1,31 @@
 // The endpoints that have announced themselves, and the peers that are told about them.
 //
 //   registry.onSubscribe(peer, subscribe);           // gateways and other controls
+//   const auto reply = registry.onWatch(peer, request);
 //   registry.onAnnouncement(row);
 //   registry.onLeaving(row, done);                   // OK: no gateway sends work there any more
 //   registry.tick();
 //
-// The news that an endpoint is leaving goes to every subscriber at once. Other
-// updates go out with the next tick, or a few ticks later when there are many
-// subscribers. Updates from other controls are relayed only by some of the
-// controls, in one message every relayEvery: gateways also get them from the
-// control that heard them, and only a gateway that is cut off from that control
-// needs the relay. Every beatEvery, the registry tells all subscribers which
-// endpoints it has heard from.
+// Other controls, and gateways as long as there are few endpoints, are subscribers to
+// the whole list: they get all rows, then the changes, and every beatEvery the
+// endpoints that announced themselves here. Where there are more endpoints, a gateway
+// watches keys at one control (fleet/watchtable.h): it gets the rows of a few
+// endpoints for each key and their changes, and is told which are withdrawn, because
+// they have fallen silent for instance. So what a gateway is sent depends on what its
+// callers ask for, and not on the number of endpoints.
 //
-// The leaving of an endpoint is acknowledged only when each subscribed gateway
-// has confirmed that it acts on it. A gateway that is not subscribed learns of it
-// before it sends any request, because it gets the whole list when it subscribes.
+// The news that an endpoint is leaving is sent at once. Other updates go out with the
+// next tick, or a few ticks later when there are many subscribers. Updates from other
+// controls are relayed to the whole list's subscribers only by some of the controls,
+// in one message every relayEvery: gateways also get them from the control that heard
+// them, and only a gateway that is cut off from that control needs the relay. Those
+// that watch are sent them by the control at which they watch.
 //
-// An endpoint may restart under the same name; each incarnation has its own ID.
-// The newest known incarnation is in use and supersedes the others. Messages of a
-// superseded incarnation that arrive later change nothing, whatever state they
-// report.
+// The leaving of an endpoint is acknowledged only when each gateway that is told of
+// the endpoint has confirmed that it acts on it: those subscribed here themselves, and
+// those that watch at another control through that control, which confirms once they
+// have. A gateway that is connected nowhere learns of it before it sends any request,
+// because it gets all rows anew when it subscribes or watches.
 //
 // Soft state: a control that restarts learns all endpoints again from their
 // announcements and from the other controls. Not thread-safe.
@@ -39,6 +44,9 @@
 
 #include "catalogue/endpointrow.h"
 #include "core/clock.h"
+#include "fleet/endpointindex.h"
+#include "fleet/endpointtable.h"
+#include "fleet/watchtable.h"
 #include "proto/channel.h"
 #include "proto/servingmessages.h"
 #include "proto/sharedpush.h"
@@ -68,18 +76,8 @@
     Duration confirmTimeout = std::chrono::milliseconds { 700 };
     /// After a start, time until the control is assumed to know all gateways.
     Duration settleAfterStart = std::chrono::milliseconds { 1500 };
-    Duration forgetGoneAfter = std::chrono::seconds { 60 };
-    /// An endpoint that nobody has heard from for this time is considered lost.
-    Duration forgetSilentAfter = std::chrono::seconds { 30 };
-    /// The same, for an endpoint that was known before a restart and has not announced itself
-    /// since: three announcement intervals.
-    Duration recallFor = std::chrono::seconds { 4 };
-    /// An incarnation that is older than a known one is normally ignored. It is accepted when it
-    /// keeps announcing itself for this time while the newer one is silent: then the clock of its
-    /// VM was probably set back. After a network partition, delayed announcements arrive all at
-    /// once, so a dead incarnation is not accepted by mistake. An endpoint whose clock was set
-    /// back is missing for three announcements.
-    Duration olderIncarnationAfter = std::chrono::seconds { 4 };
+    EndpointTableOptions table;
+    WatchOptions watch;
 };
 
 /// A gateway that callers may be directed to.
@@ -97,6 +95,7 @@
     Term term;
     std::vector<coord::Member> controls;
     catalogue::Evacuations evacuations;
+    bool isCurrent = true; ///< This control receives the decisions and news of its group.
 };
 
 class Registry
@@ -106,11 +105,15 @@
     Registry(RegistryOptions options, const Clock &clock);
 
     auto onSubscribe(const proto::PeerPointer &peer, const proto::Subscribe &subscribe) -> void;
+    /// Changes what a gateway watches here. @return the rows that it has not been sent yet
+    auto onWatch(const proto::PeerPointer &peer, const proto::WatchRequest &request)
+            -> proto::WatchReply;
     auto onAck(const proto::PeerPointer &peer, const proto::ServingAck &ack) -> void;
     /// @return the kind of subscriber that the connection's peer was; nullopt: not subscribed
     auto onClose(const proto::PeerPointer &peer) -> std::optional<proto::SubscriberKind>;
-    /// Handles an update of another control, and relays it to this control's subscribers.
-    auto onUpdate(const proto::ServingUpdate &update) -> void;
+    /// Handles an update of another control, and passes it on to this control's subscribers. If the
+    /// update asks for it, it is acknowledged when all gateways that watch here act on it.
+    auto onUpdate(const proto::PeerPointer &peer, const proto::ServingUpdate &update) -> void;
 
     /// Restores the endpoints that were known before a restart. They are kept until they announce
     /// themselves or recallFor has passed. Call it before any other function.
@@ -127,7 +130,8 @@
     /// Notifies all subscribers when the document, the leader, the controls or the evacuations have
     /// changed.
     auto setGroup(const GroupView &group) -> void;
-    /// On the leader: tells all gateways the number of requests in progress at each endpoint.
+    /// On the leader: tells the gateways with the whole list the number of requests in progress at
+    /// each endpoint.
     auto publishLoads(const std::vector<proto::EndpointLoad> &loads) -> void;
     /// Sends a message to every subscriber of a kind.
     auto push(proto::SubscriberKind kind, proto::Payload payload) -> void;
@@ -139,6 +143,10 @@
     /// @return the newest incarnation of the endpoint that is in use, or nullptr
     auto inUse(const EndpointId &id) const -> const catalogue::EndpointRow *;
     auto rows() const -> std::vector<const catalogue::EndpointRow *>;
+    auto size() const -> std::size_t { return table_.size(); }
+    auto index() const -> const EndpointIndex & { return index_; }
+    /// @return true while gateways are subscribed that watch keys instead of the whole list
+    auto hasWatchers() const -> bool;
     /// @return true when a known endpoint, gateway or control is in the failure domain
     auto knowsDomain(const DomainId &domain) const -> bool;
     /// @return the number of subscribed gateways, ready or not
@@ -149,45 +157,51 @@
     auto setOnChanged(std::function<void(const catalogue::EndpointRow &)> listener) -> void;
 
 private:
-    struct Known
-    {
-        catalogue::EndpointRow row;
-        Instant heardAt {};
-        Instant coldUntil {}; ///< The endpoint takes a limited rate of requests until then.
-        bool beaten = false;  ///< An announcement arrived here since the last sendBeats().
-    };
     struct Subscriber
     {
         proto::PeerPointer peer;
         proto::Subscribe subscribe;
         std::uint64_t asked = 0; ///< Number of the latest update that requires an acknowledgement.
         std::uint64_t acked = 0;
+        bool isWhole = true; ///< It gets every row.
+        auto isGateway() const -> bool { return subscribe.kind == proto::SubscriberKind::Gateway; }
+        auto isBehind() const -> bool { return acked < asked; }
     };
+    using Unconfirmed = std::map<const proto::PeerConnection *, std::uint64_t>;
     struct Leaving
     {
         EndpointId id;
-        std::map<const proto::PeerConnection *, std::uint64_t> unconfirmed;
+        Unconfirmed unconfirmed;
         Instant deadline {};
         Done done;
     };
+    /// An update of another control that gateways which watch here must confirm.
+    struct Relayed
+    {
+        proto::PeerPointer control;
+        std::uint64_t number = 0;
+        Unconfirmed unconfirmed;
+        Instant deadline {};
+    };
 
-    auto newerHeardAt(const EndpointId &id) const -> std::optional<Instant>;
-    auto isIgnored(const catalogue::EndpointRow &row) -> bool;
-    auto acceptsIncarnation(const EndpointId &id) -> bool;
-    auto isSuperseded(const EndpointId &id) const -> bool;
-    auto merge(const catalogue::EndpointRow &row) -> bool;
-    auto noteCold(Known &known) const -> bool;
-    /// @return the row as it is sent: with the time that is left until the endpoint is warm
-    auto rowToSend(const Known &known) const -> catalogue::EndpointRow;
-    auto supersedeOthers(const EndpointId &id) -> void;
+    auto onTableChanged(const catalogue::EndpointRow &row, EndpointTable::Change change) -> void;
+    /// Sends all that a new subscriber has to know; the rows only to one of the whole list.
+    auto sendSnapshot(Subscriber &subscriber) -> void;
     auto publish(std::set<EndpointId> &ids, bool wantsAck) -> void;
-    /// Numbers the update, encodes it once and sends it to every subscriber.
-    auto sendToAll(proto::ServingUpdate update) -> void;
+    /// Sends the changes of watched endpoints to the gateways that watch them.
+    auto publishToWatchers(bool wantsAck) -> void;
+    auto rowsOf(const std::set<EndpointId> &ids) const -> std::vector<catalogue::EndpointRow>;
+    /// Numbers the update, encodes it once and sends it to the subscribers.
+    /// @param isForWhole only to those of the whole list
+    auto sendToAll(proto::ServingUpdate update, bool isForWhole) -> void;
     static auto send(const Subscriber &subscriber, const proto::SharedPush &push) -> void;
     auto baseUpdate() const -> proto::ServingUpdate;
     auto sendBeats() -> void;
-    auto forgetOld() -> void;
+    auto wholeCount() const -> std::size_t;
+    auto unconfirmed(bool isForWhole) const -> Unconfirmed;
+    auto onConfirmed(const proto::PeerConnection *peer, std::uint64_t number) -> void;
     auto completeLeaving() -> void;
+    auto completeRelayed() -> void;
 
     RegistryOptions options_;
     const Clock &clock_;
@@ -195,16 +209,17 @@
     Instant nextBeat_ {};
     std::uint64_t lastNumber_ = 0; ///< Number of the latest update, over all subscribers.
     GroupView group_;
-    std::map<EndpointId, Known> known_;
+    EndpointTable table_;
+    EndpointIndex index_;
+    WatchTable watches_;
     std::map<const proto::PeerConnection *, Subscriber> subscribers_;
-    /// Incarnations older than a known one, with the time since when they have been announcing
-    /// themselves while the newer one is silent.
-    std::map<EndpointId, Instant> olderIncarnations_;
     std::set<EndpointId> unpublished_; ///< Rows to send with the next tick.
     std::set<EndpointId> unrelayed_;   ///< Rows to send with the next relay.
+    WatchTable::NewsOf watchNews_;     ///< For those that watch, to send with the next tick.
     Instant nextUpdate_ {};
     Instant nextRelay_ {};
     std::vector<Leaving> leaving_;
+    std::vector<Relayed> relayed_;
     std::function<void(const catalogue::EndpointRow &)> onChanged_;
 };
 
--- a/fleet/testing/tst_orders.cpp
+++ b/fleet/testing/tst_orders.cpp
@@ -243,7 +243,7 @@
 TEST_CASE("An endpoint that is forgotten while its report is read gets no order")
 {
     auto options = RegistryOptions {};
-    options.forgetGoneAfter = 0s;
+    options.table.forgetGoneAfter = 0s;
     auto rig = OrderRig { options };
     rig.forgetOnReport = true;
     rig.run({ load("a") });
--- a/fleet/testing/tst_registry.cpp
+++ b/fleet/testing/tst_registry.cpp
@@ -82,7 +82,7 @@
             auto update = proto::ServingUpdate {};
             update.endpoints = { makeRow("e2", i, EndpointState::Ready) };
             update.endpoints[0].models = { { ModelId { "m" + std::to_string(i) }, {} } };
-            rig.registry.onUpdate(update);
+            rig.registry.onUpdate(nullptr, update);
             const auto before = peers[0]->updates.size();
             rig.registry.tick();
             worst = peers[0]->updates.size() > before ? Duration {} : worst + 20ms;
@@ -116,7 +116,7 @@
             for (auto i = 0; i < 50; ++i)
                 update.endpoints.push_back(
                         makeRow("e" + std::to_string(i), 1, EndpointState::Ready));
-            registry.onUpdate(update);
+            registry.onUpdate(nullptr, update);
             registry.tick();
             for (const auto &told : gateway->updates) {
                 for (const auto &row : told.endpoints)
@@ -193,9 +193,9 @@
     rig.registry.tick();
     auto update = proto::ServingUpdate {};
     update.endpoints = { makeRow("i-1", 1, EndpointState::Ready) };
-    rig.registry.onUpdate(update);
+    rig.registry.onUpdate(nullptr, update);
     update.endpoints = { makeRow("i-2", 1, EndpointState::Ready) };
-    rig.registry.onUpdate(update);
+    rig.registry.onUpdate(nullptr, update);
     rig.registry.tick();
     CHECK(rig.gateway->updates.size() == 1);
     rig.clock.advance(300ms);
@@ -433,7 +433,7 @@
     rig.subscribe(rig.gateway);
     REQUIRE(rig.gateway->updates.back().endpoints.size() == 2);
     rig.registry.onAnnouncement(makeRow("i-1", 8, EndpointState::Ready));
-    rig.clock.advance(RegistryOptions {}.recallFor);
+    rig.clock.advance(RegistryOptions {}.table.recallFor);
     rig.registry.tick();
     CHECK(rig.registry.find(EndpointId { "i-1" }) != nullptr);
     CHECK(rig.registry.find(EndpointId { "i-2" }) == nullptr);
@@ -485,7 +485,7 @@
         auto update = proto::ServingUpdate {};
         update.endpoints = { makeRow("i-1#100", 9, EndpointState::Ready),
                              makeRow("i-1#50", 9, EndpointState::Draining) };
-        rig.registry.onUpdate(update);
+        rig.registry.onUpdate(nullptr, update);
     }
     CHECK_FALSE(isReady(rig.registry, "i-1#100"));
     CHECK(isReady(rig.registry, "i-1#200"));
@@ -600,7 +600,7 @@
                     const auto to = random.below(controls);
                     if (to == from || random.chance(0.3))
                         continue;
-                    registries[to]->onUpdate(update);
+                    registries[to]->onUpdate(nullptr, update);
                     noteNewest(to);
                 }
             }
--- a/gateway/controlfeed.cpp
+++ b/gateway/controlfeed.cpp
@@ -48,6 +48,9 @@
         , hooks_(std::move(hooks))
         , fetch_(options_.documents, std::hash<std::string> {}(options_.callers.text()), clock)
         , fetchTimer_(context)
+        , watch_(options_.endpoints, std::hash<std::string> {}(options_.callers.text()),
+                 options_.domain, clock)
+        , watchTimer_(context)
         , lease_(options_.keyLease, clock)
         , proveTimer_(context)
     { }
@@ -85,6 +88,8 @@
         control.open = true;
         LogEvent(LogLevel::Info, "control_regained").with("control", control.node);
         peer->send({ 0, subscription() });
+        watch_.onOpen(address, control.node);
+        watchEndpoints();
         if (auto rows = hooks_.suspects(); !rows.empty())
             peer->send({ 0, proto::SuspectNews { std::move(rows) } });
         if (!lease_.isCurrent())
@@ -96,6 +101,8 @@
         auto &control = controls_[address];
         control.open = false;
         fetch_.onLost(address);
+        watch_.onClosed(address);
+        watchEndpoints();
         LogEvent(LogLevel::Warning, "control_lost").with("control", control.node).with(status);
         fetchDocument();
     }
@@ -121,7 +128,7 @@
         if (!update->controls.empty())
             dropUnlisted(update->controls);
         fetch_.onAnnounced(address, update->document);
-        hooks_.onUpdate(*update);
+        applyUpdate(address, *update);
         if (update->evacuations)
             reportEvacuations(update->evacuations->revision);
         if (update->wantsAck)
@@ -129,6 +136,96 @@
         fetchDocument();
     }
 
+    /// Passes on what concerns this gateway: of endpoints only what comes from the control at which
+    /// they are watched. That one leaves is true whoever says so.
+    auto applyUpdate(const Address &address, const proto::ServingUpdate &update) -> void
+    {
+        watch_.onControls(update.controls);
+        if (watch_.onUpdate(address, update)) {
+            hooks_.onWholeListGivenUp();
+            subscribeAgain();
+        }
+        if (watch_.isWhole() || watch_.source() == address) {
+            hooks_.onUpdate(update);
+        } else {
+            auto rest = update;
+            std::erase_if(rest.endpoints, [](const auto &row) {
+                return row.state == catalogue::EndpointState::Ready;
+            });
+            rest.beats.clear();
+            rest.withdrawn.clear();
+            hooks_.onUpdate(rest);
+        }
+        if (!watch_.isWhole() && watch_.source() == address)
+            hooks_.onSourceHeard();
+        watchEndpoints();
+    }
+
+    auto subscribeAgain() -> void
+    {
+        for (auto &[address, control] : controls_) {
+            if (control.open)
+                static_cast<void>(control.client->push(subscription()));
+        }
+    }
+
+    auto wantEndpoints(const proto::WatchKey &key) -> bool
+    {
+        const auto isKnown = watch_.want(key);
+        if (!isKnown)
+            watchEndpoints();
+        return isKnown;
+    }
+
+    auto isWhole() const -> bool { return watch_.isWhole(); }
+
+    auto watchEndpoints() -> void
+    {
+        if (stopped_)
+            return;
+        for (auto &ask : watch_.next())
+            sendWatch(ask.control, std::move(ask.request));
+        const auto nextCheck = watch_.nextCheckAt();
+        if (!nextCheck)
+            return;
+        watchTimer_.expires_after(std::max<Duration>(*nextCheck - clock_.now(), minCheckDelay));
+        watchTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+            const auto self = weak.lock();
+            if (self && !error)
+                self->watchEndpoints();
+        });
+    }
+
+    auto sendWatch(const Address &address, proto::WatchRequest request) -> void
+    {
+        const auto found = controls_.find(address);
+        if (found == controls_.end())
+            return;
+        auto done = [weak = weak_from_this(), address](const auto &reply) {
+            if (const auto self = weak.lock())
+                self->onWatchReply(address, reply);
+        };
+        found->second.client->call(std::move(request), options_.watchTimeout, std::move(done));
+    }
+
+    auto onWatchReply(const Address &address, const absl::StatusOr<proto::Payload> &reply) -> void
+    {
+        if (stopped_)
+            return;
+        const auto *watched = replyAs<proto::WatchReply>(reply);
+        if (watched == nullptr) {
+            LogEvent(LogLevel::Warning, "endpoints_not_had")
+                    .with("control", address.text())
+                    .with(reply.status());
+            watch_.onFailed(address);
+        } else {
+            const auto isReset = watch_.onReply(address, *watched);
+            if (watch_.source() == address)
+                hooks_.onWatched(watched->endpoints, isReset);
+        }
+        watchEndpoints();
+    }
+
     /// Drops controls that are no longer listed and no longer connected.
     auto dropUnlisted(const std::vector<coord::Member> &members) -> void
     {
@@ -233,18 +330,19 @@
 
     auto subscription() const -> proto::Subscribe
     {
-        return { proto::SubscriberKind::Gateway, options_.callers, options_.domain, ready_,
-                 inForce_ };
+        auto subscribe = proto::Subscribe {};
+        subscribe.callers = options_.callers;
+        subscribe.domain = options_.domain;
+        subscribe.ready = ready_;
+        subscribe.inForce = inForce_;
+        subscribe.wholeUpTo = watch_.wholeUpTo();
+        return subscribe;
     }
 
     auto setReady(bool ready) -> void
     {
-        if (std::exchange(ready_, ready) == ready)
-            return;
-        for (auto &[address, control] : controls_) {
-            if (control.open)
-                static_cast<void>(control.client->push(subscription()));
-        }
+        if (std::exchange(ready_, ready) != ready)
+            subscribeAgain();
     }
 
     auto sendSuspects(const std::vector<catalogue::SuspectRow> &rows) -> void
@@ -255,6 +353,14 @@
         }
     }
 
+    auto sendWanted(proto::ModelWanted wanted) -> bool
+    {
+        const auto &source = watch_.chosen();
+        if (watch_.isWhole() || !source)
+            return pushToLeader(std::move(wanted));
+        return controls_.at(*source).client->push(std::move(wanted));
+    }
+
     /// @return false if no leader is known or connected
     auto pushToLeader(proto::Payload payload) -> bool
     {
@@ -313,6 +419,7 @@
     {
         stopped_ = true;
         fetchTimer_.cancel();
+        watchTimer_.cancel();
         proveTimer_.cancel();
         for (auto &[address, control] : controls_)
             control.client->stop();
@@ -449,6 +556,8 @@
     proto::InForce inForce_;
     DocumentFetch fetch_;
     BootTimer fetchTimer_;
+    EndpointWatch watch_;
+    BootTimer watchTimer_;
     KeyLease lease_;
     BootTimer proveTimer_;
     bool ready_ = false;
@@ -486,9 +595,19 @@
         impl_->dial(seed);
 }
 
+auto ControlFeed::wantEndpoints(const proto::WatchKey &key) -> bool
+{
+    return impl_->wantEndpoints(key);
+}
+
+auto ControlFeed::isWhole() const -> bool
+{
+    return impl_->isWhole();
+}
+
 auto ControlFeed::sendWanted(proto::ModelWanted wanted) -> bool
 {
-    return impl_->pushToLeader(std::move(wanted));
+    return impl_->sendWanted(std::move(wanted));
 }
 
 auto ControlFeed::sendSuspects(const std::vector<catalogue::SuspectRow> &rows) -> void
--- a/gateway/controlfeed.h
+++ b/gateway/controlfeed.h
@@ -10,6 +10,9 @@
 // list others. The gateway listens to every control, so news of an endpoint arrives through
 // whichever control learns of it first, and the loss of any one control has no effect.
 //
+// Where there are many endpoints, the rows come from one control only, and only those that are
+// watched there (gateway/endpointwatch.h). Everything else still comes from every control.
+//
 // DocumentFetch decides which control is asked for a document, and when another one is asked. If
 // revoked keys must also stop working at gateways that are cut off, one control at a time is asked
 // for proof that the document is current (gateway/keylease.h). Not thread-safe.
@@ -28,6 +31,7 @@
 #include "core/clock.h"
 #include "core/settings.h"
 #include "gateway/documentfetch.h"
+#include "gateway/endpointwatch.h"
 #include "gateway/keylease.h"
 #include "gateway/picker.h"
 #include "proto/channel.h"
@@ -41,9 +45,12 @@
     DomainId domain;
     std::vector<Address> seeds; ///< Peer addresses of controls.
     DocumentFetchOptions documents;
+    EndpointWatchOptions endpoints;
     /// A request for a document fails after this time, and its control may be asked again. This
     /// equals the time for which a silent connection is kept. Other controls are asked long before.
     Duration documentTimeout = std::chrono::seconds { 3 };
+    /// A request to watch endpoints fails after this time. Another control is asked long before.
+    Duration watchTimeout = std::chrono::seconds { 1 };
     /// A control that did not answer a pick or a proof request in time is not asked again for this
     /// time, since a control that hangs or is cut off is detected only by the channel's idle
     /// timeout.
@@ -61,6 +68,11 @@
     /// since a control that has just started may not know it
     std::function<std::vector<catalogue::SuspectRow>()> suspects;
     std::function<void()> onKeysProved; ///< Called when keys become current; may be empty.
+    /// Called when the controls know so many endpoints that they do not send every row any more.
+    std::function<void()> onWholeListGivenUp;
+    /// Called with the rows of watched endpoints. @param isReset they replace all others
+    std::function<void(const std::vector<catalogue::EndpointRow> &rows, bool isReset)> onWatched;
+    std::function<void()> onSourceHeard; ///< The control of the watched endpoints sent something.
 };
 
 class ControlFeed
@@ -75,7 +87,13 @@
     auto setReady(bool ready) -> void;
     /// Connects to more controls. @param seeds their peer addresses
     auto addSeeds(const std::vector<Address> &seeds) -> void;
-    /// Sends a demand report to the leader. @return false if no leader is known or connected
+    /// Asks for the endpoints of a key. @return true when they are known; otherwise onWatched is
+    /// called when they are
+    auto wantEndpoints(const proto::WatchKey &key) -> bool;
+    /// @return true while every control sends the rows of all endpoints
+    auto isWhole() const -> bool;
+    /// Sends a demand report to the leader, or to the control at which endpoints are watched, which
+    /// sums them up for the leader. @return false if none is known or connected
     auto sendWanted(proto::ModelWanted wanted) -> bool;
     /// Sends suspected work to all controls, since each may be the only one that another gateway is
     /// connected to.
--- a/gateway/fleetview.cpp
+++ b/gateway/fleetview.cpp
@@ -61,13 +61,32 @@
         if (auto *entry = find(load.endpoint))
             entry->othersRunning = load.running - std::min(load.running, entry->reportedRunning);
     }
-    if (now >= nextForget_) {
-        nextForget_ = now + options_.forgetGoneAfter / 4;
-        forgetGone();
+    for (const auto &id : update.withdrawn) {
+        if (auto *entry = find(id); entry != nullptr && !std::exchange(entry->isWithdrawn, true))
+            entry->withdrawnAt = now;
     }
+    forgetGoneIfDue();
     return changed;
 }
 
+auto FleetView::applyWatched(const std::vector<catalogue::EndpointRow> &rows, bool isReset) -> bool
+{
+    if (isReset)
+        withdrawAll();
+    auto update = proto::ServingUpdate {};
+    update.endpoints = rows;
+    onSourceHeard();
+    return apply(update);
+}
+
+auto FleetView::withdrawAll() -> void
+{
+    for (auto &[id, entry] : entries_) {
+        entry.isWithdrawn = true;
+        entry.withdrawnAt = clock_.now();
+    }
+}
+
 /// A control that lags behind the others announces older evacuations; they are ignored.
 auto FleetView::applyEvacuations(const catalogue::Evacuations &evacuations) -> bool
 {
@@ -88,9 +107,10 @@
         return false;
     auto [item, isNew] = entries_.try_emplace(row.id);
     auto &entry = item->second;
+    const auto wasWithdrawn = std::exchange(entry.isWithdrawn, false);
     if (!isNew && !catalogue::isNewer(row, entry.row))
-        return false;
-    const auto changed = isNew || entry.isReplaced || !row.sameAs(entry.row);
+        return wasWithdrawn;
+    const auto changed = isNew || wasWithdrawn || entry.isReplaced || !row.sameAs(entry.row);
     // A network partition may delay the announcement of a crashed endpoint until another endpoint
     // uses its address.
     const auto isDisplaced = (isNew || entry.isReplaced) && hasYoungerAt(row);
@@ -201,7 +221,7 @@
 {
     const auto found = entries_.find(id);
     return found != entries_.end() && !found->second.isLeaving() && !found->second.isReplaced
-            && !evacuations_.contains(found->second.row.domain);
+            && !found->second.isWithdrawn && !evacuations_.contains(found->second.row.domain);
 }
 
 auto FleetView::maySend(const EndpointId &id) const -> bool
@@ -224,7 +244,8 @@
 auto FleetView::isHealthy(const EndpointEntry &entry) const -> bool
 {
     const auto now = clock_.now();
-    return now >= entry.avoidUntil && now - entry.heardAt < options_.staleAfter;
+    const auto heardAt = std::max(entry.heardAt, sourceHeardAt_);
+    return now >= entry.avoidUntil && now - heardAt < options_.staleAfter;
 }
 
 auto FleetView::onSuccess(const EndpointId &id) -> void
@@ -360,18 +381,31 @@
     auto result = std::vector<EndpointId> {};
     for (const auto &[id, entry] : entries_) {
         const auto isBackedOffLong = entry.backoffUntil - clock_.now() >= shortestLoad;
-        if (entry.isReplaced || entry.isUnreached || entry.isLeaving() || isBackedOffLong)
+        if (!entry.isWithdrawn
+            && (entry.isReplaced || entry.isUnreached || entry.isLeaving() || isBackedOffLong))
             result.push_back(id);
     }
     return result;
 }
 
+auto FleetView::forgetGoneIfDue() -> void
+{
+    const auto now = clock_.now();
+    if (now < nextForget_)
+        return;
+    nextForget_ = now + options_.forgetWithdrawnAfter;
+    forgetGone();
+}
+
 auto FleetView::forgetGone() -> void
 {
     const auto limit = clock_.now() - options_.forgetGoneAfter;
     for (auto item = entries_.begin(); item != entries_.end();) {
         const auto &entry = item->second;
-        if (entry.heardAt > limit || entry.running > 0) {
+        const auto isOld = entry.isWithdrawn
+                ? clock_.now() - entry.withdrawnAt >= options_.forgetWithdrawnAfter
+                : entry.heardAt <= limit;
+        if (!isOld || entry.running > 0) {
             ++item;
             continue;
         }
--- a/gateway/fleetview.h
+++ b/gateway/fleetview.h
@@ -10,8 +10,9 @@
 // in use and the older ones count as gone.
 //
 // takesWork() is the only place that decides whether an endpoint gets anything new. It covers
-// endpoints that leave, are replaced, or are in an evacuated failure domain; the chooser, the
-// balancer's candidates, retries and fetches of cached prompts all depend on it. Not thread-safe.
+// endpoints that leave, are replaced or withdrawn, or are in an evacuated failure domain; the
+// chooser, the balancer's candidates, retries and fetches of cached prompts all depend on it. Not
+// thread-safe.
 
 #ifndef FIGRACK_GATEWAY_FLEETVIEW_H
 #define FIGRACK_GATEWAY_FLEETVIEW_H
@@ -66,6 +67,9 @@
     /// The endpoint stated in an answer that it is shutting down. The flag is never cleared,
     /// because an announcement that says otherwise may have been sent earlier.
     bool isDraining = false;
+    /// No control keeps the row up to date any more, so that the endpoint may have left unnoticed.
+    bool isWithdrawn = false;
+    Instant withdrawnAt {};
     /// @return true if the endpoint accepts no new requests any more, according to its announcement
     /// or an answer
     auto isLeaving() const -> bool
@@ -88,6 +92,8 @@
     /// Endpoints without news for this time are removed. Delayed updates about an endpoint may
     /// arrive until then.
     Duration forgetGoneAfter = std::chrono::seconds { 60 };
+    /// Withdrawn endpoints are removed after this time, when no request runs there any more.
+    Duration forgetWithdrawnAfter = std::chrono::seconds { 10 };
     Duration firstPause = std::chrono::milliseconds { 300 }; ///< Pause after the first failure.
     Duration longestPause = std::chrono::seconds { 4 };
     Duration rejectedPause = std::chrono::milliseconds { 100 };
@@ -102,6 +108,15 @@
     FleetView(FleetViewOptions options, const Clock &clock);
     /// @return true if the choice of an endpoint may have changed
     auto apply(const proto::ServingUpdate &update) -> bool;
+    /// Applies the rows of a control at which the gateway watches endpoints.
+    /// @param isReset the gateway gets no news of other endpoints any more: they are withdrawn
+    /// @return true if the choice of an endpoint may have changed
+    auto applyWatched(const std::vector<catalogue::EndpointRow> &rows, bool isReset) -> bool;
+    /// Withdraws all endpoints.
+    auto withdrawAll() -> void;
+    /// Notes that the control at which the gateway watches endpoints still follows them. It would
+    /// have withdrawn those that are silent.
+    auto onSourceHeard() -> void { sourceHeardAt_ = clock_.now(); }
     /// @return the endpoints of a service that accept new requests, without those that are draining
     /// or gone
     auto of(const ServiceId &service) -> std::vector<EndpointEntry *>;
@@ -168,6 +183,7 @@
     auto hasYoungerAt(const catalogue::EndpointRow &row) const -> bool;
     auto replaceOthersAt(const catalogue::EndpointRow &row) -> void;
     auto forgetGone() -> void;
+    auto forgetGoneIfDue() -> void;
 
     FleetViewOptions options_;
     const Clock &clock_;
@@ -176,6 +192,7 @@
     catalogue::Evacuations evacuations_;
     OnSuperseded onSuperseded_;
     Instant nextForget_ {};
+    Instant sourceHeardAt_ {};
 };
 
 } // namespace figrack::gateway
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -80,6 +80,10 @@
     /// How long after its start the gateway holds requests until the document's keys are proved
     /// current. The proof takes one more round of requests among the controls.
     Duration awaitKeys = std::chrono::milliseconds { 600 };
+    /// How long a request waits for the endpoints that its model needs, if the gateway has to ask
+    /// for them first. They arrive within a few milliseconds, and if a control fails, from another
+    /// one after EndpointWatchOptions::answerTimeout.
+    Duration awaitEndpoints = std::chrono::milliseconds { 400 };
     /// Retry-After while no configuration or no endpoint is known. After a start, the gateway
     /// learns of all endpoints within one announcement interval.
     Duration retryAfterAtStart = std::chrono::milliseconds { 1200 };
@@ -108,6 +112,9 @@
     policy::Quarantine &quarantine;
     CrashDetector &crashDetector;
     const KeyLease &keys;
+    /// Asks for the endpoints of a key. @return true when the view contains them; waiters are woken
+    /// when it does. May be empty: the view contains all endpoints
+    std::function<bool(const proto::WatchKey &)> wantEndpoints = {};
 };
 
 class Forwarder
--- a/gateway/forwarderplacing.cpp
+++ b/gateway/forwarderplacing.cpp
@@ -106,6 +106,17 @@
     return makeError(kind, "lack=" + std::string { blockedByName(blockedBy) });
 }
 
+auto Forwarder::Run::awaitEndpoints() -> asio::awaitable<void>
+{
+    if (!parts_.wantEndpoints)
+        co_return;
+    const auto key = proto::WatchKey { service_, criteria_.model, criteria_.adapter };
+    const auto limit = std::min({ parts_.clock.now() + owner_.options_.awaitEndpoints, startBy_,
+                                  owner_.placementDeadline_ });
+    while (!parts_.wantEndpoints(key) && !callerGone_ && parts_.clock.now() < limit)
+        co_await parts_.waiters.wait(limit - parts_.clock.now());
+}
+
 auto Forwarder::Run::candidates() const -> std::vector<EndpointEntry *>
 {
     auto result = parts_.view.of(service_);
@@ -117,6 +128,7 @@
 {
     const auto isHealthy = [&](const EndpointEntry &entry) { return parts_.view.isHealthy(entry); };
     while (true) {
+        co_await awaitEndpoints();
         criteria_.now = parts_.clock.now();
         const auto candidates = this->candidates();
         if (candidates.empty() && homes_.isRestricted() && !parts_.view.of(service_).empty())
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -77,6 +77,9 @@
     /// @return the endpoint, or nullptr if the request has been settled instead
     auto place() -> boost::asio::awaitable<EndpointEntry *>;
     static auto blockedError(BlockedBy blockedBy) -> absl::Status;
+    /// Waits until the view contains the endpoints that could take the request, but not for long:
+    /// without an answer, the request is placed by what the gateway knows.
+    auto awaitEndpoints() -> boost::asio::awaitable<void>;
     /// @return the endpoints that accept new requests, and where the request may be served
     auto candidates() const -> std::vector<EndpointEntry *>;
     /// Looks for an endpoint and stores the result in picked_.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -51,7 +51,8 @@
                          })
         , forwarder_(options_.forwarder,
                      { context, clock, dialect, view_, retries_, demand_, waiters_, metrics_,
-                       client_, picker_, random_, quarantine_, crashDetector_, feed_.keyLease() })
+                       client_, picker_, random_, quarantine_, crashDetector_, feed_.keyLease(),
+                       [this](const proto::WatchKey &key) { return feed_.wantEndpoints(key); } })
         , server_(context, options_.server,
                   [this](const http::Request &request, http::Responder &responder) {
                       return forwarder_.handle(request, responder);
@@ -140,6 +141,12 @@
         hooks.onSuspects = [this](const proto::SuspectNews &news) { onSuspects(news); };
         hooks.suspects = [this] { return quarantine_.rows(1, policy::millisOf(clock_.now())); };
         hooks.onKeysProved = [this] { waiters_.wakeAll(); };
+        hooks.onWholeListGivenUp = [this] { view_.withdrawAll(); };
+        hooks.onWatched = [this](const auto &rows, bool isReset) {
+            view_.applyWatched(rows, isReset);
+            waiters_.wakeAll();
+        };
+        hooks.onSourceHeard = [this] { view_.onSourceHeard(); };
         return hooks;
     }
 
@@ -204,9 +211,9 @@
 
     auto scheduleDemand() -> void
     {
-        // The leader receives the reports of all gateways, so the interval grows with their number.
-        demandTimer_.expires_after(
-                std::max<Duration>(options_.demandEvery, gateways_ * leaderTimePerReport));
+        // If the leader receives the reports of all gateways, the interval grows with their number.
+        const auto share = feed_.isWhole() ? gateways_ * leaderTimePerReport : Duration {};
+        demandTimer_.expires_after(std::max<Duration>(options_.demandEvery, share));
         demandTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
             const auto self = weak.lock();
             if (!self || error)
--- a/proto/messages.h
+++ b/proto/messages.h
@@ -288,7 +288,8 @@
         ClaimEnd, Done, ReportRequest, ReportReply, coord::Message, Subscribe, ServingUpdate,
         ServingAck, InForce, ManifestRequest, ManifestReply, BlocksRequest, BlocksReply,
         ModelWanted, JoinGroup, PickRequest, PickReply, PickEnd, SuspectNews, AccountNews,
-        DocumentProofRequest, DocumentProofReply, coord::RevisionQuery, coord::RevisionReply>;
+        DocumentProofRequest, DocumentProofReply, coord::RevisionQuery, coord::RevisionReply,
+        WatchRequest, WatchReply>;
 
 struct Envelope
 {
--- a/proto/servingmessages.h
+++ b/proto/servingmessages.h
@@ -8,12 +8,19 @@
 //   control          -> control   AccountNews; coord::RevisionQuery, answered by its reply
 //   joining control  -> control   JoinGroup
 //   gateway, control -> control, and control -> gateway   SuspectNews
+//   gateway          -> control   WatchRequest (answered by WatchReply)
 //   control -> subscriber         ServingUpdate, ManifestReply, BlocksReply
+//
+// How a subscriber learns of endpoints depends on how many there are. Up to wholeUpTo of its
+// Subscribe, each control sends it every row and its changes. Beyond that, a gateway watches keys
+// at one control, and is sent the rows of a few endpoints for each key and their changes.
 
 #ifndef FIGRACK_PROTO_SERVINGMESSAGES_H
 #define FIGRACK_PROTO_SERVINGMESSAGES_H
 
+#include <compare>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
@@ -56,10 +63,16 @@
     DomainId domain;
     bool ready = false; ///< Whether callers may be sent there.
     InForce inForce;    ///< Of a gateway only.
+    /// Every row is sent as long as the control knows no more endpoints than this when it gets the
+    /// message; 0: no rows are sent but those that are watched.
+    std::uint32_t wholeUpTo = std::numeric_limits<std::uint32_t>::max();
+    /// Of a control only: gateways may learn of endpoints from it alone, so that the leaving of an
+    /// endpoint is confirmed only with its acknowledgement.
+    bool hasWatchers = false;
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(kind, callers, domain, ready, inForce);
+        archive(kind, callers, domain, ready, inForce, wholeUpTo, hasWatchers);
     }
 };
 
@@ -78,23 +91,67 @@
 /// Where the controls are and what they hold, to each subscriber.
 struct ServingUpdate
 {
-    std::uint64_t number = 0;   ///< Rises on one connection.
-    bool wantsAck = false;      ///< To be answered by ServingAck once it is acted on.
-    Revision document;          ///< The newest document that the sender has applied; 0: none.
-    NodeId leader;              ///< As the sender knows it; may be empty.
-    Term term;                  ///< Of that leader.
-    std::uint32_t gateways = 0; ///< Subscribed to the sender.
+    std::uint64_t number = 0;         ///< Rises on one connection.
+    bool wantsAck = false;            ///< To be answered by ServingAck once it is acted on.
+    Revision document;                ///< The newest document that the sender has applied; 0: none.
+    NodeId leader;                    ///< As the sender knows it; may be empty.
+    Term term;                        ///< Of that leader.
+    std::uint32_t gateways = 0;       ///< Subscribed to the sender.
+    std::uint32_t endpointsKnown = 0; ///< To the sender.
+    bool isCurrent = true;            ///< The sender receives the decisions and news of its group.
     /// Only when they have changed, and to a new subscriber.
     std::optional<catalogue::Evacuations> evacuations;
     std::vector<coord::Member> controls;           ///< Only when they have changed.
     std::vector<catalogue::EndpointRow> endpoints; ///< Those that changed since the last update.
     std::vector<catalogue::EndpointBeat> beats;    ///< Announcements heard since the last update.
     std::vector<EndpointLoad> loads; ///< Over all gateways, from the leader; empty: no news.
+    /// Watched endpoints whose rows are not sent any more; no new request may go there.
+    std::vector<EndpointId> withdrawn;
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(number, wantsAck, document, leader, term, gateways, endpointsKnown, isCurrent,
+                evacuations, controls, endpoints, beats, loads, withdrawn);
+    }
+};
+
+/// Which endpoints a gateway wants to be told of: those of a service that hold a model, or an
+/// adapter of it.
+struct WatchKey
+{
+    ServiceId service;
+    ModelId model;       ///< Empty: any endpoint of the service.
+    std::string adapter; ///< Empty: the model itself.
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the comparison with 0 for one.
+    auto operator<=>(const WatchKey &) const = default;
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(service, model, adapter);
+    }
+};
+
+/// Changes what a gateway watches at a control.
+struct WatchRequest
+{
+    bool isReset = false; ///< The keys replace all that the gateway has watched there.
+    std::vector<WatchKey> added;
+    std::vector<WatchKey> removed;
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(isReset, added, removed);
+    }
+};
+struct WatchReply
+{
+    bool isCurrent = false; ///< See ServingUpdate.
+    /// Of the added keys, without those that the gateway has been sent before.
+    std::vector<catalogue::EndpointRow> endpoints;
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(number, wantsAck, document, leader, term, gateways, evacuations, controls,
-                endpoints, beats, loads);
+        archive(isCurrent, endpoints);
     }
 };
 
