--- a/core/error.h
+++ b/core/error.h
@@ -67,7 +67,8 @@
 };
 
 /// Number of kinds, for tables indexed by kind.
-constexpr auto errorKindCount = std::size_t { static_cast<std::size_t>(ErrorKind::UnknownDomain) + 1 };
+constexpr auto errorKindCount
+        = std::size_t { static_cast<std::size_t>(ErrorKind::UnknownDomain) + 1 };
 
 /// The wire and log name of a kind, snake_case.
 /// @param kind any ErrorKind value
--- a/fleet/testing/tst_watchtable.cpp
+++ b/fleet/testing/tst_watchtable.cpp
@@ -68,7 +68,7 @@
     auto watch(const FakePeer &gateway, const WatchKey &key, const std::string &domain = "d1")
             -> std::set<EndpointId>
     {
-        const auto told = watches.add(&gateway, DomainId { domain }, { key });
+        auto told = watches.add(&gateway, DomainId { domain }, { key });
         known[&gateway].insert(told.begin(), told.end());
         return told;
     }
--- a/fleet/watchtable.cpp
+++ b/fleet/watchtable.cpp
@@ -249,7 +249,8 @@
 auto WatchTable::chooseFrom(const Group &group, Fit fit, std::size_t limit) const
         -> std::set<EndpointId>
 {
-    const auto &[key, domain] = group.key;
+    const auto &key = group.key.first;
+    const auto &domain = group.key.second;
     auto chosen = std::set<EndpointId> {};
     auto near = std::vector<std::pair<std::uint64_t, EndpointId>> {};
     auto far = std::vector<std::pair<std::uint64_t, EndpointId>> {};
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -154,8 +154,8 @@
 
 Forwarder::Forwarder(ForwarderOptions options, ForwarderParts parts)
     : options_(std::move(options))
-    , parts_(parts)
-    , startedAt_(parts.clock.now())
+    , parts_(std::move(parts))
+    , startedAt_(parts_.clock.now())
 { }
 
 auto Forwarder::setCatalogue(std::shared_ptr<const catalogue::Catalogue> catalogue) -> void
--- a/proto/messages.h
+++ b/proto/messages.h
@@ -282,14 +282,14 @@
     }
 };
 
-using Payload = std::variant<
-        Failure, JoinRequest, JoinReply, DrainNotice, FeedRequest, FeedBatch, coord::RenewRequest,
-        coord::RenewReply, DemandReport, EndpointReport, LoadDigest, ClaimRequest, ClaimReply,
-        ClaimEnd, Done, ReportRequest, ReportReply, coord::Message, Subscribe, ServingUpdate,
-        ServingAck, InForce, ManifestRequest, ManifestReply, BlocksRequest, BlocksReply,
-        ModelWanted, JoinGroup, PickRequest, PickReply, PickEnd, SuspectNews, AccountNews,
-        DocumentProofRequest, DocumentProofReply, coord::RevisionQuery, coord::RevisionReply,
-        WatchRequest, WatchReply>;
+using Payload = std::variant<Failure, JoinRequest, JoinReply, DrainNotice, FeedRequest, FeedBatch,
+                             coord::RenewRequest, coord::RenewReply, DemandReport, EndpointReport,
+                             LoadDigest, ClaimRequest, ClaimReply, ClaimEnd, Done, ReportRequest,
+                             ReportReply, coord::Message, Subscribe, ServingUpdate, ServingAck,
+                             InForce, ManifestRequest, ManifestReply, BlocksRequest, BlocksReply,
+                             ModelWanted, JoinGroup, PickRequest, PickReply, PickEnd, SuspectNews,
+                             AccountNews, DocumentProofRequest, DocumentProofReply,
+                             coord::RevisionQuery, coord::RevisionReply, WatchRequest, WatchReply>;
 
 struct Envelope
 {
