--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -356,11 +356,12 @@
     auto relayDemand() -> void
     {
         const auto now = clock_.now();
-        if (now < nextRelayedDemand_ || leads_)
+        const auto leader = status().leader;
+        if (now < nextRelayedDemand_ || leads_ || leader.empty())
             return;
         nextRelayedDemand_ = now + options_.relayDemandEvery;
         if (auto sum = demandRelay_.take())
-            static_cast<void>(transport_->push(status().leader, *std::move(sum)));
+            static_cast<void>(transport_->push(leader, *std::move(sum)));
     }
 
     auto subscription() const -> proto::Subscribe
@@ -420,7 +421,7 @@
         return now.role == coord::Role::Leader ? replica_->holdsLease() : !now.leader.empty();
     }
 
-    /// An election takes about a second, in which no control hears from a leader.
+    /// An election takes about a second, in which no control receives decisions.
     auto isCurrent() -> bool
     {
         const auto now = clock_.now();
--- a/fleet/planning.h
+++ b/fleet/planning.h
@@ -4,9 +4,9 @@
 //   planning.run(term);                        // one pass over all services
 //
 // In a small fleet a pass considers every endpoint of a service. In a large one it
-// considers the endpoints that hold a model which lacks replicas, or have a copy of
+// considers the endpoints that hold a model with too few replicas, or have a copy of
 // its weights, and further ones in turn. So the time of a pass depends on how many
-// models lack replicas, and not on the number of endpoints.
+// models need replicas, and not on the number of endpoints.
 //
 // Endpoints that gateways cannot reach, or whose failure domain is evacuated, count as
 // absent: the models that they hold are available to nobody. Not thread-safe.
@@ -38,8 +38,8 @@
 {
     /// Up to this many endpoints of a service, a pass considers all of them.
     std::size_t considerAllUpTo = 400;
-    /// Beyond that: endpoints considered for each model that lacks replicas, of those that hold it
-    /// and of those with a copy.
+    /// Beyond that: endpoints considered for each model with too few replicas, of those that hold
+    /// it and of those with a copy.
     std::size_t perModel = 32;
     /// Endpoints considered in turn, for loads from the store.
     std::size_t inTurn = 128;
--- a/fleet/testing/tst_placement.cpp
+++ b/fleet/testing/tst_placement.cpp
@@ -62,6 +62,23 @@
 
 } // namespace
 
+TEST_CASE("Where only some endpoints are given, replicas and adapters held elsewhere count too")
+{
+    const auto engine = makeEngine();
+    auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 3, 0 };
+    input.hosts = { makeHost("e1", { "m0" }) };
+    input.models[ModelId { "m1" }].waiting = 1;
+    input.adapters[{ ModelId { "m0" }, "a1" }].waiting = 1;
+    CHECK(plan(input).plans.size() == 1);
+    input.holders = std::map<ModelId, std::uint32_t> { { ModelId { "m1" }, 1 } };
+    input.heldAdapters = { { ModelId { "m0" }, "a1" } };
+    CHECK(plan(input).plans.empty());
+    input.holders = std::map<ModelId, std::uint32_t> { { ModelId { "m0" }, 1 } };
+    const auto plans = plan(input).plans;
+    REQUIRE(plans.size() == 1);
+    CHECK(plans[0].steps.back().model == ModelId { "m1" });
+}
+
 TEST_CASE("A wanted model goes to an endpoint with a copy, not to the store")
 {
     const auto engine = makeEngine();
--- a/fleet/watchtable.h
+++ b/fleet/watchtable.h
@@ -12,7 +12,7 @@
 // Where no endpoint holds what a key names, a few others are told instead, so that
 // gateways can tell how long a load would take.
 //
-// An endpoint that was chosen stays chosen while it is fit: it is ready, not silent,
+// A selected endpoint stays selected while it is fit: it is ready, not silent,
 // not in an evacuated domain and still holds what the key names. A gateway is told of
 // each change of an endpoint until it is told that the endpoint is withdrawn.
 //
--- a/gateway/endpointwatch.h
+++ b/gateway/endpointwatch.h
@@ -11,10 +11,10 @@
 // whole list.
 //
 // The control is chosen by rendezvous hashing among those that are connected, one of the gateway's
-// own failure domain first. If it does not answer in time, is lost, or says that it no longer hears
-// from its group, another one is asked for all keys. Until that one has answered, the gateway uses
-// the rows that it has; afterwards only those that the answer contains. The former control is then
-// told that nothing is watched there any more.
+// own failure domain first. If it does not answer in time, is lost, or says that it is out of
+// touch with its group, another one is asked for all keys. Until that one has answered, the gateway
+// uses the rows that it has; afterwards only those that the answer contains. The former control is
+// then told that nothing is watched there any more.
 //
 // A key that no request has used for keepKeys is given up. Makes decisions only: it does no I/O and
 // sets no timers. Not thread-safe.
--- a/gateway/testing/fleetworld.h
+++ b/gateway/testing/fleetworld.h
@@ -1,5 +1,5 @@
 // Many gateways, a few controls and all endpoints of a large fleet in virtual time, over the real
-// registries, watches and views, with every message measured by the real encoder.
+// registries, watches and views, with the size of every message by the real encoder.
 //
 //   auto world = FleetWorld { 1000, 10'000 };
 //   world.run(2s);
