--- a/gateway/testing/rig.cpp
+++ b/gateway/testing/rig.cpp
@@ -127,7 +127,7 @@
 
 Rig::Rig(ForwarderOptions options, BalancerLink link, PickerOptions pickerOptions,
          KeyLeaseOptions keyOptions)
-    : Rig(NoDocument {}, options, std::move(link), pickerOptions, keyOptions)
+    : Rig(NoDocument {}, std::move(options), std::move(link), pickerOptions, keyOptions)
 {
     forwarder.setCatalogue(testCatalogue(false));
 }
@@ -149,7 +149,7 @@
     , quarantine({})
     , crashDetector({}, { context, clock, view, quarantine, metrics }, [] {})
     , keys(keyOptions, clock)
-    , forwarder(options,
+    , forwarder(std::move(options),
                 { context, clock, dialect, view, retries, demand, waiters, metrics, client, picker,
                   random, quarantine, crashDetector, keys })
     , caller(context, {}, clock)
