Interfaces of ordered admission, load schedules and gateways' capacity

Adds the messages and fields that the balancer, the leader and the gateways will use: PickGrant and the ordered fields of PickRequest and PickReply, LoadSchedule, Subscribe::capacity. Nothing sends or reads them yet. catalogue/contention tells from a configuration whether it asks for them.

--- a/proto/servingmessages.h
+++ b/proto/servingmessages.h
@@ -4,12 +4,14 @@
 //   gateway, control -> control   Subscribe, ServingAck, ModelWanted
 //   gateway          -> control   InForce, ManifestRequest, BlocksRequest,
 //                                 DocumentProofRequest (answered by their replies)
-//   gateway          -> control   PickRequest (answered by PickReply), PickEnd
+//   gateway          -> control   PickRequest (answered by PickReply, and by PickGrant where it was
+//                                 queued), PickEnd
 //   control          -> control   AccountNews; coord::RevisionQuery, answered by its reply
 //   joining control  -> control   JoinGroup
 //   gateway, control -> control, and control -> gateway   SuspectNews
 //   gateway          -> control   WatchRequest (answered by WatchReply)
-//   control -> subscriber         ServingUpdate, ManifestReply, BlocksReply
+//   control -> subscriber         ServingUpdate, ManifestReply, BlocksReply; LoadSchedule by the
+//                                 leader
 //
 // How a subscriber learns of endpoints depends on how many there are. Up to wholeUpTo of its
 // Subscribe, each control sends it every row and its changes. Beyond that, a gateway watches keys
@@ -69,10 +71,12 @@
     /// Of a control only: gateways may learn of endpoints from it alone, so that the leaving of an
     /// endpoint is confirmed only with its acknowledgement.
     bool hasWatchers = false;
+    /// Of a gateway only: its processor share, in thousandths of a core; 0: not known.
+    std::uint32_t capacity = 0;
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(kind, callers, domain, ready, inForce, wholeUpTo, hasWatchers);
+        archive(kind, callers, domain, ready, inForce, wholeUpTo, hasWatchers, capacity);
     }
 };
 
@@ -236,10 +240,13 @@
     std::uint32_t running = 0;
     std::uint32_t refused = 0; ///< Since the last report, since no endpoint could have it in time.
     std::uint32_t late = 0; ///< Since the last report: began or paused too late where it was held.
+    /// Shortest time in which one of the waiting requests must be dispatched to start on time;
+    /// absent: not told.
+    std::optional<std::uint64_t> startWithinMs;
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(service, model, adapter, arrived, waiting, running, refused, late);
+        archive(service, model, adapter, arrived, waiting, running, refused, late, startWithinMs);
     }
 };
 
@@ -305,11 +312,20 @@
     std::optional<catalogue::AccountCharge> charge;
     /// Of the candidates that ever named one to the gateway.
     std::vector<CandidateRate> rates;
+    /// The configuration asks for ordered admission (catalogue/contention.h): the request may wait
+    /// at the balancer for a place, in the order of all gateways' requests.
+    bool isOrdered = false;
+    std::int64_t startWithinMs = 0; ///< Time left to its first event, if that is to be on time.
+    std::int64_t waitedMs = 0;      ///< Since it arrived at its gateway.
+    AccountId account;              ///< Of its caller; empty: none.
+    std::uint64_t cost = 0;         ///< In the units of that account.
+    double accountPerSecond = 0;    ///< That account's limit, in the same units; 0: none.
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
         archive(ticket, candidates, model, shared, ownTokens, outputTokens, fetchTokensPerMs,
-                limitMs, places, rank, hasBegun, startTargetMs, gapTargetMs, works, charge, rates);
+                limitMs, places, rank, hasBegun, startTargetMs, gapTargetMs, works, charge, rates,
+                isOrdered, startWithinMs, waitedMs, account, cost, accountPerSecond);
     }
 };
 /// Why a request may not go anywhere now.
@@ -332,10 +348,25 @@
     std::uint32_t comeBackMs = 0; ///< With a refusal: when it may be taken.
     PickRefusal refusal = PickRefusal::None;
     bool isNearLimit = false; ///< The request's account has used most of its limit of late.
+    /// No place is free yet; a PickGrant follows. The endpoint is empty, and startMs is the
+    /// predicted time until the grant.
+    bool isQueued = false;
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(endpoint, startMs, running, holdMs, fetchFrom, comeBackMs, refusal, isNearLimit);
+        archive(endpoint, startMs, running, holdMs, fetchFrom, comeBackMs, refusal, isNearLimit,
+                isQueued);
+    }
+};
+/// Ends the wait of a queued request, at the gateway that asked.
+struct PickGrant
+{
+    std::uint64_t ticket = 0; ///< Of its PickRequest.
+    PickReply reply;          ///< With an endpoint, where the request is booked, or with a refusal.
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(ticket, reply);
     }
 };
 /// How a request that was booked has ended.
@@ -358,6 +389,41 @@
     }
 };
 
+/// Why a model that requests wait for is not held yet.
+enum class LoadState : std::uint8_t {
+    Ordered,  ///< An endpoint has accepted the order.
+    Planned,  ///< Its endpoint carries out another order first, or has not answered yet.
+    Deferred, ///< No endpoint has room for it, or the store allows no load.
+};
+
+/// When a model or an adapter is expected to be held.
+struct LoadRow
+{
+    ServiceId service;
+    ModelId model;
+    std::string adapter; ///< Empty: the model itself.
+    LoadState state = LoadState::Planned;
+    std::uint64_t readyInMs = 0; ///< From the sending of the schedule; of no use when deferred.
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(service, model, adapter, state, readyInMs);
+    }
+};
+
+/// The loads that the leader has in progress or plans, to gateways. Each replaces the one before.
+struct LoadSchedule
+{
+    Term term;
+    std::uint64_t number = 0; ///< Rises within a term.
+    std::vector<LoadRow> rows;
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(term, number, rows);
+    }
+};
+
 /// Work that was in progress at endpoints as they ended: what the sender knows and the receiver may
 /// not. Merging it is a union (policy/quarantine.h).
 struct SuspectNews
