--- a/proto/servingmessages.h
+++ b/proto/servingmessages.h
@@ -403,7 +403,8 @@
     ModelId model;
     std::string adapter; ///< Empty: the model itself.
     LoadState state = LoadState::Planned;
-    std::uint64_t readyInMs = 0; ///< From the sending of the schedule; of no use when deferred.
+    /// From the sending of the schedule; when deferred, if it is ordered at the next occasion.
+    std::uint64_t readyInMs = 0;
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
