--- a/proto/servingmessages.h
+++ b/proto/servingmessages.h
@@ -390,19 +390,19 @@
 };
 
 /// Why a model that requests wait for is not held yet.
-enum class LoadState : std::uint8_t {
+enum class ScheduledLoadState : std::uint8_t {
     Ordered,  ///< An endpoint has accepted the order.
     Planned,  ///< Its endpoint carries out another order first, or has not answered yet.
     Deferred, ///< No endpoint has room for it, or the store allows no load.
 };
 
 /// When a model or an adapter is expected to be held.
-struct LoadRow
+struct ScheduledLoad
 {
     ServiceId service;
     ModelId model;
     std::string adapter; ///< Empty: the model itself.
-    LoadState state = LoadState::Planned;
+    ScheduledLoadState state = ScheduledLoadState::Planned;
     /// From the sending of the schedule; when deferred, if it is ordered at the next occasion.
     std::uint64_t readyInMs = 0;
     template<typename Archive>
@@ -417,7 +417,7 @@
 {
     Term term;
     std::uint64_t number = 0; ///< Rises within a term.
-    std::vector<LoadRow> rows;
+    std::vector<ScheduledLoad> rows;
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
