Replicas by the reading of prompts, where the configuration asks for ordered admission

Requests in progress do not show this, since refused ones are not in progress.

Change: gateways report the prompt tokens of arrived requests and their shortest start target. The leader keeps rates that are corrected for the time since the first report (fleet/readload), and computes the replicas that read them in time (fleet/replicaneed). Placement loads these and does not evict them.

--- a/fleet/demandrelay.cpp
+++ b/fleet/demandrelay.cpp
@@ -1,5 +1,6 @@
 #include "fleet/demandrelay.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -27,6 +28,11 @@
         sum.arrived += row.arrived;
         sum.refused += row.refused;
         sum.late += row.late;
+        if (row.readTokens > 0)
+            sum.startTargetMs = sum.readTokens == 0
+                    ? row.startTargetMs
+                    : std::min(sum.startTargetMs, row.startTargetMs);
+        sum.readTokens += row.readTokens;
     }
     latest_[gateway] = report;
     hasNews_ = true;
--- a/fleet/demandtable.cpp
+++ b/fleet/demandtable.cpp
@@ -22,6 +22,7 @@
 DemandTable::DemandTable(DemandWindows windows, const Clock &clock)
     : windows_(windows)
     , clock_(clock)
+    , reading_(windows.fast)
 { }
 
 auto DemandTable::onReport(const NodeId &gateway, const proto::ModelWanted &report) -> bool
@@ -34,6 +35,8 @@
         add(recentArrivals_, target, row.arrived, windows_.fast);
         add(refusals_, target, row.refused, windows_.fast);
         add(lateRequests_, target, row.late, windows_.fast);
+        if (row.readTokens > 0)
+            reading_.add({ row.service, row.model }, row, clock_.now());
     }
     latest_[gateway] = report;
     forgetOld();
@@ -57,6 +60,7 @@
         return;
     nextForget_ = now + forgetEvery;
     forgetNegligible(arrivals_, windows_.slow);
+    reading_.forgetOld(now);
     for (auto *rates : { &recentArrivals_, &refusals_, &lateRequests_ })
         forgetNegligible(*rates, windows_.fast);
 }
@@ -103,6 +107,7 @@
         if (target.service == service)
             result.models[target.model].late += recent(rate);
     }
+    result.reading = reading_.of(service, clock_.now());
     for (const auto &[gateway, report] : latest_) {
         for (const auto &row : report.rows) {
             if (row.service != service)
@@ -152,6 +157,7 @@
     recentArrivals_.clear();
     refusals_.clear();
     lateRequests_.clear();
+    reading_.clear();
     latest_.clear();
 }
 
--- a/fleet/demandtable.h
+++ b/fleet/demandtable.h
@@ -16,6 +16,7 @@
 
 #include "core/clock.h"
 #include "fleet/placement.h"
+#include "fleet/readload.h"
 #include "proto/servingmessages.h"
 
 namespace figrack::fleet {
@@ -24,6 +25,7 @@
 {
     std::map<ModelId, RequestDemand> models; ///< Includes the requests for a model's adapters.
     std::map<AdapterKey, RequestDemand> adapters;
+    std::map<ModelId, ReadLoad> reading; ///< Only of models whose requests' reading is reported.
 };
 
 struct DemandWindows
@@ -79,6 +81,7 @@
     Rates recentArrivals_; ///< With the fast window, like all rates below.
     Rates refusals_;
     Rates lateRequests_;
+    ReadLoads reading_;
     std::map<NodeId, proto::ModelWanted> latest_;
     Instant nextForget_ {};
 };
--- a/fleet/placement.cpp
+++ b/fleet/placement.cpp
@@ -133,11 +133,13 @@
                 wanted.emplace_back(want.unserved(), model);
             const auto expected
                     = std::max<double>(want.running, want.perSecond * typicalRequestSeconds);
-            const auto enough
-                    = std::max({ std::ceil(expected / overloadLimit_), replicasForAdapters(model),
-                                 replicasForMissed(want, held) });
-            for (auto count = std::max(held + countedLoads, 1U); count < enough; ++count)
-                wanted.emplace_back(want.missed() / static_cast<double>(count), model);
+            const auto enough = std::max(
+                    { std::ceil(expected / overloadLimit_), replicasForAdapters(model),
+                      replicasForMissed(want, held), static_cast<double>(want.readReplicas) });
+            for (auto count = std::max(held + countedLoads, 1U); count < enough; ++count) {
+                const auto late = std::max<double>(want.missed(), lateForReading(want, count));
+                wanted.emplace_back(late / count, model);
+            }
         }
         std::sort(wanted.begin(), wanted.end(),
                   [](const auto &one, const auto &other) { return one.first > other.first; });
@@ -164,6 +166,16 @@
                                                                                    : 0.0;
     }
 
+    /// @return the number of requests that a few seconds bring for a model and that its replicas
+    /// cannot read in time
+    static auto lateForReading(const RequestDemand &want, std::uint32_t count) -> double
+    {
+        if (count >= want.readReplicas)
+            return 0;
+        const auto unread = 1.0 - static_cast<double>(count) / want.readReplicas;
+        return want.perSecond * missWindow * unread;
+    }
+
     /// @return the number of replicas of a model needed for its adapters that are now in demand
     auto replicasForAdapters(const ModelId &model) const -> double
     {
@@ -236,7 +248,9 @@
             return;
         }
         const auto relief = reliefSeconds * asked(model).running / holders_[model]
-                + waitSeconds * (waitingForAdapters(model) + asked(model).missed());
+                + waitSeconds
+                        * (waitingForAdapters(model) + asked(model).missed()
+                           + lateForReading(asked(model), holders_[model]));
         if (isExtra && best.cost > relief)
             return;
         begin(best, model);
@@ -453,6 +467,7 @@
             cost += want.perSecond / count * reloadSeconds;
             if (count > 1 && want.running > overloadLimit_ * (count - 1) / 2)
                 cost += want.running;
+            cost += waitSeconds * lateForReading(want, count - 1);
             result.emplace_back(cost, &held);
         }
         std::sort(result.begin(), result.end(),
--- a/fleet/placement.h
+++ b/fleet/placement.h
@@ -56,6 +56,8 @@
     std::uint32_t refused = 0;
     /// Recent requests that started late or had long pauses although the model was held.
     std::uint32_t late = 0;
+    /// Replicas that read the model's prompts in time (fleet/replicaneed.h); 0: not computed.
+    std::uint32_t readReplicas = 0;
     auto unserved() const -> std::uint32_t { return waiting + refused; }
     /// @return recent requests that the model's replicas could not serve in time
     auto missed() const -> std::uint32_t { return refused + late; }
--- a/fleet/planning.cpp
+++ b/fleet/planning.cpp
@@ -90,6 +90,8 @@
                 input.heldAdapters.insert(key);
         }
     }
+    for (const auto &[model, load] : asked.reading)
+        asked.models[model].readReplicas = replicasForReading(load, options_.reading);
     input.models = std::move(asked.models);
     input.adapters = std::move(asked.adapters);
     input.loading = orders.loading();
--- a/fleet/planning.h
+++ b/fleet/planning.h
@@ -31,6 +31,7 @@
 #include "fleet/orders.h"
 #include "fleet/placement.h"
 #include "fleet/registry.h"
+#include "fleet/replicaneed.h"
 
 namespace figrack::fleet {
 
@@ -43,6 +44,7 @@
     std::size_t perModel = 32;
     /// Endpoints considered in turn, for loads from the store.
     std::size_t inTurn = 128;
+    ReplicaNeedOptions reading;
 };
 
 /// What planning depends on. All of it must outlive the Planning.
--- a/gateway/demand.cpp
+++ b/gateway/demand.cpp
@@ -1,7 +1,10 @@
 #include "gateway/demand.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "core/duration.h"
+
 namespace figrack::gateway {
 
 Demand::Demand(const Clock &clock)
@@ -14,9 +17,15 @@
     onUrgent_ = std::move(onUrgent);
 }
 
-auto Demand::onArrival(const DemandTarget &target) -> void
+auto Demand::onArrival(const DemandTarget &target, const ReadWork &work) -> void
 {
-    ++counts_[target].arrived;
+    auto &counts = counts_[target];
+    ++counts.arrived;
+    if (work.tokens == 0)
+        return;
+    counts.startTarget = counts.readTokens == 0 ? work.startTarget
+                                                : std::min(counts.startTarget, work.startTarget);
+    counts.readTokens += work.tokens;
 }
 
 auto Demand::onStart(const DemandTarget &target) -> void
@@ -74,6 +83,8 @@
         auto row
                 = proto::WantedRow { target.service, target.model,   target.adapter, counts.arrived,
                                      counts.waiting, counts.running, counts.refused, counts.late };
+        row.readTokens = std::exchange(counts.readTokens, 0);
+        row.startTargetMs = static_cast<std::uint64_t>(wholeMillis(counts.startTarget));
         report.rows.push_back(std::move(row));
         counts.arrived = counts.refused = counts.late = 0;
         const auto idle = counts.waiting == 0 && counts.running == 0;
--- a/gateway/demand.h
+++ b/gateway/demand.h
@@ -21,6 +21,13 @@
 namespace figrack::gateway {
 
 /// A model of a service, or an adapter of that model.
+/// What a request adds to the reading work of its model's replicas.
+struct ReadWork
+{
+    std::uint64_t tokens = 0; ///< 0: not counted.
+    Duration startTarget {};
+};
+
 struct DemandTarget
 {
     ServiceId service;
@@ -36,7 +43,7 @@
     explicit Demand(const Clock &clock);
     /// @param onUrgent called when a report should be sent immediately
     auto setOnUrgent(std::function<void()> onUrgent) -> void;
-    auto onArrival(const DemandTarget &target) -> void;
+    auto onArrival(const DemandTarget &target, const ReadWork &work = {}) -> void;
     auto onStart(const DemandTarget &target) -> void;
     auto onEnd(const DemandTarget &target) -> void;
     /// Called when a request begins to wait for the target to be loaded.
@@ -62,6 +69,8 @@
         std::uint32_t running = 0;
         std::uint32_t refused = 0;
         std::uint32_t late = 0;
+        std::uint64_t readTokens = 0;
+        Duration startTarget {}; ///< Shortest of the requests that add to readTokens.
         Instant waitingSince {};
     };
 
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -142,6 +142,7 @@
     class Run;
     friend class Run;
     ForwarderOptions options_;
+    bool isOrdered_ = false; ///< The configuration asks for ordered admission.
     ForwarderParts parts_;
     std::shared_ptr<const catalogue::RouteTable> routes_;
     /// From the same catalogue as routes_.
--- a/gateway/forwarderplacing.cpp
+++ b/gateway/forwarderplacing.cpp
@@ -34,6 +34,9 @@
 /// Range of the random time that is added to Retry-After during a backoff, so that callers do not
 /// all return at once.
 constexpr auto retryAfterJitter = std::chrono::milliseconds { 500 };
+/// A replica that has read a shared part of a prompt keeps it for some seconds. Requests for a
+/// model are spread over its replicas, so about one in this many reads it again.
+constexpr auto sharedTokensPerRead = std::uint64_t { 2 };
 constexpr auto longestAvoidPause = std::chrono::milliseconds { 2000 };
 
 } // namespace
@@ -262,7 +265,18 @@
 auto Forwarder::Run::noteDemand() -> void
 {
     if (!target_.model.empty() && !std::exchange(isDemand_, true))
-        parts_.demand.onArrival(target_);
+        parts_.demand.onArrival(target_, readWork());
+}
+
+auto Forwarder::Run::readWork() const -> ReadWork
+{
+    if (!owner_.isOrdered_ || route_->startTarget <= Duration::zero())
+        return {};
+    const auto terms = pickTerms(service_, caller_, timeLeft());
+    auto shared = std::uint64_t { 0 };
+    for (const auto &span : terms.shared)
+        shared += span.tokens;
+    return { terms.ownTokens + shared / sharedTokensPerRead, route_->startTarget };
 }
 
 auto Forwarder::Run::beginWaiting() -> void
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -106,6 +106,9 @@
     auto clearExpiredAvoidance() -> void;
     /// Counts the request as demand for its model, once.
     auto noteDemand() -> void;
+    /// @return the reading that the request gives a replica; none where the configuration does not
+    /// ask for ordered admission
+    auto readWork() const -> ReadWork;
     auto beginWaiting() -> void;
     auto finishWaiting() -> void;
 
--- a/proto/servingmessages.h
+++ b/proto/servingmessages.h
@@ -243,10 +243,15 @@
     /// Shortest time in which one of the waiting requests must be dispatched to start on time;
     /// absent: not told.
     std::optional<std::uint64_t> startWithinMs;
+    /// Prompt tokens that the arrived requests give a replica to read; 0 where the configuration
+    /// does not ask for ordered admission.
+    std::uint64_t readTokens = 0;
+    std::uint64_t startTargetMs = 0; ///< Shortest start target of these requests.
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(service, model, adapter, arrived, waiting, running, refused, late, startWithinMs);
+        archive(service, model, adapter, arrived, waiting, running, refused, late, startWithinMs,
+                readTokens, startTargetMs);
     }
 };
 
