Gateways announce their capacity

Gateways of different sizes get callers without regard to their size, since nobody but the platform knows the sizes. Where no share is stated the capacity is unknown. Nothing reads it yet.

--- a/fleet/registry.cpp
+++ b/fleet/registry.cpp
@@ -350,7 +350,7 @@
     for (const auto &[key, subscriber] : subscribers_) {
         const auto &subscribe = subscriber.subscribe;
         if (subscribe.kind == proto::SubscriberKind::Gateway && subscribe.ready)
-            result.push_back({ subscribe.callers, subscribe.domain });
+            result.push_back({ subscribe.callers, subscribe.domain, subscribe.capacity });
     }
     return result;
 }
--- a/fleet/registry.h
+++ b/fleet/registry.h
@@ -85,6 +85,7 @@
 {
     Address callers;
     DomainId domain;
+    std::uint32_t capacity = 0; ///< Thousandths of a core; 0: not known.
 };
 
 /// What the registry sends to subscribers in addition to the endpoints.
--- a/fleet/testing/tst_registry.cpp
+++ b/fleet/testing/tst_registry.cpp
@@ -186,6 +186,23 @@
     CHECK(rig.registry.gateways().size() == 1);
 }
 
+// Guards against a capacity that outlives its gateway: one that restarts with another share, or
+// without one, would be listed by the old one.
+TEST_CASE("A gateway's capacity is that of its latest subscription, and ends with its connection")
+{
+    auto rig = RegistryRig {};
+    auto subscribe = proto::Subscribe {};
+    subscribe.ready = true;
+    for (const auto capacity : { 90U, 300U, 0U }) {
+        subscribe.capacity = capacity;
+        rig.registry.onSubscribe(rig.gateway, subscribe);
+        REQUIRE(rig.registry.gateways().size() == 1);
+        CHECK(rig.registry.gateways()[0].capacity == capacity);
+    }
+    rig.registry.onClose(rig.gateway);
+    CHECK(rig.registry.gateways().empty());
+}
+
 TEST_CASE("Updates from another control are relayed later, in one message")
 {
     auto rig = RegistryRig {};
--- a/gateway/controlfeed.cpp
+++ b/gateway/controlfeed.cpp
@@ -336,6 +336,7 @@
         subscribe.ready = ready_;
         subscribe.inForce = inForce_;
         subscribe.wholeUpTo = watch_.wholeUpTo();
+        subscribe.capacity = options_.capacity;
         return subscribe;
     }
 
--- a/gateway/controlfeed.h
+++ b/gateway/controlfeed.h
@@ -43,6 +43,7 @@
     proto::ChannelOptions channel;
     Address callers; ///< Address at which callers connect to this gateway.
     DomainId domain;
+    std::uint32_t capacity = 0; ///< Thousandths of a core; 0: not known.
     std::vector<Address> seeds; ///< Peer addresses of controls.
     DocumentFetchOptions documents;
     EndpointWatchOptions endpoints;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -128,6 +128,7 @@
         result.channel = proto::fleetChannel(options_.name, options_.keys);
         result.callers = options_.callers;
         result.domain = options_.domain;
+        result.capacity = options_.capacity;
         result.seeds = options_.seeds;
         result.keyLease = options_.keyLease;
         return result;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -51,6 +51,7 @@
     NodeId name;
     DomainId domain;
     Address callers;            ///< Address at which callers connect.
+    std::uint32_t capacity = 0; ///< Processor share in thousandths of a core; 0: not known.
     std::vector<Address> seeds; ///< Peer addresses of controls.
     std::shared_ptr<proto::PeerKeys> keys;
     RetryWindowOptions retries;
--- a/gateway/testing/feedrig.h
+++ b/gateway/testing/feedrig.h
@@ -42,7 +42,8 @@
         auto handler = proto::PeerHandler {};
         handler.onMessage = [this, leader](const proto::PeerPointer &peer,
                                            const proto::Envelope &envelope) {
-            if (std::holds_alternative<proto::Subscribe>(envelope.payload)) {
+            if (const auto *subscribe = std::get_if<proto::Subscribe>(&envelope.payload)) {
+                capacity = subscribe->capacity;
                 auto update = proto::ServingUpdate {};
                 update.leader = NodeId { leader };
                 update.term = Term { 1 };
@@ -92,6 +93,7 @@
     bool holdsBackDocuments = false; ///< If true, it does not answer document requests.
     int asked = 0;
     int ended = 0;
+    std::uint32_t capacity = 0;                  ///< Of the latest subscription.
     std::vector<catalogue::SuspectRow> suspects; ///< Rows that it sends to its subscribers.
     std::size_t suspectsHeard = 0;               ///< Number of rows received.
     std::unique_ptr<proto::PeerServer> server;
--- a/gateway/testing/tst_controlfeed.cpp
+++ b/gateway/testing/tst_controlfeed.cpp
@@ -20,6 +20,22 @@
     }
 }
 
+// Guards against a subscription without the capacity: the gateway would count as one of mean size.
+TEST_CASE("A gateway tells every control its capacity, also when it subscribes again")
+{
+    auto rig = FeedRig { "n3" };
+    auto options = ControlFeedOptions {};
+    options.capacity = 90;
+    auto &feed = rig.addFeed("g1", options);
+    for (auto &[name, control] : rig.controls)
+        CHECK(std::exchange(control->capacity, 0) == 90);
+    feed.setReady(true);
+    rig.runUntil([&] {
+        return std::all_of(rig.controls.begin(), rig.controls.end(),
+                           [](const auto &item) { return item.second->capacity == 90; });
+    });
+}
+
 TEST_CASE("A control that does not answer is not asked for a while, and its booking is ended")
 {
     auto rig = FeedRig { "n3" };
