Gateways bound their memory for slow callers and endpoints

With the setting gateway.memory_mb, which the platform fills in, a request whose body would bring the held bytes over half of the memory is refused at once as not run (lacked=memory), and an endpoint gets no further request while it has too many bytes from this gateway. A stream's events that its caller has not taken are buffered, so that the endpoint's answer is read on and its dispatch ends: an endpoint cuts off an answer that stays unread. Without the setting nothing changes.

--- a/gateway/chooser.cpp
+++ b/gateway/chooser.cpp
@@ -74,9 +74,9 @@
 auto blockedByName(BlockedBy blockedBy) -> std::string_view
 {
     constexpr auto names
-            = std::array<std::string_view, 11> { "none",   "endpoint", "model", "adapter",
+            = std::array<std::string_view, 12> { "none",   "endpoint", "model", "adapter",
                                                  "places", "trial",    "limit", "counter",
-                                                 "rate",   "backoff",  "home" };
+                                                 "rate",   "backoff",  "home",  "memory" };
     return names[static_cast<std::size_t>(blockedBy) % names.size()];
 }
 
--- a/gateway/chooser.h
+++ b/gateway/chooser.h
@@ -48,10 +48,11 @@
               ///< allow.
     Backoff,  ///< The endpoints that hold the model asked this gateway for a backoff.
     Home,     ///< No endpoint of the service is in the home regions of the route and the account.
+    Memory,   ///< The gateway, or the endpoints that hold the model, hold too many bytes.
 };
 
 /// @return "none", "endpoint", "model", "adapter", "places", "trial", "limit", "counter", "rate",
-/// "backoff" or "home"
+/// "backoff", "home" or "memory"
 auto blockedByName(BlockedBy blockedBy) -> std::string_view;
 
 /// The endpoints that can take a request.
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -4,6 +4,7 @@
 
 #include "gateway/forwarder.h"
 
+#include <exception>
 #include <utility>
 
 #include "core/duration.h"
@@ -38,6 +39,7 @@
     , startBy_(arrived_)
     , homes_(owner.options_.regions)
     , holdTimer_(owner.parts_.context)
+    , callerStream_(owner.parts_.context, responder, owner.heldBytes_)
 { }
 
 auto Forwarder::Run::execute() -> asio::awaitable<void>
@@ -45,12 +47,23 @@
     co_await awaitDocument();
     if (auto refusal = prepare()) {
         co_await refuse(std::move(*refusal));
+    } else if (auto lack = memoryRefusal()) {
+        co_await giveUp(std::move(*lack));
     } else if (auto status = quarantineRefusal()) {
         co_await giveUp(std::move(*status));
     } else {
         responder_.onPeerGone([this] { onCallerGone(); });
         parts_.retries.onRequest(service_);
-        co_await dispatchUntilSettled();
+        // The writer refers to this object, so it is waited for also after an exception.
+        auto failure = std::exception_ptr {};
+        try {
+            co_await dispatchUntilSettled();
+        } catch (...) {
+            failure = std::current_exception();
+        }
+        co_await finishStream();
+        if (failure)
+            std::rethrow_exception(failure);
     }
     report();
 }
@@ -67,6 +80,17 @@
     }
 }
 
+auto Forwarder::Run::finishStream() -> asio::awaitable<void>
+{
+    canceller_.reset(); // The endpoint's part has ended.
+    const auto isTaken = co_await callerStream_.drain();
+    if (!std::exchange(needsFinish_, false))
+        co_return;
+    outcome_ = RequestOutcome::CallerGone;
+    if (isTaken && (co_await responder_.finish()).ok())
+        outcome_ = RequestOutcome::Answered;
+}
+
 auto Forwarder::Run::timeLeft() const -> Duration
 {
     return std::max<Duration>(deadline_ - parts_.clock.now(), std::chrono::milliseconds { 1 });
@@ -78,6 +102,7 @@
     if (canceller_)
         canceller_->cancel();
     holdTimer_.cancel();
+    callerStream_.drop();
     parts_.waiters.wakeAll();
 }
 
@@ -156,6 +181,7 @@
     : options_(std::move(options))
     , parts_(std::move(parts))
     , startedAt_(parts_.clock.now())
+    , heldBytes_(options_.heldBytes, parts_.clock)
 { }
 
 auto Forwarder::setCatalogue(std::shared_ptr<const catalogue::Catalogue> catalogue) -> void
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -38,6 +38,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -49,6 +50,7 @@
 #include "gateway/demand.h"
 #include "gateway/dialect.h"
 #include "gateway/fleetview.h"
+#include "gateway/heldbytes.h"
 #include "gateway/keylease.h"
 #include "gateway/metrics.h"
 #include "gateway/picker.h"
@@ -93,6 +95,7 @@
     std::uint32_t crashLimitForRetry = 2;
     /// Decides which endpoints are in the homes of a route or an account.
     catalogue::RegionMap regions = {};
+    HeldBytesOptions heldBytes = {};
 };
 
 /// Dependencies of the Forwarder. All of them must outlive it.
@@ -137,6 +140,8 @@
     auto endDispatches(const EndpointId &endpoint) -> void;
     /// @return the catalogue in force, or nullptr
     auto catalogue() const -> const catalogue::Catalogue *;
+    /// @return the bytes of the requests in progress
+    auto heldBytes() const -> const HeldBytes & { return heldBytes_; }
 
 private:
     class Run;
@@ -147,6 +152,10 @@
     /// From the same catalogue as routes_.
     std::shared_ptr<const catalogue::AccountTable> accounts_;
     const Instant startedAt_;
+    HeldBytes heldBytes_;
+    /// Requests refused for want of memory since the last log line about it, and its time.
+    std::uint64_t memoryRefusals_ = 0;
+    std::optional<Instant> memoryLoggedAt_;
     /// Dispatches in progress.
     std::multimap<EndpointId, std::shared_ptr<http::Canceller>> dispatches_;
     /// No request waits for an endpoint after this time.
--- a/gateway/forwarderadmission.cpp
+++ b/gateway/forwarderadmission.cpp
@@ -1,15 +1,25 @@
 // Admission of a request: reads it, finds its route and account, and decides whether it may be
 // forwarded at all.
 
+#include <algorithm>
 #include <utility>
 
+#include "core/duration.h"
 #include "core/hash.h"
+#include "core/log.h"
 #include "gateway/forwarderrun.h"
 
 namespace figrack::gateway {
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// Shortest time between two log lines about refusals for want of memory, which come in hundreds.
+constexpr auto memoryLogInterval = std::chrono::seconds { 1 };
+
+} // namespace
+
 auto Forwarder::Run::awaitDocument() -> asio::awaitable<void>
 {
     auto until = owner_.startedAt_ + owner_.options_.awaitDocument;
@@ -91,6 +101,42 @@
     return Refusal { makeError(ErrorKind::BadToken, what), true, std::nullopt };
 }
 
+auto Forwarder::Run::memoryRefusal() -> std::optional<absl::Status>
+{
+    auto share = owner_.heldBytes_.admit(request_.body.size());
+    if (share) {
+        bodyShare_ = *std::move(share);
+        return std::nullopt;
+    }
+    blockedBy_ = BlockedBy::Memory;
+    retryAfter_ = memoryRetryAfter();
+    noteMemoryRefused();
+    return blockedError(BlockedBy::Memory);
+}
+
+auto Forwarder::Run::memoryRetryAfter() const -> Duration
+{
+    const auto expected
+            = owner_.heldBytes_.releaseTime().value_or(owner_.options_.defaultRetryAfter);
+    return std::min<Duration>(expected, timeLeft() / 3);
+}
+
+auto Forwarder::Run::noteMemoryRefused() -> void
+{
+    parts_.metrics.onMemoryRefused();
+    ++owner_.memoryRefusals_;
+    const auto now = parts_.clock.now();
+    if (owner_.memoryLoggedAt_ && now - *owner_.memoryLoggedAt_ < memoryLogInterval)
+        return;
+    owner_.memoryLoggedAt_ = now;
+    LogEvent(LogLevel::Warning, "memory_refused")
+            .with("request", caller_.id)
+            .with("body", std::uint64_t { request_.body.size() })
+            .with("held", owner_.heldBytes_.sum())
+            .with("come_back_ms", wholeMillis(*retryAfter_))
+            .with("refusals", std::exchange(owner_.memoryRefusals_, 0));
+}
+
 auto Forwarder::Run::rank() const -> std::uint32_t
 {
     return account_ != nullptr ? account_->rank.value_or(route_->rank) : route_->rank;
--- a/gateway/forwarderdispatch.cpp
+++ b/gateway/forwarderdispatch.cpp
@@ -81,7 +81,9 @@
             = std::max<Duration>(deadline_ - parts_.clock.now(), std::chrono::milliseconds { 1 });
     sentAt_ = parts_.clock.now();
     const auto dispatched = owner_.dispatches_.emplace(id, canceller_);
+    auto sentBody = owner_.heldBytes_.sendTo(id, request_.body.size());
     const auto step = co_await exchange(std::move(out), left, id);
+    sentBody.release();
     owner_.dispatches_.erase(dispatched);
     if (!target_.model.empty())
         parts_.demand.onEnd(target_);
--- a/gateway/forwarderplacing.cpp
+++ b/gateway/forwarderplacing.cpp
@@ -79,9 +79,11 @@
         }
         blockedBy_ = blockedBy;
         const auto isDeclined = blockedBy == BlockedBy::Places || blockedBy == BlockedBy::Trial
-                || blockedBy == BlockedBy::Rate;
+                || blockedBy == BlockedBy::Rate || blockedBy == BlockedBy::Memory;
         const auto waitTime = isDeclined ? waitTimeForPlace(blockedBy) : waitTimeFor(blockedBy);
         if (!waitTime) {
+            if (blockedBy == BlockedBy::Memory)
+                noteMemoryRefused();
             // Suspected work must not cause its model to be loaded elsewhere.
             if (!target_.model.empty() && blockedBy != BlockedBy::Endpoint
                 && blockedBy != BlockedBy::Trial)
@@ -133,10 +135,12 @@
         const auto candidates = this->candidates();
         if (candidates.empty() && homes_.isRestricted() && !parts_.view.of(service_).empty())
             co_return BlockedBy::Home;
-        const auto able = ableEndpoints(candidates, criteria_, isHealthy);
+        auto able = ableEndpoints(candidates, criteria_, isHealthy);
         backoffUntil_ = able.backoffUntil;
         if (able.entries.empty())
             co_return able.blockedBy;
+        if (!keepThoseWithRoom(able.entries))
+            co_return BlockedBy::Memory;
         auto terms = pickTerms(service_, caller_, timeLeft());
         if (engine_ != nullptr) {
             terms.fetchTokensPerMs = engine_->fetchTokensPerMs;
@@ -154,14 +158,27 @@
         if (picked_.retryAfter)
             co_return picked_.blockedBy;
         co_await hold();
-        // The endpoint may have left, or asked for a backoff, while the balancer was asked or the
-        // request was delayed.
-        if (callerGone_ || parts_.view.maySend(picked_.endpoint))
+        // The endpoint may have left, or asked for a backoff, or other requests may have filled it,
+        // while the balancer was asked or the request was delayed.
+        const auto hasRoom = owner_.heldBytes_.hasRoomAt(picked_.endpoint);
+        if (callerGone_ || (parts_.view.maySend(picked_.endpoint) && hasRoom))
             co_return BlockedBy::Nothing;
         picked_.booking = {};
     }
 }
 
+auto Forwarder::Run::keepThoseWithRoom(std::vector<EndpointEntry *> &able) -> bool
+{
+    std::erase_if(able,
+                  [&](const auto *entry) { return !owner_.heldBytes_.hasRoomAt(entry->row.id); });
+    if (!able.empty())
+        return true;
+    picked_ = {};
+    picked_.retryAfter = memoryRetryAfter();
+    picked_.blockedBy = BlockedBy::Memory;
+    return false;
+}
+
 auto Forwarder::Run::hold() -> asio::awaitable<void>
 {
     const auto left = std::min(startBy_, owner_.placementDeadline_) - parts_.clock.now();
@@ -186,6 +203,9 @@
     // is known.
     if (blockedBy == BlockedBy::Rate)
         return now + *retryAfter_ <= limit ? retryAfter_ : std::nullopt;
+    // Where bytes take longer to be released than the request may wait, waiting cannot help.
+    if (blockedBy == BlockedBy::Memory && now + *retryAfter_ > limit)
+        return std::nullopt;
     return std::min<Duration>(placeRecheckInterval, limit - now);
 }
 
--- a/gateway/forwarderrelay.cpp
+++ b/gateway/forwarderrelay.cpp
@@ -1,6 +1,7 @@
 // Relays an endpoint's answer to the caller. A streamed answer is split into server-sent events,
 // and only complete events that the caller has not received yet are forwarded. Any other answer
-// is read completely before it is sent.
+// is read completely before it is sent. Events that a slow caller has not taken are buffered
+// (gateway/callerstream.h), so that the endpoint's answer is read on.
 
 #include <algorithm>
 #include <utility>
@@ -15,6 +16,7 @@
 auto Forwarder::Run::relayWhole(http::ClientStream &stream) -> asio::awaitable<Step>
 {
     auto body = std::string {};
+    auto held = owner_.heldBytes_.hold(HeldBytes::Kind::Answer);
     while (true) {
         auto chunk = co_await stream.read(timeLeft());
         if (!chunk.ok()) {
@@ -23,6 +25,7 @@
         }
         if (chunk->empty())
             break;
+        held.add(chunk->size());
         body += *chunk;
         if (body.size() > owner_.options_.maxAnswerBytes) {
             lastError_ = makeError(ErrorKind::TooLarge, "answer");
@@ -83,10 +86,15 @@
         lastError_ = makeError(ErrorKind::EndpointFailed, "stream ends within an event");
         co_return Step::Broken;
     }
-    if (!co_await startResponse(stream) || !(co_await responder_.finish()).ok())
+    if (!co_await startResponse(stream)) {
+        outcome_ = RequestOutcome::CallerGone;
+        co_return Step::Settled;
+    }
+    outcome_ = RequestOutcome::Answered;
+    // The endpoint has done its part, so the dispatch does not wait for a slow caller.
+    needsFinish_ = callerStream_.isWriting();
+    if (!needsFinish_ && !(co_await responder_.finish()).ok())
         outcome_ = RequestOutcome::CallerGone;
-    else
-        outcome_ = RequestOutcome::Answered;
     co_return Step::Settled;
 }
 
@@ -106,7 +114,7 @@
     if (bytes.empty())
         co_return std::nullopt;
     noteEvents();
-    if (!co_await startResponse(stream) || !(co_await responder_.write(std::move(bytes))).ok()) {
+    if (!co_await startResponse(stream) || !co_await callerStream_.write(std::move(bytes))) {
         outcome_ = RequestOutcome::CallerGone;
         co_return Step::Settled;
     }
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -19,6 +19,7 @@
 #include "core/boottimer.h"
 #include "core/error.h"
 #include "endpoint/ssestream.h"
+#include "gateway/callerstream.h"
 #include "gateway/chooser.h"
 #include "gateway/forwarder.h"
 
@@ -65,6 +66,15 @@
     /// @return true if the request was refused
     auto refuseOverLimit() -> boost::asio::awaitable<bool>;
     auto overLimitError() const -> absl::Status;
+    /// Holds the request's body in the gateway's memory.
+    /// @return why the request must be refused, and sets the Retry-After time; nullopt if there is
+    /// room for the body
+    auto memoryRefusal() -> std::optional<absl::Status>;
+    /// @return when held bytes can be expected to be released, by what recent ones took, but not
+    /// more than a third of the request's time left
+    auto memoryRetryAfter() const -> Duration;
+    /// Counts a refusal for want of memory, and logs it at most once a second.
+    auto noteMemoryRefused() -> void;
     auto setCriteria() -> void;
     auto verdict() const -> policy::Verdict;
     /// @return why the request may not run, and sets the Retry-After time; nullopt if it may run
@@ -85,6 +95,9 @@
     /// Looks for an endpoint and stores the result in picked_.
     /// @return why there is none, or BlockedBy::Nothing if picked_ names a known endpoint
     auto pick() -> boost::asio::awaitable<BlockedBy>;
+    /// Drops the endpoints that hold too many bytes of this gateway's requests.
+    /// @return false if none is left; picked_ then names the time after which one may have room
+    auto keepThoseWithRoom(std::vector<EndpointEntry *> &able) -> bool;
     /// Delays the dispatch for as long as the balancer asked, or less if the request has less time
     /// left.
     auto hold() -> boost::asio::awaitable<void>;
@@ -159,6 +172,8 @@
     // ---- overall control and completion (forwarder.cpp)
 
     auto dispatchUntilSettled() -> boost::asio::awaitable<void>;
+    /// Waits until the caller has taken what is buffered for it, and ends a whole stream.
+    auto finishStream() -> boost::asio::awaitable<void>;
     auto timeLeft() const -> Duration;
     auto onCallerGone() -> void;
     /// Stops trying: answers with an error, or lets the server close a stream that has begun.
@@ -192,6 +207,8 @@
     EndpointId endpoint_;                        ///< Endpoint of the latest dispatch.
     Picked picked_; ///< The latest choice; its booking ends with the dispatch.
     BootTimer holdTimer_;
+    HeldBytes::Share bodyShare_;
+    CallerStream callerStream_;
     Duration held_ {}; ///< Total delay that balancers asked for to protect running streams.
     std::uint32_t status_ = 0;
     std::uint32_t finalStatus_ = 0;
@@ -218,6 +235,7 @@
     bool isDemand_ = false;     ///< The request has been counted as demand.
     bool isCounted_ = false;    ///< The request may have run, and its account has been charged.
     bool hasCheckedLimit_ = false;
+    bool needsFinish_ = false; ///< The stream is whole, and its end has not been written yet.
 };
 
 } // namespace figrack::gateway
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -108,6 +108,8 @@
         gauges.quarantined = quarantine_.quarantined(policy::millisOf(clock_.now()));
         gauges.rateLimited = view_.rateLimited();
         gauges.backedOff = view_.backedOff();
+        gauges.heldBytes = forwarder_.heldBytes().sum();
+        gauges.callersBufferedFor = forwarder_.heldBytes().callersBufferedFor();
         gauges.ready = ready();
         return metrics_.text(gauges);
     }
--- a/gateway/metrics.cpp
+++ b/gateway/metrics.cpp
@@ -54,6 +54,11 @@
                                      .Help("Requests refused, as their work is in quarantine")
                                      .Register(registry)
                                      .Add({}))
+        , memoryRefusals(prometheus::BuildCounter()
+                                 .Name("figrack_gateway_memory_refusals_total")
+                                 .Help("Requests refused, as too many bytes are held")
+                                 .Register(registry)
+                                 .Add({}))
         , ratesNamed(prometheus::BuildCounter()
                              .Name("figrack_gateway_rates_named_total")
                              .Help("Answers in which an endpoint named the rate that it takes")
@@ -100,6 +105,7 @@
     prometheus::Counter &failures;
     prometheus::Counter &ended;
     prometheus::Counter &quarantineRefusals;
+    prometheus::Counter &memoryRefusals;
     prometheus::Counter &ratesNamed;
     prometheus::Counter &backoffsAsked;
     prometheus::Family<prometheus::Counter> &picks;
@@ -143,6 +149,11 @@
     impl_->quarantineRefusals.Increment();
 }
 
+auto Metrics::onMemoryRefused() -> void
+{
+    impl_->memoryRefusals.Increment();
+}
+
 auto Metrics::onRateNamed() -> void
 {
     impl_->ratesNamed.Increment();
@@ -178,6 +189,8 @@
     set("quarantined", static_cast<double>(gauges.quarantined));
     set("rate_limited_endpoints", static_cast<double>(gauges.rateLimited));
     set("backed_off_endpoints", static_cast<double>(gauges.backedOff));
+    set("held_bytes", static_cast<double>(gauges.heldBytes));
+    set("callers_buffered_for", static_cast<double>(gauges.callersBufferedFor));
     set("ready", gauges.ready ? 1 : 0);
     return prometheus::TextSerializer {}.Serialize(impl_->registry.Collect());
 }
--- a/gateway/metrics.h
+++ b/gateway/metrics.h
@@ -41,6 +41,8 @@
     std::uint64_t quarantined = 0; ///< Entries that are in quarantine.
     std::uint64_t rateLimited = 0; ///< Endpoints that accept only a limited rate of requests.
     std::uint64_t backedOff = 0;   ///< Endpoints that are in backoff.
+    std::uint64_t heldBytes = 0;   ///< Of bodies, answers and streams in memory.
+    std::uint64_t callersBufferedFor = 0; ///< Callers that have not taken all of their streams.
     bool ready = false;
 };
 
@@ -58,6 +60,8 @@
     auto onEndpointEnded() -> void;
     /// A request was refused because its work is in quarantine.
     auto onQuarantined() -> void;
+    /// A request was refused because its gateway or endpoints hold too many bytes.
+    auto onMemoryRefused() -> void;
     /// An endpoint named the rate of requests that it accepts.
     auto onRateNamed() -> void;
     /// An endpoint rejected a request and asked for a backoff.
