--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -108,6 +108,8 @@
         gauges.quarantined = quarantine_.quarantined(policy::millisOf(clock_.now()));
         gauges.rateLimited = view_.rateLimited();
         gauges.backedOff = view_.backedOff();
+        gauges.heldBytes = forwarder_.heldBytes().sum();
+        gauges.callersBufferedFor = forwarder_.heldBytes().callersBufferedFor();
         gauges.ready = ready();
         return metrics_.text(gauges);
     }
@@ -128,6 +130,7 @@
         result.channel = proto::fleetChannel(options_.name, options_.keys);
         result.callers = options_.callers;
         result.domain = options_.domain;
+        result.capacity = options_.capacity;
         result.seeds = options_.seeds;
         result.keyLease = options_.keyLease;
         return result;
