fleet: learn the speeds of endpoints and use them for ordered requests

Cause: the balancer learns reading times by model only. Where a quarter of the engines runs at half of the speed, these get as many prompts as the others and start them late. Change: EndpointSpeeds learns a factor for each endpoint beside the model's, and counts an endpoint with an overdue request as slow. The balancer uses the factor in the reading time, the decode interval and the cost of running requests. Requests without isOrdered are placed and learned from as before.

--- a/fleet/balancer.cpp
+++ b/fleet/balancer.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "core/duration.h"
+#include "core/log.h"
 
 namespace figrack::fleet {
 namespace {
@@ -13,6 +14,8 @@
 constexpr auto expireEvery = std::chrono::seconds { 1 };
 /// Costs that differ by less count as equal: half a round trip between failure domains.
 constexpr auto costTolerance = 1.0;
+/// A speed is logged when it has changed by a third.
+constexpr auto loggedSpeedChange = 4.0 / 3;
 
 /// @return the duration in milliseconds; 0 for a negative one
 auto positiveMillis(Duration duration) -> std::uint32_t
@@ -26,6 +29,7 @@
     : options_(options)
     , clock_(clock)
     , random_(random)
+    , speeds_(options.speeds)
     , occupancyMs_(inMillis(options.initialOccupancy))
 { }
 
@@ -61,7 +65,7 @@
 {
     if (request.places == 0 || endpoint.running == 0)
         return false;
-    const auto wait = endpoint.readUntil + options_.decodeInterval - clock_.now();
+    const auto wait = endpoint.readUntil + decodeIntervalOf(endpoint, request) - clock_.now();
     return wait > longestHoldFor(request) && readTime(endpoint, request) > options_.shortRead;
 }
 
@@ -112,6 +116,7 @@
     auto equals = std::uint64_t { 0 };
     for (const auto &id : request.candidates) {
         auto &endpoint = endpointOf(id);
+        updateSpeed(id, endpoint, request);
         if (!hasRoom(endpoint, request))
             continue;
         const auto cost = costAt(endpoint, request);
@@ -136,10 +141,10 @@
 {
     const auto now = clock_.now();
     const auto read = readTime(endpoint, request);
-    if (endpoint.readUntil + options_.decodeInterval <= now)
+    const auto decodeIntervalEnd = endpoint.readUntil + decodeIntervalOf(endpoint, request);
+    if (decodeIntervalEnd <= now)
         return { now, now, now + read };
     auto slot = Slot { endpoint.readSince, std::max(endpoint.readUntil, now), {} };
-    const auto decodeIntervalEnd = endpoint.readUntil + options_.decodeInterval;
     const auto isTooLong = slot.begin + read - endpoint.readSince > maxReadRunFor(request);
     if (isTooLong && endpoint.running > 0 && decodeIntervalEnd - now <= longestHoldFor(request))
         slot.runBegin = slot.begin = decodeIntervalEnd;
@@ -152,7 +157,7 @@
 {
     const auto missingTokens = missing(endpoint, request);
     auto read = std::chrono::duration_cast<Duration>(usualRead(missingTokens.toRead)
-                                                     * readFactorOf(request.model));
+                                                     * readFactorOf(endpoint, request));
     if (missingTokens.toFetch > 0) {
         read += options_.fetchOverhead
                 + fromMillis(static_cast<double>(missingTokens.toFetch)
@@ -181,17 +186,83 @@
     return fromMillis(static_cast<double>(tokens) / options_.tokensPerMs);
 }
 
-auto Balancer::readFactorOf(std::uint64_t model) const -> double
+auto Balancer::readFactorOf(const Endpoint &endpoint, const proto::PickRequest &request) const
+        -> double
 {
-    const auto found = readFactors_.find(model);
+    if (request.isOrdered)
+        return speeds_.modelFactor(request.model) * speedOf(endpoint, request);
+    const auto found = readFactors_.find(request.model);
     return found == readFactors_.end() ? 1 : found->second;
 }
 
+auto Balancer::speedOf(const Endpoint &endpoint, const proto::PickRequest &request) -> double
+{
+    return request.isOrdered ? endpoint.speed : 1;
+}
+
+auto Balancer::decodeIntervalOf(const Endpoint &endpoint, const proto::PickRequest &request) const
+        -> Duration
+{
+    // Not multiplied by 1: nanoseconds may not survive the conversion to double.
+    const auto speed = speedOf(endpoint, request);
+    return speed == 1 ? options_.decodeInterval
+                      : fromMillis(inMillis(options_.decodeInterval) * speed);
+}
+
+auto Balancer::updateSpeed(const EndpointId &id, Endpoint &endpoint,
+                           const proto::PickRequest &request) -> void
+{
+    if (!request.isOrdered)
+        return;
+    const auto now = clock_.now();
+    endpoint.speed = speeds_.factorOf(id, now);
+    const auto change = endpoint.speed / endpoint.loggedSpeed;
+    const auto crossesBand = (endpoint.speed == 1) != (endpoint.loggedSpeed == 1);
+    const auto isNotable
+            = crossesBand || change >= loggedSpeedChange || change <= 1 / loggedSpeedChange;
+    if (!isNotable || now - endpoint.speedLoggedAt < options_.speedLogInterval)
+        return;
+    LogEvent(LogLevel::Info, "endpoint_speed")
+            .with("endpoint", id)
+            .with("factor", endpoint.speed)
+            .with("before", endpoint.loggedSpeed)
+            .with("learned", speeds_.learnedFactor(id, now));
+    endpoint.loggedSpeed = endpoint.speed;
+    endpoint.speedLoggedAt = now;
+}
+
+/// Gateways report the start of a request only when it has ended, so until then one that has begun
+/// looks like one that has not. Only after the time in which it should have generated all of its
+/// tokens, too, does the missing end show that the endpoint is slow. That time is doubled like the
+/// rest of the expected time: streams wait while prompts are read.
+auto Balancer::dueAtOf(const Endpoint &endpoint, const proto::PickRequest &request,
+                       const Slot &slot) const -> Instant
+{
+    const auto now = clock_.now();
+    // Nothing is known of the time that plain services take.
+    if (!request.isOrdered || request.model == 0)
+        return {};
+    const auto generation = fromMillis(static_cast<double>(request.outputTokens)
+                                       * options_.msPerToken * speedOf(endpoint, request));
+    const auto expected = slot.end - now + options_.startOverhead + generation;
+    return now + 2 * expected + options_.overdueAfter;
+}
+
+auto Balancer::status() const -> BalancerStatus
+{
+    return { speeds_.countByClass(clock_.now()) };
+}
+
 auto Balancer::learnReadFactor(const Booking &booking, Duration start) -> void
 {
     if (!booking.isAlone || booking.usualRead < options_.minInformativeRead)
         return;
     const auto read = std::max(Duration::zero(), start - options_.startOverhead);
+    if (booking.isOrdered) {
+        speeds_.learn(booking.endpoint, booking.model, inMillis(read) / inMillis(booking.usualRead),
+                      clock_.now());
+        return;
+    }
     const auto seen = std::clamp(inMillis(read) / inMillis(booking.usualRead),
                                  options_.minReadFactor, options_.maxReadFactor);
     auto &readFactor = readFactors_.try_emplace(booking.model, 1).first->second;
@@ -208,7 +279,8 @@
     const auto generating
             = std::min(static_cast<double>(request.outputTokens) * options_.msPerToken,
                        inMillis(options_.generationHorizon));
-    return start + running * options_.msPerRunning + running * options_.pauseWeight * paused
+    return start + running * options_.msPerRunning * speedOf(endpoint, request)
+            + running * options_.pauseWeight * paused
             + generating * options_.exposureWeight * readShare(endpoint);
 }
 
@@ -284,13 +356,17 @@
     recordCached(id, request.shared);
     auto &booking = bookings_[{ gateway, request.ticket }];
     if (!booking.endpoint.empty())
-        release(booking.endpoint);
+        release(booking);
     booking = { id,
                 request.model,
                 usualRead(missingTokens.toRead),
                 slot.begin == now,
                 now,
-                now + std::chrono::milliseconds { request.limitMs } };
+                now + std::chrono::milliseconds { request.limitMs },
+                request.isOrdered,
+                dueAtOf(endpoint, request, slot) };
+    if (booking.dueAt != Instant {})
+        speeds_.onBooked(id, booking.dueAt);
     ++endpoint.running;
     return reply;
 }
@@ -324,10 +400,12 @@
     const auto found = bookings_.find({ gateway, end.ticket });
     if (found == bookings_.end())
         return;
+    if (end.startMs > 0 && found->second.isOrdered)
+        speeds_.onBegun(found->second.endpoint, clock_.now());
     if (end.startMs > 0)
         learnReadFactor(found->second, std::chrono::milliseconds { end.startMs });
     learnLimit(found->second, end.outcome);
-    release(found->second.endpoint);
+    release(found->second);
     bookings_.erase(found);
 }
 
@@ -346,7 +424,7 @@
 {
     auto item = bookings_.lower_bound({ gateway, 0 });
     while (item != bookings_.end() && item->first.first == gateway) {
-        release(item->second.endpoint);
+        release(item->second);
         item = bookings_.erase(item);
     }
 }
@@ -357,9 +435,11 @@
     return found == endpoints_.end() ? 0 : found->second.running;
 }
 
-auto Balancer::release(const EndpointId &id) -> void
+auto Balancer::release(const Booking &booking) -> void
 {
-    const auto found = endpoints_.find(id);
+    if (booking.dueAt != Instant {})
+        speeds_.onEnded(booking.endpoint, booking.dueAt);
+    const auto found = endpoints_.find(booking.endpoint);
     if (found != endpoints_.end() && found->second.running > 0)
         --found->second.running;
 }
@@ -370,12 +450,13 @@
     if (now < nextExpiry_)
         return;
     nextExpiry_ = now + expireEvery;
+    speeds_.maintain(now);
     for (auto item = bookings_.begin(); item != bookings_.end();) {
         if (item->second.expiresAt > now) {
             ++item;
             continue;
         }
-        release(item->second.endpoint);
+        release(item->second);
         item = bookings_.erase(item);
     }
     std::erase_if(endpoints_, [&](const auto &item) {
--- a/fleet/balancer.h
+++ b/fleet/balancer.h
@@ -36,6 +36,8 @@
 #ifndef FIGRACK_FLEET_BALANCER_H
 #define FIGRACK_FLEET_BALANCER_H
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -46,6 +48,7 @@
 #include "core/ids.h"
 #include "core/random.h"
 #include "fleet/admission.h"
+#include "fleet/endpointspeed.h"
 #include "policy/ratelimiter.h"
 #include "proto/servingmessages.h"
 
@@ -112,6 +115,20 @@
     Duration initialOccupancy = std::chrono::milliseconds { 1500 };
     /// Endpoints without a booking for this time are forgotten.
     Duration forgetAfter = std::chrono::seconds { 60 };
+    /// Speeds of endpoints, for ordered requests (proto::PickRequest::isOrdered) only.
+    EndpointSpeedOptions speeds {};
+    /// A request is overdue this long after twice the time in which it should have ended.
+    Duration overdueAfter = std::chrono::milliseconds { 100 };
+    /// An endpoint's speed is logged at most once in this interval, so that factors which move
+    /// around a threshold do not fill the log.
+    Duration speedLogInterval = std::chrono::seconds { 5 };
+};
+
+/// What operators see of the picks for ordered requests.
+struct BalancerStatus
+{
+    /// Endpoints by the class of their speed, indexed by SpeedClass.
+    std::array<std::size_t, speedClassNames.size()> endpointsBySpeed {};
 };
 
 class Balancer
@@ -130,6 +147,7 @@
     auto runningAt(const EndpointId &id) const -> std::uint32_t;
     /// @return the number of all booked requests
     auto booked() const -> std::size_t { return bookings_.size(); }
+    auto status() const -> BalancerStatus;
 
 private:
     struct Endpoint
@@ -146,6 +164,9 @@
         std::uint32_t running = 0;            ///< Requests that are booked and have not ended.
         std::deque<proto::PromptSpan> cached; ///< The most recently used span is last.
         std::uint64_t cachedTokens = 0;
+        double speed = 1; ///< From speeds_; updated when an ordered request is placed.
+        double loggedSpeed = 1;
+        Instant speedLoggedAt {};
     };
     struct Booking
     {
@@ -155,6 +176,8 @@
         bool isAlone = false;  ///< No other prompt had to be read before it.
         Instant bookedAt {};
         Instant expiresAt {};
+        bool isOrdered = false;
+        Instant dueAt {}; ///< When it is overdue; default: that is not observed.
     };
     using BookingKey = std::pair<NodeId, std::uint64_t>;
 
@@ -174,8 +197,18 @@
     auto maxReadRunFor(const proto::PickRequest &request) const -> Duration;
     auto longestHoldFor(const proto::PickRequest &request) const -> Duration;
     auto usualRead(std::uint64_t tokens) const -> Duration;
-    /// @return the model's reading time as a multiple of the usual one
-    auto readFactorOf(std::uint64_t model) const -> double;
+    /// @return the request's reading time at the endpoint as a multiple of the usual one
+    auto readFactorOf(const Endpoint &endpoint, const proto::PickRequest &request) const -> double;
+    /// @return how much slower than others the endpoint is; 1 for requests that are not ordered
+    static auto speedOf(const Endpoint &endpoint, const proto::PickRequest &request) -> double;
+    auto decodeIntervalOf(const Endpoint &endpoint, const proto::PickRequest &request) const
+            -> Duration;
+    /// Looks up the endpoint's speed before an ordered request is placed, and logs changes.
+    auto updateSpeed(const EndpointId &id, Endpoint &endpoint, const proto::PickRequest &request)
+            -> void;
+    /// @return when a request that is sent now is overdue; default: that is not observed
+    auto dueAtOf(const Endpoint &endpoint, const proto::PickRequest &request,
+                 const Slot &slot) const -> Instant;
     auto learnReadFactor(const Booking &booking, Duration start) -> void;
     auto learnLimit(const Booking &booking, proto::PickOutcome outcome) -> void;
     auto costAt(const Endpoint &endpoint, const proto::PickRequest &request) const -> double;
@@ -196,7 +229,7 @@
     auto book(const NodeId &gateway, const proto::PickRequest &request, const EndpointId &id)
             -> proto::PickReply;
     auto recordCached(const EndpointId &id, const std::vector<proto::PromptSpan> &spans) -> void;
-    auto release(const EndpointId &id) -> void;
+    auto release(const Booking &booking) -> void;
     auto endpointOf(const EndpointId &id) -> Endpoint &;
     auto hasRoom(Endpoint &endpoint, const proto::PickRequest &request) -> bool;
     auto learnRates(const proto::PickRequest &request) -> void;
@@ -212,7 +245,8 @@
     Random &random_;
     std::map<EndpointId, Endpoint> endpoints_;
     std::map<BookingKey, Booking> bookings_;
-    std::map<std::uint64_t, double> readFactors_; ///< Learned, by model.
+    std::map<std::uint64_t, double> readFactors_; ///< Learned, by model; not of ordered requests.
+    EndpointSpeeds speeds_;                       ///< Learned from ordered requests.
     std::map<std::uint64_t, Instant>
             lastRetryAt_; ///< By model: the retry time given to the last refused request.
     double occupancyMs_;  ///< Average time that a request occupies a place.
--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -203,7 +203,11 @@
 
     auto announcements() -> Announcements & { return announcements_; }
 
-    auto metricsPage() -> std::string { return metrics_.text(); }
+    auto metricsPage() -> std::string
+    {
+        metrics_.setPicks(balancer_.status());
+        return metrics_.text();
+    }
 
 private:
     // ---- wiring
--- a/fleet/metrics.cpp
+++ b/fleet/metrics.cpp
@@ -1,6 +1,10 @@
 #include "fleet/metrics.h"
 
+#include <array>
+#include <string>
+
 #include <prometheus/counter.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
@@ -32,12 +36,21 @@
                                  .Help("Gateways that did not obey a change at its acknowledgement")
                                  .Register(registry)
                                  .Add({}))
-    { }
+    {
+        auto &endpoints = prometheus::BuildGauge()
+                                  .Name("figrack_core_endpoints_by_speed")
+                                  .Help("Endpoints by their prefill time compared with the mean")
+                                  .Register(registry);
+        for (auto i = std::size_t { 0 }; i < speedClassNames.size(); ++i)
+            endpointsBySpeed.at(i)
+                    = &endpoints.Add({ { "speed", std::string { speedClassNames.at(i) } } });
+    }
 
     prometheus::Registry registry;
     prometheus::Counter &refused;
     prometheus::Histogram &rolloutSeconds;
     prometheus::Counter &gatewaysBehind;
+    std::array<prometheus::Gauge *, speedClassNames.size()> endpointsBySpeed {};
 };
 
 Metrics::Metrics()
@@ -57,6 +70,12 @@
     impl_->gatewaysBehind.Increment(static_cast<double>(gatewaysBehind));
 }
 
+auto Metrics::setPicks(const BalancerStatus &status) -> void
+{
+    for (auto i = std::size_t { 0 }; i < status.endpointsBySpeed.size(); ++i)
+        impl_->endpointsBySpeed.at(i)->Set(static_cast<double>(status.endpointsBySpeed.at(i)));
+}
+
 auto Metrics::text() -> std::string
 {
     return prometheus::TextSerializer {}.Serialize(impl_->registry.Collect());
--- a/fleet/metrics.h
+++ b/fleet/metrics.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "core/clock.h"
+#include "fleet/balancer.h"
 
 namespace figrack::fleet {
 
@@ -23,6 +24,8 @@
     /// Call when a change was acknowledged. @param waited time since its commit
     /// @param gatewaysBehind number of gateways that had not applied it by then
     auto onAcknowledged(Duration waited, std::size_t gatewaysBehind) -> void;
+    /// Sets what the page tells about picks.
+    auto setPicks(const BalancerStatus &status) -> void;
     /// @return the page
     auto text() -> std::string;
 
