fleet: accounts over their share leave places to the others

Cause: when there is not room for all, the balancer refuses the requests of all accounts alike, whoever takes the places. Change: for 500 ms after an ordered request was refused for want of a place, requests of accounts over their share use an endpoint only up to 0.8 of its learned limit. The page of metrics has the accounts over their share and the grants within and over it.

--- a/fleet/balancer.cpp
+++ b/fleet/balancer.cpp
@@ -30,6 +30,7 @@
     , clock_(clock)
     , random_(random)
     , speeds_(options.speeds)
+    , shares_(options.shares)
     , occupancyMs_(inMillis(options.initialOccupancy))
 { }
 
@@ -57,6 +58,52 @@
             && !exceedsReadQueue(endpoint, request);
 }
 
+auto Balancer::countsForShare(const proto::PickRequest &request) -> bool
+{
+    return request.isOrdered && !request.account.empty() && request.accountPerSecond > 0;
+}
+
+auto Balancer::recordAsked(const proto::PickRequest &request) -> void
+{
+    if (!countsForShare(request))
+        return;
+    const auto now = clock_.now();
+    shares_.onAsked(request.account, request.accountPerSecond, now);
+    for (const auto &change : shares_.takeChanges(now)) {
+        LogEvent(LogLevel::Info, "account_over_share")
+                .with("account", change.account)
+                .with("over", change.isOver)
+                .with("use", change.use)
+                .with("mean_use", change.mean);
+    }
+}
+
+auto Balancer::recordGranted(const proto::PickRequest &request) -> void
+{
+    if (!countsForShare(request))
+        return;
+    ++(shares_.isOver(request.account) ? grantsOverShare_ : grantsWithinShare_);
+    shares_.onGranted(request.account, static_cast<double>(request.cost), clock_.now());
+}
+
+auto Balancer::isContended() const -> bool
+{
+    return clock_.now() < contendedUntil_;
+}
+
+auto Balancer::mustYield(const proto::PickRequest &request) const -> bool
+{
+    return countsForShare(request) && !request.hasBegun && isContended()
+            && shares_.isOver(request.account);
+}
+
+auto Balancer::hasRoomBesideOthers(const Endpoint &endpoint,
+                                   const proto::PickRequest &request) const -> bool
+{
+    return request.places == 0
+            || endpoint.running < endpoint.limit.limit() * options_.overShareLimit;
+}
+
 /// More prompts than can be held back for decode intervals would be read without any: all streams
 /// there would pause, and the prompt would be late anyway. Short prompts delay no stream, and a
 /// plain service reads no prompts.
@@ -74,6 +121,10 @@
 auto Balancer::refuseNoRoom(const proto::PickRequest &request) -> proto::PickReply
 {
     const auto now = clock_.now();
+    // Refusals of accounts over their share do not count: their places would be kept free for as
+    // long as they ask, also if nobody else needs them.
+    if (request.isOrdered && !shares_.isOver(request.account))
+        contendedUntil_ = now + options_.contentionTime;
     auto &last = lastRetryAt_.try_emplace(request.model, now).first->second;
     const auto places = static_cast<double>(request.places * request.candidates.size());
     const auto next
@@ -111,13 +162,15 @@
 {
     expire();
     learnRates(request);
+    recordAsked(request);
+    const auto yields = mustYield(request);
     const EndpointId *best = nullptr;
     auto bestCost = std::numeric_limits<double>::infinity();
     auto equals = std::uint64_t { 0 };
     for (const auto &id : request.candidates) {
         auto &endpoint = endpointOf(id);
         updateSpeed(id, endpoint, request);
-        if (!hasRoom(endpoint, request))
+        if (!hasRoom(endpoint, request) || (yields && !hasRoomBesideOthers(endpoint, request)))
             continue;
         const auto cost = costAt(endpoint, request);
         if (best != nullptr && std::abs(cost - bestCost) < costTolerance) {
@@ -250,7 +303,8 @@
 
 auto Balancer::status() const -> BalancerStatus
 {
-    return { speeds_.countByClass(clock_.now()) };
+    return { speeds_.countByClass(clock_.now()), shares_.countOver(), grantsWithinShare_,
+             grantsOverShare_ };
 }
 
 auto Balancer::learnReadFactor(const Booking &booking, Duration start) -> void
@@ -364,7 +418,10 @@
                 now,
                 now + std::chrono::milliseconds { request.limitMs },
                 request.isOrdered,
-                dueAtOf(endpoint, request, slot) };
+                dueAtOf(endpoint, request, slot),
+                countsForShare(request) ? request.account : AccountId {},
+                request.cost };
+    recordGranted(request);
     if (booking.dueAt != Instant {})
         speeds_.onBooked(id, booking.dueAt);
     ++endpoint.running;
@@ -405,6 +462,10 @@
     if (end.startMs > 0)
         learnReadFactor(found->second, std::chrono::milliseconds { end.startMs });
     learnLimit(found->second, end.outcome);
+    if (!found->second.account.empty() && !end.mayHaveRun) {
+        shares_.onReturned(found->second.account, static_cast<double>(found->second.cost),
+                           found->second.bookedAt, clock_.now());
+    }
     release(found->second);
     bookings_.erase(found);
 }
--- a/fleet/balancer.h
+++ b/fleet/balancer.h
@@ -49,6 +49,7 @@
 #include "core/random.h"
 #include "fleet/admission.h"
 #include "fleet/endpointspeed.h"
+#include "policy/fairshare.h"
 #include "policy/ratelimiter.h"
 #include "proto/servingmessages.h"
 
@@ -122,6 +123,14 @@
     /// An endpoint's speed is logged at most once in this interval, so that factors which move
     /// around a threshold do not fill the log.
     Duration speedLogInterval = std::chrono::seconds { 5 };
+    /// Shares of accounts, for ordered requests only.
+    policy::FairShareOptions shares {};
+    /// There is contention for this time after a request was refused for want of a place. Endpoints
+    /// evaluate their limits as often.
+    Duration contentionTime = std::chrono::milliseconds { 500 };
+    /// While there is contention, accounts over their share use an endpoint up to this fraction of
+    /// its learned limit; the rest is left to the others.
+    double overShareLimit = 0.8;
 };
 
 /// What operators see of the picks for ordered requests.
@@ -129,6 +138,10 @@
 {
     /// Endpoints by the class of their speed, indexed by SpeedClass.
     std::array<std::size_t, speedClassNames.size()> endpointsBySpeed {};
+    std::size_t accountsOverShare = 0;
+    /// Requests of accounts with limits that got a place since the start.
+    std::uint64_t grantsWithinShare = 0;
+    std::uint64_t grantsOverShare = 0;
 };
 
 class Balancer
@@ -177,7 +190,9 @@
         Instant bookedAt {};
         Instant expiresAt {};
         bool isOrdered = false;
-        Instant dueAt {}; ///< When it is overdue; default: that is not observed.
+        Instant dueAt {};  ///< When it is overdue; default: that is not observed.
+        AccountId account; ///< Whose share it counts for; empty: nobody's.
+        std::uint64_t cost = 0;
     };
     using BookingKey = std::pair<NodeId, std::uint64_t>;
 
@@ -231,6 +246,17 @@
     auto recordCached(const EndpointId &id, const std::vector<proto::PromptSpan> &spans) -> void;
     auto release(const Booking &booking) -> void;
     auto endpointOf(const EndpointId &id) -> Endpoint &;
+    /// @return true when the request is of an account that shares are kept for
+    static auto countsForShare(const proto::PickRequest &request) -> bool;
+    auto recordAsked(const proto::PickRequest &request) -> void;
+    auto recordGranted(const proto::PickRequest &request) -> void;
+    /// @return true while ordered requests find no place
+    auto isContended() const -> bool;
+    /// @return true when the request goes behind those of other accounts
+    auto mustYield(const proto::PickRequest &request) const -> bool;
+    /// @return true when the endpoint has room for a request that must yield
+    auto hasRoomBesideOthers(const Endpoint &endpoint, const proto::PickRequest &request) const
+            -> bool;
     auto hasRoom(Endpoint &endpoint, const proto::PickRequest &request) -> bool;
     auto learnRates(const proto::PickRequest &request) -> void;
     /// @return true when each candidate has been sent all requests that its rate allows
@@ -247,6 +273,10 @@
     std::map<BookingKey, Booking> bookings_;
     std::map<std::uint64_t, double> readFactors_; ///< Learned, by model; not of ordered requests.
     EndpointSpeeds speeds_;                       ///< Learned from ordered requests.
+    policy::FairShare shares_;                    ///< Of the accounts of ordered requests.
+    Instant contendedUntil_ {};
+    std::uint64_t grantsWithinShare_ = 0;
+    std::uint64_t grantsOverShare_ = 0;
     std::map<std::uint64_t, Instant>
             lastRetryAt_; ///< By model: the retry time given to the last refused request.
     double occupancyMs_;  ///< Average time that a request occupies a place.
--- a/fleet/metrics.cpp
+++ b/fleet/metrics.cpp
@@ -1,6 +1,7 @@
 #include "fleet/metrics.h"
 
 #include <array>
+#include <cstdint>
 #include <string>
 
 #include <prometheus/counter.h>
@@ -15,6 +16,12 @@
 const auto secondBuckets
         = prometheus::Histogram::BucketBoundaries { 0.01, 0.03, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 1 };
 
+/// @param total the counter's new value, not below the present one
+auto raiseTo(prometheus::Counter &counter, std::uint64_t total) -> void
+{
+    counter.Increment(static_cast<double>(total) - counter.Value());
+}
+
 } // namespace
 
 class Metrics::Impl
@@ -36,7 +43,18 @@
                                  .Help("Gateways that did not obey a change at its acknowledgement")
                                  .Register(registry)
                                  .Add({}))
+        , accountsOverShare(prometheus::BuildGauge()
+                                    .Name("figrack_core_accounts_over_share")
+                                    .Help("Accounts that recently got more than their share")
+                                    .Register(registry)
+                                    .Add({}))
     {
+        auto &grants = prometheus::BuildCounter()
+                               .Name("figrack_core_account_grants_total")
+                               .Help("Requests of accounts with limits that got a place")
+                               .Register(registry);
+        grantsWithinShare = &grants.Add({ { "share", "within" } });
+        grantsOverShare = &grants.Add({ { "share", "over" } });
         auto &endpoints = prometheus::BuildGauge()
                                   .Name("figrack_core_endpoints_by_speed")
                                   .Help("Endpoints by their prefill time compared with the mean")
@@ -50,6 +68,9 @@
     prometheus::Counter &refused;
     prometheus::Histogram &rolloutSeconds;
     prometheus::Counter &gatewaysBehind;
+    prometheus::Gauge &accountsOverShare;
+    prometheus::Counter *grantsWithinShare = nullptr;
+    prometheus::Counter *grantsOverShare = nullptr;
     std::array<prometheus::Gauge *, speedClassNames.size()> endpointsBySpeed {};
 };
 
@@ -72,6 +93,9 @@
 
 auto Metrics::setPicks(const BalancerStatus &status) -> void
 {
+    impl_->accountsOverShare.Set(static_cast<double>(status.accountsOverShare));
+    raiseTo(*impl_->grantsWithinShare, status.grantsWithinShare);
+    raiseTo(*impl_->grantsOverShare, status.grantsOverShare);
     for (auto i = std::size_t { 0 }; i < status.endpointsBySpeed.size(); ++i)
         impl_->endpointsBySpeed.at(i)->Set(static_cast<double>(status.endpointsBySpeed.at(i)));
 }
