fleet: test the decode interval and the stream cost of slow endpoints

Cause: no test failed without the factor in these two places. Change: a test for each. FairShare loses a check for accounts alone, which the mean implies. Result: both programs pass.

--- a/fleet/testing/tst_endpointspeed.cpp
+++ b/fleet/testing/tst_endpointspeed.cpp
@@ -67,7 +67,7 @@
         request.ticket = ++ticket;
         request.candidates = among;
         request.model = 1;
-        request.ownTokens = promptTokens;
+        request.ownTokens = tokens;
         request.outputTokens = outputTokens;
         request.limitMs = 10'000;
         request.isOrdered = isOrdered;
@@ -95,6 +95,7 @@
     Balancer balancer { { .tokensPerMs = 10 }, clock, random };
     NodeId gateway { "g-1" };
     std::uint64_t ticket = 0;
+    std::uint64_t tokens = promptTokens;
     bool isOrdered = true;
     proto::PickReply reply;
     EndpointId fast { "fast", Incarnation { 1 } };
@@ -306,6 +307,38 @@
         CHECK(picks.pick({ picks.slow, picks.fast }) == picks.fast);
 }
 
+TEST_CASE("A slow endpoint needs longer decode intervals")
+{
+    // Guards against reading prompts so closely one after another that slow streams pause.
+    auto picks = Picks {};
+    picks.learnSlow();
+    picks.clock.advance(5s);
+    const auto holdAt = [&](const EndpointId &id, std::uint64_t tokens) {
+        picks.tokens = tokens;
+        picks.pick({ id });
+        const auto readMs = picks.reply.startMs;
+        picks.pick({ id });
+        return picks.reply.holdMs - readMs;
+    };
+    CHECK(holdAt(picks.fast, 5000) == doctest::Approx(30).epsilon(0.1)); // 60 ms are usual.
+    CHECK(holdAt(picks.slow, 2000) == doctest::Approx(90).epsilon(0.1));
+}
+
+TEST_CASE("A request that has nothing to read prefers more streams to a slow endpoint")
+{
+    // Guards against judging endpoints by the number of their streams alone.
+    auto picks = Picks {};
+    picks.learnSlow();
+    picks.clock.advance(5s);
+    picks.tokens = 0;
+    for (auto i = 0; i < 5; ++i) {
+        picks.pick({ picks.fast }, 1000);
+        if (i < 4)
+            picks.pick({ picks.slow }, 1000);
+    }
+    CHECK(picks.pick({ picks.slow, picks.fast }, 1000) == picks.fast);
+}
+
 TEST_CASE("Requests that are not ordered are neither placed nor predicted by speeds")
 {
     // Guards against a change for deployments whose configuration does not ask for it.
--- a/policy/fairshare.cpp
+++ b/policy/fairshare.cpp
@@ -82,9 +82,9 @@
 
 auto FairShare::isOver(const Account &account) const -> bool
 {
-    if (!account.isActive || active_.size() < 2)
-        return false;
-    return account.cost * activePerSecond_ > options_.overFactor * activeCost_ * account.perSecond;
+    return account.isActive
+            && account.cost * activePerSecond_
+            > options_.overFactor * activeCost_ * account.perSecond;
 }
 
 auto FairShare::useOf(const AccountId &account, Instant now) const -> double
