--- a/fleet/balancer.h
+++ b/fleet/balancer.h
@@ -36,6 +36,8 @@
 #ifndef FIGRACK_FLEET_BALANCER_H
 #define FIGRACK_FLEET_BALANCER_H
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -46,6 +48,8 @@
 #include "core/ids.h"
 #include "core/random.h"
 #include "fleet/admission.h"
+#include "fleet/endpointspeed.h"
+#include "policy/fairshare.h"
 #include "policy/ratelimiter.h"
 #include "proto/servingmessages.h"
 
@@ -112,6 +116,32 @@
     Duration initialOccupancy = std::chrono::milliseconds { 1500 };
     /// Endpoints without a booking for this time are forgotten.
     Duration forgetAfter = std::chrono::seconds { 60 };
+    /// Speeds of endpoints, for ordered requests (proto::PickRequest::isOrdered) only.
+    EndpointSpeedOptions speeds {};
+    /// A request is overdue this long after twice the time in which it should have ended.
+    Duration overdueAfter = std::chrono::milliseconds { 100 };
+    /// An endpoint's speed is logged at most once in this interval, so that factors which move
+    /// around a threshold do not fill the log.
+    Duration speedLogInterval = std::chrono::seconds { 5 };
+    /// Shares of accounts, for ordered requests only.
+    policy::FairShareOptions shares {};
+    /// There is contention for this time after a request was refused for want of a place. Endpoints
+    /// evaluate their limits as often.
+    Duration contentionTime = std::chrono::milliseconds { 500 };
+    /// While there is contention, accounts over their share use an endpoint up to this fraction of
+    /// its learned limit; the rest is left to the others.
+    double overShareLimit = 0.8;
+};
+
+/// What operators see of the picks for ordered requests.
+struct BalancerStatus
+{
+    /// Endpoints by the class of their speed, indexed by SpeedClass.
+    std::array<std::size_t, speedClassNames.size()> endpointsBySpeed {};
+    std::size_t accountsOverShare = 0;
+    /// Requests of accounts with limits that got a place since the start.
+    std::uint64_t grantsWithinShare = 0;
+    std::uint64_t grantsOverShare = 0;
 };
 
 class Balancer
@@ -130,6 +160,7 @@
     auto runningAt(const EndpointId &id) const -> std::uint32_t;
     /// @return the number of all booked requests
     auto booked() const -> std::size_t { return bookings_.size(); }
+    auto status() const -> BalancerStatus;
 
 private:
     struct Endpoint
@@ -146,6 +177,9 @@
         std::uint32_t running = 0;            ///< Requests that are booked and have not ended.
         std::deque<proto::PromptSpan> cached; ///< The most recently used span is last.
         std::uint64_t cachedTokens = 0;
+        double speed = 1; ///< From speeds_; updated when an ordered request is placed.
+        double loggedSpeed = 1;
+        Instant speedLoggedAt {};
     };
     struct Booking
     {
@@ -155,6 +189,10 @@
         bool isAlone = false;  ///< No other prompt had to be read before it.
         Instant bookedAt {};
         Instant expiresAt {};
+        bool isOrdered = false;
+        Instant dueAt {};  ///< When it is overdue; default: that is not observed.
+        AccountId account; ///< Whose share it counts for; empty: nobody's.
+        std::uint64_t cost = 0;
     };
     using BookingKey = std::pair<NodeId, std::uint64_t>;
 
@@ -174,8 +212,18 @@
     auto maxReadRunFor(const proto::PickRequest &request) const -> Duration;
     auto longestHoldFor(const proto::PickRequest &request) const -> Duration;
     auto usualRead(std::uint64_t tokens) const -> Duration;
-    /// @return the model's reading time as a multiple of the usual one
-    auto readFactorOf(std::uint64_t model) const -> double;
+    /// @return the request's reading time at the endpoint as a multiple of the usual one
+    auto readFactorOf(const Endpoint &endpoint, const proto::PickRequest &request) const -> double;
+    /// @return how much slower than others the endpoint is; 1 for requests that are not ordered
+    static auto speedOf(const Endpoint &endpoint, const proto::PickRequest &request) -> double;
+    auto decodeIntervalOf(const Endpoint &endpoint, const proto::PickRequest &request) const
+            -> Duration;
+    /// Looks up the endpoint's speed before an ordered request is placed, and logs changes.
+    auto updateSpeed(const EndpointId &id, Endpoint &endpoint, const proto::PickRequest &request)
+            -> void;
+    /// @return when a request that is sent now is overdue; default: that is not observed
+    auto dueAtOf(const Endpoint &endpoint, const proto::PickRequest &request,
+                 const Slot &slot) const -> Instant;
     auto learnReadFactor(const Booking &booking, Duration start) -> void;
     auto learnLimit(const Booking &booking, proto::PickOutcome outcome) -> void;
     auto costAt(const Endpoint &endpoint, const proto::PickRequest &request) const -> double;
@@ -196,8 +244,19 @@
     auto book(const NodeId &gateway, const proto::PickRequest &request, const EndpointId &id)
             -> proto::PickReply;
     auto recordCached(const EndpointId &id, const std::vector<proto::PromptSpan> &spans) -> void;
-    auto release(const EndpointId &id) -> void;
+    auto release(const Booking &booking) -> void;
     auto endpointOf(const EndpointId &id) -> Endpoint &;
+    /// @return true when the request is of an account that shares are kept for
+    static auto countsForShare(const proto::PickRequest &request) -> bool;
+    auto recordAsked(const proto::PickRequest &request) -> void;
+    auto recordGranted(const proto::PickRequest &request) -> void;
+    /// @return true while ordered requests find no place
+    auto isContended() const -> bool;
+    /// @return true when the request goes behind those of other accounts
+    auto mustYield(const proto::PickRequest &request) const -> bool;
+    /// @return true when the endpoint has room for a request that must yield
+    auto hasRoomBesideOthers(const Endpoint &endpoint, const proto::PickRequest &request) const
+            -> bool;
     auto hasRoom(Endpoint &endpoint, const proto::PickRequest &request) -> bool;
     auto learnRates(const proto::PickRequest &request) -> void;
     /// @return true when each candidate has been sent all requests that its rate allows
@@ -212,7 +271,12 @@
     Random &random_;
     std::map<EndpointId, Endpoint> endpoints_;
     std::map<BookingKey, Booking> bookings_;
-    std::map<std::uint64_t, double> readFactors_; ///< Learned, by model.
+    std::map<std::uint64_t, double> readFactors_; ///< Learned, by model; not of ordered requests.
+    EndpointSpeeds speeds_;                       ///< Learned from ordered requests.
+    policy::FairShare shares_;                    ///< Of the accounts of ordered requests.
+    Instant contendedUntil_ {};
+    std::uint64_t grantsWithinShare_ = 0;
+    std::uint64_t grantsOverShare_ = 0;
     std::map<std::uint64_t, Instant>
             lastRetryAt_; ///< By model: the retry time given to the last refused request.
     double occupancyMs_;  ///< Average time that a request occupies a place.
