policy: DrainShare in a header of its own

Cause: the balancer's queue needs DrainShare, and policy/waiting.h brings policy::Verdict of admission.h, which clashes with the one of quarantine.h in fleet/core.cpp. Change: DrainShare moves to policy/drainshare; waiting.h includes it. No change of behaviour. Result: figrack_policy_test passes, 86 test cases.

--- a/policy/waiting.h
+++ b/policy/waiting.h
@@ -13,6 +13,7 @@
 #include <limits>
 
 #include "policy/admission.h"
+#include "policy/drainshare.h"
 
 namespace figrack::policy {
 
@@ -34,32 +35,6 @@
 /// @return the time between two slots becoming free once all ready and loading replicas run, ms
 auto slotInterval(const ModelView &view, Millis assumedServiceTime) -> Millis;
 
-/// Measures which share of a model's slots this router's queue gets. Other routers have queues
-/// for the model that this router cannot see, so the share is derived from how fast the own queue
-/// drains while it is not empty.
-class DrainShare
-{
-public:
-    /// Advances the measurement to `now`. Must be called before the queue is read or changed.
-    /// @param waits true when the queue is not empty
-    auto advance(bool waits, Millis now) -> void;
-    /// Ignores the time since the last advance(), since no replica was ready in it.
-    auto discard(Millis now) -> void;
-    /// Records that a request that had waited was dispatched.
-    auto onPop() -> void;
-    /// Undoes onPop() for a request that was not dispatched after all.
-    auto onRequeue() -> void;
-    /// @param nominal time between two slots becoming free, ms
-    /// @return the share, in (0, 1]
-    auto value(double nominal) const -> double;
-
-private:
-    double waited_ = 0; ///< Time during which the queue was not empty, ms.
-    double pops_ = 0;
-    Millis at_ = 0;
-    bool waits_ = false;
-};
-
 } // namespace figrack::policy
 
 #endif // FIGRACK_POLICY_WAITING_H
