fleet: requests that find no slot wait at the balancer in order

Cause: a request that found no slot asked again every 50 ms, and whichever asked first after a slot became free got it. Retry times reserved nothing. Change: PlaceQueue orders ordered requests, predicts their waits, refuses those that would be late, and reserves slots for promised returns. The balancer offers it slots when a request ends, a gateway is lost and every 20 ms; PlaceGrants sends the grants.

--- a/fleet/balancer.cpp
+++ b/fleet/balancer.cpp
@@ -27,6 +27,7 @@
     , clock_(clock)
     , random_(random)
     , occupancyMs_(inMillis(options.initialOccupancy))
+    , queue_(options.queue)
 { }
 
 auto Balancer::endpointOf(const EndpointId &id) -> Endpoint &
@@ -43,14 +44,20 @@
     }
 }
 
-auto Balancer::hasRoom(Endpoint &endpoint, const proto::PickRequest &request) -> bool
+auto Balancer::hasRoom(Endpoint &endpoint, const proto::PickRequest &request, bool isReturned)
+        -> bool
 {
     if (!endpoint.rate.allows(clock_.now()))
         return false;
     if (request.hasBegun)
         return true;
-    return endpoint.limit.admits(endpoint.running, request.places, request.rank)
-            && !exceedsReadQueue(endpoint, request);
+    if (request.isOrdered && request.model == 0) {
+        const auto spare = isReturned ? options_.plainSpareForReturned : options_.plainSpare;
+        return request.places == 0 || endpoint.running < request.places + spare;
+    }
+    const auto isAdmitted = endpoint.limit.admits(endpoint.running, request.places, request.rank)
+            || (isReturned && endpoint.running < request.places);
+    return isAdmitted && !exceedsReadQueue(endpoint, request);
 }
 
 /// More prompts than can be held back for decode intervals would be read without any: all streams
@@ -107,12 +114,23 @@
 {
     expire();
     learnRates(request);
+    if (request.candidates.empty())
+        return {};
+    if (request.isOrdered && !request.hasBegun)
+        return pickOrdered(gateway, request);
+    if (const auto *best = bestOf(request, false))
+        return book(gateway, request, *best);
+    return areRatesUsed(request) ? refuseRateUsed(request) : refuseNoRoom(request);
+}
+
+auto Balancer::bestOf(const proto::PickRequest &request, bool isReturned) -> const EndpointId *
+{
     const EndpointId *best = nullptr;
     auto bestCost = std::numeric_limits<double>::infinity();
     auto equals = std::uint64_t { 0 };
     for (const auto &id : request.candidates) {
         auto &endpoint = endpointOf(id);
-        if (!hasRoom(endpoint, request))
+        if (!hasRoom(endpoint, request, isReturned))
             continue;
         const auto cost = costAt(endpoint, request);
         if (best != nullptr && std::abs(cost - bestCost) < costTolerance) {
@@ -125,11 +143,7 @@
             equals = 1;
         }
     }
-    if (request.candidates.empty())
-        return {};
-    if (best == nullptr)
-        return areRatesUsed(request) ? refuseRateUsed(request) : refuseNoRoom(request);
-    return book(gateway, request, *best);
+    return best;
 }
 
 auto Balancer::slotFor(const Endpoint &endpoint, const proto::PickRequest &request) const -> Slot
@@ -322,13 +336,17 @@
 auto Balancer::onEnd(const NodeId &gateway, const proto::PickEnd &end) -> void
 {
     const auto found = bookings_.find({ gateway, end.ticket });
-    if (found == bookings_.end())
+    if (found == bookings_.end()) {
+        queue_.cancel(gateway, end.ticket, clock_.now());
         return;
+    }
     if (end.startMs > 0)
         learnReadFactor(found->second, std::chrono::milliseconds { end.startMs });
     learnLimit(found->second, end.outcome);
-    release(found->second.endpoint);
+    const auto endpoint = found->second.endpoint;
+    release(endpoint);
     bookings_.erase(found);
+    grantPlaces(&endpoint);
 }
 
 auto Balancer::learnLimit(const Booking &booking, proto::PickOutcome outcome) -> void
@@ -337,8 +355,11 @@
     if (outcome == proto::PickOutcome::Unknown || found == endpoints_.end())
         return;
     const auto now = clock_.now();
-    occupancyMs_ += options_.learningRate * (inMillis(now - booking.bookedAt) - occupancyMs_);
+    const auto occupied = inMillis(now - booking.bookedAt);
+    occupancyMs_ += options_.learningRate * (occupied - occupancyMs_);
     auto &endpoint = found->second;
+    endpoint.occupancyMs
+            = occupancyOf(endpoint) + options_.learningRate * (occupied - occupancyOf(endpoint));
     endpoint.limit.onEnd(outcome == proto::PickOutcome::Late, endpoint.running, now);
 }
 
@@ -349,6 +370,8 @@
         release(item->second.endpoint);
         item = bookings_.erase(item);
     }
+    queue_.onGatewayLost(gateway, clock_.now());
+    grantPlaces(nullptr);
 }
 
 auto Balancer::runningAt(const EndpointId &id) const -> std::uint32_t
@@ -382,6 +405,7 @@
         const auto &endpoint = item.second;
         return endpoint.running == 0 && now - endpoint.averagedAt > options_.forgetAfter;
     });
+    queue_.expire(now);
     std::erase_if(lastRetryAt_, [now](const auto &item) { return item.second <= now; });
     std::erase_if(lastCachedAt_,
                   [&](const auto &item) { return !endpoints_.contains(item.second); });
--- a/fleet/balancer.h
+++ b/fleet/balancer.h
@@ -30,6 +30,12 @@
 // include the rates they know in each request, so a balancer that takes over from
 // another one learns them from the first request.
 //
+// Requests with isOrdered that find no slot wait in a PlaceQueue (fleet/placequeue.h).
+// Slots are offered to them when a request ends, when a gateway is lost, and by
+// recheckWaiting(), which the owner calls at intervals while requests wait:
+//
+//   for (auto &grant : balancer.queue().takeGrants()) ...   // after each call
+//
 // Deterministic except for the clock and the random choice among equal candidates.
 // Not thread-safe.
 
@@ -46,6 +52,7 @@
 #include "core/ids.h"
 #include "core/random.h"
 #include "fleet/admission.h"
+#include "fleet/placequeue.h"
 #include "policy/ratelimiter.h"
 #include "proto/servingmessages.h"
 
@@ -110,6 +117,12 @@
     Duration maxRetryAfter = std::chrono::milliseconds { 4000 };
     /// Expected time that a request occupies a place, until the first one has ended.
     Duration initialOccupancy = std::chrono::milliseconds { 1500 };
+    /// Requests beyond its slots that a plain service's endpoint is sent: they cover the round trip
+    /// in which it would be idle otherwise. More for those that return at the time they were told,
+    /// since the endpoint queues them.
+    std::uint32_t plainSpare = 2;
+    std::uint32_t plainSpareForReturned = 4;
+    PlaceQueueOptions queue {};
     /// Endpoints without a booking for this time are forgotten.
     Duration forgetAfter = std::chrono::seconds { 60 };
 };
@@ -121,11 +134,17 @@
     /// @param gateway the gateway that asks
     /// @param request the request, with its candidate endpoints
     /// @return the candidate with the lowest cost, and the details of the pick; no endpoint when
-    /// there are no candidates, or none has room, in which case the reply has the time to retry
+    /// there are no candidates, or none has room, in which case the reply has the time to retry, or
+    /// says that the request is queued
     auto pick(const NodeId &gateway, const proto::PickRequest &request) -> proto::PickReply;
+    /// Ends a booking, or the wait of a queued request.
     auto onEnd(const NodeId &gateway, const proto::PickEnd &end) -> void;
     /// Ends the bookings of a gateway that is gone, together with its requests.
     auto onGatewayLost(const NodeId &gateway) -> void;
+    /// Refuses the queued requests that cannot be served in time any more, and offers slots to the
+    /// others. Prompts that are being read and bookings that expire free slots without an event.
+    auto recheckWaiting() -> void;
+    auto queue() -> PlaceQueue & { return queue_; }
     /// @return the number of requests booked at the endpoint
     auto runningAt(const EndpointId &id) const -> std::uint32_t;
     /// @return the number of all booked requests
@@ -144,6 +163,7 @@
         double reading = 0;       ///< Milliseconds of reading, decayed to averagedAt.
         Instant averagedAt {};
         std::uint32_t running = 0;            ///< Requests that are booked and have not ended.
+        double occupancyMs = 0;               ///< Average time of a request here; 0: not learned.
         std::deque<proto::PromptSpan> cached; ///< The most recently used span is last.
         std::uint64_t cachedTokens = 0;
     };
@@ -198,7 +218,10 @@
     auto recordCached(const EndpointId &id, const std::vector<proto::PromptSpan> &spans) -> void;
     auto release(const EndpointId &id) -> void;
     auto endpointOf(const EndpointId &id) -> Endpoint &;
-    auto hasRoom(Endpoint &endpoint, const proto::PickRequest &request) -> bool;
+    /// @param isReturned the request has returned at the time that it was told
+    auto hasRoom(Endpoint &endpoint, const proto::PickRequest &request, bool isReturned) -> bool;
+    /// @return the candidate with the lowest cost among those that have room; nullptr: none
+    auto bestOf(const proto::PickRequest &request, bool isReturned) -> const EndpointId *;
     auto learnRates(const proto::PickRequest &request) -> void;
     /// @return true when each candidate has been sent all requests that its rate allows
     auto areRatesUsed(const proto::PickRequest &request) const -> bool;
@@ -207,6 +230,17 @@
     auto refuseRateUsed(const proto::PickRequest &request) -> proto::PickReply;
     auto expire() -> void;
 
+    // Requests that may wait for a slot (balancerordered.cpp).
+    auto pickOrdered(const NodeId &gateway, const proto::PickRequest &request) -> proto::PickReply;
+    auto waitingPick(const NodeId &gateway, const proto::PickRequest &request) const -> WaitingPick;
+    /// @return the time from the grant of a slot to the request's first event
+    auto leadTime(const proto::PickRequest &request) const -> Duration;
+    auto occupancyOf(const Endpoint &endpoint) const -> double;
+    auto supplyFor(const proto::PickRequest &request) -> PlaceSupply;
+    /// Offers slots to the queued requests. @param freed the endpoint with a free slot; nullptr:
+    /// any
+    auto grantPlaces(const EndpointId *freed) -> void;
+
     BalancerOptions options_;
     const Clock &clock_;
     Random &random_;
@@ -218,6 +252,7 @@
     double occupancyMs_;  ///< Average time that a request occupies a place.
     std::unordered_map<std::uint64_t, EndpointId> lastCachedAt_; ///< By the key of a span.
     Instant nextExpiry_ {};
+    PlaceQueue queue_;
 };
 
 } // namespace figrack::fleet
--- /dev/null
+++ b/fleet/balancerordered.cpp
@@ -0,0 +1,122 @@
+// The part of the balancer that concerns requests which may wait for a slot.
+
+#include "fleet/balancer.h"
+
+#include <algorithm>
+
+#include "core/duration.h"
+
+namespace figrack::fleet {
+namespace {
+
+/// A plain service's answer takes at most this part of the start target, by what is assumed for the
+/// time to dispatch a request. Where it takes longer, requests are late however early they start.
+constexpr auto longestPlainPart = 0.5;
+
+} // namespace
+
+auto Balancer::pickOrdered(const NodeId &gateway, const proto::PickRequest &request)
+        -> proto::PickReply
+{
+    auto pick = waitingPick(gateway, request);
+    pick.isReturned = queue_.takePromise(request, clock_.now());
+    if (!queue_.mustWait(pick)) {
+        if (const auto *best = bestOf(request, pick.isReturned)) {
+            queue_.onServedAtOnce(pick);
+            return book(gateway, request, *best);
+        }
+    }
+    const auto supply = supplyFor(request);
+    if (areRatesUsed(request)) {
+        auto reply = refuseRateUsed(request);
+        queue_.onRateUsed(pick, reply.comeBackMs);
+        return reply;
+    }
+    return queue_.admit(std::move(pick), supply, clock_.now());
+}
+
+auto Balancer::waitingPick(const NodeId &gateway, const proto::PickRequest &request) const
+        -> WaitingPick
+{
+    const auto now = clock_.now();
+    auto pick = WaitingPick {};
+    pick.gateway = gateway;
+    pick.request = request;
+    pick.arrivedAt = now - std::chrono::milliseconds { request.waitedMs };
+    // Without a start target, any time within the caller's is good enough.
+    pick.latestStart = request.startTargetMs == 0
+            ? now + std::chrono::milliseconds { request.limitMs }
+            : now + std::chrono::milliseconds { request.startWithinMs } - leadTime(request);
+    return pick;
+}
+
+/// An engine's first event comes when the prompt has been read, a plain service's when the work is
+/// done.
+auto Balancer::leadTime(const proto::PickRequest &request) const -> Duration
+{
+    auto shortest = Duration::max();
+    for (const auto &id : request.candidates) {
+        const auto found = endpoints_.find(id);
+        if (found == endpoints_.end())
+            continue;
+        const auto time = request.model == 0 ? fromMillis(occupancyOf(found->second))
+                                             : readTime(found->second, request);
+        shortest = std::min(shortest, time);
+    }
+    if (shortest == Duration::max())
+        return Duration::zero();
+    if (request.model != 0)
+        return shortest + options_.startOverhead;
+    const auto target = static_cast<double>(request.startTargetMs);
+    return std::min(shortest, fromMillis(target * longestPlainPart));
+}
+
+auto Balancer::occupancyOf(const Endpoint &endpoint) const -> double
+{
+    return endpoint.occupancyMs > 0 ? endpoint.occupancyMs : inMillis(options_.initialOccupancy);
+}
+
+/// An endpoint that is below its limit but has too many prompts to read takes the next request when
+/// it has read some of them, and then one for each prompt it reads. Any other one takes a request
+/// when another one ends.
+auto Balancer::supplyFor(const proto::PickRequest &request) -> PlaceSupply
+{
+    auto supply = PlaceSupply {};
+    for (const auto &id : request.candidates) {
+        auto &endpoint = endpointOf(id);
+        const auto isReading = request.model != 0
+                && endpoint.limit.admits(endpoint.running, request.places, request.rank)
+                && exceedsReadQueue(endpoint, request);
+        if (!isReading) {
+            supply.perMs += std::max(endpoint.running, 1U) / std::max(occupancyOf(endpoint), 1.0);
+            continue;
+        }
+        supply.perMs
+                += 1 / inMillis(std::max(readTime(endpoint, request), options_.decodeInterval));
+        const auto drained = endpoint.readUntil + options_.decodeInterval - longestHoldFor(request);
+        const auto in = std::max<Duration>(drained - clock_.now(), std::chrono::milliseconds { 1 });
+        supply.firstIn = supply.firstIn == Duration::zero() ? in : std::min(supply.firstIn, in);
+    }
+    return supply;
+}
+
+auto Balancer::grantPlaces(const EndpointId *freed) -> void
+{
+    if (queue_.waiting() == 0)
+        return;
+    queue_.grant(clock_.now(), freed,
+                 [this](const WaitingPick &pick) -> std::optional<proto::PickReply> {
+                     const auto *best = bestOf(pick.request, pick.isReturned);
+                     if (best == nullptr)
+                         return std::nullopt;
+                     return book(pick.gateway, pick.request, *best);
+                 });
+}
+
+auto Balancer::recheckWaiting() -> void
+{
+    grantPlaces(nullptr);
+    queue_.recheck(clock_.now(), [this](const auto &request) { return supplyFor(request); });
+}
+
+} // namespace figrack::fleet
--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -18,6 +18,7 @@
 #include "fleet/lastknown.h"
 #include "fleet/loadguard.h"
 #include "fleet/metrics.h"
+#include "fleet/placegrants.h"
 #include "fleet/planning.h"
 #include "fleet/recentdocuments.h"
 #include "fleet/suspectsync.h"
@@ -42,6 +43,9 @@
 constexpr auto idlePerPlan = 3;
 constexpr auto joinEvery = std::chrono::milliseconds { 500 };
 constexpr auto stopCheckInterval = std::chrono::milliseconds { 50 };
+/// Interval at which slots are looked for while requests wait. Requests that end free most slots at
+/// once; this finds those that prompts free as they are read.
+constexpr auto recheckInterval = std::chrono::milliseconds { 20 };
 /// Time for leadership to be transferred before the process ends.
 constexpr auto handoverTimeout = std::chrono::seconds { 2 };
 /// Time for gateways and endpoints to finish their exchanges with this control.
@@ -70,6 +74,7 @@
         , demand_(options_.demand, clock)
         , balancer_(options_.balancer, clock, random_)
         , ledger_(options_.ledger, registry_, clock, Incarnation { random_.bits() })
+        , grants_(balancer_, trials_, ledger_, metrics_)
         , proof_(options_.proof, clock)
         , orders_(context, options_.orders, clock, registry_, port, authority())
         , planning_(options_.planning,
@@ -77,6 +82,7 @@
         , tickTimer_(context)
         , stopTimer_(context)
         , planTimer_(context)
+        , recheckTimer_(context)
     { }
 
     auto start() -> absl::Status
@@ -188,6 +194,7 @@
         tickTimer_.cancel();
         stopTimer_.cancel();
         planTimer_.cancel();
+        recheckTimer_.cancel();
         if (server_)
             server_->stop();
         if (transport_)
@@ -295,6 +302,8 @@
                       // Connections of other controls have no requests in the ledger.
                       if (kind == proto::SubscriberKind::Gateway)
                           self->ledger_.onGatewayLost(peer->peer());
+                      self->grants_.onClose(peer);
+                      self->grants_.flush();
                   };
         return handler;
     }
@@ -317,12 +326,17 @@
             onWanted(peer->peer(), *wanted);
         } else if (auto *pick = std::get_if<proto::PickRequest>(&envelope.payload)) {
             auto reply = onPick(peer->peer(), *pick);
+            if (reply.isQueued)
+                grants_.onQueued(peer);
             if (envelope.correlation != 0)
                 peer->send({ envelope.correlation, std::move(reply) });
+            grants_.flush();
+            recheckWhileWaiting();
         } else if (const auto *end = std::get_if<proto::PickEnd>(&envelope.payload)) {
             balancer_.onEnd(peer->peer(), *end);
             trials_.onEnd(peer->peer(), end->ticket);
             ledger_.onEnd(peer->peer(), *end);
+            grants_.flush();
         } else if (const auto *news = std::get_if<proto::SuspectNews>(&envelope.payload)) {
             suspects_.onNews(*news);
         } else if (std::holds_alternative<proto::DocumentProofRequest>(envelope.payload)) {
@@ -392,11 +406,27 @@
         reply.isNearLimit = ledger_.isNearLimit(request);
         if (!reply.endpoint.empty())
             trials_.begin(gateway, request);
-        else
+        else if (!reply.isQueued)
             ledger_.giveBack(gateway, request.ticket);
         return reply;
     }
 
+    auto recheckWhileWaiting() -> void
+    {
+        if (balancer_.queue().waiting() == 0 || std::exchange(recheckPending_, true))
+            return;
+        recheckTimer_.expires_after(recheckInterval);
+        recheckTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+            const auto self = weak.lock();
+            if (!self || error)
+                return;
+            self->recheckPending_ = false;
+            self->balancer_.recheckWaiting();
+            self->grants_.flush();
+            self->recheckWhileWaiting();
+        });
+    }
+
     // ---- proof for gateways that their document is current
 
     auto answerAsVoter(const coord::RevisionQuery &query) const -> coord::RevisionReply
@@ -709,6 +739,7 @@
     DemandRelay demandRelay_;
     Balancer balancer_;
     AccountLedger ledger_;
+    PlaceGrants grants_;
     DocumentProof proof_;
     std::optional<DocumentVoter> voter_; ///< Created for each start of the replica.
     std::unique_ptr<control::PeerTransport> transport_;
@@ -721,6 +752,7 @@
     BootTimer tickTimer_;
     BootTimer stopTimer_;
     BootTimer planTimer_;
+    BootTimer recheckTimer_;
     Instant planAgainAt_ {}; ///< Earliest time of the next planning pass.
     std::function<void()> onStopped_;
     std::optional<Instant> stoppedAt_; ///< When the replica stopped.
@@ -738,6 +770,7 @@
     bool leads_ = false;
     bool settling_ = false;
     bool planPending_ = false;
+    bool recheckPending_ = false; ///< Whether recheckTimer_ runs.
     bool endpointsChanged_ = false;
     bool stopping_ = false;
 };
--- a/fleet/metrics.cpp
+++ b/fleet/metrics.cpp
@@ -1,15 +1,26 @@
 #include "fleet/metrics.h"
 
+#include <string>
+
 #include <prometheus/counter.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include "core/duration.h"
+
 namespace figrack::fleet {
 namespace {
 
 const auto secondBuckets
         = prometheus::Histogram::BucketBoundaries { 0.01, 0.03, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 1 };
+const auto waitBuckets
+        = prometheus::Histogram::BucketBoundaries { 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4 };
+/// Negative: served earlier than predicted.
+const auto errorBuckets
+        = prometheus::Histogram::BucketBoundaries { -1,   -0.4, -0.2, -0.1, -0.05, 0,
+                                                    0.05, 0.1,  0.2,  0.4,  1 };
 
 } // namespace
 
@@ -32,12 +43,42 @@
                                  .Help("Gateways that did not obey a change at its acknowledgement")
                                  .Register(registry)
                                  .Add({}))
+        , placesWaiting(prometheus::BuildGauge()
+                                .Name("figrack_core_place_queue_length")
+                                .Help("Requests that wait for a slot")
+                                .Register(registry)
+                                .Add({}))
+        , placeWaits(prometheus::BuildHistogram()
+                             .Name("figrack_core_place_wait_seconds")
+                             .Help("Wait of queued requests that were granted a slot")
+                             .Register(registry)
+                             .Add({}, waitBuckets))
+        , placeErrors(prometheus::BuildHistogram()
+                              .Name("figrack_core_place_prediction_error_seconds")
+                              .Help("Wait of a granted request, less the predicted one")
+                              .Register(registry)
+                              .Add({}, errorBuckets))
+        , placeRefusals(
+                  prometheus::BuildCounter()
+                          .Name("figrack_core_place_refusals_total")
+                          .Help("Requests refused for want of a slot, by cause and by whether "
+                                "they had been queued")
+                          .Register(registry))
+        , placePromises(prometheus::BuildCounter()
+                                .Name("figrack_core_place_promises_total")
+                                .Help("Promised returns, by what became of them")
+                                .Register(registry))
     { }
 
     prometheus::Registry registry;
     prometheus::Counter &refused;
     prometheus::Histogram &rolloutSeconds;
     prometheus::Counter &gatewaysBehind;
+    prometheus::Gauge &placesWaiting;
+    prometheus::Histogram &placeWaits;
+    prometheus::Histogram &placeErrors;
+    prometheus::Family<prometheus::Counter> &placeRefusals;
+    prometheus::Family<prometheus::Counter> &placePromises;
 };
 
 Metrics::Metrics()
@@ -57,6 +98,47 @@
     impl_->gatewaysBehind.Increment(static_cast<double>(gatewaysBehind));
 }
 
+auto Metrics::onPlaceNotice(const PlaceNotice &notice) -> void
+{
+    const auto countRefusal = [&](const char *queued) {
+        impl_->placeRefusals
+                .Add({ { "cause", std::string { placeCauseName(notice.cause) } },
+                       { "queued", queued } })
+                .Increment();
+    };
+    const auto countPromise = [&](const char *outcome) {
+        impl_->placePromises.Add({ { "outcome", outcome } }).Increment();
+    };
+    switch (notice.event) {
+    case PlaceEvent::Queued:
+        break;
+    case PlaceEvent::Granted:
+        impl_->placeWaits.Observe(inSeconds(notice.waited));
+        impl_->placeErrors.Observe(inSeconds(notice.waited - notice.predicted));
+        break;
+    case PlaceEvent::Refused:
+        countRefusal("no");
+        break;
+    case PlaceEvent::Shed:
+        countRefusal("yes");
+        break;
+    case PlaceEvent::PromiseKept:
+        countPromise("kept");
+        break;
+    case PlaceEvent::PromiseMissed:
+        countPromise("missed");
+        break;
+    case PlaceEvent::PromiseExpired:
+        countPromise("not_used");
+        break;
+    }
+}
+
+auto Metrics::onPlacesWaiting(std::size_t waiting) -> void
+{
+    impl_->placesWaiting.Set(static_cast<double>(waiting));
+}
+
 auto Metrics::text() -> std::string
 {
     return prometheus::TextSerializer {}.Serialize(impl_->registry.Collect());
--- a/fleet/metrics.h
+++ b/fleet/metrics.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "core/clock.h"
+#include "fleet/placequeue.h"
 
 namespace figrack::fleet {
 
@@ -23,6 +24,9 @@
     /// Call when a change was acknowledged. @param waited time since its commit
     /// @param gatewaysBehind number of gateways that had not applied it by then
     auto onAcknowledged(Duration waited, std::size_t gatewaysBehind) -> void;
+    /// Call for each decision about requests that need a slot.
+    auto onPlaceNotice(const PlaceNotice &notice) -> void;
+    auto onPlacesWaiting(std::size_t waiting) -> void;
     /// @return the page
     auto text() -> std::string;
 
