--- a/fleet/placequeue.cpp
+++ b/fleet/placequeue.cpp
@@ -38,15 +38,6 @@
     return pick.request.works.ofCaller.low;
 }
 
-/// @return true when the one is refused before the other
-auto isLessUrgent(const WaitingPick &one, const WaitingPick &other) -> bool
-{
-    const auto key = [](const WaitingPick &pick) {
-        return std::tuple { !pick.isReturned, pick.request.rank, pick.arrivedAt };
-    };
-    return key(one) > key(other);
-}
-
 } // namespace
 
 auto placeEventName(PlaceEvent event) -> std::string_view
@@ -166,6 +157,17 @@
 private:
     using Item = std::map<Order, Entry>::value_type;
 
+    /// @return true when the one is refused before the other
+    static auto isLessUrgent(const Item &one, const Item &other) -> bool
+    {
+        const auto key = [](const Item &item) {
+            const auto &pick = item.second.pick;
+            return std::tuple { !pick.isReturned, pick.request.rank, pick.arrivedAt,
+                                item.first.sequence };
+        };
+        return key(one) > key(other);
+    }
+
     auto isLate(const Item &item) const -> bool
     {
         const auto isNew = newcomer_ != nullptr && item.first == *newcomer_;
@@ -173,8 +175,12 @@
         // until its latest start.
         if (!isNew && kept_.empty())
             return false;
-        const auto left = inMillis(item.second.pick.latestStart - now_);
-        return inMillis(forecast_.waitIn(item.second.pool)) > left * (isNew ? 1 : recheckFactor_);
+        const auto left = item.second.pick.latestStart - now_;
+        const auto wait = forecast_.waitIn(item.second.pool);
+        if (inMillis(wait) > inMillis(left) * (isNew ? 1 : recheckFactor_))
+            return true;
+        // The margin is for the noise of the prediction, and not for the newcomer to use up.
+        return isDelayed_ && wait > left && wait - forecast_.intervalIn(item.second.pool) <= left;
     }
 
     /// @return the least urgent of the kept requests that delay the item, if it is less urgent
@@ -182,10 +188,9 @@
     {
         auto least = kept_.end();
         for (auto kept = kept_.begin(); kept != kept_.end(); ++kept) {
-            const auto &pick = (*kept)->second.pick;
             const auto delays = forecast_.partOf((*kept)->second.pool, item.second.pool) > 0;
-            if (delays && isLessUrgent(pick, item.second.pick)
-                && (least == kept_.end() || isLessUrgent(pick, (*least)->second.pick)))
+            if (delays && isLessUrgent(**kept, item)
+                && (least == kept_.end() || isLessUrgent(**kept, **least)))
                 least = kept;
         }
         return least;
@@ -208,6 +213,10 @@
         }
         for (const auto *other : displaced)
             victims_.push_back({ other->first, PlaceCause::Displaced });
+        if (!displaced.empty())
+            isDelayed_ = false;
+        else if (newcomer_ != nullptr && item.first == *newcomer_)
+            isDelayed_ = true;
         keep(item);
     }
 
@@ -222,6 +231,7 @@
     double recheckFactor_;
     Instant now_;
     const Order *newcomer_;
+    bool isDelayed_ = false; ///< By the newcomer: it was kept, and no other refused in its place.
     std::vector<const Item *> kept_;
     std::vector<Victim> victims_;
 };
