fleet: tests that the ends of waits reach the gateways

Cause: PlaceGrants was without tests. Change: tests of sending, of grants that cannot be sent, of charges and of suspected work; a grant that cannot be sent is logged.

--- a/fleet/placegrants.cpp
+++ b/fleet/placegrants.cpp
@@ -57,6 +57,9 @@
             && peer->second->send({ 0, proto::PickGrant { grant.request.ticket, grant.reply } });
     if (isSent || grant.reply.endpoint.empty())
         return;
+    LogEvent(LogLevel::Warning, "place_grant_not_sent")
+            .with("gateway", grant.gateway)
+            .with("ticket", grant.request.ticket);
     trials_.onEnd(grant.gateway, grant.request.ticket);
     giveBack(grant);
 }
--- a/fleet/testing/fakepeer.h
+++ b/fleet/testing/fakepeer.h
@@ -27,7 +27,9 @@
     {
         if (auto *update = std::get_if<proto::ServingUpdate>(&envelope.payload))
             updates.push_back(std::move(*update));
-        return true;
+        else if (auto *grant = std::get_if<proto::PickGrant>(&envelope.payload); grant && accepts)
+            grants.push_back(std::move(*grant));
+        return accepts;
     }
     auto sendShared(const proto::SharedPush &push) -> bool override
     {
@@ -38,6 +40,8 @@
     auto isOpen() const -> bool override { return true; }
 
     std::vector<proto::ServingUpdate> updates;
+    std::vector<proto::PickGrant> grants;
+    bool accepts = true; ///< Otherwise its send queue is full.
     std::set<std::shared_ptr<const std::string>>
             bodies; ///< Kept so that no encoding's address is reused.
 
