--- a/fleet/balancer.cpp
+++ b/fleet/balancer.cpp
@@ -32,6 +32,7 @@
     , speeds_(options.speeds)
     , shares_(options.shares)
     , occupancyMs_(inMillis(options.initialOccupancy))
+    , queue_(options.queue)
 { }
 
 auto Balancer::endpointOf(const EndpointId &id) -> Endpoint &
@@ -48,14 +49,20 @@
     }
 }
 
-auto Balancer::hasRoom(Endpoint &endpoint, const proto::PickRequest &request) -> bool
+auto Balancer::hasRoom(Endpoint &endpoint, const proto::PickRequest &request, bool isReturned)
+        -> bool
 {
     if (!endpoint.rate.allows(clock_.now()))
         return false;
     if (request.hasBegun)
         return true;
-    return endpoint.limit.admits(endpoint.running, request.places, request.rank)
-            && !exceedsReadQueue(endpoint, request);
+    if (request.isOrdered && request.model == 0) {
+        const auto spare = isReturned ? options_.plainSpareForReturned : options_.plainSpare;
+        return request.places == 0 || endpoint.running < request.places + spare;
+    }
+    const auto isAdmitted = endpoint.limit.admits(endpoint.running, request.places, request.rank)
+            || (isReturned && endpoint.running < request.places);
+    return isAdmitted && !exceedsReadQueue(endpoint, request);
 }
 
 auto Balancer::countsForShare(const proto::PickRequest &request) -> bool
@@ -86,6 +93,14 @@
     shares_.onGranted(request.account, static_cast<double>(request.cost), clock_.now());
 }
 
+/// Requests of accounts over their share do not count: places would be kept free for as long as
+/// they ask, also if nobody else needs them.
+auto Balancer::noteContention(const proto::PickRequest &request) -> void
+{
+    if (request.isOrdered && !shares_.isOver(request.account))
+        contendedUntil_ = clock_.now() + options_.contentionTime;
+}
+
 auto Balancer::isContended() const -> bool
 {
     return clock_.now() < contendedUntil_;
@@ -113,7 +128,7 @@
     if (request.places == 0 || endpoint.running == 0)
         return false;
     const auto wait = endpoint.readUntil + decodeIntervalOf(endpoint, request) - clock_.now();
-    return wait > longestHoldFor(request) && readTime(endpoint, request) > options_.shortRead;
+    return wait > admittedHoldFor(request) && readTime(endpoint, request) > options_.shortRead;
 }
 
 /// Callers of refused requests are told to retry one after another, at the rate at which places
@@ -121,10 +136,7 @@
 auto Balancer::refuseNoRoom(const proto::PickRequest &request) -> proto::PickReply
 {
     const auto now = clock_.now();
-    // Refusals of accounts over their share do not count: their places would be kept free for as
-    // long as they ask, also if nobody else needs them.
-    if (request.isOrdered && !shares_.isOver(request.account))
-        contendedUntil_ = now + options_.contentionTime;
+    noteContention(request);
     auto &last = lastRetryAt_.try_emplace(request.model, now).first->second;
     const auto places = static_cast<double>(request.places * request.candidates.size());
     const auto next
@@ -163,14 +175,26 @@
     expire();
     learnRates(request);
     recordAsked(request);
-    const auto yields = mustYield(request);
+    if (request.candidates.empty())
+        return {};
+    if (request.isOrdered && !request.hasBegun)
+        return pickOrdered(gateway, request);
+    if (const auto *best = bestOf(request, false))
+        return book(gateway, request, *best);
+    return areRatesUsed(request) ? refuseRateUsed(request) : refuseNoRoom(request);
+}
+
+auto Balancer::bestOf(const proto::PickRequest &request, bool isReturned) -> const EndpointId *
+{
+    const auto yields = !isReturned && mustYield(request);
     const EndpointId *best = nullptr;
     auto bestCost = std::numeric_limits<double>::infinity();
     auto equals = std::uint64_t { 0 };
     for (const auto &id : request.candidates) {
         auto &endpoint = endpointOf(id);
         updateSpeed(id, endpoint, request);
-        if (!hasRoom(endpoint, request) || (yields && !hasRoomBesideOthers(endpoint, request)))
+        if (!hasRoom(endpoint, request, isReturned)
+            || (yields && !hasRoomBesideOthers(endpoint, request)))
             continue;
         const auto cost = costAt(endpoint, request);
         if (best != nullptr && std::abs(cost - bestCost) < costTolerance) {
@@ -183,11 +207,7 @@
             equals = 1;
         }
     }
-    if (request.candidates.empty())
-        return {};
-    if (best == nullptr)
-        return areRatesUsed(request) ? refuseRateUsed(request) : refuseNoRoom(request);
-    return book(gateway, request, *best);
+    return best;
 }
 
 auto Balancer::slotFor(const Endpoint &endpoint, const proto::PickRequest &request) const -> Slot
@@ -455,8 +475,10 @@
 auto Balancer::onEnd(const NodeId &gateway, const proto::PickEnd &end) -> void
 {
     const auto found = bookings_.find({ gateway, end.ticket });
-    if (found == bookings_.end())
+    if (found == bookings_.end()) {
+        queue_.cancel(gateway, end.ticket, clock_.now());
         return;
+    }
     if (end.startMs > 0 && found->second.isOrdered)
         speeds_.onBegun(found->second.endpoint, clock_.now());
     if (end.startMs > 0)
@@ -466,8 +488,10 @@
         shares_.onReturned(found->second.account, static_cast<double>(found->second.cost),
                            found->second.bookedAt, clock_.now());
     }
+    const auto endpoint = found->second.endpoint;
     release(found->second);
     bookings_.erase(found);
+    grantPlaces(&endpoint);
 }
 
 auto Balancer::learnLimit(const Booking &booking, proto::PickOutcome outcome) -> void
@@ -476,8 +500,11 @@
     if (outcome == proto::PickOutcome::Unknown || found == endpoints_.end())
         return;
     const auto now = clock_.now();
-    occupancyMs_ += options_.learningRate * (inMillis(now - booking.bookedAt) - occupancyMs_);
+    const auto occupied = inMillis(now - booking.bookedAt);
+    occupancyMs_ += options_.learningRate * (occupied - occupancyMs_);
     auto &endpoint = found->second;
+    endpoint.occupancyMs
+            = occupancyOf(endpoint) + options_.learningRate * (occupied - occupancyOf(endpoint));
     endpoint.limit.onEnd(outcome == proto::PickOutcome::Late, endpoint.running, now);
 }
 
@@ -488,6 +515,8 @@
         release(item->second);
         item = bookings_.erase(item);
     }
+    queue_.onGatewayLost(gateway, clock_.now());
+    grantPlaces(nullptr);
 }
 
 auto Balancer::runningAt(const EndpointId &id) const -> std::uint32_t
@@ -524,6 +553,7 @@
         const auto &endpoint = item.second;
         return endpoint.running == 0 && now - endpoint.averagedAt > options_.forgetAfter;
     });
+    queue_.expire(now);
     std::erase_if(lastRetryAt_, [now](const auto &item) { return item.second <= now; });
     std::erase_if(lastCachedAt_,
                   [&](const auto &item) { return !endpoints_.contains(item.second); });
--- a/fleet/metrics.h
+++ b/fleet/metrics.h
@@ -11,6 +11,7 @@
 
 #include "core/clock.h"
 #include "fleet/balancer.h"
+#include "fleet/placequeue.h"
 
 namespace figrack::fleet {
 
@@ -26,6 +27,9 @@
     auto onAcknowledged(Duration waited, std::size_t gatewaysBehind) -> void;
     /// Sets what the page tells about picks.
     auto setPicks(const BalancerStatus &status) -> void;
+    /// Call for each decision about requests that need a slot.
+    auto onPlaceNotice(const PlaceNotice &notice) -> void;
+    auto onPlacesWaiting(std::size_t waiting) -> void;
     /// @return the page
     auto text() -> std::string;
 
