fleet: a queued request keeps its charge until its end

Cause: the ledger gave a charge back for each reply without an endpoint. A reply that queues the request has none, so that the account of a waiting request could use the same part of its limit twice. Change: AccountLedger::onReply decides by the reply, at once and for the grant that ends a wait. The trial of suspected work begins when its request is queued, so that no other attempt starts meanwhile.

--- a/fleet/accountledger.cpp
+++ b/fleet/accountledger.cpp
@@ -70,9 +70,11 @@
     return request.charge && limits_.isNearLimit(request.charge->account);
 }
 
-auto AccountLedger::giveBack(const NodeId &gateway, std::uint64_t ticket) -> void
+auto AccountLedger::onReply(const NodeId &gateway, std::uint64_t ticket,
+                            const proto::PickReply &reply) -> void
 {
-    onEnd(gateway, { ticket });
+    if (reply.endpoint.empty() && !reply.isQueued)
+        onEnd(gateway, { ticket });
 }
 
 auto AccountLedger::onEnd(const NodeId &gateway, const proto::PickEnd &end) -> void
--- a/fleet/accountledger.h
+++ b/fleet/accountledger.h
@@ -48,8 +48,11 @@
             -> std::optional<proto::PickReply>;
     /// @return true when the request's account has recently used most of its limit
     auto isNearLimit(const proto::PickRequest &request) const -> bool;
-    /// Refunds a request that was refused for another reason.
-    auto giveBack(const NodeId &gateway, std::uint64_t ticket) -> void;
+    /// Refunds a request that was refused for another reason. A queued request keeps its charge
+    /// until its end: while it waits, no other request may use its part of the limit.
+    /// @param reply what the gateway is told, at once or with the grant that ends the wait
+    auto onReply(const NodeId &gateway, std::uint64_t ticket, const proto::PickReply &reply)
+            -> void;
     auto onEnd(const NodeId &gateway, const proto::PickEnd &end) -> void;
     auto onGatewayLost(const NodeId &gateway) -> void;
     auto onNews(const NodeId &control, const proto::AccountNews &news) -> void;
--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -390,10 +390,10 @@
         trials_.narrow(request, [this](const EndpointId &id) { return balancer_.runningAt(id); });
         auto reply = balancer_.pick(gateway, request);
         reply.isNearLimit = ledger_.isNearLimit(request);
-        if (!reply.endpoint.empty())
+        // A queued request is an attempt of its work already: nobody else may start one meanwhile.
+        if (!reply.endpoint.empty() || reply.isQueued)
             trials_.begin(gateway, request);
-        else
-            ledger_.giveBack(gateway, request.ticket);
+        ledger_.onReply(gateway, request.ticket, reply);
         return reply;
     }
 
