gateway: requests wait at the balancer for a place

Cause: a request that found no slot asked the balancer every 50 ms, in no order with the requests of other gateways, and gave up after half of its start target. Change: where the configuration asks for ordered admission, picks carry the new fields, and a request that the balancer queues waits for its grant (gateway/grantwaits). The wait ends early when the balancer is lost, the caller leaves, or the endpoints change.

--- a/gateway/controlfeed.cpp
+++ b/gateway/controlfeed.cpp
@@ -6,6 +6,7 @@
 #include "gateway/controlfeed.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 #include <variant>
 
@@ -53,6 +54,7 @@
         , watchTimer_(context)
         , lease_(options_.keyLease, clock)
         , proveTimer_(context)
+        , balancerTimer_(context)
     { }
 
     auto dial(const Address &address) -> void
@@ -88,6 +90,7 @@
         control.open = true;
         LogEvent(LogLevel::Info, "control_regained").with("control", control.node);
         peer->send({ 0, subscription() });
+        noteBalancer();
         watch_.onOpen(address, control.node);
         watchEndpoints();
         if (auto rows = hooks_.suspects(); !rows.empty())
@@ -104,6 +107,9 @@
         watch_.onClosed(address);
         watchEndpoints();
         LogEvent(LogLevel::Warning, "control_lost").with("control", control.node).with(status);
+        if (!stopped_ && hooks_.onControlClosed)
+            hooks_.onControlClosed(address);
+        noteBalancer();
         fetchDocument();
     }
 
@@ -113,6 +119,9 @@
         const auto *news = std::get_if<proto::SuspectNews>(&envelope.payload);
         if (news != nullptr && !stopped_)
             hooks_.onSuspects(*news);
+        const auto *grant = std::get_if<proto::PickGrant>(&envelope.payload);
+        if (grant != nullptr && !stopped_ && hooks_.onGrant)
+            hooks_.onGrant(address, *grant);
         const auto *update = std::get_if<proto::ServingUpdate>(&envelope.payload);
         if (update == nullptr || stopped_)
             return;
@@ -120,6 +129,7 @@
             leaderTerm_ = update->term;
             if (std::exchange(leader_, update->leader) != update->leader)
                 static_cast<void>(pushToLeader(inForce_));
+            noteBalancer();
         }
         for (const auto &member : update->controls) {
             if (const auto other = parseAddress(member.address); other.ok())
@@ -371,9 +381,21 @@
         return false;
     }
 
+    /// Reports the balancer if it is another one than before.
+    auto noteBalancer() -> void
+    {
+        const auto now = balancer();
+        if (stopped_ || now == knownBalancer_)
+            return;
+        knownBalancer_ = now;
+        if (hooks_.onBalancer)
+            hooks_.onBalancer(now);
+    }
+
     auto askBalancer(proto::PickRequest request, Duration timeout, BalancerLink::Done done)
             -> std::optional<Address>
     {
+        noteBalancer();
         auto address = balancer();
         if (!address)
             return std::nullopt;
@@ -421,6 +443,7 @@
         fetchTimer_.cancel();
         watchTimer_.cancel();
         proveTimer_.cancel();
+        balancerTimer_.cancel();
         for (auto &[address, control] : controls_)
             control.client->stop();
     }
@@ -544,6 +567,21 @@
                 .with("control", found->second.node)
                 .with("ticket", ticket)
                 .with(status);
+        noteBalancer();
+        noteBalancerAfter(options_.balancerPause);
+    }
+
+    /// Requests that wait at another control return to this one when its pause ends, even if this
+    /// gateway asks for no pick then.
+    auto noteBalancerAfter(Duration pause) -> void
+    {
+        balancerTimer_.expires_after(pause + minCheckDelay);
+        balancerTimer_.async_wait(
+                [weak = weak_from_this()](const boost::system::error_code &error) {
+                    const auto self = weak.lock();
+                    if (self && !error)
+                        self->noteBalancer();
+                });
     }
 
     asio::io_context &context_;
@@ -560,6 +598,8 @@
     BootTimer watchTimer_;
     KeyLease lease_;
     BootTimer proveTimer_;
+    std::optional<Address> knownBalancer_; ///< Last value that was reported.
+    BootTimer balancerTimer_;
     bool ready_ = false;
     bool stopped_ = false;
 };
--- a/gateway/controlfeed.h
+++ b/gateway/controlfeed.h
@@ -23,6 +23,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -73,6 +74,12 @@
     /// Called with the rows of watched endpoints. @param isReset they replace all others
     std::function<void(const std::vector<catalogue::EndpointRow> &rows, bool isReset)> onWatched;
     std::function<void()> onSourceHeard; ///< The control of the watched endpoints sent something.
+    /// Called when a balancer ends the wait of a queued request; may be empty, as the next two.
+    std::function<void(const Address &control, const proto::PickGrant &)> onGrant;
+    /// Called when the connection to a control has closed.
+    std::function<void(const Address &control)> onControlClosed;
+    /// Called when another control is asked for picks. @param balancer nullopt if there is none
+    std::function<void(const std::optional<Address> &balancer)> onBalancer;
 };
 
 class ControlFeed
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -6,6 +6,7 @@
 
 #include <utility>
 
+#include "catalogue/contention.h"
 #include "core/duration.h"
 #include "core/log.h"
 #include "gateway/forwarderrun.h"
@@ -142,6 +143,15 @@
                 .with("held_ms", wholeMillis(held_))
                 .with("fetched_from", picked_.fetchFrom);
     }
+    if (isOrdered_) {
+        line.with("prompt_tokens", caller_.promptTokens)
+                .with("output_tokens", caller_.outputTokens)
+                .with("queued_ms", wholeMillis(queuedFor_));
+    }
+    if (predictedWait_ && waitEnd_) {
+        line.with("predicted_wait_ms", wholeMillis(*predictedWait_))
+                .with("queue_end", waitEndName(*waitEnd_));
+    }
     if (blockedBy_ != BlockedBy::Nothing)
         line.with("lacked", blockedByName(blockedBy_));
     if (!works_.ofAnyone.isNone())
@@ -160,6 +170,7 @@
 
 auto Forwarder::setCatalogue(std::shared_ptr<const catalogue::Catalogue> catalogue) -> void
 {
+    isOrdered_ = catalogue::asksForOrderedAdmission(*catalogue);
     accounts_ = std::make_shared<const catalogue::AccountTable>(catalogue);
     routes_ = std::make_shared<const catalogue::RouteTable>(std::move(catalogue));
     parts_.waiters.wakeAll();
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -146,6 +146,8 @@
     std::shared_ptr<const catalogue::RouteTable> routes_;
     /// From the same catalogue as routes_.
     std::shared_ptr<const catalogue::AccountTable> accounts_;
+    /// The same catalogue asks for ordered admission (catalogue/contention.h).
+    bool isOrdered_ = false;
     const Instant startedAt_;
     /// Dispatches in progress.
     std::multimap<EndpointId, std::shared_ptr<http::Canceller>> dispatches_;
--- a/gateway/forwarderadmission.cpp
+++ b/gateway/forwarderadmission.cpp
@@ -21,6 +21,7 @@
         co_await parts_.waiters.wait(until - parts_.clock.now());
     routes_ = owner_.routes_;
     accounts_ = owner_.accounts_;
+    isOrdered_ = owner_.isOrdered_;
 }
 
 auto Forwarder::Run::prepare() -> std::optional<Refusal>
@@ -100,11 +101,16 @@
 {
     if (account_ == nullptr || !account_->limit.isSet() || isCounted_)
         return std::nullopt;
+    return catalogue::AccountCharge { account_->id, costToAccount(), account_->limit,
+                                      routes_->catalogue().version, 0 };
+}
+
+auto Forwarder::Run::costToAccount() const -> std::uint64_t
+{
     auto tokens = std::optional<std::uint64_t> {};
     if (caller_.namesTokens)
         tokens = caller_.promptTokens + caller_.outputTokens;
-    return catalogue::AccountCharge { account_->id, account_->costOf(tokens), account_->limit,
-                                      routes_->catalogue().version, 0 };
+    return account_->costOf(tokens);
 }
 
 auto Forwarder::Run::refuseOverLimit() -> asio::awaitable<bool>
--- a/gateway/forwarderplacing.cpp
+++ b/gateway/forwarderplacing.cpp
@@ -35,6 +35,21 @@
 /// all return at once.
 constexpr auto retryAfterJitter = std::chrono::milliseconds { 500 };
 constexpr auto longestAvoidPause = std::chrono::milliseconds { 2000 };
+/// Time after its latest start until which a queued request waits. A grant that the balancer made
+/// just in time arrives within this time, also from another region to a busy gateway.
+constexpr auto grantGrace = std::chrono::milliseconds { 100 };
+
+/// @return the smallest number of slots that one of the endpoints announced; 0 if none did
+auto fewestSlots(const std::vector<EndpointEntry *> &entries) -> std::uint32_t
+{
+    auto fewest = std::uint32_t { 0 };
+    for (const auto *entry : entries) {
+        const auto slots = entry->row.slots;
+        if (slots > 0 && (fewest == 0 || slots < fewest))
+            fewest = slots;
+    }
+    return fewest;
+}
 
 } // namespace
 
@@ -53,6 +68,14 @@
         const auto blockedBy = co_await pick();
         if (blockedBy == BlockedBy::Nothing && callerGone_)
             continue;
+        if (blockedBy == BlockedBy::Nothing && predictedWait_) {
+            // The work may have been put in quarantine while the request was queued.
+            if (auto status = quarantineRefusal()) {
+                picked_.booking = {};
+                co_await giveUp(std::move(*status));
+                co_return nullptr;
+            }
+        }
         if (blockedBy == BlockedBy::Limit || blockedBy == BlockedBy::Counter) {
             blockedBy_ = blockedBy;
             retryAfter_ = picked_.retryAfter;
@@ -126,14 +149,13 @@
 
 auto Forwarder::Run::pick() -> asio::awaitable<BlockedBy>
 {
-    const auto isHealthy = [&](const EndpointEntry &entry) { return parts_.view.isHealthy(entry); };
     while (true) {
         co_await awaitEndpoints();
         criteria_.now = parts_.clock.now();
         const auto candidates = this->candidates();
         if (candidates.empty() && homes_.isRestricted() && !parts_.view.of(service_).empty())
             co_return BlockedBy::Home;
-        const auto able = ableEndpoints(candidates, criteria_, isHealthy);
+        const auto able = ableAmong(candidates);
         backoffUntil_ = able.backoffUntil;
         if (able.entries.empty())
             co_return able.blockedBy;
@@ -142,6 +164,9 @@
             terms.fetchTokensPerMs = engine_->fetchTokensPerMs;
             terms.places = engine_->slots;
         }
+        terms.ordered = orderedTerms();
+        if (terms.ordered && engine_ == nullptr)
+            terms.places = fewestSlots(able.entries);
         terms.coldPerSecond = coldPerSecond_;
         terms.rank = rank();
         terms.hasBegun = sent_ > 0;
@@ -151,6 +176,13 @@
         terms.charge = charge();
         auto picked = co_await parts_.picker.pick(able.entries, criteria_, terms);
         picked_ = std::move(picked);
+        if (picked_.wait) {
+            const auto blockedBy = co_await awaitGrant();
+            if (!blockedBy)
+                continue;
+            if (*blockedBy != BlockedBy::Nothing || callerGone_)
+                co_return *blockedBy;
+        }
         if (picked_.retryAfter)
             co_return picked_.blockedBy;
         co_await hold();
@@ -162,6 +194,99 @@
     }
 }
 
+auto Forwarder::Run::ableAmong(const std::vector<EndpointEntry *> &candidates) const -> Able
+{
+    const auto isHealthy = [&](const EndpointEntry &entry) { return parts_.view.isHealthy(entry); };
+    return ableEndpoints(candidates, criteria_, isHealthy);
+}
+
+auto Forwarder::Run::orderedTerms() const -> std::optional<OrderedTerms>
+{
+    // Without a start target there is no latest start to order by.
+    if (!isOrdered_ || route_->startTarget <= Duration::zero())
+        return std::nullopt;
+    auto terms = OrderedTerms {};
+    terms.waited = parts_.clock.now() - arrived_;
+    terms.startWithin = std::max<Duration>(route_->startTarget - terms.waited, Duration::zero());
+    if (account_ != nullptr) {
+        terms.account = account_->id;
+        terms.cost = costToAccount();
+        terms.accountPerSecond = account_->limit.perSecond;
+    }
+    return terms;
+}
+
+auto Forwarder::Run::awaitGrant() -> asio::awaitable<std::optional<BlockedBy>>
+{
+    // An admitted request is demand for its model from now on; its place may take seconds.
+    noteDemand();
+    auto &wait = *picked_.wait;
+    predictedWait_ = predictedWait_.value_or(wait.predicted());
+    auto end = co_await awaitWaitEnd(wait);
+    if (end == WaitEnd::Granted && !mayUse(wait.reply().endpoint))
+        end = WaitEnd::Outdated;
+    queuedFor_ += wait.waited();
+    waitEnd_ = end;
+    parts_.metrics.onPlaceWait(waitEndName(end), wait.waited());
+    if (end == WaitEnd::Granted)
+        parts_.metrics.onGrantPredicted(wait.waited() - wait.predicted());
+    if (end == WaitEnd::Granted || end == WaitEnd::Refused) {
+        parts_.picker.settle(picked_, owner_.options_.defaultRetryAfter);
+        co_return picked_.blockedBy;
+    }
+    // A balancer keeps the charges of gateways whose connection it has lost, and the other controls
+    // know of them. So the next one must not count the request again.
+    isCounted_ = isCounted_ || end == WaitEnd::Closed;
+    picked_.wait.reset(); // Sends a PickEnd.
+    if (end == WaitEnd::Left || callerGone_)
+        co_return BlockedBy::Nothing;
+    if (end != WaitEnd::Expired)
+        co_return std::nullopt;
+    picked_.retryAfter = owner_.options_.defaultRetryAfter;
+    picked_.blockedBy = BlockedBy::Places;
+    co_return picked_.blockedBy;
+}
+
+auto Forwarder::Run::awaitWaitEnd(GrantWait &wait) -> asio::awaitable<WaitEnd>
+{
+    wait.setOnEnd([this] { holdTimer_.cancel(); });
+    while (true) {
+        // The placement deadline may change during the wait.
+        const auto limit = std::min({ arrived_ + route_->startTarget + grantGrace, startBy_,
+                                      owner_.placementDeadline_ });
+        if (const auto end = wait.check(limit))
+            co_return *end;
+        if (callerGone_)
+            co_return wait.finish(WaitEnd::Left);
+        if (areCandidatesOutdated())
+            co_return wait.finish(WaitEnd::Outdated);
+        holdTimer_.expires_after(std::min<Duration>(recheckInterval, limit - parts_.clock.now()));
+        auto code = boost::system::error_code {};
+        co_await holdTimer_.async_wait(asio::redirect_error(asio::use_awaitable, code));
+    }
+}
+
+auto Forwarder::Run::areCandidatesOutdated() const -> bool
+{
+    const auto able = ableAmong(candidates());
+    const auto &asked = picked_.candidates;
+    const auto wasAsked = [&](const auto *entry) {
+        return std::find(asked.begin(), asked.end(), entry->row.id) != asked.end();
+    };
+    const auto count = std::count_if(able.entries.begin(), able.entries.end(), wasAsked);
+    const auto hasNew = static_cast<std::size_t>(count) < able.entries.size();
+    return count == 0 || (picked_.hasAllCandidates && hasNew);
+}
+
+auto Forwarder::Run::mayUse(const EndpointId &granted) const -> bool
+{
+    const auto &asked = picked_.candidates;
+    const auto able = ableAmong(candidates());
+    return std::find(asked.begin(), asked.end(), granted) != asked.end()
+            && std::any_of(able.entries.begin(), able.entries.end(),
+                           [&](const auto *entry) { return entry->row.id == granted; });
+}
+
 auto Forwarder::Run::hold() -> asio::awaitable<void>
 {
     const auto left = std::min(startBy_, owner_.placementDeadline_) - parts_.clock.now();
@@ -178,6 +303,9 @@
 {
     const auto now = parts_.clock.now();
     retryAfter_ = picked_.retryAfter;
+    // The balancer would have queued the request if a place became free in time.
+    if (isOrdered_ && blockedBy == BlockedBy::Places)
+        return std::nullopt;
     const auto spare = std::chrono::duration_cast<Duration>(route_->startTarget * placeWaitShare);
     const auto limit = std::min({ arrived_ + spare, startBy_, owner_.placementDeadline_ });
     if (now >= limit)
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -60,6 +60,8 @@
     auto rank() const -> std::uint32_t;
     /// @return what the request is charged against its account's limit; nullopt if nothing
     auto charge() const -> std::optional<catalogue::AccountCharge>;
+    /// @return cost of the request to its account, in the account's units; there must be one
+    auto costToAccount() const -> std::uint64_t;
     /// Refuses a request that waits for a model if its account is over its limit, so that it does
     /// not cause a load.
     /// @return true if the request was refused
@@ -85,6 +87,21 @@
     /// Looks for an endpoint and stores the result in picked_.
     /// @return why there is none, or BlockedBy::Nothing if picked_ names a known endpoint
     auto pick() -> boost::asio::awaitable<BlockedBy>;
+    /// @return what the balancer orders the request by; nullopt if it must not be queued
+    auto orderedTerms() const -> std::optional<OrderedTerms>;
+    /// Waits until the balancer that queued the request grants it a place, and stores the result in
+    /// picked_.
+    /// @return why there is none, or BlockedBy::Nothing; nullopt if a balancer must be asked again
+    auto awaitGrant() -> boost::asio::awaitable<std::optional<BlockedBy>>;
+    /// Waits until the balancer's answer, or until another reason ends the wait.
+    auto awaitWaitEnd(GrantWait &wait) -> boost::asio::awaitable<WaitEnd>;
+    /// @return true if none of the endpoints that the request was queued for can take it any more,
+    /// or if another one can
+    auto areCandidatesOutdated() const -> bool;
+    /// @return true if the request may be sent to the endpoint of a grant
+    auto mayUse(const EndpointId &granted) const -> bool;
+    /// @return those of the endpoints that can take the request now
+    auto ableAmong(const std::vector<EndpointEntry *> &candidates) const -> Able;
     /// Delays the dispatch for as long as the balancer asked, or less if the request has less time
     /// left.
     auto hold() -> boost::asio::awaitable<void>;
@@ -176,6 +193,7 @@
     std::shared_ptr<const catalogue::RouteTable> routes_; ///< In force when the request arrived.
     /// From the same catalogue as routes_.
     std::shared_ptr<const catalogue::AccountTable> accounts_;
+    bool isOrdered_ = false; ///< The same catalogue asks for ordered admission.
     CallerRequest caller_;
     /// Account of the caller's key; null if there is none.
     const catalogue::Account *account_ = nullptr;
@@ -190,8 +208,11 @@
     std::shared_ptr<http::Canceller> canceller_; ///< Cancels the dispatch in progress.
     std::string lastEvent_;                      ///< ID of the last event that the caller received.
     EndpointId endpoint_;                        ///< Endpoint of the latest dispatch.
-    Picked picked_; ///< The latest choice; its booking ends with the dispatch.
-    BootTimer holdTimer_;
+    Picked picked_;       ///< The latest choice; its booking ends with the dispatch.
+    BootTimer holdTimer_; ///< For a delay that the balancer asked for, and for a wait for a place.
+    Duration queuedFor_ {};                 ///< Total time in balancers' queues.
+    std::optional<WaitEnd> waitEnd_;        ///< Of the latest wait for a place.
+    std::optional<Duration> predictedWait_; ///< First prediction; absent if it was never queued.
     Duration held_ {}; ///< Total delay that balancers asked for to protect running streams.
     std::uint32_t status_ = 0;
     std::uint32_t finalStatus_ = 0;
@@ -216,7 +237,9 @@
     bool budgetSpent_ = false;
     bool lateReported_ = false; ///< A late stream has been reported to the leader.
     bool isDemand_ = false;     ///< The request has been counted as demand.
-    bool isCounted_ = false;    ///< The request may have run, and its account has been charged.
+    /// Its account has been charged, and does not get the charge back: the request may have run, or
+    /// the balancer that counted it was lost.
+    bool isCounted_ = false;
     bool hasCheckedLimit_ = false;
 };
 
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -103,6 +103,7 @@
         gauges.version = forwarder_.version().value();
         gauges.endpoints = view_.size();
         gauges.waiting = waiters_.size();
+        gauges.queued = picker_.waits().queued();
         gauges.inProgress = server_.inProgress();
         gauges.suspects = quarantine_.size();
         gauges.quarantined = quarantine_.quarantined(policy::millisOf(clock_.now()));
@@ -147,6 +148,12 @@
             waiters_.wakeAll();
         };
         hooks.onSourceHeard = [this] { view_.onSourceHeard(); };
+        hooks.onGrant = [this](const Address &control, const proto::PickGrant &grant) {
+            picker_.waits().onGrant(control, grant);
+        };
+        hooks.onControlClosed
+                = [this](const Address &control) { picker_.waits().onClosed(control); };
+        hooks.onBalancer = [this](const auto &balancer) { picker_.waits().onBalancer(balancer); };
         return hooks;
     }
 
--- a/gateway/metrics.cpp
+++ b/gateway/metrics.cpp
@@ -16,6 +16,9 @@
 const auto secondBuckets
         = prometheus::Histogram::BucketBoundaries { 0.01, 0.03, 0.1, 0.2, 0.3, 0.5,
                                                     0.8,  1,    2,   5,   10,  20 };
+const auto predictionErrorBuckets
+        = prometheus::Histogram::BucketBoundaries { -2,   -1,  -0.5, -0.2, -0.1, -0.03, 0,
+                                                    0.03, 0.1, 0.2,  0.5,  1,    2 };
 constexpr auto requestOutcomeNames
         = std::array<std::string_view, 8> { "answered",   "no_route",    "refused", "failed",
                                             "broken_off", "caller_gone", "denied",  "over_limit" };
@@ -69,6 +72,16 @@
                         .Name("figrack_gateway_picks_total")
                         .Help("Choices among endpoints, by who made them")
                         .Register(registry))
+        , placeWaits(prometheus::BuildHistogram()
+                             .Name("figrack_gateway_place_wait_seconds")
+                             .Help("Time in a balancer's queue, by how the wait ended")
+                             .Register(registry))
+        , predictionError(prometheus::BuildHistogram()
+                                  .Name("figrack_gateway_place_prediction_error_seconds")
+                                  .Help("Time in a balancer's queue until the grant, less the "
+                                        "predicted time")
+                                  .Register(registry)
+                                  .Add({}, predictionErrorBuckets))
         , latency(prometheus::BuildHistogram()
                           .Name("figrack_gateway_request_seconds")
                           .Help("Arrival to first byte and to the end")
@@ -103,6 +116,8 @@
     prometheus::Counter &ratesNamed;
     prometheus::Counter &backoffsAsked;
     prometheus::Family<prometheus::Counter> &picks;
+    prometheus::Family<prometheus::Histogram> &placeWaits;
+    prometheus::Histogram &predictionError;
     prometheus::Family<prometheus::Histogram> &latency;
     prometheus::Histogram &documentDelay;
     prometheus::Counter &documentOverdue;
@@ -158,6 +173,17 @@
     impl_->picks.Add({ { "by", std::string { by } } }).Increment();
 }
 
+auto Metrics::onPlaceWait(std::string_view end, Duration waited) -> void
+{
+    impl_->placeWaits.Add({ { "end", std::string { end } } }, secondBuckets)
+            .Observe(inSeconds(waited));
+}
+
+auto Metrics::onGrantPredicted(Duration late) -> void
+{
+    impl_->predictionError.Observe(inSeconds(late));
+}
+
 auto Metrics::onDocument(Duration took, std::uint32_t overdue, std::uint64_t fetchedBytes) -> void
 {
     impl_->documentDelay.Observe(inSeconds(took));
@@ -173,6 +199,7 @@
     set("config_version", static_cast<double>(gauges.version));
     set("endpoints", static_cast<double>(gauges.endpoints));
     set("waiting", static_cast<double>(gauges.waiting));
+    set("queued", static_cast<double>(gauges.queued));
     set("in_progress", static_cast<double>(gauges.inProgress));
     set("suspects", static_cast<double>(gauges.suspects));
     set("quarantined", static_cast<double>(gauges.quarantined));
--- a/gateway/metrics.h
+++ b/gateway/metrics.h
@@ -36,6 +36,7 @@
     std::uint64_t version = 0; ///< Version of the configuration in force.
     std::uint64_t endpoints = 0;
     std::uint64_t waiting = 0;
+    std::uint64_t queued = 0; ///< Requests that wait at a balancer for a place.
     std::uint64_t inProgress = 0;
     std::uint64_t suspects = 0;    ///< Entries of suspected work, in quarantine or not.
     std::uint64_t quarantined = 0; ///< Entries that are in quarantine.
@@ -64,6 +65,11 @@
     auto onBackoffAsked() -> void;
     /// An endpoint was chosen among several. @param by who chose it, from a fixed set
     auto onPick(std::string_view by) -> void;
+    /// A request was queued by a balancer, and its wait has ended. @param end from a fixed set
+    auto onPlaceWait(std::string_view end, Duration waited) -> void;
+    /// A queued request was granted a place. @param late time by which the grant came later than
+    /// predicted; negative if it came earlier
+    auto onGrantPredicted(Duration late) -> void;
     /// A document was put into force.
     /// @param took time since it, or a newer one, was announced here
     /// @param overdue number of requests for it that became overdue
--- a/gateway/picker.cpp
+++ b/gateway/picker.cpp
@@ -102,6 +102,7 @@
     , clock_(clock)
     , localRates_(clock, random)
     , localAdmission_(std::make_shared<LocalAdmission>(options.localAdmission, clock, random))
+    , waits_(link_->end, clock)
 { }
 
 auto Picker::requestOf(const PickTerms &terms) -> proto::PickRequest
@@ -120,6 +121,14 @@
     request.gapTargetMs = wholeMillis(terms.gapTarget);
     request.works = terms.works;
     request.charge = terms.charge;
+    if (const auto &ordered = terms.ordered) {
+        request.isOrdered = true;
+        request.startWithinMs = wholeMillis(ordered->startWithin);
+        request.waitedMs = wholeMillis(ordered->waited);
+        request.account = ordered->account;
+        request.cost = ordered->cost;
+        request.accountPerSecond = ordered->accountPerSecond;
+    }
     return request;
 }
 
@@ -184,16 +193,27 @@
     request.rates = ratesOf(able, candidates, terms.coldPerSecond);
     const auto mustBeCounted = terms.charge || localChoice.ratePerSecond;
     // With a single candidate there is no choice of endpoint. A balancer is still asked if the
-    // request has a model, since it also decides when to send the prompt.
-    if (candidates.size() == 1 && request.model == 0 && !mustBeCounted) {
+    // request has a model, since it also decides when to send the prompt, and if the request is
+    // ordered, since the endpoint may have no room for it yet.
+    if (candidates.size() == 1 && request.model == 0 && !mustBeCounted && !request.isOrdered) {
         picked.endpoint = localChoice.endpoint;
         const auto ticket = request.ticket = ++lastTicket_;
         if (const auto balancer = link_->tell(std::move(request)))
             picked.booking = bookingAt(*balancer, ticket);
         co_return picked;
     }
-    const auto answer = co_await askWithRetry(std::move(request), mustBeCounted);
+    auto answer = co_await askWithRetry(std::move(request), mustBeCounted);
     const auto &advice = answer.advice;
+    if (advice && advice->isQueued && answer.wait) {
+        picked.by = PickedBy::Balancer;
+        picked.wait = std::move(answer.wait);
+        picked.wait->queue(std::chrono::milliseconds { advice->startMs });
+        picked.candidates = candidates;
+        picked.hasAllCandidates = candidates.size() == able.size();
+        picked.queuedCharge = terms.charge;
+        picked.isNearLimit = advice->isNearLimit;
+        co_return picked;
+    }
     if (terms.charge && !advice) {
         if (admitLocally(*terms.charge, picked))
             applyLocalChoice(localChoice, picked);
@@ -221,6 +241,28 @@
     co_return picked;
 }
 
+auto Picker::settle(Picked &picked, Duration defaultRetryAfter) -> void
+{
+    auto wait = std::move(*picked.wait);
+    picked.wait.reset();
+    auto reply = wait.reply();
+    // Charges count as admitted only now, since a queued request may still be refused.
+    reply.isNearLimit = reply.isNearLimit || picked.isNearLimit;
+    if (picked.queuedCharge)
+        noteCounted(*picked.queuedCharge, reply);
+    if (reply.endpoint.empty()) {
+        picked.retryAfter = reply.comeBackMs > 0
+                ? Duration { std::chrono::milliseconds { reply.comeBackMs } }
+                : defaultRetryAfter;
+        picked.blockedBy = blockedByRefusal(reply.refusal);
+        return;
+    }
+    metrics_.onPick(pickedByName(picked.by));
+    picked.booking = bookingAt(*wait.balancer(), wait.ticket());
+    wait.takeOver();
+    applyAdvice(reply, picked);
+}
+
 /// Asks a balancer.
 /// @param mustBeCounted whether the request must be counted across all gateways; then a second
 /// balancer is asked if the first does not answer
@@ -234,7 +276,9 @@
     auto answer = Answer {};
     for (auto i = 0; i < tries && !answer.advice; ++i) {
         answer.ticket = request.ticket = ++lastTicket_;
-        answer.advice = co_await ask(request, answer.balancer);
+        if (request.isOrdered)
+            answer.wait = waits_.begin(answer.ticket);
+        answer.advice = co_await ask(request, answer);
     }
     if (answer.advice)
         localRates_.onCounted();
@@ -318,11 +362,11 @@
     return result;
 }
 
-auto Picker::ask(proto::PickRequest request, std::optional<Address> &balancer)
+auto Picker::ask(proto::PickRequest request, Answer &answer)
         -> asio::awaitable<std::optional<proto::PickReply>>
 {
     using Advice = std::optional<proto::PickReply>;
-    auto initiate = [this, &request, &balancer](auto handler) {
+    auto initiate = [this, &request, &answer](auto handler) {
         const auto executor = asio::get_associated_executor(handler);
         auto shared = std::make_shared<decltype(handler)>(std::move(handler));
         auto done = [shared, executor](Advice advice) {
@@ -330,9 +374,11 @@
                 (*shared)(std::move(advice));
             });
         };
-        balancer = link_->ask(std::move(request), options_.askTimeout, done);
-        if (!balancer)
+        answer.balancer = link_->ask(std::move(request), options_.askTimeout, done);
+        if (!answer.balancer)
             done(std::nullopt);
+        else if (answer.wait)
+            answer.wait->setBalancer(*answer.balancer);
     };
     co_return co_await asio::async_initiate<const asio::use_awaitable_t<>, void(Advice)>(
             initiate, asio::use_awaitable);
--- a/gateway/picker.h
+++ b/gateway/picker.h
@@ -10,7 +10,13 @@
 // because there is none. Two kinds of requests must be counted across all gateways: those of
 // accounts with a limit (gateway/localadmission.h), and those for which only endpoints that named
 // a rate are available (gateway/localrates.h). For these, a second balancer is asked if the first
-// does not answer, and without an answer the gateway admits only its own part. Not thread-safe.
+// does not answer, and without an answer the gateway admits only its own part.
+//
+// An ordered request may be queued by the balancer (gateway/grantwaits.h):
+//
+//   if (picked.wait) { ... await picked.wait ...; picker.settle(picked); }
+//
+// Not thread-safe.
 
 #ifndef FIGRACK_GATEWAY_PICKER_H
 #define FIGRACK_GATEWAY_PICKER_H
@@ -28,6 +34,7 @@
 #include "gateway/chooser.h"
 #include "gateway/dialect.h"
 #include "gateway/fleetview.h"
+#include "gateway/grantwaits.h"
 #include "gateway/localadmission.h"
 #include "gateway/localrates.h"
 #include "gateway/metrics.h"
@@ -109,6 +116,25 @@
     /// Then endpoint is empty.
     std::optional<Duration> retryAfter;
     BlockedBy blockedBy = BlockedBy::Nothing; ///< The reason if retryAfter is set.
+    /// Present if the balancer has queued the request. Then endpoint is empty until the wait has
+    /// ended and Picker::settle() was called.
+    std::optional<GrantWait> wait;
+    std::vector<EndpointId> candidates; ///< Endpoints that a queued request may be granted.
+    bool hasAllCandidates = false;      ///< Every endpoint that could take it is a candidate.
+    /// Charge that the balancer has counted for a queued request.
+    std::optional<catalogue::AccountCharge> queuedCharge;
+    bool isNearLimit = false; ///< Of the balancer's reply to a queued request.
+};
+
+/// Terms of a request in a configuration that asks for ordered admission
+/// (catalogue/contention.h). The balancer orders the requests of all gateways by them.
+struct OrderedTerms
+{
+    Duration startWithin {};     ///< Time left until the request's first event is late.
+    Duration waited {};          ///< Time since the request arrived here.
+    AccountId account;           ///< Empty if the caller has none.
+    std::uint64_t cost = 0;      ///< To the account, in its units.
+    double accountPerSecond = 0; ///< Limit of the account; 0 if it has none.
 };
 
 /// The load that a request puts on an endpoint, and its constraints.
@@ -133,6 +159,7 @@
     /// Charge against an account with a limit; absent if there is none, or the request has been
     /// counted already.
     std::optional<catalogue::AccountCharge> charge;
+    std::optional<OrderedTerms> ordered; ///< Absent if the request must not be queued.
 };
 
 /// @return the load that the caller's request puts on an endpoint
@@ -148,6 +175,12 @@
     /// @param able endpoints that can take the request; must not be empty
     auto pick(const std::vector<EndpointEntry *> &able, const Criteria &criteria,
               const PickTerms &terms) -> boost::asio::awaitable<Picked>;
+    /// Uses the answer that ended a wait.
+    /// @param picked its wait was granted or refused
+    /// @param defaultRetryAfter for a refusal that names no retry time
+    auto settle(Picked &picked, Duration defaultRetryAfter) -> void;
+    /// @return where answers for queued requests are passed to
+    auto waits() -> GrantWaits & { return waits_; }
     /// Asks whether an account has room for a charge, without counting the charge.
     /// @return time until it has room; nullopt if it has room now, or no balancer answered
     auto roomIn(catalogue::AccountCharge charge, const catalogue::WorkIds &works)
@@ -160,6 +193,7 @@
         std::optional<proto::PickReply> advice; ///< Empty if no answer came in time.
         std::optional<Address> balancer;        ///< The balancer that was asked last.
         std::uint64_t ticket = 0;
+        std::optional<GrantWait> wait; ///< Of an ordered request.
     };
     /// The endpoint that this gateway would choose by its own information.
     struct LocalChoice
@@ -187,7 +221,7 @@
     auto applyAdvice(const proto::PickReply &advice, Picked &picked) const -> void;
     auto candidatesOf(const std::vector<EndpointEntry *> &able, const EndpointId &local)
             -> std::vector<EndpointId>;
-    auto ask(proto::PickRequest request, std::optional<Address> &balancer)
+    auto ask(proto::PickRequest request, Answer &answer)
             -> boost::asio::awaitable<std::optional<proto::PickReply>>;
 
     PickerOptions options_;
@@ -198,6 +232,7 @@
     LocalRates localRates_;
     /// Shared with bookings, which may outlive the picker.
     std::shared_ptr<LocalAdmission> localAdmission_;
+    GrantWaits waits_;
     std::uint64_t lastTicket_ = 0;
 };
 
