--- a/gateway/forwarderplacing.cpp
+++ b/gateway/forwarderplacing.cpp
@@ -165,8 +165,10 @@
             terms.places = engine_->slots;
         }
         terms.ordered = orderedTerms();
-        if (terms.ordered && engine_ == nullptr)
+        if (terms.ordered && engine_ == nullptr) {
+            terms.model = 0; // Callers may name one to any service; plain ones queue by service.
             terms.places = fewestSlots(able.entries);
+        }
         terms.coldPerSecond = coldPerSecond_;
         terms.rank = rank();
         terms.hasBegun = sent_ > 0;
