gateway: tests of what the control feed tells queued requests

Cause: a queued request relies on the feed to learn of its grant and of the loss of its balancer. Change: the feed rig records grants, closed connections and balancers; three tests.

--- a/gateway/testing/feedrig.h
+++ b/gateway/testing/feedrig.h
@@ -54,6 +54,7 @@
                 suspectsHeard += news->rows.size();
             } else if (std::holds_alternative<proto::PickRequest>(envelope.payload)) {
                 ++asked;
+                asker = peer;
                 if (!isSilent)
                     peer->send({ envelope.correlation,
                                  proto::PickReply { EndpointId { name }, 0, 0, 0, {} } });
@@ -92,6 +93,7 @@
     bool holdsBackDocuments = false; ///< If true, it does not answer document requests.
     int asked = 0;
     int ended = 0;
+    proto::PeerPointer asker;                    ///< Connection of the latest pick.
     std::vector<catalogue::SuspectRow> suspects; ///< Rows that it sends to its subscribers.
     std::size_t suspectsHeard = 0;               ///< Number of rows received.
     std::unique_ptr<proto::PeerServer> server;
@@ -129,6 +131,11 @@
         hooks.onSuspects
                 = [this](const proto::SuspectNews &news) { suspectsTold += news.rows.size(); };
         hooks.suspects = [this] { return suspects; };
+        hooks.onGrant = [this](const Address &, const proto::PickGrant &grant) {
+            grants.push_back(grant.ticket);
+        };
+        hooks.onControlClosed = [this](const Address &control) { closed.push_back(control); };
+        hooks.onBalancer = [this](const auto &now) { balancers.push_back(now); };
         feeds.push_back(std::make_unique<ControlFeed>(context, options, clock, std::move(hooks)));
         feeds.back()->start();
         runUntil([&] { return *updates == controls.size(); });
@@ -167,9 +174,12 @@
     ManualClock clock;
     std::map<std::string, std::unique_ptr<FakeControl>> controls;
     std::vector<std::unique_ptr<ControlFeed>> feeds;
-    std::vector<Revision> documents;             ///< Versions received.
-    std::vector<catalogue::SuspectRow> suspects; ///< Rows that the feeds' gateways know.
-    std::size_t suspectsTold = 0;                ///< Number of rows received.
+    std::vector<Revision> documents;               ///< Versions received.
+    std::vector<catalogue::SuspectRow> suspects;   ///< Rows that the feeds' gateways know.
+    std::size_t suspectsTold = 0;                  ///< Number of rows received.
+    std::vector<std::uint64_t> grants;             ///< Tickets of grants received.
+    std::vector<Address> closed;                   ///< Controls whose connections closed.
+    std::vector<std::optional<Address>> balancers; ///< Balancers reported by the feeds.
 };
 
 } // namespace figrack::gateway::testing
--- a/gateway/testing/tst_controlfeed.cpp
+++ b/gateway/testing/tst_controlfeed.cpp
@@ -66,3 +66,40 @@
     feed.sendSuspects(std::vector<catalogue::SuspectRow>(3));
     rig.runUntil([&] { return allHeard(4); });
 }
+
+TEST_CASE("A grant of a balancer is passed on")
+{
+    auto rig = FeedRig { "n3" };
+    auto &control = *rig.controls.at(rig.pick(rig.addFeed("g1")));
+    control.asker->send({ 0, proto::PickGrant { 5, {} } });
+    rig.runUntil([&] { return rig.grants == std::vector<std::uint64_t> { 5 }; });
+}
+
+TEST_CASE("Queued requests learn that a balancer closed its connection, and which one is next")
+{
+    auto rig = FeedRig { "n3" };
+    auto &feed = rig.addFeed("g1");
+    auto &control = *rig.controls.at(rig.pick(feed));
+    const auto address = control.address();
+    CHECK(rig.balancers.back() == address);
+    control.server->stop();
+    rig.runUntil([&] { return rig.closed == std::vector { address }; });
+    const auto &next = *rig.controls.at(rig.pick(feed));
+    CHECK(rig.balancers.back() == next.address());
+}
+
+TEST_CASE("Queued requests learn that a balancer does not answer, and that it may be asked again")
+{
+    auto rig = FeedRig { "n3" };
+    auto &feed = rig.addFeed("g1");
+    auto &control = *rig.controls.at(rig.pick(feed));
+    const auto address = control.address();
+    REQUIRE(rig.balancers.back() == address);
+    control.isSilent = true;
+    CHECK(rig.pick(feed).empty());
+    // Reported before another pick is made: the requests that wait there must not wait for one.
+    CHECK(rig.balancers.back().has_value());
+    CHECK(rig.balancers.back() != address);
+    CHECK(rig.closed.empty());
+    rig.runUntil([&] { return rig.balancers.back() == address; });
+}
