gateway: tests of a whole gateway whose balancers queue its picks

Cause: no test covered the connections between control feed, picker and metrics page. The catalogue that asks for ordered admission moves into the rig.

--- a/gateway/testing/feedrig.h
+++ b/gateway/testing/feedrig.h
@@ -47,6 +47,7 @@
                 update.leader = NodeId { leader };
                 update.term = Term { 1 };
                 update.document = document;
+                update.endpoints = endpoints;
                 peer->send({ 0, update });
                 if (!suspects.empty())
                     peer->send({ 0, proto::SuspectNews { suspects } });
@@ -55,9 +56,13 @@
             } else if (std::holds_alternative<proto::PickRequest>(envelope.payload)) {
                 ++asked;
                 asker = peer;
+                auto reply = proto::PickReply { EndpointId { name }, 0, 0, 0, {} };
+                if (isQueueing) {
+                    reply = {};
+                    reply.isQueued = true;
+                }
                 if (!isSilent)
-                    peer->send({ envelope.correlation,
-                                 proto::PickReply { EndpointId { name }, 0, 0, 0, {} } });
+                    peer->send({ envelope.correlation, reply });
             } else if (std::holds_alternative<proto::PickEnd>(envelope.payload)) {
                 ++ended;
             } else if (std::holds_alternative<proto::ManifestRequest>(envelope.payload)) {
@@ -86,10 +91,12 @@
 
     boost::asio::io_context &context;
     std::string name;
-    Revision document;               ///< Version that it announces; 0 if none.
-    std::string text = "text";       ///< Text of the document, in one block.
-    Duration documentDelay { 0 };    ///< Delay of document answers, as on a slow link.
-    bool isSilent = false;           ///< If true, it does not answer picks.
+    Revision document;            ///< Version that it announces; 0 if none.
+    std::string text = "text";    ///< Text of the document, in one block.
+    Duration documentDelay { 0 }; ///< Delay of document answers, as on a slow link.
+    bool isQueueing = false;      ///< If true, it queues all picks.
+    std::vector<catalogue::EndpointRow> endpoints; ///< Rows that it sends to its subscribers.
+    bool isSilent = false;                         ///< If true, it does not answer picks.
     bool holdsBackDocuments = false; ///< If true, it does not answer document requests.
     int asked = 0;
     int ended = 0;
--- a/gateway/testing/rig.cpp
+++ b/gateway/testing/rig.cpp
@@ -125,6 +125,26 @@
     return std::make_shared<const catalogue::Catalogue>(std::move(catalogue));
 }
 
+auto orderedCatalogue(bool isEngine) -> catalogue::Catalogue
+{
+    auto catalogue = *testCatalogue(isEngine);
+    auto engine = testCatalogue(true)->services.front();
+    if (!isEngine) {
+        engine.id = ServiceId { "engines" };
+        catalogue.services.push_back(engine);
+    }
+    for (auto rank = std::uint32_t { 0 }; rank < 3; ++rank) {
+        auto &route = catalogue.routes.emplace_back(catalogue.routes.front());
+        route.name = "e" + std::to_string(rank);
+        route.pathPrefix = "/" + route.name + "/";
+        route.split = { { engine.id, 1 } };
+        route.rank = rank;
+    }
+    for (auto &route : catalogue.routes)
+        route.startTarget = std::chrono::seconds { 8 };
+    return catalogue;
+}
+
 Rig::Rig(ForwarderOptions options, BalancerLink link, PickerOptions pickerOptions,
          KeyLeaseOptions keyOptions)
     : Rig(NoDocument {}, std::move(options), std::move(link), pickerOptions, keyOptions)
--- a/gateway/testing/rig.h
+++ b/gateway/testing/rig.h
@@ -98,6 +98,10 @@
 /// The catalogue of these tests: routes /once/, /idem/, /stream/, /resume/ to service "s".
 auto testCatalogue(bool engine) -> std::shared_ptr<const catalogue::Catalogue>;
 
+/// The same catalogue, changed so that it asks for ordered admission.
+/// @param isEngine whether service "s" is the engine service; else it is a plain one
+auto orderedCatalogue(bool isEngine) -> catalogue::Catalogue;
+
 /// Announces an endpoint that accepts requests and holds no model.
 auto announce(FleetView &view, const EndpointId &id) -> void;
 
--- a/gateway/testing/tst_grantwaits.cpp
+++ b/gateway/testing/tst_grantwaits.cpp
@@ -121,7 +121,7 @@
                 look(request);
         }
     }
-    auto use(std::optional<Address> balancer) -> void
+    auto use(const std::optional<Address> &balancer) -> void
     {
         current_ = balancer;
         waits.onBalancer(balancer);
--- a/gateway/testing/tst_placewaits.cpp
+++ b/gateway/testing/tst_placewaits.cpp
@@ -87,28 +87,6 @@
     std::vector<std::pair<Address, std::uint64_t>> ended;
 };
 
-/// The catalogue of the rig, changed so that it asks for ordered admission.
-/// @param isEngine whether service "s" is the engine service; else it is a plain one
-auto orderedCatalogue(bool isEngine) -> catalogue::Catalogue
-{
-    auto catalogue = *testCatalogue(isEngine);
-    auto engine = testCatalogue(true)->services.front();
-    if (!isEngine) {
-        engine.id = ServiceId { "engines" };
-        catalogue.services.push_back(engine);
-    }
-    for (auto rank = std::uint32_t { 0 }; rank < 3; ++rank) {
-        auto &route = catalogue.routes.emplace_back(catalogue.routes.front());
-        route.name = "e" + std::to_string(rank);
-        route.pathPrefix = "/" + route.name + "/";
-        route.split = { { engine.id, 1 } };
-        route.rank = rank;
-    }
-    for (auto &route : catalogue.routes)
-        route.startTarget = 8s;
-    return catalogue;
-}
-
 struct World
 {
     explicit World(bool isEngine = true)
