--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -168,6 +168,15 @@
                 .with("held_ms", wholeMillis(held_))
                 .with("fetched_from", picked_.fetchFrom);
     }
+    if (isOrdered_) {
+        line.with("prompt_tokens", caller_.promptTokens)
+                .with("output_tokens", caller_.outputTokens)
+                .with("queued_ms", wholeMillis(queuedFor_));
+    }
+    if (predictedWait_ && waitEnd_) {
+        line.with("predicted_wait_ms", wholeMillis(*predictedWait_))
+                .with("queue_end", waitEndName(*waitEnd_));
+    }
     if (blockedBy_ != BlockedBy::Nothing)
         line.with("lacked", blockedByName(blockedBy_));
     if (!works_.ofAnyone.isNone())
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -147,11 +147,12 @@
     class Run;
     friend class Run;
     ForwarderOptions options_;
-    bool isOrdered_ = false; ///< The configuration asks for ordered admission.
     ForwarderParts parts_;
     std::shared_ptr<const catalogue::RouteTable> routes_;
     /// From the same catalogue as routes_.
     std::shared_ptr<const catalogue::AccountTable> accounts_;
+    /// The same catalogue asks for ordered admission (catalogue/contention.h).
+    bool isOrdered_ = false;
     const Instant startedAt_;
     HeldBytes heldBytes_;
     /// Requests refused for want of memory since the last log line about it, and its time.
--- a/gateway/testing/feedrig.h
+++ b/gateway/testing/feedrig.h
@@ -48,6 +48,7 @@
                 update.leader = NodeId { leader };
                 update.term = Term { 1 };
                 update.document = document;
+                update.endpoints = endpoints;
                 peer->send({ 0, update });
                 if (!suspects.empty())
                     peer->send({ 0, proto::SuspectNews { suspects } });
@@ -55,9 +56,14 @@
                 suspectsHeard += news->rows.size();
             } else if (std::holds_alternative<proto::PickRequest>(envelope.payload)) {
                 ++asked;
+                asker = peer;
+                auto reply = proto::PickReply { EndpointId { name }, 0, 0, 0, {} };
+                if (isQueueing) {
+                    reply = {};
+                    reply.isQueued = true;
+                }
                 if (!isSilent)
-                    peer->send({ envelope.correlation,
-                                 proto::PickReply { EndpointId { name }, 0, 0, 0, {} } });
+                    peer->send({ envelope.correlation, reply });
             } else if (std::holds_alternative<proto::PickEnd>(envelope.payload)) {
                 ++ended;
             } else if (std::holds_alternative<proto::ManifestRequest>(envelope.payload)) {
@@ -86,14 +92,17 @@
 
     boost::asio::io_context &context;
     std::string name;
-    Revision document;               ///< Version that it announces; 0 if none.
-    std::string text = "text";       ///< Text of the document, in one block.
-    Duration documentDelay { 0 };    ///< Delay of document answers, as on a slow link.
-    bool isSilent = false;           ///< If true, it does not answer picks.
+    Revision document;            ///< Version that it announces; 0 if none.
+    std::string text = "text";    ///< Text of the document, in one block.
+    Duration documentDelay { 0 }; ///< Delay of document answers, as on a slow link.
+    bool isQueueing = false;      ///< If true, it queues all picks.
+    std::vector<catalogue::EndpointRow> endpoints; ///< Rows that it sends to its subscribers.
+    bool isSilent = false;                         ///< If true, it does not answer picks.
     bool holdsBackDocuments = false; ///< If true, it does not answer document requests.
     int asked = 0;
     int ended = 0;
     std::uint32_t capacity = 0;                  ///< Of the latest subscription.
+    proto::PeerPointer asker;                    ///< Connection of the latest pick.
     std::vector<catalogue::SuspectRow> suspects; ///< Rows that it sends to its subscribers.
     std::size_t suspectsHeard = 0;               ///< Number of rows received.
     std::unique_ptr<proto::PeerServer> server;
@@ -131,6 +140,11 @@
         hooks.onSuspects
                 = [this](const proto::SuspectNews &news) { suspectsTold += news.rows.size(); };
         hooks.suspects = [this] { return suspects; };
+        hooks.onGrant = [this](const Address &, const proto::PickGrant &grant) {
+            grants.push_back(grant.ticket);
+        };
+        hooks.onControlClosed = [this](const Address &control) { closed.push_back(control); };
+        hooks.onBalancer = [this](const auto &now) { balancers.push_back(now); };
         feeds.push_back(std::make_unique<ControlFeed>(context, options, clock, std::move(hooks)));
         feeds.back()->start();
         runUntil([&] { return *updates == controls.size(); });
@@ -169,9 +183,12 @@
     ManualClock clock;
     std::map<std::string, std::unique_ptr<FakeControl>> controls;
     std::vector<std::unique_ptr<ControlFeed>> feeds;
-    std::vector<Revision> documents;             ///< Versions received.
-    std::vector<catalogue::SuspectRow> suspects; ///< Rows that the feeds' gateways know.
-    std::size_t suspectsTold = 0;                ///< Number of rows received.
+    std::vector<Revision> documents;               ///< Versions received.
+    std::vector<catalogue::SuspectRow> suspects;   ///< Rows that the feeds' gateways know.
+    std::size_t suspectsTold = 0;                  ///< Number of rows received.
+    std::vector<std::uint64_t> grants;             ///< Tickets of grants received.
+    std::vector<Address> closed;                   ///< Controls whose connections closed.
+    std::vector<std::optional<Address>> balancers; ///< Balancers reported by the feeds.
 };
 
 } // namespace figrack::gateway::testing
