fleet: the leader tells gateways when missing models are expected

Each gateway guessed when a load ends: the load time plus a fixed overhead, counted from its own first waiting request. The leader knows its orders and told nobody.

The leader sends a LoadSchedule to the gateways that are subscribed to it, where the configuration asks for ordered admission: at changes, and each 500 ms while it has rows. A row is Ordered only from the endpoint's answer on and within the load's expected time; a late load or an order without an answer is Planned. Deferrals of the placement carry the time of the load. The error of the first promise for each load is a histogram.

--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -74,6 +74,7 @@
         , orders_(context, options_.orders, clock, registry_, port, authority())
         , planning_(options_.planning,
                     { clock, registry_, decisions_, demand_, loadGuard_, orders_ }, readDocument_)
+        , loadScheduler_(options_.loadSchedule)
         , tickTimer_(context)
         , stopTimer_(context)
         , planTimer_(context)
@@ -222,11 +223,19 @@
         authority.isEvacuated = [this](const DomainId &domain) {
             return decisions_.newestEvacuations().contains(domain);
         };
-        authority.onPlanEnded = [this] { planSoon(); };
+        authority.onPlanEnded = [this] {
+            loadScheduler_.onLoadChanged();
+            planSoon();
+        };
+        authority.onLoadAccepted = [this] { loadScheduler_.onLoadChanged(); };
         authority.onEndedDuringLoad = [this](const ModelId &model, const EndpointId &endpoint) {
             loadGuard_.onEnded(model, endpoint);
         };
-        authority.onLoaded = [this](const ModelId &model) { loadGuard_.onLoaded(model); };
+        authority.onLoaded = [this](const ModelId &model) {
+            loadGuard_.onLoaded(model);
+            if (const auto error = loadScheduler_.onHeld(model, clock_.now()))
+                metrics_.onLoadHeld(*error);
+        };
         return authority;
     }
 
@@ -550,6 +559,7 @@
         }
         if (now >= nextPlan_)
             planNow();
+        sendLoadSchedule();
     }
 
     /// Call after each call into the replica: completes proposals and publishes changes.
@@ -611,6 +621,7 @@
         leadTerm_ = now.term;
         leadingSince_ = clock_.now();
         LogEvent(LogLevel::Info, leads ? "leading" : "not_leading").with("term", now.term);
+        loadScheduler_.reset();
         if (!leads)
             return;
         orders_.onLeading();
@@ -661,6 +672,7 @@
             return;
         const auto begun = BootClock::now();
         planning_.run(leadTerm_);
+        loadScheduler_.onPass(planning_.lacked());
         // A control with a small share of a core and many endpoints must leave time for other work:
         // a plan of 6 ms takes 40 ms on a sixth of a core, and without a pause one plan would
         // directly follow the other.
@@ -668,6 +680,19 @@
         planAgainAt_ = ended + std::max<Duration>(planPause, (ended - begun) * idlePerPlan);
     }
 
+    /// Tells the gateways that are subscribed here when the models that they lack are expected.
+    auto sendLoadSchedule() -> void
+    {
+        const auto now = clock_.now();
+        if (!loadScheduler_.isDue(now) || !mayOrder())
+            return;
+        auto schedule = loadScheduler_.next(leadTerm_, orders_.loads(), now);
+        if (!schedule)
+            return;
+        metrics_.onLoadSchedule(*schedule);
+        registry_.push(proto::SubscriberKind::Gateway, *std::move(schedule));
+    }
+
     // ---- stopping
 
     auto checkStop() -> void
@@ -718,6 +743,7 @@
     std::vector<coord::Member> members_;
     OrderRunner orders_;
     Planning planning_;
+    LoadScheduler loadScheduler_;
     BootTimer tickTimer_;
     BootTimer stopTimer_;
     BootTimer planTimer_;
--- a/fleet/core.h
+++ b/fleet/core.h
@@ -37,6 +37,7 @@
 #include "fleet/demandtable.h"
 #include "fleet/documentproof.h"
 #include "fleet/group.h"
+#include "fleet/loadschedule.h"
 #include "fleet/orders.h"
 #include "fleet/planning.h"
 #include "fleet/registry.h"
@@ -72,6 +73,7 @@
     Duration restartEvery = std::chrono::seconds { 1 };
     DemandWindows demand;
     PlanningOptions planning;
+    LoadScheduleOptions loadSchedule;
     /// Interval at which a control that does not lead sums up the demand reports that it gets. A
     /// report of requests that wait for a model is passed on with the next tick.
     Duration relayDemandEvery = std::chrono::milliseconds { 250 };
--- a/fleet/metrics.cpp
+++ b/fleet/metrics.cpp
@@ -1,15 +1,24 @@
 #include "fleet/metrics.h"
 
+#include <algorithm>
+#include <array>
+
 #include <prometheus/counter.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include "core/duration.h"
+
 namespace figrack::fleet {
 namespace {
 
 const auto secondBuckets
         = prometheus::Histogram::BucketBoundaries { 0.01, 0.03, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 1 };
+const auto errorBuckets
+        = prometheus::Histogram::BucketBoundaries { -1, -0.5, -0.2, -0.1, 0, 0.1, 0.2, 0.5, 1, 3 };
+constexpr auto loadStateNames = std::array<const char *, 3> { "ordered", "planned", "deferred" };
 
 } // namespace
 
@@ -32,12 +41,23 @@
                                  .Help("Gateways that did not obey a change at its acknowledgement")
                                  .Register(registry)
                                  .Add({}))
+        , loadErrorSeconds(prometheus::BuildHistogram()
+                                   .Name("figrack_core_load_promise_error_seconds")
+                                   .Help("Time until a model was held, less the time promised")
+                                   .Register(registry)
+                                   .Add({}, errorBuckets))
+        , scheduledLoads(prometheus::BuildGauge()
+                                 .Name("figrack_core_scheduled_loads")
+                                 .Help("Rows of the latest load schedule, by state")
+                                 .Register(registry))
     { }
 
     prometheus::Registry registry;
     prometheus::Counter &refused;
     prometheus::Histogram &rolloutSeconds;
     prometheus::Counter &gatewaysBehind;
+    prometheus::Histogram &loadErrorSeconds;
+    prometheus::Family<prometheus::Gauge> &scheduledLoads;
 };
 
 Metrics::Metrics()
@@ -57,6 +77,23 @@
     impl_->gatewaysBehind.Increment(static_cast<double>(gatewaysBehind));
 }
 
+auto Metrics::onLoadHeld(Duration error) -> void
+{
+    impl_->loadErrorSeconds.Observe(inSeconds(error));
+}
+
+auto Metrics::onLoadSchedule(const proto::LoadSchedule &schedule) -> void
+{
+    for (auto i = std::size_t { 0 }; i < loadStateNames.size(); ++i) {
+        const auto count
+                = std::count_if(schedule.rows.begin(), schedule.rows.end(), [i](const auto &row) {
+                      return static_cast<std::size_t>(row.state) == i;
+                  });
+        impl_->scheduledLoads.Add({ { "state", loadStateNames.at(i) } })
+                .Set(static_cast<double>(count));
+    }
+}
+
 auto Metrics::text() -> std::string
 {
     return prometheus::TextSerializer {}.Serialize(impl_->registry.Collect());
--- a/fleet/metrics.h
+++ b/fleet/metrics.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "core/clock.h"
+#include "proto/servingmessages.h"
 
 namespace figrack::fleet {
 
@@ -23,6 +24,11 @@
     /// Call when a change was acknowledged. @param waited time since its commit
     /// @param gatewaysBehind number of gateways that had not applied it by then
     auto onAcknowledged(Duration waited, std::size_t gatewaysBehind) -> void;
+    /// Call when a model that requests waited for is held. @param error how much later than was
+    /// promised to gateways; negative: earlier
+    auto onLoadHeld(Duration error) -> void;
+    /// Call when a load schedule is sent.
+    auto onLoadSchedule(const proto::LoadSchedule &schedule) -> void;
     /// @return the page
     auto text() -> std::string;
 
--- a/fleet/orders.cpp
+++ b/fleet/orders.cpp
@@ -31,8 +31,6 @@
 constexpr auto slowStretch = 1.25;
 /// Concurrent loads from the store until the first load times are known.
 constexpr auto firstStoreLimit = 2U;
-/// Usual time of an unload before a load, including its announcement.
-constexpr auto swapTime = std::chrono::milliseconds { 300 };
 /// An unload that takes longer waits for streams, which may take several more seconds.
 constexpr auto unloadOverdue = std::chrono::seconds { 1 };
 /// A plan that has exceeded its expected time may end at any moment.
@@ -120,10 +118,12 @@
         job.active = true;
         job.stepsDone = 0;
         job.startedAt = clock_.now();
+        job.acceptedAt.reset();
+        job.retryAt.reset();
         job.plan = plan;
         const auto &last = plan.steps.back();
         if (const auto *spec = engine->find(last.model))
-            job.loadTime = loadTime(*spec, plan.source);
+            job.loadTime = loadTimeOf(*spec, plan.source);
         job.engine = std::move(engine);
         if (plan.source == LoadSource::Store)
             storeLoads_.push_back(clock_.now());
@@ -161,6 +161,21 @@
         return found == heldStates_.end() ? nullptr : &found->second.models;
     }
 
+    auto loads() const -> std::vector<LoadProgress>
+    {
+        auto result = std::vector<LoadProgress> {};
+        for (const auto &[id, job] : jobs_) {
+            if (!job.active)
+                continue;
+            const auto &last = job.plan.steps.back();
+            const auto unload = job.plan.steps.size() > 1 ? Duration { swapTime } : Duration {};
+            result.push_back({ last.model, last.adapter,
+                               last.adapter.empty() ? job.loadTime : options_.adapterLoad,
+                               job.startedAt + unload, job.acceptedAt, job.retryAt });
+        }
+        return result;
+    }
+
     template<typename Visit>
     auto forEachLoad(const Visit &visit) const -> void
     {
@@ -224,23 +239,12 @@
         Plan plan;
         std::shared_ptr<const catalogue::EngineSpec> engine;
         Duration loadTime {};
+        std::optional<Instant> acceptedAt; ///< Of the last step.
+        std::optional<Instant> retryAt;    ///< When the current step is tried again.
         Instant pausedUntil {};
         BootTimer *timer = nullptr; ///< Set while the job waits for a row.
     };
 
-    static auto loadTime(const catalogue::ModelSpec &spec, LoadSource source) -> Duration
-    {
-        switch (source) {
-        case LoadSource::Memory:
-            return spec.loadFromMemory;
-        case LoadSource::Disk:
-            return spec.loadFromDisk;
-        case LoadSource::Store:
-            break;
-        }
-        return spec.loadFromStore;
-    }
-
     // NOLINTNEXTLINE(performance-unnecessary-value-param): a coroutine owns what it uses.
     static auto run(std::shared_ptr<Impl> self, Plan plan) -> asio::awaitable<void>
     {
@@ -274,7 +278,7 @@
             if (!isReady || !authority_.mayOrder() || isEvacuated(*row))
                 co_return false;
             if (!heldStates_.contains(id) && !co_await readHeldState(id)) {
-                co_await pause(options_.retryPause);
+                co_await pauseBeforeRetry(id);
                 continue;
             }
             if (!hasRoom(id, step))
@@ -285,13 +289,15 @@
                 complete(id, step);
                 co_return true;
             case OrderReply::Accepted:
+                noteLoadAccepted(id, step);
                 if (co_await awaitEffect(id, step))
                     co_return true;
+                jobs_[id].acceptedAt.reset();
                 break;
             case OrderReply::Conflict:
             case OrderReply::NoAnswer:
                 heldStates_.erase(id);
-                co_await pause(options_.retryPause);
+                co_await pauseBeforeRetry(id);
                 break;
             case OrderReply::StaleFence:
             case OrderReply::Invalid:
@@ -303,6 +309,22 @@
         co_return false;
     }
 
+    auto noteLoadAccepted(const EndpointId &id, const PlanStep &step) -> void
+    {
+        if (step.kind != StepKind::Load)
+            return;
+        jobs_[id].acceptedAt = clock_.now();
+        if (authority_.onLoadAccepted)
+            authority_.onLoadAccepted();
+    }
+
+    auto pauseBeforeRetry(EndpointId id) -> asio::awaitable<void>
+    {
+        jobs_[id].retryAt = clock_.now() + options_.retryPause;
+        co_await pause(options_.retryPause);
+        jobs_[id].retryAt.reset();
+    }
+
     auto isEvacuated(const EndpointRow &row) const -> bool
     {
         return authority_.isEvacuated && authority_.isEvacuated(row.domain);
@@ -592,6 +614,11 @@
     return result;
 }
 
+auto OrderRunner::loads() const -> std::vector<LoadProgress>
+{
+    return impl_->loads();
+}
+
 auto OrderRunner::stalledLoads() const -> std::map<ModelId, std::uint32_t>
 {
     return impl_->stalledLoads();
--- a/fleet/orders.h
+++ b/fleet/orders.h
@@ -40,6 +40,7 @@
 
 #include "catalogue/catalogue.h"
 #include "core/clock.h"
+#include "fleet/loadschedule.h"
 #include "fleet/placement.h"
 #include "fleet/registry.h"
 
@@ -117,6 +118,7 @@
     /// Called when the endpoint's process ended while it loaded the model.
     std::function<void(const ModelId &, const EndpointId &)> onEndedDuringLoad;
     std::function<void(const ModelId &)> onLoaded;
+    std::function<void()> onLoadAccepted; ///< An endpoint accepted a load; may be empty.
 };
 
 class OrderRunner
@@ -136,6 +138,8 @@
     /// @return the number of loads in progress for each model
     auto loading() const -> std::map<ModelId, std::uint32_t>;
     auto loadingAdapters() const -> std::set<AdapterKey>;
+    /// @return each load in progress
+    auto loads() const -> std::vector<LoadProgress>;
     /// @return the loads in progress that wait for an unload which takes longer than expected
     auto stalledLoads() const -> std::map<ModelId, std::uint32_t>;
     /// @return adapters that were loaded within the last adapterFresh
--- a/fleet/placement.cpp
+++ b/fleet/placement.cpp
@@ -232,7 +232,7 @@
         // If a busy endpoint is still the best choice, the model waits for it.
         if (best.host == nullptr || !best.host->takesOrders()) {
             if (!isExtra)
-                defer(model, best.host);
+                defer(spec, best);
             return;
         }
         const auto relief = reliefSeconds * asked(model).running / holders_[model]
@@ -302,19 +302,34 @@
         plans_.push_back(std::move(plan));
     }
 
-    auto defer(const ModelId &model, const Host *busy) -> void
+    auto defer(const catalogue::ModelSpec &spec, const Candidate &best) -> void
     {
         auto deferral = Deferral {};
-        deferral.model = model;
-        deferral.unserved = asked(model).unserved();
-        if (busy != nullptr) {
+        deferral.model = spec.id;
+        deferral.unserved = asked(spec.id).unserved();
+        auto source = fastestSource(spec);
+        if (best.host != nullptr) {
             deferral.reason = DeferReason::Busy;
-            deferral.endpoint = busy->id;
-            deferral.seconds = busy->busySeconds;
+            deferral.endpoint = best.host->id;
+            deferral.seconds = best.host->busySeconds;
+            source = best.source;
         }
+        deferral.loadSeconds = inSeconds(loadTimeOf(spec, source));
         deferred_.push_back(std::move(deferral));
     }
 
+    /// @return the source of the fastest load among all endpoints, whether they have room or not
+    auto fastestSource(const catalogue::ModelSpec &spec) const -> LoadSource
+    {
+        const auto found = copyHosts_.find(spec.id);
+        if (found == copyHosts_.end())
+            return LoadSource::Store;
+        const auto isInMemory
+                = std::any_of(found->second.begin(), found->second.end(),
+                              [&](const Host *host) { return contains(host->inMemory, spec.id); });
+        return isInMemory ? LoadSource::Memory : LoadSource::Disk;
+    }
+
     /// @param isExtra the load adds a replica to a model that has one, so no request waits for it
     auto weigh(Host &host, const catalogue::ModelSpec &spec, bool isExtra) -> Candidate
     {
@@ -598,6 +613,19 @@
     return names[static_cast<std::size_t>(source) % names.size()];
 }
 
+auto loadTimeOf(const catalogue::ModelSpec &spec, LoadSource source) -> Duration
+{
+    switch (source) {
+    case LoadSource::Memory:
+        return spec.loadFromMemory;
+    case LoadSource::Disk:
+        return spec.loadFromDisk;
+    case LoadSource::Store:
+        break;
+    }
+    return spec.loadFromStore;
+}
+
 auto deferReasonName(DeferReason reason) -> std::string_view
 {
     constexpr auto names = std::array<std::string_view, 2> { "busy", "no_room" };
--- a/fleet/placement.h
+++ b/fleet/placement.h
@@ -28,9 +28,13 @@
 
 #include "catalogue/catalogue.h"
 #include "catalogue/endpointrow.h"
+#include "core/clock.h"
 
 namespace figrack::fleet {
 
+/// Usual time of an unload before a load, including its announcement.
+constexpr auto swapTime = std::chrono::milliseconds { 300 };
+
 /// An endpoint, as input of the placement.
 struct Host
 {
@@ -84,6 +88,8 @@
     /// adapters that any of them holds. Otherwise they are counted.
     std::optional<std::map<ModelId, std::uint32_t>> holders = {};
     std::set<AdapterKey> heldAdapters = {};
+    /// Interval of the passes that no report triggers.
+    double passSeconds = 0.5;
 };
 
 enum class StepKind : std::uint8_t { Load, Unload };
@@ -97,6 +103,9 @@
 /// @return "memory", "disk" or "store"
 auto loadSourceName(LoadSource source) -> std::string_view;
 
+/// @return how long the model's weights take to load from the source
+auto loadTimeOf(const catalogue::ModelSpec &spec, LoadSource source) -> Duration;
+
 struct PlanStep
 {
     StepKind kind = StepKind::Load;
@@ -130,6 +139,7 @@
     EndpointId endpoint; ///< The endpoint that the model waits for; empty: none.
     double seconds = 0;  ///< Expected time until that endpoint can take an order.
     std::uint32_t unserved = 0;
+    double loadSeconds = 0; ///< Of the load, once it is ordered.
 };
 
 struct Placement
--- a/fleet/planning.cpp
+++ b/fleet/planning.cpp
@@ -1,9 +1,11 @@
 #include "fleet/planning.h"
 
 #include <algorithm>
+#include <iterator>
 #include <unordered_map>
 #include <utility>
 
+#include "catalogue/contention.h"
 #include "core/log.h"
 
 namespace figrack::fleet {
@@ -31,6 +33,7 @@
 auto Planning::run(Term term) -> void
 {
     const auto *catalogue = currentCatalogue();
+    lacked_.clear();
     if (catalogue == nullptr)
         return;
     unreachable_ = parts_.demand.unreachable();
@@ -53,6 +56,7 @@
         return nullptr;
     }
     catalogue_ = std::make_shared<const catalogue::Catalogue>(*std::move(read));
+    isOrdered_ = catalogue::asksForOrderedAdmission(*catalogue_);
     return catalogue_.get();
 }
 
@@ -99,6 +103,11 @@
     input.storeLoads = orders.storeLoadsAllowed(engine);
     input.storeReserve = orders.storeLoadsAtOnce() > 1 ? 1 : 0;
     const auto placement = plan(input);
+    if (isOrdered_) {
+        auto lacked = lackedLoads(service.id, input, placement, parts_.clock.now());
+        lacked_.insert(lacked_.end(), std::make_move_iterator(lacked.begin()),
+                       std::make_move_iterator(lacked.end()));
+    }
     logDeferred(placement.deferred);
     for (const auto &next : placement.plans) {
         logPlan(next, term);
--- a/fleet/planning.h
+++ b/fleet/planning.h
@@ -28,6 +28,7 @@
 #include "fleet/decisions.h"
 #include "fleet/demandtable.h"
 #include "fleet/loadguard.h"
+#include "fleet/loadschedule.h"
 #include "fleet/orders.h"
 #include "fleet/placement.h"
 #include "fleet/registry.h"
@@ -63,6 +64,9 @@
     Planning(PlanningOptions options, PlanningParts parts, ReadDocument readDocument);
     /// Plans for all services and starts the plans. @param term of the leadership, for the log
     auto run(Term term) -> void;
+    /// @return what is lacked after the latest pass, for the load schedule; empty where the
+    /// configuration does not ask for ordered admission
+    auto lacked() const -> const std::vector<LackedLoad> & { return lacked_; }
 
 private:
     auto currentCatalogue() -> const catalogue::Catalogue *;
@@ -77,9 +81,11 @@
     PlanningParts parts_;
     ReadDocument readDocument_;
     std::shared_ptr<const catalogue::Catalogue> catalogue_; ///< Of the held document.
-    std::set<EndpointId> unreachable_;                      ///< In this pass.
-    std::map<ServiceId, EndpointId> nextInTurn_;            ///< Where the next pass goes on.
-    std::map<ModelId, Instant> deferLoggedAt_;              ///< Time of the last log line.
+    bool isOrdered_ = false; ///< The configuration asks for ordered admission.
+    std::vector<LackedLoad> lacked_;
+    std::set<EndpointId> unreachable_;           ///< In this pass.
+    std::map<ServiceId, EndpointId> nextInTurn_; ///< Where the next pass goes on.
+    std::map<ModelId, Instant> deferLoggedAt_;   ///< Time of the last log line.
 };
 
 } // namespace figrack::fleet
--- a/fleet/testing/tst_orders.cpp
+++ b/fleet/testing/tst_orders.cpp
@@ -71,6 +71,10 @@
         authority.onEndedDuringLoad
                 = [this](const ModelId &model, const EndpointId &) { endedUnder.push_back(model); };
         authority.onLoaded = [this](const ModelId &model) { loaded.push_back(model); };
+        authority.onLoadAccepted = [this] {
+            if (onLoadAccepted)
+                onLoadAccepted();
+        };
         runner = std::make_unique<OrderRunner>(context, options, clock, registry, port, authority);
         registry.setOnChanged(
                 [this](const catalogue::EndpointRow &row) { runner->onRowChanged(row.id); });
@@ -171,7 +175,8 @@
     OrderPort port;
     std::shared_ptr<const catalogue::EngineSpec> engineSpec = makeEngineSpec();
     std::unique_ptr<OrderRunner> runner;
-    std::function<void()> onAccepted; ///< Called before the answer is sent; may be empty.
+    std::function<void()> onAccepted;     ///< Called before the answer is sent; may be empty.
+    std::function<void()> onLoadAccepted; ///< Called by the runner; may be empty.
     bool mayOrder = true;
     bool forgetOnReport = false;
     int ended = 0;
@@ -461,3 +466,42 @@
         }
     }
 }
+
+// Guards against a schedule that promises a load which the endpoint has not confirmed: gateways
+// would hold requests for it.
+TEST_CASE("A load in progress counts as accepted only from the endpoint's answer on")
+{
+    auto rig = OrderRig {};
+    rig.engine.unanswered = 1;
+    rig.engine.busyReports = 0;
+    auto seen = std::vector<LoadProgress> {};
+    auto accepted = 0;
+    rig.onAccepted = [&] { ++accepted; };
+    rig.runner->start(
+            Plan { rig.id, { { StepKind::Load, ModelId { "a" }, {} } }, LoadSource::Disk },
+            rig.engineSpec);
+    const auto limit = rig.clock.now() + testTimeout;
+    while (rig.ended == 0 && rig.clock.now() < limit) {
+        rig.context.restart();
+        rig.context.run_one_for(5ms);
+        for (const auto &load : rig.runner->loads())
+            seen.push_back(load);
+    }
+    REQUIRE(rig.ended == 1);
+    REQUIRE_FALSE(seen.empty());
+    CHECK(std::none_of(seen.begin(), seen.end(),
+                       [&](const auto &load) { return load.acceptedAt && accepted == 0; }));
+    CHECK(std::any_of(seen.begin(), seen.end(),
+                      [](const auto &load) { return load.retryAt.has_value(); }));
+    CHECK(rig.runner->loads().empty());
+}
+
+TEST_CASE("An accepted load is told to the leader, which schedules it")
+{
+    auto rig = OrderRig {};
+    auto acceptedAt = std::optional<Instant> {};
+    rig.onLoadAccepted = [&] { acceptedAt = rig.runner->loads().at(0).acceptedAt; };
+    rig.run({ { StepKind::Load, ModelId { "a" }, {} } });
+    CHECK(rig.loaded.size() == 1);
+    CHECK(acceptedAt);
+}
