gateway: missing models are expected by the leader's schedule

A request waited for a load by a guess, and was held and then refused when the load came late or had not been ordered at all.

The forwarder uses its time instead of the guess, and refuses a request at once when the load comes after its latest start; the retry time is the load's, at most a third of the time left. The request's line names load_ready_ms.

--- a/gateway/controlfeed.cpp
+++ b/gateway/controlfeed.cpp
@@ -113,6 +113,9 @@
         const auto *news = std::get_if<proto::SuspectNews>(&envelope.payload);
         if (news != nullptr && !stopped_)
             hooks_.onSuspects(*news);
+        const auto *schedule = std::get_if<proto::LoadSchedule>(&envelope.payload);
+        if (schedule != nullptr && !stopped_ && hooks_.onLoadSchedule)
+            hooks_.onLoadSchedule(*schedule);
         const auto *update = std::get_if<proto::ServingUpdate>(&envelope.payload);
         if (update == nullptr || stopped_)
             return;
--- a/gateway/controlfeed.h
+++ b/gateway/controlfeed.h
@@ -73,6 +73,8 @@
     /// Called with the rows of watched endpoints. @param isReset they replace all others
     std::function<void(const std::vector<catalogue::EndpointRow> &rows, bool isReset)> onWatched;
     std::function<void()> onSourceHeard; ///< The control of the watched endpoints sent something.
+    /// Called for each load schedule of a leader; may be empty.
+    std::function<void(const proto::LoadSchedule &)> onLoadSchedule = {};
 };
 
 class ControlFeed
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -142,6 +142,8 @@
                 .with("held_ms", wholeMillis(held_))
                 .with("fetched_from", picked_.fetchFrom);
     }
+    if (loadReady_)
+        line.with("load_ready_ms", wholeMillis(*loadReady_));
     if (blockedBy_ != BlockedBy::Nothing)
         line.with("lacked", blockedByName(blockedBy_));
     if (!works_.ofAnyone.isNone())
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -50,6 +50,7 @@
 #include "gateway/dialect.h"
 #include "gateway/fleetview.h"
 #include "gateway/keylease.h"
+#include "gateway/loadwatch.h"
 #include "gateway/metrics.h"
 #include "gateway/picker.h"
 #include "gateway/retrywindow.h"
@@ -115,6 +116,8 @@
     /// Asks for the endpoints of a key. @return true when the view contains them; waiters are woken
     /// when it does. May be empty: the view contains all endpoints
     std::function<bool(const proto::WatchKey &)> wantEndpoints = {};
+    /// When missing models are expected; null: the forwarder estimates it.
+    const LoadWatch *loadWatch = nullptr;
 };
 
 class Forwarder
--- a/gateway/forwarderplacing.cpp
+++ b/gateway/forwarderplacing.cpp
@@ -35,6 +35,9 @@
 /// all return at once.
 constexpr auto retryAfterJitter = std::chrono::milliseconds { 500 };
 constexpr auto longestAvoidPause = std::chrono::milliseconds { 2000 };
+/// Fraction of the time that a refused caller has left after which it is told to return at the
+/// latest: callers wait no longer than that, and time must remain to be served.
+constexpr auto latestReturn = 1.0 / 3;
 
 } // namespace
 
@@ -205,8 +208,14 @@
                 += std::chrono::duration_cast<Duration>(retryAfterJitter * parts_.random.unit());
     }
     const auto limit = std::min(startBy_, owner_.placementDeadline_);
-    if (*ready >= limit || now >= limit)
+    if (*ready >= limit || now >= limit) {
+        if (scheduledLoad(blockedBy)) {
+            const auto latest = std::chrono::duration_cast<Duration>(timeLeft() * latestReturn);
+            retryAfter_ = std::min(*retryAfter_, latest);
+            parts_.metrics.onLoadTooLate();
+        }
         return std::nullopt;
+    }
     return std::min<Duration>(recheckInterval, limit - now);
 }
 
@@ -214,7 +223,9 @@
 {
     const auto now = parts_.clock.now();
     const auto load = expectedLoad(blockedBy);
-    const auto since = waiting_ ? parts_.demand.waitingSince(target_) : now;
+    const auto since = waitingSince();
+    if (load && !loadReady_ && scheduledLoad(blockedBy))
+        loadReady_ = since + *load - now;
     if (blockedBy != BlockedBy::Backoff)
         return load ? std::optional { std::max(since + *load, now) } : std::nullopt;
     // A load elsewhere that is overdue may never finish, but the backoff certainly ends.
@@ -222,7 +233,35 @@
     return isDue ? std::min(since + *load, backoffUntil_) : backoffUntil_;
 }
 
+auto Forwarder::Run::waitingSince() const -> Instant
+{
+    return waiting_ ? parts_.demand.waitingSince(target_) : parts_.clock.now();
+}
+
+auto Forwarder::Run::scheduledLoad(BlockedBy blockedBy) const -> std::optional<ScheduledReady>
+{
+    const auto isLacking = blockedBy == BlockedBy::Model || blockedBy == BlockedBy::Adapter
+            || blockedBy == BlockedBy::Backoff;
+    if (parts_.loadWatch == nullptr || target_.model.empty() || !isLacking)
+        return std::nullopt;
+    return parts_.loadWatch->find(target_);
+}
+
 auto Forwarder::Run::expectedLoad(BlockedBy blockedBy) -> std::optional<Duration>
+{
+    const auto since = waitingSince();
+    const auto now = parts_.clock.now();
+    if (const auto scheduled = scheduledLoad(blockedBy))
+        return std::max(scheduled->readyAt, now) - since;
+    auto guess = guessedLoad(blockedBy);
+    // The leader has not begun the load, so all of its time is still to come. During a backoff the
+    // endpoints that hold the model are known, and no load need be scheduled.
+    const auto isUnscheduled = guess && blockedBy != BlockedBy::Backoff
+            && parts_.loadWatch != nullptr && parts_.loadWatch->isUnscheduled(target_, since);
+    return isUnscheduled ? *guess + (now - since) : guess;
+}
+
+auto Forwarder::Run::guessedLoad(BlockedBy blockedBy) -> std::optional<Duration>
 {
     if (blockedBy == BlockedBy::Adapter)
         return adapterLoad;
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -97,8 +97,15 @@
     /// @return when the missing model, adapter or endpoint is expected to be available; nullopt if
     /// waiting cannot help
     auto readyAt(BlockedBy blockedBy) -> std::optional<Instant>;
-    /// @return how long loading the missing model or adapter takes; nullopt if no load would help
+    /// @return how long loading the missing model or adapter takes from the time on at which
+    /// requests began to wait for it; nullopt if no load would help
     auto expectedLoad(BlockedBy blockedBy) -> std::optional<Duration>;
+    /// @return expectedLoad() by what the gateway knows alone
+    auto guessedLoad(BlockedBy blockedBy) -> std::optional<Duration>;
+    /// @return what the leader's schedule says of the missing model or adapter
+    auto scheduledLoad(BlockedBy blockedBy) const -> std::optional<ScheduledReady>;
+    /// @return the time since which requests wait for the missing model or adapter
+    auto waitingSince() const -> Instant;
     auto avoid(const EndpointId &id) -> void;
     /// Makes endpoints that rejected the request earlier eligible again once the avoidance period
     /// has expired. The period grows each time, so that an endpoint that rejects everything
@@ -203,7 +210,8 @@
     Instant backoffUntil_ {}; ///< Earliest end of a backoff among the endpoints that could take the
                               ///< request.
     std::optional<Duration> retryAfter_;
-    Instant sentAt_ {}; ///< Time of the latest dispatch.
+    std::optional<Duration> loadReady_; ///< Time that the leader's schedule named first.
+    Instant sentAt_ {};                 ///< Time of the latest dispatch.
     std::optional<Instant> firstByteAt_;
     std::optional<Instant> lastEventAt_;
     Duration longestGap_ {}; ///< Longest time between two events of the stream.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -40,6 +40,7 @@
         , view_(options_.view, clock)
         , retries_(options_.retries, clock)
         , demand_(clock)
+        , loadWatch_({}, clock)
         , waiters_(context)
         , client_(context, options_.client, clock)
         , feed_(context, feedOptions(), clock, feedHooks())
@@ -52,7 +53,8 @@
         , forwarder_(options_.forwarder,
                      { context, clock, dialect, view_, retries_, demand_, waiters_, metrics_,
                        client_, picker_, random_, quarantine_, crashDetector_, feed_.keyLease(),
-                       [this](const proto::WatchKey &key) { return feed_.wantEndpoints(key); } })
+                       [this](const proto::WatchKey &key) { return feed_.wantEndpoints(key); },
+                       &loadWatch_ })
         , server_(context, options_.server,
                   [this](const http::Request &request, http::Responder &responder) {
                       return forwarder_.handle(request, responder);
@@ -147,6 +149,10 @@
             waiters_.wakeAll();
         };
         hooks.onSourceHeard = [this] { view_.onSourceHeard(); };
+        hooks.onLoadSchedule = [this](const proto::LoadSchedule &schedule) {
+            if (loadWatch_.onSchedule(schedule))
+                metrics_.onLoadSchedule();
+        };
         return hooks;
     }
 
@@ -282,6 +288,7 @@
     FleetView view_;
     RetryWindow retries_;
     Demand demand_;
+    LoadWatch loadWatch_;
     Waiters waiters_;
     Metrics metrics_;
     policy::Quarantine quarantine_ { {} };
--- a/gateway/metrics.cpp
+++ b/gateway/metrics.cpp
@@ -88,6 +88,16 @@
                                 .Help("Bytes of blocks of documents that were fetched")
                                 .Register(registry)
                                 .Add({}))
+        , loadSchedules(prometheus::BuildCounter()
+                                .Name("figrack_gateway_load_schedules_total")
+                                .Help("Load schedules received, each newer than the one before")
+                                .Register(registry)
+                                .Add({}))
+        , loadsTooLate(prometheus::BuildCounter()
+                               .Name("figrack_gateway_load_too_late_total")
+                               .Help("Requests refused because of the time of a scheduled load")
+                               .Register(registry)
+                               .Add({}))
         , gauges(prometheus::BuildGauge()
                          .Name("figrack_gateway_now")
                          .Help("The present moment, by what")
@@ -107,6 +117,8 @@
     prometheus::Histogram &documentDelay;
     prometheus::Counter &documentOverdue;
     prometheus::Counter &documentBytes;
+    prometheus::Counter &loadSchedules;
+    prometheus::Counter &loadsTooLate;
     prometheus::Family<prometheus::Gauge> &gauges;
 };
 
@@ -165,6 +177,16 @@
     impl_->documentBytes.Increment(static_cast<double>(fetchedBytes));
 }
 
+auto Metrics::onLoadSchedule() -> void
+{
+    impl_->loadSchedules.Increment();
+}
+
+auto Metrics::onLoadTooLate() -> void
+{
+    impl_->loadsTooLate.Increment();
+}
+
 auto Metrics::text(const GatewayGauges &gauges) -> std::string
 {
     const auto set = [&](const char *what, double value) {
--- a/gateway/metrics.h
+++ b/gateway/metrics.h
@@ -69,6 +69,10 @@
     /// @param overdue number of requests for it that became overdue
     /// @param fetchedBytes size of its blocks that were fetched
     auto onDocument(Duration took, std::uint32_t overdue, std::uint64_t fetchedBytes) -> void;
+    /// A newer load schedule of the leader was received.
+    auto onLoadSchedule() -> void;
+    /// A request was refused because its model's load is scheduled too late for it.
+    auto onLoadTooLate() -> void;
     /// @return the page
     auto text(const GatewayGauges &gauges) -> std::string;
 
--- a/gateway/testing/feedrig.h
+++ b/gateway/testing/feedrig.h
@@ -50,6 +50,8 @@
                 peer->send({ 0, update });
                 if (!suspects.empty())
                     peer->send({ 0, proto::SuspectNews { suspects } });
+                if (schedule)
+                    peer->send({ 0, *schedule });
             } else if (const auto *news = std::get_if<proto::SuspectNews>(&envelope.payload)) {
                 suspectsHeard += news->rows.size();
             } else if (std::holds_alternative<proto::PickRequest>(envelope.payload)) {
@@ -94,6 +96,7 @@
     int ended = 0;
     std::vector<catalogue::SuspectRow> suspects; ///< Rows that it sends to its subscribers.
     std::size_t suspectsHeard = 0;               ///< Number of rows received.
+    std::optional<proto::LoadSchedule> schedule; ///< Sent to its subscribers.
     std::unique_ptr<proto::PeerServer> server;
 };
 
@@ -129,6 +132,7 @@
         hooks.onSuspects
                 = [this](const proto::SuspectNews &news) { suspectsTold += news.rows.size(); };
         hooks.suspects = [this] { return suspects; };
+        hooks.onLoadSchedule = [this](const proto::LoadSchedule &) { ++schedules; };
         feeds.push_back(std::make_unique<ControlFeed>(context, options, clock, std::move(hooks)));
         feeds.back()->start();
         runUntil([&] { return *updates == controls.size(); });
@@ -170,6 +174,7 @@
     std::vector<Revision> documents;             ///< Versions received.
     std::vector<catalogue::SuspectRow> suspects; ///< Rows that the feeds' gateways know.
     std::size_t suspectsTold = 0;                ///< Number of rows received.
+    std::size_t schedules = 0;                   ///< Number of load schedules received.
 };
 
 } // namespace figrack::gateway::testing
--- a/gateway/testing/rig.cpp
+++ b/gateway/testing/rig.cpp
@@ -149,9 +149,24 @@
     , quarantine({})
     , crashDetector({}, { context, clock, view, quarantine, metrics }, [] {})
     , keys(keyOptions, clock)
+    , loadWatch({}, clock)
     , forwarder(std::move(options),
-                { context, clock, dialect, view, retries, demand, waiters, metrics, client, picker,
-                  random, quarantine, crashDetector, keys })
+                { context,
+                  clock,
+                  dialect,
+                  view,
+                  retries,
+                  demand,
+                  waiters,
+                  metrics,
+                  client,
+                  picker,
+                  random,
+                  quarantine,
+                  crashDetector,
+                  keys,
+                  {},
+                  &loadWatch })
     , caller(context, {}, clock)
     , server_(context, {}, [this](const http::Request &request, http::Responder &responder) {
         return forwarder.handle(request, responder);
--- a/gateway/testing/rig.h
+++ b/gateway/testing/rig.h
@@ -83,6 +83,7 @@
     policy::Quarantine quarantine;
     CrashDetector crashDetector;
     KeyLease keys;
+    LoadWatch loadWatch;
     Forwarder forwarder;
     http::Client caller;
 
