fleet: loads by the latest start of their requests, and loads that wait

Loads were ordered by the number of waiting requests, whatever time these had left, and a load for requests with seconds to spare evicted models in use and took loads from the store.

Where a service has a deferrable route, models whose requests can still start on time come first, by latest start less load time; the late ones follow by number. A load is put off while its requests can wait for another pass and it would evict a model in use, or take the store load of a more urgent model. The demand table and the relay keep the shortest start, less the age of its report.

--- a/catalogue/contention.cpp
+++ b/catalogue/contention.cpp
@@ -50,4 +50,17 @@
     return longest > Duration::zero() && route.startTarget >= 2 * (longest + loadOverhead);
 }
 
+auto hasDeferrableRoute(const Catalogue &catalogue, const Service &service) -> bool
+{
+    const auto leadsHere = [&](const WeightedService &part) {
+        return part.weight > 0 && part.service == service.id;
+    };
+    return service.engine
+            && std::any_of(catalogue.routes.begin(), catalogue.routes.end(),
+                           [&](const Route &route) {
+                               return std::any_of(route.split.begin(), route.split.end(), leadsHere)
+                                       && isDeferrable(route, *service.engine);
+                           });
+}
+
 } // namespace figrack::catalogue
--- a/catalogue/contention.h
+++ b/catalogue/contention.h
@@ -34,6 +34,10 @@
 /// load of its own model, both from an endpoint's own copies
 auto isDeferrable(const Route &route, const EngineSpec &engine) -> bool;
 
+/// @return true when the service has engines and a deferrable route, so that its loads are ordered
+/// by the latest start of their requests
+auto hasDeferrableRoute(const Catalogue &catalogue, const Service &service) -> bool;
+
 } // namespace figrack::catalogue
 
 #endif // FIGRACK_CATALOGUE_CONTENTION_H
--- a/catalogue/testing/tst_contention.cpp
+++ b/catalogue/testing/tst_contention.cpp
@@ -81,4 +81,15 @@
     CHECK(isDeferrable(makeRoute(2, milliseconds { 3000 }, "engine"), engine));
     CHECK_FALSE(isDeferrable(makeRoute(2, milliseconds { 2999 }, "engine"), engine));
     CHECK_FALSE(isDeferrable(makeRoute(2, milliseconds { 3000 }, "engine"), EngineSpec {}));
+
+    auto catalogue = Catalogue {};
+    catalogue.services = { Service { ServiceId { "engine" }, 100, engine },
+                           Service { ServiceId { "plain" }, 100, std::nullopt } };
+    catalogue.routes = { makeRoute(2, milliseconds { 3000 }, "plain"),
+                         makeRoute(0, milliseconds { 2999 }, "engine") };
+    CHECK_FALSE(hasDeferrableRoute(catalogue, catalogue.services[0]));
+    CHECK_FALSE(hasDeferrableRoute(catalogue, catalogue.services[1]));
+    catalogue.routes.push_back(makeRoute(2, milliseconds { 3000 }, "engine"));
+    CHECK(hasDeferrableRoute(catalogue, catalogue.services[0]));
+    CHECK_FALSE(hasDeferrableRoute(catalogue, catalogue.services[1]));
 }
--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -73,7 +73,8 @@
         , proof_(options_.proof, clock)
         , orders_(context, options_.orders, clock, registry_, port, authority())
         , planning_(options_.planning,
-                    { clock, registry_, decisions_, demand_, loadGuard_, orders_ }, readDocument_)
+                    { clock, registry_, decisions_, demand_, loadGuard_, orders_, metrics_ },
+                    readDocument_)
         , loadScheduler_(options_.loadSchedule)
         , tickTimer_(context)
         , stopTimer_(context)
@@ -357,7 +358,7 @@
             demandRelay_.onGatewayLost(sender); // What it reported before is out of date.
             if (demand_.onReport(sender, wanted))
                 planSoon();
-        } else if (demandRelay_.onReport(sender, wanted)) {
+        } else if (demandRelay_.onReport(sender, wanted, clock_.now())) {
             nextRelayedDemand_ = {};
         }
     }
@@ -369,7 +370,7 @@
         if (now < nextRelayedDemand_ || leads_ || leader.empty())
             return;
         nextRelayedDemand_ = now + options_.relayDemandEvery;
-        if (auto sum = demandRelay_.take())
+        if (auto sum = demandRelay_.take(now))
             static_cast<void>(transport_->push(leader, *std::move(sum)));
     }
 
--- a/fleet/demandrelay.cpp
+++ b/fleet/demandrelay.cpp
@@ -1,8 +1,12 @@
 #include "fleet/demandrelay.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
+#include "core/duration.h"
+#include "fleet/loadorder.h"
+
 namespace figrack::fleet {
 namespace {
 
@@ -16,9 +20,22 @@
     return { like.service, like.model, like.adapter, 0, 0, 0, 0, 0 };
 }
 
+/// Adds the latest start of the row's waiting requests to the sum. @param age of the row
+auto addStart(const proto::WantedRow &row, Duration age, proto::WantedRow &sum) -> void
+{
+    if (row.waiting == 0 || !row.startWithinMs)
+        return;
+    const auto told = [](std::uint64_t ms) -> Duration { return std::chrono::milliseconds { ms }; };
+    const auto known
+            = sum.startWithinMs ? std::optional { told(*sum.startWithinMs) } : std::nullopt;
+    const auto left = std::max(told(*row.startWithinMs) - age, Duration::zero());
+    sum.startWithinMs = static_cast<std::uint64_t>(wholeMillis(*shorterStart(known, left)));
+}
+
 } // namespace
 
-auto DemandRelay::onReport(const NodeId &gateway, const proto::ModelWanted &report) -> bool
+auto DemandRelay::onReport(const NodeId &gateway, const proto::ModelWanted &report, Instant now)
+        -> bool
 {
     auto unserved = false;
     for (const auto &row : report.rows) {
@@ -28,7 +45,7 @@
         sum.refused += row.refused;
         sum.late += row.late;
     }
-    latest_[gateway] = report;
+    latest_[gateway] = { report, now };
     hasNews_ = true;
     return unserved;
 }
@@ -38,18 +55,20 @@
     hasNews_ = latest_.erase(gateway) > 0 || hasNews_;
 }
 
-auto DemandRelay::take() -> std::optional<proto::ModelWanted>
+auto DemandRelay::take(Instant now) -> std::optional<proto::ModelWanted>
 {
     if (!std::exchange(hasNews_, false))
         return std::nullopt;
     auto rows = std::exchange(arrived_, {});
     auto loads = std::map<EndpointId, std::uint32_t> {};
     auto unreachable = std::set<EndpointId> {};
-    for (const auto &[gateway, report] : latest_) {
+    for (const auto &[gateway, latest] : latest_) {
+        const auto &report = latest.report;
         for (const auto &row : report.rows) {
             auto &sum = rows.try_emplace(keyOf(row), emptyRow(row)).first->second;
             sum.waiting += row.waiting;
             sum.running += row.running;
+            addStart(row, now - latest.receivedAt, sum);
         }
         for (const auto &load : report.loads)
             loads[load.endpoint] += load.running;
--- a/fleet/demandrelay.h
+++ b/fleet/demandrelay.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <optional>
 
+#include "core/clock.h"
 #include "core/ids.h"
 #include "proto/servingmessages.h"
 
@@ -22,17 +23,25 @@
 class DemandRelay
 {
 public:
+    /// @param now time of the receipt
     /// @return true when requests wait for a load, or were refused because there was none
-    auto onReport(const NodeId &gateway, const proto::ModelWanted &report) -> bool;
+    auto onReport(const NodeId &gateway, const proto::ModelWanted &report, Instant now = {})
+            -> bool;
     auto onGatewayLost(const NodeId &gateway) -> void;
     /// @return the sum of the latest reports, with all arrivals since the last call; nullopt when
-    /// nothing has been reported since
-    auto take() -> std::optional<proto::ModelWanted>;
+    /// nothing has been reported since. @param now from which on the starts of waiting requests are
+    /// counted
+    auto take(Instant now = {}) -> std::optional<proto::ModelWanted>;
 
 private:
     /// Counts of the time since the last take(), by service, model and adapter.
     std::map<proto::WatchKey, proto::WantedRow> arrived_;
-    std::map<NodeId, proto::ModelWanted> latest_;
+    struct Latest
+    {
+        proto::ModelWanted report;
+        Instant receivedAt {};
+    };
+    std::map<NodeId, Latest> latest_;
     bool hasNews_ = false;
 };
 
--- a/fleet/demandtable.cpp
+++ b/fleet/demandtable.cpp
@@ -1,8 +1,10 @@
 #include "fleet/demandtable.h"
 
+#include <algorithm>
 #include <cmath>
 
 #include "core/duration.h"
+#include "fleet/loadorder.h"
 
 namespace figrack::fleet {
 namespace {
@@ -35,7 +37,7 @@
         add(refusals_, target, row.refused, windows_.fast);
         add(lateRequests_, target, row.late, windows_.fast);
     }
-    latest_[gateway] = report;
+    latest_[gateway] = { report, clock_.now() };
     forgetOld();
     return unserved;
 }
@@ -103,10 +105,11 @@
         if (target.service == service)
             result.models[target.model].late += recent(rate);
     }
-    for (const auto &[gateway, report] : latest_) {
-        for (const auto &row : report.rows) {
+    for (const auto &[gateway, latest] : latest_) {
+        for (const auto &row : latest.report.rows) {
             if (row.service != service)
                 continue;
+            addStarts(row, latest.receivedAt, result.models[row.model]);
             result.models[row.model].running += row.running;
             result.models[row.model].waiting += row.waiting;
             if (row.adapter.empty())
@@ -119,11 +122,25 @@
     return result;
 }
 
+auto DemandTable::addStarts(const proto::WantedRow &row, Instant receivedAt,
+                            RequestDemand &demand) const -> void
+{
+    if (row.running > 0 && row.waiting == 0)
+        demand.servedAt = std::max(demand.servedAt, receivedAt);
+    if (row.waiting == 0 || !row.startWithinMs)
+        return;
+    const auto until = receivedAt + std::chrono::milliseconds { *row.startWithinMs };
+    const auto left = std::max<Duration>(until - clock_.now(), Duration::zero());
+    const auto known = demand.startWithin ? std::optional { fromSeconds(*demand.startWithin) }
+                                          : std::nullopt;
+    demand.startWithin = inSeconds(*shorterStart(known, left));
+}
+
 auto DemandTable::loads() const -> std::vector<proto::EndpointLoad>
 {
     auto sums = std::map<EndpointId, std::uint32_t> {};
-    for (const auto &[gateway, report] : latest_) {
-        for (const auto &load : report.loads)
+    for (const auto &[gateway, latest] : latest_) {
+        for (const auto &load : latest.report.loads)
             sums[load.endpoint] += load.running;
     }
     auto result = std::vector<proto::EndpointLoad> {};
@@ -135,8 +152,8 @@
 auto DemandTable::unreachable() const -> std::set<EndpointId>
 {
     auto result = std::set<EndpointId> {};
-    for (const auto &[gateway, report] : latest_)
-        result.insert(report.unreachable.begin(), report.unreachable.end());
+    for (const auto &[gateway, latest] : latest_)
+        result.insert(latest.report.unreachable.begin(), latest.report.unreachable.end());
     return result;
 }
 
--- a/fleet/demandtable.h
+++ b/fleet/demandtable.h
@@ -79,7 +79,15 @@
     Rates recentArrivals_; ///< With the fast window, like all rates below.
     Rates refusals_;
     Rates lateRequests_;
-    std::map<NodeId, proto::ModelWanted> latest_;
+    struct Latest
+    {
+        proto::ModelWanted report;
+        Instant receivedAt {};
+    };
+    /// Adds what a row of a gateway's latest report says of the waiting requests' starts.
+    auto addStarts(const proto::WantedRow &row, Instant receivedAt, RequestDemand &demand) const
+            -> void;
+    std::map<NodeId, Latest> latest_;
     Instant nextForget_ {};
 };
 
--- a/fleet/loadschedule.cpp
+++ b/fleet/loadschedule.cpp
@@ -6,6 +6,7 @@
 
 #include "core/duration.h"
 #include "core/log.h"
+#include "fleet/loadorder.h"
 
 namespace figrack::fleet {
 
@@ -26,18 +27,6 @@
     return expected > now ? expected - now : std::max<Duration>(now - expected, minRest);
 }
 
-auto isHeld(const PlacementInput &input, const ModelId &model) -> bool
-{
-    if (input.holders) {
-        const auto found = input.holders->find(model);
-        return found != input.holders->end() && found->second > 0;
-    }
-    return std::any_of(input.hosts.begin(), input.hosts.end(), [&](const Host &host) {
-        return std::any_of(host.models.begin(), host.models.end(),
-                           [&](const auto &held) { return held.model == model; });
-    });
-}
-
 auto isHeld(const PlacementInput &input, const AdapterKey &key) -> bool
 {
     if (input.heldAdapters.contains(key))
@@ -89,7 +78,7 @@
     }
     auto result = std::vector<LackedLoad> {};
     for (const auto &[model, want] : input.models) {
-        if (want.unserved() == 0 || isHeld(input, model))
+        if (want.unserved() == 0 || isHeldAnywhere(input, model))
             continue;
         const auto found = deferred.find(model);
         result.push_back(
@@ -106,7 +95,7 @@
             continue;
         auto lacked = LackedLoad { service, key.first, key.second, std::nullopt };
         const auto isInProgress = input.loadingAdapters.contains(key) || planned.contains(key);
-        if (isHeld(input, key.first) && !isInProgress) {
+        if (isHeldAnywhere(input, key.first) && !isInProgress) {
             lacked.deferredReadyAt
                     = now + fromSeconds(secondsToAdapterOrder(input, key.first)) + adapterTime;
         }
--- a/fleet/metrics.cpp
+++ b/fleet/metrics.cpp
@@ -46,6 +46,11 @@
                                    .Help("Time until a model was held, less the time promised")
                                    .Register(registry)
                                    .Add({}, errorBuckets))
+        , loadsPutOff(prometheus::BuildCounter()
+                              .Name("figrack_core_loads_put_off_total")
+                              .Help("Loads put off because their requests could wait")
+                              .Register(registry)
+                              .Add({}))
         , scheduledLoads(prometheus::BuildGauge()
                                  .Name("figrack_core_scheduled_loads")
                                  .Help("Rows of the latest load schedule, by state")
@@ -57,6 +62,7 @@
     prometheus::Histogram &rolloutSeconds;
     prometheus::Counter &gatewaysBehind;
     prometheus::Histogram &loadErrorSeconds;
+    prometheus::Counter &loadsPutOff;
     prometheus::Family<prometheus::Gauge> &scheduledLoads;
 };
 
@@ -82,6 +88,11 @@
     impl_->loadErrorSeconds.Observe(inSeconds(error));
 }
 
+auto Metrics::onLoadPutOff() -> void
+{
+    impl_->loadsPutOff.Increment();
+}
+
 auto Metrics::onLoadSchedule(const proto::LoadSchedule &schedule) -> void
 {
     for (auto i = std::size_t { 0 }; i < loadStateNames.size(); ++i) {
--- a/fleet/metrics.h
+++ b/fleet/metrics.h
@@ -27,6 +27,8 @@
     /// Call when a model that requests waited for is held. @param error how much later than was
     /// promised to gateways; negative: earlier
     auto onLoadHeld(Duration error) -> void;
+    /// Call when a load is put off because its requests can wait.
+    auto onLoadPutOff() -> void;
     /// Call when a load schedule is sent.
     auto onLoadSchedule(const proto::LoadSchedule &schedule) -> void;
     /// @return the page
--- a/fleet/placement.cpp
+++ b/fleet/placement.cpp
@@ -16,6 +16,7 @@
 #include <unordered_map>
 
 #include "core/duration.h"
+#include "fleet/loadorder.h"
 
 namespace figrack::fleet {
 namespace {
@@ -119,31 +120,32 @@
         return found == input_.models.end() ? RequestDemand {} : found->second;
     }
 
-    /// Models without a replica, the most wanted first, then those with overloaded replicas. A
+    /// Models without a replica, the most wanted first, then those with overloaded replicas. Where
+    /// loads are ordered by start, those whose requests can start on time come before all others. A
     /// model is listed once for each missing replica.
     auto wantedModels() const -> std::vector<ModelId>
     {
-        auto wanted = std::vector<std::pair<double, ModelId>> {};
+        auto wanted = std::vector<LoadWish> {};
         for (const auto &[model, want] : input_.models) {
             if (specOf(model) == nullptr)
                 continue;
             const auto held = countOf(holders_, model);
             const auto countedLoads = countedLoadsOf(model, want);
             if (held + countedLoads == 0 && want.unserved() > 0)
-                wanted.emplace_back(want.unserved(), model);
+                wanted.push_back({ model, spareOf(model), static_cast<double>(want.unserved()) });
             const auto expected
                     = std::max<double>(want.running, want.perSecond * typicalRequestSeconds);
             const auto enough
                     = std::max({ std::ceil(expected / overloadLimit_), replicasForAdapters(model),
                                  replicasForMissed(want, held) });
             for (auto count = std::max(held + countedLoads, 1U); count < enough; ++count)
-                wanted.emplace_back(want.missed() / static_cast<double>(count), model);
+                wanted.push_back(
+                        { model, std::nullopt, want.missed() / static_cast<double>(count) });
         }
-        std::sort(wanted.begin(), wanted.end(),
-                  [](const auto &one, const auto &other) { return one.first > other.first; });
+        std::sort(wanted.begin(), wanted.end(), precedes);
         auto result = std::vector<ModelId> {};
-        for (auto &[score, model] : wanted)
-            result.push_back(std::move(model));
+        for (auto &wish : wanted)
+            result.push_back(std::move(wish.model));
         return result;
     }
 
@@ -239,7 +241,51 @@
                 + waitSeconds * (waitingForAdapters(model) + asked(model).missed());
         if (isExtra && best.cost > relief)
             return;
-        begin(best, model);
+        if (!isExtra && mayPutOff(spec, best))
+            putOff(spec, best);
+        else
+            begin(best, model);
+    }
+
+    /// @return the seconds to spare for the waiting requests of a model that is held nowhere
+    auto spareOf(const ModelId &model) const -> std::optional<double>
+    {
+        if (!input_.ordersByStart)
+            return std::nullopt;
+        const auto &spec = *specOf(model);
+        return spareOf(spec, fastestSource(spec));
+    }
+
+    auto spareOf(const catalogue::ModelSpec &spec, LoadSource source) const -> std::optional<double>
+    {
+        if (!input_.ordersByStart)
+            return std::nullopt;
+        return spareFor(asked(spec.id).startWithin, inSeconds(swapTime + loadTimeOf(spec, source)));
+    }
+
+    /// @return true when the model's requests can wait for the next pass, and its load would end
+    /// the place of a model in use or take a load from the store that a more urgent model waits for
+    auto mayPutOff(const catalogue::ModelSpec &spec, const Candidate &best) const -> bool
+    {
+        if (!canWaitForNextPass(spareOf(spec, best.source), input_.passSeconds))
+            return false;
+        const auto isInUse = best.host->running > 0
+                && std::any_of(best.victims.begin(), best.victims.end(),
+                               [&](const ModelId &victim) { return asked(victim).running > 0; });
+        return isInUse || (best.source == LoadSource::Store && storeLoads_ <= urgentStoreLoads_);
+    }
+
+    auto putOff(const catalogue::ModelSpec &spec, const Candidate &best) -> void
+    {
+        auto deferral = Deferral {};
+        deferral.model = spec.id;
+        deferral.reason = DeferReason::PutOff;
+        deferral.endpoint = best.host->id;
+        deferral.seconds = input_.passSeconds;
+        deferral.unserved = asked(spec.id).unserved();
+        deferral.loadSeconds = inSeconds(loadTimeOf(spec, best.source));
+        deferral.spareSeconds = spareOf(spec, best.source).value_or(0);
+        deferred_.push_back(std::move(deferral));
     }
 
     /// The store reserve for models without a replica is also open to a model whose replicas miss
@@ -315,6 +361,8 @@
             source = best.source;
         }
         deferral.loadSeconds = inSeconds(loadTimeOf(spec, source));
+        if (source == LoadSource::Store && spareOf(spec, source))
+            ++urgentStoreLoads_;
         deferred_.push_back(std::move(deferral));
     }
 
@@ -461,7 +509,7 @@
             // before any of them has returned.
             const auto isOnly
                     = count == 1 && (want.refused > 0 || want.running > overloadLimit_ / 2);
-            if (want.waiting > 0 || isOnly)
+            if (want.waiting > 0 || isOnly || input_.freshModels.contains(held.model))
                 continue;
             const auto running = want.running / static_cast<double>(count);
             auto cost = running * runSeconds + std::min(running, 1.0) * unloadSeconds;
@@ -595,6 +643,9 @@
     const double overloadLimit_; ///< Requests in progress above which an endpoint is overloaded.
     std::uint32_t storeLoads_;
     std::uint32_t maxUnserved_ = 0; ///< See maxUnserved().
+    /// Loads from the store that models need whose requests can start on time, but which wait for
+    /// an endpoint.
+    std::uint32_t urgentStoreLoads_ = 0;
     std::vector<Plan> plans_;
     std::vector<Deferral> deferred_;
 };
@@ -628,7 +679,7 @@
 
 auto deferReasonName(DeferReason reason) -> std::string_view
 {
-    constexpr auto names = std::array<std::string_view, 2> { "busy", "no_room" };
+    constexpr auto names = std::array<std::string_view, 3> { "busy", "no_room", "put_off" };
     return names[static_cast<std::size_t>(reason) % names.size()];
 }
 
--- a/fleet/placement.h
+++ b/fleet/placement.h
@@ -60,6 +60,11 @@
     std::uint32_t refused = 0;
     /// Recent requests that started late or had long pauses although the model was held.
     std::uint32_t late = 0;
+    /// Shortest time, in seconds, in which a waiting request has to be dispatched to start on time;
+    /// 0: all are late; absent: not known.
+    std::optional<double> startWithin;
+    /// Receipt of the latest report of a gateway where requests are in progress and none waits.
+    Instant servedAt {};
     auto unserved() const -> std::uint32_t { return waiting + refused; }
     /// @return recent requests that the model's replicas could not serve in time
     auto missed() const -> std::uint32_t { return refused + late; }
@@ -90,6 +95,11 @@
     std::set<AdapterKey> heldAdapters = {};
     /// Interval of the passes that no report triggers.
     double passSeconds = 0.5;
+    /// A route of the service is deferrable: loads are ordered by the latest start of their
+    /// requests, and some are put off.
+    bool ordersByStart = false;
+    /// Models loaded so recently that the requests they were loaded for may not be dispatched yet.
+    std::set<ModelId> freshModels = {};
 };
 
 enum class StepKind : std::uint8_t { Load, Unload };
@@ -126,9 +136,10 @@
 enum class DeferReason : std::uint8_t {
     Busy,   ///< The best endpoint is busy with another order; the model waits for it.
     NoRoom, ///< The models held at each endpoint are needed more, or the store allows no load.
+    PutOff, ///< Its requests can wait, whereas the load now would be at the expense of others.
 };
 
-/// @return "busy" or "no_room"
+/// @return "busy", "no_room" or "put_off"
 auto deferReasonName(DeferReason reason) -> std::string_view;
 
 /// A model with unserved requests that is not loaded now.
@@ -137,9 +148,11 @@
     ModelId model;
     DeferReason reason = DeferReason::NoRoom;
     EndpointId endpoint; ///< The endpoint that the model waits for; empty: none.
-    double seconds = 0;  ///< Expected time until that endpoint can take an order.
+    /// Expected time until that endpoint can take an order; if put off, until the next pass.
+    double seconds = 0;
     std::uint32_t unserved = 0;
-    double loadSeconds = 0; ///< Of the load, once it is ordered.
+    double loadSeconds = 0;  ///< Of the load, once it is ordered.
+    double spareSeconds = 0; ///< If put off: until the load has to begin.
 };
 
 struct Placement
--- a/fleet/planning.cpp
+++ b/fleet/planning.cpp
@@ -57,6 +57,11 @@
     }
     catalogue_ = std::make_shared<const catalogue::Catalogue>(*std::move(read));
     isOrdered_ = catalogue::asksForOrderedAdmission(*catalogue_);
+    deferrable_.clear();
+    for (const auto &service : catalogue_->services) {
+        if (catalogue::hasDeferrableRoute(*catalogue_, service))
+            deferrable_.insert(service.id);
+    }
     return catalogue_.get();
 }
 
@@ -102,6 +107,8 @@
     input.freshAdapters = orders.freshAdapters();
     input.storeLoads = orders.storeLoadsAllowed(engine);
     input.storeReserve = orders.storeLoadsAtOnce() > 1 ? 1 : 0;
+    if (deferrable_.contains(service.id))
+        orderByStart(service.id, input);
     const auto placement = plan(input);
     if (isOrdered_) {
         auto lacked = lackedLoads(service.id, input, placement, parts_.clock.now());
@@ -109,12 +116,28 @@
                        std::make_move_iterator(lacked.end()));
     }
     logDeferred(placement.deferred);
+    notePutOff(service.id, placement.deferred);
     for (const auto &next : placement.plans) {
         logPlan(next, term);
         orders.start(next, std::shared_ptr<const catalogue::EngineSpec> { catalogue_, &engine });
     }
 }
 
+auto Planning::orderByStart(const ServiceId &service, PlacementInput &input) -> void
+{
+    auto held = std::set<ModelId> {};
+    for (const auto &[model, count] : input.holders.value_or(std::map<ModelId, std::uint32_t> {})) {
+        if (count > 0)
+            held.insert(model);
+    }
+    for (const auto &host : input.hosts) {
+        for (const auto &model : host.models)
+            held.insert(model.model);
+    }
+    input.ordersByStart = true;
+    input.freshModels = freshLoads_[service].onPass(input.models, held, parts_.clock.now());
+}
+
 /// @return the endpoints that a pass considers in a large fleet
 auto Planning::hostsFor(const ServiceId &service, const ServiceDemand &asked)
         -> std::set<EndpointId>
@@ -186,13 +209,34 @@
     for (const auto &deferral : deferred) {
         if (!deferLoggedAt_.try_emplace(deferral.model, now).second)
             continue;
-        LogEvent(LogLevel::Info, "plan_deferred")
-                .with("model", deferral.model)
+        const auto isPutOff = deferral.reason == DeferReason::PutOff;
+        auto line = LogEvent { LogLevel::Info, isPutOff ? "load_put_off" : "plan_deferred" };
+        line.with("model", deferral.model)
                 .with("reason", deferReasonName(deferral.reason))
                 .with("endpoint", deferral.endpoint)
                 .with("seconds", deferral.seconds)
                 .with("lacks", std::int64_t { deferral.unserved });
+        if (isPutOff)
+            line.with("spare_s", deferral.spareSeconds);
+    }
+}
+
+/// Counts each load once, however many passes put it off.
+auto Planning::notePutOff(const ServiceId &service, const std::vector<Deferral> &deferred) -> void
+{
+    if (!deferrable_.contains(service))
+        return;
+    auto now = std::set<ModelId> {};
+    for (const auto &deferral : deferred) {
+        if (deferral.reason == DeferReason::PutOff)
+            now.insert(deferral.model);
+    }
+    auto &before = putOff_[service];
+    for (const auto &model : now) {
+        if (!before.contains(model))
+            parts_.metrics.onLoadPutOff();
     }
+    before = std::move(now);
 }
 
 } // namespace figrack::fleet
--- a/fleet/planning.h
+++ b/fleet/planning.h
@@ -28,7 +28,9 @@
 #include "fleet/decisions.h"
 #include "fleet/demandtable.h"
 #include "fleet/loadguard.h"
+#include "fleet/loadorder.h"
 #include "fleet/loadschedule.h"
+#include "fleet/metrics.h"
 #include "fleet/orders.h"
 #include "fleet/placement.h"
 #include "fleet/registry.h"
@@ -55,6 +57,7 @@
     const DemandTable &demand;
     const LoadGuard &loadGuard;
     OrderRunner &orders;
+    Metrics &metrics;
 };
 
 class Planning
@@ -75,17 +78,22 @@
     auto isAvailable(const EndpointId &id) const -> bool;
     auto availableHolders(const ServiceId &service, const ModelId &model) const -> std::uint32_t;
     auto logPlan(const Plan &plan, Term term) const -> void;
+    auto orderByStart(const ServiceId &service, PlacementInput &input) -> void;
     auto logDeferred(const std::vector<Deferral> &deferred) -> void;
+    auto notePutOff(const ServiceId &service, const std::vector<Deferral> &deferred) -> void;
 
     PlanningOptions options_;
     PlanningParts parts_;
     ReadDocument readDocument_;
     std::shared_ptr<const catalogue::Catalogue> catalogue_; ///< Of the held document.
-    bool isOrdered_ = false; ///< The configuration asks for ordered admission.
+    bool isOrdered_ = false;         ///< The configuration asks for ordered admission.
+    std::set<ServiceId> deferrable_; ///< Services with a deferrable route.
     std::vector<LackedLoad> lacked_;
-    std::set<EndpointId> unreachable_;           ///< In this pass.
-    std::map<ServiceId, EndpointId> nextInTurn_; ///< Where the next pass goes on.
-    std::map<ModelId, Instant> deferLoggedAt_;   ///< Time of the last log line.
+    std::map<ServiceId, FreshLoads> freshLoads_;
+    std::map<ServiceId, std::set<ModelId>> putOff_; ///< In the latest pass.
+    std::set<EndpointId> unreachable_;              ///< In this pass.
+    std::map<ServiceId, EndpointId> nextInTurn_;    ///< Where the next pass goes on.
+    std::map<ModelId, Instant> deferLoggedAt_;      ///< Time of the last log line.
 };
 
 } // namespace figrack::fleet
