--- a/gateway/demand.cpp
+++ b/gateway/demand.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "core/duration.h"
+
 namespace figrack::gateway {
 
 Demand::Demand(const Clock &clock)
@@ -29,18 +31,35 @@
     --counts_[target].running;
 }
 
-auto Demand::onWaitBegin(const DemandTarget &target) -> void
+auto Demand::onWaitBegin(const DemandTarget &target, std::optional<Instant> latestStart) -> void
 {
     auto &counts = counts_[target];
     if (counts.waiting++ == 0)
         counts.waitingSince = clock_.now();
+    if (latestStart)
+        counts.latestStarts.insert(*latestStart);
     if (onUrgent_)
         onUrgent_();
 }
 
-auto Demand::onWaitEnd(const DemandTarget &target) -> void
+auto Demand::onWaitEnd(const DemandTarget &target, std::optional<Instant> latestStart) -> void
+{
+    auto &counts = counts_[target];
+    --counts.waiting;
+    if (!latestStart)
+        return;
+    if (const auto found = counts.latestStarts.find(*latestStart);
+        found != counts.latestStarts.end())
+        counts.latestStarts.erase(found);
+}
+
+auto Demand::startWithinMs(const Counts &counts, Instant now) -> std::optional<std::uint64_t>
 {
-    --counts_[target].waiting;
+    if (counts.latestStarts.empty())
+        return std::nullopt;
+    const auto first = counts.latestStarts.upper_bound(now);
+    const auto left = first == counts.latestStarts.end() ? Duration {} : *first - now;
+    return static_cast<std::uint64_t>(wholeMillis(left));
 }
 
 auto Demand::onLate(const DemandTarget &target) -> void
@@ -74,6 +93,7 @@
         auto row
                 = proto::WantedRow { target.service, target.model,   target.adapter, counts.arrived,
                                      counts.waiting, counts.running, counts.refused, counts.late };
+        row.startWithinMs = startWithinMs(counts, now);
         report.rows.push_back(std::move(row));
         counts.arrived = counts.refused = counts.late = 0;
         const auto idle = counts.waiting == 0 && counts.running == 0;
--- a/gateway/demand.h
+++ b/gateway/demand.h
@@ -12,6 +12,8 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 
 #include "core/clock.h"
@@ -40,8 +42,10 @@
     auto onStart(const DemandTarget &target) -> void;
     auto onEnd(const DemandTarget &target) -> void;
     /// Called when a request begins to wait for the target to be loaded.
-    auto onWaitBegin(const DemandTarget &target) -> void;
-    auto onWaitEnd(const DemandTarget &target) -> void;
+    /// @param latestStart when it has to be dispatched to start on time; absent: not reported
+    auto onWaitBegin(const DemandTarget &target, std::optional<Instant> latestStart = {}) -> void;
+    /// @param latestStart as when the wait began
+    auto onWaitEnd(const DemandTarget &target, std::optional<Instant> latestStart = {}) -> void;
     /// Called when an endpoint that holds the target exceeded the latency targets of a request.
     auto onLate(const DemandTarget &target) -> void;
     /// Called when a request was refused because the target cannot be loaded in time. Its caller
@@ -63,7 +67,10 @@
         std::uint32_t refused = 0;
         std::uint32_t late = 0;
         Instant waitingSince {};
+        std::multiset<Instant> latestStarts; ///< Of waiting requests.
     };
+    /// @return the shortest time left to a request that can still start on time; 0 if all are late
+    static auto startWithinMs(const Counts &counts, Instant now) -> std::optional<std::uint64_t>;
 
     const Clock &clock_;
     std::function<void()> onUrgent_;
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -6,6 +6,7 @@
 
 #include <utility>
 
+#include "catalogue/contention.h"
 #include "core/duration.h"
 #include "core/log.h"
 #include "gateway/forwarderrun.h"
@@ -162,6 +163,11 @@
 
 auto Forwarder::setCatalogue(std::shared_ptr<const catalogue::Catalogue> catalogue) -> void
 {
+    deferrable_.clear();
+    for (const auto &service : catalogue->services) {
+        if (catalogue::hasDeferrableRoute(*catalogue, service))
+            deferrable_.insert(service.id);
+    }
     accounts_ = std::make_shared<const catalogue::AccountTable>(catalogue);
     routes_ = std::make_shared<const catalogue::RouteTable>(std::move(catalogue));
     parts_.waiters.wakeAll();
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -38,6 +38,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -149,6 +150,7 @@
     std::shared_ptr<const catalogue::RouteTable> routes_;
     /// From the same catalogue as routes_.
     std::shared_ptr<const catalogue::AccountTable> accounts_;
+    std::set<ServiceId> deferrable_; ///< Services with a deferrable route, of the same catalogue.
     const Instant startedAt_;
     /// Dispatches in progress.
     std::multimap<EndpointId, std::shared_ptr<http::Canceller>> dispatches_;
--- a/gateway/forwarderplacing.cpp
+++ b/gateway/forwarderplacing.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "catalogue/contention.h"
 #include "gateway/forwarderrun.h"
 
 namespace figrack::gateway {
@@ -309,13 +310,21 @@
     if (waiting_ || target_.model.empty())
         return;
     waiting_ = true;
-    parts_.demand.onWaitBegin(target_);
+    reportedStart_ = latestStart();
+    parts_.demand.onWaitBegin(target_, reportedStart_);
+}
+
+auto Forwarder::Run::latestStart() const -> std::optional<Instant>
+{
+    if (route_->startTarget <= Duration::zero() || !owner_.deferrable_.contains(service_))
+        return std::nullopt;
+    return arrived_ + route_->startTarget - catalogue::startReserve;
 }
 
 auto Forwarder::Run::finishWaiting() -> void
 {
     if (std::exchange(waiting_, false))
-        parts_.demand.onWaitEnd(target_);
+        parts_.demand.onWaitEnd(target_, reportedStart_);
 }
 
 } // namespace figrack::gateway
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -114,6 +114,9 @@
     /// Counts the request as demand for its model, once.
     auto noteDemand() -> void;
     auto beginWaiting() -> void;
+    /// @return when the request has to be dispatched to start on time; nullopt if its route has no
+    /// start target, or loads of its service are not ordered by it
+    auto latestStart() const -> std::optional<Instant>;
     auto finishWaiting() -> void;
 
     // ---- dispatch (forwarderdispatch.cpp)
@@ -219,6 +222,7 @@
     BlockedBy blockedBy_ = BlockedBy::Nothing;
     RequestOutcome outcome_ = RequestOutcome::Refused;
     bool waiting_ = false;
+    std::optional<Instant> reportedStart_; ///< Latest start, as reported for the wait.
     bool callerGone_ = false;
     bool mayHaveRun_ = false;
     bool budgetSpent_ = false;
--- a/gateway/testing/tst_loadwatch.cpp
+++ b/gateway/testing/tst_loadwatch.cpp
@@ -86,6 +86,60 @@
     rig.runUntil([&] { return rig.schedules == 1; });
 }
 
+// Guards against urgent requests that the leader cannot tell from those which can wait.
+TEST_CASE("A demand report names the shortest time left of the waiting requests")
+{
+    auto clock = ManualClock {};
+    auto demand = Demand { clock };
+    const auto now = clock.now();
+    const auto within = [&] { return demand.take().rows.at(0).startWithinMs; };
+    demand.onWaitBegin(target);
+    CHECK_FALSE(within());
+    demand.onWaitBegin(target, now + 3s);
+    demand.onWaitBegin(target, now + 1s);
+    demand.onWaitBegin(target, now + 1s);
+    CHECK(within() == 1000);
+    demand.onWaitEnd(target, now + 1s);
+    CHECK(within() == 1000);
+    clock.advance(1s);
+    CHECK(within() == 2000); // The other request is late.
+    demand.onWaitEnd(target, now + 1s);
+    clock.advance(3s);
+    CHECK(within() == 0);
+    demand.onWaitEnd(target, now + 3s);
+    CHECK_FALSE(within());
+}
+
+TEST_CASE("The time left is reported only where a route of the service is deferrable")
+{
+    auto rig = Rig {};
+    auto catalogue = *testCatalogue(true);
+    catalogue.services.at(0).engine->models.at(0).loadFromDisk = 600ms;
+    catalogue.routes.at(0).startTarget = 2s;
+    auto isDeferrable = false;
+    SUBCASE("it is not")
+    {
+        catalogue.routes.at(1).startTarget = 2599ms;
+    }
+    SUBCASE("it is")
+    {
+        catalogue.routes.at(1).startTarget = 2600ms;
+        isDeferrable = true;
+    }
+    rig.forwarder.setCatalogue(std::make_shared<const catalogue::Catalogue>(catalogue));
+    auto &endpoint = rig.addEndpoint("i-1", { "other" });
+    endpoint.handler = answering("ok");
+    const auto got = rig.begin(requestFor("r1"));
+    REQUIRE(rig.runUntil([&] { return rig.waiters.size() == 1; }));
+    const auto row = rig.demand.take().rows.at(0);
+    CHECK(row.waiting == 1);
+    CHECK(row.startWithinMs.has_value() == isDeferrable);
+    CHECK(row.startWithinMs.value_or(0) <= 1500);
+    rig.tell("i-1", endpoint.port, 2, catalogue::EndpointState::Ready, { "m0" });
+    REQUIRE(rig.runUntil([&] { return got->has_value(); }));
+    CHECK_FALSE(rig.demand.take().rows.at(0).startWithinMs);
+}
+
 // Guards against requests that are held for a load which comes too late for them, and then refused.
 // By the guess alone a load of m0 takes 6.5 s from the store.
 TEST_CASE("A request is refused at once if its load is scheduled too late, and waits otherwise")
