fleet: rows of accepted loads stay in the schedule until an endpoint announces the model

The hosts of a planning pass count a load as held from the acceptance of its order on, since it uses its memory from then. The schedule took its rows from there, so that a model vanished from it at the moment at which it became Ordered, and a fresh load's 1,500 ms began too early.

What is held is now what available endpoints announce.

--- a/fleet/loadorder.cpp
+++ b/fleet/loadorder.cpp
@@ -44,18 +44,6 @@
     return std::min(*one, *other);
 }
 
-auto isHeldAnywhere(const PlacementInput &input, const ModelId &model) -> bool
-{
-    if (input.holders) {
-        const auto found = input.holders->find(model);
-        return found != input.holders->end() && found->second > 0;
-    }
-    return std::any_of(input.hosts.begin(), input.hosts.end(), [&](const Host &host) {
-        return std::any_of(host.models.begin(), host.models.end(),
-                           [&](const auto &held) { return held.model == model; });
-    });
-}
-
 auto FreshLoads::onPass(const std::map<ModelId, RequestDemand> &models,
                         const std::set<ModelId> &held, Instant now) -> std::set<ModelId>
 {
--- a/fleet/loadorder.h
+++ b/fleet/loadorder.h
@@ -46,9 +46,6 @@
 auto shorterStart(std::optional<Duration> one, std::optional<Duration> other)
         -> std::optional<Duration>;
 
-/// @return true when an endpoint of the input holds the model
-auto isHeldAnywhere(const PlacementInput &input, const ModelId &model) -> bool;
-
 /// The models of one service that were loaded for requests which may not be dispatched yet: between
 /// the end of a load and the next reports, nothing shows that the model is needed.
 class FreshLoads
--- a/fleet/loadschedule.cpp
+++ b/fleet/loadschedule.cpp
@@ -6,7 +6,6 @@
 
 #include "core/duration.h"
 #include "core/log.h"
-#include "fleet/loadorder.h"
 
 namespace figrack::fleet {
 
@@ -27,17 +26,6 @@
     return expected > now ? expected - now : std::max<Duration>(now - expected, minRest);
 }
 
-auto isHeld(const PlacementInput &input, const AdapterKey &key) -> bool
-{
-    if (input.heldAdapters.contains(key))
-        return true;
-    return std::any_of(input.hosts.begin(), input.hosts.end(), [&](const Host &host) {
-        return std::any_of(host.models.begin(), host.models.end(), [&](const auto &held) {
-            return held.model == key.first && held.hasAdapter(key.second);
-        });
-    });
-}
-
 /// @return seconds until an endpoint that holds the model can take the order for an adapter. One
 /// that could take it now had no place for the adapter, and is considered again in the next pass.
 auto secondsToAdapterOrder(const PlacementInput &input, const ModelId &model) -> double
@@ -68,7 +56,7 @@
 }
 
 auto lackedLoads(const ServiceId &service, const PlacementInput &input, const Placement &placement,
-                 Instant now) -> std::vector<LackedLoad>
+                 const HeldTargets &held, Instant now) -> std::vector<LackedLoad>
 {
     auto deferred = std::map<ModelId, Instant> {};
     for (const auto &deferral : placement.deferred) {
@@ -78,7 +66,7 @@
     }
     auto result = std::vector<LackedLoad> {};
     for (const auto &[model, want] : input.models) {
-        if (want.unserved() == 0 || isHeldAnywhere(input, model))
+        if (want.unserved() == 0 || held.models.contains(model))
             continue;
         const auto found = deferred.find(model);
         result.push_back(
@@ -91,11 +79,11 @@
     for (const auto &plan : placement.plans)
         planned.emplace(plan.steps.back().model, plan.steps.back().adapter);
     for (const auto &[key, want] : input.adapters) {
-        if (want.unserved() == 0 || isHeld(input, key))
+        if (want.unserved() == 0 || held.adapters.contains(key))
             continue;
         auto lacked = LackedLoad { service, key.first, key.second, std::nullopt };
         const auto isInProgress = input.loadingAdapters.contains(key) || planned.contains(key);
-        if (isHeldAnywhere(input, key.first) && !isInProgress) {
+        if (held.models.contains(key.first) && !isInProgress) {
             lacked.deferredReadyAt
                     = now + fromSeconds(secondsToAdapterOrder(input, key.first)) + adapterTime;
         }
--- a/fleet/loadschedule.h
+++ b/fleet/loadschedule.h
@@ -16,6 +16,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -59,10 +60,18 @@
     auto operator==(const LackedLoad &) const -> bool = default;
 };
 
+/// What requests ask for and an endpoint holds. The hosts of a PlacementInput do not tell this: a
+/// load uses its memory from the acceptance of its order on, and counts as held there.
+struct HeldTargets
+{
+    std::set<ModelId> models;
+    std::set<AdapterKey> adapters;
+};
+
 /// @return what is lacked after a planning pass. @param input of the pass @param placement its
 /// result
 auto lackedLoads(const ServiceId &service, const PlacementInput &input, const Placement &placement,
-                 Instant now) -> std::vector<LackedLoad>;
+                 const HeldTargets &held, Instant now) -> std::vector<LackedLoad>;
 
 struct LoadScheduleOptions
 {
--- a/fleet/planning.cpp
+++ b/fleet/planning.cpp
@@ -72,6 +72,8 @@
     auto asked = parts_.demand.of(service.id);
     std::erase_if(asked.models,
                   [this](const auto &wanted) { return parts_.loadGuard.isBarred(wanted.first); });
+    const auto held = isOrdered_ || deferrable_.contains(service.id) ? heldOf(service.id, asked)
+                                                                     : HeldTargets {};
     auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 0, 0 };
     auto running = std::unordered_map<EndpointId, std::uint32_t> {};
     for (const auto &load : parts_.demand.loads())
@@ -82,8 +84,8 @@
         const auto *row = parts_.registry.find(id);
         if (row == nullptr || !isAvailable(id))
             continue;
-        const auto *held = orders.held(id);
-        input.hosts.push_back({ id, held != nullptr ? *held : row->models, row->inMemory,
+        const auto *known = orders.held(id);
+        input.hosts.push_back({ id, known != nullptr ? *known : row->models, row->inMemory,
                                 row->onDisk, orders.busySeconds(id), running[id] });
     }
     if (isLarge) {
@@ -107,11 +109,14 @@
     input.freshAdapters = orders.freshAdapters();
     input.storeLoads = orders.storeLoadsAllowed(engine);
     input.storeReserve = orders.storeLoadsAtOnce() > 1 ? 1 : 0;
-    if (deferrable_.contains(service.id))
-        orderByStart(service.id, input);
+    if (deferrable_.contains(service.id)) {
+        input.ordersByStart = true;
+        input.freshModels
+                = freshLoads_[service.id].onPass(input.models, held.models, parts_.clock.now());
+    }
     const auto placement = plan(input);
     if (isOrdered_) {
-        auto lacked = lackedLoads(service.id, input, placement, parts_.clock.now());
+        auto lacked = lackedLoads(service.id, input, placement, held, parts_.clock.now());
         lacked_.insert(lacked_.end(), std::make_move_iterator(lacked.begin()),
                        std::make_move_iterator(lacked.end()));
     }
@@ -123,19 +128,23 @@
     }
 }
 
-auto Planning::orderByStart(const ServiceId &service, PlacementInput &input) -> void
+auto Planning::heldOf(const ServiceId &service, const ServiceDemand &asked) const -> HeldTargets
 {
-    auto held = std::set<ModelId> {};
-    for (const auto &[model, count] : input.holders.value_or(std::map<ModelId, std::uint32_t> {})) {
-        if (count > 0)
-            held.insert(model);
+    const auto &index = parts_.registry.index();
+    const auto isHeld = [this](const EndpointIndex::Ids &ids) {
+        return std::any_of(ids.begin(), ids.end(),
+                           [this](const EndpointId &id) { return isAvailable(id); });
+    };
+    auto result = HeldTargets {};
+    for (const auto &[model, wanted] : asked.models) {
+        if (isHeld(index.holders(service, model)))
+            result.models.insert(model);
     }
-    for (const auto &host : input.hosts) {
-        for (const auto &model : host.models)
-            held.insert(model.model);
+    for (const auto &[key, wanted] : asked.adapters) {
+        if (isHeld(index.adapterHolders(service, key.first, key.second)))
+            result.adapters.insert(key);
     }
-    input.ordersByStart = true;
-    input.freshModels = freshLoads_[service].onPass(input.models, held, parts_.clock.now());
+    return result;
 }
 
 /// @return the endpoints that a pass considers in a large fleet
--- a/fleet/planning.h
+++ b/fleet/planning.h
@@ -78,7 +78,8 @@
     auto isAvailable(const EndpointId &id) const -> bool;
     auto availableHolders(const ServiceId &service, const ModelId &model) const -> std::uint32_t;
     auto logPlan(const Plan &plan, Term term) const -> void;
-    auto orderByStart(const ServiceId &service, PlacementInput &input) -> void;
+    /// @return those of the models and adapters in demand that an available endpoint announces
+    auto heldOf(const ServiceId &service, const ServiceDemand &asked) const -> HeldTargets;
     auto logDeferred(const std::vector<Deferral> &deferred) -> void;
     auto notePutOff(const ServiceId &service, const std::vector<Deferral> &deferred) -> void;
 
--- a/fleet/testing/tst_loadschedule.cpp
+++ b/fleet/testing/tst_loadschedule.cpp
@@ -84,7 +84,8 @@
     input.models[modelNamed("c")].running = 1;
     input.adapters[{ modelNamed("a"), "x" }].waiting = 1;
     input.adapters[{ modelNamed("a"), "y" }].waiting = 1;
-    const auto lacked = lackedLoads(service, input, plan(input), now);
+    const auto held = HeldTargets { { modelNamed("a") }, { { modelNamed("a"), "x" } } };
+    const auto lacked = lackedLoads(service, input, plan(input), held, now);
     REQUIRE(lacked.size() == 2);
     CHECK(lacked[0].model == modelNamed("b"));
     REQUIRE(lacked[0].deferredReadyAt);
@@ -96,7 +97,7 @@
 
     // Requests wait for the held model, so it cannot be evicted: the next pass may find room.
     input.models[modelNamed("a")].waiting = 1;
-    const auto withoutRoom = lackedLoads(service, input, plan(input), now);
+    const auto withoutRoom = lackedLoads(service, input, plan(input), held, now);
     REQUIRE(withoutRoom.size() == 2);
     REQUIRE(withoutRoom[0].deferredReadyAt);
     CHECK(*withoutRoom[0].deferredReadyAt - now == 500ms + 300ms + 600ms + 100ms);
--- a/gateway/testing/tst_contendedloads.cpp
+++ b/gateway/testing/tst_contendedloads.cpp
@@ -59,6 +59,8 @@
 {
     int asked = 0;
     int onTime = 0;
+    int urgent = 0; ///< Requests with 1.5 s to start.
+    int urgentOnTime = 0;
     Duration inVain {};   ///< Sum of the waits of those that were then refused.
     int storeStarted = 0; ///< Of the models without a copy.
     Duration longestHeld {};
@@ -144,6 +146,7 @@
     {
         ++result.asked;
         const auto isUrgent = random_.unit() < 0.2;
+        result.urgent += isUrgent ? 1 : 0;
         const auto number = isUrgent ? random_.below(urgentModels)
                                      : urgentModels + random_.below(modelCount - urgentModels);
         const auto now = clock.now();
@@ -200,6 +203,8 @@
             demand_.onStart(targetOf(caller));
             ends_.push_back({ caller.model, now, {}, now + runTime });
             result.onTime += now <= caller.latestStart ? 1 : 0;
+            const auto isUrgent = caller.latestStart - caller.arrived < 5s;
+            result.urgentOnTime += isUrgent && now <= caller.latestStart ? 1 : 0;
             result.storeStarted += isFromStore(caller.model) ? 1 : 0;
             return true;
         }
@@ -309,7 +314,7 @@
         planAt_ = now + 500ms;
         auto input = PlacementInput { engine_, {}, {}, {}, {}, {}, {}, {}, 1, 0 };
         input.models = table_.of(service).models;
-        auto held = std::set<ModelId> {};
+        auto held = HeldTargets {};
         for (const auto &engine : engines) {
             auto &host = input.hosts.emplace_back(engine.host);
             host.running = static_cast<std::uint32_t>(engine.ends.size());
@@ -321,11 +326,11 @@
             if (engine.plan)
                 ++input.loading[engine.plan->steps.back().model];
             for (const auto &model : host.models)
-                held.insert(model.model);
+                held.models.insert(model.model);
         }
         input.ordersByStart = options_.ordersByStart;
         if (options_.ordersByStart)
-            input.freshModels = fresh_.onPass(input.models, held, now);
+            input.freshModels = fresh_.onPass(input.models, held.models, now);
         const auto placement = plan(input);
         for (const auto &next : placement.plans) {
             const auto engine = std::find_if(engines.begin(), engines.end(), [&](const auto &one) {
@@ -334,7 +339,7 @@
             engine->plan = next;
             engine->plannedAt = now;
         }
-        scheduler_.onPass(lackedLoads(service, input, placement, now));
+        scheduler_.onPass(lackedLoads(service, input, placement, held, now));
     }
 
     WorldOptions options_;
@@ -360,6 +365,8 @@
         world.run(60s);
         sum.asked += world.result.asked;
         sum.onTime += world.result.onTime;
+        sum.urgent += world.result.urgent;
+        sum.urgentOnTime += world.result.urgentOnTime;
         sum.inVain += world.result.inVain;
         sum.storeStarted += world.result.storeStarted;
         sum.longestHeld = std::max(sum.longestHeld, world.result.longestHeld);
@@ -386,6 +393,7 @@
     CHECK(byStart.asked == byNumber.asked);
     CHECK(byStart.onTime > byNumber.onTime * 1.05);
     CHECK(byStart.onTime > byStart.asked * 0.82);
+    CHECK(byStart.urgentOnTime > byNumber.urgentOnTime * 1.2);
 }
 
 // Guards against gateways that guess: they hold requests for loads that nobody has ordered, and
