--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -78,7 +78,9 @@
         , proof_(options_.proof, clock)
         , orders_(context, options_.orders, clock, registry_, port, authority())
         , planning_(options_.planning,
-                    { clock, registry_, decisions_, demand_, loadGuard_, orders_ }, readDocument_)
+                    { clock, registry_, decisions_, demand_, loadGuard_, orders_, metrics_ },
+                    readDocument_)
+        , loadScheduler_(options_.loadSchedule)
         , tickTimer_(context)
         , stopTimer_(context)
         , planTimer_(context)
@@ -233,11 +235,19 @@
         authority.isEvacuated = [this](const DomainId &domain) {
             return decisions_.newestEvacuations().contains(domain);
         };
-        authority.onPlanEnded = [this] { planSoon(); };
+        authority.onPlanEnded = [this] {
+            loadScheduler_.onLoadChanged();
+            planSoon();
+        };
+        authority.onLoadAccepted = [this] { loadScheduler_.onLoadChanged(); };
         authority.onEndedDuringLoad = [this](const ModelId &model, const EndpointId &endpoint) {
             loadGuard_.onEnded(model, endpoint);
         };
-        authority.onLoaded = [this](const ModelId &model) { loadGuard_.onLoaded(model); };
+        authority.onLoaded = [this](const ModelId &model) {
+            loadGuard_.onLoaded(model);
+            if (const auto error = loadScheduler_.onHeld(model, clock_.now()))
+                metrics_.onLoadHeld(*error);
+        };
         return authority;
     }
 
@@ -366,7 +376,7 @@
             demandRelay_.onGatewayLost(sender); // What it reported before is out of date.
             if (demand_.onReport(sender, wanted))
                 planSoon();
-        } else if (demandRelay_.onReport(sender, wanted)) {
+        } else if (demandRelay_.onReport(sender, wanted, clock_.now())) {
             nextRelayedDemand_ = {};
         }
     }
@@ -378,7 +388,7 @@
         if (now < nextRelayedDemand_ || leads_ || leader.empty())
             return;
         nextRelayedDemand_ = now + options_.relayDemandEvery;
-        if (auto sum = demandRelay_.take())
+        if (auto sum = demandRelay_.take(now))
             static_cast<void>(transport_->push(leader, *std::move(sum)));
     }
 
@@ -584,6 +594,7 @@
         }
         if (now >= nextPlan_)
             planNow();
+        sendLoadSchedule();
     }
 
     /// Call after each call into the replica: completes proposals and publishes changes.
@@ -645,6 +656,7 @@
         leadTerm_ = now.term;
         leadingSince_ = clock_.now();
         LogEvent(LogLevel::Info, leads ? "leading" : "not_leading").with("term", now.term);
+        loadScheduler_.reset();
         if (!leads)
             return;
         orders_.onLeading();
@@ -695,6 +707,7 @@
             return;
         const auto begun = BootClock::now();
         planning_.run(leadTerm_);
+        loadScheduler_.onPass(planning_.lacked());
         // A control with a small share of a core and many endpoints must leave time for other work:
         // a plan of 6 ms takes 40 ms on a sixth of a core, and without a pause one plan would
         // directly follow the other.
@@ -702,6 +715,19 @@
         planAgainAt_ = ended + std::max<Duration>(planPause, (ended - begun) * idlePerPlan);
     }
 
+    /// Tells the gateways that are subscribed here when the models that they lack are expected.
+    auto sendLoadSchedule() -> void
+    {
+        const auto now = clock_.now();
+        if (!loadScheduler_.isDue(now) || !mayOrder())
+            return;
+        auto schedule = loadScheduler_.next(leadTerm_, orders_.loads(), now);
+        if (!schedule)
+            return;
+        metrics_.onLoadSchedule(*schedule);
+        registry_.push(proto::SubscriberKind::Gateway, *std::move(schedule));
+    }
+
     // ---- stopping
 
     auto checkStop() -> void
@@ -753,6 +779,7 @@
     std::vector<coord::Member> members_;
     OrderRunner orders_;
     Planning planning_;
+    LoadScheduler loadScheduler_;
     BootTimer tickTimer_;
     BootTimer stopTimer_;
     BootTimer planTimer_;
--- a/fleet/metrics.cpp
+++ b/fleet/metrics.cpp
@@ -1,5 +1,6 @@
 #include "fleet/metrics.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <string>
@@ -24,6 +25,10 @@
         = prometheus::Histogram::BucketBoundaries { -1,   -0.4, -0.2, -0.1, -0.05, 0,
                                                     0.05, 0.1,  0.2,  0.4,  1 };
 
+const auto loadErrorBuckets
+        = prometheus::Histogram::BucketBoundaries { -1, -0.5, -0.2, -0.1, 0, 0.1, 0.2, 0.5, 1, 3 };
+constexpr auto loadStateNames = std::array<const char *, 3> { "ordered", "planned", "deferred" };
+
 /// @param total the counter's new value, not below the present one
 auto raiseTo(prometheus::Counter &counter, std::uint64_t total) -> void
 {
@@ -81,6 +86,20 @@
                                 .Name("figrack_core_place_promises_total")
                                 .Help("Promised returns, by what became of them")
                                 .Register(registry))
+        , loadErrorSeconds(prometheus::BuildHistogram()
+                                   .Name("figrack_core_load_promise_error_seconds")
+                                   .Help("Time until a model was held, less the time promised")
+                                   .Register(registry)
+                                   .Add({}, loadErrorBuckets))
+        , loadsPutOff(prometheus::BuildCounter()
+                              .Name("figrack_core_loads_put_off_total")
+                              .Help("Loads put off because their requests could wait")
+                              .Register(registry)
+                              .Add({}))
+        , scheduledLoads(prometheus::BuildGauge()
+                                 .Name("figrack_core_scheduled_loads")
+                                 .Help("Rows of the latest load schedule, by state")
+                                 .Register(registry))
     {
         auto &grants = prometheus::BuildCounter()
                                .Name("figrack_core_account_grants_total")
@@ -110,6 +129,9 @@
     prometheus::Histogram &placeErrors;
     prometheus::Family<prometheus::Counter> &placeRefusals;
     prometheus::Family<prometheus::Counter> &placePromises;
+    prometheus::Histogram &loadErrorSeconds;
+    prometheus::Counter &loadsPutOff;
+    prometheus::Family<prometheus::Gauge> &scheduledLoads;
 };
 
 Metrics::Metrics()
@@ -179,6 +201,28 @@
     impl_->placesWaiting.Set(static_cast<double>(waiting));
 }
 
+auto Metrics::onLoadHeld(Duration error) -> void
+{
+    impl_->loadErrorSeconds.Observe(inSeconds(error));
+}
+
+auto Metrics::onLoadPutOff() -> void
+{
+    impl_->loadsPutOff.Increment();
+}
+
+auto Metrics::onLoadSchedule(const proto::LoadSchedule &schedule) -> void
+{
+    for (auto i = std::size_t { 0 }; i < loadStateNames.size(); ++i) {
+        const auto count
+                = std::count_if(schedule.rows.begin(), schedule.rows.end(), [i](const auto &row) {
+                      return static_cast<std::size_t>(row.state) == i;
+                  });
+        impl_->scheduledLoads.Add({ { "state", loadStateNames.at(i) } })
+                .Set(static_cast<double>(count));
+    }
+}
+
 auto Metrics::text() -> std::string
 {
     return prometheus::TextSerializer {}.Serialize(impl_->registry.Collect());
--- a/fleet/metrics.h
+++ b/fleet/metrics.h
@@ -12,6 +12,7 @@
 #include "core/clock.h"
 #include "fleet/balancer.h"
 #include "fleet/placequeue.h"
+#include "proto/servingmessages.h"
 
 namespace figrack::fleet {
 
@@ -30,6 +31,13 @@
     /// Call for each decision about requests that need a slot.
     auto onPlaceNotice(const PlaceNotice &notice) -> void;
     auto onPlacesWaiting(std::size_t waiting) -> void;
+    /// Call when a model that requests waited for is held. @param error how much later than was
+    /// promised to gateways; negative: earlier
+    auto onLoadHeld(Duration error) -> void;
+    /// Call when a load is put off because its requests can wait.
+    auto onLoadPutOff() -> void;
+    /// Call when a load schedule is sent.
+    auto onLoadSchedule(const proto::LoadSchedule &schedule) -> void;
     /// @return the page
     auto text() -> std::string;
 
--- a/fleet/planning.cpp
+++ b/fleet/planning.cpp
@@ -1,9 +1,11 @@
 #include "fleet/planning.h"
 
 #include <algorithm>
+#include <iterator>
 #include <unordered_map>
 #include <utility>
 
+#include "catalogue/contention.h"
 #include "core/log.h"
 
 namespace figrack::fleet {
@@ -31,6 +33,7 @@
 auto Planning::run(Term term) -> void
 {
     const auto *catalogue = currentCatalogue();
+    lacked_.clear();
     if (catalogue == nullptr)
         return;
     unreachable_ = parts_.demand.unreachable();
@@ -53,6 +56,12 @@
         return nullptr;
     }
     catalogue_ = std::make_shared<const catalogue::Catalogue>(*std::move(read));
+    isOrdered_ = catalogue::asksForOrderedAdmission(*catalogue_);
+    deferrable_.clear();
+    for (const auto &service : catalogue_->services) {
+        if (catalogue::hasDeferrableRoute(*catalogue_, service))
+            deferrable_.insert(service.id);
+    }
     return catalogue_.get();
 }
 
@@ -63,6 +72,8 @@
     auto asked = parts_.demand.of(service.id);
     std::erase_if(asked.models,
                   [this](const auto &wanted) { return parts_.loadGuard.isBarred(wanted.first); });
+    const auto held = isOrdered_ || deferrable_.contains(service.id) ? heldOf(service.id, asked)
+                                                                     : HeldTargets {};
     auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 0, 0 };
     auto running = std::unordered_map<EndpointId, std::uint32_t> {};
     for (const auto &load : parts_.demand.loads())
@@ -73,8 +84,8 @@
         const auto *row = parts_.registry.find(id);
         if (row == nullptr || !isAvailable(id))
             continue;
-        const auto *held = orders.held(id);
-        input.hosts.push_back({ id, held != nullptr ? *held : row->models, row->inMemory,
+        const auto *known = orders.held(id);
+        input.hosts.push_back({ id, known != nullptr ? *known : row->models, row->inMemory,
                                 row->onDisk, orders.busySeconds(id), running[id] });
     }
     if (isLarge) {
@@ -100,14 +111,44 @@
     input.freshAdapters = orders.freshAdapters();
     input.storeLoads = orders.storeLoadsAllowed(engine);
     input.storeReserve = orders.storeLoadsAtOnce() > 1 ? 1 : 0;
+    if (deferrable_.contains(service.id)) {
+        input.ordersByStart = true;
+        input.freshModels
+                = freshLoads_[service.id].onPass(input.models, held.models, parts_.clock.now());
+    }
     const auto placement = plan(input);
+    if (isOrdered_) {
+        auto lacked = lackedLoads(service.id, input, placement, held, parts_.clock.now());
+        lacked_.insert(lacked_.end(), std::make_move_iterator(lacked.begin()),
+                       std::make_move_iterator(lacked.end()));
+    }
     logDeferred(placement.deferred);
+    notePutOff(service.id, placement.deferred);
     for (const auto &next : placement.plans) {
         logPlan(next, term);
         orders.start(next, std::shared_ptr<const catalogue::EngineSpec> { catalogue_, &engine });
     }
 }
 
+auto Planning::heldOf(const ServiceId &service, const ServiceDemand &asked) const -> HeldTargets
+{
+    const auto &index = parts_.registry.index();
+    const auto isHeld = [this](const EndpointIndex::Ids &ids) {
+        return std::any_of(ids.begin(), ids.end(),
+                           [this](const EndpointId &id) { return isAvailable(id); });
+    };
+    auto result = HeldTargets {};
+    for (const auto &[model, wanted] : asked.models) {
+        if (isHeld(index.holders(service, model)))
+            result.models.insert(model);
+    }
+    for (const auto &[key, wanted] : asked.adapters) {
+        if (isHeld(index.adapterHolders(service, key.first, key.second)))
+            result.adapters.insert(key);
+    }
+    return result;
+}
+
 /// @return the endpoints that a pass considers in a large fleet
 auto Planning::hostsFor(const ServiceId &service, const ServiceDemand &asked)
         -> std::set<EndpointId>
@@ -179,13 +220,34 @@
     for (const auto &deferral : deferred) {
         if (!deferLoggedAt_.try_emplace(deferral.model, now).second)
             continue;
-        LogEvent(LogLevel::Info, "plan_deferred")
-                .with("model", deferral.model)
+        const auto isPutOff = deferral.reason == DeferReason::PutOff;
+        auto line = LogEvent { LogLevel::Info, isPutOff ? "load_put_off" : "plan_deferred" };
+        line.with("model", deferral.model)
                 .with("reason", deferReasonName(deferral.reason))
                 .with("endpoint", deferral.endpoint)
                 .with("seconds", deferral.seconds)
                 .with("lacks", std::int64_t { deferral.unserved });
+        if (isPutOff)
+            line.with("spare_s", deferral.spareSeconds);
+    }
+}
+
+/// Counts each load once, however many passes put it off.
+auto Planning::notePutOff(const ServiceId &service, const std::vector<Deferral> &deferred) -> void
+{
+    if (!deferrable_.contains(service))
+        return;
+    auto now = std::set<ModelId> {};
+    for (const auto &deferral : deferred) {
+        if (deferral.reason == DeferReason::PutOff)
+            now.insert(deferral.model);
+    }
+    auto &before = putOff_[service];
+    for (const auto &model : now) {
+        if (!before.contains(model))
+            parts_.metrics.onLoadPutOff();
     }
+    before = std::move(now);
 }
 
 } // namespace figrack::fleet
--- a/fleet/planning.h
+++ b/fleet/planning.h
@@ -28,6 +28,9 @@
 #include "fleet/decisions.h"
 #include "fleet/demandtable.h"
 #include "fleet/loadguard.h"
+#include "fleet/loadorder.h"
+#include "fleet/loadschedule.h"
+#include "fleet/metrics.h"
 #include "fleet/orders.h"
 #include "fleet/placement.h"
 #include "fleet/registry.h"
@@ -56,6 +59,7 @@
     const DemandTable &demand;
     const LoadGuard &loadGuard;
     OrderRunner &orders;
+    Metrics &metrics;
 };
 
 class Planning
@@ -65,6 +69,9 @@
     Planning(PlanningOptions options, PlanningParts parts, ReadDocument readDocument);
     /// Plans for all services and starts the plans. @param term of the leadership, for the log
     auto run(Term term) -> void;
+    /// @return what is lacked after the latest pass, for the load schedule; empty where the
+    /// configuration does not ask for ordered admission
+    auto lacked() const -> const std::vector<LackedLoad> & { return lacked_; }
 
 private:
     auto currentCatalogue() -> const catalogue::Catalogue *;
@@ -73,15 +80,23 @@
     auto isAvailable(const EndpointId &id) const -> bool;
     auto availableHolders(const ServiceId &service, const ModelId &model) const -> std::uint32_t;
     auto logPlan(const Plan &plan, Term term) const -> void;
+    /// @return those of the models and adapters in demand that an available endpoint announces
+    auto heldOf(const ServiceId &service, const ServiceDemand &asked) const -> HeldTargets;
     auto logDeferred(const std::vector<Deferral> &deferred) -> void;
+    auto notePutOff(const ServiceId &service, const std::vector<Deferral> &deferred) -> void;
 
     PlanningOptions options_;
     PlanningParts parts_;
     ReadDocument readDocument_;
     std::shared_ptr<const catalogue::Catalogue> catalogue_; ///< Of the held document.
-    std::set<EndpointId> unreachable_;                      ///< In this pass.
-    std::map<ServiceId, EndpointId> nextInTurn_;            ///< Where the next pass goes on.
-    std::map<ModelId, Instant> deferLoggedAt_;              ///< Time of the last log line.
+    bool isOrdered_ = false;         ///< The configuration asks for ordered admission.
+    std::set<ServiceId> deferrable_; ///< Services with a deferrable route.
+    std::vector<LackedLoad> lacked_;
+    std::map<ServiceId, FreshLoads> freshLoads_;
+    std::map<ServiceId, std::set<ModelId>> putOff_; ///< In the latest pass.
+    std::set<EndpointId> unreachable_;              ///< In this pass.
+    std::map<ServiceId, EndpointId> nextInTurn_;    ///< Where the next pass goes on.
+    std::map<ModelId, Instant> deferLoggedAt_;      ///< Time of the last log line.
 };
 
 } // namespace figrack::fleet
--- a/gateway/controlfeed.cpp
+++ b/gateway/controlfeed.cpp
@@ -122,6 +122,9 @@
         const auto *grant = std::get_if<proto::PickGrant>(&envelope.payload);
         if (grant != nullptr && !stopped_ && hooks_.onGrant)
             hooks_.onGrant(address, *grant);
+        const auto *schedule = std::get_if<proto::LoadSchedule>(&envelope.payload);
+        if (schedule != nullptr && !stopped_ && hooks_.onLoadSchedule)
+            hooks_.onLoadSchedule(*schedule);
         const auto *update = std::get_if<proto::ServingUpdate>(&envelope.payload);
         if (update == nullptr || stopped_)
             return;
--- a/gateway/controlfeed.h
+++ b/gateway/controlfeed.h
@@ -81,6 +81,8 @@
     std::function<void(const Address &control)> onControlClosed;
     /// Called when another control is asked for picks. @param balancer nullopt if there is none
     std::function<void(const std::optional<Address> &balancer)> onBalancer;
+    /// Called for each load schedule of a leader; may be empty.
+    std::function<void(const proto::LoadSchedule &)> onLoadSchedule = {};
 };
 
 class ControlFeed
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -177,6 +177,8 @@
         line.with("predicted_wait_ms", wholeMillis(*predictedWait_))
                 .with("queue_end", waitEndName(*waitEnd_));
     }
+    if (loadReady_)
+        line.with("load_ready_ms", wholeMillis(*loadReady_));
     if (blockedBy_ != BlockedBy::Nothing)
         line.with("lacked", blockedByName(blockedBy_));
     if (!works_.ofAnyone.isNone())
@@ -197,6 +199,11 @@
 auto Forwarder::setCatalogue(std::shared_ptr<const catalogue::Catalogue> catalogue) -> void
 {
     isOrdered_ = catalogue::asksForOrderedAdmission(*catalogue);
+    deferrable_.clear();
+    for (const auto &service : catalogue->services) {
+        if (catalogue::hasDeferrableRoute(*catalogue, service))
+            deferrable_.insert(service.id);
+    }
     accounts_ = std::make_shared<const catalogue::AccountTable>(catalogue);
     routes_ = std::make_shared<const catalogue::RouteTable>(std::move(catalogue));
     parts_.waiters.wakeAll();
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -39,6 +39,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -52,6 +53,7 @@
 #include "gateway/fleetview.h"
 #include "gateway/heldbytes.h"
 #include "gateway/keylease.h"
+#include "gateway/loadwatch.h"
 #include "gateway/metrics.h"
 #include "gateway/picker.h"
 #include "gateway/retrywindow.h"
@@ -118,6 +120,8 @@
     /// Asks for the endpoints of a key. @return true when the view contains them; waiters are woken
     /// when it does. May be empty: the view contains all endpoints
     std::function<bool(const proto::WatchKey &)> wantEndpoints = {};
+    /// When missing models are expected; null: the forwarder estimates it.
+    const LoadWatch *loadWatch = nullptr;
 };
 
 class Forwarder
@@ -153,6 +157,7 @@
     std::shared_ptr<const catalogue::AccountTable> accounts_;
     /// The same catalogue asks for ordered admission (catalogue/contention.h).
     bool isOrdered_ = false;
+    std::set<ServiceId> deferrable_; ///< Services with a deferrable route, of the same catalogue.
     const Instant startedAt_;
     HeldBytes heldBytes_;
     /// Requests refused for want of memory since the last log line about it, and its time.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -40,6 +40,7 @@
         , view_(options_.view, clock)
         , retries_(options_.retries, clock)
         , demand_(clock)
+        , loadWatch_({}, clock)
         , waiters_(context)
         , client_(context, options_.client, clock)
         , feed_(context, feedOptions(), clock, feedHooks())
@@ -52,7 +53,8 @@
         , forwarder_(options_.forwarder,
                      { context, clock, dialect, view_, retries_, demand_, waiters_, metrics_,
                        client_, picker_, random_, quarantine_, crashDetector_, feed_.keyLease(),
-                       [this](const proto::WatchKey &key) { return feed_.wantEndpoints(key); } })
+                       [this](const proto::WatchKey &key) { return feed_.wantEndpoints(key); },
+                       &loadWatch_ })
         , server_(context, options_.server,
                   [this](const http::Request &request, http::Responder &responder) {
                       return forwarder_.handle(request, responder);
@@ -157,6 +159,10 @@
         hooks.onControlClosed
                 = [this](const Address &control) { picker_.waits().onClosed(control); };
         hooks.onBalancer = [this](const auto &balancer) { picker_.waits().onBalancer(balancer); };
+        hooks.onLoadSchedule = [this](const proto::LoadSchedule &schedule) {
+            if (loadWatch_.onSchedule(schedule))
+                metrics_.onLoadSchedule();
+        };
         return hooks;
     }
 
@@ -292,6 +298,7 @@
     FleetView view_;
     RetryWindow retries_;
     Demand demand_;
+    LoadWatch loadWatch_;
     Waiters waiters_;
     Metrics metrics_;
     policy::Quarantine quarantine_ { {} };
--- a/gateway/testing/feedrig.h
+++ b/gateway/testing/feedrig.h
@@ -52,6 +52,8 @@
                 peer->send({ 0, update });
                 if (!suspects.empty())
                     peer->send({ 0, proto::SuspectNews { suspects } });
+                if (schedule)
+                    peer->send({ 0, *schedule });
             } else if (const auto *news = std::get_if<proto::SuspectNews>(&envelope.payload)) {
                 suspectsHeard += news->rows.size();
             } else if (std::holds_alternative<proto::PickRequest>(envelope.payload)) {
@@ -105,6 +107,7 @@
     proto::PeerPointer asker;                    ///< Connection of the latest pick.
     std::vector<catalogue::SuspectRow> suspects; ///< Rows that it sends to its subscribers.
     std::size_t suspectsHeard = 0;               ///< Number of rows received.
+    std::optional<proto::LoadSchedule> schedule; ///< Sent to its subscribers.
     std::unique_ptr<proto::PeerServer> server;
 };
 
@@ -145,6 +148,7 @@
         };
         hooks.onControlClosed = [this](const Address &control) { closed.push_back(control); };
         hooks.onBalancer = [this](const auto &now) { balancers.push_back(now); };
+        hooks.onLoadSchedule = [this](const proto::LoadSchedule &) { ++schedules; };
         feeds.push_back(std::make_unique<ControlFeed>(context, options, clock, std::move(hooks)));
         feeds.back()->start();
         runUntil([&] { return *updates == controls.size(); });
@@ -189,6 +193,10 @@
     std::vector<std::uint64_t> grants;             ///< Tickets of grants received.
     std::vector<Address> closed;                   ///< Controls whose connections closed.
     std::vector<std::optional<Address>> balancers; ///< Balancers reported by the feeds.
+    std::vector<Revision> documents;               ///< Versions received.
+    std::vector<catalogue::SuspectRow> suspects;   ///< Rows that the feeds' gateways know.
+    std::size_t suspectsTold = 0;                  ///< Number of rows received.
+    std::size_t schedules = 0;                     ///< Number of load schedules received.
 };
 
 } // namespace figrack::gateway::testing
