fleet, policy: the gauge of accounts over their share falls without requests

Cause: read as a newcomer, the gauge stayed at its last value when no account asked any more, and some functions had no comment. Change: countOver() takes the time; comments, and the balancer's page names what ordered requests add.

--- a/fleet/balancer.cpp
+++ b/fleet/balancer.cpp
@@ -121,8 +121,8 @@
 auto Balancer::refuseNoRoom(const proto::PickRequest &request) -> proto::PickReply
 {
     const auto now = clock_.now();
-    // Refusals of accounts over their share do not count: their places would be kept free for as
-    // long as they ask, also if nobody else needs them.
+    // Refusals of accounts over their share do not count. Otherwise such an account would keep
+    // places free by its own refusals for as long as it asks, even if nobody else needs them.
     if (request.isOrdered && !shares_.isOver(request.account))
         contendedUntil_ = now + options_.contentionTime;
     auto &last = lastRetryAt_.try_emplace(request.model, now).first->second;
@@ -256,7 +256,7 @@
 auto Balancer::decodeIntervalOf(const Endpoint &endpoint, const proto::PickRequest &request) const
         -> Duration
 {
-    // Not multiplied by 1: nanoseconds may not survive the conversion to double.
+    // Requests that are not ordered get exactly the configured interval.
     const auto speed = speedOf(endpoint, request);
     return speed == 1 ? options_.decodeInterval
                       : fromMillis(inMillis(options_.decodeInterval) * speed);
@@ -303,8 +303,8 @@
 
 auto Balancer::status() const -> BalancerStatus
 {
-    return { speeds_.countByClass(clock_.now()), shares_.countOver(), grantsWithinShare_,
-             grantsOverShare_ };
+    return { speeds_.countByClass(clock_.now()), shares_.countOver(clock_.now()),
+             grantsWithinShare_, grantsOverShare_ };
 }
 
 auto Balancer::learnReadFactor(const Booking &booking, Duration start) -> void
--- a/fleet/balancer.h
+++ b/fleet/balancer.h
@@ -30,6 +30,12 @@
 // include the rates they know in each request, so a balancer that takes over from
 // another one learns them from the first request.
 //
+// For ordered requests (proto::PickRequest::isOrdered), two more things are learned.
+// Endpoints that read slowly get fewer of them (fleet/endpointspeed.h), and while
+// requests find no place, those of accounts that got more than their share leave
+// places to the others (policy/fairshare.h). All other requests are neither placed
+// by this nor learned from for it.
+//
 // Deterministic except for the clock and the random choice among equal candidates.
 // Not thread-safe.
 
@@ -160,6 +166,7 @@
     auto runningAt(const EndpointId &id) const -> std::uint32_t;
     /// @return the number of all booked requests
     auto booked() const -> std::size_t { return bookings_.size(); }
+    /// @return the figures for the page of metrics
     auto status() const -> BalancerStatus;
 
 private:
@@ -177,8 +184,8 @@
         std::uint32_t running = 0;            ///< Requests that are booked and have not ended.
         std::deque<proto::PromptSpan> cached; ///< The most recently used span is last.
         std::uint64_t cachedTokens = 0;
-        double speed = 1; ///< From speeds_; updated when an ordered request is placed.
-        double loggedSpeed = 1;
+        double speed = 1;       ///< From speeds_; updated when an ordered request is placed.
+        double loggedSpeed = 1; ///< As last logged.
         Instant speedLoggedAt {};
     };
     struct Booking
@@ -244,16 +251,20 @@
     auto book(const NodeId &gateway, const proto::PickRequest &request, const EndpointId &id)
             -> proto::PickReply;
     auto recordCached(const EndpointId &id, const std::vector<proto::PromptSpan> &spans) -> void;
+    /// Frees the place of a booking that is over.
     auto release(const Booking &booking) -> void;
     auto endpointOf(const EndpointId &id) -> Endpoint &;
     /// @return true when the request is of an account that shares are kept for
     static auto countsForShare(const proto::PickRequest &request) -> bool;
+    /// Tells shares_ of the request, and logs the accounts that it reports.
     auto recordAsked(const proto::PickRequest &request) -> void;
+    /// Counts a request that was booked for its account's share.
     auto recordGranted(const proto::PickRequest &request) -> void;
     /// @return true while ordered requests find no place
     auto isContended() const -> bool;
     /// @return true when the request goes behind those of other accounts
     auto mustYield(const proto::PickRequest &request) const -> bool;
+    /// Call when hasRoom() is true, which also sets up the endpoint's limit.
     /// @return true when the endpoint has room for a request that must yield
     auto hasRoomBesideOthers(const Endpoint &endpoint, const proto::PickRequest &request) const
             -> bool;
--- a/fleet/endpointspeed.cpp
+++ b/fleet/endpointspeed.cpp
@@ -165,7 +165,7 @@
         return;
     nextMaintenance_ = now + options_.centreInterval;
     forget(now);
-    centre(now);
+    centreFactors(now);
 }
 
 auto EndpointSpeeds::forget(Instant now) -> void
@@ -185,7 +185,7 @@
 
 /// Moves what the endpoints of a group have in common to the factors of their models, so the
 /// products, which predict the samples, stay as they are.
-auto EndpointSpeeds::centre(Instant now) -> void
+auto EndpointSpeeds::centreFactors(Instant now) -> void
 {
     auto learned = std::vector<Endpoint *> {};
     auto indices = std::map<EndpointId, std::size_t> {};
--- a/fleet/endpointspeed.h
+++ b/fleet/endpointspeed.h
@@ -126,7 +126,7 @@
     auto factorOf(const Endpoint &endpoint, Instant now) const -> double;
     auto classOf(const Endpoint &endpoint, Instant now) const -> SpeedClass;
     auto forget(Instant now) -> void;
-    auto centre(Instant now) -> void;
+    auto centreFactors(Instant now) -> void;
 
     EndpointSpeedOptions options_;
     std::map<EndpointId, Endpoint> endpoints_;
--- a/policy/fairshare.cpp
+++ b/policy/fairshare.cpp
@@ -113,10 +113,13 @@
     return std::exchange(changes_, {});
 }
 
-auto FairShare::countOver() const -> std::size_t
+auto FairShare::countOver(Instant now) const -> std::size_t
 {
-    return static_cast<std::size_t>(std::count_if(
-            active_.begin(), active_.end(), [this](auto item) { return isOver(item->second); }));
+    // Accounts are deactivated only when another one asks, so the window is checked here, too.
+    const auto count = std::count_if(active_.begin(), active_.end(), [&](auto item) {
+        return isOver(item->second) && now - item->second.askedAt <= options_.window;
+    });
+    return static_cast<std::size_t>(count);
 }
 
 auto FairShare::activate(Accounts::iterator item) -> void
--- a/policy/fairshare.h
+++ b/policy/fairshare.h
@@ -81,8 +81,8 @@
     auto mean(Instant now) const -> double;
     /// @return the accounts that changed since their last report
     auto takeChanges(Instant now) -> std::vector<ShareChange>;
-    /// @return the number of accounts over their share
-    auto countOver() const -> std::size_t;
+    /// @return the number of accounts over their share that asked within the window
+    auto countOver(Instant now) const -> std::size_t;
     /// @return the number of remembered accounts
     auto size() const -> std::size_t { return accounts_.size(); }
 
--- a/policy/testing/tst_fairshare.cpp
+++ b/policy/testing/tst_fairshare.cpp
@@ -83,7 +83,7 @@
     auto bench = Shares {};
     bench.run(10s, { 6 });
     CHECK(!bench.isOver("0"));
-    CHECK(bench.shares.countOver() == 0);
+    CHECK(bench.shares.countOver(bench.now) == 0);
 }
 
 TEST_CASE("Uses are compared by the accounts' limits, not by their costs")
@@ -123,6 +123,9 @@
     auto bench = Shares {};
     bench.run(10s, { usualUse, usualUse, usualUse, usualUse, 1.0 });
     CHECK(bench.isOver("4"));
+    // Nor is it counted as over its share when no account asks any more.
+    CHECK(bench.shares.countOver(bench.now) == 1);
+    CHECK(bench.shares.countOver(bench.now + 5s) == 0);
     bench.run(4s, { usualUse, usualUse, usualUse, usualUse, 0.3 });
     CHECK(!bench.isOver("4"));
 }
