--- a/fleet/balancer.cpp
+++ b/fleet/balancer.cpp
@@ -98,25 +98,30 @@
 auto Balancer::noteContention(const proto::PickRequest &request) -> void
 {
     if (request.isOrdered && !shares_.isOver(request.account))
-        contendedUntil_ = clock_.now() + options_.contentionTime;
+        contendedUntil_.at(kindOf(request)) = clock_.now() + options_.contentionTime;
 }
 
-auto Balancer::isContended() const -> bool
+auto Balancer::isContended(const proto::PickRequest &request) const -> bool
 {
-    return clock_.now() < contendedUntil_;
+    return clock_.now() < contendedUntil_.at(kindOf(request));
 }
 
 auto Balancer::mustYield(const proto::PickRequest &request) const -> bool
 {
-    return countsForShare(request) && !request.hasBegun && isContended()
+    return countsForShare(request) && !request.hasBegun && isContended(request)
             && shares_.isOver(request.account);
 }
 
 auto Balancer::hasRoomBesideOthers(const Endpoint &endpoint,
                                    const proto::PickRequest &request) const -> bool
 {
-    return request.places == 0
-            || endpoint.running < endpoint.limit.limit() * options_.overShareLimit;
+    // A plain service has no learned limit. Its places are free often enough for an account over
+    // its share to get some, so it only loses the requests beyond them.
+    if (request.places == 0)
+        return true;
+    if (request.model == 0)
+        return endpoint.running < request.places;
+    return endpoint.running < endpoint.limit.limit() * options_.overShareLimit;
 }
 
 /// More prompts than can be held back for decode intervals would be read without any: all streams
@@ -276,7 +281,7 @@
 auto Balancer::decodeIntervalOf(const Endpoint &endpoint, const proto::PickRequest &request) const
         -> Duration
 {
-    // Not multiplied by 1: nanoseconds may not survive the conversion to double.
+    // Requests that are not ordered get exactly the configured interval.
     const auto speed = speedOf(endpoint, request);
     return speed == 1 ? options_.decodeInterval
                       : fromMillis(inMillis(options_.decodeInterval) * speed);
@@ -323,8 +328,8 @@
 
 auto Balancer::status() const -> BalancerStatus
 {
-    return { speeds_.countByClass(clock_.now()), shares_.countOver(), grantsWithinShare_,
-             grantsOverShare_ };
+    return { speeds_.countByClass(clock_.now()), shares_.countOver(clock_.now()),
+             grantsWithinShare_, grantsOverShare_ };
 }
 
 auto Balancer::learnReadFactor(const Booking &booking, Duration start) -> void
--- a/fleet/balancer.h
+++ b/fleet/balancer.h
@@ -36,6 +36,12 @@
 //
 //   for (auto &grant : balancer.queue().takeGrants()) ...   // after each call
 //
+// For ordered requests (proto::PickRequest::isOrdered), two more things are learned.
+// Endpoints that read slowly get fewer of them (fleet/endpointspeed.h), and while
+// requests find no place, those of accounts that got more than their share leave
+// places to the others (policy/fairshare.h). All other requests are neither placed
+// by this nor learned from for it.
+//
 // Deterministic except for the clock and the random choice among equal candidates.
 // Not thread-safe.
 
@@ -183,6 +189,7 @@
     auto runningAt(const EndpointId &id) const -> std::uint32_t;
     /// @return the number of all booked requests
     auto booked() const -> std::size_t { return bookings_.size(); }
+    /// @return the figures for the page of metrics
     auto status() const -> BalancerStatus;
 
 private:
@@ -201,8 +208,8 @@
         double occupancyMs = 0;               ///< Average time of a request here; 0: not learned.
         std::deque<proto::PromptSpan> cached; ///< The most recently used span is last.
         std::uint64_t cachedTokens = 0;
-        double speed = 1; ///< From speeds_; updated when an ordered request is placed.
-        double loggedSpeed = 1;
+        double speed = 1;       ///< From speeds_; updated when an ordered request is placed.
+        double loggedSpeed = 1; ///< As last logged.
         Instant speedLoggedAt {};
     };
     struct Booking
@@ -270,18 +277,27 @@
     auto book(const NodeId &gateway, const proto::PickRequest &request, const EndpointId &id)
             -> proto::PickReply;
     auto recordCached(const EndpointId &id, const std::vector<proto::PromptSpan> &spans) -> void;
+    /// Frees the place of a booking that is over.
     auto release(const Booking &booking) -> void;
     auto endpointOf(const EndpointId &id) -> Endpoint &;
     /// @return true when the request is of an account that shares are kept for
     static auto countsForShare(const proto::PickRequest &request) -> bool;
+    /// Tells shares_ of the request, and logs the accounts that it reports.
     auto recordAsked(const proto::PickRequest &request) -> void;
+    /// Counts a request that was booked for its account's share.
     auto recordGranted(const proto::PickRequest &request) -> void;
     /// Call when a request finds no place.
     auto noteContention(const proto::PickRequest &request) -> void;
-    /// @return true while ordered requests find no place
-    auto isContended() const -> bool;
+    /// @return 0 for a request to an engine, 1 for one to a plain service
+    static auto kindOf(const proto::PickRequest &request) -> std::size_t
+    {
+        return request.model == 0 ? 1 : 0;
+    }
+    /// @return true while ordered requests to the same kind of service find no place
+    auto isContended(const proto::PickRequest &request) const -> bool;
     /// @return true when the request goes behind those of other accounts
     auto mustYield(const proto::PickRequest &request) const -> bool;
+    /// Call when hasRoom() is true, which also sets up the endpoint's limit.
     /// @return true when the endpoint has room for a request that must yield
     auto hasRoomBesideOthers(const Endpoint &endpoint, const proto::PickRequest &request) const
             -> bool;
@@ -316,7 +332,8 @@
     std::map<std::uint64_t, double> readFactors_; ///< Learned, by model; not of ordered requests.
     EndpointSpeeds speeds_;                       ///< Learned from ordered requests.
     policy::FairShare shares_;                    ///< Of the accounts of ordered requests.
-    Instant contendedUntil_ {};
+    /// By kind of service (kindOf): engines may be short of places while plain services are not.
+    std::array<Instant, 2> contendedUntil_ {};
     std::uint64_t grantsWithinShare_ = 0;
     std::uint64_t grantsOverShare_ = 0;
     std::map<std::uint64_t, Instant>
--- a/fleet/placequeue.cpp
+++ b/fleet/placequeue.cpp
@@ -141,11 +141,13 @@
     }
 
 private:
+    /// Less urgent requests that arrive earlier in the order do not count: they are refused first
+    /// if not all can be in time.
     auto expectedBefore(const WaitingPick &pick, Duration wait) const -> double
     {
         auto count = 0.0;
-        for (const auto &arrivals : model_.arrivals)
-            count += arrivals.expected(wait, pick.latestStart - now_, now_);
+        for (auto lane = std::size_t { 0 }; lane <= laneOf(pick); ++lane)
+            count += model_.arrivals[lane].expected(wait, pick.latestStart - now_, now_);
         return count;
     }
     auto withPromises(Duration wait, Duration interval) const -> Duration
--- a/gateway/testing/feedrig.h
+++ b/gateway/testing/feedrig.h
@@ -193,9 +193,6 @@
     std::vector<std::uint64_t> grants;             ///< Tickets of grants received.
     std::vector<Address> closed;                   ///< Controls whose connections closed.
     std::vector<std::optional<Address>> balancers; ///< Balancers reported by the feeds.
-    std::vector<Revision> documents;               ///< Versions received.
-    std::vector<catalogue::SuspectRow> suspects;   ///< Rows that the feeds' gateways know.
-    std::size_t suspectsTold = 0;                  ///< Number of rows received.
     std::size_t schedules = 0;                     ///< Number of load schedules received.
 };
 
