--- a/fleet/testing/tst_balancerordered.cpp
+++ b/fleet/testing/tst_balancerordered.cpp
@@ -44,7 +44,7 @@
     explicit Bench(BalancerOptions options = {})
         : balancer(options, clock, random)
     { }
-    auto pick(proto::PickRequest request) -> proto::PickReply
+    auto pick(const proto::PickRequest &request) -> proto::PickReply
     {
         return balancer.pick(gateway, request);
     }
