Accounts over their share in tests do not wait; requests of unknown length are never overdue

The shares' tests count a queued request as refused, since their callers do not wait. An answer without a number of output tokens has no time by which it should have ended, so it says nothing of its endpoint's speed.

--- a/fleet/balancer.cpp
+++ b/fleet/balancer.cpp
@@ -317,8 +317,9 @@
                        const Slot &slot) const -> Instant
 {
     const auto now = clock_.now();
-    // Nothing is known of the time that plain services take.
-    if (!request.isOrdered || request.model == 0)
+    // Nothing is known of the time that plain services take, or that an answer of unknown length
+    // takes.
+    if (!request.isOrdered || request.model == 0 || request.outputTokens == 0)
         return {};
     const auto generation = fromMillis(static_cast<double>(request.outputTokens)
                                        * options_.msPerToken * speedOf(endpoint, request));
--- a/fleet/testing/tst_balancershares.cpp
+++ b/fleet/testing/tst_balancershares.cpp
@@ -39,7 +39,11 @@
         request.account = AccountId { account };
         request.cost = cost;
         request.accountPerSecond = perSecond;
-        return !balancer.pick(gateway, request).endpoint.empty();
+        const auto reply = balancer.pick(gateway, request);
+        // Callers here do not wait: one that is queued counts as refused.
+        if (reply.isQueued)
+            end(ticket);
+        return !reply.endpoint.empty();
     }
     auto end(std::uint64_t which, bool mayHaveRun = true) -> void
     {
