--- a/fleet/testing/tst_balancerordered.cpp
+++ b/fleet/testing/tst_balancerordered.cpp
@@ -115,6 +115,20 @@
     CHECK(bench.balancer.booked() == 3);
 }
 
+TEST_CASE("Requests of a lost gateway do not wait any more")
+{
+    auto bench = Bench {};
+    bench.fill("a", 1, 4);
+    bench.gateway = NodeId { "g-2" };
+    CHECK(bench.pick(requestFor(10, { "a" }, 1)).isQueued);
+    bench.balancer.onGatewayLost(bench.gateway);
+    CHECK(bench.balancer.queue().waiting() == 0);
+    bench.gateway = NodeId { "g-1" };
+    bench.end(1);
+    CHECK(bench.grants().empty());
+    CHECK(bench.balancer.booked() == 3);
+}
+
 TEST_CASE("Requests without isOrdered, and those that have begun, are never queued")
 {
     auto bench = Bench {};
