fleet: a pick without a reply is not queued

Cause: a gateway that only notifies the balancer of a pick sends the request at once; a queued one would be granted a slot later, too. Change: the control takes such a pick as not ordered. A test returns without a copy.

--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -325,6 +325,8 @@
         } else if (const auto *wanted = std::get_if<proto::ModelWanted>(&envelope.payload)) {
             onWanted(peer->peer(), *wanted);
         } else if (auto *pick = std::get_if<proto::PickRequest>(&envelope.payload)) {
+            // A gateway that asks for no reply sends the request at once, whatever is decided here.
+            pick->isOrdered = pick->isOrdered && envelope.correlation != 0;
             auto reply = onPick(peer->peer(), *pick);
             if (reply.isQueued)
                 grants_.onQueued(peer);
--- a/fleet/testing/tst_placegrants.cpp
+++ b/fleet/testing/tst_placegrants.cpp
@@ -52,7 +52,7 @@
     {
         if (auto refusal = ledger.refuse(peer->peer(), request))
             return *refusal;
-        const auto reply = balancer.pick(peer->peer(), request);
+        auto reply = balancer.pick(peer->peer(), request);
         if (reply.isQueued)
             grants.onQueued(peer);
         else if (!reply.endpoint.empty())
