fleet: the place queue forgets what it got of the slots

Cause: a queue that got no slots for a while predicted such long waits that it refused all requests on arrival, so its part of the slots was never measured again. Change: the measurement is dropped when no request has waited for 2 s.

--- a/fleet/placequeue.cpp
+++ b/fleet/placequeue.cpp
@@ -14,6 +14,9 @@
 
 /// A model without waiting requests is forgotten after this time, with what was learned of it.
 constexpr auto forgetModelAfter = std::chrono::seconds { 60 };
+/// What a queue got of the slots is forgotten when no request has waited for this time. A small
+/// part would otherwise refuse all requests on arrival, and never be measured again.
+constexpr auto forgetDrainAfter = std::chrono::seconds { 2 };
 /// Weight of a new sample in the average time that a lane's requests have until their latest start.
 constexpr auto slackLearningRate = 0.2;
 
@@ -167,6 +170,8 @@
     model.pools[node.mapped().pool].lanes[laneOf(pick)].erase(order);
     model.drain.advance(!model.entries.empty(), policy::millisOf(now));
     model.usedAt = now;
+    if (pick.queuedAt < now) // Not one that is refused on arrival.
+        model.lastWaitAt = now;
     tickets_.erase({ pick.gateway, pick.request.ticket });
     const auto count = perGateway_.find(pick.gateway);
     if (--count->second == 0)
@@ -193,6 +198,8 @@
         return refuseArrival(pick, PlaceCause::PastStart);
     const auto key = keyOf(pick.request);
     auto &model = modelOf(key);
+    if (model.entries.empty() && now - model.lastWaitAt > forgetDrainAfter)
+        model.drain = {};
     const auto pool = poolFor(model, pick.request);
     model.pools[pool].supplies[laneOf(pick)] = supply;
     pick.queuedAt = now;
--- a/fleet/placequeue.h
+++ b/fleet/placequeue.h
@@ -232,6 +232,7 @@
         std::vector<Arrivals> arrivals; ///< By lane.
         std::vector<Pool> pools;
         policy::DrainShare drain;
+        Instant lastWaitAt {};  ///< Since when no request waits, if none does.
         Instant lastRetryAt {}; ///< Latest retry time that a slot was reserved for.
         Instant usedAt {};
     };
--- a/fleet/testing/tst_placequeue.cpp
+++ b/fleet/testing/tst_placequeue.cpp
@@ -392,6 +392,24 @@
     CHECK(bench.reply.startMs < 450);
 }
 
+// Guards against a queue that got no slots once and therefore refuses all requests from then on.
+TEST_CASE("What the queue got of the slots is forgotten when no request has waited for a while")
+{
+    auto bench = Bench {};
+    bench.admit({ .startWithin = 20'000ms });
+    bench.clock.advance(20s);
+    bench.recheck();
+    CHECK(bench.queue.waiting() == 0);
+    bench.admit({ .startWithin = 1000ms });
+    CHECK_FALSE(bench.reply.isQueued);
+    for (auto i = 0; i < 5; ++i) {
+        bench.clock.advance(500ms);
+        bench.admit({ .startWithin = 1000ms });
+    }
+    CHECK(bench.reply.isQueued);
+    CHECK(bench.reply.startMs == 100);
+}
+
 // Guards against queueing requests with much time that urgent ones will keep from a slot.
 TEST_CASE("The prediction counts urgent requests that are expected to arrive before")
 {
