fleet: endpoints are not taken for slow by requests that have not ended

Cause: gateways report the start of a request only with its end. A booked request that has not ended at twice its expected time says little: long streams set the mark off falsely, and slow spans of 600 ms were over before it came. Change: the mark is removed. The learned factors stay.

--- a/fleet/balancer.cpp
+++ b/fleet/balancer.cpp
@@ -309,24 +309,6 @@
     endpoint.speedLoggedAt = now;
 }
 
-/// Gateways report the start of a request only when it has ended, so until then one that has begun
-/// looks like one that has not. Only after the time in which it should have generated all of its
-/// tokens, too, does the missing end show that the endpoint is slow. That time is doubled like the
-/// rest of the expected time: streams wait while prompts are read.
-auto Balancer::dueAtOf(const Endpoint &endpoint, const proto::PickRequest &request,
-                       const Slot &slot) const -> Instant
-{
-    const auto now = clock_.now();
-    // Nothing is known of the time that plain services take, or that an answer of unknown length
-    // takes.
-    if (!request.isOrdered || request.model == 0 || request.outputTokens == 0)
-        return {};
-    const auto generation = fromMillis(static_cast<double>(request.outputTokens)
-                                       * options_.msPerToken * speedOf(endpoint, request));
-    const auto expected = slot.end - now + options_.startOverhead + generation;
-    return now + 2 * expected + options_.overdueAfter;
-}
-
 auto Balancer::status() const -> BalancerStatus
 {
     return { speeds_.countByClass(clock_.now()), shares_.countOver(clock_.now()),
@@ -444,12 +426,9 @@
                 now,
                 now + std::chrono::milliseconds { request.limitMs },
                 request.isOrdered,
-                dueAtOf(endpoint, request, slot),
                 countsForShare(request) ? request.account : AccountId {},
                 request.cost };
     recordGranted(request);
-    if (booking.dueAt != Instant {})
-        speeds_.onBooked(id, booking.dueAt);
     ++endpoint.running;
     return reply;
 }
@@ -485,8 +464,6 @@
         queue_.cancel(gateway, end.ticket, clock_.now());
         return;
     }
-    if (end.startMs > 0 && found->second.isOrdered)
-        speeds_.onBegun(found->second.endpoint, clock_.now());
     if (end.startMs > 0)
         learnReadFactor(found->second, std::chrono::milliseconds { end.startMs });
     learnLimit(found->second, end.outcome);
@@ -533,8 +510,6 @@
 
 auto Balancer::release(const Booking &booking) -> void
 {
-    if (booking.dueAt != Instant {})
-        speeds_.onEnded(booking.endpoint, booking.dueAt);
     const auto found = endpoints_.find(booking.endpoint);
     if (found != endpoints_.end() && found->second.running > 0)
         --found->second.running;
--- a/fleet/balancer.h
+++ b/fleet/balancer.h
@@ -141,8 +141,6 @@
     Duration forgetAfter = std::chrono::seconds { 60 };
     /// Speeds of endpoints, for ordered requests (proto::PickRequest::isOrdered) only.
     EndpointSpeedOptions speeds {};
-    /// A request is overdue this long after twice the time in which it should have ended.
-    Duration overdueAfter = std::chrono::milliseconds { 100 };
     /// An endpoint's speed is logged at most once in this interval, so that factors which move
     /// around a threshold do not fill the log.
     Duration speedLogInterval = std::chrono::seconds { 5 };
@@ -221,7 +219,6 @@
         Instant bookedAt {};
         Instant expiresAt {};
         bool isOrdered = false;
-        Instant dueAt {};  ///< When it is overdue; default: that is not observed.
         AccountId account; ///< Whose share it counts for; empty: nobody's.
         std::uint64_t cost = 0;
     };
@@ -254,9 +251,6 @@
     /// Looks up the endpoint's speed before an ordered request is placed, and logs changes.
     auto updateSpeed(const EndpointId &id, Endpoint &endpoint, const proto::PickRequest &request)
             -> void;
-    /// @return when a request that is sent now is overdue; default: that is not observed
-    auto dueAtOf(const Endpoint &endpoint, const proto::PickRequest &request,
-                 const Slot &slot) const -> Instant;
     auto learnReadFactor(const Booking &booking, Duration start) -> void;
     auto learnLimit(const Booking &booking, proto::PickOutcome outcome) -> void;
     auto costAt(const Endpoint &endpoint, const proto::PickRequest &request) const -> double;
--- a/fleet/endpointspeed.cpp
+++ b/fleet/endpointspeed.cpp
@@ -45,7 +45,7 @@
     if (!isKnown
         && (endpoints_.size() >= options_.maxEndpoints || models_.size() >= options_.maxModels))
         return;
-    auto &speed = endpoints_[endpoint];
+    auto &speed = endpoints_.try_emplace(endpoint).first->second;
     if (!isLearned(speed, now))
         speed.factor = 1;
     speed.sampledAt = now;
@@ -80,14 +80,7 @@
 
 auto EndpointSpeeds::isLearned(const Endpoint &endpoint, Instant now) const -> bool
 {
-    return endpoint.sampledAt != Instant {} && now - endpoint.sampledAt <= options_.forgetAfter;
-}
-
-/// Each request that is known to have begun clears the requests that were overdue by then.
-auto EndpointSpeeds::isOverdue(const Endpoint &endpoint, Instant now) const -> bool
-{
-    const auto first = endpoint.due.upper_bound(endpoint.begunAt);
-    return first != endpoint.due.end() && *first <= now;
+    return now - endpoint.sampledAt <= options_.forgetAfter;
 }
 
 auto EndpointSpeeds::isInBand(double factor) const -> bool
@@ -97,12 +90,8 @@
 
 auto EndpointSpeeds::factorOf(const Endpoint &endpoint, Instant now) const -> double
 {
-    auto factor = isLearned(endpoint, now) ? endpoint.factor : 1;
-    if (isInBand(factor))
-        factor = 1;
-    if (isOverdue(endpoint, now))
-        factor = std::min(factor * options_.overdueFactor, options_.maxFactor);
-    return factor;
+    const auto factor = isLearned(endpoint, now) ? endpoint.factor : 1;
+    return isInBand(factor) ? 1 : factor;
 }
 
 auto EndpointSpeeds::factorOf(const EndpointId &endpoint, Instant now) const -> double
@@ -118,32 +107,8 @@
     return isKnown ? found->second.factor : 1;
 }
 
-auto EndpointSpeeds::onBooked(const EndpointId &endpoint, Instant dueAt) -> void
-{
-    if (endpoints_.contains(endpoint) || endpoints_.size() < options_.maxEndpoints)
-        endpoints_[endpoint].due.insert(dueAt);
-}
-
-auto EndpointSpeeds::onBegun(const EndpointId &endpoint, Instant now) -> void
-{
-    if (const auto found = endpoints_.find(endpoint); found != endpoints_.end())
-        found->second.begunAt = now;
-}
-
-auto EndpointSpeeds::onEnded(const EndpointId &endpoint, Instant dueAt) -> void
-{
-    const auto found = endpoints_.find(endpoint);
-    if (found == endpoints_.end())
-        return;
-    auto &due = found->second.due;
-    if (const auto item = due.find(dueAt); item != due.end())
-        due.erase(item);
-}
-
 auto EndpointSpeeds::classOf(const Endpoint &endpoint, Instant now) const -> SpeedClass
 {
-    if (isOverdue(endpoint, now))
-        return SpeedClass::Overdue;
     const auto factor = factorOf(endpoint, now);
     if (factor == 1)
         return SpeedClass::Usual;
@@ -170,9 +135,7 @@
 
 auto EndpointSpeeds::forget(Instant now) -> void
 {
-    std::erase_if(endpoints_, [&](const auto &item) {
-        return item.second.due.empty() && !isLearned(item.second, now);
-    });
+    std::erase_if(endpoints_, [&](const auto &item) { return !isLearned(item.second, now); });
     std::erase_if(models_, [&](const auto &item) {
         return now - item.second.sampledAt > options_.forgetModelAfter;
     });
--- a/fleet/endpointspeed.h
+++ b/fleet/endpointspeed.h
@@ -3,12 +3,9 @@
 //   auto speeds = EndpointSpeeds { options };
 //   speeds.learn(endpoint, model, seen, now);               // a prompt was read alone
 //   const auto read = usual * speeds.modelFactor(model) * speeds.factorOf(endpoint, now);
-//   speeds.onBooked(endpoint, dueAt);  speeds.onBegun(endpoint, now);
-//   speeds.onEnded(endpoint, dueAt);
 //
-// Addressed load: a quarter of the engines runs at half of the speed of the others, and each
-// endpoint is 2.5 times slower for some hundred milliseconds now and then. Without a factor for
-// each endpoint, slow ones get as many prompts as fast ones and start them late.
+// Addressed load: a quarter of the engines runs at half of the speed of the others. Without a
+// factor for each endpoint, slow ones get as many prompts as fast ones and start them late.
 //
 // A sample is the product of the model's factor and the endpoint's. Each of the two is learned
 // from samples divided by the other. This leaves open how a common multiple is split between
@@ -16,9 +13,8 @@
 // that are connected by common models: two models on the same endpoints cannot have a mean each,
 // since an endpoint has a single factor.
 //
-// Short slow spans are over before a moving average has followed them. So an endpoint with an
-// overdue request counts as slow until one of its requests is known to have begun, or the overdue
-// one ends.
+// Slow spans of some hundred milliseconds are over before a moving average has followed them, and
+// gateways report the start of a request only when it has ended, so they are not observed.
 //
 // Guarantee: bounded by maxEndpoints and maxModels; beyond these nothing more is learned until
 // entries are forgotten. Pure: no I/O, no clock. Not thread-safe.
@@ -30,7 +26,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string_view>
 
 #include "core/clock.h"
@@ -45,7 +40,7 @@
     /// Bounds of a model's factor: small models read faster.
     double minModelFactor = 0.2;
     double maxModelFactor = 8;
-    /// Bounds of an endpoint's factor, including the effect of an overdue request.
+    /// Bounds of an endpoint's factor.
     double minFactor = 0.4;
     double maxFactor = 4;
     /// Factors from the first to the second count as 1: such differences are sampling noise, and
@@ -63,16 +58,13 @@
     /// Interval at which the mean factor is set to 1 again. Learning moves it by a few hundredths
     /// in between.
     Duration centreInterval = std::chrono::seconds { 1 };
-    /// Factor on an endpoint with an overdue request: how slow endpoints are in slow spans.
-    double overdueFactor = 2.5;
     std::size_t maxEndpoints = 16'384;
     std::size_t maxModels = 16'384;
 };
 
 /// How an endpoint's factor compares with the dead band.
-enum class SpeedClass : std::uint8_t { Fast, Usual, Slow, Overdue };
-constexpr auto speedClassNames
-        = std::array<std::string_view, 4> { "fast", "usual", "slow", "overdue" };
+enum class SpeedClass : std::uint8_t { Fast, Usual, Slow };
+constexpr auto speedClassNames = std::array<std::string_view, 3> { "fast", "usual", "slow" };
 
 class EndpointSpeeds
 {
@@ -84,17 +76,10 @@
     auto learn(const EndpointId &endpoint, std::uint64_t model, double seen, Instant now) -> void;
     /// @return the model's reading time as a multiple of the usual one; 1 if nothing was learned
     auto modelFactor(std::uint64_t model) const -> double;
-    /// @return how much slower than the mean the endpoint is, with the dead band and overdue
-    /// requests taken into account
+    /// @return how much slower than the mean the endpoint is; 1 in the dead band
     auto factorOf(const EndpointId &endpoint, Instant now) const -> double;
-    /// @return the learned factor alone; 1 if nothing was learned
+    /// @return the factor without the dead band; 1 if nothing was learned
     auto learnedFactor(const EndpointId &endpoint, Instant now) const -> double;
-    /// Call when a request was booked. @param dueAt when it is overdue
-    auto onBooked(const EndpointId &endpoint, Instant dueAt) -> void;
-    /// Call when a request of the endpoint is known to have begun.
-    auto onBegun(const EndpointId &endpoint, Instant now) -> void;
-    /// Call when a booking is over for any reason. @param dueAt as in onBooked()
-    auto onEnded(const EndpointId &endpoint, Instant dueAt) -> void;
     /// @return the number of known endpoints in each class, indexed by SpeedClass
     auto countByClass(Instant now) const -> std::array<std::size_t, speedClassNames.size()>;
     /// @return the number of endpoints about which anything is remembered
@@ -106,9 +91,7 @@
     struct Endpoint
     {
         double factor = 1;
-        Instant sampledAt {};       ///< Of the last sample; default: there was none.
-        std::multiset<Instant> due; ///< When its booked requests are overdue.
-        Instant begunAt {};         ///< When a request of it was last known to have begun.
+        Instant sampledAt {}; ///< Of the last sample.
     };
     struct Model
     {
@@ -121,7 +104,6 @@
     auto clampModel(double factor) const -> double;
     auto clampEndpoint(double factor) const -> double;
     auto isLearned(const Endpoint &endpoint, Instant now) const -> bool;
-    auto isOverdue(const Endpoint &endpoint, Instant now) const -> bool;
     auto isInBand(double factor) const -> bool;
     auto factorOf(const Endpoint &endpoint, Instant now) const -> double;
     auto classOf(const Endpoint &endpoint, Instant now) const -> SpeedClass;
