gateway: a schedule of a lower term counts once the known one has expired

Terms begin anew when a fleet has lost all controls with their disks. A gateway that outlived them ignored every schedule from then on.

An expired schedule is replaced by any other.

--- a/fleet/demandtable.h
+++ b/fleet/demandtable.h
@@ -64,11 +64,19 @@
         double perSecond = 0;
         Instant at {};
     };
+    struct Latest
+    {
+        proto::ModelWanted report;
+        Instant receivedAt {};
+    };
     using Rates = std::map<Target, Rate>;
     auto decayed(const Rate &rate, Duration window) const -> double;
     /// @return the number of events in the last fast window, rounded
     auto recent(const Rate &rate) const -> std::uint32_t;
     auto add(Rates &rates, const Target &target, std::uint32_t count, Duration window) -> void;
+    /// Adds what a row of a gateway's latest report says of the waiting requests' starts.
+    auto addStarts(const proto::WantedRow &row, Instant receivedAt, RequestDemand &demand) const
+            -> void;
     auto forgetOld() -> void;
     auto forgetNegligible(Rates &rates, Duration window) const -> void;
     auto arrivalRate(const Target &target, const Rate &slow) const -> double;
@@ -79,14 +87,6 @@
     Rates recentArrivals_; ///< With the fast window, like all rates below.
     Rates refusals_;
     Rates lateRequests_;
-    struct Latest
-    {
-        proto::ModelWanted report;
-        Instant receivedAt {};
-    };
-    /// Adds what a row of a gateway's latest report says of the waiting requests' starts.
-    auto addStarts(const proto::WantedRow &row, Instant receivedAt, RequestDemand &demand) const
-            -> void;
     std::map<NodeId, Latest> latest_;
     Instant nextForget_ {};
 };
--- a/fleet/placement.cpp
+++ b/fleet/placement.cpp
@@ -263,8 +263,8 @@
         return spareFor(asked(spec.id).startWithin, inSeconds(swapTime + loadTimeOf(spec, source)));
     }
 
-    /// @return true when the model's requests can wait for the next pass, and its load would end
-    /// the place of a model in use or take a load from the store that a more urgent model waits for
+    /// @return true when the model's requests can wait for the next pass, and its load would evict
+    /// a model in use or take a load from the store that a more urgent model needs
     auto mayPutOff(const catalogue::ModelSpec &spec, const Candidate &best) const -> bool
     {
         if (!canWaitForNextPass(spareOf(spec, best.source), input_.passSeconds))
--- a/gateway/loadwatch.cpp
+++ b/gateway/loadwatch.cpp
@@ -11,7 +11,8 @@
 
 auto LoadWatch::onSchedule(const proto::LoadSchedule &schedule) -> bool
 {
-    if (receivedAt_ && std::tie(schedule.term, schedule.number) <= std::tie(term_, number_))
+    // After the loss of all controls and their disks, terms begin anew.
+    if (isCurrent() && std::tie(schedule.term, schedule.number) <= std::tie(term_, number_))
         return false;
     const auto now = clock_.now();
     term_ = schedule.term;
--- a/gateway/loadwatch.h
+++ b/gateway/loadwatch.h
@@ -40,7 +40,7 @@
 {
 public:
     LoadWatch(LoadWatchOptions options, const Clock &clock);
-    /// @return true if the schedule is newer than the known one
+    /// @return true if the schedule is newer than the known one, or that one has expired
     auto onSchedule(const proto::LoadSchedule &schedule) -> bool;
     /// @return true while a schedule is known that has not expired
     auto isCurrent() const -> bool;
--- a/gateway/testing/tst_loadwatch.cpp
+++ b/gateway/testing/tst_loadwatch.cpp
@@ -48,6 +48,10 @@
     CHECK(watch.find(target)->readyAt - clock.now() == 900ms);
     CHECK(watch.onSchedule(scheduleOf(3, 1, ScheduledLoadState::Deferred, 2000)));
     CHECK(watch.find(target)->state == ScheduledLoadState::Deferred);
+    // A fleet that lost all its disks begins with the first term again.
+    clock.advance(1500ms);
+    CHECK(watch.onSchedule(scheduleOf(1, 1, ScheduledLoadState::Ordered, 100)));
+    CHECK(watch.find(target));
 }
 
 TEST_CASE("A schedule expires, so that the loss of the leader does not mislead a gateway for long")
