--- a/gateway/testing/tst_gateway.cpp
+++ b/gateway/testing/tst_gateway.cpp
@@ -34,6 +34,8 @@
         options.name = NodeId { "g1" };
         options.keys = channelOf("g1").keys;
         options.callers = callers;
+        // A slow machine must not turn a queued request into a choice of the gateway.
+        options.picker.askTimeout = patience;
         for (auto &control : controls) {
             control.document = Revision { 1 };
             control.isQueueing = true;
--- a/gateway/testing/tst_placewaits.cpp
+++ b/gateway/testing/tst_placewaits.cpp
@@ -155,6 +155,19 @@
     CHECK(world.balancer.ended == Ended { { first, 1 } });
 }
 
+TEST_CASE("A grant that is handled before the request has seen that it is queued is not lost")
+{
+    auto world = World {};
+    world.rig.addEndpoint("i-1", { "m0" }).handler = answering("one");
+    world.balancer.answer = [&](const proto::PickRequest &request) {
+        world.grant(first, request.ticket, placeAt("i-1"));
+        return queuedReply();
+    };
+    CHECK(world.rig.call(world.request("/once/1")).body == "one");
+    CHECK(world.balancer.asked.size() == 1);
+    CHECK(world.balancer.ended == Ended { { first, 1 } });
+}
+
 TEST_CASE("Where the configuration does not ask for ordered admission, picks are sent as before")
 {
     auto world = World { *testCatalogue(false) };
