gateway: a test reports a missing balancer instead of crashing

Cause: without reports of the balancer, a test of the control feed read an empty list. Change: it requires a report first.

--- a/gateway/testing/tst_controlfeed.cpp
+++ b/gateway/testing/tst_controlfeed.cpp
@@ -81,6 +81,7 @@
     auto &feed = rig.addFeed("g1");
     auto &control = *rig.controls.at(rig.pick(feed));
     const auto address = control.address();
+    REQUIRE_FALSE(rig.balancers.empty());
     CHECK(rig.balancers.back() == address);
     control.server->stop();
     rig.runUntil([&] { return rig.closed == std::vector { address }; });
@@ -94,6 +95,7 @@
     auto &feed = rig.addFeed("g1");
     auto &control = *rig.controls.at(rig.pick(feed));
     const auto address = control.address();
+    REQUIRE_FALSE(rig.balancers.empty());
     REQUIRE(rig.balancers.back() == address);
     control.isSilent = true;
     CHECK(rig.pick(feed).empty());
