--- a/gateway/picker.h
+++ b/gateway/picker.h
@@ -14,7 +14,7 @@
 //
 // An ordered request may be queued by the balancer (gateway/grantwaits.h):
 //
-//   if (picked.wait) { ... await picked.wait ...; picker.settle(picked); }
+//   if (picked.wait) { ... wait for its end ...; picker.settle(picked, defaultRetryAfter); }
 //
 // Not thread-safe.
 
