Schedules only for services with a deferrable route; plain endpoints get twice their slots

Change: the schedule is sent for services with a deferrable route. A plain endpoint has room up to twice its slots, for promised returns up to 2.5 times.

--- a/fleet/balancer.cpp
+++ b/fleet/balancer.cpp
@@ -57,8 +57,8 @@
     if (request.hasBegun)
         return true;
     if (request.isOrdered && request.model == 0) {
-        const auto spare = isReturned ? options_.plainSpareForReturned : options_.plainSpare;
-        return request.places == 0 || endpoint.running < request.places + spare;
+        const auto limit = isReturned ? options_.plainLimitForReturned : options_.plainLimit;
+        return request.places == 0 || endpoint.running < request.places * limit;
     }
     const auto isAdmitted = endpoint.limit.admits(endpoint.running, request.places, request.rank)
             || (isReturned && endpoint.running < request.places);
--- a/fleet/balancer.h
+++ b/fleet/balancer.h
@@ -127,11 +127,12 @@
     Duration maxRetryAfter = std::chrono::milliseconds { 4000 };
     /// Expected time that a request occupies a place, until the first one has ended.
     Duration initialOccupancy = std::chrono::milliseconds { 1500 };
-    /// Requests beyond its slots that a plain service's endpoint is sent: they cover the round trip
-    /// in which it would be idle otherwise. More for those that return at the time they were told,
-    /// since the endpoint queues them.
-    std::uint32_t plainSpare = 2;
-    std::uint32_t plainSpareForReturned = 4;
+    /// Requests that a plain service's endpoint is sent, as a multiple of its slots. Those beyond
+    /// its slots wait there for less than the time of a request, and keep it busy while an end is
+    /// reported and the next request is on its way. More for those that return at the time they
+    /// were told.
+    double plainLimit = 2;
+    double plainLimitForReturned = 2.5;
     /// Longest hold of a prompt that may wait for a slot here instead, so that a request with much
     /// time does not fill the endpoint's reading before one with little time arrives: a decode
     /// interval, and time to find the room while the prompt before it is still read.
--- a/fleet/planning.cpp
+++ b/fleet/planning.cpp
@@ -72,8 +72,8 @@
     auto asked = parts_.demand.of(service.id);
     std::erase_if(asked.models,
                   [this](const auto &wanted) { return parts_.loadGuard.isBarred(wanted.first); });
-    const auto held = isOrdered_ || deferrable_.contains(service.id) ? heldOf(service.id, asked)
-                                                                     : HeldTargets {};
+    const auto isDeferrable = deferrable_.contains(service.id);
+    const auto held = isDeferrable ? heldOf(service.id, asked) : HeldTargets {};
     auto input = PlacementInput { engine, {}, {}, {}, {}, {}, {}, {}, 0, 0 };
     auto running = std::unordered_map<EndpointId, std::uint32_t> {};
     for (const auto &load : parts_.demand.loads())
@@ -111,13 +111,15 @@
     input.freshAdapters = orders.freshAdapters();
     input.storeLoads = orders.storeLoadsAllowed(engine);
     input.storeReserve = orders.storeLoadsAtOnce() > 1 ? 1 : 0;
-    if (deferrable_.contains(service.id)) {
+    if (isDeferrable) {
         input.ordersByStart = true;
         input.freshModels
                 = freshLoads_[service.id].onPass(input.models, held.models, parts_.clock.now());
     }
     const auto placement = plan(input);
-    if (isOrdered_) {
+    // Where no request can wait for several loads, a schedule keeps requests waiting for loads that
+    // come too late.
+    if (isOrdered_ && isDeferrable) {
         auto lacked = lackedLoads(service.id, input, placement, held, parts_.clock.now());
         lacked_.insert(lacked_.end(), std::make_move_iterator(lacked.begin()),
                        std::make_move_iterator(lacked.end()));
--- a/fleet/testing/tst_coreschedule.cpp
+++ b/fleet/testing/tst_coreschedule.cpp
@@ -37,7 +37,7 @@
     for (auto rank = 0U; rank < ranks; ++rank) {
         auto &route = result.routes.emplace_back();
         route.rank = rank;
-        route.startTarget = 2500ms;
+        route.startTarget = 125s; // Two loads fit into it, so that it is deferrable.
         route.split = { { ServiceId { "s" }, 1 } };
     }
     return result;
