--- a/fleet/balancer.cpp
+++ b/fleet/balancer.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "core/duration.h"
+#include "core/log.h"
 
 namespace figrack::fleet {
 namespace {
@@ -13,6 +14,8 @@
 constexpr auto expireEvery = std::chrono::seconds { 1 };
 /// Costs that differ by less count as equal: half a round trip between failure domains.
 constexpr auto costTolerance = 1.0;
+/// A speed is logged when it has changed by a third.
+constexpr auto loggedSpeedChange = 4.0 / 3;
 
 /// @return the duration in milliseconds; 0 for a negative one
 auto positiveMillis(Duration duration) -> std::uint32_t
@@ -26,7 +29,10 @@
     : options_(options)
     , clock_(clock)
     , random_(random)
+    , speeds_(options.speeds)
+    , shares_(options.shares)
     , occupancyMs_(inMillis(options.initialOccupancy))
+    , queue_(options.queue)
 { }
 
 auto Balancer::endpointOf(const EndpointId &id) -> Endpoint &
@@ -43,14 +49,79 @@
     }
 }
 
-auto Balancer::hasRoom(Endpoint &endpoint, const proto::PickRequest &request) -> bool
+auto Balancer::hasRoom(Endpoint &endpoint, const proto::PickRequest &request, bool isReturned)
+        -> bool
 {
     if (!endpoint.rate.allows(clock_.now()))
         return false;
     if (request.hasBegun)
         return true;
-    return endpoint.limit.admits(endpoint.running, request.places, request.rank)
-            && !exceedsReadQueue(endpoint, request);
+    if (request.isOrdered && request.model == 0) {
+        const auto limit = isReturned ? options_.plainLimitForReturned : options_.plainLimit;
+        return request.places == 0 || endpoint.running < request.places * limit;
+    }
+    const auto isAdmitted = endpoint.limit.admits(endpoint.running, request.places, request.rank)
+            || (isReturned && endpoint.running < request.places);
+    return isAdmitted && !exceedsReadQueue(endpoint, request);
+}
+
+auto Balancer::countsForShare(const proto::PickRequest &request) -> bool
+{
+    return request.isOrdered && !request.account.empty() && request.accountPerSecond > 0;
+}
+
+auto Balancer::recordAsked(const proto::PickRequest &request) -> void
+{
+    if (!countsForShare(request))
+        return;
+    const auto now = clock_.now();
+    shares_.onAsked(request.account, request.accountPerSecond, now);
+    for (const auto &change : shares_.takeChanges(now)) {
+        LogEvent(LogLevel::Info, "account_over_share")
+                .with("account", change.account)
+                .with("over", change.isOver)
+                .with("use", change.use)
+                .with("mean_use", change.mean);
+    }
+}
+
+auto Balancer::recordGranted(const proto::PickRequest &request) -> void
+{
+    if (!countsForShare(request))
+        return;
+    ++(shares_.isOver(request.account) ? grantsOverShare_ : grantsWithinShare_);
+    shares_.onGranted(request.account, static_cast<double>(request.cost), clock_.now());
+}
+
+/// Requests of accounts over their share do not count: places would be kept free for as long as
+/// they ask, also if nobody else needs them.
+auto Balancer::noteContention(const proto::PickRequest &request) -> void
+{
+    if (request.isOrdered && !shares_.isOver(request.account))
+        contendedUntil_.at(kindOf(request)) = clock_.now() + options_.contentionTime;
+}
+
+auto Balancer::isContended(const proto::PickRequest &request) const -> bool
+{
+    return clock_.now() < contendedUntil_.at(kindOf(request));
+}
+
+auto Balancer::mustYield(const proto::PickRequest &request) const -> bool
+{
+    return countsForShare(request) && !request.hasBegun && isContended(request)
+            && shares_.isOver(request.account);
+}
+
+auto Balancer::hasRoomBesideOthers(const Endpoint &endpoint,
+                                   const proto::PickRequest &request) const -> bool
+{
+    // A plain service has no learned limit. Its places are free often enough for an account over
+    // its share to get some, so it only loses the requests beyond them.
+    if (request.places == 0)
+        return true;
+    if (request.model == 0)
+        return endpoint.running < request.places;
+    return endpoint.running < endpoint.limit.limit() * options_.overShareLimit;
 }
 
 /// More prompts than can be held back for decode intervals would be read without any: all streams
@@ -61,8 +132,8 @@
 {
     if (request.places == 0 || endpoint.running == 0)
         return false;
-    const auto wait = endpoint.readUntil + options_.decodeInterval - clock_.now();
-    return wait > longestHoldFor(request) && readTime(endpoint, request) > options_.shortRead;
+    const auto wait = endpoint.readUntil + decodeIntervalOf(endpoint, request) - clock_.now();
+    return wait > admittedHoldFor(request) && readTime(endpoint, request) > options_.shortRead;
 }
 
 /// Callers of refused requests are told to retry one after another, at the rate at which places
@@ -70,6 +141,7 @@
 auto Balancer::refuseNoRoom(const proto::PickRequest &request) -> proto::PickReply
 {
     const auto now = clock_.now();
+    noteContention(request);
     auto &last = lastRetryAt_.try_emplace(request.model, now).first->second;
     const auto places = static_cast<double>(request.places * request.candidates.size());
     const auto next
@@ -107,12 +179,27 @@
 {
     expire();
     learnRates(request);
+    recordAsked(request);
+    if (request.candidates.empty())
+        return {};
+    if (request.isOrdered && !request.hasBegun)
+        return pickOrdered(gateway, request);
+    if (const auto *best = bestOf(request, false))
+        return book(gateway, request, *best);
+    return areRatesUsed(request) ? refuseRateUsed(request) : refuseNoRoom(request);
+}
+
+auto Balancer::bestOf(const proto::PickRequest &request, bool isReturned) -> const EndpointId *
+{
+    const auto yields = !isReturned && mustYield(request);
     const EndpointId *best = nullptr;
     auto bestCost = std::numeric_limits<double>::infinity();
     auto equals = std::uint64_t { 0 };
     for (const auto &id : request.candidates) {
         auto &endpoint = endpointOf(id);
-        if (!hasRoom(endpoint, request))
+        updateSpeed(id, endpoint, request);
+        if (!hasRoom(endpoint, request, isReturned)
+            || (yields && !hasRoomBesideOthers(endpoint, request)))
             continue;
         const auto cost = costAt(endpoint, request);
         if (best != nullptr && std::abs(cost - bestCost) < costTolerance) {
@@ -125,21 +212,17 @@
             equals = 1;
         }
     }
-    if (request.candidates.empty())
-        return {};
-    if (best == nullptr)
-        return areRatesUsed(request) ? refuseRateUsed(request) : refuseNoRoom(request);
-    return book(gateway, request, *best);
+    return best;
 }
 
 auto Balancer::slotFor(const Endpoint &endpoint, const proto::PickRequest &request) const -> Slot
 {
     const auto now = clock_.now();
     const auto read = readTime(endpoint, request);
-    if (endpoint.readUntil + options_.decodeInterval <= now)
+    const auto decodeIntervalEnd = endpoint.readUntil + decodeIntervalOf(endpoint, request);
+    if (decodeIntervalEnd <= now)
         return { now, now, now + read };
     auto slot = Slot { endpoint.readSince, std::max(endpoint.readUntil, now), {} };
-    const auto decodeIntervalEnd = endpoint.readUntil + options_.decodeInterval;
     const auto isTooLong = slot.begin + read - endpoint.readSince > maxReadRunFor(request);
     if (isTooLong && endpoint.running > 0 && decodeIntervalEnd - now <= longestHoldFor(request))
         slot.runBegin = slot.begin = decodeIntervalEnd;
@@ -152,7 +235,7 @@
 {
     const auto missingTokens = missing(endpoint, request);
     auto read = std::chrono::duration_cast<Duration>(usualRead(missingTokens.toRead)
-                                                     * readFactorOf(request.model));
+                                                     * readFactorOf(endpoint, request));
     if (missingTokens.toFetch > 0) {
         read += options_.fetchOverhead
                 + fromMillis(static_cast<double>(missingTokens.toFetch)
@@ -181,17 +264,67 @@
     return fromMillis(static_cast<double>(tokens) / options_.tokensPerMs);
 }
 
-auto Balancer::readFactorOf(std::uint64_t model) const -> double
+auto Balancer::readFactorOf(const Endpoint &endpoint, const proto::PickRequest &request) const
+        -> double
 {
-    const auto found = readFactors_.find(model);
+    if (request.isOrdered)
+        return speeds_.modelFactor(request.model) * speedOf(endpoint, request);
+    const auto found = readFactors_.find(request.model);
     return found == readFactors_.end() ? 1 : found->second;
 }
 
+auto Balancer::speedOf(const Endpoint &endpoint, const proto::PickRequest &request) -> double
+{
+    return request.isOrdered ? endpoint.speed : 1;
+}
+
+auto Balancer::decodeIntervalOf(const Endpoint &endpoint, const proto::PickRequest &request) const
+        -> Duration
+{
+    // Requests that are not ordered get exactly the configured interval.
+    const auto speed = speedOf(endpoint, request);
+    return speed == 1 ? options_.decodeInterval
+                      : fromMillis(inMillis(options_.decodeInterval) * speed);
+}
+
+auto Balancer::updateSpeed(const EndpointId &id, Endpoint &endpoint,
+                           const proto::PickRequest &request) -> void
+{
+    if (!request.isOrdered)
+        return;
+    const auto now = clock_.now();
+    endpoint.speed = speeds_.factorOf(id, now);
+    const auto change = endpoint.speed / endpoint.loggedSpeed;
+    const auto crossesBand = (endpoint.speed == 1) != (endpoint.loggedSpeed == 1);
+    const auto isNotable
+            = crossesBand || change >= loggedSpeedChange || change <= 1 / loggedSpeedChange;
+    if (!isNotable || now - endpoint.speedLoggedAt < options_.speedLogInterval)
+        return;
+    LogEvent(LogLevel::Info, "endpoint_speed")
+            .with("endpoint", id)
+            .with("factor", endpoint.speed)
+            .with("before", endpoint.loggedSpeed)
+            .with("learned", speeds_.learnedFactor(id, now));
+    endpoint.loggedSpeed = endpoint.speed;
+    endpoint.speedLoggedAt = now;
+}
+
+auto Balancer::status() const -> BalancerStatus
+{
+    return { speeds_.countByClass(clock_.now()), shares_.countOver(clock_.now()),
+             grantsWithinShare_, grantsOverShare_ };
+}
+
 auto Balancer::learnReadFactor(const Booking &booking, Duration start) -> void
 {
     if (!booking.isAlone || booking.usualRead < options_.minInformativeRead)
         return;
     const auto read = std::max(Duration::zero(), start - options_.startOverhead);
+    if (booking.isOrdered) {
+        speeds_.learn(booking.endpoint, booking.model, inMillis(read) / inMillis(booking.usualRead),
+                      clock_.now());
+        return;
+    }
     const auto seen = std::clamp(inMillis(read) / inMillis(booking.usualRead),
                                  options_.minReadFactor, options_.maxReadFactor);
     auto &readFactor = readFactors_.try_emplace(booking.model, 1).first->second;
@@ -208,7 +341,8 @@
     const auto generating
             = std::min(static_cast<double>(request.outputTokens) * options_.msPerToken,
                        inMillis(options_.generationHorizon));
-    return start + running * options_.msPerRunning + running * options_.pauseWeight * paused
+    return start + running * options_.msPerRunning * speedOf(endpoint, request)
+            + running * options_.pauseWeight * paused
             + generating * options_.exposureWeight * readShare(endpoint);
 }
 
@@ -284,13 +418,17 @@
     recordCached(id, request.shared);
     auto &booking = bookings_[{ gateway, request.ticket }];
     if (!booking.endpoint.empty())
-        release(booking.endpoint);
+        release(booking);
     booking = { id,
                 request.model,
                 usualRead(missingTokens.toRead),
                 slot.begin == now,
                 now,
-                now + std::chrono::milliseconds { request.limitMs } };
+                now + std::chrono::milliseconds { request.limitMs },
+                request.isOrdered,
+                countsForShare(request) ? request.account : AccountId {},
+                request.cost };
+    recordGranted(request);
     ++endpoint.running;
     return reply;
 }
@@ -322,13 +460,21 @@
 auto Balancer::onEnd(const NodeId &gateway, const proto::PickEnd &end) -> void
 {
     const auto found = bookings_.find({ gateway, end.ticket });
-    if (found == bookings_.end())
+    if (found == bookings_.end()) {
+        queue_.cancel(gateway, end.ticket, clock_.now());
         return;
+    }
     if (end.startMs > 0)
         learnReadFactor(found->second, std::chrono::milliseconds { end.startMs });
     learnLimit(found->second, end.outcome);
-    release(found->second.endpoint);
+    if (!found->second.account.empty() && !end.mayHaveRun) {
+        shares_.onReturned(found->second.account, static_cast<double>(found->second.cost),
+                           found->second.bookedAt, clock_.now());
+    }
+    const auto endpoint = found->second.endpoint;
+    release(found->second);
     bookings_.erase(found);
+    grantPlaces(&endpoint);
 }
 
 auto Balancer::learnLimit(const Booking &booking, proto::PickOutcome outcome) -> void
@@ -337,8 +483,11 @@
     if (outcome == proto::PickOutcome::Unknown || found == endpoints_.end())
         return;
     const auto now = clock_.now();
-    occupancyMs_ += options_.learningRate * (inMillis(now - booking.bookedAt) - occupancyMs_);
+    const auto occupied = inMillis(now - booking.bookedAt);
+    occupancyMs_ += options_.learningRate * (occupied - occupancyMs_);
     auto &endpoint = found->second;
+    endpoint.occupancyMs
+            = occupancyOf(endpoint) + options_.learningRate * (occupied - occupancyOf(endpoint));
     endpoint.limit.onEnd(outcome == proto::PickOutcome::Late, endpoint.running, now);
 }
 
@@ -346,9 +495,11 @@
 {
     auto item = bookings_.lower_bound({ gateway, 0 });
     while (item != bookings_.end() && item->first.first == gateway) {
-        release(item->second.endpoint);
+        release(item->second);
         item = bookings_.erase(item);
     }
+    queue_.onGatewayLost(gateway, clock_.now());
+    grantPlaces(nullptr);
 }
 
 auto Balancer::runningAt(const EndpointId &id) const -> std::uint32_t
@@ -357,9 +508,9 @@
     return found == endpoints_.end() ? 0 : found->second.running;
 }
 
-auto Balancer::release(const EndpointId &id) -> void
+auto Balancer::release(const Booking &booking) -> void
 {
-    const auto found = endpoints_.find(id);
+    const auto found = endpoints_.find(booking.endpoint);
     if (found != endpoints_.end() && found->second.running > 0)
         --found->second.running;
 }
@@ -370,18 +521,20 @@
     if (now < nextExpiry_)
         return;
     nextExpiry_ = now + expireEvery;
+    speeds_.maintain(now);
     for (auto item = bookings_.begin(); item != bookings_.end();) {
         if (item->second.expiresAt > now) {
             ++item;
             continue;
         }
-        release(item->second.endpoint);
+        release(item->second);
         item = bookings_.erase(item);
     }
     std::erase_if(endpoints_, [&](const auto &item) {
         const auto &endpoint = item.second;
         return endpoint.running == 0 && now - endpoint.averagedAt > options_.forgetAfter;
     });
+    queue_.expire(now);
     std::erase_if(lastRetryAt_, [now](const auto &item) { return item.second <= now; });
     std::erase_if(lastCachedAt_,
                   [&](const auto &item) { return !endpoints_.contains(item.second); });
--- a/fleet/balancer.h
+++ b/fleet/balancer.h
@@ -30,12 +30,26 @@
 // include the rates they know in each request, so a balancer that takes over from
 // another one learns them from the first request.
 //
+// Requests with isOrdered that find no slot wait in a PlaceQueue (fleet/placequeue.h).
+// Slots are offered to them when a request ends, when a gateway is lost, and by
+// recheckWaiting(), which the owner calls at intervals while requests wait:
+//
+//   for (auto &grant : balancer.queue().takeGrants()) ...   // after each call
+//
+// For ordered requests (proto::PickRequest::isOrdered), two more things are learned.
+// Endpoints that read slowly get fewer of them (fleet/endpointspeed.h), and while
+// requests find no place, those of accounts that got more than their share leave
+// places to the others (policy/fairshare.h). All other requests are neither placed
+// by this nor learned from for it.
+//
 // Deterministic except for the clock and the random choice among equal candidates.
 // Not thread-safe.
 
 #ifndef FIGRACK_FLEET_BALANCER_H
 #define FIGRACK_FLEET_BALANCER_H
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -46,6 +60,9 @@
 #include "core/ids.h"
 #include "core/random.h"
 #include "fleet/admission.h"
+#include "fleet/endpointspeed.h"
+#include "fleet/placequeue.h"
+#include "policy/fairshare.h"
 #include "policy/ratelimiter.h"
 #include "proto/servingmessages.h"
 
@@ -110,8 +127,43 @@
     Duration maxRetryAfter = std::chrono::milliseconds { 4000 };
     /// Expected time that a request occupies a place, until the first one has ended.
     Duration initialOccupancy = std::chrono::milliseconds { 1500 };
+    /// Requests that a plain service's endpoint is sent, as a multiple of its slots. Those beyond
+    /// its slots wait there for less than the time of a request, and keep it busy while an end is
+    /// reported and the next request is on its way. More for those that return at the time they
+    /// were told.
+    double plainLimit = 2;
+    double plainLimitForReturned = 2.5;
+    /// Longest hold of a prompt that may wait for a slot here instead, so that a request with much
+    /// time does not fill the endpoint's reading before one with little time arrives: a decode
+    /// interval, and time to find the room while the prompt before it is still read.
+    Duration longestOrderedHold = std::chrono::milliseconds { 100 };
+    PlaceQueueOptions queue {};
     /// Endpoints without a booking for this time are forgotten.
     Duration forgetAfter = std::chrono::seconds { 60 };
+    /// Speeds of endpoints, for ordered requests (proto::PickRequest::isOrdered) only.
+    EndpointSpeedOptions speeds {};
+    /// An endpoint's speed is logged at most once in this interval, so that factors which move
+    /// around a threshold do not fill the log.
+    Duration speedLogInterval = std::chrono::seconds { 5 };
+    /// Shares of accounts, for ordered requests only.
+    policy::FairShareOptions shares {};
+    /// There is contention for this time after a request was refused for want of a place. Endpoints
+    /// evaluate their limits as often.
+    Duration contentionTime = std::chrono::milliseconds { 500 };
+    /// While there is contention, accounts over their share use an endpoint up to this fraction of
+    /// its learned limit; the rest is left to the others.
+    double overShareLimit = 0.8;
+};
+
+/// What operators see of the picks for ordered requests.
+struct BalancerStatus
+{
+    /// Endpoints by the class of their speed, indexed by SpeedClass.
+    std::array<std::size_t, speedClassNames.size()> endpointsBySpeed {};
+    std::size_t accountsOverShare = 0;
+    /// Requests of accounts with limits that got a place since the start.
+    std::uint64_t grantsWithinShare = 0;
+    std::uint64_t grantsOverShare = 0;
 };
 
 class Balancer
@@ -121,15 +173,23 @@
     /// @param gateway the gateway that asks
     /// @param request the request, with its candidate endpoints
     /// @return the candidate with the lowest cost, and the details of the pick; no endpoint when
-    /// there are no candidates, or none has room, in which case the reply has the time to retry
+    /// there are no candidates, or none has room, in which case the reply has the time to retry, or
+    /// says that the request is queued
     auto pick(const NodeId &gateway, const proto::PickRequest &request) -> proto::PickReply;
+    /// Ends a booking, or the wait of a queued request.
     auto onEnd(const NodeId &gateway, const proto::PickEnd &end) -> void;
     /// Ends the bookings of a gateway that is gone, together with its requests.
     auto onGatewayLost(const NodeId &gateway) -> void;
+    /// Refuses the queued requests that cannot be served in time any more, and offers slots to the
+    /// others. Prompts that are being read and bookings that expire free slots without an event.
+    auto recheckWaiting() -> void;
+    auto queue() -> PlaceQueue & { return queue_; }
     /// @return the number of requests booked at the endpoint
     auto runningAt(const EndpointId &id) const -> std::uint32_t;
     /// @return the number of all booked requests
     auto booked() const -> std::size_t { return bookings_.size(); }
+    /// @return the figures for the page of metrics
+    auto status() const -> BalancerStatus;
 
 private:
     struct Endpoint
@@ -144,8 +204,12 @@
         double reading = 0;       ///< Milliseconds of reading, decayed to averagedAt.
         Instant averagedAt {};
         std::uint32_t running = 0;            ///< Requests that are booked and have not ended.
+        double occupancyMs = 0;               ///< Average time of a request here; 0: not learned.
         std::deque<proto::PromptSpan> cached; ///< The most recently used span is last.
         std::uint64_t cachedTokens = 0;
+        double speed = 1;       ///< From speeds_; updated when an ordered request is placed.
+        double loggedSpeed = 1; ///< As last logged.
+        Instant speedLoggedAt {};
     };
     struct Booking
     {
@@ -155,6 +219,9 @@
         bool isAlone = false;  ///< No other prompt had to be read before it.
         Instant bookedAt {};
         Instant expiresAt {};
+        bool isOrdered = false;
+        AccountId account; ///< Whose share it counts for; empty: nobody's.
+        std::uint64_t cost = 0;
     };
     using BookingKey = std::pair<NodeId, std::uint64_t>;
 
@@ -173,9 +240,18 @@
     /// @return the longest run of reading that streams of the request's kind tolerate
     auto maxReadRunFor(const proto::PickRequest &request) const -> Duration;
     auto longestHoldFor(const proto::PickRequest &request) const -> Duration;
+    /// @return the longest hold with which the endpoint has room for the request
+    auto admittedHoldFor(const proto::PickRequest &request) const -> Duration;
     auto usualRead(std::uint64_t tokens) const -> Duration;
-    /// @return the model's reading time as a multiple of the usual one
-    auto readFactorOf(std::uint64_t model) const -> double;
+    /// @return the request's reading time at the endpoint as a multiple of the usual one
+    auto readFactorOf(const Endpoint &endpoint, const proto::PickRequest &request) const -> double;
+    /// @return how much slower than others the endpoint is; 1 for requests that are not ordered
+    static auto speedOf(const Endpoint &endpoint, const proto::PickRequest &request) -> double;
+    auto decodeIntervalOf(const Endpoint &endpoint, const proto::PickRequest &request) const
+            -> Duration;
+    /// Looks up the endpoint's speed before an ordered request is placed, and logs changes.
+    auto updateSpeed(const EndpointId &id, Endpoint &endpoint, const proto::PickRequest &request)
+            -> void;
     auto learnReadFactor(const Booking &booking, Duration start) -> void;
     auto learnLimit(const Booking &booking, proto::PickOutcome outcome) -> void;
     auto costAt(const Endpoint &endpoint, const proto::PickRequest &request) const -> double;
@@ -196,9 +272,34 @@
     auto book(const NodeId &gateway, const proto::PickRequest &request, const EndpointId &id)
             -> proto::PickReply;
     auto recordCached(const EndpointId &id, const std::vector<proto::PromptSpan> &spans) -> void;
-    auto release(const EndpointId &id) -> void;
+    /// Frees the place of a booking that is over.
+    auto release(const Booking &booking) -> void;
     auto endpointOf(const EndpointId &id) -> Endpoint &;
-    auto hasRoom(Endpoint &endpoint, const proto::PickRequest &request) -> bool;
+    /// @return true when the request is of an account that shares are kept for
+    static auto countsForShare(const proto::PickRequest &request) -> bool;
+    /// Tells shares_ of the request, and logs the accounts that it reports.
+    auto recordAsked(const proto::PickRequest &request) -> void;
+    /// Counts a request that was booked for its account's share.
+    auto recordGranted(const proto::PickRequest &request) -> void;
+    /// Call when a request finds no place.
+    auto noteContention(const proto::PickRequest &request) -> void;
+    /// @return 0 for a request to an engine, 1 for one to a plain service
+    static auto kindOf(const proto::PickRequest &request) -> std::size_t
+    {
+        return request.model == 0 ? 1 : 0;
+    }
+    /// @return true while ordered requests to the same kind of service find no place
+    auto isContended(const proto::PickRequest &request) const -> bool;
+    /// @return true when the request goes behind those of other accounts
+    auto mustYield(const proto::PickRequest &request) const -> bool;
+    /// Call when hasRoom() is true, which also sets up the endpoint's limit.
+    /// @return true when the endpoint has room for a request that must yield
+    auto hasRoomBesideOthers(const Endpoint &endpoint, const proto::PickRequest &request) const
+            -> bool;
+    /// @param isReturned the request has returned at the time that it was told
+    auto hasRoom(Endpoint &endpoint, const proto::PickRequest &request, bool isReturned) -> bool;
+    /// @return the candidate with the lowest cost among those that have room; nullptr: none
+    auto bestOf(const proto::PickRequest &request, bool isReturned) -> const EndpointId *;
     auto learnRates(const proto::PickRequest &request) -> void;
     /// @return true when each candidate has been sent all requests that its rate allows
     auto areRatesUsed(const proto::PickRequest &request) const -> bool;
@@ -207,17 +308,35 @@
     auto refuseRateUsed(const proto::PickRequest &request) -> proto::PickReply;
     auto expire() -> void;
 
+    // Requests that may wait for a slot (balancerordered.cpp).
+    auto pickOrdered(const NodeId &gateway, const proto::PickRequest &request) -> proto::PickReply;
+    auto waitingPick(const NodeId &gateway, const proto::PickRequest &request) const -> WaitingPick;
+    /// @return the time from the grant of a slot to the request's first event
+    auto leadTime(const proto::PickRequest &request) const -> Duration;
+    auto occupancyOf(const Endpoint &endpoint) const -> double;
+    auto supplyFor(const proto::PickRequest &request) -> PlaceSupply;
+    /// Offers slots to the queued requests. @param freed the endpoint with a free slot; nullptr:
+    /// any
+    auto grantPlaces(const EndpointId *freed) -> void;
+
     BalancerOptions options_;
     const Clock &clock_;
     Random &random_;
     std::map<EndpointId, Endpoint> endpoints_;
     std::map<BookingKey, Booking> bookings_;
-    std::map<std::uint64_t, double> readFactors_; ///< Learned, by model.
+    std::map<std::uint64_t, double> readFactors_; ///< Learned, by model; not of ordered requests.
+    EndpointSpeeds speeds_;                       ///< Learned from ordered requests.
+    policy::FairShare shares_;                    ///< Of the accounts of ordered requests.
+    /// By kind of service (kindOf): engines may be short of places while plain services are not.
+    std::array<Instant, 2> contendedUntil_ {};
+    std::uint64_t grantsWithinShare_ = 0;
+    std::uint64_t grantsOverShare_ = 0;
     std::map<std::uint64_t, Instant>
             lastRetryAt_; ///< By model: the retry time given to the last refused request.
     double occupancyMs_;  ///< Average time that a request occupies a place.
     std::unordered_map<std::uint64_t, EndpointId> lastCachedAt_; ///< By the key of a span.
     Instant nextExpiry_ {};
+    PlaceQueue queue_;
 };
 
 } // namespace figrack::fleet
--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -18,6 +18,7 @@
 #include "fleet/lastknown.h"
 #include "fleet/loadguard.h"
 #include "fleet/metrics.h"
+#include "fleet/placegrants.h"
 #include "fleet/planning.h"
 #include "fleet/recentdocuments.h"
 #include "fleet/suspectsync.h"
@@ -42,6 +43,9 @@
 constexpr auto idlePerPlan = 3;
 constexpr auto joinEvery = std::chrono::milliseconds { 500 };
 constexpr auto stopCheckInterval = std::chrono::milliseconds { 50 };
+/// Interval at which slots are looked for while requests wait. Requests that end free most slots at
+/// once; this finds those that prompts free as they are read.
+constexpr auto recheckInterval = std::chrono::milliseconds { 20 };
 /// Time for leadership to be transferred before the process ends.
 constexpr auto handoverTimeout = std::chrono::seconds { 2 };
 /// Time for gateways and endpoints to finish their exchanges with this control.
@@ -70,13 +74,17 @@
         , demand_(options_.demand, clock)
         , balancer_(options_.balancer, clock, random_)
         , ledger_(options_.ledger, registry_, clock, Incarnation { random_.bits() })
+        , grants_(balancer_, trials_, ledger_, metrics_)
         , proof_(options_.proof, clock)
         , orders_(context, options_.orders, clock, registry_, port, authority())
         , planning_(options_.planning,
-                    { clock, registry_, decisions_, demand_, loadGuard_, orders_ }, readDocument_)
+                    { clock, registry_, decisions_, demand_, loadGuard_, orders_, metrics_ },
+                    readDocument_)
+        , loadScheduler_(options_.loadSchedule)
         , tickTimer_(context)
         , stopTimer_(context)
         , planTimer_(context)
+        , recheckTimer_(context)
     { }
 
     auto start() -> absl::Status
@@ -188,6 +196,7 @@
         tickTimer_.cancel();
         stopTimer_.cancel();
         planTimer_.cancel();
+        recheckTimer_.cancel();
         if (server_)
             server_->stop();
         if (transport_)
@@ -203,7 +212,11 @@
 
     auto announcements() -> Announcements & { return announcements_; }
 
-    auto metricsPage() -> std::string { return metrics_.text(); }
+    auto metricsPage() -> std::string
+    {
+        metrics_.setPicks(balancer_.status());
+        return metrics_.text();
+    }
 
 private:
     // ---- wiring
@@ -222,11 +235,19 @@
         authority.isEvacuated = [this](const DomainId &domain) {
             return decisions_.newestEvacuations().contains(domain);
         };
-        authority.onPlanEnded = [this] { planSoon(); };
+        authority.onPlanEnded = [this] {
+            loadScheduler_.onLoadChanged();
+            planSoon();
+        };
+        authority.onLoadAccepted = [this] { loadScheduler_.onLoadChanged(); };
         authority.onEndedDuringLoad = [this](const ModelId &model, const EndpointId &endpoint) {
             loadGuard_.onEnded(model, endpoint);
         };
-        authority.onLoaded = [this](const ModelId &model) { loadGuard_.onLoaded(model); };
+        authority.onLoaded = [this](const ModelId &model) {
+            loadGuard_.onLoaded(model);
+            if (const auto error = loadScheduler_.onHeld(model, clock_.now()))
+                metrics_.onLoadHeld(*error);
+        };
         return authority;
     }
 
@@ -295,6 +316,8 @@
                       // Connections of other controls have no requests in the ledger.
                       if (kind == proto::SubscriberKind::Gateway)
                           self->ledger_.onGatewayLost(peer->peer());
+                      self->grants_.onClose(peer);
+                      self->grants_.flush();
                   };
         return handler;
     }
@@ -316,13 +339,20 @@
         } else if (const auto *wanted = std::get_if<proto::ModelWanted>(&envelope.payload)) {
             onWanted(peer->peer(), *wanted);
         } else if (auto *pick = std::get_if<proto::PickRequest>(&envelope.payload)) {
+            // A gateway that asks for no reply sends the request at once, whatever is decided here.
+            pick->isOrdered = pick->isOrdered && envelope.correlation != 0;
             auto reply = onPick(peer->peer(), *pick);
+            if (reply.isQueued)
+                grants_.onQueued(peer);
             if (envelope.correlation != 0)
                 peer->send({ envelope.correlation, std::move(reply) });
+            grants_.flush();
+            recheckWhileWaiting();
         } else if (const auto *end = std::get_if<proto::PickEnd>(&envelope.payload)) {
             balancer_.onEnd(peer->peer(), *end);
             trials_.onEnd(peer->peer(), end->ticket);
             ledger_.onEnd(peer->peer(), *end);
+            grants_.flush();
         } else if (const auto *news = std::get_if<proto::SuspectNews>(&envelope.payload)) {
             suspects_.onNews(*news);
         } else if (std::holds_alternative<proto::DocumentProofRequest>(envelope.payload)) {
@@ -348,7 +378,7 @@
             demandRelay_.onGatewayLost(sender); // What it reported before is out of date.
             if (demand_.onReport(sender, wanted))
                 planSoon();
-        } else if (demandRelay_.onReport(sender, wanted)) {
+        } else if (demandRelay_.onReport(sender, wanted, clock_.now())) {
             nextRelayedDemand_ = {};
         }
     }
@@ -360,7 +390,7 @@
         if (now < nextRelayedDemand_ || leads_ || leader.empty())
             return;
         nextRelayedDemand_ = now + options_.relayDemandEvery;
-        if (auto sum = demandRelay_.take())
+        if (auto sum = demandRelay_.take(now))
             static_cast<void>(transport_->push(leader, *std::move(sum)));
     }
 
@@ -390,13 +420,29 @@
         trials_.narrow(request, [this](const EndpointId &id) { return balancer_.runningAt(id); });
         auto reply = balancer_.pick(gateway, request);
         reply.isNearLimit = ledger_.isNearLimit(request);
-        if (!reply.endpoint.empty())
+        // A queued request is an attempt of its work already: nobody else may start one meanwhile.
+        if (!reply.endpoint.empty() || reply.isQueued)
             trials_.begin(gateway, request);
-        else
-            ledger_.giveBack(gateway, request.ticket);
+        ledger_.onReply(gateway, request.ticket, reply);
         return reply;
     }
 
+    auto recheckWhileWaiting() -> void
+    {
+        if (balancer_.queue().waiting() == 0 || std::exchange(recheckPending_, true))
+            return;
+        recheckTimer_.expires_after(recheckInterval);
+        recheckTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+            const auto self = weak.lock();
+            if (!self || error)
+                return;
+            self->recheckPending_ = false;
+            self->balancer_.recheckWaiting();
+            self->grants_.flush();
+            self->recheckWhileWaiting();
+        });
+    }
+
     // ---- proof for gateways that their document is current
 
     auto answerAsVoter(const coord::RevisionQuery &query) const -> coord::RevisionReply
@@ -550,6 +596,7 @@
         }
         if (now >= nextPlan_)
             planNow();
+        sendLoadSchedule();
     }
 
     /// Call after each call into the replica: completes proposals and publishes changes.
@@ -611,6 +658,7 @@
         leadTerm_ = now.term;
         leadingSince_ = clock_.now();
         LogEvent(LogLevel::Info, leads ? "leading" : "not_leading").with("term", now.term);
+        loadScheduler_.reset();
         if (!leads)
             return;
         orders_.onLeading();
@@ -661,6 +709,7 @@
             return;
         const auto begun = BootClock::now();
         planning_.run(leadTerm_);
+        loadScheduler_.onPass(planning_.lacked());
         // A control with a small share of a core and many endpoints must leave time for other work:
         // a plan of 6 ms takes 40 ms on a sixth of a core, and without a pause one plan would
         // directly follow the other.
@@ -668,6 +717,19 @@
         planAgainAt_ = ended + std::max<Duration>(planPause, (ended - begun) * idlePerPlan);
     }
 
+    /// Tells the gateways that are subscribed here when the models that they lack are expected.
+    auto sendLoadSchedule() -> void
+    {
+        const auto now = clock_.now();
+        if (!loadScheduler_.isDue(now) || !mayOrder())
+            return;
+        auto schedule = loadScheduler_.next(leadTerm_, orders_.loads(), now);
+        if (!schedule)
+            return;
+        metrics_.onLoadSchedule(*schedule);
+        registry_.push(proto::SubscriberKind::Gateway, *std::move(schedule));
+    }
+
     // ---- stopping
 
     auto checkStop() -> void
@@ -709,6 +771,7 @@
     DemandRelay demandRelay_;
     Balancer balancer_;
     AccountLedger ledger_;
+    PlaceGrants grants_;
     DocumentProof proof_;
     std::optional<DocumentVoter> voter_; ///< Created for each start of the replica.
     std::unique_ptr<control::PeerTransport> transport_;
@@ -718,9 +781,11 @@
     std::vector<coord::Member> members_;
     OrderRunner orders_;
     Planning planning_;
+    LoadScheduler loadScheduler_;
     BootTimer tickTimer_;
     BootTimer stopTimer_;
     BootTimer planTimer_;
+    BootTimer recheckTimer_;
     Instant planAgainAt_ {}; ///< Earliest time of the next planning pass.
     std::function<void()> onStopped_;
     std::optional<Instant> stoppedAt_; ///< When the replica stopped.
@@ -738,6 +803,7 @@
     bool leads_ = false;
     bool settling_ = false;
     bool planPending_ = false;
+    bool recheckPending_ = false; ///< Whether recheckTimer_ runs.
     bool endpointsChanged_ = false;
     bool stopping_ = false;
 };
--- a/fleet/demandtable.cpp
+++ b/fleet/demandtable.cpp
@@ -1,8 +1,10 @@
 #include "fleet/demandtable.h"
 
+#include <algorithm>
 #include <cmath>
 
 #include "core/duration.h"
+#include "fleet/loadorder.h"
 
 namespace figrack::fleet {
 namespace {
@@ -22,6 +24,7 @@
 DemandTable::DemandTable(DemandWindows windows, const Clock &clock)
     : windows_(windows)
     , clock_(clock)
+    , reading_(windows.fast)
 { }
 
 auto DemandTable::onReport(const NodeId &gateway, const proto::ModelWanted &report) -> bool
@@ -34,8 +37,10 @@
         add(recentArrivals_, target, row.arrived, windows_.fast);
         add(refusals_, target, row.refused, windows_.fast);
         add(lateRequests_, target, row.late, windows_.fast);
+        if (row.readTokens > 0)
+            reading_.add({ row.service, row.model }, row, clock_.now());
     }
-    latest_[gateway] = report;
+    latest_[gateway] = { report, clock_.now() };
     forgetOld();
     return unserved;
 }
@@ -57,6 +62,7 @@
         return;
     nextForget_ = now + forgetEvery;
     forgetNegligible(arrivals_, windows_.slow);
+    reading_.forgetOld(now);
     for (auto *rates : { &recentArrivals_, &refusals_, &lateRequests_ })
         forgetNegligible(*rates, windows_.fast);
 }
@@ -103,10 +109,12 @@
         if (target.service == service)
             result.models[target.model].late += recent(rate);
     }
-    for (const auto &[gateway, report] : latest_) {
-        for (const auto &row : report.rows) {
+    result.reading = reading_.of(service, clock_.now());
+    for (const auto &[gateway, latest] : latest_) {
+        for (const auto &row : latest.report.rows) {
             if (row.service != service)
                 continue;
+            addStarts(row, latest.receivedAt, result.models[row.model]);
             result.models[row.model].running += row.running;
             result.models[row.model].waiting += row.waiting;
             if (row.adapter.empty())
@@ -119,11 +127,25 @@
     return result;
 }
 
+auto DemandTable::addStarts(const proto::WantedRow &row, Instant receivedAt,
+                            RequestDemand &demand) const -> void
+{
+    if (row.running > 0 && row.waiting == 0)
+        demand.servedAt = std::max(demand.servedAt, receivedAt);
+    if (row.waiting == 0 || !row.startWithinMs)
+        return;
+    const auto until = receivedAt + std::chrono::milliseconds { *row.startWithinMs };
+    const auto left = std::max<Duration>(until - clock_.now(), Duration::zero());
+    const auto known = demand.startWithin ? std::optional { fromSeconds(*demand.startWithin) }
+                                          : std::nullopt;
+    demand.startWithin = inSeconds(*shorterStart(known, left));
+}
+
 auto DemandTable::loads() const -> std::vector<proto::EndpointLoad>
 {
     auto sums = std::map<EndpointId, std::uint32_t> {};
-    for (const auto &[gateway, report] : latest_) {
-        for (const auto &load : report.loads)
+    for (const auto &[gateway, latest] : latest_) {
+        for (const auto &load : latest.report.loads)
             sums[load.endpoint] += load.running;
     }
     auto result = std::vector<proto::EndpointLoad> {};
@@ -135,8 +157,8 @@
 auto DemandTable::unreachable() const -> std::set<EndpointId>
 {
     auto result = std::set<EndpointId> {};
-    for (const auto &[gateway, report] : latest_)
-        result.insert(report.unreachable.begin(), report.unreachable.end());
+    for (const auto &[gateway, latest] : latest_)
+        result.insert(latest.report.unreachable.begin(), latest.report.unreachable.end());
     return result;
 }
 
@@ -152,6 +174,7 @@
     recentArrivals_.clear();
     refusals_.clear();
     lateRequests_.clear();
+    reading_.clear();
     latest_.clear();
 }
 
--- a/fleet/demandtable.h
+++ b/fleet/demandtable.h
@@ -16,6 +16,7 @@
 
 #include "core/clock.h"
 #include "fleet/placement.h"
+#include "fleet/readload.h"
 #include "proto/servingmessages.h"
 
 namespace figrack::fleet {
@@ -24,6 +25,7 @@
 {
     std::map<ModelId, RequestDemand> models; ///< Includes the requests for a model's adapters.
     std::map<AdapterKey, RequestDemand> adapters;
+    std::map<ModelId, ReadLoad> reading; ///< Only of models whose requests' reading is reported.
 };
 
 struct DemandWindows
@@ -64,11 +66,19 @@
         double perSecond = 0;
         Instant at {};
     };
+    struct Latest
+    {
+        proto::ModelWanted report;
+        Instant receivedAt {};
+    };
     using Rates = std::map<Target, Rate>;
     auto decayed(const Rate &rate, Duration window) const -> double;
     /// @return the number of events in the last fast window, rounded
     auto recent(const Rate &rate) const -> std::uint32_t;
     auto add(Rates &rates, const Target &target, std::uint32_t count, Duration window) -> void;
+    /// Adds what a row of a gateway's latest report says of the waiting requests' starts.
+    auto addStarts(const proto::WantedRow &row, Instant receivedAt, RequestDemand &demand) const
+            -> void;
     auto forgetOld() -> void;
     auto forgetNegligible(Rates &rates, Duration window) const -> void;
     auto arrivalRate(const Target &target, const Rate &slow) const -> double;
@@ -79,7 +89,8 @@
     Rates recentArrivals_; ///< With the fast window, like all rates below.
     Rates refusals_;
     Rates lateRequests_;
-    std::map<NodeId, proto::ModelWanted> latest_;
+    ReadLoads reading_;
+    std::map<NodeId, Latest> latest_;
     Instant nextForget_ {};
 };
 
--- a/fleet/metrics.cpp
+++ b/fleet/metrics.cpp
@@ -1,15 +1,39 @@
 #include "fleet/metrics.h"
 
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <string>
+
 #include <prometheus/counter.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include "core/duration.h"
+
 namespace figrack::fleet {
 namespace {
 
 const auto secondBuckets
         = prometheus::Histogram::BucketBoundaries { 0.01, 0.03, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 1 };
+const auto waitBuckets
+        = prometheus::Histogram::BucketBoundaries { 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4 };
+/// Negative: served earlier than predicted.
+const auto errorBuckets
+        = prometheus::Histogram::BucketBoundaries { -1,   -0.4, -0.2, -0.1, -0.05, 0,
+                                                    0.05, 0.1,  0.2,  0.4,  1 };
+
+const auto loadErrorBuckets
+        = prometheus::Histogram::BucketBoundaries { -1, -0.5, -0.2, -0.1, 0, 0.1, 0.2, 0.5, 1, 3 };
+constexpr auto loadStateNames = std::array<const char *, 3> { "ordered", "planned", "deferred" };
+
+/// @param total the counter's new value, not below the present one
+auto raiseTo(prometheus::Counter &counter, std::uint64_t total) -> void
+{
+    counter.Increment(static_cast<double>(total) - counter.Value());
+}
 
 } // namespace
 
@@ -32,12 +56,82 @@
                                  .Help("Gateways that did not obey a change at its acknowledgement")
                                  .Register(registry)
                                  .Add({}))
-    { }
+        , accountsOverShare(prometheus::BuildGauge()
+                                    .Name("figrack_core_accounts_over_share")
+                                    .Help("Accounts that recently got more than their share")
+                                    .Register(registry)
+                                    .Add({}))
+        , placesWaiting(prometheus::BuildGauge()
+                                .Name("figrack_core_place_queue_length")
+                                .Help("Requests that wait for a slot")
+                                .Register(registry)
+                                .Add({}))
+        , placeWaits(prometheus::BuildHistogram()
+                             .Name("figrack_core_place_wait_seconds")
+                             .Help("Wait of queued requests that were granted a slot")
+                             .Register(registry)
+                             .Add({}, waitBuckets))
+        , placeErrors(prometheus::BuildHistogram()
+                              .Name("figrack_core_place_prediction_error_seconds")
+                              .Help("Wait of a granted request, less the predicted one")
+                              .Register(registry)
+                              .Add({}, errorBuckets))
+        , placeRefusals(
+                  prometheus::BuildCounter()
+                          .Name("figrack_core_place_refusals_total")
+                          .Help("Requests refused for want of a slot, by cause and by whether "
+                                "they had been queued")
+                          .Register(registry))
+        , placePromises(prometheus::BuildCounter()
+                                .Name("figrack_core_place_promises_total")
+                                .Help("Promised returns, by what became of them")
+                                .Register(registry))
+        , loadErrorSeconds(prometheus::BuildHistogram()
+                                   .Name("figrack_core_load_promise_error_seconds")
+                                   .Help("Time until a model was held, less the time promised")
+                                   .Register(registry)
+                                   .Add({}, loadErrorBuckets))
+        , loadsPutOff(prometheus::BuildCounter()
+                              .Name("figrack_core_loads_put_off_total")
+                              .Help("Loads put off because their requests could wait")
+                              .Register(registry)
+                              .Add({}))
+        , scheduledLoads(prometheus::BuildGauge()
+                                 .Name("figrack_core_scheduled_loads")
+                                 .Help("Rows of the latest load schedule, by state")
+                                 .Register(registry))
+    {
+        auto &grants = prometheus::BuildCounter()
+                               .Name("figrack_core_account_grants_total")
+                               .Help("Requests of accounts with limits that got a place")
+                               .Register(registry);
+        grantsWithinShare = &grants.Add({ { "share", "within" } });
+        grantsOverShare = &grants.Add({ { "share", "over" } });
+        auto &endpoints = prometheus::BuildGauge()
+                                  .Name("figrack_core_endpoints_by_speed")
+                                  .Help("Endpoints by their prefill time compared with the mean")
+                                  .Register(registry);
+        for (auto i = std::size_t { 0 }; i < speedClassNames.size(); ++i)
+            endpointsBySpeed.at(i)
+                    = &endpoints.Add({ { "speed", std::string { speedClassNames.at(i) } } });
+    }
 
     prometheus::Registry registry;
     prometheus::Counter &refused;
     prometheus::Histogram &rolloutSeconds;
     prometheus::Counter &gatewaysBehind;
+    prometheus::Gauge &accountsOverShare;
+    prometheus::Counter *grantsWithinShare = nullptr;
+    prometheus::Counter *grantsOverShare = nullptr;
+    std::array<prometheus::Gauge *, speedClassNames.size()> endpointsBySpeed {};
+    prometheus::Gauge &placesWaiting;
+    prometheus::Histogram &placeWaits;
+    prometheus::Histogram &placeErrors;
+    prometheus::Family<prometheus::Counter> &placeRefusals;
+    prometheus::Family<prometheus::Counter> &placePromises;
+    prometheus::Histogram &loadErrorSeconds;
+    prometheus::Counter &loadsPutOff;
+    prometheus::Family<prometheus::Gauge> &scheduledLoads;
 };
 
 Metrics::Metrics()
@@ -57,6 +151,78 @@
     impl_->gatewaysBehind.Increment(static_cast<double>(gatewaysBehind));
 }
 
+auto Metrics::setPicks(const BalancerStatus &status) -> void
+{
+    impl_->accountsOverShare.Set(static_cast<double>(status.accountsOverShare));
+    raiseTo(*impl_->grantsWithinShare, status.grantsWithinShare);
+    raiseTo(*impl_->grantsOverShare, status.grantsOverShare);
+    for (auto i = std::size_t { 0 }; i < status.endpointsBySpeed.size(); ++i)
+        impl_->endpointsBySpeed.at(i)->Set(static_cast<double>(status.endpointsBySpeed.at(i)));
+}
+
+auto Metrics::onPlaceNotice(const PlaceNotice &notice) -> void
+{
+    const auto countRefusal = [&](const char *queued) {
+        impl_->placeRefusals
+                .Add({ { "cause", std::string { placeCauseName(notice.cause) } },
+                       { "queued", queued } })
+                .Increment();
+    };
+    const auto countPromise = [&](const char *outcome) {
+        impl_->placePromises.Add({ { "outcome", outcome } }).Increment();
+    };
+    switch (notice.event) {
+    case PlaceEvent::Queued:
+        break;
+    case PlaceEvent::Granted:
+        impl_->placeWaits.Observe(inSeconds(notice.waited));
+        impl_->placeErrors.Observe(inSeconds(notice.waited - notice.predicted));
+        break;
+    case PlaceEvent::Refused:
+        countRefusal("no");
+        break;
+    case PlaceEvent::Shed:
+        countRefusal("yes");
+        break;
+    case PlaceEvent::PromiseKept:
+        countPromise("kept");
+        break;
+    case PlaceEvent::PromiseMissed:
+        countPromise("missed");
+        break;
+    case PlaceEvent::PromiseExpired:
+        countPromise("not_used");
+        break;
+    }
+}
+
+auto Metrics::onPlacesWaiting(std::size_t waiting) -> void
+{
+    impl_->placesWaiting.Set(static_cast<double>(waiting));
+}
+
+auto Metrics::onLoadHeld(Duration error) -> void
+{
+    impl_->loadErrorSeconds.Observe(inSeconds(error));
+}
+
+auto Metrics::onLoadPutOff() -> void
+{
+    impl_->loadsPutOff.Increment();
+}
+
+auto Metrics::onLoadSchedule(const proto::LoadSchedule &schedule) -> void
+{
+    for (auto i = std::size_t { 0 }; i < loadStateNames.size(); ++i) {
+        const auto count
+                = std::count_if(schedule.rows.begin(), schedule.rows.end(), [i](const auto &row) {
+                      return static_cast<std::size_t>(row.state) == i;
+                  });
+        impl_->scheduledLoads.Add({ { "state", loadStateNames.at(i) } })
+                .Set(static_cast<double>(count));
+    }
+}
+
 auto Metrics::text() -> std::string
 {
     return prometheus::TextSerializer {}.Serialize(impl_->registry.Collect());
--- a/fleet/placement.cpp
+++ b/fleet/placement.cpp
@@ -16,6 +16,7 @@
 #include <unordered_map>
 
 #include "core/duration.h"
+#include "fleet/loadorder.h"
 
 namespace figrack::fleet {
 namespace {
@@ -119,31 +120,33 @@
         return found == input_.models.end() ? RequestDemand {} : found->second;
     }
 
-    /// Models without a replica, the most wanted first, then those with overloaded replicas. A
+    /// Models without a replica, the most wanted first, then those with overloaded replicas. Where
+    /// loads are ordered by start, those whose requests can start on time come before all others. A
     /// model is listed once for each missing replica.
     auto wantedModels() const -> std::vector<ModelId>
     {
-        auto wanted = std::vector<std::pair<double, ModelId>> {};
+        auto wanted = std::vector<LoadWish> {};
         for (const auto &[model, want] : input_.models) {
             if (specOf(model) == nullptr)
                 continue;
             const auto held = countOf(holders_, model);
             const auto countedLoads = countedLoadsOf(model, want);
             if (held + countedLoads == 0 && want.unserved() > 0)
-                wanted.emplace_back(want.unserved(), model);
+                wanted.push_back({ model, spareOf(model), static_cast<double>(want.unserved()) });
             const auto expected
                     = std::max<double>(want.running, want.perSecond * typicalRequestSeconds);
-            const auto enough
-                    = std::max({ std::ceil(expected / overloadLimit_), replicasForAdapters(model),
-                                 replicasForMissed(want, held) });
-            for (auto count = std::max(held + countedLoads, 1U); count < enough; ++count)
-                wanted.emplace_back(want.missed() / static_cast<double>(count), model);
+            const auto enough = std::max(
+                    { std::ceil(expected / overloadLimit_), replicasForAdapters(model),
+                      replicasForMissed(want, held), static_cast<double>(want.readReplicas) });
+            for (auto count = std::max(held + countedLoads, 1U); count < enough; ++count) {
+                const auto late = std::max<double>(want.missed(), lateForReading(want, count));
+                wanted.push_back({ model, std::nullopt, late / count });
+            }
         }
-        std::sort(wanted.begin(), wanted.end(),
-                  [](const auto &one, const auto &other) { return one.first > other.first; });
+        std::sort(wanted.begin(), wanted.end(), precedes);
         auto result = std::vector<ModelId> {};
-        for (auto &[score, model] : wanted)
-            result.push_back(std::move(model));
+        for (auto &wish : wanted)
+            result.push_back(std::move(wish.model));
         return result;
     }
 
@@ -164,6 +167,16 @@
                                                                                    : 0.0;
     }
 
+    /// @return the number of requests that a few seconds bring for a model and that its replicas
+    /// cannot read in time
+    static auto lateForReading(const RequestDemand &want, std::uint32_t count) -> double
+    {
+        if (count >= want.readReplicas)
+            return 0;
+        const auto unread = 1.0 - static_cast<double>(count) / want.readReplicas;
+        return want.perSecond * missWindow * unread;
+    }
+
     /// @return the number of replicas of a model needed for its adapters that are now in demand
     auto replicasForAdapters(const ModelId &model) const -> double
     {
@@ -232,14 +245,60 @@
         // If a busy endpoint is still the best choice, the model waits for it.
         if (best.host == nullptr || !best.host->takesOrders()) {
             if (!isExtra)
-                defer(model, best.host);
+                defer(spec, best);
             return;
         }
         const auto relief = reliefSeconds * asked(model).running / holders_[model]
-                + waitSeconds * (waitingForAdapters(model) + asked(model).missed());
+                + waitSeconds
+                        * (waitingForAdapters(model) + asked(model).missed()
+                           + lateForReading(asked(model), holders_[model]));
         if (isExtra && best.cost > relief)
             return;
-        begin(best, model);
+        if (!isExtra && mayPutOff(spec, best))
+            putOff(spec, best);
+        else
+            begin(best, model);
+    }
+
+    /// @return the seconds to spare for the waiting requests of a model that is held nowhere
+    auto spareOf(const ModelId &model) const -> std::optional<double>
+    {
+        if (!input_.ordersByStart)
+            return std::nullopt;
+        const auto &spec = *specOf(model);
+        return spareOf(spec, fastestSource(spec));
+    }
+
+    auto spareOf(const catalogue::ModelSpec &spec, LoadSource source) const -> std::optional<double>
+    {
+        if (!input_.ordersByStart)
+            return std::nullopt;
+        return spareFor(asked(spec.id).startWithin, inSeconds(swapTime + loadTimeOf(spec, source)));
+    }
+
+    /// @return true when the model's requests can wait for the next pass, and its load would evict
+    /// a model in use or take a load from the store that a more urgent model needs
+    auto mayPutOff(const catalogue::ModelSpec &spec, const Candidate &best) const -> bool
+    {
+        if (!canWaitForNextPass(spareOf(spec, best.source), input_.passSeconds))
+            return false;
+        const auto isInUse = best.host->running > 0
+                && std::any_of(best.victims.begin(), best.victims.end(),
+                               [&](const ModelId &victim) { return asked(victim).running > 0; });
+        return isInUse || (best.source == LoadSource::Store && storeLoads_ <= urgentStoreLoads_);
+    }
+
+    auto putOff(const catalogue::ModelSpec &spec, const Candidate &best) -> void
+    {
+        auto deferral = Deferral {};
+        deferral.model = spec.id;
+        deferral.reason = DeferReason::PutOff;
+        deferral.endpoint = best.host->id;
+        deferral.seconds = input_.passSeconds;
+        deferral.unserved = asked(spec.id).unserved();
+        deferral.loadSeconds = inSeconds(loadTimeOf(spec, best.source));
+        deferral.spareSeconds = spareOf(spec, best.source).value_or(0);
+        deferred_.push_back(std::move(deferral));
     }
 
     /// The store reserve for models without a replica is also open to a model whose replicas miss
@@ -302,19 +361,36 @@
         plans_.push_back(std::move(plan));
     }
 
-    auto defer(const ModelId &model, const Host *busy) -> void
+    auto defer(const catalogue::ModelSpec &spec, const Candidate &best) -> void
     {
         auto deferral = Deferral {};
-        deferral.model = model;
-        deferral.unserved = asked(model).unserved();
-        if (busy != nullptr) {
+        deferral.model = spec.id;
+        deferral.unserved = asked(spec.id).unserved();
+        auto source = fastestSource(spec);
+        if (best.host != nullptr) {
             deferral.reason = DeferReason::Busy;
-            deferral.endpoint = busy->id;
-            deferral.seconds = busy->busySeconds;
+            deferral.endpoint = best.host->id;
+            deferral.seconds = best.host->busySeconds;
+            source = best.source;
         }
+        deferral.loadSeconds = inSeconds(loadTimeOf(spec, source));
+        if (source == LoadSource::Store && spareOf(spec, source))
+            ++urgentStoreLoads_;
         deferred_.push_back(std::move(deferral));
     }
 
+    /// @return the source of the fastest load among all endpoints, whether they have room or not
+    auto fastestSource(const catalogue::ModelSpec &spec) const -> LoadSource
+    {
+        const auto found = copyHosts_.find(spec.id);
+        if (found == copyHosts_.end())
+            return LoadSource::Store;
+        const auto isInMemory
+                = std::any_of(found->second.begin(), found->second.end(),
+                              [&](const Host *host) { return contains(host->inMemory, spec.id); });
+        return isInMemory ? LoadSource::Memory : LoadSource::Disk;
+    }
+
     /// @param isExtra the load adds a replica to a model that has one, so no request waits for it
     auto weigh(Host &host, const catalogue::ModelSpec &spec, bool isExtra) -> Candidate
     {
@@ -446,13 +522,14 @@
             // before any of them has returned.
             const auto isOnly
                     = count == 1 && (want.refused > 0 || want.running > overloadLimit_ / 2);
-            if (want.waiting > 0 || isOnly)
+            if (want.waiting > 0 || isOnly || input_.freshModels.contains(held.model))
                 continue;
             const auto running = want.running / static_cast<double>(count);
             auto cost = running * runSeconds + std::min(running, 1.0) * unloadSeconds;
             cost += want.perSecond / count * reloadSeconds;
             if (count > 1 && want.running > overloadLimit_ * (count - 1) / 2)
                 cost += want.running;
+            cost += waitSeconds * lateForReading(want, count - 1);
             result.emplace_back(cost, &held);
         }
         std::sort(result.begin(), result.end(),
@@ -580,6 +657,9 @@
     const double overloadLimit_; ///< Requests in progress above which an endpoint is overloaded.
     std::uint32_t storeLoads_;
     std::uint32_t maxUnserved_ = 0; ///< See maxUnserved().
+    /// Loads from the store that models need whose requests can start on time, but which wait for
+    /// an endpoint.
+    std::uint32_t urgentStoreLoads_ = 0;
     std::vector<Plan> plans_;
     std::vector<Deferral> deferred_;
 };
@@ -598,9 +678,22 @@
     return names[static_cast<std::size_t>(source) % names.size()];
 }
 
+auto loadTimeOf(const catalogue::ModelSpec &spec, LoadSource source) -> Duration
+{
+    switch (source) {
+    case LoadSource::Memory:
+        return spec.loadFromMemory;
+    case LoadSource::Disk:
+        return spec.loadFromDisk;
+    case LoadSource::Store:
+        break;
+    }
+    return spec.loadFromStore;
+}
+
 auto deferReasonName(DeferReason reason) -> std::string_view
 {
-    constexpr auto names = std::array<std::string_view, 2> { "busy", "no_room" };
+    constexpr auto names = std::array<std::string_view, 3> { "busy", "no_room", "put_off" };
     return names[static_cast<std::size_t>(reason) % names.size()];
 }
 
--- a/gateway/controlfeed.h
+++ b/gateway/controlfeed.h
@@ -23,6 +23,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,7 @@
     proto::ChannelOptions channel;
     Address callers; ///< Address at which callers connect to this gateway.
     DomainId domain;
+    std::uint32_t capacity = 0; ///< Thousandths of a core; 0: not known.
     std::vector<Address> seeds; ///< Peer addresses of controls.
     DocumentFetchOptions documents;
     EndpointWatchOptions endpoints;
@@ -73,6 +75,14 @@
     /// Called with the rows of watched endpoints. @param isReset they replace all others
     std::function<void(const std::vector<catalogue::EndpointRow> &rows, bool isReset)> onWatched;
     std::function<void()> onSourceHeard; ///< The control of the watched endpoints sent something.
+    /// Called when a balancer ends the wait of a queued request; may be empty, as the next two.
+    std::function<void(const Address &control, const proto::PickGrant &)> onGrant;
+    /// Called when the connection to a control has closed.
+    std::function<void(const Address &control)> onControlClosed;
+    /// Called when another control is asked for picks. @param balancer nullopt if there is none
+    std::function<void(const std::optional<Address> &balancer)> onBalancer;
+    /// Called for each load schedule of a leader; may be empty.
+    std::function<void(const proto::LoadSchedule &)> onLoadSchedule = {};
 };
 
 class ControlFeed
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -38,6 +38,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -49,7 +51,9 @@
 #include "gateway/demand.h"
 #include "gateway/dialect.h"
 #include "gateway/fleetview.h"
+#include "gateway/heldbytes.h"
 #include "gateway/keylease.h"
+#include "gateway/loadwatch.h"
 #include "gateway/metrics.h"
 #include "gateway/picker.h"
 #include "gateway/retrywindow.h"
@@ -93,6 +97,7 @@
     std::uint32_t crashLimitForRetry = 2;
     /// Decides which endpoints are in the homes of a route or an account.
     catalogue::RegionMap regions = {};
+    HeldBytesOptions heldBytes = {};
 };
 
 /// Dependencies of the Forwarder. All of them must outlive it.
@@ -115,6 +120,8 @@
     /// Asks for the endpoints of a key. @return true when the view contains them; waiters are woken
     /// when it does. May be empty: the view contains all endpoints
     std::function<bool(const proto::WatchKey &)> wantEndpoints = {};
+    /// When missing models are expected; null: the forwarder estimates it.
+    const LoadWatch *loadWatch = nullptr;
 };
 
 class Forwarder
@@ -137,6 +144,8 @@
     auto endDispatches(const EndpointId &endpoint) -> void;
     /// @return the catalogue in force, or nullptr
     auto catalogue() const -> const catalogue::Catalogue *;
+    /// @return the bytes of the requests in progress
+    auto heldBytes() const -> const HeldBytes & { return heldBytes_; }
 
 private:
     class Run;
@@ -146,7 +155,14 @@
     std::shared_ptr<const catalogue::RouteTable> routes_;
     /// From the same catalogue as routes_.
     std::shared_ptr<const catalogue::AccountTable> accounts_;
+    /// The same catalogue asks for ordered admission (catalogue/contention.h).
+    bool isOrdered_ = false;
+    std::set<ServiceId> deferrable_; ///< Services with a deferrable route, of the same catalogue.
     const Instant startedAt_;
+    HeldBytes heldBytes_;
+    /// Requests refused for want of memory since the last log line about it, and its time.
+    std::uint64_t memoryRefusals_ = 0;
+    std::optional<Instant> memoryLoggedAt_;
     /// Dispatches in progress.
     std::multimap<EndpointId, std::shared_ptr<http::Canceller>> dispatches_;
     /// No request waits for an endpoint after this time.
--- a/gateway/forwarderplacing.cpp
+++ b/gateway/forwarderplacing.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "catalogue/contention.h"
 #include "gateway/forwarderrun.h"
 
 namespace figrack::gateway {
@@ -34,7 +35,28 @@
 /// Range of the random time that is added to Retry-After during a backoff, so that callers do not
 /// all return at once.
 constexpr auto retryAfterJitter = std::chrono::milliseconds { 500 };
+/// A replica that has read a shared part of a prompt keeps it for some seconds. Requests for a
+/// model are spread over its replicas, so about one in this many reads it again.
+constexpr auto sharedTokensPerRead = std::uint64_t { 2 };
 constexpr auto longestAvoidPause = std::chrono::milliseconds { 2000 };
+/// Fraction of the time that a refused caller has left after which it is told to return at the
+/// latest: callers wait no longer than that, and time must remain to be served.
+constexpr auto latestReturn = 1.0 / 3;
+/// Time after its latest start until which a queued request waits. A grant that the balancer made
+/// just in time arrives within this time, also from another region to a busy gateway.
+constexpr auto grantGrace = std::chrono::milliseconds { 100 };
+
+/// @return the smallest number of slots that one of the endpoints announced; 0 if none did
+auto fewestSlots(const std::vector<EndpointEntry *> &entries) -> std::uint32_t
+{
+    auto fewest = std::uint32_t { 0 };
+    for (const auto *entry : entries) {
+        const auto slots = entry->row.slots;
+        if (slots > 0 && (fewest == 0 || slots < fewest))
+            fewest = slots;
+    }
+    return fewest;
+}
 
 } // namespace
 
@@ -53,6 +75,14 @@
         const auto blockedBy = co_await pick();
         if (blockedBy == BlockedBy::Nothing && callerGone_)
             continue;
+        if (blockedBy == BlockedBy::Nothing && predictedWait_) {
+            // The work may have been put in quarantine while the request was queued.
+            if (auto status = quarantineRefusal()) {
+                picked_.booking = {};
+                co_await giveUp(std::move(*status));
+                co_return nullptr;
+            }
+        }
         if (blockedBy == BlockedBy::Limit || blockedBy == BlockedBy::Counter) {
             blockedBy_ = blockedBy;
             retryAfter_ = picked_.retryAfter;
@@ -79,9 +109,11 @@
         }
         blockedBy_ = blockedBy;
         const auto isDeclined = blockedBy == BlockedBy::Places || blockedBy == BlockedBy::Trial
-                || blockedBy == BlockedBy::Rate;
+                || blockedBy == BlockedBy::Rate || blockedBy == BlockedBy::Memory;
         const auto waitTime = isDeclined ? waitTimeForPlace(blockedBy) : waitTimeFor(blockedBy);
         if (!waitTime) {
+            if (blockedBy == BlockedBy::Memory)
+                noteMemoryRefused();
             // Suspected work must not cause its model to be loaded elsewhere.
             if (!target_.model.empty() && blockedBy != BlockedBy::Endpoint
                 && blockedBy != BlockedBy::Trial)
@@ -126,22 +158,28 @@
 
 auto Forwarder::Run::pick() -> asio::awaitable<BlockedBy>
 {
-    const auto isHealthy = [&](const EndpointEntry &entry) { return parts_.view.isHealthy(entry); };
     while (true) {
         co_await awaitEndpoints();
         criteria_.now = parts_.clock.now();
         const auto candidates = this->candidates();
         if (candidates.empty() && homes_.isRestricted() && !parts_.view.of(service_).empty())
             co_return BlockedBy::Home;
-        const auto able = ableEndpoints(candidates, criteria_, isHealthy);
+        auto able = ableAmong(candidates);
         backoffUntil_ = able.backoffUntil;
         if (able.entries.empty())
             co_return able.blockedBy;
+        if (!keepThoseWithRoom(able.entries))
+            co_return BlockedBy::Memory;
         auto terms = pickTerms(service_, caller_, timeLeft());
         if (engine_ != nullptr) {
             terms.fetchTokensPerMs = engine_->fetchTokensPerMs;
             terms.places = engine_->slots;
         }
+        terms.ordered = orderedTerms();
+        if (terms.ordered && engine_ == nullptr) {
+            terms.model = 0; // Callers may name one to any service; plain ones queue by service.
+            terms.places = fewestSlots(able.entries);
+        }
         terms.coldPerSecond = coldPerSecond_;
         terms.rank = rank();
         terms.hasBegun = sent_ > 0;
@@ -151,17 +189,130 @@
         terms.charge = charge();
         auto picked = co_await parts_.picker.pick(able.entries, criteria_, terms);
         picked_ = std::move(picked);
+        if (picked_.wait) {
+            const auto blockedBy = co_await awaitGrant();
+            if (!blockedBy)
+                continue;
+            if (*blockedBy != BlockedBy::Nothing || callerGone_)
+                co_return *blockedBy;
+        }
         if (picked_.retryAfter)
             co_return picked_.blockedBy;
         co_await hold();
-        // The endpoint may have left, or asked for a backoff, while the balancer was asked or the
-        // request was delayed.
-        if (callerGone_ || parts_.view.maySend(picked_.endpoint))
+        // The endpoint may have left, or asked for a backoff, or other requests may have filled it,
+        // while the balancer was asked or the request was delayed.
+        const auto hasRoom = owner_.heldBytes_.hasRoomAt(picked_.endpoint);
+        if (callerGone_ || (parts_.view.maySend(picked_.endpoint) && hasRoom))
             co_return BlockedBy::Nothing;
         picked_.booking = {};
     }
 }
 
+auto Forwarder::Run::keepThoseWithRoom(std::vector<EndpointEntry *> &able) -> bool
+{
+    std::erase_if(able,
+                  [&](const auto *entry) { return !owner_.heldBytes_.hasRoomAt(entry->row.id); });
+    if (!able.empty())
+        return true;
+    picked_ = {};
+    picked_.retryAfter = memoryRetryAfter();
+    picked_.blockedBy = BlockedBy::Memory;
+    return false;
+}
+
+auto Forwarder::Run::ableAmong(const std::vector<EndpointEntry *> &candidates) const -> Able
+{
+    const auto isHealthy = [&](const EndpointEntry &entry) { return parts_.view.isHealthy(entry); };
+    return ableEndpoints(candidates, criteria_, isHealthy);
+}
+
+auto Forwarder::Run::orderedTerms() const -> std::optional<OrderedTerms>
+{
+    // Without a start target there is no latest start to order by.
+    if (!isOrdered_ || route_->startTarget <= Duration::zero())
+        return std::nullopt;
+    auto terms = OrderedTerms {};
+    terms.waited = parts_.clock.now() - arrived_;
+    terms.startWithin = std::max<Duration>(route_->startTarget - terms.waited, Duration::zero());
+    if (account_ != nullptr) {
+        terms.account = account_->id;
+        terms.cost = costToAccount();
+        terms.accountPerSecond = account_->limit.perSecond;
+    }
+    return terms;
+}
+
+auto Forwarder::Run::awaitGrant() -> asio::awaitable<std::optional<BlockedBy>>
+{
+    // An admitted request is demand for its model from now on; its place may take seconds.
+    noteDemand();
+    auto &wait = *picked_.wait;
+    predictedWait_ = predictedWait_.value_or(wait.predicted());
+    auto end = co_await awaitWaitEnd(wait);
+    if (end == WaitEnd::Granted && !mayUse(wait.reply().endpoint))
+        end = WaitEnd::Outdated;
+    queuedFor_ += wait.waited();
+    waitEnd_ = end;
+    parts_.metrics.onPlaceWait(waitEndName(end), wait.waited());
+    if (end == WaitEnd::Granted)
+        parts_.metrics.onGrantPredicted(wait.waited() - wait.predicted());
+    if (end == WaitEnd::Granted || end == WaitEnd::Refused) {
+        parts_.picker.settle(picked_, owner_.options_.defaultRetryAfter);
+        co_return picked_.blockedBy;
+    }
+    // A balancer keeps the charges of gateways whose connection it has lost, and the other controls
+    // know of them. So the next one must not count the request again.
+    isCounted_ = isCounted_ || end == WaitEnd::Closed;
+    picked_.wait.reset(); // Sends a PickEnd.
+    if (end == WaitEnd::Left || callerGone_)
+        co_return BlockedBy::Nothing;
+    if (end != WaitEnd::Expired)
+        co_return std::nullopt;
+    picked_.retryAfter = owner_.options_.defaultRetryAfter;
+    picked_.blockedBy = BlockedBy::Places;
+    co_return picked_.blockedBy;
+}
+
+auto Forwarder::Run::awaitWaitEnd(GrantWait &wait) -> asio::awaitable<WaitEnd>
+{
+    wait.setOnEnd([this] { holdTimer_.cancel(); });
+    while (true) {
+        // The placement deadline may change during the wait.
+        const auto limit = std::min({ arrived_ + route_->startTarget + grantGrace, startBy_,
+                                      owner_.placementDeadline_ });
+        if (const auto end = wait.check(limit))
+            co_return *end;
+        if (callerGone_)
+            co_return wait.finish(WaitEnd::Left);
+        if (areCandidatesOutdated())
+            co_return wait.finish(WaitEnd::Outdated);
+        holdTimer_.expires_after(std::min<Duration>(recheckInterval, limit - parts_.clock.now()));
+        auto code = boost::system::error_code {};
+        co_await holdTimer_.async_wait(asio::redirect_error(asio::use_awaitable, code));
+    }
+}
+
+auto Forwarder::Run::areCandidatesOutdated() const -> bool
+{
+    const auto able = ableAmong(candidates());
+    const auto &asked = picked_.candidates;
+    const auto wasAsked = [&](const auto *entry) {
+        return std::find(asked.begin(), asked.end(), entry->row.id) != asked.end();
+    };
+    const auto count = std::count_if(able.entries.begin(), able.entries.end(), wasAsked);
+    const auto hasNew = static_cast<std::size_t>(count) < able.entries.size();
+    return count == 0 || (picked_.hasAllCandidates && hasNew);
+}
+
+auto Forwarder::Run::mayUse(const EndpointId &granted) const -> bool
+{
+    const auto &asked = picked_.candidates;
+    const auto able = ableAmong(candidates());
+    return std::find(asked.begin(), asked.end(), granted) != asked.end()
+            && std::any_of(able.entries.begin(), able.entries.end(),
+                           [&](const auto *entry) { return entry->row.id == granted; });
+}
+
 auto Forwarder::Run::hold() -> asio::awaitable<void>
 {
     const auto left = std::min(startBy_, owner_.placementDeadline_) - parts_.clock.now();
@@ -178,6 +329,9 @@
 {
     const auto now = parts_.clock.now();
     retryAfter_ = picked_.retryAfter;
+    // The balancer would have queued the request if a place became free in time.
+    if (isOrdered_ && blockedBy == BlockedBy::Places)
+        return std::nullopt;
     const auto spare = std::chrono::duration_cast<Duration>(route_->startTarget * placeWaitShare);
     const auto limit = std::min({ arrived_ + spare, startBy_, owner_.placementDeadline_ });
     if (now >= limit)
@@ -186,6 +340,9 @@
     // is known.
     if (blockedBy == BlockedBy::Rate)
         return now + *retryAfter_ <= limit ? retryAfter_ : std::nullopt;
+    // Where bytes take longer to be released than the request may wait, waiting cannot help.
+    if (blockedBy == BlockedBy::Memory && now + *retryAfter_ > limit)
+        return std::nullopt;
     return std::min<Duration>(placeRecheckInterval, limit - now);
 }
 
@@ -205,8 +362,14 @@
                 += std::chrono::duration_cast<Duration>(retryAfterJitter * parts_.random.unit());
     }
     const auto limit = std::min(startBy_, owner_.placementDeadline_);
-    if (*ready >= limit || now >= limit)
+    if (*ready >= limit || now >= limit) {
+        if (scheduledLoad(blockedBy)) {
+            const auto latest = std::chrono::duration_cast<Duration>(timeLeft() * latestReturn);
+            retryAfter_ = std::min(*retryAfter_, latest);
+            parts_.metrics.onLoadTooLate();
+        }
         return std::nullopt;
+    }
     return std::min<Duration>(recheckInterval, limit - now);
 }
 
@@ -214,7 +377,9 @@
 {
     const auto now = parts_.clock.now();
     const auto load = expectedLoad(blockedBy);
-    const auto since = waiting_ ? parts_.demand.waitingSince(target_) : now;
+    const auto since = waitingSince();
+    if (load && !loadReady_ && scheduledLoad(blockedBy))
+        loadReady_ = since + *load - now;
     if (blockedBy != BlockedBy::Backoff)
         return load ? std::optional { std::max(since + *load, now) } : std::nullopt;
     // A load elsewhere that is overdue may never finish, but the backoff certainly ends.
@@ -222,7 +387,35 @@
     return isDue ? std::min(since + *load, backoffUntil_) : backoffUntil_;
 }
 
+auto Forwarder::Run::waitingSince() const -> Instant
+{
+    return waiting_ ? parts_.demand.waitingSince(target_) : parts_.clock.now();
+}
+
+auto Forwarder::Run::scheduledLoad(BlockedBy blockedBy) const -> std::optional<ScheduledReady>
+{
+    const auto isLacking = blockedBy == BlockedBy::Model || blockedBy == BlockedBy::Adapter
+            || blockedBy == BlockedBy::Backoff;
+    if (parts_.loadWatch == nullptr || target_.model.empty() || !isLacking)
+        return std::nullopt;
+    return parts_.loadWatch->find(target_);
+}
+
 auto Forwarder::Run::expectedLoad(BlockedBy blockedBy) -> std::optional<Duration>
+{
+    const auto since = waitingSince();
+    const auto now = parts_.clock.now();
+    if (const auto scheduled = scheduledLoad(blockedBy))
+        return std::max(scheduled->readyAt, now) - since;
+    auto guess = guessedLoad(blockedBy);
+    // The leader has not begun the load, so all of its time is still to come. During a backoff the
+    // endpoints that hold the model are known, and no load need be scheduled.
+    const auto isUnscheduled = guess && blockedBy != BlockedBy::Backoff
+            && parts_.loadWatch != nullptr && parts_.loadWatch->isUnscheduled(target_, since);
+    return isUnscheduled ? *guess + (now - since) : guess;
+}
+
+auto Forwarder::Run::guessedLoad(BlockedBy blockedBy) -> std::optional<Duration>
 {
     if (blockedBy == BlockedBy::Adapter)
         return adapterLoad;
@@ -262,7 +455,18 @@
 auto Forwarder::Run::noteDemand() -> void
 {
     if (!target_.model.empty() && !std::exchange(isDemand_, true))
-        parts_.demand.onArrival(target_);
+        parts_.demand.onArrival(target_, readWork());
+}
+
+auto Forwarder::Run::readWork() const -> ReadWork
+{
+    if (!isOrdered_ || route_->startTarget <= Duration::zero())
+        return {};
+    const auto terms = pickTerms(service_, caller_, timeLeft());
+    auto shared = std::uint64_t { 0 };
+    for (const auto &span : terms.shared)
+        shared += span.tokens;
+    return { terms.ownTokens + shared / sharedTokensPerRead, route_->startTarget };
 }
 
 auto Forwarder::Run::beginWaiting() -> void
@@ -270,13 +474,21 @@
     if (waiting_ || target_.model.empty())
         return;
     waiting_ = true;
-    parts_.demand.onWaitBegin(target_);
+    reportedStart_ = latestStart();
+    parts_.demand.onWaitBegin(target_, reportedStart_);
+}
+
+auto Forwarder::Run::latestStart() const -> std::optional<Instant>
+{
+    if (route_->startTarget <= Duration::zero() || !owner_.deferrable_.contains(service_))
+        return std::nullopt;
+    return arrived_ + route_->startTarget - catalogue::startReserve;
 }
 
 auto Forwarder::Run::finishWaiting() -> void
 {
     if (std::exchange(waiting_, false))
-        parts_.demand.onWaitEnd(target_);
+        parts_.demand.onWaitEnd(target_, reportedStart_);
 }
 
 } // namespace figrack::gateway
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -19,6 +19,7 @@
 #include "core/boottimer.h"
 #include "core/error.h"
 #include "endpoint/ssestream.h"
+#include "gateway/callerstream.h"
 #include "gateway/chooser.h"
 #include "gateway/forwarder.h"
 
@@ -60,11 +61,22 @@
     auto rank() const -> std::uint32_t;
     /// @return what the request is charged against its account's limit; nullopt if nothing
     auto charge() const -> std::optional<catalogue::AccountCharge>;
+    /// @return cost of the request to its account, in the account's units; there must be one
+    auto costToAccount() const -> std::uint64_t;
     /// Refuses a request that waits for a model if its account is over its limit, so that it does
     /// not cause a load.
     /// @return true if the request was refused
     auto refuseOverLimit() -> boost::asio::awaitable<bool>;
     auto overLimitError() const -> absl::Status;
+    /// Holds the request's body in the gateway's memory.
+    /// @return why the request must be refused, and sets the Retry-After time; nullopt if there is
+    /// room for the body
+    auto memoryRefusal() -> std::optional<absl::Status>;
+    /// @return when held bytes can be expected to be released, by what recent ones took, but not
+    /// more than a third of the request's time left
+    auto memoryRetryAfter() const -> Duration;
+    /// Counts a refusal for want of memory, and logs it at most once a second.
+    auto noteMemoryRefused() -> void;
     auto setCriteria() -> void;
     auto verdict() const -> policy::Verdict;
     /// @return why the request may not run, and sets the Retry-After time; nullopt if it may run
@@ -85,6 +97,24 @@
     /// Looks for an endpoint and stores the result in picked_.
     /// @return why there is none, or BlockedBy::Nothing if picked_ names a known endpoint
     auto pick() -> boost::asio::awaitable<BlockedBy>;
+    /// Drops the endpoints that hold too many bytes of this gateway's requests.
+    /// @return false if none is left; picked_ then names the time after which one may have room
+    auto keepThoseWithRoom(std::vector<EndpointEntry *> &able) -> bool;
+    /// @return what the balancer orders the request by; nullopt if it must not be queued
+    auto orderedTerms() const -> std::optional<OrderedTerms>;
+    /// Waits until the balancer that queued the request grants it a place, and stores the result in
+    /// picked_.
+    /// @return why there is none, or BlockedBy::Nothing; nullopt if a balancer must be asked again
+    auto awaitGrant() -> boost::asio::awaitable<std::optional<BlockedBy>>;
+    /// Waits until the balancer's answer, or until another reason ends the wait.
+    auto awaitWaitEnd(GrantWait &wait) -> boost::asio::awaitable<WaitEnd>;
+    /// @return true if none of the endpoints that the request was queued for can take it any more,
+    /// or if another one can
+    auto areCandidatesOutdated() const -> bool;
+    /// @return true if the request may be sent to the endpoint of a grant
+    auto mayUse(const EndpointId &granted) const -> bool;
+    /// @return those of the endpoints that can take the request now
+    auto ableAmong(const std::vector<EndpointEntry *> &candidates) const -> Able;
     /// Delays the dispatch for as long as the balancer asked, or less if the request has less time
     /// left.
     auto hold() -> boost::asio::awaitable<void>;
@@ -97,8 +127,15 @@
     /// @return when the missing model, adapter or endpoint is expected to be available; nullopt if
     /// waiting cannot help
     auto readyAt(BlockedBy blockedBy) -> std::optional<Instant>;
-    /// @return how long loading the missing model or adapter takes; nullopt if no load would help
+    /// @return how long loading the missing model or adapter takes from the time on at which
+    /// requests began to wait for it; nullopt if no load would help
     auto expectedLoad(BlockedBy blockedBy) -> std::optional<Duration>;
+    /// @return expectedLoad() by what the gateway knows alone
+    auto guessedLoad(BlockedBy blockedBy) -> std::optional<Duration>;
+    /// @return what the leader's schedule says of the missing model or adapter
+    auto scheduledLoad(BlockedBy blockedBy) const -> std::optional<ScheduledReady>;
+    /// @return the time since which requests wait for the missing model or adapter
+    auto waitingSince() const -> Instant;
     auto avoid(const EndpointId &id) -> void;
     /// Makes endpoints that rejected the request earlier eligible again once the avoidance period
     /// has expired. The period grows each time, so that an endpoint that rejects everything
@@ -106,7 +143,13 @@
     auto clearExpiredAvoidance() -> void;
     /// Counts the request as demand for its model, once.
     auto noteDemand() -> void;
+    /// @return the reading that the request gives a replica; none where the configuration does not
+    /// ask for ordered admission
+    auto readWork() const -> ReadWork;
     auto beginWaiting() -> void;
+    /// @return when the request has to be dispatched to start on time; nullopt if its route has no
+    /// start target, or loads of its service are not ordered by it
+    auto latestStart() const -> std::optional<Instant>;
     auto finishWaiting() -> void;
 
     // ---- dispatch (forwarderdispatch.cpp)
@@ -159,6 +202,8 @@
     // ---- overall control and completion (forwarder.cpp)
 
     auto dispatchUntilSettled() -> boost::asio::awaitable<void>;
+    /// Waits until the caller has taken what is buffered for it, and ends a whole stream.
+    auto finishStream() -> boost::asio::awaitable<void>;
     auto timeLeft() const -> Duration;
     auto onCallerGone() -> void;
     /// Stops trying: answers with an error, or lets the server close a stream that has begun.
@@ -176,6 +221,7 @@
     std::shared_ptr<const catalogue::RouteTable> routes_; ///< In force when the request arrived.
     /// From the same catalogue as routes_.
     std::shared_ptr<const catalogue::AccountTable> accounts_;
+    bool isOrdered_ = false; ///< The same catalogue asks for ordered admission.
     CallerRequest caller_;
     /// Account of the caller's key; null if there is none.
     const catalogue::Account *account_ = nullptr;
@@ -190,8 +236,13 @@
     std::shared_ptr<http::Canceller> canceller_; ///< Cancels the dispatch in progress.
     std::string lastEvent_;                      ///< ID of the last event that the caller received.
     EndpointId endpoint_;                        ///< Endpoint of the latest dispatch.
-    Picked picked_; ///< The latest choice; its booking ends with the dispatch.
-    BootTimer holdTimer_;
+    Picked picked_;       ///< The latest choice; its booking ends with the dispatch.
+    BootTimer holdTimer_; ///< For a delay that the balancer asked for, and for a wait for a place.
+    HeldBytes::Share bodyShare_;
+    CallerStream callerStream_;
+    Duration queuedFor_ {};                 ///< Total time in balancers' queues.
+    std::optional<WaitEnd> waitEnd_;        ///< Of the latest wait for a place.
+    std::optional<Duration> predictedWait_; ///< First prediction; absent if it was never queued.
     Duration held_ {}; ///< Total delay that balancers asked for to protect running streams.
     std::uint32_t status_ = 0;
     std::uint32_t finalStatus_ = 0;
@@ -203,7 +254,8 @@
     Instant backoffUntil_ {}; ///< Earliest end of a backoff among the endpoints that could take the
                               ///< request.
     std::optional<Duration> retryAfter_;
-    Instant sentAt_ {}; ///< Time of the latest dispatch.
+    std::optional<Duration> loadReady_; ///< Time that the leader's schedule named first.
+    Instant sentAt_ {};                 ///< Time of the latest dispatch.
     std::optional<Instant> firstByteAt_;
     std::optional<Instant> lastEventAt_;
     Duration longestGap_ {}; ///< Longest time between two events of the stream.
@@ -211,13 +263,17 @@
     BlockedBy blockedBy_ = BlockedBy::Nothing;
     RequestOutcome outcome_ = RequestOutcome::Refused;
     bool waiting_ = false;
+    std::optional<Instant> reportedStart_; ///< Latest start, as reported for the wait.
     bool callerGone_ = false;
     bool mayHaveRun_ = false;
     bool budgetSpent_ = false;
     bool lateReported_ = false; ///< A late stream has been reported to the leader.
     bool isDemand_ = false;     ///< The request has been counted as demand.
-    bool isCounted_ = false;    ///< The request may have run, and its account has been charged.
+    /// Its account has been charged, and does not get the charge back: the request may have run, or
+    /// the balancer that counted it was lost.
+    bool isCounted_ = false;
     bool hasCheckedLimit_ = false;
+    bool needsFinish_ = false; ///< The stream is whole, and its end has not been written yet.
 };
 
 } // namespace figrack::gateway
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -40,6 +40,7 @@
         , view_(options_.view, clock)
         , retries_(options_.retries, clock)
         , demand_(clock)
+        , loadWatch_({}, clock)
         , waiters_(context)
         , client_(context, options_.client, clock)
         , feed_(context, feedOptions(), clock, feedHooks())
@@ -52,7 +53,8 @@
         , forwarder_(options_.forwarder,
                      { context, clock, dialect, view_, retries_, demand_, waiters_, metrics_,
                        client_, picker_, random_, quarantine_, crashDetector_, feed_.keyLease(),
-                       [this](const proto::WatchKey &key) { return feed_.wantEndpoints(key); } })
+                       [this](const proto::WatchKey &key) { return feed_.wantEndpoints(key); },
+                       &loadWatch_ })
         , server_(context, options_.server,
                   [this](const http::Request &request, http::Responder &responder) {
                       return forwarder_.handle(request, responder);
@@ -103,11 +105,14 @@
         gauges.version = forwarder_.version().value();
         gauges.endpoints = view_.size();
         gauges.waiting = waiters_.size();
+        gauges.queued = picker_.waits().queued();
         gauges.inProgress = server_.inProgress();
         gauges.suspects = quarantine_.size();
         gauges.quarantined = quarantine_.quarantined(policy::millisOf(clock_.now()));
         gauges.rateLimited = view_.rateLimited();
         gauges.backedOff = view_.backedOff();
+        gauges.heldBytes = forwarder_.heldBytes().sum();
+        gauges.callersBufferedFor = forwarder_.heldBytes().callersBufferedFor();
         gauges.ready = ready();
         return metrics_.text(gauges);
     }
@@ -128,6 +133,7 @@
         result.channel = proto::fleetChannel(options_.name, options_.keys);
         result.callers = options_.callers;
         result.domain = options_.domain;
+        result.capacity = options_.capacity;
         result.seeds = options_.seeds;
         result.keyLease = options_.keyLease;
         return result;
@@ -147,6 +153,16 @@
             waiters_.wakeAll();
         };
         hooks.onSourceHeard = [this] { view_.onSourceHeard(); };
+        hooks.onGrant = [this](const Address &control, const proto::PickGrant &grant) {
+            picker_.waits().onGrant(control, grant);
+        };
+        hooks.onControlClosed
+                = [this](const Address &control) { picker_.waits().onClosed(control); };
+        hooks.onBalancer = [this](const auto &balancer) { picker_.waits().onBalancer(balancer); };
+        hooks.onLoadSchedule = [this](const proto::LoadSchedule &schedule) {
+            if (loadWatch_.onSchedule(schedule))
+                metrics_.onLoadSchedule();
+        };
         return hooks;
     }
 
@@ -282,6 +298,7 @@
     FleetView view_;
     RetryWindow retries_;
     Demand demand_;
+    LoadWatch loadWatch_;
     Waiters waiters_;
     Metrics metrics_;
     policy::Quarantine quarantine_ { {} };
--- a/gateway/metrics.cpp
+++ b/gateway/metrics.cpp
@@ -16,6 +16,9 @@
 const auto secondBuckets
         = prometheus::Histogram::BucketBoundaries { 0.01, 0.03, 0.1, 0.2, 0.3, 0.5,
                                                     0.8,  1,    2,   5,   10,  20 };
+const auto predictionErrorBuckets
+        = prometheus::Histogram::BucketBoundaries { -2,   -1,  -0.5, -0.2, -0.1, -0.03, 0,
+                                                    0.03, 0.1, 0.2,  0.5,  1,    2 };
 constexpr auto requestOutcomeNames
         = std::array<std::string_view, 8> { "answered",   "no_route",    "refused", "failed",
                                             "broken_off", "caller_gone", "denied",  "over_limit" };
@@ -54,6 +57,11 @@
                                      .Help("Requests refused, as their work is in quarantine")
                                      .Register(registry)
                                      .Add({}))
+        , memoryRefusals(prometheus::BuildCounter()
+                                 .Name("figrack_gateway_memory_refusals_total")
+                                 .Help("Requests refused, as too many bytes are held")
+                                 .Register(registry)
+                                 .Add({}))
         , ratesNamed(prometheus::BuildCounter()
                              .Name("figrack_gateway_rates_named_total")
                              .Help("Answers in which an endpoint named the rate that it takes")
@@ -69,6 +77,16 @@
                         .Name("figrack_gateway_picks_total")
                         .Help("Choices among endpoints, by who made them")
                         .Register(registry))
+        , placeWaits(prometheus::BuildHistogram()
+                             .Name("figrack_gateway_place_wait_seconds")
+                             .Help("Time in a balancer's queue, by how the wait ended")
+                             .Register(registry))
+        , predictionError(prometheus::BuildHistogram()
+                                  .Name("figrack_gateway_place_prediction_error_seconds")
+                                  .Help("Time in a balancer's queue until the grant, less the "
+                                        "predicted time")
+                                  .Register(registry)
+                                  .Add({}, predictionErrorBuckets))
         , latency(prometheus::BuildHistogram()
                           .Name("figrack_gateway_request_seconds")
                           .Help("Arrival to first byte and to the end")
@@ -88,6 +106,16 @@
                                 .Help("Bytes of blocks of documents that were fetched")
                                 .Register(registry)
                                 .Add({}))
+        , loadSchedules(prometheus::BuildCounter()
+                                .Name("figrack_gateway_load_schedules_total")
+                                .Help("Load schedules received, each newer than the one before")
+                                .Register(registry)
+                                .Add({}))
+        , loadsTooLate(prometheus::BuildCounter()
+                               .Name("figrack_gateway_load_too_late_total")
+                               .Help("Requests refused because of the time of a scheduled load")
+                               .Register(registry)
+                               .Add({}))
         , gauges(prometheus::BuildGauge()
                          .Name("figrack_gateway_now")
                          .Help("The present moment, by what")
@@ -100,13 +128,18 @@
     prometheus::Counter &failures;
     prometheus::Counter &ended;
     prometheus::Counter &quarantineRefusals;
+    prometheus::Counter &memoryRefusals;
     prometheus::Counter &ratesNamed;
     prometheus::Counter &backoffsAsked;
     prometheus::Family<prometheus::Counter> &picks;
+    prometheus::Family<prometheus::Histogram> &placeWaits;
+    prometheus::Histogram &predictionError;
     prometheus::Family<prometheus::Histogram> &latency;
     prometheus::Histogram &documentDelay;
     prometheus::Counter &documentOverdue;
     prometheus::Counter &documentBytes;
+    prometheus::Counter &loadSchedules;
+    prometheus::Counter &loadsTooLate;
     prometheus::Family<prometheus::Gauge> &gauges;
 };
 
@@ -143,6 +176,11 @@
     impl_->quarantineRefusals.Increment();
 }
 
+auto Metrics::onMemoryRefused() -> void
+{
+    impl_->memoryRefusals.Increment();
+}
+
 auto Metrics::onRateNamed() -> void
 {
     impl_->ratesNamed.Increment();
@@ -158,6 +196,17 @@
     impl_->picks.Add({ { "by", std::string { by } } }).Increment();
 }
 
+auto Metrics::onPlaceWait(std::string_view end, Duration waited) -> void
+{
+    impl_->placeWaits.Add({ { "end", std::string { end } } }, secondBuckets)
+            .Observe(inSeconds(waited));
+}
+
+auto Metrics::onGrantPredicted(Duration late) -> void
+{
+    impl_->predictionError.Observe(inSeconds(late));
+}
+
 auto Metrics::onDocument(Duration took, std::uint32_t overdue, std::uint64_t fetchedBytes) -> void
 {
     impl_->documentDelay.Observe(inSeconds(took));
@@ -165,6 +214,16 @@
     impl_->documentBytes.Increment(static_cast<double>(fetchedBytes));
 }
 
+auto Metrics::onLoadSchedule() -> void
+{
+    impl_->loadSchedules.Increment();
+}
+
+auto Metrics::onLoadTooLate() -> void
+{
+    impl_->loadsTooLate.Increment();
+}
+
 auto Metrics::text(const GatewayGauges &gauges) -> std::string
 {
     const auto set = [&](const char *what, double value) {
@@ -173,11 +232,14 @@
     set("config_version", static_cast<double>(gauges.version));
     set("endpoints", static_cast<double>(gauges.endpoints));
     set("waiting", static_cast<double>(gauges.waiting));
+    set("queued", static_cast<double>(gauges.queued));
     set("in_progress", static_cast<double>(gauges.inProgress));
     set("suspects", static_cast<double>(gauges.suspects));
     set("quarantined", static_cast<double>(gauges.quarantined));
     set("rate_limited_endpoints", static_cast<double>(gauges.rateLimited));
     set("backed_off_endpoints", static_cast<double>(gauges.backedOff));
+    set("held_bytes", static_cast<double>(gauges.heldBytes));
+    set("callers_buffered_for", static_cast<double>(gauges.callersBufferedFor));
     set("ready", gauges.ready ? 1 : 0);
     return prometheus::TextSerializer {}.Serialize(impl_->registry.Collect());
 }
--- a/gateway/metrics.h
+++ b/gateway/metrics.h
@@ -36,11 +36,14 @@
     std::uint64_t version = 0; ///< Version of the configuration in force.
     std::uint64_t endpoints = 0;
     std::uint64_t waiting = 0;
+    std::uint64_t queued = 0; ///< Requests that wait at a balancer for a place.
     std::uint64_t inProgress = 0;
     std::uint64_t suspects = 0;    ///< Entries of suspected work, in quarantine or not.
     std::uint64_t quarantined = 0; ///< Entries that are in quarantine.
     std::uint64_t rateLimited = 0; ///< Endpoints that accept only a limited rate of requests.
     std::uint64_t backedOff = 0;   ///< Endpoints that are in backoff.
+    std::uint64_t heldBytes = 0;   ///< Of bodies, answers and streams in memory.
+    std::uint64_t callersBufferedFor = 0; ///< Callers that have not taken all of their streams.
     bool ready = false;
 };
 
@@ -58,17 +61,28 @@
     auto onEndpointEnded() -> void;
     /// A request was refused because its work is in quarantine.
     auto onQuarantined() -> void;
+    /// A request was refused because its gateway or endpoints hold too many bytes.
+    auto onMemoryRefused() -> void;
     /// An endpoint named the rate of requests that it accepts.
     auto onRateNamed() -> void;
     /// An endpoint rejected a request and asked for a backoff.
     auto onBackoffAsked() -> void;
     /// An endpoint was chosen among several. @param by who chose it, from a fixed set
     auto onPick(std::string_view by) -> void;
+    /// A request was queued by a balancer, and its wait has ended. @param end from a fixed set
+    auto onPlaceWait(std::string_view end, Duration waited) -> void;
+    /// A queued request was granted a place. @param late time by which the grant came later than
+    /// predicted; negative if it came earlier
+    auto onGrantPredicted(Duration late) -> void;
     /// A document was put into force.
     /// @param took time since it, or a newer one, was announced here
     /// @param overdue number of requests for it that became overdue
     /// @param fetchedBytes size of its blocks that were fetched
     auto onDocument(Duration took, std::uint32_t overdue, std::uint64_t fetchedBytes) -> void;
+    /// A newer load schedule of the leader was received.
+    auto onLoadSchedule() -> void;
+    /// A request was refused because its model's load is scheduled too late for it.
+    auto onLoadTooLate() -> void;
     /// @return the page
     auto text(const GatewayGauges &gauges) -> std::string;
 
--- a/gateway/testing/rig.h
+++ b/gateway/testing/rig.h
@@ -83,6 +83,7 @@
     policy::Quarantine quarantine;
     CrashDetector crashDetector;
     KeyLease keys;
+    LoadWatch loadWatch;
     Forwarder forwarder;
     http::Client caller;
 
@@ -98,6 +99,10 @@
 /// The catalogue of these tests: routes /once/, /idem/, /stream/, /resume/ to service "s".
 auto testCatalogue(bool engine) -> std::shared_ptr<const catalogue::Catalogue>;
 
+/// The same catalogue, changed so that it asks for ordered admission.
+/// @param isEngine whether service "s" is the engine service; else it is a plain one
+auto orderedCatalogue(bool isEngine) -> catalogue::Catalogue;
+
 /// Announces an endpoint that accepts requests and holds no model.
 auto announce(FleetView &view, const EndpointId &id) -> void;
 
--- a/gateway/testing/tst_controlfeed.cpp
+++ b/gateway/testing/tst_controlfeed.cpp
@@ -20,6 +20,22 @@
     }
 }
 
+// Guards against a subscription without the capacity: the gateway would count as one of mean size.
+TEST_CASE("A gateway tells every control its capacity, also when it subscribes again")
+{
+    auto rig = FeedRig { "n3" };
+    auto options = ControlFeedOptions {};
+    options.capacity = 90;
+    auto &feed = rig.addFeed("g1", options);
+    for (auto &[name, control] : rig.controls)
+        CHECK(std::exchange(control->capacity, 0) == 90);
+    feed.setReady(true);
+    rig.runUntil([&] {
+        return std::all_of(rig.controls.begin(), rig.controls.end(),
+                           [](const auto &item) { return item.second->capacity == 90; });
+    });
+}
+
 TEST_CASE("A control that does not answer is not asked for a while, and its booking is ended")
 {
     auto rig = FeedRig { "n3" };
@@ -66,3 +82,42 @@
     feed.sendSuspects(std::vector<catalogue::SuspectRow>(3));
     rig.runUntil([&] { return allHeard(4); });
 }
+
+TEST_CASE("A grant of a balancer is passed on")
+{
+    auto rig = FeedRig { "n3" };
+    auto &control = *rig.controls.at(rig.pick(rig.addFeed("g1")));
+    control.asker->send({ 0, proto::PickGrant { 5, {} } });
+    rig.runUntil([&] { return rig.grants == std::vector<std::uint64_t> { 5 }; });
+}
+
+TEST_CASE("Queued requests learn that a balancer closed its connection, and which one is next")
+{
+    auto rig = FeedRig { "n3" };
+    auto &feed = rig.addFeed("g1");
+    auto &control = *rig.controls.at(rig.pick(feed));
+    const auto address = control.address();
+    REQUIRE_FALSE(rig.balancers.empty());
+    CHECK(rig.balancers.back() == address);
+    control.server->stop();
+    rig.runUntil([&] { return rig.closed == std::vector { address }; });
+    const auto &next = *rig.controls.at(rig.pick(feed));
+    CHECK(rig.balancers.back() == next.address());
+}
+
+TEST_CASE("Queued requests learn that a balancer does not answer, and that it may be asked again")
+{
+    auto rig = FeedRig { "n3" };
+    auto &feed = rig.addFeed("g1");
+    auto &control = *rig.controls.at(rig.pick(feed));
+    const auto address = control.address();
+    REQUIRE_FALSE(rig.balancers.empty());
+    REQUIRE(rig.balancers.back() == address);
+    control.isSilent = true;
+    CHECK(rig.pick(feed).empty());
+    // Reported before another pick is made: the requests that wait there must not wait for one.
+    CHECK(rig.balancers.back().has_value());
+    CHECK(rig.balancers.back() != address);
+    CHECK(rig.closed.empty());
+    rig.runUntil([&] { return rig.balancers.back() == address; });
+}
