Controls that cannot count are asked less often; the largest prompts may wait although they will be late

Change: a control that says that it cannot count is skipped for 3 s. A prompt that cannot be read in time even alone waits for up to half of its target.

--- a/fleet/balancer.h
+++ b/fleet/balancer.h
@@ -311,6 +311,8 @@
     // Requests that may wait for a slot (balancerordered.cpp).
     auto pickOrdered(const NodeId &gateway, const proto::PickRequest &request) -> proto::PickReply;
     auto waitingPick(const NodeId &gateway, const proto::PickRequest &request) const -> WaitingPick;
+    /// @return the time left in which the request must be granted a slot
+    auto timeToLatestStart(const proto::PickRequest &request) const -> Duration;
     /// @return the time from the grant of a slot to the request's first event
     auto leadTime(const proto::PickRequest &request) const -> Duration;
     auto occupancyOf(const Endpoint &endpoint) const -> double;
--- a/fleet/balancerordered.cpp
+++ b/fleet/balancerordered.cpp
@@ -45,13 +45,23 @@
     pick.request = request;
     pick.isOverShare = countsForShare(request) && shares_.isOver(request.account);
     pick.arrivedAt = now - std::chrono::milliseconds { request.waitedMs };
-    // Without a start target, any time within the caller's is good enough.
-    pick.latestStart = request.startTargetMs == 0
-            ? now + std::chrono::milliseconds { request.limitMs }
-            : now + std::chrono::milliseconds { request.startWithinMs } - leadTime(request);
+    pick.latestStart = now + timeToLatestStart(request);
     return pick;
 }
 
+auto Balancer::timeToLatestStart(const proto::PickRequest &request) const -> Duration
+{
+    // Without a start target, any time within the caller's is good enough.
+    if (request.startTargetMs == 0)
+        return std::chrono::milliseconds { request.limitMs };
+    const auto target = Duration { std::chrono::milliseconds { request.startTargetMs } };
+    const auto left = Duration { std::chrono::milliseconds { request.startWithinMs } };
+    const auto lead = leadTime(request);
+    // A prompt that cannot be read in time even alone may still be served late. It waits for as
+    // long as one that needs half of the target.
+    return left - (lead < target ? lead : target / 2);
+}
+
 /// An engine's first event comes when the prompt has been read, a plain service's when the work is
 /// done.
 auto Balancer::leadTime(const proto::PickRequest &request) const -> Duration
--- a/fleet/testing/tst_balancerordered.cpp
+++ b/fleet/testing/tst_balancerordered.cpp
@@ -158,6 +158,23 @@
     CHECK_FALSE(bench.pick(request).isQueued);
 }
 
+// Guards against refusing the largest prompts whenever they find no room at once: served late, they
+// are still worth something to their callers.
+TEST_CASE("A prompt that cannot be read in time even alone waits for half of its target")
+{
+    auto bench = Bench {};
+    bench.fill("e", 1, 4, 1);
+    auto request = requestFor(10, { "e" }, 1);
+    request.startTargetMs = 600;
+    request.startWithinMs = 600;
+    request.ownTokens = 28'000; // 1,000 ms of reading.
+    const auto reply = bench.pick(request);
+    CHECK((reply.isQueued || reply.refusal == proto::PickRefusal::NoRoom));
+    const auto notices = bench.balancer.queue().takeNotices();
+    REQUIRE_FALSE(notices.empty());
+    CHECK(notices.back().cause != PlaceCause::PastStart);
+}
+
 // Guards against sending requests to a plain service until it rejects them.
 TEST_CASE(
         "A plain service's endpoint gets twice its slots, and returned requests half as many more")
--- a/gateway/controlfeed.cpp
+++ b/gateway/controlfeed.cpp
@@ -407,10 +407,15 @@
         auto onReply = [weak = weak_from_this(), address = *address, ticket,
                         done = std::move(done)](const auto &reply) {
             const auto *pick = replyAs<proto::PickReply>(reply);
-            if (pick != nullptr && pick->refusal == proto::PickRefusal::CannotCount)
+            const auto isIsolated
+                    = pick != nullptr && pick->refusal == proto::PickRefusal::CannotCount;
+            if (isIsolated)
                 pick = nullptr;
-            if (const auto self = weak.lock(); self && pick == nullptr)
-                self->onBalancerFailed(address, ticket, reply.status());
+            if (const auto self = weak.lock(); self && pick == nullptr) {
+                const auto &options = self->options_;
+                self->onBalancerFailed(address, ticket, reply.status(),
+                                       isIsolated ? options.isolatedPause : options.balancerPause);
+            }
             done(pick == nullptr ? std::nullopt : std::optional { *pick });
         };
         controls_.at(*address).client->call(std::move(request), timeout, std::move(onReply));
@@ -559,20 +564,20 @@
         requestProof();
     }
 
-    auto onBalancerFailed(const Address &address, std::uint64_t ticket, const absl::Status &status)
-            -> void
+    auto onBalancerFailed(const Address &address, std::uint64_t ticket, const absl::Status &status,
+                          Duration pause) -> void
     {
         endPick(address, { ticket, 0 });
         const auto found = controls_.find(address);
         if (found == controls_.end())
             return;
-        found->second.balancesFrom = clock_.now() + options_.balancerPause;
+        found->second.balancesFrom = clock_.now() + pause;
         LogEvent(LogLevel::Warning, "balancer_lost")
                 .with("control", found->second.node)
                 .with("ticket", ticket)
                 .with(status);
         noteBalancer();
-        noteBalancerAfter(options_.balancerPause);
+        noteBalancerAfter(pause);
     }
 
     /// Requests that wait at another control return to this one when its pause ends, even if this
--- a/gateway/controlfeed.h
+++ b/gateway/controlfeed.h
@@ -57,6 +57,10 @@
     /// time, since a control that hangs or is cut off is detected only by the channel's idle
     /// timeout.
     Duration balancerPause = std::chrono::seconds { 1 };
+    /// The same for a control that cannot count for accounts, since it is cut off from its group.
+    /// Such cuts last for several seconds; asked again each second, isolated controls took both
+    /// tries of a request, and callers of accounts with limits were refused meanwhile.
+    Duration isolatedPause = std::chrono::seconds { 3 };
     KeyLeaseOptions keyLease;
 };
 
--- a/gateway/testing/feedrig.h
+++ b/gateway/testing/feedrig.h
@@ -64,6 +64,10 @@
                     reply = {};
                     reply.isQueued = true;
                 }
+                if (isIsolated) {
+                    reply = {};
+                    reply.refusal = proto::PickRefusal::CannotCount;
+                }
                 if (!isSilent)
                     peer->send({ envelope.correlation, reply });
             } else if (std::holds_alternative<proto::PickEnd>(envelope.payload)) {
@@ -98,6 +102,7 @@
     std::string text = "text";    ///< Text of the document, in one block.
     Duration documentDelay { 0 }; ///< Delay of document answers, as on a slow link.
     bool isQueueing = false;      ///< If true, it queues all picks.
+    bool isIsolated = false;      ///< If true, it cannot count for accounts.
     std::vector<catalogue::EndpointRow> endpoints; ///< Rows that it sends to its subscribers.
     bool isSilent = false;                         ///< If true, it does not answer picks.
     bool holdsBackDocuments = false; ///< If true, it does not answer document requests.
--- a/gateway/testing/tst_controlfeed.cpp
+++ b/gateway/testing/tst_controlfeed.cpp
@@ -53,6 +53,24 @@
     CHECK(rig.pick(feed) == first);
 }
 
+// Guards against asking controls that are cut off from their group again each second: with several
+// of them, each request spent its tries there.
+TEST_CASE("A control that cannot count for accounts is not asked for longer than a silent one")
+{
+    auto rig = FeedRig { "n3" };
+    auto &feed = rig.addFeed("g1");
+    const auto first = rig.pick(feed);
+    rig.controls.at(first)->isIsolated = true;
+    CHECK(rig.pick(feed).empty());
+    rig.clock.advance(ControlFeedOptions {}.balancerPause);
+    const auto second = rig.pick(feed);
+    CHECK_FALSE(second.empty());
+    CHECK(second != first);
+    rig.controls.at(first)->isIsolated = false;
+    rig.clock.advance(ControlFeedOptions {}.isolatedPause);
+    CHECK(rig.pick(feed) == first);
+}
+
 TEST_CASE("The leader balances if it is the only control connected; without a control there is no "
           "balancer")
 {
