--- a/fleet/loadorder.h
+++ b/fleet/loadorder.h
@@ -1,6 +1,6 @@
 // In which order models are loaded, and which loads may wait.
 //
-//   std::sort(wishes.begin(), wishes.end(), precedes);
+//   std::sort(loads.begin(), loads.end(), precedes);
 //   const auto fresh = freshLoads.onPass(input.models, held, now);
 //
 // Loads used to be ordered by the number of waiting requests alone. A model with a single request
--- a/fleet/placement.cpp
+++ b/fleet/placement.cpp
@@ -145,8 +145,8 @@
         }
         std::sort(wanted.begin(), wanted.end(), precedes);
         auto result = std::vector<ModelId> {};
-        for (auto &wish : wanted)
-            result.push_back(std::move(wish.model));
+        for (auto &load : wanted)
+            result.push_back(std::move(load.model));
         return result;
     }
 
--- a/fleet/placequeue.cpp
+++ b/fleet/placequeue.cpp
@@ -15,7 +15,7 @@
 /// A model without waiting requests is forgotten after this time, with what was learned of it.
 constexpr auto forgetModelAfter = std::chrono::seconds { 60 };
 /// What a queue got of the slots is forgotten when no request has waited for this time. A small
-/// part would otherwise refuse all requests on arrival, and never be measured again.
+/// part would otherwise refuse all requests on arrival, and no new share could be learned.
 constexpr auto forgetDrainAfter = std::chrono::seconds { 2 };
 /// Weight of a new sample in the average time that a lane's requests have until their latest start.
 constexpr auto slackLearningRate = 0.2;
--- a/gateway/testing/tst_contendedloads.cpp
+++ b/gateway/testing/tst_contendedloads.cpp
@@ -384,8 +384,7 @@
 
 } // namespace
 
-// Guards against urgent requests that wait behind the loads of many patient ones. Measured: 1,578
-// of 1,853 requests start on time, and 1,440 where loads are ordered by number.
+// Guards against urgent requests that wait behind the loads of many requests with more time.
 TEST_CASE("Under load, more requests start on time when loads are ordered by latest start")
 {
     const auto byNumber = play(false, true);
@@ -397,8 +396,7 @@
 }
 
 // Guards against gateways that guess: they hold requests for loads that nobody has ordered, and
-// refuse others although their load is about to end. Measured: requests wait in vain for 143 s in
-// all instead of 267 s, and 69 instead of 35 of those for models from the store are served.
+// refuse others although their load is about to end.
 TEST_CASE("Under load, the schedule spares callers waits in vain, and serves those whose load is "
           "under way")
 {
