gateway: the end of each balancer's pause is noticed

The check at the end of a pause was made once. Where the timer fired before the feed's clock had reached the end, or another control's pause had moved the timer, requests stayed at the second control until the next pick. Change: the check is repeated at the end of the next pause while there is one.

--- a/gateway/controlfeed.cpp
+++ b/gateway/controlfeed.cpp
@@ -577,19 +577,30 @@
                 .with("ticket", ticket)
                 .with(status);
         noteBalancer();
-        noteBalancerAfter(pause);
+        awaitEndOfPauses();
     }
 
-    /// Requests that wait at another control return to this one when its pause ends, even if this
-    /// gateway asks for no pick then.
-    auto noteBalancerAfter(Duration pause) -> void
+    /// Requests that wait at another control return to a control when its pause ends, even if this
+    /// gateway asks for no pick then. Checks again at the end of the next pause, since several
+    /// controls may be in one, and the timer may fire before the clock has reached the end.
+    auto awaitEndOfPauses() -> void
     {
-        balancerTimer_.expires_after(pause + minCheckDelay);
+        const auto now = clock_.now();
+        auto next = std::optional<Instant> {};
+        for (const auto &[address, control] : controls_) {
+            if (control.balancesFrom > now && (!next || control.balancesFrom < *next))
+                next = control.balancesFrom;
+        }
+        if (!next || stopped_)
+            return;
+        balancerTimer_.expires_after(*next - now + minCheckDelay);
         balancerTimer_.async_wait(
                 [weak = weak_from_this()](const boost::system::error_code &error) {
                     const auto self = weak.lock();
-                    if (self && !error)
-                        self->noteBalancer();
+                    if (!self || error)
+                        return;
+                    self->noteBalancer();
+                    self->awaitEndOfPauses();
                 });
     }
 
--- a/gateway/testing/tst_controlfeed.cpp
+++ b/gateway/testing/tst_controlfeed.cpp
@@ -71,6 +71,21 @@
     CHECK(rig.pick(feed) == first);
 }
 
+// Guards against a check that is made only at the end of the latest pause, and only once.
+TEST_CASE("The end of each control's pause is noticed, also where another one began meanwhile")
+{
+    auto rig = FeedRig { "n3" };
+    auto &feed = rig.addFeed("g1");
+    auto &first = *rig.controls.at(rig.pick(feed));
+    first.isIsolated = true;
+    CHECK(rig.pick(feed).empty());
+    auto &second = *rig.controls.at(rig.pick(feed));
+    second.isSilent = true;
+    CHECK(rig.pick(feed).empty());
+    rig.runUntil([&] { return rig.balancers.back() == second.address(); });
+    rig.runUntil([&] { return rig.balancers.back() == first.address(); });
+}
+
 TEST_CASE("The leader balances if it is the only control connected; without a control there is no "
           "balancer")
 {
