--- a/gateway/controlfeed.cpp
+++ b/gateway/controlfeed.cpp
@@ -407,10 +407,15 @@
         auto onReply = [weak = weak_from_this(), address = *address, ticket,
                         done = std::move(done)](const auto &reply) {
             const auto *pick = replyAs<proto::PickReply>(reply);
-            if (pick != nullptr && pick->refusal == proto::PickRefusal::CannotCount)
+            const auto isIsolated
+                    = pick != nullptr && pick->refusal == proto::PickRefusal::CannotCount;
+            if (isIsolated)
                 pick = nullptr;
-            if (const auto self = weak.lock(); self && pick == nullptr)
-                self->onBalancerFailed(address, ticket, reply.status());
+            if (const auto self = weak.lock(); self && pick == nullptr) {
+                const auto &options = self->options_;
+                self->onBalancerFailed(address, ticket, reply.status(),
+                                       isIsolated ? options.isolatedPause : options.balancerPause);
+            }
             done(pick == nullptr ? std::nullopt : std::optional { *pick });
         };
         controls_.at(*address).client->call(std::move(request), timeout, std::move(onReply));
@@ -559,32 +564,43 @@
         requestProof();
     }
 
-    auto onBalancerFailed(const Address &address, std::uint64_t ticket, const absl::Status &status)
-            -> void
+    auto onBalancerFailed(const Address &address, std::uint64_t ticket, const absl::Status &status,
+                          Duration pause) -> void
     {
         endPick(address, { ticket, 0 });
         const auto found = controls_.find(address);
         if (found == controls_.end())
             return;
-        found->second.balancesFrom = clock_.now() + options_.balancerPause;
+        found->second.balancesFrom = clock_.now() + pause;
         LogEvent(LogLevel::Warning, "balancer_lost")
                 .with("control", found->second.node)
                 .with("ticket", ticket)
                 .with(status);
         noteBalancer();
-        noteBalancerAfter(options_.balancerPause);
+        awaitEndOfPauses();
     }
 
-    /// Requests that wait at another control return to this one when its pause ends, even if this
-    /// gateway asks for no pick then.
-    auto noteBalancerAfter(Duration pause) -> void
+    /// Requests that wait at another control return to a control when its pause ends, even if this
+    /// gateway asks for no pick then. Checks again at the end of the next pause, since several
+    /// controls may be in one, and the timer may fire before the clock has reached the end.
+    auto awaitEndOfPauses() -> void
     {
-        balancerTimer_.expires_after(pause + minCheckDelay);
+        const auto now = clock_.now();
+        auto next = std::optional<Instant> {};
+        for (const auto &[address, control] : controls_) {
+            if (control.balancesFrom > now && (!next || control.balancesFrom < *next))
+                next = control.balancesFrom;
+        }
+        if (!next || stopped_)
+            return;
+        balancerTimer_.expires_after(*next - now + minCheckDelay);
         balancerTimer_.async_wait(
                 [weak = weak_from_this()](const boost::system::error_code &error) {
                     const auto self = weak.lock();
-                    if (self && !error)
-                        self->noteBalancer();
+                    if (!self || error)
+                        return;
+                    self->noteBalancer();
+                    self->awaitEndOfPauses();
                 });
     }
 
