--- a/fleet/placequeue.h
+++ b/fleet/placequeue.h
@@ -61,8 +61,8 @@
     /// Shortest retry time, unless a third of the caller's time is less.
     Duration minRetryAfter = std::chrono::milliseconds { 500 };
     /// Slots that become free between two promised returns. With 1, returns take all slots of an
-    /// overloaded model, and 28 in 100 of them find none after all; with 4 all of them find one, and
-    /// a third more requests are on time at their first attempt.
+    /// overloaded model, and 28 in 100 of them find none after all; with 4 all of them find one,
+    /// and a third more requests are on time at their first attempt.
     int retrySpacing = 4;
     /// A queued request is refused when its predicted wait exceeds the time it has left by this
     /// factor. Without a margin, one that was just admitted would be refused because of the noise
