gateway: request lines say for how long endpoints have been silent

The log of a gateway could not tell a slow endpoint from a path that is lost: a request that got no answer had no word on its connection and on whether any other endpoint answered meanwhile. A line of a request whose last dispatch broke off now has connection=kept|new, silent_ms of its endpoint, domain_silent_ms of the endpoint's failure domain and all_silent_ms of all endpoints with requests in progress; endpoints_silent_seconds is on the page of metrics. No decision uses them.

--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -185,6 +185,12 @@
         line.with("work", works_.ofAnyone.text());
     if (budgetSpent_)
         line.with("retries", "spent");
+    if (silence_) {
+        line.with("connection", isReused_ ? "kept" : "new")
+                .with("silent_ms", wholeMillis(silence_->endpoint))
+                .with("domain_silent_ms", wholeMillis(silence_->domain))
+                .with("all_silent_ms", wholeMillis(silence_->all));
+    }
     if (outcome_ != RequestOutcome::Answered && !lastError_.ok())
         line.with(lastError_);
 }
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -50,6 +50,7 @@
 #include "gateway/crashdetector.h"
 #include "gateway/demand.h"
 #include "gateway/dialect.h"
+#include "gateway/endpointpaths.h"
 #include "gateway/fleetview.h"
 #include "gateway/heldbytes.h"
 #include "gateway/keylease.h"
@@ -116,6 +117,7 @@
     Random &random;
     policy::Quarantine &quarantine;
     CrashDetector &crashDetector;
+    EndpointPaths &paths;
     const KeyLease &keys;
     /// Asks for the endpoints of a key. @return true when the view contains them; waiters are woken
     /// when it does. May be empty: the view contains all endpoints
--- a/gateway/forwarderdispatch.cpp
+++ b/gateway/forwarderdispatch.cpp
@@ -70,6 +70,7 @@
 auto Forwarder::Run::dispatch(EndpointEntry &entry) -> asio::awaitable<Step>
 {
     const auto id = entry.row.id;
+    const auto domain = entry.row.domain; // domain_ changes if this dispatch leads to another one.
     endpoint_ = id;
     auto out = makeDispatch(entry);
     const auto weight = loadWeight(caller_.promptTokens);
@@ -80,11 +81,19 @@
     const auto left
             = std::max<Duration>(deadline_ - parts_.clock.now(), std::chrono::milliseconds { 1 });
     sentAt_ = parts_.clock.now();
+    heardAt_ = sentAt_;
+    domain_ = domain;
+    parts_.paths.onSent(domain);
     const auto dispatched = owner_.dispatches_.emplace(id, canceller_);
     auto sentBody = owner_.heldBytes_.sendTo(id, request_.body.size());
     const auto step = co_await exchange(std::move(out), left, id);
     sentBody.release();
     owner_.dispatches_.erase(dispatched);
+    if (step != Step::Settled) {
+        silence_ = Silence { parts_.clock.now() - heardAt_, parts_.paths.silentFor(domain),
+                             parts_.paths.allSilentFor() };
+    }
+    parts_.paths.onEnded(domain);
     if (!target_.model.empty())
         parts_.demand.onEnd(target_);
     const auto hasStarted = step == Step::Settled && firstByteAt_ && isSuccess(finalStatus_);
@@ -150,6 +159,7 @@
     auto opened = co_await parts_.client.open(std::move(out), left);
     if (const auto *error = std::get_if<http::ClientError>(&opened)) {
         lastError_ = error->status;
+        isReused_ = error->isReused;
         const auto reached = error->sent != http::Sent::Nothing;
         const auto isWithheld = !reached && errorKind(error->status) == ErrorKind::Cancelled;
         if (isWithheld && !callerGone_)
@@ -166,6 +176,8 @@
     }
     auto stream = std::move(std::get<std::unique_ptr<http::ClientStream>>(opened));
     ++sent_;
+    isReused_ = stream->isReused();
+    noteHeard();
     status_ = stream->status();
     const auto notice = parts_.dialect.readNotice(id, status_, stream->headers());
     noteNotice(id, notice);
@@ -249,6 +261,12 @@
         parts_.crashDetector.onCleared(works_);
 }
 
+auto Forwarder::Run::noteHeard() -> void
+{
+    heardAt_ = parts_.clock.now();
+    parts_.paths.onHeard(domain_);
+}
+
 auto Forwarder::Run::discard(http::ClientStream &stream) -> asio::awaitable<void>
 {
     while (true) {
--- a/gateway/forwarderrelay.cpp
+++ b/gateway/forwarderrelay.cpp
@@ -23,6 +23,7 @@
             lastError_ = chunk.status();
             co_return Step::Broken;
         }
+        noteHeard();
         if (chunk->empty())
             break;
         held.add(chunk->size());
@@ -72,6 +73,7 @@
             lastError_ = chunk.status();
             co_return Step::Broken;
         }
+        noteHeard();
         if (chunk->empty())
             break;
         auto events = splitter.feed(*chunk);
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -40,6 +40,13 @@
     auto execute() -> boost::asio::awaitable<void>;
 
 private:
+    /// For how long nothing has been received from endpoints with requests in progress.
+    struct Silence
+    {
+        Duration endpoint {};
+        Duration domain {}; ///< From any endpoint of the failure domain.
+        Duration all {};    ///< From any endpoint.
+    };
     /// Result of one dispatch, or of waiting for one.
     enum class Step : std::uint8_t {
         Settled, ///< The request has reached its final outcome.
@@ -178,6 +185,8 @@
     /// failure.
     auto noteBroken(const EndpointId &id, const absl::Status &status, bool hasBegun) -> void;
     auto noteCompleted() -> void;
+    /// Notes that bytes of the endpoint's answer have been received.
+    auto noteHeard() -> void;
     /// Reads a small answer to its end, so that its connection can be reused.
     auto discard(http::ClientStream &stream) -> boost::asio::awaitable<void>;
 
@@ -256,6 +265,10 @@
     std::optional<Duration> retryAfter_;
     std::optional<Duration> loadReady_; ///< Time that the leader's schedule named first.
     Instant sentAt_ {};                 ///< Time of the latest dispatch.
+    Instant heardAt_ {};                ///< When its endpoint last sent anything, or sentAt_.
+    DomainId domain_;                   ///< Of the endpoint of the latest dispatch.
+    bool isReused_ = false;             ///< The latest dispatch used a kept connection.
+    std::optional<Silence> silence_;    ///< At the end of a dispatch that broke off.
     std::optional<Instant> firstByteAt_;
     std::optional<Instant> lastEventAt_;
     Duration longestGap_ {}; ///< Longest time between two events of the stream.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -38,6 +38,7 @@
         , onStopped_(std::move(onStopped))
         , random_(seed)
         , view_(options_.view, clock)
+        , paths_(clock)
         , retries_(options_.retries, clock)
         , demand_(clock)
         , loadWatch_({}, clock)
@@ -52,7 +53,8 @@
                          })
         , forwarder_(options_.forwarder,
                      { context, clock, dialect, view_, retries_, demand_, waiters_, metrics_,
-                       client_, picker_, random_, quarantine_, crashDetector_, feed_.keyLease(),
+                       client_, picker_, random_, quarantine_, crashDetector_, paths_,
+                       feed_.keyLease(),
                        [this](const proto::WatchKey &key) { return feed_.wantEndpoints(key); },
                        &loadWatch_ })
         , server_(context, options_.server,
@@ -113,6 +115,7 @@
         gauges.backedOff = view_.backedOff();
         gauges.heldBytes = forwarder_.heldBytes().sum();
         gauges.callersBufferedFor = forwarder_.heldBytes().callersBufferedFor();
+        gauges.endpointsSilent = paths_.allSilentFor();
         gauges.ready = ready();
         return metrics_.text(gauges);
     }
@@ -296,6 +299,7 @@
     std::function<void()> onStopped_;
     Random random_;
     FleetView view_;
+    EndpointPaths paths_;
     RetryWindow retries_;
     Demand demand_;
     LoadWatch loadWatch_;
--- a/gateway/metrics.cpp
+++ b/gateway/metrics.cpp
@@ -240,6 +240,7 @@
     set("backed_off_endpoints", static_cast<double>(gauges.backedOff));
     set("held_bytes", static_cast<double>(gauges.heldBytes));
     set("callers_buffered_for", static_cast<double>(gauges.callersBufferedFor));
+    set("endpoints_silent_seconds", inSeconds(gauges.endpointsSilent));
     set("ready", gauges.ready ? 1 : 0);
     return prometheus::TextSerializer {}.Serialize(impl_->registry.Collect());
 }
--- a/gateway/metrics.h
+++ b/gateway/metrics.h
@@ -44,6 +44,8 @@
     std::uint64_t backedOff = 0;   ///< Endpoints that are in backoff.
     std::uint64_t heldBytes = 0;   ///< Of bodies, answers and streams in memory.
     std::uint64_t callersBufferedFor = 0; ///< Callers that have not taken all of their streams.
+    /// For how long no endpoint with requests in progress has sent anything.
+    Duration endpointsSilent {};
     bool ready = false;
 };
 
--- a/gateway/testing/rig.cpp
+++ b/gateway/testing/rig.cpp
@@ -168,6 +168,7 @@
     , picker(pickerOptions, std::move(link), metrics, random, clock)
     , quarantine({})
     , crashDetector({}, { context, clock, view, quarantine, metrics }, [] {})
+    , paths(clock)
     , keys(keyOptions, clock)
     , loadWatch({}, clock)
     , forwarder(std::move(options),
@@ -184,6 +185,7 @@
                   random,
                   quarantine,
                   crashDetector,
+                  paths,
                   keys,
                   {},
                   &loadWatch })
--- a/gateway/testing/rig.h
+++ b/gateway/testing/rig.h
@@ -82,6 +82,7 @@
     Picker picker;
     policy::Quarantine quarantine;
     CrashDetector crashDetector;
+    EndpointPaths paths;
     KeyLease keys;
     LoadWatch loadWatch;
     Forwarder forwarder;
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -382,6 +382,8 @@
 
     auto lease() -> Lease & { return lease_; }
     auto parser() -> ResponseParser & { return *parser_; }
+    auto setReused(bool isReused) -> void { isReused_ = isReused; }
+    auto isReused() const -> bool { return isReused_; }
 
     /// Sets how the next answer is read. @param bodyLimit bytes; empty: without a bound
     auto expect(std::optional<std::size_t> bodyLimit, bool isHead) -> void
@@ -525,6 +527,7 @@
     std::optional<ResponseParser> parser_;
     std::optional<std::size_t> bodyLimit_;
     bool isHead_ = false;
+    bool isReused_ = false;
 };
 
 using ExchangePointer = std::unique_ptr<Exchange>;
@@ -594,17 +597,20 @@
     }
     auto exchange = std::make_unique<Exchange>(pool, request.address, std::move(link));
     exchange->expect(bodyLimit, request.method == "HEAD");
+    exchange->setReused(kept);
     if (!kept) {
         if (auto status = co_await exchange->connect(pool->options(), timeout); !status.ok())
             co_return ClientError { std::move(status), Sent::Nothing };
     }
-    if (auto error = co_await exchange->write(request, timeout))
+    if (auto error = co_await exchange->write(request, timeout)) {
+        error->isReused = kept;
         co_return std::move(*error);
+    }
     auto status = co_await exchange->readHeader();
     while (status.ok() && isOfAnother(request.match, exchange->parser()))
         status = co_await exchange->skipAnswer();
     if (!status.ok())
-        co_return ClientError { std::move(status), Sent::MaybeSome };
+        co_return ClientError { std::move(status), Sent::MaybeSome, kept };
     co_return exchange;
 }
 
@@ -620,6 +626,7 @@
 
     auto status() const -> std::uint32_t override { return status_; }
     auto headers() const -> const Headers & override { return headers_; }
+    auto isReused() const -> bool override { return exchange_->isReused(); }
 
     auto read(Duration timeout) -> asio::awaitable<absl::StatusOr<std::string>> override
     {
--- a/http/client.h
+++ b/http/client.h
@@ -94,6 +94,7 @@
 {
     absl::Status status; ///< EndpointFailed, Timeout, TooLarge, Malformed or Cancelled.
     Sent sent = Sent::MaybeSome;
+    bool isReused = false; ///< The request was sent on a kept connection.
 };
 
 template<typename T>
@@ -106,6 +107,8 @@
     virtual ~ClientStream() = default;
     virtual auto status() const -> std::uint32_t = 0;
     virtual auto headers() const -> const Headers & = 0;
+    /// @return true if the request was sent on a kept connection
+    virtual auto isReused() const -> bool = 0;
     /// @return the next bytes; an empty string at the true end of the body; an error when cut short
     virtual auto read(Duration timeout) -> boost::asio::awaitable<absl::StatusOr<std::string>> = 0;
     /// Aborts the connection (RST), from the strand that reads or any other thread.
