--- a/gateway/testing/feedrig.h
+++ b/gateway/testing/feedrig.h
@@ -48,7 +48,7 @@
                 update.leader = NodeId { leader };
                 update.term = Term { 1 };
                 update.document = document;
-                update.endpoints = endpoints;
+                update.endpoints = endpointsFor ? endpointsFor(*subscribe) : endpoints;
                 peer->send({ 0, update });
                 if (!suspects.empty())
                     peer->send({ 0, proto::SuspectNews { suspects } });
@@ -104,7 +104,9 @@
     bool isQueueing = false;      ///< If true, it queues all picks.
     bool isIsolated = false;      ///< If true, it cannot count for accounts.
     std::vector<catalogue::EndpointRow> endpoints; ///< Rows that it sends to its subscribers.
-    bool isSilent = false;                         ///< If true, it does not answer picks.
+    /// Rows for one subscriber, instead of endpoints; may be empty.
+    std::function<std::vector<catalogue::EndpointRow>(const proto::Subscribe &)> endpointsFor;
+    bool isSilent = false;           ///< If true, it does not answer picks.
     bool holdsBackDocuments = false; ///< If true, it does not answer document requests.
     int asked = 0;
     int ended = 0;
--- a/gateway/testing/rig.cpp
+++ b/gateway/testing/rig.cpp
@@ -252,9 +252,15 @@
 }
 
 auto Rig::begin(http::ClientRequest request) -> std::shared_ptr<std::optional<Got>>
+{
+    return beginAt(server_.port(), std::move(request));
+}
+
+auto Rig::beginAt(std::uint16_t port, http::ClientRequest request)
+        -> std::shared_ptr<std::optional<Got>>
 {
     auto got = std::make_shared<std::optional<Got>>();
-    request.address = { "127.0.0.1", server_.port() };
+    request.address = { "127.0.0.1", port };
     auto work = [](http::Client &caller, http::ClientRequest out,
                    std::shared_ptr<std::optional<Got>> result) -> asio::awaitable<void> {
         auto opened = co_await caller.open(std::move(out), patience);
--- a/gateway/testing/rig.h
+++ b/gateway/testing/rig.h
@@ -66,6 +66,9 @@
     auto port() const -> std::uint16_t { return server_.port(); }
     /// Starts a call and returns immediately. The result contains the answer once it has arrived.
     auto begin(http::ClientRequest request) -> std::shared_ptr<std::optional<Got>>;
+    /// The same for a server at another port on 127.0.0.1.
+    auto beginAt(std::uint16_t port, http::ClientRequest request)
+            -> std::shared_ptr<std::optional<Got>>;
     /// Runs the context until the condition holds. @return false if it does not within 20 s
     auto runUntil(const std::function<bool()> &condition) -> bool;
 
