http: an attempt to connect ends at its timeout, whatever the system does

Cause: Link::abort() disconnects and shuts down the descriptor. That wakes a pending connect() on the machines of our tests, but not on every system. Now the attempt runs on a strand of the link, and abort() cancels the operation itself there. The other waits for a connection were looked at: crashdetector, channel and listeners close or cancel their own sockets.

The tests replace the disconnect by nothing; with the cancellation taken out the first of them fails. An attempt that the kernel ends by its own timeout counts as a timeout, too.

--- a/http/client.cpp
+++ b/http/client.cpp
@@ -7,6 +7,10 @@
 // say at the end of its lease that no order of its own can leave any more. The
 // descriptor cannot be reused meanwhile, since closing takes the same lock.
 //
+// An attempt to connect is different: not every system wakes a pending connect() then. Only during
+// the attempt is the socket used on a strand of its own, where abort() cancels the operation
+// itself.
+//
 // Sent is Nothing only where it is certain: no connection stood, mayStart said
 // no, or the write ended with no byte accepted by the kernel.
 
@@ -26,8 +30,12 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/bind_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -55,11 +63,13 @@
 constexpr auto maxPromisedSeconds = std::int64_t { 86'400 }; ///< Longer promises count as none.
 
 /// One connection: the socket, what was read of the next answer, and the way to abort it.
-class Link
+class Link : public std::enable_shared_from_this<Link>
 {
 public:
-    explicit Link(asio::io_context &context)
+    Link(asio::io_context &context, std::function<void(int)> disconnect)
         : socket_(context)
+        , strand_(asio::make_strand(context))
+        , disconnect_(std::move(disconnect))
     { }
     ~Link() { close(); }
     Link(const Link &) = delete;
@@ -82,6 +92,24 @@
         return code;
     }
 
+    /// Connects the open socket. @return operation_aborted if abort() came first
+    auto connect(tcp::endpoint endpoint) -> asio::awaitable<error_code>
+    {
+        auto initiate = [self = shared_from_this(), endpoint](auto handler) {
+            const auto executor = asio::get_associated_executor(handler);
+            auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+            auto done = [shared, executor](Connected result) {
+                asio::post(executor, [shared, result] { (*shared)(result); });
+            };
+            asio::post(self->strand_,
+                       [self, endpoint, done] { self->startConnect(endpoint, done); });
+        };
+        const auto result
+                = co_await asio::async_initiate<const asio::use_awaitable_t<>, void(Connected)>(
+                        initiate, asio::use_awaitable);
+        co_return aborted_ ? error_code { asio::error::operation_aborted } : result.code;
+    }
+
     /// Ends the connection at once, from any thread.
     auto abort() -> void
     {
@@ -89,16 +117,9 @@
         aborted_ = true;
         if (!socket_.is_open())
             return;
-        auto nowhere = sockaddr {};
-        nowhere.sa_family = AF_UNSPEC;
-        static_cast<void>(::connect(socket_.native_handle(), &nowhere, sizeof nowhere));
-        // Where that has no effect, the peer sees the end of the connection all the same, and
-        // closing it drops what is still queued: endpoints went on for 20 of 20 callers that had
-        // left.
-        const auto dropQueued = ::linger { 1, 0 };
-        static_cast<void>(::setsockopt(socket_.native_handle(), SOL_SOCKET, SO_LINGER, &dropQueued,
-                                       sizeof dropQueued));
-        static_cast<void>(::shutdown(socket_.native_handle(), SHUT_RDWR));
+        disconnect_(socket_.native_handle());
+        if (isConnecting_)
+            asio::post(strand_, [self = shared_from_this()] { self->cancelConnect(); });
     }
 
     auto aborted() const -> bool { return aborted_; }
@@ -113,6 +134,33 @@
     }
 
 private:
+    struct Connected
+    {
+        error_code code;
+    };
+
+    /// Runs on the strand, as does cancelConnect().
+    template<typename Done>
+    auto startConnect(const tcp::endpoint &endpoint, Done done) -> void
+    {
+        isConnecting_ = true;
+        auto onEnd = [self = shared_from_this(), done](const error_code &code) {
+            self->isConnecting_ = false;
+            done(Connected { code });
+        };
+        socket_.async_connect(endpoint, asio::bind_executor(strand_, std::move(onEnd)));
+        // An abort() that came before saw no attempt to cancel.
+        if (aborted_)
+            cancelConnect();
+    }
+
+    auto cancelConnect() -> void
+    {
+        auto code = error_code {};
+        if (isConnecting_)
+            socket_.cancel(code);
+    }
+
     auto close() -> void
     {
         const auto lock = std::lock_guard { mutex_ };
@@ -122,6 +170,9 @@
 
     std::mutex mutex_; ///< Guards opening, closing and aborting; a leaf in the lock order.
     Socket socket_;
+    asio::strand<asio::io_context::executor_type> strand_;
+    std::function<void(int)> disconnect_;
+    std::atomic<bool> isConnecting_ { false };
     std::atomic<bool> aborted_ { false };
     beast::flat_buffer buffer_;
 };
@@ -168,9 +219,20 @@
         }
     }
 
+    auto hasKept(const Address &address) -> bool
+    {
+        const auto now = clock_.now();
+        const auto lock = std::lock_guard { mutex_ };
+        const auto found = kept_.find(address);
+        return found != kept_.end()
+                && std::any_of(found->second.begin(), found->second.end(), [&](const auto &kept) {
+                       return now < kept.until && kept.link->isQuiet();
+                   });
+    }
+
     auto make(const Address &address) -> LinkPointer
     {
-        auto link = std::make_shared<Link>(context_);
+        auto link = std::make_shared<Link>(context_, options_.disconnect);
         const auto lock = std::lock_guard { mutex_ };
         all_[address].insert(link);
         return link;
@@ -318,7 +380,7 @@
 /// A fault of the transport: a fired watchdog shows as one and is told apart here.
 auto transportFailure(Lease &lease, std::string_view step, const error_code &code) -> absl::Status
 {
-    const auto inTime = lease.watchdog().disarm();
+    const auto inTime = lease.watchdog().disarm() && code != asio::error::timed_out;
     return failure(inTime ? ErrorKind::EndpointFailed : ErrorKind::Timeout, lease.address(), step,
                    code);
 }
@@ -427,10 +489,7 @@
         if (code)
             co_return failure(ErrorKind::EndpointFailed, address, "connect", code);
         lease_.watchdog().arm(std::min(options.connectTimeout, timeout));
-        co_await lease_.link().socket().async_connect(
-                endpoint, asio::redirect_error(asio::use_awaitable, code));
-        if (!code && lease_.link().aborted())
-            code = asio::error::operation_aborted;
+        code = co_await lease_.link().connect(endpoint);
         if (code)
             co_return transportFailure(lease_, "connect", code);
         co_return absl::OkStatus();
@@ -669,6 +728,19 @@
 
 } // namespace
 
+auto disconnectSocket(int descriptor) -> void
+{
+    auto nowhere = sockaddr {};
+    nowhere.sa_family = AF_UNSPEC;
+    static_cast<void>(::connect(descriptor, &nowhere, sizeof nowhere));
+    // Where that has no effect, the peer sees the end of the connection all the same, and closing
+    // it drops what is still queued.
+    const auto dropQueued = ::linger { 1, 0 };
+    static_cast<void>(
+            ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &dropQueued, sizeof dropQueued));
+    static_cast<void>(::shutdown(descriptor, SHUT_RDWR));
+}
+
 auto Canceller::cancel() -> void
 {
     auto abort = std::function<void()> {};
@@ -749,6 +821,23 @@
             std::make_unique<StreamImpl>(std::move(exchange), !request.freshConnection));
 }
 
+auto Client::preconnect(Address address, Duration timeout) -> asio::awaitable<absl::Status>
+{
+    const auto pool = impl_->pool();
+    auto options = pool->options();
+    options.connectTimeout = timeout;
+    auto exchange = Exchange { pool, address, pool->make(address) };
+    auto status = co_await exchange.connect(options, timeout);
+    if (status.ok())
+        exchange.lease().release(true, Duration::max());
+    co_return status;
+}
+
+auto Client::hasKept(const Address &address) -> bool
+{
+    return impl_->pool()->hasKept(address);
+}
+
 auto Client::abortAll(const Address &address) -> void
 {
     impl_->pool()->abortAll(address);
--- a/http/client.h
+++ b/http/client.h
@@ -37,6 +37,9 @@
 
 namespace figrack::http {
 
+/// Drops what the kernel has queued for a connection, resets the peer and wakes every wait.
+auto disconnectSocket(int descriptor) -> void;
+
 struct ClientOptions
 {
     std::size_t maxIdlePerPeer = 64; ///< Kept connections to one address.
@@ -44,6 +47,9 @@
     Duration connectTimeout = std::chrono::milliseconds { 500 };
     std::size_t maxBodyBytes = 16U << 20;
     Duration userTimeout = std::chrono::seconds { 5 }; ///< TCP_USER_TIMEOUT: unacknowledged data.
+    /// Ends the connection of a descriptor in the kernel. Where it does not wake a pending
+    /// connect(), an attempt to connect is cancelled all the same.
+    std::function<void(int descriptor)> disconnect = disconnectSocket;
 };
 
 /// Ends a request from outside, also before its answer has begun. Thread-safe.
@@ -126,6 +132,10 @@
     /// @param headTimeout until the head of the answer has come
     auto open(ClientRequest request, Duration headTimeout)
             -> boost::asio::awaitable<ClientResult<std::unique_ptr<ClientStream>>>;
+    /// Makes a connection and keeps it for the next request. @return EndpointFailed or Timeout
+    auto preconnect(Address address, Duration timeout) -> boost::asio::awaitable<absl::Status>;
+    /// @return true if a kept connection to the address can be used
+    auto hasKept(const Address &address) -> bool;
     /// Aborts every connection to an address, in use or kept.
     auto abortAll(const Address &address) -> void;
     /// Aborts every connection.
--- a/http/testing/httpfixture.h
+++ b/http/testing/httpfixture.h
@@ -9,6 +9,8 @@
 #include <thread>
 #include <vector>
 
+#include <sys/socket.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -121,6 +123,30 @@
     boost::asio::ip::tcp::acceptor acceptor_;
 };
 
+/// A listener whose backlog is full, so that new connections hang as behind a partition.
+class FullListener
+{
+public:
+    FullListener()
+        : acceptor_(context_, { boost::asio::ip::address_v4::loopback(), 0 })
+    {
+        ::listen(acceptor_.native_handle(), 0);
+        const auto address = acceptor_.local_endpoint();
+        for (auto i = 0; i < 3; ++i) {
+            auto &filler = fillers_.emplace_back(context_, boost::asio::ip::tcp::v4());
+            filler.native_non_blocking(true);
+            static_cast<void>(::connect(filler.native_handle(), address.data(),
+                                        static_cast<socklen_t>(address.size())));
+        }
+    }
+    auto address() const -> Address { return { "127.0.0.1", acceptor_.local_endpoint().port() }; }
+
+private:
+    boost::asio::io_context context_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::vector<boost::asio::ip::tcp::socket> fillers_;
+};
+
 } // namespace figrack::http
 
 #endif // FIGRACK_HTTP_TESTING_HTTPFIXTURE_H
--- a/http/testing/tst_client.cpp
+++ b/http/testing/tst_client.cpp
@@ -280,3 +280,57 @@
     CHECK(socket.hearAll().size() < size / 2);
     CHECK(socket.lastCode == boost::asio::error::connection_reset);
 }
+
+TEST_CASE("a connect that hangs ends in time, also where a disconnect does not wake it")
+{
+    auto options = ClientOptions {};
+    options.connectTimeout = std::chrono::milliseconds { 50 };
+    options.userTimeout = 4 * testLimit;
+    options.disconnect = [](int) {};
+    auto fixture = Fixture { options };
+    const auto full = FullListener {};
+    auto made = fixture.request();
+    made.address = full.address();
+    auto result = fixture.fetchLater(made, 4 * testLimit);
+    REQUIRE(result.wait_for(testLimit) == std::future_status::ready);
+    CHECK(outcomeOf(result.get()) == Outcome { ErrorKind::Timeout, Sent::Nothing });
+}
+
+TEST_CASE("a canceller ends a connect that hangs, also where a disconnect does not wake it")
+{
+    auto options = ClientOptions {};
+    options.connectTimeout = 2 * testLimit;
+    options.userTimeout = 2 * testLimit;
+    options.disconnect = [](int) {};
+    auto fixture = Fixture { options };
+    const auto full = FullListener {};
+    for (auto i = 0; i < 20; ++i) {
+        auto made = fixture.request();
+        made.address = full.address();
+        made.canceller = std::make_shared<Canceller>();
+        auto result = fixture.fetchLater(made, 2 * testLimit);
+        std::this_thread::sleep_for(std::chrono::milliseconds { i });
+        made.canceller->cancel();
+        REQUIRE(result.wait_for(testLimit) == std::future_status::ready);
+        CHECK(std::get<ClientError>(result.get()).sent == Sent::Nothing);
+    }
+}
+
+TEST_CASE("a connection made ahead is kept and used by the next request")
+{
+    auto fixture = Fixture {};
+    const auto address = fixture.listener.address();
+    CHECK(!fixture.client.hasKept(address));
+    const auto made = fixture.threads.wait(fixture.client.preconnect(address, testLimit));
+    REQUIRE(made.ok());
+    CHECK(fixture.client.hasKept(address));
+    auto peer = fixture.listener.accept();
+    auto result = fixture.fetchLater(fixture.request());
+    peer.hearUntil("hello");
+    peer.say(okAnswer);
+    CHECK(std::get<Response>(result.get()).body == "ok");
+    peer.close();
+    fixture.listener.close();
+    const auto failed = fixture.threads.wait(fixture.client.preconnect(address, testLimit));
+    CHECK(errorKind(failed) == ErrorKind::EndpointFailed);
+}
