--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -15,6 +15,7 @@
 #include "fleet/decisions.h"
 #include "fleet/demandrelay.h"
 #include "fleet/documentvoter.h"
+#include "fleet/handoffchoice.h"
 #include "fleet/lastknown.h"
 #include "fleet/loadguard.h"
 #include "fleet/metrics.h"
@@ -336,6 +337,11 @@
             decisions_.rollout().onInForce(peer, *inForce);
         } else if (const auto *watch = std::get_if<proto::WatchRequest>(&envelope.payload)) {
             peer->send({ envelope.correlation, registry_.onWatch(peer, *watch) });
+        } else if (const auto *asks
+                   = std::get_if<proto::HandoffTargetsRequest>(&envelope.payload)) {
+            peer->send({ envelope.correlation,
+                         proto::HandoffTargetsReply { chooseHandoffTargets(
+                                 registry_.handoffTargets(), peer->peer(), asks->preferred) } });
         } else if (const auto *wanted = std::get_if<proto::ModelWanted>(&envelope.payload)) {
             onWanted(peer->peer(), *wanted);
         } else if (auto *pick = std::get_if<proto::PickRequest>(&envelope.payload)) {
--- a/fleet/entry.cpp
+++ b/fleet/entry.cpp
@@ -100,7 +100,11 @@
     auto near = std::vector<Entry> {};
     auto inRegion = std::vector<Entry> {};
     auto all = std::vector<Entry> {};
+    const auto mayLeaveOut = std::any_of(gateways.begin(), gateways.end(),
+                                         [](const auto &gateway) { return !gateway.reachesNone; });
     for (const auto &gateway : gateways) {
+        if (gateway.reachesNone && mayLeaveOut)
+            continue;
         all.push_back({ gateway });
         const auto known = regions.find(gateway.domain);
         if (known != regions.end() && known->second == caller.region)
--- a/fleet/entry.h
+++ b/fleet/entry.h
@@ -9,6 +9,9 @@
 // chosen gateways differ, each is therefore listed in proportion to its own: with equal shares,
 // gateways of 0.09 and of 0.3 core got the same load, and the small ones were overloaded first.
 //
+// A gateway that cannot reach any endpoint is left out, since others serve its callers without
+// another hop. If no gateway reaches one, the endpoints are at fault, and all are told.
+//
 // Pure decision. Callers drop connections to addresses that a new answer leaves out, so every
 // chosen gateway is in every answer, and only the numbers of repeats depend on capacities.
 
--- a/fleet/registry.cpp
+++ b/fleet/registry.cpp
@@ -56,6 +56,8 @@
             .with("peer", peer->peer())
             .with("gateway", subscriber.isGateway())
             .with("ready", subscribe.ready)
+            .with("unreached_domains", static_cast<std::uint64_t>(subscribe.unreached.size()))
+            .with("reaches_none", subscribe.reachesNone)
             .with("whole", subscriber.isWhole)
             .with("new", isNew);
     if (isNew || (subscriber.isWhole && !wasWhole))
@@ -350,7 +352,22 @@
     for (const auto &[key, subscriber] : subscribers_) {
         const auto &subscribe = subscriber.subscribe;
         if (subscribe.kind == proto::SubscriberKind::Gateway && subscribe.ready)
-            result.push_back({ subscribe.callers, subscribe.domain, subscribe.capacity });
+            result.push_back({ subscribe.callers, subscribe.domain, subscribe.capacity,
+                               subscribe.reachesNone });
+    }
+    return result;
+}
+
+auto Registry::handoffTargets() const -> std::vector<proto::HandoffTarget>
+{
+    auto result = std::vector<proto::HandoffTarget> {};
+    for (const auto &[key, subscriber] : subscribers_) {
+        const auto &subscribe = subscriber.subscribe;
+        const auto canTake = subscriber.isGateway() && subscribe.ready && !subscribe.reachesNone
+                && subscribe.handoffs.port != 0;
+        if (canTake)
+            result.push_back({ subscriber.peer->peer(), subscribe.handoffs, subscribe.domain,
+                               subscribe.capacity, subscribe.unreached });
     }
     return result;
 }
--- a/fleet/registry.h
+++ b/fleet/registry.h
@@ -86,6 +86,7 @@
     Address callers;
     DomainId domain;
     std::uint32_t capacity = 0; ///< Thousandths of a core; 0: not known.
+    bool reachesNone = false;   ///< It cannot reach any endpoint, by its own word.
 };
 
 /// What the registry sends to subscribers in addition to the endpoints.
@@ -154,6 +155,8 @@
     auto gatewayCount() const -> std::uint32_t;
     /// @return the gateways that are ready
     auto gateways() const -> std::vector<GatewayInfo>;
+    /// @return the gateways that can take requests of others
+    auto handoffTargets() const -> std::vector<proto::HandoffTarget>;
     /// Sets the function that is called when a row has changed.
     auto setOnChanged(std::function<void(const catalogue::EndpointRow &)> listener) -> void;
 
--- a/fleet/testing/tst_entry.cpp
+++ b/fleet/testing/tst_entry.cpp
@@ -177,3 +177,20 @@
     CHECK(entryScopeName(choice.scope) == "domain");
     CHECK(choice.area == "a");
 }
+
+TEST_CASE("Gateways that reach no endpoint are left out, unless none does")
+{
+    auto gateways = std::vector<GatewayInfo> {};
+    add(gateways, 3, "a", 100);
+    add(gateways, 3, "b", 100);
+    gateways[0].reachesNone = true;
+    CHECK(chosen(gateways) == addressesOf(gateways, 1, 2));
+    gateways[1].reachesNone = true;
+    // One gateway in the failure domain is too few, so that the region's are told.
+    CHECK(chosen(gateways) == addressesOf(gateways, 2, 4));
+    gateways[2].reachesNone = true;
+    CHECK(chosen(gateways) == addressesOf(gateways, 3, 3));
+    for (auto &gateway : gateways)
+        gateway.reachesNone = true;
+    CHECK(chosen(gateways) == addressesOf(gateways, 0, 3));
+}
--- a/gateway/answers.cpp
+++ b/gateway/answers.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 
+#include "gateway/handoffs.h"
+
 namespace figrack::gateway {
 
 auto isEventStream(const http::Headers &headers) -> bool
@@ -18,8 +20,9 @@
 auto endToEnd(const http::Headers &headers) -> http::Headers
 {
     constexpr auto dropped
-            = std::array<std::string_view, 6> { "Connection",        "Keep-Alive", "Content-Length",
-                                                "Transfer-Encoding", "Trailer",    "Upgrade" };
+            = std::array<std::string_view, 7> { "Connection",        "Keep-Alive", "Content-Length",
+                                                "Transfer-Encoding", "Trailer",    "Upgrade",
+                                                handoffOutcomeHeader };
     auto result = http::Headers {};
     for (const auto &header : headers) {
         const auto isDropped = std::any_of(dropped.begin(), dropped.end(), [&](auto name) {
--- a/gateway/answers.h
+++ b/gateway/answers.h
@@ -17,8 +17,8 @@
 /// @return true for 200 to 299
 auto isSuccess(std::uint32_t status) -> bool;
 
-/// @return the endpoint's headers without those that apply to a single connection or to the framing
-/// of the body
+/// @return the answer's headers without those that apply to a single connection, to the framing of
+/// the body or between gateways
 auto endToEnd(const http::Headers &headers) -> http::Headers;
 
 /// @param raw one complete event
--- a/gateway/chooser.h
+++ b/gateway/chooser.h
@@ -49,10 +49,11 @@
     Backoff,  ///< The endpoints that hold the model asked this gateway for a backoff.
     Home,     ///< No endpoint of the service is in the home regions of the route and the account.
     Memory,   ///< The gateway, or the endpoints that hold the model, hold too many bytes.
+    Path,     ///< The gateway has no path to the endpoints that could take it.
 };
 
 /// @return "none", "endpoint", "model", "adapter", "places", "trial", "limit", "counter", "rate",
-/// "backoff", "home" or "memory"
+/// "backoff", "home", "memory" or "path"
 auto blockedByName(BlockedBy blockedBy) -> std::string_view;
 
 /// The endpoints that can take a request.
--- a/gateway/controlfeed.cpp
+++ b/gateway/controlfeed.cpp
@@ -41,6 +41,7 @@
 class ControlFeed::Impl : public std::enable_shared_from_this<Impl>
 {
 public:
+    using TargetsDone = std::function<void(std::vector<proto::HandoffTarget>)>;
     Impl(asio::io_context &context, ControlFeedOptions options, const Clock &clock,
          ControlFeedHooks hooks)
         : context_(context)
@@ -350,6 +351,9 @@
         subscribe.inForce = inForce_;
         subscribe.wholeUpTo = watch_.wholeUpTo();
         subscribe.capacity = options_.capacity;
+        subscribe.handoffs = handoffs_;
+        subscribe.unreached = unreached_;
+        subscribe.reachesNone = reachesNone_;
         return subscribe;
     }
 
@@ -359,6 +363,40 @@
             subscribeAgain();
     }
 
+    auto setHandoffs(const Address &handoffs) -> void { handoffs_ = handoffs; }
+
+    auto setUnreached(std::vector<DomainId> unreached, bool reachesNone) -> void
+    {
+        if (unreached == unreached_ && reachesNone == reachesNone_)
+            return;
+        unreached_ = std::move(unreached);
+        reachesNone_ = reachesNone;
+        subscribeAgain();
+    }
+
+    /// @param asked controls that did not answer
+    auto askHandoffTargets(std::vector<DomainId> preferred, TargetsDone done,
+                           std::vector<Address> asked) -> void
+    {
+        const auto next = ownChoice([&](const Address &address, const Control &) {
+            return std::find(asked.begin(), asked.end(), address) == asked.end();
+        });
+        if (!next || stopped_)
+            return;
+        asked.push_back(*next);
+        auto request = proto::HandoffTargetsRequest { preferred };
+        auto onReply = [weak = weak_from_this(), preferred = std::move(preferred),
+                        done = std::move(done), asked = std::move(asked)](const auto &reply) {
+            const auto self = weak.lock();
+            if (const auto *targets = replyAs<proto::HandoffTargetsReply>(reply))
+                done(targets->targets);
+            else if (self)
+                self->askHandoffTargets(preferred, done, asked);
+        };
+        controls_.at(*next).client->call(std::move(request), options_.handoffTimeout,
+                                         std::move(onReply));
+    }
+
     auto sendSuspects(const std::vector<catalogue::SuspectRow> &rows) -> void
     {
         for (auto &[address, control] : controls_) {
@@ -519,15 +557,24 @@
         return best ? best : leader;
     }
 
-    /// @return the control that is asked for proofs; each gateway has its own order of controls
+    /// @return the control that is asked for proofs
     auto proofSource() const -> std::optional<Address>
     {
-        const auto now = clock_.now();
+        return ownChoice([now = clock_.now()](const Address &, const Control &control) {
+            return now >= control.provesFrom;
+        });
+    }
+
+    /// @return the first of the connected controls that may be asked; each gateway has its own
+    /// order of controls
+    template<typename MayAsk>
+    auto ownChoice(const MayAsk &mayAsk) const -> std::optional<Address>
+    {
         const auto key = std::hash<std::string> {}(options_.callers.text());
         auto best = std::optional<Address> {};
         auto bestWeight = std::uint64_t { 0 };
         for (const auto &[address, control] : controls_) {
-            if (!control.open || now < control.provesFrom)
+            if (!control.open || !mayAsk(address, control))
                 continue;
             const auto weight = rendezvousWeight(key, control.node.value());
             if (!best || weight > bestWeight) {
@@ -620,6 +667,9 @@
     BootTimer proveTimer_;
     std::optional<Address> knownBalancer_; ///< Last value that was reported.
     BootTimer balancerTimer_;
+    Address handoffs_;
+    std::vector<DomainId> unreached_;
+    bool reachesNone_ = false;
     bool ready_ = false;
     bool stopped_ = false;
 };
@@ -649,6 +699,23 @@
     impl_->setReady(ready);
 }
 
+auto ControlFeed::setHandoffs(const Address &handoffs) -> void
+{
+    impl_->setHandoffs(handoffs);
+}
+
+auto ControlFeed::setUnreached(std::vector<DomainId> unreached, bool reachesNone) -> void
+{
+    impl_->setUnreached(std::move(unreached), reachesNone);
+}
+
+auto ControlFeed::askHandoffTargets(std::vector<DomainId> preferred,
+                                    std::function<void(std::vector<proto::HandoffTarget>)> done)
+        -> void
+{
+    impl_->askHandoffTargets(std::move(preferred), std::move(done), {});
+}
+
 auto ControlFeed::addSeeds(const std::vector<Address> &seeds) -> void
 {
     for (const auto &seed : seeds)
--- a/gateway/controlfeed.h
+++ b/gateway/controlfeed.h
@@ -61,6 +61,8 @@
     /// Such cuts last for several seconds; asked again each second, isolated controls took both
     /// tries of a request, and callers of accounts with limits were refused meanwhile.
     Duration isolatedPause = std::chrono::seconds { 3 };
+    /// A control that does not name other gateways within this time is not waited for.
+    Duration handoffTimeout = std::chrono::milliseconds { 150 };
     KeyLeaseOptions keyLease;
 };
 
@@ -99,6 +101,16 @@
     auto stop() -> void;
     /// Tells all controls whether callers may be sent to this gateway.
     auto setReady(bool ready) -> void;
+    /// Sets where this gateway takes requests of others; before start().
+    auto setHandoffs(const Address &handoffs) -> void;
+    /// Tells all controls which failure domains' endpoints this gateway cannot make connections to.
+    /// @param reachesNone these are all that have endpoints
+    auto setUnreached(std::vector<DomainId> unreached, bool reachesNone) -> void;
+    /// Asks controls for other gateways, one after another until one answers.
+    /// @param preferred failure domains whose gateways are preferred
+    /// @param done called if one answers
+    auto askHandoffTargets(std::vector<DomainId> preferred,
+                           std::function<void(std::vector<proto::HandoffTarget>)> done) -> void;
     /// Connects to more controls. @param seeds their peer addresses
     auto addSeeds(const std::vector<Address> &seeds) -> void;
     /// Asks for the endpoints of a key. @return true when they are known; otherwise onWatched is
--- a/gateway/endpointpaths.h
+++ b/gateway/endpointpaths.h
@@ -1,36 +1,136 @@
-// How long the endpoints of each failure domain have been silent to this gateway.
+// Which failure domains' endpoints this gateway can reach over the network.
 //
-//   paths.onSent(domain);                  // a dispatch to one of its endpoints begins
-//   paths.onHeard(domain);                 // bytes of an answer have been received
-//   paths.onEnded(domain);                 // the dispatch has ended
-//   if (paths.silentFor(domain) > limit) ...
+//   paths.onSent(domain); ...                // what dispatches observe
+//   for (const auto &domain : paths.takeDue())
+//       ... connect to some of its endpoints, then paths.onProbed(domain, begun, results)
+//   if (paths.state(domain) == PathState::Lost) ...
 //
-// One endpoint that does not answer may be slow or stopped. That all endpoints of a failure domain
-// fall silent at the same moment suggests that the network path to the domain is the cause. Not
+// One endpoint that does not answer may be slow, stopped or dead, and says nothing about the path
+// to it. A domain is suspected when none of its endpoints sends anything while dispatches are in
+// progress there, or when connections fail. New connections to some of its endpoints then decide:
+//
+//   one of them is made           the path is open, and the endpoint in question is at fault
+//   all of them fail at once      new connections are refused; kept ones are used as long as they
+//                                 answer
+//   all of them hang              the path is lost
+//
+// A path that was lost is probed until it is open again. Bytes from any endpoint of the domain
+// prove that kept connections work.
+//
+// State is bounded by the number of failure domains and the endpoints of them that failed. Not
 // thread-safe.
 
 #ifndef FIGRACK_GATEWAY_ENDPOINTPATHS_H
 #define FIGRACK_GATEWAY_ENDPOINTPATHS_H
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
+#include <set>
+#include <string_view>
+#include <vector>
 
 #include "core/clock.h"
 #include "core/ids.h"
 
 namespace figrack::gateway {
 
+/// What is known of the path to the endpoints of one failure domain.
+enum class PathState : std::uint8_t {
+    Open,
+    Suspected, ///< Probes are on their way.
+    KeptOnly,  ///< No new connection can be made, but kept ones may work.
+    Lost,
+};
+
+/// @return "open", "suspected", "kept_only" or "lost"
+auto pathStateName(PathState state) -> std::string_view;
+
+/// Outcome of an attempt to connect to an endpoint.
+enum class DialOutcome : std::uint8_t { Connected, Refused, TimedOut };
+
+struct DialResult
+{
+    EndpointId endpoint;
+    DialOutcome outcome = DialOutcome::TimedOut;
+};
+
+struct EndpointPathsOptions
+{
+    /// A domain is suspected if none of its endpoints sends anything for this time. Streams send an
+    /// event every few tens of milliseconds, and plain answers take about as long.
+    Duration silenceLimit = std::chrono::milliseconds { 400 };
+    /// A connection that failed is not a sign of its own if other endpoints of the domain are heard
+    /// within this time.
+    Duration settleTime = std::chrono::milliseconds { 50 };
+    /// Interval between probes of a path that is not open.
+    Duration probeInterval = std::chrono::milliseconds { 500 };
+    /// Minimum time after a probe that found a path open until the next one there: the only
+    /// endpoint in use may be slow for long.
+    Duration pauseWhenOpen = std::chrono::seconds { 1 };
+    /// A path counts as open again after this number of consecutive successful probes, so that a
+    /// link that loses packets does not change the state all the time.
+    std::uint32_t probesToReopen = 2;
+    Duration reopenInterval = std::chrono::milliseconds { 200 };
+};
+
 class EndpointPaths
 {
 public:
+    using OnChanged = std::function<void(const DomainId &, PathState before, PathState now)>;
+
     /// @param clock must outlive this object
-    explicit EndpointPaths(const Clock &clock)
-        : clock_(clock)
-    { }
+    explicit EndpointPaths(const Clock &clock, EndpointPathsOptions options);
+    /// Sets the listener for changes of state.
+    auto setOnChanged(OnChanged listener) -> void { onChanged_ = std::move(listener); }
+    /// Sets the listener that is called when nextDueAt() may have become earlier.
+    auto setOnDueSooner(std::function<void()> listener) -> void
+    {
+        onDueSooner_ = std::move(listener);
+    }
+
+    // ---- what dispatches observe
+
     auto onSent(const DomainId &domain) -> void;
     auto onHeard(const DomainId &domain) -> void;
     auto onEnded(const DomainId &domain) -> void;
+    /// @param at when the connection was begun
+    auto onConnected(const DomainId &domain, Instant at) -> void;
+    auto onConnectFailed(const DomainId &domain, const EndpointId &endpoint) -> void;
+    /// A connection broke before the end of an answer.
+    auto onBroken(const DomainId &domain) -> void;
+    /// Asks for a probe by way of other endpoints of the domain, for instance to learn whether a
+    /// failure is the endpoint's doing.
+    auto suspect(const DomainId &domain, const EndpointId &endpoint) -> void;
+    /// Asks for a probe unless the domain has been heard within silenceLimit.
+    auto suspectIfUnheard(const DomainId &domain) -> void;
+    /// Called when this process did not run for a while. Silence until now has no meaning.
+    auto onResumed() -> void;
+
+    // ---- probes
+
+    /// @return the domains to probe now; onProbed() or onProbeFailed() must follow for each
+    auto takeDue() -> std::vector<DomainId>;
+    /// @return when takeDue() should be called next; nullopt: after the next observation
+    auto nextDueAt() const -> std::optional<Instant>;
+    /// @param begun when the first of the connections was begun
+    /// @param results empty if no endpoint of the domain is known
+    auto onProbed(const DomainId &domain, Instant begun, const std::vector<DialResult> &results)
+            -> void;
+    /// The probe showed nothing, because this process did not run for a while.
+    auto onProbeFailed(const DomainId &domain) -> void;
+    /// @return true if the endpoint is among those that could not be connected to
+    auto hasFailed(const DomainId &domain, const EndpointId &endpoint) const -> bool;
+
+    // ---- what is known
+
+    auto state(const DomainId &domain) const -> PathState;
+    auto isOpen(const DomainId &domain) const -> bool { return state(domain) == PathState::Open; }
+    /// @return the domains to which no new connection can be made
+    auto unreached() const -> std::vector<DomainId>;
+    /// @return true if a connection to an endpoint of the domain was begun since then and made
+    auto hasConnectedSince(const DomainId &domain, Instant since) const -> bool;
     /// @return for how long dispatches to the domain have been in progress without a byte from any
     /// of its endpoints; zero if none is in progress
     auto silentFor(const DomainId &domain) const -> Duration;
@@ -40,14 +140,37 @@
 private:
     struct Path
     {
+        PathState state = PathState::Open;
+        Instant since {}; ///< Start of the state.
         std::uint32_t inProgress = 0;
         /// Time of the last byte, or of the first dispatch after it; absent if none is in progress.
         std::optional<Instant> silentSince;
+        Instant heardAt {};
+        Instant connectedAt {};
+        std::set<EndpointId> failed; ///< Could not be connected to since connectedAt.
+        /// The first failure of a connection since a byte was received.
+        std::optional<Instant> failedAt;
+        bool isProbing = false;
+        bool isAsked = false;        ///< A probe was asked for.
+        Instant probeFrom {};        ///< Not probed before this time.
+        std::uint32_t successes = 0; ///< Consecutive successful probes while it was not open.
     };
+    static auto isReached(PathState state) -> bool;
     auto silentFor(const Path &path) const -> Duration;
+    /// @return when the path is to be probed; nullopt: there is no sign
+    auto dueAt(const Path &path) const -> std::optional<Instant>;
+    auto change(const DomainId &domain, Path &path, PathState state) -> void;
+    auto noteConnected(const DomainId &domain, Path &path, Instant at) -> void;
+    auto noteUnconnected(const DomainId &domain, Path &path, bool isHeard, bool hasTimedOut)
+            -> void;
+    auto askForProbe(const DomainId &domain, Path &path) -> void;
+    auto wantProbe() -> void;
 
     const Clock &clock_;
+    EndpointPathsOptions options_;
     std::map<DomainId, Path> paths_;
+    OnChanged onChanged_;
+    std::function<void()> onDueSooner_;
 };
 
 } // namespace figrack::gateway
--- a/gateway/fleetview.cpp
+++ b/gateway/fleetview.cpp
@@ -243,9 +243,12 @@
 
 auto FleetView::isHealthy(const EndpointEntry &entry) const -> bool
 {
-    const auto now = clock_.now();
-    const auto heardAt = std::max(entry.heardAt, sourceHeardAt_);
-    return now >= entry.avoidUntil && now - heardAt < options_.staleAfter;
+    return clock_.now() >= entry.avoidUntil && isAnnounced(entry);
+}
+
+auto FleetView::isAnnounced(const EndpointEntry &entry) const -> bool
+{
+    return clock_.now() - std::max(entry.heardAt, sourceHeardAt_) < options_.staleAfter;
 }
 
 auto FleetView::onSuccess(const EndpointId &id) -> void
@@ -380,14 +383,65 @@
 {
     auto result = std::vector<EndpointId> {};
     for (const auto &[id, entry] : entries_) {
-        const auto isBackedOffLong = entry.backoffUntil - clock_.now() >= shortestLoad;
-        if (!entry.isWithdrawn
-            && (entry.isReplaced || entry.isUnreached || entry.isLeaving() || isBackedOffLong))
+        if (!entry.isWithdrawn && (entry.isUnreached || isUnavailable(entry)))
             result.push_back(id);
     }
     return result;
 }
 
+auto FleetView::unreached() const -> std::vector<EndpointId>
+{
+    auto result = std::vector<EndpointId> {};
+    for (const auto &[id, entry] : entries_) {
+        if (!entry.isWithdrawn && entry.isUnreached && !isUnavailable(entry))
+            result.push_back(id);
+    }
+    return result;
+}
+
+auto FleetView::isUnavailable(const EndpointEntry &entry) const -> bool
+{
+    const auto isBackedOffLong = entry.backoffUntil - clock_.now() >= shortestLoad;
+    return entry.isReplaced || entry.isLeaving() || isBackedOffLong;
+}
+
+auto FleetView::isListening(const EndpointEntry &entry) -> bool
+{
+    return entry.row.state != catalogue::EndpointState::Gone && !entry.isReplaced
+            && !entry.isWithdrawn;
+}
+
+auto FleetView::listening(const DomainId &domain) const -> std::vector<const EndpointEntry *>
+{
+    auto result = std::vector<const EndpointEntry *> {};
+    for (const auto &[id, entry] : entries_) {
+        if (entry.row.domain == domain && isListening(entry))
+            result.push_back(&entry);
+    }
+    return result;
+}
+
+auto FleetView::domains() const -> std::set<DomainId>
+{
+    auto result = std::set<DomainId> {};
+    for (const auto &[id, entry] : entries_) {
+        if (isListening(entry))
+            result.insert(entry.row.domain);
+    }
+    return result;
+}
+
+auto FleetView::forgiveFailures(const DomainId &domain) -> void
+{
+    for (auto &[id, entry] : entries_) {
+        if (entry.row.domain != domain)
+            continue;
+        entry.failures = 0;
+        entry.isUnreached = false;
+        entry.avoidUntil = Instant {};
+    }
+}
+
 auto FleetView::forgetGoneIfDue() -> void
 {
     const auto now = clock_.now();
--- a/gateway/fleetview.h
+++ b/gateway/fleetview.h
@@ -21,6 +21,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -162,6 +163,16 @@
     /// accept no new requests, or their backoff lasts longer than the shortest load of a model
     /// elsewhere
     auto unreachable() const -> std::vector<EndpointId>;
+    /// @return those of unreachable() for which a failed connection attempt is the only reason
+    auto unreached() const -> std::vector<EndpointId>;
+    /// @return true if the endpoint has announced itself lately
+    auto isAnnounced(const EndpointEntry &entry) const -> bool;
+    /// @return the endpoints of a failure domain that should accept connections
+    auto listening(const DomainId &domain) const -> std::vector<const EndpointEntry *>;
+    /// @return the failure domains that have such endpoints
+    auto domains() const -> std::set<DomainId>;
+    /// Forgets the failures of a domain's endpoints, since the path to them was the cause.
+    auto forgiveFailures(const DomainId &domain) -> void;
     auto size() const -> std::size_t { return entries_.size(); }
     /// @param id ID of the incarnation that was superseded
     /// @param before the last state that it announced
@@ -172,6 +183,9 @@
     auto setOnSuperseded(OnSuperseded listener) -> void;
 
 private:
+    /// @return true if the endpoint takes no requests, by its own word or that of another one
+    auto isUnavailable(const EndpointEntry &entry) const -> bool;
+    static auto isListening(const EndpointEntry &entry) -> bool;
     auto noteRate(EndpointEntry &entry, const catalogue::EndpointNotice &notice, Instant sentAt)
             -> void;
     auto noteBackoff(EndpointEntry &entry, Duration backoff) -> void;
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -4,6 +4,7 @@
 
 #include "gateway/forwarder.h"
 
+#include <algorithm>
 #include <exception>
 #include <utility>
 
@@ -18,6 +19,16 @@
 
 namespace {
 
+/// Longer times than any request has are not believed.
+constexpr auto maxWaitedElsewhere = std::uint64_t { 3'600'000 };
+
+auto waitedElsewhere(const proto::HandoffTerms *terms) -> Duration
+{
+    if (terms == nullptr)
+        return Duration::zero();
+    return std::chrono::milliseconds { std::min(terms->waitedMs, maxWaitedElsewhere) };
+}
+
 auto outcomeOfRefusal(const Refusal &refusal) -> RequestOutcome
 {
     const auto kind = errorKind(refusal.status);
@@ -30,18 +41,28 @@
 
 } // namespace
 
-Forwarder::Run::Run(Forwarder &owner, const http::Request &request, http::Responder &responder)
+Forwarder::Run::Run(Forwarder &owner, const http::Request &request, http::Responder &responder,
+                    const proto::HandoffTerms *terms)
     : owner_(owner)
     , parts_(owner.parts_)
     , request_(request)
     , responder_(responder)
-    , arrived_(owner.parts_.clock.now())
+    , handedOver_(terms)
+    , arrived_(owner.parts_.clock.now() - waitedElsewhere(terms))
     , deadline_(arrived_)
     , startBy_(arrived_)
     , homes_(owner.options_.regions)
     , holdTimer_(owner.parts_.context)
     , callerStream_(owner.parts_.context, responder, owner.heldBytes_)
-{ }
+{
+    if (terms == nullptr)
+        return;
+    ran_ = terms->ran;
+    mayHaveRun_ = terms->mayHaveRun;
+    isCountedAsWork_ = terms->isCountedAsWork;
+    isDemand_ = terms->isCountedAsDemand;
+    isCounted_ = terms->isCharged;
+}
 
 auto Forwarder::Run::execute() -> asio::awaitable<void>
 {
@@ -54,7 +75,6 @@
         co_await giveUp(std::move(*status));
     } else {
         responder_.onPeerGone([this] { onCallerGone(); });
-        parts_.retries.onRequest(service_);
         // The writer refers to this object, so it is waited for also after an exception.
         auto failure = std::exception_ptr {};
         try {
@@ -73,9 +93,15 @@
 {
     while (true) {
         auto *entry = co_await place();
-        if (entry == nullptr)
+        if (entry == nullptr && !isUnreached_)
             co_return;
-        const auto step = co_await dispatch(*entry);
+        auto step = Step::Settled;
+        if (entry != nullptr)
+            step = co_await dispatch(*entry);
+        else
+            step = co_await handOver();
+        if (entry == nullptr && step == Step::NotRun)
+            continue;
         if (step == Step::Settled || !co_await mayTryAgain(step))
             co_return;
     }
@@ -129,6 +155,8 @@
     lastError_ = refusal.status;
     firstByteAt_ = parts_.clock.now();
     auto response = parts_.dialect.writeRefusal(refusal);
+    if (handedOver_ != nullptr)
+        response.headers.push_back(handoffOutcome());
     finalStatus_ = response.status;
     const auto sent = co_await responder_.send(std::move(response));
     if (!sent.ok())
@@ -181,6 +209,10 @@
         line.with("load_ready_ms", wholeMillis(*loadReady_));
     if (blockedBy_ != BlockedBy::Nothing)
         line.with("lacked", blockedByName(blockedBy_));
+    if (handedOver_ != nullptr)
+        line.with("handed_over_by", handedOver_->from);
+    if (!handedTo_.empty())
+        line.with("handed_to", handedTo_);
     if (!works_.ofAnyone.isNone())
         line.with("work", works_.ofAnyone.text());
     if (budgetSpent_)
@@ -240,13 +272,37 @@
             .with("endpoint", endpoint)
             .with("count", static_cast<std::uint64_t>(std::distance(begin, end)));
     for (auto item = begin; item != end; ++item)
-        item->second->cancel();
+        item->second.canceller->cancel();
+}
+
+auto Forwarder::onPathLost(const DomainId &domain) -> void
+{
+    auto moved = std::uint64_t { 0 };
+    auto kept = std::uint64_t { 0 };
+    for (const auto &[id, dispatch] : dispatches_) {
+        if (dispatch.domain == domain)
+            ++(dispatch.run->moveElsewhere() ? moved : kept);
+    }
+    if (moved + kept > 0) {
+        LogEvent(LogLevel::Warning, "dispatches_moved")
+                .with("domain", domain)
+                .with("moved", moved)
+                .with("kept", kept);
+    }
+    parts_.waiters.wakeAll();
 }
 
 auto Forwarder::handle(const http::Request &request, http::Responder &responder)
         -> asio::awaitable<void>
 {
-    auto run = Run { *this, request, responder };
+    auto run = Run { *this, request, responder, nullptr };
+    co_await run.execute();
+}
+
+auto Forwarder::handleHandedOver(const http::Request &request, const proto::HandoffTerms &terms,
+                                 http::Responder &responder) -> asio::awaitable<void>
+{
+    auto run = Run { *this, request, responder, &terms };
     co_await run.execute();
 }
 
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -18,6 +18,10 @@
 // endpoint or counts as demand. Keys are accepted only while the gateway can prove that its
 // list of keys is recent enough (gateway/keylease.h).
 //
+// If the gateway has no path to the endpoints that could take a request (gateway/endpointpaths.h),
+// it hands the request to another gateway and relays that one's answer. A request that was handed
+// over is not handed on.
+//
 // Work that has crashed several endpoints is refused before it reaches another endpoint
 // (policy/quarantine.h), and does not count as demand for its model.
 //
@@ -52,6 +56,7 @@
 #include "gateway/dialect.h"
 #include "gateway/endpointpaths.h"
 #include "gateway/fleetview.h"
+#include "gateway/handoffs.h"
 #include "gateway/heldbytes.h"
 #include "gateway/keylease.h"
 #include "gateway/loadwatch.h"
@@ -96,6 +101,7 @@
     /// request by itself. The next attempt may be the one that puts the work in quarantine, so it
     /// is left to the caller, which makes one attempt at a time.
     std::uint32_t crashLimitForRetry = 2;
+    NodeId self; ///< This gateway, for requests that it hands over.
     /// Decides which endpoints are in the homes of a route or an account.
     catalogue::RegionMap regions = {};
     HeldBytesOptions heldBytes = {};
@@ -124,6 +130,8 @@
     std::function<bool(const proto::WatchKey &)> wantEndpoints = {};
     /// When missing models are expected; null: the forwarder estimates it.
     const LoadWatch *loadWatch = nullptr;
+    /// Other gateways for requests that cannot be served here; null: there are none.
+    Handoffs *handoffs = nullptr;
 };
 
 class Forwarder
@@ -141,6 +149,12 @@
     auto setPlacementDeadline(Instant deadline) -> void;
     auto handle(const http::Request &request, http::Responder &responder)
             -> boost::asio::awaitable<void>;
+    /// Handles a request that another gateway has handed over.
+    auto handleHandedOver(const http::Request &request, const proto::HandoffTerms &terms,
+                          http::Responder &responder) -> boost::asio::awaitable<void>;
+    /// Moves the dispatches to a failure domain whose path is lost elsewhere, as far as their
+    /// routes and the retry budget allow. The others go on, since the path may return in time.
+    auto onPathLost(const DomainId &domain) -> void;
     /// Cancels the dispatches to an endpoint that is known to have ended. Each request is retried
     /// at another endpoint if its route allows that.
     auto endDispatches(const EndpointId &endpoint) -> void;
@@ -165,8 +179,13 @@
     /// Requests refused for want of memory since the last log line about it, and its time.
     std::uint64_t memoryRefusals_ = 0;
     std::optional<Instant> memoryLoggedAt_;
-    /// Dispatches in progress.
-    std::multimap<EndpointId, std::shared_ptr<http::Canceller>> dispatches_;
+    struct Dispatch
+    {
+        Run *run = nullptr; ///< Outlives the dispatch.
+        DomainId domain;    ///< Of the endpoint.
+        std::shared_ptr<http::Canceller> canceller;
+    };
+    std::multimap<EndpointId, Dispatch> dispatches_; ///< In progress.
     /// No request waits for an endpoint after this time.
     Instant placementDeadline_ = Instant::max();
     bool refusing_ = false;
--- a/gateway/forwarderdispatch.cpp
+++ b/gateway/forwarderdispatch.cpp
@@ -43,11 +43,13 @@
     const auto mayRepeat = !mayHaveRun_ || route_->mayRepeat();
     const auto mayResume = !responder_.started() || route_->resumable;
     const auto inTime = parts_.clock.now() < deadline_;
-    const auto inCount = ran_ < route_->maxAttempts && unsent_ < maxUnsent;
+    // Where new connections are refused, the endpoints with kept ones are tried one after another.
+    const auto mayConnect = unsent_ < maxUnsent || !parts_.paths.isOpen(domain_);
+    const auto inCount = ran_ < route_->maxAttempts && mayConnect;
     auto mayTry = mayRepeat && mayResume && inTime && inCount;
     if (mayTry && step == Step::Broken)
         mayTry = !co_await hasTooManyCrashes() && !callerGone_;
-    if (mayTry && (sent_ == 0 || takeRetry()))
+    if (mayTry && (sent_ == 0 || std::exchange(hasRetry_, false) || takeRetry()))
         co_return true;
     co_await giveUp(lastError_);
     co_return false;
@@ -84,7 +86,10 @@
     heardAt_ = sentAt_;
     domain_ = domain;
     parts_.paths.onSent(domain);
-    const auto dispatched = owner_.dispatches_.emplace(id, canceller_);
+    isMoved_ = false;
+    hasAnswerBegun_ = false;
+    const auto dispatched
+            = owner_.dispatches_.emplace(id, Forwarder::Dispatch { this, domain, canceller_ });
     auto sentBody = owner_.heldBytes_.sendTo(id, request_.body.size());
     const auto step = co_await exchange(std::move(out), left, id);
     sentBody.release();
@@ -113,6 +118,9 @@
 {
     if (engine_ == nullptr || status_ >= 400)
         return proto::PickOutcome::Unknown;
+    // Silence behind a lost path says nothing about the endpoint.
+    if (!hasStarted && !parts_.paths.isOpen(domain_))
+        return proto::PickOutcome::Unknown;
     const auto start = firstByteAt_.value_or(parts_.clock.now()) - sentAt_;
     const auto gapTarget = route_->gapTarget;
     const auto isLate = start > route_->startTarget
@@ -144,8 +152,7 @@
     out.target = request_.target;
     out.headers = parts_.dialect.writeDispatch(caller_, terms);
     out.body = request_.body;
-    if (!route_->mayRepeat())
-        out.maxIdleAge = owner_.options_.maxIdleForSingleRun;
+    out.maxIdleAge = maxIdleAge();
     out.match = { parts_.dialect.answerIdHeader, caller_.id.value() };
     out.canceller = canceller_;
     // The endpoint may have asked for a backoff while the connection was being made.
@@ -153,6 +160,11 @@
     return out;
 }
 
+auto Forwarder::Run::maxIdleAge() const -> Duration
+{
+    return route_->mayRepeat() ? Duration::max() : owner_.options_.maxIdleForSingleRun;
+}
+
 auto Forwarder::Run::exchange(http::ClientRequest out, Duration left, const EndpointId &id)
         -> asio::awaitable<Step>
 {
@@ -164,6 +176,8 @@
         const auto isWithheld = !reached && errorKind(error->status) == ErrorKind::Cancelled;
         if (isWithheld && !callerGone_)
             co_return Step::NotRun;
+        if (!reached && !callerGone_)
+            parts_.paths.onConnectFailed(domain_, id);
         noteFailure(id, error->status, reached);
         if (!reached) {
             ++unsent_;
@@ -177,6 +191,8 @@
     auto stream = std::move(std::get<std::unique_ptr<http::ClientStream>>(opened));
     ++sent_;
     isReused_ = stream->isReused();
+    if (!isReused_)
+        parts_.paths.onConnected(domain_, sentAt_);
     noteHeard();
     status_ = stream->status();
     const auto notice = parts_.dialect.readNotice(id, status_, stream->headers());
@@ -189,6 +205,7 @@
         co_return Step::NotRun;
     }
     ++ran_;
+    hasAnswerBegun_ = true;
     const auto isStream = isSuccess(status_) && isEventStream(stream->headers());
     const auto step = isStream ? co_await relayStream(*stream) : co_await relayWhole(*stream);
     if (step == Step::Settled) {
@@ -242,6 +259,11 @@
     // A timeout of this request alone says little about the endpoint.
     if (callerGone_ || (reached && errorKind(status) == ErrorKind::Timeout))
         return;
+    if (reached)
+        parts_.paths.onBroken(domain_);
+    // The path is at fault, not the endpoint.
+    if (isMoved_ || !parts_.paths.isOpen(domain_))
+        return;
     parts_.view.onFailure(id, reached);
     parts_.metrics.onEndpointFailure();
 }
@@ -249,7 +271,7 @@
 auto Forwarder::Run::noteBroken(const EndpointId &id, const absl::Status &status, bool hasBegun)
         -> void
 {
-    if (callerGone_ || errorKind(status) == ErrorKind::Timeout)
+    if (callerGone_ || isMoved_ || errorKind(status) == ErrorKind::Timeout)
         return;
     const auto account = std::hash<std::string> {}(caller_.account);
     parts_.crashDetector.note(id, { works_, account, caller_.id, hasBegun });
@@ -261,8 +283,24 @@
         parts_.crashDetector.onCleared(works_);
 }
 
+auto Forwarder::Run::moveElsewhere() -> bool
+{
+    const auto mayRepeat = responder_.started() ? route_->resumable : route_->mayRepeat();
+    const auto mayMove = mayRepeat && !isMoved_ && !callerGone_ && handedOver_ == nullptr
+            && ran_ + (hasAnswerBegun_ ? 0U : 1U) < route_->maxAttempts
+            && parts_.clock.now() < deadline_;
+    if (!mayMove || !takeRetry())
+        return false;
+    isMoved_ = true;
+    hasRetry_ = true;
+    canceller_->cancel();
+    return true;
+}
+
 auto Forwarder::Run::noteHeard() -> void
 {
+    if (isHandedOver_)
+        return; // Bytes of another gateway say nothing about the path to endpoints.
     heardAt_ = parts_.clock.now();
     parts_.paths.onHeard(domain_);
 }
--- a/gateway/forwarderplacing.cpp
+++ b/gateway/forwarderplacing.cpp
@@ -42,6 +42,10 @@
 /// Fraction of the time that a refused caller has left after which it is told to return at the
 /// latest: callers wait no longer than that, and time must remain to be served.
 constexpr auto latestReturn = 1.0 / 3;
+/// A request waits no longer after its arrival for the probe of a path. A probe of an open path
+/// takes a round trip, and one of a lost path less than this.
+constexpr auto longestProbeWait = std::chrono::milliseconds { 1000 };
+constexpr auto probeRecheckInterval = std::chrono::milliseconds { 50 };
 /// Time after its latest start until which a queued request waits. A grant that the balancer made
 /// just in time arrives within this time, also from another region to a busy gateway.
 constexpr auto grantGrace = std::chrono::milliseconds { 100 };
@@ -60,8 +64,15 @@
 
 } // namespace
 
+auto Forwarder::Run::countAsWork() -> void
+{
+    if (!std::exchange(isCountedAsWork_, true))
+        parts_.retries.onRequest(service_);
+}
+
 auto Forwarder::Run::place() -> asio::awaitable<EndpointEntry *>
 {
+    isUnreached_ = false;
     while (true) {
         if (callerGone_) {
             outcome_ = RequestOutcome::CallerGone;
@@ -75,8 +86,15 @@
         const auto blockedBy = co_await pick();
         if (blockedBy == BlockedBy::Nothing && callerGone_)
             continue;
-        if (blockedBy == BlockedBy::Nothing && predictedWait_) {
-            // The work may have been put in quarantine while the request was queued.
+        isUnreached_ = blockedBy == BlockedBy::Path;
+        if (isUnreached_) {
+            blockedBy_ = blockedBy;
+            finishWaiting();
+            co_return nullptr;
+        }
+        countAsWork();
+        if (blockedBy == BlockedBy::Nothing && (predictedWait_ || hasAwaitedProbe_)) {
+            // The work may have been put in quarantine while the request waited.
             if (auto status = quarantineRefusal()) {
                 picked_.booking = {};
                 co_await giveUp(std::move(*status));
@@ -168,6 +186,11 @@
         backoffUntil_ = able.backoffUntil;
         if (able.entries.empty())
             co_return able.blockedBy;
+        if (co_await awaitProbes(able.entries))
+            continue;
+        if (callerGone_)
+            co_return BlockedBy::Nothing;
+        preferOpenPaths(able.entries);
         if (!keepThoseWithRoom(able.entries))
             co_return BlockedBy::Memory;
         auto terms = pickTerms(service_, caller_, timeLeft());
@@ -223,7 +246,54 @@
 auto Forwarder::Run::ableAmong(const std::vector<EndpointEntry *> &candidates) const -> Able
 {
     const auto isHealthy = [&](const EndpointEntry &entry) { return parts_.view.isHealthy(entry); };
-    return ableEndpoints(candidates, criteria_, isHealthy);
+    auto reached = candidates;
+    std::erase_if(reached, [this](const auto *entry) { return !isReached(*entry); });
+    auto able = ableEndpoints(reached, criteria_, isHealthy);
+    if (!able.entries.empty() || reached.size() == candidates.size() || isPathGivenUp_)
+        return able;
+    // Where no endpoint is reached, another gateway also waits for what none of them holds.
+    auto announced = candidates;
+    std::erase_if(announced,
+                  [this](const auto *entry) { return !parts_.view.isAnnounced(*entry); });
+    if (reached.empty() || !ableEndpoints(announced, criteria_, isHealthy).entries.empty())
+        return { {}, BlockedBy::Path, {} };
+    return able;
+}
+
+auto Forwarder::Run::isReached(const EndpointEntry &entry) const -> bool
+{
+    switch (parts_.paths.state(entry.row.domain)) {
+    case PathState::Open:
+    case PathState::Suspected:
+        return true;
+    case PathState::KeptOnly:
+        return parts_.client.hasKept(entry.row.address, maxIdleAge());
+    case PathState::Lost:
+        break;
+    }
+    return false;
+}
+
+auto Forwarder::Run::preferOpenPaths(std::vector<EndpointEntry *> &able) const -> void
+{
+    const auto isSuspected = [this](const auto *entry) {
+        return parts_.paths.state(entry->row.domain) == PathState::Suspected;
+    };
+    if (!std::all_of(able.begin(), able.end(), isSuspected))
+        std::erase_if(able, isSuspected);
+}
+
+auto Forwarder::Run::awaitProbes(const std::vector<EndpointEntry *> &able) -> asio::awaitable<bool>
+{
+    const auto now = parts_.clock.now();
+    const auto isSuspected = std::all_of(able.begin(), able.end(), [this](const auto *entry) {
+        return parts_.paths.state(entry->row.domain) == PathState::Suspected;
+    });
+    if (!isSuspected || callerGone_ || now >= std::min(startBy_, arrived_ + longestProbeWait))
+        co_return false;
+    hasAwaitedProbe_ = true;
+    co_await parts_.waiters.wait(probeRecheckInterval);
+    co_return !callerGone_;
 }
 
 auto Forwarder::Run::orderedTerms() const -> std::optional<OrderedTerms>
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -32,12 +32,18 @@
 class Forwarder::Run
 {
 public:
-    Run(Forwarder &owner, const http::Request &request, http::Responder &responder);
+    /// @param terms of a request that another gateway has handed over; else null
+    Run(Forwarder &owner, const http::Request &request, http::Responder &responder,
+        const proto::HandoffTerms *terms);
     ~Run() { finishWaiting(); }
     Run(const Run &) = delete;
     auto operator=(const Run &) -> Run & = delete;
 
     auto execute() -> boost::asio::awaitable<void>;
+    /// Called when the path to the endpoint of the dispatch in progress is lost. Ends the dispatch
+    /// if another one may follow.
+    /// @return true if the request goes on elsewhere
+    auto moveElsewhere() -> bool;
 
 private:
     /// For how long nothing has been received from endpoints with requests in progress.
@@ -101,6 +107,15 @@
     auto awaitEndpoints() -> boost::asio::awaitable<void>;
     /// @return the endpoints that accept new requests, and where the request may be served
     auto candidates() const -> std::vector<EndpointEntry *>;
+    /// Counts the request for the retry budget of its service, once over all gateways.
+    auto countAsWork() -> void;
+    /// @return true if new requests can be sent to the endpoint over the network
+    auto isReached(const EndpointEntry &entry) const -> bool;
+    /// Drops endpoints whose path is being probed, if there are others.
+    auto preferOpenPaths(std::vector<EndpointEntry *> &able) const -> void;
+    /// Waits while the paths to all of the endpoints are being probed.
+    /// @return false if there was nothing to wait for
+    auto awaitProbes(const std::vector<EndpointEntry *> &able) -> boost::asio::awaitable<bool>;
     /// Looks for an endpoint and stores the result in picked_.
     /// @return why there is none, or BlockedBy::Nothing if picked_ names a known endpoint
     auto pick() -> boost::asio::awaitable<BlockedBy>;
@@ -173,6 +188,8 @@
     /// it
     auto outcomeOf(bool hasStarted) const -> proto::PickOutcome;
     auto makeDispatch(const EndpointEntry &entry) -> http::ClientRequest;
+    /// @return how long a kept connection may have been idle to be used for the request
+    auto maxIdleAge() const -> Duration;
     auto exchange(http::ClientRequest out, Duration left, const EndpointId &id)
             -> boost::asio::awaitable<Step>;
     /// Handles what the head of an answer says about the endpoint itself (rate, backoff, draining),
@@ -190,6 +207,21 @@
     /// Reads a small answer to its end, so that its connection can be reused.
     auto discard(http::ClientStream &stream) -> boost::asio::awaitable<void>;
 
+    // ---- handing over to another gateway (forwarderhandoff.cpp)
+
+    /// Hands the request to another gateway, and relays its answer.
+    auto handOver() -> boost::asio::awaitable<Step>;
+    /// @return NotRun if the gateway could not take the request
+    auto handTo(const proto::HandoffTarget &target) -> boost::asio::awaitable<Step>;
+    auto reachesOneOf(const std::vector<EndpointEntry *> &entries) const -> bool;
+    auto relayHandedAnswer(const proto::HandoffTarget &target, http::ClientStream &stream)
+            -> boost::asio::awaitable<Step>;
+    auto handedRequest() const -> proto::HandedRequest;
+    /// @return the failure domains of the endpoints that could take the request
+    auto domainsOfCandidates() const -> std::set<DomainId>;
+    /// @return the header that tells the first gateway how the request ended here
+    auto handoffOutcome() const -> http::Header;
+
     // ---- relay (forwarderrelay.cpp)
 
     auto relayWhole(http::ClientStream &stream) -> boost::asio::awaitable<Step>;
@@ -224,9 +256,11 @@
     ForwarderParts &parts_;
     const http::Request &request_;
     http::Responder &responder_;
-    const Instant arrived_;
-    Instant deadline_; ///< The request must be finished by then.
-    Instant startBy_;  ///< The request must be dispatched by then.
+    /// Null unless another gateway has handed the request over.
+    const proto::HandoffTerms *const handedOver_;
+    const Instant arrived_; ///< At the first gateway.
+    Instant deadline_;      ///< The request must be finished by then.
+    Instant startBy_;       ///< The request must be dispatched by then.
     std::shared_ptr<const catalogue::RouteTable> routes_; ///< In force when the request arrived.
     /// From the same catalogue as routes_.
     std::shared_ptr<const catalogue::AccountTable> accounts_;
@@ -268,6 +302,14 @@
     Instant heardAt_ {};                ///< When its endpoint last sent anything, or sentAt_.
     DomainId domain_;                   ///< Of the endpoint of the latest dispatch.
     bool isReused_ = false;             ///< The latest dispatch used a kept connection.
+    bool isUnreached_ = false;          ///< Only another gateway can reach the endpoints.
+    bool isHandedOver_ = false;         ///< The dispatch in progress is to another gateway.
+    bool hasAwaitedProbe_ = false;      ///< It has waited for the probe of a path.
+    bool hasAnswerBegun_ = false;       ///< The dispatch in progress counts in ran_.
+    bool isPathGivenUp_ = false;        ///< No other gateway could take the request.
+    bool isMoved_ = false;              ///< The dispatch was ended because its path is lost.
+    bool hasRetry_ = false;             ///< The next dispatch is already in the retry budget.
+    NodeId handedTo_;                   ///< The latest gateway that the request was handed to.
     std::optional<Silence> silence_;    ///< At the end of a dispatch that broke off.
     std::optional<Instant> firstByteAt_;
     std::optional<Instant> lastEventAt_;
@@ -282,6 +324,7 @@
     bool budgetSpent_ = false;
     bool lateReported_ = false; ///< A late stream has been reported to the leader.
     bool isDemand_ = false;     ///< The request has been counted as demand.
+    bool isCountedAsWork_ = false;
     /// Its account has been charged, and does not get the charge back: the request may have run, or
     /// the balancer that counted it was lost.
     bool isCounted_ = false;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -1,11 +1,15 @@
 #include "gateway/gateway.h"
 
+#include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "core/boottimer.h"
 #include "core/duration.h"
 #include "core/log.h"
 #include "gateway/controlfeed.h"
+#include "gateway/handoffs.h"
+#include "gateway/handoffserver.h"
 
 namespace figrack::gateway {
 
@@ -38,32 +42,43 @@
         , onStopped_(std::move(onStopped))
         , random_(seed)
         , view_(options_.view, clock)
-        , paths_(clock)
+        , paths_(clock, options_.paths)
         , retries_(options_.retries, clock)
         , demand_(clock)
         , loadWatch_({}, clock)
         , waiters_(context)
         , client_(context, options_.client, clock)
+        , prober_(options_.prober, { context, clock, view_, client_, paths_ })
         , feed_(context, feedOptions(), clock, feedHooks())
+        , handoffs_(handoffsOptions(),
+                    { context, clock, random_, waiters_,
+                      [this](HandoffsParts::Done done) { askHandoffTargets(std::move(done)); } })
         , picker_(options_.picker, feed_.balancerLink(), metrics_, random_, clock)
         , crashDetector_({}, { context, clock, view_, quarantine_, metrics_ },
                          [this] {
                              feed_.sendSuspects(
                                      quarantine_.takeLocalChanges(policy::millisOf(clock_.now())));
                          })
-        , forwarder_(options_.forwarder,
+        , forwarder_(forwarderOptions(),
                      { context, clock, dialect, view_, retries_, demand_, waiters_, metrics_,
                        client_, picker_, random_, quarantine_, crashDetector_, paths_,
                        feed_.keyLease(),
                        [this](const proto::WatchKey &key) { return feed_.wantEndpoints(key); },
-                       &loadWatch_ })
+                       &loadWatch_, &handoffs_ })
         , server_(context, options_.server,
                   [this](const http::Request &request, http::Responder &responder) {
                       return forwarder_.handle(request, responder);
                   })
+        , handoffServer_(context, { options_.server, options_.keys },
+                         [this](const http::Request &request, const proto::HandoffTerms &terms,
+                                http::Responder &responder) {
+                             metrics_.onTakenOver();
+                             return forwarder_.handleHandedOver(request, terms, responder);
+                         })
         , demandTimer_(context)
         , urgentTimer_(context)
         , stopTimer_(context)
+        , reachedTimer_(context)
     { }
 
     auto start() -> absl::Status
@@ -73,8 +88,16 @@
             crashDetector_.onSuperseded(id, before);
             forwarder_.endDispatches(id);
         });
+        paths_.setOnChanged([this](const DomainId &domain, PathState before, PathState now) {
+            onPathChanged(domain, before, now);
+        });
+        prober_.start();
         if (auto status = server_.start(options_.callers); !status.ok())
             return status;
+        if (auto status = handoffServer_.start({ options_.callers.ip, options_.handoffPort });
+            !status.ok())
+            return status;
+        feed_.setHandoffs({ options_.callers.ip, handoffServer_.port() });
         feed_.start();
         scheduleDemand();
         LogEvent(LogLevel::Info, "gateway_started").with("callers", options_.callers.text());
@@ -88,7 +111,7 @@
         feed_.setReady(false);
         forwarder_.setPlacementDeadline(stopAskedAt_ + options_.stopBy - placementStopMargin);
         LogEvent(LogLevel::Info, "gateway_leaving")
-                .with("in_progress", static_cast<std::uint64_t>(server_.inProgress()));
+                .with("in_progress", static_cast<std::uint64_t>(inProgress()));
         checkStop();
     }
 
@@ -108,7 +131,9 @@
         gauges.endpoints = view_.size();
         gauges.waiting = waiters_.size();
         gauges.queued = picker_.waits().queued();
-        gauges.inProgress = server_.inProgress();
+        gauges.inProgress = inProgress();
+        gauges.unreachedDomains = paths_.unreached().size();
+        gauges.handedOver = handoffs_.targets().inProgress();
         gauges.suspects = quarantine_.size();
         gauges.quarantined = quarantine_.quarantined(policy::millisOf(clock_.now()));
         gauges.rateLimited = view_.rateLimited();
@@ -123,7 +148,10 @@
     auto stop() -> void
     {
         server_.stop();
+        handoffServer_.stop();
+        prober_.stop();
         feed_.stop();
+        reachedTimer_.cancel();
         demandTimer_.cancel();
         urgentTimer_.cancel();
         stopTimer_.cancel();
@@ -142,6 +170,34 @@
         return result;
     }
 
+    auto forwarderOptions() const -> ForwarderOptions
+    {
+        auto result = options_.forwarder;
+        result.self = options_.name;
+        return result;
+    }
+
+    auto handoffsOptions() const -> HandoffsOptions
+    {
+        auto result = HandoffsOptions {};
+        result.targets.domain = options_.domain;
+        result.keys = options_.keys;
+        return result;
+    }
+
+    auto askHandoffTargets(HandoffsParts::Done done) -> void
+    {
+        // Gateways of the own region are nearer, and in the homes of the same routes.
+        auto preferred = std::vector<DomainId> { options_.domain };
+        const auto &regions = options_.forwarder.regions;
+        const auto own = regions.find(options_.domain);
+        for (const auto &[domain, region] : regions) {
+            if (own != regions.end() && region == own->second && domain != options_.domain)
+                preferred.push_back(domain);
+        }
+        feed_.askHandoffTargets(std::move(preferred), std::move(done));
+    }
+
     auto feedHooks() -> ControlFeedHooks
     {
         auto hooks = ControlFeedHooks {};
@@ -187,6 +243,56 @@
             feed_.sendSuspects(own);
     }
 
+    auto onPathChanged(const DomainId &domain, PathState before, PathState now) -> void
+    {
+        metrics_.onPathChanged(pathStateName(now));
+        const auto isLoss = now == PathState::Lost || now == PathState::KeptOnly;
+        const auto wasLost = before == PathState::Lost || before == PathState::KeptOnly;
+        if (now == PathState::Suspected || isLoss)
+            handoffs_.prepare();
+        if (isLoss) {
+            // What cuts off one domain often cuts off others.
+            for (const auto &other : view_.domains()) {
+                if (other != domain)
+                    paths_.suspectIfUnheard(other);
+            }
+        }
+        if (now == PathState::Lost)
+            forwarder_.onPathLost(domain);
+        if (now == PathState::Open && wasLost)
+            view_.forgiveFailures(domain);
+        waiters_.wakeAll();
+        if (isLoss)
+            reportPaths();
+        else if (wasLost)
+            reportPathsLater();
+    }
+
+    auto reportPaths() -> void
+    {
+        auto unreached = paths_.unreached();
+        auto known = view_.domains();
+        for (const auto &domain : unreached)
+            known.erase(domain);
+        const auto reachesNone = known.empty() && !unreached.empty();
+        if (std::exchange(reachesNone_, reachesNone) != reachesNone) {
+            LogEvent(LogLevel::Warning, "endpoints_reached")
+                    .with("none", reachesNone)
+                    .with("unreached_domains", static_cast<std::uint64_t>(unreached.size()));
+        }
+        feed_.setUnreached(std::move(unreached), reachesNone);
+    }
+
+    auto reportPathsLater() -> void
+    {
+        reachedTimer_.expires_after(options_.reachedAgainAfter);
+        reachedTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+            const auto self = weak.lock();
+            if (self && !error)
+                self->reportPaths();
+        });
+    }
+
     auto onUpdate(const proto::ServingUpdate &update) -> void
     {
         if (update.gateways > 0) {
@@ -245,10 +351,21 @@
     auto reportDemand() -> void
     {
         auto report = demand_.take();
+        const auto unreached = view_.unreached();
         report.unreachable = view_.unreachable();
+        std::erase_if(report.unreachable, [&](const EndpointId &id) {
+            return std::find(unreached.begin(), unreached.end(), id) != unreached.end();
+        });
+        report.unreachedDomains = paths_.unreached();
+        for (const auto &id : unreached) {
+            const auto *entry = view_.find(id);
+            if (entry != nullptr && paths_.isOpen(entry->row.domain))
+                report.unreached.push_back({ id });
+        }
         report.loads = view_.takeLoads();
-        const auto isUnchanged = report.rows.empty() && report.unreachable == reportedUnreachable_;
-        reportedUnreachable_ = report.unreachable;
+        auto told = std::tuple { report.unreachable, unreached, report.unreachedDomains };
+        const auto isUnchanged = report.rows.empty() && told == reportedUnreachable_;
+        reportedUnreachable_ = std::move(told);
         if (!isUnchanged)
             static_cast<void>(feed_.sendWanted(std::move(report)));
     }
@@ -267,6 +384,11 @@
         });
     }
 
+    auto inProgress() const -> std::size_t
+    {
+        return server_.inProgress() + handoffServer_.inProgress();
+    }
+
     auto checkStop() -> void
     {
         const auto passed = clock_.now() - stopAskedAt_;
@@ -274,12 +396,13 @@
             refusing_ = true;
             forwarder_.refuseNew();
             server_.stopAccepting();
+            handoffServer_.stopAccepting();
         }
-        const auto idle = refusing_ && server_.inProgress() == 0
+        const auto idle = refusing_ && inProgress() == 0
                 && passed >= options_.stopServing + std::chrono::milliseconds { 500 };
         if (idle || passed >= options_.stopBy) {
             LogEvent(LogLevel::Info, "gateway_stopped")
-                    .with("in_progress", static_cast<std::uint64_t>(server_.inProgress()));
+                    .with("in_progress", static_cast<std::uint64_t>(inProgress()));
             stop();
             onStopped_();
             return;
@@ -307,17 +430,24 @@
     Metrics metrics_;
     policy::Quarantine quarantine_ { {} };
     http::Client client_;
+    PathProber prober_;
     ControlFeed feed_;
+    Handoffs handoffs_;
     Picker picker_;
     CrashDetector crashDetector_;
     Forwarder forwarder_;
     http::Server server_;
+    HandoffServer handoffServer_;
     BootTimer demandTimer_;
     BootTimer urgentTimer_;
     BootTimer stopTimer_;
+    BootTimer reachedTimer_; ///< Until the controls are told that endpoints are reached again.
+    bool reachesNone_ = false;
     std::uint32_t gateways_ = 1; ///< Last number of gateways that a control announced.
     Instant stopAskedAt_ {};
-    std::vector<EndpointId> reportedUnreachable_; ///< As listed in the last report.
+    /// Endpoints and failure domains that the last report was about.
+    std::tuple<std::vector<EndpointId>, std::vector<EndpointId>, std::vector<DomainId>>
+            reportedUnreachable_;
     bool stopping_ = false;
     bool refusing_ = false;
     bool urgentPending_ = false;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -11,6 +11,9 @@
 // - Shortly before the end, requests that still wait for an endpoint are refused as well.
 // - Requests in progress are completed. The process ends at stopBy at the latest.
 //
+// If the gateway cannot reach any endpoint, it tells the controls, which send callers to others,
+// and hands the requests that still arrive to other gateways (gateway/handoffs.h). It stays ready.
+//
 // If no control can be reached, the gateway continues with its last known state: a request that
 // every configuration in force allows must not wait until the controls return.
 
@@ -29,7 +32,9 @@
 #include "core/clock.h"
 #include "core/settings.h"
 #include "gateway/dialect.h"
+#include "gateway/endpointpaths.h"
 #include "gateway/forwarder.h"
+#include "gateway/pathprober.h"
 #include "http/server.h"
 #include "proto/channel.h"
 
@@ -50,7 +55,9 @@
 {
     NodeId name;
     DomainId domain;
-    Address callers;            ///< Address at which callers connect.
+    Address callers; ///< Address at which callers connect.
+    /// Port on the same IP address for requests that other gateways hand over; 0: any free one.
+    std::uint16_t handoffPort = 0;
     std::uint32_t capacity = 0; ///< Processor share in thousandths of a core; 0: not known.
     std::vector<Address> seeds; ///< Peer addresses of controls.
     std::shared_ptr<proto::PeerKeys> keys;
@@ -61,6 +68,10 @@
     KeyLeaseOptions keyLease;
     http::ServerOptions server;
     http::ClientOptions client = endpointClient();
+    EndpointPathsOptions paths;
+    PathProberOptions prober;
+    /// Callers are sent here again after the endpoints have been reached for this time.
+    Duration reachedAgainAfter = std::chrono::seconds { 2 };
     /// New requests are served for this time after a stop was requested.
     Duration stopServing = std::chrono::seconds { 3 };
     Duration stopBy = std::chrono::milliseconds { 7500 }; ///< Time from the request to the end.
--- a/gateway/metrics.cpp
+++ b/gateway/metrics.cpp
@@ -116,6 +116,19 @@
                                .Help("Requests refused because of the time of a scheduled load")
                                .Register(registry)
                                .Add({}))
+        , handoffs(prometheus::BuildCounter()
+                           .Name("figrack_gateway_handoffs_total")
+                           .Help("Requests handed to other gateways, by how that ended")
+                           .Register(registry))
+        , takenOver(prometheus::BuildCounter()
+                            .Name("figrack_gateway_taken_over_total")
+                            .Help("Requests that other gateways handed over")
+                            .Register(registry)
+                            .Add({}))
+        , pathChanges(prometheus::BuildCounter()
+                              .Name("figrack_gateway_path_changes_total")
+                              .Help("Changes of the paths to endpoints, by the new state")
+                              .Register(registry))
         , gauges(prometheus::BuildGauge()
                          .Name("figrack_gateway_now")
                          .Help("The present moment, by what")
@@ -140,6 +153,9 @@
     prometheus::Counter &documentBytes;
     prometheus::Counter &loadSchedules;
     prometheus::Counter &loadsTooLate;
+    prometheus::Family<prometheus::Counter> &handoffs;
+    prometheus::Counter &takenOver;
+    prometheus::Family<prometheus::Counter> &pathChanges;
     prometheus::Family<prometheus::Gauge> &gauges;
 };
 
@@ -224,6 +240,21 @@
     impl_->loadsTooLate.Increment();
 }
 
+auto Metrics::onHandedOver(std::string_view end) -> void
+{
+    impl_->handoffs.Add({ { "end", std::string { end } } }).Increment();
+}
+
+auto Metrics::onTakenOver() -> void
+{
+    impl_->takenOver.Increment();
+}
+
+auto Metrics::onPathChanged(std::string_view state) -> void
+{
+    impl_->pathChanges.Add({ { "state", std::string { state } } }).Increment();
+}
+
 auto Metrics::text(const GatewayGauges &gauges) -> std::string
 {
     const auto set = [&](const char *what, double value) {
@@ -240,6 +271,8 @@
     set("backed_off_endpoints", static_cast<double>(gauges.backedOff));
     set("held_bytes", static_cast<double>(gauges.heldBytes));
     set("callers_buffered_for", static_cast<double>(gauges.callersBufferedFor));
+    set("unreached_domains", static_cast<double>(gauges.unreachedDomains));
+    set("handed_over", static_cast<double>(gauges.handedOver));
     set("endpoints_silent_seconds", inSeconds(gauges.endpointsSilent));
     set("ready", gauges.ready ? 1 : 0);
     return prometheus::TextSerializer {}.Serialize(impl_->registry.Collect());
--- a/gateway/testing/cutworld.cpp
+++ b/gateway/testing/cutworld.cpp
@@ -47,7 +47,6 @@
         auto &endpoint = rig.addEndpoint("i-" + std::to_string(i));
         endpoint.handler = answeringAll();
         endpoints_.push_back(&endpoint);
-        links_.push_back(std::make_unique<EndpointLink>(rig.context, endpoint.port));
     }
     addGateway("g1");
     addGateway("g2");
@@ -73,14 +72,15 @@
 
 auto CutWorld::rowsFor(const Address &callers) const -> std::vector<catalogue::EndpointRow>
 {
-    const auto isCut = !callers_.empty() && callers == callers_.front();
+    const auto gateway = std::find(callers_.begin(), callers_.end(), callers) - callers_.begin();
+    const auto &links = links_.at(static_cast<std::size_t>(gateway));
     auto rows = std::vector<catalogue::EndpointRow> {};
     for (auto i = std::size_t { 0 }; i < endpoints_.size(); ++i) {
         auto &row = rows.emplace_back();
         row.id = endpoints_[i]->id;
         row.service = ServiceId { "s" };
         row.domain = domainOf(i);
-        row.address = { "127.0.0.1", isCut ? links_[i]->port() : endpoints_[i]->port };
+        row.address = { "127.0.0.1", links[i]->port() };
         row.state = catalogue::EndpointState::Ready;
         row.sequence = 1;
     }
@@ -102,34 +102,77 @@
     options.callers = freeAddress();
     options.seeds = { control_.address() };
     callers_.push_back(options.callers);
+    auto &links = links_.emplace_back();
+    for (const auto *endpoint : endpoints_)
+        links.push_back(std::make_unique<EndpointLink>(rig.context, endpoint->port));
     gateways_.push_back(
             std::make_unique<Gateway>(rig.context, options, rig.clock, dialect_, 1, [] {}));
     REQUIRE(gateways_.back()->start().ok());
 }
 
-auto CutWorld::cut(Cut how) -> void
+auto CutWorld::cut(Cut how, At at, const std::string &domain) -> void
 {
-    for (const auto &link : links_)
-        link->cut(how);
+    const auto &links = linksOf(at);
+    for (auto i = std::size_t { 0 }; i < links.size(); ++i) {
+        if (domain.empty() || domainOf(i) == DomainId { domain })
+            links[i]->cut(how);
+    }
 }
 
-auto CutWorld::heal() -> void
+auto CutWorld::heal(At at) -> void
 {
-    for (const auto &link : links_)
+    for (const auto &link : linksOf(at))
         link->heal();
 }
 
-auto CutWorld::delivered() const -> std::size_t
+auto CutWorld::heal() -> void
+{
+    heal(At::Cut);
+    heal(At::Other);
+}
+
+auto CutWorld::delivered(At at) const -> std::size_t
 {
     auto sum = std::size_t { 0 };
-    for (const auto &link : links_)
+    for (const auto &link : linksOf(at))
         sum += link->delivered();
     return sum;
 }
 
+auto CutWorld::hasOnPage(At at, const std::string &text) -> bool
+{
+    return gateway(at).metricsPage().find(text) != std::string::npos;
+}
+
+auto CutWorld::awaitLoss(At at, int domains) -> bool
+{
+    auto answers = std::vector<std::shared_ptr<std::optional<Got>>> {};
+    const auto limit = rig.clock.now() + patience;
+    while (rig.clock.now() < limit) {
+        if (hasOnPage(at, "unreached_domains\"} " + std::to_string(domains)))
+            return true;
+        answers.push_back(begin(at, "/idem/"));
+        const auto next = rig.clock.now() + std::chrono::milliseconds { 100 };
+        rig.runUntil([&] { return rig.clock.now() >= next; });
+    }
+    return false;
+}
+
+auto CutWorld::arrivals(const std::string &id) const -> int
+{
+    auto count = 0;
+    for (const auto *endpoint : endpoints_) {
+        count += static_cast<int>(
+                std::count_if(endpoint->seen.begin(), endpoint->seen.end(),
+                              [&](const auto &request) { return request.header("X-Id") == id; }));
+    }
+    return count;
+}
+
 auto CutWorld::begin(At at, const std::string &path) -> std::shared_ptr<std::optional<Got>>
 {
-    const auto id = "id-" + std::to_string(++lastRequest_);
+    ++lastRequest_;
+    const auto id = lastId();
     auto request = Rig::request(path + id, id);
     const auto deadline = std::chrono::milliseconds { callerDeadline };
     request.headers.push_back({ "X-Deadline", std::to_string(deadline.count()) });
--- a/gateway/testing/feedrig.h
+++ b/gateway/testing/feedrig.h
@@ -44,6 +44,7 @@
                                            const proto::Envelope &envelope) {
             if (const auto *subscribe = std::get_if<proto::Subscribe>(&envelope.payload)) {
                 capacity = subscribe->capacity;
+                subscriptions[peer->peer()] = *subscribe;
                 auto update = proto::ServingUpdate {};
                 update.leader = NodeId { leader };
                 update.term = Term { 1 };
@@ -72,6 +73,9 @@
                     peer->send({ envelope.correlation, reply });
             } else if (std::holds_alternative<proto::PickEnd>(envelope.payload)) {
                 ++ended;
+            } else if (std::holds_alternative<proto::HandoffTargetsRequest>(envelope.payload)) {
+                ++askedForTargets;
+                peer->send({ envelope.correlation, targetsFor(peer->peer()) });
             } else if (std::holds_alternative<proto::ManifestRequest>(envelope.payload)) {
                 answerLater(peer, envelope.correlation,
                             proto::ManifestReply { document, catalogue::manifestOf(text) });
@@ -83,6 +87,17 @@
         REQUIRE(server->start({ "127.0.0.1", 0 }).ok());
     }
     auto address() const -> Address { return { "127.0.0.1", server->port() }; }
+    auto targetsFor(const NodeId &asker) const -> proto::HandoffTargetsReply
+    {
+        auto reply = proto::HandoffTargetsReply {};
+        for (const auto &[node, subscribe] : subscriptions) {
+            if (node == asker || !subscribe.ready || subscribe.reachesNone)
+                continue;
+            reply.targets.push_back({ node, subscribe.handoffs, subscribe.domain,
+                                      subscribe.capacity, subscribe.unreached });
+        }
+        return reply;
+    }
     auto answerLater(const proto::PeerPointer &peer, std::uint64_t correlation,
                      proto::Payload answer) -> void
     {
@@ -110,11 +125,13 @@
     bool holdsBackDocuments = false; ///< If true, it does not answer document requests.
     int asked = 0;
     int ended = 0;
-    std::uint32_t capacity = 0;                  ///< Of the latest subscription.
-    proto::PeerPointer asker;                    ///< Connection of the latest pick.
-    std::vector<catalogue::SuspectRow> suspects; ///< Rows that it sends to its subscribers.
-    std::size_t suspectsHeard = 0;               ///< Number of rows received.
-    std::optional<proto::LoadSchedule> schedule; ///< Sent to its subscribers.
+    int askedForTargets = 0;
+    std::uint32_t capacity = 0;                       ///< Of the latest subscription.
+    std::map<NodeId, proto::Subscribe> subscriptions; ///< The latest ones.
+    proto::PeerPointer asker;                         ///< Connection of the latest pick.
+    std::vector<catalogue::SuspectRow> suspects;      ///< Rows that it sends to its subscribers.
+    std::size_t suspectsHeard = 0;                    ///< Number of rows received.
+    std::optional<proto::LoadSchedule> schedule;      ///< Sent to its subscribers.
     std::unique_ptr<proto::PeerServer> server;
 };
 
--- a/gateway/testing/rig.cpp
+++ b/gateway/testing/rig.cpp
@@ -167,8 +167,9 @@
     , client(context, {}, clock)
     , picker(pickerOptions, std::move(link), metrics, random, clock)
     , quarantine({})
+    , paths(clock, {})
+    , prober({}, { context, clock, view, client, paths })
     , crashDetector({}, { context, clock, view, quarantine, metrics }, [] {})
-    , paths(clock)
     , keys(keyOptions, clock)
     , loadWatch({}, clock)
     , forwarder(std::move(options),
@@ -195,6 +196,8 @@
     })
 {
     retries.setGateways(1);
+    paths.setOnChanged([this](const DomainId &, PathState, PathState) { waiters.wakeAll(); });
+    prober.start();
     static_cast<void>(server_.start({ "127.0.0.1", 0 }));
 }
 
--- a/gateway/testing/rig.h
+++ b/gateway/testing/rig.h
@@ -21,6 +21,7 @@
 #include "core/clock.h"
 #include "gateway/crashdetector.h"
 #include "gateway/forwarder.h"
+#include "gateway/pathprober.h"
 #include "http/client.h"
 #include "http/server.h"
 
@@ -84,8 +85,9 @@
     http::Client client;
     Picker picker;
     policy::Quarantine quarantine;
-    CrashDetector crashDetector;
     EndpointPaths paths;
+    PathProber prober;
+    CrashDetector crashDetector;
     KeyLease keys;
     LoadWatch loadWatch;
     Forwarder forwarder;
--- a/gateway/testing/tst_endpointcut.cpp
+++ b/gateway/testing/tst_endpointcut.cpp
@@ -4,6 +4,14 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include "gateway/testing/cutworld.h"
 
 using namespace figrack;
@@ -47,3 +55,149 @@
 {
     checkServedAsWell(Cut::RefuseNew);
 }
+
+TEST_CASE("Requests go to endpoints directly again once the path is back")
+{
+    auto world = CutWorld {};
+    world.cut(Cut::Hang);
+    REQUIRE(world.awaitLoss(At::Cut));
+    CHECK(world.control().subscriptions.at(NodeId { "g1" }).reachesNone);
+    world.heal(At::Cut);
+    REQUIRE(world.rig.runUntil([&] { return world.hasOnPage(At::Cut, "unreached_domains\"} 0"); }));
+    const auto before = world.delivered(At::Cut);
+    CHECK(world.countServed(At::Cut, requests) == requests);
+    CHECK(world.delivered(At::Cut) > before);
+    REQUIRE(world.rig.runUntil(
+            [&] { return !world.control().subscriptions.at(NodeId { "g1" }).reachesNone; }));
+}
+
+TEST_CASE("If all gateways are cut off, each request is refused at once and runs nowhere")
+{
+    auto world = CutWorld {};
+    world.cut(Cut::Hang, At::Cut);
+    world.cut(Cut::Hang, At::Other);
+    REQUIRE(world.awaitLoss(At::Cut));
+    REQUIRE(world.awaitLoss(At::Other));
+    for (const auto at : { At::Cut, At::Other }) {
+        const auto begun = world.rig.clock.now();
+        const auto answer = world.begin(at, "/once/");
+        REQUIRE(world.rig.runUntil([&] { return answer->has_value(); }));
+        CHECK((*answer)->status == 503);
+        CHECK(!http::findHeader((*answer)->headers, "X-Come-Back").empty());
+        CHECK(http::findHeader((*answer)->headers, handoffOutcomeHeader).empty());
+        CHECK(world.rig.clock.now() - begun < std::chrono::seconds { 1 });
+        CHECK(world.arrivals(world.lastId()) == 0);
+    }
+}
+
+TEST_CASE("A request that was handed over runs once, under its own ID and with its time left")
+{
+    auto world = CutWorld {};
+    world.cut(Cut::Hang);
+    REQUIRE(world.awaitLoss(At::Cut));
+    for (auto i = 0; i < 8; ++i) {
+        const auto answer = world.begin(At::Cut, "/once/");
+        const auto id = world.lastId();
+        REQUIRE(world.rig.runUntil([&] { return answer->has_value(); }));
+        CHECK((*answer)->status == 200);
+        CHECK(http::findHeader((*answer)->headers, "X-Id") == id);
+        CHECK(world.arrivals(id) == 1);
+    }
+    CHECK(world.hasOnPage(At::Other, "figrack_gateway_taken_over_total"));
+}
+
+TEST_CASE("Where one failure domain is cut off, the endpoints of the other one are used")
+{
+    auto world = CutWorld {};
+    REQUIRE(world.countServed(At::Cut, requests) == requests);
+    world.cut(Cut::Hang, At::Cut, "d1");
+    REQUIRE(world.awaitLoss(At::Cut, 1));
+    const auto before = world.delivered(At::Cut);
+    CHECK(world.countServed(At::Cut, requests) == requests);
+    CHECK(world.delivered(At::Cut) > before);
+    CHECK(!world.control().subscriptions.at(NodeId { "g1" }).reachesNone);
+    CHECK(world.hasOnPage(At::Cut, "handed_over\"} 0"));
+}
+
+TEST_CASE("If the caller leaves, a request that was handed over is cancelled at its endpoint")
+{
+    auto world = CutWorld {};
+    world.cut(Cut::Hang);
+    REQUIRE(world.awaitLoss(At::Cut));
+    auto running = 0;
+    auto cancelled = 0;
+    for (auto i = std::size_t { 0 }; i < endpointCount; ++i) {
+        world.endpoint(i).handler
+                = [&](const http::Request &,
+                      http::Responder &responder) -> boost::asio::awaitable<void> {
+            ++running;
+            auto timer = BootTimer { world.rig.context, patience };
+            responder.onPeerGone([&] { timer.cancel(); });
+            auto code = boost::system::error_code {};
+            co_await timer.async_wait(
+                    boost::asio::redirect_error(boost::asio::use_awaitable, code));
+            cancelled += responder.peerGone() ? 1 : 0;
+        };
+    }
+    const auto answer = world.begin(At::Cut, "/once/");
+    REQUIRE(world.rig.runUntil([&] { return running == 1; }));
+    world.rig.caller.abortAll();
+    CHECK(world.rig.runUntil([&] { return cancelled == 1; }));
+}
+
+TEST_CASE("A stream that may be resumed goes on through another gateway when its path is lost")
+{
+    auto world = CutWorld {};
+    for (auto i = std::size_t { 0 }; i < endpointCount; ++i) {
+        world.endpoint(i).handler
+                = [&](const http::Request &request,
+                      http::Responder &responder) -> boost::asio::awaitable<void> {
+            if (request.header("X-After") == "2") {
+                co_await streaming(3, 5, true)(request, responder);
+                co_return;
+            }
+            // The path is lost after two events, and the endpoint notices nothing.
+            auto headers = http::Headers { { "Content-Type", "text/event-stream" } };
+            static_cast<void>(co_await responder.startStream(200, std::move(headers)));
+            auto text = std::string { "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n" };
+            static_cast<void>(co_await responder.write(std::move(text)));
+            auto timer = BootTimer { world.rig.context, patience };
+            responder.onPeerGone([&] { timer.cancel(); });
+            auto code = boost::system::error_code {};
+            co_await timer.async_wait(
+                    boost::asio::redirect_error(boost::asio::use_awaitable, code));
+        };
+    }
+    const auto answer = world.begin(At::Cut, "/resume/");
+    REQUIRE(world.rig.runUntil([&] { return world.arrivals(world.lastId()) == 1; }));
+    const auto cutAt = world.rig.clock.now() + std::chrono::milliseconds { 50 };
+    world.rig.runUntil([&] { return world.rig.clock.now() >= cutAt; });
+    world.cut(Cut::Hang);
+    REQUIRE(world.rig.runUntil([&] { return answer->has_value(); }));
+    CHECK((*answer)->whole);
+    CHECK((*answer)->body
+          == "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n"
+             "id: 4\ndata: e4\n\nid: 5\ndata: e5\n\n");
+}
+
+TEST_CASE("An endpoint that is silent for a second is not avoided, and its request is not moved")
+{
+    auto world = CutWorld {};
+    for (auto i = std::size_t { 0 }; i < endpointCount; ++i) {
+        world.endpoint(i).handler
+                = [&](const http::Request &request,
+                      http::Responder &responder) -> boost::asio::awaitable<void> {
+            auto timer = BootTimer { world.rig.context, std::chrono::milliseconds { 1200 } };
+            auto code = boost::system::error_code {};
+            co_await timer.async_wait(
+                    boost::asio::redirect_error(boost::asio::use_awaitable, code));
+            co_await answering("late")(request, responder);
+        };
+    }
+    const auto answer = world.begin(At::Cut, "/idem/");
+    REQUIRE(world.rig.runUntil([&] { return answer->has_value(); }));
+    CHECK((*answer)->status == 200);
+    CHECK(world.arrivals(world.lastId()) == 1);
+    CHECK(world.hasOnPage(At::Cut, "unreached_domains\"} 0"));
+    CHECK(!world.hasOnPage(At::Cut, "path_changes_total{state=\"lost\"}"));
+}
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -219,14 +219,15 @@
         }
     }
 
-    auto hasKept(const Address &address) -> bool
+    auto hasKept(const Address &address, Duration maxIdleAge) -> bool
     {
         const auto now = clock_.now();
         const auto lock = std::lock_guard { mutex_ };
         const auto found = kept_.find(address);
         return found != kept_.end()
                 && std::any_of(found->second.begin(), found->second.end(), [&](const auto &kept) {
-                       return now < kept.until && kept.link->isQuiet();
+                       return now - kept.since < maxIdleAge && now < kept.until
+                               && kept.link->isQuiet();
                    });
     }
 
@@ -833,9 +834,9 @@
     co_return status;
 }
 
-auto Client::hasKept(const Address &address) -> bool
+auto Client::hasKept(const Address &address, Duration maxIdleAge) -> bool
 {
-    return impl_->pool()->hasKept(address);
+    return impl_->pool()->hasKept(address, maxIdleAge);
 }
 
 auto Client::abortAll(const Address &address) -> void
--- a/http/client.h
+++ b/http/client.h
@@ -134,8 +134,9 @@
             -> boost::asio::awaitable<ClientResult<std::unique_ptr<ClientStream>>>;
     /// Makes a connection and keeps it for the next request. @return EndpointFailed or Timeout
     auto preconnect(Address address, Duration timeout) -> boost::asio::awaitable<absl::Status>;
+    /// @param maxIdleAge see ClientRequest
     /// @return true if a kept connection to the address can be used
-    auto hasKept(const Address &address) -> bool;
+    auto hasKept(const Address &address, Duration maxIdleAge = Duration::max()) -> bool;
     /// Aborts every connection to an address, in use or kept.
     auto abortAll(const Address &address) -> void;
     /// Aborts every connection.
--- a/proto/servingmessages.h
+++ b/proto/servingmessages.h
@@ -3,7 +3,8 @@
 //
 //   gateway, control -> control   Subscribe, ServingAck, ModelWanted
 //   gateway          -> control   InForce, ManifestRequest, BlocksRequest,
-//                                 DocumentProofRequest (answered by their replies)
+//                                 DocumentProofRequest, HandoffTargetsRequest (answered by
+//                                 their replies)
 //   gateway          -> control   PickRequest (answered by PickReply, and by PickGrant where it was
 //                                 queued), PickEnd
 //   control          -> control   AccountNews; coord::RevisionQuery, answered by its reply
@@ -73,10 +74,49 @@
     bool hasWatchers = false;
     /// Of a gateway only: its processor share, in thousandths of a core; 0: not known.
     std::uint32_t capacity = 0;
+    Address handoffs; ///< Of a gateway only: where it takes requests that others hand over.
+    /// Of a gateway only: failure domains whose endpoints it cannot make connections to.
+    std::vector<DomainId> unreached;
+    bool reachesNone = false; ///< Of a gateway only: these are all that have endpoints.
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(kind, callers, domain, ready, inForce, wholeUpTo, hasWatchers, capacity);
+        archive(kind, callers, domain, ready, inForce, wholeUpTo, hasWatchers, capacity, handoffs,
+                unreached, reachesNone);
+    }
+};
+
+/// Asks for gateways that can take requests which the sender cannot serve.
+struct HandoffTargetsRequest
+{
+    std::vector<DomainId> preferred; ///< Failure domains whose gateways are named first.
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(preferred);
+    }
+};
+/// A gateway that is ready and reaches some endpoints, by its own word.
+struct HandoffTarget
+{
+    NodeId node;
+    Address address; ///< Subscribe::handoffs.
+    DomainId domain;
+    std::uint32_t capacity = 0;      ///< Thousandths of a core; 0: not known.
+    std::vector<DomainId> unreached; ///< See Subscribe.
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(node, address, domain, capacity, unreached);
+    }
+};
+struct HandoffTargetsReply
+{
+    std::vector<HandoffTarget> targets;
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(targets);
     }
 };
 
@@ -255,17 +295,35 @@
     }
 };
 
+/// How many gateways could not connect to an endpoint of late, and how many others use it. Of those
+/// gateways that reach other endpoints of its failure domain.
+struct UnreachedEndpoint
+{
+    EndpointId endpoint;
+    std::uint32_t failed = 1;
+    std::uint32_t used = 0;
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(endpoint, failed, used);
+    }
+};
+
 /// Sent to the leader at each interval, and at once when a model is wanted that no endpoint holds.
 struct ModelWanted
 {
     std::uint64_t spanMs = 0; ///< Time that the arrivals cover.
     std::vector<WantedRow> rows;
-    std::vector<EndpointLoad> loads;     ///< What this gateway has in progress.
-    std::vector<EndpointId> unreachable; ///< Endpoints that the gateway could not reach of late.
+    std::vector<EndpointLoad> loads; ///< What this gateway has in progress.
+    /// Endpoints that take no requests of any gateway, by their own word.
+    std::vector<EndpointId> unreachable;
+    std::vector<UnreachedEndpoint> unreached;
+    /// Failure domains whose endpoints the gateway cannot make connections to.
+    std::vector<DomainId> unreachedDomains;
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(spanMs, rows, loads, unreachable);
+        archive(spanMs, rows, loads, unreachable, unreached, unreachedDomains);
     }
 };
 
