fleet: one gateway that cannot connect does not make an endpoint unreachable for all

The planner loaded nothing at an endpoint that any one gateway could not reach, by the union of all reports: gateways that are cut off would have stopped loads everywhere.

Now what an endpoint says of itself is believed through one gateway, as before. That a gateway could not connect counts against the gateways that have requests there, and gateways that do not reach the failure domain have no say unless all of them say so, which is the loss of a domain. The same where a control sums up reports for the leader.

--- a/fleet/demandrelay.cpp
+++ b/fleet/demandrelay.cpp
@@ -6,6 +6,7 @@
 
 #include "core/duration.h"
 #include "fleet/loadorder.h"
+#include "fleet/unreachedtally.h"
 
 namespace figrack::fleet {
 namespace {
@@ -67,6 +68,7 @@
     auto rows = std::exchange(arrived_, {});
     auto loads = std::map<EndpointId, std::uint32_t> {};
     auto unreachable = std::set<EndpointId> {};
+    auto tally = UnreachedTally {};
     for (const auto &[gateway, latest] : latest_) {
         const auto &report = latest.report;
         for (const auto &row : report.rows) {
@@ -78,6 +80,7 @@
         for (const auto &load : report.loads)
             loads[load.endpoint] += load.running;
         unreachable.insert(report.unreachable.begin(), report.unreachable.end());
+        tally.add(report);
     }
     auto result = proto::ModelWanted {};
     for (auto &[key, row] : rows)
@@ -85,6 +88,9 @@
     for (const auto &[endpoint, running] : loads)
         result.loads.push_back({ endpoint, running });
     result.unreachable = { unreachable.begin(), unreachable.end() };
+    result.unreached = tally.endpoints();
+    const auto domains = tally.domains();
+    result.unreachedDomains = { domains.begin(), domains.end() };
     return result;
 }
 
--- a/fleet/demandtable.cpp
+++ b/fleet/demandtable.cpp
@@ -5,6 +5,7 @@
 
 #include "core/duration.h"
 #include "fleet/loadorder.h"
+#include "fleet/unreachedtally.h"
 
 namespace figrack::fleet {
 namespace {
@@ -157,11 +158,26 @@
 auto DemandTable::unreachable() const -> std::set<EndpointId>
 {
     auto result = std::set<EndpointId> {};
-    for (const auto &[gateway, latest] : latest_)
+    auto tally = UnreachedTally {};
+    for (const auto &[gateway, latest] : latest_) {
         result.insert(latest.report.unreachable.begin(), latest.report.unreachable.end());
+        tally.add(latest.report);
+    }
+    for (const auto &row : tally.endpoints()) {
+        if (row.failed > row.used)
+            result.insert(row.endpoint);
+    }
     return result;
 }
 
+auto DemandTable::unreachedDomains() const -> std::set<DomainId>
+{
+    auto tally = UnreachedTally {};
+    for (const auto &[gateway, latest] : latest_)
+        tally.add(latest.report);
+    return tally.domains();
+}
+
 auto DemandTable::recent(const Rate &rate) const -> std::uint32_t
 {
     return static_cast<std::uint32_t>(decayed(rate, windows_.fast) * inSeconds(windows_.fast)
--- a/fleet/demandtable.h
+++ b/fleet/demandtable.h
@@ -47,8 +47,11 @@
     auto of(const ServiceId &service) const -> ServiceDemand;
     /// @return requests in progress by endpoint, over all gateways
     auto loads() const -> std::vector<proto::EndpointLoad>;
-    /// @return endpoints that some gateway could not reach, according to its latest report
+    /// @return endpoints that take no requests by their own word, or that most of the gateways
+    /// which use them could not connect to, according to the latest reports
     auto unreachable() const -> std::set<EndpointId>;
+    /// @return failure domains whose endpoints no gateway can make connections to
+    auto unreachedDomains() const -> std::set<DomainId>;
     auto clear() -> void;
 
 private:
--- a/fleet/planning.cpp
+++ b/fleet/planning.cpp
@@ -37,6 +37,7 @@
     if (catalogue == nullptr)
         return;
     unreachable_ = parts_.demand.unreachable();
+    unreachedDomains_ = parts_.demand.unreachedDomains();
     for (const auto &service : catalogue->services) {
         if (service.engine)
             planService(service, term);
@@ -184,7 +185,7 @@
 auto Planning::isAvailable(const EndpointId &id) const -> bool
 {
     const auto *row = parts_.registry.find(id);
-    return row != nullptr && !unreachable_.contains(id)
+    return row != nullptr && !unreachable_.contains(id) && !unreachedDomains_.contains(row->domain)
             && !parts_.decisions.newestEvacuations().contains(row->domain);
 }
 
