gateway: work is not blamed where connections are refused by the path

After a dispatch broke off, one refused connection was proof that the endpoint had ended, and its work was suspected in the whole fleet. Behind a cut that resets connections and refuses new ones that is wrong for each request in progress.

Now the path is probed by way of a neighbor at the same time as the endpoint is dialled. The endpoint counts as ended only if the neighbor accepts; if none does, its work is not recorded (endpoint_not_blamed in the log). An endpoint without a neighbor is judged as before.

--- a/gateway/crashdetector.cpp
+++ b/gateway/crashdetector.cpp
@@ -47,8 +47,16 @@
         if (open.crashed)
             conclude(endpoint, open);
         else if (!std::exchange(open.dialling, true))
-            asio::co_spawn(parts_.context, dial(shared_from_this(), endpoint, entry->row.address),
-                           asio::detached);
+            startDialling(endpoint, *entry, open);
+    }
+
+    auto onPathChanged(const DomainId &domain) -> void
+    {
+        for (auto &[endpoint, open] : cases_) {
+            const auto *entry = parts_.view.find(endpoint);
+            if (open.isRefused && (entry == nullptr || entry->row.domain == domain))
+                judge(endpoint, open);
+        }
     }
 
     auto hasCrashed(const EndpointId &endpoint) -> asio::awaitable<bool>
@@ -85,10 +93,22 @@
         Instant since {};
         std::vector<SuspectWork> suspects = {}; ///< Not recorded in the quarantine table yet.
         std::vector<std::shared_ptr<BootTimer>> waiting = {};
+        Instant dialledAt {};
         bool dialling = false;
+        bool isRefused = false; ///< The connection was refused, and the path is being probed.
         bool crashed = false;
     };
 
+    auto startDialling(const EndpointId &endpoint, const EndpointEntry &entry, Case &open) -> void
+    {
+        open.dialledAt = parts_.clock.now();
+        asio::co_spawn(parts_.context, dial(shared_from_this(), endpoint, entry.row.address),
+                       asio::detached);
+        // The answer of a neighbor tells a refusal of the endpoint from one of the path.
+        if (parts_.view.listening(entry.row.domain).size() > 1)
+            parts_.paths.suspect(entry.row.domain, endpoint);
+    }
+
     // NOLINTNEXTLINE(performance-unnecessary-value-param): a coroutine owns what it uses.
     static auto dial(std::shared_ptr<Impl> self, EndpointId endpoint, Address address)
             -> asio::awaitable<void>
@@ -127,12 +147,40 @@
                 .with("endpoint", endpoint)
                 .with("suspects", static_cast<std::uint64_t>(open.suspects.size()))
                 .with("outcome", code ? code.message() : "connected");
-        if (code == asio::error::connection_refused)
-            conclude(endpoint, open);
+        const auto *entry = parts_.view.find(endpoint);
+        if (!code && entry != nullptr)
+            parts_.paths.onConnected(entry->row.domain, open.dialledAt);
+        open.isRefused = code == asio::error::connection_refused;
+        if (open.isRefused)
+            judge(endpoint, open);
         else
             wake(open);
     }
 
+    /// Decides whether an endpoint that refused a connection has crashed, or the path is at fault.
+    auto judge(const EndpointId &endpoint, Case &open) -> void
+    {
+        const auto *entry = parts_.view.find(endpoint);
+        const auto domain = entry == nullptr ? DomainId {} : entry->row.domain;
+        const auto isAlone = entry == nullptr || parts_.view.listening(domain).size() < 2;
+        if (isAlone || parts_.paths.hasConnectedSince(domain, open.dialledAt)) {
+            open.isRefused = false;
+            conclude(endpoint, open);
+            return;
+        }
+        const auto state = parts_.paths.state(domain);
+        if (state == PathState::Open || state == PathState::Suspected)
+            return; // The probe has not ended yet.
+        open.isRefused = false;
+        LogEvent(LogLevel::Info, "endpoint_not_blamed")
+                .with("endpoint", endpoint)
+                .with("domain", domain)
+                .with("path", pathStateName(state))
+                .with("suspects", static_cast<std::uint64_t>(open.suspects.size()));
+        open.suspects.clear();
+        wake(open);
+    }
+
     /// Handles the crash of an endpoint: the work that was in progress there becomes suspected.
     auto conclude(const EndpointId &endpoint, Case &open) -> void
     {
@@ -211,6 +259,11 @@
     impl_->onSuperseded(endpoint, before);
 }
 
+auto CrashDetector::onPathChanged(const DomainId &domain) -> void
+{
+    impl_->onPathChanged(domain);
+}
+
 auto CrashDetector::onCleared(const catalogue::WorkIds &works) -> void
 {
     impl_->onCleared(works);
--- a/gateway/crashdetector.h
+++ b/gateway/crashdetector.h
@@ -8,10 +8,12 @@
 // A connection also breaks when it is reset on the way, when a link fails, or when a faulty
 // endpoint truncates an answer. In these cases the work sent to the endpoint is not the cause. So
 // the detector connects to the endpoint's address once: a process that has ended no longer
-// listens, and the connection is refused. An endpoint that cannot be reached, or that was replaced
-// immediately by another process, counts as crashed if a newer incarnation is announced within
-// incarnationNewsTimeout. If an endpoint had announced that it is leaving, its end is planned and
-// says nothing about its work.
+// listens, and the connection is refused. A connection is also refused behind some partitions, so
+// the endpoint counts as crashed only when another endpoint of its failure domain accepts a
+// connection meanwhile (gateway/endpointpaths.h). An endpoint that cannot be reached, or that was
+// replaced immediately by another process, counts as crashed if a newer incarnation is announced
+// within incarnationNewsTimeout. If an endpoint had announced that it is leaving, its end is
+// planned and says nothing about its work.
 //
 // When an endpoint has crashed, all work that broke off there is recorded in the quarantine table,
 // and the listener is notified. Not thread-safe.
@@ -29,6 +31,7 @@
 
 #include "catalogue/suspect.h"
 #include "core/clock.h"
+#include "gateway/endpointpaths.h"
 #include "gateway/fleetview.h"
 #include "gateway/metrics.h"
 #include "policy/quarantine.h"
@@ -68,6 +71,7 @@
     FleetView &view;
     policy::Quarantine &quarantine;
     Metrics &metrics;
+    EndpointPaths &paths;
 };
 
 class CrashDetector
@@ -88,6 +92,8 @@
     /// Called when a newer incarnation of the endpoint is in use.
     /// @param before the last state that the old incarnation announced
     auto onSuperseded(const EndpointId &endpoint, catalogue::EndpointState before) -> void;
+    /// Called when the state of the path to a failure domain's endpoints has changed.
+    auto onPathChanged(const DomainId &domain) -> void;
     /// Called when a run of suspected work has completed and the quarantine table has recorded
     /// that.
     auto onCleared(const catalogue::WorkIds &works) -> void;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -54,7 +54,7 @@
                     { context, clock, random_, waiters_,
                       [this](HandoffsParts::Done done) { askHandoffTargets(std::move(done)); } })
         , picker_(options_.picker, feed_.balancerLink(), metrics_, random_, clock)
-        , crashDetector_({}, { context, clock, view_, quarantine_, metrics_ },
+        , crashDetector_({}, { context, clock, view_, quarantine_, metrics_, paths_ },
                          [this] {
                              feed_.sendSuspects(
                                      quarantine_.takeLocalChanges(policy::millisOf(clock_.now())));
@@ -261,6 +261,7 @@
             forwarder_.onPathLost(domain);
         if (now == PathState::Open && wasLost)
             view_.forgiveFailures(domain);
+        crashDetector_.onPathChanged(domain);
         waiters_.wakeAll();
         if (isLoss)
             reportPaths();
--- a/gateway/testing/rig.cpp
+++ b/gateway/testing/rig.cpp
@@ -169,7 +169,7 @@
     , quarantine({})
     , paths(clock, {})
     , prober({}, { context, clock, view, client, paths })
-    , crashDetector({}, { context, clock, view, quarantine, metrics }, [] {})
+    , crashDetector({}, { context, clock, view, quarantine, metrics, paths }, [] {})
     , keys(keyOptions, clock)
     , loadWatch({}, clock)
     , forwarder(std::move(options),
@@ -196,7 +196,10 @@
     })
 {
     retries.setGateways(1);
-    paths.setOnChanged([this](const DomainId &, PathState, PathState) { waiters.wakeAll(); });
+    paths.setOnChanged([this](const DomainId &domain, PathState, PathState) {
+        crashDetector.onPathChanged(domain);
+        waiters.wakeAll();
+    });
     prober.start();
     static_cast<void>(server_.start({ "127.0.0.1", 0 }));
 }
--- a/gateway/testing/tst_crashdetector.cpp
+++ b/gateway/testing/tst_crashdetector.cpp
@@ -26,7 +26,7 @@
 struct DetectorRig
 {
     explicit DetectorRig(CrashDetectorOptions options)
-        : detector(options, { context, clock, view, quarantine, metrics }, [] {})
+        : detector(options, { context, clock, view, quarantine, metrics, paths }, [] {})
     { }
 
     auto tell(const EndpointId &id, std::uint16_t port) -> void
@@ -47,6 +47,7 @@
     FleetView view { {}, clock };
     policy::Quarantine quarantine { {} };
     Metrics metrics;
+    EndpointPaths paths { clock, {} };
     CrashDetector detector;
 };
 
--- a/gateway/testing/tst_endpointcut.cpp
+++ b/gateway/testing/tst_endpointcut.cpp
@@ -201,3 +201,33 @@
     CHECK(world.hasOnPage(At::Cut, "unreached_domains\"} 0"));
     CHECK(!world.hasOnPage(At::Cut, "path_changes_total{state=\"lost\"}"));
 }
+
+TEST_CASE("Work is not suspected when its connection and all new ones are refused")
+{
+    auto world = CutWorld {};
+    auto running = 0;
+    for (auto i = std::size_t { 0 }; i < endpointCount; ++i) {
+        world.endpoint(i).handler
+                = [&](const http::Request &,
+                      http::Responder &responder) -> boost::asio::awaitable<void> {
+            ++running;
+            auto timer = BootTimer { world.rig.context, patience };
+            responder.onPeerGone([&] { timer.cancel(); });
+            auto code = boost::system::error_code {};
+            co_await timer.async_wait(
+                    boost::asio::redirect_error(boost::asio::use_awaitable, code));
+        };
+    }
+    auto answers = std::vector<std::shared_ptr<std::optional<Got>>> {};
+    for (auto i = 0; i < 6; ++i)
+        answers.push_back(world.begin(At::Cut, "/once/"));
+    REQUIRE(world.rig.runUntil([&] { return running == 6; }));
+    world.cut(Cut::Reset);
+    for (const auto &answer : answers) {
+        REQUIRE(world.rig.runUntil([&] { return answer->has_value(); }));
+        CHECK((*answer)->status == 502); // It may have run.
+    }
+    const auto until = world.rig.clock.now() + std::chrono::milliseconds { 1500 };
+    world.rig.runUntil([&] { return world.rig.clock.now() >= until; });
+    CHECK(world.hasOnPage(At::Cut, "what=\"suspects\"} 0"));
+}
