--- a/catalogue/endpointrow.h
+++ b/catalogue/endpointrow.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "catalogue/endpointgroup.h"
 #include "core/ids.h"
 #include "core/settings.h"
 
@@ -50,6 +51,7 @@
     std::vector<ModelId> onDisk;   ///< Copies of weights that load nearly as fast.
     /// How much longer the endpoint is cold, ms; a cold one takes only a limited rate of requests.
     std::uint32_t coldMs = 0;
+    auto group() const -> EndpointGroup { return { service, domain }; }
     /// @return the model as held, or nullptr
     auto find(const ModelId &model) const -> const HeldModel *;
     /// @return true when nothing but the age of the announcement and the time left until the
--- a/fleet/demandrelay.cpp
+++ b/fleet/demandrelay.cpp
@@ -89,8 +89,8 @@
         result.loads.push_back({ endpoint, running });
     result.unreachable = { unreachable.begin(), unreachable.end() };
     result.unreached = tally.endpoints();
-    const auto domains = tally.domains();
-    result.unreachedDomains = { domains.begin(), domains.end() };
+    const auto groups = tally.groups();
+    result.unreachedGroups = { groups.begin(), groups.end() };
     return result;
 }
 
--- a/fleet/demandtable.cpp
+++ b/fleet/demandtable.cpp
@@ -170,12 +170,12 @@
     return result;
 }
 
-auto DemandTable::unreachedDomains() const -> std::set<DomainId>
+auto DemandTable::unreachedGroups() const -> std::set<catalogue::EndpointGroup>
 {
     auto tally = UnreachedTally {};
     for (const auto &[gateway, latest] : latest_)
         tally.add(latest.report);
-    return tally.domains();
+    return tally.groups();
 }
 
 auto DemandTable::recent(const Rate &rate) const -> std::uint32_t
--- a/fleet/demandtable.h
+++ b/fleet/demandtable.h
@@ -50,8 +50,8 @@
     /// @return endpoints that take no requests by their own word, or that most of the gateways
     /// which use them could not connect to, according to the latest reports
     auto unreachable() const -> std::set<EndpointId>;
-    /// @return failure domains whose endpoints no gateway can make connections to
-    auto unreachedDomains() const -> std::set<DomainId>;
+    /// @return groups of endpoints that no gateway can make connections to
+    auto unreachedGroups() const -> std::set<catalogue::EndpointGroup>;
     auto clear() -> void;
 
 private:
--- a/fleet/planning.cpp
+++ b/fleet/planning.cpp
@@ -37,7 +37,7 @@
     if (catalogue == nullptr)
         return;
     unreachable_ = parts_.demand.unreachable();
-    unreachedDomains_ = parts_.demand.unreachedDomains();
+    unreachedGroups_ = parts_.demand.unreachedGroups();
     for (const auto &service : catalogue->services) {
         if (service.engine)
             planService(service, term);
@@ -185,7 +185,7 @@
 auto Planning::isAvailable(const EndpointId &id) const -> bool
 {
     const auto *row = parts_.registry.find(id);
-    return row != nullptr && !unreachable_.contains(id) && !unreachedDomains_.contains(row->domain)
+    return row != nullptr && !unreachable_.contains(id) && !unreachedGroups_.contains(row->group())
             && !parts_.decisions.newestEvacuations().contains(row->domain);
 }
 
--- a/fleet/planning.h
+++ b/fleet/planning.h
@@ -93,11 +93,11 @@
     std::set<ServiceId> deferrable_; ///< Services with a deferrable route.
     std::vector<LackedLoad> lacked_;
     std::map<ServiceId, FreshLoads> freshLoads_;
-    std::map<ServiceId, std::set<ModelId>> putOff_; ///< In the latest pass.
-    std::set<DomainId> unreachedDomains_;           ///< In this pass, as unreachable_.
-    std::set<EndpointId> unreachable_;              ///< In this pass.
-    std::map<ServiceId, EndpointId> nextInTurn_;    ///< Where the next pass goes on.
-    std::map<ModelId, Instant> deferLoggedAt_;      ///< Time of the last log line.
+    std::map<ServiceId, std::set<ModelId>> putOff_;      ///< In the latest pass.
+    std::set<catalogue::EndpointGroup> unreachedGroups_; ///< In this pass, as unreachable_.
+    std::set<EndpointId> unreachable_;                   ///< In this pass.
+    std::map<ServiceId, EndpointId> nextInTurn_;         ///< Where the next pass goes on.
+    std::map<ModelId, Instant> deferLoggedAt_;           ///< Time of the last log line.
 };
 
 } // namespace figrack::fleet
--- a/fleet/registry.cpp
+++ b/fleet/registry.cpp
@@ -56,7 +56,7 @@
             .with("peer", peer->peer())
             .with("gateway", subscriber.isGateway())
             .with("ready", subscribe.ready)
-            .with("unreached_domains", static_cast<std::uint64_t>(subscribe.unreached.size()))
+            .with("unreached_groups", static_cast<std::uint64_t>(subscribe.unreached.size()))
             .with("reaches_none", subscribe.reachesNone)
             .with("whole", subscriber.isWhole)
             .with("new", isNew);
--- a/fleet/testing/tst_unreachedtally.cpp
+++ b/fleet/testing/tst_unreachedtally.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 const auto endpoint = EndpointId { "i-1" };
-const auto domain = DomainId { "d1" };
+const auto group = catalogue::EndpointGroup { ServiceId { "s" }, DomainId { "d1" } };
 
 auto failing() -> proto::ModelWanted
 {
@@ -31,7 +31,7 @@
 auto cutOff() -> proto::ModelWanted
 {
     auto report = proto::ModelWanted {};
-    report.unreachedDomains = { domain };
+    report.unreachedGroups = { group };
     return report;
 }
 
@@ -47,13 +47,13 @@
     {
         auto leader = DemandTable { {}, clock };
         leader.onReport(NodeId { "n1" }, *relay.take(clock.now()));
-        domains = leader.unreachedDomains();
+        groups = leader.unreachedGroups();
         return leader.unreachable();
     }
     ManualClock clock;
     DemandTable table { {}, clock };
     DemandRelay relay;
-    std::set<DomainId> domains; ///< Of the last call of relayed().
+    std::set<catalogue::EndpointGroup> groups; ///< Of the last call of relayed().
 };
 
 } // namespace
@@ -82,13 +82,13 @@
         rig.report(gateway, cutOff());
     rig.report("g5", inUse());
     CHECK(rig.table.unreachable().empty());
-    CHECK(rig.table.unreachedDomains().empty());
+    CHECK(rig.table.unreachedGroups().empty());
     CHECK(rig.relayed().empty());
-    CHECK(rig.domains.empty());
+    CHECK(rig.groups.empty());
     rig.report("g5", cutOff());
-    CHECK(rig.table.unreachedDomains() == std::set { domain });
+    CHECK(rig.table.unreachedGroups() == std::set { group });
     CHECK(rig.relayed().empty());
-    CHECK(rig.domains == std::set { domain });
+    CHECK(rig.groups == std::set { group });
 }
 
 TEST_CASE("An endpoint that says that it takes no work is believed through one gateway")
--- a/fleet/unreachedtally.cpp
+++ b/fleet/unreachedtally.cpp
@@ -20,8 +20,8 @@
         if (!isListed && load.running > 0)
             ++users_[load.endpoint];
     }
-    for (const auto &domain : report.unreachedDomains)
-        ++domains_[domain];
+    for (const auto &group : report.unreachedGroups)
+        ++groups_[group];
 }
 
 auto UnreachedTally::endpoints() const -> std::vector<proto::UnreachedEndpoint>
@@ -36,12 +36,12 @@
     return result;
 }
 
-auto UnreachedTally::domains() const -> std::set<DomainId>
+auto UnreachedTally::groups() const -> std::set<catalogue::EndpointGroup>
 {
-    auto result = std::set<DomainId> {};
-    for (const auto &[domain, count] : domains_) {
+    auto result = std::set<catalogue::EndpointGroup> {};
+    for (const auto &[group, count] : groups_) {
         if (count == reports_)
-            result.insert(domain);
+            result.insert(group);
     }
     return result;
 }
--- a/fleet/unreachedtally.h
+++ b/fleet/unreachedtally.h
@@ -4,8 +4,8 @@
 //   for (const auto &row : tally.endpoints()) ...
 //
 // That one gateway cannot connect to an endpoint may be due to its own path, so the gateways that
-// use the endpoint meanwhile are counted, too. A failure domain counts as unreached only if every
-// gateway says so.
+// use the endpoint meanwhile are counted, too. A group of endpoints counts as unreached only if
+// every gateway says so.
 
 #ifndef FIGRACK_FLEET_UNREACHEDTALLY_H
 #define FIGRACK_FLEET_UNREACHEDTALLY_H
@@ -27,12 +27,12 @@
     auto add(const proto::ModelWanted &report) -> void;
     /// @return the endpoints that at least one gateway could not connect to
     auto endpoints() const -> std::vector<proto::UnreachedEndpoint>;
-    auto domains() const -> std::set<DomainId>;
+    auto groups() const -> std::set<catalogue::EndpointGroup>;
 
 private:
     std::map<EndpointId, proto::UnreachedEndpoint> rows_;
-    std::map<EndpointId, std::uint32_t> users_; ///< Reports with requests there.
-    std::map<DomainId, std::size_t> domains_;   ///< Reports that name the domain.
+    std::map<EndpointId, std::uint32_t> users_;              ///< Reports with requests there.
+    std::map<catalogue::EndpointGroup, std::size_t> groups_; ///< Reports that name the group.
     std::size_t reports_ = 0;
 };
 
--- a/gateway/controlfeed.cpp
+++ b/gateway/controlfeed.cpp
@@ -365,7 +365,7 @@
 
     auto setHandoffs(const Address &handoffs) -> void { handoffs_ = handoffs; }
 
-    auto setUnreached(std::vector<DomainId> unreached, bool reachesNone) -> void
+    auto setUnreached(std::vector<catalogue::EndpointGroup> unreached, bool reachesNone) -> void
     {
         if (unreached == unreached_ && reachesNone == reachesNone_)
             return;
@@ -668,7 +668,7 @@
     std::optional<Address> knownBalancer_; ///< Last value that was reported.
     BootTimer balancerTimer_;
     Address handoffs_;
-    std::vector<DomainId> unreached_;
+    std::vector<catalogue::EndpointGroup> unreached_;
     bool reachesNone_ = false;
     bool ready_ = false;
     bool stopped_ = false;
@@ -704,7 +704,8 @@
     impl_->setHandoffs(handoffs);
 }
 
-auto ControlFeed::setUnreached(std::vector<DomainId> unreached, bool reachesNone) -> void
+auto ControlFeed::setUnreached(std::vector<catalogue::EndpointGroup> unreached, bool reachesNone)
+        -> void
 {
     impl_->setUnreached(std::move(unreached), reachesNone);
 }
--- a/gateway/controlfeed.h
+++ b/gateway/controlfeed.h
@@ -103,9 +103,9 @@
     auto setReady(bool ready) -> void;
     /// Sets where this gateway takes requests of others; before start().
     auto setHandoffs(const Address &handoffs) -> void;
-    /// Tells all controls which failure domains' endpoints this gateway cannot make connections to.
-    /// @param reachesNone these are all that have endpoints
-    auto setUnreached(std::vector<DomainId> unreached, bool reachesNone) -> void;
+    /// Tells all controls which groups of endpoints this gateway cannot make connections to.
+    /// @param reachesNone these are all that it knows
+    auto setUnreached(std::vector<catalogue::EndpointGroup> unreached, bool reachesNone) -> void;
     /// Asks controls for other gateways, one after another until one answers.
     /// @param preferred failure domains whose gateways are preferred
     /// @param done called if one answers
--- a/gateway/crashdetector.cpp
+++ b/gateway/crashdetector.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -50,11 +51,10 @@
             startDialling(endpoint, *entry, open);
     }
 
-    auto onPathChanged(const DomainId &domain) -> void
+    auto onPathChanged() -> void
     {
         for (auto &[endpoint, open] : cases_) {
-            const auto *entry = parts_.view.find(endpoint);
-            if (open.isRefused && (entry == nullptr || entry->row.domain == domain))
+            if (open.isRefused)
                 judge(endpoint, open);
         }
     }
@@ -62,7 +62,9 @@
     auto hasCrashed(const EndpointId &endpoint) -> asio::awaitable<bool>
     {
         const auto found = cases_.find(endpoint);
-        if (found == cases_.end() || found->second.crashed || !found->second.dialling)
+        const auto isOpen = found != cases_.end() && !found->second.crashed
+                && (found->second.dialling || found->second.isRefused);
+        if (!isOpen)
             co_return found != cases_.end() && found->second.crashed;
         auto timer = std::make_shared<BootTimer>(parts_.context, options_.confirmTimeout);
         found->second.waiting.push_back(timer);
@@ -94,6 +96,7 @@
         std::vector<SuspectWork> suspects = {}; ///< Not recorded in the quarantine table yet.
         std::vector<std::shared_ptr<BootTimer>> waiting = {};
         Instant dialledAt {};
+        std::optional<EndpointGroup> group; ///< Whose path tells; absent if there is no neighbor.
         bool dialling = false;
         bool isRefused = false; ///< The connection was refused, and the path is being probed.
         bool crashed = false;
@@ -105,8 +108,22 @@
         asio::co_spawn(parts_.context, dial(shared_from_this(), endpoint, entry.row.address),
                        asio::detached);
         // The answer of a neighbor tells a refusal of the endpoint from one of the path.
-        if (parts_.view.listening(entry.row.domain).size() > 1)
-            parts_.paths.suspect(entry.row.domain, endpoint);
+        open.group = neighborsOf(entry.row);
+        if (open.group)
+            parts_.paths.suspect(*open.group, endpoint);
+    }
+
+    /// @return a group in the same failure domain with another endpoint, the own group if possible
+    auto neighborsOf(const catalogue::EndpointRow &row) const -> std::optional<EndpointGroup>
+    {
+        const auto own = row.group();
+        if (parts_.view.listening(own).size() > 1)
+            return own;
+        for (const auto &group : parts_.view.groups()) {
+            if (group.domain == own.domain && group != own)
+                return group;
+        }
+        return std::nullopt;
     }
 
     // NOLINTNEXTLINE(performance-unnecessary-value-param): a coroutine owns what it uses.
@@ -149,7 +166,7 @@
                 .with("outcome", code ? code.message() : "connected");
         const auto *entry = parts_.view.find(endpoint);
         if (!code && entry != nullptr)
-            parts_.paths.onConnected(entry->row.domain, open.dialledAt);
+            parts_.paths.onConnected(entry->row.group(), endpoint, open.dialledAt);
         open.isRefused = code == asio::error::connection_refused;
         if (open.isRefused)
             judge(endpoint, open);
@@ -160,21 +177,19 @@
     /// Decides whether an endpoint that refused a connection has crashed, or the path is at fault.
     auto judge(const EndpointId &endpoint, Case &open) -> void
     {
-        const auto *entry = parts_.view.find(endpoint);
-        const auto domain = entry == nullptr ? DomainId {} : entry->row.domain;
-        const auto isAlone = entry == nullptr || parts_.view.listening(domain).size() < 2;
-        if (isAlone || parts_.paths.hasConnectedSince(domain, open.dialledAt)) {
+        if (!open.group || parts_.paths.hasConnectedSince(*open.group, open.dialledAt)) {
             open.isRefused = false;
             conclude(endpoint, open);
             return;
         }
-        const auto state = parts_.paths.state(domain);
+        const auto state = parts_.paths.state(*open.group);
         if (state == PathState::Open || state == PathState::Suspected)
             return; // The probe has not ended yet.
         open.isRefused = false;
         LogEvent(LogLevel::Info, "endpoint_not_blamed")
                 .with("endpoint", endpoint)
-                .with("domain", domain)
+                .with("service", open.group->service)
+                .with("domain", open.group->domain)
                 .with("path", pathStateName(state))
                 .with("suspects", static_cast<std::uint64_t>(open.suspects.size()));
         open.suspects.clear();
@@ -259,9 +274,9 @@
     impl_->onSuperseded(endpoint, before);
 }
 
-auto CrashDetector::onPathChanged(const DomainId &domain) -> void
+auto CrashDetector::onPathChanged() -> void
 {
-    impl_->onPathChanged(domain);
+    impl_->onPathChanged();
 }
 
 auto CrashDetector::onCleared(const catalogue::WorkIds &works) -> void
--- a/gateway/crashdetector.h
+++ b/gateway/crashdetector.h
@@ -92,8 +92,8 @@
     /// Called when a newer incarnation of the endpoint is in use.
     /// @param before the last state that the old incarnation announced
     auto onSuperseded(const EndpointId &endpoint, catalogue::EndpointState before) -> void;
-    /// Called when the state of the path to a failure domain's endpoints has changed.
-    auto onPathChanged(const DomainId &domain) -> void;
+    /// Called when the state of the path to a group of endpoints has changed.
+    auto onPathChanged() -> void;
     /// Called when a run of suspected work has completed and the quarantine table has recorded
     /// that.
     auto onCleared(const catalogue::WorkIds &works) -> void;
--- a/gateway/endpointpaths.cpp
+++ b/gateway/endpointpaths.cpp
@@ -32,9 +32,9 @@
     return state == PathState::Open || state == PathState::Suspected;
 }
 
-auto EndpointPaths::onSent(const DomainId &domain) -> void
+auto EndpointPaths::onSent(const EndpointGroup &group) -> void
 {
-    auto &path = paths_[domain];
+    auto &path = paths_[group];
     ++path.inProgress;
     if (path.silentSince)
         return;
@@ -42,80 +42,85 @@
     wantProbe();
 }
 
-auto EndpointPaths::onHeard(const DomainId &domain) -> void
+auto EndpointPaths::onHeard(const EndpointGroup &group) -> void
 {
-    auto &path = paths_[domain];
+    auto &path = paths_[group];
     path.heardAt = clock_.now();
     path.failedAt.reset();
     if (path.inProgress > 0)
         path.silentSince = path.heardAt;
     if (path.state == PathState::Suspected)
-        change(domain, path, PathState::Open);
+        change(group, path, PathState::Open);
     else if (path.state == PathState::Lost)
-        change(domain, path, PathState::KeptOnly);
+        change(group, path, PathState::KeptOnly);
 }
 
-auto EndpointPaths::onEnded(const DomainId &domain) -> void
+auto EndpointPaths::onEnded(const EndpointGroup &group) -> void
 {
-    auto &path = paths_[domain];
+    auto &path = paths_[group];
     if (path.inProgress > 0)
         --path.inProgress;
     if (path.inProgress == 0)
         path.silentSince.reset();
 }
 
-auto EndpointPaths::onConnected(const DomainId &domain, Instant at) -> void
+auto EndpointPaths::onConnected(const EndpointGroup &group, const EndpointId &endpoint, Instant at)
+        -> void
 {
-    auto &path = paths_[domain];
+    auto &path = paths_[group];
+    path.failed.erase(endpoint);
     // One that was begun before a failure does not refute it.
     if (!path.failedAt || at >= *path.failedAt)
-        noteConnected(domain, path, at);
+        noteConnected(group, path, at);
 }
 
-auto EndpointPaths::onConnectFailed(const DomainId &domain, const EndpointId &endpoint) -> void
+auto EndpointPaths::onConnectFailed(const EndpointGroup &group, const EndpointId &endpoint,
+                                    DialOutcome outcome) -> void
 {
-    auto &path = paths_[domain];
-    path.failed.insert(endpoint);
-    onBroken(domain);
+    auto &path = paths_[group];
+    path.failed[endpoint] = outcome;
+    path.recheckAt = clock_.now() + options_.pauseWhenOpen;
+    onBroken(group);
     if (path.failed.size() >= manyFailed && path.probeFrom <= clock_.now())
-        askForProbe(domain, path);
+        askForProbe(group, path);
 }
 
-auto EndpointPaths::onBroken(const DomainId &domain) -> void
+auto EndpointPaths::onBroken(const EndpointGroup &group) -> void
 {
-    auto &path = paths_[domain];
+    auto &path = paths_[group];
     if (!path.failedAt)
         path.failedAt = clock_.now();
     wantProbe();
 }
 
-auto EndpointPaths::suspect(const DomainId &domain, const EndpointId &endpoint) -> void
+auto EndpointPaths::suspect(const EndpointGroup &group, const EndpointId &endpoint) -> void
 {
-    auto &path = paths_[domain];
-    path.failed.insert(endpoint);
-    askForProbe(domain, path);
+    auto &path = paths_[group];
+    path.failed[endpoint] = DialOutcome::Refused;
+    path.recheckAt = clock_.now() + options_.pauseWhenOpen;
+    askForProbe(group, path);
 }
 
-auto EndpointPaths::askForProbe(const DomainId &domain, Path &path) -> void
+auto EndpointPaths::askForProbe(const EndpointGroup &group, Path &path) -> void
 {
     path.isAsked = true;
     path.probeFrom = std::min(path.probeFrom, clock_.now());
     if (path.state == PathState::Open)
-        change(domain, path, PathState::Suspected);
+        change(group, path, PathState::Suspected);
     wantProbe();
 }
 
-auto EndpointPaths::suspectIfUnheard(const DomainId &domain) -> void
+auto EndpointPaths::suspectIfUnheard(const EndpointGroup &group) -> void
 {
-    auto &path = paths_[domain];
+    auto &path = paths_[group];
     const auto lastAt = std::max(path.heardAt, path.connectedAt);
     if (isReached(path.state) && clock_.now() - lastAt >= options_.silenceLimit)
-        askForProbe(domain, path);
+        askForProbe(group, path);
 }
 
 auto EndpointPaths::onResumed() -> void
 {
-    for (auto &[domain, path] : paths_) {
+    for (auto &[group, path] : paths_) {
         path.failedAt.reset();
         if (path.silentSince)
             path.silentSince = clock_.now();
@@ -134,8 +139,10 @@
         return std::nullopt;
     auto earliest = std::optional<Instant> {};
     const auto consider = [&](Instant at) { earliest = std::min(earliest.value_or(at), at); };
-    if (path.state != PathState::Open || path.isAsked || path.failed.size() >= manyFailed)
+    if (path.state != PathState::Open || path.isAsked)
         consider(path.probeFrom);
+    if (!path.failed.empty())
+        consider(path.recheckAt);
     if (path.silentSince)
         consider(*path.silentSince + options_.silenceLimit);
     if (path.failedAt)
@@ -148,99 +155,102 @@
 auto EndpointPaths::nextDueAt() const -> std::optional<Instant>
 {
     auto next = std::optional<Instant> {};
-    for (const auto &[domain, path] : paths_) {
+    for (const auto &[group, path] : paths_) {
         if (const auto at = dueAt(path))
             next = std::min(next.value_or(*at), *at);
     }
     return next;
 }
 
-auto EndpointPaths::takeDue() -> std::vector<DomainId>
+auto EndpointPaths::takeDue() -> std::vector<EndpointGroup>
 {
     const auto now = clock_.now();
-    auto result = std::vector<DomainId> {};
-    for (auto &[domain, path] : paths_) {
+    auto result = std::vector<EndpointGroup> {};
+    for (auto &[group, path] : paths_) {
         const auto at = dueAt(path);
         if (!at || *at > now)
             continue;
         path.isProbing = true;
         path.isAsked = false;
-        result.push_back(domain);
+        result.push_back(group);
     }
-    // The listeners may ask for the state of other domains.
-    for (const auto &domain : result) {
-        auto &path = paths_[domain];
+    // The listeners may ask for the state of other groups.
+    for (const auto &group : result) {
+        auto &path = paths_[group];
         if (path.state == PathState::Open)
-            change(domain, path, PathState::Suspected);
+            change(group, path, PathState::Suspected);
     }
     return result;
 }
 
-auto EndpointPaths::onProbed(const DomainId &domain, Instant begun,
+auto EndpointPaths::onProbed(const EndpointGroup &group, Instant begun,
                              const std::vector<DialResult> &results) -> void
 {
-    auto &path = paths_[domain];
+    auto &path = paths_[group];
     path.isProbing = false;
-    const auto isConnected = std::any_of(results.begin(), results.end(), [](const auto &result) {
-        return result.outcome == DialOutcome::Connected;
-    });
+    path.recheckAt = clock_.now() + options_.pauseWhenOpen;
     if (results.empty()) {
-        change(domain, path, PathState::Open);
+        change(group, path, PathState::Open);
         return;
     }
-    if (isConnected) {
-        noteConnected(domain, path, begun);
-        if (isReached(path.state))
-            path.probeFrom = clock_.now() + options_.pauseWhenOpen;
+    auto isConnected = false;
+    auto hasTimedOut = false;
+    for (const auto &[endpoint, outcome] : results) {
+        isConnected = isConnected || outcome == DialOutcome::Connected;
+        hasTimedOut = hasTimedOut || outcome == DialOutcome::TimedOut;
+        if (outcome == DialOutcome::Connected)
+            path.failed.erase(endpoint);
+        else
+            path.failed[endpoint] = outcome;
+    }
+    if (!isConnected) {
+        noteUnconnected(group, path, path.heardAt > begun, hasTimedOut);
         return;
     }
-    for (const auto &result : results)
-        path.failed.insert(result.endpoint);
-    const auto hasTimedOut = std::any_of(results.begin(), results.end(), [](const auto &result) {
-        return result.outcome == DialOutcome::TimedOut;
-    });
-    noteUnconnected(domain, path, path.heardAt > begun, hasTimedOut);
+    noteConnected(group, path, begun);
+    if (isReached(path.state))
+        path.probeFrom = clock_.now() + options_.pauseWhenOpen;
 }
 
-auto EndpointPaths::onProbeFailed(const DomainId &domain) -> void
+auto EndpointPaths::onProbeVoid(const EndpointGroup &group) -> void
 {
-    auto &path = paths_[domain];
+    auto &path = paths_[group];
     path.isProbing = false;
     path.isAsked = true;
     path.probeFrom = clock_.now();
     wantProbe();
 }
 
-auto EndpointPaths::noteConnected(const DomainId &domain, Path &path, Instant at) -> void
+auto EndpointPaths::noteConnected(const EndpointGroup &group, Path &path, Instant at) -> void
 {
     const auto now = clock_.now();
     path.connectedAt = std::max(path.connectedAt, at);
-    path.failed.clear();
     path.failedAt.reset();
     if (path.silentSince)
         path.silentSince = now;
     if (isReached(path.state)) {
-        change(domain, path, PathState::Open);
+        change(group, path, PathState::Open);
         return;
     }
     path.probeFrom = now + options_.reopenInterval;
     if (++path.successes < options_.probesToReopen)
         return;
     path.successes = 0;
-    change(domain, path, PathState::Open);
+    path.failed.clear(); // The path was the cause.
+    change(group, path, PathState::Open);
 }
 
-auto EndpointPaths::noteUnconnected(const DomainId &domain, Path &path, bool isHeard,
+auto EndpointPaths::noteUnconnected(const EndpointGroup &group, Path &path, bool isHeard,
                                     bool hasTimedOut) -> void
 {
     path.successes = 0;
     path.probeFrom = clock_.now() + options_.probeInterval;
     const auto isSilent = silentFor(path) >= options_.silenceLimit;
     const auto mayUseKept = isHeard || (!hasTimedOut && !isSilent && path.state != PathState::Lost);
-    change(domain, path, mayUseKept ? PathState::KeptOnly : PathState::Lost);
+    change(group, path, mayUseKept ? PathState::KeptOnly : PathState::Lost);
 }
 
-auto EndpointPaths::change(const DomainId &domain, Path &path, PathState state) -> void
+auto EndpointPaths::change(const EndpointGroup &group, Path &path, PathState state) -> void
 {
     if (path.state == state)
         return;
@@ -250,7 +260,8 @@
     // A suspicion that is refuted is ordinary where a single endpoint is slow.
     const auto isNews = !isReached(state) || !isReached(before);
     LogEvent(isNews ? LogLevel::Warning : LogLevel::Debug, "endpoint_path")
-            .with("domain", domain)
+            .with("service", group.service)
+            .with("domain", group.domain)
             .with("state", pathStateName(state))
             .with("before", pathStateName(before))
             .with("for_ms", since == Instant {} ? std::int64_t { 0 } : wholeMillis(now - since))
@@ -259,40 +270,51 @@
             .with("in_progress", std::int64_t { path.inProgress })
             .with("failed", static_cast<std::uint64_t>(path.failed.size()));
     if (onChanged_)
-        onChanged_(domain, before, state);
+        onChanged_(group, before, state);
 }
 
-auto EndpointPaths::hasFailed(const DomainId &domain, const EndpointId &endpoint) const -> bool
+auto EndpointPaths::retainFailures(const EndpointGroup &group, const std::set<EndpointId> &known)
+        -> void
 {
-    const auto found = paths_.find(domain);
-    return found != paths_.end() && found->second.failed.contains(endpoint);
+    std::erase_if(paths_[group].failed,
+                  [&](const auto &item) { return !known.contains(item.first); });
+}
+
+auto EndpointPaths::failureOf(const EndpointGroup &group, const EndpointId &endpoint) const
+        -> std::optional<DialOutcome>
+{
+    const auto path = paths_.find(group);
+    if (path == paths_.end())
+        return std::nullopt;
+    const auto found = path->second.failed.find(endpoint);
+    return found == path->second.failed.end() ? std::nullopt : std::optional { found->second };
 }
 
-auto EndpointPaths::state(const DomainId &domain) const -> PathState
+auto EndpointPaths::state(const EndpointGroup &group) const -> PathState
 {
-    const auto found = paths_.find(domain);
+    const auto found = paths_.find(group);
     return found == paths_.end() ? PathState::Open : found->second.state;
 }
 
-auto EndpointPaths::unreached() const -> std::vector<DomainId>
+auto EndpointPaths::unreached() const -> std::vector<EndpointGroup>
 {
-    auto result = std::vector<DomainId> {};
-    for (const auto &[domain, path] : paths_) {
+    auto result = std::vector<EndpointGroup> {};
+    for (const auto &[group, path] : paths_) {
         if (!isReached(path.state))
-            result.push_back(domain);
+            result.push_back(group);
     }
     return result;
 }
 
-auto EndpointPaths::hasConnectedSince(const DomainId &domain, Instant since) const -> bool
+auto EndpointPaths::hasConnectedSince(const EndpointGroup &group, Instant since) const -> bool
 {
-    const auto found = paths_.find(domain);
+    const auto found = paths_.find(group);
     return found != paths_.end() && found->second.connectedAt >= since;
 }
 
-auto EndpointPaths::silentFor(const DomainId &domain) const -> Duration
+auto EndpointPaths::silentFor(const EndpointGroup &group) const -> Duration
 {
-    const auto found = paths_.find(domain);
+    const auto found = paths_.find(group);
     return found == paths_.end() ? Duration::zero() : silentFor(found->second);
 }
 
@@ -304,7 +326,7 @@
 auto EndpointPaths::allSilentFor() const -> Duration
 {
     auto shortest = std::optional<Duration> {};
-    for (const auto &[domain, path] : paths_) {
+    for (const auto &[group, path] : paths_) {
         if (path.inProgress > 0)
             shortest = std::min(shortest.value_or(Duration::max()), silentFor(path));
     }
--- a/gateway/endpointpaths.h
+++ b/gateway/endpointpaths.h
@@ -1,24 +1,24 @@
-// Which failure domains' endpoints this gateway can reach over the network.
+// Which endpoints this gateway can reach over the network.
 //
-//   paths.onSent(domain); ...                // what dispatches observe
-//   for (const auto &domain : paths.takeDue())
-//       ... connect to some of its endpoints, then paths.onProbed(domain, begun, results)
-//   if (paths.state(domain) == PathState::Lost) ...
+//   paths.onSent(group); ...                 // what dispatches observe
+//   for (const auto &group : paths.takeDue())
+//       ... connect to some of its endpoints, then paths.onProbed(group, begun, results)
+//   if (paths.state(group) == PathState::Lost) ...
 //
 // One endpoint that does not answer may be slow, stopped or dead, and says nothing about the path
-// to it. A domain is suspected when none of its endpoints sends anything while dispatches are in
-// progress there, or when connections fail. New connections to some of its endpoints then decide:
+// to it. A group of endpoints is suspected when none of them sends anything while dispatches are in
+// progress there, or when connections fail. New connections to some of them then decide:
 //
 //   one of them is made           the path is open, and the endpoint in question is at fault
 //   all of them fail at once      new connections are refused; kept ones are used as long as they
 //                                 answer
 //   all of them hang              the path is lost
 //
-// A path that was lost is probed until it is open again. Bytes from any endpoint of the domain
-// prove that kept connections work.
+// A path that was lost is probed until it is open again. Bytes from any endpoint of the group prove
+// that kept connections work. Where the path is open, the endpoints that could not be connected to
+// are remembered until a probe reaches them.
 //
-// State is bounded by the number of failure domains and the endpoints of them that failed. Not
-// thread-safe.
+// State is bounded by the number of groups and of their endpoints. Not thread-safe.
 
 #ifndef FIGRACK_GATEWAY_ENDPOINTPATHS_H
 #define FIGRACK_GATEWAY_ENDPOINTPATHS_H
@@ -31,12 +31,15 @@
 #include <string_view>
 #include <vector>
 
+#include "catalogue/endpointgroup.h"
 #include "core/clock.h"
 #include "core/ids.h"
 
 namespace figrack::gateway {
 
-/// What is known of the path to the endpoints of one failure domain.
+using catalogue::EndpointGroup;
+
+/// What is known of the path to a group of endpoints.
 enum class PathState : std::uint8_t {
     Open,
     Suspected, ///< Probes are on their way.
@@ -58,10 +61,10 @@
 
 struct EndpointPathsOptions
 {
-    /// A domain is suspected if none of its endpoints sends anything for this time. Streams send an
+    /// A group is suspected if none of its endpoints sends anything for this time. Streams send an
     /// event every few tens of milliseconds, and plain answers take about as long.
     Duration silenceLimit = std::chrono::milliseconds { 400 };
-    /// A connection that failed is not a sign of its own if other endpoints of the domain are heard
+    /// A connection that failed is not a sign of its own if other endpoints of the group are heard
     /// within this time.
     Duration settleTime = std::chrono::milliseconds { 50 };
     /// Interval between probes of a path that is not open.
@@ -78,7 +81,7 @@
 class EndpointPaths
 {
 public:
-    using OnChanged = std::function<void(const DomainId &, PathState before, PathState now)>;
+    using OnChanged = std::function<void(const EndpointGroup &, PathState before, PathState now)>;
 
     /// @param clock must outlive this object
     explicit EndpointPaths(const Clock &clock, EndpointPathsOptions options);
@@ -92,49 +95,57 @@
 
     // ---- what dispatches observe
 
-    auto onSent(const DomainId &domain) -> void;
-    auto onHeard(const DomainId &domain) -> void;
-    auto onEnded(const DomainId &domain) -> void;
+    auto onSent(const EndpointGroup &group) -> void;
+    auto onHeard(const EndpointGroup &group) -> void;
+    auto onEnded(const EndpointGroup &group) -> void;
     /// @param at when the connection was begun
-    auto onConnected(const DomainId &domain, Instant at) -> void;
-    auto onConnectFailed(const DomainId &domain, const EndpointId &endpoint) -> void;
+    auto onConnected(const EndpointGroup &group, const EndpointId &endpoint, Instant at) -> void;
+    /// @param outcome Refused or TimedOut
+    auto onConnectFailed(const EndpointGroup &group, const EndpointId &endpoint,
+                         DialOutcome outcome) -> void;
     /// A connection broke before the end of an answer.
-    auto onBroken(const DomainId &domain) -> void;
-    /// Asks for a probe by way of other endpoints of the domain, for instance to learn whether a
-    /// failure is the endpoint's doing.
-    auto suspect(const DomainId &domain, const EndpointId &endpoint) -> void;
-    /// Asks for a probe unless the domain has been heard within silenceLimit.
-    auto suspectIfUnheard(const DomainId &domain) -> void;
+    auto onBroken(const EndpointGroup &group) -> void;
+    /// Asks for a probe by way of other endpoints than this one, for instance to learn whether a
+    /// failure is its own doing.
+    auto suspect(const EndpointGroup &group, const EndpointId &endpoint) -> void;
+    /// Asks for a probe unless the group has been heard within silenceLimit.
+    auto suspectIfUnheard(const EndpointGroup &group) -> void;
     /// Called when this process did not run for a while. Silence until now has no meaning.
     auto onResumed() -> void;
 
     // ---- probes
 
-    /// @return the domains to probe now; onProbed() or onProbeFailed() must follow for each
-    auto takeDue() -> std::vector<DomainId>;
+    /// @return the groups to probe now; onProbed() or onProbeVoid() must follow for each
+    auto takeDue() -> std::vector<EndpointGroup>;
     /// @return when takeDue() should be called next; nullopt: after the next observation
     auto nextDueAt() const -> std::optional<Instant>;
     /// @param begun when the first of the connections was begun
-    /// @param results empty if no endpoint of the domain is known
-    auto onProbed(const DomainId &domain, Instant begun, const std::vector<DialResult> &results)
+    /// @param results empty if no endpoint of the group is known
+    auto onProbed(const EndpointGroup &group, Instant begun, const std::vector<DialResult> &results)
             -> void;
     /// The probe showed nothing, because this process did not run for a while.
-    auto onProbeFailed(const DomainId &domain) -> void;
-    /// @return true if the endpoint is among those that could not be connected to
-    auto hasFailed(const DomainId &domain, const EndpointId &endpoint) const -> bool;
+    auto onProbeVoid(const EndpointGroup &group) -> void;
+    /// Forgets the failures of all other endpoints. @param known those of the group
+    auto retainFailures(const EndpointGroup &group, const std::set<EndpointId> &known) -> void;
 
     // ---- what is known
 
-    auto state(const DomainId &domain) const -> PathState;
-    auto isOpen(const DomainId &domain) const -> bool { return state(domain) == PathState::Open; }
-    /// @return the domains to which no new connection can be made
-    auto unreached() const -> std::vector<DomainId>;
-    /// @return true if a connection to an endpoint of the domain was begun since then and made
-    auto hasConnectedSince(const DomainId &domain, Instant since) const -> bool;
-    /// @return for how long dispatches to the domain have been in progress without a byte from any
+    auto state(const EndpointGroup &group) const -> PathState;
+    auto isOpen(const EndpointGroup &group) const -> bool
+    {
+        return state(group) == PathState::Open;
+    }
+    /// @return how the latest attempt to connect to the endpoint failed; nullopt if it succeeded
+    auto failureOf(const EndpointGroup &group, const EndpointId &endpoint) const
+            -> std::optional<DialOutcome>;
+    /// @return the groups to which no new connection can be made
+    auto unreached() const -> std::vector<EndpointGroup>;
+    /// @return true if a connection to an endpoint of the group was begun since then and made
+    auto hasConnectedSince(const EndpointGroup &group, Instant since) const -> bool;
+    /// @return for how long dispatches to the group have been in progress without a byte from any
     /// of its endpoints; zero if none is in progress
-    auto silentFor(const DomainId &domain) const -> Duration;
-    /// @return the shortest such time over all domains with dispatches in progress
+    auto silentFor(const EndpointGroup &group) const -> Duration;
+    /// @return the shortest such time over all groups with dispatches in progress
     auto allSilentFor() const -> Duration;
 
 private:
@@ -146,29 +157,31 @@
         /// Time of the last byte, or of the first dispatch after it; absent if none is in progress.
         std::optional<Instant> silentSince;
         Instant heardAt {};
-        Instant connectedAt {};
-        std::set<EndpointId> failed; ///< Could not be connected to since connectedAt.
+        Instant connectedAt {}; ///< When the latest connection that was made was begun.
+        /// Endpoints to which the latest attempt to connect failed.
+        std::map<EndpointId, DialOutcome> failed;
         /// The first failure of a connection since a byte was received.
         std::optional<Instant> failedAt;
         bool isProbing = false;
         bool isAsked = false;        ///< A probe was asked for.
         Instant probeFrom {};        ///< Not probed before this time.
+        Instant recheckAt {};        ///< When those that failed are connected to again.
         std::uint32_t successes = 0; ///< Consecutive successful probes while it was not open.
     };
     static auto isReached(PathState state) -> bool;
     auto silentFor(const Path &path) const -> Duration;
     /// @return when the path is to be probed; nullopt: there is no sign
     auto dueAt(const Path &path) const -> std::optional<Instant>;
-    auto change(const DomainId &domain, Path &path, PathState state) -> void;
-    auto noteConnected(const DomainId &domain, Path &path, Instant at) -> void;
-    auto noteUnconnected(const DomainId &domain, Path &path, bool isHeard, bool hasTimedOut)
+    auto change(const EndpointGroup &group, Path &path, PathState state) -> void;
+    auto noteConnected(const EndpointGroup &group, Path &path, Instant at) -> void;
+    auto noteUnconnected(const EndpointGroup &group, Path &path, bool isHeard, bool hasTimedOut)
             -> void;
-    auto askForProbe(const DomainId &domain, Path &path) -> void;
+    auto askForProbe(const EndpointGroup &group, Path &path) -> void;
     auto wantProbe() -> void;
 
     const Clock &clock_;
     EndpointPathsOptions options_;
-    std::map<DomainId, Path> paths_;
+    std::map<EndpointGroup, Path> paths_;
     OnChanged onChanged_;
     std::function<void()> onDueSooner_;
 };
--- a/gateway/fleetview.cpp
+++ b/gateway/fleetview.cpp
@@ -411,30 +411,31 @@
             && !entry.isWithdrawn;
 }
 
-auto FleetView::listening(const DomainId &domain) const -> std::vector<const EndpointEntry *>
+auto FleetView::listening(const catalogue::EndpointGroup &group) const
+        -> std::vector<const EndpointEntry *>
 {
     auto result = std::vector<const EndpointEntry *> {};
     for (const auto &[id, entry] : entries_) {
-        if (entry.row.domain == domain && isListening(entry))
+        if (entry.row.group() == group && isListening(entry))
             result.push_back(&entry);
     }
     return result;
 }
 
-auto FleetView::domains() const -> std::set<DomainId>
+auto FleetView::groups() const -> std::set<catalogue::EndpointGroup>
 {
-    auto result = std::set<DomainId> {};
+    auto result = std::set<catalogue::EndpointGroup> {};
     for (const auto &[id, entry] : entries_) {
         if (isListening(entry))
-            result.insert(entry.row.domain);
+            result.insert(entry.row.group());
     }
     return result;
 }
 
-auto FleetView::forgiveFailures(const DomainId &domain) -> void
+auto FleetView::forgiveFailures(const catalogue::EndpointGroup &group) -> void
 {
     for (auto &[id, entry] : entries_) {
-        if (entry.row.domain != domain)
+        if (entry.row.group() != group)
             continue;
         entry.failures = 0;
         entry.isUnreached = false;
--- a/gateway/fleetview.h
+++ b/gateway/fleetview.h
@@ -167,12 +167,13 @@
     auto unreached() const -> std::vector<EndpointId>;
     /// @return true if the endpoint has announced itself lately
     auto isAnnounced(const EndpointEntry &entry) const -> bool;
-    /// @return the endpoints of a failure domain that should accept connections
-    auto listening(const DomainId &domain) const -> std::vector<const EndpointEntry *>;
-    /// @return the failure domains that have such endpoints
-    auto domains() const -> std::set<DomainId>;
-    /// Forgets the failures of a domain's endpoints, since the path to them was the cause.
-    auto forgiveFailures(const DomainId &domain) -> void;
+    /// @return the endpoints of a group that should accept connections
+    auto listening(const catalogue::EndpointGroup &group) const
+            -> std::vector<const EndpointEntry *>;
+    /// @return the groups that have such endpoints
+    auto groups() const -> std::set<catalogue::EndpointGroup>;
+    /// Forgets the failures of a group's endpoints, since the path to them was the cause.
+    auto forgiveFailures(const catalogue::EndpointGroup &group) -> void;
     auto size() const -> std::size_t { return entries_.size(); }
     /// @param id ID of the incarnation that was superseded
     /// @param before the last state that it announced
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -220,7 +220,7 @@
     if (silence_) {
         line.with("connection", isReused_ ? "kept" : "new")
                 .with("silent_ms", wholeMillis(silence_->endpoint))
-                .with("domain_silent_ms", wholeMillis(silence_->domain))
+                .with("group_silent_ms", wholeMillis(silence_->group))
                 .with("all_silent_ms", wholeMillis(silence_->all));
     }
     if (outcome_ != RequestOutcome::Answered && !lastError_.ok())
@@ -275,17 +275,18 @@
         item->second.canceller->cancel();
 }
 
-auto Forwarder::onPathLost(const DomainId &domain) -> void
+auto Forwarder::onPathLost(const EndpointGroup &group) -> void
 {
     auto moved = std::uint64_t { 0 };
     auto kept = std::uint64_t { 0 };
     for (const auto &[id, dispatch] : dispatches_) {
-        if (dispatch.domain == domain)
+        if (dispatch.group == group)
             ++(dispatch.run->moveElsewhere() ? moved : kept);
     }
     if (moved + kept > 0) {
         LogEvent(LogLevel::Warning, "dispatches_moved")
-                .with("domain", domain)
+                .with("service", group.service)
+                .with("domain", group.domain)
                 .with("moved", moved)
                 .with("kept", kept);
     }
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -152,9 +152,9 @@
     /// Handles a request that another gateway has handed over.
     auto handleHandedOver(const http::Request &request, const proto::HandoffTerms &terms,
                           http::Responder &responder) -> boost::asio::awaitable<void>;
-    /// Moves the dispatches to a failure domain whose path is lost elsewhere, as far as their
+    /// Moves the dispatches to a group of endpoints whose path is lost elsewhere, as far as their
     /// routes and the retry budget allow. The others go on, since the path may return in time.
-    auto onPathLost(const DomainId &domain) -> void;
+    auto onPathLost(const EndpointGroup &group) -> void;
     /// Cancels the dispatches to an endpoint that is known to have ended. Each request is retried
     /// at another endpoint if its route allows that.
     auto endDispatches(const EndpointId &endpoint) -> void;
@@ -181,8 +181,8 @@
     std::optional<Instant> memoryLoggedAt_;
     struct Dispatch
     {
-        Run *run = nullptr; ///< Outlives the dispatch.
-        DomainId domain;    ///< Of the endpoint.
+        Run *run = nullptr;  ///< Outlives the dispatch.
+        EndpointGroup group; ///< Of the endpoint.
         std::shared_ptr<http::Canceller> canceller;
     };
     std::multimap<EndpointId, Dispatch> dispatches_; ///< In progress.
--- a/gateway/forwarderdispatch.cpp
+++ b/gateway/forwarderdispatch.cpp
@@ -44,7 +44,7 @@
     const auto mayResume = !responder_.started() || route_->resumable;
     const auto inTime = parts_.clock.now() < deadline_;
     // Where new connections are refused, the endpoints with kept ones are tried one after another.
-    const auto mayConnect = unsent_ < maxUnsent || !parts_.paths.isOpen(domain_);
+    const auto mayConnect = unsent_ < maxUnsent || !parts_.paths.isOpen(group_);
     const auto inCount = ran_ < route_->maxAttempts && mayConnect;
     auto mayTry = mayRepeat && mayResume && inTime && inCount;
     if (mayTry && step == Step::Broken)
@@ -72,7 +72,7 @@
 auto Forwarder::Run::dispatch(EndpointEntry &entry) -> asio::awaitable<Step>
 {
     const auto id = entry.row.id;
-    const auto domain = entry.row.domain; // domain_ changes if this dispatch leads to another one.
+    const auto group = entry.row.group(); // group_ changes if this dispatch leads to another one.
     endpoint_ = id;
     auto out = makeDispatch(entry);
     const auto weight = loadWeight(caller_.promptTokens);
@@ -84,21 +84,21 @@
             = std::max<Duration>(deadline_ - parts_.clock.now(), std::chrono::milliseconds { 1 });
     sentAt_ = parts_.clock.now();
     heardAt_ = sentAt_;
-    domain_ = domain;
-    parts_.paths.onSent(domain);
+    group_ = group;
+    parts_.paths.onSent(group);
     isMoved_ = false;
     hasAnswerBegun_ = false;
     const auto dispatched
-            = owner_.dispatches_.emplace(id, Forwarder::Dispatch { this, domain, canceller_ });
+            = owner_.dispatches_.emplace(id, Forwarder::Dispatch { this, group, canceller_ });
     auto sentBody = owner_.heldBytes_.sendTo(id, request_.body.size());
     const auto step = co_await exchange(std::move(out), left, id);
     sentBody.release();
     owner_.dispatches_.erase(dispatched);
     if (step != Step::Settled) {
-        silence_ = Silence { parts_.clock.now() - heardAt_, parts_.paths.silentFor(domain),
+        silence_ = Silence { parts_.clock.now() - heardAt_, parts_.paths.silentFor(group),
                              parts_.paths.allSilentFor() };
     }
-    parts_.paths.onEnded(domain);
+    parts_.paths.onEnded(group);
     if (!target_.model.empty())
         parts_.demand.onEnd(target_);
     const auto hasStarted = step == Step::Settled && firstByteAt_ && isSuccess(finalStatus_);
@@ -119,7 +119,7 @@
     if (engine_ == nullptr || status_ >= 400)
         return proto::PickOutcome::Unknown;
     // Silence behind a lost path says nothing about the endpoint.
-    if (!hasStarted && !parts_.paths.isOpen(domain_))
+    if (!hasStarted && !parts_.paths.isOpen(group_))
         return proto::PickOutcome::Unknown;
     const auto start = firstByteAt_.value_or(parts_.clock.now()) - sentAt_;
     const auto gapTarget = route_->gapTarget;
@@ -177,7 +177,7 @@
         if (isWithheld && !callerGone_)
             co_return Step::NotRun;
         if (!reached && !callerGone_)
-            parts_.paths.onConnectFailed(domain_, id);
+            noteUnconnected(id, error->status);
         noteFailure(id, error->status, reached);
         if (!reached) {
             ++unsent_;
@@ -192,7 +192,7 @@
     ++sent_;
     isReused_ = stream->isReused();
     if (!isReused_)
-        parts_.paths.onConnected(domain_, sentAt_);
+        parts_.paths.onConnected(group_, id, sentAt_);
     noteHeard();
     status_ = stream->status();
     const auto notice = parts_.dialect.readNotice(id, status_, stream->headers());
@@ -260,14 +260,21 @@
     if (callerGone_ || (reached && errorKind(status) == ErrorKind::Timeout))
         return;
     if (reached)
-        parts_.paths.onBroken(domain_);
+        parts_.paths.onBroken(group_);
     // The path is at fault, not the endpoint.
-    if (isMoved_ || !parts_.paths.isOpen(domain_))
+    if (isMoved_ || !parts_.paths.isOpen(group_))
         return;
     parts_.view.onFailure(id, reached);
     parts_.metrics.onEndpointFailure();
 }
 
+auto Forwarder::Run::noteUnconnected(const EndpointId &id, const absl::Status &status) -> void
+{
+    const auto isTimeout = errorKind(status) == ErrorKind::Timeout;
+    parts_.paths.onConnectFailed(group_, id,
+                                 isTimeout ? DialOutcome::TimedOut : DialOutcome::Refused);
+}
+
 auto Forwarder::Run::noteBroken(const EndpointId &id, const absl::Status &status, bool hasBegun)
         -> void
 {
@@ -302,7 +309,7 @@
     if (isHandedOver_)
         return; // Bytes of another gateway say nothing about the path to endpoints.
     heardAt_ = parts_.clock.now();
-    parts_.paths.onHeard(domain_);
+    parts_.paths.onHeard(group_);
 }
 
 auto Forwarder::Run::discard(http::ClientStream &stream) -> asio::awaitable<void>
--- a/gateway/forwarderhandoff.cpp
+++ b/gateway/forwarderhandoff.cpp
@@ -61,8 +61,8 @@
 {
     auto tried = std::set<NodeId> {};
     while (parts_.handoffs != nullptr && handedOver_ == nullptr && tried.size() < maxOffers) {
-        auto domains = domainsOfCandidates();
-        const auto target = co_await parts_.handoffs->choose(std::move(domains), tried);
+        auto groups = groupsOfCandidates();
+        const auto target = co_await parts_.handoffs->choose(std::move(groups), tried);
         if (callerGone_) {
             outcome_ = RequestOutcome::CallerGone;
             co_return Step::Settled;
@@ -186,12 +186,12 @@
     return result;
 }
 
-auto Forwarder::Run::domainsOfCandidates() const -> std::set<DomainId>
+auto Forwarder::Run::groupsOfCandidates() const -> std::set<EndpointGroup>
 {
-    auto result = std::set<DomainId> {};
+    auto result = std::set<EndpointGroup> {};
     for (const auto *entry : candidates()) {
         if (!isReached(*entry))
-            result.insert(entry->row.domain);
+            result.insert(entry->row.group());
     }
     return result;
 }
--- a/gateway/forwarderplacing.cpp
+++ b/gateway/forwarderplacing.cpp
@@ -262,22 +262,20 @@
 
 auto Forwarder::Run::isReached(const EndpointEntry &entry) const -> bool
 {
-    switch (parts_.paths.state(entry.row.domain)) {
-    case PathState::Open:
-    case PathState::Suspected:
-        return true;
-    case PathState::KeptOnly:
+    const auto group = entry.row.group();
+    const auto state = parts_.paths.state(group);
+    const auto failure = parts_.paths.failureOf(group, entry.row.id);
+    if (state == PathState::Lost || failure == DialOutcome::TimedOut)
+        return false;
+    if (state == PathState::KeptOnly || failure)
         return parts_.client.hasKept(entry.row.address, maxIdleAge());
-    case PathState::Lost:
-        break;
-    }
-    return false;
+    return true;
 }
 
 auto Forwarder::Run::preferOpenPaths(std::vector<EndpointEntry *> &able) const -> void
 {
     const auto isSuspected = [this](const auto *entry) {
-        return parts_.paths.state(entry->row.domain) == PathState::Suspected;
+        return parts_.paths.state(entry->row.group()) == PathState::Suspected;
     };
     if (!std::all_of(able.begin(), able.end(), isSuspected))
         std::erase_if(able, isSuspected);
@@ -287,7 +285,7 @@
 {
     const auto now = parts_.clock.now();
     const auto isSuspected = std::all_of(able.begin(), able.end(), [this](const auto *entry) {
-        return parts_.paths.state(entry->row.domain) == PathState::Suspected;
+        return parts_.paths.state(entry->row.group()) == PathState::Suspected;
     });
     if (!isSuspected || callerGone_ || now >= std::min(startBy_, arrived_ + longestProbeWait))
         co_return false;
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -50,8 +50,8 @@
     struct Silence
     {
         Duration endpoint {};
-        Duration domain {}; ///< From any endpoint of the failure domain.
-        Duration all {};    ///< From any endpoint.
+        Duration group {}; ///< From any endpoint of its group.
+        Duration all {};   ///< From any endpoint.
     };
     /// Result of one dispatch, or of waiting for one.
     enum class Step : std::uint8_t {
@@ -197,6 +197,8 @@
     auto noteNotice(const EndpointId &id, const catalogue::EndpointNotice &notice) -> void;
     auto noteRejection(const EndpointId &id, const catalogue::EndpointNotice &notice) -> void;
     auto noteFailure(const EndpointId &id, const absl::Status &status, bool reached) -> void;
+    /// Notes that a connection to the endpoint could not be made.
+    auto noteUnconnected(const EndpointId &id, const absl::Status &status) -> void;
     /// Called when a dispatch broke off. Records the work that was in progress, in case the
     /// endpoint has crashed: a retry may arrive at another gateway, which knows nothing of this
     /// failure.
@@ -217,8 +219,8 @@
     auto relayHandedAnswer(const proto::HandoffTarget &target, http::ClientStream &stream)
             -> boost::asio::awaitable<Step>;
     auto handedRequest() const -> proto::HandedRequest;
-    /// @return the failure domains of the endpoints that could take the request
-    auto domainsOfCandidates() const -> std::set<DomainId>;
+    /// @return the groups of the endpoints that could take the request and are not reached
+    auto groupsOfCandidates() const -> std::set<EndpointGroup>;
     /// @return the header that tells the first gateway how the request ended here
     auto handoffOutcome() const -> http::Header;
 
@@ -300,7 +302,7 @@
     std::optional<Duration> loadReady_; ///< Time that the leader's schedule named first.
     Instant sentAt_ {};                 ///< Time of the latest dispatch.
     Instant heardAt_ {};                ///< When its endpoint last sent anything, or sentAt_.
-    DomainId domain_;                   ///< Of the endpoint of the latest dispatch.
+    EndpointGroup group_;               ///< Of the endpoint of the latest dispatch.
     bool isReused_ = false;             ///< The latest dispatch used a kept connection.
     bool isUnreached_ = false;          ///< Only another gateway can reach the endpoints.
     bool isHandedOver_ = false;         ///< The dispatch in progress is to another gateway.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -88,8 +88,8 @@
             crashDetector_.onSuperseded(id, before);
             forwarder_.endDispatches(id);
         });
-        paths_.setOnChanged([this](const DomainId &domain, PathState before, PathState now) {
-            onPathChanged(domain, before, now);
+        paths_.setOnChanged([this](const EndpointGroup &group, PathState before, PathState now) {
+            onPathChanged(group, before, now);
         });
         prober_.start();
         if (auto status = server_.start(options_.callers); !status.ok())
@@ -132,7 +132,7 @@
         gauges.waiting = waiters_.size();
         gauges.queued = picker_.waits().queued();
         gauges.inProgress = inProgress();
-        gauges.unreachedDomains = paths_.unreached().size();
+        gauges.unreachedGroups = paths_.unreached().size();
         gauges.handedOver = handoffs_.targets().inProgress();
         gauges.suspects = quarantine_.size();
         gauges.quarantined = quarantine_.quarantined(policy::millisOf(clock_.now()));
@@ -243,7 +243,7 @@
             feed_.sendSuspects(own);
     }
 
-    auto onPathChanged(const DomainId &domain, PathState before, PathState now) -> void
+    auto onPathChanged(const EndpointGroup &group, PathState before, PathState now) -> void
     {
         metrics_.onPathChanged(pathStateName(now));
         const auto isLoss = now == PathState::Lost || now == PathState::KeptOnly;
@@ -251,17 +251,18 @@
         if (now == PathState::Suspected || isLoss)
             handoffs_.prepare();
         if (isLoss) {
-            // What cuts off one domain often cuts off others.
-            for (const auto &other : view_.domains()) {
-                if (other != domain)
+            // What cuts off one group often cuts off others.
+            for (const auto &other : view_.groups()) {
+                if (other != group)
                     paths_.suspectIfUnheard(other);
             }
         }
-        if (now == PathState::Lost)
-            forwarder_.onPathLost(domain);
+        // A lone endpoint may be silent for reasons of its own.
+        if (now == PathState::Lost && view_.listening(group).size() > 1)
+            forwarder_.onPathLost(group);
         if (now == PathState::Open && wasLost)
-            view_.forgiveFailures(domain);
-        crashDetector_.onPathChanged(domain);
+            view_.forgiveFailures(group);
+        crashDetector_.onPathChanged();
         waiters_.wakeAll();
         if (isLoss)
             reportPaths();
@@ -272,14 +273,18 @@
     auto reportPaths() -> void
     {
         auto unreached = paths_.unreached();
-        auto known = view_.domains();
-        for (const auto &domain : unreached)
-            known.erase(domain);
+        auto known = view_.groups();
+        for (const auto &group : unreached)
+            known.erase(group);
         const auto reachesNone = known.empty() && !unreached.empty();
         if (std::exchange(reachesNone_, reachesNone) != reachesNone) {
             LogEvent(LogLevel::Warning, "endpoints_reached")
                     .with("none", reachesNone)
-                    .with("unreached_domains", static_cast<std::uint64_t>(unreached.size()));
+                    .with("unreached_groups", static_cast<std::uint64_t>(unreached.size()));
+            for (const auto &group : unreached) {
+                if (reachesNone && paths_.state(group) == PathState::Lost)
+                    forwarder_.onPathLost(group);
+            }
         }
         feed_.setUnreached(std::move(unreached), reachesNone);
     }
@@ -357,14 +362,14 @@
         std::erase_if(report.unreachable, [&](const EndpointId &id) {
             return std::find(unreached.begin(), unreached.end(), id) != unreached.end();
         });
-        report.unreachedDomains = paths_.unreached();
+        report.unreachedGroups = paths_.unreached();
         for (const auto &id : unreached) {
             const auto *entry = view_.find(id);
-            if (entry != nullptr && paths_.isOpen(entry->row.domain))
+            if (entry != nullptr && paths_.isOpen(entry->row.group()))
                 report.unreached.push_back({ id });
         }
         report.loads = view_.takeLoads();
-        auto told = std::tuple { report.unreachable, unreached, report.unreachedDomains };
+        auto told = std::tuple { report.unreachable, unreached, report.unreachedGroups };
         const auto isUnchanged = report.rows.empty() && told == reportedUnreachable_;
         reportedUnreachable_ = std::move(told);
         if (!isUnchanged)
@@ -446,8 +451,8 @@
     bool reachesNone_ = false;
     std::uint32_t gateways_ = 1; ///< Last number of gateways that a control announced.
     Instant stopAskedAt_ {};
-    /// Endpoints and failure domains that the last report was about.
-    std::tuple<std::vector<EndpointId>, std::vector<EndpointId>, std::vector<DomainId>>
+    /// Endpoints and groups that the last report was about.
+    std::tuple<std::vector<EndpointId>, std::vector<EndpointId>, std::vector<EndpointGroup>>
             reportedUnreachable_;
     bool stopping_ = false;
     bool refusing_ = false;
--- a/gateway/handoffs.cpp
+++ b/gateway/handoffs.cpp
@@ -39,7 +39,7 @@
     });
 }
 
-auto Handoffs::choose(std::set<DomainId> domains, std::set<NodeId> tried)
+auto Handoffs::choose(std::set<catalogue::EndpointGroup> groups, std::set<NodeId> tried)
         -> asio::awaitable<std::optional<proto::HandoffTarget>>
 {
     const auto limit = parts_.clock.now() + options_.awaitTargets;
@@ -49,7 +49,7 @@
                 std::min<Duration>(recheckInterval, limit - parts_.clock.now()));
         prepare();
     }
-    co_return targets_.choose(domains, tried);
+    co_return targets_.choose(groups, tried);
 }
 
 auto Handoffs::requestTo(const proto::HandoffTarget &target,
--- a/gateway/handofftargets.cpp
+++ b/gateway/handofftargets.cpp
@@ -7,12 +7,13 @@
 namespace figrack::gateway {
 namespace {
 
-/// @return true if the gateway reaches one of the domains
-auto reachesOneOf(const proto::HandoffTarget &target, const std::set<DomainId> &domains) -> bool
+/// @return true if the gateway reaches one of the groups
+auto reachesOneOf(const proto::HandoffTarget &target,
+                  const std::set<catalogue::EndpointGroup> &groups) -> bool
 {
     const auto &unreached = target.unreached;
-    return domains.empty() || std::any_of(domains.begin(), domains.end(), [&](const auto &domain) {
-               return std::find(unreached.begin(), unreached.end(), domain) == unreached.end();
+    return groups.empty() || std::any_of(groups.begin(), groups.end(), [&](const auto &group) {
+               return std::find(unreached.begin(), unreached.end(), group) == unreached.end();
            });
 }
 
@@ -41,8 +42,8 @@
     return receivedAt_ && !targets_.empty() && clock_.now() - *receivedAt_ < options_.staleAfter;
 }
 
-auto HandoffTargets::choose(const std::set<DomainId> &domains, const std::set<NodeId> &tried)
-        -> std::optional<proto::HandoffTarget>
+auto HandoffTargets::choose(const std::set<catalogue::EndpointGroup> &groups,
+                            const std::set<NodeId> &tried) -> std::optional<proto::HandoffTarget>
 {
     if (!isUsable())
         return std::nullopt;
@@ -50,7 +51,7 @@
     for (const auto &target : targets_) {
         const auto paused = pausedUntil_.find(target.node);
         const auto isPaused = paused != pausedUntil_.end() && clock_.now() < paused->second;
-        if (!isPaused && !tried.contains(target.node) && reachesOneOf(target, domains))
+        if (!isPaused && !tried.contains(target.node) && reachesOneOf(target, groups))
             able.push_back(&target);
     }
     if (able.empty())
--- a/gateway/handofftargets.h
+++ b/gateway/handofftargets.h
@@ -1,7 +1,7 @@
 // The gateways to which this one can hand requests that it cannot serve.
 //
 //   targets.onTargets(reply.targets);                    // a control has answered
-//   if (auto target = targets.choose(domains, tried)) ...
+//   if (auto target = targets.choose(groups, tried)) ...
 //   targets.onBegin(target->node); ...; targets.onEnd(target->node);
 //
 // Of two gateways drawn at random in proportion to their capacities, the one with fewer of this
@@ -49,9 +49,9 @@
     auto isDue() const -> bool;
     /// @return true if a gateway is known that may be used
     auto isUsable() const -> bool;
-    /// @param domains failure domains of the endpoints that could serve the request; empty: any
+    /// @param groups of the endpoints that could serve the request; empty: any
     /// @param tried gateways that could not take it
-    auto choose(const std::set<DomainId> &domains, const std::set<NodeId> &tried)
+    auto choose(const std::set<catalogue::EndpointGroup> &groups, const std::set<NodeId> &tried)
             -> std::optional<proto::HandoffTarget>;
     auto onBegin(const NodeId &node) -> void;
     auto onEnd(const NodeId &node) -> void;
--- a/gateway/metrics.cpp
+++ b/gateway/metrics.cpp
@@ -271,7 +271,7 @@
     set("backed_off_endpoints", static_cast<double>(gauges.backedOff));
     set("held_bytes", static_cast<double>(gauges.heldBytes));
     set("callers_buffered_for", static_cast<double>(gauges.callersBufferedFor));
-    set("unreached_domains", static_cast<double>(gauges.unreachedDomains));
+    set("unreached_groups", static_cast<double>(gauges.unreachedGroups));
     set("handed_over", static_cast<double>(gauges.handedOver));
     set("endpoints_silent_seconds", inSeconds(gauges.endpointsSilent));
     set("ready", gauges.ready ? 1 : 0);
--- a/gateway/metrics.h
+++ b/gateway/metrics.h
@@ -44,7 +44,7 @@
     std::uint64_t backedOff = 0;   ///< Endpoints that are in backoff.
     std::uint64_t heldBytes = 0;   ///< Of bodies, answers and streams in memory.
     std::uint64_t callersBufferedFor = 0; ///< Callers that have not taken all of their streams.
-    std::uint64_t unreachedDomains = 0;   ///< Failure domains to which no connection can be made.
+    std::uint64_t unreachedGroups = 0;    ///< Groups of endpoints that cannot be connected to.
     std::uint64_t handedOver = 0; ///< Requests that other gateways have in progress for this.
     /// For how long no endpoint with requests in progress has sent anything.
     Duration endpointsSilent {};
@@ -91,7 +91,7 @@
     auto onHandedOver(std::string_view end) -> void;
     /// Another gateway has handed a request over.
     auto onTakenOver() -> void;
-    /// The path to a failure domain's endpoints has changed. @param state from a fixed set
+    /// The path to a group of endpoints has changed. @param state from a fixed set
     auto onPathChanged(std::string_view state) -> void;
     /// @return the page
     auto text(const GatewayGauges &gauges) -> std::string;
--- a/gateway/pathprober.cpp
+++ b/gateway/pathprober.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -19,11 +20,11 @@
 
 namespace {
 
-/// One probe of a domain. Ends with the first connection that is made, or the last that fails.
+/// One probe of a group. Ends with the first connection that is made, or the last that fails.
 struct Probe
 {
-    Probe(DomainId itsDomain, Instant itsBegin)
-        : domain(std::move(itsDomain))
+    Probe(EndpointGroup itsGroup, Instant itsBegin)
+        : group(std::move(itsGroup))
         , begun(itsBegin)
     { }
     auto hasConnected() const -> bool
@@ -32,7 +33,7 @@
             return result.outcome == DialOutcome::Connected;
         });
     }
-    DomainId domain;
+    EndpointGroup group;
     std::optional<Instant> begun; ///< Absent once it has ended.
     std::vector<DialResult> results;
     std::size_t dialling = 0;
@@ -93,104 +94,118 @@
             return;
         if (parts_.clock.now() - *wakeAt > options_.maxLag)
             parts_.paths.onResumed();
-        for (const auto &domain : parts_.paths.takeDue())
-            begin(domain);
+        for (const auto &group : parts_.paths.takeDue())
+            begin(group);
         schedule();
     }
 
-    auto begin(const DomainId &domain) -> void
+    struct Target
     {
-        const auto probe = std::make_shared<Probe>(domain, parts_.clock.now());
-        auto endpoints = chooseEndpoints(domain);
-        probe->dialling = endpoints.size();
-        for (std::size_t i = 0; i < endpoints.size(); ++i) {
-            const auto delay = options_.headStart * static_cast<std::int64_t>(i);
-            asio::co_spawn(
-                    parts_.context,
-                    dial(shared_from_this(), probe, endpoints[i].first, endpoints[i].second, delay),
-                    asio::detached);
-        }
-        if (endpoints.empty())
+        EndpointId endpoint;
+        Address address;
+        Duration delay {};    ///< Until it is connected to.
+        bool isSpare = false; ///< Not connected to if another one has been by then.
+    };
+
+    auto begin(const EndpointGroup &group) -> void
+    {
+        const auto probe = std::make_shared<Probe>(group, parts_.clock.now());
+        const auto targets = chooseTargets(group);
+        probe->dialling = targets.size();
+        for (const auto &target : targets)
+            asio::co_spawn(parts_.context, dial(shared_from_this(), probe, target), asio::detached);
+        if (targets.empty())
             end(*probe);
     }
 
-    /// @return the endpoints to connect to: others than those that have failed, if there are any,
-    /// in turn
-    auto chooseEndpoints(const DomainId &domain) -> std::vector<std::pair<EndpointId, Address>>
+    /// @return two endpoints that have not failed, one after the other, and one that has, each in
+    /// turn; if all have failed, two of them
+    auto chooseTargets(const EndpointGroup &group) -> std::vector<Target>
     {
-        auto sound = std::vector<std::pair<EndpointId, Address>> {};
-        auto failed = std::vector<std::pair<EndpointId, Address>> {};
-        for (const auto *entry : parts_.view.listening(domain)) {
-            auto &group = parts_.paths.hasFailed(domain, entry->row.id) ? failed : sound;
-            group.emplace_back(entry->row.id, entry->row.address);
+        auto sound = std::vector<Target> {};
+        auto failed = std::vector<Target> {};
+        auto known = std::set<EndpointId> {};
+        for (const auto *entry : parts_.view.listening(group)) {
+            const auto &row = entry->row;
+            known.insert(row.id);
+            auto &kind = parts_.paths.failureOf(group, row.id) ? failed : sound;
+            kind.push_back({ row.id, row.address });
         }
+        parts_.paths.retainFailures(group, known);
         ++turn_;
-        const auto rotate = [this](auto &group) {
-            if (!group.empty())
-                std::rotate(group.begin(),
-                            group.begin() + static_cast<std::ptrdiff_t>(turn_ % group.size()),
-                            group.end());
-        };
-        rotate(sound);
-        rotate(failed);
-        sound.insert(sound.end(), failed.begin(), failed.end());
-        sound.resize(std::min(sound.size(), options_.endpointsPerProbe));
-        return sound;
+        for (auto *kind : { &sound, &failed }) {
+            if (!kind->empty())
+                std::rotate(kind->begin(),
+                            kind->begin() + static_cast<std::ptrdiff_t>(turn_ % kind->size()),
+                            kind->end());
+        }
+        auto result = sound.empty() ? failed : sound;
+        result.resize(std::min(result.size(), options_.endpointsPerProbe));
+        for (auto i = std::size_t { 1 }; i < result.size(); ++i) {
+            result[i].delay = options_.headStart * static_cast<std::int64_t>(i);
+            result[i].isSpare = true;
+        }
+        if (!sound.empty() && !failed.empty())
+            result.push_back(failed.front());
+        return result;
     }
 
     // NOLINTNEXTLINE(performance-unnecessary-value-param): a coroutine owns what it uses.
-    static auto dial(std::shared_ptr<Impl> self, std::shared_ptr<Probe> probe, EndpointId endpoint,
-                     Address address, Duration delay) -> asio::awaitable<void>
+    static auto dial(std::shared_ptr<Impl> self, std::shared_ptr<Probe> probe, Target target)
+            -> asio::awaitable<void>
     {
-        if (delay > Duration::zero())
-            co_await pauseOf(self->parts_.context, delay);
-        if (!probe->hasConnected() && !self->stopped_) {
+        if (target.delay > Duration::zero())
+            co_await pauseOf(self->parts_.context, target.delay);
+        if (!self->stopped_ && !(target.isSpare && probe->hasConnected())) {
             const auto begun = self->parts_.clock.now();
-            const auto status
-                    = co_await self->parts_.client.preconnect(address, self->options_.dialTimeout);
-            const auto took = self->parts_.clock.now() - begun;
-            auto result = DialResult { endpoint, DialOutcome::Connected };
-            if (!status.ok()) {
-                const auto isTimeout = errorKind(status) == ErrorKind::Timeout;
-                result.outcome = isTimeout ? DialOutcome::TimedOut : DialOutcome::Refused;
-                if (isTimeout && took > self->options_.dialTimeout + self->options_.maxLag)
-                    probe->hasLagged = true;
-            }
-            probe->results.push_back(result);
+            const auto status = co_await self->parts_.client.preconnect(target.address,
+                                                                        self->options_.dialTimeout);
+            self->onDialled(*probe, target.endpoint, status, begun);
         }
         --probe->dialling;
         self->endIfDecided(*probe);
     }
 
-    auto endIfDecided(Probe &probe) -> void
+    auto onDialled(Probe &probe, const EndpointId &endpoint, const absl::Status &status,
+                   Instant begun) -> void
     {
-        if (probe.dialling > 0 && !probe.hasConnected())
+        if (stopped_)
+            return;
+        auto result = DialResult { endpoint, DialOutcome::Connected };
+        if (!status.ok()) {
+            const auto isTimeout = errorKind(status) == ErrorKind::Timeout;
+            result.outcome = isTimeout ? DialOutcome::TimedOut : DialOutcome::Refused;
+            const auto took = parts_.clock.now() - begun;
+            probe.hasLagged = probe.hasLagged
+                    || (isTimeout && took > options_.dialTimeout + options_.maxLag);
+        }
+        probe.results.push_back(result);
+        if (probe.begun || probe.hasLagged)
             return;
-        if (probe.begun && !stopped_)
+        // The probe has ended with another endpoint of the group.
+        if (result.outcome == DialOutcome::Connected)
+            parts_.paths.onConnected(probe.group, endpoint, begun);
+        else
+            parts_.paths.onConnectFailed(probe.group, endpoint, result.outcome);
+    }
+
+    auto endIfDecided(Probe &probe) -> void
+    {
+        const auto isDecided = probe.dialling == 0 || probe.hasConnected();
+        if (isDecided && probe.begun && !stopped_)
             end(probe);
-        if (probe.dialling == 0 && probe.hasConnected() && !stopped_)
-            noteFailures(probe);
     }
 
     auto end(Probe &probe) -> void
     {
         const auto begun = *std::exchange(probe.begun, std::nullopt);
         if (probe.hasLagged && !probe.hasConnected())
-            parts_.paths.onProbeFailed(probe.domain);
+            parts_.paths.onProbeVoid(probe.group);
         else
-            parts_.paths.onProbed(probe.domain, begun, probe.results);
+            parts_.paths.onProbed(probe.group, begun, probe.results);
         schedule();
     }
 
-    /// Where one endpoint of the domain was reached, the others that were not are at fault.
-    auto noteFailures(const Probe &probe) -> void
-    {
-        for (const auto &result : probe.results) {
-            if (result.outcome != DialOutcome::Connected)
-                parts_.view.onFailure(result.endpoint, false);
-        }
-    }
-
     PathProberOptions options_;
     PathProberParts parts_;
     BootTimer timer_;
--- a/gateway/testing/cutworld.cpp
+++ b/gateway/testing/cutworld.cpp
@@ -149,7 +149,7 @@
     auto answers = std::vector<std::shared_ptr<std::optional<Got>>> {};
     const auto limit = rig.clock.now() + patience;
     while (rig.clock.now() < limit) {
-        if (hasOnPage(at, "unreached_domains\"} " + std::to_string(domains)))
+        if (hasOnPage(at, "unreached_groups\"} " + std::to_string(domains)))
             return true;
         answers.push_back(begin(at, "/idem/"));
         const auto next = rig.clock.now() + std::chrono::milliseconds { 100 };
--- a/gateway/testing/rig.cpp
+++ b/gateway/testing/rig.cpp
@@ -196,8 +196,8 @@
     })
 {
     retries.setGateways(1);
-    paths.setOnChanged([this](const DomainId &domain, PathState, PathState) {
-        crashDetector.onPathChanged(domain);
+    paths.setOnChanged([this](const EndpointGroup &, PathState, PathState) {
+        crashDetector.onPathChanged();
         waiters.wakeAll();
     });
     prober.start();
--- a/gateway/testing/tst_endpointcut.cpp
+++ b/gateway/testing/tst_endpointcut.cpp
@@ -63,7 +63,7 @@
     REQUIRE(world.awaitLoss(At::Cut));
     CHECK(world.control().subscriptions.at(NodeId { "g1" }).reachesNone);
     world.heal(At::Cut);
-    REQUIRE(world.rig.runUntil([&] { return world.hasOnPage(At::Cut, "unreached_domains\"} 0"); }));
+    REQUIRE(world.rig.runUntil([&] { return world.hasOnPage(At::Cut, "unreached_groups\"} 0"); }));
     const auto before = world.delivered(At::Cut);
     CHECK(world.countServed(At::Cut, requests) == requests);
     CHECK(world.delivered(At::Cut) > before);
@@ -198,7 +198,7 @@
     REQUIRE(world.rig.runUntil([&] { return answer->has_value(); }));
     CHECK((*answer)->status == 200);
     CHECK(world.arrivals(world.lastId()) == 1);
-    CHECK(world.hasOnPage(At::Cut, "unreached_domains\"} 0"));
+    CHECK(world.hasOnPage(At::Cut, "unreached_groups\"} 0"));
     CHECK(!world.hasOnPage(At::Cut, "path_changes_total{state=\"lost\"}"));
 }
 
--- a/gateway/testing/tst_handofftargets.cpp
+++ b/gateway/testing/tst_handofftargets.cpp
@@ -18,6 +18,11 @@
     return { NodeId { name }, { "10.0.0.1", 1 }, DomainId { domain }, capacity, {} };
 }
 
+auto groupIn(const std::string &domain) -> catalogue::EndpointGroup
+{
+    return { ServiceId { "s" }, DomainId { domain } };
+}
+
 struct TargetsRig
 {
     ManualClock clock;
@@ -62,18 +67,18 @@
 {
     auto rig = TargetsRig {};
     auto cut = targetOf("cut", "a", 100);
-    cut.unreached = { DomainId { "a" }, DomainId { "b" } };
+    cut.unreached = { groupIn("a"), groupIn("b") };
     rig.targets.onTargets({ cut, targetOf("g2", "a", 100), targetOf("g3", "b", 100) });
     for (auto i = 0; i < 20; ++i)
-        CHECK(rig.targets.choose({ DomainId { "a" } }, {})->node != cut.node);
-    // It reaches one of the domains asked for.
-    CHECK(rig.targets.choose({ DomainId { "c" } }, { NodeId { "g2" }, NodeId { "g3" } })->node
+        CHECK(rig.targets.choose({ groupIn("a") }, {})->node != cut.node);
+    // It reaches one of the groups asked for.
+    CHECK(rig.targets.choose({ groupIn("c") }, { NodeId { "g2" }, NodeId { "g3" } })->node
           == cut.node);
-    CHECK(rig.targets.choose({ DomainId { "a" } }, { NodeId { "g2" } })->node == NodeId { "g3" });
+    CHECK(rig.targets.choose({ groupIn("a") }, { NodeId { "g2" } })->node == NodeId { "g3" });
     rig.targets.onFailed(NodeId { "g3" });
-    CHECK(!rig.targets.choose({ DomainId { "a" } }, { NodeId { "g2" } }));
+    CHECK(!rig.targets.choose({ groupIn("a") }, { NodeId { "g2" } }));
     rig.clock.advance(1s);
-    CHECK(rig.targets.choose({ DomainId { "a" } }, { NodeId { "g2" } }));
+    CHECK(rig.targets.choose({ groupIn("a") }, { NodeId { "g2" } }));
 }
 
 TEST_CASE("Gateways are asked for each second, and old answers are not used")
--- a/proto/servingmessages.h
+++ b/proto/servingmessages.h
@@ -30,6 +30,7 @@
 
 #include "catalogue/account.h"
 #include "catalogue/documentblocks.h"
+#include "catalogue/endpointgroup.h"
 #include "catalogue/endpointrow.h"
 #include "catalogue/evacuations.h"
 #include "catalogue/suspect.h"
@@ -75,9 +76,9 @@
     /// Of a gateway only: its processor share, in thousandths of a core; 0: not known.
     std::uint32_t capacity = 0;
     Address handoffs; ///< Of a gateway only: where it takes requests that others hand over.
-    /// Of a gateway only: failure domains whose endpoints it cannot make connections to.
-    std::vector<DomainId> unreached;
-    bool reachesNone = false; ///< Of a gateway only: these are all that have endpoints.
+    /// Of a gateway only: groups of endpoints that it cannot make connections to.
+    std::vector<catalogue::EndpointGroup> unreached;
+    bool reachesNone = false; ///< Of a gateway only: these are all that it knows.
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
@@ -102,8 +103,8 @@
     NodeId node;
     Address address; ///< Subscribe::handoffs.
     DomainId domain;
-    std::uint32_t capacity = 0;      ///< Thousandths of a core; 0: not known.
-    std::vector<DomainId> unreached; ///< See Subscribe.
+    std::uint32_t capacity = 0;                      ///< Thousandths of a core; 0: not known.
+    std::vector<catalogue::EndpointGroup> unreached; ///< See Subscribe.
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
@@ -296,7 +297,7 @@
 };
 
 /// How many gateways could not connect to an endpoint of late, and how many others use it. Of those
-/// gateways that reach other endpoints of its failure domain.
+/// gateways that reach other endpoints of its group.
 struct UnreachedEndpoint
 {
     EndpointId endpoint;
@@ -318,12 +319,11 @@
     /// Endpoints that take no requests of any gateway, by their own word.
     std::vector<EndpointId> unreachable;
     std::vector<UnreachedEndpoint> unreached;
-    /// Failure domains whose endpoints the gateway cannot make connections to.
-    std::vector<DomainId> unreachedDomains;
+    std::vector<catalogue::EndpointGroup> unreachedGroups; ///< See Subscribe::unreached.
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(spanMs, rows, loads, unreachable, unreached, unreachedDomains);
+        archive(spanMs, rows, loads, unreachable, unreached, unreachedGroups);
     }
 };
 
