gateway: no whole answer follows a stream that the caller has begun to receive

Found while reading what follows a resumption. An endpoint that answers a resumption with a failure had that answer written into the middle of the chunked stream, and the connection stayed open: to the caller, bytes that are no chunk. Now the stream is broken off, which closes its connection. The same for an answer that another gateway gives.

The test reads the raw connection; before, it did not end within 20 s.

--- a/gateway/forwarderrelay.cpp
+++ b/gateway/forwarderrelay.cpp
@@ -57,6 +57,13 @@
 
 auto Forwarder::Run::sendWhole(http::Response answer) -> asio::awaitable<Step>
 {
+    if (responder_.started()) {
+        // The caller has begun to receive a stream, to which this answer does not belong.
+        auto error
+                = makeError(ErrorKind::EndpointFailed, "status=" + std::to_string(answer.status));
+        co_await giveUp(std::move(error));
+        co_return Step::Settled;
+    }
     firstByteAt_ = parts_.clock.now();
     finalStatus_ = answer.status;
     const auto sent = co_await responder_.send(std::move(answer));
--- a/gateway/testing/tst_forwarder.cpp
+++ b/gateway/testing/tst_forwarder.cpp
@@ -5,6 +5,12 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <array>
+#include <functional>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
 #include "gateway/testing/rig.h"
 
 using namespace figrack;
@@ -328,3 +334,44 @@
     CHECK((*once)->status == 502);
     CHECK(next.seen.size() == 1);
 }
+
+TEST_CASE("A stream whose resumption is answered by a failure ends without bytes of that answer")
+{
+    auto rig = Rig {};
+    for (const auto *id : { "i-1", "i-2" }) {
+        rig.addEndpoint(id).handler
+                = [](const http::Request &request,
+                     http::Responder &responder) -> boost::asio::awaitable<void> {
+            if (request.header("X-After").empty()) {
+                co_await streaming(1, 2, false)(request, responder);
+                co_return;
+            }
+            auto response = http::Response {};
+            response.status = 500;
+            response.headers = { { "X-Id", std::string { request.header("X-Id") } } };
+            response.body = "failed";
+            static_cast<void>(co_await responder.send(std::move(response)));
+        };
+    }
+    // A client's parser would hide what comes after a broken chunk.
+    auto caller = boost::asio::ip::tcp::socket { rig.context };
+    caller.connect({ boost::asio::ip::address_v4::loopback(), rig.port() });
+    const auto request = std::string { "GET /resume/x HTTP/1.1\r\nHost: t\r\nX-Id: r1\r\n\r\n" };
+    boost::asio::write(caller, boost::asio::buffer(request));
+    auto received = std::string {};
+    auto hasEnded = false;
+    auto bytes = std::array<char, 4096> {};
+    std::function<void()> readOn = [&] {
+        caller.async_read_some(boost::asio::buffer(bytes),
+                               [&](const boost::system::error_code &code, std::size_t count) {
+                                   received.append(bytes.data(), count);
+                                   hasEnded = static_cast<bool>(code);
+                                   if (!hasEnded)
+                                       readOn();
+                               });
+    };
+    readOn();
+    REQUIRE(rig.runUntil([&] { return hasEnded; }));
+    CHECK(received.find("data: e2") != std::string::npos);
+    CHECK(received.find("HTTP/1.1 500") == std::string::npos);
+}
