gateway: an endpoint that ended is not looked for through other gateways; a bad seal declines

A model that a crashed endpoint alone held was offered to three other gateways before the request waited for its load: an endpoint that refuses connections which others of its group accept now counts as gone. A request whose seal did not fit, as while keys rotate, was refused with a 4xx that went to the caller as an endpoint's; it is declined now, so that another gateway is tried.

--- a/gateway/forwarderhandoff.cpp
+++ b/gateway/forwarderhandoff.cpp
@@ -23,13 +23,10 @@
 /// a round trip.
 constexpr auto maxOffers = std::size_t { 3 };
 
-/// Outcome of a request that the second gateway could not take, but another one may.
-constexpr auto declinedOutcome = std::string_view { "declined" };
-
 /// What another gateway says of a request that it did not have answered by an endpoint.
 struct HandoffOutcome
 {
-    std::string_view outcome; ///< declinedOutcome, or see requestOutcomeName().
+    std::string_view outcome; ///< handoffDeclined, or see requestOutcomeName().
     std::string_view lack;    ///< See blockedByName().
 };
 
@@ -135,7 +132,7 @@
 {
     status_ = stream.status();
     const auto outcome = readOutcome(stream.headers());
-    if (outcome && outcome->outcome == declinedOutcome) {
+    if (outcome && outcome->outcome == handoffDeclined) {
         lastError_ = blockedError(BlockedBy::Path);
         parts_.handoffs->targets().onFailed(target.node);
         co_await discard(stream);
@@ -202,7 +199,7 @@
     const auto isUnable = blockedBy_ == BlockedBy::Path || kind == ErrorKind::Draining
             || kind == ErrorKind::NotCurrent;
     const auto isDeclined = isUnable && ran_ == handedOver_->ran;
-    const auto outcome = isDeclined ? declinedOutcome : requestOutcomeName(outcome_);
+    const auto outcome = isDeclined ? handoffDeclined : requestOutcomeName(outcome_);
     return { std::string { handoffOutcomeHeader },
              std::string { outcome } + " " + std::string { blockedByName(blockedBy_) } };
 }
--- a/gateway/forwarderplacing.cpp
+++ b/gateway/forwarderplacing.cpp
@@ -253,8 +253,9 @@
         return able;
     // Where no endpoint is reached, another gateway also waits for what none of them holds.
     auto announced = candidates;
-    std::erase_if(announced,
-                  [this](const auto *entry) { return !parts_.view.isAnnounced(*entry); });
+    std::erase_if(announced, [this](const auto *entry) {
+        return !parts_.view.isAnnounced(*entry) || hasEndedByItself(*entry);
+    });
     if (reached.empty() || !ableEndpoints(announced, criteria_, isHealthy).entries.empty())
         return { {}, BlockedBy::Path, {} };
     return able;
@@ -272,6 +273,13 @@
     return true;
 }
 
+auto Forwarder::Run::hasEndedByItself(const EndpointEntry &entry) const -> bool
+{
+    const auto group = entry.row.group();
+    return parts_.paths.isOpen(group)
+            && parts_.paths.failureOf(group, entry.row.id) == DialOutcome::Refused;
+}
+
 auto Forwarder::Run::preferOpenPaths(std::vector<EndpointEntry *> &able) const -> void
 {
     const auto isSuspected = [this](const auto *entry) {
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -111,6 +111,9 @@
     auto countAsWork() -> void;
     /// @return true if new requests can be sent to the endpoint over the network
     auto isReached(const EndpointEntry &entry) const -> bool;
+    /// @return true if the endpoint refuses connections that others of its group accept, so that no
+    /// gateway reaches it
+    auto hasEndedByItself(const EndpointEntry &entry) const -> bool;
     /// Drops endpoints whose path is being probed, if there are others.
     auto preferOpenPaths(std::vector<EndpointEntry *> &able) const -> void;
     /// Waits while the paths to all of the endpoints are being probed.
--- a/gateway/handoffs.h
+++ b/gateway/handoffs.h
@@ -34,6 +34,8 @@
 /// Header of an answer that the second gateway made itself: the request's outcome there, and what
 /// it lacked (chooser.h), separated by a space.
 constexpr auto handoffOutcomeHeader = std::string_view { "Figrack-Outcome" };
+/// Outcome of a request that the second gateway could not take, but another one may.
+constexpr auto handoffDeclined = std::string_view { "declined" };
 
 struct HandoffsOptions
 {
--- a/gateway/handoffserver.cpp
+++ b/gateway/handoffserver.cpp
@@ -61,6 +61,8 @@
                 .with("remote", request.remoteIp)
                 .with(status);
         auto response = http::errorResponse(status, "not_run");
+        response.headers.push_back(
+                { std::string { handoffOutcomeHeader }, std::string { handoffDeclined } });
         static_cast<void>(co_await responder.send(std::move(response)));
         co_return;
     }
--- a/gateway/testing/tst_endpointcut.cpp
+++ b/gateway/testing/tst_endpointcut.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "gateway/handoffserver.h"
 #include "gateway/testing/cutworld.h"
 
 using namespace figrack;
@@ -231,3 +232,32 @@
     world.rig.runUntil([&] { return world.rig.clock.now() >= until; });
     CHECK(world.hasOnPage(At::Cut, "what=\"suspects\"} 0"));
 }
+
+TEST_CASE("A handed request with another key's seal is declined, and not handled")
+{
+    auto rig = Rig {};
+    auto handled = 0;
+    const auto handle = [&](const http::Request &request, const proto::HandoffTerms &,
+                            http::Responder &responder) {
+        ++handled;
+        return answering("one")(request, responder);
+    };
+    auto server = HandoffServer { rig.context,
+                                  { {}, *proto::PeerKeys::fromText(std::string(64, 'b')) },
+                                  handle };
+    REQUIRE(server.start({ "127.0.0.1", 0 }).ok());
+    for (const auto letter : { 'a', 'b' }) {
+        const auto keys = proto::PeerKeys::fromText(std::string(64, letter));
+        auto sealed = proto::sealHandoff({}, **keys);
+        auto request = http::ClientRequest {};
+        request.target = handoffPath;
+        request.headers = { { std::string { handoffSealHeader }, sealed.seal } };
+        request.body = sealed.bytes;
+        const auto answer = rig.beginAt(server.port(), std::move(request));
+        REQUIRE(rig.runUntil([&] { return answer->has_value(); }));
+        const auto outcome = http::findHeader((*answer)->headers, handoffOutcomeHeader);
+        CHECK(outcome == (letter == 'a' ? handoffDeclined : std::string_view {}));
+    }
+    CHECK(handled == 1);
+    server.stop();
+}
