--- a/gateway/handoffserver.cpp
+++ b/gateway/handoffserver.cpp
@@ -37,7 +37,7 @@
 
 HandoffServer::HandoffServer(asio::io_context &context, HandoffServerOptions options,
                              Handler handler)
-    : keys_(options.keys)
+    : keys_(std::move(options.keys))
     , handler_(std::move(handler))
     , server_(context, serverOptionsOf(options),
               [this](const http::Request &request, http::Responder &responder) {
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -189,9 +189,9 @@
 class Pool
 {
 public:
-    Pool(asio::io_context &context, const ClientOptions &options, const Clock &clock)
+    Pool(asio::io_context &context, ClientOptions options, const Clock &clock)
         : context_(context)
-        , options_(options)
+        , options_(std::move(options))
         , clock_(clock)
     { }
 
@@ -769,8 +769,8 @@
 class Client::Impl
 {
 public:
-    Impl(asio::io_context &context, const ClientOptions &options, const Clock &clock)
-        : pool_(std::make_shared<Pool>(context, options, clock))
+    Impl(asio::io_context &context, ClientOptions options, const Clock &clock)
+        : pool_(std::make_shared<Pool>(context, std::move(options), clock))
     { }
     auto pool() const -> const PoolPointer & { return pool_; }
 
@@ -779,7 +779,7 @@
 };
 
 Client::Client(asio::io_context &context, ClientOptions options, const Clock &clock)
-    : impl_(std::make_shared<Impl>(context, options, clock))
+    : impl_(std::make_shared<Impl>(context, std::move(options), clock))
 { }
 
 Client::~Client()
--- a/http/testing/tst_client.cpp
+++ b/http/testing/tst_client.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <future>
+#include <utility>
 
 #include "core/error.h"
 #include "http/client.h"
@@ -20,7 +21,7 @@
 {
 public:
     explicit Fixture(ClientOptions options = {})
-        : client(threads.context(), options, clock)
+        : client(threads.context(), std::move(options), clock)
     { }
     auto request(const std::string &body = "hello") const -> ClientRequest
     {
