--- a/fleet/demandtable.h
+++ b/fleet/demandtable.h
@@ -47,7 +47,7 @@
     auto of(const ServiceId &service) const -> ServiceDemand;
     /// @return requests in progress by endpoint, over all gateways
     auto loads() const -> std::vector<proto::EndpointLoad>;
-    /// @return endpoints that take no requests by their own word, or that most of the gateways
+    /// @return endpoints that announced that they take no requests, or that most of the gateways
     /// which use them could not connect to, according to the latest reports
     auto unreachable() const -> std::set<EndpointId>;
     /// @return groups of endpoints that no gateway can make connections to
--- a/fleet/registry.h
+++ b/fleet/registry.h
@@ -86,7 +86,7 @@
     Address callers;
     DomainId domain;
     std::uint32_t capacity = 0; ///< Thousandths of a core; 0: not known.
-    bool reachesNone = false;   ///< It cannot reach any endpoint, by its own word.
+    bool reachesNone = false;   ///< It reported that it cannot reach any endpoint.
 };
 
 /// What the registry sends to subscribers in addition to the endpoints.
--- a/fleet/testing/tst_unreachedtally.cpp
+++ b/fleet/testing/tst_unreachedtally.cpp
@@ -75,7 +75,7 @@
     CHECK(rig.table.unreachable().empty());
 }
 
-TEST_CASE("Gateways that are cut off have no say, however many they are, unless all are")
+TEST_CASE("Reports of gateways that are cut off do not count, unless all gateways are")
 {
     auto rig = TallyRig {};
     for (const auto *gateway : { "g1", "g2", "g3", "g4" })
--- a/gateway/fleetview.h
+++ b/gateway/fleetview.h
@@ -184,7 +184,7 @@
     auto setOnSuperseded(OnSuperseded listener) -> void;
 
 private:
-    /// @return true if the endpoint takes no requests, by its own word or that of another one
+    /// @return true if the endpoint takes no requests, whichever gateway sends them
     auto isUnavailable(const EndpointEntry &entry) const -> bool;
     static auto isListening(const EndpointEntry &entry) -> bool;
     auto noteRate(EndpointEntry &entry, const catalogue::EndpointNotice &notice, Instant sentAt)
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -47,7 +47,7 @@
     , parts_(owner.parts_)
     , request_(request)
     , responder_(responder)
-    , handedOver_(terms)
+    , handoffTerms_(terms)
     , arrived_(owner.parts_.clock.now() - waitedElsewhere(terms))
     , deadline_(arrived_)
     , startBy_(arrived_)
@@ -155,7 +155,7 @@
     lastError_ = refusal.status;
     firstByteAt_ = parts_.clock.now();
     auto response = parts_.dialect.writeRefusal(refusal);
-    if (handedOver_ != nullptr)
+    if (handoffTerms_ != nullptr)
         response.headers.push_back(handoffOutcome());
     finalStatus_ = response.status;
     const auto sent = co_await responder_.send(std::move(response));
@@ -209,8 +209,8 @@
         line.with("load_ready_ms", wholeMillis(*loadReady_));
     if (blockedBy_ != BlockedBy::Nothing)
         line.with("lacked", blockedByName(blockedBy_));
-    if (handedOver_ != nullptr)
-        line.with("handed_over_by", handedOver_->from);
+    if (handoffTerms_ != nullptr)
+        line.with("handed_over_by", handoffTerms_->from);
     if (!handedTo_.empty())
         line.with("handed_to", handedTo_);
     if (!works_.ofAnyone.isNone())
--- a/gateway/forwarderadmission.cpp
+++ b/gateway/forwarderadmission.cpp
@@ -69,8 +69,8 @@
     engine_ = service != nullptr && service->engine ? &*service->engine : nullptr;
     coldPerSecond_ = service != nullptr ? service->coldPerSecond : 0;
     lastEvent_ = caller_.resumeAfter;
-    if (handedOver_ != nullptr && !handedOver_->resumeAfter.empty())
-        lastEvent_ = handedOver_->resumeAfter;
+    if (handoffTerms_ != nullptr && !handoffTerms_->resumeAfter.empty())
+        lastEvent_ = handoffTerms_->resumeAfter;
     homes_.restrictTo(route_->homeRegions);
     if (account_ != nullptr)
         homes_.restrictTo(account_->homeRegions);
--- a/gateway/forwarderdispatch.cpp
+++ b/gateway/forwarderdispatch.cpp
@@ -293,7 +293,7 @@
 auto Forwarder::Run::moveElsewhere() -> bool
 {
     const auto mayRepeat = responder_.started() ? route_->resumable : route_->mayRepeat();
-    const auto mayMove = mayRepeat && !isMoved_ && !callerGone_ && handedOver_ == nullptr
+    const auto mayMove = mayRepeat && !isMoved_ && !callerGone_ && handoffTerms_ == nullptr
             && ran_ + (hasAnswerBegun_ ? 0U : 1U) < route_->maxAttempts
             && parts_.clock.now() < deadline_;
     if (!mayMove || !takeRetry())
@@ -306,7 +306,7 @@
 
 auto Forwarder::Run::noteHeard() -> void
 {
-    if (isHandedOver_)
+    if (isToGateway_)
         return; // Bytes of another gateway say nothing about the path to endpoints.
     heardAt_ = parts_.clock.now();
     parts_.paths.onHeard(group_);
--- a/gateway/forwarderhandoff.cpp
+++ b/gateway/forwarderhandoff.cpp
@@ -57,7 +57,7 @@
 auto Forwarder::Run::handOver() -> asio::awaitable<Step>
 {
     auto tried = std::set<NodeId> {};
-    while (parts_.handoffs != nullptr && handedOver_ == nullptr && tried.size() < maxOffers) {
+    while (parts_.handoffs != nullptr && handoffTerms_ == nullptr && tried.size() < maxOffers) {
         auto groups = groupsOfCandidates();
         const auto target = co_await parts_.handoffs->choose(std::move(groups), tried);
         if (callerGone_) {
@@ -76,7 +76,7 @@
         co_return Step::Settled;
     }
     // Where other endpoints are reached, those that nobody reaches count as gone.
-    if (handedOver_ == nullptr && !std::exchange(isPathGivenUp_, true)
+    if (handoffTerms_ == nullptr && !std::exchange(isPathGivenUp_, true)
         && reachesOneOf(candidates()))
         co_return Step::NotRun;
     retryAfter_ = owner_.options_.defaultRetryAfter;
@@ -99,7 +99,7 @@
     out.canceller = canceller_;
     out.maxIdleAge = maxIdleAge();
     handedTo_ = target.node;
-    isHandedOver_ = true;
+    isToGateway_ = true;
     sentAt_ = parts_.clock.now();
     handoffs.targets().onBegin(target.node);
     const auto left = timeLeft();
@@ -120,7 +120,7 @@
         step = co_await relayHandedAnswer(target, *stream);
     }
     handoffs.targets().onEnd(target.node);
-    isHandedOver_ = false;
+    isToGateway_ = false;
     parts_.metrics.onHandedOver(step == Step::Settled          ? "settled"
                                         : step == Step::NotRun ? "declined"
                                                                : "broken");
@@ -198,7 +198,7 @@
     const auto kind = errorKind(lastError_);
     const auto isUnable = blockedBy_ == BlockedBy::Path || kind == ErrorKind::Draining
             || kind == ErrorKind::NotCurrent;
-    const auto isDeclined = isUnable && ran_ == handedOver_->ran;
+    const auto isDeclined = isUnable && ran_ == handoffTerms_->ran;
     const auto outcome = isDeclined ? handoffDeclined : requestOutcomeName(outcome_);
     return { std::string { handoffOutcomeHeader },
              std::string { outcome } + " " + std::string { blockedByName(blockedBy_) } };
--- a/gateway/forwarderrelay.cpp
+++ b/gateway/forwarderrelay.cpp
@@ -36,7 +36,7 @@
     // The endpoint reported a failure. If the route allows it, another endpoint is tried.
     const auto isFault = status_ >= 500 && status_ != 504;
     auto answer = http::Response { status_, endToEnd(stream.headers()), std::move(body) };
-    const auto mayTryAnother = !isHandedOver_ && route_->mayRepeat() && ran_ < route_->maxAttempts
+    const auto mayTryAnother = !isToGateway_ && route_->mayRepeat() && ran_ < route_->maxAttempts
             && parts_.clock.now() < deadline_;
     if (isFault && mayTryAnother && takeRetry())
         co_return co_await retryAfterFault(std::move(answer));
@@ -144,7 +144,7 @@
     const auto gapTarget = route_->gapTarget;
     const auto beganLate = !firstByteAt_ && now - sentAt_ > route_->startTarget;
     const auto pausedLong = gapTarget > Duration::zero() && longestGap_ > gapTarget;
-    if (target_.model.empty() || isHandedOver_ || lateReported_ || !(beganLate || pausedLong))
+    if (target_.model.empty() || isToGateway_ || lateReported_ || !(beganLate || pausedLong))
         return;
     lateReported_ = true;
     parts_.demand.onLate(target_);
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -262,7 +262,7 @@
     const http::Request &request_;
     http::Responder &responder_;
     /// Null unless another gateway has handed the request over.
-    const proto::HandoffTerms *const handedOver_;
+    const proto::HandoffTerms *const handoffTerms_;
     const Instant arrived_; ///< At the first gateway.
     Instant deadline_;      ///< The request must be finished by then.
     Instant startBy_;       ///< The request must be dispatched by then.
@@ -308,7 +308,7 @@
     EndpointGroup group_;               ///< Of the endpoint of the latest dispatch.
     bool isReused_ = false;             ///< The latest dispatch used a kept connection.
     bool isUnreached_ = false;          ///< Only another gateway can reach the endpoints.
-    bool isHandedOver_ = false;         ///< The dispatch in progress is to another gateway.
+    bool isToGateway_ = false;          ///< The dispatch in progress is to another gateway.
     bool hasAwaitedProbe_ = false;      ///< It has waited for the probe of a path.
     bool hasAnswerBegun_ = false;       ///< The dispatch in progress counts in ran_.
     bool isPathGivenUp_ = false;        ///< No other gateway could take the request.
--- a/proto/servingmessages.h
+++ b/proto/servingmessages.h
@@ -97,7 +97,7 @@
         archive(preferred);
     }
 };
-/// A gateway that is ready and reaches some endpoints, by its own word.
+/// A gateway that is ready and reported that it reaches some endpoints.
 struct HandoffTarget
 {
     NodeId node;
@@ -296,7 +296,7 @@
     }
 };
 
-/// How many gateways could not connect to an endpoint of late, and how many others use it. Of those
+/// How many gateways could not connect to an endpoint lately, and how many others use it. Of those
 /// gateways that reach other endpoints of its group.
 struct UnreachedEndpoint
 {
@@ -316,7 +316,7 @@
     std::uint64_t spanMs = 0; ///< Time that the arrivals cover.
     std::vector<WantedRow> rows;
     std::vector<EndpointLoad> loads; ///< What this gateway has in progress.
-    /// Endpoints that take no requests of any gateway, by their own word.
+    /// Endpoints that announced that they take no requests.
     std::vector<EndpointId> unreachable;
     std::vector<UnreachedEndpoint> unreached;
     std::vector<catalogue::EndpointGroup> unreachedGroups; ///< See Subscribe::unreached.
