fleet, gateway: the leader grants retries out of one budget; a gateway keeps a part of its own

Cause: a share of a common bound was computed from a momentary count, and the state of the bound ended with the process. A gateway that restarted had its whole part of the fixed number again, within the same window; while others were down, the gateways subscribed at a control divided the whole by fewer. The margin of 0.7 covered the rest, and every caller paid for it.

Change: the leader of the controls counts what all gateways share, and grants single retries. It reserves a few in the replicated log before it grants them, so that the next leader knows all that may have been granted. A gateway uses a quarter of what its own requests allow without asking. A retry is counted from when it is taken until a window after it was sent, so that a request that waits does not move it to another window.

--- a/fleet/configlog.cpp
+++ b/fleet/configlog.cpp
@@ -1,5 +1,7 @@
 // The first field of an entry or a snapshot that is a bare document is its version.
-// In everything else it is notADocument, which no document has.
+// In everything else it is notADocument, which no document has. A reservation begins like
+// the end of an evacuation of a domain without a name, which releases that do not know
+// reservations reject.
 
 #include "fleet/configlog.h"
 
@@ -26,6 +28,18 @@
     }
 };
 
+struct ReservationEntry
+{
+    EvacuationEntry noEvacuation;
+    RetryReservation reservation;
+
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(noEvacuation, reservation);
+    }
+};
+
 struct Snapshot
 {
     Revision mark = notADocument;
@@ -57,6 +71,11 @@
     return serialize(EvacuationEntry { notADocument, change });
 }
 
+auto ConfigLog::encode(const RetryReservation &reservation) -> std::string
+{
+    return serialize(ReservationEntry { {}, reservation });
+}
+
 auto ConfigLog::versionOf(const coord::Entry &entry) -> std::optional<Revision>
 {
     auto proposed = Document {};
@@ -70,12 +89,24 @@
 {
     if (entry.kind != coord::EntryKind::Command)
         return;
+    auto reservation = ReservationEntry {};
     if (isDocument(entry.data))
         applyDocument(entry);
+    else if (deserialize(entry.data, reservation).ok())
+        applyReservation(entry, reservation.reservation);
     else
         applyEvacuation(entry);
 }
 
+auto ConfigLog::applyReservation(const coord::Entry &entry, const RetryReservation &reservation)
+        -> void
+{
+    if (onReserved_)
+        onReserved_(reservation, entry.term);
+    if (onApplied_)
+        onApplied_(entry.index, entry.term);
+}
+
 auto ConfigLog::applyDocument(const coord::Entry &entry) -> void
 {
     auto proposed = Document {};
@@ -142,6 +173,11 @@
     evacuations_ = {};
 }
 
+auto ConfigLog::setOnReserved(std::function<void(const RetryReservation &, Term)> listener) -> void
+{
+    onReserved_ = std::move(listener);
+}
+
 auto ConfigLog::setOnRestored(std::function<void(LogIndex)> listener) -> void
 {
     onRestored_ = std::move(listener);
--- a/fleet/configlog.h
+++ b/fleet/configlog.h
@@ -1,5 +1,6 @@
-// What operators have decided: the state machine of a control group. It holds the
-// configuration document and the evacuated failure domains.
+// The state machine of a control group. It holds what operators have decided: the
+// configuration document and the evacuated failure domains. Reservations of retries
+// pass through it to a listener (fleet/retryledger.h) and leave no state.
 //
 //   auto log = ConfigLog {};
 //   auto replica = coord::Replica { options, clock, transport, store, log, random };
@@ -41,6 +42,19 @@
     }
 };
 
+/// Retries that a leader may grant from now on, out of the fixed number that all gateways share.
+struct RetryReservation
+{
+    ServiceId service;
+    std::uint32_t count = 0;
+
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(service, count);
+    }
+};
+
 class ConfigLog final : public coord::StateMachine
 {
 public:
@@ -48,6 +62,8 @@
     static auto encode(const Document &document) -> std::string;
     /// @return the command that proposes a change of the evacuated domains
     static auto encode(const catalogue::EvacuationChange &change) -> std::string;
+    /// @return the command that reserves retries
+    static auto encode(const RetryReservation &reservation) -> std::string;
 
     /// @return the version that a log entry proposes; nullopt when it is not a document
     static auto versionOf(const coord::Entry &entry) -> std::optional<Revision>;
@@ -62,6 +78,8 @@
     auto evacuations() const -> const catalogue::Evacuations & { return evacuations_; }
     /// Sets the function that is called for each applied command; it must not call the replica.
     auto setOnApplied(std::function<void(LogIndex, Term)> listener) -> void;
+    /// Sets the function that is called for each applied reservation; it must not call the replica.
+    auto setOnReserved(std::function<void(const RetryReservation &, Term)> listener) -> void;
     /// Sets the function that is called when a snapshot has replaced the state; it must not
     /// call the replica.
     auto setOnRestored(std::function<void(LogIndex)> listener) -> void;
@@ -69,10 +87,12 @@
 private:
     auto applyDocument(const coord::Entry &entry) -> void;
     auto applyEvacuation(const coord::Entry &entry) -> void;
+    auto applyReservation(const coord::Entry &entry, const RetryReservation &reservation) -> void;
 
     Document document_;
     catalogue::Evacuations evacuations_;
     std::function<void(LogIndex, Term)> onApplied_;
+    std::function<void(const RetryReservation &, Term)> onReserved_;
     std::function<void(LogIndex)> onRestored_;
 };
 
--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -75,6 +75,7 @@
         , demand_(options_.demand, clock)
         , balancer_(options_.balancer, clock, random_)
         , ledger_(options_.ledger, registry_, clock, Incarnation { random_.bits() })
+        , retryLedger_(options_.retries, retryLedgerParts())
         , grants_(balancer_, trials_, ledger_, metrics_)
         , proof_(options_.proof, clock)
         , orders_(context, options_.orders, clock, registry_, port, authority())
@@ -97,6 +98,11 @@
             return status;
         decisions_.setOnApplied(
                 [this](LogIndex index, Revision document) { voter_->onApplied(index, document); });
+        decisions_.setOnReserved(
+                [this](const RetryReservation &reservation, Term term) {
+                    retryLedger_.onReserved(reservation, leads_ && term == leadTerm_);
+                },
+                [this] { retryLedger_.onRestored(); });
         registry_.setOnChanged([this](const catalogue::EndpointRow &row) {
             orders_.onRowChanged(row.id);
             endpointsChanged_ = true;
@@ -252,6 +258,20 @@
         return authority;
     }
 
+    auto retryLedgerParts() -> RetryLedgerParts
+    {
+        auto mayGrant
+                = [this] { return replica_ && !stopping_ && leads_ && replica_->holdsLease(); };
+        auto propose = [this](const RetryReservation &reservation) {
+            decisions_.reserveRetries(
+                    reservation, [this, service = reservation.service](const absl::Status &status) {
+                        if (!status.ok())
+                            retryLedger_.onNotReserved(service);
+                    });
+        };
+        return { clock_, std::move(mayGrant), std::move(propose) };
+    }
+
     auto memberAt(const Address &address) const -> coord::Member
     {
         auto member = coord::Member {};
@@ -344,6 +364,12 @@
                                  registry_.handoffTargets(), peer->peer(), asks->preferred) } });
         } else if (const auto *wanted = std::get_if<proto::ModelWanted>(&envelope.payload)) {
             onWanted(peer->peer(), *wanted);
+        } else if (const auto *retry = std::get_if<proto::RetryGrantRequest>(&envelope.payload)) {
+            retryLedger_.ask(retry->service,
+                             [peer, correlation = envelope.correlation](const auto &reply) {
+                                 peer->send({ correlation, reply });
+                             });
+            settle();
         } else if (auto *pick = std::get_if<proto::PickRequest>(&envelope.payload)) {
             // A gateway that asks for no reply sends the request at once, whatever is decided here.
             pick->isOrdered = pick->isOrdered && envelope.correlation != 0;
@@ -381,6 +407,8 @@
     auto onWanted(const NodeId &sender, const proto::ModelWanted &wanted) -> void
     {
         if (leads_) {
+            for (const auto &requests : wanted.requests)
+                retryLedger_.onRequests(requests.service, requests.count);
             demandRelay_.onGatewayLost(sender); // What it reported before is out of date.
             if (demand_.onReport(sender, wanted))
                 planSoon();
@@ -583,6 +611,7 @@
         decisions_.rollout().settle();
         suspects_.tick();
         ledger_.tick(hearsGroup());
+        retryLedger_.tick();
         proveDocument();
         rememberEndpoints();
         const auto now = clock_.now();
@@ -777,6 +806,7 @@
     DemandRelay demandRelay_;
     Balancer balancer_;
     AccountLedger ledger_;
+    RetryLedger retryLedger_;
     PlaceGrants grants_;
     DocumentProof proof_;
     std::optional<DocumentVoter> voter_; ///< Created for each start of the replica.
--- a/fleet/core.h
+++ b/fleet/core.h
@@ -41,6 +41,7 @@
 #include "fleet/orders.h"
 #include "fleet/planning.h"
 #include "fleet/registry.h"
+#include "fleet/retryledger.h"
 #include "proto/channel.h"
 
 namespace figrack::fleet {
@@ -60,6 +61,7 @@
     OrderOptions orders;
     BalancerOptions balancer;
     AccountLedgerOptions ledger;
+    RetryLedgerOptions retries;
     DocumentProofOptions proof;
     /// A new leader sends its first order only when every order of its predecessor is so old that
     /// orders of the two cannot count as alternating.
--- a/fleet/decisions.cpp
+++ b/fleet/decisions.cpp
@@ -20,6 +20,8 @@
         proposals_.onApplied(index, term);
     });
     log_.setOnRestored([this](LogIndex index) {
+        if (onRestored_)
+            onRestored_();
         if (onApplied_)
             onApplied_(index, log_.document().version);
     });
@@ -40,6 +42,13 @@
     onApplied_ = std::move(listener);
 }
 
+auto Decisions::setOnReserved(std::function<void(const RetryReservation &, Term)> onReserved,
+                              std::function<void()> onRestored) -> void
+{
+    log_.setOnReserved(std::move(onReserved));
+    onRestored_ = std::move(onRestored);
+}
+
 auto Decisions::setReplica(coord::Replica *replica) -> void
 {
     replica_ = replica;
@@ -70,7 +79,7 @@
     if (document.version <= log_.document().version)
         awaitRollout(target, clock_.now() + options_.proposalTimeout, std::move(done));
     else
-        proposeCommand(
+        proposeForGateways(
                 ConfigLog::encode(document), [target] { return target; }, std::move(done));
 }
 
@@ -83,20 +92,31 @@
         inForce.evacuations = newestEvacuations().revision;
         return inForce;
     };
-    proposeCommand(ConfigLog::encode(change), target, std::move(done));
+    proposeForGateways(ConfigLog::encode(change), target, std::move(done));
 }
 
-/// @param target returns what gateways must have in force once the command is committed
-auto Decisions::proposeCommand(const std::string &command, std::function<proto::InForce()> target,
-                               Done done) -> void
+auto Decisions::reserveRetries(const RetryReservation &reservation, Done done) -> void
+{
+    proposeCommand(ConfigLog::encode(reservation), std::move(done));
+}
+
+auto Decisions::proposeCommand(const std::string &command, Done onCommitted) -> void
 {
-    const auto deadline = clock_.now() + options_.proposalTimeout;
     const auto term = replica_->status().term;
     const auto index = replica_->propose(command);
     if (!index.ok()) {
-        done(index.status());
+        onCommitted(index.status());
         return;
     }
+    proposals_.add(*index, term, clock_.now() + options_.proposalTimeout, std::move(onCommitted));
+    replica_->flush();
+}
+
+/// @param target returns what gateways must have in force once the command is committed
+auto Decisions::proposeForGateways(const std::string &command,
+                                   std::function<proto::InForce()> target, Done done) -> void
+{
+    const auto deadline = clock_.now() + options_.proposalTimeout;
     auto onCommitted = [this, target = std::move(target), deadline,
                         done = std::move(done)](absl::Status status) {
         if (status.ok())
@@ -104,8 +124,7 @@
         else
             done(std::move(status));
     };
-    proposals_.add(*index, term, deadline, std::move(onCommitted));
-    replica_->flush();
+    proposeCommand(command, std::move(onCommitted));
 }
 
 /// Gives gateways time to apply the change, because an operator's next step may rely on it.
--- a/fleet/decisions.h
+++ b/fleet/decisions.h
@@ -56,6 +56,11 @@
     /// Loads what was in force before a restart. Call it before any other function.
     auto recall() -> void;
     auto setOnApplied(OnApplied listener) -> void;
+    /// @param onReserved called for each reservation of retries that was applied, with the term in
+    /// which it was proposed; must not call the replica
+    /// @param onRestored called when a snapshot has replaced entries that were not applied here
+    auto setOnReserved(std::function<void(const RetryReservation &, Term)> onReserved,
+                       std::function<void()> onRestored) -> void;
     /// @param replica runs log(); nullptr: there is none now, and pending proposals end
     auto setReplica(coord::Replica *replica) -> void;
     auto log() -> ConfigLog & { return log_; }
@@ -72,12 +77,18 @@
     /// committed or superseded, and is in force as stated above; otherwise the outcome is unknown
     auto propose(const Document &document, Done done) -> void;
     auto changeEvacuation(const catalogue::EvacuationChange &change, Done done) -> void;
+    /// Reserves retries. Call it only while the replica leads. @param done called once: OK when the
+    /// reservation is committed; otherwise the outcome is unknown
+    auto reserveRetries(const RetryReservation &reservation, Done done) -> void;
     /// Completes proposals and saves what is newly committed.
     auto settle(const coord::ReplicaStatus &status) -> void;
 
 private:
-    auto proposeCommand(const std::string &command, std::function<proto::InForce()> target,
-                        Done done) -> void;
+    /// @param onCommitted called once, with OK when the command is committed
+    auto proposeCommand(const std::string &command, Done onCommitted) -> void;
+    /// Proposes a command that gateways must apply before it counts as done.
+    auto proposeForGateways(const std::string &command, std::function<proto::InForce()> target,
+                            Done done) -> void;
     auto awaitRollout(const proto::InForce &target, Instant deadline, Done done) -> void;
     auto save() -> void;
 
@@ -89,6 +100,7 @@
     DocumentRollout rollout_;
     coord::Replica *replica_ = nullptr;
     OnApplied onApplied_;
+    std::function<void()> onRestored_;
     Document recalledDocument_; ///< What was in force here before the start.
     catalogue::Evacuations recalledEvacuations_;
     proto::InForce saved_; ///< What is saved for a restart.
--- a/fleet/demandrelay.cpp
+++ b/fleet/demandrelay.cpp
@@ -51,6 +51,8 @@
                     : std::min(sum.startTargetMs, row.startTargetMs);
         sum.readTokens += row.readTokens;
     }
+    for (const auto &requests : report.requests)
+        requests_[requests.service] += requests.count;
     latest_[gateway] = { report, now };
     hasNews_ = true;
     return unserved;
@@ -89,6 +91,8 @@
         result.loads.push_back({ endpoint, running });
     result.unreachable = { unreachable.begin(), unreachable.end() };
     result.unreached = tally.endpoints();
+    for (const auto &[service, count] : std::exchange(requests_, {}))
+        result.requests.push_back({ service, count });
     const auto groups = tally.groups();
     result.unreachedGroups = { groups.begin(), groups.end() };
     return result;
--- a/fleet/demandrelay.h
+++ b/fleet/demandrelay.h
@@ -36,6 +36,7 @@
 private:
     /// Counts of the time since the last take(), by service, model and adapter.
     std::map<proto::WatchKey, proto::WantedRow> arrived_;
+    std::map<ServiceId, std::uint64_t> requests_; ///< Since the last take().
     struct Latest
     {
         proto::ModelWanted report;
--- a/gateway/controlfeed.cpp
+++ b/gateway/controlfeed.cpp
@@ -413,14 +413,34 @@
         return controls_.at(*source).client->push(std::move(wanted));
     }
 
+    auto askRetry(const proto::RetryGrantRequest &request, Duration timeout,
+                  std::function<void(std::optional<proto::RetryGrantReply>)> done) -> bool
+    {
+        auto *leader = leaderClient();
+        if (leader == nullptr)
+            return false;
+        leader->call(request, timeout, [done = std::move(done)](const auto &reply) {
+            const auto *grant = replyAs<proto::RetryGrantReply>(reply);
+            done(grant == nullptr ? std::nullopt : std::optional { *grant });
+        });
+        return true;
+    }
+
     /// @return false if no leader is known or connected
     auto pushToLeader(proto::Payload payload) -> bool
+    {
+        auto *leader = leaderClient();
+        return leader != nullptr && leader->push(std::move(payload));
+    }
+
+    /// @return nullptr if no leader is known or connected
+    auto leaderClient() -> proto::PeerClient *
     {
         for (auto &[address, control] : controls_) {
             if (control.open && control.node == leader_)
-                return control.client->push(std::move(payload));
+                return control.client.get();
         }
-        return false;
+        return nullptr;
     }
 
     /// Reports the balancer if it is another one than before.
@@ -738,6 +758,12 @@
     return impl_->sendWanted(std::move(wanted));
 }
 
+auto ControlFeed::askRetry(const proto::RetryGrantRequest &request, Duration timeout,
+                           std::function<void(std::optional<proto::RetryGrantReply>)> done) -> bool
+{
+    return impl_->askRetry(request, timeout, std::move(done));
+}
+
 auto ControlFeed::sendSuspects(const std::vector<catalogue::SuspectRow> &rows) -> void
 {
     impl_->sendSuspects(rows);
--- a/gateway/controlfeed.h
+++ b/gateway/controlfeed.h
@@ -121,6 +121,10 @@
     /// Sends a demand report to the leader, or to the control at which endpoints are watched, which
     /// sums them up for the leader. @return false if none is known or connected
     auto sendWanted(proto::ModelWanted wanted) -> bool;
+    /// Asks the leader for a retry. @return false if none is connected; then done is not called
+    /// @param done called once, with nullopt if no answer came in time
+    auto askRetry(const proto::RetryGrantRequest &request, Duration timeout,
+                  std::function<void(std::optional<proto::RetryGrantReply>)> done) -> bool;
     /// Sends suspected work to all controls, since each may be the only one that another gateway is
     /// connected to.
     auto sendSuspects(const std::vector<catalogue::SuspectRow> &rows) -> void;
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -62,6 +62,11 @@
     isCountedAsWork_ = terms->isCountedAsWork;
     isDemand_ = terms->isCountedAsDemand;
     isCounted_ = terms->isCharged;
+    if (terms->retryMs > 0) {
+        const auto validFor = std::min<Duration>(std::chrono::milliseconds { terms->retryMs },
+                                                 proto::retryGrantTtl);
+        retry_ = Retry::granted(parts_.clock.now() + validFor, parts_.clock);
+    }
 }
 
 auto Forwarder::Run::execute() -> asio::awaitable<void>
@@ -95,6 +100,18 @@
         auto *entry = co_await place();
         if (entry == nullptr && !isUnreached_)
             co_return;
+        // The request may have waited for longer than its retry is valid.
+        if (hasArrived() && !co_await takeRetry()) {
+            picked_.booking = {};
+            co_await giveUp(lastError_);
+            co_return;
+        }
+        if (entry != nullptr)
+            entry = parts_.view.find(picked_.endpoint);
+        if (callerGone_ || (entry == nullptr && !isUnreached_)) {
+            picked_.booking = {};
+            continue;
+        }
         auto step = Step::Settled;
         if (entry != nullptr)
             step = co_await dispatch(*entry);
@@ -215,6 +232,8 @@
         line.with("handed_to", handedTo_);
     if (!works_.ofAnyone.isNone())
         line.with("work", works_.ofAnyone.text());
+    if (grantedRetries_ > 0)
+        line.with("retries_granted", std::uint64_t { grantedRetries_ });
     if (budgetSpent_)
         line.with("retries", "spent");
     if (silence_) {
@@ -277,22 +296,47 @@
 
 auto Forwarder::onPathLost(const EndpointGroup &group) -> void
 {
-    auto moved = std::uint64_t { 0 };
+    auto movable = std::vector<std::pair<EndpointId, std::weak_ptr<http::Canceller>>> {};
     auto kept = std::uint64_t { 0 };
     for (const auto &[id, dispatch] : dispatches_) {
-        if (dispatch.group == group)
-            ++(dispatch.run->moveElsewhere() ? moved : kept);
+        if (dispatch.group != group)
+            continue;
+        if (dispatch.run->mayMove())
+            movable.emplace_back(id, dispatch.canceller);
+        else
+            ++kept;
     }
-    if (moved + kept > 0) {
-        LogEvent(LogLevel::Warning, "dispatches_moved")
+    if (!movable.empty() || kept > 0) {
+        LogEvent(LogLevel::Warning, "dispatches_move")
                 .with("service", group.service)
                 .with("domain", group.domain)
-                .with("moved", moved)
+                .with("movable", static_cast<std::uint64_t>(movable.size()))
                 .with("kept", kept);
     }
+    for (const auto &[id, canceller] : movable) {
+        auto move = [this, alive = std::weak_ptr { alive_ }, id = id,
+                     canceller = canceller](Retry retry) {
+            if (alive.expired() || !retry.isValid())
+                return;
+            if (auto *run = runOf(id, canceller); run != nullptr && run->mayMove())
+                run->moveElsewhere(std::move(retry));
+        };
+        if (const auto *run = runOf(id, canceller))
+            parts_.retries.take(run->service(), std::move(move));
+    }
     parts_.waiters.wakeAll();
 }
 
+auto Forwarder::runOf(const EndpointId &endpoint,
+                      const std::weak_ptr<http::Canceller> &canceller) const -> Run *
+{
+    const auto [begin, end] = dispatches_.equal_range(endpoint);
+    const auto found = std::find_if(begin, end, [&](const auto &item) {
+        return item.second.canceller == canceller.lock();
+    });
+    return found == end ? nullptr : found->second.run;
+}
+
 auto Forwarder::handle(const http::Request &request, http::Responder &responder)
         -> asio::awaitable<void>
 {
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -31,7 +31,8 @@
 // - Only complete events of a stream are forwarded, and none twice.
 // - A refusal that is marked as not run is for a request that has not run.
 // - A request that is given up is answered immediately.
-// - Retries are bounded by the shared RetryWindow and by the route's maximum attempts.
+// - Retries are bounded by the budget of all gateways (gateway/retrybudget.h), of which each is
+//   taken again if its request has waited for too long, and by the route's maximum attempts.
 // - If the caller disconnects, the connection to the endpoint is closed.
 //
 // Not thread-safe: runs on one thread.
@@ -62,7 +63,7 @@
 #include "gateway/loadwatch.h"
 #include "gateway/metrics.h"
 #include "gateway/picker.h"
-#include "gateway/retrywindow.h"
+#include "gateway/retrybudget.h"
 #include "gateway/waiters.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -114,7 +115,7 @@
     const Clock &clock;
     const Dialect &dialect;
     FleetView &view;
-    RetryWindow &retries;
+    RetryBudget &retries;
     Demand &demand;
     Waiters &waiters;
     Metrics &metrics;
@@ -166,6 +167,9 @@
 private:
     class Run;
     friend class Run;
+    /// @return the request whose dispatch has the canceller; nullptr if it has ended
+    auto runOf(const EndpointId &endpoint, const std::weak_ptr<http::Canceller> &canceller) const
+            -> Run *;
     ForwarderOptions options_;
     ForwarderParts parts_;
     std::shared_ptr<const catalogue::RouteTable> routes_;
@@ -189,6 +193,8 @@
     /// No request waits for an endpoint after this time.
     Instant placementDeadline_ = Instant::max();
     bool refusing_ = false;
+    /// Expires with this object, since a retry may be granted later.
+    std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true);
 };
 
 } // namespace figrack::gateway
--- a/gateway/forwarderdispatch.cpp
+++ b/gateway/forwarderdispatch.cpp
@@ -49,7 +49,7 @@
     auto mayTry = mayRepeat && mayResume && inTime && inCount;
     if (mayTry && step == Step::Broken)
         mayTry = !co_await hasTooManyCrashes() && !callerGone_;
-    if (mayTry && (sent_ == 0 || std::exchange(hasRetry_, false) || takeRetry()))
+    if (mayTry && (!hasArrived() || co_await takeRetry()))
         co_return true;
     co_await giveUp(lastError_);
     co_return false;
@@ -61,12 +61,21 @@
     co_return verdict().ends >= owner_.options_.crashLimitForRetry;
 }
 
-auto Forwarder::Run::takeRetry() -> bool
+auto Forwarder::Run::hasArrived() const -> bool
 {
-    const auto allowed = parts_.retries.take(service_);
-    if (!allowed)
-        budgetSpent_ = true;
-    return allowed;
+    return sent_ > 0 || (handoffTerms_ != nullptr && handoffTerms_->hasArrived);
+}
+
+auto Forwarder::Run::takeRetry() -> asio::awaitable<bool>
+{
+    if (retry_.isValid())
+        co_return true;
+    auto retry = co_await parts_.retries.take(service_);
+    retry_ = std::move(retry);
+    if (retry_.isGranted())
+        ++grantedRetries_;
+    budgetSpent_ = !retry_.isValid();
+    co_return retry_.isValid();
 }
 
 auto Forwarder::Run::dispatch(EndpointEntry &entry) -> asio::awaitable<Step>
@@ -91,7 +100,15 @@
     const auto dispatched
             = owner_.dispatches_.emplace(id, Forwarder::Dispatch { this, group, canceller_ });
     auto sentBody = owner_.heldBytes_.sendTo(id, request_.body.size());
+    auto retry = std::move(retry_);
+    if (hasArrived() && retry.isValid())
+        retry.send();
+    const auto sentBefore = sent_;
     const auto step = co_await exchange(std::move(out), left, id);
+    if (sent_ == sentBefore && hasArrived()) {
+        retry.revoke();
+        retry_ = std::move(retry);
+    }
     sentBody.release();
     owner_.dispatches_.erase(dispatched);
     if (step != Step::Settled) {
@@ -290,18 +307,19 @@
         parts_.crashDetector.onCleared(works_);
 }
 
-auto Forwarder::Run::moveElsewhere() -> bool
+auto Forwarder::Run::mayMove() const -> bool
 {
     const auto mayRepeat = responder_.started() ? route_->resumable : route_->mayRepeat();
-    const auto mayMove = mayRepeat && !isMoved_ && !callerGone_ && handoffTerms_ == nullptr
+    return mayRepeat && !isMoved_ && !callerGone_ && handoffTerms_ == nullptr
             && ran_ + (hasAnswerBegun_ ? 0U : 1U) < route_->maxAttempts
             && parts_.clock.now() < deadline_;
-    if (!mayMove || !takeRetry())
-        return false;
+}
+
+auto Forwarder::Run::moveElsewhere(Retry retry) -> void
+{
     isMoved_ = true;
-    hasRetry_ = true;
+    retry_ = std::move(retry);
     canceller_->cancel();
-    return true;
 }
 
 auto Forwarder::Run::noteHeard() -> void
--- a/gateway/forwarderhandoff.cpp
+++ b/gateway/forwarderhandoff.cpp
@@ -94,8 +94,16 @@
 auto Forwarder::Run::handTo(const proto::HandoffTarget &target) -> asio::awaitable<Step>
 {
     auto &handoffs = *parts_.handoffs;
+    if (hasArrived() && !co_await takeRetry()) {
+        co_await giveUp(lastError_);
+        co_return Step::Settled;
+    }
+    auto retry = std::move(retry_);
+    auto request = handedRequest();
+    if (hasArrived())
+        request.terms.retryMs = static_cast<std::uint64_t>(wholeMillis(retry.passOn()));
     canceller_ = std::make_shared<http::Canceller>();
-    auto out = handoffs.requestTo(target, handedRequest());
+    auto out = handoffs.requestTo(target, request);
     out.canceller = canceller_;
     out.maxIdleAge = maxIdleAge();
     handedTo_ = target.node;
@@ -121,6 +129,10 @@
     }
     handoffs.targets().onEnd(target.node);
     isToGateway_ = false;
+    if (step == Step::NotRun) {
+        retry.revoke();
+        retry_ = std::move(retry);
+    }
     parts_.metrics.onHandedOver(step == Step::Settled          ? "settled"
                                         : step == Step::NotRun ? "declined"
                                                                : "broken");
@@ -171,6 +183,7 @@
     result.terms.isCountedAsWork = isCountedAsWork_;
     result.terms.isCountedAsDemand = isDemand_;
     result.terms.isCharged = isCounted_;
+    result.terms.hasArrived = hasArrived();
     result.terms.resumeAfter = lastEvent_;
     result.method = request_.method;
     result.target = request_.target;
@@ -198,7 +211,8 @@
     const auto kind = errorKind(lastError_);
     const auto isUnable = blockedBy_ == BlockedBy::Path || kind == ErrorKind::Draining
             || kind == ErrorKind::NotCurrent;
-    const auto isDeclined = isUnable && ran_ == handoffTerms_->ran;
+    // What has arrived at an endpoint counts in the retry budget of this gateway.
+    const auto isDeclined = isUnable && ran_ == handoffTerms_->ran && sent_ == 0;
     const auto outcome = isDeclined ? handoffDeclined : requestOutcomeName(outcome_);
     return { std::string { handoffOutcomeHeader },
              std::string { outcome } + " " + std::string { blockedByName(blockedBy_) } };
--- a/gateway/forwarderrelay.cpp
+++ b/gateway/forwarderrelay.cpp
@@ -38,7 +38,7 @@
     auto answer = http::Response { status_, endToEnd(stream.headers()), std::move(body) };
     const auto mayTryAnother = !isToGateway_ && route_->mayRepeat() && ran_ < route_->maxAttempts
             && parts_.clock.now() < deadline_;
-    if (isFault && mayTryAnother && takeRetry())
+    if (isFault && mayTryAnother && co_await takeRetry())
         co_return co_await retryAfterFault(std::move(answer));
     co_return co_await sendWhole(std::move(answer));
 }
@@ -47,7 +47,8 @@
 {
     avoid(endpoint_);
     const auto blockedBy = co_await pick();
-    auto *entry = blockedBy == BlockedBy::Nothing ? parts_.view.find(picked_.endpoint) : nullptr;
+    const auto isPaid = blockedBy == BlockedBy::Nothing && co_await takeRetry();
+    auto *entry = isPaid ? parts_.view.find(picked_.endpoint) : nullptr;
     if (entry != nullptr && !callerGone_ && co_await dispatch(*entry) == Step::Settled)
         co_return Step::Settled;
     if (callerGone_)
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -40,10 +40,12 @@
     auto operator=(const Run &) -> Run & = delete;
 
     auto execute() -> boost::asio::awaitable<void>;
-    /// Called when the path to the endpoint of the dispatch in progress is lost. Ends the dispatch
-    /// if another one may follow.
-    /// @return true if the request goes on elsewhere
-    auto moveElsewhere() -> bool;
+    /// Called when the path to the endpoint of the dispatch in progress is lost.
+    /// @return true if another dispatch may follow, for which a retry is needed
+    auto mayMove() const -> bool;
+    /// Ends the dispatch in progress, since the request goes on elsewhere.
+    auto moveElsewhere(Retry retry) -> void;
+    auto service() const -> const ServiceId & { return service_; }
 
 private:
     /// For how long nothing has been received from endpoints with requests in progress.
@@ -185,7 +187,11 @@
     /// Called after a dispatch that broke off.
     /// @return true if the work has crashed so many endpoints that the gateway must not retry it
     auto hasTooManyCrashes() -> boost::asio::awaitable<bool>;
-    auto takeRetry() -> bool;
+    /// @return true if an endpoint has received the request, so that the next dispatch is a retry
+    auto hasArrived() const -> bool;
+    /// Takes a retry from the budget, unless a valid one is held.
+    /// @return false if there is none
+    auto takeRetry() -> boost::asio::awaitable<bool>;
     auto dispatch(EndpointEntry &entry) -> boost::asio::awaitable<Step>;
     /// @return whether the endpoint met the route's latency targets, as far as this dispatch shows
     /// it
@@ -313,7 +319,8 @@
     bool hasAnswerBegun_ = false;       ///< The dispatch in progress counts in ran_.
     bool isPathGivenUp_ = false;        ///< No other gateway could take the request.
     bool isMoved_ = false;              ///< The dispatch was ended because its path is lost.
-    bool hasRetry_ = false;             ///< The next dispatch is already in the retry budget.
+    Retry retry_;                       ///< For the next dispatch.
+    std::uint32_t grantedRetries_ = 0;  ///< Retries that the leader granted.
     NodeId handedTo_;                   ///< The latest gateway that the request was handed to.
     std::optional<Silence> silence_;    ///< At the end of a dispatch that broke off.
     std::optional<Instant> firstByteAt_;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -43,7 +43,6 @@
         , random_(seed)
         , view_(options_.view, clock)
         , paths_(clock, options_.paths)
-        , retries_(options_.retries, clock)
         , demand_(clock)
         , loadWatch_({}, clock)
         , waiters_(context)
@@ -53,6 +52,10 @@
         , handoffs_(handoffsOptions(),
                     { context, clock, random_, waiters_,
                       [this](HandoffsParts::Done done) { askHandoffTargets(std::move(done)); } })
+        , retries_(options_.retries, clock, metrics_,
+                   [this](const auto &request, Duration timeout, auto done) {
+                       return feed_.askRetry(request, timeout, std::move(done));
+                   })
         , picker_(options_.picker, feed_.balancerLink(), metrics_, random_, clock)
         , crashDetector_({}, { context, clock, view_, quarantine_, metrics_, paths_ },
                          [this] {
@@ -303,7 +306,6 @@
     {
         if (update.gateways > 0) {
             gateways_ = update.gateways;
-            retries_.setGateways(update.gateways);
             picker_.setGateways(update.gateways);
         }
         if (view_.apply(update))
@@ -369,8 +371,10 @@
                 report.unreached.push_back({ id });
         }
         report.loads = view_.takeLoads();
+        report.requests = retries_.takeRequests();
         auto told = std::tuple { report.unreachable, unreached, report.unreachedGroups };
-        const auto isUnchanged = report.rows.empty() && told == reportedUnreachable_;
+        const auto isUnchanged
+                = report.rows.empty() && report.requests.empty() && told == reportedUnreachable_;
         reportedUnreachable_ = std::move(told);
         if (!isUnchanged)
             static_cast<void>(feed_.sendWanted(std::move(report)));
@@ -429,7 +433,6 @@
     Random random_;
     FleetView view_;
     EndpointPaths paths_;
-    RetryWindow retries_;
     Demand demand_;
     LoadWatch loadWatch_;
     Waiters waiters_;
@@ -439,6 +442,7 @@
     PathProber prober_;
     ControlFeed feed_;
     Handoffs handoffs_;
+    RetryBudget retries_;
     Picker picker_;
     CrashDetector crashDetector_;
     Forwarder forwarder_;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -61,7 +61,7 @@
     std::uint32_t capacity = 0; ///< Processor share in thousandths of a core; 0: not known.
     std::vector<Address> seeds; ///< Peer addresses of controls.
     std::shared_ptr<proto::PeerKeys> keys;
-    RetryWindowOptions retries;
+    RetryBudgetOptions retries;
     ForwarderOptions forwarder;
     FleetViewOptions view;
     PickerOptions picker;
--- a/gateway/metrics.cpp
+++ b/gateway/metrics.cpp
@@ -42,6 +42,10 @@
                              .Name("figrack_gateway_dispatches_total")
                              .Help("Sends to endpoints, first ones and repeats")
                              .Register(registry))
+        , retries(prometheus::BuildCounter()
+                          .Name("figrack_gateway_retries_total")
+                          .Help("Retries that were wanted, by what pays for them")
+                          .Register(registry))
         , failures(prometheus::BuildCounter()
                            .Name("figrack_gateway_endpoint_failures_total")
                            .Help("Dispatches that an endpoint did not answer")
@@ -138,6 +142,7 @@
     prometheus::Registry registry;
     prometheus::Family<prometheus::Counter> &requests;
     prometheus::Family<prometheus::Counter> &dispatches;
+    prometheus::Family<prometheus::Counter> &retries;
     prometheus::Counter &failures;
     prometheus::Counter &ended;
     prometheus::Counter &quarantineRefusals;
@@ -177,6 +182,11 @@
     impl_->dispatches.Add({ { "kind", isRepeat ? "repeat" : "first" } }).Increment();
 }
 
+auto Metrics::onRetry(std::string_view paid) -> void
+{
+    impl_->retries.Add({ { "paid", std::string { paid } } }).Increment();
+}
+
 auto Metrics::onEndpointFailure() -> void
 {
     impl_->failures.Increment();
--- a/gateway/metrics.h
+++ b/gateway/metrics.h
@@ -60,6 +60,8 @@
     /// @param total time from arrival to the end
     auto onRequest(RequestOutcome outcome, Duration firstByte, Duration total) -> void;
     auto onDispatch(bool isRepeat) -> void;
+    /// A retry was taken from the budget. @param paid by what, from a fixed set
+    auto onRetry(std::string_view paid) -> void;
     auto onEndpointFailure() -> void;
     /// The process of an endpoint ended while it was running requests of this gateway.
     auto onEndpointEnded() -> void;
--- a/gateway/retrywindow.h
+++ b/gateway/retrywindow.h
@@ -1,12 +1,16 @@
-// Limits the number of retries across all gateways.
+// Limits the retries of one gateway to a fraction of its own requests.
 //
-//   budget.onRequest(service);
-//   if (budget.take(service)) retry();
+//   window.onRequest(service);
+//   if (window.take(service)) { ... window.send(service, now); }
 //
-// In any window, a deployment allows each service a number of retries that is a fraction of its
-// requests plus a fixed number, summed over all gateways. Each gateway uses the fraction of its own
-// requests and an equal part of the fixed number, so the gateways need not communicate for each
-// request. Not thread-safe.
+// For a service, all gateways together may send a number of retries in any window that is a
+// fraction of the requests for it. Each gateway keeps this for its own requests, so the gateways
+// need not communicate. Their sums agree because each one compares the retries of a window with the
+// requests of the same other window: the one that began half a window earlier, whose requests are
+// known when most of the retries are sent.
+//
+// A retry counts from when it is taken until a window after it was sent: its request may wait for
+// an endpoint in between. Not thread-safe.
 
 #ifndef FIGRACK_GATEWAY_RETRYWINDOW_H
 #define FIGRACK_GATEWAY_RETRYWINDOW_H
@@ -22,35 +26,47 @@
 
 struct RetryWindowOptions
 {
-    double ratio = 0.2; ///< Retries per request, over all gateways.
-    double slack = 50;  ///< Additional retries per window, over all gateways.
+    double ratio = 0.2; ///< Retries per request.
     Duration window = std::chrono::seconds { 10 };
-    /// Fraction of the allowed retries that is used, since window boundaries differ between
-    /// gateways and their number is known only with a delay.
-    double margin = 0.7;
+    /// Usual time from a caller or to an endpoint. Requests and retries are counted where they are
+    /// sent and where they arrive, so windows are compared with this tolerance.
+    Duration transit = std::chrono::milliseconds { 100 };
+    /// Retries and requests are compared for windows that begin in steps of this.
+    Duration step = std::chrono::milliseconds { 100 };
 };
 
 class RetryWindow
 {
 public:
     RetryWindow(RetryWindowOptions options, const Clock &clock);
-    /// @param gateways number of gateways, including this one; at least 1
-    auto setGateways(std::uint32_t gateways) -> void;
     auto onRequest(const ServiceId &service) -> void;
-    /// @return true if another retry may be sent, and counts it
+    /// Counts a retry that is to be sent.
+    /// @return false if the requests allow no other one
     auto take(const ServiceId &service) -> bool;
+    /// Returns a retry that was taken and will not be sent.
+    auto giveBack(const ServiceId &service) -> void;
+    /// A retry that was taken is sent. @param at now, or the latest time at which it may be sent
+    auto send(const ServiceId &service, Instant at) -> void;
+    /// A retry could not be sent after all, and is taken again. @param at as passed to send()
+    auto revoke(const ServiceId &service, Instant at) -> void;
 
 private:
     struct Counts
     {
         std::deque<Instant> requests;
-        std::deque<Instant> repeats;
+        std::deque<Instant> sent; ///< Times of retries, in order.
+        std::size_t taken = 0;    ///< Retries not sent yet.
     };
-    auto trim(Counts &counts) -> void;
+    auto trim(Counts &counts) const -> void;
+    /// @return the number of requests that pay for the retries of any window that begins within a
+    /// step from an instant on
+    auto requestsFor(const Counts &counts, Instant from) const -> std::size_t;
+    static auto countFrom(const std::deque<Instant> &times, Instant from) -> std::size_t;
+    /// @return how long a retry counts
+    auto countedFor() const -> Duration { return options_.window + options_.transit; }
 
     RetryWindowOptions options_;
     const Clock &clock_;
-    std::uint32_t gateways_ = 8; ///< Until set, assumes a fleet of the usual size.
     std::map<ServiceId, Counts> counts_;
 };
 
--- a/gateway/testing/feedrig.h
+++ b/gateway/testing/feedrig.h
@@ -73,6 +73,8 @@
                     peer->send({ envelope.correlation, reply });
             } else if (std::holds_alternative<proto::PickEnd>(envelope.payload)) {
                 ++ended;
+            } else if (std::holds_alternative<proto::RetryGrantRequest>(envelope.payload)) {
+                peer->send({ envelope.correlation, proto::RetryGrantReply { true, 0 } });
             } else if (std::holds_alternative<proto::HandoffTargetsRequest>(envelope.payload)) {
                 ++askedForTargets;
                 peer->send({ envelope.correlation, targetsFor(peer->peer()) });
--- a/gateway/testing/tst_retrybudget.cpp
+++ b/gateway/testing/tst_retrybudget.cpp
@@ -5,6 +5,7 @@
 
 #include "gateway/testing/retryworld.h"
 
+using namespace figrack;
 using namespace figrack::gateway::testing;
 using namespace std::chrono_literals;
 
@@ -52,3 +53,37 @@
 {
     CHECK(mostOverBudget({}) <= 0);
 }
+
+TEST_CASE("Repeats stay within the common budget while gateways lose the controls")
+{
+    auto options = RetryWorldOptions {};
+    options.cutGateways = 0.6;
+    options.killedControls = 0.3;
+    options.downFor = 2s;
+    CHECK(mostOverBudget(options) <= 0);
+}
+
+TEST_CASE("Repeats stay within the common budget where requests wait and come in bursts")
+{
+    auto options = RetryWorldOptions {};
+    options.longestWait = 4s;
+    options.burst = 6;
+    options.killedGateways = 0.3;
+    CHECK(mostOverBudget(options) <= 0);
+}
+
+TEST_CASE("Nearly all of the common budget is used where it is needed")
+{
+    auto world = RetryWorld { {} };
+    world.run(60s);
+    CHECK(world.mostUsed() >= 0.9);
+}
+
+TEST_CASE("The fixed number of repeats is available to gateways that have just restarted")
+{
+    auto options = RetryWorldOptions {};
+    options.killedGateways = 0.6;
+    auto world = RetryWorld { options };
+    world.run(60s);
+    CHECK(world.mostInWindow() >= fleet::RetryLedgerOptions {}.slack);
+}
--- a/proto/handoff.h
+++ b/proto/handoff.h
@@ -45,12 +45,14 @@
     bool isCountedAsWork = false;   ///< In the retry budget, as a request.
     bool isCountedAsDemand = false; ///< In the demand for its model.
     bool isCharged = false;         ///< To its account.
+    bool hasArrived = false;        ///< An endpoint has received a dispatch of it.
+    std::uint64_t retryMs = 0;      ///< For how long a retry of it is paid for; 0: none is.
     std::string resumeAfter;        ///< ID of the last event that the caller has; empty: none.
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
         archive(from, waitedMs, ran, mayHaveRun, isCountedAsWork, isCountedAsDemand, isCharged,
-                resumeAfter);
+                hasArrived, retryMs, resumeAfter);
     }
 };
 
--- a/proto/messages.h
+++ b/proto/messages.h
@@ -32,7 +32,7 @@
 
 namespace figrack::proto {
 
-constexpr auto protocolVersion = std::uint32_t { 7 };
+constexpr auto protocolVersion = std::uint32_t { 8 };
 constexpr auto maxFrameBytes = std::size_t { 16 } << 20;
 
 /// An error on the wire.
@@ -282,15 +282,15 @@
     }
 };
 
-using Payload = std::variant<Failure, JoinRequest, JoinReply, DrainNotice, FeedRequest, FeedBatch,
-                             coord::RenewRequest, coord::RenewReply, DemandReport, EndpointReport,
-                             LoadDigest, ClaimRequest, ClaimReply, ClaimEnd, Done, ReportRequest,
-                             ReportReply, coord::Message, Subscribe, ServingUpdate, ServingAck,
-                             InForce, ManifestRequest, ManifestReply, BlocksRequest, BlocksReply,
-                             ModelWanted, JoinGroup, PickRequest, PickReply, PickEnd, SuspectNews,
-                             AccountNews, DocumentProofRequest, DocumentProofReply,
-                             coord::RevisionQuery, coord::RevisionReply, WatchRequest, WatchReply,
-                             PickGrant, LoadSchedule, HandoffTargetsRequest, HandoffTargetsReply>;
+using Payload = std::variant<
+        Failure, JoinRequest, JoinReply, DrainNotice, FeedRequest, FeedBatch, coord::RenewRequest,
+        coord::RenewReply, DemandReport, EndpointReport, LoadDigest, ClaimRequest, ClaimReply,
+        ClaimEnd, Done, ReportRequest, ReportReply, coord::Message, Subscribe, ServingUpdate,
+        ServingAck, InForce, ManifestRequest, ManifestReply, BlocksRequest, BlocksReply,
+        ModelWanted, JoinGroup, PickRequest, PickReply, PickEnd, SuspectNews, AccountNews,
+        DocumentProofRequest, DocumentProofReply, coord::RevisionQuery, coord::RevisionReply,
+        WatchRequest, WatchReply, PickGrant, LoadSchedule, HandoffTargetsRequest,
+        HandoffTargetsReply, RetryGrantRequest, RetryGrantReply>;
 
 struct Envelope
 {
--- a/proto/servingmessages.h
+++ b/proto/servingmessages.h
@@ -310,6 +310,18 @@
     }
 };
 
+/// Requests for a service that callers sent, for the retry budget.
+struct ServiceRequests
+{
+    ServiceId service;
+    std::uint64_t count = 0; ///< Since the last report.
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(service, count);
+    }
+};
+
 /// Sent to the leader at each interval, and at once when a model is wanted that no endpoint holds.
 struct ModelWanted
 {
@@ -320,10 +332,11 @@
     std::vector<EndpointId> unreachable;
     std::vector<UnreachedEndpoint> unreached;
     std::vector<catalogue::EndpointGroup> unreachedGroups; ///< See Subscribe::unreached.
+    std::vector<ServiceRequests> requests;
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(spanMs, rows, loads, unreachable, unreached, unreachedGroups);
+        archive(spanMs, rows, loads, unreachable, unreached, unreachedGroups, requests);
     }
 };
 
@@ -452,6 +465,34 @@
     }
 };
 
+/// A granted retry is sent, if at all, within this time after it was asked for.
+constexpr auto retryGrantTtl = std::chrono::milliseconds { 1000 };
+
+/// Part of the retries per request that a gateway uses without asking. The rest is the leader's to
+/// grant, so that it is not lost with a gateway.
+constexpr auto ownRetryPart = 0.25;
+
+/// Asks the leader for one retry out of those that all gateways share.
+struct RetryGrantRequest
+{
+    ServiceId service;
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(service);
+    }
+};
+struct RetryGrantReply
+{
+    bool isGranted = false;
+    std::uint64_t waitMs = 0; ///< Without a grant: when one may be asked for again.
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(isGranted, waitMs);
+    }
+};
+
 /// Why a model that requests wait for is not held yet.
 enum class ScheduledLoadState : std::uint8_t {
     Ordered,  ///< An endpoint has accepted the order.
