test: a part of prompts ends endpoint after endpoint (known red)

One gateway before sixteen endpoints, each of which ends as it begins to run a request with the part; no two requests are alike, and sound ones share their caller and the other parts.

--- a/gateway/testing/rig.cpp
+++ b/gateway/testing/rig.cpp
@@ -1,5 +1,8 @@
 #include "gateway/testing/rig.h"
 
+#include <algorithm>
+#include <string>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -14,6 +17,18 @@
 
 constexpr auto patience = std::chrono::seconds { 20 };
 
+/// @return the parts of "ID,ID,...", numbers
+auto readPrompt(std::string_view text) -> std::vector<PromptPart>
+{
+    auto parts = std::vector<PromptPart> {};
+    while (!text.empty()) {
+        const auto end = std::min(text.find(','), text.size());
+        parts.push_back({ std::stoull(std::string { text.substr(0, end) }), 100 });
+        text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    return parts;
+}
+
 auto testDialect() -> Dialect
 {
     auto dialect = Dialect {};
@@ -30,9 +45,11 @@
         result.path = request.path;
         result.model = ModelId { std::string { request.header("X-Model") } };
         result.resumeAfter = request.header("X-After");
+        result.prompt = readPrompt(request.header("X-Prompt"));
         result.headers = { { "Host", result.host },
                            { "X-Id", result.id.value() },
-                           { "X-Account", result.account } };
+                           { "X-Account", result.account },
+                           { "X-Prompt", std::string { request.header("X-Prompt") } } };
         const auto deadline = std::string { request.header("X-Deadline") };
         if (!deadline.empty())
             result.deadline = std::chrono::milliseconds { std::stoi(deadline) };
