policy, gateway, fleet: a part of prompts under which endpoints end is quarantined by itself

What callers saw: requests of one route, no two alike, ended about one endpoint a second; each took the requests of others with it.

Class: failure state kept by an identity that does not fit what carries the fault.

Change: each part of a prompt but its last is work of its own in the same table, named by service and part. An endpoint ends as it begins to write an answer on a harmful part, so an answer that goes on for half a second, or completes, clears its parts at once and everywhere. Ends that are close together count as one, since a sound part may be in progress at many endpoints that end together, and an end counts after the time in which others say that the part is sound. From two such ends on, requests with the part run one at a time, where the fewest others run; it is refused after a third end that came so late that its request ran alone, or after five. A gateway does not retry a request of which a part has two ends that are not cleared. Requests that wait are refused as soon as the part is quarantined.

Sight: part_suspected names the parts that were in progress at each end.

--- a/catalogue/suspect.cpp
+++ b/catalogue/suspect.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include "core/crypto.h"
+#include "core/hash.h"
 
 namespace figrack::catalogue {
 namespace {
@@ -47,6 +48,12 @@
              digestOf({ "anyone", parts.method, parts.host, parts.path, query, body }) };
 }
 
+auto workIdOfPart(const ServiceId &service, std::uint64_t part) -> WorkId
+{
+    const auto hash = std::hash<std::string> {};
+    return { mixHash(hash("prompt part"), hash(service.value())), part };
+}
+
 auto SuspectRow::ends() const -> std::uint32_t
 {
     return static_cast<std::uint32_t>(ended.size() - std::min(ended.size(), acquitted.size()));
--- a/catalogue/suspect.h
+++ b/catalogue/suspect.h
@@ -1,11 +1,14 @@
 // Work by what it is, and the endpoints that ended while they ran it, as plain values.
 //
 //   const auto works = workIdsOf({ method, host, path, query, caller, body });
+//   const auto part = workIdOfPart(service, id);
 //
 // A request that makes the process of its endpoint end comes again with another
 // request id, at another gateway, maybe from another address of its caller and
 // with another query. It is known again by what it asks for, the whole body
-// included, in two ways: of its caller, and of whoever asks for it.
+// included, in two ways: of its caller, and of whoever asks for it. Different
+// requests may end endpoints by a part of their prompts that they share, so each
+// shared part is work of its own, whatever else its requests hold.
 
 #ifndef FIGRACK_CATALOGUE_SUSPECT_H
 #define FIGRACK_CATALOGUE_SUSPECT_H
@@ -74,21 +77,32 @@
 /// @return the ids of the work; never those of no work
 auto workIdsOf(const WorkParts &parts) -> WorkIds;
 
+/// @return the id of a part of prompts that several requests of a service may share
+auto workIdOfPart(const ServiceId &service, std::uint64_t part) -> WorkId;
+
+/// What a WorkId names.
+enum class WorkKind : std::uint8_t {
+    Request,    ///< A whole request, or the load of a model.
+    PromptPart, ///< In progress at many endpoints at once.
+};
+
 /// Work in progress at endpoints as these ended.
 struct SuspectRow
 {
     WorkId work;
-    std::uint64_t account = 0;         ///< Hash of the caller, for the bound by caller.
-    std::vector<EndpointId> ended;     ///< Endpoints that ended under it; sorted.
-    std::vector<EndpointId> acquitted; ///< Of those, the ends that a completed run clears; sorted.
-    std::uint64_t quietMs = 0;         ///< Since the newest end, as the sender knows.
+    WorkKind kind = WorkKind::Request;
+    std::uint64_t account = 0;          ///< Hash of the caller, for the bound by caller.
+    std::vector<EndpointId> ended;      ///< Endpoints that ended under it; sorted.
+    std::vector<std::uint64_t> endedMs; ///< Since each of these ends, as the sender knows.
+    std::vector<EndpointId> acquitted;  ///< Of those, the ends that a completed run clears; sorted.
+    std::uint64_t quietMs = 0;          ///< Since the newest end, as the sender knows.
     /// @return ends that count against the work
     auto ends() const -> std::uint32_t;
 
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(work, account, ended, acquitted, quietMs);
+        archive(work, kind, account, ended, endedMs, acquitted, quietMs);
     }
 };
 
--- a/fleet/testing/tst_trials.cpp
+++ b/fleet/testing/tst_trials.cpp
@@ -115,3 +115,28 @@
     REQUIRE(wanted.candidates.size() == 1);
     CHECK(wanted.candidates[0].value() == "i-2");
 }
+
+TEST_CASE("Requests that share a suspected part run one at a time, and others as usual")
+{
+    auto rig = TrialRig {};
+    const auto part = catalogue::workIdOfPart(ServiceId { "s" }, 7);
+    for (const auto *endpoint : { "i-8", "i-9" }) {
+        rig.quarantine.onPartEnd(part, ServiceId { "s" }, EndpointId { endpoint },
+                                 policy::millisOf(rig.clock.now()));
+        rig.clock.advance(400ms);
+    }
+    const auto requestWith = [&](std::uint64_t ticket, std::vector<catalogue::WorkId> parts) {
+        auto result = rig.request(ticket);
+        const auto body = std::to_string(ticket);
+        result.works = catalogue::workIdsOf({ "POST", "h", "/p", "", "a", body });
+        result.parts = std::move(parts);
+        return result;
+    };
+    const auto first = requestWith(1, { part });
+    CHECK_FALSE(rig.trials.refuse(rig.one, first));
+    rig.trials.begin(rig.one, first);
+    CHECK(rig.trials.refuse(rig.other, requestWith(2, { part })));
+    CHECK_FALSE(rig.trials.refuse(rig.other, requestWith(3, {})));
+    rig.quarantine.onPartsGoOn({ part }, policy::millisOf(rig.clock.now()));
+    CHECK_FALSE(rig.trials.refuse(rig.other, requestWith(4, { part })));
+}
--- a/fleet/trials.cpp
+++ b/fleet/trials.cpp
@@ -34,18 +34,21 @@
         return std::nullopt;
     if (verdict.standing == policy::Standing::Quarantined)
         return replyIn(verdict.releaseIn);
-    const auto found = trials_.find(request.works.ofAnyone);
-    const auto isOwn = found != trials_.end() && found->second.gateway == gateway
-            && found->second.ticket == request.ticket;
-    if (found == trials_.end() || isOwn || found->second.expiresAt <= clock_.now())
-        return std::nullopt;
-    LogEvent(LogLevel::Info, "suspect_waits")
-            .with("work", request.works.ofAnyone.text())
-            .with("gateway", gateway)
-            .with("ends", std::uint64_t { verdict.ends })
-            .with("runs_for", found->second.gateway);
-    return replyIn(
-            std::chrono::duration_cast<std::chrono::milliseconds>(options_.retryAfter).count());
+    for (const auto &work : suspectsOf(request)) {
+        const auto found = trials_.find(work);
+        const auto isOwn = found != trials_.end() && found->second.gateway == gateway
+                && found->second.ticket == request.ticket;
+        if (found == trials_.end() || isOwn || found->second.expiresAt <= clock_.now())
+            continue;
+        LogEvent(LogLevel::Info, "suspect_waits")
+                .with("work", work.text())
+                .with("gateway", gateway)
+                .with("ends", std::uint64_t { verdict.ends })
+                .with("runs_for", found->second.gateway);
+        return replyIn(
+                std::chrono::duration_cast<std::chrono::milliseconds>(options_.retryAfter).count());
+    }
+    return std::nullopt;
 }
 
 auto Trials::narrow(proto::PickRequest &request,
@@ -67,11 +70,13 @@
     const auto limit = std::chrono::milliseconds { request.limitMs };
     std::erase_if(trials_,
                   [now = clock_.now()](const auto &item) { return item.second.expiresAt <= now; });
-    trials_[request.works.ofAnyone] = { gateway, request.ticket, clock_.now() + limit };
-    LogEvent(LogLevel::Info, "suspect_runs")
-            .with("work", request.works.ofAnyone.text())
-            .with("gateway", gateway)
-            .with("ends", std::uint64_t { verdict.ends });
+    for (const auto &work : suspectsOf(request)) {
+        trials_[work] = { gateway, request.ticket, clock_.now() + limit };
+        LogEvent(LogLevel::Info, "suspect_runs")
+                .with("work", work.text())
+                .with("gateway", gateway)
+                .with("ends", std::uint64_t { verdict.ends });
+    }
 }
 
 auto Trials::onEnd(const NodeId &gateway, std::uint64_t ticket) -> void
@@ -94,7 +99,20 @@
 
 auto Trials::standing(const proto::PickRequest &request) const -> policy::Verdict
 {
-    return quarantine_.verdict(request.works, policy::millisOf(clock_.now()));
+    return quarantine_.verdict(request.works, request.parts, policy::millisOf(clock_.now()));
+}
+
+auto Trials::suspectsOf(const proto::PickRequest &request) const -> std::vector<catalogue::WorkId>
+{
+    const auto now = policy::millisOf(clock_.now());
+    auto result = std::vector<catalogue::WorkId> {};
+    if (quarantine_.verdict(request.works, now).standing == policy::Standing::Suspect)
+        result.push_back(request.works.ofAnyone);
+    for (const auto &part : request.parts) {
+        if (quarantine_.verdict(part, now).standing == policy::Standing::Suspect)
+            result.push_back(part);
+    }
+    return result;
 }
 
 } // namespace figrack::fleet
--- a/fleet/trials.h
+++ b/fleet/trials.h
@@ -23,6 +23,7 @@
 #include <map>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include "core/clock.h"
 #include "policy/quarantine.h"
@@ -65,6 +66,8 @@
         Instant expiresAt {};
     };
     auto standing(const proto::PickRequest &request) const -> policy::Verdict;
+    /// @return the work and the parts of the request that run one at a time
+    auto suspectsOf(const proto::PickRequest &request) const -> std::vector<catalogue::WorkId>;
 
     TrialOptions options_;
     const policy::Quarantine &quarantine_;
--- a/gateway/crashdetector.cpp
+++ b/gateway/crashdetector.cpp
@@ -209,6 +209,7 @@
         }
         auto changed = false;
         for (const auto &suspect : std::exchange(open.suspects, {})) {
+            changed = recordParts(endpoint, suspect) || changed;
             if (!parts_.quarantine.onEnd(suspect.works, suspect.account, endpoint, now))
                 continue;
             changed = true;
@@ -228,6 +229,28 @@
             onSuspects_();
     }
 
+    /// @return true if the quarantine table has changed
+    auto recordParts(const EndpointId &endpoint, const SuspectWork &suspect) -> bool
+    {
+        const auto now = policy::millisOf(parts_.clock.now());
+        auto changed = false;
+        for (const auto &part : suspect.parts) {
+            if (!parts_.quarantine.onPartEnd(part, suspect.service, endpoint, now))
+                continue;
+            changed = true;
+            const auto verdict = parts_.quarantine.verdict(part, now);
+            LogEvent(LogLevel::Warning, "part_suspected")
+                    .with("work", part.text())
+                    .with("service", suspect.service)
+                    .with("request", suspect.request)
+                    .with("endpoint", endpoint)
+                    .with("cleared", !parts_.quarantine.isSuspected(part))
+                    .with("ends", std::uint64_t { verdict.ends })
+                    .with("standing", policy::standingName(verdict.standing));
+        }
+        return changed;
+    }
+
     static auto wake(Case &open) -> void
     {
         for (const auto &timer : std::exchange(open.waiting, {}))
--- a/gateway/crashdetector.h
+++ b/gateway/crashdetector.h
@@ -25,6 +25,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -61,6 +62,10 @@
     std::uint64_t account = 0; ///< Hash of the caller's account.
     RequestId request;         ///< ID of this attempt, for the log.
     bool hasBegun = false;     ///< Part of its answer had been received.
+    ServiceId service = {};
+    /// Parts of its prompt that other requests may share. Empty if its answer went on, so that none
+    /// of them is suspected.
+    std::vector<catalogue::WorkId> parts = {};
 };
 
 /// Dependencies of the CrashDetector. All of them must outlive it.
@@ -94,8 +99,8 @@
     auto onSuperseded(const EndpointId &endpoint, catalogue::EndpointState before) -> void;
     /// Called when the state of the path to a group of endpoints has changed.
     auto onPathChanged() -> void;
-    /// Called when a run of suspected work has completed and the quarantine table has recorded
-    /// that.
+    /// Called when a run of suspected work has completed or gone on, and the quarantine table has
+    /// recorded that.
     auto onCleared(const catalogue::WorkIds &works) -> void;
 
 private:
--- a/gateway/forwarderadmission.cpp
+++ b/gateway/forwarderadmission.cpp
@@ -76,6 +76,9 @@
         homes_.restrictTo(account_->homeRegions);
     works_ = catalogue::workIdsOf({ request_.method, caller_.host, caller_.path, request_.query,
                                     caller_.account, request_.body });
+    // The last part belongs to this request alone.
+    for (std::size_t i = 0; i + 1 < caller_.prompt.size(); ++i)
+        promptParts_.push_back(catalogue::workIdOfPart(service_, caller_.prompt[i].id));
     if (engine_ != nullptr && !caller_.model.empty())
         setCriteria();
     return std::nullopt;
@@ -203,7 +206,7 @@
 
 auto Forwarder::Run::verdict() const -> policy::Verdict
 {
-    return parts_.quarantine.verdict(works_, policy::millisOf(parts_.clock.now()));
+    return parts_.quarantine.verdict(works_, promptParts_, policy::millisOf(parts_.clock.now()));
 }
 
 auto Forwarder::Run::quarantineRefusal() -> std::optional<absl::Status>
@@ -218,8 +221,14 @@
 
 auto Forwarder::Run::quarantinedError(std::uint32_t ends) const -> absl::Status
 {
+    const auto now = policy::millisOf(parts_.clock.now());
+    const auto isHarmful = [&](const catalogue::WorkId &part) {
+        return parts_.quarantine.verdict(part, now).standing != policy::Standing::Clear;
+    };
+    const auto part = std::find_if(promptParts_.begin(), promptParts_.end(), isHarmful);
+    const auto &work = part != promptParts_.end() ? *part : works_.ofAnyone;
     return makeError(ErrorKind::Quarantined,
-                     "work=" + works_.ofAnyone.text() + " ends=" + std::to_string(ends));
+                     "work=" + work.text() + " ends=" + std::to_string(ends));
 }
 
 } // namespace figrack::gateway
--- a/gateway/forwarderdispatch.cpp
+++ b/gateway/forwarderdispatch.cpp
@@ -23,6 +23,10 @@
 /// can be reused.
 constexpr auto discardTime = std::chrono::milliseconds { 200 };
 
+/// An endpoint that ends under a part of the prompt does so within this time after it has begun to
+/// write the answer.
+constexpr auto goesOnAfter = std::chrono::milliseconds { 500 };
+
 /// @return what a request contributes to its endpoint's load: while the endpoint reads a prompt, it
 /// produces fewer tokens for all other streams
 auto loadWeight(std::uint64_t promptTokens) -> std::uint32_t
@@ -58,7 +62,11 @@
 auto Forwarder::Run::hasTooManyCrashes() -> asio::awaitable<bool>
 {
     static_cast<void>(co_await parts_.crashDetector.hasCrashed(endpoint_));
-    co_return verdict().ends >= owner_.options_.crashLimitForRetry;
+    const auto limit = owner_.options_.crashLimitForRetry;
+    co_return verdict().ends >= limit
+            || std::any_of(promptParts_.begin(), promptParts_.end(), [&](const auto &part) {
+                   return parts_.quarantine.openEnds(part) >= limit;
+               });
 }
 
 auto Forwarder::Run::hasArrived() const -> bool
@@ -97,6 +105,8 @@
     parts_.paths.onSent(group);
     isMoved_ = false;
     hasAnswerBegun_ = false;
+    begunAt_.reset();
+    hasNotedParts_ = false;
     const auto dispatched
             = owner_.dispatches_.emplace(id, Forwarder::Dispatch { this, group, canceller_ });
     auto sentBody = owner_.heldBytes_.sendTo(id, request_.body.size());
@@ -298,15 +308,33 @@
     if (callerGone_ || isMoved_ || errorKind(status) == ErrorKind::Timeout)
         return;
     const auto account = std::hash<std::string> {}(caller_.account);
-    parts_.crashDetector.note(id, { works_, account, caller_.id, hasBegun });
+    auto suspect = SuspectWork { works_, account, caller_.id, hasBegun, service_ };
+    if (!hasGoneOn())
+        suspect.parts = promptParts_;
+    parts_.crashDetector.note(id, std::move(suspect));
 }
 
 auto Forwarder::Run::noteCompleted() -> void
 {
+    if (isSuccess(status_))
+        notePartsGoOn();
     if (parts_.quarantine.onCompleted(works_, policy::millisOf(parts_.clock.now())))
         parts_.crashDetector.onCleared(works_);
 }
 
+auto Forwarder::Run::notePartsGoOn() -> void
+{
+    if (std::exchange(hasNotedParts_, true) || promptParts_.empty())
+        return;
+    if (parts_.quarantine.onPartsGoOn(promptParts_, policy::millisOf(parts_.clock.now())))
+        parts_.crashDetector.onCleared(works_);
+}
+
+auto Forwarder::Run::hasGoneOn() const -> bool
+{
+    return begunAt_ && parts_.clock.now() - *begunAt_ >= goesOnAfter;
+}
+
 auto Forwarder::Run::mayMove() const -> bool
 {
     const auto mayRepeat = responder_.started() ? route_->resumable : route_->mayRepeat();
--- a/gateway/forwarderplacing.cpp
+++ b/gateway/forwarderplacing.cpp
@@ -4,6 +4,7 @@
 // missing model, adapter, place or rate cannot become available in time.
 
 #include <algorithm>
+#include <iterator>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -209,6 +210,9 @@
         terms.startTarget = route_->startTarget;
         terms.gapTarget = route_->gapTarget;
         terms.works = works_;
+        std::copy_if(promptParts_.begin(), promptParts_.end(),
+                     std::back_inserter(terms.suspectedParts),
+                     [this](const auto &part) { return parts_.quarantine.isSuspected(part); });
         terms.charge = charge();
         auto picked = co_await parts_.picker.pick(able.entries, criteria_, terms);
         picked_ = std::move(picked);
@@ -360,7 +364,8 @@
             co_return *end;
         if (callerGone_)
             co_return wait.finish(WaitEnd::Left);
-        if (areCandidatesOutdated())
+        // The balancer refuses what has been put in quarantine meanwhile.
+        if (areCandidatesOutdated() || verdict().standing == policy::Standing::Quarantined)
             co_return wait.finish(WaitEnd::Outdated);
         holdTimer_.expires_after(std::min<Duration>(recheckInterval, limit - parts_.clock.now()));
         auto code = boost::system::error_code {};
--- a/gateway/forwarderrelay.cpp
+++ b/gateway/forwarderrelay.cpp
@@ -137,6 +137,9 @@
     if (lastEventAt_)
         longestGap_ = std::max<Duration>(longestGap_, now - *lastEventAt_);
     lastEventAt_ = now;
+    begunAt_ = begunAt_.value_or(now);
+    if (hasGoneOn())
+        notePartsGoOn();
     noteLateness(now);
 }
 
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -213,6 +213,10 @@
     /// failure.
     auto noteBroken(const EndpointId &id, const absl::Status &status, bool hasBegun) -> void;
     auto noteCompleted() -> void;
+    /// Notes that the answer goes on, so that no part of the prompt is harmful.
+    auto notePartsGoOn() -> void;
+    /// @return true if the answer began so long ago that an end of its endpoint has another cause
+    auto hasGoneOn() const -> bool;
     /// Notes that bytes of the endpoint's answer have been received.
     auto noteHeard() -> void;
     /// Reads a small answer to its end, so that its connection can be reused.
@@ -287,6 +291,7 @@
     DemandTarget target_;       ///< The model is empty if the request needs none.
     Criteria criteria_;
     catalogue::WorkIds works_;                   ///< Empty until the request has been read.
+    std::vector<catalogue::WorkId> promptParts_; ///< Those that other requests may share.
     std::shared_ptr<http::Canceller> canceller_; ///< Cancels the dispatch in progress.
     std::string lastEvent_;                      ///< ID of the last event that the caller received.
     EndpointId endpoint_;                        ///< Endpoint of the latest dispatch.
@@ -325,7 +330,9 @@
     std::optional<Silence> silence_;    ///< At the end of a dispatch that broke off.
     std::optional<Instant> firstByteAt_;
     std::optional<Instant> lastEventAt_;
-    Duration longestGap_ {}; ///< Longest time between two events of the stream.
+    std::optional<Instant> begunAt_; ///< First event of the latest dispatch.
+    bool hasNotedParts_ = false;     ///< The latest dispatch has cleared the prompt's parts.
+    Duration longestGap_ {};         ///< Longest time between two events of the stream.
     absl::Status lastError_ = makeError(ErrorKind::NoCapacity, "endpoint");
     BlockedBy blockedBy_ = BlockedBy::Nothing;
     RequestOutcome outcome_ = RequestOutcome::Refused;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -241,6 +241,7 @@
                     .with("standing", policy::standingName(verdict.standing))
                     .with("release_ms", verdict.releaseIn);
         }
+        waiters_.wakeAll(); // Requests that wait may have been put in quarantine.
         // Report those of the rows that have recently completed here.
         if (const auto own = quarantine_.takeLocalChanges(now); !own.empty())
             feed_.sendSuspects(own);
--- a/gateway/picker.cpp
+++ b/gateway/picker.cpp
@@ -18,6 +18,10 @@
 
 namespace {
 
+/// Longer prompts are cut here for the choice of an endpoint: what they share is at their
+/// beginning.
+constexpr auto maxSharedSpans = std::size_t { 63 };
+
 auto blockedByRefusal(proto::PickRefusal refusal) -> BlockedBy
 {
     switch (refusal) {
@@ -83,7 +87,8 @@
         terms.model = mixHash(hash(service.value()), hash(request.model.value()));
     auto key = hash(request.model.value() + "/" + request.adapter);
     auto shared = std::uint64_t { 0 };
-    for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i) {
+    const auto parts = std::min(request.prompt.size(), maxSharedSpans + 1);
+    for (std::size_t i = 0; i + 1 < parts; ++i) {
         const auto &part = request.prompt[i];
         key = mixHash(key, part.id);
         terms.shared.push_back({ key, part.tokens });
@@ -120,6 +125,7 @@
     request.startTargetMs = wholeMillis(terms.startTarget);
     request.gapTargetMs = wholeMillis(terms.gapTarget);
     request.works = terms.works;
+    request.parts = terms.suspectedParts;
     request.charge = terms.charge;
     if (const auto &ordered = terms.ordered) {
         request.isOrdered = true;
--- a/gateway/picker.h
+++ b/gateway/picker.h
@@ -156,6 +156,7 @@
     /// Rate that a cold endpoint of the service accepts from all gateways together; 0: any.
     double coldPerSecond = 0;
     catalogue::WorkIds works; ///< For quarantine: suspected work runs one attempt at a time.
+    std::vector<catalogue::WorkId> suspectedParts; ///< Parts of the prompt, likewise.
     /// Charge against an account with a limit; absent if there is none, or the request has been
     /// counted already.
     std::optional<catalogue::AccountCharge> charge;
--- a/policy/quarantine.cpp
+++ b/policy/quarantine.cpp
@@ -12,6 +12,20 @@
 using catalogue::SuspectRow;
 using catalogue::WorkId;
 using catalogue::WorkIds;
+using catalogue::WorkKind;
+
+namespace {
+
+/// @return the worse of two verdicts
+auto worseOf(const Verdict &one, const Verdict &other) -> Verdict
+{
+    const auto rank = [](const Verdict &verdict) {
+        return std::tuple { verdict.standing, verdict.releaseIn, verdict.ends };
+    };
+    return rank(one) > rank(other) ? one : other;
+}
+
+} // namespace
 
 auto standingName(Standing standing) -> std::string_view
 {
@@ -23,7 +37,7 @@
     : options_(options)
 { }
 
-auto Quarantine::SuspectEntry::ends() const -> std::uint32_t
+auto Quarantine::SuspectEntry::open() const -> std::uint32_t
 {
     return static_cast<std::uint32_t>(ended.size() - acquitted.size());
 }
@@ -31,17 +45,46 @@
 auto Quarantine::onEnd(const WorkIds &works, std::uint64_t account, const EndpointId &endpoint,
                        Millis now) -> bool
 {
-    const auto isNew = recordEnd(works.ofCaller, account, endpoint, now);
-    return recordEnd(works.ofAnyone, account, endpoint, now) || isNew;
+    const auto isNew = recordEnd(works.ofCaller, WorkKind::Request, account, endpoint, now);
+    return recordEnd(works.ofAnyone, WorkKind::Request, account, endpoint, now) || isNew;
 }
 
-auto Quarantine::recordEnd(const WorkId &work, std::uint64_t account, const EndpointId &endpoint,
+auto Quarantine::onPartEnd(const WorkId &part, const ServiceId &service, const EndpointId &endpoint,
                            Millis now) -> bool
+{
+    // The rows of a service's parts are bounded together, since callers share parts.
+    const auto account = std::hash<std::string> {}(service.value());
+    return recordEnd(part, WorkKind::PromptPart, account, endpoint, now);
+}
+
+auto Quarantine::onPartsGoOn(const std::vector<WorkId> &parts, Millis now) -> bool
+{
+    auto clears = false;
+    for (const auto &part : parts) {
+        const auto noted = completedAt_.find(part);
+        const auto isFresh
+                = noted != completedAt_.end() && now - noted->second < options_.partNoteInterval;
+        if (!isFresh || isSuspected(part))
+            clears = recordCompleted(part, now) || clears;
+    }
+    return clears;
+}
+
+auto Quarantine::openEnds(const WorkId &work) const -> std::uint32_t
+{
+    const auto found = rows_.find(work);
+    return found == rows_.end() ? 0 : found->second.open();
+}
+
+auto Quarantine::recordEnd(const WorkId &work, WorkKind kind, std::uint64_t account,
+                           const EndpointId &endpoint, Millis now) -> bool
 {
     auto row = SuspectRow {};
     row.work = work;
+    row.kind = kind;
     row.account = account;
     row.ended.push_back(endpoint);
+    row.endedMs.push_back(0);
     if (!merge(row, now))
         return false;
     localChanges_.insert(work);
@@ -80,6 +123,7 @@
     auto found = rows_.find(row.work);
     if (found == rows_.end()) {
         auto fresh = SuspectEntry {};
+        fresh.kind = row.kind;
         fresh.account = row.account;
         fresh.lastEndAt = now - sinceLastEnd;
         makeRoom(row.account, now);
@@ -89,9 +133,15 @@
     auto &known = found->second;
     auto changed = false;
     auto hasNewEnds = false;
-    for (const auto &endpoint : row.ended) {
-        if (known.ended.size() < options_.maxEndsPerRow)
-            hasNewEnds = known.ended.insert(endpoint).second || hasNewEnds;
+    for (std::size_t i = 0; i < row.ended.size(); ++i) {
+        const auto since = i < row.endedMs.size() ? row.endedMs[i] : row.quietMs;
+        const auto at = now
+                - static_cast<Millis>(std::min(since,
+                                               static_cast<std::uint64_t>(options_.longestPeriod)));
+        if (const auto end = known.ended.find(row.ended[i]); end != known.ended.end())
+            end->second = std::min(end->second, at);
+        else if (known.ended.size() < options_.maxEndsPerRow)
+            hasNewEnds = known.ended.emplace(row.ended[i], at).second;
     }
     if (hasNewEnds)
         known.lastEndAt = std::max(known.lastEndAt, now - sinceLastEnd);
@@ -99,7 +149,7 @@
         if (known.ended.contains(endpoint))
             changed = known.acquitted.insert(endpoint).second || changed;
     }
-    if (hasNewEnds && completedRecently(row.work, now) && acquit(known))
+    if (hasNewEnds && completedRecently(row.work, known.kind, now) && acquit(known))
         localChanges_.insert(row.work); // Peers do not know of that run.
     if (known.ended.empty() || isExpired(known, now)) {
         erase(found);
@@ -113,8 +163,8 @@
     const auto found = rows_.find(work);
     if (found == rows_.end() || isExpired(found->second, now))
         return {};
-    const auto ends = found->second.ends();
-    if (ends == 0)
+    const auto ends = endsOf(found->second, now);
+    if (ends < suspectFrom(found->second.kind))
         return {};
     if (ends < options_.endsUntilQuarantine)
         return { Standing::Suspect, ends, 0 };
@@ -126,12 +176,16 @@
 
 auto Quarantine::verdict(const WorkIds &works, Millis now) const -> Verdict
 {
-    const auto ofCaller = verdict(works.ofCaller, now);
-    const auto ofAnyone = verdict(works.ofAnyone, now);
-    const auto rank = [](const Verdict &verdict) {
-        return std::tuple { verdict.standing, verdict.releaseIn, verdict.ends };
-    };
-    return rank(ofCaller) > rank(ofAnyone) ? ofCaller : ofAnyone;
+    return worseOf(verdict(works.ofCaller, now), verdict(works.ofAnyone, now));
+}
+
+auto Quarantine::verdict(const WorkIds &works, const std::vector<WorkId> &parts, Millis now) const
+        -> Verdict
+{
+    auto result = verdict(works, now);
+    for (const auto &part : parts)
+        result = worseOf(result, verdict(part, now));
+    return result;
 }
 
 auto Quarantine::row(const WorkId &work, Millis now) const -> SuspectRow
@@ -144,7 +198,7 @@
 {
     auto result = std::vector<SuspectRow> {};
     for (const auto &[work, known] : rows_) {
-        if (known.ends() >= leastEnds && !isExpired(known, now))
+        if (known.open() >= leastEnds && !isExpired(known, now))
             result.push_back(toRow(work, known, now));
     }
     return result;
@@ -181,22 +235,56 @@
 /// not three times as unknown work would be.
 auto Quarantine::isExpired(const SuspectEntry &known, Millis now) const -> bool
 {
-    const auto isQuarantined = known.ends() >= options_.endsUntilQuarantine;
+    const auto isQuarantined = endsOf(known, now) >= options_.endsUntilQuarantine;
     return now - known.lastEndAt
             >= (isQuarantined ? options_.longestPeriod : options_.forgetSuspectAfter);
 }
 
-auto Quarantine::completedRecently(const WorkId &work, Millis now) const -> bool
+auto Quarantine::completedRecently(const WorkId &work, WorkKind kind, Millis now) const -> bool
 {
+    const auto ttl = kind == WorkKind::PromptPart ? options_.partGoesOnTtl : options_.completionTtl;
     const auto found = completedAt_.find(work);
-    return found != completedAt_.end() && now - found->second < options_.completionTtl;
+    return found != completedAt_.end() && now - found->second < ttl;
+}
+
+auto Quarantine::suspectFrom(WorkKind kind) const -> std::uint32_t
+{
+    return kind == WorkKind::PromptPart ? options_.partEndsUntilSuspect : 1;
+}
+
+auto Quarantine::endsOf(const SuspectEntry &known, Millis now) const -> std::uint32_t
+{
+    return known.kind == WorkKind::Request ? known.open() : endsOfPart(known, now);
+}
+
+auto Quarantine::endsOfPart(const SuspectEntry &known, Millis now) const -> std::uint32_t
+{
+    auto times = std::vector<Millis> {};
+    for (const auto &[endpoint, at] : known.ended) {
+        if (!known.acquitted.contains(endpoint) && at + options_.partEndDelay <= now)
+            times.push_back(at);
+    }
+    std::sort(times.begin(), times.end());
+    auto counted = std::vector<Millis> {}; ///< First ends of those that count as one.
+    for (const auto at : times) {
+        if (counted.empty() || at - counted.back() >= options_.endsTogether)
+            counted.push_back(at);
+    }
+    const auto ends = static_cast<std::uint32_t>(counted.size());
+    const auto suspectFrom = options_.partEndsUntilSuspect;
+    if (ends <= suspectFrom)
+        return ends;
+    const auto isMany
+            = ends >= options_.partEndsApart && times.size() >= options_.partEndsUntilQuarantine;
+    const auto ranAlone = counted.back() - counted[suspectFrom - 1] >= options_.partRunsAloneAfter;
+    return isMany || ranAlone ? ends : suspectFrom;
 }
 
-/// @return true when this clears ends that counted until now
 auto Quarantine::acquit(SuspectEntry &known) -> bool
 {
     const auto changed = known.acquitted.size() < known.ended.size();
-    known.acquitted = known.ended;
+    for (const auto &[endpoint, at] : known.ended)
+        known.acquitted.insert(endpoint);
     return changed;
 }
 
@@ -221,8 +309,8 @@
         if (ofAccountOnly && known.account != account)
             continue;
         const auto isLess = least == rows_.end()
-                || std::pair { known.ends(), known.lastEndAt }
-                        < std::pair { least->second.ends(), least->second.lastEndAt };
+                || std::pair { known.open(), known.lastEndAt }
+                        < std::pair { least->second.open(), least->second.lastEndAt };
         if (isLess)
             least = item;
     }
@@ -247,8 +335,12 @@
 {
     auto row = SuspectRow {};
     row.work = work;
+    row.kind = known.kind;
     row.account = known.account;
-    row.ended.assign(known.ended.begin(), known.ended.end());
+    for (const auto &[endpoint, at] : known.ended) {
+        row.ended.push_back(endpoint);
+        row.endedMs.push_back(static_cast<std::uint64_t>(std::max<Millis>(now - at, 0)));
+    }
     row.acquitted.assign(known.acquitted.begin(), known.acquitted.end());
     row.quietMs = static_cast<std::uint64_t>(std::max<Millis>(now - known.lastEndAt, 0));
     return row;
--- a/policy/quarantine.h
+++ b/policy/quarantine.h
@@ -3,6 +3,8 @@
 //   if (quarantine.verdict(works, now).standing == Standing::Quarantined) refuse();
 //   quarantine.onEnd(works, account, endpoint, now);         // the endpoint ended while running it
 //   quarantine.onCompleted(works, now);                      // a run of it completed
+//   quarantine.onPartEnd(part, service, endpoint, now);      // the same for a part of a prompt
+//   quarantine.onPartsGoOn(parts, now);                      // an answer to these has gone on
 //   for (row : quarantine.takeLocalChanges(now)) send(row);  // rows that peers do not have yet
 //   quarantine.merge(row, now);                              // a row received from a peer
 //
@@ -14,6 +16,14 @@
 // not suspected: when equal requests arrive all the time, several of them may be in progress
 // where endpoints end together.
 //
+// A part of prompts that many requests share is suspected by the same rules, with three
+// differences. An endpoint ends as it begins to write an answer on a harmful part, so an answer
+// that goes on clears its parts long before it is complete. Since a sound part may be in progress
+// at many endpoints that end together, ends that are close together count as one. And since other
+// gateways may know that the part is sound, an end counts only after the time in which they say so.
+// From two such ends on, requests with the part run one at a time. It is quarantined after a third
+// end that came so late that its request ran alone, or after five ends.
+//
 // Rows are grow-only sets and merging is a union, so tables that received the same ends, in
 // any order and any number of times, agree. Pure: no I/O, no clock. The number of rows, rows
 // per client account and ends per row are bounded; the row with the fewest ends is evicted,
@@ -50,11 +60,27 @@
     /// Work is not suspected for this long after a completed run. Longer than a series of ends with
     /// one common cause, such as the loss of a rack.
     Millis completionTtl = 30'000;
+    /// Of a part, ends within this time count as one.
+    Millis endsTogether = 200;
+    /// An end counts for a part after this time: two messages between regions and a control's tick.
+    Millis partEndDelay = 250;
+    /// A part is not suspected for this long after an answer to it has gone on.
+    Millis partGoesOnTtl = 10'000;
+    /// Ends of a part from which on its requests run one at a time.
+    std::uint32_t partEndsUntilSuspect = 2;
+    /// Requests that were sent before the part ran one at a time have ended after this time. Until
+    /// then, endpoints that end in waves end sound parts as often as harmful ones.
+    Millis partRunsAloneAfter = 1000;
+    /// Ends of a part, and of those that count apart, after which it is quarantined in any case.
+    std::uint32_t partEndsUntilQuarantine = 5;
+    std::uint32_t partEndsApart = 4;
+    /// An answer that goes on is noted for a part once in this time.
+    Millis partNoteInterval = 1000;
     std::size_t maxRows = 4096;
     std::size_t maxRowsPerAccount = 512;
     std::size_t maxEndsPerRow = 16;
-    /// Completed runs that are kept for completionTtl; two for each request, so this
-    /// allows for 130 requests a second.
+    /// Completed runs that are kept for completionTtl; two for each request and those of parts, so
+    /// this allows for more than 100 requests a second.
     std::size_t maxCompleted = 8192;
 };
 
@@ -86,11 +112,24 @@
     /// Records that a run of the work completed and its endpoint survived.
     /// @return true when this clears ends that counted until now
     auto onCompleted(const catalogue::WorkIds &works, Millis now) -> bool;
+    /// Records that an endpoint ended under a request whose answer had not begun, or only just.
+    /// @return true when this end was not known for the part
+    auto onPartEnd(const catalogue::WorkId &part, const ServiceId &service,
+                   const EndpointId &endpoint, Millis now) -> bool;
+    /// Records that an answer to a request with these parts goes on.
+    /// @return true when this clears ends that counted until now
+    auto onPartsGoOn(const std::vector<catalogue::WorkId> &parts, Millis now) -> bool;
+    /// @return ends that are not cleared, whether they count yet or not
+    auto openEnds(const catalogue::WorkId &work) const -> std::uint32_t;
+    auto isSuspected(const catalogue::WorkId &work) const -> bool { return openEnds(work) > 0; }
     /// Merges a row of another table. @return true when the row contained something new
     auto merge(const catalogue::SuspectRow &row, Millis now) -> bool;
     auto verdict(const catalogue::WorkId &work, Millis now) const -> Verdict;
     /// @return the worse verdict of the two identities of the work
     auto verdict(const catalogue::WorkIds &works, Millis now) const -> Verdict;
+    /// @return the worst verdict of the work and the parts
+    auto verdict(const catalogue::WorkIds &works, const std::vector<catalogue::WorkId> &parts,
+                 Millis now) const -> Verdict;
     /// @return the current row; its lists are empty when the work is unknown
     auto row(const catalogue::WorkId &work, Millis now) const -> catalogue::SuspectRow;
     /// @return the rows with at least leastEnds ends that count
@@ -104,20 +143,27 @@
 private:
     struct SuspectEntry
     {
+        catalogue::WorkKind kind = catalogue::WorkKind::Request;
         std::uint64_t account = 0;
-        std::set<EndpointId> ended;
+        std::map<EndpointId, Millis> ended; ///< When, as first heard of.
         std::set<EndpointId> acquitted;
         Millis lastEndAt = 0;
-        auto ends() const -> std::uint32_t;
+        /// @return ends that are not acquitted
+        auto open() const -> std::uint32_t;
     };
     using Rows = std::map<catalogue::WorkId, SuspectEntry>;
 
-    auto recordEnd(const catalogue::WorkId &work, std::uint64_t account, const EndpointId &endpoint,
-                   Millis now) -> bool;
+    auto recordEnd(const catalogue::WorkId &work, catalogue::WorkKind kind, std::uint64_t account,
+                   const EndpointId &endpoint, Millis now) -> bool;
     auto recordCompleted(const catalogue::WorkId &work, Millis now) -> bool;
+    /// @return ends that count against the work
+    auto endsOf(const SuspectEntry &known, Millis now) const -> std::uint32_t;
+    auto endsOfPart(const SuspectEntry &known, Millis now) const -> std::uint32_t;
+    auto suspectFrom(catalogue::WorkKind kind) const -> std::uint32_t;
     auto period(std::uint32_t ends) const -> Millis;
     auto isExpired(const SuspectEntry &known, Millis now) const -> bool;
-    auto completedRecently(const catalogue::WorkId &work, Millis now) const -> bool;
+    auto completedRecently(const catalogue::WorkId &work, catalogue::WorkKind kind,
+                           Millis now) const -> bool;
     static auto acquit(SuspectEntry &known) -> bool;
     auto makeRoom(std::uint64_t account, Millis now) -> void;
     auto eraseExpired(Millis now) -> void;
--- a/proto/servingmessages.h
+++ b/proto/servingmessages.h
@@ -384,6 +384,7 @@
     std::int64_t startTargetMs = 0; ///< Its first event should come within it; 0: any time.
     std::int64_t gapTargetMs = 0;   ///< Its events should follow within it; 0: any time.
     catalogue::WorkIds works;       ///< What is suspected runs one at a time.
+    std::vector<catalogue::WorkId> parts; ///< Of its prompt, those that the gateway suspects.
     /// Of an account with a limit. With no candidate it is only asked whether the account has room.
     std::optional<catalogue::AccountCharge> charge;
     /// Of the candidates that ever named one to the gateway.
@@ -400,8 +401,8 @@
     auto serialize(Archive &archive) -> void
     {
         archive(ticket, candidates, model, shared, ownTokens, outputTokens, fetchTokensPerMs,
-                limitMs, places, rank, hasBegun, startTargetMs, gapTargetMs, works, charge, rates,
-                isOrdered, startWithinMs, waitedMs, account, cost, accountPerSecond);
+                limitMs, places, rank, hasBegun, startTargetMs, gapTargetMs, works, parts, charge,
+                rates, isOrdered, startWithinMs, waitedMs, account, cost, accountPerSecond);
     }
 };
 /// Why a request may not go anywhere now.
