gateway: a part of a rate does not grow within a window in which others used theirs

While six of eight were not counted, the other two took four parts each of what the six had just used. The largest number of the window divides the rate now.

The test fails on the code before: 40 requests in 2 s where 11 are allowed. What a gateway that restarts may send at once stays as it was: one request an endpoint at most, drawn at random, out of the half of the rate that is kept for it.

--- a/gateway/localrates.cpp
+++ b/gateway/localrates.cpp
@@ -26,9 +26,18 @@
 
 auto LocalRates::setGateways(std::uint32_t gateways) -> void
 {
-    gateways_ = std::max(gateways, 1U);
+    const auto now = clock_.now();
+    while (!counts_.empty() && now - counts_.front().first > window)
+        counts_.pop_front();
+    counts_.emplace_back(now, std::max(gateways, 1U));
+    const auto largest = std::max_element(
+            counts_.begin(), counts_.end(),
+            [](const auto &one, const auto &other) { return one.second < other.second; });
+    if (gateways_ == largest->second)
+        return;
+    gateways_ = largest->second;
     for (auto &[id, row] : rows_)
-        row.limiter.setPart(part(), clock_.now());
+        row.limiter.setPart(part(), now);
 }
 
 auto LocalRates::begin(double perSecond) -> Row
--- a/gateway/localrates.h
+++ b/gateway/localrates.h
@@ -17,8 +17,10 @@
 #define FIGRACK_GATEWAY_LOCALRATES_H
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
+#include <utility>
 
 #include "core/clock.h"
 #include "core/ids.h"
@@ -33,6 +35,8 @@
     /// @param clock must outlive this object
     /// @param random must outlive this object
     LocalRates(const Clock &clock, Random &random);
+    /// The largest number of the last window divides the rate, since gateways that are not counted
+    /// any more have used their parts of it.
     /// @param gateways number of gateways, including this one; at least 1
     auto setGateways(std::uint32_t gateways) -> void;
     /// Decides whether a request may be sent to an endpoint that named a rate.
@@ -55,6 +59,7 @@
     const Clock &clock_;
     Random &random_;
     std::uint32_t gateways_ = 8; ///< Until set, assumes a fleet of the usual size.
+    std::deque<std::pair<Instant, std::uint32_t>> counts_; ///< Of gateways, in the last window.
     std::map<EndpointId, Row> rows_;
 };
 
--- a/gateway/testing/tst_endpointrate.cpp
+++ b/gateway/testing/tst_endpointrate.cpp
@@ -441,3 +441,27 @@
     REQUIRE(report.rows.size() == 1);
     CHECK(report.rows.front().refused == refused);
 }
+
+TEST_CASE("A gateway's part of a rate does not grow while others that used theirs are not counted")
+{
+    auto clock = ManualClock {};
+    auto random = Random { 1 };
+    auto rates = LocalRates { clock, random };
+    const auto takenIn = [&](Duration duration) {
+        auto taken = 0;
+        for (auto passed = Duration {}; passed < duration; passed += 10ms) {
+            clock.advance(10ms);
+            taken += rates.take(EndpointId { "i-1" }, 80) ? 0 : 1;
+        }
+        return taken;
+    };
+    rates.setGateways(8);
+    takenIn(1s);
+    CHECK(takenIn(2s) <= 11); // An eighth of half of the rate.
+    rates.setGateways(2);
+    CHECK(takenIn(2s) <= 11);
+    clock.advance(5s);
+    rates.setGateways(2);
+    takenIn(1s);
+    CHECK(takenIn(2s) >= 35);
+}
