fleet: the retry ledger's counts are bounded by time, not by gateways; tests of it alone

An ask walked all reports of the last 20 s for each window it compares: 60,000 of a thousand gateways. A take of a retry is passed its callback by reference.

--- a/fleet/retryledger.cpp
+++ b/fleet/retryledger.cpp
@@ -51,7 +51,7 @@
     // The reservation before it was used up, unless its leader has lost its lease.
     const auto before = std::exchange(row.openElsewhere, 0);
     if (before > 0)
-        row.granted.emplace_back(parts_.clock.now(), before);
+        addGranted(row, before);
     if (!isOwn) {
         row.openElsewhere = reservation.count;
         return;
@@ -90,10 +90,9 @@
     const auto mayGrant = parts_.mayGrant();
     if (std::exchange(isGranting_, mayGrant) == mayGrant)
         return;
-    const auto now = parts_.clock.now();
     for (auto &[service, row] : rows_) {
         if (const auto elsewhere = std::exchange(row.openElsewhere, 0); elsewhere > 0)
-            row.granted.emplace_back(now, elsewhere);
+            addGranted(row, elsewhere);
         row.open = 0;
         row.isReserving = false;
         refuseWaiting(row);
@@ -104,7 +103,11 @@
 {
     auto &row = rows_[service];
     trim(row);
-    row.requests.emplace_back(parts_.clock.now(), count);
+    const auto now = parts_.clock.now();
+    if (!row.requests.empty() && now - row.requests.back().first < options_.step)
+        row.requests.back().second += count;
+    else
+        row.requests.emplace_back(now, count);
 }
 
 auto RetryLedger::room(const Row &row) const -> std::uint32_t
@@ -164,14 +167,22 @@
 auto RetryLedger::grant(Row &row, const Reply &reply) const -> void
 {
     --row.open;
-    const auto now = parts_.clock.now();
-    if (!row.granted.empty() && row.granted.back().first == now)
-        ++row.granted.back().second;
-    else
-        row.granted.emplace_back(now, 1);
+    addGranted(row, 1);
     reply({ true, 0 });
 }
 
+/// Counts what was granted within a step as granted last, so that the number of counts is bounded.
+auto RetryLedger::addGranted(Row &row, std::uint64_t count) const -> void
+{
+    const auto now = parts_.clock.now();
+    if (row.granted.empty() || now - row.lastStepAt >= options_.step) {
+        row.granted.emplace_back(now, 0);
+        row.lastStepAt = now;
+    }
+    row.granted.back().first = now;
+    row.granted.back().second += count;
+}
+
 auto RetryLedger::refuse(const Row &row, const Reply &reply) const -> void
 {
     reply({ false, waitTime(row) });
--- a/fleet/retryledger.h
+++ b/fleet/retryledger.h
@@ -13,10 +13,10 @@
 // and each earlier one as granted when the following one was applied.
 //
 // Guarantee: over all controls, the retries of a service that are granted in any window are no more
-// than the fixed number and a fraction of its requests: those of the window, of the one before it or
-// of the one half a window before it, whichever has most. No more are sent either, since a grant expires after proto::retryGrantTtl.
-// A control that does not know what was granted before, because it has started from a snapshot,
-// grants nothing for a window. Not thread-safe.
+// than the fixed number and a fraction of its requests: those of the window, of the one before it
+// or of the one half a window before it, whichever has most. No more are sent either, since a grant
+// expires after proto::retryGrantTtl. A control that does not know what was granted before, because
+// it has started from a snapshot, grants nothing for a window. Not thread-safe.
 
 #ifndef FIGRACK_FLEET_RETRYLEDGER_H
 #define FIGRACK_FLEET_RETRYLEDGER_H
@@ -90,6 +90,7 @@
         /// Retries that may have been sent, and the latest time at which they were granted.
         Counts granted;
         Counts requests;        ///< As reported.
+        Instant lastStepAt {};  ///< Begin of the latest step with grants.
         std::uint32_t open = 0; ///< Own reservation, not granted yet.
         /// Last reservation of another leader, whose grants may go on.
         std::uint32_t openElsewhere = 0;
@@ -106,6 +107,7 @@
     auto allowedFrom(const Row &row, Instant from) const -> std::uint64_t;
     auto waitTime(const Row &row) const -> std::uint64_t;
     auto grant(Row &row, const Reply &reply) const -> void;
+    auto addGranted(Row &row, std::uint64_t count) const -> void;
     auto refuse(const Row &row, const Reply &reply) const -> void;
     auto serveWaiting(Row &row) const -> void;
     auto refuseWaiting(Row &row) const -> void;
--- a/fleet/testing/tst_configlog.cpp
+++ b/fleet/testing/tst_configlog.cpp
@@ -75,3 +75,20 @@
     CHECK(log.document().text == "four");
     CHECK(log.evacuations().revision == Revision {});
 }
+
+TEST_CASE("A reservation of retries reaches its listener and changes no decision")
+{
+    auto log = ConfigLog {};
+    auto reserved = std::vector<RetryReservation> {};
+    log.setOnReserved([&](const RetryReservation &reservation, Term term) {
+        CHECK(term == Term { 1 });
+        reserved.push_back(reservation);
+    });
+    log.apply(evacuationEntry("a", true));
+    const auto before = log.snapshot();
+    log.apply(entryOf(ConfigLog::encode(RetryReservation { ServiceId { "s" }, 7 })));
+    REQUIRE(reserved.size() == 1);
+    CHECK(reserved[0].service == ServiceId { "s" });
+    CHECK(reserved[0].count == 7);
+    CHECK(log.snapshot() == before);
+}
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -322,7 +322,7 @@
                 run->moveElsewhere(std::move(retry));
         };
         if (const auto *run = runOf(id, canceller))
-            parts_.retries.take(run->service(), std::move(move));
+            parts_.retries.take(run->service(), move);
     }
     parts_.waiters.wakeAll();
 }
--- a/gateway/retrybudget.cpp
+++ b/gateway/retrybudget.cpp
@@ -125,7 +125,7 @@
     return result;
 }
 
-auto RetryBudget::take(const ServiceId &service, Done done) -> void
+auto RetryBudget::take(const ServiceId &service, const Done &done) -> void
 {
     if (window_->take(service)) {
         metrics_.onRetry("own_requests");
--- a/gateway/retrybudget.h
+++ b/gateway/retrybudget.h
@@ -92,7 +92,7 @@
     auto takeRequests() -> std::vector<proto::ServiceRequests>;
     /// @param done called once with a retry, invalid if there is none; before this returns if the
     /// leader is not asked
-    auto take(const ServiceId &service, Done done) -> void;
+    auto take(const ServiceId &service, const Done &done) -> void;
     auto take(const ServiceId &service) -> boost::asio::awaitable<Retry>;
 
 private:
--- a/gateway/testing/retryworld.cpp
+++ b/gateway/testing/retryworld.cpp
@@ -46,6 +46,7 @@
                 if (receiver->replica)
                     receiver->replica->receive(message);
             });
+            return;
         }
     }
 
