--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -307,10 +307,11 @@
             ++kept;
     }
     if (!movable.empty() || kept > 0) {
-        LogEvent(LogLevel::Warning, "dispatches_move")
+        // Those that get a retry are moved.
+        LogEvent(LogLevel::Warning, "dispatches_moved")
                 .with("service", group.service)
                 .with("domain", group.domain)
-                .with("movable", static_cast<std::uint64_t>(movable.size()))
+                .with("moved", static_cast<std::uint64_t>(movable.size()))
                 .with("kept", kept);
     }
     for (const auto &[id, canceller] : movable) {
