--- a/fleet/testing/tst_demandrelay.cpp
+++ b/fleet/testing/tst_demandrelay.cpp
@@ -50,3 +50,22 @@
     CHECK(sum->rows.empty());
     CHECK(sum->loads.empty());
 }
+
+TEST_CASE("Requests for the retry budget are summed over gateways, and passed on once")
+{
+    auto relay = DemandRelay {};
+    auto report = makeReport(1, 0);
+    report.requests = { { ServiceId { "s" }, 5 }, { ServiceId { "t" }, 2 } };
+    relay.onReport(NodeId { "g1" }, report);
+    relay.onReport(NodeId { "g1" }, report);
+    relay.onReport(NodeId { "g2" }, report);
+    const auto sum = relay.take();
+    REQUIRE(sum);
+    REQUIRE(sum->requests.size() == 2);
+    CHECK(sum->requests[0].count == 15);
+    CHECK(sum->requests[1].count == 6);
+    relay.onGatewayLost(NodeId { "g2" });
+    const auto next = relay.take();
+    REQUIRE(next);
+    CHECK(next->requests.empty());
+}
