--- a/gateway/retrybudget.h
+++ b/gateway/retrybudget.h
@@ -2,9 +2,8 @@
 //
 //   budget.onRequest(service);
 //   auto retry = co_await budget.take(service);
-//   if (!retry) giveUp();
-//   ... find an endpoint ...
-//   if (!retry.isValid(now)) ... take another one ...
+//   if (!retry.isValid()) giveUp();
+//   ... find an endpoint, take another retry if this one has expired meanwhile ...
 //   retry.send();                        // right before the dispatch
 //   retry.revoke();                      // if nothing could be sent
 //
--- a/gateway/testing/feedrig.h
+++ b/gateway/testing/feedrig.h
@@ -74,6 +74,7 @@
             } else if (std::holds_alternative<proto::PickEnd>(envelope.payload)) {
                 ++ended;
             } else if (std::holds_alternative<proto::RetryGrantRequest>(envelope.payload)) {
+                ++askedForRetries;
                 peer->send({ envelope.correlation, proto::RetryGrantReply { true, 0 } });
             } else if (std::holds_alternative<proto::HandoffTargetsRequest>(envelope.payload)) {
                 ++askedForTargets;
@@ -128,6 +129,7 @@
     int asked = 0;
     int ended = 0;
     int askedForTargets = 0;
+    int askedForRetries = 0;
     std::uint32_t capacity = 0;                       ///< Of the latest subscription.
     std::map<NodeId, proto::Subscribe> subscriptions; ///< The latest ones.
     proto::PeerPointer asker;                         ///< Connection of the latest pick.
--- a/gateway/testing/tst_controlfeed.cpp
+++ b/gateway/testing/tst_controlfeed.cpp
@@ -154,3 +154,28 @@
     CHECK(rig.closed.empty());
     rig.runUntil([&] { return rig.balancers.back() == address; });
 }
+
+TEST_CASE("Retries are asked of the leader alone, and of nobody while there is none")
+{
+    const auto isGranted = [](FeedRig &rig, ControlFeed &feed) {
+        auto granted = std::optional<bool> {};
+        const auto isAsked = feed.askRetry({ ServiceId { "s" } }, 1s, [&](const auto &reply) {
+            granted = reply && reply->isGranted;
+        });
+        if (isAsked)
+            rig.runUntil([&] { return granted.has_value(); });
+        return isAsked && granted.value_or(false);
+    };
+    SUBCASE("one leads")
+    {
+        auto rig = FeedRig { "n2" };
+        CHECK(isGranted(rig, rig.addFeed("g1")));
+        for (const auto &[name, control] : rig.controls)
+            CHECK(control->askedForRetries == (name == "n2" ? 1 : 0));
+    }
+    SUBCASE("the leader is not connected")
+    {
+        auto rig = FeedRig { "n9" };
+        CHECK_FALSE(isGranted(rig, rig.addFeed("g1")));
+    }
+}
