--- a/policy/testing/tst_promptparts.cpp
+++ b/policy/testing/tst_promptparts.cpp
@@ -208,7 +208,7 @@
 
 TEST_CASE("A part whose answers go on elsewhere is not refused before that is known")
 {
-    // The control hears of the ends at once, and of the answers after a round trip.
+    // The control learns of the ends at once, and of the answers after a round trip.
     constexpr auto roundTrip = Millis { 150 };
     auto control = Quarantine { {} };
     auto busy = Quarantine { {} };
