--- a/review/build.sh
+++ b/review/build.sh
@@ -3,3 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
+g++ -std=c++20 -O1 -Wall -Wextra -pthread -o target/review/standin review/standin/standin.cpp
