--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -6,6 +6,7 @@
 //   standin runner KEY=VALUE...          an endpoint; see runRunner()
 //   standin streams KEY=VALUE...         callers that each ask for one stream; see runStreams()
 //   standin probe KEY=VALUE...           one caller that asks again and again; see runProbe()
+//   standin load KEY=VALUE...            callers that keep their connections; see runLoad()
 //
 // The names on the wire come from the file that wire=FILE gives. Log lines begin with the
 // time of day in milliseconds.
@@ -41,6 +42,7 @@
 using Millis = std::chrono::milliseconds;
 
 std::atomic<bool> leaveAsked { false };
+std::atomic<bool> spoilAsked { false };
 std::mutex logMutex;
 int logFile = -1;
 
@@ -311,9 +313,10 @@
 }
 
 /// An endpoint. Keys: wire, log, id, service, addr, zone, version, controls (by commas), models
-/// (by commas, may be empty), events, gap_ms, beat_ms. A POST is answered by a stream of that many
-/// events, a GET by a whole answer. SIGUSR1: it leaves without saying that it drains, as
-/// PROTOCOL.md has it: it deregisters first and serves on.
+/// (by commas, may be empty), load_ms, events, gap_ms, work_ms, beat_ms, spoil_every, spoil_ms. A POST
+/// is answered by a stream of that many events, or by a whole answer if there are none, as a GET is.
+/// SIGUSR1: it leaves without saying that it drains, as PROTOCOL.md has it: it deregisters first and
+/// serves on. SIGUSR2: for spoil_ms from then on, one answer in spoil_every is spoilt.
 class Runner
 {
 public:
@@ -323,8 +326,7 @@
         , controls_(split(settings_["controls"], ','))
     {
         for (const auto &model : split(settings_["models"], ','))
-            models_ += (models_.empty() ? "" : ",") + fill(names_["held_model"], { { "model", model } });
-        settings_["models"] = models_;
+            held_.push_back(model);
     }
 
     auto run() -> int
@@ -347,13 +349,56 @@
     }
 
 private:
+    /// @return the settings, with what the endpoint says of itself now
+    auto state() -> Values
+    {
+        const auto lock = std::lock_guard { mutex_ };
+        auto values = settings_;
+        auto models = std::string {};
+        for (const auto &model : held_)
+            models += (models.empty() ? "" : ",") + fill(names_["held_model"], { { "model", model } });
+        values["models"] = models;
+        values["orders"] = std::to_string(orders_);
+        values["busy"] = isBusy_ ? "true" : "false";
+        return values;
+    }
+
+    /// Accepts an order to load or unload a model, one at a time. @return the status line's end
+    auto takeOrder(const std::string &body) -> std::string
+    {
+        const auto isLoad = body.find(names_["order_load"]) != std::string::npos;
+        const auto mark = names_["order_model"];
+        const auto begin = body.find(mark) + mark.size();
+        const auto model = body.substr(begin, body.find('"', begin) - begin);
+        const auto expected = body.find(names_["order_expected"]);
+        const auto lock = std::lock_guard { mutex_ };
+        const auto isExpected = expected == std::string::npos
+                || std::atoi(body.c_str() + expected + names_["order_expected"].size()) == orders_;
+        if (isBusy_ || !isExpected)
+            return "409 Conflict";
+        ++orders_;
+        isBusy_ = true;
+        note("runner " + settings_["id"] + " accepts an order to " + (isLoad ? "load " : "unload ")
+             + model);
+        std::thread { [this, isLoad, model] {
+            sleepFor(isLoad ? std::atoi(settings_["load_ms"].c_str()) : 50);
+            const auto held = std::lock_guard { mutex_ };
+            held_.erase(std::remove(held_.begin(), held_.end(), model), held_.end());
+            if (isLoad)
+                held_.push_back(model);
+            isBusy_ = false;
+            announceNow_ = true;
+        } }.detach();
+        return "202 Accepted";
+    }
+
     auto announce() -> void
     {
         auto next = std::size_t { 0 };
         for (auto sequence = 1;; ++sequence) {
             if (leaveAsked)
                 return leave();
-            auto values = settings_;
+            auto values = state();
             values["seq"] = std::to_string(sequence);
             const auto path = fill(names_["heartbeat_path"], settings_);
             const auto body = fill(names_["heartbeat_body"], values);
@@ -364,8 +409,9 @@
                 next = (next + 1) % controls_.size();
             }
             const auto beat = std::atoi(settings_["beat_ms"].c_str());
-            for (auto waited = 0; waited < beat && !leaveAsked; waited += 10)
+            for (auto waited = 0; waited < beat && !leaveAsked && !announceNow_; waited += 10)
                 sleepFor(10);
+            announceNow_ = false;
         }
     }
 
@@ -391,7 +437,7 @@
         auto head = Head {};
         auto body = std::string {};
         while (readHead(wire, head, 60000) && readBody(wire, head, body, 10000)) {
-            if (!answer(wire, head))
+            if (!answer(wire, head, body))
                 return;
         }
     }
@@ -404,7 +450,7 @@
                          + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     }
 
-    auto answer(Wire &wire, const Head &head) -> bool
+    auto answer(Wire &wire, const Head &head, const std::string &body) -> bool
     {
         const auto words = split(head.first, ' ');
         const auto &path = words.at(1);
@@ -414,25 +460,34 @@
             return whole(wire, head, "421 Misdirected Request", self, "");
         if (path == names_["health_path"])
             return whole(wire, head, "200 OK", self, "");
-        if (path == names_["report_path"]) {
-            auto values = settings_;
-            values["orders"] = "0";
-            return whole(wire, head, "200 OK", "", fill(names_["report_body"], values));
-        }
-        if (path == names_["order_path"]) {
-            note("runner " + settings_["id"] + " refuses an order");
-            return whole(wire, head, "409 Conflict", "", "");
-        }
+        if (path == names_["report_path"])
+            return whole(wire, head, "200 OK", "", fill(names_["report_body"], state()));
+        if (path == names_["order_path"])
+            return whole(wire, head, takeOrder(body), "", "");
         const auto id = head.get(names_["request_id"]);
         const auto after = std::atoi(head.get(names_["resume_after"]).c_str());
         note("runner " + settings_["id"] + " version " + settings_["version"] + " runs request "
              + id + " after event " + std::to_string(after));
         const auto stamp = names_["stamp"] + ": " + settings_["id"] + "." + id + "\r\n";
-        if (words.at(0) == "GET")
+        sleepFor(std::atoi(settings_["work_ms"].c_str()));
+        if (isSpoilt()) {
+            note("runner " + settings_["id"] + " spoils its answer to " + id);
+            wire.send("HTTP/1.1 200 OK\r\n" + names_["request_id"] + ": " + id + "\r\n" + stamp
+                      + "Content-Length: 99999999999999999\r\n\r\n" + settings_["id"]);
+            return false; // Breaks off.
+        }
+        if (words.at(0) == "GET" || settings_["events"] == "0")
             return whole(wire, head, "200 OK", stamp, settings_["id"]);
         return stream(wire, head, stamp, after);
     }
 
+    auto isSpoilt() -> bool
+    {
+        if (spoilAsked.exchange(false))
+            spoilUntil_ = nowMillis() + std::atoll(settings_["spoil_ms"].c_str());
+        return nowMillis() < spoilUntil_ && ++answers_ % std::atoi(settings_["spoil_every"].c_str()) == 0;
+    }
+
     auto stream(Wire &wire, const Head &head, const std::string &stamp, int after) -> bool
     {
         const auto id = head.get(names_["request_id"]);
@@ -457,7 +512,13 @@
     Values settings_;
     Values names_;
     std::vector<std::string> controls_;
-    std::string models_;
+    std::mutex mutex_; ///< Guards held_, orders_ and isBusy_.
+    std::vector<std::string> held_;
+    int orders_ = 0;
+    bool isBusy_ = false;
+    std::atomic<bool> announceNow_ { false };
+    std::atomic<long long> spoilUntil_ { 0 };
+    std::atomic<int> answers_ { 0 };
 };
 
 auto requestText(const Values &settings, Values names, const std::string &method,
@@ -545,6 +606,45 @@
     return 0;
 }
 
+/// Callers that keep their connections, each with one request at a time. Keys: wire, log, to, host,
+/// path, deadline_ms, callers, pause_ms, for_ms.
+auto runLoad(const Values &settings, const Values &names) -> int
+{
+    const auto until = nowMillis() + std::atoll(settings.at("for_ms").c_str());
+    auto callers = std::vector<std::thread> {};
+    for (auto number = 1; number <= std::atoi(settings.at("callers").c_str()); ++number) {
+        callers.emplace_back([&settings, &names, number, until] {
+            for (auto sent = 0; nowMillis() < until;) {
+                const auto descriptor = connectTo(placeOf(settings.at("to")), 300);
+                if (descriptor < 0) {
+                    sleepFor(100);
+                    continue;
+                }
+                auto wire = Wire { descriptor };
+                for (auto isKept = false; nowMillis() < until; isKept = true) {
+                    const auto id = "c" + std::to_string(number) + "-" + std::to_string(++sent);
+                    note("caller " + id + " asks on a " + (isKept ? "kept" : "new") + " connection");
+                    auto head = Head {};
+                    auto body = std::string {};
+                    if (!wire.send(requestText(settings, names, "POST", id))
+                        || !readHead(wire, head, 3000) || !readBody(wire, head, body, 3000)) {
+                        note("caller " + id + (wire.isGone() ? " closed" : " waits")
+                             + " without an answer");
+                        break;
+                    }
+                    note("caller " + id + " status " + std::to_string(head.status()));
+                    if (lower(head.get("connection")) == "close")
+                        break;
+                    sleepFor(std::atoi(settings.at("pause_ms").c_str()));
+                }
+            }
+        });
+    }
+    for (auto &caller : callers)
+        caller.join();
+    return 0;
+}
+
 } // namespace
 
 auto main(int argc, char **argv) -> int
@@ -576,11 +676,14 @@
     logFile = ::open(settings["log"].c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGUSR1, [](int) { leaveAsked = true; });
+    std::signal(SIGUSR2, [](int) { spoilAsked = true; });
     if (words[0] == "runner")
         return Runner { settings, names }.run();
     if (words[0] == "streams")
         return runStreams(settings, names);
     if (words[0] == "probe")
         return runProbe(settings, names);
+    if (words[0] == "load")
+        return runLoad(settings, names);
     return 2;
 }
