--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -27,6 +27,7 @@
 #include <sstream>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include <arpa/inet.h>
@@ -316,7 +317,9 @@
 /// (by commas, may be empty), load_ms, events, gap_ms, work_ms, beat_ms, spoil_every, spoil_ms. A POST
 /// is answered by a stream of that many events, or by a whole answer if there are none, as a GET is.
 /// SIGUSR1: it leaves without saying that it drains, as PROTOCOL.md has it: it deregisters first and
-/// serves on. SIGUSR2: for spoil_ms from then on, one answer in spoil_every is spoilt.
+/// serves on. SIGUSR2: for spoil_ms from then on, one answer in spoil_every is spoilt: it breaks off,
+/// or with spoil=extra it is good, and additional bytes follow it late, when the next answer on its
+/// connection is expected.
 class Runner
 {
 public:
@@ -436,8 +439,14 @@
         auto wire = Wire { descriptor };
         auto head = Head {};
         auto body = std::string {};
+        auto extra = std::string {};
         while (readHead(wire, head, 60000) && readBody(wire, head, body, 10000)) {
-            if (!answer(wire, head, body))
+            if (!extra.empty()) {
+                note("runner " + settings_["id"] + " sends additional bytes before its answer to "
+                     + head.get(names_["request_id"]));
+                wire.send(std::exchange(extra, {}));
+            }
+            if (!answer(wire, head, body, extra))
                 return;
         }
     }
@@ -450,7 +459,8 @@
                          + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     }
 
-    auto answer(Wire &wire, const Head &head, const std::string &body) -> bool
+    /// @param extra set to additional bytes that are sent late
+    auto answer(Wire &wire, const Head &head, const std::string &body, std::string &extra) -> bool
     {
         const auto words = split(head.first, ' ');
         const auto &path = words.at(1);
@@ -470,14 +480,20 @@
              + id + " after event " + std::to_string(after));
         const auto stamp = names_["stamp"] + ": " + settings_["id"] + "." + id + "\r\n";
         sleepFor(std::atoi(settings_["work_ms"].c_str()));
-        if (isSpoilt()) {
+        const auto text = "answer to " + id + " by " + settings_["id"];
+        const auto spoils = isSpoilt();
+        if (spoils && settings_["spoil"] == "extra") {
+            // The body once more, behind a head without a header of the runner's.
+            extra = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n"
+                    + text;
+        } else if (spoils) {
             note("runner " + settings_["id"] + " spoils its answer to " + id);
             wire.send("HTTP/1.1 200 OK\r\n" + names_["request_id"] + ": " + id + "\r\n" + stamp
                       + "Content-Length: 99999999999999999\r\n\r\n" + settings_["id"]);
             return false; // Breaks off.
         }
         if (words.at(0) == "GET" || settings_["events"] == "0")
-            return whole(wire, head, "200 OK", stamp, settings_["id"]);
+            return whole(wire, head, "200 OK", stamp, text);
         return stream(wire, head, stamp, after);
     }
 
@@ -632,7 +648,12 @@
                              + " without an answer");
                         break;
                     }
-                    note("caller " + id + " status " + std::to_string(head.status()));
+                    auto kind = std::string {};
+                    if (head.status() == 200 && body.find("answer to " + id + " ") != 0)
+                        kind = " foreign body: " + body;
+                    if (head.status() == 200 && head.get(names.at("stamp")).empty())
+                        kind += " (no stamp)";
+                    note("caller " + id + " status " + std::to_string(head.status()) + kind);
                     if (lower(head.get("connection")) == "close")
                         break;
                     sleepFor(std::atoi(settings.at("pause_ms").c_str()));
