--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -482,7 +482,10 @@
         sleepFor(std::atoi(settings_["work_ms"].c_str()));
         const auto text = "answer to " + id + " by " + settings_["id"];
         const auto spoils = isSpoilt();
-        if (spoils && settings_["spoil"] == "extra") {
+        if (spoils && settings_["spoil"] == "refusal") {
+            extra = "HTTP/1.1 503 Service Unavailable\r\n" + names_["not_run"]
+                    + ": 1\r\nContent-Length: 0\r\n\r\n";
+        } else if (spoils && settings_["spoil"] == "extra") {
             // The body once more, behind a head without a header of the runner's.
             extra = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n"
                     + text;
