--- a/review/standin/fleet.sh
+++ b/review/standin/fleet.sh
@@ -82,7 +82,7 @@
   local id=$1 last=$2
   shift 2
   "$standin" runner "wire=$wire" "log=$record" "id=$id" "addr=127.0.0.$last:$runner_port" zone=morlaix \
-    "controls=$controls" beat_ms=1200 load_ms=6000 work_ms=0 models= "$@" 2>>"$folder/$id.log" &
+    "controls=$controls" beat_ms=1200 "$@" 2>>"$folder/$id.log" &
   runner_pid=$!
   pids+=($!)
   stamp "script starts runner $id pid $!"
