gateway: count requests that an exception ends, by service and reason

Cause: an exception in the handling of a request reached the HTTP server, which logged "http_handler_failed" without the request, its service or endpoint.

Change: such a request has its line (end=internal_error, with the exception) and counts in figrack_gateway_internal_errors_total by service and reason. What a caller gets is unchanged.

--- a/fleet/announcements.cpp
+++ b/fleet/announcements.cpp
@@ -42,8 +42,10 @@
     if (known == nullptr && id.incarnation() == Incarnation {})
         known = registry_.inUse(id);
     auto row = known != nullptr ? *known : catalogue::EndpointRow {};
-    if (known == nullptr)
+    if (known == nullptr) {
         row.id = id;
+        LogEvent(LogLevel::Info, "unknown_endpoint_deregistered").with("endpoint", id);
+    }
     row.state = catalogue::EndpointState::Gone;
     registry_.onLeaving(row, std::move(done));
 }
--- a/gateway/fleetview.cpp
+++ b/gateway/fleetview.cpp
@@ -122,6 +122,13 @@
         supersedeOthers(row.id);
     if (isNew)
         byService_[row.service].push_back(row.id);
+    if (!isNew && row.service != entry.row.service) {
+        LogEvent(LogLevel::Warning, "endpoint_service_changed")
+                .with("endpoint", row.id)
+                .with("service", row.service)
+                .with("before", entry.row.service)
+                .with("state", catalogue::endpointStateName(row.state));
+    }
     if (changed) {
         LogEvent(LogLevel::Info, "endpoint_changed")
                 .with("endpoint", row.id)
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -70,6 +70,20 @@
 }
 
 auto Forwarder::Run::execute() -> asio::awaitable<void>
+{
+    auto failure = std::exception_ptr {};
+    try {
+        co_await serve();
+    } catch (const std::exception &error) {
+        failure = std::current_exception();
+        noteInternalError(error);
+    }
+    report();
+    if (failure)
+        std::rethrow_exception(failure);
+}
+
+auto Forwarder::Run::serve() -> asio::awaitable<void>
 {
     co_await awaitDocument();
     if (auto refusal = prepare()) {
@@ -91,7 +105,16 @@
         if (failure)
             std::rethrow_exception(failure);
     }
-    report();
+}
+
+auto Forwarder::Run::noteInternalError(const std::exception &error) -> void
+{
+    const auto reason = internalErrorReason(error);
+    outcome_ = RequestOutcome::InternalError;
+    lastError_ = makeError(ErrorKind::Internal,
+                           "reason=" + std::string { internalErrorReasonName(reason) }
+                                   + " what=" + error.what());
+    parts_.metrics.onInternalError(service_, reason);
 }
 
 auto Forwarder::Run::dispatchUntilSettled() -> asio::awaitable<void>
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -257,7 +257,11 @@
 
     // ---- overall control and completion (forwarder.cpp)
 
+    /// Serves the request up to its final answer.
+    auto serve() -> boost::asio::awaitable<void>;
     auto dispatchUntilSettled() -> boost::asio::awaitable<void>;
+    /// Counts an exception that has ended the request, and sets the outcome accordingly.
+    auto noteInternalError(const std::exception &error) -> void;
     /// Waits until the caller has taken what is buffered for it, and ends a whole stream.
     auto finishStream() -> boost::asio::awaitable<void>;
     auto timeLeft() const -> Duration;
--- a/gateway/metrics.cpp
+++ b/gateway/metrics.cpp
@@ -1,6 +1,9 @@
 #include "gateway/metrics.h"
 
 #include <array>
+#include <new>
+#include <stdexcept>
+#include <system_error>
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -20,8 +23,11 @@
         = prometheus::Histogram::BucketBoundaries { -2,   -1,  -0.5, -0.2, -0.1, -0.03, 0,
                                                     0.03, 0.1, 0.2,  0.5,  1,    2 };
 constexpr auto requestOutcomeNames
-        = std::array<std::string_view, 8> { "answered",   "no_route",    "refused", "failed",
-                                            "broken_off", "caller_gone", "denied",  "over_limit" };
+        = std::array<std::string_view, 9> { "answered", "no_route",   "refused",
+                                            "failed",   "broken_off", "caller_gone",
+                                            "denied",   "over_limit", "internal_error" };
+constexpr auto internalErrorReasonNames
+        = std::array<std::string_view, 4> { "missing_entry", "out_of_memory", "io", "other" };
 
 } // namespace
 
@@ -30,6 +36,25 @@
     return requestOutcomeNames[static_cast<std::size_t>(outcome) % requestOutcomeNames.size()];
 }
 
+auto internalErrorReasonName(InternalErrorReason reason) -> std::string_view
+{
+    return internalErrorReasonNames[static_cast<std::size_t>(reason)
+                                    % internalErrorReasonNames.size()];
+}
+
+auto internalErrorReason(const std::exception &error) -> InternalErrorReason
+{
+    const auto *tried = &error;
+    if (dynamic_cast<const std::out_of_range *>(tried) != nullptr)
+        return InternalErrorReason::MissingEntry;
+    if (dynamic_cast<const std::bad_alloc *>(tried) != nullptr
+        || dynamic_cast<const std::length_error *>(tried) != nullptr)
+        return InternalErrorReason::OutOfMemory;
+    if (dynamic_cast<const std::system_error *>(tried) != nullptr)
+        return InternalErrorReason::Io;
+    return InternalErrorReason::Other;
+}
+
 class Metrics::Impl
 {
 public:
@@ -38,6 +63,10 @@
                            .Name("figrack_gateway_requests_total")
                            .Help("Requests by how they ended")
                            .Register(registry))
+        , internalErrors(prometheus::BuildCounter()
+                                 .Name("figrack_gateway_internal_errors_total")
+                                 .Help("Requests ended by an exception in this process")
+                                 .Register(registry))
         , dispatches(prometheus::BuildCounter()
                              .Name("figrack_gateway_dispatches_total")
                              .Help("Sends to endpoints, first ones and repeats")
@@ -141,6 +170,7 @@
 
     prometheus::Registry registry;
     prometheus::Family<prometheus::Counter> &requests;
+    prometheus::Family<prometheus::Counter> &internalErrors;
     prometheus::Family<prometheus::Counter> &dispatches;
     prometheus::Family<prometheus::Counter> &retries;
     prometheus::Counter &failures;
@@ -177,6 +207,14 @@
     impl_->latency.Add({ { "until", "end" } }, secondBuckets).Observe(inSeconds(total));
 }
 
+auto Metrics::onInternalError(const ServiceId &service, InternalErrorReason reason) -> void
+{
+    impl_->internalErrors
+            .Add({ { "service", service.value() },
+                   { "reason", std::string { internalErrorReasonName(reason) } } })
+            .Increment();
+}
+
 auto Metrics::onDispatch(bool isRepeat) -> void
 {
     impl_->dispatches.Add({ { "kind", isRepeat ? "repeat" : "first" } }).Increment();
--- a/gateway/metrics.h
+++ b/gateway/metrics.h
@@ -1,35 +1,51 @@
 // The gateway's metrics, in the Prometheus text format.
 //
-// Guarantee: the number of label values is bounded. They come from fixed tables, and never from a
-// caller or a request.
+// Guarantee: the number of label values is bounded. They come from fixed tables or are services of
+// a configuration, and never come from a caller or a request.
 
 #ifndef FIGRACK_GATEWAY_METRICS_H
 #define FIGRACK_GATEWAY_METRICS_H
 
 #include <cstdint>
+#include <exception>
 #include <memory>
 #include <string>
 #include <string_view>
 
 #include "core/clock.h"
+#include "core/ids.h"
 
 namespace figrack::gateway {
 
 /// How a request ended.
 enum class RequestOutcome : std::uint8_t {
-    Answered,   ///< The endpoint's answer was sent completely.
-    NoRoute,    ///< There is no route for the request.
-    Refused,    ///< The request has not run and will not run.
-    Failed,     ///< The request may have run, and an error was sent.
-    BrokenOff,  ///< A stream that had begun was not completed.
-    CallerGone, ///< The caller disconnected.
-    Denied,     ///< The request had no key of an account.
-    OverLimit,  ///< The account had used up its limit.
+    Answered,      ///< The endpoint's answer was sent completely.
+    NoRoute,       ///< There is no route for the request.
+    Refused,       ///< The request has not run and will not run.
+    Failed,        ///< The request may have run, and an error was sent.
+    BrokenOff,     ///< A stream that had begun was not completed.
+    CallerGone,    ///< The caller disconnected.
+    Denied,        ///< The request had no key of an account.
+    OverLimit,     ///< The account had used up its limit.
+    InternalError, ///< An exception in this process ended the request.
 };
 
 /// @return "answered", "no_route", ...
 auto requestOutcomeName(RequestOutcome outcome) -> std::string_view;
 
+/// The kind of exception that ended a request.
+enum class InternalErrorReason : std::uint8_t {
+    MissingEntry, ///< A table did not contain what was looked up.
+    OutOfMemory,
+    Io,
+    Other,
+};
+
+/// @return "missing_entry", "out_of_memory", "io" or "other"
+auto internalErrorReasonName(InternalErrorReason reason) -> std::string_view;
+
+auto internalErrorReason(const std::exception &error) -> InternalErrorReason;
+
 /// Current values that the page shows.
 struct GatewayGauges
 {
@@ -59,6 +75,8 @@
     /// @param firstByte time from arrival to the first byte of the answer
     /// @param total time from arrival to the end
     auto onRequest(RequestOutcome outcome, Duration firstByte, Duration total) -> void;
+    /// An exception ended a request. @param service empty if its route was not known yet
+    auto onInternalError(const ServiceId &service, InternalErrorReason reason) -> void;
     auto onDispatch(bool isRepeat) -> void;
     /// A retry was taken from the budget. @param paid by what, from a fixed set
     auto onRetry(std::string_view paid) -> void;
--- a/gateway/testing/tst_forwarder.cpp
+++ b/gateway/testing/tst_forwarder.cpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <functional>
+#include <stdexcept>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -375,3 +376,20 @@
     CHECK(received.find("data: e2") != std::string::npos);
     CHECK(received.find("HTTP/1.1 500") == std::string::npos);
 }
+
+TEST_CASE("A request that an exception ends is counted by its service and the kind of exception")
+{
+    auto rig = Rig {};
+    rig.addEndpoint("i-1").handler = answering("ok");
+    rig.dialect.writeDispatch
+            = [](const gateway::CallerRequest &, const gateway::DispatchTerms &) -> http::Headers {
+        throw std::out_of_range { "map::at" };
+    };
+    CHECK(rig.call(Rig::request("/once/x", "r1")).status >= 500);
+    const auto page = rig.metrics.text({});
+    CHECK(page.find(
+                  "figrack_gateway_internal_errors_total{reason=\"missing_entry\",service=\"s\"} 1")
+          != std::string::npos);
+    CHECK(page.find("figrack_gateway_requests_total{end=\"internal_error\"} 1")
+          != std::string::npos);
+}
