catalogue, fleet, gateway: an endpoint that is gone loses its state alone

Cause: a control that is asked to deregister an endpoint which it has never heard of publishes a row with nothing but the id and the state "gone". Such a row is newer than any other, and it replaced the whole row of the endpoint wherever it was merged. FleetView lists an endpoint by the service of the first row and removed it by the service of the latest one, so that the id stayed listed for its service after its entry had been dropped, and each look-up of the service threw std::out_of_range. The same index listed an endpoint that announces another service under the former one for good: the requests of one service went to an endpoint of another one, and that endpoint got none of its own.

Fix: a row that says that an endpoint is gone changes the known endpoint's state and nothing else (catalogue::applyNewer(), at controls and gateways). The gateway's list of a service is an index of its own that keeps what it has listed of each endpoint, so that no row can take an endpoint out of where it is not. A look-up skips an id that is not there and cannot throw.

--- a/catalogue/endpointrow.cpp
+++ b/catalogue/endpointrow.cpp
@@ -41,4 +41,14 @@
     return row.orderVersion > than.orderVersion;
 }
 
+auto applyNewer(const EndpointRow &row, EndpointRow &known) -> void
+{
+    if (row.state != EndpointState::Gone) {
+        known = row;
+        return;
+    }
+    known.state = EndpointState::Gone;
+    known.coldMs = 0;
+}
+
 } // namespace figrack::catalogue
--- a/catalogue/endpointrow.h
+++ b/catalogue/endpointrow.h
@@ -105,6 +105,10 @@
 /// or, of the same one, what orders have changed since; and nothing after it is gone
 auto isNewer(const EndpointRow &row, const EndpointRow &than) -> bool;
 
+/// Applies a newer row to what is known of the endpoint. A row that says that the endpoint is gone
+/// changes the state alone, because its writer need not know anything else about the endpoint.
+auto applyNewer(const EndpointRow &row, EndpointRow &known) -> void;
+
 /// The newest announcement that was heard of an endpoint, without what it says.
 struct EndpointBeat
 {
--- a/fleet/endpointtable.cpp
+++ b/fleet/endpointtable.cpp
@@ -79,7 +79,10 @@
         return false;
     }
     auto changed = isNew || !row.sameAs(known.row);
-    known.row = row;
+    if (isNew)
+        known.row = row;
+    else
+        catalogue::applyNewer(row, known.row);
     changed = noteCold(known) || changed;
     if (!changed)
         return false;
--- a/fleet/testing/tst_registry.cpp
+++ b/fleet/testing/tst_registry.cpp
@@ -257,6 +257,27 @@
     CHECK_FALSE(rig.registry.knowsDomain(DomainId { "d" }));
 }
 
+// Guards against a control forgetting what it knows of an endpoint by a departure at another one.
+TEST_CASE("An endpoint that is gone by a row without service, address and domain keeps them")
+{
+    auto rig = RegistryRig {};
+    auto row = makeRow("i-1", 1, EndpointState::Ready);
+    row.address = { "10.0.0.1", 8080 };
+    row.domain = DomainId { "d9" };
+    rig.registry.onAnnouncement(row);
+    auto update = proto::ServingUpdate {};
+    update.endpoints.push_back({});
+    update.endpoints.back().id = row.id;
+    update.endpoints.back().state = EndpointState::Gone;
+    rig.registry.onUpdate(nullptr, update);
+    const auto *known = rig.registry.find(row.id);
+    REQUIRE(known != nullptr);
+    CHECK(known->state == EndpointState::Gone);
+    CHECK(known->service == row.service);
+    CHECK(known->address == row.address);
+    CHECK(known->domain == row.domain);
+}
+
 TEST_CASE("A cold time is sent when it begins or ends early, not with each announcement")
 {
     auto rig = RegistryRig {};
--- a/gateway/fleetview.cpp
+++ b/gateway/fleetview.cpp
@@ -120,25 +120,27 @@
     entry.isUnreached = false;
     if (isNew && row.state != catalogue::EndpointState::Gone)
         supersedeOthers(row.id);
+    const auto before = entry.row.service;
     if (isNew)
-        byService_[row.service].push_back(row.id);
-    if (!isNew && row.service != entry.row.service) {
+        entry.row = row;
+    else
+        catalogue::applyNewer(row, entry.row);
+    byService_.update(row.id, entry.row.service);
+    if (!isNew && entry.row.service != before) {
         LogEvent(LogLevel::Warning, "endpoint_service_changed")
                 .with("endpoint", row.id)
-                .with("service", row.service)
-                .with("before", entry.row.service)
-                .with("state", catalogue::endpointStateName(row.state));
+                .with("service", entry.row.service)
+                .with("before", before);
     }
     if (changed) {
         LogEvent(LogLevel::Info, "endpoint_changed")
                 .with("endpoint", row.id)
-                .with("service", row.service)
+                .with("service", entry.row.service)
                 .with("state", catalogue::endpointStateName(row.state))
                 .with("sequence", row.sequence)
                 .with("order_version", row.orderVersion)
                 .with("models", static_cast<std::uint64_t>(row.models.size()));
     }
-    entry.row = row;
     entry.heardAt = clock_.now();
     noteCold(entry);
     const auto now = clock_.now();
@@ -213,13 +215,9 @@
 auto FleetView::of(const ServiceId &service) -> std::vector<EndpointEntry *>
 {
     auto result = std::vector<EndpointEntry *> {};
-    const auto found = byService_.find(service);
-    if (found == byService_.end())
-        return result;
-    for (const auto &id : found->second) {
-        auto &entry = entries_.at(id);
-        if (takesWork(id))
-            result.push_back(&entry);
+    for (const auto &id : byService_.of(service)) {
+        if (auto *entry = find(id); entry != nullptr && takesWork(id))
+            result.push_back(entry);
     }
     return result;
 }
@@ -471,7 +469,7 @@
             ++item;
             continue;
         }
-        std::erase(byService_[entry.row.service], item->first);
+        byService_.remove(item->first);
         item = entries_.erase(item);
     }
 }
--- a/gateway/fleetview.h
+++ b/gateway/fleetview.h
@@ -29,6 +29,7 @@
 #include "catalogue/endpointnotice.h"
 #include "catalogue/endpointrow.h"
 #include "core/clock.h"
+#include "gateway/serviceindex.h"
 #include "proto/servingmessages.h"
 
 namespace figrack::gateway {
@@ -203,7 +204,7 @@
     FleetViewOptions options_;
     const Clock &clock_;
     std::map<EndpointId, EndpointEntry> entries_;
-    std::map<ServiceId, std::vector<EndpointId>> byService_;
+    ServiceIndex byService_; ///< Of all entries.
     catalogue::Evacuations evacuations_;
     OnSuperseded onSuperseded_;
     Instant nextForget_ {};
--- a/gateway/testing/fleetworld.cpp
+++ b/gateway/testing/fleetworld.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <utility>
 
 #include "core/hash.h"
@@ -39,7 +40,12 @@
 {
     explicit Control(std::size_t number, const Clock &clock)
         : registry(options(number), clock)
+        , announcements(registry, fleet::KnownServices { readNothing }, clock, metrics)
     { }
+    static auto readNothing(std::string_view /*text*/) -> absl::StatusOr<catalogue::Catalogue>
+    {
+        return catalogue::Catalogue {};
+    }
     static auto options(std::size_t number) -> fleet::RegistryOptions
     {
         auto result = fleet::RegistryOptions {};
@@ -49,9 +55,12 @@
         return result;
     }
     fleet::Registry registry;
+    fleet::Metrics metrics;
+    fleet::Announcements announcements;
     Traffic sent;
     bool isDown = false;
-    std::vector<proto::PeerPointer> links; ///< To the other controls.
+    bool isCutOff = false;
+    std::map<std::size_t, proto::PeerPointer> links; ///< To the other controls, by number.
 };
 
 struct FleetWorld::Gateway
@@ -75,20 +84,8 @@
     for (std::size_t i = 0; i < controlCount; ++i)
         controls_.push_back(std::make_unique<Control>(i, clock_));
     connectControls();
-    for (std::size_t i = 0; i < endpoints; ++i) {
-        auto row = catalogue::EndpointRow {};
-        row.id = endpointId(i);
-        row.service = service;
-        row.address = { "10.1.0.1", static_cast<std::uint16_t>(i % 60000 + 1) };
-        row.domain = domainOf(i / controlCount);
-        row.sequence = 1;
-        // Every model is held somewhere, and half of the places hold a tenth of the models.
-        row.models = { { modelNamed(i % modelCount), {} },
-                       { modelNamed(random_.below(modelCount / 10)), {} } };
-        row.onDisk = { modelNamed(random_.below(modelCount)) };
-        endpoints_.push_back(std::move(row));
-    }
-    gone_.resize(endpoints);
+    for (std::size_t i = 0; i < endpoints; ++i)
+        addEndpoint(i % controlCount);
     for (std::size_t i = 0; i < gateways; ++i) {
         gateways_.push_back(std::make_unique<Gateway>(i, clock_));
         connect(i);
@@ -97,6 +94,30 @@
 
 FleetWorld::~FleetWorld() = default;
 
+auto FleetWorld::addEndpoint(std::size_t control) -> std::size_t
+{
+    const auto endpoint = endpoints_.size();
+    endpoints_.push_back(makeRow(endpoint));
+    announcesTo_.push_back(control);
+    gone_.push_back(false);
+    return endpoint;
+}
+
+auto FleetWorld::makeRow(std::size_t endpoint) -> catalogue::EndpointRow
+{
+    auto row = catalogue::EndpointRow {};
+    row.id = endpointId(endpoint);
+    row.service = service;
+    row.address = { "10.1.0.1", static_cast<std::uint16_t>(endpoint % 60000 + 1) };
+    row.domain = domainOf(endpoint / controlCount);
+    row.sequence = 1;
+    // Every model is held somewhere, and half of the places hold a tenth of the models.
+    row.models = { { modelNamed(endpoint % modelCount), {} },
+                   { modelNamed(random_.below(modelCount / 10)), {} } };
+    row.onDisk = { modelNamed(random_.below(modelCount)) };
+    return row;
+}
+
 auto FleetWorld::endpointId(std::size_t endpoint) -> EndpointId
 {
     return EndpointId { "i-" + std::to_string(mixHash(endpoint, 0) % 1'000'000'007),
@@ -130,7 +151,7 @@
             auto acknowledge = [this, sender, back](const proto::Envelope &envelope) {
                 const auto ack = std::get<proto::ServingAck>(envelope.payload);
                 post([sender, back, ack] {
-                    if (!sender->isDown)
+                    if (!sender->isDown && !sender->isCutOff)
                         sender->registry.onAck(*back, ack);
                 });
             };
@@ -141,21 +162,51 @@
                 sender->sent.bytes += proto::encode(envelope).size();
                 post([sender, receiver, end,
                       update = std::get<proto::ServingUpdate>(envelope.payload)] {
-                    if (!receiver->isDown && !sender->isDown)
+                    const auto isCut = receiver->isCutOff || sender->isCutOff;
+                    if (!receiver->isDown && !sender->isDown && !isCut)
                         receiver->registry.onUpdate(end, update);
                 });
             };
             auto peer = std::make_shared<LinkedPeer>("c" + std::to_string(to), std::move(deliver));
             *back = peer;
-            controls_[from]->links.push_back(peer);
-            auto subscribe = proto::Subscribe {};
-            subscribe.kind = proto::SubscriberKind::Control;
-            subscribe.hasWatchers = true;
-            controls_[from]->registry.onSubscribe(peer, subscribe);
+            controls_[from]->links.emplace(to, peer);
+            subscribeControl(from, to);
         }
     }
 }
 
+auto FleetWorld::subscribeControl(std::size_t from, std::size_t to) -> void
+{
+    auto subscribe = proto::Subscribe {};
+    subscribe.kind = proto::SubscriberKind::Control;
+    subscribe.hasWatchers = true;
+    controls_[from]->registry.onSubscribe(controls_[from]->links.at(to), subscribe);
+}
+
+auto FleetWorld::cutOff(std::size_t control) -> void
+{
+    controls_[control]->isCutOff = true;
+    for (const auto &[other, link] : controls_[control]->links) {
+        controls_[control]->registry.onClose(link);
+        controls_[other]->registry.onClose(controls_[other]->links.at(control));
+    }
+}
+
+auto FleetWorld::reconnect(std::size_t control) -> void
+{
+    controls_[control]->isCutOff = false;
+    for (const auto &[other, link] : controls_[control]->links) {
+        subscribeControl(control, other);
+        subscribeControl(other, control);
+    }
+}
+
+auto FleetWorld::knows(std::size_t control, std::size_t endpoint) const -> bool
+{
+    const auto *row = controls_[control]->registry.find(endpointId(endpoint));
+    return row != nullptr && row->state != catalogue::EndpointState::Gone;
+}
+
 auto FleetWorld::connect(std::size_t gateway) -> void
 {
     auto &node = *gateways_[gateway];
@@ -248,7 +299,7 @@
 {
     auto &row = endpoints_[endpoint];
     ++row.sequence;
-    auto control = endpoint % controlCount;
+    auto control = announcesTo_[endpoint];
     while (controls_[control]->isDown)
         control = (control + 1) % controlCount;
     if (isLeaving) {
@@ -328,6 +379,13 @@
     announce(endpoint, true, done);
 }
 
+auto FleetWorld::deregister(std::size_t endpoint, std::size_t control,
+                            const std::function<void(absl::Status)> &done) -> void
+{
+    gone_[endpoint] = true;
+    controls_[control]->announcements.onDeregistration(endpointId(endpoint), done);
+}
+
 auto FleetWorld::swapModelSomewhere() -> void
 {
     const auto endpoint = random_.below(endpoints_.size());
@@ -364,10 +422,8 @@
     for (auto &gateway : gateways_)
         gateway->watch.onClosed(addressOf(control));
     for (std::size_t i = 0; i < controlCount; ++i) {
-        for (const auto &link : controls_[i]->links) {
-            if (link->peer() == NodeId { "c" + std::to_string(control) })
-                controls_[i]->registry.onClose(link);
-        }
+        if (const auto link = controls_[i]->links.find(control); link != controls_[i]->links.end())
+            controls_[i]->registry.onClose(link->second);
     }
 }
 
@@ -404,6 +460,11 @@
     return gateways_[gateway]->watch.isWhole();
 }
 
+auto FleetWorld::offeredTo(std::size_t gateway) -> std::size_t
+{
+    return gateways_[gateway]->view.of(service).size();
+}
+
 auto FleetWorld::knownTo(std::size_t gateway) const -> std::size_t
 {
     return gateways_[gateway]->view.size();
--- a/gateway/testing/fleetworld.h
+++ b/gateway/testing/fleetworld.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "core/random.h"
+#include "fleet/announcements.h"
 #include "fleet/registry.h"
 #include "fleet/testing/fakepeer.h"
 #include "gateway/endpointwatch.h"
@@ -51,6 +52,11 @@
     auto unknownShare() -> double;
     /// An endpoint reports that it is leaving, to the control to which it announces itself.
     auto leave(std::size_t endpoint, const std::function<void(absl::Status)> &done) -> void;
+    /// An endpoint deregisters, without any other word, at any control.
+    auto deregister(std::size_t endpoint, std::size_t control,
+                    const std::function<void(absl::Status)> &done) -> void;
+    /// Adds an endpoint that announces itself to the control. @return its number
+    auto addEndpoint(std::size_t control) -> std::size_t;
     /// An endpoint announces itself no more.
     auto fallSilent(std::size_t endpoint) -> void { gone_[endpoint] = true; }
     /// A random endpoint holds another model from now on.
@@ -60,6 +66,11 @@
     auto restartGateway(std::size_t gateway) -> void;
     /// Ends a control's connections without a word; it does not come back.
     auto killControl(std::size_t control) -> void;
+    /// Cuts a control off from the other controls; gateways and endpoints still reach it.
+    auto cutOff(std::size_t control) -> void;
+    auto reconnect(std::size_t control) -> void;
+    /// @return true when the control knows the endpoint and has not heard that it is gone
+    auto knows(std::size_t control, std::size_t endpoint) const -> bool;
 
     /// Counts from now on.
     auto resetTraffic() -> void;
@@ -69,6 +80,8 @@
     auto sentBy(std::size_t control) const -> Traffic;
     auto isWhole(std::size_t gateway) const -> bool;
     auto knownTo(std::size_t gateway) const -> std::size_t;
+    /// @return the number of endpoints among which a gateway chooses for a request
+    auto offeredTo(std::size_t gateway) -> std::size_t;
     auto now() const -> Instant { return clock_.now(); }
 
 private:
@@ -77,6 +90,8 @@
     static auto endpointId(std::size_t endpoint) -> EndpointId;
     auto post(std::function<void()> deliver) -> void;
     auto connectControls() -> void;
+    auto subscribeControl(std::size_t from, std::size_t to) -> void;
+    auto makeRow(std::size_t endpoint) -> catalogue::EndpointRow;
     auto connect(std::size_t gateway) -> void;
     auto subscribe(std::size_t gateway) -> void;
     auto announce(std::size_t endpoint, bool isLeaving,
@@ -94,6 +109,7 @@
     std::vector<std::unique_ptr<Control>> controls_;
     std::vector<std::unique_ptr<Gateway>> gateways_;
     std::vector<catalogue::EndpointRow> endpoints_;
+    std::vector<std::size_t> announcesTo_; ///< The control of each endpoint.
     std::vector<bool> gone_;
     std::vector<std::function<void()>> messages_;
     std::size_t asked_ = 0;
