gateway: a dispatch releases what it took on every way out

Cause: Forwarder::Run::dispatch() undid by hand, after its co_await, what it had taken: the entry in the forwarder's table, the endpoint's running count, the path's and the demand's counts. An exception skipped all of it. The table then held a pointer to a request that was gone, which onPathLost() followed, and the counts stayed raised for good. The exception itself went up to the HTTP server, whose 500 says nothing of whether the request has run.

Fix: ActiveDispatch takes and releases these four with its lifetime. An exception in an exchange ends that dispatch as one that broke off and may have run, so that the route decides whether it is repeated; any other exception is answered by a refusal, not_run where nothing was sent. The same in the hand-over to another gateway, whose count of requests was undone by hand, too.

--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -71,16 +71,18 @@
 
 auto Forwarder::Run::execute() -> asio::awaitable<void>
 {
-    auto failure = std::exception_ptr {};
+    auto hasFailed = false;
     try {
         co_await serve();
     } catch (const std::exception &error) {
-        failure = std::current_exception();
+        hasFailed = true;
         noteInternalError(error);
     }
+    if (hasFailed) {
+        co_await giveUp(lastError_);
+        outcome_ = RequestOutcome::InternalError;
+    }
     report();
-    if (failure)
-        std::rethrow_exception(failure);
 }
 
 auto Forwarder::Run::serve() -> asio::awaitable<void>
@@ -110,10 +112,15 @@
 auto Forwarder::Run::noteInternalError(const std::exception &error) -> void
 {
     const auto reason = internalErrorReason(error);
+    const auto name = internalErrorReasonName(reason);
+    LogEvent(LogLevel::Error, "request_exception")
+            .with("id", caller_.id)
+            .with("service", service_)
+            .with("endpoint", endpoint_)
+            .with("reason", name)
+            .with("what", error.what());
     outcome_ = RequestOutcome::InternalError;
-    lastError_ = makeError(ErrorKind::Internal,
-                           "reason=" + std::string { internalErrorReasonName(reason) }
-                                   + " what=" + error.what());
+    lastError_ = makeError(ErrorKind::Internal, "reason=" + std::string { name });
     parts_.metrics.onInternalError(service_, reason);
 }
 
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -161,12 +161,16 @@
     auto endDispatches(const EndpointId &endpoint) -> void;
     /// @return the catalogue in force, or nullptr
     auto catalogue() const -> const catalogue::Catalogue *;
+    /// @return the number of dispatches in progress
+    auto dispatching() const -> std::size_t { return dispatches_.size(); }
     /// @return the bytes of the requests in progress
     auto heldBytes() const -> const HeldBytes & { return heldBytes_; }
 
 private:
     class Run;
     friend class Run;
+    class ActiveDispatch;
+    friend class ActiveDispatch;
     /// @return the request whose dispatch has the canceller; nullptr if it has ended
     auto runOf(const EndpointId &endpoint, const std::weak_ptr<http::Canceller> &canceller) const
             -> Run *;
--- a/gateway/forwarderdispatch.cpp
+++ b/gateway/forwarderdispatch.cpp
@@ -1,9 +1,12 @@
 // Sends a request to an endpoint and records what the result says about the endpoint.
 
 #include <algorithm>
+#include <exception>
+#include <optional>
 #include <utility>
 
 #include "core/log.h"
+#include "gateway/activedispatch.h"
 #include "gateway/answers.h"
 #include "gateway/forwarderrun.h"
 
@@ -92,50 +95,48 @@
     const auto group = entry.row.group(); // group_ changes if this dispatch leads to another one.
     endpoint_ = id;
     auto out = makeDispatch(entry);
-    const auto weight = loadWeight(caller_.promptTokens);
-    entry.running += weight;
-    if (!target_.model.empty())
-        parts_.demand.onStart(target_);
-    parts_.metrics.onDispatch(sent_ > 0);
     const auto left
             = std::max<Duration>(deadline_ - parts_.clock.now(), std::chrono::milliseconds { 1 });
     sentAt_ = parts_.clock.now();
     heardAt_ = sentAt_;
     group_ = group;
-    parts_.paths.onSent(group);
     isMoved_ = false;
     hasAnswerBegun_ = false;
     begunAt_.reset();
     hasNotedParts_ = false;
-    const auto dispatched
-            = owner_.dispatches_.emplace(id, Forwarder::Dispatch { this, group, canceller_ });
+    auto active = std::optional<ActiveDispatch> {};
+    active.emplace(owner_, *this, entry, target_, loadWeight(caller_.promptTokens), canceller_);
     auto sentBody = owner_.heldBytes_.sendTo(id, request_.body.size());
+    parts_.metrics.onDispatch(sent_ > 0);
     auto retry = std::move(retry_);
     if (hasArrived() && retry.isValid())
         retry.send();
     const auto sentBefore = sent_;
-    const auto step = co_await exchange(std::move(out), left, id);
+    const auto ranBefore = ran_;
+    auto step = Step::Broken;
+    try {
+        step = co_await exchange(std::move(out), left, id);
+    } catch (const std::exception &error) {
+        noteInternalError(error);
+        // The endpoint may have received the request and run it.
+        sent_ = std::max(sent_, sentBefore + 1);
+        ran_ = std::max(ran_, ranBefore + 1);
+    }
     if (sent_ == sentBefore && hasArrived()) {
         retry.revoke();
         retry_ = std::move(retry);
     }
     sentBody.release();
-    owner_.dispatches_.erase(dispatched);
     if (step != Step::Settled) {
         silence_ = Silence { parts_.clock.now() - heardAt_, parts_.paths.silentFor(group),
                              parts_.paths.allSilentFor() };
     }
-    parts_.paths.onEnded(group);
-    if (!target_.model.empty())
-        parts_.demand.onEnd(target_);
+    active.reset();
     const auto hasStarted = step == Step::Settled && firstByteAt_ && isSuccess(finalStatus_);
     const auto start = hasStarted ? *firstByteAt_ - sentAt_ : Duration::zero();
     const auto ranOrMay = step != Step::NotRun;
     picked_.booking.end(start, outcomeOf(hasStarted), ranOrMay);
     isCounted_ = isCounted_ || ranOrMay;
-    if (auto *now = parts_.view.find(id)) {
-        now->running -= weight;
-    }
     if (step != Step::Settled)
         avoid(id);
     co_return step;
--- a/gateway/forwarderhandoff.cpp
+++ b/gateway/forwarderhandoff.cpp
@@ -6,8 +6,11 @@
 
 #include <algorithm>
 #include <array>
+#include <exception>
 #include <utility>
 
+#include <absl/cleanup/cleanup.h>
+
 #include "core/duration.h"
 #include "core/log.h"
 #include "gateway/answers.h"
@@ -110,25 +113,24 @@
     isToGateway_ = true;
     sentAt_ = parts_.clock.now();
     handoffs.targets().onBegin(target.node);
-    const auto left = timeLeft();
-    auto opened = co_await handoffs.client().open(std::move(out), left);
-    auto step = Step::NotRun;
-    if (const auto *error = std::get_if<http::ClientError>(&opened)) {
-        lastError_ = error->status;
-        const auto isTimeout = errorKind(error->status) == ErrorKind::Timeout;
-        if (!callerGone_ && !(isTimeout && error->sent != http::Sent::Nothing))
-            handoffs.targets().onFailed(target.node);
-        if (error->sent != http::Sent::Nothing) {
-            ++sent_;
-            ++ran_;
-            step = Step::Broken;
-        }
-    } else {
-        auto stream = std::move(std::get<std::unique_ptr<http::ClientStream>>(opened));
-        step = co_await relayHandedAnswer(target, *stream);
+    auto end = absl::MakeCleanup(
+            [this, &handoffs, node = target.node, ownerAlive = std::weak_ptr { owner_.alive_ }] {
+                isToGateway_ = false;
+                if (!ownerAlive.expired())
+                    handoffs.targets().onEnd(node);
+            });
+    const auto sentBefore = sent_;
+    const auto ranBefore = ran_;
+    auto step = Step::Broken;
+    try {
+        step = co_await exchangeWith(target, std::move(out));
+    } catch (const std::exception &error) {
+        noteInternalError(error);
+        // The other gateway may have received the request and run it.
+        sent_ = std::max(sent_, sentBefore + 1);
+        ran_ = std::max(ran_, ranBefore + 1);
     }
-    handoffs.targets().onEnd(target.node);
-    isToGateway_ = false;
+    std::move(end).Invoke();
     if (step == Step::NotRun) {
         retry.revoke();
         retry_ = std::move(retry);
@@ -139,6 +141,27 @@
     co_return step;
 }
 
+auto Forwarder::Run::exchangeWith(const proto::HandoffTarget &target, http::ClientRequest out)
+        -> asio::awaitable<Step>
+{
+    auto &handoffs = *parts_.handoffs;
+    const auto left = timeLeft();
+    auto opened = co_await handoffs.client().open(std::move(out), left);
+    if (const auto *error = std::get_if<http::ClientError>(&opened)) {
+        lastError_ = error->status;
+        const auto isTimeout = errorKind(error->status) == ErrorKind::Timeout;
+        if (!callerGone_ && !(isTimeout && error->sent != http::Sent::Nothing))
+            handoffs.targets().onFailed(target.node);
+        if (error->sent == http::Sent::Nothing)
+            co_return Step::NotRun;
+        ++sent_;
+        ++ran_;
+        co_return Step::Broken;
+    }
+    auto stream = std::move(std::get<std::unique_ptr<http::ClientStream>>(opened));
+    co_return co_await relayHandedAnswer(target, *stream);
+}
+
 auto Forwarder::Run::relayHandedAnswer(const proto::HandoffTarget &target,
                                        http::ClientStream &stream) -> asio::awaitable<Step>
 {
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -228,6 +228,9 @@
     auto handOver() -> boost::asio::awaitable<Step>;
     /// @return NotRun if the gateway could not take the request
     auto handTo(const proto::HandoffTarget &target) -> boost::asio::awaitable<Step>;
+    /// Sends the request to the gateway and relays its answer.
+    auto exchangeWith(const proto::HandoffTarget &target, http::ClientRequest out)
+            -> boost::asio::awaitable<Step>;
     auto reachesOneOf(const std::vector<EndpointEntry *> &entries) const -> bool;
     auto relayHandedAnswer(const proto::HandoffTarget &target, http::ClientStream &stream)
             -> boost::asio::awaitable<Step>;
