http, proto: memory grows with what a peer has sent, not with what it states

Cause: Beast's string_body reserves what Content-Length states. Answers have no body limit in the client, since the reader bounds them as they come; requests have one, so that a head alone took up to 4 MiB of the gateway for each connection. A frame of our own protocol took up to 16 MiB by its length.

Fix: http/growingbody.h, a body for Beast's parsers that takes memory as bytes arrive, in the client and in the server's parser; a frame's buffer begins with 16 KiB and doubles as bytes arrive. Such an answer fails as one that broke off: the request may have run.

--- a/proto/testing/allocations.cpp
+++ b/core/testing/allocations.cpp
@@ -1,13 +1,15 @@
 // Replaces the global allocation functions of the test program by ones that count.
 
-#include "proto/testing/allocations.h"
+#include "core/testing/allocations.h"
 
+#include <atomic>
 #include <cstdlib>
 #include <new>
 
 namespace {
 
 thread_local auto bytesOfThread = std::size_t { 0 };
+std::atomic<std::size_t> largest { 0 };
 
 } // namespace
 
@@ -16,9 +18,23 @@
     return bytesOfThread;
 }
 
+auto figrack::largestAllocation() -> std::size_t
+{
+    return largest;
+}
+
+auto figrack::resetLargestAllocation() -> void
+{
+    largest = 0;
+}
+
 auto operator new(std::size_t size) -> void *
 {
     bytesOfThread += size;
+    for (auto before = largest.load(); before < size;) {
+        if (largest.compare_exchange_weak(before, size))
+            break;
+    }
     if (auto *memory = std::malloc(size))
         return memory;
     throw std::bad_alloc {};
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -44,6 +44,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include "core/error.h"
+#include "http/growingbody.h"
 #include "http/watchdog.h"
 
 namespace figrack::http {
@@ -56,7 +57,7 @@
 namespace {
 
 using Socket = asio::basic_stream_socket<tcp, asio::io_context::executor_type>;
-using ResponseParser = beast::http::response_parser<beast::http::string_body>;
+using ResponseParser = beast::http::response_parser<GrowingBody>;
 
 constexpr auto readBytes = std::size_t { 16 } << 10;
 constexpr auto maxHeaderBytes = std::size_t { 32 } << 10;
--- a/http/requestparser.cpp
+++ b/http/requestparser.cpp
@@ -7,9 +7,9 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include "core/error.h"
+#include "http/growingbody.h"
 
 namespace figrack::http {
 
@@ -24,7 +24,7 @@
         parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
         parser.body_limit(limits.maxBodyBytes);
     }
-    beast::http::request_parser<beast::http::string_body> parser;
+    beast::http::request_parser<GrowingBody> parser;
 };
 
 namespace {
--- a/proto/connection.cpp
+++ b/proto/connection.cpp
@@ -7,6 +7,7 @@
 
 #include "proto/connection.h"
 
+#include <algorithm>
 #include <netinet/tcp.h>
 
 #include <boost/asio/bind_executor.hpp>
@@ -29,6 +30,8 @@
 using boost::system::error_code;
 
 constexpr auto ticksPerIdleTimeout = 3;
+/// A frame's buffer begins with this size and doubles as bytes arrive.
+constexpr auto firstFrameBytes = std::size_t { 16 } << 10;
 constexpr auto maxHandshakeFrameBytes = std::size_t { 1024 };
 
 auto setSocketOptions(asio::ip::tcp::socket &socket, Duration userTimeout) -> void
@@ -184,10 +187,13 @@
     if (length > maxBytes)
         co_return makeError(ErrorKind::Malformed,
                             fmt::format("peer={} announces a frame of {} bytes", remote_, length));
-    auto frame = std::string(length, '\0');
+    auto frame = std::string {};
     // Bytes are a sign of life, not only whole frames: a large one on a slow link takes longer than
     // a peer may be silent.
     for (auto got = std::size_t { 0 }; got < length && !error;) {
+        // Memory grows with what has come, not with what the peer states.
+        if (got == frame.size())
+            frame.resize(std::min(length, std::max(2 * got, firstFrameBytes)));
         got += co_await socket_.async_read_some(asio::buffer(frame) + got,
                                                 asio::redirect_error(asio::use_awaitable, error));
         silentTicks_ = 0;
--- a/proto/testing/tst_channel.cpp
+++ b/proto/testing/tst_channel.cpp
@@ -15,6 +15,7 @@
 #include <boost/asio/write.hpp>
 
 #include "core/error.h"
+#include "core/testing/allocations.h"
 #include "proto/channel.h"
 #include "proto/codec.h"
 #include "proto/handshake.h"
@@ -164,6 +165,7 @@
         asio::read(socket_, asio::buffer(body));
         return body;
     }
+    auto shutdownSend() -> void { socket_.shutdown(tcp::socket::shutdown_send); }
     /// Waits until the other side has closed.
     auto readToEnd() -> void
     {
@@ -415,6 +417,22 @@
     CHECK(client.events.waitFor("open server"));
 }
 
+// Guards against a peer making a process allocate memory by a length alone.
+TEST_CASE("a frame takes no memory for bytes that have not come")
+{
+    auto server = TestServer {};
+    auto hand = HandPeer { server.server.port() };
+    auto sealer = hand.shakeHands();
+    hand.write(sealer.seal(encode({ 0, DrainNotice {} })));
+    REQUIRE(server.events.waitFor("message"));
+    resetLargestAllocation();
+    hand.write(encodeLength(static_cast<std::uint32_t>(maxFrameBytes)) + "a few bytes");
+    hand.shutdownSend();
+    hand.readToEnd();
+    REQUIRE(server.events.waitFor("close hand"));
+    CHECK(largestAllocation() < (std::size_t { 1 } << 20));
+}
+
 TEST_CASE("a peer that does not finish the handshake is dropped")
 {
     auto settings = options("server");
--- a/proto/testing/tst_codec.cpp
+++ b/proto/testing/tst_codec.cpp
@@ -8,8 +8,8 @@
 
 #include "core/random.h"
 #include "core/serial.h"
+#include "core/testing/allocations.h"
 #include "proto/codec.h"
-#include "proto/testing/allocations.h"
 
 using namespace figrack;
 using namespace figrack::proto;
