fleet: a plan that an exception ends is over

An exception in between left the endpoint busy for good, so that it got no order any more, and could leave a pointer to a timer that was gone.

Fix: an exception ends the plan as one that failed, with a log line (plan_failed). What the endpoint holds is read again, since the order may have arrived. The pointer to the timer is reset by its owner.

Test: "A plan that an exception ends is over, and the next one is carried out"; before the fix the first plan never ended and the second was not begun.

--- a/fleet/orders.cpp
+++ b/fleet/orders.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <array>
+#include <exception>
 #include <utility>
 
+#include <absl/cleanup/cleanup.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -248,12 +250,15 @@
     // NOLINTNEXTLINE(performance-unnecessary-value-param): a coroutine owns what it uses.
     static auto run(std::shared_ptr<Impl> self, Plan plan) -> asio::awaitable<void>
     {
-        auto done = true;
-        for (const auto &step : plan.steps) {
-            done = co_await self->runStep(plan.endpoint, step);
-            if (!done)
-                break;
-            ++self->jobs_[plan.endpoint].stepsDone;
+        auto done = false;
+        try {
+            done = co_await self->runSteps(plan);
+        } catch (const std::exception &error) {
+            LogEvent(LogLevel::Error, "plan_failed")
+                    .with("endpoint", plan.endpoint)
+                    .with("reason", error.what());
+            // It is not known whether the order arrived.
+            self->heldStates_.erase(plan.endpoint);
         }
         auto &job = self->jobs_[plan.endpoint];
         job.active = false;
@@ -270,6 +275,17 @@
         self->authority_.onPlanEnded();
     }
 
+    /// @return true when all steps are complete
+    auto runSteps(const Plan &plan) -> asio::awaitable<bool>
+    {
+        for (const auto &step : plan.steps) {
+            if (!co_await runStep(plan.endpoint, step))
+                co_return false;
+            ++jobs_[plan.endpoint].stepsDone;
+        }
+        co_return true;
+    }
+
     auto runStep(EndpointId id, PlanStep step) -> asio::awaitable<bool>
     {
         for (auto tries = 0U; tries < options_.maxTries; ++tries) {
@@ -539,9 +555,9 @@
     {
         auto timer = BootTimer { context_, timeout };
         jobs_[id].timer = &timer;
+        const auto reset = absl::MakeCleanup([this, id] { jobs_[id].timer = nullptr; });
         auto code = boost::system::error_code {};
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, code));
-        jobs_[id].timer = nullptr;
     }
 
     auto pause(Duration duration) -> asio::awaitable<void>
--- a/fleet/testing/tst_orders.cpp
+++ b/fleet/testing/tst_orders.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <stdexcept>
+
 #include <boost/asio/io_context.hpp>
 
 #include "core/error.h"
@@ -211,6 +213,25 @@
     CHECK(rig.registry.find(rig.id)->find(ModelId { "c" }) != nullptr);
 }
 
+// Guards against an endpoint that gets no order any more.
+TEST_CASE("A plan that an exception ends is over, and the next one is carried out")
+{
+    auto rig = OrderRig {};
+    const auto send = rig.port.send;
+    rig.port.send
+            = [](const catalogue::EndpointRow &, ModelOrder) -> boost::asio::awaitable<OrderReply> {
+        throw std::out_of_range { "map::at" };
+    };
+    rig.run({ load("a") });
+    CHECK(rig.ended == 1);
+    CHECK(rig.runner->loads().empty());
+    rig.port.send = send;
+    rig.run({ load("a") });
+    CHECK(rig.ended == 2);
+    CHECK(rig.engine.seen.size() == 1);
+    CHECK(rig.engine.models.size() == 1);
+}
+
 TEST_CASE("A load for which the endpoint has no room is not sent, whatever was announced")
 {
     auto rig = OrderRig {};
