router: a dispatch that an exception ends gives its replica back

The replica counted the request as running for good, and the caller's stop function kept a reference to a stream that was gone.

Fix: such a round has ended and may have run, so that the request is repeated only where it may be.

Test: "a dispatch that an exception ends is over, and may have run"; before the fix the dispatch never ended.

--- a/router/dispatch.cpp
+++ b/router/dispatch.cpp
@@ -7,6 +7,7 @@
 #include "router/dispatch.h"
 
 #include <algorithm>
+#include <exception>
 #include <optional>
 #include <utility>
 
@@ -230,7 +231,17 @@
             outcome_.parts = splitColdWait(wait);
         }
         isFirst = false;
-        const auto round = co_await this->round(granted);
+        auto round = Round { RoundEnd::MayHaveRun, absl::OkStatus() };
+        try {
+            round = co_await this->round(granted);
+        } catch (const std::exception &error) {
+            caller_.clearStop(); // It may refer to the stream of that round.
+            LogEvent(LogLevel::Error, "dispatch_exception")
+                    .with("request", work_.id)
+                    .with("endpoint", granted.replica.id)
+                    .with("reason", error.what());
+            round.status = makeError(ErrorKind::Internal, "request=" + work_.id.value());
+        }
         // A connection that could not be made does not count as an attempt; the waiting time and
         // the retry budget bound such rounds. Otherwise a failed replica could use up all attempts
         // before the tables show that it failed.
--- a/router/testing/tst_dispatch.cpp
+++ b/router/testing/tst_dispatch.cpp
@@ -5,6 +5,8 @@
 
 #include <array>
 #include <deque>
+#include <stdexcept>
+#include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -95,6 +97,7 @@
                           SchedulerHooks { [this] { return isCurrent(); }, [] {} } };
     RetryBudget budget { retryOptions(), 3 };
     FakeEngines engines;
+    bool throwsOnOpen = false; ///< Once.
     DispatchOptions options { std::chrono::seconds { 30 }, 4096 };
     Dispatcher dispatcher { options,
                             clock,
@@ -102,6 +105,8 @@
                             budget,
                             fleet.view,
                             [this](http::ClientRequest request, Duration timeout) {
+                                if (std::exchange(throwsOnOpen, false))
+                                    throw std::out_of_range { "map::at" };
                                 return engines.open(std::move(request), timeout);
                             } };
     FakeResponder responder;
@@ -124,6 +129,28 @@
     CHECK(http::findHeader(sent.headers, "X-Figrack-Resume-From").empty());
 }
 
+// Guards against a replica that counts a request as running for good.
+TEST_CASE_FIXTURE(DispatchFixture, "a dispatch that an exception ends is over, and may have run")
+{
+    throwsOnOpen = true;
+    SUBCASE("a request that must not run twice fails")
+    {
+        asService();
+        const auto outcome = run();
+        CHECK_FALSE(outcome.status.ok());
+        CHECK(outcome.ran == Ran::Unknown);
+        CHECK(engines.requests.empty());
+    }
+    SUBCASE("a repeatable one is dispatched again")
+    {
+        engines.push(answerWith(200, R"({"text":"here lies"})"));
+        work.repeatable = true;
+        const auto outcome = run();
+        CHECK(outcome.status.ok());
+        CHECK(engines.requests.size() == 1);
+    }
+}
+
 TEST_CASE_FIXTURE(DispatchFixture, "a stream is forwarded byte for byte for any split into chunks")
 {
     work.stream = true;
