http, gateway, platform: an answer counts only if it names its request

Cause: the client dropped an answer that named another request, but took one without a name for the awaited one, and the gateway passed on a success without the signature that every endpoint gives it. The check for bytes on an idle connection does not see those that arrive after the request has been written.

Weighed: ending the connection at the first bytes that name no request, against dropping them and waiting for the answer. The endpoint goes on to run the request and answers it, so that waiting gives the caller its answer where ending it would give a 502 for a request that must not be repeated. So on a kept connection other answers are dropped, and the connection ends with the request; on a new one, where nothing can be left of an earlier request, an answer without a name fails the request at once. Either way the request may have run: it is repeated only where its route allows that, and such bytes are neither a refusal nor news of the endpoint. A success that names the request and lacks the signature ends its dispatch alike.

Related paths: connections between gateways carry what the second gateway has read and framed itself, and its own refusals are marked as such: sound. Native orders already had new connections. The native dispatcher's answers name no request by its protocol, and kept connections are used there for repeatable requests only: open.

--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -88,6 +88,8 @@
             readNotice;
     std::function<http::Response(const Refusal &)> writeRefusal;
     std::string answerIdHeader; ///< Name of the header that identifies the request of an answer.
+    /// Name of the header with which an endpoint signs each success; empty: they are not signed.
+    std::string signatureHeader;
     /// @return the catalogue that a document holds, or BadRequest
     std::function<absl::StatusOr<catalogue::Catalogue>(std::string_view)> readDocument;
 };
--- a/gateway/forwarderdispatch.cpp
+++ b/gateway/forwarderdispatch.cpp
@@ -223,6 +223,15 @@
         parts_.paths.onConnected(group_, id, sentAt_);
     noteHeard();
     status_ = stream->status();
+    if (isSuccess(status_) && !isSigned(*stream)) {
+        // These bytes are not the endpoint's answer, although they name the request.
+        ++ran_;
+        lastError_ = makeError(ErrorKind::EndpointFailed,
+                               "endpoint=" + id.value() + " answer=unsigned");
+        parts_.view.onFailure(id, true);
+        parts_.metrics.onEndpointFailure();
+        co_return Step::Broken;
+    }
     const auto notice = parts_.dialect.readNotice(id, status_, stream->headers());
     noteNotice(id, notice);
     if (notice.notRun) {
@@ -247,6 +256,12 @@
     co_return step;
 }
 
+auto Forwarder::Run::isSigned(const http::ClientStream &stream) const -> bool
+{
+    const auto &name = parts_.dialect.signatureHeader;
+    return name.empty() || !http::findHeader(stream.headers(), name).empty();
+}
+
 auto Forwarder::Run::noteNotice(const EndpointId &id, const catalogue::EndpointNotice &notice)
         -> void
 {
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -201,6 +201,8 @@
     auto maxIdleAge() const -> Duration;
     auto exchange(http::ClientRequest out, Duration left, const EndpointId &id)
             -> boost::asio::awaitable<Step>;
+    /// @return true if the answer has the signature that a success needs
+    auto isSigned(const http::ClientStream &stream) const -> bool;
     /// Handles what the head of an answer says about the endpoint itself (rate, backoff, draining),
     /// whatever the answer is.
     auto noteNotice(const EndpointId &id, const catalogue::EndpointNotice &notice) -> void;
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -44,6 +44,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include "core/error.h"
+#include "core/log.h"
 #include "http/growingbody.h"
 #include "http/watchdog.h"
 
@@ -351,13 +352,16 @@
     auto watchdog() -> Watchdog & { return *watchdog_; }
     auto address() const -> const Address & { return address_; }
 
+    /// Other bytes than the request's answer have arrived, so that more may follow.
+    auto keepNoLonger() -> void { mayKeep_ = false; }
+
     /// Gives the connection back after a whole answer.
     /// @param promised how long the peer keeps it open when idle
     auto release(bool keep, Duration promised) -> void
     {
         watchdog_->stop();
         const auto link = std::exchange(link_, nullptr);
-        if (keep && !link->aborted() && link->buffer().size() == 0)
+        if (keep && mayKeep_ && !link->aborted() && link->buffer().size() == 0)
             pool_->keep(address_, link, promised);
         else
             pool_->forget(address_, link);
@@ -368,6 +372,7 @@
     Address address_;
     LinkPointer link_;
     std::shared_ptr<Watchdog> watchdog_;
+    bool mayKeep_ = true;
 };
 
 auto failure(ErrorKind kind, const Address &address, std::string_view step,
@@ -625,13 +630,43 @@
     return std::chrono::seconds { seconds } - margin;
 }
 
-/// @return true when the answer names another request: a late one to an earlier request
-auto isOfAnother(const AnswerMatch &match, const ResponseParser &parser) -> bool
+/// @return true if the answer names the request, and no other one
+auto isAnswerTo(const AnswerMatch &match, const ResponseParser &parser) -> bool
 {
     if (match.header.empty())
-        return false;
-    const auto field = parser.get().find(match.header);
-    return field != parser.get().end() && field->value() != match.value;
+        return true;
+    const auto [begin, end] = parser.get().equal_range(match.header);
+    return begin != end && std::all_of(begin, end, [&](const auto &field) {
+               return field.value() == match.value;
+           });
+}
+
+/// @return true for "100 Continue" and the like, which precede an answer
+auto isInterim(const ResponseParser &parser) -> bool
+{
+    return parser.get().result_int() < 200;
+}
+
+/// Reads the heads of answers up to the one to the request.
+auto readHeadOf(Exchange &exchange, const AnswerMatch &match) -> asio::awaitable<absl::Status>
+{
+    auto status = co_await exchange.readHeader();
+    while (status.ok() && !isAnswerTo(match, exchange.parser())) {
+        if (!isInterim(exchange.parser())) {
+            LogEvent(LogLevel::Warning, "answer_to_no_request")
+                    .with("address", exchange.lease().address().text())
+                    .with("request", match.value)
+                    .with("status", std::int64_t { exchange.parser().get().result_int() })
+                    .with("named", exchange.parser().get().count(match.header) > 0)
+                    .with("kept", exchange.isReused());
+            if (!exchange.isReused())
+                co_return failure(ErrorKind::Malformed, exchange.lease().address(),
+                                  "answer to no request");
+            exchange.lease().keepNoLonger();
+        }
+        status = co_await exchange.skipAnswer();
+    }
+    co_return status;
 }
 
 /// Connects, writes and reads the head of the answer.
@@ -667,9 +702,7 @@
         error->isReused = kept;
         co_return std::move(*error);
     }
-    auto status = co_await exchange->readHeader();
-    while (status.ok() && isOfAnother(request.match, exchange->parser()))
-        status = co_await exchange->skipAnswer();
+    auto status = co_await readHeadOf(*exchange, request.match);
     if (!status.ok())
         co_return ClientError { std::move(status), Sent::MaybeSome, kept };
     co_return exchange;
--- a/http/client.h
+++ b/http/client.h
@@ -68,8 +68,11 @@
     bool cancelled_ = false;
 };
 
-/// A header by which an answer names its request. An answer that names another one is dropped and
-/// the next one on the connection is waited for.
+/// A header by which an answer names its request. No other answer is taken for the request's.
+///
+/// On a kept connection, an answer that names another request or none may be left from an earlier
+/// request. It is dropped, the next one is waited for, and the connection is not kept afterwards.
+/// On a new connection it fails the request.
 struct AnswerMatch
 {
     std::string header; ///< Empty: every answer is taken.
--- /dev/null
+++ b/http/testing/tst_answermatch.cpp
@@ -0,0 +1,191 @@
+// Which answers on a connection the client takes for the answer to its request.
+
+#include <doctest/doctest.h>
+
+#include <future>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "core/error.h"
+#include "http/client.h"
+#include "http/testing/httpfixture.h"
+
+using namespace figrack;
+using namespace figrack::http;
+
+namespace {
+
+auto answer(const std::string &status, const std::string &headers, const std::string &body)
+        -> std::string
+{
+    return "HTTP/1.1 " + status + "\r\n" + headers
+            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// A client with a peer that a test plays byte by byte.
+class Fixture
+{
+public:
+    /// Begins a request that is named by its ID.
+    auto begin(const std::string &id) -> void
+    {
+        auto request = ClientRequest {};
+        request.address = listener_.address();
+        request.headers = { { "X-Id", id } };
+        request.body = "body of " + id;
+        request.match = { "X-Id", id };
+        result_ = std::async(std::launch::async, [this, request] {
+            return threads_.wait(client_.fetch(request, testLimit));
+        });
+    }
+    /// Waits until the peer has got the request, on a new connection or on the latest one.
+    auto accept() -> void { socket_.reset(new RawSocket(listener_.accept())); }
+    auto await(const std::string &id) -> void { socket_->hearUntil("body of " + id); }
+    auto say(const std::string &bytes) -> void { socket_->say(bytes); }
+    auto closePeer() -> void { socket_->close(); }
+    auto end() -> ClientResult<Response> { return result_.get(); }
+
+    /// Keeps a connection after a whole answer to a first request.
+    auto keepConnection() -> void
+    {
+        begin("first");
+        accept();
+        await("first");
+        say(answer("200 OK", "X-Id: first\r\n", "first answer"));
+        REQUIRE(bodyOf(end()) == "first answer");
+    }
+
+    static auto bodyOf(const ClientResult<Response> &result) -> std::string
+    {
+        const auto *response = std::get_if<Response>(&result);
+        return response == nullptr ? "" : response->body;
+    }
+
+private:
+    SystemClock clock_;
+    ContextThreads threads_;
+    RawListener listener_;
+    Client client_ { threads_.context(), {}, clock_ };
+    std::unique_ptr<RawSocket> socket_;
+    std::future<ClientResult<Response>> result_;
+};
+
+auto isUnknownOutcome(const ClientResult<Response> &result) -> bool
+{
+    const auto *error = std::get_if<ClientError>(&result);
+    return error != nullptr && error->sent == Sent::MaybeSome;
+}
+
+} // namespace
+
+// Guards against a caller getting another caller's answer.
+TEST_CASE("Answers that do not name the request are dropped on a kept connection, which ends")
+{
+    auto stray = std::string {};
+    SUBCASE("a success without a name")
+    {
+        stray = answer("200 OK", "", "answer to somebody else");
+    }
+    SUBCASE("a refusal without a name")
+    {
+        stray = answer("503 Unavailable", "Not-Run: 1\r\n", "");
+    }
+    SUBCASE("a success that names another request")
+    {
+        stray = answer("200 OK", "X-Id: first\r\n", "answer to somebody else");
+    }
+    SUBCASE("a success that names two requests")
+    {
+        stray = answer("200 OK", "X-Id: second\r\nX-Id: first\r\n", "answer to somebody else");
+    }
+    SUBCASE("several answers")
+    {
+        stray = answer("200 OK", "", "one") + answer("421 No", "", "") + answer("500 No", "", "x");
+    }
+    auto fixture = Fixture {};
+    fixture.keepConnection();
+    fixture.begin("second");
+    fixture.await("second");
+    fixture.say(stray + answer("200 OK", "X-Id: second\r\n", "own answer"));
+    CHECK(Fixture::bodyOf(fixture.end()) == "own answer");
+    // The next request comes on a connection of its own.
+    fixture.begin("third");
+    fixture.accept();
+    fixture.await("third");
+    fixture.say(answer("200 OK", "X-Id: third\r\n", "third answer"));
+    CHECK(Fixture::bodyOf(fixture.end()) == "third answer");
+}
+
+TEST_CASE("A request whose own answer does not come after another one has an unknown outcome")
+{
+    auto stray = std::string {};
+    SUBCASE("a whole answer")
+    {
+        stray = answer("200 OK", "", "answer to somebody else");
+    }
+    SUBCASE("an answer that states more bytes than follow")
+    {
+        stray = "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\nanswer";
+    }
+    SUBCASE("an answer that lasts until the connection ends")
+    {
+        stray = "HTTP/1.1 200 OK\r\n\r\nanswer";
+    }
+    SUBCASE("bytes that are no answer")
+    {
+        stray = "answer to somebody else";
+    }
+    auto fixture = Fixture {};
+    fixture.keepConnection();
+    fixture.begin("second");
+    fixture.await("second");
+    fixture.say(stray);
+    fixture.closePeer();
+    CHECK(isUnknownOutcome(fixture.end()));
+}
+
+TEST_CASE("The first answer on a new connection has to name the request")
+{
+    auto stray = std::string {};
+    SUBCASE("a success")
+    {
+        stray = answer("200 OK", "", "answer to somebody else");
+    }
+    SUBCASE("a refusal")
+    {
+        stray = answer("503 Unavailable", "Not-Run: 1\r\n", "");
+    }
+    auto fixture = Fixture {};
+    fixture.begin("first");
+    fixture.accept();
+    fixture.await("first");
+    fixture.say(stray);
+    CHECK(isUnknownOutcome(fixture.end())); // At once, with the connection still open.
+}
+
+TEST_CASE("An interim answer is passed over on any connection")
+{
+    auto fixture = Fixture {};
+    fixture.begin("first");
+    fixture.accept();
+    fixture.await("first");
+    fixture.say("HTTP/1.1 102 Processing\r\n\r\n"
+                + answer("200 OK", "X-Id: first\r\n", "own answer"));
+    CHECK(Fixture::bodyOf(fixture.end()) == "own answer");
+}
+
+TEST_CASE("Bytes that arrive on an idle connection end it before the next request is sent")
+{
+    auto fixture = Fixture {};
+    fixture.begin("first");
+    fixture.accept();
+    fixture.await("first");
+    fixture.say(answer("200 OK", "X-Id: first\r\n", "first answer") + answer("200 OK", "", "more"));
+    CHECK(Fixture::bodyOf(fixture.end()) == "first answer");
+    fixture.begin("second");
+    fixture.accept();
+    fixture.await("second");
+    fixture.say(answer("200 OK", "X-Id: second\r\n", "own answer"));
+    CHECK(Fixture::bodyOf(fixture.end()) == "own answer");
+}
