fleet, gateway: a control that cannot reach a watching gateway acknowledges no leaving

What would be seen: where gateways watch endpoints at one control each (over 400 endpoints), an endpoint that reported its leaving to a control which was cut off from the others was told at once that no gateway sends it work any more, while gateways that watch at the other controls went on sending.

Cause: the leaving is confirmed by the gateways subscribed here and, for those that watch elsewhere, by the controls connected here. A control that is cut off is not connected, so that nobody was asked.

Fix: a gateway says in its subscription at which control it watches, before it learns of an endpoint from there. If that control is not connected here, the leaving is not acknowledged, and the endpoint asks another control.

Test: "A control that is cut off from where gateways watch does not acknowledge that an endpoint leaves" (unknowndeparture); acknowledged before the fix.

--- a/fleet/registry.cpp
+++ b/fleet/registry.cpp
@@ -212,12 +212,27 @@
     auto leaving = Leaving { row.id, unconfirmed(true), clock_.now() + options_.confirmTimeout,
                              std::move(done) };
     const auto settled = clock_.now() >= startedAt_ + options_.settleAfterStart;
-    if (gatewayCount() == 0 || !settled)
-        leaving.deadline = Instant {}; // No gateway can confirm it, so it fails at once.
+    if (gatewayCount() == 0 || !settled || hasUnreachedWatchers())
+        leaving.deadline = Instant {}; // Not every gateway can confirm it, so it fails at once.
     leaving_.push_back(std::move(leaving));
     completeLeaving();
 }
 
+auto Registry::hasUnreachedWatchers() const -> bool
+{
+    auto controls = std::set<NodeId> { options_.self };
+    for (const auto &[key, subscriber] : subscribers_) {
+        if (!subscriber.isGateway())
+            controls.insert(subscriber.peer->peer());
+    }
+    return std::any_of(subscribers_.begin(), subscribers_.end(), [&](const auto &item) {
+        const auto &subscriber = item.second;
+        const auto &watchesAt = subscriber.subscribe.watchesAt;
+        return subscriber.isGateway() && !subscriber.isWhole && !watchesAt.empty()
+                && !controls.contains(watchesAt);
+    });
+}
+
 /// @param isForWhole also of subscribers to the whole list, and of controls where gateways watch
 auto Registry::unconfirmed(bool isForWhole) const -> Unconfirmed
 {
--- a/fleet/registry.h
+++ b/fleet/registry.h
@@ -24,7 +24,8 @@
 // The leaving of an endpoint is acknowledged only when each gateway that is told of
 // the endpoint has confirmed that it acts on it: those subscribed here themselves, and
 // those that watch at another control through that control, which confirms once they
-// have. A gateway that is connected nowhere learns of it before it sends any request,
+// have. If this control is cut off from that one, the leaving is not acknowledged. A
+// gateway that is connected nowhere learns of it before it sends any request,
 // because it gets all rows anew when it subscribes or watches.
 //
 // Soft state: a control that restarts learns all endpoints again from their
@@ -203,6 +204,9 @@
     auto sendBeats() -> void;
     auto wholeCount() const -> std::size_t;
     auto unconfirmed(bool isForWhole) const -> Unconfirmed;
+    /// @return true if a gateway watches at a control to which this one has no connection, so that
+    /// it cannot be told that an endpoint leaves
+    auto hasUnreachedWatchers() const -> bool;
     auto onConfirmed(const proto::PeerConnection *peer, std::uint64_t number) -> void;
     auto completeLeaving() -> void;
     auto completeRelayed() -> void;
--- a/gateway/controlfeed.cpp
+++ b/gateway/controlfeed.cpp
@@ -197,7 +197,11 @@
     {
         if (stopped_)
             return;
-        for (auto &ask : watch_.next())
+        auto asks = watch_.next();
+        // The controls must know it before the gateway learns of any endpoint from there.
+        if (watch_.watchesAt() != std::exchange(watchesAt_, watch_.watchesAt()))
+            subscribeAgain();
+        for (auto &ask : asks)
             sendWatch(ask.control, std::move(ask.request));
         const auto nextCheck = watch_.nextCheckAt();
         if (!nextCheck)
@@ -354,6 +358,7 @@
         subscribe.handoffs = handoffs_;
         subscribe.unreached = unreached_;
         subscribe.reachesNone = reachesNone_;
+        subscribe.watchesAt = watchesAt_;
         return subscribe;
     }
 
@@ -690,6 +695,7 @@
     Address handoffs_;
     std::vector<catalogue::EndpointGroup> unreached_;
     bool reachesNone_ = false;
+    NodeId watchesAt_; ///< As announced to the controls.
     bool ready_ = false;
     bool stopped_ = false;
 };
--- a/gateway/endpointwatch.cpp
+++ b/gateway/endpointwatch.cpp
@@ -101,6 +101,12 @@
     return true;
 }
 
+auto EndpointWatch::watchesAt() const -> NodeId
+{
+    const auto found = chosen_ && !isWhole_ ? controls_.find(*chosen_) : controls_.end();
+    return found == controls_.end() ? NodeId {} : found->second.node;
+}
+
 auto EndpointWatch::onFailed(const Address &control) -> void
 {
     if (chosen_ == control && askedAt_)
--- a/gateway/endpointwatch.h
+++ b/gateway/endpointwatch.h
@@ -98,6 +98,8 @@
     auto source() const -> const std::optional<Address> & { return source_; }
     /// @return the control at which the gateway watches or is about to
     auto chosen() const -> const std::optional<Address> & { return chosen_; }
+    /// @return the value for Subscribe::watchesAt
+    auto watchesAt() const -> NodeId;
 
 private:
     struct Control
--- a/gateway/testing/fleetworld.cpp
+++ b/gateway/testing/fleetworld.cpp
@@ -74,6 +74,7 @@
     Traffic received;
     std::vector<proto::PeerPointer> peers; ///< Of the controls, by number.
     std::uint64_t life = 0;
+    NodeId watchesAt; ///< As announced to the controls.
 };
 
 FleetWorld::FleetWorld(std::size_t gateways, std::size_t endpoints)
@@ -237,6 +238,7 @@
     subscribe.domain = domainOf(gateway);
     subscribe.ready = true;
     subscribe.wholeUpTo = node.watch.wholeUpTo();
+    subscribe.watchesAt = node.watchesAt = node.watch.watchesAt();
     for (std::size_t i = 0; i < controlCount; ++i) {
         if (!controls_[i]->isDown)
             controls_[i]->registry.onSubscribe(node.peers[i], subscribe);
@@ -282,7 +284,10 @@
 
 auto FleetWorld::watch(std::size_t gateway) -> void
 {
-    for (auto &ask : gateways_[gateway]->watch.next()) {
+    auto asks = gateways_[gateway]->watch.next();
+    if (gateways_[gateway]->watchesAt != gateways_[gateway]->watch.watchesAt())
+        subscribe(gateway);
+    for (auto &ask : asks) {
         for (std::size_t i = 0; i < controlCount; ++i) {
             if (addressOf(i) != ask.control || controls_[i]->isDown)
                 continue;
--- a/gateway/testing/tst_unknowndeparture.cpp
+++ b/gateway/testing/tst_unknowndeparture.cpp
@@ -41,3 +41,32 @@
             REQUIRE(world.offeredTo(gateway) == endpoints);
     }
 }
+
+// Guards against new work for an endpoint whose leaving was acknowledged.
+TEST_CASE("A control that is cut off from where gateways watch does not acknowledge that an "
+          "endpoint leaves")
+{
+    constexpr auto gateways = std::size_t { 6 };
+    constexpr auto cut = std::size_t { 0 };
+    auto world = FleetWorld { gateways, 600 };
+    world.run(6s);
+    world.ask(10);
+    world.run(2s);
+    REQUIRE_FALSE(world.isWhole(0));
+    auto endpoint = std::size_t { 0 };
+    while (world.sendersTo(endpoint) < 2)
+        ++endpoint;
+
+    const auto leave = [&] {
+        auto outcome = absl::UnknownError("no answer");
+        world.deregister(endpoint, cut, [&](absl::Status status) { outcome = std::move(status); });
+        world.run(1s);
+        return outcome.ok();
+    };
+    world.cutOff(cut);
+    CHECK_FALSE(leave());
+    world.reconnect(cut);
+    world.run(1s);
+    CHECK(leave());
+    CHECK(world.sendersTo(endpoint) == 0);
+}
--- a/proto/servingmessages.h
+++ b/proto/servingmessages.h
@@ -79,11 +79,13 @@
     /// Of a gateway only: groups of endpoints that it cannot make connections to.
     std::vector<catalogue::EndpointGroup> unreached;
     bool reachesNone = false; ///< Of a gateway only: these are all that it knows.
+    /// Of a gateway only: the control at which it watches endpoints; empty: it gets the whole list.
+    NodeId watchesAt;
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
         archive(kind, callers, domain, ready, inForce, wholeUpTo, hasWatchers, capacity, handoffs,
-                unreached, reachesNone);
+                unreached, reachesNone, watchesAt);
     }
 };
 
