--- a/fleet/testing/tst_registry.cpp
+++ b/fleet/testing/tst_registry.cpp
@@ -278,6 +278,53 @@
     CHECK(known->domain == row.domain);
 }
 
+TEST_CASE("The index of endpoints agrees with their rows, whatever rows arrive")
+{
+    auto random = Random { 20261204 };
+    auto rig = RegistryRig {};
+    const auto randomRow = [&](std::uint64_t sequence) {
+        auto row = catalogue::EndpointRow {};
+        row.id = EndpointId { "i-" + std::to_string(random.below(6)),
+                              Incarnation { random.below(3) } };
+        const auto isBare = random.below(8) == 0;
+        row.state = isBare ? EndpointState::Gone
+                           : static_cast<EndpointState>(random.below(5) == 0 ? random.below(3) : 0);
+        if (isBare)
+            return row;
+        row.service = ServiceId { "s" + std::to_string(random.below(3)) };
+        row.domain = DomainId { "d" + std::to_string(random.below(2)) };
+        row.models = { { ModelId { "m" + std::to_string(random.below(3)) }, {} } };
+        row.sequence = random.below(4) == 0 ? random.below(sequence) : sequence;
+        return row;
+    };
+    for (std::uint64_t step = 1; step <= 20'000; ++step) {
+        CAPTURE(step);
+        auto update = proto::ServingUpdate {};
+        update.endpoints.push_back(randomRow(step));
+        if (random.below(2) == 0)
+            rig.registry.onAnnouncement(update.endpoints.front());
+        else
+            rig.registry.onUpdate(nullptr, update);
+        rig.clock.advance(std::chrono::milliseconds { random.below(3000) });
+        rig.registry.tick();
+        for (auto number = 0; number < 3; ++number) {
+            const auto service = ServiceId { "s" + std::to_string(number) };
+            const auto model = ModelId { "m" + std::to_string(number) };
+            auto ofService = EndpointIndex::Ids {};
+            auto holders = EndpointIndex::Ids {};
+            for (const auto *row : rig.registry.rows()) {
+                if (row->service != service || row->state != EndpointState::Ready)
+                    continue;
+                ofService.insert(row->id);
+                if (row->find(model) != nullptr)
+                    holders.insert(row->id);
+            }
+            REQUIRE(rig.registry.index().ofService(service) == ofService);
+            REQUIRE(rig.registry.index().holders(service, model) == holders);
+        }
+    }
+}
+
 TEST_CASE("A cold time is sent when it begins or ends early, not with each announcement")
 {
     auto rig = RegistryRig {};
