--- a/fleet/testing/tst_orders.cpp
+++ b/fleet/testing/tst_orders.cpp
@@ -218,8 +218,8 @@
 {
     auto rig = OrderRig {};
     const auto send = rig.port.send;
-    rig.port.send
-            = [](const catalogue::EndpointRow &, ModelOrder) -> boost::asio::awaitable<OrderReply> {
+    rig.port.send = [](const catalogue::EndpointRow &,
+                       const ModelOrder &) -> boost::asio::awaitable<OrderReply> {
         throw std::out_of_range { "map::at" };
     };
     rig.run({ load("a") });
--- a/gateway/activedispatch.h
+++ b/gateway/activedispatch.h
@@ -1,7 +1,7 @@
 // What a dispatch takes while it is in progress: its place in the forwarder's table, its weight in
 // the endpoint's load, and its share in the counts of the path and of the model's demand.
 //
-//   auto active = Forwarder::ActiveDispatch { forwarder, run, entry, parts };
+//   auto active = Forwarder::ActiveDispatch { forwarder, run, entry, target, weight, canceller };
 //
 // Everything is released with the object, whatever ends the dispatch. Internal to the forwarder.
 
--- a/gateway/testing/tst_strayanswers.cpp
+++ b/gateway/testing/tst_strayanswers.cpp
@@ -118,7 +118,7 @@
             return message("503 Unavailable", named + "X-Not-Run: 1\r\n", "");
         }
         ++runs[id];
-        const auto own = message("200 OK", signedBy, "answer to " + id);
+        auto own = message("200 OK", signedBy, "answer to " + id);
         const auto last = std::exchange(lastId_, id);
         const auto draw = random_.below(24);
         if (draw >= 10 || last.empty())
--- a/http/testing/tst_answermatch.cpp
+++ b/http/testing/tst_answermatch.cpp
@@ -89,7 +89,7 @@
     }
     SUBCASE("a refusal without a name")
     {
-        stray = answer("503 Unavailable", "Not-Run: 1\r\n", "");
+        stray = answer("503 Unavailable", "X-Not-Run: 1\r\n", "");
     }
     SUBCASE("a success that names another request")
     {
@@ -154,7 +154,7 @@
     }
     SUBCASE("a refusal")
     {
-        stray = answer("503 Unavailable", "Not-Run: 1\r\n", "");
+        stray = answer("503 Unavailable", "X-Not-Run: 1\r\n", "");
     }
     auto fixture = Fixture {};
     fixture.begin("first");
