gateway: stand-ins for endpoints in tests name the request in every answer

Cause: since an answer counts only if it names its request, the stand-ins breaking() and one of the test of lost paths, which began answers without the name, were taken for wrong bytes at their first byte. The tests of poison requests (poisonrequest, harmfulpart) and of a resumed stream (endpointcut) failed: the gateway looked for a crash before the stand-in had closed its listener.

Change: these two stand-ins echo the name, as every endpoint of the protocol does. No check is changed.

--- a/gateway/testing/rig.cpp
+++ b/gateway/testing/rig.cpp
@@ -381,8 +381,9 @@
 
 auto breaking() -> http::Handler
 {
-    return [](const http::Request &, http::Responder &responder) -> asio::awaitable<void> {
-        auto headers = http::Headers { { "Content-Type", "text/plain" } };
+    return [](const http::Request &request, http::Responder &responder) -> asio::awaitable<void> {
+        auto headers = http::Headers { { "Content-Type", "text/plain" },
+                                       { "X-Id", std::string { request.header("X-Id") } } };
         static_cast<void>(co_await responder.startStream(200, std::move(headers)));
     };
 }
--- a/gateway/testing/tst_endpointcut.cpp
+++ b/gateway/testing/tst_endpointcut.cpp
@@ -158,7 +158,8 @@
                 co_return;
             }
             // The path is lost after two events, and the endpoint notices nothing.
-            auto headers = http::Headers { { "Content-Type", "text/event-stream" } };
+            auto headers = http::Headers { { "Content-Type", "text/event-stream" },
+                                           { "X-Id", std::string { request.header("X-Id") } } };
             static_cast<void>(co_await responder.startStream(200, std::move(headers)));
             auto text = std::string { "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n" };
             static_cast<void>(co_await responder.write(std::move(text)));
