gateway: log and count how each dispatch ended that did not settle its request

Change: dispatch_ended names the request, the end, its proof (may_have_run), the connection and the last event; figrack_gateway_dispatch_ends_total counts by end; the request line has ran, last_event and framing=connection.

--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -228,11 +228,16 @@
     line.with("endpoint", endpoint_)
             .with("sent", static_cast<std::int64_t>(sent_))
             .with("unsent", static_cast<std::int64_t>(unsent_))
+            .with("ran", static_cast<std::int64_t>(ran_))
             .with("first_ms", wholeMillis(firstByte))
             .with("total_ms", wholeMillis(now - arrived_))
             .with("gap_ms", wholeMillis(longestGap_))
             .with("left_ms", wholeMillis(deadline_ - now))
             .with("config", owner_.version());
+    if (!lastEvent_.empty())
+        line.with("last_event", std::string_view { lastEvent_ }.substr(0, maxLoggedEventId));
+    if (hasAnswerBegun_ && !isDelimited_)
+        line.with("framing", "connection");
     if (picked_.by != PickedBy::Nobody)
         line.with("picked", pickedByName(picked_.by));
     if (picked_.retryAfter)
--- a/gateway/forwarderdispatch.cpp
+++ b/gateway/forwarderdispatch.cpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <utility>
 
+#include "core/duration.h"
 #include "core/log.h"
 #include "gateway/activedispatch.h"
 #include "gateway/answers.h"
@@ -121,7 +122,9 @@
         // The endpoint may have received the request and run it.
         sent_ = std::max(sent_, sentBefore + 1);
         ran_ = std::max(ran_, ranBefore + 1);
+        endDispatch(DispatchEnd::Interrupted);
     }
+    reportDispatchEnd(step);
     if (sent_ == sentBefore && hasArrived()) {
         retry.revoke();
         retry_ = std::move(retry);
@@ -203,18 +206,18 @@
         const auto reached = error->sent != http::Sent::Nothing;
         const auto isWithheld = !reached && errorKind(error->status) == ErrorKind::Cancelled;
         if (isWithheld && !callerGone_)
-            co_return Step::NotRun;
+            co_return endDispatch(DispatchEnd::Withheld);
         if (!reached && !callerGone_)
             noteUnconnected(id, error->status);
         noteFailure(id, error->status, reached);
         if (!reached) {
             ++unsent_;
-            co_return Step::NotRun;
+            co_return endDispatch(DispatchEnd::NotSent);
         }
         ++sent_;
         ++ran_;
         noteBroken(id, error->status, false);
-        co_return Step::Broken;
+        co_return endDispatch(DispatchEnd::Unanswered);
     }
     auto stream = std::move(std::get<std::unique_ptr<http::ClientStream>>(opened));
     ++sent_;
@@ -230,7 +233,7 @@
                                "endpoint=" + id.value() + " answer=unsigned");
         parts_.view.onFailure(id, true);
         parts_.metrics.onEndpointFailure();
-        co_return Step::Broken;
+        co_return endDispatch(DispatchEnd::Unsigned);
     }
     const auto notice = parts_.dialect.readNotice(id, status_, stream->headers());
     noteNotice(id, notice);
@@ -239,10 +242,11 @@
                                "endpoint=" + id.value() + " status=" + std::to_string(status_));
         noteRejection(id, notice);
         co_await discard(*stream);
-        co_return Step::NotRun;
+        co_return endDispatch(DispatchEnd::Rejected);
     }
     ++ran_;
     hasAnswerBegun_ = true;
+    isDelimited_ = stream->isDelimited();
     const auto isStream = isSuccess(status_) && isEventStream(stream->headers());
     const auto step = isStream ? co_await relayStream(*stream) : co_await relayWhole(*stream);
     if (step == Step::Settled) {
@@ -253,9 +257,40 @@
         noteFailure(id, lastError_, true);
         noteBroken(id, lastError_, lastEventAt_.has_value());
     }
+    if (step == Step::Broken)
+        endDispatch(status_ < 500 ? DispatchEnd::BrokenOff : DispatchEnd::Failed);
     co_return step;
 }
 
+auto Forwarder::Run::endDispatch(DispatchEnd end) -> Step
+{
+    dispatchEnd_ = end;
+    return provesNotRun(end) ? Step::NotRun : Step::Broken;
+}
+
+auto Forwarder::Run::reportDispatchEnd(Step step) -> void
+{
+    if (step == Step::Settled)
+        return;
+    const auto end = dispatchEndName(dispatchEnd_);
+    parts_.metrics.onDispatchEnd(end);
+    auto line = LogEvent { LogLevel::Info, "dispatch_ended" };
+    line.with("id", caller_.id)
+            .with("end", end)
+            .with("may_have_run", step == Step::Broken)
+            .with("connection", isReused_ ? "kept" : "new")
+            .with("sent", std::int64_t { sent_ })
+            .with("ran", std::int64_t { ran_ })
+            .with("total_ms", wholeMillis(parts_.clock.now() - sentAt_));
+    if (isToGateway_)
+        line.with("gateway", handedTo_);
+    else
+        line.with("endpoint", endpoint_);
+    if (!lastEvent_.empty())
+        line.with("last_event", std::string_view { lastEvent_ }.substr(0, maxLoggedEventId));
+    line.with(lastError_);
+}
+
 auto Forwarder::Run::isSigned(const http::ClientStream &stream) const -> bool
 {
     const auto &name = parts_.dialect.signatureHeader;
--- a/gateway/forwarderhandoff.cpp
+++ b/gateway/forwarderhandoff.cpp
@@ -129,7 +129,9 @@
         // The other gateway may have received the request and run it.
         sent_ = std::max(sent_, sentBefore + 1);
         ran_ = std::max(ran_, ranBefore + 1);
+        endDispatch(DispatchEnd::Interrupted);
     }
+    reportDispatchEnd(step);
     std::move(end).Invoke();
     if (step == Step::NotRun) {
         retry.revoke();
@@ -153,10 +155,10 @@
         if (!callerGone_ && !(isTimeout && error->sent != http::Sent::Nothing))
             handoffs.targets().onFailed(target.node);
         if (error->sent == http::Sent::Nothing)
-            co_return Step::NotRun;
+            co_return endDispatch(DispatchEnd::NotSent);
         ++sent_;
         ++ran_;
-        co_return Step::Broken;
+        co_return endDispatch(DispatchEnd::Unanswered);
     }
     auto stream = std::move(std::get<std::unique_ptr<http::ClientStream>>(opened));
     co_return co_await relayHandedAnswer(target, *stream);
@@ -166,12 +168,14 @@
                                        http::ClientStream &stream) -> asio::awaitable<Step>
 {
     status_ = stream.status();
+    isReused_ = stream.isReused();
+    isDelimited_ = stream.isDelimited();
     const auto outcome = readOutcome(stream.headers());
     if (outcome && outcome->outcome == handoffDeclined) {
         lastError_ = blockedError(BlockedBy::Path);
         parts_.handoffs->targets().onFailed(target.node);
         co_await discard(stream);
-        co_return Step::NotRun;
+        co_return endDispatch(DispatchEnd::Declined);
     }
     if (outcome && responder_.started()) {
         // The stream that the caller has begun to receive cannot go on.
@@ -187,6 +191,8 @@
         step = co_await relayStream(stream);
     else
         step = co_await relayWhole(stream);
+    if (step == Step::Broken)
+        endDispatch(DispatchEnd::BrokenOff);
     if (step == Step::Settled && outcome && outcome_ == RequestOutcome::Answered) {
         outcome_ = outcomeNamed(outcome->outcome);
         lastError_ = makeError(ErrorKind::NoCapacity,
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -21,6 +21,7 @@
 #include "endpoint/ssestream.h"
 #include "gateway/callerstream.h"
 #include "gateway/chooser.h"
+#include "gateway/dispatchend.h"
 #include "gateway/forwarder.h"
 
 namespace figrack::gateway {
@@ -29,6 +30,9 @@
 /// choices. Doubles before each use.
 constexpr auto firstAvoidPause = std::chrono::milliseconds { 125 };
 
+/// Longer IDs of events are cut off in log lines.
+constexpr auto maxLoggedEventId = std::size_t { 32 };
+
 class Forwarder::Run
 {
 public:
@@ -193,6 +197,11 @@
     /// @return false if there is none
     auto takeRetry() -> boost::asio::awaitable<bool>;
     auto dispatch(EndpointEntry &entry) -> boost::asio::awaitable<Step>;
+    /// Records how the latest dispatch ended.
+    /// @return what follows for the request
+    auto endDispatch(DispatchEnd end) -> Step;
+    /// Logs and counts the end of a dispatch that did not settle the request.
+    auto reportDispatchEnd(Step step) -> void;
     /// @return whether the endpoint met the route's latency targets, as far as this dispatch shows
     /// it
     auto outcomeOf(bool hasStarted) const -> proto::PickOutcome;
@@ -326,21 +335,23 @@
     Instant sentAt_ {};                 ///< Time of the latest dispatch.
     Instant heardAt_ {};                ///< When its endpoint last sent anything, or sentAt_.
     EndpointGroup group_;               ///< Of the endpoint of the latest dispatch.
-    bool isReused_ = false;             ///< The latest dispatch used a kept connection.
-    bool isUnreached_ = false;          ///< Only another gateway can reach the endpoints.
-    bool isToGateway_ = false;          ///< The dispatch in progress is to another gateway.
-    bool hasAwaitedProbe_ = false;      ///< It has waited for the probe of a path.
-    bool hasAnswerBegun_ = false;       ///< The dispatch in progress counts in ran_.
-    bool isPathGivenUp_ = false;        ///< No other gateway could take the request.
-    bool isMoved_ = false;              ///< The dispatch was ended because its path is lost.
-    Retry retry_;                       ///< For the next dispatch.
-    std::uint32_t grantedRetries_ = 0;  ///< Retries that the leader granted.
-    NodeId handedTo_;                   ///< The latest gateway that the request was handed to.
-    std::optional<Silence> silence_;    ///< At the end of a dispatch that broke off.
+    DispatchEnd dispatchEnd_ = DispatchEnd::Settled; ///< Of the latest dispatch.
+    bool isReused_ = false;            ///< The latest dispatch used a kept connection.
+    bool isUnreached_ = false;         ///< Only another gateway can reach the endpoints.
+    bool isToGateway_ = false;         ///< The dispatch in progress is to another gateway.
+    bool hasAwaitedProbe_ = false;     ///< It has waited for the probe of a path.
+    bool hasAnswerBegun_ = false;      ///< The dispatch in progress counts in ran_.
+    bool isPathGivenUp_ = false;       ///< No other gateway could take the request.
+    bool isMoved_ = false;             ///< The dispatch was ended because its path is lost.
+    Retry retry_;                      ///< For the next dispatch.
+    std::uint32_t grantedRetries_ = 0; ///< Retries that the leader granted.
+    NodeId handedTo_;                  ///< The latest gateway that the request was handed to.
+    std::optional<Silence> silence_;   ///< At the end of a dispatch that broke off.
     std::optional<Instant> firstByteAt_;
     std::optional<Instant> lastEventAt_;
     std::optional<Instant> begunAt_; ///< First event of the latest dispatch.
     bool hasNotedParts_ = false;     ///< The latest dispatch has cleared the prompt's parts.
+    bool isDelimited_ = true;        ///< See http::ClientStream, for the latest answer.
     Duration longestGap_ {};         ///< Longest time between two events of the stream.
     absl::Status lastError_ = makeError(ErrorKind::NoCapacity, "endpoint");
     BlockedBy blockedBy_ = BlockedBy::Nothing;
--- a/gateway/metrics.cpp
+++ b/gateway/metrics.cpp
@@ -71,6 +71,11 @@
                              .Name("figrack_gateway_dispatches_total")
                              .Help("Sends to endpoints, first ones and repeats")
                              .Register(registry))
+        , dispatchEnds(
+                  prometheus::BuildCounter()
+                          .Name("figrack_gateway_dispatch_ends_total")
+                          .Help("Dispatches that did not settle their request, by how they ended")
+                          .Register(registry))
         , retries(prometheus::BuildCounter()
                           .Name("figrack_gateway_retries_total")
                           .Help("Retries that were wanted, by what pays for them")
@@ -172,6 +177,7 @@
     prometheus::Family<prometheus::Counter> &requests;
     prometheus::Family<prometheus::Counter> &internalErrors;
     prometheus::Family<prometheus::Counter> &dispatches;
+    prometheus::Family<prometheus::Counter> &dispatchEnds;
     prometheus::Family<prometheus::Counter> &retries;
     prometheus::Counter &failures;
     prometheus::Counter &ended;
@@ -220,6 +226,11 @@
     impl_->dispatches.Add({ { "kind", isRepeat ? "repeat" : "first" } }).Increment();
 }
 
+auto Metrics::onDispatchEnd(std::string_view end) -> void
+{
+    impl_->dispatchEnds.Add({ { "end", std::string { end } } }).Increment();
+}
+
 auto Metrics::onRetry(std::string_view paid) -> void
 {
     impl_->retries.Add({ { "paid", std::string { paid } } }).Increment();
--- a/gateway/metrics.h
+++ b/gateway/metrics.h
@@ -78,6 +78,8 @@
     /// An exception ended a request. @param service empty if its route was not known yet
     auto onInternalError(const ServiceId &service, InternalErrorReason reason) -> void;
     auto onDispatch(bool isRepeat) -> void;
+    /// A dispatch ended without settling its request. @param end from a fixed set
+    auto onDispatchEnd(std::string_view end) -> void;
     /// A retry was taken from the budget. @param paid by what, from a fixed set
     auto onRetry(std::string_view paid) -> void;
     auto onEndpointFailure() -> void;
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -716,11 +716,13 @@
         , keep_(keep)
         , status_(exchange_->parser().get().result_int())
         , headers_(headersOf(exchange_->parser()))
+        , isDelimited_(!exchange_->parser().need_eof())
     { }
 
     auto status() const -> std::uint32_t override { return status_; }
     auto headers() const -> const Headers & override { return headers_; }
     auto isReused() const -> bool override { return exchange_->isReused(); }
+    auto isDelimited() const -> bool override { return isDelimited_; }
 
     auto read(Duration timeout) -> asio::awaitable<absl::StatusOr<std::string>> override
     {
@@ -759,6 +761,7 @@
     bool ended_ = false;
     std::uint32_t status_;
     Headers headers_;
+    bool isDelimited_;
 };
 
 } // namespace
--- a/http/client.h
+++ b/http/client.h
@@ -118,6 +118,9 @@
     virtual auto headers() const -> const Headers & = 0;
     /// @return true if the request was sent on a kept connection
     virtual auto isReused() const -> bool = 0;
+    /// @return true if a length or chunks mark the end of the body; false if only the end of the
+    /// connection does
+    virtual auto isDelimited() const -> bool = 0;
     /// @return the next bytes; an empty string at the true end of the body; an error when cut short
     virtual auto read(Duration timeout) -> boost::asio::awaitable<absl::StatusOr<std::string>> = 0;
     /// Aborts the connection (RST), from the strand that reads or any other thread.
