http, gateway: no request uses a connection on which an answer to it has arrived

Callers saw a 503, which promises that the request has not run, for a request that had run; with a second endpoint, a request that may run once runs twice. Cause: an answer is matched by the id of the caller's attempt, which all dispatches of the attempt share. An endpoint that rejects a request and repeats the rejection late, where the next answer on the connection is due, has the copy taken for the answer to the second dispatch of the same request; that runs, and its own answer is dropped. Waiting for a backoff or a load leads back to the same endpoint, and kept connections are taken newest first. Change: a connection has a number; a dispatch leaves out the kept connections on which the request was answered before. The connection goes on serving others, to whom the copy does not name their request.

--- a/gateway/forwarderdispatch.cpp
+++ b/gateway/forwarderdispatch.cpp
@@ -184,6 +184,7 @@
     out.headers = parts_.dialect.writeDispatch(caller_, terms);
     out.body = request_.body;
     out.maxIdleAge = maxIdleAge();
+    out.excludedConnections = answeredOn_;
     out.match = { parts_.dialect.answerIdHeader, caller_.id.value() };
     out.canceller = canceller_;
     // The endpoint may have asked for a backoff while the connection was being made.
@@ -222,6 +223,7 @@
     auto stream = std::move(std::get<std::unique_ptr<http::ClientStream>>(opened));
     ++sent_;
     isReused_ = stream->isReused();
+    answeredOn_.push_back(stream->connection());
     if (!isReused_)
         parts_.paths.onConnected(group_, id, sentAt_);
     noteHeard();
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -336,6 +336,7 @@
     Instant heardAt_ {};                ///< When its endpoint last sent anything, or sentAt_.
     EndpointGroup group_;               ///< Of the endpoint of the latest dispatch.
     DispatchEnd dispatchEnd_ = DispatchEnd::Settled; ///< Of the latest dispatch.
+    std::vector<http::ConnectionNumber> answeredOn_; ///< Connections on which it was answered.
     bool isReused_ = false;            ///< The latest dispatch used a kept connection.
     bool isUnreached_ = false;         ///< Only another gateway can reach the endpoints.
     bool isToGateway_ = false;         ///< The dispatch in progress is to another gateway.
--- a/gateway/testing/tst_strayanswers.cpp
+++ b/gateway/testing/tst_strayanswers.cpp
@@ -38,13 +38,24 @@
             + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+/// What an endpoint sends for one request.
+struct Reply
+{
+    std::string bytes;
+    std::string late = {}; ///< Sent right before the next reply on the same connection.
+    bool isOver = false;   ///< The connection ends after the bytes.
+};
+
 /// An endpoint whose answers are right or wrong by a seed. It notes each request that it runs.
 class FaultyEndpoint : public std::enable_shared_from_this<FaultyEndpoint>
 {
 public:
-    FaultyEndpoint(asio::io_context &context, std::uint64_t seed)
+    /// @param refusesFirst it refuses each request once, with a late copy, and answers nothing
+    /// wrong
+    FaultyEndpoint(asio::io_context &context, std::uint64_t seed, bool refusesFirst = false)
         : acceptor_(context, { asio::ip::address_v4::loopback(), 0 })
         , random_(seed)
+        , refusesFirst_(refusesFirst)
     { }
     auto start() -> void
     {
@@ -60,7 +71,7 @@
     auto port() const -> std::uint16_t { return acceptor_.local_endpoint().port(); }
 
     std::map<std::string, int> runs;         ///< By the request's ID.
-    std::map<std::string, int> trueRefusals; ///< Sent for a request that has not run.
+    std::map<std::string, int> trueRefusals; ///< By the request's ID; copies are not counted.
     int wrong = 0;                           ///< Number of times that wrong bytes were sent.
 
 private:
@@ -84,6 +95,7 @@
             -> asio::awaitable<void>
     {
         auto input = std::string {};
+        auto late = std::string {};
         auto code = error_code {};
         while (!code) {
             while (input.find("\r\n\r\n") == std::string::npos && !code) {
@@ -97,63 +109,76 @@
             const auto begin = input.find(idName) + idName.size();
             const auto id = input.substr(begin, input.find('\r', begin) - begin);
             input.clear(); // One request at a time, without a body.
-            auto isOver = false;
-            const auto output = self->answer(id, isOver);
+            auto reply = self->answer(id);
+            const auto output = std::exchange(late, std::move(reply.late)) + reply.bytes;
             co_await asio::async_write(*socket, asio::buffer(output),
                                        asio::redirect_error(asio::use_awaitable, code));
-            if (isOver)
+            if (reply.isOver)
                 break;
         }
         auto ignored = error_code {};
         socket->close(ignored);
     }
 
-    /// @param isOver set if the connection ends after the bytes
-    auto answer(const std::string &id, bool &isOver) -> std::string
+    auto answer(const std::string &id) -> Reply
     {
         const auto named = "X-Id: " + id + "\r\n";
         const auto signedBy = named + "X-Signed: 1\r\n";
-        if (random_.below(12) == 0) {
+        const auto mustRefuse = refusesFirst_ && trueRefusals[id] == 0;
+        if (mustRefuse || (!refusesFirst_ && random_.below(12) == 0)) {
             ++trueRefusals[id];
-            return message("503 Unavailable", named + "X-Not-Run: 1\r\n", "");
+            // The request waits for the end of the backoff and is sent to the same endpoint again.
+            const auto backoff = std::string { refusesFirst_ ? "X-Backoff-Ms: 20\r\n" : "" };
+            const auto refusal
+                    = message("503 Unavailable", named + "X-Not-Run: 1\r\n" + backoff, "");
+            const auto isCopied = refusesFirst_ || random_.below(2) == 0;
+            return { refusal, isCopied ? refusal : std::string {} };
         }
         ++runs[id];
         auto own = message("200 OK", signedBy, "answer to " + id);
         const auto last = std::exchange(lastId_, id);
         const auto draw = random_.below(24);
-        if (draw >= 10 || last.empty())
-            return own;
+        if (refusesFirst_ || draw >= 10 || last.empty())
+            return { own };
         ++wrong;
+        return spoil(draw, std::move(own), id, last);
+    }
+
+    /// @param last the request before
+    auto spoil(std::uint64_t how, std::string own, const std::string &id, const std::string &last)
+            -> Reply
+    {
+        const auto named = "X-Id: " + id + "\r\n";
         const auto foreign = "answer to " + last;
-        switch (draw) {
+        switch (how) {
         case 0:
-            return message("200 OK", "", foreign) + own;
+            return { message("200 OK", "", foreign) + own };
         case 1:
-            return message("503 Unavailable", "X-Not-Run: 1\r\n", "") + own;
+            return { message("503 Unavailable", "X-Not-Run: 1\r\n", "") + own };
         case 2:
-            return message("200 OK", "X-Id: " + last + "\r\nX-Signed: 1\r\n", foreign) + own;
+            return { message("200 OK", "X-Id: " + last + "\r\nX-Signed: 1\r\n", foreign) + own };
         case 3:
-            return message("421 No", "X-Not-Run: 1\r\nX-Draining: 1\r\n", "") + own;
+            return { message("421 No", "X-Not-Run: 1\r\nX-Draining: 1\r\n", "") + own };
         case 4:
-            return own + message("200 OK", "", foreign);
+            return { own + message("200 OK", "", foreign) };
         case 5: // A success that names the request, without a signature.
-            return message("200 OK", named, foreign);
+            return { message("200 OK", named, foreign) };
         case 6:
-            isOver = true;
-            return own.substr(0, 1 + random_.below(own.size() - 1));
+            return { own.substr(0, 1 + random_.below(own.size() - 1)), {}, true };
         case 7:
-            isOver = true;
-            return "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999\r\n\r\n" + foreign;
+            return { "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999\r\n\r\n" + foreign,
+                     {},
+                     true };
         case 8:
-            isOver = true;
-            return foreign + "\r\n\r\n" + own;
+            return { foreign + "\r\n\r\n" + own, {}, true };
         default:
-            return message("500 No", "", "") + message("200 OK", "", foreign) + own;
+            return { message("500 No", "", "") + message("200 OK", "", foreign) + own };
         }
     }
 
     tcp::acceptor acceptor_;
     Random random_;
+    bool refusesFirst_;
     std::vector<std::shared_ptr<tcp::socket>> sockets_;
     std::string lastId_;
 };
@@ -206,3 +231,24 @@
         CHECK(answered > 75);
     }
 }
+
+// Guards against a late copy of a refusal counting as the answer to the next dispatch of its
+// request.
+TEST_CASE("A request that an endpoint refused once, with a late copy of the refusal, runs once")
+{
+    auto rig = Rig {};
+    rig.dialect.signatureHeader = "X-Signed";
+    const auto endpoint = std::make_shared<FaultyEndpoint>(rig.context, 1, true);
+    endpoint->start();
+    rig.tell("i-1", endpoint->port(), 1, catalogue::EndpointState::Ready);
+    for (auto number = 0; number < 12; ++number) {
+        const auto id = "once-" + std::to_string(number);
+        CAPTURE(id);
+        const auto got = rig.call(Rig::request("/once/x", id));
+        CHECK(got.status == 200);
+        CHECK(got.body == "answer to " + id);
+        CHECK(endpoint->trueRefusals[id] == 1);
+        CHECK(endpoint->runs[id] == 1);
+    }
+    endpoint->stop();
+}
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -68,8 +68,9 @@
 class Link : public std::enable_shared_from_this<Link>
 {
 public:
-    Link(asio::io_context &context, std::function<void(int)> disconnect)
-        : socket_(context)
+    Link(asio::io_context &context, ConnectionNumber number, std::function<void(int)> disconnect)
+        : number_(number)
+        , socket_(context)
         , strand_(asio::make_strand(context))
         , disconnect_(std::move(disconnect))
     { }
@@ -77,6 +78,7 @@
     Link(const Link &) = delete;
     auto operator=(const Link &) -> Link & = delete;
 
+    auto number() const -> ConnectionNumber { return number_; }
     auto socket() -> Socket & { return socket_; }
     auto buffer() -> beast::flat_buffer & { return buffer_; }
 
@@ -170,6 +172,7 @@
         socket_.close(code);
     }
 
+    const ConnectionNumber number_;
     std::mutex mutex_; ///< Guards opening, closing and aborting; a leaf in the lock order.
     Socket socket_;
     asio::strand<asio::io_context::executor_type> strand_;
@@ -201,23 +204,19 @@
     auto options() const -> const ClientOptions & { return options_; }
 
     /// @param maxIdleAge a connection that has been idle for longer is not taken
-    auto takeKept(const Address &address, Duration maxIdleAge) -> LinkPointer
+    /// @param excluded connections that are left where they are
+    auto takeKept(const Address &address, Duration maxIdleAge,
+                  const std::vector<ConnectionNumber> &excluded) -> LinkPointer
     {
         const auto now = clock_.now();
         while (true) {
-            auto kept = KeptLink {};
-            {
-                const auto lock = std::lock_guard { mutex_ };
-                const auto found = kept_.find(address);
-                if (found == kept_.end() || found->second.empty())
-                    return nullptr;
-                kept = std::move(found->second.back());
-                found->second.pop_back();
-            }
-            const auto isYoung = now - kept.since < maxIdleAge;
-            if (isYoung && now < kept.until && kept.link->isQuiet())
-                return kept.link;
-            forget(address, kept.link);
+            auto kept = takeNewest(address, excluded);
+            if (!kept)
+                return nullptr;
+            const auto isYoung = now - kept->since < maxIdleAge;
+            if (isYoung && now < kept->until && kept->link->isQuiet())
+                return kept->link;
+            forget(address, kept->link);
         }
     }
 
@@ -235,8 +234,8 @@
 
     auto make(const Address &address) -> LinkPointer
     {
-        auto link = std::make_shared<Link>(context_, options_.disconnect);
         const auto lock = std::lock_guard { mutex_ };
+        auto link = std::make_shared<Link>(context_, ++lastNumber_, options_.disconnect);
         all_[address].insert(link);
         return link;
     }
@@ -277,6 +276,25 @@
     }
 
 private:
+    auto takeNewest(const Address &address, const std::vector<ConnectionNumber> &excluded)
+            -> std::optional<KeptLink>
+    {
+        const auto lock = std::lock_guard { mutex_ };
+        const auto found = kept_.find(address);
+        if (found == kept_.end())
+            return std::nullopt;
+        auto &list = found->second;
+        const auto newest = std::find_if(list.rbegin(), list.rend(), [&](const auto &kept) {
+            return std::find(excluded.begin(), excluded.end(), kept.link->number())
+                    == excluded.end();
+        });
+        if (newest == list.rend())
+            return std::nullopt;
+        auto kept = std::move(*newest);
+        list.erase(std::next(newest).base());
+        return kept;
+    }
+
     auto sweep(Instant now, std::vector<LinkPointer> &dropped) -> void
     {
         for (auto entry = kept_.begin(); entry != kept_.end();) {
@@ -319,6 +337,7 @@
     asio::io_context &context_;
     ClientOptions options_;
     const Clock &clock_;
+    ConnectionNumber lastNumber_ = 0;
     std::mutex mutex_; ///< Guards the tables; taken before a Link's and never with it held.
     std::map<Address, std::deque<KeptLink>> kept_; ///< Oldest first.
     std::map<Address, std::set<LinkPointer>> all_; ///< Kept and in use.
@@ -680,8 +699,9 @@
     if (request.canceller && request.canceller->isCancelled())
         co_return ClientError { failure(ErrorKind::Cancelled, request.address, "start"),
                                 Sent::Nothing };
-    auto link = request.freshConnection ? nullptr
-                                        : pool->takeKept(request.address, request.maxIdleAge);
+    auto link = LinkPointer {};
+    if (!request.freshConnection)
+        link = pool->takeKept(request.address, request.maxIdleAge, request.excludedConnections);
     const auto kept = link != nullptr;
     if (!kept)
         link = pool->make(request.address);
@@ -716,12 +736,14 @@
         , keep_(keep)
         , status_(exchange_->parser().get().result_int())
         , headers_(headersOf(exchange_->parser()))
+        , connection_(exchange_->lease().link().number())
         , isDelimited_(!exchange_->parser().need_eof())
     { }
 
     auto status() const -> std::uint32_t override { return status_; }
     auto headers() const -> const Headers & override { return headers_; }
     auto isReused() const -> bool override { return exchange_->isReused(); }
+    auto connection() const -> ConnectionNumber override { return connection_; }
     auto isDelimited() const -> bool override { return isDelimited_; }
 
     auto read(Duration timeout) -> asio::awaitable<absl::StatusOr<std::string>> override
@@ -761,6 +783,7 @@
     bool ended_ = false;
     std::uint32_t status_;
     Headers headers_;
+    ConnectionNumber connection_; ///< Of a connection that may be in other use after the end.
     bool isDelimited_;
 };
 
--- a/http/client.h
+++ b/http/client.h
@@ -25,6 +25,7 @@
 #include <mutex>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
@@ -79,6 +80,9 @@
     std::string value;
 };
 
+/// Names a connection of a Client; never used twice.
+using ConnectionNumber = std::uint64_t;
+
 struct ClientRequest
 {
     Address address;
@@ -89,6 +93,10 @@
     bool freshConnection = false; ///< Never on a kept connection, and not kept afterwards.
     /// A kept connection is used only when it has been idle for less.
     Duration maxIdleAge = Duration::max();
+    /// Kept connections that are not used, see ClientStream::connection(). A peer may repeat an
+    /// earlier answer late, so a connection on which an answer of the same name has arrived says
+    /// nothing about the next request of that name.
+    std::vector<ConnectionNumber> excludedConnections = {};
     AnswerMatch match = {};
     std::shared_ptr<Canceller> canceller = {}; ///< May be empty.
     /// Asked once the connection stands, right before the first byte is written; false ends the
@@ -118,6 +126,7 @@
     virtual auto headers() const -> const Headers & = 0;
     /// @return true if the request was sent on a kept connection
     virtual auto isReused() const -> bool = 0;
+    virtual auto connection() const -> ConnectionNumber = 0;
     /// @return true if a length or chunks mark the end of the body; false if only the end of the
     /// connection does
     virtual auto isDelimited() const -> bool = 0;
--- a/router/testing/fakes.h
+++ b/router/testing/fakes.h
@@ -115,6 +115,7 @@
     auto status() const -> std::uint32_t override { return script_.status; }
     auto headers() const -> const http::Headers & override { return script_.headers; }
     auto isReused() const -> bool override { return false; }
+    auto connection() const -> http::ConnectionNumber override { return 0; }
     auto isDelimited() const -> bool override { return true; }
     auto read(Duration) -> asio::awaitable<absl::StatusOr<std::string>> override
     {
