catalogue, gateway, platform: within an answer a stream goes on only at its software version

Callers could get a stream of which one part was written by one version of the endpoints' software and the rest by another; these do not fit together. Cause: the version that an endpoint announces was not read, so a broken stream went on at any endpoint of its service, also through another gateway. Change: the row of an endpoint has its software version. Once the caller has begun to receive a stream, only endpoints of the version that began it are candidates; the hand-over carries the version both ways; KV cache is fetched only from an endpoint of the same version. Where no endpoint of the version is left, the stream is broken off at once.

--- a/catalogue/endpointrow.cpp
+++ b/catalogue/endpointrow.cpp
@@ -27,7 +27,7 @@
 {
     return service == other.service && address == other.address && slots == other.slots
             && state == other.state && models == other.models && inMemory == other.inMemory
-            && onDisk == other.onDisk;
+            && onDisk == other.onDisk && softwareVersion == other.softwareVersion;
 }
 
 auto isNewer(const EndpointRow &row, const EndpointRow &than) -> bool
--- a/catalogue/endpointrow.h
+++ b/catalogue/endpointrow.h
@@ -51,6 +51,9 @@
     std::vector<ModelId> onDisk;   ///< Copies of weights that load nearly as fast.
     /// How much longer the endpoint is cold, ms; a cold one takes only a limited rate of requests.
     std::uint32_t coldMs = 0;
+    /// Of the endpoint's software; empty if it names none. What two versions write does not fit
+    /// together, so a stream goes on only at the version that began it.
+    std::string softwareVersion;
     auto group() const -> EndpointGroup { return { service, domain }; }
     /// @return the model as held, or nullptr
     auto find(const ModelId &model) const -> const HeldModel *;
@@ -62,7 +65,7 @@
     auto serialize(Archive &archive) -> void
     {
         archive(id, service, address, domain, slots, state, sequence, orderVersion, models,
-                inMemory, onDisk, coldMs);
+                inMemory, onDisk, coldMs, softwareVersion);
     }
 };
 
--- a/gateway/answers.cpp
+++ b/gateway/answers.cpp
@@ -19,10 +19,10 @@
 
 auto endToEnd(const http::Headers &headers) -> http::Headers
 {
-    constexpr auto dropped
-            = std::array<std::string_view, 7> { "Connection",        "Keep-Alive", "Content-Length",
-                                                "Transfer-Encoding", "Trailer",    "Upgrade",
-                                                handoffOutcomeHeader };
+    constexpr auto dropped = std::array<std::string_view, 8> {
+        "Connection", "Keep-Alive", "Content-Length",     "Transfer-Encoding",
+        "Trailer",    "Upgrade",    handoffOutcomeHeader, handoffVersionHeader
+    };
     auto result = http::Headers {};
     for (const auto &header : headers) {
         const auto isDropped = std::any_of(dropped.begin(), dropped.end(), [&](auto name) {
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -62,6 +62,8 @@
     isCountedAsWork_ = terms->isCountedAsWork;
     isDemand_ = terms->isCountedAsDemand;
     isCounted_ = terms->isCharged;
+    if (terms->hasStreamBegun)
+        streamVersion_ = terms->softwareVersion;
     if (terms->retryMs > 0) {
         const auto validFor = std::min<Duration>(std::chrono::milliseconds { terms->retryMs },
                                                  proto::retryGrantTtl);
--- a/gateway/forwarderdispatch.cpp
+++ b/gateway/forwarderdispatch.cpp
@@ -95,6 +95,7 @@
     const auto id = entry.row.id;
     const auto group = entry.row.group(); // group_ changes if this dispatch leads to another one.
     endpoint_ = id;
+    softwareVersion_ = entry.row.softwareVersion;
     auto out = makeDispatch(entry);
     const auto left
             = std::max<Duration>(deadline_ - parts_.clock.now(), std::chrono::milliseconds { 1 });
@@ -174,7 +175,9 @@
     const auto *source = parts_.view.maySend(picked_.fetchFrom)
             ? parts_.view.find(picked_.fetchFrom)
             : nullptr;
-    if (source != nullptr && source != &entry && homes_.allows(source->row.domain))
+    const auto isFitting = source != nullptr && source != &entry
+            && source->row.softwareVersion == entry.row.softwareVersion;
+    if (isFitting && homes_.allows(source->row.domain))
         terms.fetchFrom = source->row.address;
     canceller_ = std::make_shared<http::Canceller>();
     auto out = http::ClientRequest {};
@@ -290,6 +293,8 @@
         line.with("endpoint", endpoint_);
     if (!lastEvent_.empty())
         line.with("last_event", std::string_view { lastEvent_ }.substr(0, maxLoggedEventId));
+    if (streamVersion_)
+        line.with("software_version", *streamVersion_);
     line.with(lastError_);
 }
 
--- a/gateway/forwarderhandoff.cpp
+++ b/gateway/forwarderhandoff.cpp
@@ -170,6 +170,7 @@
     status_ = stream.status();
     isReused_ = stream.isReused();
     isDelimited_ = stream.isDelimited();
+    softwareVersion_ = http::findHeader(stream.headers(), handoffVersionHeader);
     const auto outcome = readOutcome(stream.headers());
     if (outcome && outcome->outcome == handoffDeclined) {
         lastError_ = blockedError(BlockedBy::Path);
@@ -214,6 +215,8 @@
     result.terms.isCharged = isCounted_;
     result.terms.hasArrived = hasArrived();
     result.terms.resumeAfter = lastEvent_;
+    result.terms.hasStreamBegun = streamVersion_.has_value();
+    result.terms.softwareVersion = streamVersion_.value_or(std::string {});
     result.method = request_.method;
     result.target = request_.target;
     result.path = request_.path;
--- a/gateway/forwarderplacing.cpp
+++ b/gateway/forwarderplacing.cpp
@@ -171,7 +171,10 @@
 auto Forwarder::Run::candidates() const -> std::vector<EndpointEntry *>
 {
     auto result = parts_.view.of(service_);
-    std::erase_if(result, [&](const auto *entry) { return !homes_.allows(entry->row.domain); });
+    std::erase_if(result, [&](const auto *entry) {
+        return !homes_.allows(entry->row.domain)
+                || (streamVersion_ && entry->row.softwareVersion != *streamVersion_);
+    });
     return result;
 }
 
--- a/gateway/forwarderrelay.cpp
+++ b/gateway/forwarderrelay.cpp
@@ -160,7 +160,10 @@
         co_return true;
     firstByteAt_ = parts_.clock.now();
     finalStatus_ = status_;
+    streamVersion_ = softwareVersion_;
     auto headers = endToEnd(stream.headers());
+    if (handoffTerms_ != nullptr)
+        headers.push_back({ std::string { handoffVersionHeader }, softwareVersion_ });
     const auto begun = co_await responder_.startStream(status_, std::move(headers));
     co_return begun.ok();
 }
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -111,7 +111,8 @@
     /// Waits until the view contains the endpoints that could take the request, but not for long:
     /// without an answer, the request is placed by what the gateway knows.
     auto awaitEndpoints() -> boost::asio::awaitable<void>;
-    /// @return the endpoints that accept new requests, and where the request may be served
+    /// @return the endpoints that accept new requests, and where the request may be served or its
+    /// stream may go on
     auto candidates() const -> std::vector<EndpointEntry *>;
     /// Counts the request for the retry budget of its service, once over all gateways.
     auto countAsWork() -> void;
@@ -312,8 +313,11 @@
     std::vector<catalogue::WorkId> promptParts_; ///< Those that other requests may share.
     std::shared_ptr<http::Canceller> canceller_; ///< Cancels the dispatch in progress.
     std::string lastEvent_;                      ///< ID of the last event that the caller received.
-    EndpointId endpoint_;                        ///< Endpoint of the latest dispatch.
-    Picked picked_;       ///< The latest choice; its booking ends with the dispatch.
+    /// Of the software of the endpoint that began the stream which the caller receives.
+    std::optional<std::string> streamVersion_;
+    EndpointId endpoint_;         ///< Endpoint of the latest dispatch.
+    std::string softwareVersion_; ///< Of its software.
+    Picked picked_;               ///< The latest choice; its booking ends with the dispatch.
     BootTimer holdTimer_; ///< For a delay that the balancer asked for, and for a wait for a place.
     HeldBytes::Share bodyShare_;
     CallerStream callerStream_;
--- a/gateway/handoffs.h
+++ b/gateway/handoffs.h
@@ -34,6 +34,9 @@
 /// Header of an answer that the second gateway made itself: the request's outcome there, and what
 /// it lacked (chooser.h), separated by a space.
 constexpr auto handoffOutcomeHeader = std::string_view { "Figrack-Outcome" };
+/// Header of a stream that the second gateway relays: the version of the software of the endpoint
+/// that began it.
+constexpr auto handoffVersionHeader = std::string_view { "Figrack-Software-Version" };
 /// Outcome of a request that the second gateway could not take, but another one may.
 constexpr auto handoffDeclined = std::string_view { "declined" };
 
--- a/gateway/testing/cutworld.cpp
+++ b/gateway/testing/cutworld.cpp
@@ -89,6 +89,8 @@
         row.address = { "127.0.0.1", links[i]->port() };
         row.state = catalogue::EndpointState::Ready;
         row.sequence = 1;
+        if (const auto &versions = options_.softwareVersions; !versions.empty())
+            row.softwareVersion = versions.at(i / 2 % versions.size());
     }
     return rows;
 }
--- a/gateway/testing/cutworld.h
+++ b/gateway/testing/cutworld.h
@@ -25,6 +25,8 @@
     DomainId otherDomain { "d1" };    ///< Of the gateway At::Other.
     catalogue::RegionMap regions;     ///< Of the failure domains.
     std::vector<RegionId> homes = {}; ///< Of all routes.
+    /// Of the endpoints' software, in turn by pairs of endpoints; none: they name no version.
+    std::vector<std::string> softwareVersions = {};
 };
 
 /// The two gateways.
--- a/gateway/testing/rig.cpp
+++ b/gateway/testing/rig.cpp
@@ -257,7 +257,8 @@
 }
 
 auto Rig::tell(const std::string &id, std::uint16_t port, std::uint64_t sequence,
-               catalogue::EndpointState state, const std::vector<std::string> &models) -> void
+               catalogue::EndpointState state, const std::vector<std::string> &models,
+               const std::string &softwareVersion) -> void
 {
     auto row = catalogue::EndpointRow {};
     row.id = EndpointId { id };
@@ -265,6 +266,7 @@
     row.address = { "127.0.0.1", port };
     row.state = state;
     row.sequence = sequence;
+    row.softwareVersion = softwareVersion;
     for (const auto &model : models)
         row.models.push_back({ ModelId { model }, {} });
     auto update = proto::ServingUpdate {};
--- a/gateway/testing/rig.h
+++ b/gateway/testing/rig.h
@@ -59,7 +59,8 @@
             -> FakeEndpoint &;
     /// Announces an endpoint, which need not be listening.
     auto tell(const std::string &id, std::uint16_t port, std::uint64_t sequence,
-              catalogue::EndpointState state, const std::vector<std::string> &models = {}) -> void;
+              catalogue::EndpointState state, const std::vector<std::string> &models = {},
+              const std::string &softwareVersion = {}) -> void;
     /// @return a request in the dialect of these tests
     static auto request(const std::string &path, const std::string &id) -> http::ClientRequest;
     auto call(http::ClientRequest request) -> Got;
--- a/gateway/testing/tst_endpointcut.cpp
+++ b/gateway/testing/tst_endpointcut.cpp
@@ -200,6 +200,52 @@
              "id: 4\ndata: e4\n\nid: 5\ndata: e5\n\n");
 }
 
+TEST_CASE("A stream that goes on through another gateway is not joined from two software versions")
+{
+    auto options = CutWorldOptions {};
+    options.softwareVersions = { "v1", "v2" };
+    auto world = CutWorld { options };
+    for (auto i = std::size_t { 0 }; i < endpointCount; ++i) {
+        const auto version = options.softwareVersions.at(i / 2);
+        world.endpoint(i).handler
+                = [&world, version](const http::Request &request,
+                                    http::Responder &responder) -> boost::asio::awaitable<void> {
+            auto headers = http::Headers { { "Content-Type", "text/event-stream" },
+                                           { "X-Id", std::string { request.header("X-Id") } } };
+            static_cast<void>(co_await responder.startStream(200, std::move(headers)));
+            const auto isResumed = request.header("X-After") == "1";
+            auto text = "id: " + std::string { isResumed ? "2" : "1" } + "\ndata: " + version
+                    + "\n\n";
+            static_cast<void>(co_await responder.write(std::move(text)));
+            if (isResumed) {
+                static_cast<void>(co_await responder.finish());
+                co_return;
+            }
+            auto timer = BootTimer { world.rig.context, patience };
+            responder.onPeerGone([&] { timer.cancel(); });
+            auto code = boost::system::error_code {};
+            co_await timer.async_wait(
+                    boost::asio::redirect_error(boost::asio::use_awaitable, code));
+        };
+    }
+    auto answers = std::vector<std::shared_ptr<std::optional<Got>>> {};
+    for (auto i = 0; i < 8; ++i) {
+        answers.push_back(world.begin(At::Cut, "/resume/"));
+        REQUIRE(world.rig.runUntil([&] { return world.arrivals(world.lastId()) == 1; }));
+    }
+    const auto cutAt = world.rig.clock.now() + std::chrono::milliseconds { 50 };
+    world.rig.runUntil([&] { return world.rig.clock.now() >= cutAt; });
+    world.cut(Cut::Hang);
+    for (const auto &answer : answers) {
+        REQUIRE(world.rig.runUntil([&] { return answer->has_value(); }));
+        CHECK((*answer)->whole);
+        const auto &body = (*answer)->body;
+        const auto isOneVersion = body == "id: 1\ndata: v1\n\nid: 2\ndata: v1\n\n"
+                || body == "id: 1\ndata: v2\n\nid: 2\ndata: v2\n\n";
+        CHECK(isOneVersion);
+    }
+}
+
 TEST_CASE("An endpoint that is silent for a second is not avoided, and its request is not moved")
 {
     auto world = CutWorld {};
--- a/gateway/testing/tst_forwarder.cpp
+++ b/gateway/testing/tst_forwarder.cpp
@@ -173,6 +173,45 @@
     }
 }
 
+TEST_CASE("A broken stream does not go on at an endpoint of another software version")
+{
+    auto rig = Rig {};
+    const auto versions = std::array<std::string, 3> { "v1", "v2", "v1" };
+    for (auto i = std::size_t { 0 }; i < versions.size(); ++i) {
+        const auto id = "i-" + std::to_string(i);
+        auto &endpoint = rig.addEndpoint(id);
+        rig.tell(id, endpoint.port, 2, catalogue::EndpointState::Ready, {}, versions.at(i));
+        endpoint.handler = [version = versions.at(i)](
+                                   const http::Request &request,
+                                   http::Responder &responder) -> boost::asio::awaitable<void> {
+            auto headers = http::Headers { { "Content-Type", "text/event-stream" },
+                                           { "X-Id", std::string { request.header("X-Id") } } };
+            static_cast<void>(co_await responder.startStream(200, std::move(headers)));
+            const auto isResumed = request.header("X-After") == "1";
+            auto text = "id: " + std::string { isResumed ? "2" : "1" } + "\ndata: " + version
+                    + "\n\n";
+            static_cast<void>(co_await responder.write(std::move(text)));
+            if (isResumed)
+                static_cast<void>(co_await responder.finish());
+        };
+    }
+    auto begun = std::map<std::string, int> {};
+    for (auto number = 0; number < 30; ++number) {
+        const auto got = rig.call(Rig::request("/resume/x", "r" + std::to_string(number)));
+        const auto beginning = got.body.substr(0, 16);
+        CAPTURE(got.body);
+        ++begun[beginning];
+        if (beginning == "id: 1\ndata: v1\n\n") {
+            CHECK(got.whole);
+            CHECK(got.body == "id: 1\ndata: v1\n\nid: 2\ndata: v1\n\n");
+        } else {
+            CHECK_FALSE(got.whole);
+            CHECK(got.body == "id: 1\ndata: v2\n\n");
+        }
+    }
+    CHECK(begun.size() == 2);
+}
+
 TEST_CASE("An answer that identifies another request is dropped")
 {
     auto rig = Rig {};
