endpoint, gateway: a stream whose lines end in CRLF ends where its last event does

What callers saw: every stream with CRLF line ends broke off at its end. Where it may be resumed, a second endpoint ran the request; where the first stream ended within a CRLF, a caller that takes only CRLF and LF for line ends lost the event after it, since a lone CR stood before it.

Cause: an event ended with the CR of its blank line, and the LF after it began the next event. So bytes were pending at the end of every such stream, and at a resumption the LF was dropped with the incomplete event that it began.

Change: the LF belongs to the event whose blank line it completes. In the same chunk it is part of that event; in a later one it comes out by itself and is forwarded at once, if its event was. An event is still complete with the CR, so a stream whose lines end in CR is not held back. If an endpoint's stream ends within a CRLF and another one goes on, the caller first gets the missing LF. A byte order mark hides no field of the first event (its ID was not seen), and that of a second run is not sent in the middle of the caller's stream.

--- a/endpoint/ssestream.cpp
+++ b/endpoint/ssestream.cpp
@@ -26,13 +26,17 @@
 
 } // namespace
 
+auto endsWithinLineEnd(std::string_view raw) -> bool
+{
+    return raw == "\r" || raw.ends_with("\n\r");
+}
+
 auto SseSplitter::feed(std::string_view chunk) -> absl::StatusOr<std::vector<SseEvent>>
 {
     auto events = std::vector<SseEvent> {};
     while (!chunk.empty()) {
         if (std::exchange(afterReturn_, false) && chunk.front() == '\n') {
-            pending_ += '\n';
-            lineStart_ = pending_.size();
+            addLineFeed(events);
             chunk.remove_prefix(1);
             continue;
         }
@@ -51,10 +55,27 @@
     return events;
 }
 
+auto SseSplitter::addLineFeed(std::vector<SseEvent> &events) -> void
+{
+    if (!pending_.empty()) {
+        pending_ += '\n';
+        lineStart_ = pending_.size();
+        return;
+    }
+    // The CR ended an event, which may have been passed on with an earlier chunk.
+    if (events.empty())
+        events.emplace_back().isLineFeed = true;
+    events.back().raw += '\n';
+}
+
 auto SseSplitter::endLine(std::vector<SseEvent> &events) -> void
 {
     const auto whole = std::string_view { pending_ };
-    const auto line = whole.substr(lineStart_, whole.size() - 1 - lineStart_);
+    auto line = whole.substr(lineStart_, whole.size() - 1 - lineStart_);
+    if (isFirst_ && lineStart_ == 0 && line.starts_with(byteOrderMark)) {
+        line.remove_prefix(byteOrderMark.size());
+        event_.hasMark = true;
+    }
     lineStart_ = pending_.size();
     if (line.empty())
         return endEvent(events);
@@ -75,6 +96,7 @@
 {
     event_.raw = std::exchange(pending_, {});
     lineStart_ = 0;
+    isFirst_ = false;
     if (event_.isDone())
         done_ = true;
     else if (event_.hasData)
--- a/endpoint/ssestream.h
+++ b/endpoint/ssestream.h
@@ -8,7 +8,9 @@
 // An event is everything up to and with its blank line, passed on byte for
 // byte. It is a data event when it has a "data:" line; the one whose data is
 // [DONE] ends the stream and is not counted. Lines end in LF, CRLF or CR as
-// the standard has it. Guarantee: memory is bounded by maxEventBytes.
+// the standard has it. An event ends with the CR of its blank line; an LF that
+// follows in a later chunk comes out by itself as the rest of that line end.
+// Guarantee: memory is bounded by maxEventBytes.
 
 #ifndef FIGRACK_ENDPOINT_SSESTREAM_H
 #define FIGRACK_ENDPOINT_SSESTREAM_H
@@ -28,9 +30,18 @@
     std::string name; ///< Of the "event:" line; empty for the default.
     std::string data; ///< Its "data:" lines joined by LF.
     bool hasData = false;
+    bool hasMark = false;    ///< It is the first one, and begins with a byte order mark.
+    bool isLineFeed = false; ///< No event, but the LF of the latest event's final CRLF.
     auto isDone() const -> bool { return hasData && data == "[DONE]"; }
 };
 
+/// The byte order mark that a stream may begin with, and only there.
+constexpr auto byteOrderMark = std::string_view { "\xEF\xBB\xBF" };
+
+/// @param raw the bytes of a stream up to the end of an event
+/// @return true if they end within a CRLF: an LF may be added without a change of meaning
+auto endsWithinLineEnd(std::string_view raw) -> bool;
+
 class SseSplitter
 {
 public:
@@ -48,6 +59,7 @@
     auto pending() const -> std::size_t { return pending_.size(); }
 
 private:
+    auto addLineFeed(std::vector<SseEvent> &events) -> void;
     auto endLine(std::vector<SseEvent> &events) -> void;
     auto endEvent(std::vector<SseEvent> &events) -> void;
 
@@ -55,6 +67,7 @@
     std::string pending_;
     std::size_t lineStart_ = 0; ///< In pending_.
     bool afterReturn_ = false;  ///< The last byte was CR: an LF belongs to it.
+    bool isFirst_ = true;       ///< No event has ended yet.
     SseEvent event_;
     std::uint64_t dataEvents_ = 0;
     bool done_ = false;
--- a/gateway/forwarderrelay.cpp
+++ b/gateway/forwarderrelay.cpp
@@ -75,6 +75,10 @@
 auto Forwarder::Run::relayStream(http::ClientStream &stream) -> asio::awaitable<Step>
 {
     auto splitter = endpoint::SseSplitter {};
+    if (!co_await completeLineEnd()) {
+        outcome_ = RequestOutcome::CallerGone;
+        co_return Step::Settled;
+    }
     while (true) {
         auto chunk = co_await stream.read(timeLeft());
         if (!chunk.ok()) {
@@ -114,12 +118,24 @@
 {
     auto bytes = std::string {};
     for (const auto &event : events) {
-        const auto id = eventId(event.raw);
-        if (isOldEvent(id, lastEvent_))
+        if (event.isLineFeed) {
+            if (isEventSent_)
+                bytes += event.raw;
+            isLineEndOpen_ = false;
+            continue;
+        }
+        auto raw = std::string_view { event.raw };
+        if (event.hasMark)
+            raw.remove_prefix(endpoint::byteOrderMark.size());
+        const auto id = eventId(raw);
+        isEventSent_ = !isOldEvent(id, lastEvent_);
+        if (!isEventSent_)
             continue;
         if (!id.empty())
             lastEvent_ = id;
-        bytes += event.raw;
+        // A caller takes a byte order mark for one only at the beginning of its stream.
+        bytes += responder_.started() ? raw : event.raw;
+        isLineEndOpen_ = endpoint::endsWithinLineEnd(event.raw);
     }
     if (bytes.empty())
         co_return std::nullopt;
@@ -131,6 +147,14 @@
     co_return std::nullopt;
 }
 
+auto Forwarder::Run::completeLineEnd() -> asio::awaitable<bool>
+{
+    if (!std::exchange(isLineEndOpen_, false))
+        co_return true;
+    auto lineFeed = std::string { "\n" };
+    co_return co_await callerStream_.write(std::move(lineFeed));
+}
+
 auto Forwarder::Run::noteEvents() -> void
 {
     const auto now = parts_.clock.now();
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -263,6 +263,9 @@
     /// @return a step if the request is settled
     auto forwardEvents(const std::vector<endpoint::SseEvent> &events, http::ClientStream &stream)
             -> boost::asio::awaitable<std::optional<Step>>;
+    /// Sends the LF of a CRLF within which an earlier endpoint's stream has ended, so that no event
+    /// of the next one joins that line end. @return false if the caller has disconnected
+    auto completeLineEnd() -> boost::asio::awaitable<bool>;
     auto noteEvents() -> void;
     /// Reports to the leader, once, that an endpoint did not serve a stream in time.
     auto noteLateness(Instant now) -> void;
@@ -362,8 +365,10 @@
     bool callerGone_ = false;
     bool mayHaveRun_ = false;
     bool budgetSpent_ = false;
-    bool lateReported_ = false; ///< A late stream has been reported to the leader.
-    bool isDemand_ = false;     ///< The request has been counted as demand.
+    bool isEventSent_ = false;   ///< The latest event was sent to the caller, not dropped.
+    bool isLineEndOpen_ = false; ///< What was sent to the caller ends within a CRLF.
+    bool lateReported_ = false;  ///< A late stream has been reported to the leader.
+    bool isDemand_ = false;      ///< The request has been counted as demand.
     bool isCountedAsWork_ = false;
     /// Its account has been charged, and does not get the charge back: the request may have run, or
     /// the balancer that counted it was lost.
--- /dev/null
+++ b/gateway/testing/tst_streamseams.cpp
@@ -0,0 +1,221 @@
+// How the forwarder puts a stream together from the runs of several endpoints.
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gateway/testing/rig.h"
+
+using namespace figrack;
+using namespace figrack::gateway::testing;
+
+namespace {
+
+constexpr auto byteOrderMark = "\xEF\xBB\xBF";
+
+enum class LineEnds : std::uint8_t { All, CrlfAndLf };
+
+struct ParsedEvent
+{
+    std::string id;
+    std::string data;
+    auto operator==(const ParsedEvent &) const -> bool = default;
+};
+
+/// @return the lines of a text, the last one only if it has an end
+auto linesOf(const std::string &text, LineEnds lineEnds) -> std::vector<std::string>
+{
+    auto lines = std::vector<std::string> { "" };
+    for (auto at = std::size_t { 0 }; at < text.size(); ++at) {
+        const auto isCrlf = text.compare(at, 2, "\r\n") == 0;
+        const auto isReturn = lineEnds == LineEnds::All && text[at] == '\r';
+        if (isCrlf)
+            ++at;
+        if (isCrlf || isReturn || text[at] == '\n')
+            lines.emplace_back();
+        else
+            lines.back() += text[at];
+    }
+    lines.pop_back();
+    return lines;
+}
+
+auto parse(std::string text, LineEnds lineEnds) -> std::vector<ParsedEvent>
+{
+    if (text.starts_with(byteOrderMark))
+        text.erase(0, 3);
+    auto found = std::vector<ParsedEvent> {};
+    auto event = ParsedEvent {};
+    for (const auto &line : linesOf(text, lineEnds)) {
+        if (line.starts_with("id: "))
+            event.id = line.substr(4);
+        else if (line.starts_with("data: "))
+            event.data += line.substr(6);
+        else if (line.empty() && !event.data.empty())
+            found.push_back(std::exchange(event, {}));
+    }
+    return found;
+}
+
+/// Parses like a caller that splits its stream where the same line end comes twice.
+auto parseBlocks(std::string text) -> std::vector<ParsedEvent>
+{
+    auto found = std::vector<ParsedEvent> {};
+    while (true) {
+        auto end = std::string::npos;
+        auto size = std::size_t { 0 };
+        for (const auto *separator : { "\r\n\r\n", "\n\n", "\r\r" }) {
+            const auto at = text.find(separator);
+            if (at < end) {
+                end = at;
+                size = std::string_view { separator }.size();
+            }
+        }
+        if (end == std::string::npos)
+            return found;
+        const auto events = parse(text.substr(0, end) + "\n\n", LineEnds::All);
+        found.insert(found.end(), events.begin(), events.end());
+        text.erase(0, end + size);
+    }
+}
+
+auto streamOf(int first, int last, const std::string &lineEnd) -> std::string
+{
+    auto text = std::string {};
+    for (auto number = first; number <= last; ++number) {
+        const auto digits = std::to_string(number);
+        for (const auto &part : { std::string { "id: " }, digits, lineEnd,
+                                  std::string { "data: e" }, digits, lineEnd, lineEnd })
+            text += part;
+    }
+    return text;
+}
+
+auto eventsOf(int first, int last) -> std::vector<ParsedEvent>
+{
+    return parse(streamOf(first, last, "\n"), LineEnds::All);
+}
+
+/// What one dispatch of a scripted endpoint sends, piece by piece.
+struct Script
+{
+    std::vector<std::string> pieces;
+    bool isWhole = true; ///< Else the connection is closed without the end of the answer.
+};
+
+/// Serves each dispatch by the next script, at whichever endpoint it arrives.
+class ScriptedRig
+{
+public:
+    explicit ScriptedRig(std::vector<Script> scripts)
+        : scripts_(std::move(scripts))
+    {
+        for (const auto *id : { "i-1", "i-2" }) {
+            rig.addEndpoint(id).handler
+                    = [this](const http::Request &request, http::Responder &responder) {
+                          return serve(request, responder);
+                      };
+        }
+    }
+    auto call(const std::string &path, const std::string &after = {}) -> Got
+    {
+        auto request = Rig::request(path, "r" + std::to_string(++requests_));
+        if (!after.empty())
+            request.headers.push_back({ "X-After", after });
+        return rig.call(std::move(request));
+    }
+
+    Rig rig;
+    std::vector<std::string> resumedAfter; ///< Of each dispatch.
+
+private:
+    auto serve(const http::Request &request, http::Responder &responder)
+            -> boost::asio::awaitable<void>
+    {
+        const auto script = scripts_.at(std::min(resumedAfter.size(), scripts_.size() - 1));
+        resumedAfter.emplace_back(request.header("X-After"));
+        auto headers = http::Headers { { "Content-Type", "text/event-stream" },
+                                       { "X-Id", std::string { request.header("X-Id") } } };
+        static_cast<void>(co_await responder.startStream(200, std::move(headers)));
+        for (auto bytes : script.pieces) {
+            static_cast<void>(co_await responder.write(std::move(bytes)));
+        }
+        if (script.isWhole)
+            static_cast<void>(co_await responder.finish());
+    }
+
+    std::vector<Script> scripts_;
+    int requests_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("A stream with CRLF line ends takes one dispatch, and arrives unchanged in any pieces")
+{
+    const auto text = streamOf(1, 3, "\r\n");
+    for (auto cut = std::size_t { 1 }; cut < text.size(); ++cut) {
+        auto scripted = ScriptedRig { { { { text.substr(0, cut), text.substr(cut) } } } };
+        const auto got = scripted.call("/resume/x");
+        CHECK(got.whole);
+        CHECK(got.body == text);
+        CHECK(scripted.resumedAfter.size() == 1);
+    }
+}
+
+TEST_CASE("No event is lost or joined to another where a cut stream is resumed")
+{
+    for (const auto *lineEnd : { "\n", "\r\n", "\r" }) {
+        const auto text = streamOf(1, 3, lineEnd);
+        for (auto cut = std::size_t { 1 }; cut < text.size(); ++cut) {
+            const auto before = text.substr(0, cut);
+            const auto sent = static_cast<int>(parse(before, LineEnds::All).size());
+            auto scripted = ScriptedRig { { { { before }, false },
+                                            { { streamOf(sent + 1, 5, lineEnd) } } } };
+            const auto got = scripted.call("/resume/x");
+            INFO("cut " << cut << " body " << got.body);
+            CHECK(got.whole);
+            REQUIRE(scripted.resumedAfter.size() == 2);
+            CHECK(scripted.resumedAfter[1] == (sent > 0 ? std::to_string(sent) : ""));
+            CHECK(parse(got.body, LineEnds::All) == eventsOf(1, 5));
+            CHECK(parseBlocks(got.body) == eventsOf(1, 5));
+            if (lineEnd != std::string { "\r" })
+                CHECK(parse(got.body, LineEnds::CrlfAndLf) == eventsOf(1, 5));
+        }
+    }
+}
+
+TEST_CASE("A byte order mark stays at the beginning of a stream, and is not repeated when resumed")
+{
+    const auto mark = std::string { byteOrderMark };
+    auto scripted = ScriptedRig { { { { mark + streamOf(1, 2, "\n") }, false },
+                                    { { mark + streamOf(3, 4, "\n") } } } };
+    const auto got = scripted.call("/resume/x");
+    CHECK(got.whole);
+    CHECK(got.body == mark + streamOf(1, 4, "\n"));
+    CHECK(scripted.resumedAfter == std::vector<std::string> { "", "2" });
+}
+
+TEST_CASE("A resumed run that repeats an event does not add that event's line end")
+{
+    auto repeated = streamOf(2, 2, "\r\n");
+    repeated.pop_back();
+    auto scripted = ScriptedRig { { { { streamOf(1, 2, "\r\n") }, false },
+                                    { { repeated, "\n", streamOf(3, 3, "\r\n") } } } };
+    const auto got = scripted.call("/resume/x");
+    CHECK(got.whole);
+    CHECK(got.body == streamOf(1, 3, "\r\n"));
+}
+
+TEST_CASE("An empty stream, and one of comments alone, are whole")
+{
+    for (const auto *text : { "", ": one\n\n: two\r\n\r\n" }) {
+        auto scripted = ScriptedRig { { { { std::string { text } } } } };
+        const auto got = scripted.call("/resume/x");
+        CHECK(got.whole);
+        CHECK(got.body == text);
+        CHECK(scripted.resumedAfter.size() == 1);
+    }
+}
