router: a stream cut within a CRLF goes on at the beginning of a line

What callers saw: where an engine's stream ended between the CR and the LF of a blank line, or its [DONE] came in such a piece, callers that take only CRLF and LF for line ends joined the event to the next one, or did not see the end.

Change: before another engine's events, before an error event and after [DONE], the missing LF is sent; a byte order mark of a resumed run is not.

Before: the added check of "a stream cut by an engine failure resumes elsewhere" failed with "data: t0\r\n\rdata: [DONE]\r\n\r".

--- a/router/dispatch.cpp
+++ b/router/dispatch.cpp
@@ -125,6 +125,7 @@
     auto giveUp(const Round &round) -> asio::awaitable<void>;
     auto recordFirstByte() -> void;
     auto recordForResend(const std::string &bytes) -> void;
+    auto completeLineEnd(std::string &bytes) -> void;
     auto sinceArrival() const -> Millis;
     auto untilFinish() const -> Duration;
     auto headTimeout() const -> Duration;
@@ -138,6 +139,7 @@
     Ticket ticket_ = 0;
     std::uint32_t attempts_ = 0; ///< Rounds in which the endpoint was reached.
     std::uint64_t tokensSent_ = 0;
+    bool isLineEndOpen_ = false; ///< What was sent ends within a CRLF.
     bool anyMayHaveRun_ = false;
     Outcome outcome_;
 };
@@ -330,8 +332,10 @@
     if (!outcome_.headSent || caller_.isGone())
         co_return;
     const auto others = owner_.view_.otherRouters();
-    auto event = errorEvent(outcome_.status, Ran::Unknown, outcome_.retryAfter, others);
-    if ((co_await responder_.write(std::move(event))).ok())
+    auto bytes = std::string {};
+    completeLineEnd(bytes);
+    bytes += errorEvent(outcome_.status, Ran::Unknown, outcome_.retryAfter, others);
+    if ((co_await responder_.write(std::move(bytes))).ok())
         (void)co_await responder_.finish();
 }
 
@@ -458,6 +462,11 @@
         if (!started.ok() && !caller_.isGone())
             caller_.onGone();
     }
+    auto lineEnd = std::string {};
+    completeLineEnd(lineEnd);
+    recordForResend(lineEnd);
+    if (!co_await writeToCaller(std::move(lineEnd)))
+        co_return Round { RoundEnd::CallerGone, absl::OkStatus() };
     auto splitter = endpoint::SseSplitter {};
     while (true) {
         if (caller_.mustStop())
@@ -487,6 +496,8 @@
 {
     auto bytes = std::string {};
     auto end = std::optional<Round> {};
+    if (tokensSent_ > 0 && !events.empty() && events.front().hasMark)
+        events.front().raw.erase(0, endpoint::byteOrderMark.size());
     for (auto &event : events) {
         if (event.name == "error") {
             end = Round { RoundEnd::MayHaveRun,
@@ -494,6 +505,7 @@
             break;
         }
         bytes += event.raw;
+        isLineEndOpen_ = endpoint::endsWithinLineEnd(event.raw);
         if (event.isDone()) {
             end = Round { RoundEnd::Answered, absl::OkStatus() };
             break;
@@ -501,6 +513,8 @@
         if (event.hasData)
             ++tokensSent_;
     }
+    if (end)
+        completeLineEnd(bytes);
     recordForResend(bytes);
     const auto given = co_await writeToCaller(std::move(bytes));
     if (!given)
@@ -516,6 +530,14 @@
     co_return end;
 }
 
+/// Adds the LF of a CRLF within which the bytes of a stream end, since nothing else of that stream
+/// will be sent.
+auto Dispatcher::Run::completeLineEnd(std::string &bytes) -> void
+{
+    if (std::exchange(isLineEndOpen_, false))
+        bytes += '\n';
+}
+
 /// Sends bytes of a stream to the caller, unless it has disconnected.
 /// @return false if the caller has disconnected and the work should stop
 auto Dispatcher::Run::writeToCaller(std::string bytes) -> asio::awaitable<bool>
--- a/router/testing/tst_dispatch.cpp
+++ b/router/testing/tst_dispatch.cpp
@@ -374,6 +374,11 @@
     CHECK(responder.body == tokens(0, 7) + "data: [DONE]\n\n");
     CHECK(responder.answers == 1);
     CHECK(responder.finished);
+    engines.push(cutAfter({ "data: t0\r\n\r" }));
+    engines.push(streamOf({ "data: [DONE]\r\n\r", "\n" }));
+    responder = FakeResponder {};
+    run();
+    CHECK(responder.body == "data: t0\r\n\r\ndata: [DONE]\r\n\r\n");
 }
 
 TEST_CASE_FIXTURE(DispatchFixture, "a stream that ends without [DONE] is treated as cut")
