gateway: no event is dropped because its ID is not a number

What callers saw: in a stream whose IDs are not decimal numbers, about half of the events were missing, and the stream was told as whole.

Cause: isOldEvent() compared IDs by length and then as text, in ordinary streams as well as in resumed ones.

Change: StreamPosition (gateway/streamposition.h) holds where the caller's stream stands. Only IDs that are numbers are compared. Of others, a resumed run's first one is dropped if it is the last one that the caller has.

--- a/gateway/answers.cpp
+++ b/gateway/answers.cpp
@@ -53,11 +53,4 @@
     return {};
 }
 
-auto isOldEvent(const std::string &id, const std::string &given) -> bool
-{
-    if (id.empty() || given.empty())
-        return false;
-    return id.size() != given.size() ? id.size() < given.size() : id <= given;
-}
-
 } // namespace figrack::gateway
--- a/gateway/answers.h
+++ b/gateway/answers.h
@@ -25,11 +25,6 @@
 /// @return the value of the event's "id:" line; empty if it has none
 auto eventId(std::string_view raw) -> std::string;
 
-/// @param id ID of an event: a decimal number that increases within a stream
-/// @param given ID of the last event that was sent to the caller; empty if there is none
-/// @return true if the ID is not higher than the one that was sent last
-auto isOldEvent(const std::string &id, const std::string &given) -> bool;
-
 } // namespace figrack::gateway
 
 #endif // FIGRACK_GATEWAY_ANSWERS_H
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -234,8 +234,8 @@
             .with("gap_ms", wholeMillis(longestGap_))
             .with("left_ms", wholeMillis(deadline_ - now))
             .with("config", owner_.version());
-    if (!lastEvent_.empty())
-        line.with("last_event", std::string_view { lastEvent_ }.substr(0, maxLoggedEventId));
+    if (const auto last = std::string_view { position_.lastId() }; !last.empty())
+        line.with("last_event", last.substr(0, maxLoggedEventId));
     if (hasAnswerBegun_ && !isDelimited_)
         line.with("framing", "connection");
     if (picked_.by != PickedBy::Nobody)
--- a/gateway/forwarderadmission.cpp
+++ b/gateway/forwarderadmission.cpp
@@ -68,9 +68,8 @@
     const auto *service = routes_->catalogue().find(service_);
     engine_ = service != nullptr && service->engine ? &*service->engine : nullptr;
     coldPerSecond_ = service != nullptr ? service->coldPerSecond : 0;
-    lastEvent_ = caller_.resumeAfter;
-    if (handoffTerms_ != nullptr && !handoffTerms_->resumeAfter.empty())
-        lastEvent_ = handoffTerms_->resumeAfter;
+    const auto isHandedOn = handoffTerms_ != nullptr && !handoffTerms_->resumeAfter.empty();
+    position_ = StreamPosition { isHandedOn ? handoffTerms_->resumeAfter : caller_.resumeAfter };
     homes_.restrictTo(route_->homeRegions);
     if (account_ != nullptr)
         homes_.restrictTo(account_->homeRegions);
--- a/gateway/forwarderdispatch.cpp
+++ b/gateway/forwarderdispatch.cpp
@@ -49,7 +49,7 @@
     if (step == Step::Broken)
         mayHaveRun_ = true;
     const auto mayRepeat = !mayHaveRun_ || route_->mayRepeat();
-    const auto mayResume = !responder_.started() || route_->resumable;
+    const auto mayResume = !responder_.started() || isResumable();
     const auto inTime = parts_.clock.now() < deadline_;
     // Where new connections are refused, the endpoints with kept ones are tried one after another.
     const auto mayConnect = unsent_ < maxUnsent || !parts_.paths.isOpen(group_);
@@ -63,6 +63,11 @@
     co_return false;
 }
 
+auto Forwarder::Run::isResumable() const -> bool
+{
+    return route_->resumable;
+}
+
 auto Forwarder::Run::hasTooManyCrashes() -> asio::awaitable<bool>
 {
     static_cast<void>(co_await parts_.crashDetector.hasCrashed(endpoint_));
@@ -170,7 +175,7 @@
     terms.hasAccounts = routes_->catalogue().accounts.has_value();
     if (account_ != nullptr)
         terms.account = account_->id;
-    terms.resumeAfter = lastEvent_;
+    terms.resumeAfter = position_.lastId();
     const auto *source = parts_.view.maySend(picked_.fetchFrom)
             ? parts_.view.find(picked_.fetchFrom)
             : nullptr;
@@ -288,8 +293,8 @@
         line.with("gateway", handedTo_);
     else
         line.with("endpoint", endpoint_);
-    if (!lastEvent_.empty())
-        line.with("last_event", std::string_view { lastEvent_ }.substr(0, maxLoggedEventId));
+    if (const auto last = std::string_view { position_.lastId() }; !last.empty())
+        line.with("last_event", last.substr(0, maxLoggedEventId));
     line.with(lastError_);
 }
 
@@ -390,7 +395,7 @@
 
 auto Forwarder::Run::mayMove() const -> bool
 {
-    const auto mayRepeat = responder_.started() ? route_->resumable : route_->mayRepeat();
+    const auto mayRepeat = responder_.started() ? isResumable() : route_->mayRepeat();
     return mayRepeat && !isMoved_ && !callerGone_ && handoffTerms_ == nullptr
             && ran_ + (hasAnswerBegun_ ? 0U : 1U) < route_->maxAttempts
             && parts_.clock.now() < deadline_;
--- a/gateway/forwarderhandoff.cpp
+++ b/gateway/forwarderhandoff.cpp
@@ -213,7 +213,7 @@
     result.terms.isCountedAsDemand = isDemand_;
     result.terms.isCharged = isCounted_;
     result.terms.hasArrived = hasArrived();
-    result.terms.resumeAfter = lastEvent_;
+    result.terms.resumeAfter = position_.lastId();
     result.method = request_.method;
     result.target = request_.target;
     result.path = request_.path;
--- a/gateway/forwarderrelay.cpp
+++ b/gateway/forwarderrelay.cpp
@@ -75,6 +75,7 @@
 auto Forwarder::Run::relayStream(http::ClientStream &stream) -> asio::awaitable<Step>
 {
     auto splitter = endpoint::SseSplitter {};
+    position_.beginRun();
     if (!co_await completeLineEnd()) {
         outcome_ = RequestOutcome::CallerGone;
         co_return Step::Settled;
@@ -117,34 +118,44 @@
         -> asio::awaitable<std::optional<Step>>
 {
     auto bytes = std::string {};
+    auto isBroken = false;
     for (const auto &event : events) {
-        if (event.isLineFeed) {
-            if (isEventSent_)
-                bytes += event.raw;
-            isLineEndOpen_ = false;
-            continue;
-        }
-        auto raw = std::string_view { event.raw };
-        if (event.hasMark)
-            raw.remove_prefix(endpoint::byteOrderMark.size());
-        const auto id = eventId(raw);
-        isEventSent_ = !isOldEvent(id, lastEvent_);
-        if (!isEventSent_)
+        const auto verdict = judgeEvent(event);
+        isBroken = verdict == EventVerdict::Break;
+        if (isBroken)
+            break;
+        if (verdict == EventVerdict::Drop)
             continue;
-        if (!id.empty())
-            lastEvent_ = id;
         // A caller takes a byte order mark for one only at the beginning of its stream.
-        bytes += responder_.started() ? raw : event.raw;
+        const auto isMarkDropped = event.hasMark && responder_.started();
+        bytes.append(event.raw, isMarkDropped ? endpoint::byteOrderMark.size() : 0);
         isLineEndOpen_ = endpoint::endsWithinLineEnd(event.raw);
     }
-    if (bytes.empty())
-        co_return std::nullopt;
-    noteEvents();
-    if (!co_await startResponse(stream) || !co_await callerStream_.write(std::move(bytes))) {
-        outcome_ = RequestOutcome::CallerGone;
-        co_return Step::Settled;
+    if (!bytes.empty()) {
+        noteEvents();
+        if (!co_await startResponse(stream) || !co_await callerStream_.write(std::move(bytes))) {
+            outcome_ = RequestOutcome::CallerGone;
+            co_return Step::Settled;
+        }
     }
-    co_return std::nullopt;
+    if (!isBroken)
+        co_return std::nullopt;
+    lastError_ = makeError(ErrorKind::EndpointFailed,
+                           "endpoint=" + endpoint_.value() + " stream=out_of_order after="
+                                   + position_.lastId().substr(0, maxLoggedEventId));
+    co_return Step::Broken;
+}
+
+auto Forwarder::Run::judgeEvent(const endpoint::SseEvent &event) -> EventVerdict
+{
+    if (event.isLineFeed)
+        return isEventSent_ ? EventVerdict::Send : EventVerdict::Drop;
+    auto raw = std::string_view { event.raw };
+    if (event.hasMark)
+        raw.remove_prefix(endpoint::byteOrderMark.size());
+    const auto verdict = position_.onEvent(eventId(raw), event.hasData);
+    isEventSent_ = verdict == EventVerdict::Send;
+    return verdict;
 }
 
 auto Forwarder::Run::completeLineEnd() -> asio::awaitable<bool>
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -23,6 +23,7 @@
 #include "gateway/chooser.h"
 #include "gateway/dispatchend.h"
 #include "gateway/forwarder.h"
+#include "gateway/streamposition.h"
 
 namespace figrack::gateway {
 
@@ -188,6 +189,9 @@
     /// Called after a dispatch that did not settle the request.
     /// @return true if another dispatch may follow; otherwise the request has been settled
     auto mayTryAgain(Step step) -> boost::asio::awaitable<bool>;
+    /// @return true if another endpoint may go on with the stream that the caller has begun to
+    /// receive
+    auto isResumable() const -> bool;
     /// Called after a dispatch that broke off.
     /// @return true if the work has crashed so many endpoints that the gateway must not retry it
     auto hasTooManyCrashes() -> boost::asio::awaitable<bool>;
@@ -263,6 +267,7 @@
     /// @return a step if the request is settled
     auto forwardEvents(const std::vector<endpoint::SseEvent> &events, http::ClientStream &stream)
             -> boost::asio::awaitable<std::optional<Step>>;
+    auto judgeEvent(const endpoint::SseEvent &event) -> EventVerdict;
     /// Sends the LF of a CRLF within which an earlier endpoint's stream has ended, so that no event
     /// of the next one joins that line end. @return false if the caller has disconnected
     auto completeLineEnd() -> boost::asio::awaitable<bool>;
@@ -314,7 +319,7 @@
     catalogue::WorkIds works_;                   ///< Empty until the request has been read.
     std::vector<catalogue::WorkId> promptParts_; ///< Those that other requests may share.
     std::shared_ptr<http::Canceller> canceller_; ///< Cancels the dispatch in progress.
-    std::string lastEvent_;                      ///< ID of the last event that the caller received.
+    StreamPosition position_;                    ///< Of the caller's stream.
     EndpointId endpoint_;                        ///< Endpoint of the latest dispatch.
     Picked picked_;       ///< The latest choice; its booking ends with the dispatch.
     BootTimer holdTimer_; ///< For a delay that the balancer asked for, and for a wait for a place.
--- /dev/null
+++ b/gateway/streamposition.cpp
@@ -0,0 +1,70 @@
+#include "gateway/streamposition.h"
+
+#include <charconv>
+#include <utility>
+
+namespace figrack::gateway {
+namespace {
+
+/// @return nullopt unless the text is a decimal number
+auto readNumber(const std::string &text) -> std::optional<std::uint64_t>
+{
+    auto number = std::uint64_t { 0 };
+    const auto *end = text.data() + text.size();
+    const auto [rest, code] = std::from_chars(text.data(), end, number);
+    if (code != std::errc {} || rest != end)
+        return std::nullopt;
+    return number;
+}
+
+} // namespace
+
+StreamPosition::StreamPosition(std::string given)
+    : lastId_(std::move(given))
+    , number_(readNumber(lastId_))
+{ }
+
+auto StreamPosition::onEvent(const std::string &id, bool hasData) -> EventVerdict
+{
+    if (id.empty() && !hasData)
+        return EventVerdict::Send;
+    if (id.empty()) {
+        hasSent_ = true;
+        hasPlace_ = true;
+        isExact_ = false;
+        return EventVerdict::Send;
+    }
+    const auto number = readNumber(id);
+    const auto verdict = judge(id, number);
+    if (verdict == EventVerdict::Send)
+        note(id, number);
+    return verdict;
+}
+
+auto StreamPosition::judge(const std::string &id, std::optional<std::uint64_t> number) const
+        -> EventVerdict
+{
+    if (!number || !number_) {
+        if (hasPlace_ || lastId_.empty())
+            return EventVerdict::Send;
+        if (id == lastId_)
+            return EventVerdict::Drop;
+        return EventVerdict::Send;
+    }
+    if (*number <= *number_)
+        return EventVerdict::Drop;
+    return EventVerdict::Send;
+}
+
+auto StreamPosition::note(const std::string &id, std::optional<std::uint64_t> number) -> void
+{
+    const auto isNext = number && number_ && *number - *number_ == 1;
+    isConsecutive_ = isConsecutive_ && (isNext || !hasSent_);
+    lastId_ = id;
+    number_ = number;
+    hasSent_ = true;
+    hasPlace_ = true;
+    isExact_ = true;
+}
+
+} // namespace figrack::gateway
--- a/gateway/testing/tst_answers.cpp
+++ b/gateway/testing/tst_answers.cpp
@@ -15,16 +15,6 @@
     CHECK(eventId("").empty());
 }
 
-TEST_CASE("An event is old if its number is not higher than that of the last event sent")
-{
-    CHECK(isOldEvent("9", "10"));
-    CHECK(isOldEvent("10", "10"));
-    CHECK_FALSE(isOldEvent("11", "10"));
-    CHECK_FALSE(isOldEvent("100", "99"));
-    CHECK_FALSE(isOldEvent("1", ""));
-    CHECK_FALSE(isOldEvent("", "5"));
-}
-
 TEST_CASE("Headers that apply to one connection or to the framing of the body are not forwarded")
 {
     const auto headers = endToEnd({ { "Content-Type", "text/plain" },
--- a/gateway/testing/tst_streamseams.cpp
+++ b/gateway/testing/tst_streamseams.cpp
@@ -219,3 +219,71 @@
         CHECK(scripted.resumedAfter.size() == 1);
     }
 }
+
+namespace {
+
+auto eventOf(const std::string &id, const std::string &data) -> std::string
+{
+    auto text = id.empty() ? std::string {} : "id: " + id + "\n";
+    text += "data: " + data + "\n\n";
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("No event of a stream is dropped because its ID is not a number")
+{
+    auto text = std::string {};
+    for (const auto *id : { "b7", "a9", "9x", "c", "10-2", "10-1" })
+        text += eventOf(id, id);
+    auto scripted = ScriptedRig { { { { text } } } };
+    const auto got = scripted.call("/resume/x");
+    CHECK(got.whole);
+    CHECK(got.body == text);
+}
+
+TEST_CASE("A stream of which the caller has only comments is dispatched again from its beginning")
+{
+    auto scripted = ScriptedRig { { { { ": wait\n\n" }, false }, { { streamOf(1, 2, "\n") } } } };
+    const auto got = scripted.call("/resume/x");
+    CHECK(got.whole);
+    CHECK(got.body == ": wait\n\n" + streamOf(1, 2, "\n"));
+}
+
+TEST_CASE("A resumed run that starts anew adds only what the caller does not have")
+{
+    auto scripted
+            = ScriptedRig { { { { streamOf(1, 3, "\n") }, false }, { { streamOf(1, 5, "\n") } } } };
+    const auto got = scripted.call("/resume/x");
+    CHECK(got.whole);
+    CHECK(got.body == streamOf(1, 5, "\n"));
+}
+
+TEST_CASE("A stream whose IDs are not consecutive is resumed at a higher one")
+{
+    const auto first = eventOf("10", "a") + eventOf("20", "b");
+    auto scripted = ScriptedRig { { { { first }, false }, { { eventOf("30", "c") } } } };
+    const auto got = scripted.call("/resume/x");
+    CHECK(got.whole);
+    CHECK(got.body == first + eventOf("30", "c"));
+}
+
+TEST_CASE("What a caller that resumes by itself already has is not sent again")
+{
+    for (const auto first : { 1, 3, 4, 6 }) {
+        auto scripted = ScriptedRig { { { { streamOf(first, 7, "\n") } } } };
+        const auto got = scripted.call("/resume/x", "3");
+        CHECK(got.whole);
+        CHECK(got.body == streamOf(std::max(first, 4), 7, "\n"));
+        CHECK(scripted.resumedAfter == std::vector<std::string> { "3" });
+    }
+}
+
+TEST_CASE("A caller that resumes after an ID that is no number gets what the endpoint sends")
+{
+    const auto text = eventOf("a1", "x") + eventOf("a0", "y");
+    auto scripted = ScriptedRig { { { { text } } } };
+    const auto got = scripted.call("/resume/x", "b");
+    CHECK(got.whole);
+    CHECK(got.body == text);
+}
