gateway: a stream is resumed only where its last event says after which number

What callers saw: events twice. A stream whose events have no ID was dispatched again from its beginning within the same answer; one whose last data had no ID was resumed after an earlier event, so that the data after that one came again; after an ID that is no number, nothing shows what the caller already has.

Change: a stream that the caller has begun to receive is resumed, or moved away from a lost path, only if the last data sent came with a number (isResumable()). Otherwise it is broken off, and the caller may resume it by itself. A stream of which only comments were sent is dispatched again as before.

--- a/gateway/forwarderdispatch.cpp
+++ b/gateway/forwarderdispatch.cpp
@@ -65,7 +65,7 @@
 
 auto Forwarder::Run::isResumable() const -> bool
 {
-    return route_->resumable;
+    return route_->resumable && position_.isResumable();
 }
 
 auto Forwarder::Run::hasTooManyCrashes() -> asio::awaitable<bool>
--- a/gateway/testing/tst_streamposition.cpp
+++ b/gateway/testing/tst_streamposition.cpp
@@ -30,3 +30,19 @@
     CHECK_FALSE(isOld("-1", "5"));
     CHECK(isOld("007", "9"));
 }
+
+TEST_CASE("A stream can be resumed exactly after its last number, not after data that follows it")
+{
+    auto position = StreamPosition { "4" };
+    CHECK(position.isResumable());
+    CHECK(position.onEvent("", false) == EventVerdict::Send);
+    CHECK(position.onEvent("5", true) == EventVerdict::Send);
+    CHECK(position.isResumable());
+    CHECK(position.onEvent("", true) == EventVerdict::Send);
+    CHECK_FALSE(position.isResumable());
+    CHECK(position.onEvent("6", true) == EventVerdict::Send);
+    CHECK(position.isResumable());
+    CHECK(position.lastId() == "6");
+    CHECK(position.onEvent("x", true) == EventVerdict::Send);
+    CHECK_FALSE(position.isResumable());
+}
--- a/gateway/testing/tst_streamseams.cpp
+++ b/gateway/testing/tst_streamseams.cpp
@@ -242,6 +242,18 @@
     CHECK(got.body == text);
 }
 
+TEST_CASE("A stream is not resumed where its last event does not say after which number")
+{
+    for (const auto &sent : { eventOf("", "a"), eventOf("1", "a") + eventOf("", "b"),
+                              eventOf("x1", "a"), eventOf("18446744073709551616", "a") }) {
+        auto scripted = ScriptedRig { { { { sent }, false }, { { sent, eventOf("", "c") } } } };
+        const auto got = scripted.call("/resume/x");
+        CHECK_FALSE(got.whole);
+        CHECK(got.body == sent);
+        CHECK(scripted.resumedAfter.size() == 1);
+    }
+}
+
 TEST_CASE("A stream of which the caller has only comments is dispatched again from its beginning")
 {
     auto scripted = ScriptedRig { { { { ": wait\n\n" }, false }, { { streamOf(1, 2, "\n") } } } };
