gateway: a resumed run that does not continue the caller's stream is broken off

What callers saw: where a resumed run began after a later event than the one it was asked to continue, or with data without a number, it was joined to the stream, with a gap or with data that the caller may have had.

Change: if the numbers sent so far were consecutive, the first new event of a resumed run must have the next number; data without a number can't be placed there at all. Otherwise the dispatch ends as broken, before the caller sees the event, and another endpoint may go on if the route allows it. One event alone counts as consecutive: where IDs are spaced, a stream cut after its first event is broken off. A run that begins with events that the caller has still goes on after them.

--- a/gateway/streamposition.cpp
+++ b/gateway/streamposition.cpp
@@ -29,6 +29,8 @@
     if (id.empty() && !hasData)
         return EventVerdict::Send;
     if (id.empty()) {
+        if (hasSent_ && !hasPlace_)
+            return EventVerdict::Break;
         hasSent_ = true;
         hasPlace_ = true;
         isExact_ = false;
@@ -49,11 +51,12 @@
             return EventVerdict::Send;
         if (id == lastId_)
             return EventVerdict::Drop;
-        return EventVerdict::Send;
+        return hasSent_ ? EventVerdict::Break : EventVerdict::Send;
     }
     if (*number <= *number_)
         return EventVerdict::Drop;
-    return EventVerdict::Send;
+    const auto isGap = hasSent_ && !hasPlace_ && isConsecutive_ && *number - *number_ > 1;
+    return isGap ? EventVerdict::Break : EventVerdict::Send;
 }
 
 auto StreamPosition::note(const std::string &id, std::optional<std::uint64_t> number) -> void
--- a/gateway/testing/tst_streamposition.cpp
+++ b/gateway/testing/tst_streamposition.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include "core/random.h"
 #include "gateway/streamposition.h"
 
 using namespace figrack;
@@ -31,6 +32,33 @@
     CHECK(isOld("007", "9"));
 }
 
+TEST_CASE("No random runs make a stream with an event twice, going back, or with a gap")
+{
+    auto random = Random { 67 };
+    auto joined = 0;
+    for (auto round = 0; round < 20000; ++round) {
+        auto position = StreamPosition {};
+        auto sent = std::vector<std::uint64_t> {};
+        for (auto run = 0; run < 3 && position.isResumable(); ++run) {
+            position.beginRun();
+            auto next = sent.empty() ? 1 : 1 + random.below(sent.back() + 3);
+            for (auto left = random.below(8); left > 0; --left, ++next) {
+                const auto verdict = position.onEvent(std::to_string(next), true);
+                if (verdict == EventVerdict::Break)
+                    break;
+                if (verdict == EventVerdict::Send)
+                    sent.push_back(next);
+            }
+            joined += run > 0 && !sent.empty() ? 1 : 0;
+        }
+        for (std::size_t i = 1; i < sent.size(); ++i) {
+            if (sent[i] != sent[i - 1] + 1)
+                FAIL("round " << round << " event " << sent[i] << " after " << sent[i - 1]);
+        }
+    }
+    CHECK(joined > 1000);
+}
+
 TEST_CASE("A stream can be resumed exactly after its last number, not after data that follows it")
 {
     auto position = StreamPosition { "4" };
--- a/gateway/testing/tst_streamseams.cpp
+++ b/gateway/testing/tst_streamseams.cpp
@@ -262,6 +262,26 @@
     CHECK(got.body == ": wait\n\n" + streamOf(1, 2, "\n"));
 }
 
+TEST_CASE("A resumed run that leaves out an event is broken off before the caller sees the gap")
+{
+    auto scripted = ScriptedRig { { { { streamOf(1, 3, "\n") }, false },
+                                    { { ": on\n\n" + streamOf(5, 6, "\n") } } } };
+    const auto got = scripted.call("/resume/x");
+    CHECK_FALSE(got.whole);
+    CHECK(parse(got.body, LineEnds::All) == eventsOf(1, 3));
+}
+
+TEST_CASE("A resumed run whose first data has no ID, or one that is no number, is broken off")
+{
+    for (const auto *id : { "", "x4" }) {
+        auto scripted = ScriptedRig { { { { streamOf(1, 3, "\n") }, false },
+                                        { { eventOf(id, "e1") + streamOf(4, 4, "\n") } } } };
+        const auto got = scripted.call("/resume/x");
+        CHECK_FALSE(got.whole);
+        CHECK(got.body == streamOf(1, 3, "\n"));
+    }
+}
+
 TEST_CASE("A resumed run that starts anew adds only what the caller does not have")
 {
     auto scripted
