gateway: a stream whose numbers go back is broken off, not told as whole

What callers saw: where an endpoint's numbers went back or came twice within one run, the events were dropped silently, and the stream ended as if it were whole.

Change: only the first events of a run may be ones that the caller has. Once the run has continued the stream, a number that is not higher ends the dispatch as broken; another endpoint may go on if the route allows it.

--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -9,8 +9,8 @@
 //                                                            try another endpoint
 //   it may have run, nothing was sent to the caller, and the route allows repeats
 //                                                            try another endpoint
-//   part of a stream was sent to the caller, and the stream is resumable
-//                                                            resume at another endpoint
+//   part of a stream was sent to the caller, its last data has a number, and the stream is
+//   resumable                                                resume at another endpoint
 //   anything else                                            give up
 //
 // If the catalogue defines accounts, the API key alone identifies a caller. A caller without
@@ -28,7 +28,8 @@
 // Guarantees:
 // - Each request gets exactly one final answer. A stream that has begun either ends completely
 //   or has its connection closed.
-// - Only complete events of a stream are forwarded, and none twice.
+// - Only complete events of a stream are forwarded, and none twice. Where their IDs are numbers,
+//   these increase, and no number is left out where a stream is resumed.
 // - A refusal that is marked as not run is for a request that has not run.
 // - A request that is given up is answered immediately.
 // - Retries are bounded by the budget of all gateways (gateway/retrybudget.h), of which each is
--- a/gateway/streamposition.cpp
+++ b/gateway/streamposition.cpp
@@ -54,7 +54,7 @@
         return hasSent_ ? EventVerdict::Break : EventVerdict::Send;
     }
     if (*number <= *number_)
-        return EventVerdict::Drop;
+        return hasPlace_ ? EventVerdict::Break : EventVerdict::Drop;
     const auto isGap = hasSent_ && !hasPlace_ && isConsecutive_ && *number - *number_ > 1;
     return isGap ? EventVerdict::Break : EventVerdict::Send;
 }
--- a/gateway/testing/tst_streamseams.cpp
+++ b/gateway/testing/tst_streamseams.cpp
@@ -300,6 +300,17 @@
     CHECK(got.body == first + eventOf("30", "c"));
 }
 
+TEST_CASE("A run whose IDs go back is broken off, not told as whole without its events")
+{
+    for (const auto *id : { "3", "1" }) {
+        const auto text = streamOf(1, 3, "\n") + eventOf(id, "again") + streamOf(4, 5, "\n");
+        auto scripted = ScriptedRig { { { { text } } } };
+        const auto got = scripted.call("/stream/x");
+        CHECK_FALSE(got.whole);
+        CHECK(got.body == streamOf(1, 3, "\n"));
+    }
+}
+
 TEST_CASE("What a caller that resumes by itself already has is not sent again")
 {
     for (const auto first : { 1, 3, 4, 6 }) {
