gateway: a resumed run that starts anew is broken off

What callers saw: where an endpoint ignored the event after which it was asked to go on, or the answer was that to an earlier dispatch, its events up to that one were dropped and its later ones joined to the caller's stream: text of two runs, with numbers that look right.

Change: within one answer, a resumed run may repeat the event after which it resumes, but not begin before it; the dispatch ends as broken. For a caller that resumes by itself, events that it already has are dropped as before.

Before: "A resumed run may repeat the event after which it resumes, but not start anew" fails for runs that begin one and two events earlier (the former test of the same case checked that they are joined, since the IDs fit; its other case, the repeated event, is kept).

--- a/gateway/streamposition.cpp
+++ b/gateway/streamposition.cpp
@@ -53,7 +53,10 @@
             return EventVerdict::Drop;
         return hasSent_ ? EventVerdict::Break : EventVerdict::Send;
     }
-    if (*number <= *number_)
+    // A run that begins earlier than it was asked to has ignored that, or answers another dispatch.
+    if (*number < *number_)
+        return hasPlace_ || hasSent_ ? EventVerdict::Break : EventVerdict::Drop;
+    if (*number == *number_)
         return hasPlace_ ? EventVerdict::Break : EventVerdict::Drop;
     const auto isGap = hasSent_ && !hasPlace_ && isConsecutive_ && *number - *number_ > 1;
     return isGap ? EventVerdict::Break : EventVerdict::Send;
--- a/gateway/testing/tst_streamseams.cpp
+++ b/gateway/testing/tst_streamseams.cpp
@@ -282,13 +282,15 @@
     }
 }
 
-TEST_CASE("A resumed run that starts anew adds only what the caller does not have")
+TEST_CASE("A resumed run may repeat the event after which it resumes, but not start anew")
 {
-    auto scripted
-            = ScriptedRig { { { { streamOf(1, 3, "\n") }, false }, { { streamOf(1, 5, "\n") } } } };
-    const auto got = scripted.call("/resume/x");
-    CHECK(got.whole);
-    CHECK(got.body == streamOf(1, 5, "\n"));
+    for (const auto first : { 3, 2, 1 }) {
+        auto scripted = ScriptedRig { { { { streamOf(1, 3, "\n") }, false },
+                                        { { streamOf(first, 5, "\n") } } } };
+        const auto got = scripted.call("/resume/x");
+        CHECK(got.whole == (first == 3));
+        CHECK(got.body == streamOf(1, first == 3 ? 5 : 3, "\n"));
+    }
 }
 
 TEST_CASE("A stream whose IDs are not consecutive is resumed at a higher one")
