--- a/gateway/forwarderhandoff.cpp
+++ b/gateway/forwarderhandoff.cpp
@@ -214,7 +214,7 @@
     result.terms.isCountedAsDemand = isDemand_;
     result.terms.isCharged = isCounted_;
     result.terms.hasArrived = hasArrived();
-    result.terms.resumeAfter = lastEvent_;
+    result.terms.resumeAfter = position_.lastId();
     result.terms.hasStreamBegun = streamVersion_.has_value();
     result.terms.softwareVersion = streamVersion_.value_or(std::string {});
     result.method = request_.method;
--- a/gateway/forwarderrelay.cpp
+++ b/gateway/forwarderrelay.cpp
@@ -75,6 +75,11 @@
 auto Forwarder::Run::relayStream(http::ClientStream &stream) -> asio::awaitable<Step>
 {
     auto splitter = endpoint::SseSplitter {};
+    position_.beginRun();
+    if (!co_await completeLineEnd()) {
+        outcome_ = RequestOutcome::CallerGone;
+        co_return Step::Settled;
+    }
     while (true) {
         auto chunk = co_await stream.read(timeLeft());
         if (!chunk.ok()) {
@@ -113,22 +118,52 @@
         -> asio::awaitable<std::optional<Step>>
 {
     auto bytes = std::string {};
+    auto isBroken = false;
     for (const auto &event : events) {
-        const auto id = eventId(event.raw);
-        if (isOldEvent(id, lastEvent_))
+        const auto verdict = judgeEvent(event);
+        isBroken = verdict == EventVerdict::Break;
+        if (isBroken)
+            break;
+        if (verdict == EventVerdict::Drop)
             continue;
-        if (!id.empty())
-            lastEvent_ = id;
-        bytes += event.raw;
+        // A caller takes a byte order mark for one only at the beginning of its stream.
+        const auto isMarkDropped = event.hasMark && responder_.started();
+        bytes.append(event.raw, isMarkDropped ? endpoint::byteOrderMark.size() : 0);
+        isLineEndOpen_ = endpoint::endsWithinLineEnd(event.raw);
     }
-    if (bytes.empty())
-        co_return std::nullopt;
-    noteEvents();
-    if (!co_await startResponse(stream) || !co_await callerStream_.write(std::move(bytes))) {
-        outcome_ = RequestOutcome::CallerGone;
-        co_return Step::Settled;
+    if (!bytes.empty()) {
+        noteEvents();
+        if (!co_await startResponse(stream) || !co_await callerStream_.write(std::move(bytes))) {
+            outcome_ = RequestOutcome::CallerGone;
+            co_return Step::Settled;
+        }
     }
-    co_return std::nullopt;
+    if (!isBroken)
+        co_return std::nullopt;
+    lastError_ = makeError(ErrorKind::EndpointFailed,
+                           "endpoint=" + endpoint_.value() + " stream=out_of_order after="
+                                   + position_.lastId().substr(0, maxLoggedEventId));
+    co_return Step::Broken;
+}
+
+auto Forwarder::Run::judgeEvent(const endpoint::SseEvent &event) -> EventVerdict
+{
+    if (event.isLineFeed)
+        return isEventSent_ ? EventVerdict::Send : EventVerdict::Drop;
+    auto raw = std::string_view { event.raw };
+    if (event.hasMark)
+        raw.remove_prefix(endpoint::byteOrderMark.size());
+    const auto verdict = position_.onEvent(eventId(raw), event.hasData);
+    isEventSent_ = verdict == EventVerdict::Send;
+    return verdict;
+}
+
+auto Forwarder::Run::completeLineEnd() -> asio::awaitable<bool>
+{
+    if (!std::exchange(isLineEndOpen_, false))
+        co_return true;
+    auto lineFeed = std::string { "\n" };
+    co_return co_await callerStream_.write(std::move(lineFeed));
 }
 
 auto Forwarder::Run::noteEvents() -> void
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -23,6 +23,7 @@
 #include "gateway/chooser.h"
 #include "gateway/dispatchend.h"
 #include "gateway/forwarder.h"
+#include "gateway/streamposition.h"
 
 namespace figrack::gateway {
 
@@ -189,6 +190,9 @@
     /// Called after a dispatch that did not settle the request.
     /// @return true if another dispatch may follow; otherwise the request has been settled
     auto mayTryAgain(Step step) -> boost::asio::awaitable<bool>;
+    /// @return true if another endpoint may go on with the stream that the caller has begun to
+    /// receive
+    auto isResumable() const -> bool;
     /// Called after a dispatch that broke off.
     /// @return true if the work has crashed so many endpoints that the gateway must not retry it
     auto hasTooManyCrashes() -> boost::asio::awaitable<bool>;
@@ -264,6 +268,10 @@
     /// @return a step if the request is settled
     auto forwardEvents(const std::vector<endpoint::SseEvent> &events, http::ClientStream &stream)
             -> boost::asio::awaitable<std::optional<Step>>;
+    auto judgeEvent(const endpoint::SseEvent &event) -> EventVerdict;
+    /// Sends the LF of a CRLF within which an earlier endpoint's stream has ended, so that no event
+    /// of the next one joins that line end. @return false if the caller has disconnected
+    auto completeLineEnd() -> boost::asio::awaitable<bool>;
     auto noteEvents() -> void;
     /// Reports to the leader, once, that an endpoint did not serve a stream in time.
     auto noteLateness(Instant now) -> void;
@@ -312,7 +320,7 @@
     catalogue::WorkIds works_;                   ///< Empty until the request has been read.
     std::vector<catalogue::WorkId> promptParts_; ///< Those that other requests may share.
     std::shared_ptr<http::Canceller> canceller_; ///< Cancels the dispatch in progress.
-    std::string lastEvent_;                      ///< ID of the last event that the caller received.
+    StreamPosition position_;                    ///< Of the caller's stream.
     /// Of the software of the endpoint that began the stream which the caller receives.
     std::optional<std::string> streamVersion_;
     EndpointId endpoint_;         ///< Endpoint of the latest dispatch.
@@ -366,8 +374,10 @@
     bool callerGone_ = false;
     bool mayHaveRun_ = false;
     bool budgetSpent_ = false;
-    bool lateReported_ = false; ///< A late stream has been reported to the leader.
-    bool isDemand_ = false;     ///< The request has been counted as demand.
+    bool isEventSent_ = false;   ///< The latest event was sent to the caller, not dropped.
+    bool isLineEndOpen_ = false; ///< What was sent to the caller ends within a CRLF.
+    bool lateReported_ = false;  ///< A late stream has been reported to the leader.
+    bool isDemand_ = false;      ///< The request has been counted as demand.
     bool isCountedAsWork_ = false;
     /// Its account has been charged, and does not get the charge back: the request may have run, or
     /// the balancer that counted it was lost.
