gateway, http: no request waits for the rest of a refusal

What callers saw: none of them got an answer after an endpoint refused their request with a body that does not end, as long as its bytes kept coming; another endpoint was free. The gateway read the rest of the refusal with a limit on each read, but none on all of them. The request goes on at once, with the verdict that the head proved. From then on, cancelling the request no longer aborts that connection, which may serve another one.

--- a/gateway/forwarderdispatch.cpp
+++ b/gateway/forwarderdispatch.cpp
@@ -10,6 +10,7 @@
 #include "gateway/activedispatch.h"
 #include "gateway/answers.h"
 #include "gateway/forwarderrun.h"
+#include "http/discard.h"
 
 namespace figrack::gateway {
 
@@ -23,10 +24,6 @@
 /// Number of prompt tokens that count like one request in progress; reading them takes about 50 ms.
 constexpr auto tokensPerLoad = std::uint64_t { 2000 };
 constexpr auto maxPromptTokens = std::uint64_t { 1'000'000 };
-/// Longest time to wait for each further part of an answer that is discarded so that its connection
-/// can be reused.
-constexpr auto discardTime = std::chrono::milliseconds { 200 };
-
 /// An endpoint that ends under a part of the prompt does so within this time after it has begun to
 /// write the answer.
 constexpr auto goesOnAfter = std::chrono::milliseconds { 500 };
@@ -243,7 +240,7 @@
         lastError_ = makeError(ErrorKind::NoCapacity,
                                "endpoint=" + id.value() + " status=" + std::to_string(status_));
         noteRejection(id, notice);
-        co_await discard(*stream);
+        discard(std::move(stream));
         co_return endDispatch(DispatchEnd::Rejected);
     }
     ++ran_;
@@ -411,13 +408,11 @@
     parts_.paths.onHeard(group_);
 }
 
-auto Forwarder::Run::discard(http::ClientStream &stream) -> asio::awaitable<void>
+auto Forwarder::Run::discard(std::unique_ptr<http::ClientStream> stream) -> void
 {
-    while (true) {
-        auto chunk = co_await stream.read(discardTime);
-        if (!chunk.ok() || chunk->empty())
-            co_return;
-    }
+    // The connection may serve another request before this one is cancelled.
+    canceller_->setAbort({});
+    http::discardRest(parts_.context, std::move(stream), {});
 }
 
 } // namespace figrack::gateway
--- a/gateway/forwarderhandoff.cpp
+++ b/gateway/forwarderhandoff.cpp
@@ -161,20 +161,21 @@
         co_return endDispatch(DispatchEnd::Unanswered);
     }
     auto stream = std::move(std::get<std::unique_ptr<http::ClientStream>>(opened));
-    co_return co_await relayHandedAnswer(target, *stream);
+    co_return co_await relayHandedAnswer(target, std::move(stream));
 }
 
 auto Forwarder::Run::relayHandedAnswer(const proto::HandoffTarget &target,
-                                       http::ClientStream &stream) -> asio::awaitable<Step>
+                                       std::unique_ptr<http::ClientStream> stream)
+        -> asio::awaitable<Step>
 {
-    status_ = stream.status();
-    isReused_ = stream.isReused();
-    isDelimited_ = stream.isDelimited();
-    const auto outcome = readOutcome(stream.headers());
+    status_ = stream->status();
+    isReused_ = stream->isReused();
+    isDelimited_ = stream->isDelimited();
+    const auto outcome = readOutcome(stream->headers());
     if (outcome && outcome->outcome == handoffDeclined) {
         lastError_ = blockedError(BlockedBy::Path);
         parts_.handoffs->targets().onFailed(target.node);
-        co_await discard(stream);
+        discard(std::move(stream));
         co_return endDispatch(DispatchEnd::Declined);
     }
     if (outcome && responder_.started()) {
@@ -185,12 +186,12 @@
     }
     ++sent_;
     ++ran_;
-    const auto isStream = isSuccess(status_) && isEventStream(stream.headers());
+    const auto isStream = isSuccess(status_) && isEventStream(stream->headers());
     auto step = Step::Settled;
     if (isStream)
-        step = co_await relayStream(stream);
+        step = co_await relayStream(*stream);
     else
-        step = co_await relayWhole(stream);
+        step = co_await relayWhole(*stream);
     if (step == Step::Broken)
         endDispatch(DispatchEnd::BrokenOff);
     if (step == Step::Settled && outcome && outcome_ == RequestOutcome::Answered) {
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -230,8 +230,8 @@
     auto hasGoneOn() const -> bool;
     /// Notes that bytes of the endpoint's answer have been received.
     auto noteHeard() -> void;
-    /// Reads a small answer to its end, so that its connection can be reused.
-    auto discard(http::ClientStream &stream) -> boost::asio::awaitable<void>;
+    /// Has the rest of an answer read away, so that its connection can be kept. Does not wait.
+    auto discard(std::unique_ptr<http::ClientStream> stream) -> void;
 
     // ---- handing over to another gateway (forwarderhandoff.cpp)
 
@@ -243,7 +243,8 @@
     auto exchangeWith(const proto::HandoffTarget &target, http::ClientRequest out)
             -> boost::asio::awaitable<Step>;
     auto reachesOneOf(const std::vector<EndpointEntry *> &entries) const -> bool;
-    auto relayHandedAnswer(const proto::HandoffTarget &target, http::ClientStream &stream)
+    auto relayHandedAnswer(const proto::HandoffTarget &target,
+                           std::unique_ptr<http::ClientStream> stream)
             -> boost::asio::awaitable<Step>;
     auto handedRequest() const -> proto::HandedRequest;
     /// @return the groups of the endpoints that could take the request and are not reached
