gateway: a stream whose bytes keep coming ends at its request's deadline

What callers saw: a stream went on beyond its deadline for as long as the endpoint sent anything, events or not, and occupied its request. Cause: after the deadline, each read still had 1 ms, which is enough if bytes are there already. Only answers that are no streams had a limit in bytes. Change: relayStream() and relayWhole() read through readAnswer(), which ends with Timeout once the deadline has passed. Evidence: without the change, the new test in tst_endlessanswers saw requests with a deadline of 300 ms end after 15.7 s, 15.8 s and not within 20 s (2 checks failed); with it, after 280 to 290 ms. Result: gateway tests pass (156).

--- a/gateway/forwarderrelay.cpp
+++ b/gateway/forwarderrelay.cpp
@@ -13,12 +13,21 @@
 
 namespace asio = boost::asio;
 
+auto Forwarder::Run::readAnswer(http::ClientStream &stream)
+        -> asio::awaitable<absl::StatusOr<std::string>>
+{
+    // Bytes that keep coming never let a single read run out of time.
+    if (parts_.clock.now() >= deadline_)
+        co_return makeError(ErrorKind::Timeout, "endpoint=" + endpoint_.value() + " step=answer");
+    co_return co_await stream.read(timeLeft());
+}
+
 auto Forwarder::Run::relayWhole(http::ClientStream &stream) -> asio::awaitable<Step>
 {
     auto body = std::string {};
     auto held = owner_.heldBytes_.hold(HeldBytes::Kind::Answer);
     while (true) {
-        auto chunk = co_await stream.read(timeLeft());
+        auto chunk = co_await readAnswer(stream);
         if (!chunk.ok()) {
             lastError_ = chunk.status();
             co_return Step::Broken;
@@ -76,7 +85,7 @@
 {
     auto splitter = endpoint::SseSplitter {};
     while (true) {
-        auto chunk = co_await stream.read(timeLeft());
+        auto chunk = co_await readAnswer(stream);
         if (!chunk.ok()) {
             lastError_ = chunk.status();
             co_return Step::Broken;
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -254,6 +254,9 @@
 
     // ---- relay (forwarderrelay.cpp)
 
+    /// @return the next bytes of the answer; Timeout if the request's deadline has passed
+    auto readAnswer(http::ClientStream &stream)
+            -> boost::asio::awaitable<absl::StatusOr<std::string>>;
     auto relayWhole(http::ClientStream &stream) -> boost::asio::awaitable<Step>;
     /// Retries once more after an endpoint answered with a failure. If the retry returns no answer,
     /// the original failure is sent to the caller.
--- a/gateway/testing/tst_endlessanswers.cpp
+++ b/gateway/testing/tst_endlessanswers.cpp
@@ -21,6 +21,23 @@
     rig.tell("i-1", endpoint.port(), 1, catalogue::EndpointState::Ready);
 }
 
+const auto streamHead = std::string {
+    "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nContent-Type: text/event-stream\r\n\r\n"
+};
+
+/// Calls with little time. @return the answer, once the endpoint's connections are closed, too
+auto callShortly(Rig &rig, EndlessEndpoint &endpoint, const std::string &path) -> Got
+{
+    auto request = Rig::request(path, "r1");
+    request.headers.push_back({ "X-Deadline", "300" });
+    auto got = rig.call(std::move(request));
+    CHECK(rig.runUntil([&] { return endpoint.open() == 0; }));
+    CHECK(rig.forwarder.dispatching() == 0);
+    CHECK(rig.forwarder.heldBytes().sum() == 0);
+    endpoint.stop();
+    return got;
+}
+
 } // namespace
 
 // Guards against a caller waiting for bytes that only serve to keep a connection.
@@ -51,3 +68,26 @@
         endless->stop();
     }
 }
+
+// Guards against a stream that occupies its request beyond the deadline.
+TEST_CASE("A stream that does not end is broken off at the request's deadline")
+{
+    const auto replies = std::vector<EndlessReply> {
+        { streamHead, ": no event\n\n" },
+        { streamHead, "id: 1\ndata: again\n\n" },
+        { streamHead, "data: without id\n\n" },
+        { streamHead, ": no event\n\n", std::chrono::milliseconds { 20 } },
+        { streamHead, "x", std::chrono::milliseconds { 20 } },
+    };
+    for (const auto &reply : replies) {
+        CAPTURE(reply.unit);
+        CAPTURE(reply.pause.count());
+        auto rig = Rig {};
+        const auto endless = EndlessEndpoint::start(rig.context, reply);
+        tell(rig, *endless);
+        const auto got = callShortly(rig, *endless, "/stream/x");
+        CHECK_FALSE((got.whole && got.status == 200));
+        REQUIRE(got.status != 0);
+        CHECK(endless->requests() == 1);
+    }
+}
