http: the pieces of a last chunk line never end the process

What callers saw: a process of the default build aborts, and all requests in it break off. One caller, or one endpoint, is enough: a chunked body without a byte whose last chunk arrives as "0\r\n" and then fewer than two bytes. Cause: Beast's parser looks at a last chunk line that is not whole again, and asserts that at least five bytes are there by then. Builds with NDEBUG (CMAKE_BUILD_TYPE=Release) leave the assertion out and parse on correctly. Change: http/lastchunk.h holds such a line back from the parser until five bytes are there, in the client and the request parser. All other bytes pass at once.

--- a/http/client.cpp
+++ b/http/client.cpp
@@ -46,6 +46,7 @@
 #include "core/error.h"
 #include "core/log.h"
 #include "http/growingbody.h"
+#include "http/lastchunk.h"
 #include "http/watchdog.h"
 
 namespace figrack::http {
@@ -562,6 +563,7 @@
     auto makeParser() -> void
     {
         parser_.emplace();
+        lastChunk_ = {};
         parser_->eager(true);
         parser_->header_limit(maxHeaderBytes);
         if (bodyLimit_)
@@ -576,9 +578,14 @@
     {
         auto &buffer = lease_.link().buffer();
         while (buffer.size() > 0 && !parser_->is_done()) {
+            const auto bytes = buffer.cdata();
+            if (parser_->is_header_done()
+                && !lastChunk_.mayPut({ static_cast<const char *>(bytes.data()), bytes.size() }))
+                break;
             auto code = error_code {};
-            const auto used = parser_->put(buffer.data(), code);
+            const auto used = parser_->put(bytes, code);
             buffer.consume(used);
+            lastChunk_.onLeft(buffer.size());
             if (code == beast::http::error::need_more || (!code && used == 0))
                 break;
             if (code)
@@ -610,6 +617,7 @@
 
     Lease lease_;
     std::optional<ResponseParser> parser_;
+    LastChunkGuard lastChunk_;
     std::optional<std::size_t> bodyLimit_;
     bool isHead_ = false;
     bool isReused_ = false;
--- a/http/requestparser.cpp
+++ b/http/requestparser.cpp
@@ -10,6 +10,7 @@
 
 #include "core/error.h"
 #include "http/growingbody.h"
+#include "http/lastchunk.h"
 
 namespace figrack::http {
 
@@ -25,6 +26,7 @@
         parser.body_limit(limits.maxBodyBytes);
     }
     beast::http::request_parser<GrowingBody> parser;
+    LastChunkGuard lastChunk;
 };
 
 namespace {
@@ -86,9 +88,12 @@
     auto consumed = std::size_t { 0 };
     while (state_ == ParseState::NeedsMore && consumed < bytes.size()) {
         const auto rest = bytes.substr(consumed);
+        if (hasHeader() && !impl_->lastChunk.mayPut(rest))
+            break;
         auto code = beast::error_code {};
         const auto used = impl_->parser.put(boost::asio::buffer(rest.data(), rest.size()), code);
         consumed += used;
+        impl_->lastChunk.onLeft(bytes.size() - consumed);
         if (code && code != beast::http::error::need_more)
             fail(parseFailure(code));
         else if (impl_->parser.is_done())
