gateway, platform: an answer without a length is whole only if its endpoint outlived its end

Cause: an answer with neither a length nor chunks ends with its connection. A process that is killed closes its connections in order as well, so a cut answer was sent to the caller as a whole one, and a cut stream was ended as complete.

Change: before such an answer counts as whole, the endpoint is asked for its health on a new connection, for at most 500 ms and the request's time. Only an answer that the same incarnation alone can give is a proof: it names the incarnation, or rejects the question (429 or 503, not run), which by the protocol another incarnation answers with 421. An accepted connection is no proof. Events are forwarded at once; only the end mark waits. Without proof the dispatch counts as broken off: a stream that may be resumed goes on elsewhere, another one is broken off, and a plain answer becomes a failure or a retry. An endpoint in a backoff is not asked. Delimited answers cost nothing. An unframed answer of another gateway counts as broken off, since gateways frame all their answers.

An endpoint that lives on and ends an unframed answer early in order is not recognized; nothing on the wire shows it.

--- a/catalogue/catalogue.h
+++ b/catalogue/catalogue.h
@@ -96,6 +96,7 @@
     std::optional<EngineSpec> engine;
     /// Requests a second that one cold endpoint takes from all gateways together; 0: any number.
     double coldPerSecond = 0;
+    std::string healthTarget = {}; ///< Where endpoints say whether they are well; empty: nowhere.
 };
 
 struct Catalogue
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -87,6 +87,12 @@
                                             const http::Headers &)>
             readNotice;
     std::function<http::Response(const Refusal &)> writeRefusal;
+    /// @return the headers of a question to an endpoint that no other endpoint at its address may
+    /// answer as if it were meant
+    std::function<http::Headers(const EndpointId &meant, Duration left)> writeHealthQuestion;
+    /// @return true if only the endpoint that is meant can have given the answer to that question
+    std::function<bool(const EndpointId &meant, std::uint32_t status, const http::Headers &)>
+            isOwnAnswer;
     std::string answerIdHeader; ///< Name of the header that identifies the request of an answer.
     /// Name of the header with which an endpoint signs each success; empty: they are not signed.
     std::string signatureHeader;
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -102,6 +102,9 @@
     /// request by itself. The next attempt may be the one that puts the work in quarantine, so it
     /// is left to the caller, which makes one attempt at a time.
     std::uint32_t crashLimitForRetry = 2;
+    /// How long an endpoint is asked whether it outlived the end of an answer that only the end of
+    /// its connection marks. It takes two round trips, of a tenth of a second between regions.
+    Duration endProofTimeout = std::chrono::milliseconds { 500 };
     NodeId self; ///< This gateway, for requests that it hands over.
     /// Decides which endpoints are in the homes of a route or an account.
     catalogue::RegionMap regions = {};
--- a/gateway/forwarderdispatch.cpp
+++ b/gateway/forwarderdispatch.cpp
@@ -95,6 +95,7 @@
     const auto id = entry.row.id;
     const auto group = entry.row.group(); // group_ changes if this dispatch leads to another one.
     endpoint_ = id;
+    endpointAddress_ = entry.row.address;
     auto out = makeDispatch(entry);
     const auto left
             = std::max<Duration>(deadline_ - parts_.clock.now(), std::chrono::milliseconds { 1 });
--- a/gateway/forwarderrelay.cpp
+++ b/gateway/forwarderrelay.cpp
@@ -33,6 +33,8 @@
             co_return Step::Broken;
         }
     }
+    if (!co_await isWhole(stream))
+        co_return Step::Broken;
     // The endpoint reported a failure. If the route allows it, another endpoint is tried.
     const auto isFault = status_ >= 500 && status_ != 504;
     auto answer = http::Response { status_, endToEnd(stream.headers()), std::move(body) };
@@ -96,6 +98,8 @@
         lastError_ = makeError(ErrorKind::EndpointFailed, "stream ends within an event");
         co_return Step::Broken;
     }
+    if (!co_await isWhole(stream))
+        co_return Step::Broken;
     if (!co_await startResponse(stream)) {
         outcome_ = RequestOutcome::CallerGone;
         co_return Step::Settled;
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -253,6 +253,12 @@
 
     // ---- relay (forwarderrelay.cpp)
 
+    /// An answer without a length or chunks is whole only if its endpoint outlived its end: the
+    /// connections of a process that is killed end in order as well.
+    /// @return true if the answer that has just ended is known to be whole
+    auto isWhole(const http::ClientStream &stream) -> boost::asio::awaitable<bool>;
+    /// @return true if the endpoint has answered a question that was sent after its answer's end
+    auto hasOutlivedEnd() -> boost::asio::awaitable<bool>;
     auto relayWhole(http::ClientStream &stream) -> boost::asio::awaitable<Step>;
     /// Retries once more after an endpoint answered with a failure. If the retry returns no answer,
     /// the original failure is sent to the caller.
@@ -313,6 +319,7 @@
     std::shared_ptr<http::Canceller> canceller_; ///< Cancels the dispatch in progress.
     std::string lastEvent_;                      ///< ID of the last event that the caller received.
     EndpointId endpoint_;                        ///< Endpoint of the latest dispatch.
+    Address endpointAddress_;                    ///< The same endpoint's.
     Picked picked_;       ///< The latest choice; its booking ends with the dispatch.
     BootTimer holdTimer_; ///< For a delay that the balancer asked for, and for a wait for a place.
     HeldBytes::Share bodyShare_;
--- a/gateway/testing/rig.cpp
+++ b/gateway/testing/rig.cpp
@@ -95,6 +95,12 @@
         }
         return response;
     };
+    dialect.writeHealthQuestion = [](const EndpointId &meant, Duration) {
+        return http::Headers { { "X-Endpoint", meant.value() } };
+    };
+    dialect.isOwnAnswer = [](const EndpointId &meant, std::uint32_t, const http::Headers &headers) {
+        return http::findHeader(headers, "X-Own-Id") == meant.value();
+    };
     dialect.answerIdHeader = "X-Id";
     return dialect;
 }
@@ -146,6 +152,7 @@
         spec.models.push_back(model);
         service.engine = spec;
     }
+    service.healthTarget = "/well";
     catalogue.services.push_back(service);
     return std::make_shared<const catalogue::Catalogue>(std::move(catalogue));
 }
