--- a/gateway/forwarderproof.cpp
+++ b/gateway/forwarderproof.cpp
@@ -49,7 +49,7 @@
         co_return false;
     const auto isOwn
             = parts_.dialect.isOwnAnswer(endpoint_, (*answer)->status(), (*answer)->headers());
-    co_await discard(**answer);
+    discard(std::move(*answer));
     co_return isOwn;
 }
 
