http: a stream that ends with its process does not look whole to HTTP/1.0 callers

What callers saw: the body of a stream to an HTTP/1.0 caller ends with its connection. A stream that its handler broke off was reset, but where the server was stopped or its process killed in the middle of one, the kernel ended the connection in order, and the stream looked whole.

Change: such a connection is reset on close from the beginning of the stream to its end. The last bytes of a broken stream may be lost by that, as before.

Before: "a stream that is broken off does not look whole to an HTTP/1.0 caller" ended with end of file after Server::stop(). A killed process was not tried.

--- a/http/server.cpp
+++ b/http/server.cpp
@@ -188,7 +188,9 @@
         message.result(status);
         setHeaders(message, headers);
         message.keep_alive(keepAlive_);
-        if (!http10_)
+        if (http10_)
+            resetOnClose(true);
+        else
             message.chunked(true);
         auto serializer = beast::http::response_serializer<beast::http::empty_body> { message };
         auto code = error_code {};
@@ -214,6 +216,8 @@
         auto status = absl::OkStatus();
         if (!http10_ && !headOnly_)
             status = co_await writeBuffers(beast::http::make_chunk_last());
+        if (http10_)
+            resetOnClose(false);
         finished_ = status.ok();
         co_return status;
     }
@@ -347,7 +351,7 @@
         if (!finished_)
             keepAlive_ = false;
         if (!finished_ && http10_)
-            resetNow(); // Without chunks only a reset tells a broken stream from its end.
+            resetNow();
     }
 
     auto refuse(absl::Status error, std::uint32_t status) -> asio::awaitable<void>
@@ -472,11 +476,18 @@
 
     auto resetNow() -> void
     {
-        auto code = error_code {};
-        socket().set_option(asio::socket_base::linger { true, 0 }, code);
+        resetOnClose(true);
         closeNow();
     }
 
+    /// Without chunks, only a reset tells a broken stream from a whole one. The kernel keeps to it
+    /// also where this process is killed.
+    auto resetOnClose(bool isReset) -> void
+    {
+        auto code = error_code {};
+        socket().set_option(asio::socket_base::linger { isReset, 0 }, code);
+    }
+
     auto closeNow() -> void
     {
         open_ = false;
--- a/http/testing/tst_server.cpp
+++ b/http/testing/tst_server.cpp
@@ -232,6 +232,25 @@
     CHECK_FALSE(has(heard, "0\r\n\r\n"));
 }
 
+TEST_CASE("a stream that is broken off does not look whole to an HTTP/1.0 caller")
+{
+    auto fixture = Fixture {};
+    auto whole = fixture.dial();
+    whole.say("GET /stream HTTP/1.0\r\n\r\n");
+    CHECK(whole.hearAll().ends_with("onetwo"));
+    CHECK(whole.lastCode == asio::error::eof);
+    auto broken = fixture.dial();
+    broken.say("GET /broken HTTP/1.0\r\n\r\n");
+    broken.hearAll();
+    CHECK(broken.lastCode == asio::error::connection_reset);
+    auto stopped = fixture.dial();
+    stopped.say("GET /forever HTTP/1.0\r\n\r\n");
+    stopped.hearUntil("xxx");
+    fixture.server.stop();
+    stopped.hearAll();
+    CHECK(stopped.lastCode == asio::error::connection_reset);
+}
+
 TEST_CASE("a handler that answers nothing or throws gives 500")
 {
     auto fixture = Fixture {};
