http: a request waits behind no more than 1 MiB of other answers

What callers saw: a request on a kept connection waited until its deadline while an answer to another request, or one after the other, came without end; the same for interim answers (1xx), also on a new connection. Such an end is a timeout, which does not count against the endpoint, so it got the next request as well.

--- a/http/client.cpp
+++ b/http/client.cpp
@@ -63,6 +63,8 @@
 
 constexpr auto readBytes = std::size_t { 16 } << 10;
 constexpr auto maxHeaderBytes = std::size_t { 32 } << 10;
+/// Bytes that are read and dropped before the answer to a request.
+constexpr auto maxSkippedBytes = std::size_t { 1 } << 20;
 constexpr auto maxPromisedSeconds = std::int64_t { 86'400 }; ///< Longer promises count as none.
 
 /// One connection: the socket, what was read of the next answer, and the way to abort it.
@@ -485,6 +487,7 @@
     /// Reads away the answer whose header has come and waits for the header of the next one.
     auto skipAnswer() -> asio::awaitable<absl::Status>
     {
+        isSkipping_ = true;
         while (!parser_->is_done()) {
             parser_->get().body().clear();
             if (auto status = co_await advance(); !status.ok())
@@ -493,7 +496,9 @@
         if (!parser_->keep_alive())
             co_return failure(ErrorKind::EndpointFailed, lease_.address(), "another answer");
         makeParser();
-        co_return co_await readHeader();
+        auto status = co_await readHeader();
+        isSkipping_ = false;
+        co_return status;
     }
 
     auto readHeader() -> asio::awaitable<absl::Status>
@@ -603,6 +608,8 @@
         const auto bytes = co_await lease_.link().socket().async_read_some(
                 buffer.prepare(readBytes), asio::redirect_error(asio::use_awaitable, code));
         buffer.commit(bytes);
+        if (isSkipping_ && (skippedBytes_ += bytes) > maxSkippedBytes)
+            co_return failure(ErrorKind::TooLarge, lease_.address(), "other answers");
         if (!code)
             co_return absl::OkStatus();
         if (code != asio::error::eof || lease_.link().aborted())
@@ -621,6 +628,8 @@
     std::optional<std::size_t> bodyLimit_;
     bool isHead_ = false;
     bool isReused_ = false;
+    bool isSkipping_ = false; ///< What is read belongs to other answers.
+    std::size_t skippedBytes_ = 0;
 };
 
 using ExchangePointer = std::unique_ptr<Exchange>;
--- a/http/client.h
+++ b/http/client.h
@@ -11,6 +11,7 @@
 // requests that may not be repeated therefore ask for a fresh connection.
 // A connection is kept no longer than its peer promises by a Keep-Alive header.
 // A Host header of the request goes before the address.
+// Other answers before that to a request are bounded by 1 MiB together.
 // A whole answer is bounded by maxBodyBytes, one read of a stream by 64 KiB; a
 // stream's length is not bounded. Destroying a stream before its end aborts its
 // connection. After abortAll() has returned no byte of a request begun before
