http: cancelling a request leaves its former connection to the next one

What callers saw: an answer that broke off, or a 502, when another caller left. A request that has its answer and is still being sent to a slow caller, or waits after a rejection, kept the right to abort its connection, which was back among the kept ones and could already serve another request. Change: a connection that is given back is let go of by the canceller, too, under the lock under which it aborts. Evidence: the new test in tst_answermatch fails without the change: the second request on a connection got no answer after the first one had been cancelled.

--- a/gateway/forwarderdispatch.cpp
+++ b/gateway/forwarderdispatch.cpp
@@ -410,8 +410,6 @@
 
 auto Forwarder::Run::discard(std::unique_ptr<http::ClientStream> stream) -> void
 {
-    // The connection may serve another request before this one is cancelled.
-    canceller_->setAbort({});
     http::discardRest(parts_.context, std::move(stream), {});
 }
 
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -377,11 +377,23 @@
     /// Other bytes than the request's answer have arrived, so that more may follow.
     auto keepNoLonger() -> void { mayKeep_ = false; }
 
+    /// Lets a canceller abort the connection until it is given back.
+    auto obey(std::shared_ptr<Canceller> canceller) -> void
+    {
+        canceller_ = std::move(canceller);
+        canceller_->setAbort([weak = std::weak_ptr<Link> { link_ }] {
+            if (const auto open = weak.lock())
+                open->abort();
+        });
+    }
+
     /// Gives the connection back after a whole answer.
     /// @param promised how long the peer keeps it open when idle
     auto release(bool keep, Duration promised) -> void
     {
         watchdog_->stop();
+        if (canceller_)
+            canceller_->setAbort({}); // The connection may serve another request from now on.
         const auto link = std::exchange(link_, nullptr);
         if (keep && mayKeep_ && !link->aborted() && link->buffer().size() == 0)
             pool_->keep(address_, link, promised);
@@ -394,6 +406,7 @@
     Address address_;
     LinkPointer link_;
     std::shared_ptr<Watchdog> watchdog_;
+    std::shared_ptr<Canceller> canceller_; ///< May be empty.
     bool mayKeep_ = true;
 };
 
@@ -722,13 +735,9 @@
     const auto kept = link != nullptr;
     if (!kept)
         link = pool->make(request.address);
-    if (request.canceller) {
-        request.canceller->setAbort([weak = std::weak_ptr<Link> { link }] {
-            if (const auto open = weak.lock())
-                open->abort();
-        });
-    }
     auto exchange = std::make_unique<Exchange>(pool, request.address, std::move(link));
+    if (request.canceller)
+        exchange->lease().obey(request.canceller);
     exchange->expect(bodyLimit, request.method == "HEAD");
     exchange->setReused(kept);
     if (!kept) {
@@ -821,14 +830,11 @@
 
 auto Canceller::cancel() -> void
 {
-    auto abort = std::function<void()> {};
-    {
-        const auto lock = std::lock_guard { mutex_ };
-        cancelled_ = true;
-        abort = abort_;
-    }
-    if (abort)
-        abort();
+    const auto lock = std::lock_guard { mutex_ };
+    cancelled_ = true;
+    // Within the lock: once setAbort() has returned, the old connection is left alone.
+    if (abort_)
+        abort_();
 }
 
 auto Canceller::isCancelled() const -> bool
--- a/http/client.h
+++ b/http/client.h
@@ -54,7 +54,8 @@
     std::function<void(int descriptor)> disconnect = disconnectSocket;
 };
 
-/// Ends a request from outside, also before its answer has begun. Thread-safe.
+/// Ends a request from outside, also before its answer has begun. Has no effect on a connection
+/// whose answer has come to its end. Thread-safe.
 class Canceller
 {
 public:
@@ -65,7 +66,7 @@
     auto setAbort(std::function<void()> abort) -> void;
 
 private:
-    mutable std::mutex mutex_; ///< Guards all below; a leaf in the lock order.
+    mutable std::mutex mutex_; ///< Guards all below; taken before a connection's.
     std::function<void()> abort_;
     bool cancelled_ = false;
 };
--- a/http/testing/tst_answermatch.cpp
+++ b/http/testing/tst_answermatch.cpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "core/error.h"
 #include "http/client.h"
@@ -35,6 +36,8 @@
         request.headers = { { "X-Id", id } };
         request.body = "body of " + id;
         request.match = { "X-Id", id };
+        request.canceller = std::make_shared<Canceller>();
+        cancellers_.push_back(request.canceller);
         result_ = std::async(std::launch::async, [this, request] {
             return threads_.wait(client_.fetch(request, testLimit));
         });
@@ -44,6 +47,7 @@
     auto await(const std::string &id) -> void { socket_->hearUntil("body of " + id); }
     auto say(const std::string &bytes) -> void { socket_->say(bytes); }
     auto closePeer() -> void { socket_->close(); }
+    auto cancelFirst() -> void { cancellers_.front()->cancel(); }
     auto end() -> ClientResult<Response> { return result_.get(); }
 
     /// Keeps a connection after a whole answer to a first request.
@@ -68,6 +72,7 @@
     RawListener listener_;
     Client client_ { threads_.context(), {}, clock_ };
     std::unique_ptr<RawSocket> socket_;
+    std::vector<std::shared_ptr<Canceller>> cancellers_;
     std::future<ClientResult<Response>> result_;
 };
 
@@ -189,3 +194,15 @@
     fixture.say(answer("200 OK", "X-Id: second\r\n", "own answer"));
     CHECK(Fixture::bodyOf(fixture.end()) == "own answer");
 }
+
+// Guards against a caller who leaves after its answer has come, and breaks off the next request.
+TEST_CASE("Cancelling a request that has its answer leaves the connection to the next one")
+{
+    auto fixture = Fixture {};
+    fixture.keepConnection();
+    fixture.begin("second");
+    fixture.await("second");
+    fixture.cancelFirst();
+    fixture.say(answer("200 OK", "X-Id: second\r\n", "second answer"));
+    CHECK(Fixture::bodyOf(fixture.end()) == "second answer");
+}
