--- a/http/client.cpp
+++ b/http/client.cpp
@@ -63,6 +63,8 @@
 
 constexpr auto readBytes = std::size_t { 16 } << 10;
 constexpr auto maxHeaderBytes = std::size_t { 32 } << 10;
+/// Bytes that are read and dropped before the answer to a request.
+constexpr auto maxSkippedBytes = std::size_t { 1 } << 20;
 constexpr auto maxPromisedSeconds = std::int64_t { 86'400 }; ///< Longer promises count as none.
 
 /// One connection: the socket, what was read of the next answer, and the way to abort it.
@@ -375,11 +377,23 @@
     /// Other bytes than the request's answer have arrived, so that more may follow.
     auto keepNoLonger() -> void { mayKeep_ = false; }
 
+    /// Lets a canceller abort the connection until it is given back.
+    auto obey(std::shared_ptr<Canceller> canceller) -> void
+    {
+        canceller_ = std::move(canceller);
+        canceller_->setAbort([weak = std::weak_ptr<Link> { link_ }] {
+            if (const auto open = weak.lock())
+                open->abort();
+        });
+    }
+
     /// Gives the connection back after a whole answer.
     /// @param promised how long the peer keeps it open when idle
     auto release(bool keep, Duration promised) -> void
     {
         watchdog_->stop();
+        if (canceller_)
+            canceller_->setAbort({}); // The connection may serve another request from now on.
         const auto link = std::exchange(link_, nullptr);
         if (keep && mayKeep_ && !link->aborted() && link->buffer().size() == 0)
             pool_->keep(address_, link, promised);
@@ -392,6 +406,7 @@
     Address address_;
     LinkPointer link_;
     std::shared_ptr<Watchdog> watchdog_;
+    std::shared_ptr<Canceller> canceller_; ///< May be empty.
     bool mayKeep_ = true;
 };
 
@@ -485,6 +500,7 @@
     /// Reads away the answer whose header has come and waits for the header of the next one.
     auto skipAnswer() -> asio::awaitable<absl::Status>
     {
+        isSkipping_ = true;
         while (!parser_->is_done()) {
             parser_->get().body().clear();
             if (auto status = co_await advance(); !status.ok())
@@ -493,7 +509,9 @@
         if (!parser_->keep_alive())
             co_return failure(ErrorKind::EndpointFailed, lease_.address(), "another answer");
         makeParser();
-        co_return co_await readHeader();
+        auto status = co_await readHeader();
+        isSkipping_ = false;
+        co_return status;
     }
 
     auto readHeader() -> asio::awaitable<absl::Status>
@@ -603,6 +621,8 @@
         const auto bytes = co_await lease_.link().socket().async_read_some(
                 buffer.prepare(readBytes), asio::redirect_error(asio::use_awaitable, code));
         buffer.commit(bytes);
+        if (isSkipping_ && (skippedBytes_ += bytes) > maxSkippedBytes)
+            co_return failure(ErrorKind::TooLarge, lease_.address(), "other answers");
         if (!code)
             co_return absl::OkStatus();
         if (code != asio::error::eof || lease_.link().aborted())
@@ -621,6 +641,8 @@
     std::optional<std::size_t> bodyLimit_;
     bool isHead_ = false;
     bool isReused_ = false;
+    bool isSkipping_ = false; ///< What is read belongs to other answers.
+    std::size_t skippedBytes_ = 0;
 };
 
 using ExchangePointer = std::unique_ptr<Exchange>;
@@ -713,13 +735,9 @@
     const auto kept = link != nullptr;
     if (!kept)
         link = pool->make(request.address);
-    if (request.canceller) {
-        request.canceller->setAbort([weak = std::weak_ptr<Link> { link }] {
-            if (const auto open = weak.lock())
-                open->abort();
-        });
-    }
     auto exchange = std::make_unique<Exchange>(pool, request.address, std::move(link));
+    if (request.canceller)
+        exchange->lease().obey(request.canceller);
     exchange->expect(bodyLimit, request.method == "HEAD");
     exchange->setReused(kept);
     if (!kept) {
@@ -812,14 +830,11 @@
 
 auto Canceller::cancel() -> void
 {
-    auto abort = std::function<void()> {};
-    {
-        const auto lock = std::lock_guard { mutex_ };
-        cancelled_ = true;
-        abort = abort_;
-    }
-    if (abort)
-        abort();
+    const auto lock = std::lock_guard { mutex_ };
+    cancelled_ = true;
+    // Within the lock: once setAbort() has returned, the old connection is left alone.
+    if (abort_)
+        abort_();
 }
 
 auto Canceller::isCancelled() const -> bool
--- a/http/client.h
+++ b/http/client.h
@@ -11,6 +11,7 @@
 // requests that may not be repeated therefore ask for a fresh connection.
 // A connection is kept no longer than its peer promises by a Keep-Alive header.
 // A Host header of the request goes before the address.
+// Other answers before that to a request are bounded by 1 MiB together.
 // A whole answer is bounded by maxBodyBytes, one read of a stream by 64 KiB; a
 // stream's length is not bounded. Destroying a stream before its end aborts its
 // connection. After abortAll() has returned no byte of a request begun before
@@ -53,7 +54,8 @@
     std::function<void(int descriptor)> disconnect = disconnectSocket;
 };
 
-/// Ends a request from outside, also before its answer has begun. Thread-safe.
+/// Ends a request from outside, also before its answer has begun. Has no effect on a connection
+/// whose answer has come to its end. Thread-safe.
 class Canceller
 {
 public:
@@ -64,7 +66,7 @@
     auto setAbort(std::function<void()> abort) -> void;
 
 private:
-    mutable std::mutex mutex_; ///< Guards all below; a leaf in the lock order.
+    mutable std::mutex mutex_; ///< Guards all below; taken before a connection's.
     std::function<void()> abort_;
     bool cancelled_ = false;
 };
