gateway, platform: a failure that promises not to have run is relayed only if that is known

Change: where the request must not run twice, such an answer is replaced by one that promises nothing, without the endpoint's signature. The same holds for such an answer of another gateway if an earlier dispatch may have run. Requests that may be repeated and all other statuses are relayed unchanged.

The case of another gateway's answer has no test of its own.

--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -93,6 +93,8 @@
     /// @return true if only the endpoint that is meant can have given the answer to that question
     std::function<bool(const EndpointId &meant, std::uint32_t status, const http::Headers &)>
             isOwnAnswer;
+    /// @return true if a caller takes the status for a promise that its request has not run
+    std::function<bool(std::uint32_t status)> promisesNotRun;
     std::string answerIdHeader; ///< Name of the header that identifies the request of an answer.
     /// Name of the header with which an endpoint signs each success; empty: they are not signed.
     std::string signatureHeader;
--- a/gateway/forwarderrelay.cpp
+++ b/gateway/forwarderrelay.cpp
@@ -67,6 +67,16 @@
         co_await giveUp(std::move(error));
         co_return Step::Settled;
     }
+    // An endpoint that did not run a request marks its answer, which is not relayed. Another
+    // gateway makes this promise itself, for what has happened since the request was handed over.
+    const auto mayHaveRun = mayHaveRun_ || !isToGateway_;
+    if (mayHaveRun && !route_->mayRepeat() && parts_.dialect.promisesNotRun(answer.status)) {
+        mayHaveRun_ = true;
+        auto error
+                = makeError(ErrorKind::EndpointFailed, "status=" + std::to_string(answer.status));
+        co_await giveUp(std::move(error));
+        co_return Step::Settled;
+    }
     firstByteAt_ = parts_.clock.now();
     finalStatus_ = answer.status;
     const auto sent = co_await responder_.send(std::move(answer));
--- a/gateway/testing/rig.cpp
+++ b/gateway/testing/rig.cpp
@@ -101,6 +101,7 @@
     dialect.isOwnAnswer = [](const EndpointId &meant, std::uint32_t, const http::Headers &headers) {
         return http::findHeader(headers, "X-Own-Id") == meant.value();
     };
+    dialect.promisesNotRun = [](std::uint32_t status) { return status == 429 || status == 503; };
     dialect.answerIdHeader = "X-Id";
     return dialect;
 }
