gateway: a handed-over stream that starts anew is broken off, too

What callers saw: the same as where a resumed run starts anew, if the resumption was handed to another gateway. That gateway has sent nothing in this answer, so it took the last ID for one that the caller named itself, dropped the events up to it and passed on the rest, which the first gateway can't tell from a continuation.

Change: where the terms of the hand-over name another event than the caller did, the stream counts as begun. Gaps are still looked for at the first gateway, which knows whether the numbers were consecutive.

Before: "A handed-over stream that starts anew is broken off, not joined to what was sent before" got events 4 and 5 of the new run.

--- a/gateway/forwarderadmission.cpp
+++ b/gateway/forwarderadmission.cpp
@@ -68,8 +68,10 @@
     const auto *service = routes_->catalogue().find(service_);
     engine_ = service != nullptr && service->engine ? &*service->engine : nullptr;
     coldPerSecond_ = service != nullptr ? service->coldPerSecond : 0;
-    const auto isHandedOn = handoffTerms_ != nullptr && !handoffTerms_->resumeAfter.empty();
-    position_ = StreamPosition { isHandedOn ? handoffTerms_->resumeAfter : caller_.resumeAfter };
+    const auto sentBefore = handoffTerms_ != nullptr ? handoffTerms_->resumeAfter : std::string {};
+    position_ = sentBefore.empty() || sentBefore == caller_.resumeAfter
+            ? StreamPosition { caller_.resumeAfter }
+            : StreamPosition::handedOver(sentBefore);
     homes_.restrictTo(route_->homeRegions);
     if (account_ != nullptr)
         homes_.restrictTo(account_->homeRegions);
--- a/gateway/streamposition.cpp
+++ b/gateway/streamposition.cpp
@@ -24,6 +24,14 @@
     , number_(readNumber(lastId_))
 { }
 
+auto StreamPosition::handedOver(std::string last) -> StreamPosition
+{
+    auto position = StreamPosition { std::move(last) };
+    position.hasSent_ = true;
+    position.isConsecutive_ = false; // Only the first gateway knows.
+    return position;
+}
+
 auto StreamPosition::onEvent(const std::string &id, bool hasData) -> EventVerdict
 {
     if (id.empty() && !hasData)
--- a/gateway/streamposition.h
+++ b/gateway/streamposition.h
@@ -32,6 +32,8 @@
     StreamPosition() = default;
     /// @param given ID of the last event that the caller has of an earlier answer; empty if none
     explicit StreamPosition(std::string given);
+    /// @param last ID of the last event that another gateway has sent in the same answer
+    static auto handedOver(std::string last) -> StreamPosition;
     /// Called before the first event of each run.
     auto beginRun() -> void { hasPlace_ = false; }
     /// Decides on the next event of the run, and notes it if it is to be sent.
--- a/gateway/testing/tst_streamseams.cpp
+++ b/gateway/testing/tst_streamseams.cpp
@@ -332,3 +332,25 @@
     CHECK(got.whole);
     CHECK(got.body == text);
 }
+
+TEST_CASE("A handed-over stream that starts anew is broken off, not joined to what was sent before")
+{
+    for (const auto first : { 3, 1 }) {
+        auto scripted = ScriptedRig { { { { streamOf(first, 5, "\n") } } } };
+        auto terms = proto::HandoffTerms {};
+        terms.resumeAfter = "3";
+        auto gateway
+                = http::Server { scripted.rig.context,
+                                 {},
+                                 [&](const http::Request &request, http::Responder &responder) {
+                                     return scripted.rig.forwarder.handleHandedOver(request, terms,
+                                                                                    responder);
+                                 } };
+        REQUIRE(gateway.start({ "127.0.0.1", 0 }).ok());
+        const auto got = scripted.rig.beginAt(gateway.port(), Rig::request("/resume/x", "r1"));
+        REQUIRE(scripted.rig.runUntil([&] { return got->has_value(); }));
+        CHECK(((*got)->status == 200) == (first == 3));
+        CHECK((*got)->body == (first == 3 ? streamOf(4, 5, "\n") : ""));
+        gateway.stop();
+    }
+}
