--- a/gateway/testing/tst_endlessanswers.cpp
+++ b/gateway/testing/tst_endlessanswers.cpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "core/testing/allocations.h"
 #include "gateway/testing/endlessendpoint.h"
 #include "gateway/testing/rig.h"
 
@@ -91,3 +92,58 @@
         CHECK(endless->requests() == 1);
     }
 }
+
+namespace {
+
+const auto ownHead = std::string { "HTTP/1.1 200 OK\r\nX-Id: {id}\r\n" };
+const auto chunkedHead = ownHead + "Transfer-Encoding: chunked\r\n\r\n";
+
+auto endlessReplies() -> std::vector<EndlessReply>
+{
+    return {
+        { "", "z" },
+        { ownHead, "X-More: 1\r\n" },
+        { ownHead + "X-Long: ", "v" },
+        { "", "HTTP/1.1 103 Early Hints\r\n\r\n" },
+        { "", "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n" },
+        { ownHead + "\r\n", "b" },
+        { ownHead + "Content-Length: 99999999999\r\n\r\n", "b" },
+        { "HTTP/1.1 500 No\r\nX-Id: {id}\r\n\r\n", "b" },
+        { chunkedHead, "1\r\nb\r\n" },
+        { chunkedHead, "0" },
+        { chunkedHead + "1;e=", "x" },
+        { chunkedHead + "0\r\n", "X-More: 1\r\n" },
+        { streamHead + "data: ", "d" },
+        { streamHead + ":", "c" },
+    };
+}
+
+} // namespace
+
+// Guards against an answer without end that takes the gateway's memory or keeps others from theirs.
+TEST_CASE("Requests end, and the next one is served, wherever an answer goes on without end")
+{
+    auto options = ForwarderOptions {};
+    options.maxAnswerBytes = std::size_t { 256 } << 10;
+    for (auto reply : endlessReplies()) {
+        for (const auto pause : { 0, 5 }) {
+            reply.pause = std::chrono::milliseconds { pause };
+            CAPTURE(reply.begin);
+            CAPTURE(reply.unit);
+            CAPTURE(pause);
+            resetLargestAllocation();
+            auto rig = Rig { options };
+            const auto endless = EndlessEndpoint::start(rig.context, reply);
+            tell(rig, *endless);
+            const auto got = callShortly(rig, *endless, "/once/x");
+            CHECK(got.status == 502);
+            CHECK(endless->requests() == 1);
+            rig.tell("i-1", 1, 2, catalogue::EndpointState::Draining);
+            rig.addEndpoint("i-2").handler = answering("answer");
+            const auto next = rig.call(Rig::request("/once/x", "r2"));
+            CHECK(next.status == 200);
+            CHECK(next.body == "answer");
+            CHECK(largestAllocation() <= std::size_t { 4 } << 20);
+        }
+    }
+}
