router: a plain answer without a length is not complete

Cause: an answer with neither a length nor chunks ends with its connection. A process that is killed closes its connections in order as well, so a cut answer was returned, and stored for resends, as a whole one.

Change: such an answer counts as cut: it may have run, and is not complete. Requests that may be repeated go to another replica; others end with an unknown outcome. Streams were not concerned: they end with [DONE]. A service that never marks the end of its answers is no longer served; this router has no question whose answer would prove that the process outlived the end.

--- a/router/dispatch.cpp
+++ b/router/dispatch.cpp
@@ -437,6 +437,11 @@
             co_return Round { RoundEnd::MayHaveRun, std::move(status) };
         }
     }
+    // The connections of a process that is killed end in order as well.
+    if (!stream.isDelimited()) {
+        auto status = makeError(ErrorKind::EndpointFailed, "answer ends with its connection");
+        co_return Round { RoundEnd::MayHaveRun, std::move(status) };
+    }
     outcome_.answer = std::move(body);
     outcome_.answerIsComplete = true;
     outcome_.isComplete = true;
--- a/router/testing/fakes.h
+++ b/router/testing/fakes.h
@@ -55,9 +55,10 @@
     std::uint32_t status = 200;
     http::Headers headers;
     std::vector<std::string> chunks;
-    bool cut = false;  ///< The connection fails after the chunks.
-    bool hang = false; ///< After the chunks, read() blocks until the stream is aborted.
-    int yields = 0;    ///< How often to yield to other handlers before each chunk.
+    bool isDelimited = true; ///< A length or chunks mark the end of the body.
+    bool cut = false;        ///< The connection fails after the chunks.
+    bool hang = false;       ///< After the chunks, read() blocks until the stream is aborted.
+    int yields = 0;          ///< How often to yield to other handlers before each chunk.
     std::function<void()> beforeHead;     ///< Called while the head is awaited.
     std::function<void(int)> beforeChunk; ///< Called before each read with its number.
 };
@@ -116,7 +117,7 @@
     auto headers() const -> const http::Headers & override { return script_.headers; }
     auto isReused() const -> bool override { return false; }
     auto connection() const -> http::ConnectionNumber override { return 0; }
-    auto isDelimited() const -> bool override { return true; }
+    auto isDelimited() const -> bool override { return script_.isDelimited; }
     auto read(Duration) -> asio::awaitable<absl::StatusOr<std::string>> override
     {
         for (auto yielded = 0; yielded < script_.yields; ++yielded)
--- a/router/testing/tst_dispatch.cpp
+++ b/router/testing/tst_dispatch.cpp
@@ -387,6 +387,25 @@
     CHECK(responder.body == tokens(0, 3) + "data: [DONE]\n\n");
 }
 
+// Guards against a cut answer that is returned as a whole one.
+TEST_CASE_FIXTURE(DispatchFixture, "an answer whose end only its connection marks is not complete")
+{
+    for (const auto isRepeatable : { true, false }) {
+        CAPTURE(isRepeatable);
+        work.repeatable = isRepeatable;
+        auto cut = answerWith(200, R"({"text":"here li)");
+        cut.isDelimited = false;
+        engines.push(std::move(cut));
+        engines.push(answerWith(200, R"({"text":"here lies"})"));
+        const auto outcome = run();
+        CHECK(outcome.isComplete == isRepeatable);
+        if (isRepeatable)
+            CHECK(outcome.answer == R"({"text":"here lies"})");
+        else
+            CHECK(errorKind(outcome.status) == ErrorKind::OutcomeUnknown);
+    }
+}
+
 TEST_CASE_FIXTURE(DispatchFixture, "comments and keep-alives are not counted as tokens")
 {
     work.stream = true;
