gateway: a dispatch that may have run is noted before anything else happens

Cause: only the decision about another try noted that a dispatch may have run. An exception between the end of the dispatch and that decision (here: while the balancer is told of the end) left it unnoted, and the caller got 503, which promises that its request has not run.

Change: the end of a dispatch notes it at once.

Evidence: the new test of tst_exceptions without the change gets 503 instead of 502, after the endpoint had seen the request once.

--- a/gateway/forwarderdispatch.cpp
+++ b/gateway/forwarderdispatch.cpp
@@ -268,6 +268,8 @@
 auto Forwarder::Run::endDispatch(DispatchEnd end) -> Step
 {
     dispatchEnd_ = end;
+    // At once: an exception on the way to the next decision must not leave it unknown.
+    mayHaveRun_ = mayHaveRun_ || !provesNotRun(end);
     return provesNotRun(end) ? Step::NotRun : Step::Broken;
 }
 
--- a/gateway/testing/tst_exceptions.cpp
+++ b/gateway/testing/tst_exceptions.cpp
@@ -159,6 +159,31 @@
     CHECK(serveWithFault(other, "/once/x", FaultyStep::ReadNotice) == 502);
 }
 
+// Guards against a promise not to have run after an exception behind a dispatch that was sent.
+TEST_CASE("The caller is promised nothing if an exception follows a dispatch that broke off")
+{
+    auto link = BalancerLink {};
+    link.ask = [](const proto::PickRequest &, Duration, const BalancerLink::Done &) {
+        return std::optional<Address> {};
+    };
+    link.tell = [](const proto::PickRequest &) { return std::optional<Address> { Address {} }; };
+    link.end = [](const Address &, const proto::PickEnd &) {
+        throw std::out_of_range { "map::at" };
+    };
+    auto rig = Rig { {}, std::move(link) };
+    auto &endpoint = rig.addEndpoint("i-1");
+    endpoint.handler = breaking();
+    auto request = requestFor("/once/x");
+    request.headers.pop_back(); // Without a model.
+    auto responder = ThrowingResponder { FaultyStep::None };
+    auto hasEnded = false;
+    boost::asio::co_spawn(rig.context, rig.forwarder.handle(request, responder),
+                          [&](const std::exception_ptr &) { hasEnded = true; });
+    REQUIRE(rig.runUntil([&] { return hasEnded; }));
+    CHECK(endpoint.seen.size() == 1);
+    CHECK(responder.status == 502);
+}
+
 TEST_CASE("A request that may be repeated is sent to another endpoint after an exception")
 {
     auto rig = Rig {};
