--- a/gateway/answers.cpp
+++ b/gateway/answers.cpp
@@ -19,10 +19,10 @@
 
 auto endToEnd(const http::Headers &headers) -> http::Headers
 {
-    constexpr auto dropped
-            = std::array<std::string_view, 7> { "Connection",        "Keep-Alive", "Content-Length",
-                                                "Transfer-Encoding", "Trailer",    "Upgrade",
-                                                handoffOutcomeHeader };
+    constexpr auto dropped = std::array<std::string_view, 8> {
+        "Connection", "Keep-Alive", "Content-Length",     "Transfer-Encoding",
+        "Trailer",    "Upgrade",    handoffOutcomeHeader, handoffVersionHeader
+    };
     auto result = http::Headers {};
     for (const auto &header : headers) {
         const auto isDropped = std::any_of(dropped.begin(), dropped.end(), [&](auto name) {
@@ -53,11 +53,4 @@
     return {};
 }
 
-auto isOldEvent(const std::string &id, const std::string &given) -> bool
-{
-    if (id.empty() || given.empty())
-        return false;
-    return id.size() != given.size() ? id.size() < given.size() : id <= given;
-}
-
 } // namespace figrack::gateway
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -9,8 +9,8 @@
 //                                                            try another endpoint
 //   it may have run, nothing was sent to the caller, and the route allows repeats
 //                                                            try another endpoint
-//   part of a stream was sent to the caller, and the stream is resumable
-//                                                            resume at another endpoint
+//   part of a stream was sent to the caller, its last data has a number, and the stream is
+//   resumable                                                resume at another endpoint
 //   anything else                                            give up
 //
 // If the catalogue defines accounts, the API key alone identifies a caller. A caller without
@@ -28,7 +28,8 @@
 // Guarantees:
 // - Each request gets exactly one final answer. A stream that has begun either ends completely
 //   or has its connection closed.
-// - Only complete events of a stream are forwarded, and none twice.
+// - Only complete events of a stream are forwarded, and none twice. Where their IDs are numbers,
+//   these increase, and no number is left out where a stream is resumed.
 // - A refusal that is marked as not run is for a request that has not run.
 // - A request that is given up is answered immediately.
 // - Retries are bounded by the budget of all gateways (gateway/retrybudget.h), of which each is
@@ -102,6 +103,9 @@
     /// request by itself. The next attempt may be the one that puts the work in quarantine, so it
     /// is left to the caller, which makes one attempt at a time.
     std::uint32_t crashLimitForRetry = 2;
+    /// How long an endpoint is asked whether it outlived the end of an answer that only the end of
+    /// its connection marks. It takes two round trips, of a tenth of a second between regions.
+    Duration endProofTimeout = std::chrono::milliseconds { 500 };
     NodeId self; ///< This gateway, for requests that it hands over.
     /// Decides which endpoints are in the homes of a route or an account.
     catalogue::RegionMap regions = {};
--- a/gateway/forwarderdispatch.cpp
+++ b/gateway/forwarderdispatch.cpp
@@ -10,6 +10,7 @@
 #include "gateway/activedispatch.h"
 #include "gateway/answers.h"
 #include "gateway/forwarderrun.h"
+#include "http/discard.h"
 
 namespace figrack::gateway {
 
@@ -23,10 +24,6 @@
 /// Number of prompt tokens that count like one request in progress; reading them takes about 50 ms.
 constexpr auto tokensPerLoad = std::uint64_t { 2000 };
 constexpr auto maxPromptTokens = std::uint64_t { 1'000'000 };
-/// Longest time to wait for each further part of an answer that is discarded so that its connection
-/// can be reused.
-constexpr auto discardTime = std::chrono::milliseconds { 200 };
-
 /// An endpoint that ends under a part of the prompt does so within this time after it has begun to
 /// write the answer.
 constexpr auto goesOnAfter = std::chrono::milliseconds { 500 };
@@ -49,7 +46,7 @@
     if (step == Step::Broken)
         mayHaveRun_ = true;
     const auto mayRepeat = !mayHaveRun_ || route_->mayRepeat();
-    const auto mayResume = !responder_.started() || route_->resumable;
+    const auto mayResume = !responder_.started() || isResumable();
     const auto inTime = parts_.clock.now() < deadline_;
     // Where new connections are refused, the endpoints with kept ones are tried one after another.
     const auto mayConnect = unsent_ < maxUnsent || !parts_.paths.isOpen(group_);
@@ -63,6 +60,11 @@
     co_return false;
 }
 
+auto Forwarder::Run::isResumable() const -> bool
+{
+    return route_->resumable && position_.isResumable();
+}
+
 auto Forwarder::Run::hasTooManyCrashes() -> asio::awaitable<bool>
 {
     static_cast<void>(co_await parts_.crashDetector.hasCrashed(endpoint_));
@@ -95,6 +97,8 @@
     const auto id = entry.row.id;
     const auto group = entry.row.group(); // group_ changes if this dispatch leads to another one.
     endpoint_ = id;
+    softwareVersion_ = entry.row.softwareVersion;
+    endpointAddress_ = entry.row.address;
     auto out = makeDispatch(entry);
     const auto left
             = std::max<Duration>(deadline_ - parts_.clock.now(), std::chrono::milliseconds { 1 });
@@ -170,11 +174,13 @@
     terms.hasAccounts = routes_->catalogue().accounts.has_value();
     if (account_ != nullptr)
         terms.account = account_->id;
-    terms.resumeAfter = lastEvent_;
+    terms.resumeAfter = position_.lastId();
     const auto *source = parts_.view.maySend(picked_.fetchFrom)
             ? parts_.view.find(picked_.fetchFrom)
             : nullptr;
-    if (source != nullptr && source != &entry && homes_.allows(source->row.domain))
+    const auto isFitting = source != nullptr && source != &entry
+            && source->row.softwareVersion == entry.row.softwareVersion;
+    if (isFitting && homes_.allows(source->row.domain))
         terms.fetchFrom = source->row.address;
     canceller_ = std::make_shared<http::Canceller>();
     auto out = http::ClientRequest {};
@@ -243,7 +249,7 @@
         lastError_ = makeError(ErrorKind::NoCapacity,
                                "endpoint=" + id.value() + " status=" + std::to_string(status_));
         noteRejection(id, notice);
-        co_await discard(*stream);
+        discard(std::move(stream));
         co_return endDispatch(DispatchEnd::Rejected);
     }
     ++ran_;
@@ -288,8 +294,10 @@
         line.with("gateway", handedTo_);
     else
         line.with("endpoint", endpoint_);
-    if (!lastEvent_.empty())
-        line.with("last_event", std::string_view { lastEvent_ }.substr(0, maxLoggedEventId));
+    if (const auto last = std::string_view { position_.lastId() }; !last.empty())
+        line.with("last_event", last.substr(0, maxLoggedEventId));
+    if (streamVersion_)
+        line.with("software_version", *streamVersion_);
     line.with(lastError_);
 }
 
@@ -390,7 +398,7 @@
 
 auto Forwarder::Run::mayMove() const -> bool
 {
-    const auto mayRepeat = responder_.started() ? route_->resumable : route_->mayRepeat();
+    const auto mayRepeat = responder_.started() ? isResumable() : route_->mayRepeat();
     return mayRepeat && !isMoved_ && !callerGone_ && handoffTerms_ == nullptr
             && ran_ + (hasAnswerBegun_ ? 0U : 1U) < route_->maxAttempts
             && parts_.clock.now() < deadline_;
@@ -411,13 +419,9 @@
     parts_.paths.onHeard(group_);
 }
 
-auto Forwarder::Run::discard(http::ClientStream &stream) -> asio::awaitable<void>
+auto Forwarder::Run::discard(std::unique_ptr<http::ClientStream> stream) -> void
 {
-    while (true) {
-        auto chunk = co_await stream.read(discardTime);
-        if (!chunk.ok() || chunk->empty())
-            co_return;
-    }
+    http::discardRest(parts_.context, std::move(stream), {});
 }
 
 } // namespace figrack::gateway
--- a/gateway/forwarderhandoff.cpp
+++ b/gateway/forwarderhandoff.cpp
@@ -62,7 +62,7 @@
     auto tried = std::set<NodeId> {};
     while (parts_.handoffs != nullptr && handoffTerms_ == nullptr && tried.size() < maxOffers) {
         auto groups = groupsOfCandidates();
-        const auto target = co_await parts_.handoffs->choose(std::move(groups), tried);
+        const auto target = co_await parts_.handoffs->choose(std::move(groups), tried, homes_);
         if (callerGone_) {
             outcome_ = RequestOutcome::CallerGone;
             co_return Step::Settled;
@@ -161,20 +161,22 @@
         co_return endDispatch(DispatchEnd::Unanswered);
     }
     auto stream = std::move(std::get<std::unique_ptr<http::ClientStream>>(opened));
-    co_return co_await relayHandedAnswer(target, *stream);
+    co_return co_await relayHandedAnswer(target, std::move(stream));
 }
 
 auto Forwarder::Run::relayHandedAnswer(const proto::HandoffTarget &target,
-                                       http::ClientStream &stream) -> asio::awaitable<Step>
+                                       std::unique_ptr<http::ClientStream> stream)
+        -> asio::awaitable<Step>
 {
-    status_ = stream.status();
-    isReused_ = stream.isReused();
-    isDelimited_ = stream.isDelimited();
-    const auto outcome = readOutcome(stream.headers());
+    status_ = stream->status();
+    isReused_ = stream->isReused();
+    isDelimited_ = stream->isDelimited();
+    softwareVersion_ = http::findHeader(stream->headers(), handoffVersionHeader);
+    const auto outcome = readOutcome(stream->headers());
     if (outcome && outcome->outcome == handoffDeclined) {
         lastError_ = blockedError(BlockedBy::Path);
         parts_.handoffs->targets().onFailed(target.node);
-        co_await discard(stream);
+        discard(std::move(stream));
         co_return endDispatch(DispatchEnd::Declined);
     }
     if (outcome && responder_.started()) {
@@ -185,12 +187,12 @@
     }
     ++sent_;
     ++ran_;
-    const auto isStream = isSuccess(status_) && isEventStream(stream.headers());
+    const auto isStream = isSuccess(status_) && isEventStream(stream->headers());
     auto step = Step::Settled;
     if (isStream)
-        step = co_await relayStream(stream);
+        step = co_await relayStream(*stream);
     else
-        step = co_await relayWhole(stream);
+        step = co_await relayWhole(*stream);
     if (step == Step::Broken)
         endDispatch(DispatchEnd::BrokenOff);
     if (step == Step::Settled && outcome && outcome_ == RequestOutcome::Answered) {
@@ -213,7 +215,9 @@
     result.terms.isCountedAsDemand = isDemand_;
     result.terms.isCharged = isCounted_;
     result.terms.hasArrived = hasArrived();
-    result.terms.resumeAfter = lastEvent_;
+    result.terms.resumeAfter = position_.lastId();
+    result.terms.hasStreamBegun = streamVersion_.has_value();
+    result.terms.softwareVersion = streamVersion_.value_or(std::string {});
     result.method = request_.method;
     result.target = request_.target;
     result.path = request_.path;
--- a/gateway/forwarderrelay.cpp
+++ b/gateway/forwarderrelay.cpp
@@ -13,12 +13,21 @@
 
 namespace asio = boost::asio;
 
+auto Forwarder::Run::readAnswer(http::ClientStream &stream)
+        -> asio::awaitable<absl::StatusOr<std::string>>
+{
+    // Bytes that keep coming never let a single read run out of time.
+    if (parts_.clock.now() >= deadline_)
+        co_return makeError(ErrorKind::Timeout, "endpoint=" + endpoint_.value() + " step=answer");
+    co_return co_await stream.read(timeLeft());
+}
+
 auto Forwarder::Run::relayWhole(http::ClientStream &stream) -> asio::awaitable<Step>
 {
     auto body = std::string {};
     auto held = owner_.heldBytes_.hold(HeldBytes::Kind::Answer);
     while (true) {
-        auto chunk = co_await stream.read(timeLeft());
+        auto chunk = co_await readAnswer(stream);
         if (!chunk.ok()) {
             lastError_ = chunk.status();
             co_return Step::Broken;
@@ -33,6 +42,8 @@
             co_return Step::Broken;
         }
     }
+    if (!co_await isWhole(stream))
+        co_return Step::Broken;
     // The endpoint reported a failure. If the route allows it, another endpoint is tried.
     const auto isFault = status_ >= 500 && status_ != 504;
     auto answer = http::Response { status_, endToEnd(stream.headers()), std::move(body) };
@@ -65,6 +76,16 @@
         co_await giveUp(std::move(error));
         co_return Step::Settled;
     }
+    // An endpoint that did not run a request marks its answer, which is not relayed. Another
+    // gateway makes this promise itself, for what has happened since the request was handed over.
+    const auto mayHaveRun = mayHaveRun_ || !isToGateway_;
+    if (mayHaveRun && !route_->mayRepeat() && parts_.dialect.promisesNotRun(answer.status)) {
+        mayHaveRun_ = true;
+        auto error
+                = makeError(ErrorKind::EndpointFailed, "status=" + std::to_string(answer.status));
+        co_await giveUp(std::move(error));
+        co_return Step::Settled;
+    }
     firstByteAt_ = parts_.clock.now();
     finalStatus_ = answer.status;
     const auto sent = co_await responder_.send(std::move(answer));
@@ -75,8 +96,13 @@
 auto Forwarder::Run::relayStream(http::ClientStream &stream) -> asio::awaitable<Step>
 {
     auto splitter = endpoint::SseSplitter {};
+    position_.beginRun();
+    if (!co_await completeLineEnd()) {
+        outcome_ = RequestOutcome::CallerGone;
+        co_return Step::Settled;
+    }
     while (true) {
-        auto chunk = co_await stream.read(timeLeft());
+        auto chunk = co_await readAnswer(stream);
         if (!chunk.ok()) {
             lastError_ = chunk.status();
             co_return Step::Broken;
@@ -96,6 +122,8 @@
         lastError_ = makeError(ErrorKind::EndpointFailed, "stream ends within an event");
         co_return Step::Broken;
     }
+    if (!co_await isWhole(stream))
+        co_return Step::Broken;
     if (!co_await startResponse(stream)) {
         outcome_ = RequestOutcome::CallerGone;
         co_return Step::Settled;
@@ -113,22 +141,52 @@
         -> asio::awaitable<std::optional<Step>>
 {
     auto bytes = std::string {};
+    auto isBroken = false;
     for (const auto &event : events) {
-        const auto id = eventId(event.raw);
-        if (isOldEvent(id, lastEvent_))
+        const auto verdict = judgeEvent(event);
+        isBroken = verdict == EventVerdict::Break;
+        if (isBroken)
+            break;
+        if (verdict == EventVerdict::Drop)
             continue;
-        if (!id.empty())
-            lastEvent_ = id;
-        bytes += event.raw;
+        // A caller takes a byte order mark for one only at the beginning of its stream.
+        const auto isMarkDropped = event.hasMark && responder_.started();
+        bytes.append(event.raw, isMarkDropped ? endpoint::byteOrderMark.size() : 0);
+        isLineEndOpen_ = endpoint::endsWithinLineEnd(event.raw);
     }
-    if (bytes.empty())
-        co_return std::nullopt;
-    noteEvents();
-    if (!co_await startResponse(stream) || !co_await callerStream_.write(std::move(bytes))) {
-        outcome_ = RequestOutcome::CallerGone;
-        co_return Step::Settled;
+    if (!bytes.empty()) {
+        noteEvents();
+        if (!co_await startResponse(stream) || !co_await callerStream_.write(std::move(bytes))) {
+            outcome_ = RequestOutcome::CallerGone;
+            co_return Step::Settled;
+        }
     }
-    co_return std::nullopt;
+    if (!isBroken)
+        co_return std::nullopt;
+    lastError_ = makeError(ErrorKind::EndpointFailed,
+                           "endpoint=" + endpoint_.value() + " stream=out_of_order after="
+                                   + position_.lastId().substr(0, maxLoggedEventId));
+    co_return Step::Broken;
+}
+
+auto Forwarder::Run::judgeEvent(const endpoint::SseEvent &event) -> EventVerdict
+{
+    if (event.isLineFeed)
+        return isEventSent_ ? EventVerdict::Send : EventVerdict::Drop;
+    auto raw = std::string_view { event.raw };
+    if (event.hasMark)
+        raw.remove_prefix(endpoint::byteOrderMark.size());
+    const auto verdict = position_.onEvent(eventId(raw), event.hasData);
+    isEventSent_ = verdict == EventVerdict::Send;
+    return verdict;
+}
+
+auto Forwarder::Run::completeLineEnd() -> asio::awaitable<bool>
+{
+    if (!std::exchange(isLineEndOpen_, false))
+        co_return true;
+    auto lineFeed = std::string { "\n" };
+    co_return co_await callerStream_.write(std::move(lineFeed));
 }
 
 auto Forwarder::Run::noteEvents() -> void
@@ -160,7 +218,10 @@
         co_return true;
     firstByteAt_ = parts_.clock.now();
     finalStatus_ = status_;
+    streamVersion_ = softwareVersion_;
     auto headers = endToEnd(stream.headers());
+    if (handoffTerms_ != nullptr)
+        headers.push_back({ std::string { handoffVersionHeader }, softwareVersion_ });
     const auto begun = co_await responder_.startStream(status_, std::move(headers));
     co_return begun.ok();
 }
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -23,6 +23,7 @@
 #include "gateway/chooser.h"
 #include "gateway/dispatchend.h"
 #include "gateway/forwarder.h"
+#include "gateway/streamposition.h"
 
 namespace figrack::gateway {
 
@@ -111,7 +112,8 @@
     /// Waits until the view contains the endpoints that could take the request, but not for long:
     /// without an answer, the request is placed by what the gateway knows.
     auto awaitEndpoints() -> boost::asio::awaitable<void>;
-    /// @return the endpoints that accept new requests, and where the request may be served
+    /// @return the endpoints that accept new requests, and where the request may be served or its
+    /// stream may go on
     auto candidates() const -> std::vector<EndpointEntry *>;
     /// Counts the request for the retry budget of its service, once over all gateways.
     auto countAsWork() -> void;
@@ -188,6 +190,9 @@
     /// Called after a dispatch that did not settle the request.
     /// @return true if another dispatch may follow; otherwise the request has been settled
     auto mayTryAgain(Step step) -> boost::asio::awaitable<bool>;
+    /// @return true if another endpoint may go on with the stream that the caller has begun to
+    /// receive
+    auto isResumable() const -> bool;
     /// Called after a dispatch that broke off.
     /// @return true if the work has crashed so many endpoints that the gateway must not retry it
     auto hasTooManyCrashes() -> boost::asio::awaitable<bool>;
@@ -230,8 +235,8 @@
     auto hasGoneOn() const -> bool;
     /// Notes that bytes of the endpoint's answer have been received.
     auto noteHeard() -> void;
-    /// Reads a small answer to its end, so that its connection can be reused.
-    auto discard(http::ClientStream &stream) -> boost::asio::awaitable<void>;
+    /// Has the rest of an answer read away, so that its connection can be kept. Does not wait.
+    auto discard(std::unique_ptr<http::ClientStream> stream) -> void;
 
     // ---- handing over to another gateway (forwarderhandoff.cpp)
 
@@ -243,7 +248,8 @@
     auto exchangeWith(const proto::HandoffTarget &target, http::ClientRequest out)
             -> boost::asio::awaitable<Step>;
     auto reachesOneOf(const std::vector<EndpointEntry *> &entries) const -> bool;
-    auto relayHandedAnswer(const proto::HandoffTarget &target, http::ClientStream &stream)
+    auto relayHandedAnswer(const proto::HandoffTarget &target,
+                           std::unique_ptr<http::ClientStream> stream)
             -> boost::asio::awaitable<Step>;
     auto handedRequest() const -> proto::HandedRequest;
     /// @return the groups of the endpoints that could take the request and are not reached
@@ -253,6 +259,15 @@
 
     // ---- relay (forwarderrelay.cpp)
 
+    /// @return the next bytes of the answer; Timeout if the request's deadline has passed
+    auto readAnswer(http::ClientStream &stream)
+            -> boost::asio::awaitable<absl::StatusOr<std::string>>;
+    /// An answer without a length or chunks is whole only if its endpoint outlived its end: the
+    /// connections of a process that is killed end in order as well.
+    /// @return true if the answer that has just ended is known to be whole
+    auto isWhole(const http::ClientStream &stream) -> boost::asio::awaitable<bool>;
+    /// @return true if the endpoint has answered a question that was sent after its answer's end
+    auto hasOutlivedEnd() -> boost::asio::awaitable<bool>;
     auto relayWhole(http::ClientStream &stream) -> boost::asio::awaitable<Step>;
     /// Retries once more after an endpoint answered with a failure. If the retry returns no answer,
     /// the original failure is sent to the caller.
@@ -263,6 +278,10 @@
     /// @return a step if the request is settled
     auto forwardEvents(const std::vector<endpoint::SseEvent> &events, http::ClientStream &stream)
             -> boost::asio::awaitable<std::optional<Step>>;
+    auto judgeEvent(const endpoint::SseEvent &event) -> EventVerdict;
+    /// Sends the LF of a CRLF within which an earlier endpoint's stream has ended, so that no event
+    /// of the next one joins that line end. @return false if the caller has disconnected
+    auto completeLineEnd() -> boost::asio::awaitable<bool>;
     auto noteEvents() -> void;
     /// Reports to the leader, once, that an endpoint did not serve a stream in time.
     auto noteLateness(Instant now) -> void;
@@ -311,9 +330,13 @@
     catalogue::WorkIds works_;                   ///< Empty until the request has been read.
     std::vector<catalogue::WorkId> promptParts_; ///< Those that other requests may share.
     std::shared_ptr<http::Canceller> canceller_; ///< Cancels the dispatch in progress.
-    std::string lastEvent_;                      ///< ID of the last event that the caller received.
-    EndpointId endpoint_;                        ///< Endpoint of the latest dispatch.
-    Picked picked_;       ///< The latest choice; its booking ends with the dispatch.
+    StreamPosition position_;                    ///< Of the caller's stream.
+    /// Of the software of the endpoint that began the stream which the caller receives.
+    std::optional<std::string> streamVersion_;
+    EndpointId endpoint_;         ///< Endpoint of the latest dispatch.
+    Address endpointAddress_;     ///< The same endpoint's.
+    std::string softwareVersion_; ///< Of its software.
+    Picked picked_;               ///< The latest choice; its booking ends with the dispatch.
     BootTimer holdTimer_; ///< For a delay that the balancer asked for, and for a wait for a place.
     HeldBytes::Share bodyShare_;
     CallerStream callerStream_;
@@ -362,8 +385,10 @@
     bool callerGone_ = false;
     bool mayHaveRun_ = false;
     bool budgetSpent_ = false;
-    bool lateReported_ = false; ///< A late stream has been reported to the leader.
-    bool isDemand_ = false;     ///< The request has been counted as demand.
+    bool isEventSent_ = false;   ///< The latest event was sent to the caller, not dropped.
+    bool isLineEndOpen_ = false; ///< What was sent to the caller ends within a CRLF.
+    bool lateReported_ = false;  ///< A late stream has been reported to the leader.
+    bool isDemand_ = false;      ///< The request has been counted as demand.
     bool isCountedAsWork_ = false;
     /// Its account has been charged, and does not get the charge back: the request may have run, or
     /// the balancer that counted it was lost.
--- a/gateway/handoffs.h
+++ b/gateway/handoffs.h
@@ -1,7 +1,7 @@
 // Hands requests to other gateways (proto/handoff.h), and finds out which ones can take them.
 //
 //   handoffs.prepare();                                       // a path is suspected
-//   auto target = co_await handoffs.choose(groups, tried);
+//   auto target = co_await handoffs.choose(groups, tried, homes);
 //   auto opened = co_await handoffs.client().open(handoffs.requestTo(*target, request), left);
 //
 // Controls are asked for other gateways only while a path is not open. Not thread-safe.
@@ -34,6 +34,9 @@
 /// Header of an answer that the second gateway made itself: the request's outcome there, and what
 /// it lacked (chooser.h), separated by a space.
 constexpr auto handoffOutcomeHeader = std::string_view { "Figrack-Outcome" };
+/// Header of a stream that the second gateway relays: the version of the software of the endpoint
+/// that began it.
+constexpr auto handoffVersionHeader = std::string_view { "Figrack-Software-Version" };
 /// Outcome of a request that the second gateway could not take, but another one may.
 constexpr auto handoffDeclined = std::string_view { "declined" };
 
@@ -66,8 +69,10 @@
     auto prepare() -> void;
     /// @param groups of the endpoints that could serve the request; empty: any
     /// @param tried gateways that could not take it
+    /// @param homes where the request may be sent
     /// @return a gateway to hand the request to; nullopt if none is known in time
-    auto choose(std::set<catalogue::EndpointGroup> groups, std::set<NodeId> tried)
+    auto choose(std::set<catalogue::EndpointGroup> groups, std::set<NodeId> tried,
+                catalogue::HomeRule homes)
             -> boost::asio::awaitable<std::optional<proto::HandoffTarget>>;
     auto requestTo(const proto::HandoffTarget &target, const proto::HandedRequest &request) const
             -> http::ClientRequest;
--- a/gateway/testing/rig.cpp
+++ b/gateway/testing/rig.cpp
@@ -95,6 +95,13 @@
         }
         return response;
     };
+    dialect.writeHealthQuestion = [](const EndpointId &meant, Duration) {
+        return http::Headers { { "X-Endpoint", meant.value() } };
+    };
+    dialect.isOwnAnswer = [](const EndpointId &meant, std::uint32_t, const http::Headers &headers) {
+        return http::findHeader(headers, "X-Own-Id") == meant.value();
+    };
+    dialect.promisesNotRun = [](std::uint32_t status) { return status == 429 || status == 503; };
     dialect.answerIdHeader = "X-Id";
     return dialect;
 }
@@ -146,6 +153,7 @@
         spec.models.push_back(model);
         service.engine = spec;
     }
+    service.healthTarget = "/well";
     catalogue.services.push_back(service);
     return std::make_shared<const catalogue::Catalogue>(std::move(catalogue));
 }
@@ -257,7 +265,8 @@
 }
 
 auto Rig::tell(const std::string &id, std::uint16_t port, std::uint64_t sequence,
-               catalogue::EndpointState state, const std::vector<std::string> &models) -> void
+               catalogue::EndpointState state, const std::vector<std::string> &models,
+               const std::string &softwareVersion) -> void
 {
     auto row = catalogue::EndpointRow {};
     row.id = EndpointId { id };
@@ -265,6 +274,7 @@
     row.address = { "127.0.0.1", port };
     row.state = state;
     row.sequence = sequence;
+    row.softwareVersion = softwareVersion;
     for (const auto &model : models)
         row.models.push_back({ ModelId { model }, {} });
     auto update = proto::ServingUpdate {};
