--- a/gateway/testing/tst_endpointcut.cpp
+++ b/gateway/testing/tst_endpointcut.cpp
@@ -107,6 +107,29 @@
     CHECK(world.hasOnPage(At::Other, "figrack_gateway_taken_over_total"));
 }
 
+// Guards against a promise that nobody has made, by way of another gateway.
+TEST_CASE("A request that was handed over and ran is not answered 503 because its endpoint was")
+{
+    auto world = CutWorld {};
+    world.cut(Cut::Hang);
+    REQUIRE(world.awaitLoss(At::Cut));
+    for (auto index = std::size_t { 0 }; index < std::size_t { endpointCount }; ++index) {
+        world.endpoint(index).handler
+                = [](const http::Request &request,
+                     http::Responder &responder) -> boost::asio::awaitable<void> {
+            auto response = http::Response {};
+            response.status = 503;
+            response.headers = { { "X-Id", std::string { request.header("X-Id") } } };
+            static_cast<void>(co_await responder.send(std::move(response)));
+        };
+    }
+    const auto got = world.begin(At::Cut, "/once/x");
+    const auto id = world.lastId();
+    REQUIRE(world.rig.runUntil([&] { return got->has_value(); }));
+    CHECK((*got)->status == 502);
+    CHECK(world.arrivals(id) == 1);
+}
+
 TEST_CASE("Where one failure domain is cut off, the endpoints of the other one are used")
 {
     auto world = CutWorld {};
