gateway, proto: the proof of an answer's end comes in time from a full endpoint

Callers got a 502 or a broken stream for whole answers without a length of an endpoint without a free slot: the question waited there for a slot until the time that it named, which was all the time that the gateway waited, so the rejection came too late. The question names half of it now.

--- a/gateway/forwarderproof.cpp
+++ b/gateway/forwarderproof.cpp
@@ -19,10 +19,8 @@
     if (stream.isDelimited())
         co_return true;
     // Other gateways mark the end of each answer.
-    const auto isKnown = !isToGateway_ && co_await hasOutlivedEnd();
-    if (!isKnown)
-        lastError_ = makeError(ErrorKind::EndpointFailed, "answer ends with its connection");
-    co_return isKnown;
+    lastError_ = makeError(ErrorKind::EndpointFailed, "answer ends with its connection");
+    co_return !isToGateway_ && co_await hasOutlivedEnd();
 }
 
 auto Forwarder::Run::hasOutlivedEnd() -> asio::awaitable<bool>
@@ -39,14 +37,18 @@
     question.address = endpointAddress_;
     question.method = "GET";
     question.target = service->healthTarget;
-    question.headers = parts_.dialect.writeHealthQuestion(endpoint_, timeout);
+    // An endpoint without a free slot rejects the question when the time that it names has passed,
+    // and the rejection must still arrive in time.
+    question.headers = parts_.dialect.writeHealthQuestion(endpoint_, timeout / 2);
     // Late bytes of another answer on a kept connection would count as the answer.
     question.freshConnection = true;
     question.canceller = canceller_;
     auto opened = co_await parts_.client.open(std::move(question), timeout);
     auto *answer = std::get_if<std::unique_ptr<http::ClientStream>>(&opened);
-    if (answer == nullptr)
+    if (answer == nullptr) {
+        lastError_ = std::get<http::ClientError>(opened).status;
         co_return false;
+    }
     const auto isOwn
             = parts_.dialect.isOwnAnswer(endpoint_, (*answer)->status(), (*answer)->headers());
     discard(std::move(*answer));
--- a/gateway/testing/rig.cpp
+++ b/gateway/testing/rig.cpp
@@ -95,8 +95,10 @@
         }
         return response;
     };
-    dialect.writeHealthQuestion = [](const EndpointId &meant, Duration) {
-        return http::Headers { { "X-Endpoint", meant.value() } };
+    dialect.writeHealthQuestion = [](const EndpointId &meant, Duration left) {
+        return http::Headers { { "X-Endpoint", meant.value() },
+                               { "X-Left-Ms",
+                                 std::to_string(left / std::chrono::milliseconds { 1 }) } };
     };
     dialect.isOwnAnswer = [](const EndpointId &meant, std::uint32_t, const http::Headers &headers) {
         return http::findHeader(headers, "X-Own-Id") == meant.value();
--- a/gateway/testing/tst_strayanswers.cpp
+++ b/gateway/testing/tst_strayanswers.cpp
@@ -141,12 +141,12 @@
         if (refusesFirst_ || draw >= 10 || last.empty())
             return { own };
         ++wrong;
-        return spoil(draw, std::move(own), id, last);
+        return spoil(draw, own, id, last);
     }
 
     /// @param last the request before
-    auto spoil(std::uint64_t how, std::string own, const std::string &id, const std::string &last)
-            -> Reply
+    auto spoil(std::uint64_t how, const std::string &own, const std::string &id,
+               const std::string &last) -> Reply
     {
         const auto named = "X-Id: " + id + "\r\n";
         const auto foreign = "answer to " + last;
--- a/gateway/testing/tst_unframedanswers.cpp
+++ b/gateway/testing/tst_unframedanswers.cpp
@@ -16,6 +16,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include "core/boottimer.h"
 #include "gateway/testing/rig.h"
 
 using namespace figrack;
@@ -31,6 +32,7 @@
 /// What has become of the endpoint at the moment its answer ends.
 enum class After : std::uint8_t {
     Well,     ///< It answers questions.
+    Full,     ///< It answers a question when the time that the question names has passed.
     Gone,     ///< Nobody listens at its address.
     Replaced, ///< Another incarnation listens at its address.
     Silent,   ///< Connections are accepted, and no question is answered.
@@ -109,6 +111,10 @@
         if (code)
             co_return;
         const auto output = self->answer(input);
+        if (self->after_ == After::Full && isQuestion(input)) {
+            auto timer = BootTimer { self->acceptor_.get_executor(), timeNamedIn(input) };
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, code));
+        }
         if (output.empty())
             co_return; // The connection stays open.
         co_await asio::async_write(*socket, asio::buffer(output),
@@ -118,9 +124,21 @@
         socket->shutdown(tcp::socket::shutdown_send, code);
     }
 
+    static auto isQuestion(const std::string &input) -> bool
+    {
+        return input.rfind("GET /well ", 0) == 0;
+    }
+
+    static auto timeNamedIn(const std::string &question) -> Duration
+    {
+        const auto name = std::string { "X-Left-Ms: " };
+        return std::chrono::milliseconds { std::stoi(
+                question.substr(question.find(name) + name.size())) };
+    }
+
     auto answer(const std::string &input) -> std::string
     {
-        if (input.rfind("GET /well ", 0) == 0) {
+        if (isQuestion(input)) {
             ++questions;
             if (after_ == After::Silent)
                 return {};
@@ -155,7 +173,10 @@
 auto callOnce(const std::string &path, const std::string &more, const std::string &body,
               After after) -> Outcome
 {
-    auto rig = Rig {};
+    auto options = ForwarderOptions {};
+    if (after == After::Well || after == After::Full)
+        options.endProofTimeout = std::chrono::seconds { 4 };
+    auto rig = Rig { options };
     const auto endpoint = std::make_shared<UnframedEndpoint>(rig.context, more, body, after);
     rig.tell("i-1", endpoint->start(), 1, catalogue::EndpointState::Ready);
     auto outcome = Outcome { rig.call(Rig::request(path, "id-1")) };
@@ -185,6 +206,15 @@
     CHECK(stream.questions == 1);
 }
 
+// Guards against asking for a proof that comes after the time in which it is waited for.
+TEST_CASE("An answer that ends with its connection is whole where its endpoint has no free slot")
+{
+    const auto plain = callOnce("/once/x", {}, "the body", After::Full);
+    CHECK(plain.got.status == 200);
+    CHECK(plain.got.whole);
+    CHECK(plain.questions == 1);
+}
+
 // Guards against a cut answer that is told as a whole one.
 TEST_CASE("A plain answer that ends with its connection fails where its endpoint may have ended")
 {
