gateway: log lines and a counter show what becomes of streams that callers take up again

Half of the streams that callers took up again were joined from what two software versions wrote, and nothing showed it: neither the attempt that a caller resumes nor the version of the endpoint stood in the log.

The request's line names both, as `resumes` (64 bytes at most) and `software_version`, and figrack_gateway_resumptions_total counts callers' resumptions by outcome. Only went_on and other are counted so far, since no request is refused for its version yet. `Resumes` is forwarded to endpoints as before. No decision changes.

--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -52,6 +52,9 @@
     std::vector<PromptPart> prompt;   ///< In order; the last part belongs to this request alone.
     std::optional<Duration> deadline; ///< How long the caller waits after sending the request.
     std::string resumeAfter;          ///< ID of the last event received of a broken stream.
+    /// ID of the caller's attempt that brought the first event of the stream; empty if none is
+    /// named.
+    std::string resumes;
 };
 
 /// Values that the gateway sets on one dispatch to an endpoint.
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -217,6 +217,7 @@
     const auto now = parts_.clock.now();
     const auto firstByte = firstByteAt_ ? *firstByteAt_ - arrived_ : now - arrived_;
     parts_.metrics.onRequest(outcome_, firstByte, now - arrived_);
+    countResumption();
     auto line = LogEvent { LogLevel::Info, "request" };
     line.with("id", caller_.id)
             .with("end", requestOutcomeName(outcome_))
@@ -238,6 +239,10 @@
             .with("config", owner_.version());
     if (const auto last = std::string_view { position_.lastId() }; !last.empty())
         line.with("last_event", last.substr(0, maxLoggedEventId));
+    if (!caller_.resumes.empty())
+        line.with("resumes", std::string_view { caller_.resumes }.substr(0, maxLoggedAttempt));
+    if (!softwareVersion_.empty())
+        line.with("software_version", softwareVersion_);
     if (hasAnswerBegun_ && !isDelimited_)
         line.with("framing", "connection");
     if (picked_.by != PickedBy::Nobody)
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -33,6 +33,8 @@
 
 /// Longer IDs of events are cut off in log lines.
 constexpr auto maxLoggedEventId = std::size_t { 32 };
+/// Longer IDs that callers name of their earlier attempts are cut off in log lines.
+constexpr auto maxLoggedAttempt = std::size_t { 64 };
 
 class Forwarder::Run
 {
@@ -304,6 +306,13 @@
     auto refuse(Refusal refusal) -> boost::asio::awaitable<void>;
     auto report() -> void;
 
+    // ---- streams that callers take up again (forwarderresumption.cpp)
+
+    /// @return true if the caller takes a stream up again that it has received in part
+    auto isResumption() const -> bool;
+    /// Counts how a resumption of the caller ended, at the gateway to which it is connected.
+    auto countResumption() -> void;
+
     Forwarder &owner_;
     ForwarderParts &parts_;
     const http::Request &request_;
--- a/gateway/metrics.cpp
+++ b/gateway/metrics.cpp
@@ -26,6 +26,9 @@
         = std::array<std::string_view, 9> { "answered", "no_route",   "refused",
                                             "failed",   "broken_off", "caller_gone",
                                             "denied",   "over_limit", "internal_error" };
+constexpr auto resumptionOutcomeNames
+        = std::array<std::string_view, 5> { "went_on", "unknown", "foreign", "no_endpoint",
+                                            "other" };
 constexpr auto internalErrorReasonNames
         = std::array<std::string_view, 4> { "missing_entry", "out_of_memory", "io", "other" };
 
@@ -36,6 +39,12 @@
     return requestOutcomeNames[static_cast<std::size_t>(outcome) % requestOutcomeNames.size()];
 }
 
+auto resumptionOutcomeName(ResumptionOutcome outcome) -> std::string_view
+{
+    return resumptionOutcomeNames[static_cast<std::size_t>(outcome)
+                                  % resumptionOutcomeNames.size()];
+}
+
 auto internalErrorReasonName(InternalErrorReason reason) -> std::string_view
 {
     return internalErrorReasonNames[static_cast<std::size_t>(reason)
@@ -63,6 +72,10 @@
                            .Name("figrack_gateway_requests_total")
                            .Help("Requests by how they ended")
                            .Register(registry))
+        , resumptions(prometheus::BuildCounter()
+                              .Name("figrack_gateway_resumptions_total")
+                              .Help("Streams that their callers took up again, by how that ended")
+                              .Register(registry))
         , internalErrors(prometheus::BuildCounter()
                                  .Name("figrack_gateway_internal_errors_total")
                                  .Help("Requests ended by an exception in this process")
@@ -175,6 +188,7 @@
 
     prometheus::Registry registry;
     prometheus::Family<prometheus::Counter> &requests;
+    prometheus::Family<prometheus::Counter> &resumptions;
     prometheus::Family<prometheus::Counter> &internalErrors;
     prometheus::Family<prometheus::Counter> &dispatches;
     prometheus::Family<prometheus::Counter> &dispatchEnds;
@@ -213,6 +227,12 @@
     impl_->latency.Add({ { "until", "end" } }, secondBuckets).Observe(inSeconds(total));
 }
 
+auto Metrics::onResumption(ResumptionOutcome outcome) -> void
+{
+    impl_->resumptions.Add({ { "outcome", std::string { resumptionOutcomeName(outcome) } } })
+            .Increment();
+}
+
 auto Metrics::onInternalError(const ServiceId &service, InternalErrorReason reason) -> void
 {
     impl_->internalErrors
--- a/gateway/metrics.h
+++ b/gateway/metrics.h
@@ -33,6 +33,18 @@
 /// @return "answered", "no_route", ...
 auto requestOutcomeName(RequestOutcome outcome) -> std::string_view;
 
+/// How a request ended whose caller takes a stream up again.
+enum class ResumptionOutcome : std::uint8_t {
+    WentOn,     ///< An event, or the end of the whole stream, was sent.
+    Unknown,    ///< The software version that began the stream is not known.
+    Foreign,    ///< Another account began the stream.
+    NoEndpoint, ///< No endpoint of the version that began the stream is left.
+    Other,
+};
+
+/// @return "went_on", "unknown", "foreign", "no_endpoint" or "other"
+auto resumptionOutcomeName(ResumptionOutcome outcome) -> std::string_view;
+
 /// The kind of exception that ended a request.
 enum class InternalErrorReason : std::uint8_t {
     MissingEntry, ///< A table did not contain what was looked up.
@@ -75,6 +87,7 @@
     /// @param firstByte time from arrival to the first byte of the answer
     /// @param total time from arrival to the end
     auto onRequest(RequestOutcome outcome, Duration firstByte, Duration total) -> void;
+    auto onResumption(ResumptionOutcome outcome) -> void;
     /// An exception ended a request. @param service empty if its route was not known yet
     auto onInternalError(const ServiceId &service, InternalErrorReason reason) -> void;
     auto onDispatch(bool isRepeat) -> void;
--- a/gateway/testing/rig.cpp
+++ b/gateway/testing/rig.cpp
@@ -45,6 +45,7 @@
         result.path = request.path;
         result.model = ModelId { std::string { request.header("X-Model") } };
         result.resumeAfter = request.header("X-After");
+        result.resumes = request.header("X-Resumes");
         result.prompt = readPrompt(request.header("X-Prompt"));
         result.headers = { { "Host", result.host },
                            { "X-Id", result.id.value() },
