http, router: the native router takes only answers to its own request

Callers could get the answer to another request: on a kept connection the router took whatever answer came next, so that an endpoint's late or additional answer counted as the next request's.

An answer that names another request is not taken. Native endpoints need not name requests, so one without a name is taken only on a connection that was made for the request, on which nothing else can have been answered, and that connection is not kept. Ruled out: to demand the name everywhere, which would end service by endpoints that do not send it.

--- a/http/client.cpp
+++ b/http/client.cpp
@@ -690,6 +690,14 @@
            });
 }
 
+/// @return true if the answer names no request, on a connection on which it can only be the answer
+/// to this one
+auto isUnnamedButOwn(const AnswerMatch &match, Exchange &exchange) -> bool
+{
+    return match.mayBeUnnamed && !exchange.isReused()
+            && exchange.parser().get().count(match.header) == 0;
+}
+
 /// @return true for "100 Continue" and the like, which precede an answer
 auto isInterim(const ResponseParser &parser) -> bool
 {
@@ -702,6 +710,10 @@
     auto status = co_await exchange.readHeader();
     while (status.ok() && !isAnswerTo(match, exchange.parser())) {
         if (!isInterim(exchange.parser())) {
+            if (isUnnamedButOwn(match, exchange)) {
+                exchange.lease().keepNoLonger();
+                break;
+            }
             LogEvent(LogLevel::Warning, "answer_to_no_request")
                     .with("address", exchange.lease().address().text())
                     .with("request", match.value)
--- a/http/client.h
+++ b/http/client.h
@@ -80,6 +80,9 @@
 {
     std::string header; ///< Empty: every answer is taken.
     std::string value;
+    /// For peers that need not name requests: on a new connection an answer that names none is
+    /// taken, and the connection is not kept afterwards.
+    bool mayBeUnnamed = false;
 };
 
 /// Names a connection of a Client; never used twice.
--- a/http/testing/tst_answermatch.cpp
+++ b/http/testing/tst_answermatch.cpp
@@ -35,7 +35,7 @@
         request.address = listener_.address();
         request.headers = { { "X-Id", id } };
         request.body = "body of " + id;
-        request.match = { "X-Id", id };
+        request.match = { "X-Id", id, mayBeUnnamed };
         request.canceller = std::make_shared<Canceller>();
         cancellers_.push_back(request.canceller);
         result_ = std::async(std::launch::async, [this, request] {
@@ -66,6 +66,8 @@
         return response == nullptr ? "" : response->body;
     }
 
+    bool mayBeUnnamed = false; ///< Of the answers.
+
 private:
     SystemClock clock_;
     ContextThreads threads_;
@@ -206,3 +208,43 @@
     fixture.say(answer("200 OK", "X-Id: second\r\n", "second answer"));
     CHECK(Fixture::bodyOf(fixture.end()) == "second answer");
 }
+
+TEST_CASE(
+        "An answer without a name is not taken on a kept connection, though peers need not name it")
+{
+    auto fixture = Fixture {};
+    fixture.mayBeUnnamed = true;
+    fixture.keepConnection();
+    fixture.begin("second");
+    fixture.await("second");
+    fixture.say(answer("200 OK", "", "answer to somebody else")
+                + answer("200 OK", "X-Id: second\r\n", "own answer"));
+    CHECK(Fixture::bodyOf(fixture.end()) == "own answer");
+}
+
+TEST_CASE("A connection whose peer does not name the request is used for one request")
+{
+    auto fixture = Fixture {};
+    fixture.mayBeUnnamed = true;
+    fixture.begin("first");
+    fixture.accept();
+    fixture.await("first");
+    fixture.say(answer("200 OK", "", "first answer"));
+    CHECK(Fixture::bodyOf(fixture.end()) == "first answer");
+    fixture.begin("second");
+    fixture.accept();
+    fixture.await("second");
+    fixture.say(answer("200 OK", "", "own answer"));
+    CHECK(Fixture::bodyOf(fixture.end()) == "own answer");
+}
+
+TEST_CASE("An answer that names another request fails a request whose peers need not name it")
+{
+    auto fixture = Fixture {};
+    fixture.mayBeUnnamed = true;
+    fixture.begin("first");
+    fixture.accept();
+    fixture.await("first");
+    fixture.say(answer("200 OK", "X-Id: other\r\n", "answer to somebody else"));
+    CHECK(isUnknownOutcome(fixture.end()));
+}
--- a/router/dispatch.cpp
+++ b/router/dispatch.cpp
@@ -346,6 +346,7 @@
     request.target = work_.enginePath;
     request.headers.push_back({ "Content-Type", work_.contentType });
     request.headers.push_back({ "X-Request-Id", work_.id.value() });
+    request.match = { "X-Request-Id", work_.id.value(), true };
     if (!work_.key.empty())
         request.headers.push_back({ "Idempotency-Key", work_.key.value() });
     if (!work_.target.isService())
--- a/router/testing/tst_dispatch.cpp
+++ b/router/testing/tst_dispatch.cpp
@@ -127,6 +127,9 @@
     CHECK(http::findHeader(sent.headers, "X-Request-Id") == "q1");
     CHECK(http::findHeader(sent.headers, "X-Figrack-Priority") == "10000");
     CHECK(http::findHeader(sent.headers, "X-Figrack-Resume-From").empty());
+    CHECK(sent.match.header == "X-Request-Id");
+    CHECK(sent.match.value == "q1");
+    CHECK(sent.match.mayBeUnnamed);
 }
 
 // Guards against a replica that counts a request as running for good.
--- a/testing/fakeserver.cpp
+++ b/testing/fakeserver.cpp
@@ -91,9 +91,16 @@
     return response;
 }
 
-auto streamHeaders() -> http::Headers
+auto streamHeaders(const std::string &id) -> http::Headers
 {
-    return { { "Content-Type", "text/event-stream" } };
+    return { { "Content-Type", "text/event-stream" }, { "X-Request-Id", id } };
+}
+
+/// @return the response with the name of the request that it answers
+auto namedAfter(const std::string &id, http::Response response) -> http::Response
+{
+    response.headers.push_back({ "X-Request-Id", id });
+    return response;
 }
 
 auto hashList(const std::vector<std::uint64_t> &hashes) -> json::array
@@ -326,7 +333,7 @@
                                   nullptr, 10);
     if (!engine_.isReady(call.model)) {
         record_.write("refused", { { "id", call.id }, { "model", call.model } });
-        co_await responder.send(refusal(404, "model_not_loaded"));
+        co_await responder.send(namedAfter(call.id, refusal(404, "model_not_loaded")));
         co_return;
     }
     noteWork("run", call.id, call.model, request.header("Idempotency-Key"), call.resumeFrom);
@@ -360,7 +367,7 @@
 {
     if (!co_await wait(call, call.firstTokenMs))
         co_return false;
-    auto status = co_await responder.startStream(200, streamHeaders());
+    auto status = co_await responder.startStream(200, streamHeaders(call.id));
     for (auto i = call.resumeFrom; i < call.tokens && status.ok(); ++i) {
         if (i > call.resumeFrom && !co_await wait(call, call.tokenMs))
             co_return false;
@@ -382,7 +389,8 @@
     if (!co_await wait(call, time))
         co_return false;
     call.given = call.tokens;
-    const auto status = co_await responder.send(jsonResponse(200, call.body()));
+    const auto status
+            = co_await responder.send(namedAfter(call.id, jsonResponse(200, call.body())));
     co_return status.ok();
 }
 
@@ -394,7 +402,7 @@
     engine_.reach(DieAt::Service);
     co_await wait(call, options_.serviceMs); // A plain service ends what it has begun.
     const auto status = co_await responder.send(
-            jsonResponse(200, serviceAnswer(options_.service, request.body)));
+            namedAfter(call.id, jsonResponse(200, serviceAnswer(options_.service, request.body))));
     record_.write(status.ok() ? "end" : "cut", { { "id", call.id }, { "given", "1" } });
 }
 
