router: bytes that complete nothing do not extend the limits of an answer

An endpoint that sends a byte now and then held a caller's request for good: each read of a stream had its own limit of streamIdle, and a whole answer's reads went on after its finish limit in steps of a millisecond.

The pause of a stream counts from its last complete event, and a whole answer ends at the finish limit.

--- a/router/dispatch.cpp
+++ b/router/dispatch.cpp
@@ -430,7 +430,12 @@
 auto Dispatcher::Run::readBody(http::ClientStream &stream) -> asio::awaitable<Round>
 {
     auto body = std::string {};
+    const auto finishAt = owner_.clock_.now() + untilFinish();
     while (true) {
+        if (owner_.clock_.now() >= finishAt) {
+            auto status = makeError(ErrorKind::Timeout, "part=answer");
+            co_return Round { RoundEnd::MayHaveRun, std::move(status) };
+        }
         auto chunk = co_await stream.read(std::min(untilFinish(), owner_.options_.streamIdle));
         if (!chunk.ok())
             co_return Round { RoundEnd::MayHaveRun, chunk.status() };
@@ -474,10 +479,17 @@
     if (!co_await writeToCaller(std::move(lineEnd)))
         co_return Round { RoundEnd::CallerGone, absl::OkStatus() };
     auto splitter = endpoint::SseSplitter {};
+    auto lastEventAt = owner_.clock_.now();
     while (true) {
         if (caller_.mustStop())
             co_return Round { RoundEnd::CallerGone, absl::OkStatus() };
-        auto chunk = co_await stream.read(owner_.options_.streamIdle);
+        // Bytes that do not complete an event do not extend the pause between two events.
+        const auto left = lastEventAt + owner_.options_.streamIdle - owner_.clock_.now();
+        if (left <= Duration::zero()) {
+            auto status = makeError(ErrorKind::Timeout, "part=event");
+            co_return Round { RoundEnd::MayHaveRun, std::move(status) };
+        }
+        auto chunk = co_await stream.read(left);
         if (!chunk.ok())
             co_return Round { RoundEnd::MayHaveRun, chunk.status() };
         if (chunk->empty()) {
@@ -487,6 +499,8 @@
         auto events = splitter.feed(*chunk);
         if (!events.ok())
             co_return Round { RoundEnd::MayHaveRun, events.status() };
+        if (!events->empty())
+            lastEventAt = owner_.clock_.now();
         auto end = co_await forwardEvents(std::move(*events));
         if (!end)
             continue;
--- a/router/testing/tst_dispatch.cpp
+++ b/router/testing/tst_dispatch.cpp
@@ -132,6 +132,33 @@
     CHECK(sent.match.mayBeUnnamed);
 }
 
+// Guards against an endpoint that holds a caller's request by a byte now and then.
+TEST_CASE_FIXTURE(DispatchFixture, "bytes that complete nothing do not extend the limits")
+{
+    constexpr auto chunkCount = std::size_t { 100 };
+    auto script = answerWith(200, "");
+    auto pause = milliseconds { 1000 };
+    SUBCASE("of a whole answer")
+    {
+        script.chunks.assign(chunkCount, "x");
+    }
+    SUBCASE("of a stream")
+    {
+        work.stream = true;
+        script = streamOf(std::vector<std::string>(chunkCount, "x"));
+    }
+    auto reads = 0;
+    script.beforeChunk = [this, pause, &reads](int) {
+        ++reads;
+        clock.advance(pause);
+    };
+    work.repeatable = false;
+    engines.push(std::move(script));
+    const auto outcome = run();
+    CHECK_FALSE(outcome.status.ok());
+    CHECK(reads <= 61); // A finish limit of 60 s, one read a second.
+}
+
 // Guards against a replica that counts a request as running for good.
 TEST_CASE_FIXTURE(DispatchFixture, "a dispatch that an exception ends is over, and may have run")
 {
