proto: sealed messages about the origins of streams

A gateway at which a caller takes a broken stream up has to learn from other gateways which software version began it. There was no message for it.

Messages and replies are sealed under the fleet's keys, each with a context of its own, by the code that sealed requests handed over, which is now proto/seal. A reply's seal covers that of its message, which has a nonce, so that neither another process at the address nor an earlier reply can give an origin. A message with more than 512 streams, 64 versions or texts of more than 512 bytes is refused as a whole.

--- a/proto/handoff.h
+++ b/proto/handoff.h
@@ -20,6 +20,7 @@
 
 #include "core/ids.h"
 #include "proto/channel.h"
+#include "proto/seal.h"
 
 namespace figrack::proto {
 
@@ -75,11 +76,7 @@
     }
 };
 
-struct SealedHandoff
-{
-    std::string bytes;
-    std::string seal; ///< Hexadecimal.
-};
+using SealedHandoff = Sealed;
 
 /// @return the request's encoding, sealed with the first of the keys
 auto sealHandoff(const HandedRequest &request, const PeerKeys &keys) -> SealedHandoff;
--- a/proto/streamorigin.h
+++ b/proto/streamorigin.h
@@ -1,11 +1,14 @@
 // What gateways tell one another of streams that have begun, so that a caller that takes one up
 // again at any gateway is served by the software version that began it.
 //
-//   auto sealed = sealStreamOrigin(StreamOriginMessage { ... }, keys);       // at one gateway
-//   auto message = openStreamOrigin(bytes, sealed.seal, keys);               // at the other one
+//   auto sealed = sealStreamOrigin(StreamOriginQuery { key, nonce }, keys);       // one gateway
+//   auto message = openStreamOrigin(bytes, seal, keys);                           // the other one
+//   auto sealedReply = sealStreamOriginReply(reply, seal, keys);                  // the other one
+//   auto reply = openStreamOriginReply(replyBytes, replySeal, sealed.seal, keys); // the first one
 //
 // Messages are bodies of HTTP requests and answers between gateways, sealed like requests that are
-// handed over (proto/handoff.h).
+// handed over (proto/handoff.h). A reply's seal covers that of its message, so that no other
+// process at an address can answer, also not by an earlier reply.
 
 #ifndef FIGRACK_PROTO_STREAMORIGIN_H
 #define FIGRACK_PROTO_STREAMORIGIN_H
@@ -21,10 +24,15 @@
 
 #include "core/ids.h"
 #include "proto/channel.h"
-#include "proto/handoff.h"
+#include "proto/seal.h"
 
 namespace figrack::proto {
 
+/// Bounds of what a message holds. One that exceeds them is refused as a whole.
+constexpr auto maxBegunStreams = std::size_t { 512 };
+constexpr auto maxOriginVersions = std::size_t { 64 };
+constexpr auto maxOriginTextBytes = std::size_t { 512 }; ///< Of each ID, version or account.
+
 /// Identifies a stream over all attempts of its caller.
 struct StreamKey
 {
@@ -78,13 +86,16 @@
 struct StreamOriginQuery
 {
     StreamKey key;
+    std::uint64_t nonce = 0; ///< Differs between queries, so that their seals do.
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
-        archive(key);
+        archive(key, nonce);
     }
 };
 
+using StreamOriginMessage = std::variant<BegunStreams, StreamOriginQuery>;
+
 struct StreamOriginReply
 {
     std::optional<StreamOrigin> origin; ///< Absent if the gateway does not know the stream.
@@ -99,6 +110,25 @@
     }
 };
 
+/// @return true if the stream's texts are within maxOriginTextBytes, so that it can be sent
+auto isWithinBounds(const BegunStream &stream) -> bool;
+auto isWithinBounds(const StreamKey &key) -> bool;
+
+/// @return the message's encoding, sealed with the first of the keys
+auto sealStreamOrigin(const StreamOriginMessage &message, const PeerKeys &keys) -> Sealed;
+/// @return the message; AuthFailed if none of the keys made the seal; Malformed; TooLarge if it
+/// exceeds a bound
+auto openStreamOrigin(std::string_view bytes, std::string_view seal, const PeerKeys &keys)
+        -> absl::StatusOr<StreamOriginMessage>;
+/// @param messageSeal of the message that is answered
+auto sealStreamOriginReply(const StreamOriginReply &reply, std::string_view messageSeal,
+                           const PeerKeys &keys) -> Sealed;
+/// @return the reply; AuthFailed if none of the keys made the seal, or it is of another message's
+/// reply; Malformed; TooLarge if it exceeds a bound
+auto openStreamOriginReply(std::string_view bytes, std::string_view seal,
+                           std::string_view messageSeal, const PeerKeys &keys)
+        -> absl::StatusOr<StreamOriginReply>;
+
 } // namespace figrack::proto
 
 #endif // FIGRACK_PROTO_STREAMORIGIN_H
