gateway: other gateways know which software version began a stream

A caller that takes a broken stream up at another gateway, or after the first one was killed, was served by any endpoint: the version that began the stream was known only to the first gateway.

StreamOrigins keeps the origins of a gateway's own streams for the resumption window. While a service has several versions it tells them to two owners in different failure domains, found by rendezvous hashing; when a second version appears, those that have begun before. A gateway that does not know a stream asks the first four of the ranking, once more if the first gateway's message may be on its way, and decides by a pure function (OriginEvidence) that never guesses. Messages go to the address at which requests are handed over, by HTTP with a client of their own; http::ClientError says whether the connection was refused, so that a process that has ended differs from one that is cut off.

An account that uses the ID of another's stream does not replace its origin; a stream begun at two versions with one ID has no known origin.

--- a/gateway/handoffserver.cpp
+++ b/gateway/handoffserver.cpp
@@ -36,9 +36,10 @@
 } // namespace
 
 HandoffServer::HandoffServer(asio::io_context &context, HandoffServerOptions options,
-                             Handler handler)
+                             Handler handler, OriginHandler originHandler)
     : keys_(std::move(options.keys))
     , handler_(std::move(handler))
+    , originHandler_(std::move(originHandler))
     , server_(context, serverOptionsOf(options),
               [this](const http::Request &request, http::Responder &responder) {
                   return handle(request, responder);
@@ -53,6 +54,11 @@
 auto HandoffServer::handle(const http::Request &request, http::Responder &responder)
         -> asio::awaitable<void>
 {
+    if (request.path == streamOriginsPath && originHandler_) {
+        auto response = answerOriginMessage(request, *keys_, originHandler_);
+        static_cast<void>(co_await responder.send(std::move(response)));
+        co_return;
+    }
     auto handed = proto::openHandoff(request.body, request.header(handoffSealHeader), *keys_);
     if (request.path != handoffPath || !handed.ok()) {
         const auto status = handed.ok() ? makeError(ErrorKind::BadRequest, "path=" + request.path)
--- a/gateway/handoffserver.h
+++ b/gateway/handoffserver.h
@@ -1,6 +1,7 @@
-// Takes requests that other gateways hand over (gateway/handoffs.h).
+// Takes requests that other gateways hand over (gateway/handoffs.h), and their messages about the
+// origins of streams (gateway/originexchange.h).
 //
-//   auto server = HandoffServer { context, options, handler };
+//   auto server = HandoffServer { context, options, handler, originHandler };
 //   if (auto status = server.start(address); !status.ok()) ...
 //
 // A request without a valid seal is refused before anything else is done with it.
@@ -16,6 +17,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "core/settings.h"
+#include "gateway/originexchange.h"
 #include "http/server.h"
 #include "proto/handoff.h"
 
@@ -35,7 +37,9 @@
     /// Handles a request as its caller sent it.
     using Handler = std::function<boost::asio::awaitable<void>(
             const http::Request &, const proto::HandoffTerms &, http::Responder &)>;
-    HandoffServer(boost::asio::io_context &context, HandoffServerOptions options, Handler handler);
+    /// @param originHandler answers messages about the origins of streams; empty: they are refused
+    HandoffServer(boost::asio::io_context &context, HandoffServerOptions options, Handler handler,
+                  OriginHandler originHandler = {});
     /// @return BadSettings if the address cannot be bound
     auto start(const Address &listen) -> absl::Status;
     auto port() const -> std::uint16_t { return server_.port(); }
@@ -49,6 +53,7 @@
 
     std::shared_ptr<proto::PeerKeys> keys_;
     Handler handler_;
+    OriginHandler originHandler_;
     http::Server server_;
 };
 
--- a/gateway/metrics.cpp
+++ b/gateway/metrics.cpp
@@ -167,6 +167,24 @@
                               .Name("figrack_gateway_path_changes_total")
                               .Help("Changes of the paths to endpoints, by the new state")
                               .Register(registry))
+        , originTells(prometheus::BuildCounter()
+                              .Name("figrack_gateway_origin_tells_total")
+                              .Help("Origins of streams told to other gateways, by how that ended")
+                              .Register(registry))
+        , originsAsked(prometheus::BuildCounter()
+                               .Name("figrack_gateway_origin_questions_total")
+                               .Help("Questions to other gateways for the origin of a stream")
+                               .Register(registry)
+                               .Add({}))
+        , originsFound(prometheus::BuildCounter()
+                               .Name("figrack_gateway_origins_found_total")
+                               .Help("Streams whose origin was looked for, by how it was found")
+                               .Register(registry))
+        , originsDropped(prometheus::BuildCounter()
+                                 .Name("figrack_gateway_origins_dropped_total")
+                                 .Help("Origins of streams dropped because of a bound")
+                                 .Register(registry)
+                                 .Add({}))
         , gauges(prometheus::BuildGauge()
                          .Name("figrack_gateway_now")
                          .Help("The present moment, by what")
@@ -197,6 +215,10 @@
     prometheus::Family<prometheus::Counter> &handoffs;
     prometheus::Counter &takenOver;
     prometheus::Family<prometheus::Counter> &pathChanges;
+    prometheus::Family<prometheus::Counter> &originTells;
+    prometheus::Counter &originsAsked;
+    prometheus::Family<prometheus::Counter> &originsFound;
+    prometheus::Counter &originsDropped;
     prometheus::Family<prometheus::Gauge> &gauges;
 };
 
@@ -314,6 +336,31 @@
     impl_->pathChanges.Add({ { "state", std::string { state } } }).Increment();
 }
 
+auto Metrics::onOriginsTold(std::size_t streams) -> void
+{
+    impl_->originTells.Add({ { "end", "told" } }).Increment(static_cast<double>(streams));
+}
+
+auto Metrics::onOriginTellsFailed(std::size_t streams) -> void
+{
+    impl_->originTells.Add({ { "end", "failed" } }).Increment(static_cast<double>(streams));
+}
+
+auto Metrics::onOriginAsked() -> void
+{
+    impl_->originsAsked.Increment();
+}
+
+auto Metrics::onOriginFound(std::string_view source) -> void
+{
+    impl_->originsFound.Add({ { "source", std::string { source } } }).Increment();
+}
+
+auto Metrics::onOriginsDropped(std::size_t streams) -> void
+{
+    impl_->originsDropped.Increment(static_cast<double>(streams));
+}
+
 auto Metrics::text(const GatewayGauges &gauges) -> std::string
 {
     const auto set = [&](const char *what, double value) {
--- a/gateway/metrics.h
+++ b/gateway/metrics.h
@@ -115,6 +115,16 @@
     auto onTakenOver() -> void;
     /// The path to a group of endpoints has changed. @param state from a fixed set
     auto onPathChanged(std::string_view state) -> void;
+    /// Other gateways have been told the origins of so many streams.
+    auto onOriginsTold(std::size_t streams) -> void;
+    /// Another gateway could not be told the origins of so many streams.
+    auto onOriginTellsFailed(std::size_t streams) -> void;
+    /// Another gateway was asked for the origin of a stream.
+    auto onOriginAsked() -> void;
+    /// The origin of a stream was looked for. @param source from a fixed set
+    auto onOriginFound(std::string_view source) -> void;
+    /// The origins of so many streams are no longer kept, or never were, for a bound.
+    auto onOriginsDropped(std::size_t streams) -> void;
     /// @return the page
     auto text(const GatewayGauges &gauges) -> std::string;
 
--- a/gateway/streamorigins.h
+++ b/gateway/streamorigins.h
@@ -15,36 +15,80 @@
 #ifndef FIGRACK_GATEWAY_STREAMORIGINS_H
 #define FIGRACK_GATEWAY_STREAMORIGINS_H
 
-#include <optional>
+#include <functional>
+#include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
 
 #include "core/clock.h"
+#include "core/random.h"
+#include "gateway/foundorigin.h"
+#include "gateway/metrics.h"
+#include "gateway/originowners.h"
+#include "gateway/origintable.h"
+#include "gateway/originteller.h"
+#include "gateway/origintransport.h"
 #include "proto/streamorigin.h"
 
 namespace figrack::gateway {
 
-/// How the version that began a stream was found out.
-enum class OriginSource : std::uint8_t {
-    Unknown,     ///< Several versions may have begun it.
-    Foreign,     ///< It was begun by another account.
-    Here,        ///< This gateway has kept it.
-    Owner,       ///< Another gateway has kept it.
-    OnlyVersion, ///< The service has had no other version within the window.
+struct StreamOriginsOptions
+{
+    NodeId self;
+    OriginTableOptions table;
+    OriginTellerOptions teller;
+    OriginWaits waits;
+    /// Until other gateways have answered. A caller waits for it.
+    Duration askTimeout = std::chrono::milliseconds { 150 };
+    /// Until they are asked once more: the first gateway's message may be on its way to them.
+    Duration askAgainAfter = std::chrono::milliseconds { 100 };
 };
 
-/// @return "unknown", "foreign", "here", "owner" or "only_version"
-auto originSourceName(OriginSource source) -> std::string_view;
-
-struct FoundOrigin
+/// Dependencies of StreamOrigins. The references must outlive it.
+struct StreamOriginsParts
 {
-    OriginSource source = OriginSource::Unknown;
-    std::optional<std::string> softwareVersion; ///< Present unless Unknown or Foreign.
-    Duration retryAfter {}; ///< If Unknown or Foreign, when another answer may be expected.
+    boost::asio::io_context &context;
+    const Clock &clock;
+    Random &random;
+    Metrics &metrics;
+    /// Software versions of a service that have served within the window, as far as is known.
+    std::function<std::set<std::string>(const ServiceId &)> versionsOf;
+    /// Whether no version that has served within the window can be missing, of any service.
+    std::function<bool()> isComplete;
+    /// All gateways that are known, this one among them or not.
+    std::function<std::vector<OriginOwner>()> gateways;
+    OriginTransport transport;
 };
 
-class StreamOrigins;
+class StreamOrigins
+{
+public:
+    StreamOrigins(StreamOriginsOptions options, StreamOriginsParts parts);
+    ~StreamOrigins();
+    StreamOrigins(const StreamOrigins &) = delete;
+    auto operator=(const StreamOrigins &) -> StreamOrigins & = delete;
+    /// A stream has begun here, was resumed here or is still in progress here. Keeps its origin for
+    /// another window, and tells the owners if the service has several versions.
+    auto onBegun(const proto::StreamKey &key, proto::StreamOrigin origin) -> void;
+    /// A service has got a second version. Tells the owners of the streams that have begun here.
+    auto onSecondVersion(const ServiceId &service) -> void;
+    /// Finds out the version that began a stream.
+    /// @param account of the caller; empty if there is none
+    auto find(const proto::StreamKey &key, const AccountId &account) const
+            -> boost::asio::awaitable<FoundOrigin>;
+    /// Handles a message of another gateway.
+    auto onMessage(const proto::StreamOriginMessage &message) -> proto::StreamOriginReply;
+    /// @return the number of origins that are kept
+    auto size() const -> std::size_t;
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> impl_;
+};
 
 } // namespace figrack::gateway
 
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -488,6 +488,7 @@
     auto parser() -> ResponseParser & { return *parser_; }
     auto setReused(bool isReused) -> void { isReused_ = isReused; }
     auto isReused() const -> bool { return isReused_; }
+    auto isRefused() const -> bool { return isRefused_; }
 
     /// Sets how the next answer is read. @param bodyLimit bytes; empty: without a bound
     auto expect(std::optional<std::size_t> bodyLimit, bool isHead) -> void
@@ -535,6 +536,7 @@
             co_return failure(ErrorKind::EndpointFailed, address, "connect", code);
         lease_.watchdog().arm(std::min(options.connectTimeout, timeout));
         code = co_await lease_.link().connect(endpoint);
+        isRefused_ = code == asio::error::connection_refused;
         if (code)
             co_return transportFailure(lease_, "connect", code);
         co_return absl::OkStatus();
@@ -641,6 +643,7 @@
     std::optional<std::size_t> bodyLimit_;
     bool isHead_ = false;
     bool isReused_ = false;
+    bool isRefused_ = false;
     bool isSkipping_ = false; ///< What is read belongs to other answers.
     std::size_t skippedBytes_ = 0;
 };
@@ -742,7 +745,7 @@
     exchange->setReused(kept);
     if (!kept) {
         if (auto status = co_await exchange->connect(pool->options(), timeout); !status.ok())
-            co_return ClientError { std::move(status), Sent::Nothing };
+            co_return ClientError { std::move(status), Sent::Nothing, kept, exchange->isRefused() };
     }
     if (auto error = co_await exchange->write(request, timeout)) {
         error->isReused = kept;
--- a/http/client.h
+++ b/http/client.h
@@ -113,7 +113,8 @@
 {
     absl::Status status; ///< EndpointFailed, Timeout, TooLarge, Malformed or Cancelled.
     Sent sent = Sent::MaybeSome;
-    bool isReused = false; ///< The request was sent on a kept connection.
+    bool isReused = false;  ///< The request was sent on a kept connection.
+    bool isRefused = false; ///< No process listens at the address.
 };
 
 template<typename T>
