proto, fleet: controls tell gateways of software versions and of owners of origins

A gateway at which a stream is taken up has to know which gateways may keep the stream's origin and which software versions may have begun it.

A control's history is complete from the first start of its fleet, from a complete one on its disk, or after it has listened for the window. A control with a lost disk that is started as a founder is never complete, nor is what it saves.

--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -67,6 +67,7 @@
         , lastKnown_(options_.dataFolder, disk_)
         , decisions_(options_.decisions, clock, lastKnown_, metrics_)
         , registry_(options_.registry, clock)
+        , versions_(options_.versions, lastKnown_, clock)
         , announcements_(registry_, KnownServices { readDocument_ }, clock, metrics_)
         , groupManager_(options_.group, clock)
         , suspects_({}, quarantine_, registry_, lastKnown_, clock)
@@ -105,13 +106,16 @@
                 [this] { retryLedger_.onRestored(); });
         registry_.setOnChanged([this](const catalogue::EndpointRow &row) {
             orders_.onRowChanged(row.id);
+            versions_.onRow(row);
             endpointsChanged_ = true;
             planSoon();
         });
+        registry_.setOnForgotten([this](const EndpointId &id) { versions_.onForgotten(id); });
         recall();
         heardGroupAt_ = clock_.now();
         reload(options_.seeds);
         startReplica();
+        versions_.recall(isFirstStart());
         schedule();
         LogEvent(LogLevel::Info, "core_started")
                 .with("peers", options_.peers.text())
@@ -614,6 +618,8 @@
         retryLedger_.tick();
         proveDocument();
         rememberEndpoints();
+        if (const auto changes = versions_.tick(isCurrent() && inGroup()))
+            registry_.applySoftwareVersions(*changes);
         const auto now = clock_.now();
         if (now >= nextEndpointSave_ && replica_) {
             nextEndpointSave_ = now + groupCheckInterval;
@@ -670,6 +676,13 @@
         suspects_.recall();
     }
 
+    /// @return true if the fleet starts for the first time, with an empty disk
+    auto isFirstStart() const -> bool
+    {
+        const auto now = status();
+        return mayFound(now) && now.role != coord::Role::Stopped && now.term == Term {};
+    }
+
     auto rememberEndpoints() -> void
     {
         const auto now = clock_.now();
@@ -700,6 +713,13 @@
         demand_.clear();
     }
 
+    auto mayFound(const coord::ReplicaStatus &now) const -> bool
+    {
+        return options_.bootstrap && now.lastIndex == LogIndex {}
+        && std::find(options_.seeds.begin(), options_.seeds.end(), options_.peers)
+                != options_.seeds.end();
+    }
+
     auto askToJoin() -> void
     {
         if (!replica_ || stopping_ || inGroup())
@@ -708,10 +728,7 @@
         if (now.role == coord::Role::Stopped || now.incarnation == Incarnation {})
             return;
         // A founder does not ask to join: it becomes a member when the group is founded.
-        const auto mayFound = options_.bootstrap && now.lastIndex == LogIndex {}
-                && std::find(options_.seeds.begin(), options_.seeds.end(), options_.peers)
-                        != options_.seeds.end();
-        if (mayFound)
+        if (mayFound(now))
             return;
         auto member = memberAt(options_.peers);
         member.node = options_.name;
@@ -796,6 +813,7 @@
     Metrics metrics_;
     Decisions decisions_;
     Registry registry_;
+    ServedVersions versions_;
     Announcements announcements_;
     GroupManager groupManager_;
     policy::Quarantine quarantine_ { {} };
--- a/fleet/core.h
+++ b/fleet/core.h
@@ -42,6 +42,7 @@
 #include "fleet/planning.h"
 #include "fleet/registry.h"
 #include "fleet/retryledger.h"
+#include "fleet/servedversions.h"
 #include "proto/channel.h"
 
 namespace figrack::fleet {
@@ -62,6 +63,7 @@
     BalancerOptions balancer;
     AccountLedgerOptions ledger;
     RetryLedgerOptions retries;
+    ServedVersionsOptions versions;
     DocumentProofOptions proof;
     /// A new leader sends its first order only when every order of its predecessor is so old that
     /// orders of the two cannot count as alternating.
--- a/fleet/lastknown.cpp
+++ b/fleet/lastknown.cpp
@@ -1,7 +1,7 @@
-// There is one file each for the document, the evacuations, the endpoints and the
-// suspected work. A file contains a checksum followed by the value. It is written under a temporary
-// name, synced and renamed, and then its folder is synced, so that after a power
-// loss it holds either the old state or the new one.
+// There is one file each for the document, the evacuations, the endpoints, the
+// suspected work and the software versions. A file contains a checksum followed by the value. It is
+// written under a temporary name, synced and renamed, and then its folder is synced, so that after
+// a power loss it holds either the old state or the new one.
 
 #include "fleet/lastknown.h"
 
@@ -23,6 +23,7 @@
 constexpr auto evacuationsName = "known-evacuations";
 constexpr auto endpointsName = "known-endpoints";
 constexpr auto suspectsName = "known-suspects";
+constexpr auto versionsName = "known-versions";
 /// The recovery of the log removes leftover files with this suffix.
 constexpr auto temporarySuffix = ".tmp";
 /// Time until a failed write is retried. A disk that is full or stalled usually stays so for
@@ -92,6 +93,11 @@
     return load<std::vector<catalogue::SuspectRow>>(suspectsName);
 }
 
+auto LastKnownStore::loadVersions() -> proto::VersionNews
+{
+    return load<proto::VersionNews>(versionsName);
+}
+
 auto LastKnownStore::save(const Document &document) -> void
 {
     post(documentName, serialize(document));
@@ -112,6 +118,11 @@
     post(suspectsName, serialize(suspects));
 }
 
+auto LastKnownStore::save(const proto::VersionNews &versions) -> void
+{
+    post(versionsName, serialize(versions));
+}
+
 template<typename T>
 auto LastKnownStore::load(const std::string &name) -> T
 {
--- a/fleet/lastknown.h
+++ b/fleet/lastknown.h
@@ -6,6 +6,7 @@
 //   store.save(evacuations);
 //   store.save(endpoints);
 //   store.save(suspects);
+//   store.save(versions);
 //
 // When all processes of a fleet are lost at once, gateways need a document and
 // endpoints before they can serve. Without this store both are unavailable for a
@@ -15,6 +16,9 @@
 //
 // Evacuations are saved because a gateway must know them before its first request.
 //
+// Software versions are saved with whether none is missing, so that a stream that
+// broke with the processes can go on at the version that began it.
+//
 // Suspected work is saved for the same case: with an empty table, work that was
 // in quarantine would end three more endpoints after each loss of all processes.
 //
@@ -45,6 +49,7 @@
 #include "catalogue/suspect.h"
 #include "coord/disk.h"
 #include "fleet/configlog.h"
+#include "proto/servingmessages.h"
 
 namespace figrack::fleet {
 
@@ -67,10 +72,13 @@
     auto loadEndpoints() -> std::vector<catalogue::EndpointRow>;
     /// @return the last saved suspected work; none when it cannot be read
     auto loadSuspects() -> std::vector<catalogue::SuspectRow>;
+    /// @return the last saved software versions; none and not complete when they cannot be read
+    auto loadVersions() -> proto::VersionNews;
     auto save(const Document &document) -> void;
     auto save(const catalogue::Evacuations &evacuations) -> void;
     auto save(const std::vector<catalogue::EndpointRow> &endpoints) -> void;
     auto save(const std::vector<catalogue::SuspectRow> &suspects) -> void;
+    auto save(const proto::VersionNews &versions) -> void;
 
 private:
     template<typename T>
--- a/fleet/registry.cpp
+++ b/fleet/registry.cpp
@@ -6,6 +6,7 @@
 #include "core/error.h"
 #include "core/hash.h"
 #include "core/log.h"
+#include "fleet/ownerchoice.h"
 
 namespace figrack::fleet {
 
@@ -40,6 +41,8 @@
         index_.remove(id);
         for (const auto &[subscriber, news] : watches_.onChanged(id, EndpointTable::Change::Row))
             mergeNews(watchNews_[subscriber], news);
+        if (onForgotten_)
+            onForgotten_(id);
     });
 }
 
@@ -52,6 +55,7 @@
     subscriber.peer = peer;
     subscriber.subscribe = subscribe;
     subscriber.isWhole = table_.size() <= subscribe.wholeUpTo;
+    ownersChanged_ = ownersChanged_ || subscriber.isGateway();
     LogEvent(LogLevel::Info, "subscriber")
             .with("peer", peer->peer())
             .with("gateway", subscriber.isGateway())
@@ -60,8 +64,11 @@
             .with("reaches_none", subscribe.reachesNone)
             .with("whole", subscriber.isWhole)
             .with("new", isNew);
+    if (isNew)
+        subscriber.first = lastNumber_ + 1;
     if (isNew || (subscriber.isWhole && !wasWhole))
         sendSnapshot(subscriber);
+    publishOwners();
 }
 
 auto Registry::sendSnapshot(Subscriber &subscriber) -> void
@@ -71,6 +78,10 @@
     update.evacuations = group_.evacuations;
     if (subscriber.isWhole)
         update.endpoints = table_.allToSend();
+    if (subscriber.isGateway()) {
+        update.originOwners = owners_;
+        update.softwareVersions = allVersions();
+    }
     update.wantsAck = true;
     update.number = ++lastNumber_;
     subscriber.asked = update.number;
@@ -133,6 +144,7 @@
         return std::nullopt;
     const auto kind = found->second.subscribe.kind;
     LogEvent(LogLevel::Warning, "subscriber_lost").with("peer", peer->peer());
+    ownersChanged_ = ownersChanged_ || found->second.isGateway();
     subscribers_.erase(found);
     watches_.drop(peer.get());
     watchNews_.erase(peer.get());
@@ -299,6 +311,66 @@
     }
 }
 
+auto Registry::applySoftwareVersions(const proto::VersionNews &changes) -> void
+{
+    for (const auto &row : changes.services) {
+        if (row.versions.empty())
+            versions_.erase(row.service);
+        else
+            versions_[row.service] = row.versions;
+    }
+    isVersionsComplete_ = changes.isComplete;
+    auto update = baseUpdate();
+    update.softwareVersions = changes;
+    sendToGateways(std::move(update));
+}
+
+auto Registry::allVersions() const -> proto::VersionNews
+{
+    auto news = proto::VersionNews {};
+    news.isComplete = isVersionsComplete_;
+    for (const auto &[service, versions] : versions_)
+        news.services.push_back({ service, versions });
+    return news;
+}
+
+auto Registry::publishOwners() -> void
+{
+    const auto now = clock_.now();
+    if (!ownersChanged_ || now < nextOwners_)
+        return;
+    ownersChanged_ = false;
+    nextOwners_ = now
+            + std::max<Duration>(options_.ownersEvery, gatewayCount() * options_.relaySpacing);
+    auto owners = originOwners();
+    if (owners == owners_)
+        return;
+    owners_ = std::move(owners);
+    auto update = baseUpdate();
+    update.originOwners = owners_;
+    sendToGateways(std::move(update));
+}
+
+auto Registry::originOwners() const -> std::vector<proto::OriginOwner>
+{
+    // A gateway that has connected again may still have its old connection here.
+    auto newest = std::map<NodeId, const Subscriber *> {};
+    for (const auto &[key, subscriber] : subscribers_) {
+        if (!subscriber.isGateway())
+            continue;
+        auto &known = newest[subscriber.peer->peer()];
+        if (known == nullptr || known->first < subscriber.first)
+            known = &subscriber;
+    }
+    auto gateways = std::vector<proto::OriginOwner> {};
+    for (const auto &[node, subscriber] : newest) {
+        const auto &subscribe = subscriber->subscribe;
+        if (subscribe.ready && subscribe.handoffs.port != 0)
+            gateways.push_back({ node, subscribe.handoffs, subscribe.domain });
+    }
+    return chooseOriginOwners(std::move(gateways));
+}
+
 auto Registry::push(proto::SubscriberKind kind, proto::Payload payload) -> void
 {
     const auto shared = proto::SharedPush { std::move(payload) };
@@ -321,6 +393,7 @@
         publish(unrelayed_, false);
     }
     publishToWatchers(false);
+    publishOwners();
     completeLeaving();
     completeRelayed();
     if (now < nextBeat_)
@@ -392,6 +465,11 @@
     onChanged_ = std::move(listener);
 }
 
+auto Registry::setOnForgotten(std::function<void(const EndpointId &)> listener) -> void
+{
+    onForgotten_ = std::move(listener);
+}
+
 /// Sends the rows to the subscribers of the whole list and clears the set.
 auto Registry::publish(std::set<EndpointId> &ids, bool wantsAck) -> void
 {
@@ -445,6 +523,16 @@
     }
 }
 
+auto Registry::sendToGateways(proto::ServingUpdate update) -> void
+{
+    update.number = ++lastNumber_;
+    const auto push = proto::SharedPush { std::move(update) };
+    for (const auto &[key, subscriber] : subscribers_) {
+        if (subscriber.isGateway())
+            send(subscriber, push);
+    }
+}
+
 /// A subscriber that has missed an update is wrong about an endpoint from then on, so it has to
 /// subscribe again.
 auto Registry::send(const Subscriber &subscriber, const proto::SharedPush &push) -> void
--- a/fleet/registry.h
+++ b/fleet/registry.h
@@ -39,6 +39,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 #include <absl/status/status.h>
@@ -71,6 +72,9 @@
     /// limits a control to a few thousand messages a second, however many gateways there are. It
     /// takes effect from about 70 subscribers on for relays, and from about 100 on for updates.
     Duration relaySpacing = std::chrono::microseconds { 3500 };
+    /// Minimum time between two lists of the gateways that may own origins of streams; longer from
+    /// about 290 subscribers on, by relaySpacing.
+    Duration ownersEvery = std::chrono::seconds { 1 };
     Duration updateSpacing = std::chrono::microseconds { 200 };
     /// Time in which gateways must confirm that an endpoint leaves; shorter than the second after
     /// which the endpoint asks another control.
@@ -136,6 +140,9 @@
     /// On the leader: tells the gateways with the whole list the number of requests in progress at
     /// each endpoint.
     auto publishLoads(const std::vector<proto::EndpointLoad> &loads) -> void;
+    /// Tells gateways which software versions have served within the resumption window.
+    /// @param changes the services whose versions have changed; those without versions have none
+    auto applySoftwareVersions(const proto::VersionNews &changes) -> void;
     /// Sends a message to every subscriber of a kind.
     auto push(proto::SubscriberKind kind, proto::Payload payload) -> void;
     /// @return true when this control relays what others reported about the entity with this key
@@ -160,12 +167,15 @@
     auto handoffTargets() const -> std::vector<proto::HandoffTarget>;
     /// Sets the function that is called when a row has changed.
     auto setOnChanged(std::function<void(const catalogue::EndpointRow &)> listener) -> void;
+    /// Sets the function that is called when a row has been dropped.
+    auto setOnForgotten(std::function<void(const EndpointId &)> listener) -> void;
 
 private:
     struct Subscriber
     {
         proto::PeerPointer peer;
         proto::Subscribe subscribe;
+        std::uint64_t first = 0; ///< Number of its first update.
         std::uint64_t asked = 0; ///< Number of the latest update that requires an acknowledgement.
         std::uint64_t acked = 0;
         bool isWhole = true; ///< It gets every row.
@@ -199,9 +209,14 @@
     /// Numbers the update, encodes it once and sends it to the subscribers.
     /// @param isForWhole only to those of the whole list
     auto sendToAll(proto::ServingUpdate update, bool isForWhole) -> void;
+    auto sendToGateways(proto::ServingUpdate update) -> void;
     static auto send(const Subscriber &subscriber, const proto::SharedPush &push) -> void;
     auto baseUpdate() const -> proto::ServingUpdate;
     auto sendBeats() -> void;
+    /// Sends the list of gateways that may own origins if it is due and has changed.
+    auto publishOwners() -> void;
+    auto originOwners() const -> std::vector<proto::OriginOwner>;
+    auto allVersions() const -> proto::VersionNews;
     auto wholeCount() const -> std::size_t;
     auto unconfirmed(bool isForWhole) const -> Unconfirmed;
     /// @return true if a gateway watches at a control to which this one has no connection, so that
@@ -228,7 +243,13 @@
     Instant nextRelay_ {};
     std::vector<Leaving> leaving_;
     std::vector<Relayed> relayed_;
+    std::vector<proto::OriginOwner> owners_; ///< As sent.
+    bool ownersChanged_ = false;             ///< The list may differ from the one sent.
+    Instant nextOwners_ {};
+    std::map<ServiceId, std::vector<std::string>> versions_;
+    bool isVersionsComplete_ = false;
     std::function<void(const catalogue::EndpointRow &)> onChanged_;
+    std::function<void(const EndpointId &)> onForgotten_;
 };
 
 } // namespace figrack::fleet
--- a/fleet/testing/tst_lastknown.cpp
+++ b/fleet/testing/tst_lastknown.cpp
@@ -35,6 +35,7 @@
     store.save(document);
     store.save(catalogue::Evacuations { document.version, { DomainId { "d" } } });
     store.save(std::vector { makeEndpoint("i-1"), makeEndpoint("i-2") });
+    store.save(proto::VersionNews { { { ServiceId { "s" }, { document.text } } }, true });
 }
 
 } // namespace
@@ -47,6 +48,7 @@
         CHECK(store.loadDocument().version == Revision {});
         CHECK(store.loadEndpoints().empty());
         CHECK(store.loadEvacuations().revision == Revision {});
+        CHECK(store.loadVersions() == proto::VersionNews {});
     }
     saveAll(disk, { Revision { 7 }, "seven" });
     saveAll(disk, { Revision { 8 }, "eight" });
@@ -60,6 +62,8 @@
     const auto endpoints = store.loadEndpoints();
     REQUIRE(endpoints.size() == 2);
     CHECK(endpoints[1].sameAs(makeEndpoint("i-2")));
+    const auto versions = proto::VersionNews { { { ServiceId { "s" }, { "eight" } } }, true };
+    CHECK(store.loadVersions() == versions);
 }
 
 TEST_CASE("A crash before any call of the disk leaves the old document or the new one, complete")
@@ -82,6 +86,10 @@
             const auto isNew = document.version == Revision { 8 } && document.text == "eight";
             CHECK((isOld || isNew));
             CHECK(store.loadEndpoints().size() == 2);
+            const auto versions = store.loadVersions();
+            REQUIRE(versions.services.size() == 1);
+            const auto &name = versions.services[0].versions.at(0);
+            CHECK((versions.isComplete && (name == "seven" || name == "eight")));
             // A leftover temporary file does no harm.
             store.save(Document { Revision { 9 }, "nine" });
         }
@@ -92,11 +100,13 @@
 {
     auto disk = makeDisk();
     saveAll(disk, { Revision { 7 }, "seven" });
-    for (const auto *name : { "data/known-document", "data/known-endpoints" })
+    for (const auto *name :
+         { "data/known-document", "data/known-endpoints", "data/known-versions" })
         REQUIRE(disk.damage(name, [](std::string &bytes) { bytes.back() ^= 1; }));
     auto store = LastKnownStore { folder, disk };
     CHECK(store.loadDocument().version == Revision {});
     CHECK(store.loadEndpoints().empty());
+    CHECK(store.loadVersions() == proto::VersionNews {});
 }
 
 // Guards against a failed write that is not retried. A change was applied; its write next to the
--- a/fleet/testing/tst_registry.cpp
+++ b/fleet/testing/tst_registry.cpp
@@ -692,3 +692,118 @@
         }
     }
 }
+
+namespace {
+
+auto makeGateway(std::uint16_t port) -> proto::Subscribe
+{
+    auto subscribe = proto::Subscribe {};
+    subscribe.ready = true;
+    subscribe.domain = DomainId { "d" };
+    subscribe.handoffs = { "10.0.0.1", port };
+    return subscribe;
+}
+
+/// @return the names in the newest list of owners that the peer was sent
+auto newestOwners(const FakePeer &peer) -> std::vector<std::string>
+{
+    auto result = std::vector<std::string> {};
+    for (const auto &update : peer.updates) {
+        if (!update.originOwners)
+            continue;
+        result.clear();
+        for (const auto &owner : *update.originOwners)
+            result.push_back(owner.node.value());
+    }
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("Gateways get the list of owners when it has changed, at most once a second, and other "
+          "controls never")
+{
+    using Names = std::vector<std::string>;
+    auto rig = RegistryRig {};
+    auto control = std::make_shared<FakePeer>("n2");
+    rig.registry.onSubscribe(control, { .kind = proto::SubscriberKind::Control });
+    rig.registry.onSubscribe(rig.gateway, makeGateway(1));
+    CHECK(newestOwners(*rig.gateway) == Names { "g1" });
+    rig.registry.onSubscribe(rig.other, makeGateway(2));
+    // A new subscriber gets what there is at once.
+    REQUIRE(rig.other->updates.size() == 1);
+    CHECK(newestOwners(*rig.other) == Names { "g1" });
+    rig.registry.tick();
+    CHECK(newestOwners(*rig.gateway) == Names { "g1" });
+    rig.clock.advance(1s);
+    rig.registry.tick();
+    CHECK(newestOwners(*rig.gateway) == Names { "g1", "g2" });
+    CHECK(newestOwners(*rig.other) == Names { "g1", "g2" });
+    const auto sent = rig.gateway->updates.size();
+    for (auto i = 0; i < 100; ++i) { // It subscribes again, but the list stays the same.
+        auto subscribe = makeGateway(1);
+        subscribe.reachesNone = i % 2 == 0;
+        rig.registry.onSubscribe(rig.gateway, subscribe);
+        rig.clock.advance(1s);
+        rig.registry.tick();
+    }
+    CHECK(rig.gateway->updates.size() == sent);
+    auto leaving = makeGateway(1);
+    leaving.ready = false;
+    rig.registry.onSubscribe(rig.gateway, leaving);
+    rig.clock.advance(1s);
+    rig.registry.tick();
+    CHECK(newestOwners(*rig.other) == Names { "g2" });
+    rig.registry.onClose(rig.other);
+    rig.clock.advance(1s);
+    rig.registry.tick();
+    CHECK(newestOwners(*rig.gateway).empty());
+    for (const auto &update : control->updates) {
+        CHECK_FALSE(update.originOwners.has_value());
+        CHECK_FALSE(update.softwareVersions.has_value());
+    }
+}
+
+TEST_CASE("A gateway that has connected again is listed by its newest address")
+{
+    auto rig = RegistryRig {};
+    auto again = std::make_shared<FakePeer>("g1");
+    rig.registry.onSubscribe(rig.gateway, makeGateway(1));
+    rig.registry.onSubscribe(again, makeGateway(2));
+    rig.registry.onSubscribe(rig.gateway, makeGateway(1));
+    rig.clock.advance(1s);
+    rig.registry.tick();
+    const auto &owners = *again->updates.back().originOwners;
+    REQUIRE(owners.size() == 1);
+    CHECK(owners[0].address == Address { "10.0.0.1", 2 });
+    rig.registry.onClose(rig.gateway);
+    rig.clock.advance(1s);
+    const auto sent = again->updates.size();
+    rig.registry.tick();
+    CHECK(again->updates.size() == sent);
+}
+
+TEST_CASE("Gateways get software versions when they subscribe, then the changes")
+{
+    auto rig = RegistryRig {};
+    auto control = std::make_shared<FakePeer>("n2");
+    rig.registry.onSubscribe(control, { .kind = proto::SubscriberKind::Control });
+    rig.subscribe(rig.gateway);
+    CHECK(rig.gateway->updates.back().softwareVersions == proto::VersionNews {});
+    const auto a = proto::ServiceVersions { ServiceId { "a" }, { "v1" } };
+    const auto b = proto::ServiceVersions { ServiceId { "b" }, { "v1", "v2" } };
+    rig.registry.applySoftwareVersions({ { a, b }, true });
+    CHECK(rig.gateway->updates.back().softwareVersions == proto::VersionNews { { a, b }, true });
+    const auto change = proto::VersionNews { { { ServiceId { "b" }, {} } }, false };
+    rig.registry.applySoftwareVersions(change);
+    CHECK(rig.gateway->updates.back().softwareVersions == change);
+    rig.subscribe(rig.other);
+    CHECK(rig.other->updates.back().softwareVersions == proto::VersionNews { { a }, false });
+    const auto sent = rig.gateway->updates.size();
+    for (auto i = 0; i < 100; ++i) {
+        rig.clock.advance(20ms);
+        rig.registry.tick();
+    }
+    CHECK(rig.gateway->updates.size() == sent);
+    CHECK(control->updates.size() == 1);
+}
--- a/proto/servingmessages.h
+++ b/proto/servingmessages.h
@@ -135,6 +135,46 @@
     }
 };
 
+/// A gateway that may be asked to keep the origins of streams (proto/streamorigin.h).
+struct OriginOwner
+{
+    NodeId node;
+    Address address; ///< Subscribe::handoffs.
+    DomainId domain;
+    auto operator==(const OriginOwner &) const -> bool = default;
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(node, address, domain);
+    }
+};
+
+/// Software versions of one service, in ascending order.
+struct ServiceVersions
+{
+    ServiceId service;
+    std::vector<std::string> versions; ///< Empty text: of endpoints that name none.
+    auto operator==(const ServiceVersions &) const -> bool = default;
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(service, versions);
+    }
+};
+
+/// Software versions that have served within the resumption window, as far as the sender knows.
+struct VersionNews
+{
+    std::vector<ServiceVersions> services;
+    bool isComplete = false; ///< No version that has served within the window is missing.
+    auto operator==(const VersionNews &) const -> bool = default;
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(services, isComplete);
+    }
+};
+
 /// Where the controls are and what they hold, to each subscriber.
 struct ServingUpdate
 {
@@ -154,11 +194,15 @@
     std::vector<EndpointLoad> loads; ///< Over all gateways, from the leader; empty: no news.
     /// Watched endpoints whose rows are not sent any more; no new request may go there.
     std::vector<EndpointId> withdrawn;
+    /// To gateways only, when they have changed, and to a new subscriber.
+    std::optional<std::vector<OriginOwner>> originOwners;
+    std::optional<VersionNews> softwareVersions; ///< Likewise.
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
         archive(number, wantsAck, document, leader, term, gateways, endpointsKnown, isCurrent,
-                evacuations, controls, endpoints, beats, loads, withdrawn);
+                evacuations, controls, endpoints, beats, loads, withdrawn, originOwners,
+                softwareVersions);
     }
 };
 
