--- a/gateway/controlfeed.cpp
+++ b/gateway/controlfeed.cpp
@@ -160,7 +160,7 @@
             subscribeAgain();
         }
         if (watch_.isWhole() || watch_.source() == address) {
-            hooks_.onUpdate(update);
+            hooks_.onUpdate(address, update);
         } else {
             auto rest = update;
             std::erase_if(rest.endpoints, [](const auto &row) {
@@ -168,7 +168,7 @@
             });
             rest.beats.clear();
             rest.withdrawn.clear();
-            hooks_.onUpdate(rest);
+            hooks_.onUpdate(address, rest);
         }
         if (!watch_.isWhole() && watch_.source() == address)
             hooks_.onSourceHeard();
--- a/gateway/controlfeed.h
+++ b/gateway/controlfeed.h
@@ -68,7 +68,8 @@
 
 struct ControlFeedHooks
 {
-    std::function<void(const proto::ServingUpdate &)> onUpdate; ///< Called for each update.
+    /// Called for each update. @param control the address that it came from
+    std::function<void(const Address &control, const proto::ServingUpdate &)> onUpdate;
     /// Called when a document has been fetched. @return true if it is in force from now on
     std::function<bool(const FetchedDocument &)> onDocument;
     std::function<void(const proto::SuspectNews &)> onSuspects;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -43,6 +43,7 @@
         , random_(seed)
         , view_(options_.view, clock)
         , paths_(clock, options_.paths)
+        , versions_(options_.versions, clock)
         , demand_(clock)
         , loadWatch_({}, clock)
         , waiters_(context)
@@ -204,7 +205,9 @@
     auto feedHooks() -> ControlFeedHooks
     {
         auto hooks = ControlFeedHooks {};
-        hooks.onUpdate = [this](const proto::ServingUpdate &update) { onUpdate(update); };
+        hooks.onUpdate = [this](const Address &control, const proto::ServingUpdate &update) {
+            onUpdate(control, update);
+        };
         hooks.onDocument = [this](const FetchedDocument &document) { return onDocument(document); };
         hooks.onSuspects = [this](const proto::SuspectNews &news) { onSuspects(news); };
         hooks.suspects = [this] { return quarantine_.rows(1, policy::millisOf(clock_.now())); };
@@ -212,14 +215,17 @@
         hooks.onWholeListGivenUp = [this] { view_.withdrawAll(); };
         hooks.onWatched = [this](const auto &rows, bool isReset) {
             view_.applyWatched(rows, isReset);
+            versions_.onRows(rows);
             waiters_.wakeAll();
         };
         hooks.onSourceHeard = [this] { view_.onSourceHeard(); };
         hooks.onGrant = [this](const Address &control, const proto::PickGrant &grant) {
             picker_.waits().onGrant(control, grant);
         };
-        hooks.onControlClosed
-                = [this](const Address &control) { picker_.waits().onClosed(control); };
+        hooks.onControlClosed = [this](const Address &control) {
+            versions_.onControlClosed(control);
+            picker_.waits().onClosed(control);
+        };
         hooks.onBalancer = [this](const auto &balancer) { picker_.waits().onBalancer(balancer); };
         hooks.onLoadSchedule = [this](const proto::LoadSchedule &schedule) {
             if (loadWatch_.onSchedule(schedule))
@@ -303,8 +309,9 @@
         });
     }
 
-    auto onUpdate(const proto::ServingUpdate &update) -> void
+    auto onUpdate(const Address &control, const proto::ServingUpdate &update) -> void
     {
+        versions_.onUpdate(control, update);
         if (update.gateways > 0) {
             gateways_ = update.gateways;
             picker_.setGateways(update.gateways);
@@ -434,6 +441,7 @@
     Random random_;
     FleetView view_;
     EndpointPaths paths_;
+    VersionHistory versions_;
     Demand demand_;
     LoadWatch loadWatch_;
     Waiters waiters_;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -35,6 +35,7 @@
 #include "gateway/endpointpaths.h"
 #include "gateway/forwarder.h"
 #include "gateway/pathprober.h"
+#include "gateway/versionhistory.h"
 #include "http/server.h"
 #include "proto/channel.h"
 
@@ -64,6 +65,7 @@
     RetryBudgetOptions retries;
     ForwarderOptions forwarder;
     FleetViewOptions view;
+    VersionHistoryOptions versions;
     PickerOptions picker;
     KeyLeaseOptions keyLease;
     http::ServerOptions server;
--- a/gateway/testing/feedrig.h
+++ b/gateway/testing/feedrig.h
@@ -163,7 +163,7 @@
             options.seeds.push_back(control->address());
         auto updates = std::make_shared<std::size_t>(0);
         auto hooks = ControlFeedHooks {};
-        hooks.onUpdate = [updates](const proto::ServingUpdate &) { ++*updates; };
+        hooks.onUpdate = [updates](const Address &, const proto::ServingUpdate &) { ++*updates; };
         hooks.onDocument = [this](const FetchedDocument &document) {
             documents.push_back(document.version);
             return true;
