--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -509,8 +509,10 @@
     auto isCurrent() -> bool
     {
         const auto now = clock_.now();
-        if (hearsGroup())
+        if (hearsGroup()) {
             heardGroupAt_ = now;
+            hasHeardGroup_ = true;
+        }
         return now - heardGroupAt_ < options_.currentWithin;
     }
 
@@ -618,8 +620,7 @@
         retryLedger_.tick();
         proveDocument();
         rememberEndpoints();
-        if (const auto changes = versions_.tick(isCurrent() && inGroup()))
-            registry_.applySoftwareVersions(*changes);
+        tellVersions();
         const auto now = clock_.now();
         if (now >= nextEndpointSave_ && replica_) {
             nextEndpointSave_ = now + groupCheckInterval;
@@ -640,6 +641,14 @@
         sendLoadSchedule();
     }
 
+    auto tellVersions() -> void
+    {
+        // After a start a control counts as current for a while, whether it hears its group or not.
+        const auto isInTouch = isCurrent() && hasHeardGroup_ && inGroup();
+        if (const auto changes = versions_.tick(isInTouch))
+            registry_.applySoftwareVersions(*changes);
+    }
+
     /// Call after each call into the replica: completes proposals and publishes changes.
     auto settle() -> void
     {
@@ -851,8 +860,9 @@
     Instant nextLoads_ {};
     Instant nextSave_ {};
     Instant nextRelayedDemand_ {};
-    Instant heardGroupAt_ {};  ///< When this control last received decisions of its group.
-    bool hasWatchers_ = false; ///< As announced to the other controls.
+    Instant heardGroupAt_ {};    ///< When this control last received decisions of its group.
+    bool hasHeardGroup_ = false; ///< Since the start.
+    bool hasWatchers_ = false;   ///< As announced to the other controls.
     Term leadTerm_;
     bool leads_ = false;
     bool settling_ = false;
