gateway: gateways exchange the origins of streams

StreamOrigins is a part of each gateway: it takes the versions and the list of gateways from the history of versions, sends by HTTP to the addresses at which requests are handed over, and answers there. The forwarder gets it as a part; it does not use it yet.

Tests: 40 cases of streamorigins pass; with messages not passed on to StreamOrigins the new one fails.

--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -65,6 +65,7 @@
 #include "gateway/metrics.h"
 #include "gateway/picker.h"
 #include "gateway/retrybudget.h"
+#include "gateway/streamorigins.h"
 #include "gateway/waiters.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -137,6 +138,8 @@
     const LoadWatch *loadWatch = nullptr;
     /// Other gateways for requests that cannot be served here; null: there are none.
     Handoffs *handoffs = nullptr;
+    /// The software versions that began streams; null: they are not known.
+    StreamOrigins *origins = nullptr;
 };
 
 class Forwarder
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -10,6 +10,8 @@
 #include "gateway/controlfeed.h"
 #include "gateway/handoffs.h"
 #include "gateway/handoffserver.h"
+#include "gateway/originexchange.h"
+#include "gateway/streamorigins.h"
 
 namespace figrack::gateway {
 
@@ -53,6 +55,8 @@
         , handoffs_(handoffsOptions(),
                     { context, clock, random_, waiters_,
                       [this](HandoffsParts::Done done) { askHandoffTargets(std::move(done)); } })
+        , originExchange_({ options_.keys }, context, clock)
+        , origins_(originsOptions(), originsParts())
         , retries_(options_.retries, clock, metrics_,
                    [this](const auto &request, Duration timeout, auto done) {
                        return feed_.askRetry(request, timeout, std::move(done));
@@ -68,17 +72,21 @@
                        client_, picker_, random_, quarantine_, crashDetector_, paths_,
                        feed_.keyLease(),
                        [this](const proto::WatchKey &key) { return feed_.wantEndpoints(key); },
-                       &loadWatch_, &handoffs_ })
+                       &loadWatch_, &handoffs_, &origins_ })
         , server_(context, options_.server,
                   [this](const http::Request &request, http::Responder &responder) {
                       return forwarder_.handle(request, responder);
                   })
-        , handoffServer_(context, { options_.server, options_.keys },
-                         [this](const http::Request &request, const proto::HandoffTerms &terms,
-                                http::Responder &responder) {
-                             metrics_.onTakenOver();
-                             return forwarder_.handleHandedOver(request, terms, responder);
-                         })
+        , handoffServer_(
+                  context, { options_.server, options_.keys },
+                  [this](const http::Request &request, const proto::HandoffTerms &terms,
+                         http::Responder &responder) {
+                      metrics_.onTakenOver();
+                      return forwarder_.handleHandedOver(request, terms, responder);
+                  },
+                  [this](const proto::StreamOriginMessage &message) {
+                      return origins_.onMessage(message);
+                  })
         , demandTimer_(context)
         , urgentTimer_(context)
         , stopTimer_(context)
@@ -88,6 +96,8 @@
     auto start() -> absl::Status
     {
         demand_.setOnUrgent([this] { reportSoon(); });
+        versions_.setOnSecondVersion(
+                [this](const ServiceId &service) { origins_.onSecondVersion(service); });
         view_.setOnSuperseded([this](const EndpointId &id, catalogue::EndpointState before) {
             crashDetector_.onSuperseded(id, before);
             forwarder_.endDispatches(id);
@@ -153,6 +163,7 @@
     {
         server_.stop();
         handoffServer_.stop();
+        originExchange_.stop();
         prober_.stop();
         feed_.stop();
         reachedTimer_.cancel();
@@ -189,6 +200,27 @@
         return result;
     }
 
+    auto originsOptions() const -> StreamOriginsOptions
+    {
+        auto result = StreamOriginsOptions {};
+        result.self = options_.name;
+        result.table.window = options_.versions.window;
+        result.waits.window = options_.versions.window;
+        return result;
+    }
+
+    auto originsParts() -> StreamOriginsParts
+    {
+        return { context_,
+                 clock_,
+                 random_,
+                 metrics_,
+                 [this](const ServiceId &service) { return versions_.versionsOf(service); },
+                 [this] { return versions_.isComplete(); },
+                 [this] { return versions_.owners(); },
+                 originExchange_.transport() };
+    }
+
     auto askHandoffTargets(HandoffsParts::Done done) -> void
     {
         // Gateways of the own region are nearer, and in the homes of the same routes.
@@ -451,6 +483,8 @@
     PathProber prober_;
     ControlFeed feed_;
     Handoffs handoffs_;
+    OriginExchange originExchange_;
+    StreamOrigins origins_;
     RetryBudget retries_;
     Picker picker_;
     CrashDetector crashDetector_;
--- a/gateway/originowners.h
+++ b/gateway/originowners.h
@@ -10,19 +10,12 @@
 
 #include <vector>
 
-#include "core/ids.h"
-#include "core/settings.h"
+#include "proto/servingmessages.h"
 #include "proto/streamorigin.h"
 
 namespace figrack::gateway {
 
-/// A gateway that may keep the origins of streams.
-struct OriginOwner
-{
-    NodeId node;
-    Address address; ///< Where it takes messages of other gateways.
-    DomainId domain;
-};
+using OriginOwner = proto::OriginOwner;
 
 /// @param gateways that are known, in any order
 /// @return the first of the stream's ranking, and the first of another failure domain if there are
