gateway: the forwarder's header declares the origins of streams as its other users do

It included their header for a pointer, and every user of the forwarder with it. A forward declaration is enough. streamorigins (40 cases) and endpointcut (16) pass.

--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -65,7 +65,6 @@
 #include "gateway/metrics.h"
 #include "gateway/picker.h"
 #include "gateway/retrybudget.h"
-#include "gateway/streamorigins.h"
 #include "gateway/waiters.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -73,6 +72,8 @@
 
 namespace figrack::gateway {
 
+class StreamOrigins;
+
 struct ForwarderOptions
 {
     /// Maximum body size of an answer that is not a stream.
@@ -138,7 +139,7 @@
     const LoadWatch *loadWatch = nullptr;
     /// Other gateways for requests that cannot be served here; null: there are none.
     Handoffs *handoffs = nullptr;
-    /// The software versions that began streams; null: they are not known.
+    /// Where streams have begun that callers take up again; null: any endpoint may go on with them.
     StreamOrigins *origins = nullptr;
 };
 
