--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -72,6 +72,8 @@
 
 namespace figrack::gateway {
 
+class StreamOrigins;
+
 struct ForwarderOptions
 {
     /// Maximum body size of an answer that is not a stream.
@@ -137,6 +139,8 @@
     const LoadWatch *loadWatch = nullptr;
     /// Other gateways for requests that cannot be served here; null: there are none.
     Handoffs *handoffs = nullptr;
+    /// Where streams have begun that callers take up again; null: any endpoint may go on with them.
+    StreamOrigins *origins = nullptr;
 };
 
 class Forwarder
