gateway, proto: a gap is found where a handed-over stream is resumed once more

What callers saw: event 5 after event 3, in a stream told as whole. A gateway that took a stream over did not know whether its numbers had been consecutive, so it never looked for a gap. The first gateway looks for one only where a run begins, and a run that the other gateway begins by itself is not seen there.

The terms of a hand-over now say whether the numbers so far leave out none (protocol version 11). A stream whose numbers are spaced goes on as before.

--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -97,6 +97,8 @@
     } else if (auto status = quarantineRefusal()) {
         co_await giveUp(std::move(*status));
     } else {
+        if (handoffTerms_ != nullptr && handoffTerms_->areEventIdsConsecutive)
+            position_.assumeConsecutive();
         responder_.onPeerGone([this] { onCallerGone(); });
         // The writer refers to this object, so it is waited for also after an exception.
         auto failure = std::exception_ptr {};
--- a/gateway/forwarderhandoff.cpp
+++ b/gateway/forwarderhandoff.cpp
@@ -218,6 +218,7 @@
     result.terms.resumeAfter = position_.lastId();
     result.terms.hasStreamBegun = streamVersion_.has_value();
     result.terms.softwareVersion = streamVersion_.value_or(std::string {});
+    result.terms.areEventIdsConsecutive = position_.isConsecutive();
     result.method = request_.method;
     result.target = request_.target;
     result.path = request_.path;
--- a/gateway/streamposition.cpp
+++ b/gateway/streamposition.cpp
@@ -28,7 +28,7 @@
 {
     auto position = StreamPosition { std::move(last) };
     position.hasSent_ = true;
-    position.isConsecutive_ = false; // Only the first gateway knows.
+    position.isConsecutive_ = false;
     return position;
 }
 
--- a/gateway/streamposition.h
+++ b/gateway/streamposition.h
@@ -34,6 +34,8 @@
     explicit StreamPosition(std::string given);
     /// @param last ID of the last event that another gateway has sent in the same answer
     static auto handedOver(std::string last) -> StreamPosition;
+    /// Called after handedOver() if the numbers that the other gateway has sent were consecutive.
+    auto assumeConsecutive() -> void { isConsecutive_ = true; }
     /// Called before the first event of each run.
     auto beginRun() -> void { hasPlace_ = false; }
     /// Decides on the next event of the run, and notes it if it is to be sent.
@@ -42,6 +44,8 @@
     auto onEvent(const std::string &id, bool hasData) -> EventVerdict;
     /// @return ID of the last event that the caller has; empty if there is none
     auto lastId() const -> const std::string & { return lastId_; }
+    /// @return true unless the numbers of the events sent so far leave out one
+    auto isConsecutive() const -> bool { return isConsecutive_; }
     /// @return true if a run that begins after lastId() continues exactly what was sent
     auto isResumable() const -> bool { return !hasSent_ || (number_ && isExact_); }
 
--- a/gateway/testing/cutworld.cpp
+++ b/gateway/testing/cutworld.cpp
@@ -42,8 +42,10 @@
 {
     dialect_.readDocument = [this](std::string_view) {
         auto catalogue = *testCatalogue(false);
-        for (auto &route : catalogue.routes)
+        for (auto &route : catalogue.routes) {
             route.homeRegions = options_.homes;
+            route.maxAttempts = options_.maxAttempts;
+        }
         return catalogue;
     };
     control_.document = Revision { 1 };
--- a/gateway/testing/cutworld.h
+++ b/gateway/testing/cutworld.h
@@ -27,6 +27,7 @@
     std::vector<RegionId> homes = {}; ///< Of all routes.
     /// Of the endpoints' software, in turn by pairs of endpoints; none: they name no version.
     std::vector<std::string> softwareVersions = {};
+    std::uint32_t maxAttempts = 2; ///< Of all routes.
 };
 
 /// The two gateways.
--- a/gateway/testing/tst_endpointcut.cpp
+++ b/gateway/testing/tst_endpointcut.cpp
@@ -269,6 +269,47 @@
     }
 }
 
+// The other gateway resumes the stream by itself, so that only that gateway sees where a run
+// begins.
+TEST_CASE("No event is left out where a stream is resumed at the gateway that has taken it over")
+{
+    auto options = CutWorldOptions {};
+    options.maxAttempts = 4;
+    auto world = CutWorld { options };
+    for (auto i = std::size_t { 0 }; i < endpointCount; ++i) {
+        world.endpoint(i).handler
+                = [&](const http::Request &request,
+                      http::Responder &responder) -> boost::asio::awaitable<void> {
+            const auto after = std::string { request.header("X-After") };
+            if (!after.empty()) {
+                const auto first = after == "2" ? 3 : std::stoi(after) + 2;
+                co_await streaming(first, first, after != "2")(request, responder);
+                co_return;
+            }
+            auto headers = http::Headers { { "Content-Type", "text/event-stream" },
+                                           { "X-Id", std::string { request.header("X-Id") } } };
+            static_cast<void>(co_await responder.startStream(200, std::move(headers)));
+            auto text = std::string { "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n" };
+            static_cast<void>(co_await responder.write(std::move(text)));
+            auto timer = BootTimer { world.rig.context, patience };
+            responder.onPeerGone([&] { timer.cancel(); });
+            auto code = boost::system::error_code {};
+            co_await timer.async_wait(
+                    boost::asio::redirect_error(boost::asio::use_awaitable, code));
+        };
+    }
+    const auto answer = world.begin(At::Cut, "/resume/");
+    const auto id = world.lastId();
+    REQUIRE(world.rig.runUntil([&] { return world.arrivals(id) == 1; }));
+    const auto cutAt = world.rig.clock.now() + std::chrono::milliseconds { 50 };
+    world.rig.runUntil([&] { return world.rig.clock.now() >= cutAt; });
+    world.cut(Cut::Hang);
+    REQUIRE(world.rig.runUntil([&] { return answer->has_value(); }));
+    CHECK(world.arrivals(id) >= 3);
+    CHECK_FALSE((*answer)->whole);
+    CHECK((*answer)->body == "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n");
+}
+
 TEST_CASE("An endpoint that is silent for a second is not avoided, and its request is not moved")
 {
     auto world = CutWorld {};
--- a/gateway/testing/tst_streamposition.cpp
+++ b/gateway/testing/tst_streamposition.cpp
@@ -74,3 +74,16 @@
     CHECK(position.onEvent("x", true) == EventVerdict::Send);
     CHECK_FALSE(position.isResumable());
 }
+
+TEST_CASE("A gap in a stream that was handed over is found if its numbers were consecutive before")
+{
+    for (const auto isConsecutive : { true, false }) {
+        auto position = StreamPosition::handedOver("3");
+        if (isConsecutive)
+            position.assumeConsecutive();
+        position.beginRun();
+        CHECK(position.onEvent("4", true) == EventVerdict::Send);
+        position.beginRun();
+        CHECK((position.onEvent("6", true) == EventVerdict::Break) == isConsecutive);
+    }
+}
--- a/gateway/testing/tst_streamseams.cpp
+++ b/gateway/testing/tst_streamseams.cpp
@@ -333,24 +333,49 @@
     CHECK(got.body == text);
 }
 
+namespace {
+
+/// Serves a stream of which another gateway has sent events up to terms.resumeAfter.
+auto takeOver(ScriptedRig &scripted, const proto::HandoffTerms &terms) -> Got
+{
+    auto gateway = http::Server { scripted.rig.context,
+                                  {},
+                                  [&](const http::Request &request, http::Responder &responder) {
+                                      return scripted.rig.forwarder.handleHandedOver(request, terms,
+                                                                                     responder);
+                                  } };
+    REQUIRE(gateway.start({ "127.0.0.1", 0 }).ok());
+    const auto got = scripted.rig.beginAt(gateway.port(), Rig::request("/resume/x", "r1"));
+    REQUIRE(scripted.rig.runUntil([&] { return got->has_value(); }));
+    gateway.stop();
+    return **got;
+}
+
+} // namespace
+
 TEST_CASE("A handed-over stream that starts anew is broken off, not joined to what was sent before")
 {
     for (const auto first : { 3, 1 }) {
         auto scripted = ScriptedRig { { { { streamOf(first, 5, "\n") } } } };
         auto terms = proto::HandoffTerms {};
         terms.resumeAfter = "3";
-        auto gateway
-                = http::Server { scripted.rig.context,
-                                 {},
-                                 [&](const http::Request &request, http::Responder &responder) {
-                                     return scripted.rig.forwarder.handleHandedOver(request, terms,
-                                                                                    responder);
-                                 } };
-        REQUIRE(gateway.start({ "127.0.0.1", 0 }).ok());
-        const auto got = scripted.rig.beginAt(gateway.port(), Rig::request("/resume/x", "r1"));
-        REQUIRE(scripted.rig.runUntil([&] { return got->has_value(); }));
-        CHECK(((*got)->status == 200) == (first == 3));
-        CHECK((*got)->body == (first == 3 ? streamOf(4, 5, "\n") : ""));
-        gateway.stop();
+        const auto got = takeOver(scripted, terms);
+        CHECK((got.status == 200) == (first == 3));
+        CHECK(got.body == (first == 3 ? streamOf(4, 5, "\n") : ""));
+    }
+}
+
+TEST_CASE("A handed-over stream is broken off at a gap only if its numbers were consecutive before")
+{
+    for (const auto isConsecutive : { true, false }) {
+        auto scripted = ScriptedRig { { { { streamOf(4, 5, "\n") }, false },
+                                        { { streamOf(7, 8, "\n") } } } };
+        auto terms = proto::HandoffTerms {};
+        terms.resumeAfter = "3";
+        terms.areEventIdsConsecutive = isConsecutive;
+        const auto got = takeOver(scripted, terms);
+        const auto rest = isConsecutive ? "" : streamOf(7, 8, "\n");
+        CHECK(got.whole == !isConsecutive);
+        CHECK(got.body == streamOf(4, 5, "\n") + rest);
     }
 }
--- a/proto/handoff.h
+++ b/proto/handoff.h
@@ -50,11 +50,14 @@
     std::string resumeAfter;        ///< ID of the last event that the caller has; empty: none.
     bool hasStreamBegun = false;    ///< The caller has begun to receive a stream.
     std::string softwareVersion;    ///< Of the endpoint that began that stream.
+    /// The numbers of the events that the caller has received leave out none.
+    bool areEventIdsConsecutive = false;
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
         archive(from, waitedMs, ran, mayHaveRun, isCountedAsWork, isCountedAsDemand, isCharged,
-                hasArrived, retryMs, resumeAfter, hasStreamBegun, softwareVersion);
+                hasArrived, retryMs, resumeAfter, hasStreamBegun, softwareVersion,
+                areEventIdsConsecutive);
     }
 };
 
--- a/proto/messages.h
+++ b/proto/messages.h
@@ -32,7 +32,7 @@
 
 namespace figrack::proto {
 
-constexpr auto protocolVersion = std::uint32_t { 10 };
+constexpr auto protocolVersion = std::uint32_t { 11 };
 constexpr auto maxFrameBytes = std::size_t { 16 } << 20;
 
 /// An error on the wire.
