--- a/gateway/testing/tst_forwarder.cpp
+++ b/gateway/testing/tst_forwarder.cpp
@@ -212,6 +212,40 @@
     CHECK(begun.size() == 2);
 }
 
+TEST_CASE("An endpoint is not told to fetch KV cache from one of another software version")
+{
+    auto link = gateway::BalancerLink {};
+    link.ask = [](const proto::PickRequest &, Duration,
+                  const gateway::BalancerLink::Done &done) -> std::optional<Address> {
+        auto reply = proto::PickReply {};
+        reply.endpoint = EndpointId { "i-1" };
+        reply.fetchFrom = EndpointId { "i-2" };
+        done(reply);
+        return Address { "127.0.0.1", 1 };
+    };
+    link.end = [](const Address &, const proto::PickEnd &) {};
+    auto rig = Rig { {}, link };
+    auto &reader = rig.addEndpoint("i-1");
+    auto &source = rig.addEndpoint("i-2");
+    reader.handler = answering("ok");
+    auto fetchedFrom = std::optional<Address> {};
+    const auto write = rig.dialect.writeDispatch;
+    rig.dialect.writeDispatch
+            = [&](const gateway::CallerRequest &request, const gateway::DispatchTerms &terms) {
+                  fetchedFrom = terms.fetchFrom;
+                  return write(request, terms);
+              };
+    rig.tell("i-1", reader.port, 2, EndpointState::Ready, {}, "v1");
+    auto sequence = std::uint64_t { 1 };
+    for (const auto &version : std::array<std::string, 4> { "v1", "v2", "", "v1" }) {
+        CAPTURE(version);
+        rig.tell("i-2", source.port, ++sequence, EndpointState::Ready, {}, version);
+        CHECK(rig.call(Rig::request("/once/x", "r" + std::to_string(sequence))).status == 200);
+        CHECK(fetchedFrom.has_value() == (version == "v1"));
+    }
+    CHECK(reader.seen.size() == 4);
+}
+
 TEST_CASE("An answer that identifies another request is dropped")
 {
     auto rig = Rig {};
