gateway: a begun stream does not wait for a model that cannot be loaded for it

What callers saw: a stream of a service with models, whose endpoint broke while the only other endpoint of its software version was draining, stood still until its deadline, 9,984 ms in the test, and then broke off. Plain services broke it off at once.

The endpoint that broke the stream was still announced, so the request waited for its model to be loaded. All endpoints of the version had been tried, and a load at another version does not help the stream. Such a stream is now broken off at once, so that its caller can take it up again. An endpoint that asked for a backoff, or that has not been tried, is waited for as before.

The test failed before, in its part with a model.

--- a/gateway/forwarderplacing.cpp
+++ b/gateway/forwarderplacing.cpp
@@ -63,6 +63,12 @@
     return fewest;
 }
 
+auto areAllAvoided(const std::vector<EndpointEntry *> &entries, const Criteria &criteria) -> bool
+{
+    return std::all_of(entries.begin(), entries.end(),
+                       [&](const auto *entry) { return criteria.avoided.contains(entry->row.id); });
+}
+
 } // namespace
 
 auto Forwarder::Run::countAsWork() -> void
@@ -459,6 +465,10 @@
 
 auto Forwarder::Run::readyAt(BlockedBy blockedBy) -> std::optional<Instant>
 {
+    // A model that is loaded at an endpoint of another software version does not help a stream that
+    // has begun.
+    if (streamVersion_ && blockedBy != BlockedBy::Backoff && areAllAvoided(candidates(), criteria_))
+        return std::nullopt;
     const auto now = parts_.clock.now();
     const auto load = expectedLoad(blockedBy);
     const auto since = waitingSince();
