gateway: why no gap is looked for after an ID that the caller names

A run that begins at 6 after a caller's own 3 is sent, as a test demands: only the run's next event could show whether the service's numbers are consecutive. Holding the first event back until then would delay each resumption of a service with spaced numbers, and breaking it off would end streams that are whole. The caller sees both numbers.

--- a/gateway/streamposition.cpp
+++ b/gateway/streamposition.cpp
@@ -66,6 +66,9 @@
         return hasPlace_ || hasSent_ ? EventVerdict::Break : EventVerdict::Drop;
     if (*number == *number_)
         return hasPlace_ ? EventVerdict::Break : EventVerdict::Drop;
+    // Numbers need not be consecutive. A caller that names the last ID of an earlier answer does
+    // not tell whether they were, and after the run's next event it is too late to hold back this
+    // one.
     const auto isGap = hasSent_ && !hasPlace_ && isConsecutive_ && *number - *number_ > 1;
     return isGap ? EventVerdict::Break : EventVerdict::Send;
 }
