gateway: a stream that its caller takes up again goes on at the version that began it

What callers saw: about half of the streams that they took up again held events of two software versions. Cause: nothing read `Resumes`, so that a resumption went to any endpoint of the service, and on a split route to any of its services.

The gateway finds out the version that began the stream (StreamOrigins) before it looks for an endpoint, and binds the request to it, as a stream is bound that is resumed within one answer: by candidates(), by the balancer's candidates and by the terms of a hand-over. Where the version is not known, or the stream is another account's, the request is refused at once as not run, with the time after which another answer is possible; a caller can't tell the two apart, the log line can (`origin`). Where no endpoint of the version takes work, it is refused at once with a Retry-After of 1 s (`lacked=version`), and a stream is neither moved nor retried where nothing of its version is left. With the first event, and again after half of the window, the gateway to which the caller is connected tells the origin under the first attempt's ID.

A route that may be resumed chooses its service by a hash of the first attempt's ID, so that all gateways choose the same one; while the split is newer than the window, only a known origin counts. Terms of a hand-over name the service, and say that the version is bound instead of that the stream has begun: a resumption is bound before anything is sent, and the second gateway does not ask again.

Why it works: a request with a bound version has no candidates of another version on any way, and a request that resumes isn't dispatched before it is bound. Without StreamOrigins, and on routes that may not be resumed, nothing changes but the choice of the service on split routes that may be resumed.

--- a/gateway/chooser.cpp
+++ b/gateway/chooser.cpp
@@ -73,9 +73,9 @@
 
 auto blockedByName(BlockedBy blockedBy) -> std::string_view
 {
-    constexpr auto names = std::array<std::string_view, 13> {
-        "none",    "endpoint", "model",   "adapter", "places", "trial", "limit",
-        "counter", "rate",     "backoff", "home",    "memory", "path"
+    constexpr auto names = std::array<std::string_view, 15> {
+        "none", "endpoint", "model", "adapter", "places", "trial",   "limit", "counter",
+        "rate", "backoff",  "home",  "memory",  "path",   "version", "origin"
     };
     return names[static_cast<std::size_t>(blockedBy) % names.size()];
 }
--- a/gateway/chooser.h
+++ b/gateway/chooser.h
@@ -50,10 +50,12 @@
     Home,     ///< No endpoint of the service is in the home regions of the route and the account.
     Memory,   ///< The gateway, or the endpoints that hold the model, hold too many bytes.
     Path,     ///< The gateway has no path to the endpoints that could take it.
+    Version,  ///< No endpoint of the software version that began the stream takes work.
+    Origin,   ///< The software version that began the stream is not known.
 };
 
 /// @return "none", "endpoint", "model", "adapter", "places", "trial", "limit", "counter", "rate",
-/// "backoff", "home", "memory" or "path"
+/// "backoff", "home", "memory", "path", "version" or "origin"
 auto blockedByName(BlockedBy blockedBy) -> std::string_view;
 
 /// The endpoints that can take a request.
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -62,7 +62,7 @@
     isCountedAsWork_ = terms->isCountedAsWork;
     isDemand_ = terms->isCountedAsDemand;
     isCounted_ = terms->isCharged;
-    if (terms->hasStreamBegun)
+    if (terms->isVersionBound)
         streamVersion_ = terms->softwareVersion;
     if (terms->retryMs > 0) {
         const auto validFor = std::min<Duration>(std::chrono::milliseconds { terms->retryMs },
@@ -101,7 +101,8 @@
         // The writer refers to this object, so it is waited for also after an exception.
         auto failure = std::exception_ptr {};
         try {
-            co_await dispatchUntilSettled();
+            if (co_await bindOrigin())
+                co_await dispatchUntilSettled();
         } catch (...) {
             failure = std::current_exception();
         }
@@ -243,6 +244,10 @@
         line.with("resumes", std::string_view { caller_.resumes }.substr(0, maxLoggedAttempt));
     if (!softwareVersion_.empty())
         line.with("software_version", softwareVersion_);
+    if (originSource_)
+        line.with("origin", originSourceName(*originSource_));
+    if (originSource_ && streamVersion_)
+        line.with("stream_version", *streamVersion_);
     if (hasAnswerBegun_ && !isDelimited_)
         line.with("framing", "connection");
     if (picked_.by != PickedBy::Nobody)
@@ -303,6 +308,7 @@
         if (catalogue::hasDeferrableRoute(*catalogue, service))
             deferrable_.insert(service.id);
     }
+    splits_.onCatalogue(*catalogue, parts_.clock.now());
     accounts_ = std::make_shared<const catalogue::AccountTable>(catalogue);
     routes_ = std::make_shared<const catalogue::RouteTable>(std::move(catalogue));
     parts_.waiters.wakeAll();
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -65,6 +65,7 @@
 #include "gateway/metrics.h"
 #include "gateway/picker.h"
 #include "gateway/retrybudget.h"
+#include "gateway/splithistory.h"
 #include "gateway/waiters.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -72,6 +73,8 @@
 
 namespace figrack::gateway {
 
+class StreamOrigins;
+
 struct ForwarderOptions
 {
     /// Maximum body size of an answer that is not a stream.
@@ -107,6 +110,13 @@
     /// its connection marks. It takes two round trips, of a tenth of a second between regions.
     Duration endProofTimeout = std::chrono::milliseconds { 500 };
     NodeId self; ///< This gateway, for requests that it hands over.
+    /// Longest time between the last event of a stream and its resumption by the caller.
+    Duration resumptionWindow = std::chrono::seconds { 60 };
+    /// Time until a configuration is in force at all gateways.
+    Duration configurationDelay = std::chrono::seconds { 4 };
+    /// Retry-After where no endpoint of the version that began a stream is left. An endpoint that
+    /// restarts is back by then.
+    Duration versionRetryAfter = std::chrono::seconds { 1 };
     /// Decides which endpoints are in the homes of a route or an account.
     catalogue::RegionMap regions = {};
     HeldBytesOptions heldBytes = {};
@@ -137,6 +147,8 @@
     const LoadWatch *loadWatch = nullptr;
     /// Other gateways for requests that cannot be served here; null: there are none.
     Handoffs *handoffs = nullptr;
+    /// Where streams have begun that callers take up again; null: any endpoint may go on with them.
+    StreamOrigins *origins = nullptr;
 };
 
 class Forwarder
@@ -183,6 +195,7 @@
     std::shared_ptr<const catalogue::RouteTable> routes_;
     /// From the same catalogue as routes_.
     std::shared_ptr<const catalogue::AccountTable> accounts_;
+    SplitHistory splits_; ///< Of all documents that were in force here.
     /// The same catalogue asks for ordered admission (catalogue/contention.h).
     bool isOrdered_ = false;
     std::set<ServiceId> deferrable_; ///< Services with a deferrable route, of the same catalogue.
--- a/gateway/forwarderadmission.cpp
+++ b/gateway/forwarderadmission.cpp
@@ -57,7 +57,6 @@
     }
     if (auto refusal = identify())
         return refusal;
-    service_ = catalogue::pickService(*route_, parts_.random.unit());
     const auto limit
             = std::min(caller_.deadline.value_or(route_->finishLimit), route_->finishLimit);
     deadline_ = arrived_ + limit - owner_.options_.answerMargin;
@@ -65,9 +64,6 @@
     if (route_->leaveAfter > Duration::zero())
         startBy_ = std::min(startBy_,
                             arrived_ + route_->leaveAfter - owner_.options_.minTimeToFirstEvent);
-    const auto *service = routes_->catalogue().find(service_);
-    engine_ = service != nullptr && service->engine ? &*service->engine : nullptr;
-    coldPerSecond_ = service != nullptr ? service->coldPerSecond : 0;
     const auto sentBefore = handoffTerms_ != nullptr ? handoffTerms_->resumeAfter : std::string {};
     position_ = sentBefore.empty() || sentBefore == caller_.resumeAfter
             ? StreamPosition { caller_.resumeAfter }
@@ -77,12 +73,24 @@
         homes_.restrictTo(account_->homeRegions);
     works_ = catalogue::workIdsOf({ request_.method, caller_.host, caller_.path, request_.query,
                                     caller_.account, request_.body });
+    setService(chooseService());
+    return std::nullopt;
+}
+
+auto Forwarder::Run::setService(const ServiceId &id) -> void
+{
+    service_ = id;
+    const auto *service = routes_->catalogue().find(service_);
+    engine_ = service != nullptr && service->engine ? &*service->engine : nullptr;
+    coldPerSecond_ = service != nullptr ? service->coldPerSecond : 0;
+    promptParts_.clear();
     // The last part belongs to this request alone.
     for (std::size_t i = 0; i + 1 < caller_.prompt.size(); ++i)
         promptParts_.push_back(catalogue::workIdOfPart(service_, caller_.prompt[i].id));
+    target_ = {};
+    criteria_ = {};
     if (engine_ != nullptr && !caller_.model.empty())
         setCriteria();
-    return std::nullopt;
 }
 
 auto Forwarder::Run::identify() -> std::optional<Refusal>
--- a/gateway/forwarderdispatch.cpp
+++ b/gateway/forwarderdispatch.cpp
@@ -53,7 +53,7 @@
     const auto inCount = ran_ < route_->maxAttempts && mayConnect;
     auto mayTry = mayRepeat && mayResume && inTime && inCount;
     if (mayTry && step == Step::Broken)
-        mayTry = !co_await hasTooManyCrashes() && !callerGone_;
+        mayTry = hasEndpointLeft() && !co_await hasTooManyCrashes() && !callerGone_;
     if (mayTry && (!hasArrived() || co_await takeRetry()))
         co_return true;
     co_await giveUp(lastError_);
@@ -62,7 +62,7 @@
 
 auto Forwarder::Run::isResumable() const -> bool
 {
-    return route_->resumable && position_.isResumable();
+    return route_->resumable && position_.isResumable() && hasEndpointLeft();
 }
 
 auto Forwarder::Run::hasTooManyCrashes() -> asio::awaitable<bool>
@@ -401,8 +401,8 @@
 auto Forwarder::Run::mayMove() const -> bool
 {
     const auto mayRepeat = responder_.started() ? isResumable() : route_->mayRepeat();
-    return mayRepeat && !isMoved_ && !callerGone_ && handoffTerms_ == nullptr
-            && ran_ + (hasAnswerBegun_ ? 0U : 1U) < route_->maxAttempts
+    return mayRepeat && hasEndpointLeft(endpoint_) && !isMoved_ && !callerGone_
+            && handoffTerms_ == nullptr && ran_ + (hasAnswerBegun_ ? 0U : 1U) < route_->maxAttempts
             && parts_.clock.now() < deadline_;
 }
 
--- a/gateway/forwarderhandoff.cpp
+++ b/gateway/forwarderhandoff.cpp
@@ -216,8 +216,9 @@
     result.terms.isCharged = isCounted_;
     result.terms.hasArrived = hasArrived();
     result.terms.resumeAfter = position_.lastId();
-    result.terms.hasStreamBegun = streamVersion_.has_value();
+    result.terms.isVersionBound = streamVersion_.has_value();
     result.terms.softwareVersion = streamVersion_.value_or(std::string {});
+    result.terms.service = service_;
     result.method = request_.method;
     result.target = request_.target;
     result.path = request_.path;
--- a/gateway/forwarderplacing.cpp
+++ b/gateway/forwarderplacing.cpp
@@ -109,8 +109,10 @@
             co_await giveUp(std::move(error));
             co_return nullptr;
         }
-        if (blockedBy == BlockedBy::Home) {
+        if (blockedBy == BlockedBy::Home || blockedBy == BlockedBy::Version) {
             blockedBy_ = blockedBy;
+            if (blockedBy == BlockedBy::Version)
+                retryAfter_ = owner_.options_.versionRetryAfter;
             auto error = blockedError(blockedBy);
             co_await giveUp(std::move(error));
             co_return nullptr;
@@ -184,6 +186,8 @@
         co_await awaitEndpoints();
         criteria_.now = parts_.clock.now();
         const auto candidates = this->candidates();
+        if (candidates.empty() && streamVersion_)
+            co_return BlockedBy::Version;
         if (candidates.empty() && homes_.isRestricted() && !parts_.view.of(service_).empty())
             co_return BlockedBy::Home;
         auto able = ableAmong(candidates);
--- a/gateway/forwarderrelay.cpp
+++ b/gateway/forwarderrelay.cpp
@@ -156,6 +156,7 @@
     }
     if (!bytes.empty()) {
         noteEvents();
+        noteStreamBegun();
         if (!co_await startResponse(stream) || !co_await callerStream_.write(std::move(bytes))) {
             outcome_ = RequestOutcome::CallerGone;
             co_return Step::Settled;
@@ -176,8 +177,10 @@
     auto raw = std::string_view { event.raw };
     if (event.hasMark)
         raw.remove_prefix(endpoint::byteOrderMark.size());
-    const auto verdict = position_.onEvent(eventId(raw), event.hasData);
+    const auto id = eventId(raw);
+    const auto verdict = position_.onEvent(id, event.hasData);
     isEventSent_ = verdict == EventVerdict::Send;
+    hasStreamBegun_ = hasStreamBegun_ || (isEventSent_ && (event.hasData || !id.empty()));
     return verdict;
 }
 
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -23,6 +23,7 @@
 #include "gateway/chooser.h"
 #include "gateway/dispatchend.h"
 #include "gateway/forwarder.h"
+#include "gateway/foundorigin.h"
 #include "gateway/streamposition.h"
 
 namespace figrack::gateway {
@@ -77,6 +78,8 @@
     /// Reads the request and finds its route, account and service.
     /// @return the refusal of a request that cannot be forwarded at all
     auto prepare() -> std::optional<Refusal>;
+    /// Sets the service and all that depends on it.
+    auto setService(const ServiceId &id) -> void;
     /// Finds the account of the caller's key.
     /// @return a refusal if the route requires an account and the caller has none
     auto identify() -> std::optional<Refusal>;
@@ -308,8 +311,25 @@
 
     // ---- streams that callers take up again (forwarderresumption.cpp)
 
-    /// @return true if the caller takes a stream up again that it has received in part
+    /// @return true if the caller takes up a stream that one of its earlier attempts has begun
     auto isResumption() const -> bool;
+    /// @return the service of the split that the request goes to. All attempts at a stream go to
+    /// the same one, at any gateway, as long as the split stays the same
+    auto chooseService() -> ServiceId;
+    /// Binds a resumption to the service and the software version that began its stream.
+    /// @return false if the version is not known, so that the request has been refused
+    auto bindOrigin() -> boost::asio::awaitable<bool>;
+    /// Finds out the version that began the caller's stream. Sets the service that began it.
+    auto findOrigin() -> boost::asio::awaitable<FoundOrigin>;
+    /// @return the services that may have begun the caller's stream, the chosen one first
+    auto servicesOfStream() const -> std::vector<ServiceId>;
+    /// Tells the owners of the stream which version has begun it, with its first event, and again
+    /// while it goes on.
+    auto noteStreamBegun() -> void;
+    /// @param left endpoint that the request leaves; empty if none
+    /// @return true if another endpoint, or another gateway, may go on with the stream
+    auto hasEndpointLeft(const EndpointId &left = {}) const -> bool;
+    auto resumptionOutcome() const -> ResumptionOutcome;
     /// Counts how a resumption of the caller ended, at the gateway to which it is connected.
     auto countResumption() -> void;
 
@@ -342,10 +362,15 @@
     StreamPosition position_;                    ///< Of the caller's stream.
     /// Of the software of the endpoint that began the stream which the caller receives.
     std::optional<std::string> streamVersion_;
-    EndpointId endpoint_;         ///< Endpoint of the latest dispatch.
-    Address endpointAddress_;     ///< The same endpoint's.
-    std::string softwareVersion_; ///< Of its software.
-    Picked picked_;               ///< The latest choice; its booking ends with the dispatch.
+    /// How the origin of a stream that the caller takes up again was found; absent if nobody was
+    /// asked.
+    std::optional<OriginSource> originSource_;
+    std::optional<Instant> originToldAt_; ///< Latest time.
+    bool hasStreamBegun_ = false;         ///< An event, not only comments, is sent to the caller.
+    EndpointId endpoint_;                 ///< Endpoint of the latest dispatch.
+    Address endpointAddress_;             ///< The same endpoint's.
+    std::string softwareVersion_;         ///< Of its software.
+    Picked picked_;       ///< The latest choice; its booking ends with the dispatch.
     BootTimer holdTimer_; ///< For a delay that the balancer asked for, and for a wait for a place.
     HeldBytes::Share bodyShare_;
     CallerStream callerStream_;
--- a/proto/handoff.h
+++ b/proto/handoff.h
@@ -49,13 +49,14 @@
     bool hasArrived = false;        ///< An endpoint has received a dispatch of it.
     std::uint64_t retryMs = 0;      ///< For how long a retry of it is paid for; 0: none is.
     std::string resumeAfter;        ///< ID of the last event that the caller has; empty: none.
-    bool hasStreamBegun = false;    ///< The caller has begun to receive a stream.
+    bool isVersionBound = false;    ///< The stream has begun, here or in an earlier attempt.
     std::string softwareVersion;    ///< Of the endpoint that began that stream.
+    ServiceId service;              ///< That the first gateway has chosen.
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
         archive(from, waitedMs, ran, mayHaveRun, isCountedAsWork, isCountedAsDemand, isCharged,
-                hasArrived, retryMs, resumeAfter, hasStreamBegun, softwareVersion);
+                hasArrived, retryMs, resumeAfter, isVersionBound, softwareVersion, service);
     }
 };
 
