--- a/gateway/metrics.cpp
+++ b/gateway/metrics.cpp
@@ -26,6 +26,9 @@
         = std::array<std::string_view, 9> { "answered", "no_route",   "refused",
                                             "failed",   "broken_off", "caller_gone",
                                             "denied",   "over_limit", "internal_error" };
+constexpr auto resumptionOutcomeNames
+        = std::array<std::string_view, 5> { "went_on", "unknown", "foreign", "no_endpoint",
+                                            "other" };
 constexpr auto internalErrorReasonNames
         = std::array<std::string_view, 4> { "missing_entry", "out_of_memory", "io", "other" };
 
@@ -36,6 +39,12 @@
     return requestOutcomeNames[static_cast<std::size_t>(outcome) % requestOutcomeNames.size()];
 }
 
+auto resumptionOutcomeName(ResumptionOutcome outcome) -> std::string_view
+{
+    return resumptionOutcomeNames[static_cast<std::size_t>(outcome)
+                                  % resumptionOutcomeNames.size()];
+}
+
 auto internalErrorReasonName(InternalErrorReason reason) -> std::string_view
 {
     return internalErrorReasonNames[static_cast<std::size_t>(reason)
@@ -63,6 +72,10 @@
                            .Name("figrack_gateway_requests_total")
                            .Help("Requests by how they ended")
                            .Register(registry))
+        , resumptions(prometheus::BuildCounter()
+                              .Name("figrack_gateway_resumptions_total")
+                              .Help("Streams that their callers took up again, by how that ended")
+                              .Register(registry))
         , internalErrors(prometheus::BuildCounter()
                                  .Name("figrack_gateway_internal_errors_total")
                                  .Help("Requests ended by an exception in this process")
@@ -167,6 +180,24 @@
                               .Name("figrack_gateway_path_changes_total")
                               .Help("Changes of the paths to endpoints, by the new state")
                               .Register(registry))
+        , originTells(prometheus::BuildCounter()
+                              .Name("figrack_gateway_origin_tells_total")
+                              .Help("Origins of streams told to other gateways, by how that ended")
+                              .Register(registry))
+        , originsAsked(prometheus::BuildCounter()
+                               .Name("figrack_gateway_origin_questions_total")
+                               .Help("Questions to other gateways for the origin of a stream")
+                               .Register(registry)
+                               .Add({}))
+        , originsFound(prometheus::BuildCounter()
+                               .Name("figrack_gateway_origins_found_total")
+                               .Help("Streams whose origin was looked for, by how it was found")
+                               .Register(registry))
+        , originsDropped(prometheus::BuildCounter()
+                                 .Name("figrack_gateway_origins_dropped_total")
+                                 .Help("Origins of streams dropped because of a bound")
+                                 .Register(registry)
+                                 .Add({}))
         , gauges(prometheus::BuildGauge()
                          .Name("figrack_gateway_now")
                          .Help("The present moment, by what")
@@ -175,6 +206,7 @@
 
     prometheus::Registry registry;
     prometheus::Family<prometheus::Counter> &requests;
+    prometheus::Family<prometheus::Counter> &resumptions;
     prometheus::Family<prometheus::Counter> &internalErrors;
     prometheus::Family<prometheus::Counter> &dispatches;
     prometheus::Family<prometheus::Counter> &dispatchEnds;
@@ -197,6 +229,10 @@
     prometheus::Family<prometheus::Counter> &handoffs;
     prometheus::Counter &takenOver;
     prometheus::Family<prometheus::Counter> &pathChanges;
+    prometheus::Family<prometheus::Counter> &originTells;
+    prometheus::Counter &originsAsked;
+    prometheus::Family<prometheus::Counter> &originsFound;
+    prometheus::Counter &originsDropped;
     prometheus::Family<prometheus::Gauge> &gauges;
 };
 
@@ -213,6 +249,12 @@
     impl_->latency.Add({ { "until", "end" } }, secondBuckets).Observe(inSeconds(total));
 }
 
+auto Metrics::onResumption(ResumptionOutcome outcome) -> void
+{
+    impl_->resumptions.Add({ { "outcome", std::string { resumptionOutcomeName(outcome) } } })
+            .Increment();
+}
+
 auto Metrics::onInternalError(const ServiceId &service, InternalErrorReason reason) -> void
 {
     impl_->internalErrors
@@ -314,6 +356,31 @@
     impl_->pathChanges.Add({ { "state", std::string { state } } }).Increment();
 }
 
+auto Metrics::onOriginsTold(std::size_t streams) -> void
+{
+    impl_->originTells.Add({ { "end", "told" } }).Increment(static_cast<double>(streams));
+}
+
+auto Metrics::onOriginTellsFailed(std::size_t streams) -> void
+{
+    impl_->originTells.Add({ { "end", "failed" } }).Increment(static_cast<double>(streams));
+}
+
+auto Metrics::onOriginAsked() -> void
+{
+    impl_->originsAsked.Increment();
+}
+
+auto Metrics::onOriginFound(std::string_view source) -> void
+{
+    impl_->originsFound.Add({ { "source", std::string { source } } }).Increment();
+}
+
+auto Metrics::onOriginsDropped(std::size_t streams) -> void
+{
+    impl_->originsDropped.Increment(static_cast<double>(streams));
+}
+
 auto Metrics::text(const GatewayGauges &gauges) -> std::string
 {
     const auto set = [&](const char *what, double value) {
