--- a/gateway/testing/tst_resumptions.cpp
+++ b/gateway/testing/tst_resumptions.cpp
@@ -249,7 +249,7 @@
 auto beginAt(World &world, std::size_t gateway, const std::string &version) -> std::string
 {
     for (auto i = 0; i < 100; ++i) {
-        const auto id = version + "-" + std::to_string(i);
+        auto id = version + "-" + std::to_string(i);
         if (world.call(gateway, Rig::request("/resume/x", id)).body == bodyOf(version, 1))
             return id;
     }
@@ -596,3 +596,23 @@
     world.setCatalogue(catalogue);
     CHECK(world.call(1, resumption("x", "never-seen")).status == 503);
 }
+
+// Guards against a stream that is joined from two services by a change of the split.
+TEST_CASE("A known stream goes on at the service that began it after the split has moved away from "
+          "it")
+{
+    auto world = World {};
+    world.addEndpoint("i-1", "v1").handler = writing("main");
+    auto &other = world.addEndpoint("i-2", "v1");
+    other.handler = writing("other");
+    world.announce(other, "v1", 3, catalogue::EndpointState::Ready, ServiceId { "other" });
+    auto catalogue = splitCatalogue();
+    catalogue.routes.back().split.front().weight = 0;
+    world.setCatalogue(catalogue);
+    REQUIRE(world.call(0, Rig::request("/resume/x", "r1")).body == bodyOf("other", 1));
+    catalogue.routes.back().split.front().weight = 1;
+    catalogue.routes.back().split.back().weight = 0;
+    world.setCatalogue(catalogue);
+    CHECK(world.call(0, Rig::request("/resume/x", "r2")).body == bodyOf("main", 1));
+    CHECK(world.call(0, resumption("r3", "r1")).body == bodyOf("other", 3));
+}
