gateway: a bound stream isn't sent to an endpoint whose version has changed meanwhile

Between the choice of an endpoint and the dispatch lie the balancer, the wait for a grant and that for a retry. If the endpoint announced another software version in that time, a stream went on there. Found by reading; the version is compared again right before the dispatch, and the request is placed anew. No test holds the moment between the two.

--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -143,7 +143,10 @@
         }
         if (entry != nullptr)
             entry = parts_.view.find(picked_.endpoint);
-        if (callerGone_ || (entry == nullptr && !isUnreached_)) {
+        // The endpoint may have announced another version while the request waited.
+        const auto hasChanged = entry != nullptr && streamVersion_
+                && entry->row.softwareVersion != *streamVersion_;
+        if (callerGone_ || hasChanged || (entry == nullptr && !isUnreached_)) {
             picked_.booking = {};
             continue;
         }
