gateway: a resumption that was only rejected waits like any other request

Found by reading; the rule now applies once a dispatch may have run, the case it is for. No test of this case.

--- a/gateway/forwarderplacing.cpp
+++ b/gateway/forwarderplacing.cpp
@@ -470,8 +470,9 @@
 auto Forwarder::Run::readyAt(BlockedBy blockedBy) -> std::optional<Instant>
 {
     // A model that is loaded at an endpoint of another software version does not help a stream that
-    // has begun.
-    if (streamVersion_ && blockedBy != BlockedBy::Backoff && areAllAvoided(candidates(), criteria_))
+    // has begun. Without a run, endpoints that only rejected it are tried again.
+    if (streamVersion_ && mayHaveRun_ && blockedBy != BlockedBy::Backoff
+        && areAllAvoided(candidates(), criteria_))
         return std::nullopt;
     const auto now = parts_.clock.now();
     const auto load = expectedLoad(blockedBy);
