gateway: an exception while origins are told does not silence their owner for good

The outbox of an owner exists while a message is on its way. An exception ended its coroutine and left the outbox behind, so that no later message would have been sent to that owner. Found by reading; the exception is logged and counted as a failure to tell. No test throws there.

--- a/gateway/originteller.cpp
+++ b/gateway/originteller.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <exception>
 #include <map>
 #include <utility>
 
@@ -63,7 +64,12 @@
             }
             const auto owner = entry->second.owner;
             const auto batch = self->takeBatch(entry->second);
-            const auto isTold = co_await send(self, owner, batch);
+            auto isTold = false;
+            try {
+                isTold = co_await send(self, owner, batch);
+            } catch (const std::exception &error) {
+                LogEvent(LogLevel::Error, "origins_exception").with("what", error.what());
+            }
             if (!self->stopped_)
                 self->onSent(owner, batch.streams.size(), isTold);
         }
