gateway: a named stream is bound to its version without an event ID and on any stream route

A caller names an attempt in Resumes only if it holds an event of it. Without Last-Event-Id such a stream could begin anew at any version, and on a route whose streams may not be resumed nothing was bound, so that streams still were joined from two versions there. Resumes now binds on all stream routes, and where the version is not known the request is refused as not run. Gateways keep the origins of all streams for that.

Two cases of tst_resumptions demanded the former behaviour; they now demand that the version is kept or the request refused.

--- a/gateway/forwarderresumption.cpp
+++ b/gateway/forwarderresumption.cpp
@@ -38,8 +38,9 @@
 
 auto Forwarder::Run::isResumption() const -> bool
 {
-    return route_ != nullptr && route_->resumable
-            && !(caller_.resumes.empty() && caller_.resumeAfter.empty());
+    if (route_ == nullptr || route_->repeat != catalogue::Repeat::Stream)
+        return false;
+    return !caller_.resumes.empty() || (route_->resumable && !caller_.resumeAfter.empty());
 }
 
 auto Forwarder::Run::chooseService() -> ServiceId
@@ -50,7 +51,7 @@
     };
     if (handoffTerms_ != nullptr && isInSplit(handoffTerms_->service))
         return handoffTerms_->service;
-    if (!route_->resumable)
+    if (route_->repeat != catalogue::Repeat::Stream)
         return catalogue::pickService(*route_, parts_.random.unit());
     const auto &first = caller_.resumes.empty() ? caller_.id.value() : caller_.resumes;
     return catalogue::pickService(*route_, drawOf(first));
@@ -63,11 +64,8 @@
         co_return true;
     const auto found = co_await findOrigin();
     originSource_ = found.source;
-    // A caller that has received nothing may also be served by a new run.
-    const auto needsOrigin = !caller_.resumeAfter.empty();
-    if (found.softwareVersion && (needsOrigin || isKnown(found)))
-        streamVersion_ = found.softwareVersion;
-    if (streamVersion_ || !needsOrigin)
+    streamVersion_ = found.softwareVersion;
+    if (streamVersion_)
         co_return true;
     blockedBy_ = BlockedBy::Origin;
     retryAfter_ = found.retryAfter;
@@ -118,7 +116,7 @@
 {
     // The gateway to which the caller is connected tells it. Comments alone begin no stream.
     if (!hasStreamBegun_ || parts_.origins == nullptr || handoffTerms_ != nullptr
-        || !route_->resumable)
+        || route_->repeat != catalogue::Repeat::Stream)
         return;
     const auto now = parts_.clock.now();
     if (originToldAt_ && now - *originToldAt_ < owner_.options_.resumptionWindow / 2)
@@ -126,11 +124,8 @@
     originToldAt_ = now;
     const auto account = account_ != nullptr ? account_->id : AccountId {};
     const auto origin = proto::StreamOrigin { softwareVersion_, account };
-    if (!caller_.resumes.empty())
-        parts_.origins->onBegun({ service_, caller_.resumes }, origin);
-    // This attempt brings the first event to a caller that has received nothing.
-    if (caller_.resumes.empty() || caller_.resumeAfter.empty())
-        parts_.origins->onBegun({ service_, caller_.id.value() }, origin);
+    const auto &first = caller_.resumes.empty() ? caller_.id.value() : caller_.resumes;
+    parts_.origins->onBegun({ service_, first }, origin);
 }
 
 auto Forwarder::Run::hasEndpointLeft(const EndpointId &left) const -> bool
--- a/gateway/testing/tst_resumptions.cpp
+++ b/gateway/testing/tst_resumptions.cpp
@@ -345,7 +345,7 @@
     CHECK(world.countsUpTo("no_endpoint", 1));
 }
 
-TEST_CASE("A caller that has received nothing is served by its stream's version, or by a new run")
+TEST_CASE("A caller that names its stream without an event ID is served by its version, or refused")
 {
     auto world = World {};
     world.addEndpoint("i-1", "v1");
@@ -355,14 +355,7 @@
         const auto got = world.call(1, resumption("r" + std::to_string(i), first, ""));
         CHECK(got.body == bodyOf("v1", 1));
     }
-    const auto got = world.call(1, resumption("n", "never-seen", ""));
-    CHECK(got.whole);
-    CHECK(got.status == 200);
-    // Its caller may name either attempt from now on.
-    const auto version = got.body == bodyOf("v1", 1) ? "v1" : "v2";
-    for (const auto *named : { "n", "never-seen" })
-        CHECK(world.call(2, resumption(std::string { "m-" } + named, named)).body
-              == bodyOf(version, 3));
+    CHECK(world.call(1, resumption("n", "never-seen", "")).status == 503);
 }
 
 TEST_CASE("A stream of another account is refused like an unknown one")
@@ -461,7 +454,9 @@
     CHECK(world.tells == 0);
     world.announce(one, "v1", 3, catalogue::EndpointState::Draining);
     world.addEndpoint("i-2", "v2");
-    CHECK(world.call(1, resumption("r2", "r1", "")).body == bodyOf("v2", 1));
+    CHECK(world.call(1, Rig::request("/resume/x", "r2")).body == bodyOf("v2", 1));
+    // Whoever names the attempt claims to hold an event of it.
+    CHECK(world.call(1, resumption("r3", "r1", "")).status == 503);
 }
 
 TEST_CASE("A resumption that was handed over goes on at the version that the first gateway names")
@@ -496,12 +491,26 @@
     CHECK(world.tells == 0);
 }
 
-TEST_CASE("A resumption on a route that may not be resumed is served as before")
+TEST_CASE("A named stream goes on at its version also on a route that may not be resumed")
+{
+    auto world = World {};
+    world.addEndpoint("i-1", "v1");
+    world.addEndpoint("i-2", "v2");
+    const auto begun = world.call(0, Rig::request("/stream/x", "r1"));
+    const auto version = begun.body == bodyOf("v1", 1) ? "v1" : "v2";
+    REQUIRE(begun.body == bodyOf(version, 1));
+    for (auto i = std::size_t { 0 }; i < 3; ++i) {
+        const auto id = "r1-" + std::to_string(i);
+        CHECK(world.call(i, resumption(id, "r1", "2", "/stream/x")).body == bodyOf(version, 3));
+    }
+    CHECK(world.call(1, resumption("r2", "never-seen", "2", "/stream/x")).status == 503);
+}
+
+TEST_CASE("Only streams can be taken up")
 {
     auto world = World {};
     world.addEndpoint("i-1", "v1");
     world.addEndpoint("i-2", "v2");
-    CHECK(world.call(0, resumption("r2", "r1", "2", "/stream/x")).status == 200);
     CHECK(world.call(0, resumption("r3", "r1", "2", "/once/x")).status == 200);
     world.pause(20ms);
     CHECK(world.queries == 0);
