gateway: a gateway that leaves hands its origins on, and answers for them until its end

Three seconds after SIGTERM a gateway accepted no messages of others any more, and the origins that it kept ended with it.

A leaving gateway tells the origins that it keeps, for services with several versions, to those that own them after it.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -123,6 +123,7 @@
         stopping_ = true;
         stopAskedAt_ = clock_.now();
         feed_.setReady(false);
+        origins_.onLeaving();
         forwarder_.setPlacementDeadline(stopAskedAt_ + options_.stopBy - placementStopMargin);
         LogEvent(LogLevel::Info, "gateway_leaving")
                 .with("in_progress", static_cast<std::uint64_t>(inProgress()));
@@ -204,7 +205,6 @@
     {
         auto result = StreamOriginsOptions {};
         result.self = options_.name;
-        result.table.window = options_.versions.window;
         result.waits.window = options_.versions.window;
         return result;
     }
@@ -445,12 +445,16 @@
         if (passed >= options_.stopServing && !refusing_) {
             refusing_ = true;
             forwarder_.refuseNew();
+            // Other gateways ask for the origins of streams until the end.
             server_.stopAccepting();
-            handoffServer_.stopAccepting();
         }
         const auto idle = refusing_ && inProgress() == 0
                 && passed >= options_.stopServing + std::chrono::milliseconds { 500 };
-        if (idle || passed >= options_.stopBy) {
+        const auto isEnding = idle || passed >= options_.stopBy - stopCheckInterval;
+        // Idle connections of other gateways end a moment before the process.
+        if (isEnding && !std::exchange(handoffsClosed_, true)) {
+            handoffServer_.stopAccepting();
+        } else if (isEnding) {
             LogEvent(LogLevel::Info, "gateway_stopped")
                     .with("in_progress", static_cast<std::uint64_t>(inProgress()));
             stop();
@@ -503,6 +507,7 @@
             reportedUnreachable_;
     bool stopping_ = false;
     bool refusing_ = false;
+    bool handoffsClosed_ = false; ///< Other gateways are not answered any more.
     bool urgentPending_ = false;
 };
 
--- a/gateway/origintable.cpp
+++ b/gateway/origintable.cpp
@@ -59,6 +59,16 @@
     return known->second->stream.origin;
 }
 
+auto OriginTable::all() const -> std::vector<proto::BegunStream>
+{
+    auto result = std::vector<proto::BegunStream> {};
+    for (const auto &entry : entries_) {
+        if (!entry.isAmbiguous && !isOver(entry))
+            result.push_back(entry.stream);
+    }
+    return result;
+}
+
 auto OriginTable::ownOf(const ServiceId &service) const -> std::vector<proto::BegunStream>
 {
     auto result = std::vector<proto::BegunStream> {};
--- a/gateway/origintable.h
+++ b/gateway/origintable.h
@@ -52,6 +52,8 @@
     auto find(const proto::StreamKey &key) const -> std::optional<proto::StreamOrigin>;
     /// @return the streams of a service that began at this gateway
     auto ownOf(const ServiceId &service) const -> std::vector<proto::BegunStream>;
+    /// @return the streams whose origins are known
+    auto all() const -> std::vector<proto::BegunStream>;
     auto size() const -> std::size_t { return entries_.size(); }
 
 private:
--- a/gateway/streamorigins.cpp
+++ b/gateway/streamorigins.cpp
@@ -87,7 +87,19 @@
         LogEvent(LogLevel::Info, "second_software_version")
                 .with("service", service)
                 .with("streams", static_cast<std::uint64_t>(streams.size()));
-        asio::co_spawn(parts_.context, tellAll(shared_from_this(), std::move(streams)),
+        asio::co_spawn(parts_.context, tellAll(shared_from_this(), std::move(streams), false),
+                       asio::detached);
+    }
+
+    auto onLeaving() -> void
+    {
+        auto streams = table_.all();
+        std::erase_if(streams, [this](const auto &stream) {
+            return parts_.versionsOf(stream.key.service).size() <= 1;
+        });
+        LogEvent(LogLevel::Info, "origins_handed_on")
+                .with("streams", static_cast<std::uint64_t>(streams.size()));
+        asio::co_spawn(parts_.context, tellAll(shared_from_this(), std::move(streams), true),
                        asio::detached);
     }
 
@@ -154,10 +166,14 @@
     }
 
     // NOLINTNEXTLINE(performance-unnecessary-value-param): a coroutine owns what it uses.
-    static auto tellAll(std::shared_ptr<Impl> self, std::vector<proto::BegunStream> streams)
-            -> asio::awaitable<void>
+    static auto tellAll(std::shared_ptr<Impl> self, std::vector<proto::BegunStream> streams,
+                        bool isLeaving) -> asio::awaitable<void>
     {
-        const auto gateways = self->parts_.gateways();
+        auto gateways = self->parts_.gateways();
+        if (isLeaving) {
+            std::erase_if(gateways,
+                          [&](const auto &other) { return other.node == self->options_.self; });
+        }
         for (auto i = std::size_t { 0 }; i < streams.size() && !self->stopped_; ++i) {
             self->tellOwners(streams[i], gateways);
             if (i % toldAtOnce == toldAtOnce - 1)
@@ -272,6 +288,11 @@
     impl_->onSecondVersion(service);
 }
 
+auto StreamOrigins::onLeaving() -> void
+{
+    impl_->onLeaving();
+}
+
 auto StreamOrigins::find(const proto::StreamKey &key, const AccountId &account) const
         -> asio::awaitable<FoundOrigin>
 {
--- a/gateway/testing/tst_streamorigins.cpp
+++ b/gateway/testing/tst_streamorigins.cpp
@@ -118,6 +118,31 @@
     checkUnknown(world->find(stranger, attempt), 60s);
 }
 
+TEST_CASE("A stream's version is known after both owners have left one after the other")
+{
+    const auto world = worldOf(9, several);
+    const auto attempt = attemptOwnedElsewhere(*world);
+    world->begin(firstGateway, attempt, "v2");
+    const auto owners = world->ownersOf(attempt);
+    world->end(firstGateway);
+    for (const auto &owner : owners) {
+        world->gateway(owner).origins->onLeaving();
+        world->run();
+        world->end(owner);
+    }
+    for (const auto &node : world->nodes())
+        CHECK(world->find(node, attempt).softwareVersion == "v2");
+}
+
+TEST_CASE("A gateway that leaves sends nothing while one version serves")
+{
+    const auto world = worldOf(9, { "v1" });
+    world->begin(firstGateway, "id-1");
+    world->gateway(firstGateway).origins->onLeaving();
+    world->run();
+    CHECK(world->tells == 0);
+}
+
 TEST_CASE("Nothing is sent when streams begin while one version serves, and they are resumed")
 {
     const auto world = worldOf(9, { "v1" });
