policy, fleet, gateway: versions count for ten minutes after they have served

Histories and origins ended after the same 60 s. A caller of an unknown stream that came back after its Retry-After of 60 s found one version left in the histories and was served by it, although another one may have begun its stream. Found by reading.

--- a/fleet/core.h
+++ b/fleet/core.h
@@ -63,7 +63,7 @@
     BalancerOptions balancer;
     AccountLedgerOptions ledger;
     RetryLedgerOptions retries;
-    ServedVersionsOptions versions;
+    ServedVersionsOptions versions = { .versions = { .window = policy::softwareVersionMemory } };
     DocumentProofOptions proof;
     /// A new leader sends its first order only when every order of its predecessor is so old that
     /// orders of the two cannot count as alternating.
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -65,7 +65,9 @@
     RetryBudgetOptions retries;
     ForwarderOptions forwarder;
     FleetViewOptions view;
-    VersionHistoryOptions versions;
+    /// Versions count for much longer than origins are kept, so that a caller that comes back late
+    /// is refused, and not served by the only version that is left.
+    VersionHistoryOptions versions = { .window = policy::softwareVersionMemory };
     PickerOptions picker;
     KeyLeaseOptions keyLease;
     http::ServerOptions server;
--- a/policy/softwareversions.h
+++ b/policy/softwareversions.h
@@ -25,6 +25,9 @@
 
 namespace figrack::policy {
 
+/// How long versions count after they have served, in controls and gateways.
+constexpr auto softwareVersionMemory = std::chrono::minutes { 10 };
+
 struct SoftwareVersionsOptions
 {
     /// Longest time between the last event of a stream and its resumption.
