--- a/gateway/streamorigins.h
+++ b/gateway/streamorigins.h
@@ -76,7 +76,8 @@
     auto onBegun(const proto::StreamKey &key, proto::StreamOrigin origin) -> void;
     /// A service has got a second version. Tells the owners of the streams that have begun here.
     auto onSecondVersion(const ServiceId &service) -> void;
-    /// This gateway is going to end. Tells the origins that it keeps to those that own them after it.
+    /// This gateway is going to end. Tells the origins that it keeps to those that own them after
+    /// it.
     auto onLeaving() -> void;
     /// Finds out the version that began a stream.
     /// @param account of the caller; empty if there is none
--- a/proto/handoff.h
+++ b/proto/handoff.h
@@ -53,7 +53,7 @@
     std::string softwareVersion;    ///< Of the endpoint that began that stream.
     /// The numbers of the events that the caller has received leave out none.
     bool areEventIdsConsecutive = false;
-    ServiceId service;              ///< That the first gateway has chosen.
+    ServiceId service; ///< That the first gateway has chosen.
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
