--- a/fleet/registry.cpp
+++ b/fleet/registry.cpp
@@ -65,7 +65,7 @@
             .with("whole", subscriber.isWhole)
             .with("new", isNew);
     if (isNew)
-        subscriber.first = lastNumber_ + 1;
+        subscriber.firstUpdate = lastNumber_ + 1;
     if (isNew || (subscriber.isWhole && !wasWhole))
         sendSnapshot(subscriber);
     publishOwners();
@@ -359,7 +359,7 @@
         if (!subscriber.isGateway())
             continue;
         auto &known = newest[subscriber.peer->peer()];
-        if (known == nullptr || known->first < subscriber.first)
+        if (known == nullptr || known->firstUpdate < subscriber.firstUpdate)
             known = &subscriber;
     }
     auto gateways = std::vector<proto::OriginOwner> {};
--- a/fleet/registry.h
+++ b/fleet/registry.h
@@ -175,7 +175,7 @@
     {
         proto::PeerPointer peer;
         proto::Subscribe subscribe;
-        std::uint64_t first = 0; ///< Number of its first update.
+        std::uint64_t firstUpdate = 0; ///< Number of the first update that it got.
         std::uint64_t asked = 0; ///< Number of the latest update that requires an acknowledgement.
         std::uint64_t acked = 0;
         bool isWhole = true; ///< It gets every row.
--- a/gateway/foundorigin.h
+++ b/gateway/foundorigin.h
@@ -49,7 +49,7 @@
 
 struct OriginWaits
 {
-    /// Resumption window, after which other versions no longer count.
+    /// Time after which versions that have served no longer count.
     Duration window = std::chrono::seconds { 60 };
     /// Time after which a gateway that did not answer may, or a control may be reached.
     Duration reachedAgain = std::chrono::seconds { 1 };
--- a/gateway/streamorigins.cpp
+++ b/gateway/streamorigins.cpp
@@ -84,7 +84,7 @@
     auto onSecondVersion(const ServiceId &service) -> void
     {
         auto streams = table_.ownOf(service);
-        LogEvent(LogLevel::Info, "second_software_version")
+        LogEvent(LogLevel::Info, "origins_told_to_owners")
                 .with("service", service)
                 .with("streams", static_cast<std::uint64_t>(streams.size()));
         asio::co_spawn(parts_.context, tellAll(shared_from_this(), std::move(streams), false),
--- a/gateway/versionhistory.h
+++ b/gateway/versionhistory.h
@@ -33,7 +33,8 @@
 
 struct VersionHistoryOptions
 {
-    /// Longest time between the last event of a stream and its resumption.
+    /// How long a version counts after it was last heard of. Not shorter than callers may wait
+    /// before they take a stream up again.
     Duration window = std::chrono::seconds { 60 };
     /// A gateway stays an owner for this time after no connected control lists it any more. A
     /// control that has just started lists those alone that have connected again: within a few
--- a/policy/softwareversions.h
+++ b/policy/softwareversions.h
@@ -30,7 +30,7 @@
 
 struct SoftwareVersionsOptions
 {
-    /// Longest time between the last event of a stream and its resumption.
+    /// How long a version counts after its last endpoint was known.
     Duration window = std::chrono::seconds { 60 };
     /// Largest number of versions without a known endpoint, over all services.
     std::size_t maxPast = 4096;
