--- a/review/standin-2/lib.sh
+++ b/review/standin-2/lib.sh
@@ -3,7 +3,7 @@
 #
 # Functions end the script with 2 where the case cannot run.
 
-ROOT=$(cd "$CASE/../.." && pwd)
+ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
 STANDIN=$ROOT/target/review-2/standin
 NAMES=$ROOT/review/standin-2/names.txt
 TROUBLE=${TROUBLE:-1}
@@ -98,7 +98,7 @@
   local name=$1 number=$2 service=$3 zone=$4 controls=$5
   shift 5
   start "$name" "$STANDIN" server id="$name" service="$service" zone="$zone" slots=96 \
-    listen="$(server_ip "$number"):$SERVE" controls="$controls" record="$SCRATCH/record.$name" \
+    version=v1 listen="$(server_ip "$number"):$SERVE" controls="$controls" record="$SCRATCH/record.$name" \
     names="$NAMES" "$@"
 }
 
@@ -170,10 +170,11 @@
 
 await_process() { wait "${PIDS[$1]}" 2>/dev/null; unset "PIDS[$1]"; }
 
-# route NAME PREFIX KIND SERVICE TIMEOUT_MS
+# route NAME PREFIX KIND SERVICE TIMEOUT_MS [MAX_ATTEMPTS RESUMABLE]
 route() {
   printf '{"Name":"%s","Host":"%s","PathPrefix":"%s","Kind":"%s","TimeoutMs":%s,' "$1" $HOST "$2" "$3" "$5"
-  printf '"TargetLatencyMs":300,"Priority":1,"Service":"%s","MaxAttempts":2,"Sticky":false,"Resumable":false}' "$4"
+  printf '"TargetLatencyMs":300,"Priority":1,"Service":"%s","MaxAttempts":%s,"Sticky":false,"Resumable":%s}' \
+    "$4" "${6:-2}" "${7:-false}"
 }
 
 service() { # NAME
--- a/review/standin-2/standin.cpp
+++ b/review/standin-2/standin.cpp
@@ -5,6 +5,7 @@
 //   standin call METHOD IP:PORT PATH [BODY-FILE]     prints the status, then the body
 //   standin server KEY=VALUE...         serves a service and sends heartbeats until it is ended
 //   standin clients KEY=VALUE...        sends requests for some seconds
+//   standin streams KEY=VALUE...        asks for streams and takes them up again
 //   standin uploads KEY=VALUE...        sends large bodies at once
 //
 // The words of the wire are read from names.txt beside the source. Each program writes one line
@@ -225,6 +226,24 @@
         return true;
     }
 
+    /// @param chunk empty for the last one
+    auto readChunk(std::string &chunk, long long untilMs) -> bool
+    {
+        auto end = std::string::npos;
+        while ((end = buffer_.find("\r\n")) == std::string::npos) {
+            if (!fillBuffer(untilMs))
+                return false;
+        }
+        const auto size = std::strtoul(buffer_.c_str(), nullptr, 16);
+        while (buffer_.size() < end + 2 + size + 2) {
+            if (!fillBuffer(untilMs))
+                return false;
+        }
+        chunk = buffer_.substr(end + 2, size);
+        buffer_.erase(0, end + 2 + size + 2);
+        return true;
+    }
+
 private:
     int descriptor_;
     std::string buffer_;
@@ -250,7 +269,10 @@
 }
 
 /// Keys: id, service, listen, zone, slots, controls (in the order in which they are called),
-/// work (ms), interim (status codes by commas that precede an answer, in turn), record, names.
+/// work (ms), interim (status codes by commas that precede an answer, in turn), version (of its
+/// software), born (1: it states when it was started), silent (ms until its first heartbeat),
+/// beats (how many heartbeats it sends; 0: no end),
+/// events (of each answer; 0: answers are no streams), gap (ms between events), record, names.
 class Server
 {
 public:
@@ -286,12 +308,19 @@
         constexpr auto everyMs = 1200;
         constexpr auto answerMs = 1000;
         const auto controls = split(options_["controls"], ',');
-        for (auto sequence = 1;; ++sequence) {
+        const auto born = options_["born"] == "1"
+                ? fill(names_["born"], { { "since", std::to_string(nowMs()) } })
+                : std::string {};
+        sleepMs(std::atoll(options_["silent"].c_str()));
+        const auto most = std::atoi(options_["beats"].c_str());
+        for (auto sequence = 1; most == 0 || sequence <= most; ++sequence) {
             const auto values = Words { { "id", id_ },
                                         { "service", options_["service"] },
                                         { "addr", options_["listen"] },
                                         { "zone", options_["zone"] },
                                         { "slots", options_["slots"] },
+                                        { "version", options_["version"] },
+                                        { "born", born },
                                         { "seq", std::to_string(sequence) } };
             const auto path = fill(names_["beat-path"], values);
             const auto body = fill(names_["beat-body"], values);
@@ -341,6 +370,8 @@
                             + request_id + "\r\n\r\n");
         }
         sleepMs(std::atoll(options_["work"].c_str()));
+        if (std::atoi(options_["events"].c_str()) > 0)
+            return stream(connection, request, named);
         const auto body = "answer to " + request_id;
         record_.note("answer " + request_id + " status 200");
         return connection.send("HTTP/1.1 200 OK\r\n" + named + names_["stamp"] + ": " + id_ + "."
@@ -348,6 +379,29 @@
                                + "\r\n\r\n" + body);
     }
 
+    /// Goes on after the event that the request names.
+    auto stream(Connection &connection, const Message &request, const std::string &named) -> bool
+    {
+        const auto request_id = request.get(names_["request-id"]);
+        const auto last = std::atoi(request.get(names_["last-event"]).c_str());
+        record_.note("stream " + request_id + " at " + id_ + " version " + options_["version"]
+                     + " after " + std::to_string(last));
+        auto isSent = connection.send("HTTP/1.1 200 OK\r\n" + named + names_["stamp"] + ": " + id_
+                                      + "." + request_id
+                                      + "\r\nContent-Type: text/event-stream\r\n"
+                                        "Transfer-Encoding: chunked\r\n\r\n");
+        for (auto event = last + 1; isSent && event <= std::atoi(options_["events"].c_str());
+             ++event) {
+            const auto text = "id: " + std::to_string(event) + "\ndata: " + id_ + " "
+                    + options_["version"] + "\n\n";
+            auto size = std::stringstream {};
+            size << std::hex << text.size();
+            isSent = connection.send(size.str() + "\r\n" + text + "\r\n");
+            sleepMs(std::atoll(options_["gap"].c_str()));
+        }
+        return isSent && connection.send("0\r\n\r\n");
+    }
+
     Words options_;
     Words names_;
     Record record_;
@@ -445,6 +499,105 @@
     return 0;
 }
 
+struct Event
+{
+    int number = 0;
+    std::string version;
+};
+
+/// Reads a stream of events in chunks into the list. @return true if it is whole
+auto readStream(Connection &connection, long long untilMs, std::vector<Event> &events, int &status)
+        -> bool
+{
+    auto head = Message {};
+    if (!connection.read(head, untilMs))
+        return false;
+    status = head.status();
+    if (status != 200 || head.get("transfer-encoding") != "chunked")
+        return false;
+    auto text = std::string {};
+    auto isWhole = false;
+    while (true) {
+        auto chunk = std::string {};
+        if (!connection.readChunk(chunk, untilMs))
+            break;
+        isWhole = chunk.empty();
+        if (isWhole)
+            break;
+        text += chunk;
+    }
+    for (auto end = text.find("\n\n"); end != std::string::npos; end = text.find("\n\n")) {
+        auto event = Event {};
+        for (const auto &line : split(text.substr(0, end), '\n')) {
+            if (line.starts_with("id: "))
+                event.number = std::atoi(line.c_str() + 4);
+            if (line.starts_with("data: "))
+                event.version = line.substr(line.rfind(' ') + 1);
+        }
+        events.push_back(event);
+        text.erase(0, end + 2);
+    }
+    return isWhole;
+}
+
+/// Each client asks for one stream and takes it up again where it breaks off. Keys: gateways, host,
+/// path, count, deadline, tries, pause (ms before it is taken up again), prefix, record, names.
+auto runStreams(Words options) -> int
+{
+    const auto names = readNames(options["names"]);
+    const auto record = Record { options["record"] };
+    const auto gateways = split(options["gateways"], ',');
+    auto threads = std::vector<std::thread> {};
+    const auto client = [&](int number) {
+        auto events = std::vector<Event> {};
+        auto first = std::string {}; // The attempt that brought the first event.
+        auto isWhole = false;
+        for (auto attempt = 0; !isWhole && attempt < std::atoi(options["tries"].c_str()); ++attempt) {
+            if (attempt > 0)
+                sleepMs(std::atoll(options["pause"].c_str()));
+            const auto id = options["prefix"] + std::to_string(number) + "-" + std::to_string(attempt);
+            const auto &gateway = gateways[static_cast<std::size_t>(number + attempt) % gateways.size()];
+            const auto descriptor = Connection::open(gateway, 1000);
+            if (descriptor < 0)
+                continue;
+            auto connection = Connection { descriptor };
+            const auto body = "stream " + std::to_string(number);
+            auto head = "POST " + options["path"] + std::to_string(number) + " HTTP/1.1\r\nHost: "
+                    + options["host"] + "\r\n" + names.at("request-id") + ": " + id + "\r\n"
+                    + names.at("deadline") + ": " + options["deadline"] + "\r\n";
+            if (!events.empty()) {
+                head += names.at("last-event") + ": " + std::to_string(events.back().number) + "\r\n"
+                        + names.at("resumes") + ": " + first + "\r\n";
+            }
+            head += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+            record.note("sent " + id + " to " + gateway + " after "
+                        + std::to_string(events.empty() ? 0 : events.back().number));
+            auto status = 0;
+            const auto held = events.size();
+            if (connection.send(head) && connection.send(body)) {
+                isWhole = readStream(connection, nowMs() + std::atoll(options["deadline"].c_str()),
+                                     events, status);
+            }
+            if (first.empty() && !events.empty())
+                first = id;
+            record.note("ended " + id + " status " + std::to_string(status) + " events "
+                        + std::to_string(events.size() - held) + (isWhole ? " whole" : " broken"));
+        }
+        auto versions = std::string {};
+        for (const auto &event : events) {
+            if (versions.find(event.version) == std::string::npos)
+                versions += (versions.empty() ? "" : "+") + event.version;
+        }
+        record.note("held " + options["prefix"] + std::to_string(number) + " events "
+                    + std::to_string(events.size()) + " versions " + versions);
+    };
+    for (auto number = 0; number < std::atoi(options["count"].c_str()); ++number)
+        threads.emplace_back(client, number);
+    for (auto &thread : threads)
+        thread.join();
+    return 0;
+}
+
 auto printPorts(int count) -> int
 {
     auto descriptors = std::vector<int> {};
@@ -492,6 +645,8 @@
         return Server { std::move(options) }.run();
     if (words[0] == "clients")
         return runClients(std::move(options));
+    if (words[0] == "streams")
+        return runStreams(std::move(options));
     if (words[0] == "uploads")
         return runUploads(std::move(options));
     return 2;
