--- a/review/standin-2/standin.cpp
+++ b/review/standin-2/standin.cpp
@@ -270,7 +270,7 @@
 
 /// Keys: id, service, listen, zone, slots, controls (in the order in which they are called),
 /// work (ms), interim (status codes by commas that precede an answer, in turn), version (of its
-/// software), born (1: it states when it was started), silent (ms until its first heartbeat),
+/// software), tells-start (1: it states when it was started), silent (ms until its first heartbeat),
 /// beats (how many heartbeats it sends; 0: no end),
 /// events (of each answer; 0: answers are no streams), gap (ms between events), record, names.
 class Server
@@ -308,8 +308,8 @@
         constexpr auto everyMs = 1200;
         constexpr auto answerMs = 1000;
         const auto controls = split(options_["controls"], ',');
-        const auto born = options_["born"] == "1"
-                ? fill(names_["born"], { { "since", std::to_string(nowMs()) } })
+        const auto start_field = options_["tells-start"] == "1"
+                ? fill(names_["tells-start"], { { "since", std::to_string(nowMs()) } })
                 : std::string {};
         sleepMs(std::atoll(options_["silent"].c_str()));
         const auto most = std::atoi(options_["beats"].c_str());
@@ -320,7 +320,7 @@
                                         { "zone", options_["zone"] },
                                         { "slots", options_["slots"] },
                                         { "version", options_["version"] },
-                                        { "born", born },
+                                        { "tells-start", start_field },
                                         { "seq", std::to_string(sequence) } };
             const auto path = fill(names_["beat-path"], values);
             const auto body = fill(names_["beat-body"], values);
