--- a/review/standin-2/lib.sh
+++ b/review/standin-2/lib.sh
@@ -121,7 +121,7 @@
   local i status
   for ((i = 0; i < CORES; i++)); do
     status=$("$STANDIN" call POST "$(core_ip $i):$CONTROL" /v1/config/replace "$1" | head -1)
-    note "config $1 to core-$i status $status"
+    note "config ${1##*/} to core-$i status $status"
     case $status in 0 | 307 | 5??) ;; *) echo "$status"; return ;; esac
   done
   echo "$status"
