Show whether a control is in contact with its group

fleet/groupcontact keeps whether a leader is heard and whether the known membership lists this disk. Changes are logged (event=group_contact), and the page has figrack_core_in_touch, _voter and _group_voters. Decisions are as before.

--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -70,6 +70,7 @@
         , versions_(options_.versions, lastKnown_, clock)
         , announcements_(registry_, KnownServices { readDocument_ }, clock, metrics_)
         , groupManager_(options_.group, clock)
+        , contact_({ .self = options_.name, .currentWithin = options_.currentWithin }, clock)
         , suspects_({}, quarantine_, registry_, lastKnown_, clock)
         , trials_({}, quarantine_, clock)
         , loadGuard_({}, quarantine_, clock, [this] { suspects_.publishOwn(); })
@@ -225,6 +226,9 @@
 
     auto metricsPage() -> std::string
     {
+        metrics_.setGroup({ .isInTouch = contact_.isInTouch(),
+                            .isVoter = contact_.isVoter(),
+                            .voters = status().membership.voterCount() });
         metrics_.setPicks(balancer_.status());
         return metrics_.text();
     }
@@ -655,6 +659,7 @@
         if (!replica_ || std::exchange(settling_, true))
             return;
         const auto now = replica_->status();
+        contact_.observe(now);
         decisions_.settle(now);
         noteLeading(now);
         if (now.membership.members != members_) {
@@ -825,6 +830,7 @@
     ServedVersions versions_;
     Announcements announcements_;
     GroupManager groupManager_;
+    GroupContact contact_;
     policy::Quarantine quarantine_ { {} };
     SuspectSync suspects_;
     Trials trials_;
--- a/fleet/core.h
+++ b/fleet/core.h
@@ -37,6 +37,7 @@
 #include "fleet/demandtable.h"
 #include "fleet/documentproof.h"
 #include "fleet/group.h"
+#include "fleet/groupcontact.h"
 #include "fleet/loadschedule.h"
 #include "fleet/orders.h"
 #include "fleet/planning.h"
--- a/fleet/metrics.cpp
+++ b/fleet/metrics.cpp
@@ -100,6 +100,21 @@
                                  .Name("figrack_core_scheduled_loads")
                                  .Help("Rows of the latest load schedule, by state")
                                  .Register(registry))
+        , inTouch(prometheus::BuildGauge()
+                          .Name("figrack_core_in_touch")
+                          .Help("1 while this control is a member that hears its group")
+                          .Register(registry)
+                          .Add({}))
+        , isVoter(prometheus::BuildGauge()
+                          .Name("figrack_core_voter")
+                          .Help("1 while this control finds itself among the group's voters")
+                          .Register(registry)
+                          .Add({}))
+        , groupVoters(prometheus::BuildGauge()
+                              .Name("figrack_core_group_voters")
+                              .Help("Voters of the group, as far as this control knows")
+                              .Register(registry)
+                              .Add({}))
     {
         auto &grants = prometheus::BuildCounter()
                                .Name("figrack_core_account_grants_total")
@@ -132,6 +147,9 @@
     prometheus::Histogram &loadErrorSeconds;
     prometheus::Counter &loadsPutOff;
     prometheus::Family<prometheus::Gauge> &scheduledLoads;
+    prometheus::Gauge &inTouch;
+    prometheus::Gauge &isVoter;
+    prometheus::Gauge &groupVoters;
 };
 
 Metrics::Metrics()
@@ -151,6 +169,13 @@
     impl_->gatewaysBehind.Increment(static_cast<double>(gatewaysBehind));
 }
 
+auto Metrics::setGroup(const GroupPart &part) -> void
+{
+    impl_->inTouch.Set(part.isInTouch ? 1 : 0);
+    impl_->isVoter.Set(part.isVoter ? 1 : 0);
+    impl_->groupVoters.Set(static_cast<double>(part.voters));
+}
+
 auto Metrics::setPicks(const BalancerStatus &status) -> void
 {
     impl_->accountsOverShare.Set(static_cast<double>(status.accountsOverShare));
--- a/fleet/metrics.h
+++ b/fleet/metrics.h
@@ -16,6 +16,14 @@
 
 namespace figrack::fleet {
 
+/// This control's part in its group.
+struct GroupPart
+{
+    bool isInTouch = false; ///< See GroupContact.
+    bool isVoter = false;
+    std::size_t voters = 0; ///< Of the group, as far as this control knows.
+};
+
 class Metrics
 {
 public:
@@ -26,6 +34,8 @@
     /// Call when a change was acknowledged. @param waited time since its commit
     /// @param gatewaysBehind number of gateways that had not applied it by then
     auto onAcknowledged(Duration waited, std::size_t gatewaysBehind) -> void;
+    /// Sets what the page tells about the group.
+    auto setGroup(const GroupPart &part) -> void;
     /// Sets what the page tells about picks.
     auto setPicks(const BalancerStatus &status) -> void;
     /// Call for each decision about requests that need a slot.
