Let a control that was removed while it was down join its group again

Cause: the group removes a voter that is silent for 10 s, and tells only its members. The removed control is still listed in the membership on its own disk. inGroup() asked that alone, so that it never asked to join, and took no addresses from other controls.

A leader replicates only to members, so that hearing one is proof of membership, and the disk is none. GroupContact::shouldJoin() says that a control asks for membership unless it is listed and hears a leader; the leader adds it if it is not listed, and does nothing if it is. Registry subscribers are told that a control is current only while it is in touch since its start, not for 2.5 s after each start in any case.

Ruled out as the only fix: a reply of the leader to votes of a member that is not listed. It would reach a control that asks for votes, and so not a learner; a request to join is needed after it anyway.

--- a/coord/testing/simnet.h
+++ b/coord/testing/simnet.h
@@ -175,6 +175,10 @@
     auto resume(SimNode &node) -> void;
     /// Cuts or mends one direction of a link.
     auto cut(const NodeId &from, const NodeId &to, bool isCut) -> void;
+    auto isCut(const NodeId &from, const NodeId &to) const -> bool
+    {
+        return cuts_.contains({ from, to });
+    }
     /// Cuts a node off: what it sends, what it should get, or both.
     auto isolate(const SimNode &node, bool outward, bool inward) -> void;
     /// Mends all links.
--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -113,7 +113,6 @@
         });
         registry_.setOnForgotten([this](const EndpointId &id) { versions_.onForgotten(id); });
         recall();
-        heardGroupAt_ = clock_.now();
         reload(options_.seeds);
         startReplica();
         versions_.recall(isFirstStart());
@@ -190,13 +189,6 @@
         return replica_ ? replica_->status() : coord::ReplicaStatus {};
     }
 
-    auto inGroup() const -> bool
-    {
-        const auto now = status();
-        const auto *self = now.membership.find(options_.name);
-        return self != nullptr && self->incarnation == now.incarnation;
-    }
-
     auto mayOrder() const -> bool
     {
         return replica_ && !stopping_ && leads_ && replica_->holdsLease()
@@ -502,24 +494,6 @@
         proof_.settle(decisions_.newestDocument().version);
     }
 
-    /// @return true while this control receives the decisions of its group
-    auto hearsGroup() const -> bool
-    {
-        const auto now = status();
-        return now.role == coord::Role::Leader ? replica_->holdsLease() : !now.leader.empty();
-    }
-
-    /// An election takes about a second, in which no control receives decisions.
-    auto isCurrent() -> bool
-    {
-        const auto now = clock_.now();
-        if (hearsGroup()) {
-            heardGroupAt_ = now;
-            hasHeardGroup_ = true;
-        }
-        return now - heardGroupAt_ < options_.currentWithin;
-    }
-
     auto onSubscribe(const proto::PeerPointer &peer, const proto::Subscribe &subscribe) -> void
     {
         registry_.onSubscribe(peer, subscribe);
@@ -531,7 +505,8 @@
     auto onUpdate(const proto::PeerPointer &peer, const proto::ServingUpdate &update) -> void
     {
         registry_.onUpdate(peer, update);
-        if (!update.controls.empty() && !inGroup())
+        // A member gets the addresses of the others with the membership.
+        if (!update.controls.empty() && contact_.shouldJoin())
             transport_->setPeers(update.controls);
     }
 
@@ -620,7 +595,7 @@
         relayDemand();
         decisions_.rollout().settle();
         suspects_.tick();
-        ledger_.tick(hearsGroup());
+        ledger_.tick(contact_.hearsLeader());
         retryLedger_.tick();
         proveDocument();
         rememberEndpoints();
@@ -647,9 +622,7 @@
 
     auto tellVersions() -> void
     {
-        // After a start a control counts as current for a while, whether it hears its group or not.
-        const auto isInTouch = isCurrent() && hasHeardGroup_ && inGroup();
-        if (const auto changes = versions_.tick(isInTouch))
+        if (const auto changes = versions_.tick(contact_.isInTouch()))
             registry_.applySoftwareVersions(*changes);
     }
 
@@ -673,7 +646,7 @@
         group.term = now.term;
         group.controls = members_;
         group.evacuations = decisions_.newestEvacuations();
-        group.isCurrent = isCurrent();
+        group.isCurrent = contact_.isInTouch();
         registry_.setGroup(group);
         settling_ = false;
     }
@@ -736,11 +709,9 @@
 
     auto askToJoin() -> void
     {
-        if (!replica_ || stopping_ || inGroup())
+        if (!replica_ || stopping_ || !contact_.shouldJoin())
             return;
         const auto now = replica_->status();
-        if (now.role == coord::Role::Stopped || now.incarnation == Incarnation {})
-            return;
         // A founder does not ask to join: it becomes a member when the group is founded.
         if (mayFound(now))
             return;
@@ -866,9 +837,7 @@
     Instant nextLoads_ {};
     Instant nextSave_ {};
     Instant nextRelayedDemand_ {};
-    Instant heardGroupAt_ {};    ///< When this control last received decisions of its group.
-    bool hasHeardGroup_ = false; ///< Since the start.
-    bool hasWatchers_ = false;   ///< As announced to the other controls.
+    bool hasWatchers_ = false; ///< As announced to the other controls.
     Term leadTerm_;
     bool leads_ = false;
     bool settling_ = false;
--- a/fleet/group.h
+++ b/fleet/group.h
@@ -6,10 +6,11 @@
 //
 // The leader makes one change at a time. A member whose node has restarted with
 // another incarnation of its disk is removed, since that disk has lost its state.
-// A control that asks to join and is not a member becomes a learner. A learner
+// A control that asks to join and is not a member becomes a learner; one that is
+// a member asks as well while it hears no leader, which changes nothing. A learner
 // that has caught up becomes a voter. A voter that has been silent for
-// removeAfter is removed if at least minVoters responding voters remain. A
-// removed voter that returns asks to join like a new one.
+// removeAfter is removed if at least minVoters responding voters remain. It is not
+// told; once it is back it hears no leader, so that it asks to join like a new one.
 //
 // Guarantee: no change leaves fewer than a majority of voters that respond;
 // coord/memberchange.cpp checks that again. Not thread-safe.
