Let a learner forget a leader that it no longer hears

A learner never stood for election, so that nothing ended its belief in the leader that it heard last. One that was cut off and removed meanwhile (a silent learner is removed like a voter) found a leader in its status and itself in the membership on its disk for good: it neither asked to join nor counted as out of touch, and the accounts' ledger and the control's word to gateways went by the same belief.

A learner now drops its leader with the election timeout, as a follower does by standing for election.

--- a/coord/replica.cpp
+++ b/coord/replica.cpp
@@ -149,7 +149,7 @@
     if (is(Role::Leader))
         tickLeader();
     else if (is(Role::Learner))
-        tickFounding();
+        tickLearner();
     else if (clock_.now() >= electionDeadline_)
         startPreVote();
     stopIfFailed();
--- a/coord/replicaimpl.h
+++ b/coord/replicaimpl.h
@@ -93,6 +93,7 @@
     // election.cpp
     auto isFresh() const -> bool;
     auto isFounderInChief() const -> bool;
+    auto tickLearner() -> void;
     auto tickFounding() -> void;
     auto onFoundingReply(const Message &message) -> void;
     auto found() -> void;
--- a/coord/testing/tst_replicafaults.cpp
+++ b/coord/testing/tst_replicafaults.cpp
@@ -100,6 +100,23 @@
     CHECK(leader.replica->status().term == term);
 }
 
+TEST_CASE("a learner that was removed while it was cut off knows no leader any more")
+{
+    auto three = Three {};
+    auto &learner = three.cluster.node("x");
+    const auto member = three.memberOf(learner);
+    three.cluster.step(three.lead(), [&](Replica &r) { CHECK(r.addLearner(member).ok()); });
+    three.cluster.run(1s);
+    CHECK(learner.replica->status().leader == three.lead().name);
+    three.cluster.isolate(learner, true, true);
+    three.cluster.step(three.lead(), [&](Replica &r) { CHECK(r.remove(member.node).ok()); });
+    three.cluster.run(2s);
+    three.cluster.mend();
+    three.cluster.run(2s);
+    CHECK(learner.replica->status().leader.empty());
+    CHECK(learner.replica->status().membership.find(member.node) != nullptr);
+}
+
 TEST_CASE("a transfer gives the lease up first and is quick")
 {
     auto three = Three {};
--- a/fleet/testing/tst_group.cpp
+++ b/fleet/testing/tst_group.cpp
@@ -141,6 +141,21 @@
     CHECK(group.missingVoters(nine).empty());
 }
 
+TEST_CASE("A learner that was removed while it was cut off joins again")
+{
+    auto group = GroupSim { five, 5 };
+    auto &learner = group.join("x");
+    while (learner.replica->status().membership.find(learner.name) == nullptr)
+        group.cluster().run(1ms);
+    lose(group, "x", Loss::Cut);
+    group.cluster().run(12s);
+    CHECK(learner.replica->status().role == coord::Role::Learner);
+    CHECK(group.cluster().leader()->replica->status().membership.find(learner.name) == nullptr);
+    bringBack(group, "x", Loss::Cut);
+    group.cluster().run(catchUp);
+    CHECK(group.missingVoters({ "x" }).empty());
+}
+
 TEST_CASE("A control that is new becomes a voter, and one that is gone for good leaves the group")
 {
     auto group = GroupSim { five, 4 };
