Acknowledge announcements only while in touch with the group

Announcements still apply every message and pass it on, since what a control hears is true wherever it stands. They complete it with NoQuorum (503) unless GroupContact is in touch, so that the endpoint tells another control: not before a leader was heard since the start, and not over 2.5 s, longer than an election, after one was heard last. Counted by figrack_core_announcements_not_acknowledged_total and logged at most once a second.

Weighed: not to apply such messages at all. In a cut the endpoints that reach only this side would then be lost to the gateways that reach only this side.

Before the change both new cases of tst_announcements failed.

--- a/fleet/announcements.cpp
+++ b/fleet/announcements.cpp
@@ -8,15 +8,16 @@
 namespace figrack::fleet {
 namespace {
 
-/// Minimum time between two log lines about refused messages.
+/// Minimum time between two log lines about messages that are not acknowledged.
 constexpr auto noteEvery = std::chrono::seconds { 1 };
 
 } // namespace
 
-Announcements::Announcements(Registry &registry, KnownServices services, const Clock &clock,
-                             Metrics &metrics)
+Announcements::Announcements(Registry &registry, KnownServices services,
+                             const GroupContact &contact, const Clock &clock, Metrics &metrics)
     : registry_(registry)
     , services_(std::move(services))
+    , contact_(contact)
     , clock_(clock)
     , metrics_(metrics)
 { }
@@ -30,9 +31,9 @@
         done(std::move(status));
     } else if (row.state == catalogue::EndpointState::Ready) {
         registry_.onAnnouncement(row);
-        done(absl::OkStatus());
+        acknowledgeInTouch(std::move(done))(absl::OkStatus());
     } else {
-        registry_.onLeaving(row, std::move(done));
+        registry_.onLeaving(row, acknowledgeInTouch(std::move(done)));
     }
 }
 
@@ -47,7 +48,28 @@
         LogEvent(LogLevel::Info, "unknown_endpoint_deregistered").with("endpoint", id);
     }
     row.state = catalogue::EndpointState::Gone;
-    registry_.onLeaving(row, std::move(done));
+    registry_.onLeaving(row, acknowledgeInTouch(std::move(done)));
+}
+
+auto Announcements::acknowledgeInTouch(Done done) -> Done
+{
+    return [this, done = std::move(done)](absl::Status status) {
+        if (!status.ok() || contact_.isInTouch()) {
+            done(std::move(status));
+            return;
+        }
+        metrics_.onAnnouncementNotAcknowledged();
+        ++notAcknowledged_;
+        const auto now = clock_.now();
+        if (now >= nextTouchNote_) {
+            nextTouchNote_ = now + noteEvery;
+            LogEvent(LogLevel::Warning, "announcement_not_acknowledged")
+                    .with("count", std::exchange(notAcknowledged_, 0))
+                    .with("hears_leader", contact_.hearsLeader())
+                    .with("listed", contact_.isListed());
+        }
+        done(makeError(ErrorKind::NoQuorum, "out of touch with the group"));
+    };
 }
 
 auto Announcements::refuse(const absl::Status &reason) -> void
--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -68,9 +68,9 @@
         , decisions_(options_.decisions, clock, lastKnown_, metrics_)
         , registry_(options_.registry, clock)
         , versions_(options_.versions, lastKnown_, clock)
-        , announcements_(registry_, KnownServices { readDocument_ }, clock, metrics_)
         , groupManager_(options_.group, clock)
         , contact_({ .self = options_.name, .currentWithin = options_.currentWithin }, clock)
+        , announcements_(registry_, KnownServices { readDocument_ }, contact_, clock, metrics_)
         , suspects_({}, quarantine_, registry_, lastKnown_, clock)
         , trials_({}, quarantine_, clock)
         , loadGuard_({}, quarantine_, clock, [this] { suspects_.publishOwn(); })
@@ -799,9 +799,9 @@
     Decisions decisions_;
     Registry registry_;
     ServedVersions versions_;
-    Announcements announcements_;
     GroupManager groupManager_;
     GroupContact contact_;
+    Announcements announcements_;
     policy::Quarantine quarantine_ { {} };
     SuspectSync suspects_;
     Trials trials_;
--- a/fleet/metrics.cpp
+++ b/fleet/metrics.cpp
@@ -46,6 +46,11 @@
                           .Help("Announcements that name no endpoint to use")
                           .Register(registry)
                           .Add({}))
+        , notAcknowledged(prometheus::BuildCounter()
+                                  .Name("figrack_core_announcements_not_acknowledged_total")
+                                  .Help("Announcements used while out of touch with the group")
+                                  .Register(registry)
+                                  .Add({}))
         , rolloutSeconds(prometheus::BuildHistogram()
                                  .Name("figrack_core_change_spread_seconds")
                                  .Help("Commit of a change to its acknowledgement")
@@ -133,6 +138,7 @@
 
     prometheus::Registry registry;
     prometheus::Counter &refused;
+    prometheus::Counter &notAcknowledged;
     prometheus::Histogram &rolloutSeconds;
     prometheus::Counter &gatewaysBehind;
     prometheus::Gauge &accountsOverShare;
@@ -163,6 +169,11 @@
     impl_->refused.Increment();
 }
 
+auto Metrics::onAnnouncementNotAcknowledged() -> void
+{
+    impl_->notAcknowledged.Increment();
+}
+
 auto Metrics::onAcknowledged(Duration waited, std::size_t gatewaysBehind) -> void
 {
     impl_->rolloutSeconds.Observe(std::chrono::duration<double> { waited }.count());
--- a/fleet/metrics.h
+++ b/fleet/metrics.h
@@ -31,6 +31,8 @@
     ~Metrics();
     /// Call when a message about an endpoint could not be used.
     auto onAnnouncementRefused() -> void;
+    /// Call when an announcement was used but not acknowledged, for want of contact with the group.
+    auto onAnnouncementNotAcknowledged() -> void;
     /// Call when a change was acknowledged. @param waited time since its commit
     /// @param gatewaysBehind number of gateways that had not applied it by then
     auto onAcknowledged(Duration waited, std::size_t gatewaysBehind) -> void;
--- a/fleet/testing/tst_announcements.cpp
+++ b/fleet/testing/tst_announcements.cpp
@@ -4,10 +4,12 @@
 
 #include "core/error.h"
 #include "fleet/announcements.h"
+#include "fleet/testing/fakepeer.h"
 
 using namespace figrack;
 using namespace figrack::fleet;
 using catalogue::EndpointState;
+using figrack::fleet::testing::FakePeer;
 
 namespace {
 
@@ -16,9 +18,32 @@
     ManualClock clock;
     Metrics metrics;
     Registry registry { {}, clock };
-    Announcements announcements { registry, KnownServices { readDocument }, clock, metrics };
+    GroupContact contact { { .self = NodeId { "n1" } }, clock };
+    Announcements announcements { registry, KnownServices { readDocument }, contact, clock,
+                                  metrics };
     absl::Status last;
+    std::uint64_t sequence = 0; ///< Of the latest announcement.
 
+    AnnouncementsRig() { observe("n2"); }
+    /// @param leader that this control, a voter of its group, hears; empty: none
+    auto observe(const char *leader) -> void
+    {
+        auto self = coord::Member {};
+        self.node = NodeId { "n1" };
+        self.incarnation = Incarnation { 7 };
+        auto status = coord::ReplicaStatus {};
+        status.role = coord::Role::Follower;
+        status.incarnation = self.incarnation;
+        status.membership.members = { self };
+        status.leader = NodeId { leader };
+        contact.observe(status);
+    }
+    /// The control hears no leader for longer than an election takes.
+    auto loseTouch() -> void
+    {
+        observe("");
+        clock.advance(std::chrono::seconds { 3 });
+    }
     static auto readDocument(std::string_view text) -> absl::StatusOr<catalogue::Catalogue>
     {
         auto service = catalogue::Service {};
@@ -33,7 +58,7 @@
         auto row = catalogue::EndpointRow {};
         row.id = EndpointId { id };
         row.service = ServiceId { service };
-        row.sequence = 1;
+        row.sequence = ++sequence;
         row.state = state;
         announcements.onAnnouncement(row, { Revision { 1 }, "llm" },
                                      [this](absl::Status status) { last = std::move(status); });
@@ -66,6 +91,48 @@
     CHECK(rig.metrics.text().find("announcements_refused_total 2") != std::string::npos);
 }
 
+// A control that was removed from its group acknowledged them, and no gateway learned of the
+// endpoints.
+TEST_CASE("An announcement at a control out of touch with its group is used, not acknowledged")
+{
+    auto rig = AnnouncementsRig {};
+    rig.loseTouch();
+    rig.onAnnouncement("i-1", "llm", EndpointState::Ready);
+    CHECK(errorKind(rig.last) == ErrorKind::NoQuorum);
+    CHECK(rig.stateOf("i-1") == EndpointState::Ready);
+    CHECK(rig.metrics.text().find("not_acknowledged_total 1") != std::string::npos);
+    rig.observe("n2");
+    rig.onAnnouncement("i-1", "llm", EndpointState::Ready);
+    CHECK(rig.last.ok());
+}
+
+TEST_CASE("A leaving that only the gateways of a control out of touch confirm isn't acknowledged")
+{
+    auto rig = AnnouncementsRig {};
+    rig.onAnnouncement("i-1", "llm", EndpointState::Ready);
+    const auto gateway = std::make_shared<FakePeer>("g1");
+    auto subscribe = proto::Subscribe {};
+    subscribe.ready = true;
+    rig.registry.onSubscribe(gateway, subscribe);
+    rig.clock.advance(std::chrono::seconds { 2 });
+    const auto leave = [&rig, &gateway](auto &&send) {
+        rig.last = absl::UnknownError("not completed");
+        send();
+        rig.registry.onAck(gateway, { gateway->updates.back().number });
+        return errorKind(rig.last);
+    };
+    rig.loseTouch();
+    CHECK(leave([&] { rig.onAnnouncement("i-1", "llm", EndpointState::Draining); })
+          == ErrorKind::NoQuorum);
+    CHECK(rig.stateOf("i-1") == EndpointState::Draining);
+    CHECK(leave([&] { rig.onDeregistration(EndpointId { "i-1" }); }) == ErrorKind::NoQuorum);
+    CHECK(rig.stateOf("i-1") == EndpointState::Gone);
+    rig.observe("n2");
+    rig.onAnnouncement("i-2", "llm", EndpointState::Ready);
+    leave([&] { rig.onDeregistration(EndpointId { "i-2" }); });
+    CHECK(rig.last.ok());
+}
+
 TEST_CASE("A deregistration applies to the incarnation that it names, or to the one in use")
 {
     auto rig = AnnouncementsRig {};
