Vouch for a saved history of software versions only after a short absence

Here gateways that start anew take the word of any one control that a service has had one version only. A control restored its history from the disk at any age: one that was down while another version came and left, for longer than the other controls remember endpoints that are gone, said that none was missing.

The history is saved with the time at which the control was last in touch (also every 8 s without a change), by the monotonic clock and the calendar. After a restart the break counts from then: over 30 s, or with a clock that went back, the control is not complete. It then takes over the history of a control that is complete, which controls now tell one another, or listens for the window as before.

--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -309,8 +309,11 @@
             else if (const auto *reply = std::get_if<coord::RevisionReply>(&envelope.payload))
                 self->proof_.onReply(*reply, self->decisions_.newestDocument().version);
         };
-        handler.onClose = [](const proto::PeerPointer &peer, const absl::Status &status) {
+        handler.onClose = [weak = weak_from_this()](const proto::PeerPointer &peer,
+                                                    const absl::Status &status) {
             LogEvent(LogLevel::Warning, "control_lost").with("control", peer->peer()).with(status);
+            if (const auto self = weak.lock())
+                self->versions_.onHistoryLost(peer->peer());
         };
         return handler;
     }
@@ -505,6 +508,8 @@
     auto onUpdate(const proto::PeerPointer &peer, const proto::ServingUpdate &update) -> void
     {
         registry_.onUpdate(peer, update);
+        if (update.softwareVersions)
+            versions_.onHistory(peer->peer(), *update.softwareVersions);
         // A member gets the addresses of the others with the membership.
         if (!update.controls.empty() && contact_.shouldJoin())
             transport_->setPeers(update.controls);
--- a/fleet/lastknown.cpp
+++ b/fleet/lastknown.cpp
@@ -93,9 +93,9 @@
     return load<std::vector<catalogue::SuspectRow>>(suspectsName);
 }
 
-auto LastKnownStore::loadVersions() -> proto::VersionNews
+auto LastKnownStore::loadVersions() -> SavedVersions
 {
-    return load<proto::VersionNews>(versionsName);
+    return load<SavedVersions>(versionsName);
 }
 
 auto LastKnownStore::save(const Document &document) -> void
@@ -118,7 +118,7 @@
     post(suspectsName, serialize(suspects));
 }
 
-auto LastKnownStore::save(const proto::VersionNews &versions) -> void
+auto LastKnownStore::save(const SavedVersions &versions) -> void
 {
     post(versionsName, serialize(versions));
 }
--- a/fleet/lastknown.h
+++ b/fleet/lastknown.h
@@ -36,6 +36,7 @@
 #define FIGRACK_FLEET_LASTKNOWN_H
 
 #include <condition_variable>
+#include <cstdint>
 #include <map>
 #include <mutex>
 #include <string>
@@ -53,6 +54,20 @@
 
 namespace figrack::fleet {
 
+/// Software versions on a disk, with the time at which they were known.
+struct SavedVersions
+{
+    proto::VersionNews news;
+    std::int64_t bootNanos = 0;  ///< By the machine's monotonic clock.
+    std::int64_t wallMillis = 0; ///< By the calendar.
+    auto operator==(const SavedVersions &) const -> bool = default;
+    template<typename Archive>
+    auto serialize(Archive &archive) -> void
+    {
+        archive(news, bootNanos, wallMillis);
+    }
+};
+
 class LastKnownStore
 {
 public:
@@ -73,12 +88,12 @@
     /// @return the last saved suspected work; none when it cannot be read
     auto loadSuspects() -> std::vector<catalogue::SuspectRow>;
     /// @return the last saved software versions; none and not complete when they cannot be read
-    auto loadVersions() -> proto::VersionNews;
+    auto loadVersions() -> SavedVersions;
     auto save(const Document &document) -> void;
     auto save(const catalogue::Evacuations &evacuations) -> void;
     auto save(const std::vector<catalogue::EndpointRow> &endpoints) -> void;
     auto save(const std::vector<catalogue::SuspectRow> &suspects) -> void;
-    auto save(const proto::VersionNews &versions) -> void;
+    auto save(const SavedVersions &versions) -> void;
 
 private:
     template<typename T>
--- a/fleet/registry.cpp
+++ b/fleet/registry.cpp
@@ -78,10 +78,9 @@
     update.evacuations = group_.evacuations;
     if (subscriber.isWhole)
         update.endpoints = table_.allToSend();
-    if (subscriber.isGateway()) {
+    update.softwareVersions = allVersions();
+    if (subscriber.isGateway())
         update.originOwners = owners_;
-        update.softwareVersions = allVersions();
-    }
     update.wantsAck = true;
     update.number = ++lastNumber_;
     subscriber.asked = update.number;
@@ -322,7 +321,7 @@
     isVersionsComplete_ = changes.isComplete;
     auto update = baseUpdate();
     update.softwareVersions = changes;
-    sendToGateways(std::move(update));
+    sendToAll(std::move(update), false);
 }
 
 auto Registry::allVersions() const -> proto::VersionNews
--- a/fleet/registry.h
+++ b/fleet/registry.h
@@ -140,7 +140,7 @@
     /// On the leader: tells the gateways with the whole list the number of requests in progress at
     /// each endpoint.
     auto publishLoads(const std::vector<proto::EndpointLoad> &loads) -> void;
-    /// Tells gateways which software versions have served within the resumption window.
+    /// Tells gateways and controls which software versions have served within the window.
     /// @param changes the services whose versions have changed; those without versions have none
     auto applySoftwareVersions(const proto::VersionNews &changes) -> void;
     /// Sends a message to every subscriber of a kind.
--- a/fleet/servedversions.cpp
+++ b/fleet/servedversions.cpp
@@ -1,7 +1,9 @@
 #include "fleet/servedversions.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "core/duration.h"
 #include "core/log.h"
 
 namespace figrack::fleet {
@@ -20,19 +22,66 @@
 {
     const auto now = clock_.now();
     const auto saved = store_.loadVersions();
-    for (const auto &row : saved.services) {
+    for (const auto &row : saved.news.services) {
         for (const auto &version : row.versions)
             versions_.onTold(row.service, version, now);
     }
+    const auto age = ageOf(saved);
     isFirstStart_ = isFirstStart;
-    isKnownFromStart_ = isFirstStart || saved.isComplete;
-    savedHistory_ = saved.isComplete;
+    isKnownFromStart_ = isFirstStart || (saved.news.isComplete && age.has_value());
+    savedHistory_ = saved.news.isComplete;
+    // The time without the group began with the life before.
+    brokenSince_ = now - age.value_or(Duration {});
     LogEvent(LogLevel::Info, "software_versions_recalled")
-            .with("services", static_cast<std::uint64_t>(saved.services.size()))
-            .with("complete", saved.isComplete)
+            .with("services", static_cast<std::uint64_t>(saved.news.services.size()))
+            .with("complete", saved.news.isComplete)
+            .with("age_ms", inMillis(age.value_or(Duration {})))
             .with("first_start", isFirstStart);
 }
 
+// The monotonic clock begins anew with the machine, and the calendar may be set: the longer of the
+// two times counts, and neither clock may have gone back.
+auto ServedVersions::ageOf(const SavedVersions &saved) const -> std::optional<Duration>
+{
+    const auto byBoot = clock_.now().time_since_epoch() - Duration { saved.bootNanos };
+    const auto byWall
+            = clock_.wallNow().time_since_epoch() - std::chrono::milliseconds { saved.wallMillis };
+    if (byBoot < Duration::zero() || byWall < Duration::zero())
+        return std::nullopt;
+    return std::max<Duration>(byBoot, byWall);
+}
+
+auto ServedVersions::onHistory(const NodeId &control, const proto::VersionNews &news) -> void
+{
+    auto &history = histories_[control];
+    history.isComplete = news.isComplete;
+    for (const auto &row : news.services) {
+        if (row.versions.empty())
+            history.versions.erase(row.service);
+        else
+            history.versions[row.service] = row.versions;
+    }
+}
+
+auto ServedVersions::onHistoryLost(const NodeId &control) -> void
+{
+    histories_.erase(control);
+}
+
+auto ServedVersions::adoptHistory(Instant now) -> void
+{
+    const auto complete = std::find_if(histories_.begin(), histories_.end(),
+                                       [](const auto &item) { return item.second.isComplete; });
+    if (brokenSince_ || hasHistory(now) || complete == histories_.end())
+        return;
+    for (const auto &[service, versions] : complete->second.versions) {
+        for (const auto &version : versions)
+            versions_.onTold(service, version, now);
+    }
+    isKnownFromStart_ = true;
+    LogEvent(LogLevel::Info, "software_versions_adopted").with("control", complete->first);
+}
+
 auto ServedVersions::onRow(const catalogue::EndpointRow &row) -> void
 {
     versions_.onRow(row, clock_.now());
@@ -43,16 +92,17 @@
     versions_.onForgotten(id, clock_.now());
 }
 
-auto ServedVersions::tick(bool isCurrent) -> std::optional<proto::VersionNews>
+auto ServedVersions::tick(bool isInTouch) -> std::optional<proto::VersionNews>
 {
     const auto now = clock_.now();
-    noteCurrent(isCurrent, now);
+    noteTouch(isInTouch, now);
+    adoptHistory(now);
     if (now >= nextExpiry_) {
         nextExpiry_ = now + options_.expireEvery;
         versions_.expire(now);
     }
     const auto changed = versions_.takeChanged();
-    if (!changed.empty() || savedHistory_ != hasHistory(now))
+    if (!changed.empty() || savedHistory_ != hasHistory(now) || now >= nextSave_)
         save(now);
     const auto complete = isComplete(now);
     if (changed.empty() && toldComplete_ == complete)
@@ -67,9 +117,9 @@
     return news;
 }
 
-auto ServedVersions::noteCurrent(bool isCurrent, Instant now) -> void
+auto ServedVersions::noteTouch(bool isInTouch, Instant now) -> void
 {
-    if (!isCurrent) {
+    if (!isInTouch) {
         if (!brokenSince_)
             brokenSince_ = now;
         return;
@@ -106,12 +156,19 @@
 
 auto ServedVersions::save(Instant now) -> void
 {
-    auto news = proto::VersionNews {};
-    news.isComplete = hasHistory(now);
+    nextSave_ = now + options_.saveEvery;
+    auto saved = SavedVersions {};
+    saved.news.isComplete = hasHistory(now);
     for (const auto &service : versions_.services())
-        news.services.push_back(rowOf(service, now));
-    savedHistory_ = news.isComplete;
-    store_.save(news);
+        saved.news.services.push_back(rowOf(service, now));
+    // What is learned out of touch does not make a break shorter.
+    const auto knownAt = brokenSince_.value_or(now);
+    saved.bootNanos = Duration { knownAt.time_since_epoch() }.count();
+    saved.wallMillis = std::chrono::floor<std::chrono::milliseconds>(
+                               clock_.wallNow().time_since_epoch() - (now - knownAt))
+                               .count();
+    savedHistory_ = saved.news.isComplete;
+    store_.save(saved);
 }
 
 auto ServedVersions::rowOf(const ServiceId &service, Instant now) const -> proto::ServiceVersions
--- a/fleet/servedversions.h
+++ b/fleet/servedversions.h
@@ -3,18 +3,23 @@
 //
 //   served.recall(isFirstStart);
 //   served.onRow(row);   served.onForgotten(id);          // as the registry learns of them
-//   if (auto changes = served.tick(isCurrent)) registry.applySoftwareVersions(*changes);
+//   served.onHistory(control, news);   served.onHistoryLost(control);    // of the other controls
+//   if (auto changes = served.tick(isInTouch)) registry.applySoftwareVersions(*changes);
 //
-// None is missing if the control has listened for the window, if it keeps a history on its disk
-// that was complete, or if the fleet starts for the first time, so that none can have served
-// before. Controls tell one another of their endpoints, those that are gone included, for longer
-// than a short break lasts; a control that was cut off for longer has to listen for the window
+// None is missing if the control has listened for the window, if its disk holds a history that was
+// complete a short time ago, or if the fleet starts for the first time, so that none can have
+// served before. Controls tell one another of their endpoints, those that are gone included, for
+// longer than a short break lasts. After a longer one, in which the control was down or cut off, it
+// has to take over the history of another control that is complete, or to listen for the window
 // again. Not thread-safe.
 
 #ifndef FIGRACK_FLEET_SERVEDVERSIONS_H
 #define FIGRACK_FLEET_SERVEDVERSIONS_H
 
+#include <map>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "catalogue/endpointrow.h"
 #include "core/clock.h"
@@ -33,6 +38,9 @@
     /// began and ended within it. At most EndpointTableOptions::forgetSilentAfter.
     Duration harmlessBreak = std::chrono::seconds { 30 };
     Duration expireEvery = std::chrono::seconds { 1 };
+    /// Interval at which the history is saved though nothing has changed, so that a restart knows
+    /// how long it was down. Well below harmlessBreak.
+    Duration saveEvery = std::chrono::seconds { 8 };
 };
 
 class ServedVersions
@@ -45,14 +53,31 @@
     auto recall(bool isFirstStart) -> void;
     auto onRow(const catalogue::EndpointRow &row) -> void;
     auto onForgotten(const EndpointId &id) -> void;
+    /// Handles what another control tells of software versions.
+    /// @param news the services that have changed since its last message
+    auto onHistory(const NodeId &control, const proto::VersionNews &news) -> void;
+    /// The connection to that control has closed.
+    auto onHistoryLost(const NodeId &control) -> void;
     /// Saves what has changed.
-    /// @param isCurrent this control is a member of its group and receives its decisions
+    /// @param isInTouch this control is a member of its group and receives its decisions
     /// @return the services whose versions have changed since the last call; those without versions
     /// have none any more. nullopt: nothing has changed
-    auto tick(bool isCurrent) -> std::optional<proto::VersionNews>;
+    auto tick(bool isInTouch) -> std::optional<proto::VersionNews>;
 
 private:
-    auto noteCurrent(bool isCurrent, Instant now) -> void;
+    /// Of another control, as long as its connection is open.
+    struct History
+    {
+        std::map<ServiceId, std::vector<std::string>> versions;
+        bool isComplete = false;
+    };
+
+    auto noteTouch(bool isInTouch, Instant now) -> void;
+    /// @return the time since this control was in touch and knew the saved versions; nullopt: not
+    /// known
+    auto ageOf(const SavedVersions &saved) const -> std::optional<Duration>;
+    /// Takes over the history of a control that is complete, if this one's is not.
+    auto adoptHistory(Instant now) -> void;
     /// @return true if no version is missing, but for what a break may hide
     auto hasHistory(Instant now) const -> bool;
     auto isComplete(Instant now) const -> bool;
@@ -64,12 +89,14 @@
     const Clock &clock_;
     policy::SoftwareVersions versions_;
     bool isFirstStart_ = false;
-    bool isKnownFromStart_ = false;       ///< Restored, or the first start.
+    bool isKnownFromStart_ = false;       ///< Restored, taken over, or the first start.
     std::optional<Instant> brokenSince_;  ///< Absent while in touch with the group.
     std::optional<Instant> currentSince_; ///< Absent until it is in touch for the first time.
     Instant listeningSince_ {};           ///< Without a break that may hide a version.
     Instant nextExpiry_ {};
-    std::optional<bool> toldComplete_; ///< As it was told to gateways last.
+    Instant nextSave_ {};
+    std::map<NodeId, History> histories_; ///< By control.
+    std::optional<bool> toldComplete_;    ///< As it was told to gateways last.
     bool savedHistory_ = false;
 };
 
--- a/fleet/testing/tst_servedversions.cpp
+++ b/fleet/testing/tst_servedversions.cpp
@@ -188,6 +188,98 @@
     CHECK_FALSE(rig.life->isComplete);
 }
 
+// A version that serves meanwhile, and is gone for longer than the other controls remember it, is
+// missing from the history on the disk. Gateways that all start anew take the word of one control.
+TEST_CASE("A control that was down for long doesn't vouch for the history on its disk")
+{
+    auto rig = Rig {};
+    rig.start(true);
+    rig.life->served.onRow(rowOf("e1", "v1"));
+    rig.run(2min);
+    CHECK(rig.life->isComplete);
+    SUBCASE("down for a short time")
+    {
+        rig.life.reset();
+        rig.clock.advance(20s);
+        rig.start();
+        rig.run(2s);
+        CHECK(rig.life->isComplete);
+    }
+    SUBCASE("down for long")
+    {
+        rig.life.reset();
+        rig.clock.advance(90s);
+        rig.start();
+        rig.run(59s);
+        CHECK_FALSE(rig.life->isComplete);
+        rig.run(1s);
+        CHECK(rig.life->isComplete);
+    }
+    SUBCASE("out of touch before and after it was down, each for a short time")
+    {
+        rig.run(15s, false);
+        rig.start();
+        rig.run(20s, false);
+        rig.run(59s);
+        CHECK_FALSE(rig.life->isComplete);
+        rig.run(1s);
+        CHECK(rig.life->isComplete);
+    }
+    SUBCASE("the machine was started anew, so that its monotonic clock began anew")
+    {
+        auto saved = rig.life->store.loadVersions();
+        rig.life.reset();
+        saved.bootNanos = (rig.clock.now().time_since_epoch() + Duration { 1s }).count();
+        LastKnownStore { folder, rig.disk }.save(saved);
+        rig.start();
+        rig.run(30s);
+        CHECK_FALSE(rig.life->isComplete);
+    }
+}
+
+TEST_CASE("A control that was down for long takes over the history of one that is complete")
+{
+    auto rig = Rig {};
+    const auto news = [](Names versions, bool isComplete) {
+        return proto::VersionNews { { { ServiceId { "s" }, std::move(versions) } }, isComplete };
+    };
+    rig.start(true);
+    rig.life->served.onRow(rowOf("e1", "v1"));
+    rig.run(1min);
+    rig.life.reset();
+    rig.clock.advance(90s);
+    rig.start();
+    rig.life->served.onRow(rowOf("e1", "v1"));
+    rig.life->served.onHistory(NodeId { "n2" }, news({ "v1", "v2" }, false));
+    rig.run(5s);
+    CHECK_FALSE(rig.life->isComplete);
+    SUBCASE("which it has told, and says so later")
+    {
+        rig.life->served.onHistory(NodeId { "n2" }, { {}, true });
+        rig.run(1s);
+        CHECK(rig.life->isComplete);
+        CHECK(rig.life->versions == Names { "v1", "v2" });
+        rig.run(1min); // It counts for the window from then on, whatever the other one says.
+        CHECK(rig.life->versions == Names { "v1" });
+    }
+    SUBCASE("whose connection is still open")
+    {
+        rig.life->served.onHistory(NodeId { "n2" }, { {}, true });
+        rig.life->served.onHistoryLost(NodeId { "n2" });
+        rig.run(5s);
+        CHECK_FALSE(rig.life->isComplete);
+    }
+    SUBCASE("and not while it is out of touch itself")
+    {
+        rig.run(1s, false);
+        rig.life->served.onHistory(NodeId { "n2" }, { {}, true });
+        rig.run(5s, false);
+        CHECK_FALSE(rig.life->isComplete);
+        rig.run(2s);
+        CHECK(rig.life->isComplete);
+    }
+}
+
 TEST_CASE("A control that is cut off from its group is incomplete")
 {
     auto rig = Rig {};
--- a/proto/servingmessages.h
+++ b/proto/servingmessages.h
@@ -196,7 +196,8 @@
     std::vector<EndpointId> withdrawn;
     /// To gateways only, when they have changed, and to a new subscriber.
     std::optional<std::vector<OriginOwner>> originOwners;
-    std::optional<VersionNews> softwareVersions; ///< Likewise.
+    /// When they have changed, and to a new subscriber.
+    std::optional<VersionNews> softwareVersions;
     template<typename Archive>
     auto serialize(Archive &archive) -> void
     {
