Keep the origins of streams at controls, for an end of all gateways at once

Gateways now also tell each origin to two controls, by rendezvous hashing of the stream over the known ones, in batches on the connection that they have; only while a service has several versions, as before. Controls keep them in memory, 65,536 at most, for the window. A gateway asks three controls if no other gateway knows the stream. If one of them does not answer, or a known control is not connected yet, the caller is told to come back in 1 s instead of the window. A control's answer is never taken as a word on which versions have served.

Weighed: a log entry for each stream, which outlives an end of all controls as well, at 20,600 entries a second at the target; asking the endpoints, whose protocol has no such question.

proto/origintable was gateway/origintable; the values of streamorigin.h that controls need, too, are in proto/streamoriginmessages.h.

--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -19,6 +19,7 @@
 #include "fleet/lastknown.h"
 #include "fleet/loadguard.h"
 #include "fleet/metrics.h"
+#include "fleet/originstore.h"
 #include "fleet/placegrants.h"
 #include "fleet/planning.h"
 #include "fleet/recentdocuments.h"
@@ -68,6 +69,7 @@
         , decisions_(options_.decisions, clock, lastKnown_, metrics_)
         , registry_(options_.registry, clock)
         , versions_(options_.versions, lastKnown_, clock)
+        , origins_(options_.origins, clock, metrics_)
         , groupManager_(options_.group, clock)
         , contact_({ .self = options_.name, .currentWithin = options_.currentWithin }, clock)
         , announcements_(registry_, KnownServices { readDocument_ }, contact_, clock, metrics_)
@@ -397,6 +399,10 @@
             peer->send({ 0, answerAsVoter(*query) });
         } else if (const auto *join = std::get_if<proto::JoinGroup>(&envelope.payload)) {
             onJoin(join->member);
+        } else if (const auto *begun = std::get_if<proto::BegunStreams>(&envelope.payload)) {
+            origins_.keep(*begun);
+        } else if (const auto *asked = std::get_if<proto::StreamOriginQuery>(&envelope.payload)) {
+            peer->send({ envelope.correlation, origins_.answer(*asked) });
         } else if (std::holds_alternative<proto::ManifestRequest>(envelope.payload)) {
             peer->send({ envelope.correlation, recentDocuments_.manifest() });
         } else if (const auto *blocks = std::get_if<proto::BlocksRequest>(&envelope.payload)) {
@@ -804,6 +810,7 @@
     Decisions decisions_;
     Registry registry_;
     ServedVersions versions_;
+    OriginStore origins_;
     GroupManager groupManager_;
     GroupContact contact_;
     Announcements announcements_;
--- a/fleet/core.h
+++ b/fleet/core.h
@@ -45,6 +45,7 @@
 #include "fleet/retryledger.h"
 #include "fleet/servedversions.h"
 #include "proto/channel.h"
+#include "proto/origintable.h"
 
 namespace figrack::fleet {
 
@@ -66,6 +67,7 @@
     RetryLedgerOptions retries;
     ServedVersionsOptions versions = { .versions = { .window = policy::softwareVersionMemory } };
     DocumentProofOptions proof;
+    proto::OriginTableOptions origins;
     /// A new leader sends its first order only when every order of its predecessor is so old that
     /// orders of the two cannot count as alternating.
     Duration orderQuarantine = std::chrono::milliseconds { 3300 };
--- a/fleet/metrics.cpp
+++ b/fleet/metrics.cpp
@@ -105,6 +105,20 @@
                                  .Name("figrack_core_scheduled_loads")
                                  .Help("Rows of the latest load schedule, by state")
                                  .Register(registry))
+        , originsKept(prometheus::BuildCounter()
+                              .Name("figrack_core_origins_kept_total")
+                              .Help("Origins of streams that gateways have told")
+                              .Register(registry)
+                              .Add({}))
+        , originsDropped(prometheus::BuildCounter()
+                                 .Name("figrack_core_origins_dropped_total")
+                                 .Help("Origins of streams that exceeded a bound")
+                                 .Register(registry)
+                                 .Add({}))
+        , originsAsked(prometheus::BuildCounter()
+                               .Name("figrack_core_origins_asked_total")
+                               .Help("Questions of gateways for the origin of a stream")
+                               .Register(registry))
         , inTouch(prometheus::BuildGauge()
                           .Name("figrack_core_in_touch")
                           .Help("1 while this control is a member that hears its group")
@@ -153,6 +167,9 @@
     prometheus::Histogram &loadErrorSeconds;
     prometheus::Counter &loadsPutOff;
     prometheus::Family<prometheus::Gauge> &scheduledLoads;
+    prometheus::Counter &originsKept;
+    prometheus::Counter &originsDropped;
+    prometheus::Family<prometheus::Counter> &originsAsked;
     prometheus::Gauge &inTouch;
     prometheus::Gauge &isVoter;
     prometheus::Gauge &groupVoters;
@@ -180,6 +197,17 @@
     impl_->gatewaysBehind.Increment(static_cast<double>(gatewaysBehind));
 }
 
+auto Metrics::onOriginsTold(std::size_t kept, std::size_t dropped) -> void
+{
+    impl_->originsKept.Increment(static_cast<double>(kept));
+    impl_->originsDropped.Increment(static_cast<double>(dropped));
+}
+
+auto Metrics::onOriginAsked(bool isKnown) -> void
+{
+    impl_->originsAsked.Add({ { "known", isKnown ? "true" : "false" } }).Increment();
+}
+
 auto Metrics::setGroup(const GroupPart &part) -> void
 {
     impl_->inTouch.Set(part.isInTouch ? 1 : 0);
--- a/fleet/metrics.h
+++ b/fleet/metrics.h
@@ -50,6 +50,10 @@
     auto onLoadPutOff() -> void;
     /// Call when a load schedule is sent.
     auto onLoadSchedule(const proto::LoadSchedule &schedule) -> void;
+    /// Call when gateways have told the origins of streams. @param dropped for want of room
+    auto onOriginsTold(std::size_t kept, std::size_t dropped) -> void;
+    /// Call when a gateway asks for the origin of a stream.
+    auto onOriginAsked(bool isKnown) -> void;
     /// @return the page
     auto text() -> std::string;
 
--- a/gateway/controlfeed.cpp
+++ b/gateway/controlfeed.cpp
@@ -141,6 +141,7 @@
         }
         if (!update->controls.empty())
             dropUnlisted(update->controls);
+        controls_[address].gateways = update->gateways;
         fetch_.onAnnounced(address, update->document);
         applyUpdate(address, *update);
         if (update->evacuations)
@@ -402,6 +403,41 @@
                                          std::move(onReply));
     }
 
+    auto controls() const -> std::vector<NodeId>
+    {
+        auto result = std::vector<NodeId> {};
+        for (const auto &[address, control] : controls_) {
+            if (!control.node.empty())
+                result.push_back(control.node);
+        }
+        return result;
+    }
+
+    auto areAllConnected() const -> bool { return connected() == controls_.size(); }
+
+    auto gateways() const -> std::size_t
+    {
+        auto most = std::size_t { 0 };
+        for (const auto &[address, control] : controls_)
+            most = std::max<std::size_t>(most, control.gateways);
+        return most;
+    }
+
+    auto pushTo(const NodeId &control, proto::Payload message) -> bool
+    {
+        auto *client = clientOf(control);
+        return client != nullptr && client->push(std::move(message));
+    }
+
+    auto callAt(const NodeId &control, proto::Payload message, Duration timeout,
+                std::function<void(const absl::StatusOr<proto::Payload> &)> onReply) -> bool
+    {
+        auto *client = clientOf(control);
+        if (client != nullptr)
+            client->call(std::move(message), timeout, std::move(onReply));
+        return client != nullptr;
+    }
+
     auto sendSuspects(const std::vector<catalogue::SuspectRow> &rows) -> void
     {
         for (auto &[address, control] : controls_) {
@@ -439,10 +475,13 @@
     }
 
     /// @return nullptr if no leader is known or connected
-    auto leaderClient() -> proto::PeerClient *
+    auto leaderClient() -> proto::PeerClient * { return clientOf(leader_); }
+
+    /// @return nullptr if the control is not connected
+    auto clientOf(const NodeId &node) -> proto::PeerClient *
     {
         for (auto &[address, control] : controls_) {
-            if (control.open && control.node == leader_)
+            if (control.open && control.node == node)
                 return control.client.get();
         }
         return nullptr;
@@ -554,8 +593,9 @@
         std::unique_ptr<proto::PeerClient> client;
         NodeId node; ///< Empty until the control has connected once.
         bool open = false;
-        Instant balancesFrom {}; ///< Not asked for picks before this time.
-        Instant provesFrom {};   ///< Not asked for proofs before this time.
+        std::uint32_t gateways = 0; ///< That it serves, as it said last.
+        Instant balancesFrom {};    ///< Not asked for picks before this time.
+        Instant provesFrom {};      ///< Not asked for proofs before this time.
     };
 
     /// @return the control that is asked for picks: the connected one with the highest hash. The
@@ -770,6 +810,33 @@
     return impl_->askRetry(request, timeout, std::move(done));
 }
 
+auto ControlFeed::controls() const -> std::vector<NodeId>
+{
+    return impl_->controls();
+}
+
+auto ControlFeed::areAllConnected() const -> bool
+{
+    return impl_->areAllConnected();
+}
+
+auto ControlFeed::gateways() const -> std::size_t
+{
+    return impl_->gateways();
+}
+
+auto ControlFeed::pushTo(const NodeId &control, proto::Payload message) -> bool
+{
+    return impl_->pushTo(control, std::move(message));
+}
+
+auto ControlFeed::callAt(const NodeId &control, proto::Payload message, Duration timeout,
+                         std::function<void(const absl::StatusOr<proto::Payload> &)> onReply)
+        -> bool
+{
+    return impl_->callAt(control, std::move(message), timeout, std::move(onReply));
+}
+
 auto ControlFeed::sendSuspects(const std::vector<catalogue::SuspectRow> &rows) -> void
 {
     impl_->sendSuspects(rows);
--- a/gateway/controlfeed.h
+++ b/gateway/controlfeed.h
@@ -126,6 +126,18 @@
     /// @param done called once, with nullopt if no answer came in time
     auto askRetry(const proto::RetryGrantRequest &request, Duration timeout,
                   std::function<void(std::optional<proto::RetryGrantReply>)> done) -> bool;
+    /// @return the names of the controls that have been connected and may be again
+    auto controls() const -> std::vector<NodeId>;
+    /// @return true if every control that is known is connected
+    auto areAllConnected() const -> bool;
+    /// @return the largest number of gateways that a control has said to serve lately
+    auto gateways() const -> std::size_t;
+    /// Sends a message to one control. @return false if it is not connected or its queue is full
+    auto pushTo(const NodeId &control, proto::Payload message) -> bool;
+    /// Asks one control. @return false if it is not connected; then onReply is not called
+    /// @param onReply called once, with an error if no answer came in time
+    auto callAt(const NodeId &control, proto::Payload message, Duration timeout,
+                std::function<void(const absl::StatusOr<proto::Payload> &)> onReply) -> bool;
     /// Sends suspected work to all controls, since each may be the only one that another gateway is
     /// connected to.
     auto sendSuspects(const std::vector<catalogue::SuspectRow> &rows) -> void;
--- a/gateway/forwarderresumption.cpp
+++ b/gateway/forwarderresumption.cpp
@@ -31,7 +31,8 @@
 /// @return true if the origin is known of this very stream
 auto isKnown(const FoundOrigin &found) -> bool
 {
-    return found.source == OriginSource::Here || found.source == OriginSource::Owner;
+    return found.source == OriginSource::Here || found.source == OriginSource::Owner
+            || found.source == OriginSource::Control;
 }
 
 } // namespace
--- a/gateway/foundorigin.cpp
+++ b/gateway/foundorigin.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 constexpr auto originSourceNames
-        = std::array<std::string_view, 5> { "unknown", "foreign", "here", "owner", "only_version" };
+        = std::array<std::string_view, 6> { "unknown", "foreign", "here",
+                                            "owner",   "control", "only_version" };
 
 } // namespace
 
@@ -35,6 +36,13 @@
         setOrigin(*reply.origin, OriginSource::Owner);
 }
 
+auto OriginEvidence::add(const ControlAnswer &answer) -> void
+{
+    mayControlKnow_ = mayControlKnow_ || answer.mayBeKnown;
+    if (answer.origin)
+        setOrigin(*answer.origin, OriginSource::Control);
+}
+
 auto OriginEvidence::setOrigin(proto::StreamOrigin origin, OriginSource source) -> void
 {
     if (origin_)
@@ -51,7 +59,8 @@
 
 auto OriginEvidence::retryAfter(const OriginWaits &waits) const -> Duration
 {
-    const auto mayBeTold = silent_ > 0 || (versions_.size() <= 1 && !isComplete_);
+    const auto mayBeTold
+            = silent_ > 0 || mayControlKnow_ || (versions_.size() <= 1 && !isComplete_);
     return mayBeTold ? waits.reachedAgain : waits.window;
 }
 
--- a/gateway/foundorigin.h
+++ b/gateway/foundorigin.h
@@ -26,10 +26,11 @@
     Foreign,     ///< It was begun by another account.
     Here,        ///< This gateway has kept it.
     Owner,       ///< Another gateway has kept it.
+    Control,     ///< A control has kept it.
     OnlyVersion, ///< The service has had no other version within the window.
 };
 
-/// @return "unknown", "foreign", "here", "owner" or "only_version"
+/// @return "unknown", "foreign", "here", "owner", "control" or "only_version"
 auto originSourceName(OriginSource source) -> std::string_view;
 
 struct FoundOrigin
@@ -47,6 +48,13 @@
 
 using OriginAnswer = std::variant<proto::StreamOriginReply, OriginFailure>;
 
+/// What the controls that keep a stream's origin have answered.
+struct ControlAnswer
+{
+    std::optional<proto::StreamOrigin> origin;
+    bool mayBeKnown = false; ///< A control that did not answer may know the origin.
+};
+
 struct OriginWaits
 {
     /// Time after which versions that have served no longer count.
@@ -64,6 +72,7 @@
     OriginEvidence(std::set<std::string> versions, bool isComplete);
     /// @param answer of a gateway that was asked
     auto add(const OriginAnswer &answer) -> void;
+    auto add(const ControlAnswer &answer) -> void;
     /// @param source of an origin that was found
     auto setOrigin(proto::StreamOrigin origin, OriginSource source) -> void;
     auto hasOrigin() const -> bool { return origin_.has_value(); }
@@ -86,6 +95,7 @@
     std::size_t replied_ = 0;
     std::size_t refused_ = 0;
     std::size_t silent_ = 0;
+    bool mayControlKnow_ = false;
 };
 
 } // namespace figrack::gateway
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -8,6 +8,7 @@
 #include "core/duration.h"
 #include "core/log.h"
 #include "gateway/controlfeed.h"
+#include "gateway/controlorigins.h"
 #include "gateway/handoffs.h"
 #include "gateway/handoffserver.h"
 #include "gateway/originexchange.h"
@@ -56,6 +57,7 @@
                     { context, clock, random_, waiters_,
                       [this](HandoffsParts::Done done) { askHandoffTargets(std::move(done)); } })
         , originExchange_({ options_.keys }, context, clock)
+        , controlOrigins_({}, controlOriginsParts())
         , origins_(originsOptions(), originsParts())
         , retries_(options_.retries, clock, metrics_,
                    [this](const auto &request, Duration timeout, auto done) {
@@ -165,6 +167,7 @@
         server_.stop();
         handoffServer_.stop();
         originExchange_.stop();
+        controlOrigins_.stop();
         prober_.stop();
         feed_.stop();
         reachedTimer_.cancel();
@@ -218,7 +221,28 @@
                  [this](const ServiceId &service) { return versions_.versionsOf(service); },
                  [this] { return versions_.isComplete(); },
                  [this] { return versions_.owners(); },
-                 originExchange_.transport() };
+                 originExchange_.transport(),
+                 { [this](const proto::BegunStream &stream) { controlOrigins_.tell(stream); },
+                   [this](const proto::StreamKey &key, Duration timeout, auto done) {
+                       controlOrigins_.ask(key, timeout, std::move(done));
+                   } } };
+    }
+
+    auto controlOriginsParts() -> ControlOriginsParts
+    {
+        return { context_,
+                 random_,
+                 metrics_,
+                 [this] { return feed_.controls(); },
+                 [this] { return feed_.areAllConnected(); },
+                 [this] { return feed_.gateways(); },
+                 [this](const NodeId &control, proto::Payload message) {
+                     return feed_.pushTo(control, std::move(message));
+                 },
+                 [this](const NodeId &control, proto::Payload message, Duration timeout,
+                        auto onReply) {
+                     return feed_.callAt(control, std::move(message), timeout, std::move(onReply));
+                 } };
     }
 
     auto askHandoffTargets(HandoffsParts::Done done) -> void
@@ -488,6 +512,7 @@
     ControlFeed feed_;
     Handoffs handoffs_;
     OriginExchange originExchange_;
+    ControlOrigins controlOrigins_;
     StreamOrigins origins_;
     RetryBudget retries_;
     Picker picker_;
--- a/gateway/streamorigins.cpp
+++ b/gateway/streamorigins.cpp
@@ -45,6 +45,17 @@
     bool isKnown = false;
 };
 
+/// What controls have answered.
+struct ControlQuestion
+{
+    ControlQuestion(asio::io_context &context, Duration timeout)
+        : timer(context, timeout)
+    { }
+    BootTimer timer;
+    ControlAnswer answer { std::nullopt, true };
+    bool isOver = false;
+};
+
 auto awaitTimer(BootTimer &timer) -> asio::awaitable<void>
 {
     auto code = boost::system::error_code {};
@@ -75,7 +86,7 @@
     auto onBegun(const proto::StreamKey &key, proto::StreamOrigin origin) -> void
     {
         auto stream = proto::BegunStream { key, std::move(origin) };
-        if (!keep(stream, OriginKeeper::Own))
+        if (!keep(stream, proto::OriginKeeper::Own))
             return;
         if (parts_.versionsOf(key.service).size() > 1)
             tellOwners(stream, parts_.gateways());
@@ -127,7 +138,7 @@
     auto answer(const proto::BegunStreams &begun) -> proto::StreamOriginReply
     {
         for (const auto &stream : begun.streams)
-            keep(stream, OriginKeeper::Others);
+            keep(stream, proto::OriginKeeper::Others);
         return {};
     }
 
@@ -147,7 +158,7 @@
     }
 
     /// @return false if the stream exceeds a bound
-    auto keep(const proto::BegunStream &stream, OriginKeeper keeper) -> bool
+    auto keep(const proto::BegunStream &stream, proto::OriginKeeper keeper) -> bool
     {
         const auto isKept = proto::isWithinBounds(stream);
         const auto dropped = isKept ? table_.keep(stream, keeper) : 1;
@@ -163,6 +174,7 @@
             if (owner.node != options_.self)
                 teller_->tell(owner, stream);
         }
+        parts_.controls.tell(stream);
     }
 
     // NOLINTNEXTLINE(performance-unnecessary-value-param): a coroutine owns what it uses.
@@ -202,6 +214,8 @@
                           OriginEvidence &evidence) -> asio::awaitable<void>
     {
         co_await askOnce(self, key, evidence);
+        if (!self->stopped_ && !evidence.hasOrigin() && !evidence.isOnlyVersionSure())
+            co_await askControls(self, key, evidence);
         const auto mayBeOnTheWay
                 = !evidence.hasOrigin() && !evidence.isOnlyVersionSure() && evidence.replied() > 0;
         if (self->stopped_ || !mayBeOnTheWay)
@@ -212,6 +226,24 @@
             co_await askOnce(self, key, evidence);
     }
 
+    // NOLINTNEXTLINE(performance-unnecessary-value-param): a coroutine owns what it uses.
+    static auto askControls(std::shared_ptr<Impl> self, proto::StreamKey key,
+                            OriginEvidence &evidence) -> asio::awaitable<void>
+    {
+        constexpr auto grace = 2; // The answer ends the wait; the timer is for a lost callback.
+        const auto timeout = self->options_.askTimeout;
+        const auto question
+                = std::make_shared<ControlQuestion>(self->parts_.context, grace * timeout);
+        self->parts_.controls.ask(key, timeout, [question](const ControlAnswer &answer) {
+            question->answer = answer;
+            question->isOver = true;
+            question->timer.cancel();
+        });
+        if (!question->isOver)
+            co_await awaitTimer(question->timer);
+        evidence.add(question->answer);
+    }
+
     // NOLINTNEXTLINE(performance-unnecessary-value-param): a coroutine owns what it uses.
     static auto askOnce(std::shared_ptr<Impl> self, proto::StreamKey key, OriginEvidence &evidence)
             -> asio::awaitable<void>
@@ -264,7 +296,7 @@
 
     StreamOriginsOptions options_;
     StreamOriginsParts parts_;
-    OriginTable table_;
+    proto::OriginTable table_;
     std::unique_ptr<OriginTeller> teller_;
     bool stopped_ = false;
 };
--- a/gateway/streamorigins.h
+++ b/gateway/streamorigins.h
@@ -6,9 +6,10 @@
 // While a service has several software versions, the gateway at which a stream begins tells its
 // origin to the owners of the stream: two gateways in different failure domains that every gateway
 // finds by rendezvous hashing (gateway/originowners.h). A gateway that does not know a stream asks
-// them. No control takes part, so that the origins are known while no control can be reached, and
-// after the gateway that began the stream has ended. A version is never guessed: where several may
-// have begun the stream and no one knows which, the answer is unknown.
+// them, so that the origins are known while no control can be reached, and after the gateway that
+// began the stream has ended. Controls keep them as well, in case all gateways end at once. A
+// version is never guessed: where several may have begun the stream and no one knows which, the
+// answer is unknown.
 //
 // Origins are kept for the resumption window, in tables of bounded size. Not thread-safe.
 
@@ -29,9 +30,9 @@
 #include "gateway/foundorigin.h"
 #include "gateway/metrics.h"
 #include "gateway/originowners.h"
-#include "gateway/origintable.h"
 #include "gateway/originteller.h"
 #include "gateway/origintransport.h"
+#include "proto/origintable.h"
 #include "proto/streamorigin.h"
 
 namespace figrack::gateway {
@@ -39,7 +40,7 @@
 struct StreamOriginsOptions
 {
     NodeId self;
-    OriginTableOptions table;
+    proto::OriginTableOptions table;
     OriginTellerOptions teller;
     OriginWaits waits;
     /// Until other gateways have answered. A caller waits for it.
@@ -48,6 +49,16 @@
     Duration askAgainAfter = std::chrono::milliseconds { 100 };
 };
 
+/// How origins are kept at controls (gateway/controlorigins.h).
+struct OriginControls
+{
+    using Done = std::function<void(const ControlAnswer &)>;
+    std::function<void(const proto::BegunStream &)> tell = [](const auto &) {};
+    /// @param done called once, within about the timeout
+    std::function<void(const proto::StreamKey &, Duration timeout, Done done)> ask
+            = [](const auto &, Duration, const Done &done) { done({}); };
+};
+
 /// Dependencies of StreamOrigins. The references must outlive it.
 struct StreamOriginsParts
 {
@@ -62,6 +73,7 @@
     /// All gateways that are known, this one among them or not.
     std::function<std::vector<OriginOwner>()> gateways;
     OriginTransport transport;
+    OriginControls controls;
 };
 
 class StreamOrigins
--- a/gateway/testing/originworld.cpp
+++ b/gateway/testing/originworld.cpp
@@ -65,11 +65,23 @@
                                       [entry](const ServiceId &) { return entry->versions; },
                                       [entry] { return entry->isComplete; },
                                       [this] { return rows(); },
-                                      std::move(transport) };
+                                      std::move(transport),
+                                      controlsPart() };
     entry->origins = std::make_unique<StreamOrigins>(std::move(options), std::move(parts));
     gateways_.emplace(row.node, std::move(gateway));
 }
 
+auto OriginWorld::controlsPart() -> OriginControls
+{
+    return { [this](const proto::BegunStream &stream) {
+                if (hasControls)
+                    controls.keep(stream, proto::OriginKeeper::Others);
+            },
+             [this](const proto::StreamKey &key, Duration, const OriginControls::Done &done) {
+                 done({ hasControls ? controls.find(key) : std::nullopt, false });
+             } };
+}
+
 auto OriginWorld::end(const NodeId &node) -> void
 {
     gateways_.erase(node);
--- a/gateway/testing/originworld.h
+++ b/gateway/testing/originworld.h
@@ -61,12 +61,16 @@
     int queries = 0;
     /// Time that tells take.
     Duration tellDelay {};
+    /// What the controls keep; without them nothing is told or asked there.
+    proto::OriginTable controls { {}, clock };
+    bool hasControls = false;
 
 private:
     static auto send(OriginWorld *world, NodeId from, OriginOwner to,
                      proto::StreamOriginMessage message, Duration timeout)
             -> boost::asio::awaitable<OriginAnswer>;
     auto rows() const -> std::vector<OriginOwner>;
+    auto controlsPart() -> OriginControls;
     auto add(const OriginOwner &row, const std::set<std::string> &versions) -> void;
 
     std::size_t maxEntries_;
--- a/gateway/testing/tst_streamorigins.cpp
+++ b/gateway/testing/tst_streamorigins.cpp
@@ -118,6 +118,24 @@
     checkUnknown(world->find(stranger, attempt), 60s);
 }
 
+// Callers whose streams broke off were refused for a minute at gateways that knew nothing.
+TEST_CASE("A stream's version is known at controls after all gateways have ended at once")
+{
+    const auto world = worldOf(3, several);
+    world->hasControls = true;
+    world->begin(firstGateway, "id-1", "v2");
+    for (const auto &node : world->nodes())
+        world->end(node);
+    world->addGateways(3, several);
+    const auto node = world->nodes().front();
+    checkFound(world->find(node, "id-1"), OriginSource::Control, "v2");
+    const auto foreign = world->find(node, "id-1", "a2");
+    CHECK(originSourceName(foreign.source) == originSourceName(OriginSource::Foreign));
+    checkUnknown(world->find(node, "id-2"), 60s);
+    world->hasControls = false; // They cannot be reached, or have started anew.
+    checkUnknown(world->find(node, "id-1"), 60s);
+}
+
 TEST_CASE("A stream's version is known after both owners have left one after the other")
 {
     const auto world = worldOf(9, several);
--- a/proto/messages.h
+++ b/proto/messages.h
@@ -28,6 +28,7 @@
 #include "core/error.h"
 #include "core/ids.h"
 #include "proto/servingmessages.h"
+#include "proto/streamoriginmessages.h"
 #include "state/commands.h"
 
 namespace figrack::proto {
@@ -282,15 +283,17 @@
     }
 };
 
-using Payload = std::variant<
-        Failure, JoinRequest, JoinReply, DrainNotice, FeedRequest, FeedBatch, coord::RenewRequest,
-        coord::RenewReply, DemandReport, EndpointReport, LoadDigest, ClaimRequest, ClaimReply,
-        ClaimEnd, Done, ReportRequest, ReportReply, coord::Message, Subscribe, ServingUpdate,
-        ServingAck, InForce, ManifestRequest, ManifestReply, BlocksRequest, BlocksReply,
-        ModelWanted, JoinGroup, PickRequest, PickReply, PickEnd, SuspectNews, AccountNews,
-        DocumentProofRequest, DocumentProofReply, coord::RevisionQuery, coord::RevisionReply,
-        WatchRequest, WatchReply, PickGrant, LoadSchedule, HandoffTargetsRequest,
-        HandoffTargetsReply, RetryGrantRequest, RetryGrantReply>;
+using Payload
+        = std::variant<Failure, JoinRequest, JoinReply, DrainNotice, FeedRequest, FeedBatch,
+                       coord::RenewRequest, coord::RenewReply, DemandReport, EndpointReport,
+                       LoadDigest, ClaimRequest, ClaimReply, ClaimEnd, Done, ReportRequest,
+                       ReportReply, coord::Message, Subscribe, ServingUpdate, ServingAck, InForce,
+                       ManifestRequest, ManifestReply, BlocksRequest, BlocksReply, ModelWanted,
+                       JoinGroup, PickRequest, PickReply, PickEnd, SuspectNews, AccountNews,
+                       DocumentProofRequest, DocumentProofReply, coord::RevisionQuery,
+                       coord::RevisionReply, WatchRequest, WatchReply, PickGrant, LoadSchedule,
+                       HandoffTargetsRequest, HandoffTargetsReply, RetryGrantRequest,
+                       RetryGrantReply, BegunStreams, StreamOriginQuery, StreamOriginReply>;
 
 struct Envelope
 {
--- a/gateway/origintable.cpp
+++ b/proto/origintable.cpp
@@ -1,15 +1,15 @@
-#include "gateway/origintable.h"
+#include "proto/origintable.h"
 
 #include <utility>
 
-namespace figrack::gateway {
+namespace figrack::proto {
 
 OriginTable::OriginTable(OriginTableOptions options, const Clock &clock)
     : options_(options)
     , clock_(clock)
 { }
 
-auto OriginTable::keep(proto::BegunStream stream, OriginKeeper keeper) -> std::size_t
+auto OriginTable::keep(BegunStream stream, OriginKeeper keeper) -> std::size_t
 {
     while (!entries_.empty() && isOver(entries_.front()))
         removeOldest();
@@ -28,8 +28,8 @@
     return dropped;
 }
 
-auto OriginTable::renew(Entries::iterator entry, const proto::StreamOrigin &origin,
-                        OriginKeeper keeper) -> void
+auto OriginTable::renew(Entries::iterator entry, const StreamOrigin &origin, OriginKeeper keeper)
+        -> void
 {
     if (entry->stream.origin.account != origin.account)
         return;
@@ -51,7 +51,7 @@
     return clock_.now() - entry.keptAt > options_.window;
 }
 
-auto OriginTable::find(const proto::StreamKey &key) const -> std::optional<proto::StreamOrigin>
+auto OriginTable::find(const StreamKey &key) const -> std::optional<StreamOrigin>
 {
     const auto known = byKey_.find(key);
     if (known == byKey_.end() || known->second->isAmbiguous || isOver(*known->second))
@@ -59,9 +59,9 @@
     return known->second->stream.origin;
 }
 
-auto OriginTable::all() const -> std::vector<proto::BegunStream>
+auto OriginTable::all() const -> std::vector<BegunStream>
 {
-    auto result = std::vector<proto::BegunStream> {};
+    auto result = std::vector<BegunStream> {};
     for (const auto &entry : entries_) {
         if (!entry.isAmbiguous && !isOver(entry))
             result.push_back(entry.stream);
@@ -69,9 +69,9 @@
     return result;
 }
 
-auto OriginTable::ownOf(const ServiceId &service) const -> std::vector<proto::BegunStream>
+auto OriginTable::ownOf(const ServiceId &service) const -> std::vector<BegunStream>
 {
-    auto result = std::vector<proto::BegunStream> {};
+    auto result = std::vector<BegunStream> {};
     for (const auto &entry : entries_) {
         if (entry.isOwn && !entry.isAmbiguous && !isOver(entry)
             && entry.stream.key.service == service)
@@ -80,4 +80,4 @@
     return result;
 }
 
-} // namespace figrack::gateway
+} // namespace figrack::proto
--- a/gateway/origintable.h
+++ b/proto/origintable.h
@@ -10,8 +10,8 @@
 //
 // Not thread-safe.
 
-#ifndef FIGRACK_GATEWAY_ORIGINTABLE_H
-#define FIGRACK_GATEWAY_ORIGINTABLE_H
+#ifndef FIGRACK_PROTO_ORIGINTABLE_H
+#define FIGRACK_PROTO_ORIGINTABLE_H
 
 #include <cstdint>
 #include <list>
@@ -22,14 +22,14 @@
 #include "core/clock.h"
 #include "core/hash.h"
 #include "core/ids.h"
-#include "proto/streamorigin.h"
+#include "proto/streamoriginmessages.h"
 
-namespace figrack::gateway {
+namespace figrack::proto {
 
 /// For whom an origin is kept.
 enum class OriginKeeper : std::uint8_t {
-    Own,    ///< The stream began at this gateway.
-    Others, ///< Another gateway has told it.
+    Own,    ///< The stream began at this process.
+    Others, ///< Another process has told it.
 };
 
 struct OriginTableOptions
@@ -47,42 +47,41 @@
     OriginTable(OriginTableOptions options, const Clock &clock);
     /// Keeps an origin, or keeps it on for another window.
     /// @return the number of entries that were dropped for it, before their time
-    auto keep(proto::BegunStream stream, OriginKeeper keeper) -> std::size_t;
+    auto keep(BegunStream stream, OriginKeeper keeper) -> std::size_t;
     /// @return nullopt if the origin is not known
-    auto find(const proto::StreamKey &key) const -> std::optional<proto::StreamOrigin>;
-    /// @return the streams of a service that began at this gateway
-    auto ownOf(const ServiceId &service) const -> std::vector<proto::BegunStream>;
+    auto find(const StreamKey &key) const -> std::optional<StreamOrigin>;
+    /// @return the streams of a service that began at this process
+    auto ownOf(const ServiceId &service) const -> std::vector<BegunStream>;
     /// @return the streams whose origins are known
-    auto all() const -> std::vector<proto::BegunStream>;
+    auto all() const -> std::vector<BegunStream>;
     auto size() const -> std::size_t { return entries_.size(); }
 
 private:
     struct Entry
     {
-        proto::BegunStream stream;
+        BegunStream stream;
         Instant keptAt;
         bool isOwn = false;
         bool isAmbiguous = false; ///< Begun at two versions.
     };
     struct KeyHash
     {
-        auto operator()(const proto::StreamKey &key) const -> std::size_t
+        auto operator()(const StreamKey &key) const -> std::size_t
         {
             return rendezvousWeight(rendezvousWeight(0, key.service.value()), key.attempt);
         }
     };
     using Entries = std::list<Entry>;
     auto isOver(const Entry &entry) const -> bool;
-    auto renew(Entries::iterator entry, const proto::StreamOrigin &origin, OriginKeeper keeper)
-            -> void;
+    auto renew(Entries::iterator entry, const StreamOrigin &origin, OriginKeeper keeper) -> void;
     auto removeOldest() -> void;
 
     OriginTableOptions options_;
     const Clock &clock_;
     Entries entries_; ///< The oldest first.
-    std::unordered_map<proto::StreamKey, Entries::iterator, KeyHash> byKey_;
+    std::unordered_map<StreamKey, Entries::iterator, KeyHash> byKey_;
 };
 
-} // namespace figrack::gateway
+} // namespace figrack::proto
 
-#endif // FIGRACK_GATEWAY_ORIGINTABLE_H
+#endif // FIGRACK_PROTO_ORIGINTABLE_H
--- a/gateway/testing/tst_origintable.cpp
+++ b/proto/testing/tst_origintable.cpp
@@ -2,10 +2,10 @@
 
 #include <doctest/doctest.h>
 
-#include "gateway/origintable.h"
+#include "proto/origintable.h"
 
 using namespace figrack;
-using namespace figrack::gateway;
+using namespace figrack::proto;
 using namespace std::chrono_literals;
 
 namespace {
