--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -240,7 +240,7 @@
                      return feed_.pushTo(control, std::move(message));
                  },
                  [this](const NodeId &control, proto::Payload message, Duration timeout,
-                        auto onReply) {
+                        ControlOriginsParts::OnReply onReply) {
                      return feed_.callAt(control, std::move(message), timeout, std::move(onReply));
                  } };
     }
