--- a/gateway/metrics.h
+++ b/gateway/metrics.h
@@ -128,9 +128,9 @@
     auto onTakenOver() -> void;
     /// The path to a group of endpoints has changed. @param state from a fixed set
     auto onPathChanged(std::string_view state) -> void;
-    /// Other gateways have been told the origins of so many streams.
+    /// Other gateways or controls have been told the origins of so many streams.
     auto onOriginsTold(std::size_t streams) -> void;
-    /// Another gateway could not be told the origins of so many streams.
+    /// Another gateway or a control could not be told the origins of so many streams.
     auto onOriginTellsFailed(std::size_t streams) -> void;
     /// Another gateway was asked for the origin of a stream.
     auto onOriginAsked() -> void;
