Give the controls of the fleet's test world contact with a group

Announcements ask for it since they are acknowledged only in touch; two test programs of the gateway did not build. In this world without replicas all controls count as in touch, so that its cases ask what they asked before.

--- a/gateway/testing/fleetworld.cpp
+++ b/gateway/testing/fleetworld.cpp
@@ -40,8 +40,25 @@
 {
     explicit Control(std::size_t number, const Clock &clock)
         : registry(options(number), clock)
-        , announcements(registry, fleet::KnownServices { readNothing }, clock, metrics)
-    { }
+        , contact({ .self = options(number).self, .currentWithin = std::chrono::hours { 24 } },
+                  clock)
+        , announcements(registry, fleet::KnownServices { readNothing }, contact, clock, metrics)
+    {
+        contact.observe(memberStatus(number));
+    }
+    /// There is no replica here: all controls count as in touch with their group.
+    static auto memberStatus(std::size_t number) -> coord::ReplicaStatus
+    {
+        auto self = coord::Member {};
+        self.node = options(number).self;
+        self.incarnation = Incarnation { 1 };
+        auto status = coord::ReplicaStatus {};
+        status.role = coord::Role::Follower;
+        status.leader = NodeId { "leader" };
+        status.incarnation = self.incarnation;
+        status.membership.members = { self };
+        return status;
+    }
     static auto readNothing(std::string_view /*text*/) -> absl::StatusOr<catalogue::Catalogue>
     {
         return catalogue::Catalogue {};
@@ -56,6 +73,7 @@
     }
     fleet::Registry registry;
     fleet::Metrics metrics;
+    fleet::GroupContact contact;
     fleet::Announcements announcements;
     Traffic sent;
     bool isDown = false;
