Abort a connection whose request was cancelled before it had one

In a run of all tests beside load "a canceller ends a connect that hangs" failed once: the request was cancelled at once, and went on for 60 s all the same. For callers: a request that is given up in this moment keeps its endpoint busy until its own limits end it.

By reading, this is the only canceller.

The window itself was not hit a second time.

--- a/http/client.cpp
+++ b/http/client.cpp
@@ -862,6 +862,9 @@
 {
     const auto lock = std::lock_guard { mutex_ };
     abort_ = std::move(abort);
+    // A cancel() that came first found nothing to abort.
+    if (cancelled_ && abort_)
+        abort_();
 }
 
 class Client::Impl
--- a/http/client.h
+++ b/http/client.h
@@ -62,7 +62,7 @@
     /// Aborts the connection of the request, or of the next one that is given this object.
     auto cancel() -> void;
     auto isCancelled() const -> bool;
-    /// For the client: what cancel() is to do from now on.
+    /// For the client: what cancel() is to do from now on. Done at once if it has been called.
     auto setAbort(std::function<void()> abort) -> void;
 
 private:
--- a/http/testing/tst_client.cpp
+++ b/http/testing/tst_client.cpp
@@ -317,6 +317,18 @@
     }
 }
 
+// The client looks for a cancellation before it has a connection that could be aborted.
+TEST_CASE("a cancellation that comes before there is a connection aborts it once there is one")
+{
+    auto canceller = Canceller {};
+    canceller.cancel();
+    auto aborted = 0;
+    canceller.setAbort([&] { ++aborted; });
+    CHECK(aborted == 1);
+    canceller.setAbort({});
+    CHECK(aborted == 1);
+}
+
 TEST_CASE("a connection made ahead is kept and used by the next request")
 {
     auto fixture = Fixture {};
