--- a/tools/install_deps.sh
+++ b/tools/install_deps.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 
 packages=(
-  g++ cmake ninja-build ccache clang-format clang-tidy
+  g++ cmake ninja-build ccache clang-format clang-tidy clang-tools-14
   libboost1.81-dev libboost-json1.81-dev libcereal-dev prometheus-cpp-dev
   libtclap-dev libeasyloggingpp-dev libabsl-dev libfmt-dev libxxhash-dev libssl-dev
   doctest-dev libbenchmark-dev
