--- a/coord/election.cpp
+++ b/coord/election.cpp
@@ -44,8 +44,8 @@
     return chief != all.end() && chief->node == options_.self.node;
 }
 
-/// A learner does not stand for election, but it must not believe in a leader that it has not heard
-/// for a while: the leader may have removed it, and tells only members.
+/// A learner does not stand for election, but it must not believe in a leader that has not sent
+/// anything for a while: the leader may have removed it, and tells only members.
 auto Replica::Impl::tickLearner() -> void
 {
     if (clock_.now() >= electionDeadline_)
--- a/fleet/announcements.cpp
+++ b/fleet/announcements.cpp
@@ -65,7 +65,7 @@
             nextTouchNote_ = now + noteEvery;
             LogEvent(LogLevel::Warning, "announcement_not_acknowledged")
                     .with("count", std::exchange(notAcknowledged_, 0))
-                    .with("hears_leader", contact_.hearsLeader())
+                    .with("has_leader", contact_.hasLeader())
                     .with("listed", contact_.isListed());
         }
         done(makeError(ErrorKind::NoQuorum, "out of touch with the group"));
--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -606,7 +606,7 @@
         relayDemand();
         decisions_.rollout().settle();
         suspects_.tick();
-        ledger_.tick(contact_.hearsLeader());
+        ledger_.tick(contact_.hasLeader());
         retryLedger_.tick();
         proveDocument();
         rememberEndpoints();
--- a/fleet/group.h
+++ b/fleet/group.h
@@ -7,10 +7,10 @@
 // The leader makes one change at a time. A member whose node has restarted with
 // another incarnation of its disk is removed, since that disk has lost its state.
 // A control that asks to join and is not a member becomes a learner; one that is
-// a member asks as well while it hears no leader, which changes nothing. A learner
+// a member asks as well while it has no leader, which changes nothing. A learner
 // that has caught up becomes a voter. A voter that has been silent for
 // removeAfter is removed if at least minVoters responding voters remain. It is not
-// told; once it is back it hears no leader, so that it asks to join like a new one.
+// told; once it is back it has no leader, so that it asks to join like a new one.
 //
 // Guarantee: no change leaves fewer than a majority of voters that respond;
 // coord/memberchange.cpp checks that again. Not thread-safe.
--- a/fleet/groupcontact.cpp
+++ b/fleet/groupcontact.cpp
@@ -17,16 +17,16 @@
     const auto *self = status.membership.find(options_.self);
     const auto isSameDisk = self != nullptr && self->incarnation == status.incarnation;
     const auto listedAs = isSameDisk ? std::optional { self->kind } : std::nullopt;
-    const auto hears
+    const auto hasLeader
             = status.role == coord::Role::Leader ? status.leaseHeld : !status.leader.empty();
-    if (hears)
-        heardAt_ = clock_.now();
+    if (hasLeader)
+        lastLeaderAt_ = clock_.now();
     const auto listedBefore = std::exchange(listedAs_, listedAs);
-    const auto heardBefore = std::exchange(hearsLeader_, hears);
-    if (listedBefore == listedAs && heardBefore == hears)
+    const auto hadLeader = std::exchange(hasLeader_, hasLeader);
+    if (listedBefore == listedAs && hadLeader == hasLeader)
         return;
     LogEvent(LogLevel::Info, "group_contact")
-            .with("hears_leader", hears)
+            .with("has_leader", hasLeader)
             .with("listed", isListed())
             .with("voter", isVoter())
             .with("voters", static_cast<std::uint64_t>(status.membership.voterCount()))
@@ -40,7 +40,7 @@
 
 auto GroupContact::isCurrent() const -> bool
 {
-    return heardAt_ && clock_.now() - *heardAt_ < options_.currentWithin;
+    return lastLeaderAt_ && clock_.now() - *lastLeaderAt_ < options_.currentWithin;
 }
 
 } // namespace figrack::fleet
--- a/fleet/groupcontact.h
+++ b/fleet/groupcontact.h
@@ -1,4 +1,4 @@
-// Whether a control is in contact with its group, judged by what it hears rather than by its disk.
+// Whether a control is in contact with its group, judged by its leader rather than by its disk.
 //
 //   auto contact = GroupContact { { .self = name }, clock };
 //   contact.observe(replica.status());     // after each step of the replica
@@ -7,7 +7,7 @@
 //
 // A group tells its changes of membership to its members alone. A control that was removed while it
 // was down or cut off is therefore still listed on its own disk. A leader replicates only to disks
-// that the membership lists, so that hearing one proves membership. Not thread-safe.
+// that the membership lists, so that contact with one proves membership. Not thread-safe.
 
 #ifndef FIGRACK_FLEET_GROUPCONTACT_H
 #define FIGRACK_FLEET_GROUPCONTACT_H
@@ -23,8 +23,8 @@
 struct GroupContactOptions
 {
     NodeId self;
-    /// A control that has heard no leader for this time does not know what its group decides.
-    /// Longer than an election, in which no control hears one.
+    /// A control that has had no leader for this time does not know what its group decides. Longer
+    /// than an election, in which no control has one.
     Duration currentWithin = std::chrono::milliseconds { 2500 };
 };
 
@@ -36,25 +36,25 @@
     /// Takes the replica's present state into account. @param status of this control's replica
     auto observe(const coord::ReplicaStatus &status) -> void;
     /// @return true while this control leads and holds its lease, or knows the leader
-    auto hearsLeader() const -> bool { return hearsLeader_; }
+    auto hasLeader() const -> bool { return hasLeader_; }
     /// @return true if the membership that this control knows lists it with its present disk
     auto isListed() const -> bool { return listedAs_.has_value(); }
     /// @return true if it is listed as a voter
     auto isVoter() const -> bool;
-    /// @return true if it has heard a leader since its start, the last time within currentWithin
+    /// @return true if it has had a leader since its start, the last time within currentWithin
     auto isCurrent() const -> bool;
     /// @return true if it receives the group's decisions, and the group its messages
     auto isInTouch() const -> bool { return isCurrent() && isListed(); }
     /// @return true if its membership is not proven, so that it should ask to become a member
-    auto shouldJoin() const -> bool { return isRunning_ && !(hearsLeader_ && isListed()); }
+    auto shouldJoin() const -> bool { return isRunning_ && !(hasLeader_ && isListed()); }
 
 private:
     GroupContactOptions options_;
     const Clock &clock_;
     bool isRunning_ = false; ///< The replica has recovered and its disk has not failed.
-    bool hearsLeader_ = false;
+    bool hasLeader_ = false;
     std::optional<coord::MemberKind> listedAs_;
-    std::optional<Instant> heardAt_; ///< When a leader was heard last; absent until it was.
+    std::optional<Instant> lastLeaderAt_; ///< When it had a leader last; absent until it did.
 };
 
 } // namespace figrack::fleet
--- a/fleet/metrics.cpp
+++ b/fleet/metrics.cpp
@@ -121,7 +121,7 @@
                                .Register(registry))
         , inTouch(prometheus::BuildGauge()
                           .Name("figrack_core_in_touch")
-                          .Help("1 while this control is a member that hears its group")
+                          .Help("1 while this control is a member in contact with its group")
                           .Register(registry)
                           .Add({}))
         , isVoter(prometheus::BuildGauge()
--- a/fleet/testing/tst_groupcontact.cpp
+++ b/fleet/testing/tst_groupcontact.cpp
@@ -32,7 +32,7 @@
         member.kind = kind;
         status.membership.members.push_back(member);
     }
-    auto hear(const char *leader) -> void
+    auto observeLeader(const char *leader) -> void
     {
         status.leader = NodeId { leader };
         contact.observe(status);
@@ -41,15 +41,15 @@
 
 } // namespace
 
-TEST_CASE("A control that finds itself on its disk asks to join until it hears a leader")
+TEST_CASE("A control that finds itself on its disk asks to join until it has a leader")
 {
     auto rig = ContactRig {};
-    rig.hear("");
+    rig.observeLeader("");
     CHECK(rig.contact.isListed());
     CHECK(rig.contact.shouldJoin());
     CHECK_FALSE(rig.contact.isCurrent());
     CHECK_FALSE(rig.contact.isInTouch());
-    rig.hear("b");
+    rig.observeLeader("b");
     CHECK_FALSE(rig.contact.shouldJoin());
     CHECK(rig.contact.isInTouch());
     CHECK(rig.contact.isVoter());
@@ -58,8 +58,8 @@
 TEST_CASE("A control stays in touch over an election and not for longer")
 {
     auto rig = ContactRig {};
-    rig.hear("b");
-    rig.hear("");
+    rig.observeLeader("b");
+    rig.observeLeader("");
     rig.clock.advance(2400ms);
     rig.contact.observe(rig.status);
     CHECK(rig.contact.isInTouch());
@@ -79,7 +79,7 @@
     {
         rig.status.membership.members.erase(rig.status.membership.members.begin());
     }
-    rig.hear("b");
+    rig.observeLeader("b");
     CHECK(rig.contact.shouldJoin());
     CHECK(rig.contact.isCurrent());
     CHECK_FALSE(rig.contact.isInTouch());
@@ -90,10 +90,10 @@
 {
     auto rig = ContactRig {};
     rig.status.role = coord::Role::Leader;
-    rig.hear("a");
-    CHECK_FALSE(rig.contact.hearsLeader());
+    rig.observeLeader("a");
+    CHECK_FALSE(rig.contact.hasLeader());
     rig.status.leaseHeld = true;
-    rig.hear("a");
+    rig.observeLeader("a");
     CHECK(rig.contact.isInTouch());
 }
 
@@ -101,6 +101,6 @@
 {
     auto rig = ContactRig {};
     rig.status.role = coord::Role::Stopped;
-    rig.hear("");
+    rig.observeLeader("");
     CHECK_FALSE(rig.contact.shouldJoin());
 }
