--- a/testing/testing/tst_scores.sh
+++ b/testing/testing/tst_scores.sh
@@ -22,6 +22,7 @@
 play="$(basename "$2" .toml).$1"
 worth=$(sed -n "s/^$play worth //p" "$here/plan")
 if grep -q "^$play interrupted" "$here/plan"; then exit 130; fi
+echo "trouble-1 is played, after 92 s"
 echo "quiet-1  9/9  0.99  0.100  0.9"
 echo "trouble-1  9/9  0.99  ${worth:-0.710}  0.9"
 echo "scale-1  9/9  0.99  ${worth:-0.710}  0.9"
