Count connections to the peers' port until their peers have proved a key

Cause: the port had a limit of its own, not related to what the process has.

Change: PeerServer opens an account of the process's PeerBudget for each connection and closes it when the peer has proved its key, so that an unproved connection may be ended for another one.

--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -59,8 +59,9 @@
 {
 public:
     Impl(asio::io_context &context, CoreOptions options, const Clock &clock, const OrderPort &port,
-         ReadDocument readDocument, std::uint64_t seed)
+         ReadDocument readDocument, std::uint64_t seed, std::shared_ptr<PeerBudget> budget)
         : context_(context)
+        , budget_(std::move(budget))
         , options_(withRegistryName(std::move(options)))
         , clock_(clock)
         , readDocument_(std::move(readDocument))
@@ -97,7 +98,7 @@
     {
         const auto channel = proto::fleetChannel(options_.name, options_.keys);
         transport_ = std::make_unique<control::PeerTransport>(context_, channel, linkHandler());
-        server_ = std::make_unique<proto::PeerServer>(context_, channel, serverHandler());
+        server_ = std::make_unique<proto::PeerServer>(context_, channel, serverHandler(), budget_);
         if (auto status = server_->start(options_.peers); !status.ok())
             return status;
         decisions_.setOnApplied(
@@ -799,6 +800,7 @@
     }
 
     asio::io_context &context_;
+    std::shared_ptr<PeerBudget> budget_; ///< May be empty.
     CoreOptions options_;
     const Clock &clock_;
     ReadDocument readDocument_;
@@ -860,9 +862,10 @@
 };
 
 Core::Core(asio::io_context &context, CoreOptions options, const Clock &clock,
-           const OrderPort &port, ReadDocument readDocument, std::uint64_t seed)
+           const OrderPort &port, ReadDocument readDocument, std::uint64_t seed,
+           std::shared_ptr<PeerBudget> budget)
     : impl_(std::make_shared<Impl>(context, std::move(options), clock, port,
-                                   std::move(readDocument), seed))
+                                   std::move(readDocument), seed, std::move(budget)))
 { }
 
 Core::~Core()
--- a/fleet/core.h
+++ b/fleet/core.h
@@ -29,6 +29,7 @@
 #include "catalogue/catalogue.h"
 #include "coord/replica.h"
 #include "core/clock.h"
+#include "core/peerbudget.h"
 #include "core/settings.h"
 #include "fleet/accountledger.h"
 #include "fleet/balancer.h"
@@ -107,8 +108,10 @@
     using Done = std::function<void(absl::Status)>;
 
     /// @param port must outlive the core
+    /// @param budget for connections of peers that have not proved a key; see proto::PeerServer
     Core(boost::asio::io_context &context, CoreOptions options, const Clock &clock,
-         const OrderPort &port, ReadDocument readDocument, std::uint64_t seed);
+         const OrderPort &port, ReadDocument readDocument, std::uint64_t seed,
+         std::shared_ptr<PeerBudget> budget = nullptr);
     ~Core();
     /// @return BadSettings; a failing disk is not an error here but is retried
     auto start() -> absl::Status;
--- a/proto/channel.cpp
+++ b/proto/channel.cpp
@@ -74,11 +74,16 @@
 
 class PeerServer::Impl : public std::enable_shared_from_this<Impl>
 {
+    /// Of a connection whose peer has not proved a key.
+    using AccountPointer = std::unique_ptr<PeerBudget::Account>;
+
 public:
-    Impl(asio::io_context &context, ChannelOptions options, PeerHandler handler)
+    Impl(asio::io_context &context, ChannelOptions options, PeerHandler handler,
+         std::shared_ptr<PeerBudget> budget)
         : context_(context)
         , options_(std::move(options))
         , handler_(std::move(handler))
+        , budget_(std::move(budget))
         , strand_(asio::make_strand(context))
         , acceptor_(strand_)
         , retryTimer_(strand_)
@@ -151,11 +156,20 @@
     {
         auto error = error_code {};
         const auto remote = textOf(socket.remote_endpoint(error));
-        const auto connection = std::make_shared<Connection>(std::move(socket), strand, options_,
-                                                             handler_, Role::Server, remote);
+        const auto account = std::make_shared<AccountPointer>();
+        auto handler = handler_;
+        handler.onOpen = [account, onOpen = handler_.onOpen](const PeerPointer &peer) {
+            account->reset();
+            if (onOpen)
+                onOpen(peer);
+        };
+        const auto connection = std::make_shared<Connection>(
+                std::move(socket), strand, options_, std::move(handler), Role::Server, remote);
+        *account = openAccount(connection);
         {
             const auto lock = std::lock_guard { mutex_ };
-            if (stopped_ || connections_.size() >= options_.maxConnections) {
+            if (stopped_ || (budget_ && !*account)
+                || connections_.size() >= options_.maxConnections) {
                 LogEvent(LogLevel::Warning, "peer_refused").with("remote", remote);
                 return;
             }
@@ -164,6 +178,16 @@
         asio::co_spawn(strand, serve(connection, remote), asio::detached);
     }
 
+    auto openAccount(const std::weak_ptr<Connection> &connection) -> AccountPointer
+    {
+        if (!budget_)
+            return nullptr;
+        return budget_->open([connection](EndReason) {
+            if (const auto open = connection.lock())
+                open->close();
+        });
+    }
+
     auto serve(ConnectionPointer connection, std::string remote) -> asio::awaitable<void>
     {
         const auto self = shared_from_this();
@@ -179,6 +203,7 @@
     asio::io_context &context_;
     const ChannelOptions options_;
     const PeerHandler handler_;
+    const std::shared_ptr<PeerBudget> budget_; ///< May be empty.
     Strand strand_;
     tcp::acceptor acceptor_;
     BootTimer retryTimer_;
@@ -188,8 +213,10 @@
     bool stopped_ = false;
 };
 
-PeerServer::PeerServer(asio::io_context &context, ChannelOptions options, PeerHandler handler)
-    : impl_(std::make_shared<Impl>(context, std::move(options), std::move(handler)))
+PeerServer::PeerServer(asio::io_context &context, ChannelOptions options, PeerHandler handler,
+                       std::shared_ptr<PeerBudget> budget)
+    : impl_(std::make_shared<Impl>(context, std::move(options), std::move(handler),
+                                   std::move(budget)))
 { }
 
 PeerServer::~PeerServer()
--- a/proto/channel.h
+++ b/proto/channel.h
@@ -37,6 +37,7 @@
 
 #include "core/clock.h"
 #include "core/ids.h"
+#include "core/peerbudget.h"
 #include "core/settings.h"
 #include "proto/dialbackoff.h"
 #include "proto/messages.h"
@@ -109,7 +110,10 @@
 class PeerServer
 {
 public:
-    PeerServer(boost::asio::io_context &context, ChannelOptions options, PeerHandler handler);
+    /// @param budget counts connections until their peers have proved a key, and may end them until
+    /// then; nullptr: only ChannelOptions::maxConnections bounds them
+    PeerServer(boost::asio::io_context &context, ChannelOptions options, PeerHandler handler,
+               std::shared_ptr<PeerBudget> budget = nullptr);
     ~PeerServer();
     /// Binds and listens. @return BadSettings when the address cannot be bound
     auto start(const Address &listen) -> absl::Status;
