--- a/gateway/forwarderdispatch.cpp
+++ b/gateway/forwarderdispatch.cpp
@@ -188,7 +188,7 @@
     out.method = request_.method;
     out.target = request_.target;
     out.headers = parts_.dialect.writeDispatch(caller_, terms);
-    out.body = request_.body;
+    out.borrowedBody = request_.body;
     out.maxIdleAge = maxIdleAge();
     out.excludedConnections = answeredOn_;
     out.match = { parts_.dialect.answerIdHeader, caller_.id.value() };
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -448,8 +448,8 @@
         message.set(beast::http::field::host, request.address.text());
     if (request.freshConnection)
         message.set(beast::http::field::connection, "close");
-    if (!request.body.empty() || request.method == "POST")
-        message.content_length(request.body.size());
+    if (!request.content().empty() || request.method == "POST")
+        message.content_length(request.content().size());
     auto serializer = beast::http::request_serializer<beast::http::string_body> { message };
     serializer.split(true);
     auto head = std::string {};
@@ -551,7 +551,7 @@
                                     Sent::Nothing };
         const auto head = headOf(request);
         const auto buffers = std::array<asio::const_buffer, 2> { asio::buffer(head),
-                                                                 asio::buffer(request.body) };
+                                                                 asio::buffer(request.content()) };
         auto code = error_code {};
         lease_.watchdog().arm(timeout);
         const auto written = co_await asio::async_write(
--- a/http/client.h
+++ b/http/client.h
@@ -95,6 +95,9 @@
     std::string target = "/";
     Headers headers;
     std::string body;
+    /// Sent in place of body if it is not empty, which spares a copy of a large one. Must stay
+    /// valid until open() or fetch() has returned.
+    std::string_view borrowedBody = {};
     bool freshConnection = false; ///< Never on a kept connection, and not kept afterwards.
     /// A kept connection is used only when it has been idle for less.
     Duration maxIdleAge = Duration::max();
@@ -107,6 +110,8 @@
     /// Asked once the connection stands, right before the first byte is written; false ends the
     /// request with Cancelled and Sent::Nothing. May be empty.
     std::function<bool()> mayStart = {};
+
+    auto content() const -> std::string_view { return borrowedBody.empty() ? body : borrowedBody; }
 };
 
 /// Whether bytes of the request may have left.
