Bound what all peers of a process make it hold

What callers saw: a gateway or control was ended for its memory while clients sent many large bodies, most of which stopped short of their end, or stopped answering ordinary requests beside many connections or heads without an end.

Change: one PeerBudget a process, shared by all of its servers. The kernel's receive buffers are bounded. Stalled connections are ended where there is no room, with 503, not run and Retry-After. Large answers of controls are withheld without room. The native router and control have a budget as well.

Why it works: whatever a peer makes a process hold is counted before it can hold more, and what does not move makes room, so that ordinary callers are served meanwhile.

--- a/control/process.cpp
+++ b/control/process.cpp
@@ -130,7 +130,8 @@
 auto Process::Impl::startServers(const proto::ChannelOptions &channel,
                                  const std::shared_ptr<SecretFile> &tokens) -> absl::Status
 {
-    peerServer_ = std::make_unique<proto::PeerServer>(context_, channel, peerHandler());
+    const auto budget = std::make_shared<PeerBudget>(options_.budget, clock_);
+    peerServer_ = std::make_unique<proto::PeerServer>(context_, channel, peerHandler(), budget);
     if (auto status = peerServer_->start(options_.listen); !status.ok())
         return status;
     api_ = std::make_unique<OperatorApi>(*control_, strand_, options_.operatorAddresses, tokens);
@@ -140,7 +141,9 @@
     auto handler = [api = api_.get()](const http::Request &request, http::Responder &responder) {
         return api->handle(request, responder);
     };
-    httpServer_ = std::make_unique<http::Server>(context_, serverOptions, std::move(handler));
+    serverOptions.mayWithholdAnswers = true;
+    httpServer_
+            = std::make_unique<http::Server>(context_, serverOptions, std::move(handler), budget);
     return httpServer_->start(options_.operatorListen);
 }
 
--- a/control/settings.cpp
+++ b/control/settings.cpp
@@ -120,6 +120,8 @@
 
 auto controlSchema() -> std::vector<SettingRule>
 {
+    constexpr auto defaultHeldBytes = std::int64_t { 1 } << 30;
+    constexpr auto maxHeldBytes = std::int64_t { 1 } << 40;
     return {
         textRule("control.name", "this control's name, unique in the system"),
         textRule("control.domain", "the failure domain this VM is in"),
@@ -135,6 +137,11 @@
                  false),
         textRule("control.key_file", "file with the keys shared by figrack's processes"),
         numberRule("control.threads", "worker threads", 1, 256, 4),
+        numberRule("limits.held_bytes", "bytes that all peers may make the process hold", 1 << 20,
+                   maxHeldBytes, defaultHeldBytes),
+        numberRule("limits.connections",
+                   "open connections of operators and of peers that have not proved a key", 16,
+                   1'000'000, 4096),
         addressRule("operator.listen", "ip:port where operators connect"),
         addressListRule("operator.addresses",
                         "name@ip:port where operators reach each control, for redirection", ""),
@@ -196,6 +203,8 @@
     options.certificateFile = settings.text("tls.certificate");
     options.keyPemFile = settings.text("tls.key");
     options.threads = static_cast<std::uint32_t>(settings.number("control.threads"));
+    options.budget.maxBytes = static_cast<std::uint64_t>(settings.number("limits.held_bytes"));
+    options.budget.maxConnections = static_cast<std::size_t>(settings.number("limits.connections"));
     for (const auto &entry : settings.addresses("operator.addresses"))
         options.operatorAddresses.emplace(NodeId { entry.name }, entry.address);
     if (auto status = readMembers(settings, options); !status.ok())
--- a/control/settings.h
+++ b/control/settings.h
@@ -10,6 +10,7 @@
 #include <absl/status/statusor.h>
 
 #include "control/control.h"
+#include "core/peerbudget.h"
 #include "core/settings.h"
 #include "endpoint/orders.h"
 
@@ -30,6 +31,7 @@
     std::string certificateFile;
     std::string keyPemFile;
     std::uint32_t threads = 4;
+    PeerBudgetOptions budget; ///< Of operators, and of peers that have not proved a key.
 };
 
 /// @return every key of a figrack-control settings file
--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -302,7 +302,7 @@
     : options_(std::move(options))
     , parts_(std::move(parts))
     , startedAt_(parts_.clock.now())
-    , heldBytes_(options_.heldBytes, parts_.clock)
+    , heldBytes_(options_.heldBytes, parts_.clock, parts_.budget)
 { }
 
 auto Forwarder::setCatalogue(std::shared_ptr<const catalogue::Catalogue> catalogue) -> void
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -149,6 +149,8 @@
     Handoffs *handoffs = nullptr;
     /// Where streams have begun that callers take up again; null: any endpoint may go on with them.
     StreamOrigins *origins = nullptr;
+    /// Sums what callers make the process hold; null: it is not summed.
+    std::shared_ptr<PeerBudget> budget = nullptr;
 };
 
 class Forwarder
--- a/gateway/forwarderhandoff.cpp
+++ b/gateway/forwarderhandoff.cpp
@@ -107,6 +107,8 @@
         request.terms.retryMs = static_cast<std::uint64_t>(wholeMillis(retry.passOn()));
     canceller_ = std::make_shared<http::Canceller>();
     auto out = handoffs.requestTo(target, request);
+    const auto copies
+            = PeerBudget::Holding { parts_.budget, request.body.size() + out.body.size() };
     out.canceller = canceller_;
     out.maxIdleAge = maxIdleAge();
     handedTo_ = target.node;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -37,7 +37,8 @@
 {
 public:
     Impl(asio::io_context &context, GatewayOptions options, const Clock &clock,
-         const Dialect &dialect, std::uint64_t seed, std::function<void()> onStopped)
+         const Dialect &dialect, std::uint64_t seed, std::function<void()> onStopped,
+         const std::shared_ptr<PeerBudget> &budget)
         : context_(context)
         , options_(std::move(options))
         , clock_(clock)
@@ -69,16 +70,32 @@
                              feed_.sendSuspects(
                                      quarantine_.takeLocalChanges(policy::millisOf(clock_.now())));
                          })
-        , forwarder_(forwarderOptions(),
-                     { context, clock, dialect, view_, retries_, demand_, waiters_, metrics_,
-                       client_, picker_, random_, quarantine_, crashDetector_, paths_,
-                       feed_.keyLease(),
-                       [this](const proto::WatchKey &key) { return feed_.wantEndpoints(key); },
-                       &loadWatch_, &handoffs_, &origins_ })
-        , server_(context, options_.server,
+        , forwarder_(forwarderOptions(), { context,
+                                           clock,
+                                           dialect,
+                                           view_,
+                                           retries_,
+                                           demand_,
+                                           waiters_,
+                                           metrics_,
+                                           client_,
+                                           picker_,
+                                           random_,
+                                           quarantine_,
+                                           crashDetector_,
+                                           paths_,
+                                           feed_.keyLease(),
+                                           [this](const proto::WatchKey &key) { return feed_.wantEndpoints(key); },
+                                           &loadWatch_,
+                                           &handoffs_,
+                                           &origins_,
+                                           budget })
+        , server_(
+                  context, options_.server,
                   [this](const http::Request &request, http::Responder &responder) {
                       return forwarder_.handle(request, responder);
-                  })
+                  },
+                  budget)
         , handoffServer_(
                   context, { options_.server, options_.keys },
                   [this](const http::Request &request, const proto::HandoffTerms &terms,
@@ -88,7 +105,8 @@
                   },
                   [this](const proto::StreamOriginMessage &message) {
                       return origins_.onMessage(message);
-                  })
+                  },
+                  budget)
         , demandTimer_(context)
         , urgentTimer_(context)
         , stopTimer_(context)
@@ -537,9 +555,10 @@
 };
 
 Gateway::Gateway(asio::io_context &context, GatewayOptions options, const Clock &clock,
-                 const Dialect &dialect, std::uint64_t seed, std::function<void()> onStopped)
+                 const Dialect &dialect, std::uint64_t seed, std::function<void()> onStopped,
+                 std::shared_ptr<PeerBudget> budget)
     : impl_(std::make_shared<Impl>(context, std::move(options), clock, dialect, seed,
-                                   std::move(onStopped)))
+                                   std::move(onStopped), std::move(budget)))
 { }
 
 Gateway::~Gateway()
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -89,8 +89,10 @@
 public:
     /// @param dialect must outlive the gateway
     /// @param onStopped called once, after a planned stop has finished
+    /// @param budget shared by all servers of the process; nullptr: each has one of its own
     Gateway(boost::asio::io_context &context, GatewayOptions options, const Clock &clock,
-            const Dialect &dialect, std::uint64_t seed, std::function<void()> onStopped);
+            const Dialect &dialect, std::uint64_t seed, std::function<void()> onStopped,
+            std::shared_ptr<PeerBudget> budget = nullptr);
     ~Gateway();
     /// @return BadSettings if an address cannot be bound
     auto start() -> absl::Status;
--- a/gateway/handoffserver.cpp
+++ b/gateway/handoffserver.cpp
@@ -36,14 +36,18 @@
 } // namespace
 
 HandoffServer::HandoffServer(asio::io_context &context, HandoffServerOptions options,
-                             Handler handler, OriginHandler originHandler)
+                             Handler handler, OriginHandler originHandler,
+                             std::shared_ptr<PeerBudget> budget)
     : keys_(std::move(options.keys))
     , handler_(std::move(handler))
     , originHandler_(std::move(originHandler))
-    , server_(context, serverOptionsOf(options),
+    , budget_(std::move(budget))
+    , server_(
+              context, serverOptionsOf(options),
               [this](const http::Request &request, http::Responder &responder) {
                   return handle(request, responder);
-              })
+              },
+              budget_)
 { }
 
 auto HandoffServer::start(const Address &listen) -> absl::Status
@@ -74,6 +78,7 @@
     }
     const auto terms = handed->terms;
     const auto original = callersRequest(*std::move(handed));
+    const auto copy = PeerBudget::Holding { budget_, original.body.size() };
     co_await handler_(original, terms, responder);
 }
 
--- a/gateway/handoffserver.h
+++ b/gateway/handoffserver.h
@@ -38,8 +38,9 @@
     using Handler = std::function<boost::asio::awaitable<void>(
             const http::Request &, const proto::HandoffTerms &, http::Responder &)>;
     /// @param originHandler answers messages about the origins of streams; empty: they are refused
+    /// @param budget see http::Server
     HandoffServer(boost::asio::io_context &context, HandoffServerOptions options, Handler handler,
-                  OriginHandler originHandler = {});
+                  OriginHandler originHandler = {}, std::shared_ptr<PeerBudget> budget = nullptr);
     /// @return BadSettings if the address cannot be bound
     auto start(const Address &listen) -> absl::Status;
     auto port() const -> std::uint16_t { return server_.port(); }
@@ -54,6 +55,7 @@
     std::shared_ptr<proto::PeerKeys> keys_;
     Handler handler_;
     OriginHandler originHandler_;
+    std::shared_ptr<PeerBudget> budget_;
     http::Server server_;
 };
 
--- a/gateway/heldbytes.cpp
+++ b/gateway/heldbytes.cpp
@@ -25,7 +25,8 @@
 /// Shared with the shares, which may outlive the HeldBytes.
 struct HeldBytes::Counts
 {
-    const Clock *clock = nullptr; ///< Null once the HeldBytes has ended.
+    const Clock *clock = nullptr;       ///< Null once the HeldBytes has ended.
+    std::shared_ptr<PeerBudget> budget; ///< May be empty.
     Duration recent {};
     std::array<std::uint64_t, kindCount> bytes {};
     std::map<EndpointId, std::uint64_t> atEndpoint; ///< Only those with bytes.
@@ -35,6 +36,12 @@
     double releasedByteSeconds = 0;
     Instant releasedAt {};
 
+    /// @return true if the bytes are not in the account of a caller's connection already
+    auto isBudgeted(Kind kind) const -> bool
+    {
+        return budget && (kind == Kind::Answer || kind == Kind::Buffered);
+    }
+
     auto noteRelease(std::uint64_t released, Instant since) -> void
     {
         if (clock == nullptr || released == 0)
@@ -83,6 +90,8 @@
         ++counts_->callersBufferedFor;
     if (kind_ == Kind::Sent)
         counts_->atEndpoint[endpoint_] += bytes;
+    if (counts_->isBudgeted(kind_))
+        counts_->budget->add(bytes);
     counts_->bytes[indexOf(kind_)] += bytes;
     bytes_ += bytes;
 }
@@ -93,6 +102,8 @@
     if (!counts_ || bytes == 0)
         return;
     bytes_ -= bytes;
+    if (counts_->isBudgeted(kind_))
+        counts_->budget->remove(bytes);
     counts_->bytes[indexOf(kind_)] -= bytes;
     if (kind_ == Kind::Buffered && bytes_ == 0)
         --counts_->callersBufferedFor;
@@ -112,11 +123,13 @@
     counts_.reset();
 }
 
-HeldBytes::HeldBytes(HeldBytesOptions options, const Clock &clock)
+HeldBytes::HeldBytes(HeldBytesOptions options, const Clock &clock,
+                     std::shared_ptr<PeerBudget> budget)
     : options_(options)
     , counts_(std::make_shared<Counts>())
 {
     counts_->clock = &clock;
+    counts_->budget = std::move(budget);
     counts_->recent = options_.recent;
 }
 
--- a/gateway/heldbytes.h
+++ b/gateway/heldbytes.h
@@ -22,14 +22,14 @@
 
 #include "core/clock.h"
 #include "core/ids.h"
+#include "core/peerbudget.h"
 
 namespace figrack::gateway {
 
 struct HeldBytesOptions
 {
     std::uint64_t memoryLimit = 0; ///< Of the process, in bytes; 0: none, and nothing is limited.
-    /// Part of the limit that the sum may fill with bodies of new requests. A body is in memory
-    /// twice until its endpoint answers: as it was received, and as it is sent.
+    /// Part of the limit that the sum may fill with bodies of new requests.
     double bodyShare = 0.5;
     /// Part of the limit for what callers have not taken of their streams.
     double bufferShare = 0.25;
@@ -84,7 +84,10 @@
     };
 
     /// @param clock must outlive the object
-    HeldBytes(HeldBytesOptions options, const Clock &clock);
+    /// @param budget counts answers and buffered streams as well, besides the bodies that it has
+    /// from the connections of the callers; may be nullptr
+    HeldBytes(HeldBytesOptions options, const Clock &clock,
+              std::shared_ptr<PeerBudget> budget = nullptr);
     ~HeldBytes();
     HeldBytes(const HeldBytes &) = delete;
     auto operator=(const HeldBytes &) -> HeldBytes & = delete;
--- a/http/requestparser.cpp
+++ b/http/requestparser.cpp
@@ -145,6 +145,12 @@
             && beast::iequals(impl_->parser.get()[beast::http::field::expect], "100-continue");
 }
 
+auto RequestParser::bodyCapacity() const -> std::size_t
+{
+    return state_ == ParseState::Done ? request_.body.capacity()
+                                      : impl_->parser.get().body().capacity();
+}
+
 auto RequestParser::isHttp10() const -> bool
 {
     return hasHeader() && impl_->parser.get().version() < 11;
--- a/http/requestparser.h
+++ b/http/requestparser.h
@@ -48,6 +48,8 @@
     auto hasHeader() const -> bool;
     /// @return true when the peer waits for "100 Continue" before it sends the body
     auto expectsContinue() const -> bool;
+    /// @return memory of the body so far, which may be larger than the body
+    auto bodyCapacity() const -> std::size_t;
     /// @return true for HTTP/1.0, which knows no chunks
     auto isHttp10() const -> bool;
     /// @return whether the connection may carry another request after this one
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -8,6 +8,10 @@
 // A refused request is answered before the close, and the close lingers: bytes
 // the peer still sends are read and dropped for a moment, since closing over
 // unread bytes would reset the connection and take the answer with it.
+//
+// What a connection holds is noted in its account of the PeerBudget each time it
+// may have grown. The budget may ask a connection to end for another one; a
+// request of which a part has come is then refused as not run.
 
 #include "http/server.h"
 
@@ -57,13 +61,19 @@
 constexpr auto acceptRetryDelay = std::chrono::milliseconds { 20 };
 /// Connections over the bound that may be told so at once; more are closed without a word.
 constexpr auto maxRejecting = std::size_t { 64 };
+/// Of requests and buffers; covered by PeerBudget::connectionBytes.
+constexpr auto includedBytes = std::size_t { 16 } << 10;
+/// Room is given back by others when they are seen to have stalled.
+constexpr auto roomRetryAfterMs = std::int64_t { 1000 };
 
 /// What connections share with their server and keep alive.
 struct Shared
 {
     ServerOptions options;
     Handler handler;
+    std::shared_ptr<PeerBudget> budget;
     std::atomic<std::size_t> connections { 0 };
+    std::atomic<std::size_t> rejecting { 0 };
     std::atomic<std::size_t> inProgress { 0 };
     std::atomic<bool> closing { false };
 };
@@ -75,8 +85,28 @@
     virtual ~ConnectionBase() = default;
     virtual auto closeIfIdle() -> void = 0;
     virtual auto close() -> void = 0;
+    /// Ends the connection, unless a handler has its request.
+    virtual auto endForRoom(EndReason reason) -> void = 0;
+};
+
+/// Why a request was not read to its end.
+struct ReadFailure
+{
+    absl::Status error;
+    std::uint32_t status = 0; ///< 0: the connection ends without a word.
+    std::int64_t retryAfterMs = -1;
 };
 
+auto silentEnd() -> ReadFailure
+{
+    return {};
+}
+
+auto noRoom() -> ReadFailure
+{
+    return { makeError(ErrorKind::Overloaded, "memory"), 503, roomRetryAfterMs };
+}
+
 auto gone(const error_code &code) -> absl::Status
 {
     return makeError(ErrorKind::EndpointFailed, "peer gone reason=" + code.message());
@@ -98,6 +128,14 @@
     return beast::iequals(std::string { findHeader(headers, "Connection") }, "close");
 }
 
+/// @return a budget for a server by itself, which leaves the number of connections to its options
+auto ownBudget(const ServerOptions &options) -> std::shared_ptr<PeerBudget>
+{
+    auto result = PeerBudgetOptions {};
+    result.maxConnections = options.maxConnections + 1;
+    return std::make_shared<PeerBudget>(result, systemClock());
+}
+
 template<typename Message>
 auto setHeaders(Message &message, const Headers &headers) -> void
 {
@@ -123,21 +161,30 @@
         , remoteIp_(std::move(remoteIp))
     { }
 
-    auto run(bool reject) -> asio::awaitable<void>
+    /// Before run(). @param account empty: the connection is refused
+    auto setAccount(std::unique_ptr<PeerBudget::Account> account) -> void
+    {
+        account_ = std::move(account);
+    }
+
+    auto run() -> asio::awaitable<void>
     {
         watchdog_ = Watchdog::make(context_, [weak = this->weak_from_this()] {
             if (const auto self = weak.lock())
                 asio::post(self->socket().get_executor(), [self] { self->onTimeout(); });
         });
         if (co_await handshake()) {
-            if (reject)
-                co_await refuse(makeError(ErrorKind::Overloaded, "connections"), 503);
-            else
+            if (account_) {
                 co_await serve();
+            } else {
+                auto failure = ReadFailure { makeError(ErrorKind::Overloaded, "connections"), 503 };
+                co_await refuse(std::move(failure));
+            }
             co_await linger();
         }
         closeNow();
         watchdog_->stop();
+        account_.reset();
     }
 
     auto closeIfIdle() -> void override
@@ -157,8 +204,26 @@
                    [self = this->shared_from_this()] { self->closeNow(); });
     }
 
+    auto endForRoom(EndReason reason) -> void override
+    {
+        asio::post(socket().get_executor(), [self = this->shared_from_this(), reason] {
+            // A handler may have got the request meanwhile, or the peer taken the answer.
+            if (!self->open_ || !self->account_ || !self->account_->isEnded())
+                return;
+            if (self->writing_)
+                return self->resetNow();
+            self->endedFor_ = reason;
+            if (self->waiting_)
+                self->wake_.cancel();
+        });
+    }
+
     auto send(Response response) -> asio::awaitable<absl::Status> override
     {
+        if (!holdAnswer(response.body)) {
+            response = errorResponse(noRoom().error, {}, roomRetryAfterMs);
+            response.status = 503;
+        }
         started_ = true;
         keepAlive_ = keepAlive_ && !wantsClose(response.headers) && !shared_->closing;
         auto message = beast::http::response<beast::http::string_body> {};
@@ -169,11 +234,14 @@
         message.content_length(response.body.size());
         if (!headOnly_)
             message.body() = std::move(response.body);
+        auto serializer = beast::http::response_serializer<beast::http::string_body> { message };
         auto code = error_code {};
-        watchdog_->arm(shared_->options.writeTimeout);
-        writing_ = true;
-        co_await beast::http::async_write(stream_, message,
-                                          asio::redirect_error(asio::use_awaitable, code));
+        beginWrite();
+        while (!code && !serializer.is_done()) {
+            const auto bytes = co_await beast::http::async_write_some(
+                    stream_, serializer, asio::redirect_error(asio::use_awaitable, code));
+            noteMoved(bytes);
+        }
         finished_ = !code;
         co_return endWrite(code);
     }
@@ -194,8 +262,7 @@
             message.chunked(true);
         auto serializer = beast::http::response_serializer<beast::http::empty_body> { message };
         auto code = error_code {};
-        watchdog_->arm(shared_->options.writeTimeout);
-        writing_ = true;
+        beginWrite();
         co_await beast::http::async_write_header(stream_, serializer,
                                                  asio::redirect_error(asio::use_awaitable, code));
         co_return endWrite(code);
@@ -273,50 +340,80 @@
     auto readRequest() -> asio::awaitable<std::optional<Request>>
     {
         const auto &options = shared_->options;
-        auto parser = RequestParser { { options.maxHeaderBytes, options.maxBodyBytes } };
-        auto began = false;
-        auto inBody = false;
+        auto parser = std::optional<RequestParser> {};
+        parser.emplace(ParseLimits { options.maxHeaderBytes, options.maxBodyBytes });
         keepAlive_ = false; // Until a whole request says otherwise.
+        static_cast<void>(hold(0));
+        enter(PeerStage::Idle);
+        if (auto failure = co_await readInto(*parser)) {
+            parser.reset(); // Its memory is free before the refusal waits for the peer.
+            input_ = {};
+            static_cast<void>(hold(0));
+            if (failure->status != 0)
+                co_await refuse(std::move(*failure));
+            co_return std::nullopt;
+        }
+        auto request = parser->take();
+        request.remoteIp = remoteIp_;
+        keepAlive_ = parser->keepAlive() && !timedOut_;
+        http10_ = parser->isHttp10();
+        headOnly_ = request.method == "HEAD";
+        co_return request;
+    }
+
+    /// Reads until the parser has a whole request.
+    auto readInto(RequestParser &parser) -> asio::awaitable<std::optional<ReadFailure>>
+    {
+        const auto &options = shared_->options;
+        auto began = false;
+        inBody_ = false;
         watchdog_->arm(options.idleTimeout);
         while (true) {
             if (!began && !input_.empty()) {
                 began = true;
                 watchdog_->arm(options.headerTimeout);
+                enter(PeerStage::Receiving);
             }
             input_.erase(0, parser.put(input_));
             if (parser.state() != ParseState::NeedsMore)
                 break;
-            if (parser.hasHeader() && !inBody) {
-                inBody = true;
+            const auto isBodyNew
+                    = parser.hasHeader() && !std::exchange(inBody_, parser.hasHeader());
+            if (isBodyNew)
                 watchdog_->arm(options.bodyTimeout);
-                if (parser.expectsContinue() && !co_await sendContinue())
-                    co_return std::nullopt;
-            }
+            if (!hold(parser.bodyCapacity()))
+                co_return noRoom();
+            if (isBodyNew && parser.expectsContinue() && !co_await sendContinue())
+                co_return silentEnd();
             idle_ = !began;
             if (idle_ && shared_->closing && !hasUnread())
-                co_return std::nullopt;
+                co_return silentEnd();
             const auto more = co_await fill();
             idle_ = false;
             if (!more && stopsIdle_ && hasUnread())
                 continue;
-            if (!more) {
-                if (timedOut_ && began)
-                    co_await refuse(makeError(ErrorKind::Timeout, "part=request"), 408);
-                co_return std::nullopt;
-            }
+            if (!more)
+                co_return failureOfRead(began);
         }
+        inBody_ = false;
         if (!watchdog_->disarm())
             timedOut_ = true;
         if (parser.state() == ParseState::Failed) {
-            co_await refuse(parser.error(), httpStatus(errorKind(parser.error())));
-            co_return std::nullopt;
+            auto failure = ReadFailure { parser.error(), httpStatus(errorKind(parser.error())) };
+            co_return failure;
         }
-        auto request = parser.take();
-        request.remoteIp = remoteIp_;
-        keepAlive_ = parser.keepAlive() && !timedOut_;
-        http10_ = parser.isHttp10();
-        headOnly_ = request.method == "HEAD";
-        co_return request;
+        if (!hold(parser.bodyCapacity()))
+            co_return noRoom();
+        co_return std::nullopt;
+    }
+
+    auto failureOfRead(bool began) -> ReadFailure
+    {
+        if (endedFor_ && began)
+            return noRoom();
+        if (timedOut_ && began)
+            return { makeError(ErrorKind::Timeout, "part=request"), 408 };
+        return silentEnd();
     }
 
     auto sendContinue() -> asio::awaitable<bool>
@@ -327,12 +424,49 @@
         co_return !code;
     }
 
+    auto enter(PeerStage stage) -> void
+    {
+        if (account_)
+            account_->enter(stage);
+    }
+
+    auto noteMoved(std::size_t bytes) -> void
+    {
+        if (account_)
+            account_->moved(bytes);
+    }
+
+    /// Notes what the connection holds. @param bodyBytes memory of the request's body
+    /// @return false if there is no room for it
+    auto hold(std::size_t bodyBytes) -> bool
+    {
+        const auto isPaused = inHandler_ && input_.size() > shared_->options.maxHeaderBytes;
+        const auto unread = inBody_ || isPaused ? shared_->options.receiveBuffer : 0;
+        const auto sum = bodyBytes + input_.capacity() + unread;
+        const auto counted = sum > includedBytes ? sum : 0;
+        if (account_ && counted != counted_) {
+            if (!account_->resize(counted))
+                return false;
+            counted_ = counted;
+        }
+        bodyBytes_ = bodyBytes;
+        return true;
+    }
+
+    /// @return false if the answer has no room and may be withheld
+    auto holdAnswer(const std::string &body) -> bool
+    {
+        const auto isCounted = shared_->options.mayWithholdAnswers && inHandler_;
+        return !isCounted || hold(bodyBytes_ + body.capacity());
+    }
+
     auto answer(const Request &request) -> asio::awaitable<void>
     {
         started_ = false;
         finished_ = false;
         onGone_ = nullptr;
         inHandler_ = true;
+        enter(PeerStage::Handling);
         startRead();
         ++shared_->inProgress;
         auto failure = std::string {};
@@ -354,12 +488,12 @@
             resetNow();
     }
 
-    auto refuse(absl::Status error, std::uint32_t status) -> asio::awaitable<void>
+    auto refuse(ReadFailure failure) -> asio::awaitable<void>
     {
         keepAlive_ = false;
         timedOut_ = false;
-        auto response = errorResponse(error, "not_run");
-        response.status = status;
+        auto response = errorResponse(failure.error, "not_run", failure.retryAfterMs);
+        response.status = failure.status;
         co_await send(std::move(response));
     }
 
@@ -367,16 +501,23 @@
     auto writeBuffers(const Buffers &buffers) -> asio::awaitable<absl::Status>
     {
         auto code = error_code {};
-        watchdog_->arm(shared_->options.writeTimeout);
-        writing_ = true;
+        beginWrite();
         co_await asio::async_write(stream_, buffers,
                                    asio::redirect_error(asio::use_awaitable, code));
         co_return endWrite(code);
     }
 
+    auto beginWrite() -> void
+    {
+        watchdog_->arm(shared_->options.writeTimeout);
+        writing_ = true;
+        enter(PeerStage::Sending);
+    }
+
     auto endWrite(const error_code &code) -> absl::Status
     {
         writing_ = false;
+        enter(inHandler_ ? PeerStage::Handling : PeerStage::Closing);
         const auto inTime = watchdog_->disarm();
         if (!code && inTime)
             return absl::OkStatus();
@@ -393,14 +534,15 @@
     {
         const auto before = input_.size();
         startRead();
-        while (input_.size() == before && !peerGone_ && !timedOut_ && open_ && reading_) {
+        while (input_.size() == before && !peerGone_ && !timedOut_ && !endedFor_ && open_
+               && reading_) {
             auto code = error_code {};
             waiting_ = true;
             wake_.expires_at(Instant::max());
             co_await wake_.async_wait(asio::redirect_error(asio::use_awaitable, code));
             waiting_ = false;
         }
-        co_return input_.size() > before && !timedOut_;
+        co_return input_.size() > before && !timedOut_ && !endedFor_;
     }
 
     auto startRead() -> void
@@ -419,6 +561,13 @@
     {
         reading_ = false;
         input_.append(chunk_.data(), bytes);
+        if (inBody_)
+            noteMoved(bytes);
+        // A peer that sends on beside its request fills the kernel's buffer, too.
+        if (inHandler_ && !hold(bodyBytes_)) {
+            resetNow();
+            peerGone_ = true;
+        }
         const auto isOnlyCancelled = stopsIdle_ && code == asio::error::operation_aborted;
         if (code && !isOnlyCancelled)
             peerGone_ = true;
@@ -455,8 +604,10 @@
     /// Says that no more comes, then reads away what the peer still sends, within bounds.
     auto linger() -> asio::awaitable<void>
     {
-        if (!open_ || peerGone_)
+        if (!open_ || peerGone_ || endedFor_ == EndReason::Connections)
             co_return;
+        endedFor_.reset();
+        enter(PeerStage::Closing);
         auto code = error_code {};
         watchdog_->arm(lingerTime);
         if constexpr (std::is_same_v<Stream, TlsStream>) {
@@ -503,8 +654,12 @@
     std::shared_ptr<Shared> shared_;
     std::shared_ptr<Watchdog> watchdog_;
     std::string remoteIp_;
-    std::array<char, readChunkBytes> chunk_; ///< Written by the outstanding read alone.
-    std::string input_;                      ///< Read and not parsed yet.
+    std::unique_ptr<PeerBudget::Account> account_; ///< Empty: the connection is refused.
+    std::optional<EndReason> endedFor_;            ///< It is to end for another connection.
+    std::size_t bodyBytes_ = 0;                    ///< Memory of the body, as noted last.
+    std::size_t counted_ = 0;                      ///< What the account was set to.
+    std::array<char, readChunkBytes> chunk_;       ///< Written by the outstanding read alone.
+    std::string input_;                            ///< Read and not parsed yet.
     std::function<void()> onGone_;
     bool open_ = true;
     bool keepAlive_ = true;
@@ -514,6 +669,7 @@
     bool waiting_ = false;   ///< fill() waits for it.
     bool writing_ = false;   ///< A write is outstanding.
     bool inHandler_ = false; ///< A request is being answered.
+    bool inBody_ = false;    ///< The head has come, the body has not.
     bool started_ = false;
     bool finished_ = false;
     bool peerGone_ = false;
@@ -527,13 +683,16 @@
 class Server::Impl : public std::enable_shared_from_this<Server::Impl>
 {
 public:
-    Impl(asio::io_context &context, ServerOptions options, Handler handler)
+    Impl(asio::io_context &context, ServerOptions options, Handler handler,
+         std::shared_ptr<PeerBudget> budget)
         : context_(context)
         , shared_(std::make_shared<Shared>())
+        , sharesBudget_(budget != nullptr)
         , acceptor_(asio::make_strand(context))
     {
         shared_->options = std::move(options);
         shared_->handler = std::move(handler);
+        shared_->budget = sharesBudget_ ? std::move(budget) : ownBudget(shared_->options);
     }
 
     auto start(const Address &listen) -> absl::Status
@@ -549,6 +708,7 @@
             acceptor_.set_option(asio::socket_base::reuse_address { true }, code);
         if (!code)
             acceptor_.bind(endpoint, code);
+        setReceiveBuffer();
         if (!code)
             acceptor_.listen(asio::socket_base::max_listen_connections, code);
         if (code) {
@@ -581,6 +741,16 @@
     }
 
 private:
+    /// Sockets inherit it from the listener. Without it the kernel lets the buffers grow.
+    auto setReceiveBuffer() -> void
+    {
+        auto code = error_code {};
+        const auto bytes = static_cast<int>(shared_->options.receiveBuffer);
+        acceptor_.set_option(asio::socket_base::receive_buffer_size { bytes }, code);
+        if (code)
+            LogEvent(LogLevel::Warning, "receive_buffer_not_set").with("reason", code.message());
+    }
+
     auto loadCertificate() -> absl::Status
     {
         const auto &options = shared_->options;
@@ -628,34 +798,52 @@
         const auto remote = socket.remote_endpoint(code);
         socket.set_option(tcp::no_delay { true }, code);
         const auto remoteIp = remote.address().to_string();
-        const auto count = ++shared_->connections;
-        const auto limit = shared_->options.maxConnections;
-        if (count > limit + maxRejecting) {
-            --shared_->connections;
-            return;
-        }
         if (tls_)
-            launch(TlsStream { std::move(socket), *tls_ }, remoteIp, count > limit);
+            launch(TlsStream { std::move(socket), *tls_ }, remoteIp);
         else
-            launch(std::move(socket), remoteIp, count > limit);
+            launch(std::move(socket), remoteIp);
     }
 
     template<typename Stream>
-    auto launch(Stream stream, const std::string &remoteIp, bool reject) -> void
+    auto launch(Stream stream, const std::string &remoteIp) -> void
     {
         const auto executor = stream.get_executor();
         auto connection = std::make_shared<Connection<Stream>>(context_, std::move(stream), shared_,
                                                                remoteIp);
+        auto account = openAccount(connection);
+        const auto isRejected = account == nullptr;
+        if (isRejected && ++shared_->rejecting > maxRejecting) {
+            --shared_->rejecting;
+            return;
+        }
+        connection->setAccount(std::move(account));
         const auto number = list(connection);
-        asio::co_spawn(executor, connection->run(reject),
-                       [self = shared_from_this(), connection, number](const std::exception_ptr &) {
+        asio::co_spawn(executor, connection->run(),
+                       [self = shared_from_this(), connection, number,
+                        isRejected](const std::exception_ptr &) {
                            self->unlist(number);
+                           if (isRejected)
+                               --self->shared_->rejecting;
                        });
     }
 
+    /// @return nullptr if the connection is to be refused
+    auto openAccount(const std::weak_ptr<ConnectionBase> &connection)
+            -> std::unique_ptr<PeerBudget::Account>
+    {
+        const auto limit = shared_->options.maxConnections + shared_->rejecting;
+        if (!sharesBudget_ && shared_->connections >= limit)
+            return nullptr;
+        return shared_->budget->open([connection](EndReason reason) {
+            if (const auto open = connection.lock())
+                open->endForRoom(reason);
+        });
+    }
+
     auto list(const std::shared_ptr<ConnectionBase> &connection) -> std::uint64_t
     {
         const auto lock = std::lock_guard { mutex_ };
+        ++shared_->connections;
         connections_.emplace(++lastNumber_, connection);
         return lastNumber_;
     }
@@ -703,6 +891,7 @@
 
     asio::io_context &context_;
     std::shared_ptr<Shared> shared_;
+    bool sharesBudget_; ///< With other servers of the process.
     Acceptor acceptor_;
     std::optional<asio::ssl::context> tls_;
     std::uint16_t port_ = 0;
@@ -711,8 +900,10 @@
     std::uint64_t lastNumber_ = 0;
 };
 
-Server::Server(asio::io_context &context, ServerOptions options, Handler handler)
-    : impl_(std::make_shared<Impl>(context, std::move(options), std::move(handler)))
+Server::Server(asio::io_context &context, ServerOptions options, Handler handler,
+               std::shared_ptr<PeerBudget> budget)
+    : impl_(std::make_shared<Impl>(context, std::move(options), std::move(handler),
+                                   std::move(budget)))
 { }
 
 Server::~Server()
--- a/http/server.h
+++ b/http/server.h
@@ -12,7 +12,9 @@
 //
 // Guarantees: header, body, idle and handshake time, connections and unsent
 // bytes are bounded by the options; a request over a bound gets 400, 408, 413
-// or 503 with figrack's error JSON and the connection is closed. Pipelined
+// or 503 with figrack's error JSON and the connection is closed. What all
+// connections hold together is bounded by the PeerBudget, which servers of one
+// process share (core/peerbudget.h). Pipelined
 // requests are answered in order. write() suspends while the peer reads slowly
 // and fails after writeTimeout. A response header "Connection: close" ends the
 // connection after that answer. An exception out of a handler is logged and answered by 500.
@@ -34,6 +36,7 @@
 
 #include "core/clock.h"
 #include "core/error.h"
+#include "core/peerbudget.h"
 #include "core/settings.h"
 #include "http/message.h"
 
@@ -41,13 +44,20 @@
 
 struct ServerOptions
 {
-    std::size_t maxConnections = 4096;
+    std::size_t maxConnections
+            = 4096; ///< Without a shared PeerBudget, which has a limit of its own.
     std::size_t maxHeaderBytes = 16U << 10;
     std::size_t maxBodyBytes = 4U << 20;
     Duration headerTimeout = std::chrono::seconds { 10 }; ///< From first byte to whole header.
     Duration bodyTimeout = std::chrono::seconds { 30 };
     Duration idleTimeout = std::chrono::seconds { 60 };  ///< Between requests.
     Duration writeTimeout = std::chrono::seconds { 30 }; ///< A peer that does not read.
+    /// Of each connection's socket, as the kernel is asked for it: bytes that have arrived and are
+    /// not read yet take memory, too.
+    std::size_t receiveBuffer = 64U << 10;
+    /// Large answers count in the budget, and 503 is sent instead of one that has no room. Only for
+    /// handlers whose requests may be asked again.
+    bool mayWithholdAnswers = false;
     std::string certificateFile; ///< PEM; with keyFile, the listener speaks TLS.
     std::string keyFile;
 };
@@ -77,7 +87,10 @@
 class Server
 {
 public:
-    Server(boost::asio::io_context &context, ServerOptions options, Handler handler);
+    /// @param budget shared by the servers of a process; nullptr: one of its own, which bounds the
+    /// memory only
+    Server(boost::asio::io_context &context, ServerOptions options, Handler handler,
+           std::shared_ptr<PeerBudget> budget = nullptr);
     ~Server();
     /// @return BadSettings when the address cannot be bound or the certificate not read
     auto start(const Address &listen) -> absl::Status;
--- a/router/router.cpp
+++ b/router/router.cpp
@@ -69,13 +69,20 @@
 auto serverOptions(const RouterOptions &options) -> http::ServerOptions
 {
     auto out = http::ServerOptions {};
-    out.maxConnections = options.maxConnections;
     out.maxBodyBytes = options.maxBodyBytes;
     out.certificateFile = options.certificateFile;
     out.keyFile = options.keyPemFile;
     return out;
 }
 
+auto budgetOptions(const RouterOptions &options) -> PeerBudgetOptions
+{
+    auto out = PeerBudgetOptions {};
+    out.maxBytes = options.maxHeldBytes;
+    out.maxConnections = options.maxConnections;
+    return out;
+}
+
 auto dispatchOptions(const RouterOptions &options) -> DispatchOptions
 {
     return { options.streamIdle, options.maxAnswerBytes };
@@ -177,7 +184,8 @@
               }))
     , cachePoller(clock, scheduler, client)
     , callers(callerParts())
-    , server(context, serverOptions(options), callers.handler())
+    , server(context, serverOptions(options), callers.handler(),
+             std::make_shared<PeerBudget>(budgetOptions(options), ticking))
 { }
 
 auto Router::Impl::linkOptions(std::shared_ptr<proto::PeerKeys> keys) const -> ControlLinkOptions
--- a/router/settings.cpp
+++ b/router/settings.cpp
@@ -40,6 +40,7 @@
     };
     options.threads = static_cast<std::uint32_t>(size("router.threads"));
     options.maxConnections = size("limits.connections");
+    options.maxHeldBytes = size("limits.held_bytes");
     options.maxBodyBytes = size("limits.body_bytes");
     options.maxAnswerBytes = size("limits.answer_bytes");
     options.maxQueued = size("limits.queued");
@@ -76,6 +77,8 @@
     constexpr auto gibibyte = 1 << 30;
     return {
         numberRule("limits.connections", "open connections of callers", 1, million, 4096),
+        numberRule("limits.held_bytes", "bytes that all callers may make the process hold", 1 << 20,
+                   gibibyte * 1024, gibibyte),
         numberRule("limits.body_bytes", "bytes of a request's body", 1024, gibibyte, 4 << 20),
         numberRule("limits.answer_bytes", "bytes of an answer that is not a stream", 1024, gibibyte,
                    16 << 20),
--- a/router/settings.h
+++ b/router/settings.h
@@ -39,6 +39,7 @@
     std::string keyPemFile;
 
     std::size_t maxConnections = 4096;
+    std::size_t maxHeldBytes = 1U << 30; ///< By all callers together.
     std::size_t maxBodyBytes = 4U << 20;
     std::size_t maxAnswerBytes = 16U << 20;
     std::size_t maxQueued = 8192;
