--- a/cmd/daemon.cpp
+++ b/cmd/daemon.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/strand.hpp>
+#include <malloc.h>
 
 #include "cmd/commandline.h"
 #include "core/crypto.h"
@@ -77,10 +78,23 @@
     }
 }
 
+/// Makes the allocator give large blocks back to the kernel when they are freed. By default it
+/// keeps blocks of up to 32 MiB in the heap once it has freed one of that size, and bodies of many
+/// sizes leave gaps there that count as memory of the process.
+auto limitKeptMemory() -> void
+{
+    constexpr auto largeBlock = 256 << 10;
+    constexpr auto maxKeptAtTop = 4 << 20;
+    if (::mallopt(M_MMAP_THRESHOLD, largeBlock) != 1
+        || ::mallopt(M_TRIM_THRESHOLD, maxKeptAtTop) != 1)
+        LogEvent(LogLevel::Warning, "allocator_not_set");
+}
+
 auto runChecked(const DaemonProgram &program, const Settings &settings) -> ExitCode
 {
     // Without this, a write to a closed standard output would terminate the process.
     std::signal(SIGPIPE, SIG_IGN);
+    limitKeptMemory();
     LogEvent(LogLevel::Info, "started")
             .with("program", program.name)
             .with("version", releaseVersion);
