--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -556,9 +556,9 @@
 
 Gateway::Gateway(asio::io_context &context, GatewayOptions options, const Clock &clock,
                  const Dialect &dialect, std::uint64_t seed, std::function<void()> onStopped,
-                 std::shared_ptr<PeerBudget> budget)
+                 const std::shared_ptr<PeerBudget> &budget)
     : impl_(std::make_shared<Impl>(context, std::move(options), clock, dialect, seed,
-                                   std::move(onStopped), std::move(budget)))
+                                   std::move(onStopped), budget))
 { }
 
 Gateway::~Gateway()
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -92,7 +92,7 @@
     /// @param budget shared by all servers of the process; nullptr: each has one of its own
     Gateway(boost::asio::io_context &context, GatewayOptions options, const Clock &clock,
             const Dialect &dialect, std::uint64_t seed, std::function<void()> onStopped,
-            std::shared_ptr<PeerBudget> budget = nullptr);
+            const std::shared_ptr<PeerBudget> &budget = nullptr);
     ~Gateway();
     /// @return BadSettings if an address cannot be bound
     auto start() -> absl::Status;
