--- a/router/settings.cpp
+++ b/router/settings.cpp
@@ -78,7 +78,7 @@
     return {
         numberRule("limits.connections", "open connections of callers", 1, million, 4096),
         numberRule("limits.held_bytes", "bytes that all callers may make the process hold", 1 << 20,
-                   gibibyte * 1024, gibibyte),
+                   std::int64_t { gibibyte } * 1024, gibibyte),
         numberRule("limits.body_bytes", "bytes of a request's body", 1024, gibibyte, 4 << 20),
         numberRule("limits.answer_bytes", "bytes of an answer that is not a stream", 1024, gibibyte,
                    16 << 20),
