Check a configuration in time that grows with its size alone

A control reads documents on its only thread. The services of a document were searched once for each part of a route: a document of 3.65 MB with 35,000 routes and as many services took 5.3 s of processor time, during which the control neither leads nor follows.

--- a/catalogue/catalogue.cpp
+++ b/catalogue/catalogue.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cctype>
 #include <set>
+#include <unordered_set>
 #include <utility>
 
 #include "core/error.h"
@@ -27,7 +28,9 @@
                      "route=" + route.name + " reason=" + std::string { reason });
 }
 
-auto checkRoute(const Catalogue &catalogue, const Route &route) -> absl::Status
+using ServiceIds = std::unordered_set<ServiceId>;
+
+auto checkRoute(const ServiceIds &services, const Route &route) -> absl::Status
 {
     if (route.host.empty())
         return badRoute(route, "no host");
@@ -38,7 +41,7 @@
         return badRoute(route, "the finish limit must be positive");
     auto sum = std::uint64_t { 0 };
     for (const auto &part : route.split) {
-        if (catalogue.find(part.service) == nullptr)
+        if (!services.contains(part.service))
             return badRoute(route, "unknown service " + part.service.value());
         sum += part.weight;
     }
@@ -102,9 +105,12 @@
 
 auto check(const Catalogue &catalogue) -> absl::Status
 {
+    auto services = ServiceIds {};
+    for (const auto &service : catalogue.services)
+        services.insert(service.id);
     auto places = std::set<std::pair<std::string, std::string>> {};
     for (const auto &route : catalogue.routes) {
-        if (auto status = checkRoute(catalogue, route); !status.ok())
+        if (auto status = checkRoute(services, route); !status.ok())
             return status;
         if (!places.emplace(hostKey(route.host), route.pathPrefix).second)
             return badRoute(route, "another route has the same host and prefix");
