Refuse requests that a stopping gateway could not complete

What callers saw: in a planned stop of one gateway, in calm, requests that came late in the grace were taken, dispatched and cut with no answer, among them some that may not be repeated. With 6 s of work and a grace of 8 s, 24 of 24 requests sent 1 to 2 s after SIGTERM were cut after 5.5 to 5.6 s, on a route that may repeat as well as on one that may not.

Cause: new requests are served for 3/8 of the grace, since callers cache addresses, and what runs is cut at 15/16 of it. Only waits for a place ended 2.5 s before that; a dispatch or a retry was never compared with the time that was left.

Change: while a gateway is stopping, a request is dispatched, first or again, only if its deadline lies before the end of the process, or if the time that its route's answers took in the last 30 to 60 s fits: the longest for requests that may run once, the mean for those that may be repeated. Without recent answers, the former are refused and the latter are taken to need 2.5 s. A refusal is 503, not run, with Retry-After 0, and all answers end their connection.

Why it works: the check is made where the request is taken, after each wait and before each retry, against the same time at which the process ends. It is an estimate: a request that takes longer than all of its route did lately is still cut.

Tests: the two that set the time of the stop call the renamed setStopTime(); their checks are as before.

--- a/gateway/forwarder.cpp
+++ b/gateway/forwarder.cpp
@@ -135,6 +135,11 @@
         auto *entry = co_await place();
         if (entry == nullptr && !isUnreached_)
             co_return;
+        if (isTooLateToDispatch()) {
+            picked_.booking = {};
+            co_await giveUpForStop();
+            co_return;
+        }
         // The request may have waited for longer than its retry is valid.
         if (hasArrived() && !co_await takeRetry()) {
             picked_.booking = {};
@@ -178,6 +183,38 @@
     return std::max<Duration>(deadline_ - parts_.clock.now(), std::chrono::milliseconds { 1 });
 }
 
+auto Forwarder::Run::latestDispatch() const -> Instant
+{
+    const auto stopsAt = owner_.stopsAt_;
+    // What ends by its deadline before the process does is not cut off.
+    if (deadline_ <= stopsAt)
+        return Instant::max();
+    const auto &times = owner_.answerTimes_;
+    if (route_->mayRepeat())
+        return stopsAt - times.mean(route_->name).value_or(owner_.options_.assumedAnswerTime);
+    // One that may run only once is lost where it is cut off, so it goes by the longest.
+    const auto longest = times.longest(route_->name);
+    return longest ? stopsAt - *longest : arrived_;
+}
+
+auto Forwarder::Run::isTooLateToDispatch() const -> bool
+{
+    return parts_.clock.now() >= latestDispatch();
+}
+
+auto Forwarder::Run::endConnectionIfStopping(http::Headers &headers) const -> void
+{
+    if (owner_.stopsAt_ != Instant::max())
+        headers.push_back({ "Connection", "close" });
+}
+
+auto Forwarder::Run::giveUpForStop() -> asio::awaitable<void>
+{
+    retryAfter_ = owner_.options_.retryAfterWhenStopping;
+    auto error = makeError(ErrorKind::Draining, "gateway");
+    co_await giveUp(std::move(error));
+}
+
 auto Forwarder::Run::onCallerGone() -> void
 {
     callerGone_ = true;
@@ -212,6 +249,7 @@
     auto response = parts_.dialect.writeRefusal(refusal);
     if (handoffTerms_ != nullptr)
         response.headers.push_back(handoffOutcome());
+    endConnectionIfStopping(response.headers);
     finalStatus_ = response.status;
     const auto sent = co_await responder_.send(std::move(response));
     if (!sent.ok())
@@ -303,6 +341,7 @@
     , parts_(std::move(parts))
     , startedAt_(parts_.clock.now())
     , heldBytes_(options_.heldBytes, parts_.clock, parts_.budget)
+    , answerTimes_({}, parts_.clock)
 { }
 
 auto Forwarder::setCatalogue(std::shared_ptr<const catalogue::Catalogue> catalogue) -> void
@@ -319,9 +358,9 @@
     parts_.waiters.wakeAll();
 }
 
-auto Forwarder::setPlacementDeadline(Instant deadline) -> void
+auto Forwarder::setStopTime(Instant stopsAt) -> void
 {
-    placementDeadline_ = deadline;
+    stopsAt_ = stopsAt;
     parts_.waiters.wakeAll();
 }
 
--- a/gateway/forwarder.h
+++ b/gateway/forwarder.h
@@ -53,6 +53,7 @@
 #include "catalogue/homes.h"
 #include "core/clock.h"
 #include "core/random.h"
+#include "gateway/answertimes.h"
 #include "gateway/crashdetector.h"
 #include "gateway/demand.h"
 #include "gateway/dialect.h"
@@ -99,6 +100,12 @@
     /// for them first. They arrive within a few milliseconds, and if a control fails, from another
     /// one after EndpointWatchOptions::answerTimeout.
     Duration awaitEndpoints = std::chrono::milliseconds { 400 };
+    /// Retry-After of a request that this gateway cannot complete before it stops: the other
+    /// gateways can take it at once.
+    Duration retryAfterWhenStopping {};
+    /// How long a request is expected to take, of a route that had none lately, if it may be
+    /// repeated where it is cut off.
+    Duration assumedAnswerTime = std::chrono::milliseconds { 2500 };
     /// Retry-After while no configuration or no endpoint is known. After a start, the gateway
     /// learns of all endpoints within one announcement interval.
     Duration retryAfterAtStart = std::chrono::milliseconds { 1200 };
@@ -163,9 +170,9 @@
     auto version() const -> Revision;
     /// Refuses all later requests as not run.
     auto refuseNew() -> void { refusing_ = true; }
-    /// Sets the deadline for dispatches before the process ends. A request that no endpoint can
-    /// take by then is refused immediately.
-    auto setPlacementDeadline(Instant deadline) -> void;
+    /// Sets the time at which the process ends. From now on a request is dispatched only if it is
+    /// expected to end before that, and is refused as not run otherwise.
+    auto setStopTime(Instant stopsAt) -> void;
     auto handle(const http::Request &request, http::Responder &responder)
             -> boost::asio::awaitable<void>;
     /// Handles a request that another gateway has handed over.
@@ -213,8 +220,8 @@
         std::shared_ptr<http::Canceller> canceller;
     };
     std::multimap<EndpointId, Dispatch> dispatches_; ///< In progress.
-    /// No request waits for an endpoint after this time.
-    Instant placementDeadline_ = Instant::max();
+    AnswerTimes answerTimes_;
+    Instant stopsAt_ = Instant::max(); ///< The process cuts off what is in progress then.
     bool refusing_ = false;
     /// Expires with this object, since a retry may be granted later.
     std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true);
--- a/gateway/forwarderadmission.cpp
+++ b/gateway/forwarderadmission.cpp
@@ -64,6 +64,10 @@
     if (route_->leaveAfter > Duration::zero())
         startBy_ = std::min(startBy_,
                             arrived_ + route_->leaveAfter - owner_.options_.minTimeToFirstEvent);
+    if (isTooLateToDispatch()) {
+        return Refusal { makeError(ErrorKind::Draining, "gateway"), true,
+                         owner_.options_.retryAfterWhenStopping };
+    }
     const auto sentBefore = handoffTerms_ != nullptr ? handoffTerms_->resumeAfter : std::string {};
     position_ = sentBefore.empty() || sentBefore == caller_.resumeAfter
             ? StreamPosition { caller_.resumeAfter }
--- a/gateway/forwarderdispatch.cpp
+++ b/gateway/forwarderdispatch.cpp
@@ -139,6 +139,7 @@
                              parts_.paths.allSilentFor() };
     }
     active.reset();
+    noteAnswerTime(step);
     const auto hasStarted = step == Step::Settled && firstByteAt_ && isSuccess(finalStatus_);
     const auto start = hasStarted ? *firstByteAt_ - sentAt_ : Duration::zero();
     const auto ranOrMay = step != Step::NotRun;
@@ -149,6 +150,16 @@
     co_return step;
 }
 
+auto Forwarder::Run::noteAnswerTime(Step step) -> void
+{
+    const auto isAnswered = step == Step::Settled && outcome_ == RequestOutcome::Answered
+            && isSuccess(finalStatus_);
+    const auto isTimedOut
+            = step == Step::Broken && errorKind(lastError_) == ErrorKind::Timeout && ran_ > 0;
+    if (isAnswered || isTimedOut)
+        owner_.answerTimes_.onEnd(route_->name, parts_.clock.now() - sentAt_);
+}
+
 auto Forwarder::Run::outcomeOf(bool hasStarted) const -> proto::PickOutcome
 {
     if (engine_ == nullptr || status_ >= 400)
--- a/gateway/forwarderplacing.cpp
+++ b/gateway/forwarderplacing.cpp
@@ -170,8 +170,8 @@
     if (!parts_.wantEndpoints)
         co_return;
     const auto key = proto::WatchKey { service_, criteria_.model, criteria_.adapter };
-    const auto limit = std::min({ parts_.clock.now() + owner_.options_.awaitEndpoints, startBy_,
-                                  owner_.placementDeadline_ });
+    const auto limit = std::min(
+            { parts_.clock.now() + owner_.options_.awaitEndpoints, startBy_, latestDispatch() });
     while (!parts_.wantEndpoints(key) && !callerGone_ && parts_.clock.now() < limit)
         co_await parts_.waiters.wait(limit - parts_.clock.now());
 }
@@ -370,9 +370,9 @@
 {
     wait.setOnEnd([this] { holdTimer_.cancel(); });
     while (true) {
-        // The placement deadline may change during the wait.
-        const auto limit = std::min({ arrived_ + route_->startTarget + grantGrace, startBy_,
-                                      owner_.placementDeadline_ });
+        // The latest time of a dispatch may change during the wait.
+        const auto limit = std::min(
+                { arrived_ + route_->startTarget + grantGrace, startBy_, latestDispatch() });
         if (const auto end = wait.check(limit))
             co_return *end;
         if (callerGone_)
@@ -409,7 +409,7 @@
 
 auto Forwarder::Run::hold() -> asio::awaitable<void>
 {
-    const auto left = std::min(startBy_, owner_.placementDeadline_) - parts_.clock.now();
+    const auto left = std::min(startBy_, latestDispatch()) - parts_.clock.now();
     const auto duration = std::min(picked_.hold, left);
     if (callerGone_ || duration <= Duration::zero())
         co_return;
@@ -427,7 +427,7 @@
     if (isOrdered_ && blockedBy == BlockedBy::Places)
         return std::nullopt;
     const auto spare = std::chrono::duration_cast<Duration>(route_->startTarget * placeWaitShare);
-    const auto limit = std::min({ arrived_ + spare, startBy_, owner_.placementDeadline_ });
+    const auto limit = std::min({ arrived_ + spare, startBy_, latestDispatch() });
     if (now >= limit)
         return std::nullopt;
     // A place may become free at any time, whereas the time at which a rate allows the next request
@@ -455,7 +455,7 @@
         *retryAfter_
                 += std::chrono::duration_cast<Duration>(retryAfterJitter * parts_.random.unit());
     }
-    const auto limit = std::min(startBy_, owner_.placementDeadline_);
+    const auto limit = std::min(startBy_, latestDispatch());
     if (*ready >= limit || now >= limit) {
         if (scheduledLoad(blockedBy)) {
             const auto latest = std::chrono::duration_cast<Duration>(timeLeft() * latestReturn);
--- a/gateway/forwarderrelay.cpp
+++ b/gateway/forwarderrelay.cpp
@@ -58,7 +58,8 @@
 {
     avoid(endpoint_);
     const auto blockedBy = co_await pick();
-    const auto isPaid = blockedBy == BlockedBy::Nothing && co_await takeRetry();
+    const auto mayDispatch = blockedBy == BlockedBy::Nothing && !isTooLateToDispatch();
+    const auto isPaid = mayDispatch && co_await takeRetry();
     auto *entry = isPaid ? parts_.view.find(picked_.endpoint) : nullptr;
     if (entry != nullptr && !callerGone_ && co_await dispatch(*entry) == Step::Settled)
         co_return Step::Settled;
@@ -87,6 +88,7 @@
         co_return Step::Settled;
     }
     firstByteAt_ = parts_.clock.now();
+    endConnectionIfStopping(answer.headers);
     finalStatus_ = answer.status;
     const auto sent = co_await responder_.send(std::move(answer));
     outcome_ = sent.ok() ? RequestOutcome::Answered : RequestOutcome::CallerGone;
@@ -223,6 +225,7 @@
     finalStatus_ = status_;
     streamVersion_ = softwareVersion_;
     auto headers = endToEnd(stream.headers());
+    endConnectionIfStopping(headers);
     if (handoffTerms_ != nullptr)
         headers.push_back({ std::string { handoffVersionHeader }, softwareVersion_ });
     const auto begun = co_await responder_.startStream(status_, std::move(headers));
--- a/gateway/forwarderrun.h
+++ b/gateway/forwarderrun.h
@@ -212,6 +212,8 @@
     auto endDispatch(DispatchEnd end) -> Step;
     /// Logs and counts the end of a dispatch that did not settle the request.
     auto reportDispatchEnd(Step step) -> void;
+    /// Records how long the latest dispatch took, if its answer was whole or its time ran out.
+    auto noteAnswerTime(Step step) -> void;
     /// @return whether the endpoint met the route's latency targets, as far as this dispatch shows
     /// it
     auto outcomeOf(bool hasStarted) const -> proto::PickOutcome;
@@ -303,6 +305,14 @@
     /// Waits until the caller has taken what is buffered for it, and ends a whole stream.
     auto finishStream() -> boost::asio::awaitable<void>;
     auto timeLeft() const -> Duration;
+    /// @return the time after which the request would not end before the gateway stops;
+    /// Instant::max() unless it is stopping
+    auto latestDispatch() const -> Instant;
+    auto isTooLateToDispatch() const -> bool;
+    /// While the gateway is stopping, has the caller send its next request to another one.
+    auto endConnectionIfStopping(http::Headers &headers) const -> void;
+    /// Refuses a request that would be cut off when the gateway stops.
+    auto giveUpForStop() -> boost::asio::awaitable<void>;
     auto onCallerGone() -> void;
     /// Stops trying: answers with an error, or lets the server close a stream that has begun.
     auto giveUp(absl::Status status) -> boost::asio::awaitable<void>;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -22,9 +22,6 @@
 
 /// Interval at which a planned stop checks its progress.
 constexpr auto stopCheckInterval = std::chrono::milliseconds { 50 };
-/// No request is dispatched within this time before the end of a planned stop. Most requests run
-/// for less.
-constexpr auto placementStopMargin = std::chrono::milliseconds { 2500 };
 /// Time of the leader per report. Each gateway reports at most once per this time multiplied by the
 /// number of gateways; with 291 gateways, a report is at most 1.5 s old.
 constexpr auto leaderTimePerReport = std::chrono::milliseconds { 5 };
@@ -144,7 +141,7 @@
         stopAskedAt_ = clock_.now();
         feed_.setReady(false);
         origins_.onLeaving();
-        forwarder_.setPlacementDeadline(stopAskedAt_ + options_.stopBy - placementStopMargin);
+        forwarder_.setStopTime(stopAskedAt_ + options_.stopBy);
         LogEvent(LogLevel::Info, "gateway_leaving")
                 .with("in_progress", static_cast<std::uint64_t>(inProgress()));
         checkStop();
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -8,7 +8,8 @@
 // - ready() becomes false, and the controls are notified immediately.
 // - New requests are still served for stopServing, since callers cache addresses for a while.
 // - After that, new requests are refused as not run.
-// - Shortly before the end, requests that still wait for an endpoint are refused as well.
+// - From the beginning, a request that would not end before the process does is refused as not run
+//   (gateway/answertimes.h), and answers end their connections, so that callers go elsewhere.
 // - Requests in progress are completed. The process ends at stopBy at the latest.
 //
 // If the gateway cannot reach any endpoint, it tells the controls, which send callers to others,
--- a/gateway/testing/tst_forwarder.cpp
+++ b/gateway/testing/tst_forwarder.cpp
@@ -321,7 +321,7 @@
     {
         const auto got = rig.begin(request);
         REQUIRE(rig.runUntil([&] { return rig.waiters.size() == 1; }));
-        rig.forwarder.setPlacementDeadline(rig.clock.now() + 1s);
+        rig.forwarder.setStopTime(rig.clock.now() + 1s);
         REQUIRE(rig.runUntil([&] { return got->has_value(); }));
         CHECK((*got)->status == 503);
         CHECK_FALSE(http::findHeader((*got)->headers, "X-Come-Back").empty());
--- a/gateway/testing/tst_placewaits.cpp
+++ b/gateway/testing/tst_placewaits.cpp
@@ -424,7 +424,7 @@
     world.rig.addEndpoint("i-1", { "m0" }).handler = answering("one");
     world.beginQueued();
     REQUIRE(world.rig.runUntil([&] { return world.rig.picker.waits().queued() == 1; }));
-    world.rig.forwarder.setPlacementDeadline(world.rig.clock.now());
+    world.rig.forwarder.setStopTime(world.rig.clock.now());
     CHECK(world.finish().status == 503);
     CHECK(world.balancer.ended == Ended { { first, 1 } });
 }
