Skip interim responses before an answer is matched to its request

Callers got a server's interim response (102, 103) that named their request as the final answer, with "Content-Length: 0", though the request ran. Orders and reports, whose answers name no request, took any interim response for the answer: an order's outcome was then unknown.

Cause: http/client asked whether an answer is interim only once it had failed to name the request.

Change: interim responses are skipped first, whatever they name, also those that say "Connection: close" or HTTP/1.0. At most 1,024 in a row, within 1 MiB and the time until the head of the answer. 101 is Malformed and the request may have run, as no request asks for an upgrade. The rule is in the client, which the gateway, orders, the native router and the operators' tools share.

The router's and the operators' tools' tests were not run.

The test of an interim answer without a name is a subcase of the new one.

--- a/endpoint/testing/tst_orders.cpp
+++ b/endpoint/testing/tst_orders.cpp
@@ -85,6 +85,18 @@
     CHECK(fixture.replyTo("") == OrderReply::Unknown);
 }
 
+// Guards against an interim response that is taken for the answer to an order.
+TEST_CASE("an answer that follows interim responses is the one that counts")
+{
+    auto fixture = Fixture {};
+    const auto interim
+            = std::string { "HTTP/1.1 100 Continue\r\n\r\n" } + "HTTP/1.1 102 Processing\r\n\r\n";
+    CHECK(fixture.replyTo(interim + "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+          == OrderReply::Taken);
+    CHECK(fixture.replyTo("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n")
+          == OrderReply::Unknown);
+}
+
 TEST_CASE("an order that may not start, or finds nobody, is not sent")
 {
     auto fixture = Fixture {};
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -65,6 +65,7 @@
 constexpr auto maxHeaderBytes = std::size_t { 32 } << 10;
 /// Bytes that are read and dropped before the answer to a request.
 constexpr auto maxSkippedBytes = std::size_t { 1 } << 20;
+constexpr auto maxInterimAnswers = 1024;                     ///< In a row, before another answer.
 constexpr auto maxPromisedSeconds = std::int64_t { 86'400 }; ///< Longer promises count as none.
 
 /// One connection: the socket, what was read of the next answer, and the way to abort it.
@@ -474,6 +475,12 @@
     return isBad(request.target) || isBad(request.method);
 }
 
+/// @return true for "100 Continue" and the like, which precede an answer
+auto isInterim(const ResponseParser &parser) -> bool
+{
+    return parser.get().result_int() < 200;
+}
+
 /// One request under way on one connection: writes it, then parses the answer piece by piece.
 class Exchange
 {
@@ -507,7 +514,8 @@
             if (auto status = co_await advance(); !status.ok())
                 co_return status;
         }
-        if (!parser_->keep_alive())
+        // The final answer follows on the same connection, even if an interim one says "close".
+        if (!isInterim(*parser_) && !parser_->keep_alive())
             co_return failure(ErrorKind::EndpointFailed, lease_.address(), "another answer");
         makeParser();
         auto status = co_await readHeader();
@@ -701,33 +709,45 @@
             && exchange.parser().get().count(match.header) == 0;
 }
 
-/// @return true for "100 Continue" and the like, which precede an answer
-auto isInterim(const ResponseParser &parser) -> bool
+/// Reads the heads of answers up to the next one that is not interim, whatever those name.
+auto skipInterimAnswers(Exchange &exchange) -> asio::awaitable<absl::Status>
 {
-    return parser.get().result_int() < 200;
+    constexpr auto switchingProtocols = 101U;
+    for (auto count = 0; isInterim(exchange.parser()); ++count) {
+        const auto &address = exchange.lease().address();
+        // No request of this client asks for an upgrade, so that what follows has no meaning.
+        if (exchange.parser().get().result_int() == switchingProtocols)
+            co_return failure(ErrorKind::Malformed, address, "switch of protocols");
+        if (count == maxInterimAnswers)
+            co_return failure(ErrorKind::TooLarge, address, "interim answers");
+        if (auto status = co_await exchange.skipAnswer(); !status.ok())
+            co_return status;
+    }
+    co_return absl::OkStatus();
 }
 
 /// Reads the heads of answers up to the one to the request.
 auto readHeadOf(Exchange &exchange, const AnswerMatch &match) -> asio::awaitable<absl::Status>
 {
     auto status = co_await exchange.readHeader();
-    while (status.ok() && !isAnswerTo(match, exchange.parser())) {
-        if (!isInterim(exchange.parser())) {
-            if (isUnnamedButOwn(match, exchange)) {
-                exchange.lease().keepNoLonger();
-                break;
-            }
-            LogEvent(LogLevel::Warning, "answer_to_no_request")
-                    .with("address", exchange.lease().address().text())
-                    .with("request", match.value)
-                    .with("status", std::int64_t { exchange.parser().get().result_int() })
-                    .with("named", exchange.parser().get().count(match.header) > 0)
-                    .with("kept", exchange.isReused());
-            if (!exchange.isReused())
-                co_return failure(ErrorKind::Malformed, exchange.lease().address(),
-                                  "answer to no request");
+    while (status.ok()) {
+        status = co_await skipInterimAnswers(exchange);
+        if (!status.ok() || isAnswerTo(match, exchange.parser()))
+            break;
+        if (isUnnamedButOwn(match, exchange)) {
             exchange.lease().keepNoLonger();
+            break;
         }
+        LogEvent(LogLevel::Warning, "answer_to_no_request")
+                .with("address", exchange.lease().address().text())
+                .with("request", match.value)
+                .with("status", std::int64_t { exchange.parser().get().result_int() })
+                .with("named", exchange.parser().get().count(match.header) > 0)
+                .with("kept", exchange.isReused());
+        if (!exchange.isReused())
+            co_return failure(ErrorKind::Malformed, exchange.lease().address(),
+                              "answer to no request");
+        exchange.lease().keepNoLonger();
         status = co_await exchange.skipAnswer();
     }
     co_return status;
--- a/http/testing/tst_answermatch.cpp
+++ b/http/testing/tst_answermatch.cpp
@@ -171,15 +171,98 @@
     CHECK(isUnknownOutcome(fixture.end())); // At once, with the connection still open.
 }
 
-TEST_CASE("An interim answer is passed over on any connection")
+// Guards against an interim response that is taken for the final answer.
+TEST_CASE("Interim answers are passed over on any connection, whatever they name")
+{
+    auto interim = std::string {};
+    SUBCASE("without a name")
+    {
+        interim = "HTTP/1.1 102 Processing\r\n\r\n";
+    }
+    SUBCASE("with the request's name")
+    {
+        interim = "HTTP/1.1 103 Early Hints\r\nX-Id: second\r\nLink: </x>\r\n\r\n";
+    }
+    SUBCASE("with another request's name")
+    {
+        interim = "HTTP/1.1 102 Processing\r\nX-Id: other\r\n\r\n";
+    }
+    SUBCASE("with a promise that the request has not run")
+    {
+        interim = "HTTP/1.1 199 Later\r\nX-Id: second\r\nX-Not-Run: 1\r\n\r\n";
+    }
+    SUBCASE("with headers of a final answer")
+    {
+        interim = "HTTP/1.1 103 Early Hints\r\nX-Id: second\r\nConnection: close\r\n"
+                  "Content-Length: 1000\r\n\r\n";
+    }
+    SUBCASE("of HTTP/1.0")
+    {
+        interim = "HTTP/1.0 100 Continue\r\nX-Id: second\r\n\r\n";
+    }
+    SUBCASE("several")
+    {
+        for (auto number = 0; number < 200; ++number)
+            interim += "HTTP/1.1 102 Processing\r\nX-Id: second\r\n\r\n";
+    }
+    for (const auto isKept : { false, true }) {
+        CAPTURE(isKept);
+        auto fixture = Fixture {};
+        if (isKept)
+            fixture.keepConnection();
+        fixture.begin("second");
+        if (!isKept)
+            fixture.accept();
+        fixture.await("second");
+        fixture.say(interim);
+        fixture.say(answer("200 OK", "X-Id: second\r\n", "own answer"));
+        REQUIRE(Fixture::bodyOf(fixture.end()) == "own answer");
+        // The connection is as good as before.
+        fixture.begin("third");
+        fixture.await("third");
+        fixture.say(answer("200 OK", "X-Id: third\r\n", "third answer"));
+        CHECK(Fixture::bodyOf(fixture.end()) == "third answer");
+    }
+}
+
+// Guards against interim answers without end that stay below the limit on skipped bytes.
+TEST_CASE("A request fails at the limit on the number of interim answers")
 {
     auto fixture = Fixture {};
     fixture.begin("first");
     fixture.accept();
     fixture.await("first");
-    fixture.say("HTTP/1.1 102 Processing\r\n\r\n"
-                + answer("200 OK", "X-Id: first\r\n", "own answer"));
-    CHECK(Fixture::bodyOf(fixture.end()) == "own answer");
+    auto interim = std::string {};
+    for (auto number = 0; number < 1025; ++number)
+        interim += "HTTP/1.1 102 P\r\nX-Id: first\r\n\r\n";
+    fixture.say(interim + answer("200 OK", "X-Id: first\r\n", "own answer"));
+    const auto result = fixture.end();
+    REQUIRE(isUnknownOutcome(result));
+    CHECK(errorKind(std::get<ClientError>(result).status) == ErrorKind::TooLarge);
+}
+
+// Guards against a request whose protocol was changed and that counts as answered or as not run.
+TEST_CASE("A switch of protocols that was not asked for leaves the outcome unknown")
+{
+    auto headers = std::string {};
+    SUBCASE("without a name") { }
+    SUBCASE("with the request's name")
+    {
+        headers = "X-Id: first\r\n";
+    }
+    SUBCASE("with a promise that the request has not run")
+    {
+        headers = "X-Id: first\r\nX-Not-Run: 1\r\n";
+    }
+    auto fixture = Fixture {};
+    fixture.begin("first");
+    fixture.accept();
+    fixture.await("first");
+    fixture.say("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n"
+                + headers + "\r\n" + answer("200 OK", "X-Id: first\r\n", "other bytes"));
+    const auto result = fixture.end();
+    REQUIRE(isUnknownOutcome(result));
+    CHECK(errorKind(std::get<ClientError>(result).status) == ErrorKind::Malformed);
 }
 
 TEST_CASE("Bytes that arrive on an idle connection end it before the next request is sent")
--- a/http/testing/tst_endlessbytes.cpp
+++ b/http/testing/tst_endlessbytes.cpp
@@ -138,6 +138,8 @@
         { "header value", own + "X-Long: ", "v" },
         { "headers", own, "X-More: 1\r\n" },
         { "interim answers", "", "HTTP/1.1 103 Early Hints\r\n\r\n" },
+        { "interim answers that name it", "", "HTTP/1.1 102 P\r\nX-Id: r\r\n\r\n" },
+        { "interim answers without a reason", "", "HTTP/1.1 102 \r\n\r\n" },
         { "interim header", "HTTP/1.1 100 Continue\r\nX-Long: ", "v" },
         { "body to the end", own + "\r\n", "b" },
         { "body of a length", own + "Content-Length: 999999999999\r\n\r\n", "b" },
