Take one version for sure only if controls confirm it for this resumption

Callers saw streams joined from two software versions: during a release a gateway was out of step for a few seconds while endpoints of a new version joined, and streams that had begun on these were taken up at that gateway and went on at the other version (reported, without logs).

Cause, by reading: where nobody knew the stream, isOnlyVersionSure() trusted the versions and their completeness as a control had told them last, of any age, and the words of other gateways, which may be as old. Refused connections to other gateways counted as nobody being there.

Controls that are asked for the stream's origin now answer with the versions that they know, and with whether they vouch at this moment that none is missing. Two must vouch (the only one, where there is one), and versions are the union over all answers. The question follows the caller's, so that the answer covers the time at which the stream began. The message is unchanged: a control of an earlier version leaves the fields empty and so does not vouch, and the caller is refused as not run with a Retry-After of 1 s.

Tests replaced, because what they held to be safe is the fault: - "One version is trusted only if the history is complete and a gateway in touch agrees" expected a gateway's own history, or another gateway's word, to suffice. Now the controls' confirmation is needed for every case that goes on, and the two that rested on gateways are refused ("What gateways say of the completeness of versions is not trusted without the controls"). - "An incomplete history does not show that one version has served, unless another does" expected a complete gateway to make up for it; now only controls do. - In "One version is not trusted by a gateway that others do not answer", "A caller is asked back soon ..." and "A known origin goes before ..." the controls confirm what the gateway's own history did; the expectations are the same. The worlds of tst_streamorigins and tst_resumptions have controls that answer with versions.

--- a/fleet/core.cpp
+++ b/fleet/core.cpp
@@ -403,7 +403,9 @@
         } else if (const auto *begun = std::get_if<proto::BegunStreams>(&envelope.payload)) {
             origins_.keep(*begun);
         } else if (const auto *asked = std::get_if<proto::StreamOriginQuery>(&envelope.payload)) {
-            peer->send({ envelope.correlation, origins_.answer(*asked) });
+            auto reply = origins_.answer(*asked);
+            versions_.addTo(reply, asked->key.service, contact_.isInTouch());
+            peer->send({ envelope.correlation, std::move(reply) });
         } else if (std::holds_alternative<proto::ManifestRequest>(envelope.payload)) {
             peer->send({ envelope.correlation, recentDocuments_.manifest() });
         } else if (const auto *blocks = std::get_if<proto::BlocksRequest>(&envelope.payload)) {
--- a/fleet/servedversions.cpp
+++ b/fleet/servedversions.cpp
@@ -117,6 +117,20 @@
     return news;
 }
 
+auto ServedVersions::addTo(proto::StreamOriginReply &reply, const ServiceId &service,
+                           bool isInTouch) const -> void
+{
+    const auto now = clock_.now();
+    reply.isComplete = isInTouch && isComplete(now);
+    for (const auto &version : versions_.versionsOf(service, now)) {
+        const auto fits = version.size() <= proto::maxOriginTextBytes
+                && reply.versions.size() < proto::maxOriginVersions;
+        if (fits)
+            reply.versions.push_back(version);
+        reply.isComplete = reply.isComplete && fits;
+    }
+}
+
 auto ServedVersions::noteTouch(bool isInTouch, Instant now) -> void
 {
     if (!isInTouch) {
--- a/fleet/servedversions.h
+++ b/fleet/servedversions.h
@@ -26,6 +26,7 @@
 #include "fleet/lastknown.h"
 #include "policy/softwareversions.h"
 #include "proto/servingmessages.h"
+#include "proto/streamoriginmessages.h"
 
 namespace figrack::fleet {
 
@@ -64,6 +65,12 @@
     /// have none any more. nullopt: nothing has changed
     auto tick(bool isInTouch) -> std::optional<proto::VersionNews>;
 
+    /// Adds the versions of a service that have served within the window to the answer to a
+    /// gateway, and whether this control can vouch at this moment that none is missing.
+    /// @param isInTouch as in tick(), at this moment
+    auto addTo(proto::StreamOriginReply &reply, const ServiceId &service, bool isInTouch) const
+            -> void;
+
 private:
     /// Of another control, as long as its connection is open.
     struct History
--- a/fleet/testing/tst_servedversions.cpp
+++ b/fleet/testing/tst_servedversions.cpp
@@ -309,6 +309,29 @@
     }
 }
 
+// Guards against a control that vouches for what it knew before it stood still.
+TEST_CASE("A gateway that asks is told the versions of this moment, and whether none is missing")
+{
+    auto rig = Rig {};
+    auto &life = rig.start(true);
+    const auto ask = [&](bool isInTouch) {
+        auto reply = proto::StreamOriginReply {};
+        life.served.addTo(reply, ServiceId { "s" }, isInTouch);
+        return reply;
+    };
+    CHECK_FALSE(ask(true).isComplete);
+    life.served.onRow(rowOf("i-1", "v1"));
+    for (auto passed = 0ms; passed < 5s; passed += tickEvery) {
+        rig.clock.advance(tickEvery);
+        life.tick(true);
+    }
+    CHECK(ask(true).isComplete);
+    CHECK(ask(true).versions == std::vector<std::string> { "v1" });
+    life.served.onRow(rowOf("i-2", "v2"));
+    CHECK(ask(true).versions == std::vector<std::string> { "v1", "v2" });
+    CHECK_FALSE(ask(false).isComplete);
+}
+
 TEST_CASE("Nothing is told while one version serves, and each change once")
 {
     auto rig = Rig {};
--- a/gateway/controlorigins.cpp
+++ b/gateway/controlorigins.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <memory>
+#include <set>
+#include <string>
 #include <utility>
 
 #include "core/hash.h"
@@ -11,26 +13,40 @@
 
 constexpr auto keepers = std::size_t { 2 };
 constexpr auto asked = std::size_t { 3 };
+/// Controls that must say that no version is missing: one alone may have stood still.
+constexpr auto confirming = std::size_t { 2 };
 
 /// Answers of the controls that have been asked.
 struct Question
 {
     ControlOrigins::Done done;
+    std::size_t toConfirm = confirming;
     std::size_t pending = 0;
     bool isAnyMissing = false;
+    std::size_t confirmed = 0;
+    std::set<std::string> versions = {};
 
     auto onReply(const absl::StatusOr<proto::Payload> &reply) -> void
     {
         const auto *answer = reply.ok() ? std::get_if<proto::StreamOriginReply>(&*reply) : nullptr;
-        if (answer != nullptr && answer->origin)
-            end({ answer->origin, false });
+        if (answer != nullptr)
+            add(*answer);
         isAnyMissing = isAnyMissing || answer == nullptr;
         endOne();
     }
+    auto add(const proto::StreamOriginReply &answer) -> void
+    {
+        if (answer.origin)
+            end({ .origin = answer.origin });
+        versions.insert(answer.versions.begin(), answer.versions.end());
+        confirmed += answer.isComplete ? 1 : 0;
+    }
     auto endOne() -> void
     {
-        if (--pending == 0)
-            end({ std::nullopt, isAnyMissing });
+        if (--pending != 0)
+            return;
+        const auto isComplete = confirmed >= toConfirm;
+        end({ std::nullopt, isAnyMissing, std::move(versions), isComplete });
     }
     auto end(const ControlAnswer &answer) -> void
     {
@@ -67,6 +83,7 @@
     question->done = std::move(done);
     question->pending = 1; // This function's own, so that no early answer ends the question.
     question->isAnyMissing = !parts_.areAllConnected();
+    question->toConfirm = std::clamp(parts_.controls().size(), std::size_t { 1 }, confirming);
     for (const auto &control : controlsOf(key, asked)) {
         auto query = proto::StreamOriginQuery { key, parts_.random.bits() };
         const auto isSent
--- a/gateway/controlorigins.h
+++ b/gateway/controlorigins.h
@@ -63,7 +63,8 @@
     using Done = std::function<void(const ControlAnswer &)>;
     ControlOrigins(ControlOriginsOptions options, ControlOriginsParts parts);
     auto tell(const proto::BegunStream &stream) -> void;
-    /// Asks the controls that keep the stream, and the next one in case another has joined since.
+    /// Asks the controls that keep the stream, and the next one in case another has joined since,
+    /// for its origin and for the versions that have served.
     /// @param done called once, with the first origin that is found, or when all have answered or
     /// the timeout has passed
     auto ask(const proto::StreamKey &key, Duration timeout, Done done) -> void;
--- a/gateway/foundorigin.cpp
+++ b/gateway/foundorigin.cpp
@@ -17,9 +17,8 @@
     return originSourceNames[static_cast<std::size_t>(source) % originSourceNames.size()];
 }
 
-OriginEvidence::OriginEvidence(std::set<std::string> versions, bool isComplete)
+OriginEvidence::OriginEvidence(std::set<std::string> versions)
     : versions_(std::move(versions))
-    , isComplete_(isComplete)
 { }
 
 auto OriginEvidence::add(const OriginAnswer &answer) -> void
@@ -31,7 +30,6 @@
     const auto &reply = std::get<proto::StreamOriginReply>(answer);
     ++replied_;
     versions_.insert(reply.versions.begin(), reply.versions.end());
-    isComplete_ = isComplete_ || reply.isComplete;
     if (reply.origin)
         setOrigin(*reply.origin, OriginSource::Owner);
 }
@@ -39,6 +37,8 @@
 auto OriginEvidence::add(const ControlAnswer &answer) -> void
 {
     mayControlKnow_ = mayControlKnow_ || answer.mayBeKnown;
+    versions_.insert(answer.versions.begin(), answer.versions.end());
+    isConfirmed_ = isConfirmed_ || answer.isComplete;
     if (answer.origin)
         setOrigin(*answer.origin, OriginSource::Control);
 }
@@ -54,13 +54,13 @@
 auto OriginEvidence::isOnlyVersionSure() const -> bool
 {
     const auto isInTouch = replied_ > 0 || silent_ == 0;
-    return versions_.size() == 1 && isComplete_ && isInTouch;
+    return versions_.size() == 1 && isConfirmed_ && isInTouch;
 }
 
 auto OriginEvidence::retryAfter(const OriginWaits &waits) const -> Duration
 {
     const auto mayBeTold
-            = silent_ > 0 || mayControlKnow_ || (versions_.size() <= 1 && !isComplete_);
+            = silent_ > 0 || mayControlKnow_ || (versions_.size() <= 1 && !isConfirmed_);
     return mayBeTold ? waits.reachedAgain : waits.window;
 }
 
--- a/gateway/foundorigin.h
+++ b/gateway/foundorigin.h
@@ -52,7 +52,10 @@
 struct ControlAnswer
 {
     std::optional<proto::StreamOrigin> origin;
-    bool mayBeKnown = false; ///< A control that did not answer may know the origin.
+    bool mayBeKnown = false;             ///< A control that did not answer may know the origin.
+    std::set<std::string> versions = {}; ///< That have served within the window.
+    /// Enough controls in touch with their group say that no version is missing.
+    bool isComplete = false;
 };
 
 struct OriginWaits
@@ -68,10 +71,11 @@
 {
 public:
     /// @param versions of the service within the window, as far as this gateway knows
-    /// @param isComplete whether none is missing
-    OriginEvidence(std::set<std::string> versions, bool isComplete);
+    explicit OriginEvidence(std::set<std::string> versions);
     /// @param answer of a gateway that was asked
     auto add(const OriginAnswer &answer) -> void;
+    /// @param answer to a question that was asked for this stream: what controls said earlier, or
+    /// another gateway says of them, may be outdated by an endpoint that has joined since
     auto add(const ControlAnswer &answer) -> void;
     /// @param source of an origin that was found
     auto setOrigin(proto::StreamOrigin origin, OriginSource source) -> void;
@@ -80,7 +84,8 @@
     auto silent() const -> std::size_t { return silent_; }
     auto refused() const -> std::size_t { return refused_; }
     /// @return true if exactly one version can have begun the stream: it alone has served within
-    /// the window, this is known completely, and this gateway is not cut off from all others
+    /// the window, the controls confirm that none is missing, and this gateway is not cut off from
+    /// all others
     auto isOnlyVersionSure() const -> bool;
     /// @param account of the caller
     auto found(const AccountId &account, const OriginWaits &waits) const -> FoundOrigin;
@@ -89,7 +94,7 @@
     auto retryAfter(const OriginWaits &waits) const -> Duration;
 
     std::set<std::string> versions_;
-    bool isComplete_;
+    bool isConfirmed_ = false;
     std::optional<proto::StreamOrigin> origin_;
     OriginSource source_ = OriginSource::Unknown;
     std::size_t replied_ = 0;
--- a/gateway/streamorigins.cpp
+++ b/gateway/streamorigins.cpp
@@ -52,7 +52,7 @@
         : timer(context, timeout)
     { }
     BootTimer timer;
-    ControlAnswer answer { std::nullopt, true };
+    ControlAnswer answer { .origin = std::nullopt, .mayBeKnown = true };
     bool isOver = false;
 };
 
@@ -195,7 +195,7 @@
 
     auto ownEvidence(const proto::StreamKey &key) const -> OriginEvidence
     {
-        auto evidence = OriginEvidence { parts_.versionsOf(key.service), parts_.isComplete() };
+        auto evidence = OriginEvidence { parts_.versionsOf(key.service) };
         if (auto origin = table_.find(key))
             evidence.setOrigin(*std::move(origin), OriginSource::Here);
         return evidence;
--- a/gateway/testing/originworld.cpp
+++ b/gateway/testing/originworld.cpp
@@ -32,6 +32,7 @@
 
 auto OriginWorld::addGateways(int count, const std::set<std::string> &versions) -> void
 {
+    controlVersions.insert(versions.begin(), versions.end());
     for (auto i = 0; i < count; ++i, ++added_) {
         add({ NodeId { "g" + std::to_string(added_) },
               { "10.0.0.1", static_cast<std::uint16_t>(added_ + 1) },
@@ -78,7 +79,8 @@
                     controls.keep(stream, proto::OriginKeeper::Others);
             },
              [this](const proto::StreamKey &key, Duration, const OriginControls::Done &done) {
-                 done({ hasControls ? controls.find(key) : std::nullopt, false });
+                 done({ hasControls ? controls.find(key) : std::nullopt, false, controlVersions,
+                        areControlsComplete });
              } };
 }
 
@@ -105,6 +107,7 @@
 
 auto OriginWorld::setVersions(const std::set<std::string> &versions) -> void
 {
+    controlVersions = versions;
     for (const auto &[node, gateway] : gateways_) {
         const auto before = std::exchange(gateway->versions, versions);
         if (before.size() < 2 && versions.size() > 1)
--- a/gateway/testing/originworld.h
+++ b/gateway/testing/originworld.h
@@ -64,6 +64,8 @@
     /// What the controls keep; without them nothing is told or asked there.
     proto::OriginTable controls { {}, clock };
     bool hasControls = false;
+    std::set<std::string> controlVersions; ///< As the controls know them when they are asked.
+    bool areControlsComplete = true;
 
 private:
     static auto send(OriginWorld *world, NodeId from, OriginOwner to,
--- a/gateway/testing/tst_controlorigins.cpp
+++ b/gateway/testing/tst_controlorigins.cpp
@@ -128,6 +128,39 @@
     }
 }
 
+// Guards against a single control that stood still and vouches for what it knew before.
+TEST_CASE("Versions are complete if two of the controls vouch for it, and are those of all")
+{
+    auto rig = ControlsRig {};
+    const auto answer = [](std::vector<std::string> versions, bool isComplete) {
+        return proto::Payload { proto::StreamOriginReply { {}, std::move(versions), isComplete } };
+    };
+    rig.ask(1);
+    SUBCASE("one vouches")
+    {
+        rig.calls[0].onReply(answer({ "v1" }, true));
+        rig.calls[1].onReply(answer({ "v1" }, false));
+        rig.calls[2].onReply(absl::DeadlineExceededError("late"));
+        CHECK_FALSE(rig.answers.at(0).isComplete);
+    }
+    SUBCASE("two vouch, and the third one knows another version")
+    {
+        rig.calls[0].onReply(answer({ "v1" }, true));
+        rig.calls[1].onReply(answer({ "v1" }, true));
+        rig.calls[2].onReply(answer({ "v2" }, false));
+        CHECK(rig.answers.at(0).isComplete);
+        CHECK(rig.answers.at(0).versions == std::set<std::string> { "v1", "v2" });
+    }
+    SUBCASE("the only one there is vouches")
+    {
+        rig.calls.clear();
+        rig.known = { NodeId { "n1" } };
+        rig.ask(1);
+        rig.calls.at(0).onReply(answer({ "v1" }, true));
+        CHECK(rig.answers.at(0).isComplete);
+    }
+}
+
 TEST_CASE("Without a control that is connected the question ends at once")
 {
     auto rig = ControlsRig {};
--- a/gateway/testing/tst_resumptions.cpp
+++ b/gateway/testing/tst_resumptions.cpp
@@ -156,6 +156,15 @@
         co_return OriginAnswer { OriginFailure::NoAnswer };
     }
 
+    /// Controls that keep no streams, and know which versions have served.
+    auto controlsPart() -> OriginControls
+    {
+        return { [](const proto::BegunStream &) {},
+                 [this](const proto::StreamKey &key, Duration, const OriginControls::Done &done) {
+                     done({ std::nullopt, false, versions[key.service], true });
+                 } };
+    }
+
     auto addGateway(const std::string &name) -> void
     {
         auto &gateway = *gateways_.emplace_back(std::make_unique<TestGateway>());
@@ -179,7 +188,8 @@
                                           [this](const ServiceId &id) { return versions[id]; },
                                           [] { return true; },
                                           [this] { return rows(); },
-                                          std::move(transport) };
+                                          std::move(transport),
+                                          controlsPart() };
         gateway.origins = std::make_unique<StreamOrigins>(std::move(options), std::move(parts));
         gateway.forwarder = std::make_unique<Forwarder>(options_,
                                                         ForwarderParts { rig.context,
--- a/gateway/testing/tst_streamorigins.cpp
+++ b/gateway/testing/tst_streamorigins.cpp
@@ -259,19 +259,46 @@
     checkUnknown(world->find(stranger, attempt), 1s);
 }
 
-TEST_CASE("An incomplete history does not show that one version has served, unless another does")
+TEST_CASE("An incomplete history does not show that one version has served")
 {
     const auto world = worldOf(9, { "v1" });
     const auto attempt = attemptOwnedElsewhere(*world);
     const auto stranger = world->strangerTo(attempt, firstGateway);
     world->begin(firstGateway, attempt);
-    for (const auto &node : world->nodes())
-        world->gateway(node).isComplete = false;
+    world->areControlsComplete = false;
     checkUnknown(world->find(stranger, attempt), 1s);
-    world->gateway(world->ownersOf(attempt).front()).isComplete = true;
+    world->areControlsComplete = true;
     checkFound(world->find(stranger, attempt), OriginSource::OnlyVersion, "v1");
 }
 
+// Guards against a stream that goes on at another version at a gateway which stood still, or which
+// others refuse, while endpoints of a second version joined.
+TEST_CASE("A gateway whose knowledge of versions is outdated does not trust it")
+{
+    const auto world = worldOf(9, { "v1" });
+    const auto attempt = attemptOwnedElsewhere(*world);
+    const auto stranger = world->strangerTo(attempt, firstGateway);
+    world->controlVersions = several;
+    SUBCASE("other gateways are as outdated")
+    {
+        checkUnknown(world->find(stranger, attempt), 60s);
+    }
+    SUBCASE("the other gateways have ended")
+    {
+        for (const auto &node : world->nodes()) {
+            if (node != stranger)
+                world->end(node);
+        }
+        checkUnknown(world->find(stranger, attempt), 60s);
+    }
+    SUBCASE("no control confirms it")
+    {
+        world->controlVersions.clear();
+        world->areControlsComplete = false;
+        checkUnknown(world->find(stranger, attempt), 1s);
+    }
+}
+
 TEST_CASE("A version that only another gateway knows keeps the stream from being guessed")
 {
     const auto world = worldOf(9, { "v1" });
