Count the time for which a control stood still as time out of touch

A control that stood still for longer than others keep what it missed vouched for its history 1.5 s after it went on, without the versions that had come and left meanwhile. A stream of such a version that its caller takes up could go on at another one (found by reading, not seen with processes).

Cause: time out of touch counted from the first tick at which the control noticed, so that the time without ticks was lost, and contact that is as good at the first tick as at the last one hid it.

It counts from the last tick now, if the process stood still for as long as a control settles after a break (1.5 s), and a control without a tick for that long does not vouch.

--- a/fleet/servedversions.cpp
+++ b/fleet/servedversions.cpp
@@ -133,12 +133,12 @@
 
 auto ServedVersions::noteTouch(bool isInTouch, Instant now) -> void
 {
-    if (!isInTouch) {
-        if (!brokenSince_)
-            brokenSince_ = now;
-        return;
-    }
-    if (!brokenSince_)
+    // A process that stands still hears nothing from its last tick on.
+    const auto lastTickAt = std::exchange(lastTickAt_, now).value_or(now);
+    const auto stoodStill = now - lastTickAt >= options_.settleAfterBreak;
+    if (!brokenSince_ && (!isInTouch || stoodStill))
+        brokenSince_ = lastTickAt;
+    if (!isInTouch || !brokenSince_)
         return;
     // A fleet that starts for the first time has no group to be cut off from until all its controls
     // are there.
@@ -165,7 +165,9 @@
 
 auto ServedVersions::isComplete(Instant now) const -> bool
 {
-    return !brokenSince_ && now - *currentSince_ >= options_.settleAfterBreak && hasHistory(now);
+    const auto standsStill = !lastTickAt_ || now - *lastTickAt_ >= options_.settleAfterBreak;
+    return !brokenSince_ && !standsStill && now - *currentSince_ >= options_.settleAfterBreak
+            && hasHistory(now);
 }
 
 auto ServedVersions::save(Instant now) -> void
--- a/fleet/servedversions.h
+++ b/fleet/servedversions.h
@@ -99,7 +99,8 @@
     bool isKnownFromStart_ = false;       ///< Restored, taken over, or the first start.
     std::optional<Instant> brokenSince_;  ///< Absent while in touch with the group.
     std::optional<Instant> currentSince_; ///< Absent until it is in touch for the first time.
-    Instant listeningSince_ {};           ///< Without a break that may hide a version.
+    std::optional<Instant> lastTickAt_;
+    Instant listeningSince_ {}; ///< Without a break that may hide a version.
     Instant nextExpiry_ {};
     Instant nextSave_ {};
     std::map<NodeId, History> histories_; ///< By control.
--- a/fleet/testing/tst_servedversions.cpp
+++ b/fleet/testing/tst_servedversions.cpp
@@ -332,6 +332,41 @@
     CHECK_FALSE(ask(false).isComplete);
 }
 
+// Guards against a control that vouches for a history without what it missed while it stood still.
+TEST_CASE("The time for which a control stood still counts as time out of touch")
+{
+    auto rig = Rig {};
+    rig.start(true);
+    rig.run(2s);
+    CHECK(rig.run(1min));
+    SUBCASE("for longer than others keep what it missed, in touch at its first tick")
+    {
+        rig.clock.advance(90s);
+        rig.run(59s);
+        CHECK_FALSE(rig.life->isComplete);
+        rig.run(1s);
+        CHECK(rig.life->isComplete);
+    }
+    SUBCASE("for longer than others keep what it missed, out of touch at first")
+    {
+        rig.clock.advance(90s);
+        rig.run(500ms, false);
+        rig.run(59s);
+        CHECK_FALSE(rig.life->isComplete);
+    }
+    SUBCASE("for a few seconds, until it has the rows of the others")
+    {
+        rig.clock.advance(5s);
+        auto reply = proto::StreamOriginReply {};
+        rig.life->served.addTo(reply, ServiceId { "s" }, true);
+        CHECK_FALSE(reply.isComplete);
+        rig.run(1400ms);
+        CHECK_FALSE(rig.life->isComplete);
+        rig.run(100ms);
+        CHECK(rig.life->isComplete);
+    }
+}
+
 TEST_CASE("Nothing is told while one version serves, and each change once")
 {
     auto rig = Rig {};
