Bound the memory of all answers that are read before they are sent

What callers saw (reported): endpoints sent bodies without end, the process that had called them kept them and ran out of memory, and the requests of other callers ended with it.

Cause: one answer is limited to 16 MiB, and nothing limits their sum. It is counted in HeldBytes and in the budget for peers, which ends idle callers for it but refuses no answer.

Answers that are read to their ends may now take a quarter of the memory together; the one that would exceed it is ended, and its request may have run. Answers of up to 64 KiB go on in any case.

--- a/gateway/forwarderrelay.cpp
+++ b/gateway/forwarderrelay.cpp
@@ -13,6 +13,23 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// Part of the process's memory for answers that are read to their ends before they are sent.
+constexpr auto answersShare = 0.25;
+/// An answer up to this size is read on in any case, so that large ones do not end it.
+constexpr auto smallAnswer = std::uint64_t { 64 } << 10;
+
+/// @return true if an answer may go on, of which so many bytes are held
+auto mayHoldMore(const HeldBytes &held, std::uint64_t memoryLimit, std::uint64_t ofAnswer) -> bool
+{
+    const auto limit = static_cast<double>(memoryLimit) * answersShare;
+    const auto sum = static_cast<double>(held.of(HeldBytes::Kind::Answer));
+    return memoryLimit == 0 || ofAnswer <= smallAnswer || sum <= limit;
+}
+
+} // namespace
+
 auto Forwarder::Run::readAnswer(http::ClientStream &stream)
         -> asio::awaitable<absl::StatusOr<std::string>>
 {
@@ -41,6 +58,11 @@
             lastError_ = makeError(ErrorKind::TooLarge, "answer");
             co_return Step::Broken;
         }
+        const auto memoryLimit = owner_.options_.heldBytes.memoryLimit;
+        if (!mayHoldMore(owner_.heldBytes_, memoryLimit, body.size())) {
+            lastError_ = makeError(ErrorKind::TooLarge, "answers in progress");
+            co_return Step::Broken;
+        }
     }
     if (!co_await isWhole(stream))
         co_return Step::Broken;
--- a/gateway/testing/tst_endlessanswers.cpp
+++ b/gateway/testing/tst_endlessanswers.cpp
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -147,3 +150,37 @@
         }
     }
 }
+
+// Guards against endpoints that together take the memory of a gateway with bodies without end.
+TEST_CASE("Answers without end that are received at once stay within their part of the memory")
+{
+    constexpr auto calls = std::size_t { 24 };
+    constexpr auto memoryLimit = std::uint64_t { 16'000'000 };
+    constexpr auto unit = std::size_t { 16 } << 10;
+    auto options = ForwarderOptions {};
+    options.heldBytes.memoryLimit = memoryLimit;
+    auto rig = Rig { options };
+    const auto endless
+            = EndlessEndpoint::start(rig.context, { ownHead + "\r\n", std::string(unit, 'b') });
+    tell(rig, *endless);
+    auto answers = std::vector<std::shared_ptr<std::optional<Got>>> {};
+    for (auto number = std::size_t { 0 }; number < calls; ++number)
+        answers.push_back(rig.begin(Rig::request("/once/x", "r" + std::to_string(number))));
+    auto most = std::uint64_t { 0 };
+    REQUIRE(rig.runUntil([&] {
+        most = std::max(most, rig.forwarder.heldBytes().of(HeldBytes::Kind::Answer));
+        return std::all_of(answers.begin(), answers.end(),
+                           [](const auto &answer) { return answer->has_value(); });
+    }));
+    CHECK(most > memoryLimit / 8);
+    // Each may hold a small answer and the bytes of one read beside the part of the limit.
+    CHECK(most <= memoryLimit / 4 + calls * (std::size_t { 128 } << 10));
+    for (const auto &answer : answers)
+        CHECK((*answer)->status == 502);
+    CHECK(rig.runUntil([&] { return endless->open() == 0; }));
+    CHECK(rig.forwarder.heldBytes().sum() == 0);
+    endless->stop();
+    rig.tell("i-1", 1, 2, catalogue::EndpointState::Draining);
+    rig.addEndpoint("i-2").handler = answering("answer");
+    CHECK(rig.call(Rig::request("/once/x", "next")).body == "answer");
+}
