--- a/gateway/testing/tst_endpointcut.cpp
+++ b/gateway/testing/tst_endpointcut.cpp
@@ -62,7 +62,8 @@
     auto world = CutWorld {};
     world.cut(Cut::Hang);
     REQUIRE(world.awaitLoss(At::Cut));
-    CHECK(world.control().subscriptions.at(NodeId { "g1" }).reachesNone);
+    REQUIRE(world.rig.runUntil(
+            [&] { return world.control().subscriptions.at(NodeId { "g1" }).reachesNone; }));
     world.heal(At::Cut);
     REQUIRE(world.rig.runUntil([&] { return world.hasOnPage(At::Cut, "unreached_groups\"} 0"); }));
     const auto before = world.delivered(At::Cut);
